--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -19,13 +19,21 @@
     Recorded(Stage),
 }
 
-/// Run times seen in a class, against what was estimated.
-#[derive(Debug, Clone, Copy, Default)]
+/// What was seen of a class: run times against estimates, and how often its jobs come.
+#[derive(Debug, Clone, Default)]
 pub(crate) struct Class {
     runs: f64,
     log_ratio: f64,
+    /// Jobs a second, as a mean that forgets, and the time of day it was last brought up to.
+    rate: f64,
+    rate_at: u64,
+    /// Its latest job, which the next is expected to resemble.
+    pub like: Option<Box<JobSpec>>,
 }
 
+/// Arrivals longer ago than this hardly count.
+const ARRIVALS_MS: f64 = 150_000.0;
+
 impl Class {
     /// Each run moves the correction less, down to a twentieth, so that it follows the day.
     pub fn learn(&mut self, ratio: f64) {
@@ -33,6 +41,18 @@
         let weight = (1.0 / (self.runs + 2.0)).max(0.05);
         self.log_ratio += (ratio.clamp(0.1, 10.0).ln() - self.log_ratio) * weight;
     }
+    pub fn arrived(&mut self, spec: &JobSpec, at_ms: u64) {
+        self.rate = self.rate(at_ms) + 1000.0 / ARRIVALS_MS;
+        self.rate_at = self.rate_at.max(at_ms);
+        self.like = Some(Box::new(spec.clone()));
+    }
+
+    /// Jobs a second that are to be expected.
+    pub fn rate(&self, wall_ms: u64) -> f64 {
+        let gone = wall_ms.saturating_sub(self.rate_at) as f64;
+        if self.rate_at == 0 { 0.0 } else { self.rate * (-gone / ARRIVALS_MS).exp() }
+    }
+
     pub fn factor(&self) -> f64 {
         self.log_ratio.exp().clamp(0.3, 3.0)
     }
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -379,6 +379,7 @@
             return;
         }
         log::debug!("job {}: {} tasks of class {}", rec.spec.id, rec.spec.tasks, rec.spec.class);
+        part.classes.entry(rec.spec.class.clone()).or_default().arrived(&rec.spec, rec.at_ms);
         part.add_job(Job::new(rec, version));
         part.plan_due = true;
     }
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -3,9 +3,10 @@
 use crate::Node;
 use crate::jobs::{Ending, JobIx};
 use crate::machines::{Claim, Need};
-use crate::part::HireState;
+use crate::part::{HireState, Part};
 use std::collections::HashMap;
-use wire::api::{Catalog, Kind};
+use wire::api::{Catalog, JobSpec, Kind, MachineType};
+use wire::settings::Objective;
 
 /// The planner's indices and ours.
 struct Map {
@@ -26,6 +27,73 @@
     names.enumerate().map(|(i, n)| (n.as_str(), i as u16)).collect()
 }
 
+/// The dense indices of this plan.
+struct Names<'a> {
+    catalog: &'a Catalog,
+    types: &'a HashMap<&'a str, u16>,
+    zones: &'a HashMap<&'a str, u16>,
+    teams: &'a HashMap<&'a str, u16>,
+}
+
+/// A job as the planner sees it, as far as its description says.
+fn shaped(spec: &JobSpec, images: &mut crate::part::Names, names: &Names<'_>, team: u16) -> plan::Job {
+    let types = match &spec.types {
+        Some(list) => {
+            list.iter().filter_map(|t| names.types.get(t.as_str())).fold(0, |bits, i| bits | 1 << i)
+        }
+        None => (0..names.catalog.types.len()).fold(0, |bits, i| bits | 1 << i),
+    };
+    plan::Job {
+        shape: match spec.kind {
+            Kind::Array => plan::Shape::Array,
+            Kind::Gang => plan::Shape::Gang,
+            Kind::Service => plan::Shape::Service,
+        },
+        priority: spec.priority as u8,
+        arrival: 0.0,
+        estimate: spec.estimate_s,
+        tasks: spec.tasks,
+        pending: spec.tasks,
+        need: plan::Res { cores: spec.cores, gpus: spec.gpus, mem: spec.mem_gb },
+        types,
+        zone: spec.zone.as_ref().map(|z| names.zones.get(z.as_str()).copied().unwrap_or(u16::MAX)),
+        one_zone: spec.one_zone,
+        spread: spec.spread,
+        spot: spec.spot,
+        image: images.get(&spec.image),
+        image_gb: spec.image_gb,
+        team,
+        due: None,
+        zones: Vec::new(),
+        avoid: Vec::new(),
+    }
+}
+
+/// Room for the jobs that come while a machine boots and fetches, in classes whose users expect a start within
+/// less than that.
+fn spares(part: &mut Part, aims: &[Objective], names: &Names<'_>, share: f64, wall: u64) -> Vec<plan::Spare> {
+    let mut out: Vec<plan::Spare> = Vec::new();
+    for (class, seen) in &part.classes {
+        let Some(spec) = &seen.like else { continue };
+        let within = aims.iter().filter(|a| a.kind == "wait" && a.class.as_ref() == Some(class));
+        let Some(within) = within.filter_map(|a| a.within_s).reduce(f64::min) else { continue };
+        let Some(team) = names.teams.get(spec.team.as_str()) else { continue };
+        let like = shaped(spec, &mut part.images, names, *team);
+        let lead = |t: &MachineType| t.boot_s + spec.image_gb / t.fetch_gb_per_s.max(0.01);
+        let fitting = names.catalog.types.iter().enumerate().filter(|(i, _)| like.types >> i & 1 == 1);
+        let Some(lead) = fitting.map(|(_, t)| lead(t)).reduce(f64::min) else { continue };
+        if lead <= within {
+            continue;
+        }
+        let count = (seen.rate(wall) * lead * share).round() as u32 * like.tasks.min(50);
+        if count > 0 {
+            out.push(plan::Spare { like, count });
+        }
+    }
+    out.sort_by_key(|s| (std::cmp::Reverse(s.like.priority), s.like.image));
+    out
+}
+
 impl Node {
     pub(crate) fn sched_tick(&mut self) {
         let now = self.now.mono;
@@ -48,9 +116,11 @@
         self.stats.plans += 1;
         self.stats.plan_steps += output.steps;
         log::debug!(
-            "plan: {} jobs, {} machines, stretch {:.2}, {} starts, {} waiting, {} steps",
+            "plan: {} jobs, {} machines with {:.0} of {:.0} GPUs free, stretch {:.2}, {} starts, {} waiting, {} steps",
             input.jobs.len(),
             input.machines.len(),
+            input.machines.iter().filter(|m| m.usable).map(|m| m.free().gpus).sum::<f64>(),
+            input.machines.iter().map(|m| m.total.gpus).sum::<f64>(),
             output.stretch,
             output.starts.len(),
             output.waiting.len(),
@@ -67,7 +137,8 @@
         // Right after a take-over the machines have not all been heard of yet.
         if now >= since + 2 * settle {
             self.hire_for(&input, &output, &catalog);
-            self.return_idle(&output);
+            let kept: Vec<usize> = output.kept.iter().map(|m| map.machines[*m as usize]).collect();
+            self.return_idle(&output, &kept);
         }
     }
 
@@ -76,6 +147,7 @@
         let types = index(catalog.types.iter().map(|t| &t.name));
         let zones = index(self.settings.cluster.zones.iter());
         let teams = index(self.settings.cluster.teams.iter().map(|t| &t.name));
+        let names = Names { catalog, types: &types, zones: &zones, teams: &teams };
         let value_room = (self.settings.cluster.state.value_kb * 1024.0 - 600.0) / 40.0;
         let mut input = plan::Input {
             online_factor: self.tuning.online_factor,
@@ -180,40 +252,21 @@
                     None => by_zone.push((*z, 1)),
                 }
             }
-            let allowed = catalog
-                .types
-                .iter()
-                .enumerate()
-                .filter(|(_, t)| spec.types.as_ref().is_none_or(|names| names.contains(&t.name)));
-            let zone = spec.zone.as_ref().map(|z| zones.get(z.as_str()).copied().unwrap_or(u16::MAX));
             let factor = part.classes.get(&spec.class).map_or(1.0, |c| c.factor());
             let arrival = -(now.wall.saturating_sub(job.at_ms) as f64 / 1000.0);
             map.jobs.push(ix);
+            let shape = shaped(spec, &mut part.images, &names, *team);
             input.jobs.push(plan::Job {
-                shape: match spec.kind {
-                    Kind::Array => plan::Shape::Array,
-                    Kind::Gang => plan::Shape::Gang,
-                    Kind::Service => plan::Shape::Service,
-                },
-                priority: spec.priority as u8,
                 arrival,
                 estimate: (spec.estimate_s * factor - job.progress_s).max(1.0),
-                tasks: spec.tasks,
                 pending,
-                need: job.need.into(),
-                types: allowed.fold(0, |bits, (i, _)| bits | 1 << i),
-                zone,
-                one_zone: spec.one_zone,
-                spread: spec.spread,
-                spot: spec.spot,
-                image: part.images.get(&spec.image),
-                image_gb: spec.image_gb,
-                team: *team,
                 due: spec.deadline_s.map(|d| d + arrival),
                 zones: by_zone,
                 avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
+                ..shape
             });
         }
+        input.spares = spares(part, &self.settings.cluster.objectives, &names, self.tuning.spare, now.wall);
         (input, map)
     }
 
@@ -336,14 +389,8 @@
             .collect();
         order.sort_by_key(|i| load.get(names[*i].1.as_str()).copied().unwrap_or(0));
         let open: Vec<plan::MachineOffer> = order.iter().map(|i| offers[*i].clone()).collect();
-        let wishes = plan::wishes(&plan::HireInput {
-            input,
-            output,
-            offers: &open,
-            coming: &coming,
-            horizon,
-            spare: &[],
-        });
+        let wishes =
+            plan::wishes(&plan::HireInput { input, output, offers: &open, coming: &coming, horizon });
         for wish in wishes {
             let (machine_type, zone, spot) = names[order[wish.offer]].clone();
             self.hire(&machine_type, &zone, spot, wish.count.min(10));
@@ -351,15 +398,17 @@
     }
 
     /// Returns machines that have had nothing to do for a while, the dearest first.
-    fn return_idle(&mut self, output: &plan::Output) {
+    fn return_idle(&mut self, output: &plan::Output, kept: &[usize]) {
         let now = self.now.mono;
         let idle_ms = (self.tuning.idle_s * 1000.0) as u64;
         let Some(part) = &mut self.part else { return };
         if !output.waiting.is_empty() {
             return;
         }
-        for machine in part.machines.iter_mut().flatten() {
+        for (m, machine) in part.machines.iter_mut().enumerate() {
+            let Some(machine) = machine else { continue };
             let idle = machine.up
+                && !kept.contains(&m)
                 && machine.claims.is_empty()
                 && !machine.deleting
                 && machine.idle_since + idle_ms < now;
--- a/crates/plan/src/hire.rs
+++ b/crates/plan/src/hire.rs
@@ -1,6 +1,6 @@
 //! What to rent: enough for the tasks that found no room, where renting is worth its price.
 
-use crate::{Input, Output, Res, Secs, Shape};
+use crate::{Input, Job, Output, Res, Secs, Shape};
 
 /// A kind of machine that can be rented now.
 #[derive(Debug, Clone)]
@@ -22,8 +22,6 @@
     pub coming: &'a [(MachineOffer, u32)],
     /// An array's waiting work is spread over this time: less makes it faster and dearer.
     pub horizon: Secs,
-    /// Room of this shape is kept free for the next job that may not wait.
-    pub spare: &'a [(u32, u32)],
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -47,11 +45,13 @@
             fleet.push(Virtual { offer: offer.clone(), free: offer.total, new: None });
         }
     }
-    let mut order: Vec<(u32, u32)> = h.output.waiting.clone();
-    order.sort_by_key(|(j, _)| std::cmp::Reverse(h.input.jobs[*j as usize].priority));
-    order.extend(h.spare.iter().copied());
-    for (j, n) in order {
-        let job = &h.input.jobs[j as usize];
+    let jobs = &h.input.jobs;
+    let mut order: Vec<(&Job, u32)> =
+        h.output.waiting.iter().map(|(j, n)| (&jobs[*j as usize], *n)).collect();
+    order.sort_by_key(|(job, _)| std::cmp::Reverse(job.priority));
+    let short = h.input.spares.iter().zip(&h.output.spare_short);
+    order.extend(short.map(|(spare, n)| (&spare.like, *n)));
+    for (job, n) in order {
         let fits = |o: &MachineOffer| {
             job.types >> o.machine_type & 1 == 1
                 && job.zone.is_none_or(|z| z == o.zone)
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -144,11 +144,20 @@
     }
 }
 
+/// Room that is kept free for jobs that are expected soon and may not wait for a machine to boot.
+#[derive(Debug, Clone)]
+pub struct Spare {
+    /// What one of the expected tasks looks like.
+    pub like: Job,
+    pub count: u32,
+}
+
 #[derive(Debug, Clone, Default)]
 pub struct Input {
     pub machines: Vec<Machine>,
     pub jobs: Vec<Job>,
     pub teams: Vec<Team>,
+    pub spares: Vec<Spare>,
     /// The online factor: the smallest stretch is relaxed by it.
     pub online_factor: f64,
     /// A job of higher priority waits this long for room before others are stopped for it.
@@ -175,6 +184,9 @@
     pub preempts: Vec<Preempt>,
     /// Tasks that found no room now though their team's limit allows them: job and count.
     pub waiting: Vec<(u32, u32)>,
+    /// Machines whose free room is kept for the expected, and how much of each spare found no room.
+    pub kept: Vec<u32>,
+    pub spare_short: Vec<u32>,
     /// The smallest stretch found.
     pub stretch: f64,
     /// Work done, in units that do not depend on the machine it runs on.
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -59,8 +59,13 @@
             })
             .collect();
         order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
-        for (_, due, i) in &order {
+        let mut kept = false;
+        for (priority, due, i) in &order {
             let job = &input.jobs[*i];
+            if !kept && input.spares.iter().all(|s| s.like.priority > *priority) {
+                kept = true;
+                self.keep_spares();
+            }
             match job.shape {
                 Shape::Gang => {
                     let want = left[*i];
@@ -82,6 +87,9 @@
                 }
             }
         }
+        if !kept {
+            self.keep_spares();
+        }
         // Arrays also fill room that no planned job needs within one task estimate.
         for (_, _, i) in &order {
             if input.jobs[*i].shape == Shape::Array && left[*i] > 0 {
@@ -96,6 +104,37 @@
         }
     }
 
+    /// Keeps the rest from machines with room for jobs that are expected, those with their image first.
+    fn keep_spares(&mut self) {
+        let input = self.input;
+        for spare in &input.spares {
+            let job = &spare.like;
+            let mut order: Vec<(f64, usize)> = (0..input.machines.len())
+                .filter(|m| self.allowed(job, *m) && self.held[*m].is_none() && self.free[*m].fits(&job.need))
+                .map(|m| (self.score(job, m), m))
+                .collect();
+            order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            // Where tasks of lower priority can make room, none has to stand empty.
+            let makes_room = |m: &usize| {
+                self.allowed(job, *m)
+                    && self.held[*m].is_none()
+                    && !self.free[*m].fits(&job.need)
+                    && self.evictable(job, *m).is_some()
+            };
+            let clearable = (0..input.machines.len()).filter(makes_room).count() as u32;
+            let mut left = spare.count.saturating_sub(clearable);
+            for (_, m) in order {
+                if left == 0 {
+                    break;
+                }
+                left = left.saturating_sub(self.free[m].count(&job.need, self.slots[m]));
+                self.held[m] = Some(0.0);
+                self.out.kept.push(m as u32);
+            }
+            self.out.spare_short.push(left);
+        }
+    }
+
     fn size(&self, job: &Job) -> stretch::Sized {
         let slots: f64 =
             self.input.machines.iter().map(|m| f64::from(m.total.count(&job.need, 10_000))).sum();
@@ -132,14 +171,18 @@
         u32::MAX
     }
 
+    /// How long the job's image takes to come to this machine.
+    fn fetch(&self, job: &Job, m: usize) -> Secs {
+        if self.images[m].contains(&job.image) {
+            return 0.0;
+        }
+        job.image_gb / self.input.machines[m].fetch_gb_per_s.max(0.01)
+    }
+
     /// Lower is better: fetch time first, then spot before ordinary, then the tightest fit.
     fn score(&self, job: &Job, m: usize) -> f64 {
         let machine = &self.input.machines[m];
-        let fetch = if self.images[m].contains(&job.image) {
-            0.0
-        } else {
-            job.image_gb / machine.fetch_gb_per_s.max(0.01)
-        };
+        let fetch = self.fetch(job, m);
         let left =
             1.0 - machine.total.share(&job.need) - (1.0 - self.free[m].gpus / machine.total.gpus.max(EPS));
         fetch + if machine.spot { 0.0 } else { 2.0 } + left.max(0.0) * 4.0
@@ -339,7 +382,8 @@
             .collect();
         let cost = |k: &usize| machine.running[*k].lost * machine.total.share(&machine.running[*k].need);
         victims.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
-        let mut lost = 0.0;
+        // A machine that fetches the image first loses that time too, with all that the job takes.
+        let mut lost = self.fetch(job, m) * machine.total.share(&job.need);
         let mut chosen = Vec::new();
         for k in victims {
             if free.fits(&job.need) {
--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -38,7 +38,7 @@
     fn input()(machines in prop::collection::vec(machine(), 0..8), jobs in prop::collection::vec(job(), 0..10),
                limit in 1.0f64..30.0, online_factor in 1.0f64..3.0) -> Input {
         let team = |max| Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: max };
-        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], online_factor, patience: 2.0 }
+        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], spares: vec![], online_factor, patience: 2.0 }
     }
 }
 
@@ -91,7 +91,7 @@
                         need: res(1.0, 1.0, 1.0), types: 1, zone: None, one_zone: false, spread: false, spot: true, image: 0,
                         image_gb: 1.0, team: 0, due: None, zones: vec![], avoid: vec![] };
         let team = Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY };
-        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], online_factor: 1.0, patience: 1.0 };
+        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], spares: vec![], online_factor: 1.0, patience: 1.0 };
         let out = plan(&input);
         let started: u32 = out.starts.iter().map(|s| s.count).sum();
         prop_assert_eq!(started, tasks.min(4 * n as u32));
@@ -164,6 +164,7 @@
         machines: vec![busy(40.0, 0), busy(10.0, 0), busy(1.0, 2)],
         jobs: vec![gang],
         teams: vec![team],
+        spares: vec![],
         online_factor: 1.0,
         patience: 3.0,
     };
