--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -27,6 +27,8 @@
     /// Jobs a second, as a mean that forgets, and the time of day it was last brought up to.
     rate: f64,
     rate_at: u64,
+    /// Tasks a job, as a mean that forgets.
+    pub tasks: f64,
     /// Its latest job, which the next is expected to resemble.
     pub like: Option<Box<JobSpec>>,
 }
@@ -44,6 +46,8 @@
     pub fn arrived(&mut self, spec: &JobSpec, at_ms: u64) {
         self.rate = self.rate(at_ms) + 1000.0 / ARRIVALS_MS;
         self.rate_at = self.rate_at.max(at_ms);
+        let weight = if self.like.is_none() { 1.0 } else { 0.1 };
+        self.tasks += (f64::from(spec.tasks) - self.tasks) * weight;
         self.like = Some(Box::new(spec.clone()));
     }
 
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -1,11 +1,11 @@
 //! Between the owner's memory and the planner: what it is shown, and what follows from its plan.
 
-use crate::Node;
 use crate::jobs::{Ending, JobIx};
 use crate::machines::{Claim, Need};
 use crate::part::{HireState, Part};
+use crate::{Node, Tuning};
 use std::collections::HashMap;
-use wire::api::{Catalog, JobSpec, Kind, MachineType};
+use wire::api::{Catalog, JobSpec, Kind, MachineType, Priority};
 use wire::settings::Objective;
 
 /// The planner's indices and ours.
@@ -70,13 +70,26 @@
 }
 
 /// Room for the jobs that come while a machine boots and fetches, in classes whose users expect a start within
-/// less than that.
-fn spares(part: &mut Part, aims: &[Objective], names: &Names<'_>, share: f64, wall: u64) -> Vec<plan::Spare> {
+/// less than that: by an aim for the class, or for all work within its team's guarantee.
+fn spares(
+    part: &mut Part,
+    aims: &[Objective],
+    names: &Names<'_>,
+    tuning: &Tuning,
+    wall: u64,
+) -> Vec<plan::Spare> {
+    let guaranteed =
+        aims.iter().filter(|a| a.kind == "guarantee").filter_map(|a| a.within_s).reduce(f64::min);
     let mut out: Vec<plan::Spare> = Vec::new();
     for (class, seen) in &part.classes {
         let Some(spec) = &seen.like else { continue };
         let within = aims.iter().filter(|a| a.kind == "wait" && a.class.as_ref() == Some(class));
-        let Some(within) = within.filter_map(|a| a.within_s).reduce(f64::min) else { continue };
+        let (within, share) = match (within.filter_map(|a| a.within_s).reduce(f64::min), guaranteed) {
+            (Some(within), _) => (within, tuning.spare),
+            // What is of low urgency waits for a machine to boot.
+            (None, Some(within)) if spec.priority > Priority::Low => (within, tuning.spare_guaranteed),
+            _ => continue,
+        };
         let Some(team) = names.teams.get(spec.team.as_str()) else { continue };
         let like = shaped(spec, &mut part.images, names, *team);
         let lead = |t: &MachineType| t.boot_s + spec.image_gb / t.fetch_gb_per_s.max(0.01);
@@ -85,7 +98,7 @@
         if lead <= within {
             continue;
         }
-        let count = (seen.rate(wall) * lead * share).round() as u32 * like.tasks.min(50);
+        let count = (seen.rate(wall) * lead * share * seen.tasks.clamp(1.0, 200.0)).round() as u32;
         if count > 0 {
             out.push(plan::Spare { like, count });
         }
@@ -266,7 +279,7 @@
                 ..shape
             });
         }
-        input.spares = spares(part, &self.settings.cluster.objectives, &names, self.tuning.spare, now.wall);
+        input.spares = spares(part, &self.settings.cluster.objectives, &names, &self.tuning, now.wall);
         (input, map)
     }
 
