--- a/crates/control/src/tuning.rs
+++ b/crates/control/src/tuning.rs
@@ -47,7 +47,7 @@
         patience_s = 3.0 in 0.0..=3600.0, "An urgent gang waits this long for room before others are stopped for it.";
     }
     "fleet": {
-        silent_s = 12.0 in 2.0..=600.0, "A machine that says nothing for so long is probed, then returned.";
+        silent_s = 7.0 in 2.0..=600.0, "A machine that says nothing for so long is probed, then returned.";
         idle_s = 5.0 in 0.0..=36000.0, "A machine without work is returned after this time.";
         horizon_s = 75.0 in 1.0..=36000.0, "Waiting array work is spread over this time when machines are rented.";
         spare = 1.0 in 0.0..=10.0, "Room kept free for jobs that may not wait, against those that come while a machine boots.";
