Give a fleet that can't be heard up once, not for ever; record allotments by part

Cause: with most machines really dead, each owner took itself to be cut off and stepped down, and none ever returned the machines: all work stood still. Now a node does so once in three minutes. Most machines dying at once is among the random faults. Also: after a lost answer the probe is a record that is put, since a removal tells no version.

--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -23,6 +23,7 @@
     Machine(usize),
     MachineGone(usize),
     Catalog,
+    Allot,
 }
 
 #[derive(Default)]
@@ -53,8 +54,9 @@
 impl Draft {
     fn put(&mut self, key: String, version: u64, record: Record) {
         self.size += wire::encode(&record).len() + key.len();
-        // A record that is new tells most surely whether we were applied.
-        if self.probe.is_none() {
+        // A record that is put also tells at which revision; guards against versions taken from a removal,
+        // which has none.
+        if self.probe.as_ref().is_none_or(|(_, _, removed)| *removed) {
             self.probe = Some((key.clone(), version, false));
         }
         self.guards.push(Guard { key: key.clone(), version });
@@ -117,6 +119,7 @@
         let max_guards = txn_ops * 4;
         let shared_token = (self.shared.token, self.shared.token_version);
         let catalog = (self.shared.catalog.clone(), self.shared.catalog_version);
+        let whole = self.whole_allotment();
         let part = self.part.as_mut()?;
         let mut d = Draft {
             ops: Vec::new(),
@@ -142,6 +145,12 @@
             job.ending = Ending::Writing(stage);
             d.ops.push(Op::End(ix));
         }
+        if part.allot.as_ref() != Some(&whole) {
+            d.put(records::allot_key(PART), part.allot_version, Record::Allot(whole.clone()));
+            part.allot = Some(whole.clone());
+            part.allot_version = 0;
+            d.ops.push(Op::Allot);
+        }
         let room = |d: &Draft| d.writes.len() < budget && d.size < SIZE && d.guards.len() + 2 < max_guards;
         if part.raise_token && now >= part.commit.raised_at + 3000 && room(&d) {
             let token = shared_token.0.max(part.token) + 1;
@@ -385,6 +394,7 @@
                         part.free_machines.push(m);
                     }
                 }
+                Op::Allot => part.allot_version = revision,
                 Op::Catalog => {
                     self.shared.catalog_version = self.shared.catalog_version.max(revision);
                 }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -9,6 +9,7 @@
 use wire::records::HireRec;
 
 const CLOUD_TIMEOUT_MS: u64 = 5000;
+const STAND_BACK_MEMORY_MS: u64 = 180_000;
 const CATALOG_EVERY_MS: u64 = 60_000;
 
 #[derive(Default)]
@@ -305,8 +306,14 @@
                 machine.deleting = true;
             }
         }
-        if up >= 4 && quiet * 2 > up {
-            // That many can't have failed at once: it is we who are cut off from them.
+        if up >= 4
+            && quiet * 2 > up
+            && self.stood_back_at.is_none_or(|at| now.mono > at + STAND_BACK_MEMORY_MS)
+        {
+            // That many seldom fail at once: more likely we are cut off from them, and another node is not.
+            // Only once in a while, though: where they did fail, every node would hand them on for ever and
+            // none would return them.
+            self.stood_back_at = Some(now.mono);
             self.step_down("most machines can't be heard here");
             return self.stand_back(15_000);
         }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -121,6 +121,8 @@
     /// Accepts that the state service was too busy for, with the time of the next try.
     retries: VecDeque<(u64, u64, Box<JobSpec>, u64, u32)>,
     catalog_at: u64,
+    /// When we last gave the fleet up because most machines could not be heard.
+    stood_back_at: Option<u64>,
     stats: Stats,
 }
 
@@ -188,6 +190,7 @@
             finals: Finals::new(finals),
             retries: VecDeque::new(),
             catalog_at: 0,
+            stood_back_at: None,
             stats: Stats::default(),
         }
     }
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeMap, HashMap, HashSet};
 use wire::api::{Changes, Item, Range};
 use wire::http::Response;
-use wire::records::{self, DoneRec, HireRec, JobRec, MachineRec};
+use wire::records::{self, AllotRec, AllotedTeam, DoneRec, HireRec, JobRec, MachineRec};
 
 /// What is read one after the other after a take-over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -17,6 +17,7 @@
     Done,
     Machines,
     Hires,
+    Allot,
 }
 
 pub(crate) struct Hire {
@@ -87,6 +88,9 @@
     pub plan_due: bool,
     pub planned_at: u64,
     pub catalog_dirty: bool,
+    /// What our teams may use, as recorded, and its version; nothing is started before it is known.
+    pub allot: Option<AllotRec>,
+    pub allot_version: u64,
 }
 
 impl Part {
@@ -121,6 +125,8 @@
             plan_due: true,
             planned_at: 0,
             catalog_dirty: false,
+            allot: None,
+            allot_version: 0,
         }
     }
 
@@ -195,6 +201,7 @@
             Load::Done => records::DONE.to_owned(),
             Load::Machines => records::machines_prefix(PART),
             Load::Hires => records::hires_prefix(PART),
+            Load::Allot => records::allot_key(PART),
         };
         let mut path = format!("/keys?under={prefix}&limit=500");
         if let Some(after) = &part.load_after {
@@ -210,6 +217,7 @@
             Load::Done => self.read("state service", &r).map(|p| self.load_done(p)),
             Load::Machines => self.read("state service", &r).map(|p| self.load_machines(p)),
             Load::Hires => self.read("state service", &r).map(|p| self.load_hires(p)),
+            Load::Allot => self.read("state service", &r).map(|p| self.load_allot(p)),
         });
         let Some(more) = page else {
             // Tried again from the same place; an owner that can't read keeps its lease or loses it.
@@ -225,7 +233,8 @@
             Load::Jobs => self.load(Load::Done),
             Load::Done => self.load(Load::Machines),
             Load::Machines => self.load(Load::Hires),
-            Load::Hires => self.load_ended(),
+            Load::Hires => self.load(Load::Allot),
+            Load::Allot => self.load_ended(),
         }
     }
 
@@ -314,6 +323,24 @@
         more
     }
 
+    fn load_allot(&mut self, range: Range<AllotRec>) -> bool {
+        let Some(part) = &mut self.part else { return false };
+        if let Some(item) = range.items.into_iter().find(|i| i.key == records::allot_key(PART)) {
+            part.allot = Some(item.value);
+            part.allot_version = item.version;
+        }
+        false
+    }
+
+    /// The only part has all of every team's limit. Written down all the same: limits are kept by the record.
+    pub(crate) fn whole_allotment(&self) -> AllotRec {
+        let teams = self.settings.cluster.teams.iter();
+        let teams = teams
+            .map(|t| AllotedTeam { name: t.name.clone(), cpus_max: t.cpus_max, gpus_max: t.gpus_max })
+            .collect();
+        AllotRec { teams }
+    }
+
     fn load_ended(&mut self) {
         let now = self.now.mono;
         let Some(part) = &mut self.part else { return };
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -6,6 +6,7 @@
 use crate::{Node, Tuning};
 use std::collections::HashMap;
 use wire::api::{Catalog, JobSpec, Kind, MachineType, Priority};
+use wire::records::AllotedTeam;
 use wire::settings::Objective;
 
 /// The planner's indices and ours.
@@ -168,8 +169,12 @@
             ..plan::Input::default()
         };
         let mut map = Map { machines: Vec::new(), jobs: Vec::new(), claims: Vec::new() };
+        // Limits are those of the recorded allotment; without one there is no room at all.
+        let allot = self.part.as_ref().filter(|p| p.allot_version > 0).and_then(|p| p.allot.as_ref());
+        let none = AllotedTeam { name: String::new(), cpus_max: -1.0, gpus_max: -1.0 };
         for t in &self.settings.cluster.teams {
-            let max = |m: f64| if m > 0.0 { m } else { f64::INFINITY };
+            let t = allot.and_then(|a| a.teams.iter().find(|a| a.name == t.name)).unwrap_or(&none);
+            let max = |m: f64| if m == 0.0 { f64::INFINITY } else { m.max(0.0) };
             input.teams.push(plan::Team {
                 cores_used: 0.0,
                 gpus_used: 0.0,
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -769,7 +769,15 @@
             let names: Vec<&String> = self.workers.keys().collect();
             (!names.is_empty()).then(|| names[self.rng.usize(0..names.len())].clone())
         };
-        match self.rng.u32(0..10) {
+        match self.rng.u32(0..11) {
+            10 => {
+                // Most machines die at once.
+                let mut rng = self.rng.fork();
+                let all: Vec<String> = self.workers.keys().cloned().collect();
+                for m in all.into_iter().filter(|_| rng.u32(0..5) > 0) {
+                    self.die(&m);
+                }
+            }
             0 | 1 => self.crash(n, 2500),
             2 => (0..self.plan.nodes).for_each(|n| self.crash(n, 3000)),
             3 => self.outage_until = self.outage_until.max(now + long.min(12_000)),
@@ -785,15 +793,19 @@
             _ => {
                 // The machine dies, unnoticed by the cloud for a while.
                 if let Some(m) = machine {
-                    self.workers.remove(&m);
-                    if let Some(r) = self.cloud.machines.get_mut(&m) {
-                        r.up_at = None;
-                    }
+                    self.die(&m);
                 }
             }
         }
     }
 
+    fn die(&mut self, machine: &str) {
+        self.workers.remove(machine);
+        if let Some(r) = self.cloud.machines.get_mut(machine) {
+            r.up_at = None;
+        }
+    }
+
     fn crash(&mut self, n: usize, back: u64) {
         if self.hosts[n].node.take().is_some() {
             self.hosts[n].life += 1;
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -29,6 +29,9 @@
 pub fn machines_prefix(part: Part) -> String {
     format!("part/{part}/machine/")
 }
+pub fn allot_key(part: Part) -> String {
+    format!("part/{part}/allot")
+}
 pub fn hires_prefix(part: Part) -> String {
     format!("part/{part}/hire/")
 }
@@ -42,6 +45,20 @@
     pub lease: u64,
 }
 
+/// The room that a part may give each team; the parts' allotments add up to the team's limit at most.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AllotRec {
+    pub teams: Vec<AllotedTeam>,
+}
+
+/// A limit of 0 means none, as in the settings.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct AllotedTeam {
+    pub name: String,
+    pub cpus_max: f64,
+    pub gpus_max: f64,
+}
+
 /// The one counter that all tokens come from; it only rises.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct TokenRec {
@@ -133,6 +150,7 @@
     Machine(MachineRec),
     Hire(HireRec),
     Catalog(Catalog),
+    Allot(AllotRec),
 }
 
 /// What stands under [`SHARED`], read without knowing beforehand which.
