A cancelled job is never called done from a stub; idle machines go also while tasks wait

After a take-over the stub of an ended job told a repeated cancel 'done'. Plans for a job that ended before they were recorded are dropped instead of failing a transaction.

--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -187,6 +187,17 @@
                 d.ops.push(Op::Chunk(ix, chunk, bits));
             }
         }
+        // What was planned for a job that has ended meanwhile is dropped: nothing was sent, and a guard on the
+        // job's record would fail the whole transaction.
+        for (m, machine) in part.machines.iter_mut().enumerate() {
+            for c in machine.iter_mut().flat_map(|x| &mut x.claims).filter(|c| c.state == ClaimState::New) {
+                if let Some(job) = part.jobs.get_mut(c.job).and_then(Option::as_mut).filter(|j| j.is_ending())
+                {
+                    c.state = ClaimState::Ended;
+                    job.unclaim(c.task, m, c.attempt);
+                }
+            }
+        }
         // Machines, starting somewhere else each time so that none is always last.
         let n = part.machines.len();
         let turn = if n == 0 { 0 } else { part.serial as usize % n };
@@ -401,7 +412,7 @@
             }
         }
         for (asker, state) in told {
-            self.tell(asker, Some(state));
+            self.tell(asker, state);
         }
         for ix in changed {
             self.job_changed(ix);
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -83,7 +83,7 @@
             return self.refuse(conn, 400, "too large");
         }
         if let Some((stage, done)) = self.finals.get(&spec.id) {
-            return self.tell(Asker::User(conn), Some(JobState { id: spec.id, stage, done, running: 0 }));
+            return self.tell(Asker::User(conn), JobState { id: spec.id, stage, done, running: 0 });
         }
         if self.catalog().is_none() {
             return self.refuse(conn, 503, "machine types not known yet");
@@ -187,13 +187,13 @@
             return self.refuse(conn, 404, "no such job");
         }
         if let Some((stage, done)) = self.finals.get(&id) {
-            return self.tell(Asker::User(conn), Some(JobState { id, stage, done, running: 0 }));
+            return self.tell(Asker::User(conn), JobState { id, stage, done, running: 0 });
         }
         if self.owns() {
             if self.decides()
                 && let Some(state) = self.state_here(&id)
             {
-                return self.tell(Asker::User(conn), Some(state));
+                return self.tell(Asker::User(conn), state);
             }
             return self.read_job(conn, id, why);
         }
@@ -220,7 +220,7 @@
     pub(crate) fn peer_queried(&mut self, conn: u64, job: String, why: Why, r: Option<Response>) {
         let answer = r.filter(|r| r.status == 200).and_then(|r| peer::decode::<Answer>(&r.body).ok());
         match answer {
-            Some(Answer::State(state)) if state.id == job => self.tell(Asker::User(conn), Some(state)),
+            Some(Answer::State(state)) if state.id == job => self.tell(Asker::User(conn), state),
             _ => self.read_job(conn, job, why),
         }
     }
@@ -242,7 +242,7 @@
             Some(200) if why == Why::Cancel => self.refuse(conn, 503, "the owner does not know the job yet"),
             Some(200) => {
                 let state = JobState { id: job, stage: Stage::Pending, done: 0, running: 0 };
-                self.tell(Asker::User(conn), Some(state));
+                self.tell(Asker::User(conn), state);
             }
             Some(404) => {
                 let path = format!("/keys/{}", records::end_key(&job));
@@ -265,7 +265,7 @@
             if stage.is_final() {
                 self.finals.put(&job, stage, done);
             }
-            return self.tell(Asker::User(conn), Some(JobState { id: job, stage, done, running: 0 }));
+            return self.tell(Asker::User(conn), JobState { id: job, stage, done, running: 0 });
         }
         match why {
             Why::Impossible => self.refuse(conn, 422, "can never run"),
@@ -283,7 +283,7 @@
             return self.cancel(&id, Asker::User(conn));
         }
         if let Some((stage, done)) = self.finals.get(&id) {
-            return self.tell(Asker::User(conn), Some(JobState { id, stage, done, running: 0 }));
+            return self.tell(Asker::User(conn), JobState { id, stage, done, running: 0 });
         }
         let Some(peer) = self.owner_peer() else { return self.refuse(conn, 503, "no owner now") };
         let body = peer::encode(&Ask::Cancel { job: id.clone() });
@@ -294,7 +294,7 @@
     pub(crate) fn peer_cancelled(&mut self, conn: u64, job: String, r: Option<Response>) {
         let answer = r.filter(|r| r.status == 200).and_then(|r| peer::decode::<Answer>(&r.body).ok());
         match answer {
-            Some(Answer::State(state)) if state.id == job => self.tell(Asker::User(conn), Some(state)),
+            Some(Answer::State(state)) if state.id == job => self.tell(Asker::User(conn), state),
             Some(Answer::Unknown) => self.read_job(conn, job, Why::Cancel),
             _ => self.refuse(conn, 503, "the owner does not answer"),
         }
@@ -320,18 +320,22 @@
         }
     }
 
-    /// Gives an asker the state of a job, or says that the owner does not know it.
-    pub(crate) fn tell(&mut self, asker: Asker, state: Option<JobState>) {
-        if let Some(s) = state.as_ref().filter(|s| s.stage.is_final()) {
-            self.finals.put(&s.id, s.stage, s.done);
-        }
-        match (asker, state) {
-            (Asker::User(conn), Some(state)) => self.respond(conn, 200, wire::encode(&state), None),
-            (Asker::User(conn), None) => self.refuse(conn, 503, "not known here yet"),
-            (Asker::Peer(conn), Some(state)) => {
-                self.respond(conn, 200, peer::encode(&Answer::State(state)), None)
-            }
-            (Asker::Peer(conn), None) => self.respond(conn, 200, peer::encode(&Answer::Unknown), None),
+    /// Gives an asker the state of a job.
+    pub(crate) fn tell(&mut self, asker: Asker, state: JobState) {
+        if state.stage.is_final() {
+            self.finals.put(&state.id, state.stage, state.done);
+        }
+        match asker {
+            Asker::User(conn) => self.respond(conn, 200, wire::encode(&state), None),
+            Asker::Peer(conn) => self.respond(conn, 200, peer::encode(&Answer::State(state)), None),
+        }
+    }
+
+    /// A cancel of a job that the owner has not in memory: its record decides.
+    pub(crate) fn unknown(&mut self, asker: Asker, job: &str) {
+        match asker {
+            Asker::User(conn) => self.read_job(conn, job.to_owned(), Why::Cancel),
+            Asker::Peer(conn) => self.respond(conn, 200, peer::encode(&Answer::Unknown), None),
         }
     }
 
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -17,6 +17,8 @@
     /// The record is on its way.
     Writing(Stage),
     Recorded(Stage),
+    /// It had ended when we took over; how, only its record says.
+    Before,
 }
 
 /// What was seen of a class: run times against estimates, and how often its jobs come.
@@ -124,7 +126,7 @@
             running: 0,
             chunks: BTreeMap::new(),
             dirty_chunks: BTreeSet::new(),
-            ending: Ending::Recorded(Stage::Done),
+            ending: Ending::Before,
             waiters: Vec::new(),
             broken: false,
             progress_s: 0.0,
@@ -143,7 +145,7 @@
     }
     /// The end is recorded: the job only waits for its last tasks to go.
     pub fn is_over(&self) -> bool {
-        matches!(self.ending, Ending::Recorded(_))
+        matches!(self.ending, Ending::Recorded(_) | Ending::Before)
     }
     /// Nothing of it may be started any more.
     pub fn is_ending(&self) -> bool {
@@ -151,11 +153,7 @@
     }
     /// Its tasks are to be stopped, since their user has cancelled it or it had ended before our time.
     pub fn is_void(&self) -> bool {
-        match self.ending {
-            Ending::Recorded(Stage::Cancelled) => true,
-            Ending::Recorded(_) => self.spec.is_none(),
-            _ => false,
-        }
+        matches!(self.ending, Ending::Recorded(Stage::Cancelled) | Ending::Before)
     }
 
     pub fn is_done(&self, task: u32) -> bool {
@@ -305,21 +303,23 @@
     }
 
     /// A cancel that may be decided here.
-    pub(crate) fn cancel(&mut self, job: &str, asker: Asker) {
-        if let Some((stage, done)) = self.finals.get(job) {
-            return self.tell(asker, Some(JobState { id: job.to_owned(), stage, done, running: 0 }));
+    pub(crate) fn cancel(&mut self, id: &str, asker: Asker) {
+        if let Some((stage, done)) = self.finals.get(id) {
+            return self.tell(asker, JobState { id: id.to_owned(), stage, done, running: 0 });
         }
         if !self.decides() {
             return self.not_now(asker);
         }
         let Some(part) = &mut self.part else { return };
-        let Some(job) = part.job_ix.get(job).copied().and_then(|ix| part.job_mut(ix)) else {
-            return self.tell(asker, None);
+        let Some(job) = part.job_ix.get(id).copied().and_then(|ix| part.job_mut(ix)) else {
+            return self.unknown(asker, id);
         };
         match job.ending {
+            // Guards against calling a cancelled job done, of which only tasks on machines are left here.
+            Ending::Before => return self.unknown(asker, id),
             Ending::Recorded(_) => {
                 let state = job.state();
-                return self.tell(asker, Some(state));
+                return self.tell(asker, state);
             }
             Ending::No => {
                 log::info!("job {}: cancelled by its user", job.id);
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -152,7 +152,7 @@
         if now >= since + 2 * settle {
             self.hire_for(&input, &output, &catalog);
             let kept: Vec<usize> = output.kept.iter().map(|m| map.machines[*m as usize]).collect();
-            self.return_idle(&output, &kept);
+            self.return_idle(&kept);
         }
     }
 
@@ -416,13 +416,12 @@
     }
 
     /// Returns machines that have had nothing to do for a while, the dearest first.
-    fn return_idle(&mut self, output: &plan::Output, kept: &[usize]) {
+    fn return_idle(&mut self, kept: &[usize]) {
         let now = self.now.mono;
         let idle_ms = (self.tuning.idle_s * 1000.0) as u64;
         let Some(part) = &mut self.part else { return };
-        if !output.waiting.is_empty() {
-            return;
-        }
+        // Also while tasks wait: a machine that is idle all the same is none that they may use, and it may
+        // stand in the way of one.
         for (m, machine) in part.machines.iter_mut().enumerate() {
             let Some(machine) = machine else { continue };
             let idle = machine.up
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -184,7 +184,7 @@
     pub preempts: Vec<Preempt>,
     /// Tasks that found no room now though their team's limit allows them: job and count.
     pub waiting: Vec<(u32, u32)>,
-    /// Machines whose free room is kept for the expected, and how much of each spare found no room.
+    /// Machines whose free room is kept, for the expected or for a gang that gathers room, and how much of each spare found no room.
     pub kept: Vec<u32>,
     pub spare_short: Vec<u32>,
     /// The smallest stretch found.
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -342,6 +342,7 @@
         options.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(&b.2)));
         for (at, _, m) in options.iter().take(want as usize) {
             self.held[*m] = Some(*at);
+            self.out.kept.push(*m as u32);
         }
         let soon = options.get(want.saturating_sub(1) as usize).is_some_and(|o| o.0 <= self.input.patience);
         if want != 1 || soon {
--- a/crates/standins/tests/rules.rs
+++ b/crates/standins/tests/rules.rs
@@ -10,7 +10,9 @@
 #[test]
 fn rules_hold_and_work_ends_under_any_faults() {
     let mut starts = 0;
-    for seed in 0..150 {
+    // 296: idle machines stood in the way of a job that none of them could run. 443: a cancelled job of which only
+    // tasks on machines were left was called done.
+    for seed in (0..150).chain([296, 443]) {
         let mut world = World::new(plan(seed, Sabotage::None));
         world.run();
         assert!(world.rules.broken.is_empty(), "seed {seed}: {:?}", world.rules.broken);
