--- /dev/null
+++ b/crates/net/tests/bounds.rs
@@ -0,0 +1,120 @@
+//! The event loop against clients on loopback that misbehave.
+
+use net::{Door, Event, Net};
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+use wire::http::Response;
+
+fn listening(max: usize) -> (Net, SocketAddr) {
+    let port = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let mut net = Net::new(max).expect("an event loop");
+    net.listen(port, Door::Clients).expect("listening");
+    (net, port)
+}
+
+fn client(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).expect("connected");
+    stream.set_nonblocking(true).expect("nonblocking");
+    stream
+}
+
+/// Reads what is there; true once the other side has closed.
+fn drain(stream: &mut TcpStream, got: &mut Vec<u8>) -> bool {
+    let mut chunk = [0; 256];
+    match stream.read(&mut chunk) {
+        Ok(0) => true,
+        Ok(n) => {
+            got.extend_from_slice(&chunk[..n]);
+            false
+        }
+        Err(e) => e.kind() != std::io::ErrorKind::WouldBlock,
+    }
+}
+
+/// Runs the loop, answering every request with its body, until `over` says so.
+fn serve(net: &mut Net, mut over: impl FnMut() -> bool) -> usize {
+    let mut served = 0;
+    let end = Instant::now() + Duration::from_secs(60);
+    while !over() {
+        assert!(Instant::now() < end, "the condition never held");
+        for event in net.poll(Duration::from_millis(5)).expect("polled") {
+            if let Event::Request { conn, request, .. } = event {
+                served += 1;
+                net.respond(
+                    conn,
+                    Response { status: 200, body: request.body, close: false, retry_after_s: None },
+                );
+            }
+        }
+    }
+    served
+}
+
+/// A request that comes byte by byte is answered once it is whole.
+#[test]
+fn pieces_are_joined() {
+    let (mut net, addr) = listening(100);
+    let mut slow = client(addr);
+    let text = b"POST /work HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello";
+    let (mut sent, mut got) = (0, Vec::new());
+    let served = serve(&mut net, || {
+        if sent < text.len() {
+            sent += slow.write(&text[sent..=sent]).unwrap_or(0);
+        }
+        drain(&mut slow, &mut got);
+        got.ends_with(b"hello")
+    });
+    assert_eq!(served, 1);
+}
+
+/// What can't be read gets its status and the end of the connection.
+#[test]
+fn nonsense_is_refused() {
+    let (mut net, addr) = listening(100);
+    let mut rude = client(addr);
+    rude.write_all(b"\x16\x03\x01 nonsense\r\n\r\n").expect("written");
+    let mut got = Vec::new();
+    let served = serve(&mut net, || drain(&mut rude, &mut got));
+    assert_eq!(served, 0);
+    assert!(got.starts_with(b"HTTP/1.1 400"), "{:?}", String::from_utf8_lossy(&got));
+}
+
+/// More connections than there is room for: the longest idle go, and newcomers are served.
+#[test]
+fn too_many_connections_push_out_the_idle() {
+    let (mut net, addr) = listening(20);
+    let mut idle: Vec<TcpStream> = (0..40).map(|_| client(addr)).collect();
+    let mut ignored = Vec::new();
+    serve(&mut net, || idle.iter_mut().map(|s| u32::from(drain(s, &mut ignored))).sum::<u32>() >= 26);
+    let (mut late, mut got) = (client(addr), Vec::new());
+    late.write_all(b"GET /ready HTTP/1.1\r\n\r\n").expect("written");
+    serve(&mut net, || {
+        drain(&mut late, &mut got);
+        got.starts_with(b"HTTP/1.1 200")
+    });
+}
+
+/// A host that never answers costs its time limit only, and one that refuses is told at once.
+#[test]
+fn questions_always_come_to_an_end() {
+    let (mut net, _) = listening(20);
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let gone = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    for (tag, to) in [(1, silent.local_addr().expect("its address")), (2, gone)] {
+        let timeout = Duration::from_millis(200);
+        net.send(net::Outgoing { tag, to, method: "GET", path: "/", body: &[], timeout, answer_limit: 100 });
+    }
+    let end = Instant::now() + Duration::from_secs(60);
+    let mut ended = Vec::new();
+    while ended.len() < 2 && Instant::now() < end {
+        for event in net.poll(Duration::from_millis(5)).expect("polled") {
+            if let Event::Reply { tag, response } = event {
+                assert!(response.is_none());
+                ended.push(tag);
+            }
+        }
+    }
+    ended.sort_unstable();
+    assert_eq!(ended, [1, 2]);
+}
