Look for writes only after changes and on ticks

Cause: after every event all live jobs and machines were walked for something to write; the work grew with jobs times requests.

--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -90,7 +90,7 @@
             let body = part.commit.body.clone();
             return self.send(Dest::State, "POST", "/txn".into(), body, 2000, Pending::Commit { epoch });
         }
-        if !sure {
+        if !sure || !self.to_write {
             return;
         }
         let budget =
@@ -98,6 +98,7 @@
         if budget < 1 || self.requests.level(now) < 1.0 {
             return;
         }
+        self.to_write = false;
         let Some(draft) = self.draft(budget) else { return };
         let Some(part) = &mut self.part else { return };
         let body = wire::encode(&Txn { guards: draft.guards, writes: draft.writes });
@@ -284,6 +285,8 @@
         let backoff = self.rng.u64(50..250);
         let Some(part) = &mut self.part else { return };
         part.commit.in_flight = false;
+        // Whatever has gathered meanwhile.
+        self.to_write = true;
         let status = response.as_ref().map(|r| r.status);
         match status {
             Some(200) => match response.as_ref().map(|r| wire::decode::<Revision>(&r.body)) {
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -189,6 +189,7 @@
         let wait = self.rng.u64(500..1500);
         let Some(part) = &mut self.part else { return };
         let Some(hire) = part.hires.get_mut(&name) else { return };
+        self.to_write = true;
         hire.busy = false;
         let rec = hire.rec.clone();
         let kind = (rec.machine_type.clone(), rec.zone.clone(), rec.spot);
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -282,6 +282,7 @@
 impl Node {
     /// Follows up on a change of a job: what is left of a broken gang goes, an ended job is forgotten.
     pub(crate) fn job_changed(&mut self, ix: JobIx) {
+        self.to_write = true;
         let Some(part) = &mut self.part else { return };
         part.plan_due = true;
         let Some(job) = part.job_mut(ix) else { return };
@@ -310,6 +311,7 @@
         if !self.decides() {
             return self.not_now(asker);
         }
+        self.to_write = true;
         let Some(part) = &mut self.part else { return };
         let Some(job) = part.job_ix.get(id).copied().and_then(|ix| part.job_mut(ix)) else {
             return self.unknown(asker, id);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -123,6 +123,8 @@
     catalog_at: u64,
     /// When we last gave the fleet up because most machines could not be heard.
     stood_back_at: Option<u64>,
+    /// Something may be there to be written. Without it, only ticks look.
+    to_write: bool,
     stats: Stats,
 }
 
@@ -191,6 +193,7 @@
             retries: VecDeque::new(),
             catalog_at: 0,
             stood_back_at: None,
+            to_write: false,
             stats: Stats::default(),
         }
     }
@@ -202,6 +205,7 @@
     /// Takes one event and returns what is to be done.
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Effect> {
         self.now = now;
+        self.to_write |= matches!(event, Event::Tick);
         match event {
             Event::Client { conn, request } => self.client(conn, request),
             Event::Peer { conn, request } => self.peer(conn, &request),
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -236,6 +236,7 @@
         }
         claim.state = ClaimState::Ended;
         machine.dirty = true;
+        self.to_write = true;
         let claim = claim.clone();
         let job = part.jobs.get_mut(claim.job)?.as_mut()?;
         log::debug!(
