A worker's absurd token no longer unseats the owner

Cause, found in review: one report with a token beyond any that was given out made an owner that was sure of its lease step down, again and again. It is refused now; tokens that may have been given out are still gone above.

--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -11,6 +11,8 @@
 use wire::http::Response;
 use wire::ids;
 
+/// Attempts hold the token in their upper half.
+const TOKEN_BOUND: u64 = 1 << 31;
 const DIRECT_TIMEOUT_MS: u64 = 2000;
 
 impl Node {
@@ -52,7 +54,11 @@
     /// we go above it; otherwise there is a new owner.
     fn outranked(&mut self, conn: u64, token: u64) {
         log::warn!("a worker obeys token {token}, above ours");
-        if self.sure() && token < 1 << 40 {
+        if self.sure() {
+            // One worker's absurd number must neither use up the counter nor unseat a rightful owner.
+            if token >= TOKEN_BOUND {
+                return self.refuse(conn, 503, "that token was never given out");
+            }
             self.shared.token = self.shared.token.max(token);
             if let Some(part) = &mut self.part {
                 part.raise_token = true;
