--- /dev/null
+++ b/crates/control/src/door.rs
@@ -0,0 +1,354 @@
+//! Requests of users and peers. Any controller serves them: accepts go straight to the state service, states
+//! come from the owner while it is sure of its lease, or else from a fresh read, and ends from any copy.
+
+use crate::election::PART;
+use crate::{Asker, Dest, Node, Pending, Role};
+use wire::api::{BODY_LIMIT, ErrorBody, Guard, Item, JobSpec, JobState, Kind, Stage, Txn, Write};
+use wire::http::{Request, Response};
+use wire::peer::{self, Answer, Ask};
+use wire::records::{self, EndRec, JobRec, Record};
+
+/// Why a job's state is looked up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Why {
+    /// A user asks.
+    Query,
+    /// A repeated submission, to be answered with the current state.
+    Known,
+    /// A submission that can never run, unless it was accepted before.
+    Impossible,
+    /// A cancel of a job that the owner does not know.
+    Cancel,
+}
+
+const READ_TIMEOUT_MS: u64 = 900;
+const PEER_TIMEOUT_MS: u64 = 700;
+const CANCEL_TIMEOUT_MS: u64 = 3500;
+const ACCEPT_TIMEOUT_MS: u64 = 2500;
+
+impl Node {
+    pub(crate) fn client(&mut self, conn: u64, request: Request) {
+        let path = request.path.split('?').next().unwrap_or("");
+        let job = path.strip_prefix("/work/");
+        match (request.method.as_str(), path, job) {
+            ("POST", "/hello", _) => self.hello(conn, &request.body),
+            ("POST", "/work", _) => self.submit(conn, &request.body),
+            ("GET", "/ready", _) => self.ready(conn),
+            ("GET", _, Some(id)) if !id.contains('/') => {
+                let id = id.to_owned();
+                self.query(conn, id)
+            }
+            ("POST", _, Some(rest)) if rest.ends_with("/cancel") => {
+                let id = rest.trim_end_matches("/cancel").to_owned();
+                self.cancel_asked(conn, id)
+            }
+            (_, "/hello" | "/work" | "/ready", _) => self.refuse(conn, 405, "method not allowed"),
+            (_, _, Some(id)) if !id.contains('/') || id.ends_with("/cancel") => {
+                self.refuse(conn, 405, "method not allowed")
+            }
+            _ => self.refuse(conn, 404, "no such path"),
+        }
+    }
+
+    /// Healthy once the state service has been seen: without it nothing can be taken.
+    fn ready(&mut self, conn: u64) {
+        if self.shared.known || self.owns() || self.shared.revision > 0 {
+            self.respond(conn, 200, wire::encode(&ErrorBody { error: String::new() }), None)
+        } else {
+            self.refuse(conn, 503, "starting")
+        }
+    }
+
+    /// An error, with the time to come back where coming back helps.
+    pub(crate) fn refuse(&mut self, conn: u64, status: u16, why: &str) {
+        let retry = matches!(status, 429 | 503).then_some(1);
+        if status == 429 || status == 503 {
+            self.stats.shed += 1;
+        }
+        self.respond(conn, status, wire::encode(&ErrorBody { error: why.to_owned() }), retry);
+    }
+
+    fn submit(&mut self, conn: u64, body: &[u8]) {
+        let spec: JobSpec = match wire::decode(body) {
+            Ok(s) => s,
+            Err(e) => return self.refuse(conn, 400, &e.to_string()),
+        };
+        if let Err(field) = spec.check() {
+            return self.refuse(conn, 400, &format!("invalid: {field}"));
+        }
+        let rec = JobRec { spec: spec.clone(), at_ms: self.now.wall, part: PART };
+        let limit = (self.settings.cluster.state.value_kb * 1024.0).min(BODY_LIMIT as f64);
+        // Counted in another form by the service, which takes somewhat more.
+        if wire::encode(&rec).len() as f64 * 1.3 > limit {
+            return self.refuse(conn, 400, "too large");
+        }
+        if let Some((stage, done)) = self.finals.get(&spec.id) {
+            return self.tell(Asker::User(conn), Some(JobState { id: spec.id, stage, done, running: 0 }));
+        }
+        if self.catalog().is_none() {
+            return self.refuse(conn, 503, "machine types not known yet");
+        }
+        if let Err(why) = self.can_run(&spec) {
+            log::debug!("job {}: can never run: {why}", spec.id);
+            return self.read_job(conn, spec.id, Why::Impossible);
+        }
+        if self.decides()
+            && let Some(part) = &self.part
+            && part.job_ix.contains_key(&spec.id)
+        {
+            return self.query(conn, spec.id);
+        }
+        let now = self.now.mono;
+        if self.requests.level(now) < 1.0 || !self.writes.try_take(now, 1.0) {
+            return self.refuse(conn, 429, "busy");
+        }
+        self.accept(conn, Box::new(spec), now, 0);
+    }
+
+    fn accept(&mut self, conn: u64, spec: Box<JobSpec>, at: u64, tries: u32) {
+        // The acceptance counts from the first try.
+        let wall = self.now.wall - (self.now.mono - at);
+        let rec = JobRec { spec: (*spec).clone(), at_ms: wall, part: PART };
+        let txn = Txn {
+            guards: vec![
+                Guard { key: records::live_key(&spec.id), version: 0 },
+                Guard { key: records::end_key(&spec.id), version: 0 },
+            ],
+            writes: vec![Write::put(records::live_key(&spec.id), Record::Job(rec))],
+        };
+        let what = Pending::Accept { conn, spec, at, tries };
+        self.send(Dest::State, "POST", "/txn".into(), wire::encode(&txn), ACCEPT_TIMEOUT_MS, what);
+    }
+
+    pub(crate) fn accepted(
+        &mut self,
+        conn: u64,
+        spec: Box<JobSpec>,
+        at: u64,
+        tries: u32,
+        r: Option<Response>,
+    ) {
+        let now = self.now.mono;
+        match r.map(|r| r.status) {
+            Some(200) => {
+                self.stats.accepted += 1;
+                log::debug!("job {}: accepted", spec.id);
+                let state = JobState { id: spec.id, stage: Stage::Pending, done: 0, running: 0 };
+                self.respond(conn, 201, wire::encode(&state), None);
+            }
+            Some(409) => self.query_for(conn, spec.id, Why::Known),
+            Some(429 | 503) if tries < 3 && now < at + 700 => {
+                let again = now + self.rng.u64(60..200);
+                self.retries.push_back((again, conn, spec, at, tries + 1));
+            }
+            // It may be accepted all the same: the retry will be told.
+            _ => self.refuse(conn, 503, "state service not available"),
+        }
+    }
+
+    pub(crate) fn door_tick(&mut self) {
+        let now = self.now.mono;
+        for _ in 0..self.retries.len() {
+            let Some((due, conn, spec, at, tries)) = self.retries.pop_front() else { return };
+            if due <= now {
+                self.accept(conn, spec, at, tries);
+            } else {
+                self.retries.push_back((due, conn, spec, at, tries));
+            }
+        }
+    }
+
+    /// Whether some machine type, zone and the team's limit would let the job run on an empty fleet.
+    fn can_run(&self, spec: &JobSpec) -> Result<(), &'static str> {
+        let team = self.settings.cluster.teams.iter().find(|t| t.name == spec.team).ok_or("unknown team")?;
+        let n = if spec.kind == Kind::Array { 1.0 } else { f64::from(spec.tasks) };
+        let over = |max: f64, need: f64| max > 0.0 && need * n > max + 1e-6;
+        if over(team.cpus_max, spec.cores) || over(team.gpus_max, spec.gpus) {
+            return Err("more than the team's limit");
+        }
+        let fits = self.catalog().is_some_and(|c| {
+            c.types.iter().any(|t| {
+                spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
+                    && spec.zone.as_ref().is_none_or(|z| t.zones.contains(z))
+                    && spec.cores <= t.cores + 1e-6
+                    && spec.gpus <= t.gpus + 1e-6
+                    && spec.mem_gb <= t.mem_gb + 1e-6
+            })
+        });
+        if fits { Ok(()) } else { Err("fits no allowed machine type") }
+    }
+
+    fn query(&mut self, conn: u64, id: String) {
+        self.query_for(conn, id, Why::Query)
+    }
+
+    fn query_for(&mut self, conn: u64, id: String, why: Why) {
+        if !wire::ids::valid_job_id(&id) {
+            return self.refuse(conn, 404, "no such job");
+        }
+        if let Some((stage, done)) = self.finals.get(&id) {
+            return self.tell(Asker::User(conn), Some(JobState { id, stage, done, running: 0 }));
+        }
+        if self.owns() {
+            if self.decides()
+                && let Some(state) = self.state_here(&id)
+            {
+                return self.tell(Asker::User(conn), Some(state));
+            }
+            return self.read_job(conn, id, why);
+        }
+        match self.owner_peer() {
+            Some(peer) => {
+                let body = peer::encode(&Ask::Query { job: id.clone() });
+                let what = Pending::PeerQuery { conn, job: id, why };
+                self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body, PEER_TIMEOUT_MS, what);
+            }
+            None => self.read_job(conn, id, why),
+        }
+    }
+
+    fn state_here(&self, id: &str) -> Option<JobState> {
+        let part = self.part.as_ref()?;
+        part.job(*part.job_ix.get(id)?).filter(|j| j.spec.is_some()).map(|j| j.state())
+    }
+
+    fn owner_peer(&self) -> Option<usize> {
+        let owner = self.shared.owner.as_ref()?;
+        self.settings.peers.iter().position(|p| p.node == owner.rec.node)
+    }
+
+    pub(crate) fn peer_queried(&mut self, conn: u64, job: String, why: Why, r: Option<Response>) {
+        let answer = r.filter(|r| r.status == 200).and_then(|r| peer::decode::<Answer>(&r.body).ok());
+        match answer {
+            Some(Answer::State(state)) if state.id == job => self.tell(Asker::User(conn), Some(state)),
+            _ => self.read_job(conn, job, why),
+        }
+    }
+
+    /// Looks the job up in the state service: first among the live, then among the ended, since jobs only
+    /// move that way; a job that is in neither was never accepted.
+    fn read_job(&mut self, conn: u64, job: String, why: Why) {
+        let now = self.now.mono;
+        if self.requests.level(now) < 1.0 {
+            return self.refuse(conn, 503, "busy");
+        }
+        let path = format!("/keys/{}", records::live_key(&job));
+        let what = Pending::ReadLive { conn, job, why };
+        self.send(Dest::State, "GET", path, Vec::new(), READ_TIMEOUT_MS, what);
+    }
+
+    pub(crate) fn live_read(&mut self, conn: u64, job: String, why: Why, r: Option<Response>) {
+        match r.map(|r| r.status) {
+            Some(200) if why == Why::Cancel => self.refuse(conn, 503, "the owner does not know the job yet"),
+            Some(200) => {
+                let state = JobState { id: job, stage: Stage::Pending, done: 0, running: 0 };
+                self.tell(Asker::User(conn), Some(state));
+            }
+            Some(404) => {
+                let path = format!("/keys/{}", records::end_key(&job));
+                let what = Pending::ReadEnd { conn, job, why };
+                self.send(Dest::State, "GET", path, Vec::new(), READ_TIMEOUT_MS, what);
+            }
+            _ => self.refuse(conn, 503, "state service not available"),
+        }
+    }
+
+    pub(crate) fn end_read(&mut self, conn: u64, job: String, why: Why, r: Option<Response>) {
+        let Some(r) = r.filter(|r| r.status == 200 || r.status == 404) else {
+            return self.refuse(conn, 503, "state service not available");
+        };
+        if r.status == 200 {
+            let Some(item) = self.read::<Item<EndRec>>("state service", &r) else {
+                return self.refuse(conn, 503, "unreadable record");
+            };
+            let EndRec { stage, done } = item.value;
+            if stage.is_final() {
+                self.finals.put(&job, stage, done);
+            }
+            return self.tell(Asker::User(conn), Some(JobState { id: job, stage, done, running: 0 }));
+        }
+        match why {
+            Why::Impossible => self.refuse(conn, 422, "can never run"),
+            // Its record was in the way a moment ago; the user's retry will find out.
+            Why::Known => self.refuse(conn, 503, "undecided"),
+            Why::Query | Why::Cancel => self.refuse(conn, 404, "no such job"),
+        }
+    }
+
+    fn cancel_asked(&mut self, conn: u64, id: String) {
+        if !wire::ids::valid_job_id(&id) {
+            return self.refuse(conn, 404, "no such job");
+        }
+        if self.owns() {
+            return self.cancel(&id, Asker::User(conn));
+        }
+        if let Some((stage, done)) = self.finals.get(&id) {
+            return self.tell(Asker::User(conn), Some(JobState { id, stage, done, running: 0 }));
+        }
+        let Some(peer) = self.owner_peer() else { return self.refuse(conn, 503, "no owner now") };
+        let body = peer::encode(&Ask::Cancel { job: id.clone() });
+        let what = Pending::PeerCancel { conn, job: id };
+        self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body, CANCEL_TIMEOUT_MS, what);
+    }
+
+    pub(crate) fn peer_cancelled(&mut self, conn: u64, job: String, r: Option<Response>) {
+        let answer = r.filter(|r| r.status == 200).and_then(|r| peer::decode::<Answer>(&r.body).ok());
+        match answer {
+            Some(Answer::State(state)) if state.id == job => self.tell(Asker::User(conn), Some(state)),
+            Some(Answer::Unknown) => self.read_job(conn, job, Why::Cancel),
+            _ => self.refuse(conn, 503, "the owner does not answer"),
+        }
+    }
+
+    pub(crate) fn peer(&mut self, conn: u64, request: &Request) {
+        let ask = if request.method == "POST" && request.path == peer::PATH {
+            peer::decode::<Ask>(&request.body).ok()
+        } else {
+            None
+        };
+        match ask {
+            Some(Ask::Query { job }) => {
+                let answer = if !self.decides() {
+                    Answer::NotNow
+                } else {
+                    self.state_here(&job).map_or(Answer::Unknown, Answer::State)
+                };
+                self.respond(conn, 200, peer::encode(&answer), None);
+            }
+            Some(Ask::Cancel { job }) => self.cancel(&job, Asker::Peer(conn)),
+            None => self.refuse(conn, 400, "not understood"),
+        }
+    }
+
+    /// Gives an asker the state of a job, or says that the owner does not know it.
+    pub(crate) fn tell(&mut self, asker: Asker, state: Option<JobState>) {
+        if let Some(s) = state.as_ref().filter(|s| s.stage.is_final()) {
+            self.finals.put(&s.id, s.stage, s.done);
+        }
+        match (asker, state) {
+            (Asker::User(conn), Some(state)) => self.respond(conn, 200, wire::encode(&state), None),
+            (Asker::User(conn), None) => self.refuse(conn, 503, "not known here yet"),
+            (Asker::Peer(conn), Some(state)) => {
+                self.respond(conn, 200, peer::encode(&Answer::State(state)), None)
+            }
+            (Asker::Peer(conn), None) => self.respond(conn, 200, peer::encode(&Answer::Unknown), None),
+        }
+    }
+
+    pub(crate) fn not_now(&mut self, asker: Asker) {
+        match asker {
+            Asker::User(conn) => self.refuse(conn, 503, "not sure now"),
+            Asker::Peer(conn) => self.respond(conn, 200, peer::encode(&Answer::NotNow), None),
+        }
+    }
+
+    /// For the log: what this node is.
+    pub fn role_name(&self) -> &'static str {
+        match self.role {
+            Role::Owner { .. } if self.sure() => "owner",
+            Role::Owner { .. } => "owner, unsure",
+            Role::Standing { .. } => "candidate",
+            Role::Follower { .. } => "follower",
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/election.rs
@@ -0,0 +1,349 @@
+//! Who owns the part: a key on a lease of the state service, and a token from a counter that only rises.
+//!
+//! An owner is *sure* while its own clock, with allowance for drift, says that the lease it last renewed can't
+//! have ended. Only then does it start, cancel or answer for jobs.
+
+use crate::part::Part;
+use crate::{Dest, Node, Pending};
+use wire::api::{Catalog, Changes, Grant, GrantRequest, Guard, Range, Txn, Write};
+use wire::http::Response;
+use wire::records::{self, OwnerRec, Record, SharedRec, TokenRec};
+
+/// The one part of this version.
+pub(crate) const PART: records::Part = 0;
+
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct OwnerView {
+    pub rec: OwnerRec,
+    pub version: u64,
+}
+
+/// What every controller knows of the whole, by a watch.
+#[derive(Default)]
+pub(crate) struct Shared {
+    pub known: bool,
+    pub revision: u64,
+    pub owner: Option<OwnerView>,
+    pub token: u64,
+    pub token_version: u64,
+    pub catalog: Option<Catalog>,
+    pub catalog_version: u64,
+    /// A read or a watch is out, and when to try again if not.
+    busy: bool,
+    round: u64,
+    retry_at: u64,
+}
+
+pub(crate) enum Role {
+    Follower {
+        may_stand_at: u64,
+    },
+    /// Asking for a lease, or writing our name on it.
+    Standing {
+        lease: Option<u64>,
+        sent: u64,
+        give_up_at: u64,
+    },
+    Owner {
+        lease: u64,
+        /// When the last renewal that succeeded was sent.
+        renewed: u64,
+        next_renewal: u64,
+        busy: bool,
+    },
+}
+
+impl Node {
+    fn ttl(&self) -> u64 {
+        self.tuning.ttl_ms as u64
+    }
+
+    /// The lease can't have ended: drift is below 0.05% on either side, and the service is never early.
+    pub(crate) fn sure(&self) -> bool {
+        match self.role {
+            Role::Owner { renewed, .. } => {
+                let life = self.ttl() * 997 / 1000;
+                self.now.mono < renewed + life.saturating_sub(life / 20)
+            }
+            _ => false,
+        }
+    }
+
+    /// Owner, loaded, and sure of it: may decide.
+    pub(crate) fn decides(&self) -> bool {
+        self.sure() && self.part.as_ref().is_some_and(|p| p.loaded)
+    }
+
+    pub(crate) fn election_tick(&mut self) {
+        let now = self.now.mono;
+        if !self.shared.busy && now >= self.shared.retry_at {
+            self.shared.busy = true;
+            if self.shared.known {
+                self.watch_shared();
+            } else {
+                let path = format!("/keys?under={}&limit=1000", records::SHARED);
+                self.send(Dest::State, "GET", path, Vec::new(), 2000, Pending::SharedRead);
+            }
+        }
+        match self.role {
+            Role::Follower { may_stand_at } => {
+                let vacant = self.shared.known && self.shared.owner.is_none();
+                if vacant && may_stand_at == 0 {
+                    // A little luck keeps all from standing at once.
+                    let wait = self.rng.u64(20..250);
+                    self.role = Role::Follower { may_stand_at: now + wait };
+                } else if vacant && now >= may_stand_at {
+                    self.role = Role::Standing { lease: None, sent: now, give_up_at: now + 4000 };
+                    let body = wire::encode(&GrantRequest { ttl_ms: self.ttl() });
+                    self.send(
+                        Dest::State,
+                        "POST",
+                        "/grants".into(),
+                        body,
+                        2000,
+                        Pending::Grant { sent: now },
+                    );
+                } else if !vacant && may_stand_at != 0 && now >= may_stand_at {
+                    self.role = Role::Follower { may_stand_at: 0 };
+                }
+            }
+            Role::Standing { give_up_at, .. } if now >= give_up_at => {
+                self.role = Role::Follower { may_stand_at: now + self.rng.u64(100..1000) };
+                self.reread_shared(0);
+            }
+            Role::Standing { .. } => {}
+            Role::Owner { lease, renewed, next_renewal, busy } => {
+                if !busy && now >= next_renewal {
+                    self.role = Role::Owner { lease, renewed, next_renewal, busy: true };
+                    let path = format!("/grants/{lease}/renew");
+                    let what = Pending::Renew { lease, sent: now };
+                    // In an outage the answer is slow to come; a late one is as good as its sending time.
+                    self.send(Dest::State, "POST", path, Vec::new(), self.ttl() / 2, what);
+                }
+            }
+        }
+    }
+
+    fn watch_shared(&mut self) {
+        self.shared.round += 1;
+        let path = format!("/changes?under={}&from={}&waitMs=5000", records::SHARED, self.shared.revision);
+        let what = Pending::SharedWatch { round: self.shared.round };
+        self.send(Dest::State, "GET", path, Vec::new(), 7000, what);
+    }
+
+    fn reread_shared(&mut self, wait: u64) {
+        self.shared.known = false;
+        self.shared.busy = false;
+        self.shared.round += 1;
+        self.shared.retry_at = self.now.mono + wait;
+    }
+
+    pub(crate) fn shared_read(&mut self, response: Option<Response>) {
+        self.shared.busy = false;
+        let range = response
+            .filter(|r| r.status == 200)
+            .and_then(|r| self.read::<Range<SharedRec>>("state service", &r));
+        let Some(range) = range else {
+            self.shared.retry_at = self.now.mono + self.rng.u64(200..500);
+            return;
+        };
+        self.shared.owner = None;
+        self.shared.token_version = 0;
+        for item in range.items {
+            self.shared_put(&item.key, item.value, item.version);
+        }
+        self.shared.revision = range.revision;
+        self.shared.known = true;
+        self.owner_seen();
+    }
+
+    pub(crate) fn shared_changes(&mut self, round: u64, response: Option<Response>) {
+        if round != self.shared.round {
+            return;
+        }
+        self.shared.busy = false;
+        let Some(response) = response else {
+            // Cut off or in an outage: what we know may be old, so read it anew.
+            let wait = self.rng.u64(100..300);
+            return self.reread_shared(wait);
+        };
+        if response.status != 200 {
+            if response.status == 410 {
+                return self.reread_shared(0);
+            }
+            self.shared.retry_at = self.now.mono + self.rng.u64(200..500);
+            return;
+        }
+        let Some(changes) = self.read::<Changes<SharedRec>>("state service", &response) else {
+            return self.reread_shared(1000);
+        };
+        for change in changes.events {
+            if let (Some(key), Some(value)) = (&change.put, change.value) {
+                self.shared_put(key, value, change.version);
+            } else if change.remove.as_deref() == Some(&records::owner_key(PART)) {
+                self.shared.owner = None;
+            }
+        }
+        self.shared.revision = self.shared.revision.max(changes.revision);
+        self.owner_seen();
+    }
+
+    fn shared_put(&mut self, key: &str, rec: SharedRec, version: u64) {
+        if key == records::TOKEN {
+            if version >= self.shared.token_version {
+                self.shared.token = rec.token.unwrap_or(0);
+                self.shared.token_version = version;
+            }
+        } else if key == records::CATALOG {
+            if let Some(types) = rec.types
+                && version >= self.shared.catalog_version
+            {
+                // Prices move: an owner that has fetched them itself knows better.
+                if !self.owns() || self.shared.catalog.is_none() {
+                    self.shared.catalog = Some(Catalog { types });
+                }
+                self.shared.catalog_version = version;
+            }
+        } else if key == records::owner_key(PART)
+            && let (Some(node), Some(token), Some(lease)) = (rec.node, rec.token, rec.lease)
+        {
+            self.shared.owner = Some(OwnerView { rec: OwnerRec { node, token, lease }, version });
+        }
+    }
+
+    /// Draws the conclusions from who is the owner now.
+    fn owner_seen(&mut self) {
+        let mine = |o: &OwnerView, lease: u64, node: &str| o.rec.node == node && o.rec.lease == lease;
+        let node = self.settings.node.clone();
+        match self.role {
+            Role::Owner { lease, .. }
+                if !self.shared.owner.as_ref().is_some_and(|o| mine(o, lease, &node)) =>
+            {
+                self.step_down("another owner, or none, stands in the state service");
+            }
+            // Our take-over went through although its answer was lost.
+            Role::Standing { lease: Some(lease), sent, .. } => {
+                if let Some(o) = self.shared.owner.clone().filter(|o| mine(o, lease, &node)) {
+                    self.become_owner(lease, sent, o.rec.token, o.version);
+                }
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn granted(&mut self, asked: u64, response: Option<Response>) {
+        let Role::Standing { lease: None, sent, give_up_at } = self.role else { return };
+        if sent != asked {
+            return;
+        }
+        let grant =
+            response.filter(|r| r.status == 200).and_then(|r| self.read::<Grant>("state service", &r));
+        let Some(Grant { lease }) = grant else {
+            self.role = Role::Follower { may_stand_at: self.now.mono + self.rng.u64(200..600) };
+            return;
+        };
+        self.role = Role::Standing { lease: Some(lease), sent, give_up_at };
+        let token = self.shared.token + 1;
+        let owner = OwnerRec { node: self.settings.node.clone(), token, lease };
+        let txn = Txn {
+            guards: vec![
+                Guard { key: records::owner_key(PART), version: 0 },
+                Guard { key: records::TOKEN.into(), version: self.shared.token_version },
+            ],
+            writes: vec![
+                Write::Put {
+                    key: records::owner_key(PART),
+                    value: Box::new(Record::Owner(owner)),
+                    lease: Some(lease),
+                },
+                Write::put(records::TOKEN.into(), Record::Token(TokenRec { token })),
+            ],
+        };
+        self.writes.take(self.now.mono, 2.0);
+        self.send(Dest::State, "POST", "/txn".into(), wire::encode(&txn), 2000, Pending::Take { lease });
+    }
+
+    pub(crate) fn took(&mut self, asked: u64, response: Option<Response>) {
+        let Role::Standing { lease: Some(lease), sent, .. } = self.role else { return };
+        if lease != asked {
+            return;
+        }
+        let won = response
+            .as_ref()
+            .filter(|r| r.status == 200)
+            .and_then(|r| wire::decode::<wire::api::Revision>(&r.body).ok());
+        match won {
+            Some(r) => {
+                let token = self.shared.token + 1;
+                self.shared.token = token;
+                self.shared.token_version = r.revision;
+                let rec = OwnerRec { node: self.settings.node.clone(), token, lease };
+                self.shared.owner = Some(OwnerView { rec, version: r.revision });
+                self.become_owner(lease, sent, token, r.revision);
+            }
+            // No answer: it may be in place, which a fresh read will show while we still stand.
+            None if response.is_none() => self.reread_shared(0),
+            None => {
+                self.role = Role::Follower { may_stand_at: self.now.mono + self.rng.u64(50..300) };
+                self.reread_shared(0);
+            }
+        }
+    }
+
+    fn become_owner(&mut self, lease: u64, renewed: u64, token: u64, version: u64) {
+        log::info!("owner of part {PART} with token {token}");
+        let now = self.now.mono;
+        self.role = Role::Owner { lease, renewed, next_renewal: now, busy: false };
+        self.epoch += 1;
+        let c = &self.settings.cluster.state;
+        // The owner does most of the writing; the others keep enough to accept jobs.
+        self.requests.set_rate(c.rps * 0.5);
+        self.writes.set_rate(c.write_rps * 0.6);
+        self.part = Some(Part::new(token, version, now));
+        self.start_load();
+    }
+
+    pub(crate) fn renewed(&mut self, asked: u64, sent: u64, response: Option<Response>) {
+        let Role::Owner { lease, renewed, .. } = self.role else { return };
+        if lease != asked {
+            return;
+        }
+        let now = self.now.mono;
+        let every = self.ttl() / 4;
+        match response.map(|r| r.status) {
+            Some(200) => {
+                self.role = Role::Owner { lease, renewed: sent, next_renewal: sent + every, busy: false };
+            }
+            Some(404) => self.step_down("the lease has ended"),
+            _ => {
+                let again = now + self.rng.u64(50..200);
+                self.role = Role::Owner { lease, renewed, next_renewal: again, busy: false };
+            }
+        }
+    }
+
+    /// Gives ownership up, for good unless elected again with a higher token.
+    pub(crate) fn step_down(&mut self, why: &str) {
+        log::warn!("no longer the owner: {why}");
+        if let Role::Owner { lease, .. } = self.role {
+            self.send(Dest::State, "DELETE", format!("/grants/{lease}"), Vec::new(), 2000, Pending::Release);
+        }
+        self.role = Role::Follower { may_stand_at: 0 };
+        self.epoch += 1;
+        let nodes = self.settings.peers.len() as f64 + 1.0;
+        let c = &self.settings.cluster.state;
+        self.requests.set_rate(c.rps * 0.4 / (nodes - 1.0).max(1.0));
+        self.writes.set_rate(c.write_rps * 0.3 / (nodes - 1.0).max(1.0));
+        if let Some(part) = self.part.take() {
+            for asker in part.all_waiters() {
+                self.not_now(asker);
+            }
+        }
+        self.reread_shared(0);
+    }
+
+    /// Stays out of the next election, so that a better placed node can win it.
+    pub(crate) fn stand_back(&mut self, ms: u64) {
+        self.role = Role::Follower { may_stand_at: self.now.mono + ms };
+    }
+}
--- /dev/null
+++ b/crates/control/src/fleet.rs
@@ -0,0 +1,327 @@
+//! The cloud: its catalogue, its late list, rentals and returns.
+
+use crate::election::PART;
+use crate::machines::Machine;
+use crate::part::{Hire, HireState};
+use crate::{Dest, Node, Pending};
+use wire::api::{Catalog, HireRequest, ListedMachine, MachineList, MachineNames};
+use wire::http::Response;
+use wire::records::HireRec;
+
+const CLOUD_TIMEOUT_MS: u64 = 5000;
+const CATALOG_EVERY_MS: u64 = 60_000;
+
+#[derive(Default)]
+pub(crate) struct Listing {
+    after: Option<String>,
+    busy: bool,
+    next_at: u64,
+}
+
+impl Node {
+    pub(crate) fn catalog_tick(&mut self) {
+        let now = self.now.mono;
+        if now < self.catalog_at || !self.cloud.try_take(now, 1.0) {
+            return;
+        }
+        self.catalog_at = now + CATALOG_EVERY_MS;
+        self.send(Dest::Cloud, "GET", "/catalog".into(), Vec::new(), CLOUD_TIMEOUT_MS, Pending::Catalog);
+    }
+
+    pub(crate) fn catalog_came(&mut self, response: Option<Response>) {
+        let catalog = response.filter(|r| r.status == 200).and_then(|r| self.read::<Catalog>("cloud", &r));
+        let Some(mut catalog) = catalog else {
+            self.catalog_at = self.now.mono + self.rng.u64(1000..2500);
+            return;
+        };
+        catalog.types.truncate(64);
+        // Prices move all the time; the record is for those who start without the cloud.
+        let names =
+            |c: &Catalog| c.types.iter().map(|t| (t.name.clone(), t.zones.clone())).collect::<Vec<_>>();
+        let known = self.shared.catalog_version > 0
+            && self.shared.catalog.as_ref().is_some_and(|old| names(old) == names(&catalog));
+        self.shared.catalog = Some(catalog);
+        if let Some(part) = &mut self.part {
+            part.catalog_dirty |= !known;
+            part.plan_due = true;
+        }
+    }
+
+    pub(crate) fn fleet_tick(&mut self) {
+        let now = self.now.mono;
+        let epoch = self.epoch;
+        let sure = self.sure();
+        let Some(part) = &mut self.part else { return };
+        if !part.live_busy && now >= part.live_retry_at {
+            self.watch_live();
+        }
+        if !sure {
+            return;
+        }
+        let Some(part) = &mut self.part else { return };
+        // Rentals that are recorded; the same name again until there is an answer.
+        let ready: Vec<(String, HireRec)> = part
+            .hires
+            .iter()
+            .filter(|(_, h)| h.state == HireState::Recorded && !h.busy && h.retry_at <= now)
+            .map(|(n, h)| (n.clone(), h.rec.clone()))
+            .collect();
+        for (name, rec) in ready {
+            if !self.cloud.try_take(now, 1.0) {
+                break;
+            }
+            if let Some(hire) = self.part.as_mut().and_then(|p| p.hires.get_mut(&name)) {
+                hire.busy = true;
+            }
+            let body = wire::encode(&HireRequest {
+                request: name.clone(),
+                machine_type: rec.machine_type,
+                zone: rec.zone,
+                spot: rec.spot,
+                count: rec.count,
+            });
+            let what = Pending::Hire { epoch, name };
+            self.send(Dest::Cloud, "POST", "/machines".into(), body, CLOUD_TIMEOUT_MS, what);
+        }
+        let Some(part) = &mut self.part else { return };
+        if !part.delete_busy && now >= part.delete_retry_at {
+            let machines: Vec<usize> = (0..part.machines.len())
+                .filter(|m| part.machine(*m).is_some_and(|x| x.deleting && !x.gone))
+                .take(100)
+                .collect();
+            if !machines.is_empty() && self.cloud.try_take(now, 1.0) {
+                part.delete_busy = true;
+                let names =
+                    machines.iter().filter_map(|m| part.machine(*m).map(|x| x.name.clone())).collect();
+                let body = wire::encode(&MachineNames { machines: names });
+                let what = Pending::Delete { epoch, machines };
+                self.send(Dest::Cloud, "POST", "/machines/delete".into(), body, CLOUD_TIMEOUT_MS, what);
+            }
+        }
+        let every = (self.settings.cluster.cloud.list_lag_s * 500.0) as u64;
+        let Some(part) = &mut self.part else { return };
+        if !part.list.busy && now >= part.list.next_at && self.cloud.try_take(now, 1.0) {
+            part.list.busy = true;
+            part.list.next_at = now + every.max(1500);
+            let from = part.list.after.as_ref().map(|a| format!("from={a}&")).unwrap_or_default();
+            let path = format!("/machines?{from}limit=500");
+            self.send(Dest::Cloud, "GET", path, Vec::new(), CLOUD_TIMEOUT_MS, Pending::List { epoch });
+        }
+    }
+
+    pub(crate) fn list_came(&mut self, response: Option<Response>) {
+        let list = response.filter(|r| r.status == 200).and_then(|r| self.read::<MachineList>("cloud", &r));
+        self.forget_returned();
+        let Some(part) = &mut self.part else { return };
+        part.list.busy = false;
+        let Some(list) = list else { return };
+        part.list.after = None;
+        if list.more
+            && let Some(last) = list.machines.last()
+        {
+            part.list.after = Some(last.name.clone());
+            part.list.next_at = self.now.mono;
+        }
+        for machine in list.machines {
+            self.listed(machine);
+        }
+    }
+
+    fn listed(&mut self, l: ListedMachine) {
+        let now = self.now;
+        let Some(part) = &mut self.part else { return };
+        if let Some(m) = part.machine_ix.get(&l.name).copied() {
+            let Some(machine) = part.machine_mut(m) else { return };
+            if machine.addr.is_none() {
+                machine.addr = l.addr.parse().ok();
+            }
+            // A machine that failed costs nothing more, but its tasks are proved gone only by its return.
+            if l.stage == "failed" && !machine.deleting {
+                log::info!("machine {}: failed", machine.name);
+                machine.failed = true;
+                machine.deleting = true;
+            }
+            return;
+        }
+        if part.returned.contains_key(&l.name) {
+            return;
+        }
+        // Machines of a rental whose answer is still out are expected, but take them in all the same.
+        log::info!("machine {}: listed, taken in", l.name);
+        let hired = now.wall.saturating_sub((l.age_s.clamp(0.0, 1e6) * 1000.0) as u64);
+        let mut machine = Machine::new(&l.name, &l.machine_type, &l.zone, l.spot, hired);
+        machine.addr = l.addr.parse().ok();
+        machine.dirty = true;
+        machine.heard_at = now.mono;
+        machine.idle_since = now.mono;
+        machine.failed = l.stage == "failed";
+        machine.deleting = machine.failed;
+        part.add_machine(machine);
+    }
+
+    /// Writes a rental down; it is sent once the record stands.
+    pub(crate) fn hire(&mut self, machine_type: &str, zone: &str, spot: bool, count: u32) {
+        let wall = self.now.wall;
+        let Some(part) = &mut self.part else { return };
+        let serial = part.next_serial();
+        let name = format!("r-{PART}-{}-{serial}", part.token);
+        log::info!("hire {name}: {count} of {machine_type} in {zone}, spot {spot}");
+        let rec = HireRec {
+            machine_type: machine_type.into(),
+            zone: zone.into(),
+            spot,
+            count: count.min(50),
+            at_ms: wall,
+        };
+        part.hires.insert(name, Hire { rec, version: 0, busy: false, retry_at: 0, state: HireState::New });
+    }
+
+    pub(crate) fn hired(&mut self, name: String, response: Option<Response>) {
+        let now = self.now;
+        let status = response.as_ref().map(|r| r.status);
+        let got =
+            response.as_ref().filter(|r| r.status == 200).and_then(|r| self.read::<MachineNames>("cloud", r));
+        let no_capacity = status == Some(503)
+            && response.as_ref().is_some_and(|r| {
+                wire::decode::<wire::api::ErrorBody>(&r.body).is_ok_and(|e| e.error == "no capacity")
+            });
+        let wait = self.rng.u64(500..1500);
+        let Some(part) = &mut self.part else { return };
+        let Some(hire) = part.hires.get_mut(&name) else { return };
+        hire.busy = false;
+        let rec = hire.rec.clone();
+        let kind = (rec.machine_type.clone(), rec.zone.clone(), rec.spot);
+        if let Some(got) = got {
+            hire.state = HireState::Over;
+            if (got.machines.len() as u32) < rec.count {
+                part.refused.insert(kind, (now.mono + 20_000, 1));
+            } else {
+                part.refused.remove(&kind);
+            }
+            for machine in got.machines {
+                if part.machine_ix.contains_key(&machine) || part.returned.contains_key(&machine) {
+                    continue;
+                }
+                let mut machine = Machine::new(&machine, &rec.machine_type, &rec.zone, rec.spot, rec.at_ms);
+                machine.dirty = true;
+                machine.heard_at = now.mono;
+                machine.idle_since = now.mono;
+                part.add_machine(machine);
+            }
+        } else if no_capacity || status == Some(400) {
+            log::info!("hire {name}: none to be had");
+            hire.state = HireState::Over;
+            let times = part.refused.get(&kind).map_or(0, |(_, n)| *n) + 1;
+            part.refused.insert(kind, (now.mono + 8000 * u64::from(times.min(4)), times));
+        } else {
+            hire.retry_at = now.mono + wait;
+        }
+        part.plan_due = true;
+    }
+
+    pub(crate) fn deleted(&mut self, machines: Vec<usize>, response: Option<Response>) {
+        let now = self.now.mono;
+        let wait = self.rng.u64(500..1500);
+        let Some(part) = &mut self.part else { return };
+        part.delete_busy = false;
+        if response.is_none_or(|r| r.status != 200) {
+            part.delete_retry_at = now + wait;
+            return;
+        }
+        let mut changed = std::collections::BTreeSet::new();
+        for m in machines {
+            let Some(part) = &mut self.part else { return };
+            let Some(machine) = part.machine_mut(m) else { continue };
+            log::info!("machine {}: returned", machine.name);
+            machine.gone = true;
+            machine.dirty = true;
+            let name = machine.name.clone();
+            let recorded = machine.version > 0 || machine.writing;
+            let claims = machine.claims.len();
+            part.returned.insert(name.clone(), now);
+            // The cloud's word is proof: everything on the machine is gone.
+            for k in 0..claims {
+                changed.extend(self.claim_ended(m, k, None, false));
+            }
+            if let Some(part) = &mut self.part
+                && !recorded
+            {
+                part.machines[m] = None;
+                part.machine_ix.remove(&name);
+                part.free_machines.push(m);
+            }
+        }
+        for ix in changed {
+            self.job_changed(ix);
+        }
+    }
+
+    /// Looks after machines that are silent, never came up, or have nothing to do.
+    pub(crate) fn machines_tick(&mut self) {
+        self.push_orders();
+        let now = self.now;
+        let epoch = self.epoch;
+        if !self.decides() {
+            return;
+        }
+        let silent = (self.tuning.silent_s * 1000.0) as u64;
+        let grace = (self.settings.cluster.workers.report_s * 1000.0) as u64;
+        let boots: Vec<(String, f64)> = self
+            .catalog()
+            .map(|c| c.types.iter().map(|t| (t.name.clone(), t.boot_s)).collect())
+            .unwrap_or_default();
+        let patience = self.tuning.boot_patience;
+        let Some(part) = &mut self.part else { return };
+        if now.mono < part.since + grace {
+            return;
+        }
+        let mut probes = Vec::new();
+        let (mut up, mut quiet) = (0, 0);
+        for (m, machine) in part.machines.iter_mut().enumerate() {
+            let Some(machine) = machine else { continue };
+            if machine.deleting || machine.gone {
+                continue;
+            }
+            let gap = now.mono.saturating_sub(machine.heard_at);
+            let known_up = machine.up || machine.holds_any();
+            if known_up {
+                up += 1;
+                if gap > silent {
+                    quiet += 1;
+                }
+                if gap > silent && machine.probe.is_none() && now.mono >= machine.probed_at + 1000 {
+                    probes.push(m);
+                }
+            } else {
+                let boot = boots.iter().find(|(n, _)| *n == machine.machine_type).map_or(60.0, |(_, b)| *b);
+                let age = now.wall.saturating_sub(machine.hired_ms) as f64 / 1000.0;
+                // After a take-over a machine that is up has to find us first.
+                if age > boot * patience && gap as f64 > boot * 500.0 {
+                    log::info!("machine {}: did not come up", machine.name);
+                    machine.deleting = true;
+                }
+            }
+            if machine.sick && !machine.holds_any() {
+                machine.deleting = true;
+            }
+        }
+        if up >= 4 && quiet * 2 > up {
+            // That many can't have failed at once: it is we who are cut off from them.
+            self.step_down("most machines can't be heard here");
+            return self.stand_back(15_000);
+        }
+        for m in probes {
+            let Some(part) = &mut self.part else { return };
+            let serial = part.next_serial();
+            let Some(machine) = part.machine_mut(m) else { continue };
+            machine.probed_at = now.mono;
+            let Some(addr) = machine.addr else {
+                machine.deleting = true;
+                continue;
+            };
+            machine.probe = Some(serial);
+            let what = Pending::Show { epoch, machine: m, serial };
+            self.send(Dest::Worker(addr), "GET", "/show".into(), Vec::new(), 2000, what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/jobs.rs
@@ -0,0 +1,313 @@
+//! A job in the owner's memory: which tasks are done, claimed or free, and how it ends.
+
+use crate::machines::Need;
+use crate::{Asker, Node};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use wire::api::{JobSpec, JobState, Kind, Priority, Stage};
+use wire::records::{self, JobRec, TASKS_PER_CHUNK};
+
+pub(crate) type JobIx = usize;
+
+/// How far the end of a job has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Ending {
+    No,
+    /// To be recorded.
+    Wanted(Stage),
+    /// The record is on its way.
+    Writing(Stage),
+    Recorded(Stage),
+}
+
+/// Run times seen in a class, against what was estimated.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Class {
+    runs: f64,
+    log_ratio: f64,
+}
+
+impl Class {
+    /// Each run moves the correction less, down to a twentieth, so that it follows the day.
+    pub fn learn(&mut self, ratio: f64) {
+        self.runs += 1.0;
+        let weight = (1.0 / (self.runs + 2.0)).max(0.05);
+        self.log_ratio += (ratio.clamp(0.1, 10.0).ln() - self.log_ratio) * weight;
+    }
+    pub fn factor(&self) -> f64 {
+        self.log_ratio.exp().clamp(0.3, 3.0)
+    }
+}
+
+pub(crate) struct Job {
+    pub id: String,
+    /// `None` for a job that had ended when we took over.
+    pub spec: Option<Box<JobSpec>>,
+    pub team: String,
+    pub need: Need,
+    pub at_ms: u64,
+    pub version: u64,
+    pub tasks: u32,
+    done: Vec<u64>,
+    pub done_count: u32,
+    /// Tasks that are neither done nor claimed, as ranges of fresh ones and single returned ones.
+    fresh: u32,
+    returned: BTreeSet<u32>,
+    /// Claims by task: the machines and attempts. More than one only until the old ones are proved gone.
+    pub claimed: HashMap<u32, Vec<(usize, u64)>>,
+    pub running: u32,
+    pub chunks: BTreeMap<u32, u64>,
+    pub dirty_chunks: BTreeSet<u32>,
+    pub ending: Ending,
+    pub waiters: Vec<Asker>,
+    /// The gang is being taken apart after the loss of a task.
+    pub broken: bool,
+    pub progress_s: f64,
+    pub failures: u32,
+    pub failed_on: BTreeSet<usize>,
+    pub succeeded: bool,
+    pub backoff_until: u64,
+}
+
+impl Job {
+    pub fn new(rec: JobRec, version: u64) -> Self {
+        let spec = rec.spec;
+        let need = Need { cores: spec.cores, gpus: spec.gpus, mem_gb: spec.mem_gb };
+        let mut job = Job::ended(&spec.id, &spec.team, need);
+        job.tasks = spec.tasks;
+        job.done = vec![0; spec.tasks.div_ceil(64) as usize];
+        job.at_ms = rec.at_ms;
+        job.version = version;
+        job.ending = Ending::No;
+        job.spec = Some(Box::new(spec));
+        job
+    }
+
+    /// A job of which only claims are left.
+    pub fn ended(id: &str, team: &str, need: Need) -> Self {
+        Job {
+            id: id.to_owned(),
+            spec: None,
+            team: team.to_owned(),
+            need,
+            at_ms: 0,
+            version: 0,
+            tasks: 0,
+            done: Vec::new(),
+            done_count: 0,
+            fresh: 0,
+            returned: BTreeSet::new(),
+            claimed: HashMap::new(),
+            running: 0,
+            chunks: BTreeMap::new(),
+            dirty_chunks: BTreeSet::new(),
+            ending: Ending::Recorded(Stage::Done),
+            waiters: Vec::new(),
+            broken: false,
+            progress_s: 0.0,
+            failures: 0,
+            failed_on: BTreeSet::new(),
+            succeeded: false,
+            backoff_until: 0,
+        }
+    }
+
+    pub fn kind(&self) -> Kind {
+        self.spec.as_ref().map_or(Kind::Array, |s| s.kind)
+    }
+    pub fn priority(&self) -> Priority {
+        self.spec.as_ref().map_or(Priority::Low, |s| s.priority)
+    }
+    /// The end is recorded: the job only waits for its last tasks to go.
+    pub fn is_over(&self) -> bool {
+        matches!(self.ending, Ending::Recorded(_))
+    }
+    /// Nothing of it may be started any more.
+    pub fn is_ending(&self) -> bool {
+        self.ending != Ending::No
+    }
+    /// Its tasks are to be stopped, since their user has cancelled it or it had ended before our time.
+    pub fn is_void(&self) -> bool {
+        match self.ending {
+            Ending::Recorded(Stage::Cancelled) => true,
+            Ending::Recorded(_) => self.spec.is_none(),
+            _ => false,
+        }
+    }
+
+    pub fn is_done(&self, task: u32) -> bool {
+        self.done.get(task as usize / 64).is_some_and(|w| w >> (task % 64) & 1 == 1)
+    }
+
+    fn set_done(&mut self, task: u32) -> bool {
+        if task >= self.tasks || self.is_done(task) {
+            return false;
+        }
+        self.done[task as usize / 64] |= 1 << (task % 64);
+        self.done_count += 1;
+        self.returned.remove(&task);
+        true
+    }
+
+    /// Notes a completed task, to be recorded.
+    pub fn complete(&mut self, task: u32) {
+        if self.is_ending() {
+            return;
+        }
+        let gang = self.kind() == Kind::Gang;
+        if gang {
+            // Gang tasks complete together.
+            (0..self.tasks).for_each(|t| {
+                self.set_done(t);
+            });
+        } else if !self.set_done(task) {
+            return;
+        }
+        self.succeeded = true;
+        if self.done_count == self.tasks {
+            // The end says it all: no need to record the last results one by one.
+            self.dirty_chunks.clear();
+            self.ending = Ending::Wanted(Stage::Done);
+        } else {
+            self.dirty_chunks.insert(task / TASKS_PER_CHUNK);
+        }
+    }
+
+    pub fn chunk_bits(&self, chunk: u32) -> String {
+        let from = chunk * TASKS_PER_CHUNK;
+        let to = (from + TASKS_PER_CHUNK).min(self.tasks);
+        let bits: Vec<bool> = (from..to).map(|t| self.is_done(t)).collect();
+        records::pack_bits(&bits)
+    }
+
+    pub fn load_chunk(&mut self, chunk: u32, bits: &str, version: u64) {
+        for t in records::unpack_bits(bits) {
+            self.set_done(chunk.saturating_mul(TASKS_PER_CHUNK).saturating_add(t));
+        }
+        self.chunks.insert(chunk, version);
+        if self.done_count == self.tasks && self.ending == Ending::No {
+            self.ending = Ending::Wanted(Stage::Done);
+        }
+    }
+
+    /// The result of a task is safe in the state service.
+    pub fn recorded(&self, task: u32) -> bool {
+        self.is_over()
+            || (self.is_done(task) && !self.dirty_chunks.contains(&(task / TASKS_PER_CHUNK)) && {
+                // While the end is on its way, nothing says that this task's result is in its chunk.
+                self.ending == Ending::No
+            })
+    }
+
+    pub fn claim(&mut self, task: u32, machine: usize, attempt: u64) {
+        self.claimed.entry(task).or_default().push((machine, attempt));
+        self.returned.remove(&task);
+    }
+
+    /// A claim has ended. The task is free again unless it is done or claimed elsewhere.
+    pub fn unclaim(&mut self, task: u32, machine: usize, attempt: u64) {
+        if let Some(claims) = self.claimed.get_mut(&task) {
+            claims.retain(|c| *c != (machine, attempt));
+            if claims.is_empty() {
+                self.claimed.remove(&task);
+                if task < self.fresh && !self.is_done(task) {
+                    self.returned.insert(task);
+                }
+            }
+        }
+    }
+
+    /// How many tasks could be started.
+    pub fn pending(&self) -> u32 {
+        let open = self.tasks - self.done_count.min(self.tasks);
+        let busy = self.claimed.keys().filter(|t| !self.is_done(**t)).count() as u32;
+        open.saturating_sub(busy)
+    }
+
+    /// Takes a task that is neither done nor claimed.
+    pub fn next_task(&mut self) -> Option<u32> {
+        while let Some(t) = self.returned.pop_first() {
+            if !self.is_done(t) && !self.claimed.contains_key(&t) {
+                return Some(t);
+            }
+        }
+        while self.fresh < self.tasks {
+            let t = self.fresh;
+            self.fresh += 1;
+            if !self.is_done(t) && !self.claimed.contains_key(&t) {
+                return Some(t);
+            }
+        }
+        None
+    }
+
+    pub fn state(&self) -> JobState {
+        let stage = match self.ending {
+            Ending::Recorded(stage) => stage,
+            _ if self.running > 0 => Stage::Running,
+            _ => Stage::Pending,
+        };
+        // Not all are done as long as that is not recorded.
+        let open = u32::from(stage != Stage::Done && self.done_count == self.tasks);
+        JobState {
+            id: self.id.clone(),
+            stage,
+            done: self.done_count - open.min(self.done_count),
+            running: self.running,
+        }
+    }
+}
+
+impl Node {
+    /// Follows up on a change of a job: what is left of a broken gang goes, an ended job is forgotten.
+    pub(crate) fn job_changed(&mut self, ix: JobIx) {
+        let Some(part) = &mut self.part else { return };
+        part.plan_due = true;
+        let Some(job) = part.job_mut(ix) else { return };
+        if job.kind() == Kind::Gang && !job.is_ending() {
+            let attempts: BTreeSet<u64> = job.claimed.values().flatten().map(|(_, a)| *a).collect();
+            let whole = job.claimed.len() == job.tasks as usize && attempts.len() == 1;
+            job.broken = !job.claimed.is_empty() && !whole;
+        }
+        let drop = job.is_void() || job.broken;
+        let machines: BTreeSet<usize> = job.claimed.values().flatten().map(|(m, _)| *m).collect();
+        if drop {
+            for m in machines {
+                if let Some(machine) = part.machine_mut(m) {
+                    machine.stop_job(ix, 0.0);
+                }
+            }
+        }
+        part.maybe_forget_job(ix);
+    }
+
+    /// A cancel that may be decided here.
+    pub(crate) fn cancel(&mut self, job: &str, asker: Asker) {
+        if let Some((stage, done)) = self.finals.get(job) {
+            return self.tell(asker, Some(JobState { id: job.to_owned(), stage, done, running: 0 }));
+        }
+        if !self.decides() {
+            return self.not_now(asker);
+        }
+        let Some(part) = &mut self.part else { return };
+        let Some(job) = part.job_ix.get(job).copied().and_then(|ix| part.job_mut(ix)) else {
+            return self.tell(asker, None);
+        };
+        match job.ending {
+            Ending::Recorded(_) => {
+                let state = job.state();
+                return self.tell(asker, Some(state));
+            }
+            Ending::No => {
+                log::info!("job {}: cancelled by its user", job.id);
+                job.ending = Ending::Wanted(Stage::Cancelled);
+                job.dirty_chunks.clear();
+            }
+            // Whatever end is recorded, the asker is told.
+            _ => {}
+        }
+        if job.waiters.len() >= 16 {
+            return self.not_now(asker);
+        }
+        job.waiters.push(asker);
+    }
+}
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,310 @@
+//! A controller without sockets, clocks or threads: events and the time go in, effects come out. All rules of
+//! the service live here, so that tests can play any order of failures in virtual time.
+
+mod budget;
+mod commit;
+mod door;
+mod election;
+mod fleet;
+mod jobs;
+mod machines;
+mod part;
+mod reports;
+mod sched;
+mod tuning;
+
+use budget::Bucket;
+use election::{Role, Shared};
+use part::Part;
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+pub use tuning::Tuning;
+use wire::api::{Catalog, JobSpec, Stage};
+use wire::http::{Request, Response};
+use wire::settings::Settings;
+
+/// Milliseconds of this host's steady clock, and of the time of day.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Now {
+    pub mono: u64,
+    pub wall: u64,
+}
+
+/// Who is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Dest {
+    State,
+    Cloud,
+    Peer(usize),
+    Worker(SocketAddr),
+}
+
+#[derive(Debug)]
+pub enum Event {
+    Client { conn: u64, request: Request },
+    Peer { conn: u64, request: Request },
+    Reply { tag: u64, response: Option<Response> },
+    Tick,
+}
+
+#[derive(Debug)]
+pub enum Effect {
+    Respond {
+        conn: u64,
+        response: Response,
+    },
+    Send {
+        tag: u64,
+        to: Dest,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+        answer_limit: usize,
+    },
+}
+
+/// A user or a peer that waits for an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Asker {
+    User(u64),
+    Peer(u64),
+}
+
+/// What an answer that is still out belongs to. `epoch` ties it to one term of ownership.
+enum Pending {
+    SharedRead,
+    SharedWatch { round: u64 },
+    Grant { sent: u64 },
+    Renew { lease: u64, sent: u64 },
+    Take { lease: u64 },
+    Release,
+    Load { epoch: u64, what: part::Load },
+    LiveWatch { epoch: u64 },
+    Commit { epoch: u64 },
+    Verify { epoch: u64 },
+    Accept { conn: u64, spec: Box<JobSpec>, at: u64, tries: u32 },
+    ReadLive { conn: u64, job: String, why: door::Why },
+    ReadEnd { conn: u64, job: String, why: door::Why },
+    PeerQuery { conn: u64, job: String, why: door::Why },
+    PeerCancel { conn: u64, job: String },
+    Catalog,
+    List { epoch: u64 },
+    Hire { epoch: u64, name: String },
+    Delete { epoch: u64, machines: Vec<usize> },
+    Direct { epoch: u64, machine: usize, serial: u64 },
+    Show { epoch: u64, machine: usize, serial: u64 },
+}
+
+/// Largest answer that is read from the state service; watches have no limit of their own.
+const STATE_ANSWER: usize = 8 << 20;
+const SMALL_ANSWER: usize = 128 << 10;
+
+/// One controller.
+pub struct Node {
+    settings: Settings,
+    tuning: Tuning,
+    rng: fastrand::Rng,
+    now: Now,
+    effects: Vec<Effect>,
+    pending: HashMap<u64, Pending>,
+    next_tag: u64,
+    shared: Shared,
+    role: Role,
+    epoch: u64,
+    part: Option<Part>,
+    /// Requests to the state service and writes to it that this node may still make.
+    requests: Bucket,
+    writes: Bucket,
+    cloud: Bucket,
+    finals: Finals,
+    /// Accepts that the state service was too busy for, with the time of the next try.
+    retries: VecDeque<(u64, u64, Box<JobSpec>, u64, u32)>,
+    catalog_at: u64,
+    stats: Stats,
+}
+
+/// Counted for the operators' log.
+#[derive(Debug, Default, Clone)]
+pub struct Stats {
+    pub accepted: u64,
+    pub shed: u64,
+    pub bad_answers: u64,
+    pub plans: u64,
+    pub plan_steps: u64,
+    pub starts: u64,
+    pub preempts: u64,
+}
+
+/// Final states that were seen: they never change, so any copy is as good as the record.
+struct Finals {
+    known: HashMap<String, (Stage, u32)>,
+    order: VecDeque<String>,
+    cap: usize,
+}
+
+impl Finals {
+    fn new(cap: usize) -> Self {
+        Finals { known: HashMap::new(), order: VecDeque::new(), cap }
+    }
+    fn get(&self, job: &str) -> Option<(Stage, u32)> {
+        self.known.get(job).copied()
+    }
+    fn put(&mut self, job: &str, stage: Stage, done: u32) {
+        debug_assert!(stage.is_final());
+        if self.known.insert(job.to_owned(), (stage, done)).is_none() {
+            self.order.push_back(job.to_owned());
+            if self.order.len() > self.cap
+                && let Some(old) = self.order.pop_front()
+            {
+                self.known.remove(&old);
+            }
+        }
+    }
+}
+
+impl Node {
+    pub fn new(settings: Settings, tuning: Tuning, seed: u64, now: Now) -> Self {
+        let c = &settings.cluster;
+        let nodes = settings.peers.len() as f64 + 1.0;
+        let limits = settings.limits();
+        // About 150 bytes a final state; a tenth of the memory is theirs.
+        let finals = ((limits.mem_mb * 1e5 / 150.0) as usize).clamp(1000, 1_000_000);
+        Node {
+            requests: Bucket::new(c.state.rps * 0.9 / nodes),
+            writes: Bucket::new(c.state.write_rps * 0.9 / nodes),
+            cloud: Bucket::new(c.cloud.rps * 0.8),
+            settings,
+            tuning,
+            rng: fastrand::Rng::with_seed(seed),
+            now,
+            effects: Vec::new(),
+            pending: HashMap::new(),
+            next_tag: 1,
+            shared: Shared::default(),
+            role: Role::Follower { may_stand_at: 0 },
+            epoch: 0,
+            part: None,
+            finals: Finals::new(finals),
+            retries: VecDeque::new(),
+            catalog_at: 0,
+            stats: Stats::default(),
+        }
+    }
+
+    pub fn stats(&self) -> &Stats {
+        &self.stats
+    }
+
+    /// Takes one event and returns what is to be done.
+    pub fn handle(&mut self, now: Now, event: Event) -> Vec<Effect> {
+        self.now = now;
+        match event {
+            Event::Client { conn, request } => self.client(conn, request),
+            Event::Peer { conn, request } => self.peer(conn, &request),
+            Event::Reply { tag, response } => self.reply(tag, response),
+            Event::Tick => self.tick(),
+        }
+        self.flush_commit();
+        std::mem::take(&mut self.effects)
+    }
+
+    /// How long the caller may wait until the next tick.
+    pub fn wait_ms(&self) -> u64 {
+        if self.part.is_some() { 50 } else { 100 }
+    }
+
+    fn tick(&mut self) {
+        self.election_tick();
+        self.door_tick();
+        if self.shared.catalog.is_none() || self.owns() {
+            self.catalog_tick();
+        }
+        if self.part.as_ref().is_some_and(|p| p.loaded) {
+            self.fleet_tick();
+            self.machines_tick();
+            self.sched_tick();
+        }
+    }
+
+    fn owns(&self) -> bool {
+        self.part.is_some()
+    }
+
+    fn catalog(&self) -> Option<&Catalog> {
+        self.shared.catalog.as_ref()
+    }
+
+    fn send(
+        &mut self,
+        to: Dest,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+        timeout_ms: u64,
+        what: Pending,
+    ) {
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        self.pending.insert(tag, what);
+        let answer_limit = match to {
+            Dest::State | Dest::Cloud => STATE_ANSWER,
+            _ => SMALL_ANSWER,
+        };
+        if to == Dest::State {
+            self.requests.take(self.now.mono, 1.0);
+        }
+        self.effects.push(Effect::Send { tag, to, method, path, body, timeout_ms, answer_limit });
+    }
+
+    fn respond(&mut self, conn: u64, status: u16, body: Vec<u8>, retry_after_s: Option<u32>) {
+        let response = Response { status, body, close: false, retry_after_s };
+        self.effects.push(Effect::Respond { conn, response });
+    }
+
+    /// Reads a body of somebody else's; an unreadable one is as good as no answer.
+    fn read<T: serde::de::DeserializeOwned>(&mut self, from: &str, response: &Response) -> Option<T> {
+        match wire::decode(&response.body) {
+            Ok(v) => Some(v),
+            Err(e) => {
+                self.stats.bad_answers += 1;
+                log::warn!("{from}: {e}");
+                None
+            }
+        }
+    }
+
+    fn reply(&mut self, tag: u64, response: Option<Response>) {
+        let Some(what) = self.pending.remove(&tag) else { return };
+        let epoch = self.epoch;
+        match what {
+            Pending::SharedRead => self.shared_read(response),
+            Pending::SharedWatch { round } => self.shared_changes(round, response),
+            Pending::Grant { sent } => self.granted(sent, response),
+            Pending::Renew { lease, sent } => self.renewed(lease, sent, response),
+            Pending::Take { lease } => self.took(lease, response),
+            Pending::Release => {}
+            Pending::Accept { conn, spec, at, tries } => self.accepted(conn, spec, at, tries, response),
+            Pending::ReadLive { conn, job, why } => self.live_read(conn, job, why, response),
+            Pending::ReadEnd { conn, job, why } => self.end_read(conn, job, why, response),
+            Pending::PeerQuery { conn, job, why } => self.peer_queried(conn, job, why, response),
+            Pending::PeerCancel { conn, job } => self.peer_cancelled(conn, job, response),
+            Pending::Catalog => self.catalog_came(response),
+            // What belongs to an earlier term of ownership no longer concerns us.
+            Pending::Load { epoch: e, what } if e == epoch => self.load_came(what, response),
+            Pending::LiveWatch { epoch: e } if e == epoch => self.live_changes(response),
+            Pending::Commit { epoch: e } if e == epoch => self.committed(response),
+            Pending::Verify { epoch: e } if e == epoch => self.verified(response),
+            Pending::List { epoch: e } if e == epoch => self.list_came(response),
+            Pending::Hire { epoch: e, name } if e == epoch => self.hired(name, response),
+            Pending::Delete { epoch: e, machines } if e == epoch => self.deleted(machines, response),
+            Pending::Direct { epoch: e, machine, serial } if e == epoch => {
+                self.direct_came(machine, serial, response)
+            }
+            Pending::Show { epoch: e, machine, serial } if e == epoch => {
+                self.show_came(machine, serial, response)
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/machines.rs
@@ -0,0 +1,217 @@
+//! Machines and the claims on them.
+//!
+//! A claim is (task, attempt, machine). It is recorded before its start is sent, and it ends only on proof
+//! that the task is gone and can't come back.
+
+use crate::jobs::JobIx;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use wire::api::{Cause, TaskStage};
+use wire::records::{ClaimsRec, MachineRec};
+
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub(crate) struct Need {
+    pub cores: f64,
+    pub gpus: f64,
+    pub mem_gb: f64,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ClaimState {
+    /// Not recorded yet; nothing was sent.
+    New,
+    /// The record is on its way.
+    Writing,
+    Recorded,
+    /// Proved gone; to be taken out of the record.
+    Ended,
+    /// Being taken out of the record.
+    Dropping,
+}
+
+#[derive(Debug, Clone)]
+pub(crate) struct Claim {
+    pub job: JobIx,
+    pub task: u32,
+    pub attempt: u64,
+    pub state: ClaimState,
+    /// A start may have been sent, by us or by an earlier owner.
+    pub sent: bool,
+    pub stage: Option<TaskStage>,
+    /// When it was first seen running.
+    pub running_since: Option<u64>,
+    /// It is to be stopped, with this grace.
+    pub stop: Option<f64>,
+    pub stop_sent: Option<u64>,
+    pub claimed_at: u64,
+}
+
+impl Claim {
+    pub fn new(job: JobIx, task: u32, attempt: u64) -> Self {
+        Claim {
+            job,
+            task,
+            attempt,
+            state: ClaimState::New,
+            sent: false,
+            stage: None,
+            running_since: None,
+            stop: None,
+            stop_sent: None,
+            claimed_at: 0,
+        }
+    }
+    /// Counts against limits, zones and rooms.
+    pub fn holds(&self) -> bool {
+        !matches!(self.state, ClaimState::Ended | ClaimState::Dropping)
+    }
+}
+
+/// An exited task that the worker still lists.
+#[derive(Debug, Clone)]
+pub(crate) struct Exited {
+    pub job: String,
+    pub task: u32,
+    pub attempt: u64,
+    pub cause: Option<Cause>,
+}
+
+pub(crate) struct Machine {
+    pub name: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub hired_ms: u64,
+    /// 0 until it is recorded.
+    pub version: u64,
+    pub dirty: bool,
+    /// A write of its record is on its way.
+    pub writing: bool,
+    pub addr: Option<SocketAddr>,
+    /// Its worker has reported to us.
+    pub up: bool,
+    pub heard_at: u64,
+    /// Session and number of the newest message, and the highest token its worker had seen then.
+    pub seen: (u64, u64),
+    pub worker_token: u64,
+    pub notice_until: Option<u64>,
+    pub claims: Vec<Claim>,
+    pub exited: Vec<Exited>,
+    /// Serial of the direct command that is out.
+    pub direct: Option<u64>,
+    /// A direct command was not answered: it may still be executed, until the worker has seen a token
+    /// above this one or has begun a later session.
+    pub taint: Option<(u64, u64)>,
+    /// There is something to tell the worker at once.
+    pub push: bool,
+    pub probe: Option<u64>,
+    pub probed_at: u64,
+    pub deleting: bool,
+    /// The cloud has confirmed that it is gone.
+    pub gone: bool,
+    pub failed: bool,
+    pub idle_since: u64,
+    /// Images that its tasks have fetched, newest last.
+    pub images: Vec<(u32, f64)>,
+    pub errors: u32,
+    pub error_jobs: BTreeMap<JobIx, u32>,
+    /// Set aside: fails its tasks.
+    pub sick: bool,
+    pub rest_until: u64,
+}
+
+impl Machine {
+    pub fn new(name: &str, machine_type: &str, zone: &str, spot: bool, hired_ms: u64) -> Self {
+        Machine {
+            name: name.to_owned(),
+            machine_type: machine_type.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            hired_ms,
+            version: 0,
+            dirty: false,
+            writing: false,
+            addr: None,
+            up: false,
+            heard_at: 0,
+            seen: (0, 0),
+            worker_token: 0,
+            notice_until: None,
+            claims: Vec::new(),
+            exited: Vec::new(),
+            direct: None,
+            taint: None,
+            push: false,
+            probe: None,
+            probed_at: 0,
+            deleting: false,
+            gone: false,
+            failed: false,
+            idle_since: 0,
+            images: Vec::new(),
+            errors: 0,
+            error_jobs: BTreeMap::new(),
+            sick: false,
+            rest_until: 0,
+        }
+    }
+
+    /// May be given new tasks.
+    pub fn usable(&self, now: u64) -> bool {
+        self.up
+            && self.version > 0
+            && !self.deleting
+            && !self.gone
+            && !self.failed
+            && !self.sick
+            && self.notice_until.is_none()
+            && self.rest_until <= now
+            && self.taint.is_none()
+    }
+
+    pub fn holds_any(&self) -> bool {
+        self.claims.iter().any(Claim::holds)
+    }
+
+    /// Marks all tasks of a job as to be stopped.
+    pub fn stop_job(&mut self, job: JobIx, grace_s: f64) {
+        for claim in self.claims.iter_mut().filter(|c| c.job == job && c.holds()) {
+            if claim.stop.is_none_or(|g| grace_s < g) {
+                claim.stop = Some(grace_s);
+                claim.stop_sent = None;
+                self.push = true;
+            }
+        }
+    }
+
+    /// An image was fetched for a task here; the cache keeps the most recently used.
+    pub fn has_image(&mut self, image: u32, gb: f64, cache_gb: f64) {
+        self.images.retain(|(i, _)| *i != image);
+        self.images.push((image, gb));
+        while self.images.len() > 1 && self.images.iter().map(|(_, g)| g).sum::<f64>() > cache_gb {
+            self.images.remove(0);
+        }
+    }
+
+    /// The record as it should stand, given how to name jobs.
+    pub fn record(&self, name: impl Fn(JobIx) -> Option<(String, String, Need)>) -> MachineRec {
+        let mut groups: BTreeMap<JobIx, Vec<(u32, u64)>> = BTreeMap::new();
+        for c in self.claims.iter().filter(|c| c.holds()) {
+            groups.entry(c.job).or_default().push((c.task, c.attempt));
+        }
+        let claims = groups
+            .into_iter()
+            .filter_map(|(ix, tasks)| {
+                let (job, team, need) = name(ix)?;
+                Some(ClaimsRec { job, team, cores: need.cores, gpus: need.gpus, mem_gb: need.mem_gb, tasks })
+            })
+            .collect();
+        MachineRec {
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            hired_ms: self.hired_ms,
+            claims,
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/part.rs
@@ -0,0 +1,395 @@
+//! What the owner of a part holds in memory, and how it is read back after a take-over.
+
+use crate::commit::Commit;
+use crate::election::PART;
+use crate::jobs::{Class, Job, JobIx};
+use crate::machines::{Claim, ClaimState, Machine, Need};
+use crate::{Asker, Dest, Node, Pending};
+use std::collections::{BTreeMap, HashMap, HashSet};
+use wire::api::{Changes, Item, Range};
+use wire::http::Response;
+use wire::records::{self, DoneRec, HireRec, JobRec, MachineRec};
+
+/// What is read one after the other after a take-over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Load {
+    Jobs,
+    Done,
+    Machines,
+    Hires,
+}
+
+pub(crate) struct Hire {
+    pub rec: HireRec,
+    pub version: u64,
+    /// The request is out.
+    pub busy: bool,
+    pub retry_at: u64,
+    /// Not yet in the state service, or to be taken out of it again.
+    pub state: HireState,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HireState {
+    New,
+    Recorded,
+    Over,
+}
+
+/// Names of a kind, as dense indices.
+#[derive(Default)]
+pub(crate) struct Names {
+    index: HashMap<String, u32>,
+}
+
+impl Names {
+    pub fn get(&mut self, name: &str) -> u32 {
+        if let Some(i) = self.index.get(name) {
+            return *i;
+        }
+        let i = self.index.len() as u32;
+        self.index.insert(name.to_owned(), i);
+        i
+    }
+}
+
+pub(crate) struct Part {
+    pub token: u64,
+    /// Version of our owner record: every write is guarded by it.
+    pub owner_version: u64,
+    pub loaded: bool,
+    /// When this term began.
+    pub since: u64,
+    pub load_after: Option<String>,
+    pub live_revision: u64,
+    pub live_busy: bool,
+    pub live_retry_at: u64,
+    pub jobs: Vec<Option<Job>>,
+    pub free_jobs: Vec<JobIx>,
+    pub job_ix: HashMap<String, JobIx>,
+    pub machines: Vec<Option<Machine>>,
+    pub free_machines: Vec<usize>,
+    pub machine_ix: HashMap<String, usize>,
+    pub hires: BTreeMap<String, Hire>,
+    pub serial: u64,
+    pub commit: Commit,
+    pub raise_token: bool,
+    pub classes: HashMap<String, Class>,
+    pub images: Names,
+    /// Machines that were returned, with the time: old lists and reports may still name them.
+    pub returned: HashMap<String, u64>,
+    /// Kinds of machines that the cloud had none of, until when, and how often in a row.
+    pub refused: HashMap<(String, String, bool), (u64, u32)>,
+    pub list: crate::fleet::Listing,
+    pub delete_busy: bool,
+    pub delete_retry_at: u64,
+    pub hire_check_at: u64,
+    pub plan_due: bool,
+    pub planned_at: u64,
+    pub catalog_dirty: bool,
+}
+
+impl Part {
+    pub fn new(token: u64, owner_version: u64, now: u64) -> Self {
+        Part {
+            token,
+            owner_version,
+            loaded: false,
+            since: now,
+            load_after: None,
+            live_revision: 0,
+            live_busy: false,
+            live_retry_at: 0,
+            jobs: Vec::new(),
+            free_jobs: Vec::new(),
+            job_ix: HashMap::new(),
+            machines: Vec::new(),
+            free_machines: Vec::new(),
+            machine_ix: HashMap::new(),
+            hires: BTreeMap::new(),
+            serial: 0,
+            commit: Commit::default(),
+            raise_token: false,
+            classes: HashMap::new(),
+            images: Names::default(),
+            returned: HashMap::new(),
+            refused: HashMap::new(),
+            list: crate::fleet::Listing::default(),
+            delete_busy: false,
+            delete_retry_at: 0,
+            hire_check_at: 0,
+            plan_due: true,
+            planned_at: 0,
+            catalog_dirty: false,
+        }
+    }
+
+    /// Numbers below a token are unique for ever, since tokens are.
+    pub fn next_serial(&mut self) -> u64 {
+        self.serial += 1;
+        self.serial
+    }
+
+    /// A new attempt: higher than all of earlier owners, never used before.
+    pub fn next_attempt(&mut self) -> u64 {
+        let n = self.next_serial();
+        (self.token << 32) | (n & 0xffff_ffff)
+    }
+
+    pub fn job(&self, ix: JobIx) -> Option<&Job> {
+        self.jobs.get(ix).and_then(Option::as_ref)
+    }
+    pub fn job_mut(&mut self, ix: JobIx) -> Option<&mut Job> {
+        self.jobs.get_mut(ix).and_then(Option::as_mut)
+    }
+    pub fn machine(&self, m: usize) -> Option<&Machine> {
+        self.machines.get(m).and_then(Option::as_ref)
+    }
+    pub fn machine_mut(&mut self, m: usize) -> Option<&mut Machine> {
+        self.machines.get_mut(m).and_then(Option::as_mut)
+    }
+
+    pub fn add_job(&mut self, job: Job) -> JobIx {
+        let ix = self.free_jobs.pop().unwrap_or_else(|| {
+            self.jobs.push(None);
+            self.jobs.len() - 1
+        });
+        self.job_ix.insert(job.id.clone(), ix);
+        self.jobs[ix] = Some(job);
+        ix
+    }
+
+    pub fn add_machine(&mut self, machine: Machine) -> usize {
+        let m = self.free_machines.pop().unwrap_or_else(|| {
+            self.machines.push(None);
+            self.machines.len() - 1
+        });
+        self.machine_ix.insert(machine.name.clone(), m);
+        self.machines[m] = Some(machine);
+        m
+    }
+
+    /// Forgets an ended job once nothing of it is on any machine.
+    pub fn maybe_forget_job(&mut self, ix: JobIx) {
+        let gone = self.job(ix).is_some_and(|j| j.is_over() && j.claimed.is_empty());
+        if gone && let Some(job) = self.jobs[ix].take() {
+            self.job_ix.remove(&job.id);
+            self.free_jobs.push(ix);
+        }
+    }
+
+    pub fn all_waiters(&self) -> Vec<Asker> {
+        self.jobs.iter().flatten().flat_map(|j| j.waiters.iter().copied()).collect()
+    }
+}
+
+impl Node {
+    pub(crate) fn start_load(&mut self) {
+        self.load(Load::Jobs);
+    }
+
+    fn load(&mut self, what: Load) {
+        let Some(part) = &self.part else { return };
+        let prefix = match what {
+            Load::Jobs => records::LIVE.to_owned(),
+            Load::Done => records::DONE.to_owned(),
+            Load::Machines => records::machines_prefix(PART),
+            Load::Hires => records::hires_prefix(PART),
+        };
+        let mut path = format!("/keys?under={prefix}&limit=500");
+        if let Some(after) = &part.load_after {
+            path.push_str(&format!("&from={after}"));
+        }
+        let what = Pending::Load { epoch: self.epoch, what };
+        self.send(Dest::State, "GET", path, Vec::new(), 3000, what);
+    }
+
+    pub(crate) fn load_came(&mut self, what: Load, response: Option<Response>) {
+        let page = response.filter(|r| r.status == 200).and_then(|r| match what {
+            Load::Jobs => self.read("state service", &r).map(|p| self.load_jobs(p)),
+            Load::Done => self.read("state service", &r).map(|p| self.load_done(p)),
+            Load::Machines => self.read("state service", &r).map(|p| self.load_machines(p)),
+            Load::Hires => self.read("state service", &r).map(|p| self.load_hires(p)),
+        });
+        let Some(more) = page else {
+            // Tried again from the same place; an owner that can't read keeps its lease or loses it.
+            return self.load(what);
+        };
+        if more {
+            return self.load(what);
+        }
+        if let Some(part) = &mut self.part {
+            part.load_after = None;
+        }
+        match what {
+            Load::Jobs => self.load(Load::Done),
+            Load::Done => self.load(Load::Machines),
+            Load::Machines => self.load(Load::Hires),
+            Load::Hires => self.load_ended(),
+        }
+    }
+
+    /// Notes where the next page goes on; true if there is one.
+    fn page_end<T>(&mut self, range: &Range<T>) -> bool {
+        if let Some(part) = &mut self.part {
+            if part.live_revision == 0 {
+                part.live_revision = range.revision;
+            }
+            if let Some(last) = range.items.last() {
+                part.load_after = Some(last.key.clone());
+            }
+        }
+        range.more && !range.items.is_empty()
+    }
+
+    fn load_jobs(&mut self, range: Range<JobRec>) -> bool {
+        let more = self.page_end(&range);
+        for Item { value, version, .. } in range.items {
+            self.job_known(value, version);
+        }
+        more
+    }
+
+    fn load_done(&mut self, range: Range<DoneRec>) -> bool {
+        let more = self.page_end(&range);
+        let Some(part) = &mut self.part else { return false };
+        for item in range.items {
+            let mut words = item.key.split('/').skip(1);
+            let (Some(id), Some(chunk)) = (words.next(), words.next().and_then(|c| c.parse::<u32>().ok()))
+            else {
+                continue;
+            };
+            if let Some(job) = part.job_ix.get(id).copied().and_then(|ix| part.job_mut(ix)) {
+                job.load_chunk(chunk, &item.value.tasks, item.version);
+            }
+        }
+        more
+    }
+
+    fn load_machines(&mut self, range: Range<MachineRec>) -> bool {
+        let more = self.page_end(&range);
+        let prefix = records::machines_prefix(PART);
+        let now = self.now;
+        let Some(part) = &mut self.part else { return false };
+        for Item { key, value, version } in range.items {
+            let Some(name) = key.strip_prefix(&prefix) else { continue };
+            let mut machine =
+                Machine::new(name, &value.machine_type, &value.zone, value.spot, value.hired_ms);
+            machine.version = version;
+            machine.heard_at = now.mono;
+            let m = part.add_machine(machine);
+            for group in value.claims {
+                let need = Need { cores: group.cores, gpus: group.gpus, mem_gb: group.mem_gb };
+                let ix = match part.job_ix.get(&group.job) {
+                    Some(ix) => *ix,
+                    // Ended, but its tasks may still be there: they count until they are proved gone.
+                    None => part.add_job(Job::ended(&group.job, &group.team, need)),
+                };
+                for (task, attempt) in group.tasks {
+                    let mut claim = Claim::new(ix, task, attempt);
+                    claim.state = ClaimState::Recorded;
+                    claim.sent = true;
+                    if let Some(job) = part.job_mut(ix) {
+                        job.claim(task, m, attempt);
+                    }
+                    if let Some(machine) = part.machine_mut(m) {
+                        machine.claims.push(claim);
+                    }
+                }
+            }
+        }
+        more
+    }
+
+    fn load_hires(&mut self, range: Range<HireRec>) -> bool {
+        let more = self.page_end(&range);
+        let prefix = records::hires_prefix(PART);
+        let Some(part) = &mut self.part else { return false };
+        for Item { key, value, version } in range.items {
+            if let Some(name) = key.strip_prefix(&prefix) {
+                let hire = Hire { rec: value, version, busy: false, retry_at: 0, state: HireState::Recorded };
+                part.hires.insert(name.to_owned(), hire);
+            }
+        }
+        more
+    }
+
+    fn load_ended(&mut self) {
+        let now = self.now.mono;
+        let Some(part) = &mut self.part else { return };
+        part.loaded = true;
+        part.since = now;
+        for machine in part.machines.iter_mut().flatten() {
+            machine.heard_at = now;
+        }
+        log::info!(
+            "token {}: read {} jobs, {} machines, {} hires",
+            part.token,
+            part.jobs.iter().flatten().count(),
+            part.machine_ix.len(),
+            part.hires.len()
+        );
+        // A job may have been left with all tasks done but not ended, or with a gang half claimed.
+        let all: Vec<JobIx> = (0..part.jobs.len()).filter(|ix| part.jobs[*ix].is_some()).collect();
+        for ix in all {
+            self.job_changed(ix);
+        }
+        self.watch_live();
+    }
+
+    pub(crate) fn watch_live(&mut self) {
+        let epoch = self.epoch;
+        let Some(part) = &mut self.part else { return };
+        part.live_busy = true;
+        let path = format!("/changes?under={}&from={}&waitMs=5000", records::LIVE, part.live_revision);
+        self.send(Dest::State, "GET", path, Vec::new(), 7000, Pending::LiveWatch { epoch });
+    }
+
+    pub(crate) fn live_changes(&mut self, response: Option<Response>) {
+        let now = self.now.mono;
+        let retry = now + self.rng.u64(100..400);
+        let Some(part) = &mut self.part else { return };
+        part.live_busy = false;
+        part.live_retry_at = retry;
+        let Some(response) = response else { return };
+        match response.status {
+            200 => {}
+            410 => return self.step_down("too many changes were missed; reading everything again"),
+            _ => return,
+        }
+        let Some(changes) = self.read::<Changes<JobRec>>("state service", &response) else { return };
+        for change in changes.events {
+            if let Some(rec) = change.value {
+                self.job_known(rec, change.version);
+            }
+        }
+        if let Some(part) = &mut self.part {
+            part.live_revision = part.live_revision.max(changes.revision);
+        }
+        self.watch_live();
+    }
+
+    fn job_known(&mut self, rec: JobRec, version: u64) {
+        // The watch may lag behind our own end of the job.
+        if self.finals.get(&rec.spec.id).is_some() {
+            return;
+        }
+        let Some(part) = &mut self.part else { return };
+        if part.job_ix.contains_key(&rec.spec.id) {
+            return;
+        }
+        log::debug!("job {}: {} tasks of class {}", rec.spec.id, rec.spec.tasks, rec.spec.class);
+        part.add_job(Job::new(rec, version));
+        part.plan_due = true;
+    }
+
+    /// Keeps only what later lists may still need.
+    pub(crate) fn forget_returned(&mut self) {
+        let now = self.now.mono;
+        if let Some(part) = &mut self.part {
+            part.returned.retain(|_, at| *at + 120_000 > now);
+            let known: HashSet<&String> = part.machine_ix.keys().collect();
+            debug_assert!(known.len() <= part.machines.len());
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/reports.rs
@@ -0,0 +1,505 @@
+//! What workers say and are told.
+//!
+//! Orders are derived from the difference between the recorded claims and the newest report, so that a lost
+//! message only costs time.
+
+use crate::jobs::JobIx;
+use crate::machines::{Claim, ClaimState, Exited, Machine};
+use crate::{Dest, Node, Pending};
+use std::collections::BTreeSet;
+use wire::api::{Cause, Kind, Order, Orders, Redirect, Report, TaskStage};
+use wire::http::Response;
+use wire::ids;
+
+const DIRECT_TIMEOUT_MS: u64 = 2000;
+
+impl Node {
+    pub(crate) fn hello(&mut self, conn: u64, body: &[u8]) {
+        let report: Report = match wire::decode(body) {
+            Ok(r) => r,
+            Err(e) => return self.refuse(conn, 400, &e.to_string()),
+        };
+        let Some(part) = &self.part else {
+            let owner = self.shared.owner.as_ref().map(|o| o.rec.node.clone());
+            return match owner.filter(|o| *o != self.settings.node) {
+                Some(node) => {
+                    let body = wire::encode(&Redirect { report_to: Some(node) });
+                    self.respond(conn, 421, body, None)
+                }
+                None => self.refuse(conn, 503, "no owner yet"),
+            };
+        };
+        if report.token > part.token {
+            return self.outranked(conn, report.token);
+        }
+        let token = part.token;
+        let orders = if part.loaded {
+            match self.reporter(&report) {
+                Some(m) => {
+                    let newest = self.absorb(m, &report);
+                    if newest { self.orders_for(m) } else { Vec::new() }
+                }
+                None => Vec::new(),
+            }
+        } else {
+            Vec::new()
+        };
+        let body = wire::encode(&Orders { token, session: None, orders });
+        self.respond(conn, 200, body, None);
+    }
+
+    /// Its worker obeys a higher token than ours. While sure of our lease that can only be a stray number, and
+    /// we go above it; otherwise there is a new owner.
+    fn outranked(&mut self, conn: u64, token: u64) {
+        log::warn!("a worker obeys token {token}, above ours");
+        if self.sure() && token < 1 << 40 {
+            self.shared.token = self.shared.token.max(token);
+            if let Some(part) = &mut self.part {
+                part.raise_token = true;
+            }
+            return self.refuse(conn, 503, "raising the token");
+        }
+        self.step_down("workers obey a higher token");
+        self.refuse(conn, 503, "not the owner any more");
+    }
+
+    /// The machine that a report comes from; one that nobody expected is taken in.
+    fn reporter(&mut self, report: &Report) -> Option<usize> {
+        let now = self.now;
+        let part = self.part.as_mut()?;
+        if let Some(m) = part.machine_ix.get(&report.machine) {
+            return Some(*m);
+        }
+        if part.returned.contains_key(&report.machine) || !name_ok(&report.machine) {
+            return None;
+        }
+        log::info!("machine {}: reports unexpectedly, taken in", report.machine);
+        let mut machine =
+            Machine::new(&report.machine, &report.machine_type, &report.zone, report.spot, now.wall);
+        machine.dirty = true;
+        machine.heard_at = now.mono;
+        machine.idle_since = now.mono;
+        Some(part.add_machine(machine))
+    }
+
+    /// Takes in a report, unless a newer one was seen. True if it is the newest.
+    pub(crate) fn absorb(&mut self, m: usize, report: &Report) -> bool {
+        let now = self.now.mono;
+        let mut changed: BTreeSet<JobIx> = BTreeSet::new();
+        let Some(part) = &mut self.part else { return false };
+        let token = part.token;
+        let Some(machine) = part.machines.get_mut(m).and_then(Option::as_mut) else { return false };
+        if (report.session, report.seq) <= machine.seen || machine.gone {
+            return false;
+        }
+        machine.seen = (report.session, report.seq);
+        machine.heard_at = now;
+        machine.worker_token = report.token;
+        machine.addr = report.addr.parse().ok().or(machine.addr);
+        if !machine.up {
+            machine.up = true;
+            machine.idle_since = now;
+            part.plan_due = true;
+            log::info!("machine {}: up", machine.name);
+        }
+        if machine.taint.is_some_and(|(t, session)| report.token > t || report.session > session) {
+            machine.taint = None;
+            part.plan_due = true;
+        }
+        // What is not listed now is gone only if nothing that could start it is still under way: no command
+        // of an earlier token, no direct command unanswered.
+        let proof = report.token >= token && machine.direct.is_none() && machine.taint.is_none();
+        let noticed =
+            report.notice_s.filter(|n| n.is_finite() && *n >= 0.0).map(|n| now + (n * 1000.0) as u64);
+        let new_notice = noticed.is_some() && machine.notice_until.is_none();
+        machine.notice_until = noticed.or(machine.notice_until);
+
+        let mut listed: Vec<(JobIx, u32, u64)> = Vec::with_capacity(report.tasks.len());
+        let mut exited = Vec::new();
+        let mut ends: Vec<(usize, Option<Cause>, bool)> = Vec::new();
+        let mut strays: Vec<Claim> = Vec::new();
+        let mut finished: Vec<(JobIx, u32)> = Vec::new();
+        for t in &report.tasks {
+            let Some((id, task)) = ids::parse_task(&t.task) else { continue };
+            let ix = part.job_ix.get(id).copied();
+            let found = ix.and_then(|ix| {
+                listed.push((ix, task, t.attempt));
+                machine.claims.iter().position(|c| c.job == ix && c.task == task && c.attempt == t.attempt)
+            });
+            if t.stage == TaskStage::Exited {
+                exited.push(Exited { job: id.to_owned(), task, attempt: t.attempt, cause: t.cause });
+                match found {
+                    Some(k) if machine.claims[k].holds() => ends.push((k, t.cause, t.saved.unwrap_or(false))),
+                    // The result of a task whose claim an earlier owner has struck off already.
+                    None if t.cause == Some(Cause::Done) => finished.extend(ix.map(|ix| (ix, task))),
+                    _ => {}
+                }
+                continue;
+            }
+            let Some(k) = found else {
+                // Not expected to happen; it counts and is stopped all the same.
+                log::warn!("machine {}: task {} attempt {} without a claim", machine.name, t.task, t.attempt);
+                if let Some(ix) = ix {
+                    let mut stray = Claim::new(ix, task, t.attempt);
+                    stray.state = ClaimState::Recorded;
+                    stray.sent = true;
+                    stray.stop = Some(0.0);
+                    strays.push(stray);
+                }
+                continue;
+            };
+            let claim = &mut machine.claims[k];
+            claim.sent = true;
+            let was = claim.stage.replace(t.stage);
+            if was != Some(t.stage) {
+                let runs = |s: Option<TaskStage>| matches!(s, Some(TaskStage::Running | TaskStage::Saving));
+                let (ran, run) = (runs(was), runs(Some(t.stage)));
+                if let Some(job) = part.jobs.get_mut(claim.job).and_then(Option::as_mut) {
+                    job.running =
+                        (job.running + u32::from(run && !ran)).saturating_sub(u32::from(ran && !run));
+                    if t.stage != TaskStage::Fetching
+                        && let Some(spec) = &job.spec
+                    {
+                        let image = part.images.get(&spec.image);
+                        let cache = self.shared.catalog.as_ref().and_then(|c| {
+                            c.types.iter().find(|t| t.name == machine.machine_type).map(|t| t.cache_gb)
+                        });
+                        let gb = spec.image_gb;
+                        machine.has_image(image, gb, cache.unwrap_or(0.0));
+                    }
+                }
+                let claim = &mut machine.claims[k];
+                if run && claim.running_since.is_none() {
+                    claim.running_since = Some(now);
+                }
+            }
+        }
+        machine.exited = exited;
+        if proof {
+            for (k, claim) in machine.claims.iter_mut().enumerate() {
+                if claim.state != ClaimState::Recorded || !claim.sent {
+                    continue;
+                }
+                if listed.contains(&(claim.job, claim.task, claim.attempt)) {
+                    continue;
+                }
+                if claim.stage.is_some() || claim.stop.is_some() {
+                    ends.push((k, None, false));
+                } else {
+                    // It never got there: the same attempt can be sent again, since nothing was reaped.
+                    claim.sent = false;
+                    machine.push = true;
+                }
+            }
+        }
+        for stray in strays {
+            let (ix, task, attempt) = (stray.job, stray.task, stray.attempt);
+            machine.claims.push(stray);
+            machine.dirty = true;
+            if let Some(job) = part.jobs.get_mut(ix).and_then(Option::as_mut) {
+                job.claim(task, m, attempt);
+            }
+            changed.insert(ix);
+        }
+        for (ix, task) in finished {
+            if let Some(job) = part.job_mut(ix) {
+                job.complete(task);
+            }
+            changed.insert(ix);
+        }
+        for (k, cause, saved) in ends {
+            changed.extend(self.claim_ended(m, k, cause, saved));
+        }
+        if new_notice {
+            self.drain_for_notice(m);
+        }
+        for ix in changed {
+            self.job_changed(ix);
+        }
+        true
+    }
+
+    /// A task is proved gone. Returns its job.
+    pub(crate) fn claim_ended(
+        &mut self,
+        m: usize,
+        k: usize,
+        cause: Option<Cause>,
+        saved: bool,
+    ) -> Option<JobIx> {
+        let now = self.now.mono;
+        let part = self.part.as_mut()?;
+        let machine = part.machines.get_mut(m)?.as_mut()?;
+        let claim = machine.claims.get_mut(k)?;
+        if !claim.holds() {
+            return None;
+        }
+        claim.state = ClaimState::Ended;
+        machine.dirty = true;
+        let claim = claim.clone();
+        let job = part.jobs.get_mut(claim.job)?.as_mut()?;
+        log::debug!(
+            "task {}/{} attempt {} on {}: ended, {cause:?}",
+            job.id,
+            claim.task,
+            claim.attempt,
+            machine.name
+        );
+        if matches!(claim.stage, Some(TaskStage::Running | TaskStage::Saving)) {
+            job.running = job.running.saturating_sub(1);
+        }
+        let ran = claim.running_since.map(|t| now.saturating_sub(t) as f64 / 1000.0);
+        match cause {
+            Some(Cause::Done) => {
+                if let (Some(ran), Some(spec)) = (ran, &job.spec)
+                    && spec.estimate_s > 0.0
+                    && job.progress_s == 0.0
+                    && !job.is_ending()
+                {
+                    part.classes.entry(spec.class.clone()).or_default().learn(ran / spec.estimate_s);
+                }
+                job.complete(claim.task);
+                machine.errors = 0;
+                machine.error_jobs.clear();
+            }
+            Some(Cause::Error) => {
+                job.failures += 1;
+                job.failed_on.insert(m);
+                // Where a job failed on several machines and succeeded nowhere, the fault is its own.
+                let job_is_bad = job.failed_on.len() >= 3 && !job.succeeded;
+                let backoff = if job_is_bad { (1000u64 << job.failures.min(5)).min(30_000) } else { 200 };
+                job.backoff_until = now + backoff;
+                if !job_is_bad {
+                    machine.errors += 1;
+                    *machine.error_jobs.entry(claim.job).or_default() += 1;
+                    // One job alone proves nothing against a machine, unless it succeeds elsewhere.
+                    let several = machine.error_jobs.len() >= 2;
+                    if several || (job.succeeded && machine.errors >= 2) {
+                        log::warn!("machine {}: set aside after {} errors", machine.name, machine.errors);
+                        machine.sick = true;
+                    } else {
+                        machine.rest_until = now + 3000;
+                    }
+                }
+            }
+            Some(Cause::NoRoom | Cause::Busy | Cause::Unknown) => {
+                log::warn!("task {}/{} refused by {}: {cause:?}", job.id, claim.task, machine.name);
+                machine.rest_until = now + 2000;
+                if cause == Some(Cause::Unknown) {
+                    job.backoff_until = now + 1000;
+                }
+            }
+            _ => {
+                if let (Some(ran), Some(spec)) = (ran, &job.spec)
+                    && spec.checkpoint_s > 0.0
+                {
+                    let whole = job.progress_s + ran;
+                    job.progress_s =
+                        if saved { whole } else { (whole / spec.checkpoint_s).floor() * spec.checkpoint_s };
+                }
+            }
+        }
+        job.unclaim(claim.task, m, claim.attempt);
+        if !machine.holds_any() {
+            machine.idle_since = now;
+        }
+        part.plan_due = true;
+        Some(claim.job)
+    }
+
+    /// The cloud takes the machine away soon: what can save does so now, and what can't end in time is freed
+    /// to start elsewhere.
+    fn drain_for_notice(&mut self, m: usize) {
+        let now = self.now.mono;
+        let Some(part) = &mut self.part else { return };
+        let Some(machine) = part.machine(m) else { return };
+        log::info!("machine {}: is about to be taken", machine.name);
+        let left = machine.notice_until.unwrap_or(now).saturating_sub(now) as f64 / 1000.0;
+        let mut stops: Vec<(JobIx, f64)> = Vec::new();
+        for c in machine.claims.iter().filter(|c| c.holds()) {
+            let Some(spec) = part.job(c.job).and_then(|j| j.spec.as_ref()) else { continue };
+            let ran = c.running_since.map_or(0.0, |t| now.saturating_sub(t) as f64 / 1000.0);
+            if spec.checkpoint_s > 0.0 {
+                stops.push((c.job, spec.save_s * 1.2 + 1.0));
+            } else if c.running_since.is_none() || spec.estimate_s - ran > left {
+                stops.push((c.job, 0.0));
+            }
+        }
+        for (ix, grace) in stops {
+            self.stop_here(ix, m, grace);
+        }
+    }
+
+    /// Stops a job's tasks on one machine; a gang's on all, since they end together.
+    pub(crate) fn stop_here(&mut self, ix: JobIx, m: usize, grace_s: f64) {
+        let Some(part) = &mut self.part else { return };
+        let Some(job) = part.job(ix) else { return };
+        let machines: BTreeSet<usize> = if job.kind() == Kind::Gang {
+            job.claimed.values().flatten().map(|(m, _)| *m).collect()
+        } else {
+            BTreeSet::from([m])
+        };
+        for m in machines {
+            if let Some(machine) = part.machine_mut(m) {
+                machine.stop_job(ix, grace_s);
+            }
+        }
+    }
+
+    /// What the worker is to do now. Only an owner that is sure of its lease gives orders.
+    pub(crate) fn orders_for(&mut self, m: usize) -> Vec<Order> {
+        let mut orders = Vec::new();
+        if !self.decides() {
+            return orders;
+        }
+        let now = self.now.mono;
+        let Some(part) = &mut self.part else { return orders };
+        let Some(machine) = part.machines.get_mut(m).and_then(Option::as_mut) else { return orders };
+        // Two ways at once would make an absence in a report prove nothing.
+        if machine.direct.is_some() || machine.gone {
+            return orders;
+        }
+        machine.push = false;
+        let mut never_started = Vec::new();
+        for (k, c) in machine.claims.iter_mut().enumerate() {
+            if c.state != ClaimState::Recorded {
+                continue;
+            }
+            let Some(job) = part.jobs.get(c.job).and_then(Option::as_ref) else { continue };
+            if let Some(grace_s) = c.stop {
+                if !c.sent {
+                    never_started.push(k);
+                    continue;
+                }
+                // Saving takes its time: told once, unless it is to end at once.
+                let told =
+                    c.stop_sent.is_some_and(|at| c.stage == Some(TaskStage::Saving) || at + 1500 > now);
+                if !told || (grace_s == 0.0 && c.stop_sent.is_none_or(|at| at + 500 <= now)) {
+                    c.stop_sent = Some(now);
+                    orders.push(Order::Stop {
+                        task: ids::task_name(&job.id, c.task),
+                        attempt: c.attempt,
+                        grace_s,
+                    });
+                }
+            } else if c.stage.is_none() && !c.sent && !job.is_ending() && machine.taint.is_none() {
+                // A gang starts only when all its claims stand.
+                if job.kind() == Kind::Gang && (job.broken || job.claimed.len() != job.tasks as usize) {
+                    continue;
+                }
+                c.sent = true;
+                orders.push(Order::Start { task: ids::task_name(&job.id, c.task), attempt: c.attempt });
+            }
+        }
+        if machine.taint.is_none() {
+            for e in &machine.exited {
+                let ix = part.job_ix.get(&e.job).copied();
+                let job = ix.and_then(|ix| part.jobs.get(ix)).and_then(Option::as_ref);
+                let claimed = ix.is_some_and(|ix| {
+                    machine.claims.iter().any(|c| c.job == ix && c.task == e.task && c.attempt == e.attempt)
+                });
+                // The result first, then the reaping.
+                let safe = e.cause != Some(Cause::Done) || job.is_none_or(|j| j.recorded(e.task));
+                if !claimed && safe {
+                    orders.push(Order::Reap { task: ids::task_name(&e.job, e.task), attempt: e.attempt });
+                }
+            }
+        }
+        let mut changed = BTreeSet::new();
+        for k in never_started {
+            changed.extend(self.claim_ended(m, k, None, false));
+        }
+        for ix in changed {
+            self.job_changed(ix);
+        }
+        orders.truncate(400);
+        orders
+    }
+
+    /// Tells workers at once what they would otherwise hear with their next report.
+    pub(crate) fn push_orders(&mut self) {
+        if !self.decides() {
+            return;
+        }
+        let Some(part) = &self.part else { return };
+        let due: Vec<usize> = (0..part.machines.len())
+            .filter(|m| {
+                part.machine(*m).is_some_and(|x| {
+                    x.push
+                        && x.up
+                        && x.addr.is_some()
+                        && x.direct.is_none()
+                        && x.taint.is_none()
+                        && !x.deleting
+                })
+            })
+            .collect();
+        for m in due {
+            let orders = self.orders_for(m);
+            if orders.iter().all(|o| matches!(o, Order::Reap { .. })) {
+                continue;
+            }
+            let epoch = self.epoch;
+            let Some(part) = &mut self.part else { return };
+            let serial = part.next_serial();
+            let token = part.token;
+            let Some(machine) = part.machine_mut(m) else { continue };
+            let Some(addr) = machine.addr else { continue };
+            machine.direct = Some(serial);
+            let body = wire::encode(&Orders { token, session: Some(machine.seen.0), orders });
+            let what = Pending::Direct { epoch, machine: m, serial };
+            self.send(Dest::Worker(addr), "POST", "/commands".into(), body, DIRECT_TIMEOUT_MS, what);
+        }
+    }
+
+    pub(crate) fn direct_came(&mut self, m: usize, serial: u64, response: Option<Response>) {
+        let report = response
+            .filter(|r| r.status == 200 || r.status == 409)
+            .and_then(|r| self.read::<Report>("worker", &r));
+        let Some(part) = &mut self.part else { return };
+        let token = part.token;
+        let Some(machine) = part.machine_mut(m) else { return };
+        if machine.direct != Some(serial) {
+            return;
+        }
+        machine.direct = None;
+        match report {
+            Some(report) if report.machine == machine.name => {
+                self.absorb(m, &report);
+            }
+            _ => {
+                // It may be executed minutes from now. Only a higher token, once the worker has seen it, rules
+                // that out; until then nothing here is reaped or proved gone, and nothing new is placed.
+                log::info!("machine {}: a command was not answered", machine.name);
+                machine.taint = Some((token, machine.seen.0));
+                part.raise_token = true;
+            }
+        }
+    }
+
+    pub(crate) fn show_came(&mut self, m: usize, serial: u64, response: Option<Response>) {
+        let report = response.filter(|r| r.status == 200).and_then(|r| self.read::<Report>("worker", &r));
+        let now = self.now.mono;
+        let Some(machine) = self.part.as_mut().and_then(|p| p.machine_mut(m)) else { return };
+        if machine.probe != Some(serial) {
+            return;
+        }
+        machine.probe = None;
+        match report {
+            Some(report) if report.machine == machine.name => {
+                self.absorb(m, &report);
+            }
+            _ if now.saturating_sub(machine.heard_at) as f64 > self.tuning.silent_s * 1000.0 => {
+                log::warn!("machine {}: silent and unreachable, to be returned", machine.name);
+                machine.deleting = true;
+            }
+            _ => {}
+        }
+    }
+}
+
+fn name_ok(name: &str) -> bool {
+    !name.is_empty()
+        && name.len() <= 100
+        && name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
+}
--- /dev/null
+++ b/crates/control/src/sched.rs
@@ -0,0 +1,372 @@
+//! Between the owner's memory and the planner: what it is shown, and what follows from its plan.
+
+use crate::Node;
+use crate::jobs::{Ending, JobIx};
+use crate::machines::{Claim, Need};
+use crate::part::HireState;
+use std::collections::HashMap;
+use wire::api::{Catalog, Kind};
+
+/// The planner's indices and ours.
+struct Map {
+    machines: Vec<usize>,
+    jobs: Vec<JobIx>,
+    /// For each machine of the input, the claims behind its running tasks.
+    claims: Vec<Vec<usize>>,
+}
+
+impl From<Need> for plan::Res {
+    fn from(n: Need) -> Self {
+        plan::Res { cores: n.cores, gpus: n.gpus, mem: n.mem_gb }
+    }
+}
+
+/// Names as dense indices, in the order of the settings.
+fn index<'a>(names: impl Iterator<Item = &'a String>) -> HashMap<&'a str, u16> {
+    names.enumerate().map(|(i, n)| (n.as_str(), i as u16)).collect()
+}
+
+impl Node {
+    pub(crate) fn sched_tick(&mut self) {
+        let now = self.now.mono;
+        if !self.decides() {
+            return;
+        }
+        let every = self.tuning.every_ms as u64;
+        let settle = (self.settings.cluster.workers.report_s * 1000.0) as u64;
+        let Some(part) = &mut self.part else { return };
+        let due = (part.plan_due && now >= part.planned_at + every) || now >= part.planned_at + 2 * every;
+        if !due {
+            return;
+        }
+        part.plan_due = false;
+        part.planned_at = now;
+        let since = part.since;
+        let Some(catalog) = self.shared.catalog.clone() else { return };
+        let (input, map) = self.plan_input(&catalog);
+        let output = plan::plan(&input);
+        self.stats.plans += 1;
+        self.stats.plan_steps += output.steps;
+        log::debug!(
+            "plan: {} jobs, {} machines, stretch {:.2}, {} starts, {} waiting, {} steps",
+            input.jobs.len(),
+            input.machines.len(),
+            output.stretch,
+            output.starts.len(),
+            output.waiting.len(),
+            output.steps
+        );
+        for start in &output.starts {
+            self.start(map.jobs[start.job as usize], map.machines[start.machine as usize], start.count);
+        }
+        // One attempt for all tasks of a gang.
+        self.share_attempts(&map);
+        for p in &output.preempts {
+            self.preempt(map.machines[p.machine as usize], map.claims[p.machine as usize][p.task as usize]);
+        }
+        // Right after a take-over the machines have not all been heard of yet.
+        if now >= since + 2 * settle {
+            self.hire_for(&input, &output, &catalog);
+            self.return_idle(&output);
+        }
+    }
+
+    fn plan_input(&mut self, catalog: &Catalog) -> (plan::Input, Map) {
+        let now = self.now;
+        let types = index(catalog.types.iter().map(|t| &t.name));
+        let zones = index(self.settings.cluster.zones.iter());
+        let teams = index(self.settings.cluster.teams.iter().map(|t| &t.name));
+        let value_room = (self.settings.cluster.state.value_kb * 1024.0 - 600.0) / 40.0;
+        let mut input = plan::Input {
+            online_factor: self.tuning.online_factor,
+            patience: self.tuning.patience_s,
+            ..plan::Input::default()
+        };
+        let mut map = Map { machines: Vec::new(), jobs: Vec::new(), claims: Vec::new() };
+        for t in &self.settings.cluster.teams {
+            let max = |m: f64| if m > 0.0 { m } else { f64::INFINITY };
+            input.teams.push(plan::Team {
+                cores_used: 0.0,
+                gpus_used: 0.0,
+                cores_max: max(t.cpus_max),
+                gpus_max: max(t.gpus_max),
+            });
+        }
+        let Some(part) = &mut self.part else { return (input, map) };
+        let mut to_plan: HashMap<usize, u32> = HashMap::new();
+        for (m, machine) in part.machines.iter().enumerate() {
+            let Some(machine) = machine else { continue };
+            // All claims count against their team, wherever they are.
+            for c in machine.claims.iter().filter(|c| c.holds()) {
+                if let Some(job) = part.jobs.get(c.job).and_then(Option::as_ref)
+                    && let Some(t) = teams.get(job.team.as_str())
+                {
+                    input.teams[*t as usize].cores_used += job.need.cores;
+                    input.teams[*t as usize].gpus_used += job.need.gpus;
+                }
+            }
+            let Some(kind) = types.get(machine.machine_type.as_str()) else { continue };
+            let t = &catalog.types[*kind as usize];
+            let Some(zone) = zones.get(machine.zone.as_str()) else { continue };
+            let mut running = Vec::new();
+            let mut claims = Vec::new();
+            let mut images: Vec<u32> = machine.images.iter().map(|(i, _)| *i).collect();
+            for (k, c) in machine.claims.iter().enumerate().filter(|(_, c)| c.holds()) {
+                let Some(job) = part.jobs.get(c.job).and_then(Option::as_ref) else { continue };
+                let ran = c.running_since.map_or(0.0, |t| now.mono.saturating_sub(t) as f64 / 1000.0);
+                let mut expected = 60.0;
+                let mut saves = 0.0;
+                if let Some(spec) = &job.spec {
+                    let factor = part.classes.get(&spec.class).map_or(1.0, |c| c.factor());
+                    expected = (spec.estimate_s * factor - job.progress_s).max(1.0);
+                    saves = spec.checkpoint_s;
+                    let image = part.images.get(&spec.image);
+                    if !images.contains(&image) {
+                        images.push(image);
+                    }
+                }
+                // A task that is overdue is expected to run for a while yet.
+                let rest = if ran < expected { expected - ran } else { (ran - expected) * 0.5 + 5.0 };
+                running.push(plan::Running {
+                    need: job.need.into(),
+                    ends: if c.stop.is_some() { 1.0 } else { rest },
+                    priority: job.priority() as u8,
+                    lost: if saves > 0.0 { ran.min(2.0) } else { ran },
+                    stoppable: c.stop.is_none() && job.kind() != Kind::Gang && job.kind() != Kind::Service,
+                    leaving: c.stop.is_some(),
+                });
+                claims.push(k);
+            }
+            to_plan.insert(m, input.machines.len() as u32);
+            map.machines.push(m);
+            map.claims.push(claims);
+            input.machines.push(plan::Machine {
+                machine_type: *kind,
+                zone: *zone,
+                spot: machine.spot,
+                usable: machine.usable(now.mono),
+                total: plan::Res { cores: t.cores, gpus: t.gpus, mem: t.mem_gb },
+                slots: (value_room as u32).saturating_sub(running.len() as u32),
+                running,
+                images,
+                fetch_gb_per_s: t.fetch_gb_per_s,
+            });
+        }
+        let zone_of: Vec<Option<u16>> = part
+            .machines
+            .iter()
+            .map(|m| m.as_ref().and_then(|m| zones.get(m.zone.as_str()).copied()))
+            .collect();
+        for (ix, job) in part.jobs.iter().enumerate() {
+            let Some(job) = job else { continue };
+            let Some(spec) = &job.spec else { continue };
+            if job.ending != Ending::No || job.backoff_until > now.mono {
+                continue;
+            }
+            let mut pending = job.pending();
+            // A gang starts whole, once nothing of its last attempt is left.
+            if spec.kind == Kind::Gang && !job.claimed.is_empty() {
+                pending = 0;
+            }
+            let Some(team) = teams.get(spec.team.as_str()) else { continue };
+            if pending == 0 {
+                continue;
+            }
+            let mut by_zone: Vec<(u16, u32)> = Vec::new();
+            for (m, _) in job.claimed.values().flatten() {
+                let Some(Some(z)) = zone_of.get(*m) else { continue };
+                match by_zone.iter_mut().find(|(id, _)| id == z) {
+                    Some((_, n)) => *n += 1,
+                    None => by_zone.push((*z, 1)),
+                }
+            }
+            let allowed = catalog
+                .types
+                .iter()
+                .enumerate()
+                .filter(|(_, t)| spec.types.as_ref().is_none_or(|names| names.contains(&t.name)));
+            let zone = spec.zone.as_ref().map(|z| zones.get(z.as_str()).copied().unwrap_or(u16::MAX));
+            let factor = part.classes.get(&spec.class).map_or(1.0, |c| c.factor());
+            let arrival = -(now.wall.saturating_sub(job.at_ms) as f64 / 1000.0);
+            map.jobs.push(ix);
+            input.jobs.push(plan::Job {
+                shape: match spec.kind {
+                    Kind::Array => plan::Shape::Array,
+                    Kind::Gang => plan::Shape::Gang,
+                    Kind::Service => plan::Shape::Service,
+                },
+                priority: spec.priority as u8,
+                arrival,
+                estimate: (spec.estimate_s * factor - job.progress_s).max(1.0),
+                tasks: spec.tasks,
+                pending,
+                need: job.need.into(),
+                types: allowed.fold(0, |bits, (i, _)| bits | 1 << i),
+                zone,
+                one_zone: spec.one_zone,
+                spread: spec.spread,
+                spot: spec.spot,
+                image: part.images.get(&spec.image),
+                image_gb: spec.image_gb,
+                team: *team,
+                due: spec.deadline_s.map(|d| d + arrival),
+                zones: by_zone,
+                avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
+            });
+        }
+        (input, map)
+    }
+
+    /// Claims places for a job's tasks; they are sent once recorded.
+    fn start(&mut self, ix: JobIx, m: usize, count: u32) {
+        let now = self.now.mono;
+        let Some(part) = &mut self.part else { return };
+        for _ in 0..count {
+            let Some(task) = part.job_mut(ix).and_then(|j| j.next_task()) else { return };
+            let attempt = part.next_attempt();
+            let Some(job) = part.jobs.get_mut(ix).and_then(Option::as_mut) else { return };
+            let Some(machine) = part.machines.get_mut(m).and_then(Option::as_mut) else { return };
+            log::debug!("task {}/{task} attempt {attempt}: to {}", job.id, machine.name);
+            job.claim(task, m, attempt);
+            let mut claim = Claim::new(ix, task, attempt);
+            claim.claimed_at = now;
+            machine.claims.push(claim);
+            machine.dirty = true;
+            self.stats.starts += 1;
+        }
+    }
+
+    /// Gives all new claims of a gang one attempt: by it its tasks find each other.
+    fn share_attempts(&mut self, map: &Map) {
+        let Some(part) = &mut self.part else { return };
+        for ix in &map.jobs {
+            let Some(job) = part.jobs.get_mut(*ix).and_then(Option::as_mut) else { continue };
+            if job.kind() != Kind::Gang || job.claimed.is_empty() {
+                continue;
+            }
+            let attempt = job.claimed.values().flatten().map(|(_, a)| *a).max().unwrap_or(0);
+            let machines: Vec<usize> = job.claimed.values().flatten().map(|(m, _)| *m).collect();
+            for claims in job.claimed.values_mut() {
+                for c in claims {
+                    c.1 = attempt;
+                }
+            }
+            job.broken = job.claimed.len() != job.tasks as usize;
+            for m in machines {
+                if let Some(machine) = part.machines.get_mut(m).and_then(Option::as_mut) {
+                    machine
+                        .claims
+                        .iter_mut()
+                        .filter(|c| c.job == *ix && c.holds())
+                        .for_each(|c| c.attempt = attempt);
+                }
+            }
+        }
+    }
+
+    fn preempt(&mut self, m: usize, k: usize) {
+        let Some(part) = &mut self.part else { return };
+        let Some(machine) = part.machine(m) else { return };
+        let Some(claim) = machine.claims.get(k) else { return };
+        let (ix, task) = (claim.job, claim.task);
+        let Some(job) = part.job(ix) else { return };
+        let saves = job.spec.as_ref().is_some_and(|s| s.checkpoint_s > 0.0);
+        let grace = if saves { job.spec.as_ref().map_or(0.0, |s| s.save_s * 1.2 + 1.0) } else { 0.0 };
+        log::info!("task {}/{task} on {}: stopped to make room", job.id, machine.name);
+        if let Some(claim) = part.machine_mut(m).and_then(|x| x.claims.get_mut(k)) {
+            claim.stop = Some(grace);
+        }
+        if let Some(machine) = part.machine_mut(m) {
+            machine.push = true;
+        }
+        self.stats.preempts += 1;
+    }
+
+    fn hire_for(&mut self, input: &plan::Input, output: &plan::Output, catalog: &Catalog) {
+        let now = self.now;
+        let zones = index(self.settings.cluster.zones.iter());
+        let horizon = self.tuning.horizon_s;
+        let Some(part) = &mut self.part else { return };
+        // Records first: what is still to be written down would be hired twice.
+        if now.mono < part.hire_check_at || part.hires.values().any(|h| h.state == HireState::New) {
+            return;
+        }
+        part.hire_check_at = now.mono + 1000;
+        let mut offers = Vec::new();
+        let mut names = Vec::new();
+        for (i, t) in catalog.types.iter().enumerate() {
+            for zone in &t.zones {
+                let Some(z) = zones.get(zone.as_str()) else { continue };
+                for spot in [true, false] {
+                    let offer = plan::MachineOffer {
+                        machine_type: i as u16,
+                        zone: *z,
+                        spot,
+                        total: plan::Res { cores: t.cores, gpus: t.gpus, mem: t.mem_gb },
+                        price: if spot { t.spot_price } else { t.price },
+                        boot: t.boot_s,
+                        fetch_gb_per_s: t.fetch_gb_per_s,
+                    };
+                    names.push((t.name.clone(), zone.clone(), spot));
+                    offers.push(offer);
+                }
+            }
+        }
+        let mut coming: Vec<(plan::MachineOffer, u32)> = Vec::new();
+        for machine in part.machines.iter().flatten().filter(|m| !m.up && !m.deleting && !m.gone && !m.failed)
+        {
+            let kind = (machine.machine_type.clone(), machine.zone.clone(), machine.spot);
+            if let Some(i) = names.iter().position(|n| *n == kind) {
+                coming.push((offers[i].clone(), 1));
+            }
+        }
+        for hire in part.hires.values().filter(|h| h.state == HireState::Recorded) {
+            let kind = (hire.rec.machine_type.clone(), hire.rec.zone.clone(), hire.rec.spot);
+            if let Some(i) = names.iter().position(|n| *n == kind) {
+                coming.push((offers[i].clone(), hire.rec.count));
+            }
+        }
+        // The zone with fewest machines first, so that one zone's loss takes the least.
+        let mut load: HashMap<&str, u32> = HashMap::new();
+        for machine in part.machines.iter().flatten() {
+            *load.entry(machine.zone.as_str()).or_default() += 1;
+        }
+        let mut order: Vec<usize> = (0..names.len())
+            .filter(|i| part.refused.get(&names[*i]).is_none_or(|(until, _)| *until <= now.mono))
+            .collect();
+        order.sort_by_key(|i| load.get(names[*i].1.as_str()).copied().unwrap_or(0));
+        let open: Vec<plan::MachineOffer> = order.iter().map(|i| offers[*i].clone()).collect();
+        let wishes = plan::wishes(&plan::HireInput {
+            input,
+            output,
+            offers: &open,
+            coming: &coming,
+            horizon,
+            spare: &[],
+        });
+        for wish in wishes {
+            let (machine_type, zone, spot) = names[order[wish.offer]].clone();
+            self.hire(&machine_type, &zone, spot, wish.count.min(10));
+        }
+    }
+
+    /// Returns machines that have had nothing to do for a while, the dearest first.
+    fn return_idle(&mut self, output: &plan::Output) {
+        let now = self.now.mono;
+        let idle_ms = (self.tuning.idle_s * 1000.0) as u64;
+        let Some(part) = &mut self.part else { return };
+        if !output.waiting.is_empty() {
+            return;
+        }
+        for machine in part.machines.iter_mut().flatten() {
+            let idle = machine.up
+                && machine.claims.is_empty()
+                && !machine.deleting
+                && machine.idle_since + idle_ms < now;
+            if idle {
+                log::info!("machine {}: idle, to be returned", machine.name);
+                machine.deleting = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/tuning.rs
@@ -0,0 +1,55 @@
+//! The operators' own settings, with working defaults.
+
+macro_rules! tuning {
+    ($($section:literal: { $($field:ident = $default:literal in $low:literal ..= $high:literal, $doc:literal;)* })*) => {
+        /// What operators may set in their INI file.
+        #[derive(Debug, Clone, PartialEq)]
+        pub struct Tuning { $($(#[doc = $doc] pub $field: f64,)*)* }
+
+        impl Default for Tuning {
+            fn default() -> Self {
+                Tuning { $($($field: $default,)*)* }
+            }
+        }
+
+        impl Tuning {
+            /// Sets one value by its name; the error says what is wrong with it.
+            pub fn set(&mut self, section: &str, key: &str, value: &str) -> Result<(), String> {
+                match (section, key) {
+                    $($(($section, stringify!($field)) => {
+                        let v: f64 = value.trim().parse()
+                            .map_err(|_| format!("[{section}] {key}: not a number: {value:?}"))?;
+                        if !($low..=$high).contains(&v) {
+                            return Err(format!("[{section}] {key}: {v} is not within {} to {}", $low, $high));
+                        }
+                        self.$field = v;
+                        Ok(())
+                    })*)*
+                    _ => Err(format!("[{section}] {key}: unknown setting")),
+                }
+            }
+
+            /// Section, name, value and meaning of each setting.
+            pub fn list(&self) -> Vec<(&'static str, &'static str, f64, &'static str)> {
+                vec![$($(($section, stringify!($field), self.$field, $doc),)*)*]
+            }
+        }
+    };
+}
+
+tuning! {
+    "owner": {
+        ttl_ms = 3000.0 in 500.0..=60000.0, "Life of the owner's lease: how soon another takes over.";
+    }
+    "plan": {
+        every_ms = 1000.0 in 50.0..=60000.0, "Plans are at least this far apart.";
+        online_factor = 1.5 in 1.0..=20.0, "The smallest stretch is relaxed by this factor.";
+        patience_s = 3.0 in 0.0..=3600.0, "An urgent gang waits this long for room before others are stopped for it.";
+    }
+    "fleet": {
+        silent_s = 12.0 in 2.0..=600.0, "A machine that says nothing for so long is probed, then returned.";
+        idle_s = 30.0 in 0.0..=36000.0, "A machine without work is returned after this time.";
+        horizon_s = 75.0 in 1.0..=36000.0, "Waiting array work is spread over this time when machines are rented.";
+        boot_patience = 3.0 in 1.0..=100.0, "A machine that is not up after so many boot times is given back.";
+    }
+}
--- /dev/null
+++ b/crates/net/src/conn.rs
@@ -0,0 +1,114 @@
+//! One connection and its buffers.
+
+use crate::Door;
+use mio::net::TcpStream;
+use std::io::{self, Read, Write};
+use std::net::SocketAddr;
+use std::time::Instant;
+
+#[derive(Debug, Clone, Copy)]
+pub(crate) enum Side {
+    Served(Door),
+    Asked { to: SocketAddr, tag: u64, limit: usize },
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    Idle,
+    Connecting,
+    Reading,
+    /// The request is with the service.
+    Working,
+    Writing,
+    /// Our request is out.
+    Waiting,
+}
+
+pub(crate) struct Conn {
+    pub stream: TcpStream,
+    pub side: Side,
+    pub phase: Phase,
+    pub connecting: bool,
+    pub close_after: bool,
+    pub rbuf: Vec<u8>,
+    pub wbuf: Vec<u8>,
+    written: usize,
+    pub deadline: Instant,
+    pub generation: u32,
+}
+
+impl Conn {
+    pub fn new(stream: TcpStream, side: Side, deadline: Instant) -> Self {
+        Conn {
+            stream,
+            side,
+            phase: Phase::Idle,
+            connecting: false,
+            close_after: false,
+            rbuf: Vec::new(),
+            wbuf: Vec::new(),
+            written: 0,
+            deadline,
+            generation: 0,
+        }
+    }
+
+    /// True once the connection stands.
+    pub fn finish_connect(&mut self) -> io::Result<bool> {
+        if let Some(e) = self.stream.take_error()? {
+            return Err(e);
+        }
+        match self.stream.peer_addr() {
+            Ok(_) => {
+                self.connecting = false;
+                Ok(true)
+            }
+            Err(e) if e.kind() == io::ErrorKind::NotConnected => Ok(false),
+            Err(e) => Err(e),
+        }
+    }
+
+    /// Writes what it can; true once nothing is left.
+    pub fn flush(&mut self) -> io::Result<bool> {
+        while self.written < self.wbuf.len() {
+            match self.stream.write(&self.wbuf[self.written..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => self.written += n,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.written = 0;
+        self.wbuf.clear();
+        // One large answer must not hold its memory for the connection's whole life.
+        self.wbuf.shrink_to(4096);
+        Ok(true)
+    }
+
+    /// Reads what is there; true once the other side has closed. More than `limit` is an error.
+    pub fn fill(&mut self, limit: usize) -> io::Result<bool> {
+        let mut chunk = [0u8; 16 * 1024];
+        loop {
+            match self.stream.read(&mut chunk) {
+                Ok(0) => return Ok(true),
+                Ok(n) => {
+                    if self.rbuf.len() + n > limit {
+                        return Err(io::ErrorKind::InvalidData.into());
+                    }
+                    self.rbuf.extend_from_slice(&chunk[..n]);
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    pub fn consume(&mut self, used: usize) {
+        self.rbuf.drain(..used);
+        if self.rbuf.is_empty() {
+            self.rbuf.shrink_to(4096);
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,402 @@
+//! The event loop of stoathatch: HTTP/1.1 both ways over `mio`, on one thread, with bounded
+//! connections, buffers and waits. It knows nothing of jobs.
+
+mod conn;
+
+use conn::{Conn, Phase, Side};
+use mio::net::{TcpListener, TcpStream};
+use mio::{Events, Interest, Poll, Token, Waker};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use wire::http::{self, Request, Response};
+
+/// A connection of somebody who asked us something; stale ids are harmless.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ConnId {
+    slot: usize,
+    generation: u32,
+}
+
+/// Which of our listeners a request came in by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Door {
+    Clients,
+    Peers,
+}
+
+#[derive(Debug)]
+pub enum Event {
+    Request {
+        conn: ConnId,
+        door: Door,
+        request: Request,
+    },
+    /// The end of something we sent: an answer, or `None` if none came in time.
+    Reply {
+        tag: u64,
+        response: Option<Response>,
+    },
+}
+
+/// Something to ask another host.
+#[derive(Debug)]
+pub struct Outgoing<'a> {
+    pub tag: u64,
+    pub to: SocketAddr,
+    pub method: &'a str,
+    pub path: &'a str,
+    pub body: &'a [u8],
+    pub timeout: Duration,
+    pub answer_limit: usize,
+}
+
+const WAKE: Token = Token(usize::MAX);
+const LISTENERS: usize = usize::MAX - 16;
+const SWEEP: Duration = Duration::from_millis(100);
+/// A request that takes longer than this to arrive, or an answer that takes longer to be taken.
+const SLOW: Duration = Duration::from_secs(10);
+const IDLE: Duration = Duration::from_secs(75);
+const IDLE_OUT: Duration = Duration::from_secs(20);
+/// More idle connections to one host than this are closed.
+const POOL: usize = 8;
+
+pub struct Net {
+    poll: Poll,
+    events: Events,
+    listeners: Vec<(TcpListener, Door)>,
+    conns: Vec<Option<Conn>>,
+    free: Vec<usize>,
+    generation: u32,
+    idle: HashMap<SocketAddr, Vec<usize>>,
+    max_conns: usize,
+    max_served: usize,
+    served: usize,
+    open: usize,
+    swept: Instant,
+    out: Vec<Event>,
+}
+
+impl Net {
+    /// `max_conns` bounds all sockets together; most of them are for those who ask us.
+    pub fn new(max_conns: usize) -> io::Result<Self> {
+        Ok(Net {
+            poll: Poll::new()?,
+            events: Events::with_capacity(256),
+            listeners: Vec::new(),
+            conns: Vec::new(),
+            free: Vec::new(),
+            generation: 0,
+            idle: HashMap::new(),
+            max_conns: max_conns * 9 / 10,
+            max_served: max_conns * 7 / 10,
+            served: 0,
+            open: 0,
+            swept: Instant::now(),
+            out: Vec::new(),
+        })
+    }
+
+    pub fn listen(&mut self, addr: SocketAddr, door: Door) -> io::Result<()> {
+        let mut listener = TcpListener::bind(addr)?;
+        let token = Token(LISTENERS + self.listeners.len());
+        self.poll.registry().register(&mut listener, token, Interest::READABLE)?;
+        self.listeners.push((listener, door));
+        Ok(())
+    }
+
+    /// Lets another thread end a [`Net::poll`] early.
+    pub fn waker(&self) -> io::Result<Arc<Waker>> {
+        Ok(Arc::new(Waker::new(self.poll.registry(), WAKE)?))
+    }
+
+    /// Waits for at most `timeout` and hands over what has come in.
+    pub fn poll(&mut self, timeout: Duration) -> io::Result<Vec<Event>> {
+        let timeout = if self.out.is_empty() { timeout.min(SWEEP) } else { Duration::ZERO };
+        match self.poll.poll(&mut self.events, Some(timeout)) {
+            Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
+            _ => {}
+        }
+        let now = Instant::now();
+        let ready: Vec<(Token, bool, bool)> = self
+            .events
+            .iter()
+            .map(|e| (e.token(), e.is_readable() || e.is_read_closed(), e.is_writable()))
+            .collect();
+        for (token, readable, writable) in ready {
+            if token == WAKE {
+                continue;
+            }
+            if token.0 >= LISTENERS {
+                self.accept(token.0 - LISTENERS, now);
+                continue;
+            }
+            if writable {
+                self.drive_write(token.0, now);
+            }
+            if readable {
+                self.drive_read(token.0, now);
+            }
+        }
+        if now.duration_since(self.swept) >= SWEEP {
+            self.swept = now;
+            self.sweep(now);
+        }
+        Ok(std::mem::take(&mut self.out))
+    }
+
+    fn accept(&mut self, index: usize, now: Instant) {
+        loop {
+            let (listener, door) = &self.listeners[index];
+            let door = *door;
+            let Ok((stream, _)) = listener.accept() else { return };
+            if self.served >= self.max_served {
+                self.close_idlest();
+            }
+            if self.served >= self.max_served || self.open >= self.max_conns {
+                log::warn!("net: too many connections, turning one away");
+                continue;
+            }
+            let _ = stream.set_nodelay(true);
+            self.insert(Conn::new(stream, Side::Served(door), now + IDLE), Interest::READABLE);
+        }
+    }
+
+    fn close_idlest(&mut self) {
+        let oldest = self
+            .conns
+            .iter()
+            .enumerate()
+            .filter_map(|(i, c)| c.as_ref().map(|c| (i, c)))
+            .filter(|(_, c)| matches!(c.side, Side::Served(_)) && c.phase == Phase::Idle)
+            .min_by_key(|(_, c)| c.deadline)
+            .map(|(i, _)| i);
+        if let Some(slot) = oldest {
+            self.close(slot);
+        }
+    }
+
+    fn insert(&mut self, mut conn: Conn, interest: Interest) -> Option<usize> {
+        self.generation = self.generation.wrapping_add(1);
+        conn.generation = self.generation;
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.conns.push(None);
+            self.conns.len() - 1
+        });
+        if let Err(e) = self.poll.registry().register(&mut conn.stream, Token(slot), interest) {
+            log::warn!("net: can't watch a connection: {e}");
+            self.free.push(slot);
+            return None;
+        }
+        self.open += 1;
+        self.served += usize::from(matches!(conn.side, Side::Served(_)));
+        self.conns[slot] = Some(conn);
+        Some(slot)
+    }
+
+    /// Closes a connection; whoever waits for an answer on it is told that none came.
+    fn close(&mut self, slot: usize) {
+        let Some(mut conn) = self.conns.get_mut(slot).and_then(Option::take) else { return };
+        let _ = self.poll.registry().deregister(&mut conn.stream);
+        self.free.push(slot);
+        self.open -= 1;
+        match conn.side {
+            Side::Served(_) => self.served -= 1,
+            Side::Asked { to, tag, .. } => {
+                if conn.phase == Phase::Idle {
+                    if let Some(pool) = self.idle.get_mut(&to) {
+                        pool.retain(|s| *s != slot);
+                        if pool.is_empty() {
+                            self.idle.remove(&to);
+                        }
+                    }
+                } else {
+                    self.out.push(Event::Reply { tag, response: None });
+                }
+            }
+        }
+    }
+
+    /// Answers a request. An answer for a connection that has gone is dropped.
+    pub fn respond(&mut self, id: ConnId, mut response: Response) {
+        let now = Instant::now();
+        let Some(Some(conn)) = self.conns.get_mut(id.slot) else { return };
+        if conn.generation != id.generation || conn.phase != Phase::Working {
+            return;
+        }
+        conn.close_after |= response.close;
+        response.close = conn.close_after;
+        http::write_response(&mut conn.wbuf, &response);
+        conn.phase = Phase::Writing;
+        conn.deadline = now + SLOW;
+        self.drive_write(id.slot, now);
+    }
+
+    /// Asks another host. The end always comes as an [`Event::Reply`], never from within this call.
+    pub fn send(&mut self, o: Outgoing<'_>) {
+        let now = Instant::now();
+        let slot = self.reuse(o.to).or_else(|| self.connect(o.to, now));
+        let Some(slot) = slot else {
+            self.out.push(Event::Reply { tag: o.tag, response: None });
+            return;
+        };
+        let Some(conn) = self.conns[slot].as_mut() else { return };
+        conn.side = Side::Asked { to: o.to, tag: o.tag, limit: o.answer_limit };
+        conn.phase = if conn.connecting { Phase::Connecting } else { Phase::Writing };
+        conn.deadline = now + o.timeout;
+        http::write_request(&mut conn.wbuf, &o.to.to_string(), o.method, o.path, o.body);
+        if !conn.connecting {
+            self.drive_write(slot, now);
+        }
+    }
+
+    fn reuse(&mut self, to: SocketAddr) -> Option<usize> {
+        let pool = self.idle.get_mut(&to)?;
+        let slot = pool.pop();
+        if pool.is_empty() {
+            self.idle.remove(&to);
+        }
+        slot
+    }
+
+    fn connect(&mut self, to: SocketAddr, now: Instant) -> Option<usize> {
+        if self.open >= self.max_conns {
+            return None;
+        }
+        let stream = TcpStream::connect(to).ok()?;
+        let _ = stream.set_nodelay(true);
+        let mut conn = Conn::new(stream, Side::Asked { to, tag: 0, limit: 0 }, now + SLOW);
+        conn.connecting = true;
+        self.insert(conn, Interest::READABLE | Interest::WRITABLE)
+    }
+
+    fn drive_write(&mut self, slot: usize, now: Instant) {
+        let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
+        if conn.connecting {
+            match conn.finish_connect() {
+                Ok(true) => {
+                    let _ = conn.stream.set_nodelay(true);
+                    if conn.phase == Phase::Connecting {
+                        conn.phase = Phase::Writing;
+                    }
+                }
+                Ok(false) => return,
+                Err(_) => return self.close(slot),
+            }
+        }
+        match conn.flush() {
+            Err(_) => self.close(slot),
+            Ok(false) => {
+                // Only now and then is an answer larger than the socket's buffer.
+                let interest = Interest::READABLE | Interest::WRITABLE;
+                if self.poll.registry().reregister(&mut conn.stream, Token(slot), interest).is_err() {
+                    self.close(slot);
+                }
+            }
+            Ok(true) if conn.phase == Phase::Writing => {
+                if matches!(conn.side, Side::Asked { .. }) {
+                    conn.phase = Phase::Waiting;
+                } else if conn.close_after {
+                    self.close(slot);
+                } else {
+                    conn.phase = Phase::Idle;
+                    conn.deadline = now + IDLE;
+                    if !conn.rbuf.is_empty() {
+                        self.parse(slot, false, now);
+                    }
+                }
+            }
+            Ok(true) => {}
+        }
+    }
+
+    fn drive_read(&mut self, slot: usize, now: Instant) {
+        let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
+        if conn.connecting {
+            return;
+        }
+        let limit = match conn.side {
+            Side::Served(_) => wire::api::BODY_LIMIT + 16 * 1024,
+            Side::Asked { limit, .. } => limit + 16 * 1024,
+        };
+        match conn.fill(limit) {
+            Ok(ended) => self.parse(slot, ended, now),
+            Err(_) => self.close(slot),
+        }
+    }
+
+    fn parse(&mut self, slot: usize, ended: bool, now: Instant) {
+        let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
+        match conn.side {
+            Side::Served(door) => {
+                if conn.phase == Phase::Idle && !conn.rbuf.is_empty() {
+                    conn.phase = Phase::Reading;
+                    conn.deadline = now + SLOW;
+                }
+                if conn.phase == Phase::Reading {
+                    match http::parse_request(&conn.rbuf, wire::api::BODY_LIMIT) {
+                        Ok(None) => {}
+                        Ok(Some((request, used))) => {
+                            conn.consume(used);
+                            conn.phase = Phase::Working;
+                            conn.close_after |= request.close;
+                            let id = ConnId { slot, generation: conn.generation };
+                            self.out.push(Event::Request { conn: id, door, request });
+                        }
+                        Err(http::Bad(status)) => {
+                            conn.phase = Phase::Working;
+                            let id = ConnId { slot, generation: conn.generation };
+                            let body = wire::encode(&wire::api::ErrorBody { error: "bad request".into() });
+                            self.respond(id, Response { status, body, close: true, retry_after_s: None });
+                            return;
+                        }
+                    }
+                }
+                if ended {
+                    self.close(slot);
+                }
+            }
+            Side::Asked { to, tag, limit } => {
+                if conn.phase == Phase::Idle || conn.rbuf.is_empty() {
+                    // Bytes without a question, or the end: not to be used again.
+                    if ended || !conn.rbuf.is_empty() {
+                        self.close(slot);
+                    }
+                    return;
+                }
+                match http::parse_response(&conn.rbuf, limit, ended) {
+                    Ok(None) => {}
+                    Ok(Some((response, used))) => {
+                        conn.consume(used);
+                        let reusable =
+                            !response.close && !ended && conn.rbuf.is_empty() && conn.wbuf.is_empty();
+                        conn.phase = Phase::Idle;
+                        conn.deadline = now + IDLE_OUT;
+                        self.out.push(Event::Reply { tag, response: Some(response) });
+                        let pool = self.idle.entry(to).or_default();
+                        pool.push(slot);
+                        if !reusable || pool.len() > POOL {
+                            self.close(slot);
+                        }
+                    }
+                    Err(_) => {
+                        log::warn!("net: unreadable answer from {to}");
+                        self.close(slot);
+                    }
+                }
+            }
+        }
+    }
+
+    fn sweep(&mut self, now: Instant) {
+        for slot in 0..self.conns.len() {
+            let late =
+                self.conns[slot].as_ref().is_some_and(|c| c.phase != Phase::Working && c.deadline <= now);
+            if late {
+                self.close(slot);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/hire.rs
@@ -0,0 +1,100 @@
+//! What to rent: enough for the tasks that found no room, where renting is worth its price.
+
+use crate::{Input, Output, Res, Secs, Shape};
+
+/// A kind of machine that can be rented now.
+#[derive(Debug, Clone)]
+pub struct MachineOffer {
+    pub machine_type: u16,
+    pub zone: u16,
+    pub spot: bool,
+    pub total: Res,
+    pub price: f64,
+    pub boot: Secs,
+    pub fetch_gb_per_s: f64,
+}
+
+pub struct HireInput<'a> {
+    pub input: &'a Input,
+    pub output: &'a Output,
+    pub offers: &'a [MachineOffer],
+    /// Machines that are on their way, as indices into `offers`' kinds: type, zone, spot and how many.
+    pub coming: &'a [(MachineOffer, u32)],
+    /// An array's waiting work is spread over this time: less makes it faster and dearer.
+    pub horizon: Secs,
+    /// Room of this shape is kept free for the next job that may not wait.
+    pub spare: &'a [(u32, u32)],
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Wish {
+    /// Index into the offers.
+    pub offer: usize,
+    pub count: u32,
+}
+
+struct Virtual {
+    offer: MachineOffer,
+    free: Res,
+    new: Option<usize>,
+}
+
+/// The machines to rent now, cheapest kind that the job allows first.
+pub fn wishes(h: &HireInput<'_>) -> Vec<Wish> {
+    let mut fleet: Vec<Virtual> = Vec::new();
+    for (offer, n) in h.coming {
+        for _ in 0..*n {
+            fleet.push(Virtual { offer: offer.clone(), free: offer.total, new: None });
+        }
+    }
+    let mut order: Vec<(u32, u32)> = h.output.waiting.clone();
+    order.sort_by_key(|(j, _)| std::cmp::Reverse(h.input.jobs[*j as usize].priority));
+    order.extend(h.spare.iter().copied());
+    for (j, n) in order {
+        let job = &h.input.jobs[j as usize];
+        let fits = |o: &MachineOffer| {
+            job.types >> o.machine_type & 1 == 1
+                && job.zone.is_none_or(|z| z == o.zone)
+                && (job.spot || !o.spot)
+                && o.total.fits(&job.need)
+        };
+        // An array need not run all at once: as many places as finish its work within the horizon.
+        let places = match job.shape {
+            Shape::Array => {
+                let rounds = (h.horizon / job.estimate.max(1.0)).floor().max(1.0);
+                (f64::from(n) / rounds).ceil() as u32
+            }
+            _ => n,
+        };
+        let mut left = places;
+        for v in fleet.iter_mut().filter(|v| fits(&v.offer)) {
+            let k = v.free.count(&job.need, left);
+            v.free.add(&job.need, -f64::from(k));
+            left -= k;
+            if left == 0 {
+                break;
+            }
+        }
+        while left > 0 && fleet.len() < 500 {
+            let best = h.offers.iter().enumerate().filter(|(_, o)| fits(o)).min_by(|(_, a), (_, b)| {
+                let cost = |o: &MachineOffer| o.price * o.total.share(&job.need);
+                cost(a).total_cmp(&cost(b))
+            });
+            let Some((index, offer)) = best else { break };
+            let mut v = Virtual { offer: offer.clone(), free: offer.total, new: Some(index) };
+            let k = v.free.count(&job.need, left).max(1);
+            v.free.add(&job.need, -f64::from(k));
+            left -= k.min(left);
+            fleet.push(v);
+        }
+    }
+    let mut out: Vec<Wish> = Vec::new();
+    for v in fleet {
+        let Some(offer) = v.new else { continue };
+        match out.iter_mut().find(|w| w.offer == offer) {
+            Some(w) => w.count += 1,
+            None => out.push(Wish { offer, count: 1 }),
+        }
+    }
+    out
+}
--- /dev/null
+++ b/crates/plan/src/lib.rs
@@ -0,0 +1,182 @@
+//! The planner: pure functions from jobs, machines and the time to starts, preemptions and hires.
+//! No I/O, clock or randomness. The design and its sources are in `docs/design.md`.
+
+mod hire;
+mod place;
+mod stretch;
+
+pub use hire::{HireInput, MachineOffer, Wish, wishes};
+pub use place::plan;
+pub use stretch::{Sized, smallest_stretch};
+
+/// Seconds. `now` is 0; the past is negative.
+pub type Secs = f64;
+
+/// What a task takes, or a machine has.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Res {
+    pub cores: f64,
+    pub gpus: f64,
+    pub mem: f64,
+}
+
+const EPS: f64 = 1e-6;
+
+impl Res {
+    pub fn fits(&self, need: &Res) -> bool {
+        need.cores <= self.cores + EPS && need.gpus <= self.gpus + EPS && need.mem <= self.mem + EPS
+    }
+    pub fn add(&mut self, o: &Res, n: f64) {
+        self.cores += o.cores * n;
+        self.gpus += o.gpus * n;
+        self.mem += o.mem * n;
+    }
+    /// How many tasks of `need` fit in, at most `cap`.
+    pub fn count(&self, need: &Res, cap: u32) -> u32 {
+        let per =
+            |have: f64, want: f64| if want <= EPS { f64::INFINITY } else { ((have + EPS) / want).floor() };
+        let n = per(self.cores, need.cores).min(per(self.gpus, need.gpus)).min(per(self.mem, need.mem));
+        if n >= f64::from(cap) { cap } else { n.max(0.0) as u32 }
+    }
+    /// The share of `self` that `need` takes in its scarcest resource.
+    pub fn share(&self, need: &Res) -> f64 {
+        let part = |have: f64, want: f64| if want <= EPS { 0.0 } else { want / have.max(EPS) };
+        part(self.cores, need.cores).max(part(self.gpus, need.gpus)).max(part(self.mem, need.mem))
+    }
+}
+
+/// A task that is on a machine, or may be.
+#[derive(Debug, Clone)]
+pub struct Running {
+    pub need: Res,
+    /// When it is expected to end.
+    pub ends: Secs,
+    pub priority: u8,
+    /// Run time that is lost if it is stopped now.
+    pub lost: Secs,
+    /// It may be stopped for others (single tasks that are running; not those being stopped already).
+    pub stoppable: bool,
+    /// It is on its way out: its room is coming, and must not be made a second time.
+    pub leaving: bool,
+}
+
+#[derive(Debug, Clone)]
+pub struct Machine {
+    pub machine_type: u16,
+    pub zone: u16,
+    pub spot: bool,
+    /// Takes new tasks.
+    pub usable: bool,
+    pub total: Res,
+    pub running: Vec<Running>,
+    /// Images that are or will soon be on it.
+    pub images: Vec<u32>,
+    pub fetch_gb_per_s: f64,
+    /// Most tasks that may still be added.
+    pub slots: u32,
+}
+
+impl Machine {
+    pub fn free(&self) -> Res {
+        let mut free = self.total;
+        for r in &self.running {
+            free.add(&r.need, -1.0);
+        }
+        free
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shape {
+    Array,
+    Gang,
+    Service,
+}
+
+#[derive(Debug, Clone)]
+pub struct Job {
+    pub shape: Shape,
+    pub priority: u8,
+    /// When it was submitted, 0 or less.
+    pub arrival: Secs,
+    /// Expected run time of one task.
+    pub estimate: Secs,
+    pub tasks: u32,
+    /// Tasks that wait for a machine.
+    pub pending: u32,
+    pub need: Res,
+    /// Allowed machine types, a bit each.
+    pub types: u64,
+    pub zone: Option<u16>,
+    pub one_zone: bool,
+    pub spread: bool,
+    pub spot: bool,
+    pub image: u32,
+    pub image_gb: f64,
+    pub team: u16,
+    /// Its own deadline, from now.
+    pub due: Option<Secs>,
+    /// Tasks that hold a place now, by zone.
+    pub zones: Vec<(u16, u32)>,
+    /// Machines that it should keep away from.
+    pub avoid: Vec<u32>,
+}
+
+/// A team's use and bounds; bounds of infinity where there is none.
+#[derive(Debug, Clone)]
+pub struct Team {
+    pub cores_used: f64,
+    pub gpus_used: f64,
+    pub cores_max: f64,
+    pub gpus_max: f64,
+}
+
+impl Team {
+    /// How many more tasks of `need` the limit allows, at most `cap`.
+    pub fn allows(&self, need: &Res, cap: u32) -> u32 {
+        let room =
+            Res { cores: self.cores_max - self.cores_used, gpus: self.gpus_max - self.gpus_used, mem: 0.0 };
+        room.count(&Res { mem: 0.0, ..*need }, cap)
+    }
+    fn take(&mut self, need: &Res, n: u32) {
+        self.cores_used += need.cores * f64::from(n);
+        self.gpus_used += need.gpus * f64::from(n);
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Input {
+    pub machines: Vec<Machine>,
+    pub jobs: Vec<Job>,
+    pub teams: Vec<Team>,
+    /// The online factor: the smallest stretch is relaxed by it.
+    pub online_factor: f64,
+    /// A job of higher priority waits this long for room before others are stopped for it.
+    pub patience: Secs,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Start {
+    pub job: u32,
+    pub machine: u32,
+    pub count: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Preempt {
+    pub machine: u32,
+    /// Index into the machine's `running`.
+    pub task: u32,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Output {
+    pub starts: Vec<Start>,
+    pub preempts: Vec<Preempt>,
+    /// Tasks that found no room now though their team's limit allows them: job and count.
+    pub waiting: Vec<(u32, u32)>,
+    /// The smallest stretch found.
+    pub stretch: f64,
+    /// Work done, in units that do not depend on the machine it runs on.
+    pub steps: u64,
+}
--- /dev/null
+++ b/crates/plan/src/place.rs
@@ -0,0 +1,354 @@
+//! One pass of MoldableEDF: by rising deadline, each job takes the narrowest width that meets its deadline,
+//! moving nothing that is placed already.
+
+use crate::{EPS, Input, Job, Machine, Output, Preempt, Res, Secs, Shape, Start, Team, stretch};
+
+struct Pass<'a> {
+    input: &'a Input,
+    free: Vec<Res>,
+    slots: Vec<u32>,
+    /// Until when a machine's room is promised to a wide job, and that job's priority.
+    held: Vec<Option<Secs>>,
+    images: Vec<Vec<u32>>,
+    teams: Vec<Team>,
+    zones: Vec<Vec<(u16, u32)>>,
+    out: Output,
+}
+
+/// Makes a plan for this moment.
+pub fn plan(input: &Input) -> Output {
+    let mut pass = Pass {
+        input,
+        free: input.machines.iter().map(Machine::free).collect(),
+        slots: input.machines.iter().map(|m| m.slots).collect(),
+        held: vec![None; input.machines.len()],
+        images: input.machines.iter().map(|m| m.images.clone()).collect(),
+        teams: input.teams.clone(),
+        zones: input.jobs.iter().map(|j| j.zones.clone()).collect(),
+        out: Output::default(),
+    };
+    pass.run();
+    pass.out
+}
+
+impl Pass<'_> {
+    fn run(&mut self) {
+        let input = self.input;
+        // Services go at once, outside the plan; their room is busy for everybody else.
+        let mut left: Vec<u32> = input.jobs.iter().map(|j| j.pending).collect();
+        for (i, job) in input.jobs.iter().enumerate() {
+            if job.shape == Shape::Service {
+                left[i] -= self.fill(i, left[i], false);
+            }
+        }
+        let planned: Vec<usize> = (0..input.jobs.len())
+            .filter(|i| left[*i] > 0 && input.jobs[*i].shape != Shape::Service)
+            .collect();
+        let sized: Vec<stretch::Sized> = planned.iter().map(|i| self.size(&input.jobs[*i])).collect();
+        let s = stretch::smallest_stretch(&sized, &mut self.out.steps);
+        self.out.stretch = s;
+        let s = s * input.online_factor.max(1.0);
+        // Urgency comes before the deadline: between jobs of one urgency the paper's order decides.
+        let mut order: Vec<(u8, Secs, usize)> = planned
+            .iter()
+            .zip(&sized)
+            .map(|(i, z)| {
+                let job = &input.jobs[*i];
+                let due = job.arrival + z.work * s;
+                (job.priority, job.due.map_or(due, |own| own.min(due)), *i)
+            })
+            .collect();
+        order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        for (_, due, i) in &order {
+            let job = &input.jobs[*i];
+            match job.shape {
+                Shape::Gang => {
+                    let want = left[*i];
+                    let allowed = self.teams[job.team as usize].allows(&job.need, want);
+                    if allowed < want {
+                        continue;
+                    }
+                    if self.gang(*i, want) {
+                        left[*i] = 0;
+                    } else {
+                        self.make_room(job, want);
+                    }
+                }
+                _ => {
+                    // Narrowest width j with ceil(n / j) rounds of one estimate ending by the deadline.
+                    let rounds = (due / job.estimate.max(1.0)).floor().max(1.0);
+                    let width = (f64::from(left[*i]) / rounds).ceil() as u32;
+                    left[*i] -= self.fill(*i, width.min(left[*i]), true);
+                }
+            }
+        }
+        // Arrays also fill room that no planned job needs within one task estimate.
+        for (_, _, i) in &order {
+            if input.jobs[*i].shape == Shape::Array && left[*i] > 0 {
+                left[*i] -= self.fill(*i, left[*i], true);
+            }
+        }
+        for (i, job) in input.jobs.iter().enumerate() {
+            let n = self.teams[job.team as usize].allows(&job.need, left[i]);
+            if n > 0 && (job.shape != Shape::Gang || n == left[i]) {
+                self.out.waiting.push((i as u32, n));
+            }
+        }
+    }
+
+    fn size(&self, job: &Job) -> stretch::Sized {
+        let slots: f64 =
+            self.input.machines.iter().map(|m| f64::from(m.total.count(&job.need, 10_000))).sum();
+        let n = f64::from(job.pending);
+        stretch::Sized {
+            arrival: job.arrival,
+            work: job.estimate.max(1.0) * f64::from(job.tasks.max(1)),
+            left: job.estimate.max(1.0) * n / slots.max(1.0),
+            shortest: job.estimate.max(1.0),
+        }
+    }
+
+    fn allowed(&self, job: &Job, m: usize) -> bool {
+        let machine = &self.input.machines[m];
+        machine.usable
+            && self.slots[m] > 0
+            && job.types >> machine.machine_type & 1 == 1
+            && job.zone.is_none_or(|z| z == machine.zone)
+            && (job.spot || !machine.spot)
+            && !job.avoid.contains(&(m as u32))
+    }
+
+    /// How many more tasks the job may have in this zone, given those it has.
+    fn zone_room(&self, i: usize, zone: u16) -> u32 {
+        let job = &self.input.jobs[i];
+        let there = |z: u16| self.zones[i].iter().find(|(id, _)| *id == z).map_or(0, |(_, n)| *n);
+        if job.one_zone && self.zones[i].iter().any(|(z, n)| *z != zone && *n > 0) {
+            return 0;
+        }
+        if job.spread {
+            // The bound is half of all tasks, rounded up; it holds however few are placed so far.
+            return job.tasks.div_ceil(2).saturating_sub(there(zone));
+        }
+        u32::MAX
+    }
+
+    /// Lower is better: fetch time first, then spot before ordinary, then the tightest fit.
+    fn score(&self, job: &Job, m: usize) -> f64 {
+        let machine = &self.input.machines[m];
+        let fetch = if self.images[m].contains(&job.image) {
+            0.0
+        } else {
+            job.image_gb / machine.fetch_gb_per_s.max(0.01)
+        };
+        let left =
+            1.0 - machine.total.share(&job.need) - (1.0 - self.free[m].gpus / machine.total.gpus.max(EPS));
+        fetch + if machine.spot { 0.0 } else { 2.0 } + left.max(0.0) * 4.0
+    }
+
+    fn take(&mut self, i: usize, m: usize, n: u32) {
+        let job = &self.input.jobs[i];
+        let zone = self.input.machines[m].zone;
+        self.free[m].add(&job.need, -f64::from(n));
+        self.slots[m] -= n;
+        self.teams[job.team as usize].take(&job.need, n);
+        match self.zones[i].iter_mut().find(|(z, _)| *z == zone) {
+            Some((_, c)) => *c += n,
+            None => self.zones[i].push((zone, n)),
+        }
+        if !self.images[m].contains(&job.image) {
+            self.images[m].push(job.image);
+        }
+        self.out.starts.push(Start { job: i as u32, machine: m as u32, count: n });
+    }
+
+    /// Starts up to `want` tasks of a job that needs no gang; returns how many.
+    fn fill(&mut self, i: usize, want: u32, keep_holds: bool) -> u32 {
+        let job = &self.input.jobs[i];
+        let mut left = self.teams[job.team as usize].allows(&job.need, want);
+        let granted = left;
+        if left == 0 {
+            return 0;
+        }
+        let mut order: Vec<(f64, usize)> = (0..self.input.machines.len())
+            .filter(|m| self.allowed(job, *m) && self.free[*m].fits(&job.need))
+            .filter(|m| !keep_holds || self.held[*m].is_none_or(|until| job.estimate <= until))
+            .map(|m| (self.score(job, m), m))
+            .collect();
+        self.out.steps += self.input.machines.len() as u64;
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        // Where all tasks share a zone, the zone is chosen for most room before anything is placed.
+        if job.one_zone
+            && !self.zones[i].iter().any(|(_, n)| *n > 0)
+            && let Some(zone) = self.roomiest(job, &order)
+        {
+            order.retain(|(_, m)| self.input.machines[*m].zone == zone);
+        }
+        for (_, m) in order {
+            let zone = self.input.machines[m].zone;
+            let n = self.free[m].count(&job.need, left.min(self.slots[m])).min(self.zone_room(i, zone));
+            if n > 0 {
+                self.take(i, m, n);
+                left -= n;
+            }
+            if left == 0 {
+                break;
+            }
+        }
+        granted - left
+    }
+
+    fn roomiest(&self, job: &Job, order: &[(f64, usize)]) -> Option<u16> {
+        let mut room: Vec<(u16, u32)> = Vec::new();
+        for (_, m) in order {
+            let zone = self.input.machines[*m].zone;
+            let n = self.free[*m].count(&job.need, self.slots[*m]);
+            match room.iter_mut().find(|(z, _)| *z == zone) {
+                Some((_, c)) => *c = c.saturating_add(n),
+                None => room.push((zone, n)),
+            }
+        }
+        // With equal room the zone of the best machine wins, since it came first.
+        let most = room.iter().map(|(_, n)| (*n).min(job.pending)).max()?;
+        room.iter().find(|(_, n)| (*n).min(job.pending) == most).map(|(z, _)| *z)
+    }
+
+    /// Starts all `want` tasks of a gang or none.
+    fn gang(&mut self, i: usize, want: u32) -> bool {
+        let job = &self.input.jobs[i];
+        let mut zones: Vec<Option<u16>> = vec![None];
+        if job.one_zone {
+            let mut all: Vec<u16> = self.input.machines.iter().map(|m| m.zone).collect();
+            all.sort_unstable();
+            all.dedup();
+            zones = all.into_iter().map(Some).collect();
+        }
+        let mut best: Option<(f64, Vec<(usize, u32)>)> = None;
+        for zone in zones {
+            let mut order: Vec<(f64, usize)> = (0..self.input.machines.len())
+                .filter(|m| zone.is_none_or(|z| z == self.input.machines[*m].zone))
+                .filter(|m| self.allowed(job, *m) && self.free[*m].fits(&job.need) && self.held[*m].is_none())
+                .map(|m| (self.score(job, m), m))
+                .collect();
+            self.out.steps += self.input.machines.len() as u64;
+            order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            let mut left = want;
+            let mut cost = 0.0f64;
+            let mut by_zone: Vec<(u16, u32)> = Vec::new();
+            let mut chosen = Vec::new();
+            for (score, m) in order {
+                let z = self.input.machines[m].zone;
+                let used = by_zone.iter().find(|(id, _)| *id == z).map_or(0, |(_, n)| *n);
+                let n = self.free[m]
+                    .count(&job.need, left.min(self.slots[m]))
+                    .min(self.zone_room(i, z).saturating_sub(used));
+                if n > 0 {
+                    chosen.push((m, n));
+                    match by_zone.iter_mut().find(|(id, _)| *id == z) {
+                        Some((_, c)) => *c += n,
+                        None => by_zone.push((z, n)),
+                    }
+                    left -= n;
+                    // The slowest place decides when the gang starts.
+                    cost = cost.max(score);
+                }
+                if left == 0 {
+                    break;
+                }
+            }
+            if left == 0 && best.as_ref().is_none_or(|(c, _)| cost < *c) {
+                best = Some((cost, chosen));
+            }
+        }
+        let Some((_, chosen)) = best else { return false };
+        for (m, n) in chosen {
+            self.take(i, m, n);
+        }
+        true
+    }
+
+    /// A gang that finds no room has it gathered: the machine that is free for it first is held, and tasks of
+    /// lower priority are stopped where waiting would take longer than the patience.
+    fn make_room(&mut self, job: &Job, want: u32) {
+        let mut options: Vec<(Secs, f64, usize)> = Vec::new();
+        for m in 0..self.input.machines.len() {
+            let machine = &self.input.machines[m];
+            if !self.allowed(job, m) || self.held[m].is_some() || !machine.total.fits(&job.need) {
+                continue;
+            }
+            self.out.steps += machine.running.len() as u64;
+            let mut free = self.free[m];
+            let mut ends: Vec<(Secs, usize)> = machine
+                .running
+                .iter()
+                .enumerate()
+                .map(|(k, r)| (if r.leaving { 0.0 } else { r.ends.max(0.0) }, k))
+                .collect();
+            ends.sort_by(|a, b| a.0.total_cmp(&b.0));
+            let mut at = 0.0;
+            for (end, k) in ends {
+                if free.fits(&job.need) {
+                    break;
+                }
+                free.add(&machine.running[k].need, 1.0);
+                at = end;
+            }
+            if free.fits(&job.need) {
+                options.push((at, 0.0, m));
+            }
+        }
+        options.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(&b.2)));
+        for (at, _, m) in options.iter().take(want as usize) {
+            self.held[*m] = Some(*at);
+        }
+        let soon = options.get(want.saturating_sub(1) as usize).is_some_and(|o| o.0 <= self.input.patience);
+        if want != 1 || soon {
+            return;
+        }
+        // Only the cheapest machine is cleared, and only where that is enough.
+        let mut best: Option<(f64, usize, Vec<usize>)> = None;
+        for (_, _, m) in &options {
+            if let Some((lost, tasks)) = self.evictable(job, *m)
+                && best.as_ref().is_none_or(|(l, _, _)| lost < *l)
+            {
+                best = Some((lost, *m, tasks));
+            }
+        }
+        if let Some((_, m, tasks)) = best {
+            for (held, _) in self.held.iter_mut().zip(0..).filter(|(_, k)| *k == options[0].2) {
+                *held = None;
+            }
+            self.held[m] = Some(0.0);
+            self.out
+                .preempts
+                .extend(tasks.into_iter().map(|t| Preempt { machine: m as u32, task: t as u32 }));
+        }
+    }
+
+    /// The tasks of lower priority whose end gives the job room on this machine at the least lost work.
+    fn evictable(&self, job: &Job, m: usize) -> Option<(f64, Vec<usize>)> {
+        let machine = &self.input.machines[m];
+        let mut free = self.free[m];
+        for r in machine.running.iter().filter(|r| r.leaving) {
+            free.add(&r.need, 1.0);
+        }
+        let mut victims: Vec<usize> = (0..machine.running.len())
+            .filter(|k| {
+                let r = &machine.running[*k];
+                r.stoppable && !r.leaving && r.priority < job.priority
+            })
+            .collect();
+        let cost = |k: &usize| machine.running[*k].lost * machine.total.share(&machine.running[*k].need);
+        victims.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
+        let mut lost = 0.0;
+        let mut chosen = Vec::new();
+        for k in victims {
+            if free.fits(&job.need) {
+                break;
+            }
+            free.add(&machine.running[k].need, 1.0);
+            lost += cost(&k);
+            chosen.push(k);
+        }
+        free.fits(&job.need).then_some((lost, chosen))
+    }
+}
--- /dev/null
+++ b/crates/stoathatch/src/main.rs
@@ -0,0 +1,63 @@
+//! The stoathatch cluster scheduler.
+
+mod config;
+mod service;
+
+use clap::Parser;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+/// Schedules jobs onto rented machines. One process of a small group that share a state service.
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    /// The settings file (JSON) that the platform hands over.
+    #[arg(long, value_name = "FILE")]
+    config: PathBuf,
+    /// Operators' own settings (INI); all have defaults.
+    #[arg(long, value_name = "FILE", env = "STOATHATCH_INI")]
+    ini: Option<PathBuf>,
+    /// Check the settings, print the operators' values in force, and end.
+    #[arg(long)]
+    check: bool,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let level = std::env::var("LOG_LEVEL").unwrap_or_default();
+    let filter = match level.to_ascii_lowercase().as_str() {
+        "debug" => log::LevelFilter::Debug,
+        "error" => log::LevelFilter::Error,
+        "warn" => log::LevelFilter::Warn,
+        _ => log::LevelFilter::Info,
+    };
+    env_logger::Builder::new()
+        .filter_level(filter)
+        .format(|f, r| {
+            use std::io::Write;
+            writeln!(f, "{} {}", r.level().as_str().to_ascii_lowercase(), r.args())
+        })
+        .init();
+    match run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("stoathatch: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(args: &Args) -> Result<(), String> {
+    let settings = config::settings(&args.config)?;
+    let tuning = match &args.ini {
+        Some(path) => config::tuning(path)?,
+        None => control::Tuning::default(),
+    };
+    if args.check {
+        for (section, key, value, meaning) in tuning.list() {
+            println!("[{section}] {key} = {value}  ; {meaning}");
+        }
+        return Ok(());
+    }
+    service::Service::new(settings, tuning)?.run()
+}
--- /dev/null
+++ b/crates/wire/src/http.rs
@@ -0,0 +1,197 @@
+//! HTTP/1.1 framing on byte buffers, without sockets.
+
+use std::fmt::Write as _;
+
+const MAX_HEAD: usize = 8 * 1024;
+const MAX_HEADERS: usize = 48;
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Request {
+    pub method: String,
+    pub path: String,
+    pub body: Vec<u8>,
+    pub close: bool,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Response {
+    pub status: u16,
+    pub body: Vec<u8>,
+    pub close: bool,
+    pub retry_after_s: Option<u32>,
+}
+
+/// Why the bytes can't be a message of ours, with the status that says so to a client.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bad(pub u16);
+
+/// What the headers say of the body.
+#[derive(Default)]
+struct Framing {
+    length: Option<usize>,
+    chunked: bool,
+    close: bool,
+    keep_alive: bool,
+    retry_after_s: Option<u32>,
+}
+
+fn framing(headers: &[httparse::Header<'_>]) -> Result<Framing, Bad> {
+    let mut f = Framing::default();
+    for h in headers {
+        let value = std::str::from_utf8(h.value).unwrap_or("").trim();
+        if h.name.eq_ignore_ascii_case("content-length") {
+            if value.is_empty() || !value.bytes().all(|b| b.is_ascii_digit()) {
+                return Err(Bad(400));
+            }
+            let n = value.parse().map_err(|_| Bad(413))?;
+            if f.length.is_some_and(|old| old != n) {
+                return Err(Bad(400));
+            }
+            f.length = Some(n);
+        } else if h.name.eq_ignore_ascii_case("transfer-encoding") {
+            f.chunked = true;
+        } else if h.name.eq_ignore_ascii_case("connection") {
+            for word in value.split(',').map(str::trim) {
+                f.close |= word.eq_ignore_ascii_case("close");
+                f.keep_alive |= word.eq_ignore_ascii_case("keep-alive");
+            }
+        } else if h.name.eq_ignore_ascii_case("retry-after") {
+            f.retry_after_s = value.parse().ok();
+        }
+    }
+    Ok(f)
+}
+
+/// Takes one request off the front: `None` while more bytes are needed, else it and the bytes used.
+pub fn parse_request(buf: &[u8], body_limit: usize) -> Result<Option<(Request, usize)>, Bad> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    let used = match head.parse(&buf[..buf.len().min(MAX_HEAD)]) {
+        Ok(httparse::Status::Complete(n)) => n,
+        Ok(httparse::Status::Partial) if buf.len() >= MAX_HEAD => return Err(Bad(431)),
+        Ok(httparse::Status::Partial) => return Ok(None),
+        Err(httparse::Error::TooManyHeaders) => return Err(Bad(431)),
+        Err(_) => return Err(Bad(400)),
+    };
+    let f = framing(head.headers)?;
+    if f.chunked {
+        return Err(Bad(411));
+    }
+    let length = f.length.unwrap_or(0);
+    if length > body_limit {
+        return Err(Bad(413));
+    }
+    if buf.len() < used + length {
+        return Ok(None);
+    }
+    let close = f.close || (head.version == Some(0) && !f.keep_alive);
+    let request = Request {
+        method: head.method.unwrap_or("").to_owned(),
+        path: head.path.unwrap_or("").to_owned(),
+        body: buf[used..used + length].to_vec(),
+        close,
+    };
+    Ok(Some((request, used + length)))
+}
+
+/// Takes one response off the front. Chunked bodies and bodies without a length are read too, since
+/// the other side is not ours; `ended` tells that no more bytes will come.
+pub fn parse_response(buf: &[u8], body_limit: usize, ended: bool) -> Result<Option<(Response, usize)>, Bad> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Response::new(&mut headers);
+    let used = match head.parse(&buf[..buf.len().min(MAX_HEAD)]) {
+        Ok(httparse::Status::Complete(n)) => n,
+        Ok(httparse::Status::Partial) if buf.len() < MAX_HEAD && !ended => return Ok(None),
+        _ => return Err(Bad(502)),
+    };
+    let f = framing(head.headers)?;
+    let status = head.code.unwrap_or(0);
+    let rest = &buf[used..];
+    let (body, total, close) = if status == 204 || status == 304 {
+        (Vec::new(), used, f.close)
+    } else if f.chunked {
+        match parse_chunks(rest, body_limit)? {
+            Some((body, n)) => (body, used + n, f.close),
+            None if ended => return Err(Bad(502)),
+            None => return Ok(None),
+        }
+    } else if let Some(length) = f.length {
+        if length > body_limit {
+            return Err(Bad(502));
+        }
+        if rest.len() < length {
+            return if ended { Err(Bad(502)) } else { Ok(None) };
+        }
+        (rest[..length].to_vec(), used + length, f.close)
+    } else if ended {
+        (rest.to_vec(), buf.len(), true)
+    } else if rest.len() > body_limit {
+        return Err(Bad(502));
+    } else {
+        return Ok(None);
+    };
+    Ok(Some((Response { status, body, close, retry_after_s: f.retry_after_s }, total)))
+}
+
+fn parse_chunks(mut buf: &[u8], body_limit: usize) -> Result<Option<(Vec<u8>, usize)>, Bad> {
+    let whole = buf.len();
+    let mut body = Vec::new();
+    loop {
+        match httparse::parse_chunk_size(buf).map_err(|_| Bad(502))? {
+            httparse::Status::Partial => return Ok(None),
+            httparse::Status::Complete((at, 0)) => {
+                return Ok(buf.get(at..at + 2).map(|_| (body, whole - buf.len() + at + 2)));
+            }
+            httparse::Status::Complete((at, size)) => {
+                let size =
+                    usize::try_from(size).ok().filter(|s| body.len() + s <= body_limit).ok_or(Bad(502))?;
+                match buf.get(at..at + size + 2) {
+                    Some(chunk) => body.extend_from_slice(&chunk[..size]),
+                    None => return Ok(None),
+                }
+                buf = &buf[at + size + 2..];
+            }
+        }
+    }
+}
+
+pub fn write_request(out: &mut Vec<u8>, host: &str, method: &str, path: &str, body: &[u8]) {
+    let mut head = String::with_capacity(128);
+    let _ = write!(head, "{method} {path} HTTP/1.1\r\nHost: {host}\r\n");
+    if method != "GET" || !body.is_empty() {
+        let _ = write!(head, "Content-Type: application/msgpack\r\nContent-Length: {}\r\n", body.len());
+    }
+    head.push_str("\r\n");
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(body);
+}
+
+pub fn write_response(out: &mut Vec<u8>, r: &Response) {
+    let reason = match r.status {
+        200 => "OK",
+        201 => "Created",
+        400 => "Bad Request",
+        404 => "Not Found",
+        405 => "Method Not Allowed",
+        408 => "Request Timeout",
+        411 => "Length Required",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        422 => "Unprocessable Content",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        503 => "Service Unavailable",
+        _ => "Status",
+    };
+    let mut head = String::with_capacity(128);
+    let _ = write!(head, "HTTP/1.1 {} {reason}\r\nContent-Type: application/msgpack\r\n", r.status);
+    if let Some(s) = r.retry_after_s {
+        let _ = write!(head, "Retry-After: {s}\r\n");
+    }
+    if r.close {
+        head.push_str("Connection: close\r\n");
+    }
+    let _ = write!(head, "Content-Length: {}\r\n\r\n", r.body.len());
+    out.extend_from_slice(head.as_bytes());
+    out.extend_from_slice(&r.body);
+}
--- /dev/null
+++ b/crates/wire/src/ids.rs
@@ -0,0 +1,22 @@
+//! Names as they stand on the wire. Inside a controller they become dense indices.
+
+/// Job ids look like `job-000412`. Anything else was never accepted by us.
+pub fn valid_job_id(id: &str) -> bool {
+    id.strip_prefix("job-")
+        .is_some_and(|n| (1..=18).contains(&n.len()) && n.bytes().all(|b| b.is_ascii_digit()))
+}
+
+/// `job-000412`, 3 → `job-000412/3`.
+pub fn task_name(job: &str, task: u32) -> String {
+    format!("{job}/{task}")
+}
+
+/// The reverse of [`task_name`]; `None` for anything that it cannot have made.
+pub fn parse_task(name: &str) -> Option<(&str, u32)> {
+    let (job, number) = name.rsplit_once('/')?;
+    let canonical = number == "0" || !number.starts_with('0');
+    if !valid_job_id(job) || !canonical || !number.bytes().all(|b| b.is_ascii_digit()) {
+        return None;
+    }
+    Some((job, number.parse().ok()?))
+}
--- /dev/null
+++ b/crates/wire/src/peer.rs
@@ -0,0 +1,34 @@
+//! What controllers say to each other: CBOR over the same HTTP framing.
+
+use crate::{BadBody, api::JobState};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
+
+pub const PATH: &str = "/peer";
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Ask {
+    /// The state of a job, from its owner.
+    Query { job: String },
+    /// Cancel a job for a user.
+    Cancel { job: String },
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Answer {
+    State(JobState),
+    /// The owner does not know the job: look into the state service.
+    Unknown,
+    /// Not the owner, or not sure of it.
+    NotNow,
+}
+
+pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
+    let mut out = Vec::new();
+    // Writing to memory cannot fail for these types.
+    let _ = ciborium::into_writer(value, &mut out);
+    out
+}
+
+pub fn decode<T: DeserializeOwned>(body: &[u8]) -> Result<T, BadBody> {
+    ciborium::de::from_reader_with_recursion_limit(body, 16).map_err(|e| BadBody(e.to_string()))
+}
