--- /dev/null
+++ b/crates/standins/src/cloud.rs
@@ -0,0 +1,116 @@
+//! A small cloud: one catalogue, machines that boot late or never, a list that lags.
+
+use serde_json::{Value, json};
+use std::collections::{BTreeMap, BTreeSet};
+use wire::api::{Catalog, HireRequest, MachineNames};
+
+pub struct Rented {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub since: u64,
+    /// When it is up; `None` if it never will be.
+    pub up_at: Option<u64>,
+}
+
+pub struct Cloud {
+    pub catalog: Catalog,
+    pub machines: BTreeMap<String, Rented>,
+    answers: BTreeMap<String, Vec<String>>,
+    next: u64,
+    pub capacity: usize,
+    /// Old lists: what was there, and when.
+    lists: Vec<(u64, Vec<Value>)>,
+    pub lag_ms: u64,
+    /// For tests of the tests: says that machines are gone that are not.
+    pub lies_about_deletes: bool,
+    pub deleted: BTreeSet<String>,
+}
+
+impl Cloud {
+    pub fn new(catalog: Catalog, capacity: usize, lag_ms: u64) -> Self {
+        Cloud {
+            catalog,
+            machines: BTreeMap::new(),
+            answers: BTreeMap::new(),
+            next: 0,
+            capacity,
+            lists: Vec::new(),
+            lag_ms,
+            lies_about_deletes: false,
+            deleted: BTreeSet::new(),
+        }
+    }
+
+    pub fn snapshot(&mut self, now: u64) {
+        let list = self
+            .machines
+            .iter()
+            .map(|(name, r)| {
+                let up = r.up_at.is_some_and(|at| at <= now);
+                json!({"nameId": name, "addr": address(name), "build": r.machine_type, "hall": r.zone,
+                    "loaners": r.spot, "stage": if up { "running" } else { "starting" },
+                    "ageS": (now - r.since) as f64 / 1000.0})
+            })
+            .collect();
+        self.lists.push((now, list));
+        self.lists.retain(|(at, _)| at + 3 * self.lag_ms > now);
+    }
+
+    pub fn handle(&mut self, now: u64, rng: &mut fastrand::Rng, method: &str, path: &str, body: &[u8]) -> (u16, Value) {
+        let path = path.split('?').next().unwrap_or("");
+        match (method, path) {
+            ("GET", "/catalog") => (200, serde_json::to_value(&self.catalog).unwrap_or_default()),
+            ("GET", "/machines") => {
+                let lag = rng.u64(0..=2 * self.lag_ms);
+                let list = self.lists.iter().rev().find(|(at, _)| at + lag <= now).map(|(_, l)| l.clone());
+                (200, json!({"burrows": list.unwrap_or_default(), "more": false}))
+            }
+            ("POST", "/machines") => match wire::decode::<HireRequest>(body) {
+                Ok(h) => self.hire(now, rng, h),
+                Err(_) => (400, json!({"error": "malformed"})),
+            },
+            ("POST", "/machines/delete") => match wire::decode::<MachineNames>(body) {
+                Ok(names) => {
+                    for name in names.machines {
+                        if !self.lies_about_deletes {
+                            self.machines.remove(&name);
+                        }
+                        self.deleted.insert(name);
+                    }
+                    (200, json!({}))
+                }
+                Err(_) => (400, json!({"error": "malformed"})),
+            },
+            _ => (400, json!({"error": "malformed"})),
+        }
+    }
+
+    fn hire(&mut self, now: u64, rng: &mut fastrand::Rng, h: HireRequest) -> (u16, Value) {
+        if let Some(old) = self.answers.get(&h.request) {
+            return (200, json!({"burrows": old}));
+        }
+        let room = self.capacity.saturating_sub(self.machines.len());
+        if room == 0 {
+            return (503, json!({"error": "no capacity"}));
+        }
+        let mut names = Vec::new();
+        for _ in 0..room.min(h.count as usize) {
+            self.next += 1;
+            let name = format!("host-{:06}", self.next);
+            let up_at = (rng.f64() > 0.03).then(|| now + rng.u64(1000..9000));
+            let rented =
+                Rented { machine_type: h.machine_type.clone(), zone: h.zone.clone(), spot: h.spot, since: now, up_at };
+            self.machines.insert(name.clone(), rented);
+            names.push(name);
+        }
+        self.answers.insert(h.request, names.clone());
+        (200, json!({"burrows": names}))
+    }
+}
+
+/// Each machine has an address of its own, from which it can be found again.
+pub fn address(name: &str) -> String {
+    let n: u64 = name.trim_start_matches("host-").parse().unwrap_or(0);
+    format!("10.1.{}.{}:9000", n / 250, n % 250 + 1)
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,8 @@
+//! For tests: a state service, a cloud and workers of our own, and a world in virtual time that plays
+//! controllers against them under seeded faults, checking the rules after each step.
 
+pub mod cloud;
+pub mod rules;
+pub mod state;
+pub mod worker;
+pub mod world;
--- /dev/null
+++ b/crates/standins/src/rules.rs
@@ -0,0 +1,135 @@
+//! What must never happen, checked on what is really on the machines and what users were really told.
+
+use std::collections::{BTreeMap, BTreeSet};
+use wire::api::{JobSpec, Kind, Stage};
+
+#[derive(Default)]
+pub struct Job {
+    pub spec: Option<JobSpec>,
+    pub accepted: bool,
+    pub submitted: bool,
+    pub cancel_asked: bool,
+    pub told_cancelled: Option<u64>,
+    pub told_done: bool,
+    pub done: BTreeSet<u32>,
+}
+
+#[derive(Default)]
+pub struct Rules {
+    pub jobs: BTreeMap<String, Job>,
+    pub broken: BTreeMap<&'static str, String>,
+    pub gpu_limits: BTreeMap<String, f64>,
+    pub cancel_ms: u64,
+    pub starts: u64,
+}
+
+/// A task that is on a machine.
+pub struct OnMachine<'a> {
+    pub task: &'a str,
+    pub machine: &'a str,
+    pub zone: &'a str,
+    pub machine_type: &'a str,
+    pub spot: bool,
+}
+
+impl Rules {
+    pub fn breaks(&mut self, rule: &'static str, what: String) {
+        self.broken.entry(rule).or_insert(what);
+    }
+
+    /// A task has got its image and starts. `others` are all tasks that are on machines, without it.
+    pub fn started(&mut self, now: u64, new: &OnMachine<'_>, others: &[OnMachine<'_>]) {
+        self.starts += 1;
+        if let Some(o) = others.iter().find(|o| o.task == new.task && o.machine != new.machine) {
+            self.breaks("ran_twice", format!("{now}: {} on {} and {}", new.task, o.machine, new.machine));
+        }
+        let Some((id, _)) = wire::ids::parse_task(new.task) else { return };
+        let Some(job) = self.jobs.get(id) else { return };
+        let Some(spec) = &job.spec else { return };
+        if job.told_cancelled.is_some_and(|at| now > at + self.cancel_ms) {
+            let what = format!("{now}: {} starts", new.task);
+            return self.breaks("ran_cancelled", what);
+        }
+        let mut zones: Vec<&str> = others.iter().filter(|o| o.task.starts_with(&format!("{id}/"))).map(|o| o.zone).collect();
+        let foreign = spec.one_zone && zones.iter().any(|z| *z != new.zone);
+        zones.push(new.zone);
+        let crowded = spec.spread
+            && zones.iter().filter(|z| **z == new.zone).count() > spec.tasks.div_ceil(2) as usize;
+        let wrong = foreign
+            || crowded
+            || (new.spot && !spec.spot)
+            || spec.zone.as_ref().is_some_and(|z| z != new.zone)
+            || spec.types.as_ref().is_some_and(|t| !t.iter().any(|t| t == new.machine_type));
+        let team = spec.team.clone();
+        if wrong {
+            self.breaks("wrong_place", format!("{now}: {} on {}", new.task, new.machine));
+        }
+        let gpus = |task: &str| {
+            let spec = wire::ids::parse_task(task).and_then(|(id, _)| self.jobs.get(id)?.spec.as_ref());
+            spec.filter(|s| s.team == team).map_or(0.0, |s| s.gpus)
+        };
+        let used: f64 = others.iter().map(|o| gpus(o.task)).sum::<f64>() + gpus(new.task);
+        let limit = self.gpu_limits.get(&team).copied().unwrap_or(f64::INFINITY);
+        if used > limit + 1e-6 {
+            self.breaks("quota", format!("{now}: {team} uses {used} of {limit}"));
+        }
+    }
+
+    /// A task is still on a machine.
+    pub fn is_on(&mut self, now: u64, task: &str) {
+        let Some((id, _)) = wire::ids::parse_task(task) else { return };
+        if self.jobs.get(id).and_then(|j| j.told_cancelled).is_some_and(|at| now > at + self.cancel_ms) {
+            self.breaks("ran_cancelled", format!("{now}: {task} still runs"));
+        }
+    }
+
+    pub fn completed(&mut self, task: &str) {
+        let Some((id, n)) = wire::ids::parse_task(task) else { return };
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        let gang = job.spec.as_ref().filter(|s| s.kind == Kind::Gang).map(|s| s.tasks);
+        match gang {
+            Some(tasks) => job.done.extend(0..tasks),
+            None => {
+                job.done.insert(n);
+            }
+        }
+    }
+
+    /// A user is told something about a job: the status and the stage, if any. `submission` says what was asked.
+    pub fn told(&mut self, now: u64, id: &str, status: u16, stage: Option<Stage>, submission: bool) {
+        let job = self.jobs.entry(id.to_owned()).or_default();
+        let (was_done, was_cancelled, accepted) = (job.told_done, job.told_cancelled.is_some(), job.accepted);
+        let mut broken: Option<&'static str> = None;
+        match (status, stage) {
+            (200 | 201, _) if !job.submitted => broken = Some("invented"),
+            (200 | 201, Some(stage)) => {
+                job.accepted = true;
+                if (was_done && stage != Stage::Done) || (was_cancelled && stage != Stage::Cancelled) {
+                    broken = Some("went_back");
+                }
+                match stage {
+                    Stage::Done => {
+                        let tasks = job.spec.as_ref().map_or(0, |s| s.tasks);
+                        if job.done.len() < tasks as usize {
+                            broken = Some("not_done");
+                        }
+                        job.told_done = true;
+                    }
+                    Stage::Cancelled => {
+                        if !job.cancel_asked {
+                            broken = Some("went_back");
+                        }
+                        job.told_cancelled.get_or_insert(now);
+                    }
+                    _ => {}
+                }
+            }
+            (404, _) if accepted => broken = Some("forgotten"),
+            (400 | 422, _) if accepted && submission => broken = Some("forgotten"),
+            _ => {}
+        }
+        if let Some(rule) = broken {
+            self.breaks(rule, format!("{now}: {id} answered {status} {stage:?}"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/state.rs
@@ -0,0 +1,188 @@
+//! A small state service: versions, guarded transactions, leases, watches.
+
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use wire::api::Guard;
+
+#[derive(Default)]
+pub struct State {
+    pub revision: u64,
+    pub keys: BTreeMap<String, Entry>,
+    leases: BTreeMap<u64, (u64, u64)>,
+    next_lease: u64,
+    log: Vec<(u64, String, Option<Value>)>,
+    /// Changes up to this revision can no longer be watched.
+    pub forgotten: u64,
+    /// For tests of the tests: transactions are applied whatever their guards say.
+    pub ignore_guards: bool,
+}
+
+pub struct Entry {
+    pub value: Value,
+    pub version: u64,
+    pub lease: Option<u64>,
+}
+
+/// A watch that waits: prefix, revision.
+pub struct Watch {
+    pub prefix: String,
+    pub from: u64,
+    pub until: u64,
+}
+
+pub enum Outcome {
+    Now(u16, Value),
+    Wait(Watch),
+}
+
+#[derive(Deserialize)]
+struct Txn {
+    #[serde(default)]
+    guards: Vec<Guard>,
+    #[serde(default)]
+    writes: Vec<Op>,
+}
+
+#[derive(Deserialize)]
+struct Op {
+    write: Option<String>,
+    #[serde(rename = "v")]
+    value: Option<Value>,
+    #[serde(rename = "tenancy")]
+    lease: Option<u64>,
+    remove: Option<String>,
+}
+
+fn argument<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query.split('&').find_map(|p| p.strip_prefix(name)?.strip_prefix('='))
+}
+
+impl State {
+    pub fn expire(&mut self, now: u64) {
+        let over: Vec<u64> = self.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(l, _)| *l).collect();
+        over.into_iter().for_each(|l| self.end_lease(l));
+    }
+
+    /// After an outage all leases have their full time again.
+    pub fn renew_all(&mut self, now: u64) {
+        self.leases.values_mut().for_each(|(end, ttl)| *end = now + *ttl);
+    }
+
+    fn end_lease(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> =
+            self.keys.iter().filter(|(_, e)| e.lease == Some(lease)).map(|(k, _)| k.clone()).collect();
+        for key in keys {
+            self.revision += 1;
+            self.remove(&key);
+        }
+    }
+
+    fn remove(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            self.log.push((self.revision, key.to_owned(), None));
+        }
+    }
+
+    pub fn changes(&self, prefix: &str, from: u64) -> Option<Value> {
+        let log: Vec<Value> = self
+            .log
+            .iter()
+            .filter(|(rev, key, _)| *rev > from && key.starts_with(prefix))
+            .map(|(rev, key, value)| match value {
+                Some(v) => json!({"write": key, "v": v, "stamp": rev}),
+                None => json!({"remove": key, "stamp": rev}),
+            })
+            .collect();
+        (!log.is_empty()).then(|| json!({"ledger": self.revision, "log": log}))
+    }
+
+    pub fn handle(&mut self, now: u64, method: &str, path: &str, body: &[u8]) -> Outcome {
+        let (path, query) = path.split_once('?').unwrap_or((path, ""));
+        let words: Vec<&str> = path.trim_start_matches('/').splitn(2, '/').collect();
+        match (method, words.as_slice()) {
+            ("GET", ["keys", key]) => match self.keys.get(*key) {
+                Some(e) => Outcome::Now(200, json!({"key": key, "v": e.value, "stamp": e.version})),
+                None => Outcome::Now(404, json!({"ledger": self.revision})),
+            },
+            ("GET", ["keys"]) => self.range(query),
+            ("GET", ["changes"]) => {
+                let prefix = argument(query, "under").unwrap_or("");
+                let from = argument(query, "from").and_then(|f| f.parse().ok()).unwrap_or(0);
+                let wait: u64 = argument(query, "waitMs").and_then(|f| f.parse().ok()).unwrap_or(0);
+                if from < self.forgotten {
+                    return Outcome::Now(410, json!({}));
+                }
+                match self.changes(prefix, from) {
+                    Some(v) => Outcome::Now(200, v),
+                    None => Outcome::Wait(Watch { prefix: prefix.to_owned(), from, until: now + wait }),
+                }
+            }
+            ("POST", ["txn"]) => self.txn(body),
+            ("POST", ["grants"]) => {
+                let ttl = wire::decode::<wire::api::GrantRequest>(body).map_or(1000, |g| g.ttl_ms);
+                self.next_lease += 1;
+                self.leases.insert(self.next_lease, (now + ttl, ttl));
+                Outcome::Now(200, json!({"tenancy": self.next_lease}))
+            }
+            ("POST", ["grants", rest]) => {
+                let lease = rest.strip_suffix("/renew").and_then(|l| l.parse().ok()).unwrap_or(0);
+                match self.leases.get_mut(&lease) {
+                    Some((end, ttl)) => {
+                        *end = now + *ttl;
+                        Outcome::Now(200, json!({"tenancy": lease}))
+                    }
+                    None => Outcome::Now(404, json!({})),
+                }
+            }
+            ("DELETE", ["grants", lease]) => {
+                self.end_lease(lease.parse().unwrap_or(0));
+                Outcome::Now(200, json!({}))
+            }
+            _ => Outcome::Now(400, json!({"error": "malformed"})),
+        }
+    }
+
+    fn range(&self, query: &str) -> Outcome {
+        let prefix = argument(query, "under").unwrap_or("");
+        let from = argument(query, "from").unwrap_or("");
+        let limit: usize = argument(query, "limit").and_then(|l| l.parse().ok()).unwrap_or(1000);
+        let mut found = self.keys.iter().filter(|(k, _)| k.starts_with(prefix) && k.as_str() > from);
+        let items: Vec<Value> = found
+            .by_ref()
+            .take(limit)
+            .map(|(k, e)| json!({"key": k, "v": e.value, "stamp": e.version}))
+            .collect();
+        let more = found.next().is_some();
+        Outcome::Now(200, json!({"items": items, "more": more, "ledger": self.revision}))
+    }
+
+    fn txn(&mut self, body: &[u8]) -> Outcome {
+        let Ok(txn) = wire::decode::<Txn>(body) else {
+            return Outcome::Now(400, json!({"error": "malformed"}));
+        };
+        if txn.writes.iter().filter_map(|w| w.lease).any(|l| !self.leases.contains_key(&l)) {
+            return Outcome::Now(400, json!({"error": "no such lease"}));
+        }
+        let failed: Vec<&String> = txn
+            .guards
+            .iter()
+            .filter(|g| self.keys.get(&g.key).map_or(0, |e| e.version) != g.version)
+            .map(|g| &g.key)
+            .collect();
+        if !failed.is_empty() && !self.ignore_guards {
+            return Outcome::Now(409, json!({"failed": failed, "ledger": self.revision}));
+        }
+        self.revision += 1;
+        for op in txn.writes {
+            if let (Some(key), Some(value)) = (op.write, op.value) {
+                self.log.push((self.revision, key.clone(), Some(value.clone())));
+                self.keys.insert(key, Entry { value, version: self.revision, lease: op.lease });
+            } else if let Some(key) = op.remove {
+                self.remove(&key);
+            }
+        }
+        Outcome::Now(200, json!({"ledger": self.revision}))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/worker.rs
@@ -0,0 +1,183 @@
+//! A worker as the protocol describes it: tokens, sessions, leases, attempts, reaping.
+
+use wire::api::{Cause, Order, Orders, Report, TaskReport, TaskStage};
+
+#[derive(Debug, Clone)]
+pub struct Task {
+    pub name: String,
+    pub attempt: u64,
+    pub stage: TaskStage,
+    pub cause: Option<Cause>,
+    /// When the image is there, and when the work is done.
+    pub fetched_at: u64,
+    pub ends_at: u64,
+    pub since: u64,
+}
+
+impl Task {
+    /// From the moment that it has its image until it exits.
+    pub fn is_on(&self) -> bool {
+        !matches!(self.stage, TaskStage::Fetching | TaskStage::Exited)
+    }
+}
+
+pub struct Worker {
+    pub name: String,
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub session: u64,
+    pub seq: u64,
+    pub token: u64,
+    pub tasks: Vec<Task>,
+    /// The controller it reports to.
+    pub node: usize,
+    pub next_report: u64,
+    /// A report that is out: its number and when it was sent.
+    pub out: Option<(u64, u64)>,
+    /// When the last report that was answered was sent, or the session began.
+    pub leased: u64,
+    pub hung_until: u64,
+    pub changed: bool,
+    /// For tests of the tests.
+    pub ignores_stops: bool,
+    pub ignores_tokens: bool,
+}
+
+impl Worker {
+    pub fn new(name: &str, machine_type: &str, zone: &str, spot: bool, node: usize, now: u64) -> Self {
+        Worker {
+            name: name.to_owned(),
+            machine_type: machine_type.to_owned(),
+            zone: zone.to_owned(),
+            spot,
+            session: 1,
+            seq: 0,
+            token: 0,
+            tasks: Vec::new(),
+            node,
+            next_report: now,
+            out: None,
+            leased: now,
+            hung_until: 0,
+            changed: false,
+            ignores_stops: false,
+            ignores_tokens: false,
+        }
+    }
+
+    pub fn report(&mut self) -> Report {
+        self.seq += 1;
+        Report {
+            machine: self.name.clone(),
+            addr: crate::cloud::address(&self.name),
+            machine_type: self.machine_type.clone(),
+            zone: self.zone.clone(),
+            spot: self.spot,
+            session: self.session,
+            seq: self.seq,
+            token: self.token,
+            notice_s: None,
+            tasks: self
+                .tasks
+                .iter()
+                .map(|t| TaskReport {
+                    task: t.name.clone(),
+                    attempt: t.attempt,
+                    stage: t.stage,
+                    cause: t.cause,
+                    saved: None,
+                })
+                .collect(),
+        }
+    }
+
+    /// The lease has run out: everything is killed and forgotten.
+    pub fn expire(&mut self, now: u64, lease_ms: u64) {
+        if now > self.leased + lease_ms {
+            self.session += 1;
+            self.tasks.clear();
+            self.leased = now;
+            self.out = None;
+            self.changed = true;
+        }
+    }
+
+    /// The answer to a report; false if it has to be dropped.
+    pub fn answered(&mut self, number: u64, sent: u64, orders: &Orders, new: impl FnMut(&str) -> Option<(u64, u64)>, now: u64) -> bool {
+        if self.out != Some((number, sent)) {
+            return false;
+        }
+        self.out = None;
+        if !self.take_token(orders.token) {
+            return false;
+        }
+        self.leased = sent;
+        self.execute(&orders.orders, new, now);
+        true
+    }
+
+    pub fn take_token(&mut self, token: u64) -> bool {
+        if token < self.token && !self.ignores_tokens {
+            return false;
+        }
+        self.changed |= token > self.token;
+        self.token = self.token.max(token);
+        true
+    }
+
+    /// Direct commands; the status, and always a report.
+    pub fn commands(&mut self, orders: &Orders, new: impl FnMut(&str) -> Option<(u64, u64)>, now: u64) -> u16 {
+        if orders.session != Some(self.session) || !self.take_token(orders.token) {
+            return 409;
+        }
+        self.execute(&orders.orders, new, now);
+        200
+    }
+
+    fn execute(&mut self, orders: &[Order], mut new: impl FnMut(&str) -> Option<(u64, u64)>, now: u64) {
+        for order in orders {
+            match order {
+                Order::Start { task, attempt } => {
+                    if self.tasks.iter().any(|t| t.name == *task && t.attempt == *attempt) {
+                        continue;
+                    }
+                    let busy = self.tasks.iter().any(|t| t.name == *task && t.stage != TaskStage::Exited);
+                    let times = new(task);
+                    let refused = if busy {
+                        Some(Cause::Busy)
+                    } else if times.is_none() {
+                        Some(Cause::Unknown)
+                    } else {
+                        None
+                    };
+                    let (fetch, run) = times.unwrap_or((0, 0));
+                    self.tasks.push(Task {
+                        name: task.clone(),
+                        attempt: *attempt,
+                        stage: if refused.is_some() { TaskStage::Exited } else { TaskStage::Fetching },
+                        cause: refused,
+                        fetched_at: now + fetch,
+                        ends_at: now + fetch + run,
+                        since: now,
+                    });
+                }
+                Order::Stop { task, attempt, .. } if !self.ignores_stops => {
+                    for t in self.tasks.iter_mut().filter(|t| t.name == *task && t.attempt == *attempt) {
+                        if t.stage != TaskStage::Exited {
+                            t.stage = TaskStage::Exited;
+                            t.cause = Some(Cause::Stopped);
+                        }
+                    }
+                }
+                Order::Stop { .. } => {}
+                Order::Reap { task, attempt } => {
+                    self.tasks.retain(|t| {
+                        t.name != *task || t.attempt != *attempt || t.stage != TaskStage::Exited
+                    });
+                }
+            }
+            self.changed = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/world.rs
@@ -0,0 +1,767 @@
+//! Controllers, state service, cloud, workers and users in one virtual time, with seeded faults.
+
+use crate::cloud::{Cloud, address};
+use crate::rules::{OnMachine, Rules};
+use crate::state::{Outcome, State, Watch};
+use crate::worker::Worker;
+use control::{Dest, Effect, Event, Node, Now, Tuning};
+use serde_json::{Value, json};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use wire::api::{Cause, JobSpec, JobState, Kind, Orders, Priority, Redirect, TaskStage};
+use wire::http::{Request, Response};
+use wire::settings::Settings;
+
+/// Faults and sabotage of one run.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    pub seed: u64,
+    pub nodes: usize,
+    pub jobs: usize,
+    /// Faults come until then; afterwards everything must come to its end.
+    pub faults_until: u64,
+    pub end: u64,
+    pub sabotage: Sabotage,
+}
+
+/// What is broken on purpose, to see that a check can fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sabotage {
+    None,
+    CloudLies,
+    GuardsIgnored,
+    LimitsRaised,
+    SpotAllowed,
+    StopsIgnored,
+    KeysLost,
+    StrangersKnown,
+    DoneTooEarly,
+    EndsLost,
+}
+
+#[derive(Clone)]
+enum Origin {
+    User { job: String, kind: Ask },
+    Worker { name: String, number: u64, sent: u64 },
+    Peer { node: usize, life: u64, tag: u64 },
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Ask {
+    Submit,
+    Poll,
+    Cancel,
+}
+
+struct Call {
+    node: usize,
+    life: u64,
+    tag: u64,
+    to: Dest,
+    method: &'static str,
+    path: String,
+    body: Vec<u8>,
+}
+
+enum Ev {
+    Tick(usize, u64),
+    Arrive(Call),
+    Reply(usize, u64, u64, Option<Response>),
+    Request(usize, Origin, Request, bool),
+    Answer(Origin, Option<Response>),
+    /// Whoever asked gives up.
+    GiveUp(u64),
+    World,
+    User(Ask, String),
+    Restart(usize),
+    Fault,
+}
+
+struct Host {
+    node: Option<Node>,
+    life: u64,
+    /// The state service refuses this node until then, or the network to it is cut.
+    refused_until: u64,
+    cut_until: u64,
+    drift: f64,
+}
+
+pub struct World {
+    plan: Plan,
+    rng: fastrand::Rng,
+    now: u64,
+    queue: BinaryHeap<Reverse<(u64, u64, usize)>>,
+    events: HashMap<usize, Ev>,
+    serial: usize,
+    hosts: Vec<Host>,
+    pub state: State,
+    cloud: Cloud,
+    workers: BTreeMap<String, Worker>,
+    watches: Vec<(Watch, usize, u64, u64)>,
+    open: HashSet<(usize, u64, u64)>,
+    conns: HashMap<u64, Origin>,
+    next_conn: u64,
+    outage_until: u64,
+    cloud_out_until: u64,
+    pub rules: Rules,
+    run_ms: BTreeMap<String, u64>,
+    tuning: Tuning,
+}
+
+const LEASE_MS: u64 = 15_000;
+const CANCEL_MS: u64 = 40_000;
+
+fn settings(node: usize, nodes: usize, limit: f64) -> Settings {
+    let name = |i: usize| format!("burrow-{i}");
+    let peers: Vec<Value> = (0..nodes)
+        .filter(|i| *i != node)
+        .map(|i| json!({"node": name(i), "domain": "a", "address": format!("10.0.0.{}:8081", i + 1)}))
+        .collect();
+    let v = json!({"node": name(node), "domain": "a", "client_listen": format!("10.0.0.{}:8080", node + 1),
+        "peer_bind": format!("10.0.0.{}:8081", node + 1), "peers": peers,
+        "endpoints": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
+        "cluster": {"initial_size": nodes, "zones": ["a", "b"],
+            "teams": [{"name": "red", "cpus": 0.0, "cpus_max": 0.0, "gpus": 2.0, "gpus_max": limit},
+                      {"name": "blue", "cpus": 0.0, "cpus_max": 0.0, "gpus": 4.0, "gpus_max": 0.0}],
+            "workers": {"report_s": 1.0, "lease_s": LEASE_MS as f64 / 1000.0, "gang_wait_s": 10.0,
+                        "gang_peer_s": 3.0, "cancel_s": CANCEL_MS as f64 / 1000.0},
+            "state": {"rps": 400.0, "write_rps": 200.0, "value_kb": 8.0, "txn_ops": 8},
+            "cloud": {"rps": 20.0, "list_lag_s": 2.0},
+            "machine_limits": {"cores": 1.0, "mem_mb": 100.0, "max_sockets": 500}}});
+    serde_json::from_value(v).expect("settings of the stand-ins")
+}
+
+impl World {
+    pub fn new(plan: Plan) -> Self {
+        let catalog = wire::api::Catalog {
+            types: ["g2", "g4"]
+                .iter()
+                .zip([2.0, 4.0])
+                .map(|(name, gpus)| wire::api::MachineType {
+                    name: (*name).to_owned(),
+                    cores: gpus * 8.0,
+                    gpus,
+                    mem_gb: 64.0,
+                    cache_gb: 20.0,
+                    fetch_gb_per_s: 2.0,
+                    price: gpus,
+                    spot_price: gpus / 2.0,
+                    boot_s: 5.0,
+                    zones: vec!["a".into(), "b".into()],
+                })
+                .collect(),
+        };
+        let mut tuning = Tuning::default();
+        for (section, key, value) in [("fleet", "silent_s", "6"), ("fleet", "idle_s", "10"), ("owner", "ttl_ms", "2000")] {
+            tuning.set(section, key, value).expect("known setting");
+        }
+        let mut world = World {
+            rng: fastrand::Rng::with_seed(plan.seed),
+            now: 1_000_000,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            serial: 0,
+            hosts: Vec::new(),
+            state: State::default(),
+            cloud: Cloud::new(catalog, 12, 2000),
+            workers: BTreeMap::new(),
+            watches: Vec::new(),
+            open: HashSet::new(),
+            conns: HashMap::new(),
+            next_conn: 1,
+            outage_until: 0,
+            cloud_out_until: 0,
+            rules: Rules { cancel_ms: CANCEL_MS, ..Rules::default() },
+            run_ms: BTreeMap::new(),
+            tuning,
+            plan,
+        };
+        world.state.ignore_guards = world.plan.sabotage == Sabotage::GuardsIgnored;
+        world.cloud.lies_about_deletes = world.plan.sabotage == Sabotage::CloudLies;
+        world.rules.gpu_limits.insert("red".into(), 4.0);
+        world.begin();
+        world
+    }
+
+    fn at(&mut self, time: u64, ev: Ev) {
+        self.serial += 1;
+        self.events.insert(self.serial, ev);
+        self.queue.push(Reverse((time, self.serial as u64, self.serial)));
+    }
+
+    fn begin(&mut self) {
+        for n in 0..self.plan.nodes {
+            let drift = 1.0 + self.rng.f64() * 0.0005;
+            self.hosts.push(Host { node: None, life: 0, refused_until: 0, cut_until: 0, drift });
+            self.at(self.now, Ev::Restart(n));
+        }
+        self.at(self.now, Ev::World);
+        self.at(self.now + 5000, Ev::Fault);
+        let start = self.now;
+        for i in 0..self.plan.jobs {
+            let job = self.draw_job(i);
+            let id = job.id.clone();
+            let at = start + 1000 + self.rng.u64(0..self.plan.faults_until);
+            if self.rng.f64() < 0.25 {
+                let wait = self.rng.u64(0..30_000);
+                self.at(at + wait, Ev::User(Ask::Cancel, id.clone()));
+            }
+            if job.kind == Kind::Service {
+                // A service holds its room for ever otherwise, and others wait for it rightly.
+                self.at(start + self.plan.faults_until + 20_000, Ev::User(Ask::Cancel, id.clone()));
+            }
+            self.run_ms.insert(id.clone(), self.rng.u64(1000..15_000));
+            self.rules.jobs.entry(id.clone()).or_default().spec = Some(job);
+            self.at(at, Ev::User(Ask::Submit, id));
+        }
+        self.at(start + 2000, Ev::User(Ask::Poll, "job-999999".into()));
+    }
+
+    fn draw_job(&mut self, i: usize) -> JobSpec {
+        let kind = match self.rng.u32(0..10) {
+            0..5 => Kind::Array,
+            5..9 => Kind::Gang,
+            _ => Kind::Service,
+        };
+        let team = if self.rng.bool() { "red" } else { "blue" };
+        let most = if kind == Kind::Array { 7 } else { 3 };
+        JobSpec {
+            id: format!("job-{:06}", 1000 + i),
+            class: "c".into(),
+            team: team.into(),
+            kind,
+            priority: [Priority::Low, Priority::Normal, Priority::High, Priority::Production][self.rng.usize(0..4)],
+            tasks: self.rng.u32(1..=most),
+            cores: 2.0,
+            gpus: 1.0,
+            mem_gb: 4.0,
+            image: format!("img-{}", self.rng.u32(0..3)),
+            image_gb: 2.0,
+            types: (self.rng.u32(0..4) == 0).then(|| vec!["g4".to_owned()]),
+            zone: (self.rng.u32(0..5) == 0).then(|| "b".to_owned()),
+            one_zone: self.rng.u32(0..3) == 0,
+            spread: false,
+            spot: self.rng.bool(),
+            estimate_s: 8.0,
+            checkpoint_s: if self.rng.bool() { 3.0 } else { 0.0 },
+            save_s: 0.5,
+            deadline_s: None,
+        }
+    }
+
+    /// Plays the run to its end, or to the first broken rule.
+    pub fn run(&mut self) {
+        let end = self.now + self.plan.end;
+        while let Some(Reverse((time, _, id))) = self.queue.pop() {
+            if time > end || !self.rules.broken.is_empty() {
+                return;
+            }
+            self.now = time;
+            if let Some(ev) = self.events.remove(&id) {
+                self.step(ev);
+            }
+        }
+    }
+
+    /// Jobs that were accepted and have neither ended nor are services.
+    pub fn unfinished(&self) -> Vec<&str> {
+        self.rules
+            .jobs
+            .iter()
+            .filter(|(_, j)| j.accepted && !j.told_done && j.told_cancelled.is_none())
+            .filter(|(_, j)| j.spec.as_ref().is_some_and(|s| s.kind != Kind::Service))
+            .map(|(id, _)| id.as_str())
+            .collect()
+    }
+
+    fn step(&mut self, ev: Ev) {
+        match ev {
+            Ev::Restart(n) => {
+                let limit = if self.plan.sabotage == Sabotage::LimitsRaised { 40.0 } else { 4.0 };
+                let seed = self.rng.u64(..);
+                let now = self.node_now(n);
+                self.hosts[n].life += 1;
+                let node = Node::new(settings(n, self.plan.nodes, limit), self.tuning.clone(), seed, now);
+                self.hosts[n].node = Some(node);
+                let life = self.hosts[n].life;
+                self.at(self.now, Ev::Tick(n, life));
+            }
+            Ev::Tick(n, life) => {
+                if self.hosts[n].life == life && self.hosts[n].node.is_some() {
+                    self.feed(n, Event::Tick);
+                    self.at(self.now + 50, Ev::Tick(n, life));
+                }
+            }
+            Ev::Arrive(call) => self.arrive(call),
+            Ev::Reply(n, life, tag, response) => {
+                if self.open.remove(&(n, life, tag)) && self.hosts[n].life == life && self.hosts[n].node.is_some() {
+                    self.feed(n, Event::Reply { tag, response });
+                }
+            }
+            Ev::Request(n, origin, request, peer) => {
+                if self.hosts[n].node.is_none() || self.hosts[n].cut_until > self.now {
+                    return self.at(self.now + 500, Ev::Answer(origin, None));
+                }
+                let conn = self.next_conn;
+                self.next_conn += 1;
+                self.conns.insert(conn, origin);
+                self.at(self.now + 5000, Ev::GiveUp(conn));
+                self.feed(n, if peer { Event::Peer { conn, request } } else { Event::Client { conn, request } });
+            }
+            Ev::Answer(origin, response) => self.answer(origin, response),
+            Ev::GiveUp(conn) => {
+                if let Some(origin) = self.conns.remove(&conn) {
+                    self.answer(origin, None);
+                }
+            }
+            Ev::World => self.world_tick(),
+            Ev::User(kind, job) => self.user(kind, job),
+            Ev::Fault => self.fault(),
+        }
+    }
+
+    fn node_now(&self, n: usize) -> Now {
+        let mono = (self.now as f64 * self.hosts[n].drift) as u64;
+        Now { mono, wall: self.now }
+    }
+
+    fn feed(&mut self, n: usize, event: Event) {
+        let now = self.node_now(n);
+        let life = self.hosts[n].life;
+        let Some(node) = self.hosts[n].node.as_mut() else { return };
+        for effect in node.handle(now, event) {
+            match effect {
+                Effect::Respond { conn, response } => {
+                    if let Some(origin) = self.conns.remove(&conn) {
+                        let cut = self.hosts[n].cut_until > self.now;
+                        let at = self.now + self.rng.u64(1..5);
+                        self.at(at, Ev::Answer(origin, (!cut).then_some(response)));
+                    }
+                }
+                Effect::Send { tag, to, method, path, body, timeout_ms, .. } => {
+                    self.open.insert((n, life, tag));
+                    self.at(self.now + timeout_ms, Ev::Reply(n, life, tag, None));
+                    let mut delay = self.rng.u64(1..8);
+                    let faulty = self.now < 1_000_000 + self.plan.faults_until;
+                    // A cut holds what was sent and delivers it late; now and then a message is slow anyway.
+                    if self.hosts[n].cut_until > self.now {
+                        delay += self.hosts[n].cut_until - self.now;
+                    } else if faulty && self.rng.u32(0..300) == 0 {
+                        delay += self.rng.u64(1000..40_000);
+                    }
+                    self.at(self.now + delay, Ev::Arrive(Call { node: n, life, tag, to, method, path, body }));
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, c: &Call, status: u16, body: &Value) {
+        let response = Response { status, body: wire::encode(body), close: false, retry_after_s: None };
+        let faulty = self.now < 1_000_000 + self.plan.faults_until;
+        if (faulty && self.rng.u32(0..200) == 0) || self.hosts[c.node].cut_until > self.now {
+            return;
+        }
+        let at = self.now + self.rng.u64(1..8);
+        self.at(at, Ev::Reply(c.node, c.life, c.tag, Some(response)));
+    }
+
+    fn arrive(&mut self, c: Call) {
+        match c.to {
+            Dest::State => {
+                if self.outage_until > self.now || self.hosts[c.node].refused_until > self.now {
+                    return self.reply(&c, 503, &json!({"error": "trouble"}));
+                }
+                self.state.expire(self.now);
+                match self.state.handle(self.now, c.method, &c.path, &c.body) {
+                    Outcome::Now(status, body) => {
+                        let stranger = self.plan.sabotage == Sabotage::StrangersKnown;
+                        if stranger && status == 404 && c.path.starts_with("/keys/live/") {
+                            return self.reply(&c, 200, &json!({"key": "x", "v": {}, "stamp": 1}));
+                        }
+                        self.reply(&c, status, &body);
+                    }
+                    Outcome::Wait(w) => self.watches.push((w, c.node, c.life, c.tag)),
+                }
+                self.fire_watches();
+            }
+            Dest::Cloud => {
+                if self.cloud_out_until > self.now {
+                    return self.reply(&c, 503, &json!({"error": "trouble"}));
+                }
+                let (status, body) = self.cloud.handle(self.now, &mut self.rng, c.method, &c.path, &c.body);
+                let deleted: Vec<String> = std::mem::take(&mut self.cloud.deleted).into_iter().collect();
+                for name in deleted {
+                    if !self.cloud.lies_about_deletes {
+                        self.workers.remove(&name);
+                    }
+                }
+                self.reply(&c, status, &body);
+            }
+            Dest::Peer(i) => {
+                let to = (0..self.plan.nodes).filter(|n| *n != c.node).nth(i).unwrap_or(0);
+                let request = Request { method: c.method.into(), path: c.path, body: c.body, close: false };
+                let origin = Origin::Peer { node: c.node, life: c.life, tag: c.tag };
+                self.step(Ev::Request(to, origin, request, true));
+            }
+            Dest::Worker(addr) => {
+                let name = self.workers.keys().find(|n| address(n) == addr.to_string()).cloned();
+                let Some(name) = name else { return };
+                let until = self.workers[&name].hung_until;
+                if until > self.now {
+                    // Executed when it goes on.
+                    return self.at(until, Ev::Arrive(c));
+                }
+                let (jobs, runs) = (&self.rules.jobs, &self.run_ms);
+                let Some(worker) = self.workers.get_mut(&name) else { return };
+                worker.expire(self.now, LEASE_MS);
+                let mut status = 200;
+                if c.path == "/commands" {
+                    let Ok(orders) = wire::decode::<Orders>(&c.body) else { return };
+                    status = worker.commands(&orders, |t| times(jobs, runs, t), self.now);
+                }
+                let report = serde_json::to_value(worker.report()).unwrap_or_default();
+                self.reply(&c, status, &report);
+            }
+        }
+    }
+
+    fn fire_watches(&mut self) {
+        let waiting = std::mem::take(&mut self.watches);
+        for (w, node, life, tag) in waiting {
+            let silent = self.outage_until > self.now || self.hosts[node].refused_until > self.now;
+            let found = if silent { None } else { self.state.changes(&w.prefix, w.from) };
+            let body = found.or_else(|| {
+                (w.until <= self.now && !silent).then(|| json!({"ledger": self.state.revision.max(w.from), "log": []}))
+            });
+            match body {
+                Some(body) => {
+                    let call =
+                        Call { node, life, tag, to: Dest::State, method: "GET", path: String::new(), body: Vec::new() };
+                    self.reply(&call, 200, &body);
+                }
+                None => self.watches.push((w, node, life, tag)),
+            }
+        }
+    }
+
+    fn answer(&mut self, origin: Origin, response: Option<Response>) {
+        match origin {
+            Origin::Peer { node, life, tag } => {
+                let at = self.now + 1;
+                self.at(at, Ev::Reply(node, life, tag, response));
+            }
+            Origin::User { job, kind } => {
+                let status = response.as_ref().map_or(0, |r| r.status);
+                let state = response.as_ref().and_then(|r| wire::decode::<JobState>(&r.body).ok());
+                let stage = state.map(|s| s.stage);
+                self.rules.told(self.now, &job, status, stage, kind == Ask::Submit);
+                let over = stage.is_some_and(|s| s.is_final());
+                let wait = self.rng.u64(500..2500);
+                match kind {
+                    Ask::Submit if status == 200 || status == 201 => {
+                        self.at(self.now + wait, Ev::User(Ask::Poll, job));
+                    }
+                    Ask::Submit if status == 400 || status == 422 => {}
+                    Ask::Poll if over => {
+                        // Asked again much later, and submitted again too.
+                        if self.rng.u32(0..3) == 0 {
+                            self.at(self.now + 10 * wait, Ev::User(Ask::Submit, job));
+                        }
+                    }
+                    Ask::Poll if status == 404 => {}
+                    Ask::Cancel if over || status == 404 => {}
+                    _ => self.at(self.now + wait, Ev::User(kind, job)),
+                }
+            }
+            Origin::Worker { name, number, sent } => {
+                let (jobs, runs) = (&self.rules.jobs, &self.run_ms);
+                let nodes = self.plan.nodes;
+                let Some(w) = self.workers.get_mut(&name) else { return };
+                if w.hung_until > self.now || w.out != Some((number, sent)) {
+                    return;
+                }
+                match response {
+                    Some(r) if r.status == 200 => {
+                        if let Ok(orders) = wire::decode::<Orders>(&r.body) {
+                            w.answered(number, sent, &orders, |t| times(jobs, runs, t), self.now);
+                        }
+                    }
+                    Some(r) if r.status == 421 => {
+                        let to = wire::decode::<Redirect>(&r.body).ok().and_then(|r| r.report_to);
+                        let to = to.and_then(|t| t.strip_prefix("burrow-")?.parse::<usize>().ok());
+                        w.out = None;
+                        match to.filter(|t| *t != w.node && *t < nodes) {
+                            Some(t) => {
+                                w.node = t;
+                                w.next_report = self.now + 100;
+                            }
+                            None => {
+                                w.node = (w.node + 1) % nodes;
+                                w.next_report = self.now + 1000;
+                            }
+                        }
+                    }
+                    _ => {
+                        w.out = None;
+                        w.node = (w.node + 1) % nodes;
+                        w.next_report = self.now + 1000;
+                    }
+                }
+            }
+        }
+    }
+
+    fn user(&mut self, kind: Ask, job: String) {
+        let n = self.rng.usize(0..self.plan.nodes);
+        let Some(entry) = self.rules.jobs.get_mut(&job) else {
+            let request = Request { method: "GET".into(), path: format!("/work/{job}"), body: Vec::new(), close: false };
+            return self.step(Ev::Request(n, Origin::User { job, kind }, request, false));
+        };
+        let (method, path, body) = match kind {
+            Ask::Submit => {
+                entry.submitted = true;
+                let mut spec = entry.spec.clone();
+                if let Some(s) = spec.as_mut().filter(|_| self.plan.sabotage == Sabotage::SpotAllowed) {
+                    s.spot = true;
+                }
+                ("POST", "/work".to_owned(), wire::encode(&spec))
+            }
+            Ask::Poll => ("GET", format!("/work/{job}"), Vec::new()),
+            Ask::Cancel => {
+                if !entry.accepted {
+                    let at = self.now + 2000;
+                    return self.at(at, Ev::User(kind, job));
+                }
+                entry.cancel_asked = true;
+                ("POST", format!("/work/{job}/cancel"), Vec::new())
+            }
+        };
+        let request = Request { method: method.into(), path, body, close: false };
+        self.step(Ev::Request(n, Origin::User { job, kind }, request, false));
+    }
+
+    fn world_tick(&mut self) {
+        let now = self.now;
+        self.at(now + 100, Ev::World);
+        if self.outage_until <= now && self.outage_until + 100 > now && self.outage_until > 0 {
+            self.state.renew_all(now);
+        }
+        if self.outage_until <= now {
+            self.state.expire(now);
+        }
+        self.fire_watches();
+        if now % 500 == 0 {
+            self.cloud.snapshot(now);
+        }
+        if self.plan.sabotage == Sabotage::KeysLost && now % 20_000 == 0 {
+            self.state.keys.retain(|k, _| !k.starts_with("live/"));
+        }
+        if self.plan.sabotage == Sabotage::EndsLost && now % 10_000 == 0 {
+            self.state.keys.retain(|k, _| !k.starts_with("end/"));
+        }
+        let up: Vec<(String, String, String, bool)> = self
+            .cloud
+            .machines
+            .iter()
+            .filter(|(n, r)| r.up_at.is_some_and(|at| at <= now) && !self.workers.contains_key(*n))
+            .map(|(n, r)| (n.clone(), r.machine_type.clone(), r.zone.clone(), r.spot))
+            .collect();
+        for (name, machine_type, zone, spot) in up {
+            let node = self.rng.usize(0..self.plan.nodes);
+            let mut w = Worker::new(&name, &machine_type, &zone, spot, node, now);
+            w.ignores_stops = self.plan.sabotage == Sabotage::StopsIgnored;
+            w.ignores_tokens = self.plan.sabotage == Sabotage::GuardsIgnored;
+            self.workers.insert(name, w);
+        }
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        for name in names {
+            self.work(&name);
+        }
+        self.gangs();
+        let on: Vec<String> =
+            self.workers.values().flat_map(|w| w.tasks.iter().filter(|t| t.is_on())).map(|t| t.name.clone()).collect();
+        for task in on {
+            self.rules.is_on(now, &task);
+        }
+    }
+
+    /// One worker's time: tasks go on, the lease, reports.
+    fn work(&mut self, name: &str) {
+        let now = self.now;
+        let Some(w) = self.workers.get_mut(name) else { return };
+        if w.hung_until > now {
+            return;
+        }
+        w.expire(now, LEASE_MS);
+        let mut begun = Vec::new();
+        let early = self.plan.sabotage == Sabotage::DoneTooEarly;
+        for t in &mut w.tasks {
+            let gang = wire::ids::parse_task(&t.name)
+                .and_then(|(id, _)| self.rules.jobs.get(id)?.spec.as_ref())
+                .is_some_and(|s| s.kind == Kind::Gang);
+            if t.stage == TaskStage::Fetching && t.fetched_at <= now {
+                t.stage = if gang { TaskStage::Waiting } else { TaskStage::Running };
+                t.since = now;
+                w.changed = true;
+                begun.push(t.name.clone());
+            } else if t.stage == TaskStage::Running && t.ends_at <= now && !gang {
+                t.stage = TaskStage::Exited;
+                t.cause = Some(Cause::Done);
+                w.changed = true;
+                self.rules.completed(&t.name);
+            } else if early && t.stage == TaskStage::Running {
+                t.stage = TaskStage::Exited;
+                t.cause = Some(Cause::Done);
+                w.changed = true;
+            }
+        }
+        if w.out.is_some_and(|(_, sent)| sent + 4000 <= now) {
+            w.out = None;
+            w.node = (w.node + 1) % self.plan.nodes;
+            w.next_report = now + 1000;
+        }
+        let mut send = None;
+        if w.out.is_none() && (now >= w.next_report || (w.changed && now + 500 >= w.next_report)) {
+            w.changed = false;
+            w.next_report = now + self.rng.u64(750..1250);
+            let report = w.report();
+            w.out = Some((report.seq, now));
+            send = Some((w.node, report));
+        }
+        let (zone, machine_type, spot) = (w.zone.clone(), w.machine_type.clone(), w.spot);
+        for task in begun {
+            let others: Vec<OnMachine<'_>> = self
+                .workers
+                .values()
+                .flat_map(|o| o.tasks.iter().filter(|t| t.is_on()).map(move |t| (o, t)))
+                .filter(|(o, t)| !(o.name == name && t.name == task))
+                .map(|(o, t)| OnMachine {
+                    task: &t.name,
+                    machine: &o.name,
+                    zone: &o.zone,
+                    machine_type: &o.machine_type,
+                    spot: o.spot,
+                })
+                .collect();
+            let new = OnMachine { task: &task, machine: name, zone: &zone, machine_type: &machine_type, spot };
+            self.rules.started(now, &new, &others);
+        }
+        if let Some((node, report)) = send {
+            let request =
+                Request { method: "POST".into(), path: "/hello".into(), body: wire::encode(&report), close: false };
+            let origin = Origin::Worker { name: name.to_owned(), number: report.seq, sent: now };
+            let mut at = now + 2;
+            // Now and then a report is held and comes late.
+            if now < 1_000_000 + self.plan.faults_until && self.rng.u32(0..200) == 0 {
+                at += self.rng.u64(1000..20_000);
+            }
+            self.at(at, Ev::Request(node, origin, request, false));
+        }
+    }
+
+    /// Tasks of one attempt of a gang start together, end together, and fail together.
+    fn gangs(&mut self) {
+        let now = self.now;
+        let mut groups: BTreeMap<(String, u64), Vec<(String, u32, TaskStage, u64)>> = BTreeMap::new();
+        for w in self.workers.values() {
+            for t in &w.tasks {
+                let Some((id, n)) = wire::ids::parse_task(&t.name) else { continue };
+                let gang = self.rules.jobs.get(id).and_then(|j| j.spec.as_ref()).is_some_and(|s| s.kind == Kind::Gang);
+                if gang && t.stage != TaskStage::Exited {
+                    groups.entry((id.to_owned(), t.attempt)).or_default().push((w.name.clone(), n, t.stage, t.since));
+                }
+            }
+        }
+        for ((id, attempt), members) in groups {
+            let size = self.rules.jobs[&id].spec.as_ref().map_or(1, |s| s.tasks);
+            let run = self.run_ms.get(&id).copied().unwrap_or(1000);
+            let all = |s: TaskStage| members.len() == size as usize && members.iter().all(|m| m.2 == s);
+            let running = members.iter().any(|m| m.2 == TaskStage::Running);
+            let since = members.iter().map(|m| m.3).max().unwrap_or(now);
+            let mut exit = None;
+            let mut start = false;
+            if all(TaskStage::Waiting) {
+                start = true;
+            } else if all(TaskStage::Running) {
+                if since + run <= now {
+                    exit = Some(Cause::Done);
+                }
+            } else if running {
+                exit = Some(Cause::Peers);
+            }
+            if exit == Some(Cause::Done) {
+                self.rules.completed(&wire::ids::task_name(&id, 0));
+            }
+            for w in self.workers.values_mut().filter(|w| w.hung_until <= now) {
+                for t in w.tasks.iter_mut().filter(|t| t.attempt == attempt && t.stage != TaskStage::Exited) {
+                    if wire::ids::parse_task(&t.name).is_none_or(|(j, _)| j != id) {
+                        continue;
+                    }
+                    let late = t.stage == TaskStage::Waiting && t.since + 10_000 <= now && !start;
+                    if start {
+                        t.stage = TaskStage::Running;
+                        t.since = now;
+                        w.changed = true;
+                    } else if let Some(cause) = exit.or(late.then_some(Cause::Incomplete)) {
+                        t.stage = TaskStage::Exited;
+                        t.cause = Some(cause);
+                        w.changed = true;
+                    }
+                }
+            }
+        }
+    }
+
+    fn fault(&mut self) {
+        let now = self.now;
+        if now > 1_000_000 + self.plan.faults_until {
+            return;
+        }
+        let next = now + self.rng.u64(1500..9000);
+        self.at(next, Ev::Fault);
+        let n = self.rng.usize(0..self.plan.nodes);
+        let long = self.rng.u64(500..25_000);
+        let machine = {
+            let names: Vec<&String> = self.workers.keys().collect();
+            (!names.is_empty()).then(|| names[self.rng.usize(0..names.len())].clone())
+        };
+        match self.rng.u32(0..10) {
+            0 | 1 => self.crash(n, 2500),
+            2 => (0..self.plan.nodes).for_each(|n| self.crash(n, 3000)),
+            3 => self.outage_until = self.outage_until.max(now + long.min(12_000)),
+            4 => self.hosts[n].refused_until = now + long,
+            5 => self.hosts[n].cut_until = now + long,
+            6 => self.cloud_out_until = now + long,
+            7 => self.state.forgotten = self.state.revision,
+            8 => {
+                if let Some(w) = machine.and_then(|m| self.workers.get_mut(&m)) {
+                    w.hung_until = now + long;
+                }
+            }
+            _ => {
+                // The machine dies, unnoticed by the cloud for a while.
+                if let Some(m) = machine {
+                    self.workers.remove(&m);
+                    if let Some(r) = self.cloud.machines.get_mut(&m) {
+                        r.up_at = None;
+                    }
+                }
+            }
+        }
+    }
+
+    fn crash(&mut self, n: usize, back: u64) {
+        if self.hosts[n].node.take().is_some() {
+            self.hosts[n].life += 1;
+            self.at(self.now + back, Ev::Restart(n));
+        }
+    }
+}
+
+/// Fetch and run time of a task, if its job was submitted.
+fn times(jobs: &BTreeMap<String, crate::rules::Job>, runs: &BTreeMap<String, u64>, task: &str) -> Option<(u64, u64)> {
+    let (id, _) = wire::ids::parse_task(task)?;
+    let job = jobs.get(id)?.spec.as_ref()?;
+    let run = if job.kind == Kind::Service { 10_000_000 } else { *runs.get(id)? };
+    Some((1000, run))
+}
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -144,7 +144,7 @@
             }
             httparse::Status::Complete((at, size)) => {
                 let size =
-                    usize::try_from(size).ok().filter(|s| body.len() + s <= body_limit).ok_or(Bad(502))?;
+                    usize::try_from(size).ok().filter(|s| *s <= body_limit - body.len()).ok_or(Bad(502))?;
                 match buf.get(at..at + size + 2) {
                     Some(chunk) => body.extend_from_slice(&chunk[..size]),
                     None => return Ok(None),
