--- /dev/null
+++ b/crates/plan/tests/plans.rs
@@ -0,0 +1,175 @@
+//! Plans of generated fleets: nothing overlaps, limits and places hold, the stretch is the smallest.
+
+use plan::{Input, Job, Machine, Res, Running, Shape, Sized, Team, plan, smallest_stretch};
+use proptest::prelude::*;
+
+fn res(cores: f64, gpus: f64, mem: f64) -> Res {
+    Res { cores, gpus, mem }
+}
+
+prop_compose! {
+    fn machine()(kind in 0u16..2, zone in 0u16..2, spot: bool, usable in prop::bool::weighted(0.9),
+                 running in prop::collection::vec((1u32..4, 0.0f64..60.0, 0u8..3), 0..3),
+                 images in prop::collection::vec(0u32..3, 0..2)) -> Machine {
+        let total = res(32.0, f64::from(kind + 1) * 4.0, 128.0);
+        let running = running.into_iter().map(|(g, ends, priority)| Running {
+            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: true, leaving: false,
+        }).collect();
+        let mut m = Machine { machine_type: kind, zone, spot, usable, total, running, images, fetch_gb_per_s: 1.0, slots: 20 };
+        while m.free().gpus < 0.0 {
+            m.running.pop();
+        }
+        m
+    }
+}
+
+prop_compose! {
+    fn job()(shape in 0u8..3, priority in 0u8..4, arrival in -100.0f64..0.0, estimate in 1.0f64..100.0,
+             tasks in 1u32..12, gpus in 1u32..5, types in 1u64..4, zone in prop::option::of(0u16..2),
+             flags in (any::<bool>(), any::<bool>(), any::<bool>()), image in 0u32..3, team in 0u16..2) -> Job {
+        let shape = [Shape::Array, Shape::Gang, Shape::Service][shape as usize];
+        Job { shape, priority, arrival, estimate, tasks, pending: tasks, need: res(4.0, f64::from(gpus), 16.0), types,
+              zone, one_zone: flags.0, spread: flags.1 && !flags.0, spot: flags.2, image, image_gb: 4.0, team, due: None,
+              zones: Vec::new(), avoid: Vec::new() }
+    }
+}
+
+prop_compose! {
+    fn input()(machines in prop::collection::vec(machine(), 0..8), jobs in prop::collection::vec(job(), 0..10),
+               limit in 1.0f64..30.0, online_factor in 1.0f64..3.0) -> Input {
+        let team = |max| Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: max };
+        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], online_factor, patience: 2.0 }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(11), ..ProptestConfig::default() })]
+
+    #[test]
+    fn plans_are_feasible(input in input()) {
+        let out = plan(&input);
+        let mut free: Vec<Res> = input.machines.iter().map(Machine::free).collect();
+        let mut used = vec![0.0; input.teams.len()];
+        let mut started = vec![0u32; input.jobs.len()];
+        let mut zones = vec![[0u32; 2]; input.jobs.len()];
+        for s in &out.starts {
+            let (j, m) = (&input.jobs[s.job as usize], &input.machines[s.machine as usize]);
+            prop_assert!(m.usable && j.types >> m.machine_type & 1 == 1);
+            prop_assert!(j.zone.is_none_or(|z| z == m.zone) && (j.spot || !m.spot));
+            free[s.machine as usize].add(&j.need, -f64::from(s.count));
+            used[j.team as usize] += j.need.gpus * f64::from(s.count);
+            started[s.job as usize] += s.count;
+            zones[s.job as usize][m.zone as usize] += s.count;
+        }
+        for f in &free {
+            prop_assert!(f.cores > -1e-6 && f.gpus > -1e-6 && f.mem > -1e-6, "a machine is overfull: {f:?}");
+        }
+        for (u, t) in used.iter().zip(&input.teams) {
+            prop_assert!(*u <= t.gpus_max + 1e-6, "a team is over its limit");
+        }
+        for ((j, n), z) in input.jobs.iter().zip(&started).zip(&zones) {
+            prop_assert!(*n <= j.pending);
+            prop_assert!(j.shape != Shape::Gang || *n == 0 || *n == j.pending, "half a gang");
+            prop_assert!(!j.one_zone || z[0] == 0 || z[1] == 0, "two zones");
+            prop_assert!(!j.spread || z[0].max(z[1]) <= j.tasks.div_ceil(2), "crowded");
+        }
+        // Only the less urgent make room.
+        for p in &out.preempts {
+            let victim = &input.machines[p.machine as usize].running[p.task as usize];
+            let urgent = out.waiting.iter().map(|(j, _)| input.jobs[*j as usize].priority).max();
+            prop_assert!(urgent.is_some_and(|u| victim.priority < u));
+        }
+    }
+
+    /// A lone array that has room for all takes it: nothing that could start is left waiting.
+    #[test]
+    fn room_is_used(tasks in 1u32..20, n in 1usize..6) {
+        let total = res(32.0, 4.0, 128.0);
+        let machine = Machine { machine_type: 0, zone: 0, spot: false, usable: true, total, running: vec![], images: vec![],
+                                fetch_gb_per_s: 1.0, slots: 50 };
+        let job = Job { shape: Shape::Array, priority: 1, arrival: 0.0, estimate: 10.0, tasks, pending: tasks,
+                        need: res(1.0, 1.0, 1.0), types: 1, zone: None, one_zone: false, spread: false, spot: true, image: 0,
+                        image_gb: 1.0, team: 0, due: None, zones: vec![], avoid: vec![] };
+        let team = Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY };
+        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], online_factor: 1.0, patience: 1.0 };
+        let out = plan(&input);
+        let started: u32 = out.starts.iter().map(|s| s.count).sum();
+        prop_assert_eq!(started, tasks.min(4 * n as u32));
+    }
+
+    /// The search against the paper's property checked directly: at S all deadlines leave time for the work before
+    /// them, and a little below S some do not.
+    #[test]
+    fn the_stretch_is_the_smallest(jobs in prop::collection::vec((0.0f64..100.0, 1.0f64..50.0, 1.0f64..9.0), 1..12)) {
+        let jobs: Vec<Sized> = jobs.into_iter()
+            .map(|(age, work, m)| Sized { arrival: -age, work, left: work / m, shortest: 0.5f64.min(work / m) }).collect();
+        let holds = |s: f64| {
+            let mut by_due: Vec<&Sized> = jobs.iter().collect();
+            by_due.sort_by(|a, b| (a.arrival + a.work * s).total_cmp(&(b.arrival + b.work * s)));
+            let mut sum = 0.0;
+            by_due.iter().all(|j| { sum += j.left; sum.max(j.shortest) <= j.arrival + j.work * s + 1e-6 })
+        };
+        let mut steps = 0;
+        let s = smallest_stretch(&jobs, &mut steps);
+        prop_assert!(holds(s));
+        prop_assert!(!holds(s * 0.97 - 1e-3) || s < 1e-6, "{s} is not the smallest");
+        prop_assert!(steps <= 64 * jobs.len() as u64);
+    }
+}
+
+/// An urgent gang that fits nowhere has the cheapest machine cleared for it, and only by the less urgent.
+#[test]
+fn room_is_made_for_the_urgent_at_the_least_loss() {
+    let total = res(32.0, 4.0, 128.0);
+    let busy = |lost: f64, priority: u8| Machine {
+        machine_type: 0,
+        zone: 0,
+        spot: false,
+        usable: true,
+        total,
+        running: vec![Running {
+            need: res(8.0, 4.0, 8.0),
+            ends: 90.0,
+            priority,
+            lost,
+            stoppable: true,
+            leaving: false,
+        }],
+        images: vec![],
+        fetch_gb_per_s: 1.0,
+        slots: 10,
+    };
+    let gang = Job {
+        shape: Shape::Gang,
+        priority: 2,
+        arrival: -5.0,
+        estimate: 50.0,
+        tasks: 1,
+        pending: 1,
+        need: res(8.0, 4.0, 8.0),
+        types: 1,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: 0,
+        image_gb: 1.0,
+        team: 0,
+        due: None,
+        zones: vec![],
+        avoid: vec![],
+    };
+    let team = Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY };
+    let mut input = Input {
+        machines: vec![busy(40.0, 0), busy(10.0, 0), busy(1.0, 2)],
+        jobs: vec![gang],
+        teams: vec![team],
+        online_factor: 1.0,
+        patience: 3.0,
+    };
+    let out = plan(&input);
+    assert_eq!(out.preempts, vec![plan::Preempt { machine: 1, task: 0 }]);
+    // Room that is coming is not made a second time.
+    input.machines[1].running[0].leaving = true;
+    assert!(plan(&input).preempts.is_empty());
+}
--- a/crates/standins/src/cloud.rs
+++ b/crates/standins/src/cloud.rs
@@ -57,7 +57,14 @@
         self.lists.retain(|(at, _)| at + 3 * self.lag_ms > now);
     }
 
-    pub fn handle(&mut self, now: u64, rng: &mut fastrand::Rng, method: &str, path: &str, body: &[u8]) -> (u16, Value) {
+    pub fn handle(
+        &mut self,
+        now: u64,
+        rng: &mut fastrand::Rng,
+        method: &str,
+        path: &str,
+        body: &[u8],
+    ) -> (u16, Value) {
         let path = path.split('?').next().unwrap_or("");
         match (method, path) {
             ("GET", "/catalog") => (200, serde_json::to_value(&self.catalog).unwrap_or_default()),
@@ -99,8 +106,13 @@
             self.next += 1;
             let name = format!("host-{:06}", self.next);
             let up_at = (rng.f64() > 0.03).then(|| now + rng.u64(1000..9000));
-            let rented =
-                Rented { machine_type: h.machine_type.clone(), zone: h.zone.clone(), spot: h.spot, since: now, up_at };
+            let rented = Rented {
+                machine_type: h.machine_type.clone(),
+                zone: h.zone.clone(),
+                spot: h.spot,
+                since: now,
+                up_at,
+            };
             self.machines.insert(name.clone(), rented);
             names.push(name);
         }
--- /dev/null
+++ b/crates/standins/src/loopback.rs
@@ -0,0 +1,346 @@
+//! The stand-ins on real sockets of this host, for tests of the real program.
+
+use crate::cloud::Cloud;
+use crate::state::{Outcome, State};
+use crate::worker::Worker;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+use wire::api::{Catalog, Cause, Kind, Orders, Redirect, TaskStage};
+use wire::http::{self, Response};
+use wire::records::{EndRec, JobRec};
+
+/// One request, one answer, one connection. `None` if none came.
+pub fn ask(to: SocketAddr, method: &str, path: &str, body: &[u8], timeout: Duration) -> Option<Response> {
+    let mut stream = TcpStream::connect_timeout(&to, timeout).ok()?;
+    stream.set_read_timeout(Some(timeout)).ok()?;
+    let mut out = Vec::new();
+    http::write_request(&mut out, "loopback", method, path, body);
+    stream.write_all(&out).ok()?;
+    let mut got = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        let n = stream.read(&mut chunk).ok()?;
+        got.extend_from_slice(&chunk[..n]);
+        match http::parse_response(&got, 1 << 20, n == 0) {
+            Ok(Some((response, _))) => return Some(response),
+            Ok(None) if n > 0 => {}
+            _ => return None,
+        }
+    }
+}
+
+/// Method, path and body to status and body.
+type Handler = dyn Fn(&str, &str, &[u8]) -> (u16, Vec<u8>) + Send + Sync;
+
+fn serve(listener: TcpListener, handler: Box<Handler>) {
+    let handler: Arc<Handler> = handler.into();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let handler = handler.clone();
+            thread::spawn(move || {
+                let _ = serve_one(stream, &*handler);
+            });
+        }
+    });
+}
+
+fn serve_one(mut stream: TcpStream, handler: &Handler) -> io::Result<()> {
+    let mut got = Vec::new();
+    let mut chunk = [0; 4096];
+    loop {
+        while let Ok(Some((request, used))) = http::parse_request(&got, 1 << 20) {
+            got.drain(..used);
+            let (status, body) = handler(&request.method, &request.path, &request.body);
+            let mut out = Vec::new();
+            http::write_response(&mut out, &Response { status, body, close: false, retry_after_s: None });
+            stream.write_all(&out)?;
+        }
+        let n = stream.read(&mut chunk)?;
+        if n == 0 {
+            return Ok(());
+        }
+        got.extend_from_slice(&chunk[..n]);
+    }
+}
+
+struct Inner {
+    start: Instant,
+    state: State,
+    cloud: Cloud,
+    workers: BTreeMap<String, Worker>,
+    /// Tasks that completed, in order.
+    completed: Vec<String>,
+    /// A task was on two machines at once.
+    ran_twice: Option<String>,
+}
+
+/// State service, cloud and workers on ports of this host.
+#[derive(Clone)]
+pub struct Loopback {
+    inner: Arc<Mutex<Inner>>,
+    pub state: SocketAddr,
+    pub cloud: SocketAddr,
+    nodes: Arc<Vec<(String, SocketAddr)>>,
+    pub run_ms: u64,
+    lease_ms: u64,
+}
+
+impl Loopback {
+    /// `nodes`: names and addresses of the controllers, for the workers.
+    pub fn start(
+        catalog: Catalog,
+        nodes: Vec<(String, SocketAddr)>,
+        run_ms: u64,
+        lease_ms: u64,
+    ) -> io::Result<Self> {
+        let (s, c) = (TcpListener::bind("127.0.0.1:0")?, TcpListener::bind("127.0.0.1:0")?);
+        let inner = Inner {
+            start: Instant::now(),
+            state: State::default(),
+            cloud: Cloud::new(catalog, 8, 200),
+            workers: BTreeMap::new(),
+            completed: Vec::new(),
+            ran_twice: None,
+        };
+        let all = Loopback {
+            inner: Arc::new(Mutex::new(inner)),
+            state: s.local_addr()?,
+            cloud: c.local_addr()?,
+            nodes: Arc::new(nodes),
+            run_ms,
+            lease_ms,
+        };
+        let me = all.clone();
+        serve(s, Box::new(move |method, path, body| me.state_service(method, path, body)));
+        let me = all.clone();
+        let cloud: Box<Handler> = Box::new(move |method, path, body| {
+            let mut i = me.lock();
+            let now = i.now();
+            let mut rng = fastrand::Rng::with_seed(1);
+            let (status, body) = i.cloud.handle(now, &mut rng, method, path, body);
+            for name in std::mem::take(&mut i.cloud.deleted) {
+                i.workers.remove(&name);
+            }
+            (status, wire::encode(&body))
+        });
+        serve(c, cloud);
+        let me = all.clone();
+        thread::spawn(move || {
+            loop {
+                me.boot();
+                thread::sleep(Duration::from_millis(50));
+            }
+        });
+        Ok(all)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        // A panic elsewhere has failed the test already.
+        self.inner.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
+    pub fn completed(&self) -> Vec<String> {
+        self.lock().completed.clone()
+    }
+
+    pub fn ran_twice(&self) -> Option<String> {
+        self.lock().ran_twice.clone()
+    }
+
+    /// Tasks that are on machines now.
+    pub fn on_machines(&self) -> Vec<String> {
+        let i = self.lock();
+        i.workers.values().flat_map(|w| &w.tasks).filter(|t| t.is_on()).map(|t| t.name.clone()).collect()
+    }
+
+    /// Who owns the fleet, by the record.
+    pub fn owner(&self) -> Option<String> {
+        let mut i = self.lock();
+        let now = i.now();
+        i.state.expire(now);
+        let owner = i.state.keys.get("sys/owner/0")?.value.get("node")?.as_str()?.to_owned();
+        Some(owner)
+    }
+
+    pub fn end_of(&self, job: &str) -> Option<EndRec> {
+        serde_json::from_value(self.lock().state.keys.get(&wire::records::end_key(job))?.value.clone()).ok()
+    }
+
+    fn state_service(&self, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        let watch = {
+            let mut i = self.lock();
+            let now = i.now();
+            i.state.expire(now);
+            match i.state.handle(now, method, path, body) {
+                Outcome::Now(status, body) => return (status, wire::encode(&body)),
+                Outcome::Wait(w) => w,
+            }
+        };
+        loop {
+            thread::sleep(Duration::from_millis(5));
+            let mut i = self.lock();
+            let now = i.now();
+            i.state.expire(now);
+            if let Some(v) = i.state.changes(&watch.prefix, watch.from) {
+                return (200, wire::encode(&v));
+            }
+            if now >= watch.until {
+                return (200, wire::encode(&json!({"ledger": i.state.revision, "log": []})));
+            }
+        }
+    }
+
+    /// Starts the workers of machines that have come up.
+    fn boot(&self) {
+        let mut i = self.lock();
+        let now = i.now();
+        i.cloud.snapshot(now);
+        let up: Vec<_> = i
+            .cloud
+            .machines
+            .iter()
+            .filter(|(n, r)| r.up_at.is_some_and(|at| at <= now) && !i.workers.contains_key(*n))
+            .map(|(n, r)| (n.clone(), r.machine_type.clone(), r.zone.clone(), r.spot))
+            .collect();
+        for (name, machine_type, zone, spot) in up {
+            let Ok(listener) = TcpListener::bind("127.0.0.1:0") else { continue };
+            let Ok(addr) = listener.local_addr() else { continue };
+            let mut worker = Worker::new(&name, &machine_type, &zone, spot, 0, now);
+            worker.addr = addr.to_string();
+            i.workers.insert(name.clone(), worker);
+            let (me, n) = (self.clone(), name.clone());
+            serve(listener, Box::new(move |_, path, body| me.direct(&n, path, body)));
+            let me = self.clone();
+            thread::spawn(move || while me.live(&name) {});
+        }
+    }
+
+    fn direct(&self, name: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
+        let mut i = self.lock();
+        let now = i.now();
+        let runs = self.runs(&i.state);
+        let Some(w) = i.workers.get_mut(name) else { return (500, Vec::new()) };
+        let mut status = 200;
+        if path == "/commands" {
+            let Ok(orders) = wire::decode::<Orders>(body) else { return (400, Vec::new()) };
+            status = w.commands(&orders, |t| runs.get(job_of(t)?).copied(), now);
+        }
+        (status, wire::encode(&w.report()))
+    }
+
+    /// What workers know of submitted jobs: fetch and run time.
+    fn runs(&self, state: &State) -> BTreeMap<String, (u64, u64)> {
+        let live = state.keys.iter().filter(|(k, _)| k.starts_with("live/"));
+        live.filter_map(|(_, e)| serde_json::from_value::<JobRec>(e.value.clone()).ok())
+            .map(|r| (r.spec.id, (100, if r.spec.kind == Kind::Service { 1 << 40 } else { self.run_ms })))
+            .collect()
+    }
+
+    /// One turn of a worker; false once its machine is gone.
+    fn live(&self, name: &str) -> bool {
+        thread::sleep(Duration::from_millis(40));
+        let (node, report, sent) = {
+            let mut guard = self.lock();
+            let i = &mut *guard;
+            let now = i.now();
+            let Some(w) = i.workers.get_mut(name) else { return false };
+            w.expire(now, self.lease_ms);
+            let mut begun = Vec::new();
+            for t in &mut w.tasks {
+                if t.stage == TaskStage::Fetching && t.fetched_at <= now {
+                    t.stage = TaskStage::Running;
+                    w.changed = true;
+                    begun.push(t.name.clone());
+                } else if t.stage == TaskStage::Running && t.ends_at <= now {
+                    t.stage = TaskStage::Exited;
+                    t.cause = Some(Cause::Done);
+                    w.changed = true;
+                    i.completed.push(t.name.clone());
+                }
+            }
+            let due = now >= w.next_report || (w.changed && now + 500 >= w.next_report);
+            let report = due.then(|| {
+                w.changed = false;
+                w.next_report = now + 800;
+                let r = w.report();
+                w.out = Some((r.seq, now));
+                r
+            });
+            let node = w.node;
+            for task in begun {
+                let on = |w: &Worker| w.tasks.iter().any(|t| t.name == task && t.is_on());
+                if i.workers.values().filter(|w| on(w)).count() > 1 {
+                    i.ran_twice.get_or_insert(task);
+                }
+            }
+            let Some(report) = report else { return true };
+            (node, report, now)
+        };
+        let number = report.seq;
+        let answer =
+            ask(self.nodes[node].1, "POST", "/hello", &wire::encode(&report), Duration::from_secs(4));
+        let mut i = self.lock();
+        let now = i.now();
+        let runs = self.runs(&i.state);
+        let Some(w) = i.workers.get_mut(name) else { return false };
+        let orders =
+            answer.as_ref().filter(|r| r.status == 200).and_then(|r| wire::decode::<Orders>(&r.body).ok());
+        if let Some(orders) = orders {
+            w.answered(number, sent, &orders, |t| runs.get(job_of(t)?).copied(), now);
+            return true;
+        }
+        w.out = None;
+        let to = answer
+            .filter(|r| r.status == 421)
+            .and_then(|r| wire::decode::<Redirect>(&r.body).ok()?.report_to);
+        match to.and_then(|t| self.nodes.iter().position(|(n, _)| *n == t)).filter(|t| *t != w.node) {
+            Some(t) => {
+                w.node = t;
+                w.next_report = now;
+            }
+            None => {
+                w.node = (w.node + 1) % self.nodes.len();
+                w.next_report = now + 300;
+            }
+        }
+        true
+    }
+}
+
+impl Inner {
+    fn now(&self) -> u64 {
+        1_000_000 + self.start.elapsed().as_millis() as u64
+    }
+}
+
+fn job_of(task: &str) -> Option<&str> {
+    wire::ids::parse_task(task).map(|(job, _)| job)
+}
+
+/// Settings of one of several controllers on loopback, as the platform would write them.
+pub fn settings(
+    node: usize,
+    clients: &[SocketAddr],
+    peers: &[SocketAddr],
+    cloud: SocketAddr,
+    state: SocketAddr,
+) -> Value {
+    let others: Vec<Value> = (0..clients.len())
+        .filter(|i| *i != node)
+        .map(|i| json!({"node": format!("burrow-{i}"), "domain": "a", "address": peers[i].to_string()}))
+        .collect();
+    json!({"node": format!("burrow-{node}"), "domain": "a", "client_listen": clients[node].to_string(),
+        "peer_bind": peers[node].to_string(), "peers": others,
+        "endpoints": {"cloud": cloud.to_string(), "state": state.to_string()},
+        "cluster": {"initial_size": clients.len(), "zones": ["a"],
+            "teams": [{"name": "red", "cpus": 0.0, "cpus_max": 0.0, "gpus": 4.0, "gpus_max": 8.0}],
+            "workers": {"report_s": 0.8, "lease_s": 20.0, "gang_wait_s": 10.0, "gang_peer_s": 3.0, "cancel_s": 20.0},
+            "state": {"rps": 300.0, "write_rps": 100.0, "value_kb": 8.0, "txn_ops": 16},
+            "cloud": {"rps": 20.0, "list_lag_s": 0.2},
+            "machine_limits": {"cores": 1.0, "mem_mb": 200.0, "max_sockets": 500}}, "clock_error_ms": 5.0})
+}
--- a/crates/standins/src/rules.rs
+++ b/crates/standins/src/rules.rs
@@ -6,11 +6,11 @@
 #[derive(Default)]
 pub struct Job {
     pub spec: Option<JobSpec>,
-    pub accepted: bool,
+    pub accepted: Option<u64>,
     pub submitted: bool,
     pub cancel_asked: bool,
     pub told_cancelled: Option<u64>,
-    pub told_done: bool,
+    pub told_done: Option<u64>,
     pub done: BTreeSet<u32>,
 }
 
@@ -50,11 +50,12 @@
             let what = format!("{now}: {} starts", new.task);
             return self.breaks("ran_cancelled", what);
         }
-        let mut zones: Vec<&str> = others.iter().filter(|o| o.task.starts_with(&format!("{id}/"))).map(|o| o.zone).collect();
+        let mut zones: Vec<&str> =
+            others.iter().filter(|o| o.task.starts_with(&format!("{id}/"))).map(|o| o.zone).collect();
         let foreign = spec.one_zone && zones.iter().any(|z| *z != new.zone);
         zones.push(new.zone);
-        let crowded = spec.spread
-            && zones.iter().filter(|z| **z == new.zone).count() > spec.tasks.div_ceil(2) as usize;
+        let crowded =
+            spec.spread && zones.iter().filter(|z| **z == new.zone).count() > spec.tasks.div_ceil(2) as usize;
         let wrong = foreign
             || crowded
             || (new.spot && !spec.spot)
@@ -96,14 +97,25 @@
     }
 
     /// A user is told something about a job: the status and the stage, if any. `submission` says what was asked.
-    pub fn told(&mut self, now: u64, id: &str, status: u16, stage: Option<Stage>, submission: bool) {
+    /// What was asked before another answer was given may still be answered from before it.
+    pub fn told(
+        &mut self,
+        now: u64,
+        asked: u64,
+        id: &str,
+        status: u16,
+        stage: Option<Stage>,
+        submission: bool,
+    ) {
         let job = self.jobs.entry(id.to_owned()).or_default();
-        let (was_done, was_cancelled, accepted) = (job.told_done, job.told_cancelled.is_some(), job.accepted);
+        let before = |told: Option<u64>| told.is_some_and(|at| at < asked);
+        let (was_done, was_cancelled) = (before(job.told_done), before(job.told_cancelled));
+        let accepted = before(job.accepted);
         let mut broken: Option<&'static str> = None;
         match (status, stage) {
             (200 | 201, _) if !job.submitted => broken = Some("invented"),
             (200 | 201, Some(stage)) => {
-                job.accepted = true;
+                job.accepted.get_or_insert(now);
                 if (was_done && stage != Stage::Done) || (was_cancelled && stage != Stage::Cancelled) {
                     broken = Some("went_back");
                 }
@@ -113,7 +125,7 @@
                         if job.done.len() < tasks as usize {
                             broken = Some("not_done");
                         }
-                        job.told_done = true;
+                        job.told_done.get_or_insert(now);
                     }
                     Stage::Cancelled => {
                         if !job.cancel_asked {
--- /dev/null
+++ b/crates/wire/tests/formats.rs
@@ -0,0 +1,289 @@
+//! Round trips of generated messages, and arbitrary bytes.
+
+use proptest::prelude::*;
+use wire::api::*;
+use wire::http::{self, Bad};
+use wire::records::{pack_bits, unpack_bits};
+use wire::{ids, peer};
+
+fn spec() -> impl Strategy<Value = JobSpec> {
+    let kind = prop_oneof![Just(Kind::Array), Just(Kind::Gang), Just(Kind::Service)];
+    let priority = prop_oneof![
+        Just(Priority::Low),
+        Just(Priority::Normal),
+        Just(Priority::High),
+        Just(Priority::Production)
+    ];
+    let names = ("[a-z-]{1,20}", "[a-z-]{1,20}", "[a-z0-9-]{1,20}");
+    let amounts = proptest::collection::vec(0.0f64..1e6, 7);
+    let types = proptest::option::of(proptest::collection::vec("[a-z0-9]{1,8}", 0..4));
+    let flags = (any::<bool>(), any::<bool>(), any::<bool>());
+    (0u64..1_000_000, kind, priority, names, 1u32..=MAX_TASKS, amounts, types, flags, any::<bool>()).prop_map(
+        |(id, kind, priority, (class, team, image), tasks, a, types, (one_zone, spread, spot), due)| {
+            JobSpec {
+                id: format!("job-{id:06}"),
+                class,
+                team,
+                kind,
+                priority,
+                tasks,
+                cores: a[0],
+                gpus: a[1],
+                mem_gb: a[2],
+                image,
+                image_gb: a[3],
+                types,
+                zone: spread.then(|| "a".to_owned()),
+                one_zone,
+                spread,
+                spot,
+                estimate_s: a[4],
+                checkpoint_s: a[5],
+                save_s: a[6],
+                deadline_s: due.then_some(a[4] * 3.0),
+            }
+        },
+    )
+}
+
+fn report() -> impl Strategy<Value = Report> {
+    let stage = prop_oneof![
+        Just(TaskStage::Fetching),
+        Just(TaskStage::Waiting),
+        Just(TaskStage::Running),
+        Just(TaskStage::Saving),
+        Just(TaskStage::Exited)
+    ];
+    let cause =
+        proptest::option::of(prop_oneof![Just(Cause::Done), Just(Cause::NoRoom), Just(Cause::Incomplete)]);
+    let task = (0u64..1000, 0u32..1000, any::<u64>(), stage, cause, proptest::option::of(any::<bool>()))
+        .prop_map(|(job, n, attempt, stage, cause, saved)| TaskReport {
+            task: ids::task_name(&format!("job-{job:06}"), n),
+            attempt,
+            stage,
+            cause,
+            saved,
+        });
+    let numbers = (any::<u64>(), any::<u64>(), any::<u64>());
+    (numbers, proptest::option::of(0.0f64..100.0), proptest::collection::vec(task, 0..20)).prop_map(
+        |((session, seq, token), notice_s, tasks)| Report {
+            machine: "host-000001".into(),
+            addr: "10.1.0.1:9000".into(),
+            machine_type: "g8".into(),
+            zone: "a".into(),
+            spot: true,
+            session,
+            seq,
+            token,
+            notice_s,
+            tasks,
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(7), ..ProptestConfig::default() })]
+
+    #[test]
+    fn messages_survive_the_trip(spec in spec(), report in report()) {
+        prop_assert!(spec.check().is_ok());
+        prop_assert_eq!(&wire::decode::<JobSpec>(&wire::encode(&spec)).unwrap(), &spec);
+        prop_assert_eq!(&wire::decode::<Report>(&wire::encode(&report)).unwrap(), &report);
+        let ask = peer::Ask::Cancel { job: spec.id.clone() };
+        prop_assert_eq!(peer::decode::<peer::Ask>(&peer::encode(&ask)).unwrap(), ask);
+    }
+
+    #[test]
+    fn arbitrary_bytes_are_refused_or_read_but_never_more(bytes in proptest::collection::vec(any::<u8>(), 0..400)) {
+        let _ = wire::decode::<JobSpec>(&bytes);
+        let _ = wire::decode::<Report>(&bytes);
+        let _ = peer::decode::<peer::Ask>(&bytes);
+        let _ = http::parse_response(&bytes, 1000, true);
+        if let Ok(Some((request, used))) = http::parse_request(&bytes, 100) {
+            prop_assert!(used <= bytes.len() && request.body.len() <= 100);
+        }
+    }
+
+    /// A message cut short anywhere is not read as another one, and a truncated head asks for more.
+    #[test]
+    fn cut_messages_are_not_read(spec in spec(), cut in 0.0f64..1.0) {
+        let body = wire::encode(&spec);
+        let at = (body.len() as f64 * cut) as usize;
+        prop_assert!(wire::decode::<JobSpec>(&body[..at]).is_err());
+        let mut bytes = Vec::new();
+        http::write_request(&mut bytes, "h", "POST", "/work", &body);
+        let at = (bytes.len() as f64 * cut) as usize;
+        prop_assert_eq!(http::parse_request(&bytes[..at], BODY_LIMIT), Ok(None));
+        let (request, used) = http::parse_request(&bytes, BODY_LIMIT).unwrap().unwrap();
+        prop_assert_eq!((used, request.body), (bytes.len(), body));
+    }
+
+    #[test]
+    fn a_changed_byte_never_panics(spec in spec(), at in any::<prop::sample::Index>(), byte in any::<u8>()) {
+        let mut body = wire::encode(&spec);
+        let at = at.index(body.len());
+        body[at] = byte;
+        if let Ok(read) = wire::decode::<JobSpec>(&body) {
+            let _ = read.check();
+        }
+    }
+
+    #[test]
+    fn bits_survive_the_trip(bits in proptest::collection::vec(any::<bool>(), 0..300)) {
+        let set: Vec<u32> = (0u32..).zip(&bits).filter(|(_, b)| **b).map(|(i, _)| i).collect();
+        prop_assert_eq!(unpack_bits(&pack_bits(&bits)).collect::<Vec<_>>(), set);
+    }
+
+    #[test]
+    fn task_names_survive_and_strangers_do_not(id in 0u64..1_000_000, n in any::<u32>(), other in "[ -~]{0,30}") {
+        let job = format!("job-{id:06}");
+        let name = ids::task_name(&job, n);
+        prop_assert_eq!(ids::parse_task(&name), Some((job.as_str(), n)));
+        if let Some((j, n)) = ids::parse_task(&other) {
+            prop_assert_eq!(ids::task_name(j, n), other);
+        }
+    }
+
+    #[test]
+    fn chunked_answers_are_joined(parts in proptest::collection::vec(proptest::collection::vec(any::<u8>(), 1..50), 0..6)) {
+        let mut bytes = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+        for p in &parts {
+            bytes.extend_from_slice(format!("{:x}\r\n", p.len()).as_bytes());
+            bytes.extend_from_slice(p);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        prop_assert_eq!(http::parse_response(&bytes, 1000, false), Ok(None));
+        bytes.extend_from_slice(b"0\r\n\r\n");
+        let (response, used) = http::parse_response(&bytes, 1000, false).unwrap().unwrap();
+        prop_assert_eq!((response.body, used), (parts.concat(), bytes.len()));
+    }
+}
+
+#[test]
+fn numbers_out_of_bounds_are_refused_by_name() {
+    let good = serde_like_spec();
+    assert!(good.check().is_ok());
+    type Change = fn(&mut JobSpec);
+    let spoil: [(&str, Change); 7] = [
+        ("nameId", |s| s.id = "task-1".into()),
+        ("nameId", |s| s.id = "job-1/2".into()),
+        ("pieces", |s| s.tasks = 0),
+        ("pieces", |s| s.tasks = MAX_TASKS + 1),
+        ("amounts", |s| s.gpus = f64::NAN),
+        ("amounts", |s| s.cores = f64::INFINITY),
+        ("amounts", |s| s.estimate_s = -1.0),
+    ];
+    for (field, change) in spoil {
+        let mut bad = good.clone();
+        change(&mut bad);
+        assert_eq!(bad.check(), Err(field));
+    }
+}
+
+fn serde_like_spec() -> JobSpec {
+    JobSpec {
+        id: "job-000001".into(),
+        class: "c".into(),
+        team: "t".into(),
+        kind: Kind::Array,
+        priority: Priority::Low,
+        tasks: 1,
+        cores: 1.0,
+        gpus: 0.0,
+        mem_gb: 1.0,
+        image: "i".into(),
+        image_gb: 0.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s: 1.0,
+        checkpoint_s: 0.0,
+        save_s: 0.0,
+        deadline_s: None,
+    }
+}
+
+/// Unknown fields are ignored, null may be left out, whole numbers stand for amounts; a missing field or a wrong
+/// type is an error, and a huge declared length costs nothing.
+#[test]
+fn submissions_are_read_as_the_protocol_says() {
+    #[derive(serde::Serialize)]
+    struct Extra {
+        #[serde(flatten)]
+        spec: std::collections::BTreeMap<String, rmp_value::Value>,
+    }
+    mod rmp_value {
+        #[derive(serde::Serialize, Clone)]
+        #[serde(untagged)]
+        pub enum Value {
+            Text(&'static str),
+            Int(i64),
+            Bool(bool),
+            Deep(Vec<Value>),
+        }
+    }
+    use rmp_value::Value::*;
+    let fields = [
+        ("nameId", Text("job-000007")),
+        ("lot", Text("c")),
+        ("desk", Text("t")),
+        ("shape", Text("group")),
+        ("urgency", Text("high")),
+        ("pieces", Int(4)),
+        ("cores", Int(8)),
+        ("gpus", Int(1)),
+        ("ramGb", Int(64)),
+        ("kit", Text("img")),
+        ("pullGb", Int(6)),
+        ("together", Bool(true)),
+        ("spread", Bool(false)),
+        ("loaners", Bool(true)),
+        ("expectS", Int(240)),
+        ("bookmarkS", Int(30)),
+        ("stashS", Int(4)),
+    ];
+    let map = |skip: &str| Extra {
+        spec: fields.iter().filter(|(n, _)| *n != skip).map(|(n, v)| ((*n).to_owned(), v.clone())).collect(),
+    };
+    let mut whole = map("");
+    whole.spec.insert("novel".into(), Deep(vec![Int(1)]));
+    let spec: JobSpec = wire::decode(&wire::encode(&whole)).expect("well formed");
+    assert_eq!((spec.tasks, spec.cores, spec.deadline_s, spec.kind), (4, 8.0, None, Kind::Gang));
+    for (name, _) in &fields {
+        assert!(wire::decode::<JobSpec>(&wire::encode(&map(name))).is_err(), "{name} may not be missing");
+    }
+    let mut wrong = map("");
+    wrong.spec.insert("pieces".into(), Int(-1));
+    assert!(wire::decode::<JobSpec>(&wire::encode(&wrong)).is_err());
+    let mut deep = Int(1);
+    for _ in 0..5000 {
+        deep = Deep(vec![deep]);
+    }
+    wrong.spec.insert("novel".into(), deep.clone());
+    assert!(wire::decode::<JobSpec>(&wire::encode(&wrong)).is_err(), "deep nesting is cut off");
+    std::mem::forget(deep);
+    // A list that says it has four thousand million entries.
+    assert!(wire::decode::<Report>(&[0xdd, 0xff, 0xff, 0xff, 0xff]).is_err());
+}
+
+#[test]
+fn heads_out_of_bounds_get_their_status() {
+    let parse = |text: &str| http::parse_request(text.as_bytes(), 100);
+    assert_eq!(parse("POST /work HTTP/1.1\r\nContent-Length: 101\r\n\r\n"), Err(Bad(413)));
+    assert_eq!(
+        parse("POST /work HTTP/1.1\r\nContent-Length: 99999999999999999999999\r\n\r\n"),
+        Err(Bad(413))
+    );
+    assert_eq!(parse("POST /work HTTP/1.1\r\nContent-Length: -1\r\n\r\n"), Err(Bad(400)));
+    assert_eq!(parse("POST /work HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n"), Err(Bad(400)));
+    assert_eq!(parse("POST /work HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"), Err(Bad(411)));
+    assert_eq!(parse("nonsense\r\n\r\n"), Err(Bad(400)));
+    assert_eq!(parse(&format!("GET /{} HTTP/1.1\r\n", "x".repeat(9000))), Err(Bad(431)));
+    let many: String = (0..60).map(|i| format!("h{i}: x\r\n")).collect();
+    assert_eq!(parse(&format!("GET / HTTP/1.1\r\n{many}\r\n")), Err(Bad(431)));
+    assert_eq!(parse("GET / HTTP/1.1\r\nHost: x\r\n"), Ok(None));
+    let chunk = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n";
+    assert_eq!(http::parse_response(chunk, 1000, false), Err(Bad(502)));
+}
