--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -6,26 +6,36 @@
 
 use crate::election::PART;
 use crate::jobs::{Ending, JobIx};
+use crate::ledger::{ClaimId, Segment};
 use crate::machines::ClaimState;
-use crate::part::HireState;
+use crate::part::{HireState, Part};
 use crate::{Dest, Node, Pending};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use wire::api::{Guard, Item, JobState, Revision, Txn, Write};
 use wire::http::Response;
-use wire::records::{self, DoneRec, EndRec, Record, TokenRec};
+use wire::records::{self, ClaimsRec, DoneRec, EndRec, KindRec, LogRec, RackRec, Record, TokenRec};
 
 enum Op {
     End(JobIx),
     Token(u64),
     Hire(String),
     HireOver(String),
-    Chunk(JobIx, u32, String),
-    Machine(usize),
-    MachineGone(usize),
+    Log(Log),
+    LogOver(u64),
+    Rack(u64, BTreeSet<usize>),
+    RackOver(u64),
     Catalog,
     Allot,
 }
 
+/// A log record on its way.
+struct Log {
+    number: u64,
+    claims: Vec<ClaimId>,
+    /// Results, and whether they are all that the job has.
+    done: Vec<(JobIx, Vec<u32>, bool)>,
+}
+
 #[derive(Default)]
 pub(crate) struct Commit {
     ops: Vec<Op>,
@@ -38,10 +48,17 @@
     retry_at: u64,
     raised_at: u64,
     writes: usize,
+    /// When results and losses alone were last worth a write.
+    tidied_at: u64,
 }
 
+/// Results and returned machines wait this long for something to travel with.
+const TIDY_MS: u64 = 1000;
+/// With more log records than this, the oldest are moved into new ones.
+const SEGMENTS: usize = 400;
+
 /// Larger transactions are cut, well below the service's 64 KiB.
-const SIZE: usize = 24 * 1024;
+const SIZE: usize = 40 * 1024;
 
 struct Draft {
     ops: Vec<Op>,
@@ -69,6 +86,178 @@
         self.guards.push(Guard { key: key.clone(), version });
         self.writes.push(Write::Remove { key });
     }
+
+    fn end(&mut self, part: &mut Part, ix: JobIx) {
+        let Some(job) = part.job_mut(ix) else { return };
+        let Ending::Wanted(stage) = job.ending else { return };
+        let done = job.done_count;
+        self.put(records::end_key(&job.id), 0, Record::End(EndRec { stage, done }));
+        self.remove(records::live_key(&job.id), job.version);
+        job.ending = Ending::Writing(stage);
+        self.ops.push(Op::End(ix));
+    }
+
+    /// One log record: claims as far as they fit, then results, then what is moved out of the oldest record.
+    fn log(&mut self, part: &mut Part, value: usize, max_guards: usize) {
+        let mut log = Log { number: part.next_log(), claims: Vec::new(), done: Vec::new() };
+        let mut entries: BTreeMap<(JobIx, u64), BTreeMap<usize, BTreeSet<u32>>> = BTreeMap::new();
+        let mut size = 64;
+        let mut grow = |part: &Part, id: &ClaimId| {
+            let (Some(job), Some(machine)) = (part.job(id.job), part.machine(id.machine)) else {
+                return false;
+            };
+            let known = entries.contains_key(&(id.job, id.attempt));
+            let more = ClaimsRec::entry(&machine.name)
+                + if known { 0 } else { ClaimsRec::frame(&job.id, &job.team) };
+            if size + more > value {
+                return false;
+            }
+            size += more;
+            let on = entries.entry((id.job, id.attempt)).or_default();
+            on.entry(id.machine).or_default().insert(id.task);
+            true
+        };
+        while let Some(id) = part.ledger.fresh.front().copied() {
+            let Some(claim) = part.claim_mut(&id).filter(|c| c.state == ClaimState::New) else {
+                part.ledger.fresh.pop_front();
+                continue;
+            };
+            let sent = claim.sent;
+            let Some(job) = part.job(id.job) else { return };
+            // What was planned for a job that has ended meanwhile is dropped: nothing was sent, and a guard on
+            // the job's record would fail the whole transaction.
+            if job.is_ending() && !sent {
+                part.ledger.fresh.pop_front();
+                part.drop_claim(&id);
+                continue;
+            }
+            // The claims' jobs are guarded too: a claim must not come after its job's end.
+            let key = records::live_key(&job.id);
+            let guarded = job.is_ending() || self.guards.iter().any(|g| g.key == key);
+            if !guarded && self.guards.len() + 2 >= max_guards {
+                break;
+            }
+            let version = job.version;
+            if !grow(part, &id) {
+                break;
+            }
+            if !guarded {
+                self.guards.push(Guard { key, version });
+            }
+            if let Some(claim) = part.claim_mut(&id) {
+                claim.state = ClaimState::Writing;
+            }
+            part.ledger.fresh.pop_front();
+            log.claims.push(id);
+        }
+        // The oldest record's claims that still hold, where there are too many records.
+        let old = part.ledger.segments.first_key_value().map(|(n, _)| *n);
+        let old = old.filter(|_| part.ledger.segments.len() > SEGMENTS);
+        let moving = old.and_then(|n| part.ledger.segments.get(&n));
+        for id in moving.map(|s| s.claims.clone()).unwrap_or_default() {
+            let holds = part
+                .claim_mut(&id)
+                .is_some_and(|c| c.state == ClaimState::Recorded && Some(c.segment) == old);
+            if holds && grow(part, &id) {
+                log.claims.push(id);
+            }
+        }
+        let mut rec = LogRec::default();
+        for ((ix, attempt), on) in entries {
+            let Some(job) = part.job(ix) else { continue };
+            let mut list = Vec::new();
+            for (m, tasks) in on {
+                let Some(machine) = part.machine(m) else { continue };
+                let tasks = records::ranges(tasks);
+                list.extend(tasks.into_iter().map(|(first, n)| (machine.name.clone(), first, n)));
+            }
+            rec.claims.push(ClaimsRec {
+                job: job.id.clone(),
+                team: job.team.clone(),
+                cores: job.need.cores,
+                gpus: job.need.gpus,
+                mem_gb: job.need.mem_gb,
+                attempt,
+                on: list,
+            });
+        }
+        let moved: Vec<JobIx> = old
+            .and_then(|n| part.ledger.segments.get(&n))
+            .map(|s| s.jobs.iter().copied().collect())
+            .unwrap_or_default();
+        let unsaved: Vec<JobIx> = part.ledger.unsaved.iter().copied().collect();
+        let results = unsaved.into_iter().map(|ix| (ix, false)).chain(moved.into_iter().map(|ix| (ix, true)));
+        for (ix, all) in results {
+            let Some(job) = part.job(ix).filter(|j| j.ending == Ending::No) else {
+                part.ledger.unsaved.remove(&ix);
+                continue;
+            };
+            let mut tasks: Vec<u32> =
+                if all { job.saved().collect() } else { job.unsaved.iter().copied().collect() };
+            let mut list = records::ranges(tasks.iter().copied());
+            let frame = size + DoneRec::frame(&job.id);
+            let fits = value.saturating_sub(frame) / DoneRec::ENTRY;
+            if fits == 0 || (all && list.len() > fits) {
+                continue;
+            }
+            if list.len() > fits {
+                list.truncate(fits);
+                let most = records::unrange(&list).count();
+                tasks.truncate(most);
+            } else if !all {
+                part.ledger.unsaved.remove(&ix);
+            }
+            size = frame + list.len() * DoneRec::ENTRY;
+            let id = part.job(ix).map(|j| j.id.clone()).unwrap_or_default();
+            rec.done.push(DoneRec { job: id, tasks: list });
+            log.done.push((ix, tasks, all));
+        }
+        if rec.claims.is_empty() && rec.done.is_empty() {
+            return;
+        }
+        self.put(records::log_key(PART, log.number), 0, Record::Log(rec));
+        self.ops.push(Op::Log(log));
+    }
+
+    /// Writes a rack as it stands now, or removes it.
+    fn rack(&mut self, part: &mut Part, number: u64) {
+        part.ledger.gone_from.remove(&number);
+        let Some(rack) = part.ledger.racks.get(&number) else { return };
+        let key = records::rack_key(PART, number);
+        if rack.machines.is_empty() {
+            if rack.version > 0 {
+                self.remove(key, rack.version);
+                self.ops.push(Op::RackOver(number));
+            } else {
+                part.ledger.racks.remove(&number);
+            }
+            return;
+        }
+        let mut rec = RackRec::default();
+        for machine in rack.machines.iter().filter_map(|m| part.machine(*m)) {
+            let same = |k: &&mut KindRec| {
+                k.machine_type == machine.machine_type && k.zone == machine.zone && k.spot == machine.spot
+            };
+            let entry = (machine.name.clone(), machine.hired_ms);
+            match rec.kinds.iter_mut().find(same) {
+                Some(kind) => kind.machines.push(entry),
+                None => rec.kinds.push(KindRec {
+                    machine_type: machine.machine_type.clone(),
+                    zone: machine.zone.clone(),
+                    spot: machine.spot,
+                    machines: vec![entry],
+                }),
+            }
+        }
+        let op = Op::Rack(number, rack.machines.clone());
+        self.put(key, rack.version, Record::Rack(rec));
+        self.ops.push(op);
+    }
+}
+
+/// What a value may take, with some distance to the service's own count.
+pub(crate) fn value_limit(value_kb: f64) -> usize {
+    (value_kb * 1024.0 * 0.95) as usize
 }
 
 impl Node {
@@ -101,8 +290,8 @@
         self.to_write = false;
         let Some(draft) = self.draft(budget) else { return };
         let Some(part) = &mut self.part else { return };
+        let writes = draft.writes.len();
         let body = wire::encode(&Txn { guards: draft.guards, writes: draft.writes });
-        let writes = draft.ops.len();
         part.commit.ops = draft.ops;
         part.commit.probe = draft.probe;
         part.commit.body = body.clone();
@@ -116,8 +305,9 @@
     /// Gathers what is to be written, most urgent first.
     fn draft(&mut self, budget: usize) -> Option<Draft> {
         let now = self.now.mono;
-        let txn_ops = self.settings.cluster.state.txn_ops;
-        let max_guards = txn_ops * 4;
+        let limits = &self.settings.cluster.state;
+        let max_guards = limits.txn_ops * 4;
+        let value = value_limit(limits.value_kb);
         let shared_token = (self.shared.token, self.shared.token_version);
         let catalog = self.shared.catalog.as_ref();
         let catalog_version = self.shared.catalog_version;
@@ -129,126 +319,48 @@
             probe: None,
             size: 0,
         };
-        // An end needs room for all its removals at once; with a full bucket there always is.
-        for ix in 0..part.jobs.len() {
-            let Some(job) = part.jobs[ix].as_mut() else { continue };
-            let Ending::Wanted(stage) = job.ending else { continue };
-            let need = 2 + job.chunks.len();
-            if d.writes.len() + need > budget.max(if d.writes.is_empty() { txn_ops } else { 0 }) {
-                continue;
-            }
-            let done = job.done_count;
-            d.put(records::end_key(&job.id), 0, Record::End(EndRec { stage, done }));
-            d.remove(records::live_key(&job.id), job.version);
-            for (chunk, version) in &job.chunks {
-                d.remove(records::done_key(&job.id, *chunk), *version);
-            }
-            job.ending = Ending::Writing(stage);
-            d.ops.push(Op::End(ix));
+        let tidy = now >= part.commit.tidied_at + TIDY_MS;
+        // Ends come first, but they do not keep claims waiting for ever.
+        let for_ends = budget - usize::from(budget > 2 && !part.ledger.fresh.is_empty());
+        while d.writes.len() + 2 <= for_ends && d.guards.len() + 2 < max_guards {
+            let Some(ix) = part.ledger.ending.pop_front() else { break };
+            d.end(part, ix);
         }
-        if let Some(whole) = part.allot_wanted.take() {
+        let room = |d: &Draft| d.writes.len() < budget && d.size < SIZE && d.guards.len() + 2 < max_guards;
+        if room(&d)
+            && let Some(whole) = part.allot_wanted.take()
+        {
             d.put(records::allot_key(PART), part.allot_version, Record::Allot(whole.clone()));
             part.allot = Some(whole);
             part.allot_version = 0;
             d.ops.push(Op::Allot);
         }
-        let room = |d: &Draft| d.writes.len() < budget && d.size < SIZE && d.guards.len() + 2 < max_guards;
         if part.raise_token && now >= part.commit.raised_at + 3000 && room(&d) {
             let token = shared_token.0.max(part.token) + 1;
             d.put(records::TOKEN.into(), shared_token.1, Record::Token(TokenRec { token }));
             d.ops.push(Op::Token(token));
             part.commit.raised_at = now;
         }
-        for (name, hire) in &part.hires {
+        for (name, hire) in part.hires.iter().filter(|(_, h)| h.state == HireState::New) {
             if !room(&d) {
                 break;
             }
             let key = format!("{}{name}", records::hires_prefix(PART));
-            if hire.state == HireState::New {
-                d.put(key, 0, Record::Hire(hire.rec.clone()));
-                d.ops.push(Op::Hire(name.clone()));
-            }
-        }
-        for ix in 0..part.jobs.len() {
-            let Some(job) = part.jobs[ix].as_ref() else { continue };
-            if job.ending != Ending::No {
-                continue;
-            }
-            for chunk in job.dirty_chunks.iter().copied() {
-                if !room(&d) {
-                    break;
-                }
-                let bits = job.chunk_bits(chunk);
-                let version = job.chunks.get(&chunk).copied().unwrap_or(0);
-                d.put(
-                    records::done_key(&job.id, chunk),
-                    version,
-                    Record::Done(DoneRec { tasks: bits.clone() }),
-                );
-                d.ops.push(Op::Chunk(ix, chunk, bits));
-            }
-        }
-        // What was planned for a job that has ended meanwhile is dropped: nothing was sent, and a guard on the
-        // job's record would fail the whole transaction.
-        for (m, machine) in part.machines.iter_mut().enumerate() {
-            for c in machine.iter_mut().flat_map(|x| &mut x.claims).filter(|c| c.state == ClaimState::New) {
-                if let Some(job) = part.jobs.get_mut(c.job).and_then(Option::as_mut).filter(|j| j.is_ending())
-                {
-                    c.state = ClaimState::Ended;
-                    job.unclaim(c.task, m, c.attempt);
-                }
-            }
+            d.put(key, 0, Record::Hire(hire.rec.clone()));
+            d.ops.push(Op::Hire(name.clone()));
         }
-        // Machines, starting somewhere else each time so that none is always last.
-        let n = part.machines.len();
-        let turn = if n == 0 { 0 } else { part.serial as usize % n };
-        for m in (turn..n).chain(0..turn) {
-            if !room(&d) {
+        // Claims, with the results that have gathered. Room is left for the guards on the claims' jobs.
+        while room(&d) && (!part.ledger.fresh.is_empty() || (tidy && !part.ledger.unsaved.is_empty())) {
+            let before = d.ops.len();
+            d.log(part, value, max_guards);
+            if d.ops.len() == before {
                 break;
             }
-            let jobs = &part.jobs;
-            let Some(machine) = part.machines[m].as_mut() else { continue };
-            if !machine.dirty || machine.writing {
-                continue;
-            }
-            let key = format!("{}{}", records::machines_prefix(PART), machine.name);
-            if machine.gone {
-                if machine.version == 0 {
-                    continue;
-                }
-                d.remove(key, machine.version);
-                machine.writing = true;
-                d.ops.push(Op::MachineGone(m));
-                continue;
-            }
-            // The claims' jobs are guarded too: a claim must not come after its job's end.
-            let fresh: BTreeSet<JobIx> =
-                machine.claims.iter().filter(|c| c.state == ClaimState::New).map(|c| c.job).collect();
-            if d.guards.len() + 1 + fresh.len() > max_guards {
-                continue;
-            }
-            for ix in fresh {
-                let Some(job) = jobs.get(ix).and_then(Option::as_ref) else { continue };
-                let key = records::live_key(&job.id);
-                if !d.guards.iter().any(|g| g.key == key) {
-                    d.guards.push(Guard { key, version: job.version });
-                }
-            }
-            for c in &mut machine.claims {
-                match c.state {
-                    ClaimState::New => c.state = ClaimState::Writing,
-                    ClaimState::Ended => c.state = ClaimState::Dropping,
-                    _ => {}
-                }
-            }
-            let rec = machine.record(|ix| {
-                let job = jobs.get(ix)?.as_ref()?;
-                Some((job.id.clone(), job.team.clone(), job.need))
-            });
-            d.put(key, machine.version, Record::Machine(rec));
-            machine.dirty = false;
-            machine.writing = true;
-            d.ops.push(Op::Machine(m));
+        }
+        while room(&d)
+            && let Some(n) = part.ledger.new_in.pop_first()
+        {
+            d.rack(part, n);
         }
         let over: Vec<(String, u64)> = part
             .hires
@@ -256,10 +368,9 @@
             .filter(|(_, h)| h.state == HireState::Over)
             .map(|(n, h)| (n.clone(), h.version))
             .collect();
-        // A hire goes only after its machines stand in the state service.
-        let machines_wait = part.machines.iter().flatten().any(|m| m.dirty && m.version == 0);
+        // A hire goes only together with, or after, the record of its machines.
         for (name, version) in over {
-            if machines_wait || !room(&d) {
+            if !part.ledger.new_in.is_empty() || !room(&d) {
                 break;
             }
             d.remove(format!("{}{name}", records::hires_prefix(PART)), version);
@@ -270,12 +381,26 @@
             && let Some(c) = catalog
         {
             part.catalog_dirty = false;
-            let fits = wire::encode(c).len() as f64 * 1.3 < self.settings.cluster.state.value_kb * 1024.0;
-            if fits {
+            if wire::encode(c).len() as f64 * 1.3 < self.settings.cluster.state.value_kb * 1024.0 {
                 d.put(records::CATALOG.into(), catalog_version, Record::Catalog(c.clone()));
                 d.ops.push(Op::Catalog);
             }
         }
+        if tidy {
+            part.commit.tidied_at = now;
+            while room(&d)
+                && let Some(n) = part.ledger.gone_from.pop_first()
+            {
+                d.rack(part, n);
+            }
+            while room(&d)
+                && let Some(n) = part.ledger.garbage.pop_first()
+            {
+                let Some(segment) = part.ledger.segments.get(&n) else { continue };
+                d.remove(records::log_key(PART, n), segment.version);
+                d.ops.push(Op::LogOver(n));
+            }
+        }
         (!d.writes.is_empty()).then_some(d)
     }
 
@@ -362,6 +487,8 @@
                         let waiters = std::mem::take(&mut job.waiters);
                         self.finals.put(&job.id, stage, job.done_count);
                         told.extend(waiters.into_iter().map(|w| (w, state.clone())));
+                        let segments = std::mem::take(&mut job.segments);
+                        part.ledger.results_over(ix, segments);
                     }
                     changed.insert(ix);
                 }
@@ -371,8 +498,10 @@
                     part.raise_token = false;
                     self.shared.token = token;
                     self.shared.token_version = self.shared.token_version.max(revision);
-                    for machine in part.machines.iter_mut().flatten() {
-                        machine.push |= machine.taint.is_some();
+                    for (m, machine) in part.machines.iter().enumerate() {
+                        if machine.as_ref().is_some_and(|x| x.taint.is_some()) {
+                            part.push.insert(m);
+                        }
                     }
                 }
                 Op::Hire(name) => {
@@ -384,28 +513,27 @@
                 Op::HireOver(name) => {
                     part.hires.remove(&name);
                 }
-                Op::Chunk(ix, chunk, bits) => {
-                    let Some(job) = part.job_mut(ix) else { continue };
-                    job.chunks.insert(chunk, revision);
-                    if job.chunk_bits(chunk) == bits {
-                        job.dirty_chunks.remove(&chunk);
-                    }
+                Op::Log(log) => part.log_stands(log, revision),
+                Op::LogOver(n) => {
+                    part.ledger.segments.remove(&n);
                 }
-                Op::Machine(m) => {
-                    let Some(machine) = part.machine_mut(m) else { continue };
-                    machine.version = revision;
-                    machine.writing = false;
-                    machine.claims.retain(|c| c.state != ClaimState::Dropping);
-                    for c in machine.claims.iter_mut().filter(|c| c.state == ClaimState::Writing) {
-                        c.state = ClaimState::Recorded;
-                        machine.push = true;
+                Op::Rack(n, machines) => {
+                    if let Some(rack) = part.ledger.racks.get_mut(&n) {
+                        rack.version = revision;
+                    }
+                    for m in machines {
+                        if let Some(machine) = part.machine_mut(m).filter(|x| x.rack == n) {
+                            part.plan_due |= !std::mem::replace(&mut machine.recorded, true);
+                        }
                     }
-                    part.plan_due = true;
                 }
-                Op::MachineGone(m) => {
-                    if let Some(machine) = part.machines[m].take() {
-                        part.machine_ix.remove(&machine.name);
-                        part.free_machines.push(m);
+                Op::RackOver(n) => {
+                    // It may have been taken into use again meanwhile.
+                    if let Some(rack) = part.ledger.racks.get_mut(&n) {
+                        rack.version = 0;
+                        if rack.machines.is_empty() {
+                            part.ledger.racks.remove(&n);
+                        }
                     }
                 }
                 Op::Allot => part.allot_version = revision,
@@ -423,3 +551,39 @@
         self.push_orders();
     }
 }
+
+impl Part {
+    /// A log record is in place: its claims may be sent, its results reaped.
+    fn log_stands(&mut self, log: Log, revision: u64) {
+        let mut segment = Segment { version: revision, ..Segment::default() };
+        for id in log.claims {
+            // What has ended meanwhile stands in the record all the same, as in any that is older.
+            let Some(claim) = self.claim_mut(&id) else { continue };
+            let from = std::mem::replace(&mut claim.segment, log.number);
+            let first = claim.state == ClaimState::Writing;
+            claim.state = ClaimState::Recorded;
+            segment.live += 1;
+            segment.claims.push(id);
+            if first {
+                self.push.insert(id.machine);
+            } else {
+                self.ledger.ended(from);
+            }
+        }
+        for (ix, tasks, all) in log.done {
+            let Some(job) = self.job_mut(ix).filter(|j| j.ending == Ending::No) else { continue };
+            if all {
+                let old = std::mem::take(&mut job.segments);
+                job.segments.insert(log.number);
+                self.ledger.results_over(ix, old);
+            } else {
+                for t in tasks {
+                    job.unsaved.remove(&t);
+                }
+                job.segments.insert(log.number);
+            }
+            segment.jobs.insert(ix);
+        }
+        self.ledger.add_segment(log.number, segment);
+    }
+}
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -99,7 +99,10 @@
             return self.query(conn, spec.id);
         }
         let now = self.now.mono;
-        if self.requests.level(now) < 1.0 || !self.writes.try_take(now, 1.0) {
+        // The owner sees all accepts, its own too, and counts them when they have been made.
+        let cost = if self.owns() { 0.0 } else { 1.0 };
+        if self.requests.level(now) < 1.0 || self.writes.level(now) < 1.0 || !self.writes.try_take(now, cost)
+        {
             return self.refuse(conn, 429, "busy");
         }
         self.accept(conn, Box::new(spec), now, 0);
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -12,6 +12,12 @@
 /// The one part of this version.
 pub(crate) const PART: records::Part = 0;
 
+/// Shares of the state service's writes: what the owner may use, accepts by others included, and what each other
+/// node may use for these. Together they are more than all: bursts at several nodes at once are refused by the
+/// service and come again.
+const OWNER_WRITES: f64 = 0.9;
+pub(crate) const OTHER_WRITES: f64 = 0.3;
+
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct OwnerView {
     pub rec: OwnerRec,
@@ -297,9 +303,10 @@
         self.epoch += 1;
         let c = &self.settings.cluster.state;
         // The owner does most of the writing; the others keep enough to accept jobs.
+        // The owner does most of the writing. What the others write to accept jobs it sees, and leaves room for.
         self.requests.set_rate(c.rps * 0.5);
-        self.writes.set_rate(c.write_rps * 0.6);
-        self.part = Some(Part::new(token, version, now));
+        self.writes.set_rate(c.write_rps * OWNER_WRITES);
+        self.part = Some(Part::new(token, version, now, c.value_kb));
         self.start_load();
     }
 
@@ -333,7 +340,7 @@
         let nodes = self.settings.peers.len() as f64 + 1.0;
         let c = &self.settings.cluster.state;
         self.requests.set_rate(c.rps * 0.4 / (nodes - 1.0).max(1.0));
-        self.writes.set_rate(c.write_rps * 0.3 / (nodes - 1.0).max(1.0));
+        self.writes.set_rate(c.write_rps * OTHER_WRITES);
         if let Some(part) = self.part.take() {
             for asker in part.all_waiters() {
                 self.not_now(asker);
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -87,7 +87,7 @@
         let Some(part) = &mut self.part else { return };
         if !part.delete_busy && now >= part.delete_retry_at {
             let machines: Vec<usize> = (0..part.machines.len())
-                .filter(|m| part.machine(*m).is_some_and(|x| x.deleting && !x.gone))
+                .filter(|m| part.machine(*m).is_some_and(|x| x.deleting))
                 .take(100)
                 .collect();
             if !machines.is_empty() && self.cloud.try_take(now, 1.0) {
@@ -229,22 +229,15 @@
             let Some(part) = &mut self.part else { return };
             let Some(machine) = part.machine_mut(m) else { continue };
             log::info!("machine {}: returned", machine.name);
-            machine.gone = true;
-            machine.dirty = true;
             let name = machine.name.clone();
-            let recorded = machine.version > 0 || machine.writing;
             let claims = machine.claims.len();
-            part.returned.insert(name.clone(), now);
+            part.returned.insert(name, now);
             // The cloud's word is proof: everything on the machine is gone.
-            for k in 0..claims {
+            for k in (0..claims).rev() {
                 changed.extend(self.claim_ended(m, k, None, false));
             }
-            if let Some(part) = &mut self.part
-                && !recorded
-            {
-                part.machines[m] = None;
-                part.machine_ix.remove(&name);
-                part.free_machines.push(m);
+            if let Some(part) = &mut self.part {
+                part.remove_machine(m);
             }
         }
         for ix in changed {
@@ -275,11 +268,11 @@
         let (mut up, mut quiet) = (0, 0);
         for (m, machine) in part.machines.iter_mut().enumerate() {
             let Some(machine) = machine else { continue };
-            if machine.deleting || machine.gone {
+            if machine.deleting {
                 continue;
             }
             let gap = now.mono.saturating_sub(machine.heard_at);
-            let known_up = machine.up || machine.holds_any();
+            let known_up = machine.up || !machine.claims.is_empty();
             if known_up {
                 up += 1;
                 if gap > silent {
@@ -297,7 +290,7 @@
                     machine.deleting = true;
                 }
             }
-            if machine.sick && !machine.holds_any() {
+            if machine.sick && machine.claims.is_empty() {
                 machine.deleting = true;
             }
         }
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -2,9 +2,9 @@
 
 use crate::machines::Need;
 use crate::{Asker, Node};
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use wire::api::{JobSpec, JobState, Kind, Priority, Stage};
-use wire::records::{self, JobRec, TASKS_PER_CHUNK};
+use wire::records::JobRec;
 
 pub(crate) type JobIx = usize;
 
@@ -81,8 +81,10 @@
     /// Claims by task: the machines and attempts. More than one only until the old ones are proved gone.
     pub claimed: HashMap<u32, Vec<(usize, u64)>>,
     pub running: u32,
-    pub chunks: BTreeMap<u32, u64>,
-    pub dirty_chunks: BTreeSet<u32>,
+    /// Completed tasks that are not recorded yet.
+    pub unsaved: BTreeSet<u32>,
+    /// Log records with results of this job.
+    pub segments: BTreeSet<u64>,
     pub ending: Ending,
     pub waiters: Vec<Asker>,
     /// The gang is being taken apart after the loss of a task.
@@ -124,8 +126,8 @@
             returned: BTreeSet::new(),
             claimed: HashMap::new(),
             running: 0,
-            chunks: BTreeMap::new(),
-            dirty_chunks: BTreeSet::new(),
+            unsaved: BTreeSet::new(),
+            segments: BTreeSet::new(),
             ending: Ending::Before,
             waiters: Vec::new(),
             broken: false,
@@ -187,37 +189,32 @@
         self.succeeded = true;
         if self.done_count == self.tasks {
             // The end says it all: no need to record the last results one by one.
-            self.dirty_chunks.clear();
+            self.unsaved.clear();
             self.ending = Ending::Wanted(Stage::Done);
         } else {
-            self.dirty_chunks.insert(task / TASKS_PER_CHUNK);
+            self.unsaved.insert(task);
         }
     }
 
-    pub fn chunk_bits(&self, chunk: u32) -> String {
-        let from = chunk * TASKS_PER_CHUNK;
-        let to = (from + TASKS_PER_CHUNK).min(self.tasks);
-        let bits: Vec<bool> = (from..to).map(|t| self.is_done(t)).collect();
-        records::pack_bits(&bits)
-    }
-
-    pub fn load_chunk(&mut self, chunk: u32, bits: &str, version: u64) {
-        for t in records::unpack_bits(bits) {
-            self.set_done(chunk.saturating_mul(TASKS_PER_CHUNK).saturating_add(t));
+    /// Results that were recorded before our time.
+    pub fn load_done(&mut self, tasks: impl Iterator<Item = u32>) {
+        for t in tasks {
+            self.set_done(t);
         }
-        self.chunks.insert(chunk, version);
         if self.done_count == self.tasks && self.ending == Ending::No {
             self.ending = Ending::Wanted(Stage::Done);
         }
     }
 
+    /// All results that are recorded, for moving them into another record.
+    pub fn saved(&self) -> impl Iterator<Item = u32> + '_ {
+        (0..self.tasks).filter(|t| self.is_done(*t) && !self.unsaved.contains(t))
+    }
+
     /// The result of a task is safe in the state service.
     pub fn recorded(&self, task: u32) -> bool {
-        self.is_over()
-            || (self.is_done(task) && !self.dirty_chunks.contains(&(task / TASKS_PER_CHUNK)) && {
-                // While the end is on its way, nothing says that this task's result is in its chunk.
-                self.ending == Ending::No
-            })
+        // While the end is on its way, nothing says that this task's result is in the log.
+        self.is_over() || (self.is_done(task) && !self.unsaved.contains(&task) && self.ending == Ending::No)
     }
 
     pub fn claim(&mut self, task: u32, machine: usize, attempt: u64) {
@@ -285,6 +282,7 @@
         self.to_write = true;
         let Some(part) = &mut self.part else { return };
         part.plan_due = true;
+        part.job_to_write(ix);
         let Some(job) = part.job_mut(ix) else { return };
         if job.kind() == Kind::Gang && !job.is_ending() {
             let attempts: BTreeSet<u64> = job.claimed.values().flatten().map(|(_, a)| *a).collect();
@@ -295,9 +293,7 @@
         let machines: BTreeSet<usize> = job.claimed.values().flatten().map(|(m, _)| *m).collect();
         if drop {
             for m in machines {
-                if let Some(machine) = part.machine_mut(m) {
-                    machine.stop_job(ix, 0.0);
-                }
+                part.stop_job(ix, m, 0.0);
             }
         }
         part.maybe_forget_job(ix);
@@ -313,9 +309,8 @@
         }
         self.to_write = true;
         let Some(part) = &mut self.part else { return };
-        let Some(job) = part.job_ix.get(id).copied().and_then(|ix| part.job_mut(ix)) else {
-            return self.unknown(asker, id);
-        };
+        let Some(ix) = part.job_ix.get(id).copied() else { return self.unknown(asker, id) };
+        let Some(job) = part.job_mut(ix) else { return };
         match job.ending {
             // Guards against calling a cancelled job done, of which only tasks on machines are left here.
             Ending::Before => return self.unknown(asker, id),
@@ -326,7 +321,7 @@
             Ending::No => {
                 log::info!("job {}: cancelled by its user", job.id);
                 job.ending = Ending::Wanted(Stage::Cancelled);
-                job.dirty_chunks.clear();
+                job.unsaved.clear();
             }
             // Whatever end is recorded, the asker is told.
             _ => {}
@@ -335,5 +330,6 @@
             return self.not_now(asker);
         }
         job.waiters.push(asker);
+        part.job_to_write(ix);
     }
 }
--- /dev/null
+++ b/crates/control/src/ledger.rs
@@ -0,0 +1,164 @@
+//! What stands of the part in the state service, and what is still to be written there.
+//!
+//! Claims and results go into a log: one record a turn, whatever the number of machines. A record is removed when
+//! all its claims have ended and all jobs whose results it holds have; so it may name claims that are over, which
+//! costs a new owner a moment's caution and nothing else. Machines stand in racks, many to a record.
+
+use crate::jobs::JobIx;
+use crate::part::Part;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+/// One claim, for ever: attempts never repeat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ClaimId {
+    pub machine: usize,
+    pub job: JobIx,
+    pub task: u32,
+    pub attempt: u64,
+}
+
+/// A log record in the state service.
+#[derive(Default)]
+pub(crate) struct Segment {
+    pub version: u64,
+    /// Claims in it that hold.
+    pub live: u32,
+    /// Jobs that have not ended and whose results it holds.
+    pub jobs: BTreeSet<JobIx>,
+    /// All its claims, for moving those that still hold.
+    pub claims: Vec<ClaimId>,
+}
+
+impl Segment {
+    fn over(&self) -> bool {
+        self.live == 0 && self.jobs.is_empty()
+    }
+}
+
+#[derive(Default)]
+pub(crate) struct Rack {
+    /// 0 until it is recorded.
+    pub version: u64,
+    pub machines: BTreeSet<usize>,
+    /// Bound on its record's length.
+    pub size: usize,
+}
+
+#[derive(Default)]
+pub(crate) struct Ledger {
+    pub segments: BTreeMap<u64, Segment>,
+    /// Segments that say nothing any more.
+    pub garbage: BTreeSet<u64>,
+    /// Claims to be recorded, most urgent first.
+    pub fresh: VecDeque<ClaimId>,
+    /// Jobs with results to be recorded.
+    pub unsaved: BTreeSet<JobIx>,
+    /// Jobs whose end is to be recorded, cancelled ones first.
+    pub ending: VecDeque<JobIx>,
+    pub racks: BTreeMap<u64, Rack>,
+    /// Racks to be written: those with machines that are new, and those that only lost some.
+    pub new_in: BTreeSet<u64>,
+    pub gone_from: BTreeSet<u64>,
+    next_rack: u64,
+}
+
+impl Ledger {
+    /// A claim of this segment has ended.
+    pub fn ended(&mut self, segment: u64) {
+        if let Some(s) = self.segments.get_mut(&segment) {
+            s.live = s.live.saturating_sub(1);
+            if s.over() {
+                self.garbage.insert(segment);
+            }
+        }
+    }
+
+    /// A job's results need no longer stand in these segments.
+    pub fn results_over(&mut self, job: JobIx, segments: impl IntoIterator<Item = u64>) {
+        for n in segments {
+            if let Some(s) = self.segments.get_mut(&n) {
+                s.jobs.remove(&job);
+                if s.over() {
+                    self.garbage.insert(n);
+                }
+            }
+        }
+    }
+
+    pub fn add_segment(&mut self, number: u64, segment: Segment) {
+        if segment.over() {
+            self.garbage.insert(number);
+        }
+        self.segments.insert(number, segment);
+    }
+
+    /// The rack for a machine that adds so much to a record of at most `limit`.
+    pub fn rack_for(&mut self, machine: usize, size: usize, limit: usize) -> u64 {
+        // The last one, or a new one: racks that lost machines shrink until they are gone.
+        let open = self.racks.iter().next_back().filter(|(_, r)| r.size + size <= limit).map(|(n, _)| *n);
+        let number = open.unwrap_or(self.next_rack);
+        self.next_rack = self.next_rack.max(number + 1);
+        let rack = self.racks.entry(number).or_default();
+        rack.machines.insert(machine);
+        rack.size += size;
+        self.new_in.insert(number);
+        number
+    }
+
+    /// A rack as it was read back.
+    pub fn load_rack(&mut self, number: u64, rack: Rack) {
+        self.next_rack = self.next_rack.max(number + 1);
+        self.racks.insert(number, rack);
+    }
+
+    pub fn leave_rack(&mut self, number: u64, machine: usize, size: usize) {
+        if let Some(rack) = self.racks.get_mut(&number)
+            && rack.machines.remove(&machine)
+        {
+            rack.size = rack.size.saturating_sub(size);
+            self.gone_from.insert(number);
+        }
+    }
+}
+
+impl Part {
+    /// Puts a claim on a machine, to be recorded.
+    pub fn make_claim(&mut self, id: ClaimId, claim: crate::machines::Claim) {
+        let (Some(job), Some(machine)) = (
+            self.jobs.get_mut(id.job).and_then(Option::as_mut),
+            self.machines.get_mut(id.machine).and_then(Option::as_mut),
+        ) else {
+            return;
+        };
+        job.claim(id.task, id.machine, id.attempt);
+        machine.claims.push(claim);
+        self.ledger.fresh.push_back(id);
+    }
+
+    pub fn claim_mut(&mut self, id: &ClaimId) -> Option<&mut crate::machines::Claim> {
+        let machine = self.machines.get_mut(id.machine)?.as_mut()?;
+        machine.claims.iter_mut().find(|c| c.job == id.job && c.task == id.task && c.attempt == id.attempt)
+    }
+
+    /// Notes that results of a job, or its end, are to be recorded.
+    pub fn job_to_write(&mut self, ix: JobIx) {
+        let Some(job) = self.jobs.get(ix).and_then(Option::as_ref) else { return };
+        match job.ending {
+            crate::jobs::Ending::No if !job.unsaved.is_empty() => {
+                self.ledger.unsaved.insert(ix);
+            }
+            crate::jobs::Ending::Wanted(stage) => {
+                self.ledger.unsaved.remove(&ix);
+                if !self.ledger.ending.contains(&ix) {
+                    // A cancel has somebody waiting for it, and tasks that run for nobody.
+                    if stage == wire::api::Stage::Cancelled {
+                        self.ledger.ending.push_front(ix);
+                    } else {
+                        self.ledger.ending.push_back(ix);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 mod election;
 mod fleet;
 mod jobs;
+mod ledger;
 mod machines;
 mod part;
 mod reports;
@@ -176,7 +177,7 @@
         let finals = ((limits.mem_mb * 1e5 / 150.0) as usize).clamp(1000, 1_000_000);
         Node {
             requests: Bucket::new(c.state.rps * 0.9 / nodes),
-            writes: Bucket::new(c.state.write_rps * 0.9 / nodes),
+            writes: Bucket::new(c.state.write_rps * election::OTHER_WRITES),
             cloud: Bucket::new(c.cloud.rps * 0.8),
             settings,
             tuning,
--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use wire::api::{Cause, TaskStage};
-use wire::records::{ClaimsRec, MachineRec};
+use wire::records::KindRec;
 
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(crate) struct Need {
@@ -23,10 +23,6 @@
     /// The record is on its way.
     Writing,
     Recorded,
-    /// Proved gone; to be taken out of the record.
-    Ended,
-    /// Being taken out of the record.
-    Dropping,
 }
 
 #[derive(Debug, Clone)]
@@ -35,6 +31,10 @@
     pub task: u32,
     pub attempt: u64,
     pub state: ClaimState,
+    /// The log record that it stands in, once it is recorded.
+    pub segment: u64,
+    /// Read back after a take-over: it may have ended long ago.
+    pub loaded: bool,
     /// A start may have been sent, by us or by an earlier owner.
     pub sent: bool,
     pub stage: Option<TaskStage>,
@@ -52,6 +52,8 @@
             task,
             attempt,
             state: ClaimState::New,
+            segment: 0,
+            loaded: false,
             sent: false,
             stage: None,
             running_since: None,
@@ -59,10 +61,6 @@
             stop_sent: None,
         }
     }
-    /// Counts against limits, zones and rooms.
-    pub fn holds(&self) -> bool {
-        !matches!(self.state, ClaimState::Ended | ClaimState::Dropping)
-    }
 }
 
 /// An exited task that the worker still lists.
@@ -80,11 +78,10 @@
     pub zone: String,
     pub spot: bool,
     pub hired_ms: u64,
-    /// 0 until it is recorded.
-    pub version: u64,
-    pub dirty: bool,
-    /// A write of its record is on its way.
-    pub writing: bool,
+    /// The rack that it stands in, and what it adds to its record's length.
+    pub rack: u64,
+    pub size: usize,
+    pub recorded: bool,
     pub addr: Option<SocketAddr>,
     /// Its worker has reported to us.
     pub up: bool,
@@ -99,13 +96,9 @@
     /// A direct command was not answered: it may still be executed, until the worker has seen a token
     /// above this one or has begun a later session.
     pub taint: Option<(u64, u64)>,
-    /// There is something to tell the worker at once.
-    pub push: bool,
     pub probe: Option<u64>,
     pub probed_at: u64,
     pub deleting: bool,
-    /// The cloud has confirmed that it is gone.
-    pub gone: bool,
     pub failed: bool,
     pub idle_since: u64,
     /// Images that its tasks have fetched, newest last.
@@ -125,9 +118,9 @@
             zone: zone.to_owned(),
             spot,
             hired_ms,
-            version: 0,
-            dirty: false,
-            writing: false,
+            rack: 0,
+            size: KindRec::entry(name, machine_type, zone),
+            recorded: false,
             addr: None,
             up: false,
             heard_at: 0,
@@ -137,11 +130,9 @@
             exited: Vec::new(),
             direct: None,
             taint: None,
-            push: false,
             probe: None,
             probed_at: 0,
             deleting: false,
-            gone: false,
             failed: false,
             idle_since: 0,
             images: Vec::new(),
@@ -162,7 +153,6 @@
         now: u64,
     ) -> Self {
         let mut machine = Machine::new(name, machine_type, zone, spot, hired_ms);
-        machine.dirty = true;
         machine.heard_at = now;
         machine.idle_since = now;
         machine
@@ -171,9 +161,8 @@
     /// May be given new tasks.
     pub fn usable(&self, now: u64) -> bool {
         self.up
-            && self.version > 0
+            && self.recorded
             && !self.deleting
-            && !self.gone
             && !self.failed
             && !self.sick
             && self.notice_until.is_none()
@@ -181,19 +170,17 @@
             && self.taint.is_none()
     }
 
-    pub fn holds_any(&self) -> bool {
-        self.claims.iter().any(Claim::holds)
-    }
-
-    /// Marks all tasks of a job as to be stopped.
-    pub fn stop_job(&mut self, job: JobIx, grace_s: f64) {
-        for claim in self.claims.iter_mut().filter(|c| c.job == job && c.holds()) {
+    /// Marks all tasks of a job as to be stopped; true if the worker is to be told.
+    pub fn stop_job(&mut self, job: JobIx, grace_s: f64) -> bool {
+        let mut news = false;
+        for claim in self.claims.iter_mut().filter(|c| c.job == job) {
             if claim.stop.is_none_or(|g| grace_s < g) {
                 claim.stop = Some(grace_s);
                 claim.stop_sent = None;
-                self.push = true;
+                news = true;
             }
         }
+        news
     }
 
     /// An image was fetched for a task here; the cache keeps the most recently used.
@@ -204,26 +191,4 @@
             self.images.remove(0);
         }
     }
-
-    /// The record as it should stand, given how to name jobs.
-    pub fn record(&self, name: impl Fn(JobIx) -> Option<(String, String, Need)>) -> MachineRec {
-        let mut groups: BTreeMap<JobIx, Vec<(u32, u64)>> = BTreeMap::new();
-        for c in self.claims.iter().filter(|c| c.holds()) {
-            groups.entry(c.job).or_default().push((c.task, c.attempt));
-        }
-        let claims = groups
-            .into_iter()
-            .filter_map(|(ix, tasks)| {
-                let (job, team, need) = name(ix)?;
-                Some(ClaimsRec { job, team, cores: need.cores, gpus: need.gpus, mem_gb: need.mem_gb, tasks })
-            })
-            .collect();
-        MachineRec {
-            machine_type: self.machine_type.clone(),
-            zone: self.zone.clone(),
-            spot: self.spot,
-            hired_ms: self.hired_ms,
-            claims,
-        }
-    }
 }
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -1,21 +1,22 @@
 //! What the owner of a part holds in memory, and how it is read back after a take-over.
 
-use crate::commit::Commit;
+use crate::commit::{Commit, value_limit};
 use crate::election::PART;
 use crate::jobs::{Class, Job, JobIx};
+use crate::ledger::{ClaimId, Ledger, Rack, Segment};
 use crate::machines::{Claim, ClaimState, Machine, Need};
 use crate::{Asker, Dest, Node, Pending};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wire::api::{Changes, Item, Range};
 use wire::http::Response;
-use wire::records::{self, AllotRec, AllotedTeam, DoneRec, HireRec, JobRec, MachineRec};
+use wire::records::{self, AllotRec, AllotedTeam, HireRec, JobRec, LogRec, RackRec};
 
 /// What is read one after the other after a take-over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Load {
     Jobs,
-    Done,
-    Machines,
+    Racks,
+    Log,
     Hires,
     Allot,
 }
@@ -74,6 +75,11 @@
     pub hires: BTreeMap<String, Hire>,
     pub serial: u64,
     pub commit: Commit,
+    pub ledger: Ledger,
+    /// What a record may take.
+    value_limit: usize,
+    /// Machines whose workers are to be told something at once.
+    pub push: BTreeSet<usize>,
     pub raise_token: bool,
     pub classes: HashMap<String, Class>,
     pub images: Names,
@@ -96,7 +102,7 @@
 }
 
 impl Part {
-    pub fn new(token: u64, owner_version: u64, now: u64) -> Self {
+    pub fn new(token: u64, owner_version: u64, now: u64, value_kb: f64) -> Self {
         Part {
             token,
             owner_version,
@@ -115,6 +121,9 @@
             hires: BTreeMap::new(),
             serial: 0,
             commit: Commit::default(),
+            ledger: Ledger::default(),
+            value_limit: value_limit(value_kb),
+            push: BTreeSet::new(),
             raise_token: false,
             classes: HashMap::new(),
             images: Names::default(),
@@ -145,6 +154,11 @@
         (self.token << 32) | (n & 0xffff_ffff)
     }
 
+    /// A new log record's number: unique as attempts are.
+    pub fn next_log(&mut self) -> u64 {
+        self.next_attempt()
+    }
+
     pub fn job(&self, ix: JobIx) -> Option<&Job> {
         self.jobs.get(ix).and_then(Option::as_ref)
     }
@@ -168,7 +182,18 @@
         ix
     }
 
+    /// Takes in a machine that has to be recorded.
     pub fn add_machine(&mut self, machine: Machine) -> usize {
+        let size = machine.size;
+        let m = self.insert_machine(machine);
+        let rack = self.ledger.rack_for(m, size, self.value_limit);
+        if let Some(machine) = self.machine_mut(m) {
+            machine.rack = rack;
+        }
+        m
+    }
+
+    fn insert_machine(&mut self, machine: Machine) -> usize {
         let m = self.free_machines.pop().unwrap_or_else(|| {
             self.machines.push(None);
             self.machines.len() - 1
@@ -178,6 +203,32 @@
         m
     }
 
+    /// Forgets a machine that is proved gone and has no claims left.
+    pub fn remove_machine(&mut self, m: usize) {
+        let Some(machine) = self.machines.get_mut(m).and_then(Option::take) else { return };
+        self.machine_ix.remove(&machine.name);
+        self.free_machines.push(m);
+        self.push.remove(&m);
+        self.ledger.leave_rack(machine.rack, m, machine.size);
+    }
+
+    /// Takes a claim back of which nothing was sent.
+    pub fn drop_claim(&mut self, id: &ClaimId) {
+        if let Some(machine) = self.machine_mut(id.machine) {
+            machine.claims.retain(|c| !(c.job == id.job && c.task == id.task && c.attempt == id.attempt));
+        }
+        if let Some(job) = self.job_mut(id.job) {
+            job.unclaim(id.task, id.machine, id.attempt);
+        }
+    }
+
+    /// Marks a job's tasks on one machine as to be stopped.
+    pub fn stop_job(&mut self, ix: JobIx, m: usize, grace_s: f64) {
+        if self.machine_mut(m).is_some_and(|machine| machine.stop_job(ix, grace_s)) {
+            self.push.insert(m);
+        }
+    }
+
     /// Forgets an ended job once nothing of it is on any machine.
     pub fn maybe_forget_job(&mut self, ix: JobIx) {
         let gone = self.job(ix).is_some_and(|j| j.is_over() && j.claimed.is_empty());
@@ -192,6 +243,74 @@
     }
 }
 
+impl Part {
+    /// Takes in a log record of earlier owners.
+    fn load_segment(&mut self, number: u64, version: u64, rec: LogRec) {
+        let mut segment = Segment { version, ..Segment::default() };
+        for group in rec.claims {
+            let need = Need { cores: group.cores, gpus: group.gpus, mem_gb: group.mem_gb };
+            let attempt = group.attempt;
+            for (name, first, n) in group.on {
+                // A machine in no rack is gone, and all that was on it.
+                let Some(machine) = self.machine_ix.get(&name).copied() else { continue };
+                let job = match self.job_ix.get(&group.job) {
+                    Some(ix) => *ix,
+                    // Ended, but its tasks may still be there: they count until they are proved gone.
+                    None => self.add_job(Job::ended(&group.job, &group.team, need)),
+                };
+                for task in records::unrange(&[(first, n)]) {
+                    let id = ClaimId { machine, job, task, attempt };
+                    // A claim that was moved may stand in two records.
+                    if self.claim_mut(&id).is_some() {
+                        continue;
+                    }
+                    let mut claim = Claim::new(job, task, attempt);
+                    claim.state = ClaimState::Recorded;
+                    claim.segment = number;
+                    claim.loaded = true;
+                    claim.sent = true;
+                    if let Some(job) = self.job_mut(job) {
+                        job.claim(task, machine, attempt);
+                    }
+                    if let Some(machine) = self.machine_mut(machine) {
+                        machine.claims.push(claim);
+                    }
+                    segment.live += 1;
+                    segment.claims.push(id);
+                }
+            }
+        }
+        for done in rec.done {
+            let Some(ix) = self.job_ix.get(&done.job).copied() else { continue };
+            let Some(job) = self.job_mut(ix).filter(|j| j.spec.is_some()) else { continue };
+            job.load_done(records::unrange(&done.tasks));
+            job.segments.insert(number);
+            segment.jobs.insert(ix);
+        }
+        self.ledger.add_segment(number, segment);
+    }
+
+    /// An attempt is made only once all earlier ones of its task were proved gone: where the log holds several,
+    /// the last alone can still be there.
+    fn drop_overtaken(&mut self) {
+        let mut over = Vec::new();
+        for (ix, job) in self.jobs.iter().enumerate() {
+            let Some(job) = job else { continue };
+            for (task, claims) in job.claimed.iter().filter(|(_, c)| c.len() > 1) {
+                let last = claims.iter().map(|(_, a)| *a).max().unwrap_or(0);
+                for (machine, attempt) in claims.iter().filter(|(_, a)| *a != last) {
+                    over.push(ClaimId { machine: *machine, job: ix, task: *task, attempt: *attempt });
+                }
+            }
+        }
+        for id in over {
+            let segment = self.claim_mut(&id).map(|c| c.segment);
+            self.drop_claim(&id);
+            self.ledger.ended(segment.unwrap_or(0));
+        }
+    }
+}
+
 impl Node {
     pub(crate) fn start_load(&mut self) {
         self.load(Load::Jobs);
@@ -201,12 +320,12 @@
         let Some(part) = &self.part else { return };
         let prefix = match what {
             Load::Jobs => records::LIVE.to_owned(),
-            Load::Done => records::DONE.to_owned(),
-            Load::Machines => records::machines_prefix(PART),
+            Load::Racks => records::racks_prefix(PART),
+            Load::Log => records::log_prefix(PART),
             Load::Hires => records::hires_prefix(PART),
             Load::Allot => records::allot_key(PART),
         };
-        let mut path = format!("/keys?under={prefix}&limit=500");
+        let mut path = format!("/keys?under={prefix}&limit=1000");
         if let Some(after) = &part.load_after {
             path.push_str(&format!("&from={after}"));
         }
@@ -217,8 +336,8 @@
     pub(crate) fn load_came(&mut self, what: Load, response: Option<Response>) {
         let page = response.filter(|r| r.status == 200).and_then(|r| match what {
             Load::Jobs => self.read("state service", &r).map(|p| self.load_jobs(p)),
-            Load::Done => self.read("state service", &r).map(|p| self.load_done(p)),
-            Load::Machines => self.read("state service", &r).map(|p| self.load_machines(p)),
+            Load::Racks => self.read("state service", &r).map(|p| self.load_racks(p)),
+            Load::Log => self.read("state service", &r).map(|p| self.load_log(p)),
             Load::Hires => self.read("state service", &r).map(|p| self.load_hires(p)),
             Load::Allot => self.read("state service", &r).map(|p| self.load_allot(p)),
         });
@@ -233,9 +352,9 @@
             part.load_after = None;
         }
         match what {
-            Load::Jobs => self.load(Load::Done),
-            Load::Done => self.load(Load::Machines),
-            Load::Machines => self.load(Load::Hires),
+            Load::Jobs => self.load(Load::Racks),
+            Load::Racks => self.load(Load::Log),
+            Load::Log => self.load(Load::Hires),
             Load::Hires => self.load(Load::Allot),
             Load::Allot => self.load_ended(),
         }
@@ -262,52 +381,38 @@
         more
     }
 
-    fn load_done(&mut self, range: Range<DoneRec>) -> bool {
+    fn load_racks(&mut self, range: Range<RackRec>) -> bool {
         let more = self.page_end(&range);
+        let prefix = records::racks_prefix(PART);
+        let now = self.now;
         let Some(part) = &mut self.part else { return false };
-        for item in range.items {
-            let mut words = item.key.split('/').skip(1);
-            let (Some(id), Some(chunk)) = (words.next(), words.next().and_then(|c| c.parse::<u32>().ok()))
-            else {
-                continue;
-            };
-            if let Some(job) = part.job_ix.get(id).copied().and_then(|ix| part.job_mut(ix)) {
-                job.load_chunk(chunk, &item.value.tasks, item.version);
+        for Item { key, value, version } in range.items {
+            let Some(number) = key.strip_prefix(&prefix).and_then(|n| n.parse().ok()) else { continue };
+            let mut rack = Rack { version, ..Rack::default() };
+            for kind in value.kinds {
+                for (name, hired_ms) in kind.machines {
+                    let mut machine =
+                        Machine::new(&name, &kind.machine_type, &kind.zone, kind.spot, hired_ms);
+                    machine.recorded = true;
+                    machine.rack = number;
+                    machine.heard_at = now.mono;
+                    rack.size += machine.size;
+                    rack.machines.insert(part.insert_machine(machine));
+                }
             }
+            part.ledger.load_rack(number, rack);
         }
         more
     }
 
-    fn load_machines(&mut self, range: Range<MachineRec>) -> bool {
+    fn load_log(&mut self, range: Range<LogRec>) -> bool {
         let more = self.page_end(&range);
-        let prefix = records::machines_prefix(PART);
-        let now = self.now;
+        let prefix = records::log_prefix(PART);
         let Some(part) = &mut self.part else { return false };
         for Item { key, value, version } in range.items {
-            let Some(name) = key.strip_prefix(&prefix) else { continue };
-            let mut machine =
-                Machine::new(name, &value.machine_type, &value.zone, value.spot, value.hired_ms);
-            machine.version = version;
-            machine.heard_at = now.mono;
-            let m = part.add_machine(machine);
-            for group in value.claims {
-                let need = Need { cores: group.cores, gpus: group.gpus, mem_gb: group.mem_gb };
-                let ix = match part.job_ix.get(&group.job) {
-                    Some(ix) => *ix,
-                    // Ended, but its tasks may still be there: they count until they are proved gone.
-                    None => part.add_job(Job::ended(&group.job, &group.team, need)),
-                };
-                for (task, attempt) in group.tasks {
-                    let mut claim = Claim::new(ix, task, attempt);
-                    claim.state = ClaimState::Recorded;
-                    claim.sent = true;
-                    if let Some(job) = part.job_mut(ix) {
-                        job.claim(task, m, attempt);
-                    }
-                    if let Some(machine) = part.machine_mut(m) {
-                        machine.claims.push(claim);
-                    }
-                }
+            let number = key.strip_prefix(&prefix).and_then(|n| u64::from_str_radix(n, 16).ok());
+            if let Some(number) = number {
+                part.load_segment(number, version, value);
             }
         }
         more
@@ -354,6 +459,7 @@
         for machine in part.machines.iter_mut().flatten() {
             machine.heard_at = now;
         }
+        part.drop_overtaken();
         log::info!(
             "token {}: read {} jobs, {} machines, {} hires",
             part.token,
@@ -392,6 +498,7 @@
         let Some(changes) = self.read::<Changes<JobRec>>("state service", &response) else { return };
         for change in changes.events {
             if let Some(rec) = change.value {
+                self.writes.take(now, 1.0);
                 self.job_known(rec, change.version);
             }
         }
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -4,6 +4,7 @@
 //! message only costs time.
 
 use crate::jobs::JobIx;
+use crate::ledger::ClaimId;
 use crate::machines::{Claim, ClaimState, Exited, Machine};
 use crate::{Dest, Node, Pending};
 use std::collections::BTreeSet;
@@ -92,7 +93,7 @@
         let Some(part) = &mut self.part else { return false };
         let token = part.token;
         let Some(machine) = part.machines.get_mut(m).and_then(Option::as_mut) else { return false };
-        if (report.session, report.seq) <= machine.seen || machine.gone {
+        if (report.session, report.seq) <= machine.seen {
             return false;
         }
         machine.seen = (report.session, report.seq);
@@ -131,7 +132,7 @@
             if t.stage == TaskStage::Exited {
                 exited.push(Exited { job: id.to_owned(), task, attempt: t.attempt, cause: t.cause });
                 match found {
-                    Some(k) if machine.claims[k].holds() => ends.push((k, t.cause, t.saved.unwrap_or(false))),
+                    Some(k) => ends.push((k, t.cause, t.saved.unwrap_or(false))),
                     // The result of a task whose claim an earlier owner has struck off already.
                     None if t.cause == Some(Cause::Done) => finished.extend(ix.map(|ix| (ix, task))),
                     _ => {}
@@ -143,7 +144,6 @@
                 log::warn!("machine {}: task {} attempt {} without a claim", machine.name, t.task, t.attempt);
                 if let Some(ix) = ix {
                     let mut stray = Claim::new(ix, task, t.attempt);
-                    stray.state = ClaimState::Recorded;
                     stray.sent = true;
                     stray.stop = Some(0.0);
                     strays.push(stray);
@@ -185,23 +185,20 @@
                 if listed.contains(&(claim.job, claim.task, claim.attempt)) {
                     continue;
                 }
-                if claim.stage.is_some() || claim.stop.is_some() {
+                // One that was read back may have ended and been reaped before our time.
+                if claim.stage.is_some() || claim.stop.is_some() || claim.loaded {
                     ends.push((k, None, false));
                 } else {
                     // It never got there: the same attempt can be sent again, since nothing was reaped.
                     claim.sent = false;
-                    machine.push = true;
+                    part.push.insert(m);
                 }
             }
         }
         for stray in strays {
-            let (ix, task, attempt) = (stray.job, stray.task, stray.attempt);
-            machine.claims.push(stray);
-            machine.dirty = true;
-            if let Some(job) = part.jobs.get_mut(ix).and_then(Option::as_mut) {
-                job.claim(task, m, attempt);
-            }
-            changed.insert(ix);
+            let id = ClaimId { machine: m, job: stray.job, task: stray.task, attempt: stray.attempt };
+            part.make_claim(id, stray);
+            changed.insert(id.job);
         }
         for (ix, task) in finished {
             if let Some(job) = part.job_mut(ix) {
@@ -209,6 +206,8 @@
             }
             changed.insert(ix);
         }
+        // From the last to the first, since each leaves the list.
+        ends.sort_unstable_by_key(|(k, _, _)| std::cmp::Reverse(*k));
         for (k, cause, saved) in ends {
             changed.extend(self.claim_ended(m, k, cause, saved));
         }
@@ -232,14 +231,11 @@
         let now = self.now.mono;
         let part = self.part.as_mut()?;
         let machine = part.machines.get_mut(m)?.as_mut()?;
-        let claim = machine.claims.get_mut(k)?;
-        if !claim.holds() {
+        if k >= machine.claims.len() {
             return None;
         }
-        claim.state = ClaimState::Ended;
-        machine.dirty = true;
-        self.to_write = true;
-        let claim = claim.clone();
+        let claim = machine.claims.remove(k);
+        part.ledger.ended(claim.segment);
         let job = part.jobs.get_mut(claim.job)?.as_mut()?;
         log::debug!(
             "task {}/{} attempt {} on {}: ended, {cause:?}",
@@ -303,7 +299,7 @@
             }
         }
         job.unclaim(claim.task, m, claim.attempt);
-        if !machine.holds_any() {
+        if machine.claims.is_empty() {
             machine.idle_since = now;
         }
         part.plan_due = true;
@@ -319,7 +315,7 @@
         log::info!("machine {}: is about to be taken", machine.name);
         let left = machine.notice_until.unwrap_or(now).saturating_sub(now) as f64 / 1000.0;
         let mut stops: Vec<(JobIx, f64)> = Vec::new();
-        for c in machine.claims.iter().filter(|c| c.holds()) {
+        for c in &machine.claims {
             let Some(spec) = part.job(c.job).and_then(|j| j.spec.as_ref()) else { continue };
             let ran = c.running_since.map_or(0.0, |t| now.saturating_sub(t) as f64 / 1000.0);
             if spec.checkpoint_s > 0.0 {
@@ -343,9 +339,7 @@
             BTreeSet::from([m])
         };
         for m in machines {
-            if let Some(machine) = part.machine_mut(m) {
-                machine.stop_job(ix, grace_s);
-            }
+            part.stop_job(ix, m, grace_s);
         }
     }
 
@@ -359,10 +353,10 @@
         let Some(part) = &mut self.part else { return orders };
         let Some(machine) = part.machines.get_mut(m).and_then(Option::as_mut) else { return orders };
         // Two ways at once would make an absence in a report prove nothing.
-        if machine.direct.is_some() || machine.gone {
+        if machine.direct.is_some() {
             return orders;
         }
-        machine.push = false;
+        part.push.remove(&m);
         let mut never_started = Vec::new();
         for (k, c) in machine.claims.iter_mut().enumerate() {
             if c.state != ClaimState::Recorded {
@@ -409,7 +403,7 @@
             }
         }
         let mut changed = BTreeSet::new();
-        for k in never_started {
+        for k in never_started.into_iter().rev() {
             changed.extend(self.claim_ended(m, k, None, false));
         }
         for ix in changed {
@@ -425,18 +419,12 @@
             return;
         }
         let Some(part) = &self.part else { return };
-        let due: Vec<usize> = (0..part.machines.len())
-            .filter(|m| {
-                part.machine(*m).is_some_and(|x| {
-                    x.push
-                        && x.up
-                        && x.addr.is_some()
-                        && x.direct.is_none()
-                        && x.taint.is_none()
-                        && !x.deleting
-                })
+        let ready = |m: &usize| {
+            part.machine(*m).is_some_and(|x| {
+                x.up && x.addr.is_some() && x.direct.is_none() && x.taint.is_none() && !x.deleting
             })
-            .collect();
+        };
+        let due: Vec<usize> = part.push.iter().copied().filter(ready).collect();
         for m in due {
             let orders = self.orders_for(m);
             if orders.iter().all(|o| matches!(o, Order::Reap { .. })) {
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -1,6 +1,7 @@
 //! Between the owner's memory and the planner: what it is shown, and what follows from its plan.
 
 use crate::jobs::{Ending, JobIx};
+use crate::ledger::ClaimId;
 use crate::machines::{Claim, Need};
 use crate::part::{HireState, Part};
 use crate::{Node, Tuning};
@@ -140,11 +141,17 @@
             output.waiting.len(),
             output.steps
         );
+        let mut attempts: HashMap<u32, u64> = HashMap::new();
         for start in &output.starts {
-            self.start(map.jobs[start.job as usize], map.machines[start.machine as usize], start.count);
+            let Some(part) = &mut self.part else { return };
+            let attempt = *attempts.entry(start.job).or_insert_with(|| part.next_attempt());
+            self.start(
+                map.jobs[start.job as usize],
+                map.machines[start.machine as usize],
+                start.count,
+                attempt,
+            );
         }
-        // One attempt for all tasks of a gang.
-        self.share_attempts(&map);
         for p in &output.preempts {
             self.preempt(map.machines[p.machine as usize], map.claims[p.machine as usize][p.task as usize]);
         }
@@ -187,7 +194,7 @@
         for (m, machine) in part.machines.iter().enumerate() {
             let Some(machine) = machine else { continue };
             // All claims count against their team, wherever they are.
-            for c in machine.claims.iter().filter(|c| c.holds()) {
+            for c in &machine.claims {
                 if let Some(job) = part.jobs.get(c.job).and_then(Option::as_ref)
                     && let Some(t) = teams.get(job.team.as_str())
                 {
@@ -201,7 +208,7 @@
             let mut running = Vec::new();
             let mut claims = Vec::new();
             let mut images: Vec<u32> = machine.images.iter().map(|(i, _)| *i).collect();
-            for (k, c) in machine.claims.iter().enumerate().filter(|(_, c)| c.holds()) {
+            for (k, c) in machine.claims.iter().enumerate() {
                 let Some(job) = part.jobs.get(c.job).and_then(Option::as_ref) else { continue };
                 let ran = c.running_since.map_or(0.0, |t| now.mono.saturating_sub(t) as f64 / 1000.0);
                 let mut expected = 60.0;
@@ -288,48 +295,23 @@
         (input, map)
     }
 
-    /// Claims places for a job's tasks; they are sent once recorded.
-    fn start(&mut self, ix: JobIx, m: usize, count: u32) {
+    /// Claims places for a job's tasks; they are sent once recorded. One attempt for all: by it the tasks of a
+    /// gang find each other.
+    fn start(&mut self, ix: JobIx, m: usize, count: u32, attempt: u64) {
         let Some(part) = &mut self.part else { return };
         for _ in 0..count {
             let Some(task) = part.job_mut(ix).and_then(|j| j.next_task()) else { return };
-            let attempt = part.next_attempt();
-            let Some(job) = part.jobs.get_mut(ix).and_then(Option::as_mut) else { return };
-            let Some(machine) = part.machines.get_mut(m).and_then(Option::as_mut) else { return };
-            log::debug!("task {}/{task} attempt {attempt}: to {}", job.id, machine.name);
-            job.claim(task, m, attempt);
-            machine.claims.push(Claim::new(ix, task, attempt));
-            machine.dirty = true;
+            if let (Some(job), Some(machine)) = (part.job(ix), part.machine(m)) {
+                log::debug!("task {}/{task} attempt {attempt}: to {}", job.id, machine.name);
+            }
+            let id = ClaimId { machine: m, job: ix, task, attempt };
+            part.make_claim(id, Claim::new(ix, task, attempt));
             self.stats.starts += 1;
         }
-    }
-
-    /// Gives all new claims of a gang one attempt: by it its tasks find each other.
-    fn share_attempts(&mut self, map: &Map) {
-        let Some(part) = &mut self.part else { return };
-        for ix in &map.jobs {
-            let Some(job) = part.jobs.get_mut(*ix).and_then(Option::as_mut) else { continue };
-            if job.kind() != Kind::Gang || job.claimed.is_empty() {
-                continue;
-            }
-            let attempt = job.claimed.values().flatten().map(|(_, a)| *a).max().unwrap_or(0);
-            let machines: Vec<usize> = job.claimed.values().flatten().map(|(m, _)| *m).collect();
-            for claims in job.claimed.values_mut() {
-                for c in claims {
-                    c.1 = attempt;
-                }
-            }
+        if let Some(job) = part.job_mut(ix).filter(|j| j.kind() == Kind::Gang) {
             job.broken = job.claimed.len() != job.tasks as usize;
-            for m in machines {
-                if let Some(machine) = part.machines.get_mut(m).and_then(Option::as_mut) {
-                    machine
-                        .claims
-                        .iter_mut()
-                        .filter(|c| c.job == *ix && c.holds())
-                        .for_each(|c| c.attempt = attempt);
-                }
-            }
         }
+        self.to_write = true;
     }
 
     fn preempt(&mut self, m: usize, k: usize) {
@@ -344,9 +326,7 @@
         if let Some(claim) = part.machine_mut(m).and_then(|x| x.claims.get_mut(k)) {
             claim.stop = Some(grace);
         }
-        if let Some(machine) = part.machine_mut(m) {
-            machine.push = true;
-        }
+        part.push.insert(m);
         self.stats.preempts += 1;
     }
 
@@ -381,8 +361,7 @@
             }
         }
         let mut coming: Vec<(plan::MachineOffer, u32)> = Vec::new();
-        for machine in part.machines.iter().flatten().filter(|m| !m.up && !m.deleting && !m.gone && !m.failed)
-        {
+        for machine in part.machines.iter().flatten().filter(|m| !m.up && !m.deleting && !m.failed) {
             let kind = (machine.machine_type.clone(), machine.zone.clone(), machine.spot);
             if let Some(i) = names.iter().position(|n| *n == kind) {
                 coming.push((offers[i].clone(), 1));
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -12,7 +12,6 @@
 pub const TOKEN: &str = "sys/token";
 pub const CATALOG: &str = "sys/catalog";
 pub const LIVE: &str = "live/";
-pub const DONE: &str = "done/";
 
 pub fn owner_key(part: Part) -> String {
     format!("sys/owner/{part}")
@@ -23,11 +22,18 @@
 pub fn end_key(job: &str) -> String {
     format!("end/{job}")
 }
-pub fn done_key(job: &str, chunk: u32) -> String {
-    format!("done/{job}/{chunk}")
+/// Sixteen digits, so that the order of the keys is that of the numbers.
+pub fn log_key(part: Part, number: u64) -> String {
+    format!("{}{number:016x}", log_prefix(part))
 }
-pub fn machines_prefix(part: Part) -> String {
-    format!("part/{part}/machine/")
+pub fn log_prefix(part: Part) -> String {
+    format!("part/{part}/log/")
+}
+pub fn rack_key(part: Part, number: u64) -> String {
+    format!("{}{number}", racks_prefix(part))
+}
+pub fn racks_prefix(part: Part) -> String {
+    format!("part/{part}/rack/")
 }
 pub fn allot_key(part: Part) -> String {
     format!("part/{part}/allot")
@@ -81,32 +87,34 @@
     pub done: u32,
 }
 
-/// Completed tasks of a job that has not ended, `TASKS_PER_CHUNK` of them a record.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct DoneRec {
-    pub tasks: String,
+/// Machines that may exist: one leaves its rack only when the cloud has said that it is gone. What a log record
+/// says of a machine that stands in no rack is void.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct RackRec {
+    pub kinds: Vec<KindRec>,
 }
 
-pub const TASKS_PER_CHUNK: u32 = 8192;
-
-/// Four tasks a hexadecimal digit: text, since the state service holds nothing binary.
-pub fn pack_bits(bits: &[bool]) -> String {
-    bits.chunks(4)
-        .map(|c| c.iter().enumerate().fold(0u32, |v, (i, b)| v | (u32::from(*b) << i)))
-        .filter_map(|v| char::from_digit(v, 16))
-        .collect()
+/// Machines of one type and zone, with the time of day of their rental.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct KindRec {
+    pub machine_type: String,
+    pub zone: String,
+    pub spot: bool,
+    pub machines: Vec<(String, u64)>,
 }
 
-/// Indices of the set bits; unknown digits count as none.
-pub fn unpack_bits(text: &str) -> impl Iterator<Item = u32> + '_ {
-    text.chars().enumerate().flat_map(|(i, c)| {
-        let v = c.to_digit(16).unwrap_or(0);
-        (0..4u32).filter(move |b| v >> b & 1 == 1).map(move |b| i as u32 * 4 + b)
-    })
+/// What changed in one turn: claims that were made, on any number of machines, and results. A record is removed
+/// once all that it says has been overtaken; until then it may also name claims that have ended.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct LogRec {
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub claims: Vec<ClaimsRec>,
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub done: Vec<DoneRec>,
 }
 
-/// The tasks of one job on one machine. What they take stands here too, so that it counts against the team's
-/// limit until they are gone, also when the job itself has ended.
+/// Claims on tasks of one job by one attempt. What a task takes stands here too, so that it counts against the
+/// team's limit until it is gone, also when the job itself has ended.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct ClaimsRec {
     pub job: String,
@@ -114,19 +122,65 @@
     pub cores: f64,
     pub gpus: f64,
     pub mem_gb: f64,
-    /// Task number and attempt.
-    pub tasks: Vec<(u32, u64)>,
+    pub attempt: u64,
+    /// Machine, first task, and how many tasks from there on.
+    pub on: Vec<(String, u32, u32)>,
 }
 
-/// A machine and the tasks that may be on it. A task is entered here before its start is sent.
+/// Completed tasks of a job that has not ended: the first, and how many from there on.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct MachineRec {
-    pub machine_type: String,
-    pub zone: String,
-    pub spot: bool,
-    pub hired_ms: u64,
-    #[serde(default)]
-    pub claims: Vec<ClaimsRec>,
+pub struct DoneRec {
+    pub job: String,
+    pub tasks: Vec<(u32, u32)>,
+}
+
+/// Digits of the longest number that a record holds, with what stands between two numbers.
+const NUMBER: usize = 24;
+
+impl ClaimsRec {
+    /// Bounds the length in the form that limits are counted in, without its entries.
+    pub fn frame(job: &str, team: &str) -> usize {
+        // JSON escapes at most six bytes for one; our own names are plain, teams are not ours.
+        job.len() + team.len() * 6 + 4 * NUMBER + 80
+    }
+    /// The same for one entry.
+    pub fn entry(machine: &str) -> usize {
+        machine.len() + 2 * 11 + 6
+    }
+}
+
+impl DoneRec {
+    pub fn frame(job: &str) -> usize {
+        job.len() + 32
+    }
+    pub const ENTRY: usize = 2 * 7 + 4;
+}
+
+impl KindRec {
+    /// Bounds what a machine adds to its rack's length, its kind included.
+    pub fn entry(machine: &str, machine_type: &str, zone: &str) -> usize {
+        machine.len() + NUMBER + 8 + (machine_type.len() + zone.len()) * 6 + 64
+    }
+}
+
+/// Numbers in rising order as ranges: the first, and how many from there on.
+pub fn ranges(tasks: impl IntoIterator<Item = u32>) -> Vec<(u32, u32)> {
+    let mut out: Vec<(u32, u32)> = Vec::new();
+    for t in tasks {
+        match out.last_mut() {
+            Some((first, n)) if *first + *n == t => *n += 1,
+            _ => out.push((t, 1)),
+        }
+    }
+    out
+}
+
+/// The reverse of [`ranges`]. No record makes us count further than a job can have tasks.
+pub fn unrange(ranges: &[(u32, u32)]) -> impl Iterator<Item = u32> + '_ {
+    ranges.iter().flat_map(|(first, n)| {
+        let n = (*n).min(crate::api::MAX_TASKS.saturating_sub(*first));
+        *first..first.saturating_add(n)
+    })
 }
 
 /// A rental request whose answer has not been recorded yet.
@@ -146,8 +200,8 @@
     Token(TokenRec),
     Job(JobRec),
     End(EndRec),
-    Done(DoneRec),
-    Machine(MachineRec),
+    Log(LogRec),
+    Rack(RackRec),
     Hire(HireRec),
     Catalog(Catalog),
     Allot(AllotRec),
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -1,9 +1,10 @@
 //! Round trips of generated messages, and arbitrary bytes.
 
 use proptest::prelude::*;
+use std::collections::BTreeSet;
 use wire::api::*;
 use wire::http::{self, Bad};
-use wire::records::{pack_bits, unpack_bits};
+use wire::records::{ClaimsRec, DoneRec, KindRec, LogRec, RackRec, ranges, unrange};
 use wire::{ids, peer};
 
 fn spec() -> impl Strategy<Value = JobSpec> {
@@ -129,9 +130,32 @@
     }
 
     #[test]
-    fn bits_survive_the_trip(bits in proptest::collection::vec(any::<bool>(), 0..300)) {
-        let set: Vec<u32> = (0u32..).zip(&bits).filter(|(_, b)| **b).map(|(i, _)| i).collect();
-        prop_assert_eq!(unpack_bits(&pack_bits(&bits)).collect::<Vec<_>>(), set);
+    fn ranges_survive_the_trip(set in proptest::collection::btree_set(0u32..400, 0..300)) {
+        let short = ranges(set.iter().copied());
+        prop_assert!(short.windows(2).all(|w| w[0].0 + w[0].1 < w[1].0), "ranges that touch are one");
+        prop_assert_eq!(unrange(&short).collect::<BTreeSet<_>>(), set);
+    }
+
+    /// The service counts a value's length in JSON; a bound that is too low would have whole transactions refused.
+    #[test]
+    fn record_lengths_are_bounded(team in ".{0,20}", name in "[a-z0-9-]{1,40}", kind in ".{0,20}", job in any::<u32>(),
+                                  on in proptest::collection::vec(any::<(u32, u32)>(), 1..40), attempt in any::<u64>(),
+                                  amounts in any::<(f64, f64, f64)>()) {
+        let job = format!("job-{job:018}");
+        let finite = |x: f64| if x.is_finite() { x } else { 1e300 };
+        let claims = ClaimsRec { job: job.clone(), team: team.clone(), cores: finite(amounts.0), gpus: finite(amounts.1),
+            mem_gb: finite(amounts.2), attempt, on: on.iter().map(|(t, n)| (name.clone(), *t, *n)).collect() };
+        let done = DoneRec { job: job.clone(), tasks: on.iter().map(|(t, n)| (t % 100_000, n % 100_001)).collect() };
+        let log = LogRec { claims: vec![claims], done: vec![done] };
+        let bound = 64 + ClaimsRec::frame(&job, &team) + on.len() * ClaimsRec::entry(&name)
+            + DoneRec::frame(&job) + on.len() * DoneRec::ENTRY;
+        let long = serde_json::to_vec(&log).expect("JSON").len();
+        prop_assert!(long <= bound);
+        let kinds = on.iter().map(|_| KindRec { machine_type: kind.clone(), zone: kind.clone(), spot: false,
+            machines: vec![(name.clone(), attempt)] }).collect();
+        let bound = 16 + on.len() * KindRec::entry(&name, &kind, &kind);
+        let long = serde_json::to_vec(&RackRec { kinds }).expect("JSON").len();
+        prop_assert!(long <= bound);
     }
 
     #[test]
