--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -10,6 +10,11 @@
 use wire::records::AllotedTeam;
 use wire::settings::Objective;
 
+/// The most that the cloud rents out in one call.
+const MOST_A_CALL: u32 = 50;
+/// No more than this is on its way at once.
+const MOST_COMING: usize = 2000;
+
 /// The planner's indices and ours.
 struct Map {
     machines: Vec<usize>,
@@ -383,11 +388,19 @@
             .collect();
         order.sort_by_key(|i| load.get(names[*i].1.as_str()).copied().unwrap_or(0));
         let open: Vec<plan::MachineOffer> = order.iter().map(|i| offers[*i].clone()).collect();
+        let most = MOST_COMING;
         let wishes =
-            plan::wishes(&plan::HireInput { input, output, offers: &open, coming: &coming, horizon });
+            plan::wishes(&plan::HireInput { input, output, offers: &open, coming: &coming, horizon, most });
         for wish in wishes {
             let (machine_type, zone, spot) = names[order[wish.offer]].clone();
-            self.hire(&machine_type, &zone, spot, wish.count.min(10));
+            // As many calls as half a second's budget allows; the rest is wished for again.
+            let calls = (self.settings.cluster.cloud.rps / 2.0).ceil() as u32;
+            let mut left = wish.count.min(calls * MOST_A_CALL);
+            while left > 0 {
+                let count = left.min(MOST_A_CALL);
+                self.hire(&machine_type, &zone, spot, count);
+                left -= count;
+            }
         }
     }
 
--- a/crates/plan/src/hire.rs
+++ b/crates/plan/src/hire.rs
@@ -1,6 +1,6 @@
 //! What to rent: enough for the tasks that found no room, where renting is worth its price.
 
-use crate::{Input, Job, Output, Res, Secs, Shape};
+use crate::{EPS, Input, Job, Output, Res, Secs, Shape};
 
 /// A kind of machine that can be rented now.
 #[derive(Debug, Clone)]
@@ -22,6 +22,8 @@
     pub coming: &'a [(MachineOffer, u32)],
     /// An array's waiting work is spread over this time: less makes it faster and dearer.
     pub horizon: Secs,
+    /// Bound on the machines that are looked at, those on their way included.
+    pub most: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -40,6 +42,7 @@
 /// The machines to rent now, cheapest kind that the job allows first.
 pub fn wishes(h: &HireInput<'_>) -> Vec<Wish> {
     let mut fleet: Vec<Virtual> = Vec::new();
+    let mut full: Vec<usize> = Vec::new();
     for (offer, n) in h.coming {
         for _ in 0..*n {
             fleet.push(Virtual { offer: offer.clone(), free: offer.total, new: None });
@@ -67,20 +70,30 @@
             _ => n,
         };
         let mut left = places;
-        for v in fleet.iter_mut().filter(|v| fits(&v.offer)) {
-            let k = v.free.count(&job.need, left);
-            v.free.add(&job.need, -f64::from(k));
-            left -= k;
-            if left == 0 {
-                break;
+        let mut k = 0;
+        while left > 0 && k < fleet.len() {
+            let v = &mut fleet[k];
+            if fits(&v.offer) {
+                let n = v.free.count(&job.need, left);
+                v.free.add(&job.need, -f64::from(n));
+                left -= n;
+            }
+            // What is full is not looked at again.
+            if v.free.cores <= EPS || v.free.mem <= EPS || (v.offer.total.gpus > EPS && v.free.gpus <= EPS) {
+                full.extend(fleet.swap_remove(k).new);
+            } else {
+                k += 1;
             }
         }
-        while left > 0 && fleet.len() < 500 {
-            let best = h.offers.iter().enumerate().filter(|(_, o)| fits(o)).min_by(|(_, a), (_, b)| {
-                let cost = |o: &MachineOffer| o.price * o.total.share(&job.need);
-                cost(a).total_cmp(&cost(b))
-            });
-            let Some((index, offer)) = best else { break };
+        if left == 0 {
+            continue;
+        }
+        let best = h.offers.iter().enumerate().filter(|(_, o)| fits(o)).min_by(|(_, a), (_, b)| {
+            let cost = |o: &MachineOffer| o.price * o.total.share(&job.need);
+            cost(a).total_cmp(&cost(b))
+        });
+        let Some((index, offer)) = best else { continue };
+        while left > 0 && full.len() + fleet.len() < h.most {
             let mut v = Virtual { offer: offer.clone(), free: offer.total, new: Some(index) };
             let k = v.free.count(&job.need, left).max(1);
             v.free.add(&job.need, -f64::from(k));
@@ -89,8 +102,7 @@
         }
     }
     let mut out: Vec<Wish> = Vec::new();
-    for v in fleet {
-        let Some(offer) = v.new else { continue };
+    for offer in full.into_iter().chain(fleet.into_iter().filter_map(|v| v.new)) {
         match out.iter_mut().find(|w| w.offer == offer) {
             Some(w) => w.count += 1,
             None => out.push(Wish { offer, count: 1 }),
