Room is gathered for gangs of several tasks, not only of one

Cause: tasks of lower urgency were stopped for single-task gangs only.

Now the cheapest set of machines is cleared: those that are free soon by themselves, then those where the least is lost, in one zone where the job asks for that. The list is made once for all alike.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod hire;
 mod place;
+mod room;
 mod stretch;
 
 pub use hire::{HireInput, MachineOffer, Wish, wishes};
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -1,18 +1,22 @@
 //! One pass of MoldableEDF: by rising deadline, each job takes the narrowest width that meets its deadline,
 //! moving nothing that is placed already.
 
-use crate::{EPS, Input, Job, Machine, Output, Preempt, Res, Secs, Shape, Start, Team, stretch};
+use crate::room::{Clearing, Wide};
+use crate::{EPS, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, stretch};
+use std::collections::HashMap;
 
-struct Pass<'a> {
-    input: &'a Input,
-    free: Vec<Res>,
+pub(crate) struct Pass<'a> {
+    pub input: &'a Input,
+    pub free: Vec<Res>,
     slots: Vec<u32>,
     /// Until when a machine's room is promised to a wide job, and that job's priority.
-    held: Vec<Option<Secs>>,
+    pub held: Vec<Option<Secs>>,
     images: Vec<Vec<u32>>,
     teams: Vec<Team>,
     zones: Vec<Vec<(u16, u32)>>,
-    out: Output,
+    /// What can be cleared for tasks of a kind, once it was asked for.
+    pub clearable: HashMap<Wide, Vec<Clearing>>,
+    pub out: Output,
 }
 
 /// Makes a plan for this moment.
@@ -25,6 +29,7 @@
         images: input.machines.iter().map(|m| m.images.clone()).collect(),
         teams: input.teams.clone(),
         zones: input.jobs.iter().map(|j| j.zones.clone()).collect(),
+        clearable: HashMap::new(),
         out: Output::default(),
     };
     pass.run();
@@ -76,7 +81,7 @@
                     if self.gang(*i, want) {
                         left[*i] = 0;
                     } else {
-                        self.make_room(job, want);
+                        self.make_room(*i, want);
                     }
                 }
                 _ => {
@@ -147,7 +152,7 @@
         }
     }
 
-    fn allowed(&self, job: &Job, m: usize) -> bool {
+    pub(crate) fn allowed(&self, job: &Job, m: usize) -> bool {
         let machine = &self.input.machines[m];
         machine.usable
             && self.slots[m] > 0
@@ -158,7 +163,7 @@
     }
 
     /// How many more tasks the job may have in this zone, given those it has.
-    fn zone_room(&self, i: usize, zone: u16) -> u32 {
+    pub(crate) fn zone_room(&self, i: usize, zone: u16) -> u32 {
         let job = &self.input.jobs[i];
         let there = |z: u16| self.zones[i].iter().find(|(id, _)| *id == z).map_or(0, |(_, n)| *n);
         if job.one_zone && self.zones[i].iter().any(|(z, n)| *z != zone && *n > 0) {
@@ -172,7 +177,7 @@
     }
 
     /// How long the job's image takes to come to this machine.
-    fn fetch(&self, job: &Job, m: usize) -> Secs {
+    pub(crate) fn fetch(&self, job: &Job, m: usize) -> Secs {
         if self.images[m].contains(&job.image) {
             return 0.0;
         }
@@ -258,13 +263,7 @@
     /// Starts all `want` tasks of a gang or none.
     fn gang(&mut self, i: usize, want: u32) -> bool {
         let job = &self.input.jobs[i];
-        let mut zones: Vec<Option<u16>> = vec![None];
-        if job.one_zone {
-            let mut all: Vec<u16> = self.input.machines.iter().map(|m| m.zone).collect();
-            all.sort_unstable();
-            all.dedup();
-            zones = all.into_iter().map(Some).collect();
-        }
+        let zones = if job.one_zone { self.all_zones() } else { vec![None] };
         let mut best: Option<(f64, Vec<(usize, u32)>)> = None;
         for zone in zones {
             let mut order: Vec<(f64, usize)> = (0..self.input.machines.len())
@@ -308,92 +307,4 @@
         }
         true
     }
-
-    /// A gang that finds no room has it gathered: the machine that is free for it first is held, and tasks of
-    /// lower priority are stopped where waiting would take longer than the patience.
-    fn make_room(&mut self, job: &Job, want: u32) {
-        let mut options: Vec<(Secs, f64, usize)> = Vec::new();
-        for m in 0..self.input.machines.len() {
-            let machine = &self.input.machines[m];
-            if !self.allowed(job, m) || self.held[m].is_some() || !machine.total.fits(&job.need) {
-                continue;
-            }
-            self.out.steps += machine.running.len() as u64;
-            let mut free = self.free[m];
-            let mut ends: Vec<(Secs, usize)> = machine
-                .running
-                .iter()
-                .enumerate()
-                .map(|(k, r)| (if r.leaving { 0.0 } else { r.ends.max(0.0) }, k))
-                .collect();
-            ends.sort_by(|a, b| a.0.total_cmp(&b.0));
-            let mut at = 0.0;
-            for (end, k) in ends {
-                if free.fits(&job.need) {
-                    break;
-                }
-                free.add(&machine.running[k].need, 1.0);
-                at = end;
-            }
-            if free.fits(&job.need) {
-                options.push((at, 0.0, m));
-            }
-        }
-        options.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(&b.2)));
-        for (at, _, m) in options.iter().take(want as usize) {
-            self.held[*m] = Some(*at);
-            self.out.kept.push(*m as u32);
-        }
-        let soon = options.get(want.saturating_sub(1) as usize).is_some_and(|o| o.0 <= self.input.patience);
-        if want != 1 || soon {
-            return;
-        }
-        // Only the cheapest machine is cleared, and only where that is enough.
-        let mut best: Option<(f64, usize, Vec<usize>)> = None;
-        for (_, _, m) in &options {
-            if let Some((lost, tasks)) = self.evictable(job, *m)
-                && best.as_ref().is_none_or(|(l, _, _)| lost < *l)
-            {
-                best = Some((lost, *m, tasks));
-            }
-        }
-        if let Some((_, m, tasks)) = best {
-            for (held, _) in self.held.iter_mut().zip(0..).filter(|(_, k)| *k == options[0].2) {
-                *held = None;
-            }
-            self.held[m] = Some(0.0);
-            self.out
-                .preempts
-                .extend(tasks.into_iter().map(|t| Preempt { machine: m as u32, task: t as u32 }));
-        }
-    }
-
-    /// The tasks of lower priority whose end gives the job room on this machine at the least lost work.
-    fn evictable(&self, job: &Job, m: usize) -> Option<(f64, Vec<usize>)> {
-        let machine = &self.input.machines[m];
-        let mut free = self.free[m];
-        for r in machine.running.iter().filter(|r| r.leaving) {
-            free.add(&r.need, 1.0);
-        }
-        let mut victims: Vec<usize> = (0..machine.running.len())
-            .filter(|k| {
-                let r = &machine.running[*k];
-                r.stoppable && !r.leaving && r.priority < job.priority
-            })
-            .collect();
-        let cost = |k: &usize| machine.running[*k].lost * machine.total.share(&machine.running[*k].need);
-        victims.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
-        // A machine that fetches the image first loses that time too, with all that the job takes.
-        let mut lost = self.fetch(job, m) * machine.total.share(&job.need);
-        let mut chosen = Vec::new();
-        for k in victims {
-            if free.fits(&job.need) {
-                break;
-            }
-            free.add(&machine.running[k].need, 1.0);
-            lost += cost(&k);
-            chosen.push(k);
-        }
-        free.fits(&job.need).then_some((lost, chosen))
-    }
 }
--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -117,39 +117,36 @@
     }
 }
 
-/// An urgent gang that fits nowhere has the cheapest machine cleared for it, and only by the less urgent.
-#[test]
-fn room_is_made_for_the_urgent_at_the_least_loss() {
-    let total = res(32.0, 4.0, 128.0);
-    let busy = |lost: f64, priority: u8| Machine {
+/// A machine whose room one task of this priority takes.
+fn busy(zone: u16, lost: f64, priority: u8) -> Machine {
+    let need = res(8.0, 4.0, 8.0);
+    let running = Running { need, ends: 90.0, priority, lost, stoppable: true, leaving: false };
+    Machine {
         machine_type: 0,
-        zone: 0,
+        zone,
         spot: false,
         usable: true,
-        total,
-        running: vec![Running {
-            need: res(8.0, 4.0, 8.0),
-            ends: 90.0,
-            priority,
-            lost,
-            stoppable: true,
-            leaving: false,
-        }],
+        total: res(32.0, 4.0, 128.0),
+        running: vec![running],
         images: vec![],
         fetch_gb_per_s: 1.0,
         slots: 10,
-    };
-    let gang = Job {
+    }
+}
+
+/// An urgent gang whose tasks take a machine each.
+fn gang(tasks: u32, one_zone: bool) -> Job {
+    Job {
         shape: Shape::Gang,
         priority: 2,
         arrival: -5.0,
         estimate: 50.0,
-        tasks: 1,
-        pending: 1,
+        tasks,
+        pending: tasks,
         need: res(8.0, 4.0, 8.0),
         types: 1,
         zone: None,
-        one_zone: false,
+        one_zone,
         spread: false,
         spot: true,
         image: 0,
@@ -158,19 +155,42 @@
         due: None,
         zones: vec![],
         avoid: vec![],
-    };
+    }
+}
+
+fn crowded(machines: Vec<Machine>, jobs: Vec<Job>) -> Input {
     let team = Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY };
-    let mut input = Input {
-        machines: vec![busy(40.0, 0), busy(10.0, 0), busy(1.0, 2)],
-        jobs: vec![gang],
-        teams: vec![team],
-        spares: vec![],
-        online_factor: 1.0,
-        patience: 3.0,
-    };
+    Input { machines, jobs, teams: vec![team], spares: vec![], online_factor: 1.0, patience: 3.0 }
+}
+
+/// An urgent gang that fits nowhere has the cheapest machine cleared for it, and only by the less urgent.
+#[test]
+fn room_is_made_for_the_urgent_at_the_least_loss() {
+    let mut input = crowded(vec![busy(0, 40.0, 0), busy(0, 10.0, 0), busy(0, 1.0, 2)], vec![gang(1, false)]);
     let out = plan(&input);
     assert_eq!(out.preempts, vec![plan::Preempt { machine: 1, task: 0 }]);
     // Room that is coming is not made a second time.
     input.machines[1].running[0].leaving = true;
     assert!(plan(&input).preempts.is_empty());
 }
+
+/// Gangs of four waited up to two minutes where only room for single tasks was made.
+#[test]
+fn room_is_made_for_wide_gangs_too() {
+    let lost = [40.0, 10.0, 30.0, 20.0, 50.0];
+    let machines = lost.iter().zip([0, 1, 0, 1, 0]).map(|(l, z)| busy(z, *l, 0)).collect();
+    let mut input = crowded(machines, vec![gang(2, false)]);
+    let cleared = |input: &Input| {
+        let mut machines: Vec<u32> = plan(input).preempts.iter().map(|p| p.machine).collect();
+        machines.sort_unstable();
+        machines
+    };
+    assert_eq!(cleared(&input), [1, 3], "where the least is lost");
+    input.jobs = vec![gang(3, true)];
+    assert_eq!(cleared(&input), [0, 2, 4], "three in one zone");
+    input.jobs = vec![gang(4, true)];
+    assert!(cleared(&input).is_empty(), "nothing is stopped in vain");
+    // Two gangs do not count on the same machines.
+    input.jobs = vec![gang(2, false), gang(2, false)];
+    assert_eq!(cleared(&input), [0, 1, 2, 3]);
+}
