--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -5,10 +5,10 @@
 use crate::machines::{Claim, Need};
 use crate::part::{HireState, Part};
 use crate::{Node, Tuning};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use wire::api::{Catalog, JobSpec, Kind, MachineType, Priority};
 use wire::records::AllotedTeam;
-use wire::settings::Objective;
+use wire::settings::{Objective, Team};
 
 /// The most that the cloud rents out in one call.
 const MOST_A_CALL: u32 = 50;
@@ -85,8 +85,7 @@
     tuning: &Tuning,
     wall: u64,
 ) -> Vec<plan::Spare> {
-    let guaranteed =
-        aims.iter().filter(|a| a.kind == "guarantee").filter_map(|a| a.within_s).reduce(f64::min);
+    let guaranteed = guarantee_aim(aims);
     let mut out: Vec<plan::Spare> = Vec::new();
     for (class, seen) in &part.classes {
         let Some(spec) = &seen.like else { continue };
@@ -114,6 +113,44 @@
     out
 }
 
+/// How soon work within a guarantee is expected to start.
+fn guarantee_aim(aims: &[Objective]) -> Option<f64> {
+    aims.iter().filter(|a| a.kind == "guarantee").filter_map(|a| a.within_s).reduce(f64::min)
+}
+
+/// Jobs that fit into their team's guarantee together with the team's earlier jobs that have not ended.
+fn within_guarantee(part: &Part, teams: &[Team]) -> HashSet<JobIx> {
+    let mut open: Vec<(u64, JobIx, &JobSpec)> = Vec::new();
+    for (ix, job) in part.jobs.iter().enumerate() {
+        if let Some(job) = job
+            && let Some(spec) = &job.spec
+            && !job.is_ending()
+        {
+            open.push((job.at_ms, ix, spec));
+        }
+    }
+    open.sort_unstable_by_key(|(at, ix, _)| (*at, *ix));
+    let mut left: HashMap<&str, (f64, f64)> =
+        teams.iter().map(|t| (t.name.as_str(), (t.cpus, t.gpus))).collect();
+    let mut out = HashSet::new();
+    for (_, ix, spec) in open {
+        let Some((cpus, gpus)) = left.get_mut(spec.team.as_str()) else { continue };
+        let n = f64::from(spec.tasks);
+        *gpus -= spec.gpus * n;
+        // Where a job takes GPUs, its team's share of them is what counts.
+        let fits = if spec.gpus > 0.0 {
+            *gpus >= -1e-6
+        } else {
+            *cpus -= spec.cores * n;
+            *cpus >= -1e-6
+        };
+        if fits {
+            out.insert(ix);
+        }
+    }
+    out
+}
+
 impl Node {
     pub(crate) fn sched_tick(&mut self) {
         let now = self.now.mono;
@@ -259,6 +296,8 @@
             .iter()
             .map(|m| m.as_ref().and_then(|m| zones.get(m.zone.as_str()).copied()))
             .collect();
+        let promise = guarantee_aim(&self.settings.cluster.objectives);
+        let guaranteed = within_guarantee(part, &self.settings.cluster.teams);
         for (ix, job) in part.jobs.iter().enumerate() {
             let Some(job) = job else { continue };
             let Some(spec) = &job.spec else { continue };
@@ -284,13 +323,17 @@
             }
             let factor = part.classes.get(&spec.class).map_or(1.0, |c| c.factor());
             let arrival = -(now.wall.saturating_sub(job.at_ms) as f64 / 1000.0);
+            let estimate = (spec.estimate_s * factor - job.progress_s).max(1.0);
+            // What a team is guaranteed is a deadline too: in time is what starts as the guarantee says.
+            let promised = promise.filter(|_| guaranteed.contains(&ix)).map(|within| within + estimate);
+            let due = spec.deadline_s.into_iter().chain(promised).reduce(f64::min);
             map.jobs.push(ix);
             let shape = shaped(spec, &mut part.images, &names, *team);
             input.jobs.push(plan::Job {
                 arrival,
-                estimate: (spec.estimate_s * factor - job.progress_s).max(1.0),
+                estimate,
                 pending,
-                due: spec.deadline_s.map(|d| d + arrival),
+                due: due.map(|d| d + arrival),
                 zones: by_zone,
                 avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
                 ..shape
