--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -104,9 +104,14 @@
         if lead <= within {
             continue;
         }
-        let count = (seen.rate(wall) * lead * share * seen.tasks.clamp(1.0, 200.0)).round() as u32;
+        // Machines that end their work make room for as many jobs as come; what is kept is for the difference
+        // between the two, which has the deviation of the arrivals in the time that a new machine takes.
+        let deviation = (seen.rate(wall) * lead * seen.tasks_squared.clamp(1.0, 40_000.0)).sqrt();
+        let count = (deviation * share).round() as u32;
+        let images = seen.images.iter();
+        let images = images.map(|(name, gb, share)| (part.images.get(name), *gb, *share)).collect();
         if count > 0 {
-            out.push(plan::Spare { like, count });
+            out.push(plan::Spare { like, count, images });
         }
     }
     out.sort_by_key(|s| (std::cmp::Reverse(s.like.priority), s.like.image));
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -151,6 +151,8 @@
     /// What one of the expected tasks looks like.
     pub like: Job,
     pub count: u32,
+    /// Images that they are expected to need, with their size and their share of the jobs.
+    pub images: Vec<(u32, f64, f64)>,
 }
 
 #[derive(Debug, Clone, Default)]
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -5,6 +5,9 @@
 use crate::{EPS, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, stretch};
 use std::collections::HashMap;
 
+/// Run times of a job's tasks differ from each other and from the estimate: a round is planned this much longer.
+const SLACK: f64 = 1.25;
+
 pub(crate) struct Pass<'a> {
     pub input: &'a Input,
     pub free: Vec<Res>,
@@ -86,7 +89,9 @@
                 }
                 _ => {
                     // Narrowest width j with ceil(n / j) rounds of one estimate ending by the deadline.
-                    let rounds = (due / job.estimate.max(1.0)).floor().max(1.0);
+                    // Most rounds start with the image there; the first may have to fetch it.
+                    let time = due - job.image_gb / self.fetch_rate(job);
+                    let rounds = (time / (job.estimate.max(1.0) * SLACK)).floor().max(1.0);
                     let width = (f64::from(left[*i]) / rounds).ceil() as u32;
                     left[*i] -= self.fill(*i, width.min(left[*i]), true);
                 }
@@ -109,37 +114,64 @@
         }
     }
 
-    /// Keeps the rest from machines with room for jobs that are expected, those with their image first.
+    /// Keeps the rest from machines with room for jobs that are expected: for each image as many as its share
+    /// that have it, so that what comes need not fetch.
     fn keep_spares(&mut self) {
         let input = self.input;
         for spare in &input.spares {
             let job = &spare.like;
+            // The time that all expected images together, by their shares, take to come here.
+            let missing = |pass: &Self, m: usize| {
+                let away = spare.images.iter().filter(|(i, _, _)| !pass.images[m].contains(i));
+                away.map(|(_, gb, share)| gb * share).sum::<f64>()
+                    / input.machines[m].fetch_gb_per_s.max(0.01)
+            };
             let mut order: Vec<(f64, usize)> = (0..input.machines.len())
                 .filter(|m| self.allowed(job, *m) && self.held[*m].is_none() && self.free[*m].fits(&job.need))
-                .map(|m| (self.score(job, m), m))
+                .map(|m| (missing(self, m) + self.place_score(job, m), m))
                 .collect();
+            self.out.steps += input.machines.len() as u64;
             order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-            // Where tasks of lower priority can make room, none has to stand empty.
-            let makes_room = |m: &usize| {
-                self.allowed(job, *m)
-                    && self.held[*m].is_none()
-                    && !self.free[*m].fits(&job.need)
-                    && self.evictable(job, *m).is_some()
-            };
-            let clearable = (0..input.machines.len()).filter(makes_room).count() as u32;
-            let mut left = spare.count.saturating_sub(clearable);
+            let mut left = spare.count;
+            let all: f64 = spare.images.iter().map(|(_, _, share)| share).sum();
+            for (image, _, share) in &spare.images {
+                let mut wanted = (f64::from(spare.count) * share / all.max(EPS)).round() as u32;
+                wanted = wanted.min(left);
+                for (_, m) in &order {
+                    if wanted == 0 {
+                        break;
+                    }
+                    if self.held[*m].is_none() && self.images[*m].contains(image) {
+                        let n = self.keep(job, *m);
+                        wanted = wanted.saturating_sub(n);
+                        left = left.saturating_sub(n);
+                    }
+                }
+            }
             for (_, m) in order {
                 if left == 0 {
                     break;
                 }
-                left = left.saturating_sub(self.free[m].count(&job.need, self.slots[m]));
-                self.held[m] = Some(0.0);
-                self.out.kept.push(m as u32);
+                if self.held[m].is_none() {
+                    left = left.saturating_sub(self.keep(job, m));
+                }
             }
             self.out.spare_short.push(left);
         }
     }
 
+    fn keep(&mut self, job: &Job, m: usize) -> u32 {
+        self.held[m] = Some(0.0);
+        self.out.kept.push(m as u32);
+        self.free[m].count(&job.need, self.slots[m])
+    }
+
+    /// The slowest fetch among the machine types that the job may use.
+    fn fetch_rate(&self, job: &Job) -> f64 {
+        let machines = self.input.machines.iter().filter(|m| job.types >> m.machine_type & 1 == 1);
+        machines.map(|m| m.fetch_gb_per_s).fold(f64::INFINITY, f64::min).max(0.01)
+    }
+
     fn size(&self, job: &Job) -> stretch::Sized {
         let slots: f64 =
             self.input.machines.iter().map(|m| f64::from(m.total.count(&job.need, 10_000))).sum();
@@ -186,11 +218,15 @@
 
     /// Lower is better: fetch time first, then spot before ordinary, then the tightest fit.
     fn score(&self, job: &Job, m: usize) -> f64 {
+        self.fetch(job, m) + self.place_score(job, m)
+    }
+
+    fn place_score(&self, job: &Job, m: usize) -> f64 {
         let machine = &self.input.machines[m];
-        let fetch = self.fetch(job, m);
         let left =
             1.0 - machine.total.share(&job.need) - (1.0 - self.free[m].gpus / machine.total.gpus.max(EPS));
-        fetch + if machine.spot { 0.0 } else { 2.0 } + left.max(0.0) * 4.0
+        let dear = if machine.spot { 0.0 } else { 2.0 };
+        dear + left.max(0.0) * 4.0
     }
 
     fn take(&mut self, i: usize, m: usize, n: u32) {
