--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -8,6 +8,9 @@
 /// Run times of a job's tasks differ from each other and from the estimate: a round is planned this much longer.
 const SLACK: f64 = 1.25;
 
+/// How long it takes until a stopped task has gone and the next plan is made.
+const CLEARING: Secs = 3.0;
+
 pub(crate) struct Pass<'a> {
     pub input: &'a Input,
     pub free: Vec<Res>,
@@ -338,6 +341,18 @@
             }
         }
         let Some((_, chosen)) = best else { return false };
+        // A long fetch leaves the room idle and the user waiting. Where the image is already, young tasks of lower
+        // urgency may be the smaller loss.
+        let idle = |(m, n): &(usize, u32)| {
+            self.fetch(job, *m) * self.input.machines[*m].total.share(&job.need) * f64::from(*n)
+        };
+        let idle: f64 = chosen.iter().map(idle).sum();
+        if idle > EPS {
+            let wait = self.input.machines[chosen[0].0].total.share(&job.need) * f64::from(want) * CLEARING;
+            if self.cheapest(i, want).is_some_and(|(cost, _)| cost + wait < idle) {
+                return false;
+            }
+        }
         for (m, n) in chosen {
             self.take(i, m, n);
         }
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -1,9 +1,10 @@
 //! Room for those that find none: machines that are free soon are held, and the less urgent are stopped.
 
 use crate::place::Pass;
-use crate::{Job, Preempt, Secs};
+use crate::{Job, Preempt, Res, Secs};
 
 /// A machine that can be had for a task.
+#[derive(Clone)]
 pub(crate) struct Clearing {
     machine: usize,
     /// When it is free by itself.
@@ -12,6 +13,8 @@
     cost: f64,
     /// Tasks that have to be stopped.
     stops: Vec<usize>,
+    /// Its room when this was found out.
+    free: Res,
 }
 
 /// What jobs have in common that can use the same machines.
@@ -42,6 +45,16 @@
     /// A gang that finds no room has it gathered: the machines that are free for it first are held, and tasks of
     /// lower priority are stopped where waiting would take longer than the patience.
     pub(crate) fn make_room(&mut self, i: usize, want: u32) {
+        for o in self.cheapest(i, want).map(|(_, chosen)| chosen).unwrap_or_default() {
+            self.held[o.machine] = Some(o.at);
+            self.out.kept.push(o.machine as u32);
+            let stops = o.stops.iter().map(|t| Preempt { machine: o.machine as u32, task: *t as u32 });
+            self.out.preempts.extend(stops);
+        }
+    }
+
+    /// The machines that can be had for all tasks of a gang at the least loss, and that loss.
+    pub(crate) fn cheapest(&mut self, i: usize, want: u32) -> Option<(f64, Vec<Clearing>)> {
         let input = self.input;
         let job = &input.jobs[i];
         let key = Wide::of(job);
@@ -53,7 +66,6 @@
         let zones: Vec<Option<u16>> = if job.one_zone { self.all_zones() } else { vec![None] };
         let mut best: Option<(f64, Vec<&Clearing>)> = None;
         for zone in zones {
-            let mut left = want;
             let mut cost = 0.0;
             let mut chosen = Vec::new();
             let mut taken: Vec<(u16, u32)> = Vec::new();
@@ -63,7 +75,7 @@
                 let used = taken.iter().find(|(id, _)| *id == z).map_or(0, |(_, n)| *n);
                 if zone.is_some_and(|only| only != z)
                     || self.held[o.machine].is_some()
-                    || !self.allowed(job, o.machine)
+                    || self.free[o.machine] != o.free
                     || self.zone_room(i, z) <= used
                 {
                     continue;
@@ -74,22 +86,17 @@
                 }
                 cost += o.cost;
                 chosen.push(o);
-                left -= 1;
-                if left == 0 {
+                if chosen.len() as u32 == want {
                     break;
                 }
             }
-            if left == 0 && best.as_ref().is_none_or(|(c, _)| cost < *c) {
+            if chosen.len() as u32 == want && best.as_ref().is_none_or(|(c, _)| cost < *c) {
                 best = Some((cost, chosen));
             }
         }
-        for o in best.map(|(_, chosen)| chosen).unwrap_or_default() {
-            self.held[o.machine] = Some(o.at);
-            self.out.kept.push(o.machine as u32);
-            let stops = o.stops.iter().map(|t| Preempt { machine: o.machine as u32, task: *t as u32 });
-            self.out.preempts.extend(stops);
-        }
+        let best = best.map(|(cost, chosen)| (cost, chosen.into_iter().cloned().collect()));
         self.clearable.insert(key, options);
+        best
     }
 
     /// Every machine that a task like this could have, the cheapest first: those that are free soon by themselves,
@@ -102,7 +109,8 @@
                 continue;
             }
             self.out.steps += 1 + machine.running.len() as u64;
-            let mut free = self.free[m];
+            let before = self.free[m];
+            let mut free = before;
             let mut ends: Vec<(Secs, usize)> = machine
                 .running
                 .iter()
@@ -119,10 +127,10 @@
                 at = end;
             }
             if at <= self.input.patience {
-                let cost = self.fetch(job, m) * machine.total.share(&job.need);
-                options.push(Clearing { machine: m, at, cost, stops: Vec::new() });
+                let cost = (at + self.fetch(job, m)) * machine.total.share(&job.need);
+                options.push(Clearing { machine: m, at, cost, stops: Vec::new(), free: before });
             } else if let Some((cost, stops)) = self.evictable(job, m) {
-                options.push(Clearing { machine: m, at: 0.0, cost, stops });
+                options.push(Clearing { machine: m, at: 0.0, cost, stops, free: before });
             }
         }
         options.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.machine.cmp(&b.machine)));
