--- a/crates/plan/src/hire.rs
+++ b/crates/plan/src/hire.rs
@@ -1,5 +1,6 @@
 //! What to rent: enough for the tasks that found no room, where renting is worth its price.
 
+use crate::place::SLACK;
 use crate::{EPS, Input, Job, Output, Res, Secs, Shape};
 
 /// A kind of machine that can be rented now.
@@ -64,7 +65,11 @@
         // An array need not run all at once: as many places as finish its work within the horizon.
         let places = match job.shape {
             Shape::Array => {
-                let rounds = (h.horizon / job.estimate.max(1.0)).floor().max(1.0);
+                // Of its own deadline, what is left once a machine is up with the image.
+                let lead = |o: &MachineOffer| o.boot + job.image_gb / o.fetch_gb_per_s.max(0.01);
+                let lead = h.offers.iter().filter(|o| fits(o)).map(lead).fold(0.0, f64::max);
+                let time = job.due.map_or(h.horizon, |due| h.horizon.min(due - lead));
+                let rounds = (time / (job.estimate.max(1.0) * SLACK)).floor().max(1.0);
                 (f64::from(n) / rounds).ceil() as u32
             }
             _ => n,
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -6,7 +6,7 @@
 use std::collections::HashMap;
 
 /// Run times of a job's tasks differ from each other and from the estimate: a round is planned this much longer.
-const SLACK: f64 = 1.25;
+pub(crate) const SLACK: f64 = 1.25;
 
 /// How long it takes until a stopped task has gone and the next plan is made.
 const CLEARING: Secs = 3.0;
