A new owner announces itself to its peers and calls the machines

Cause: an owner that lost only the state service went on answering its workers; the new owner heard no machine, took itself to be cut off, stepped back, and so did the next. Ruled out: reading the records (0.1 s for 469 jobs and 1449 machines).

Now a new owner tells its peers, and the earlier one, no longer sure of its lease, steps down and sends its workers on. Machines that have not come by themselves are called with an empty command, twelve a tick. A machine without a known address is no longer given up for silence alone, and silence is measured against the report interval.

--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -216,8 +216,8 @@
     }
 
     fn owner_peer(&self) -> Option<usize> {
-        let owner = self.shared.owner.as_ref()?;
-        self.settings.peers.iter().position(|p| p.node == owner.rec.node)
+        let owner = self.owner_name()?;
+        self.settings.peers.iter().position(|p| p.node == owner)
     }
 
     pub(crate) fn peer_queried(&mut self, conn: u64, job: String, why: Why, r: Option<Response>) {
@@ -319,6 +319,10 @@
                 self.respond(conn, 200, peer::encode(&answer), None);
             }
             Some(Ask::Cancel { job }) => self.cancel(&job, Asker::Peer(conn)),
+            Some(Ask::Owns { node, token }) => {
+                self.owner_said(node, token);
+                self.respond(conn, 200, peer::encode(&Answer::NotNow), None);
+            }
             None => self.refuse(conn, 400, "not understood"),
         }
     }
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -7,6 +7,7 @@
 use crate::{Dest, Node, Pending};
 use wire::api::{Catalog, Changes, Grant, GrantRequest, Guard, Range, Txn, Write};
 use wire::http::Response;
+use wire::peer::Ask;
 use wire::records::{self, OwnerRec, Record, SharedRec, TokenRec};
 
 /// The one part of this version.
@@ -40,6 +41,16 @@
     retry_at: u64,
 }
 
+/// Who said that it had become the owner.
+pub(crate) struct Hint {
+    node: String,
+    token: u64,
+    until: u64,
+}
+
+/// A hint is forgotten after this time; by then whoever can read the state service knows better.
+const HINT_MS: u64 = 10_000;
+
 pub(crate) enum Role {
     Follower {
         may_stand_at: u64,
@@ -308,6 +319,30 @@
         self.writes.set_rate(c.write_rps * OWNER_WRITES);
         self.part = Some(Part::new(token, version, now, c.value_kb));
         self.start_load();
+        let body = wire::peer::encode(&Ask::Owns { node: self.settings.node.clone(), token });
+        for i in 0..self.settings.peers.len() {
+            let to = Dest::Peer(i);
+            self.send(to, "POST", wire::peer::PATH.into(), body.clone(), 1000, Pending::Release);
+        }
+    }
+
+    /// Another node says that it owns the part. An earlier owner that lost the state service hears it here first;
+    /// its workers would otherwise stay with it, unheard by the new one.
+    pub(crate) fn owner_said(&mut self, node: String, token: u64) {
+        let until = self.now.mono + HINT_MS;
+        if !self.sure() && self.part.as_ref().is_some_and(|p| p.token < token) {
+            self.step_down("a peer owns the fleet with a higher token");
+        }
+        if self.settings.peers.iter().any(|p| p.node == node) {
+            self.hint = Some(Hint { node, token, until });
+        }
+    }
+
+    /// The node that workers should report to.
+    pub(crate) fn owner_name(&self) -> Option<String> {
+        let known = self.shared.owner.as_ref().map(|o| (o.rec.token, &o.rec.node));
+        let said = self.hint.as_ref().filter(|h| h.until > self.now.mono).map(|h| (h.token, &h.node));
+        known.into_iter().chain(said).max_by_key(|(token, _)| *token).map(|(_, node)| node.clone())
     }
 
     pub(crate) fn renewed(&mut self, asked: u64, sent: u64, response: Option<Response>) {
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -10,6 +10,10 @@
 
 const CLOUD_TIMEOUT_MS: u64 = 5000;
 const STAND_BACK_MEMORY_MS: u64 = 180_000;
+/// When a new owner asks machines that it has not heard of, and how many at a time.
+const CALL_AFTER_MS: u64 = 500;
+const CALL_UNTIL_MS: u64 = 8000;
+const CALLS_A_TICK: usize = 12;
 const CATALOG_EVERY_MS: u64 = 60_000;
 
 #[derive(Default)]
@@ -249,12 +253,13 @@
     pub(crate) fn machines_tick(&mut self) {
         self.push_orders();
         let now = self.now;
-        let epoch = self.epoch;
         if !self.decides() {
             return;
         }
-        let silent = (self.tuning.silent_s * 1000.0) as u64;
+        self.call_round();
+        let silent = self.silent_ms();
         let grace = (self.settings.cluster.workers.report_s * 1000.0) as u64;
+        let lease = (self.settings.cluster.workers.lease_s * 1000.0) as u64;
         let boots: Vec<(String, f64)> = self
             .catalog()
             .map(|c| c.types.iter().map(|t| (t.name.clone(), t.boot_s)).collect())
@@ -306,17 +311,33 @@
             return self.stand_back(15_000);
         }
         for m in probes {
-            let Some(part) = &mut self.part else { return };
-            let serial = part.next_serial();
-            let Some(machine) = part.machine_mut(m) else { continue };
-            machine.probed_at = now.mono;
-            let Some(addr) = machine.addr else {
+            let Some(machine) = self.part.as_mut().and_then(|p| p.machine_mut(m)) else { continue };
+            if machine.addr.is_some() {
+                self.call(m);
+            } else if now.mono.saturating_sub(machine.heard_at) > lease {
+                // Neither its worker nor the cloud's list has told where it is.
+                log::warn!("machine {}: silent and without address, to be returned", machine.name);
                 machine.deleting = true;
-                continue;
-            };
-            machine.probe = Some(serial);
-            let what = Pending::Show { epoch, machine: m, serial };
-            self.send(Dest::Worker(addr), "GET", "/show".into(), Vec::new(), 2000, what);
+            }
+        }
+    }
+
+    /// After a take-over: asks the machines that have not come by themselves, a few at a time. Their workers may
+    /// still be with an earlier owner, and what they say is needed before much can be decided.
+    fn call_round(&mut self) {
+        let now = self.now.mono;
+        let Some(part) = &mut self.part else { return };
+        if now < part.since + CALL_AFTER_MS || now >= part.since + CALL_UNTIL_MS {
+            return;
+        }
+        let since = part.since;
+        let unheard = |m: &Machine| {
+            m.heard_at <= since && m.addr.is_some() && m.probe.is_none() && m.probed_at < since && !m.deleting
+        };
+        let due = part.machines.iter().enumerate().filter(|(_, m)| m.as_ref().is_some_and(unheard));
+        let due: Vec<usize> = due.map(|(m, _)| m).take(CALLS_A_TICK).collect();
+        for m in due {
+            self.call(m);
         }
     }
 }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -112,6 +112,7 @@
     next_tag: u64,
     shared: Shared,
     role: Role,
+    hint: Option<election::Hint>,
     epoch: u64,
     part: Option<Part>,
     /// Requests to the state service and writes to it that this node may still make.
@@ -188,6 +189,7 @@
             next_tag: 1,
             shared: Shared::default(),
             role: Role::Follower { may_stand_at: 0 },
+            hint: None,
             epoch: 0,
             part: None,
             finals: Finals::new(finals),
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -23,8 +23,7 @@
             Err(e) => return self.refuse(conn, 400, &e.to_string()),
         };
         let Some(part) = &self.part else {
-            let owner = self.shared.owner.as_ref().map(|o| o.rec.node.clone());
-            return match owner.filter(|o| *o != self.settings.node) {
+            return match self.owner_name().filter(|o| *o != self.settings.node) {
                 Some(node) => {
                     let body = wire::encode(&Redirect { report_to: Some(node) });
                     self.respond(conn, 421, body, None)
@@ -468,9 +467,30 @@
         }
     }
 
+    /// Asks a worker for its report, by an empty command: it also shows our token to a worker that still obeys an
+    /// earlier one, and it can be executed at any time without harm.
+    pub(crate) fn call(&mut self, m: usize) {
+        let (now, epoch) = (self.now.mono, self.epoch);
+        let Some(part) = &mut self.part else { return };
+        let serial = part.next_serial();
+        let token = part.token;
+        let Some(machine) = part.machine_mut(m) else { return };
+        let Some(addr) = machine.addr else { return };
+        machine.probe = Some(serial);
+        machine.probed_at = now;
+        // Most have never lost their lease; otherwise the refusal tells the session.
+        let session = Some(machine.seen.0.max(1));
+        let body = wire::encode(&Orders { token, session, orders: Vec::new() });
+        let what = Pending::Show { epoch, machine: m, serial };
+        self.send(Dest::Worker(addr), "POST", "/commands".into(), body, DIRECT_TIMEOUT_MS, what);
+    }
+
     pub(crate) fn show_came(&mut self, m: usize, serial: u64, response: Option<Response>) {
-        let report = response.filter(|r| r.status == 200).and_then(|r| self.read::<Report>("worker", &r));
+        let report = response
+            .filter(|r| r.status == 200 || r.status == 409)
+            .and_then(|r| self.read::<Report>("worker", &r));
         let now = self.now.mono;
+        let silent = self.silent_ms();
         let Some(machine) = self.part.as_mut().and_then(|p| p.machine_mut(m)) else { return };
         if machine.probe != Some(serial) {
             return;
@@ -480,13 +500,19 @@
             Some(report) if report.machine == machine.name => {
                 self.absorb(m, &report);
             }
-            _ if now.saturating_sub(machine.heard_at) as f64 > self.tuning.silent_s * 1000.0 => {
+            _ if now.saturating_sub(machine.heard_at) > silent => {
                 log::warn!("machine {}: silent and unreachable, to be returned", machine.name);
                 machine.deleting = true;
             }
             _ => {}
         }
     }
+
+    /// A machine that says nothing for so long is asked. Reports come a quarter late at times.
+    pub(crate) fn silent_ms(&self) -> u64 {
+        let reports = self.settings.cluster.workers.report_s * 1.5 + 1.0;
+        (self.tuning.silent_s.max(reports) * 1000.0) as u64
+    }
 }
 
 fn name_ok(name: &str) -> bool {
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -11,6 +11,9 @@
     Query { job: String },
     /// Cancel a job for a user.
     Cancel { job: String },
+    /// The asker has become the owner. Nothing is decided by it: it only saves those who can't read the state
+    /// service from sending workers the wrong way.
+    Owns { node: String, token: u64 },
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
