--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -4,6 +4,7 @@
 use crate::machines::Machine;
 use crate::part::{Hire, HireState};
 use crate::{Dest, Node, Pending};
+use std::collections::{BTreeMap, BTreeSet};
 use wire::api::{Catalog, HireRequest, ListedMachine, MachineList, MachineNames};
 use wire::http::Response;
 use wire::records::HireRec;
@@ -271,6 +272,7 @@
         }
         let mut probes = Vec::new();
         let (mut up, mut quiet) = (0, 0);
+        let mut zones: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
         for (m, machine) in part.machines.iter_mut().enumerate() {
             let Some(machine) = machine else { continue };
             if machine.deleting {
@@ -279,9 +281,12 @@
             let gap = now.mono.saturating_sub(machine.heard_at);
             let known_up = machine.up || !machine.claims.is_empty();
             if known_up {
+                let zone = zones.entry(machine.zone.as_str()).or_default();
                 up += 1;
+                zone.0 += 1;
                 if gap > silent {
                     quiet += 1;
+                    zone.1 += 1;
                 }
                 if gap > silent && machine.probe.is_none() && now.mono >= machine.probed_at + 1000 {
                     probes.push(m);
@@ -299,6 +304,12 @@
                 machine.deleting = true;
             }
         }
+        let cut = zones.iter().filter(|(_, (up, quiet))| *up >= 4 && quiet * 2 > *up);
+        let cut: BTreeSet<String> = cut.map(|(zone, _)| (*zone).to_owned()).collect();
+        for zone in cut.difference(&part.cut_zones) {
+            log::warn!("zone {zone}: most of its machines can't be heard");
+        }
+        part.cut_zones = cut;
         if up >= 4
             && quiet * 2 > up
             && self.stood_back_at.is_none_or(|at| now.mono > at + STAND_BACK_MEMORY_MS)
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -216,6 +216,7 @@
         let zones = index(self.settings.cluster.zones.iter());
         let teams = index(self.settings.cluster.teams.iter().map(|t| &t.name));
         let names = Names { catalog, types: &types, zones: &zones, teams: &teams };
+        let silent = self.silent_ms();
         let value_room = (self.settings.cluster.state.value_kb * 1024.0 - 600.0) / 40.0;
         let mut input = plan::Input {
             online_factor: self.tuning.online_factor,
@@ -288,7 +289,7 @@
                 machine_type: *kind,
                 zone: *zone,
                 spot: machine.spot,
-                usable: machine.usable(now.mono),
+                usable: machine.usable(now.mono) && now.mono.saturating_sub(machine.heard_at) <= silent,
                 total: plan::Res { cores: t.cores, gpus: t.gpus, mem: t.mem_gb },
                 slots: (value_room as u32).saturating_sub(running.len() as u32),
                 running,
@@ -433,6 +434,8 @@
         }
         let mut order: Vec<usize> = (0..names.len())
             .filter(|i| part.refused.get(&names[*i]).is_none_or(|(until, _)| *until <= now.mono))
+            // A new machine in a zone that can't be heard is paid for nothing.
+            .filter(|i| !part.cut_zones.contains(&names[*i].1))
             .collect();
         order.sort_by_key(|i| load.get(names[*i].1.as_str()).copied().unwrap_or(0));
         let open: Vec<plan::MachineOffer> = order.iter().map(|i| offers[*i].clone()).collect();
