--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -259,6 +259,8 @@
         }
         self.call_round();
         let silent = self.silent_ms();
+        // Reports come a quarter late at times; this one is later than that.
+        let late = (self.settings.cluster.workers.report_s * 1250.0) as u64 + 1000;
         let grace = (self.settings.cluster.workers.report_s * 1000.0) as u64;
         let lease = (self.settings.cluster.workers.lease_s * 1000.0) as u64;
         let boots: Vec<(String, f64)> = self
@@ -284,10 +286,8 @@
                 let zone = zones.entry(machine.zone.as_str()).or_default();
                 up += 1;
                 zone.0 += 1;
-                if gap > silent {
-                    quiet += 1;
-                    zone.1 += 1;
-                }
+                quiet += u32::from(gap > silent);
+                zone.1 += u32::from(gap > late);
                 if gap > silent && machine.probe.is_none() && now.mono >= machine.probed_at + 1000 {
                     probes.push(m);
                 }
@@ -304,7 +304,8 @@
                 machine.deleting = true;
             }
         }
-        let cut = zones.iter().filter(|(_, (up, quiet))| *up >= 4 && quiet * 2 > *up);
+        // A third that is late is enough: the first would be returned before half of them are.
+        let cut = zones.iter().filter(|(_, (up, late))| *up >= 4 && late * 3 > *up);
         let cut: BTreeSet<String> = cut.map(|(zone, _)| (*zone).to_owned()).collect();
         for zone in cut.difference(&part.cut_zones) {
             log::warn!("zone {zone}: most of its machines can't be heard");
--- a/crates/standins/examples/play.rs
+++ b/crates/standins/examples/play.rs
@@ -12,6 +12,7 @@
         faults_until: 120_000,
         end: 400_000,
         sabotage: Sabotage::None,
+        calm: false,
         large: false,
     };
     let mut world = World::new(plan);
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -22,6 +22,8 @@
     pub faults_until: u64,
     pub end: u64,
     pub sabotage: Sabotage,
+    /// No faults but those that the test brings about.
+    pub calm: bool,
     /// Over a thousand machines, arrays of hundreds of tasks, and little that the state service bears.
     pub large: bool,
 }
@@ -107,6 +109,8 @@
     cloud_out_until: u64,
     /// The state service answers slowly until then.
     slow_until: u64,
+    /// A zone whose machines are out of reach, and until when.
+    zone_cut: (String, u64),
     /// This node crashes as its next transaction is on its way.
     doomed: Option<usize>,
     pub rules: Rules,
@@ -183,6 +187,7 @@
             outage_until: 0,
             cloud_out_until: 0,
             slow_until: 0,
+            zone_cut: (String::new(), 0),
             doomed: None,
             rules: Rules { cancel_ms: CANCEL_MS, ..Rules::default() },
             run_ms: BTreeMap::new(),
@@ -223,7 +228,9 @@
             self.at(self.now, Ev::Restart(n));
         }
         self.at(self.now, Ev::World);
-        self.at(self.now + 5000, Ev::Fault);
+        if !self.plan.calm {
+            self.at(self.now + 5000, Ev::Fault);
+        }
         let start = self.now;
         for i in 0..self.plan.jobs {
             let job = self.draw_job(i);
@@ -285,11 +292,17 @@
 
     /// Plays the run to its end, or to the first broken rule.
     pub fn run(&mut self) {
-        let end = self.now + self.plan.end;
-        while let Some(Reverse((time, _, id))) = self.queue.pop() {
+        self.run_for(self.plan.end);
+    }
+
+    /// Plays so many milliseconds, or to the first broken rule.
+    pub fn run_for(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while let Some(Reverse((time, _, _))) = self.queue.peek().copied() {
             if time > end || !self.rules.broken.is_empty() {
                 return;
             }
+            let Some(Reverse((_, _, id))) = self.queue.pop() else { return };
             self.now = time;
             if let Some(ev) = self.events.remove(&id) {
                 self.step(ev);
@@ -297,6 +310,26 @@
         }
     }
 
+    /// Cuts the machines of a zone off from everything; their names.
+    pub fn cut_zone(&mut self, zone: &str, ms: u64) -> Vec<String> {
+        let until = self.now + ms;
+        self.zone_cut = (zone.to_owned(), until);
+        let machines = self.workers.values_mut().filter(|w| w.zone == zone);
+        machines.map(|w| (w.cut_until = until, w.name.clone()).1).collect()
+    }
+
+    /// Whether the cloud still rents this machine out to us.
+    pub fn is_rented(&self, machine: &str) -> bool {
+        self.cloud.machines.contains_key(machine)
+    }
+
+    /// The state service refuses whichever node owns the fleet.
+    pub fn refuse_owner(&mut self, ms: u64) {
+        let owner = |h: &&mut Host| h.node.as_ref().is_some_and(|n| n.role_name() == "owner");
+        let until = self.now + ms;
+        self.hosts.iter_mut().filter(owner).for_each(|h| h.refused_until = until);
+    }
+
     /// Jobs that were accepted and have neither ended nor are services.
     pub fn unfinished(&self) -> Vec<&str> {
         self.rules
@@ -638,6 +671,9 @@
         for (name, machine_type, zone, spot) in up {
             let node = self.rng.usize(0..self.plan.nodes);
             let mut w = Worker::new(&name, &machine_type, &zone, spot, node, now);
+            if w.zone == self.zone_cut.0 {
+                w.cut_until = self.zone_cut.1;
+            }
             w.ignores_stops = self.plan.sabotage == Sabotage::StopsIgnored;
             self.workers.insert(name, w);
         }
@@ -827,10 +863,7 @@
             11 => self.slow_until = now + long,
             12 => self.doomed = Some(n),
             13 => {
-                // A zone's machines are out of reach.
-                for w in self.workers.values_mut().filter(|w| w.zone == "b") {
-                    w.cut_until = now + long;
-                }
+                self.cut_zone("b", long);
             }
             14 | 15 => {
                 // Spot machines are taken, one or a wave of them, most with a notice.
--- a/crates/standins/tests/rules.rs
+++ b/crates/standins/tests/rules.rs
@@ -3,7 +3,16 @@
 use standins::world::{Plan, Sabotage, World};
 
 fn plan(seed: u64, sabotage: Sabotage) -> Plan {
-    Plan { seed, nodes: 3, jobs: 25, faults_until: 120_000, end: 400_000, sabotage, large: false }
+    Plan {
+        seed,
+        nodes: 3,
+        jobs: 25,
+        faults_until: 120_000,
+        end: 400_000,
+        sabotage,
+        calm: false,
+        large: false,
+    }
 }
 
 fn kept(world: &World, what: &str) {
@@ -65,3 +74,39 @@
     assert!(counts.too_fast * 100 < counts.requests, "refused too often: {counts:?}");
     assert!(counts.changes * 6 < starts, "{starts} starts took {counts:?}");
 }
+
+fn calm_and_large() -> World {
+    let mut plan = plan(3, Sabotage::None);
+    (plan.jobs, plan.faults_until, plan.calm, plan.large) = (120, 60_000, true, true);
+    World::new(plan)
+}
+
+/// All machines of a cut zone were returned after seconds of silence, and others rented in the same zone.
+#[test]
+fn a_silent_zone_is_not_given_back() {
+    let mut world = calm_and_large();
+    world.run_for(30_000);
+    let machines = world.cut_zone("b", 14_000);
+    world.run_for(14_000);
+    let kept = machines.iter().filter(|m| world.is_rented(m)).count();
+    assert!(machines.len() > 20 && kept * 10 > machines.len() * 9, "{kept} of {} kept", machines.len());
+    // One that never comes back is returned in the end: it may hold tasks.
+    let machines = world.cut_zone("b", 300_000);
+    world.run_for(60_000);
+    let kept = machines.iter().filter(|m| world.is_rented(m)).count();
+    assert!(kept * 4 < machines.len(), "{kept} of {} kept for ever", machines.len());
+    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+}
+
+/// Workers stayed with an owner that had lost only the state service, and the next one heard no machine.
+#[test]
+fn a_new_owner_reaches_the_machines_of_one_that_was_refused() {
+    let mut world = calm_and_large();
+    world.run_for(30_000);
+    world.refuse_owner(25_000);
+    world.run_for(7000);
+    let before = world.rules.starts;
+    world.run_for(5000);
+    assert!(world.rules.starts > before + 50, "{} starts in 5 s", world.rules.starts - before);
+    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+}
