A plan's steps are bounded by the share of a core; silence is looked for twice a second

Cause: steps grew with machines times waiting jobs without end (300,000 with 150 jobs), and all machines were walked 20 times a second. Past a bound derived from machine_limits nothing more is cleared, past twice that the rest waits for the next plan.

Ruled out as a limit: the processor.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -11,6 +11,8 @@
 
 const CLOUD_TIMEOUT_MS: u64 = 5000;
 const STAND_BACK_MEMORY_MS: u64 = 180_000;
+/// Silence is looked for this often.
+const LOOK_MS: u64 = 500;
 /// When a new owner asks machines that it has not heard of, and how many at a time.
 const CALL_AFTER_MS: u64 = 500;
 const CALL_UNTIL_MS: u64 = 8000;
@@ -258,9 +260,13 @@
             return;
         }
         self.call_round();
+        let Some(part) = &mut self.part else { return };
+        if now.mono < part.looked_at + LOOK_MS {
+            return;
+        }
+        part.looked_at = now.mono;
         let silent = self.silent_ms();
-        // Reports come a quarter late at times; this one is later than that.
-        let late = (self.settings.cluster.workers.report_s * 1250.0) as u64 + 1000;
+        self.look_at_zones();
         let grace = (self.settings.cluster.workers.report_s * 1000.0) as u64;
         let lease = (self.settings.cluster.workers.lease_s * 1000.0) as u64;
         let boots: Vec<(String, f64)> = self
@@ -274,20 +280,15 @@
         }
         let mut probes = Vec::new();
         let (mut up, mut quiet) = (0, 0);
-        let mut zones: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
         for (m, machine) in part.machines.iter_mut().enumerate() {
             let Some(machine) = machine else { continue };
             if machine.deleting {
                 continue;
             }
             let gap = now.mono.saturating_sub(machine.heard_at);
-            let known_up = machine.up || !machine.claims.is_empty();
-            if known_up {
-                let zone = zones.entry(machine.zone.as_str()).or_default();
+            if machine.is_known_up() {
                 up += 1;
-                zone.0 += 1;
                 quiet += u32::from(gap > silent);
-                zone.1 += u32::from(gap > late);
                 if gap > silent && machine.probe.is_none() && now.mono >= machine.probed_at + 1000 {
                     probes.push(m);
                 }
@@ -304,13 +305,6 @@
                 machine.deleting = true;
             }
         }
-        // A third that is late is enough: the first would be returned before half of them are.
-        let cut = zones.iter().filter(|(_, (up, late))| *up >= 4 && late * 3 > *up);
-        let cut: BTreeSet<String> = cut.map(|(zone, _)| (*zone).to_owned()).collect();
-        for zone in cut.difference(&part.cut_zones) {
-            log::warn!("zone {zone}: most of its machines can't be heard");
-        }
-        part.cut_zones = cut;
         if up >= 4
             && quiet * 2 > up
             && self.stood_back_at.is_none_or(|at| now.mono > at + STAND_BACK_MEMORY_MS)
@@ -334,6 +328,26 @@
         }
     }
 
+    /// Which zones seem to be cut off: those where a third of the machines is later than reports ever are. That is
+    /// enough, since the first machines would be returned before half of them are late.
+    pub(crate) fn look_at_zones(&mut self) {
+        let now = self.now.mono;
+        let late = (self.settings.cluster.workers.report_s * 1250.0) as u64 + 1000;
+        let Some(part) = &mut self.part else { return };
+        let mut zones: BTreeMap<&str, (u32, u32)> = BTreeMap::new();
+        for machine in part.machines.iter().flatten().filter(|m| m.is_known_up() && !m.deleting) {
+            let (up, quiet) = zones.entry(machine.zone.as_str()).or_default();
+            *up += 1;
+            *quiet += u32::from(now.saturating_sub(machine.heard_at) > late);
+        }
+        let cut = zones.iter().filter(|(_, (up, quiet))| *up >= 4 && quiet * 3 > *up);
+        let cut: BTreeSet<String> = cut.map(|(zone, _)| (*zone).to_owned()).collect();
+        for zone in cut.difference(&part.cut_zones) {
+            log::warn!("zone {zone}: many of its machines can't be heard");
+        }
+        part.cut_zones = cut;
+    }
+
     /// After a take-over: asks the machines that have not come by themselves, a few at a time. Their workers may
     /// still be with an earlier owner, and what they say is needed before much can be decided.
     fn call_round(&mut self) {
--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -170,6 +170,11 @@
             && self.taint.is_none()
     }
 
+    /// It has reported to us, or to an earlier owner who gave it tasks.
+    pub fn is_known_up(&self) -> bool {
+        self.up || !self.claims.is_empty()
+    }
+
     /// Marks all tasks of a job as to be stopped; true if the worker is to be told.
     pub fn stop_job(&mut self, job: JobIx, grace_s: f64) -> bool {
         let mut news = false;
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -87,6 +87,8 @@
     pub returned: HashMap<String, u64>,
     /// Kinds of machines that the cloud had none of, until when, and how often in a row.
     pub refused: HashMap<(String, String, bool), (u64, u32)>,
+    /// When silent machines were last looked for.
+    pub looked_at: u64,
     /// Zones most of whose machines can't be heard: rather the network than the machines.
     pub cut_zones: BTreeSet<String>,
     pub list: crate::fleet::Listing,
@@ -131,6 +133,7 @@
             images: Names::default(),
             returned: HashMap::new(),
             refused: HashMap::new(),
+            looked_at: 0,
             cut_zones: BTreeSet::new(),
             list: crate::fleet::Listing::default(),
             delete_busy: false,
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -491,28 +491,31 @@
             .and_then(|r| self.read::<Report>("worker", &r));
         let now = self.now.mono;
         let silent = self.silent_ms();
+        let Some(machine) = self.part.as_mut().and_then(|p| p.machine_mut(m)) else { return };
+        if machine.probe != Some(serial) {
+            return;
+        }
+        machine.probe = None;
+        if let Some(report) = report.filter(|r| r.machine == machine.name) {
+            self.absorb(m, &report);
+            return;
+        }
+        let gap = now.saturating_sub(machine.heard_at);
+        if gap <= silent {
+            return;
+        }
         // Where a whole zone is silent, its machines are likely to come back, with their tasks if that is before
         // their leases end. Only then is it better to return those that hold tasks, so that these can go on
         // elsewhere.
+        self.look_at_zones();
         let lease = (self.settings.cluster.workers.lease_s * 1000.0) as u64 + silent;
         let Some(part) = &mut self.part else { return };
         let Some(machine) = part.machines.get_mut(m).and_then(Option::as_mut) else { return };
-        let cut = part.cut_zones.contains(&machine.zone);
-        if machine.probe != Some(serial) {
+        if part.cut_zones.contains(&machine.zone) && (machine.claims.is_empty() || gap <= lease) {
             return;
         }
-        machine.probe = None;
-        match report {
-            Some(report) if report.machine == machine.name => {
-                self.absorb(m, &report);
-            }
-            _ if cut && (machine.claims.is_empty() || now.saturating_sub(machine.heard_at) <= lease) => {}
-            _ if now.saturating_sub(machine.heard_at) > silent => {
-                log::warn!("machine {}: silent and unreachable, to be returned", machine.name);
-                machine.deleting = true;
-            }
-            _ => {}
-        }
+        log::warn!("machine {}: silent and unreachable, to be returned", machine.name);
+        machine.deleting = true;
     }
 
     /// A machine that says nothing for so long is asked. Reports come a quarter late at times.
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -12,6 +12,8 @@
 
 /// The most that the cloud rents out in one call.
 const MOST_A_CALL: u32 = 50;
+/// Steps of a plan that a whole core may spend; with a share of a core it is that share.
+const STEPS_A_CORE: f64 = 4e6;
 /// No more than this is on its way at once.
 const MOST_COMING: usize = 2000;
 
@@ -221,6 +223,7 @@
         let mut input = plan::Input {
             online_factor: self.tuning.online_factor,
             patience: self.tuning.patience_s,
+            max_steps: (self.settings.limits().cores * STEPS_A_CORE) as u64,
             ..plan::Input::default()
         };
         let mut map = Map { machines: Vec::new(), jobs: Vec::new(), claims: Vec::new() };
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -165,6 +165,8 @@
     pub online_factor: f64,
     /// A job of higher priority waits this long for room before others are stopped for it.
     pub patience: Secs,
+    /// Past so many steps nothing is cleared any more, and past twice as many the rest waits for the next plan.
+    pub max_steps: u64,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -73,6 +73,9 @@
         let mut kept = false;
         for (priority, due, i) in &order {
             let job = &input.jobs[*i];
+            if self.out.steps > 2 * input.max_steps {
+                break;
+            }
             if !kept && input.spares.iter().all(|s| s.like.priority > *priority) {
                 kept = true;
                 self.keep_spares();
@@ -86,7 +89,7 @@
                     }
                     if self.gang(*i, want) {
                         left[*i] = 0;
-                    } else {
+                    } else if !self.is_tired() {
                         self.make_room(*i, want);
                     }
                 }
@@ -105,7 +108,7 @@
         }
         // Arrays also fill room that no planned job needs within one task estimate.
         for (_, _, i) in &order {
-            if input.jobs[*i].shape == Shape::Array && left[*i] > 0 {
+            if input.jobs[*i].shape == Shape::Array && left[*i] > 0 && self.out.steps <= 2 * input.max_steps {
                 left[*i] -= self.fill(*i, left[*i], true);
             }
         }
@@ -117,6 +120,10 @@
         }
     }
 
+    fn is_tired(&self) -> bool {
+        self.out.steps > self.input.max_steps
+    }
+
     /// Keeps the rest from machines with room for jobs that are expected: for each image as many as its share
     /// that have it, so that what comes need not fetch.
     fn keep_spares(&mut self) {
@@ -347,7 +354,7 @@
             self.fetch(job, *m) * self.input.machines[*m].total.share(&job.need) * f64::from(*n)
         };
         let idle: f64 = chosen.iter().map(idle).sum();
-        if idle > EPS {
+        if idle > EPS && !self.is_tired() {
             let wait = self.input.machines[chosen[0].0].total.share(&job.need) * f64::from(want) * CLEARING;
             if self.cheapest(i, want).is_some_and(|(cost, _)| cost + wait < idle) {
                 return false;
--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -41,7 +41,7 @@
     fn input()(machines in prop::collection::vec(machine(), 0..8), jobs in prop::collection::vec(job(), 0..10),
                limit in 1.0f64..30.0, online_factor in 1.0f64..3.0) -> Input {
         let team = |max| Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: max };
-        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], spares: vec![], online_factor, patience: 2.0 }
+        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], spares: vec![], online_factor, patience: 2.0, max_steps: u64::MAX / 4 }
     }
 }
 
@@ -94,7 +94,7 @@
                         need: res(1.0, 1.0, 1.0), types: 1, zone: None, one_zone: false, spread: false, spot: true, image: 0,
                         image_gb: 1.0, team: 0, due: None, zones: vec![], avoid: vec![] };
         let team = Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY };
-        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], spares: vec![], online_factor: 1.0, patience: 1.0 };
+        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], spares: vec![], online_factor: 1.0, patience: 1.0, max_steps: u64::MAX / 4 };
         let out = plan(&input);
         let started: u32 = out.starts.iter().map(|s| s.count).sum();
         prop_assert_eq!(started, tasks.min(4 * n as u32));
@@ -163,7 +163,15 @@
 
 fn crowded(machines: Vec<Machine>, jobs: Vec<Job>) -> Input {
     let team = Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY };
-    Input { machines, jobs, teams: vec![team], spares: vec![], online_factor: 1.0, patience: 3.0 }
+    Input {
+        machines,
+        jobs,
+        teams: vec![team],
+        spares: vec![],
+        online_factor: 1.0,
+        patience: 3.0,
+        max_steps: u64::MAX / 4,
+    }
 }
 
 /// An urgent gang that fits nowhere has the cheapest machine cleared for it, and only by the less urgent.
@@ -218,3 +226,23 @@
     assert_eq!(wished(spread.clone()), [Wish { offer: 0, count: 3 }, Wish { offer: 1, count: 2 }]);
     assert!(wished(Job { zone: Some(0), ..spread }).is_empty(), "what can never start is not rented for");
 }
+
+/// A plan's work is bounded whatever waits: hundreds of gangs for which room would have to be made, and an array of
+/// 100,000 tasks. What is urgent goes first all the same.
+#[test]
+fn steps_are_bounded() {
+    let mut machines: Vec<Machine> = (0..1000).map(|i| busy(i % 2, f64::from(i), 0)).collect();
+    machines.extend((0..3u16).map(|z| Machine { running: vec![], ..busy(z % 2, 0.0, 0) }));
+    let array = Job { shape: Shape::Array, priority: 0, tasks: 100_000, pending: 100_000, ..gang(1, false) };
+    let mut jobs = vec![array];
+    // An image of its own each, so that nothing found for one serves another.
+    jobs.extend((0..3000).map(|i| Job { image: i, ..gang(2, i % 2 == 0) }));
+    let mut input = crowded(machines, jobs);
+    let all = plan(&input).steps;
+    input.max_steps = 200_000;
+    let out = plan(&input);
+    let one_job = 4 * input.machines.len() as u64 + 2 * 40 * input.jobs.len() as u64;
+    assert!(all > 10 * input.max_steps, "the case is too easy: {all} steps");
+    assert!(out.steps <= 2 * input.max_steps + one_job, "{} steps", out.steps);
+    assert!(out.starts.iter().any(|s| s.job > 0), "no gang was started");
+}
