--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -24,7 +24,11 @@
 const READ_TIMEOUT_MS: u64 = 900;
 const PEER_TIMEOUT_MS: u64 = 700;
 const CANCEL_TIMEOUT_MS: u64 = 3500;
-const ACCEPT_TIMEOUT_MS: u64 = 2500;
+/// A peer has this long to accept a job for us.
+const FORWARD_TIMEOUT_MS: u64 = 1500;
+/// After a refusal, or silence, the state service is taken to be out of reach for so long.
+const STATE_BAD_MS: u64 = 3000;
+const ACCEPT_TIMEOUT_MS: u64 = 700;
 
 impl Node {
     pub(crate) fn client(&mut self, conn: u64, request: Request) {
@@ -32,7 +36,10 @@
         let job = path.strip_prefix("/work/");
         match (request.method.as_str(), path, job) {
             ("POST", "/hello", _) => self.hello(conn, &request.body),
-            ("POST", "/work", _) => self.submit(conn, &request.body),
+            ("POST", "/work", _) => match wire::decode(&request.body) {
+                Ok(spec) => self.submit(Asker::User(conn), spec),
+                Err(e) => self.refuse(conn, 400, &e.to_string()),
+            },
             ("GET", "/ready", _) => self.ready(conn),
             ("GET", _, Some(id)) if !id.contains('/') => {
                 let id = id.to_owned();
@@ -68,47 +75,48 @@
         self.respond(conn, status, wire::encode(&ErrorBody { error: why.to_owned() }), retry);
     }
 
-    fn submit(&mut self, conn: u64, body: &[u8]) {
-        let spec: JobSpec = match wire::decode(body) {
-            Ok(s) => s,
-            Err(e) => return self.refuse(conn, 400, &e.to_string()),
-        };
+    fn submit(&mut self, asker: Asker, spec: JobSpec) {
         if let Err(field) = spec.check() {
-            return self.refuse(conn, 400, &format!("invalid: {field}"));
+            return self.deny(asker, 400, &format!("invalid: {field}"));
         }
         let rec = JobRec { spec: spec.clone(), at_ms: self.now.wall, part: PART };
         let limit = (self.settings.cluster.state.value_kb * 1024.0).min(BODY_LIMIT as f64);
         // Counted in another form by the service, which takes somewhat more.
         if wire::encode(&rec).len() as f64 * 1.3 > limit {
-            return self.refuse(conn, 400, "too large");
+            return self.deny(asker, 400, "too large");
         }
         if let Some((stage, done)) = self.finals.get(&spec.id) {
-            return self.tell(Asker::User(conn), JobState { id: spec.id, stage, done, running: 0 });
+            return self.tell(asker, JobState { id: spec.id, stage, done, running: 0 });
         }
         if self.catalog().is_none() {
-            return self.refuse(conn, 503, "machine types not known yet");
+            return self.deny(asker, 503, "machine types not known yet");
         }
         if let Err(why) = self.can_run(&spec) {
             log::debug!("job {}: can never run: {why}", spec.id);
-            return self.read_job(conn, spec.id, Why::Impossible);
+            return self.read_job(asker, spec.id, Why::Impossible);
         }
         if self.decides()
             && let Some(part) = &self.part
             && part.job_ix.contains_key(&spec.id)
         {
-            return self.query(conn, spec.id);
+            return self.query_for(asker, spec.id, Why::Query);
         }
         let now = self.now.mono;
+        if self.state_down()
+            && let Asker::User(conn) = asker
+        {
+            return self.forward(conn, Ask::Submit { spec: Box::new(spec) });
+        }
         // The owner sees all accepts, its own too, and counts them when they have been made.
         let cost = if self.owns() { 0.0 } else { 1.0 };
         if self.requests.level(now) < 1.0 || self.writes.level(now) < 1.0 || !self.writes.try_take(now, cost)
         {
-            return self.refuse(conn, 429, "busy");
+            return self.deny(asker, 429, "busy");
         }
-        self.accept(conn, Box::new(spec), now, 0);
+        self.accept(asker, Box::new(spec), now, 0);
     }
 
-    fn accept(&mut self, conn: u64, spec: Box<JobSpec>, at: u64, tries: u32) {
+    fn accept(&mut self, asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32) {
         // The acceptance counts from the first try.
         let wall = self.now.wall - (self.now.mono - at);
         let rec = JobRec { spec: (*spec).clone(), at_ms: wall, part: PART };
@@ -119,13 +127,13 @@
             ],
             writes: vec![Write::put(records::live_key(&spec.id), Record::Job(rec))],
         };
-        let what = Pending::Accept { conn, spec, at, tries };
+        let what = Pending::Accept { asker, spec, at, tries };
         self.send(Dest::State, "POST", "/txn".into(), wire::encode(&txn), ACCEPT_TIMEOUT_MS, what);
     }
 
     pub(crate) fn accepted(
         &mut self,
-        conn: u64,
+        asker: Asker,
         spec: Box<JobSpec>,
         at: u64,
         tries: u32,
@@ -133,30 +141,38 @@
     ) {
         let now = self.now.mono;
         match r.map(|r| r.status) {
+            // Only this node may be refused, or not heard: another may take the job at once. Should our own try
+            // have gone through, it will find the job known.
+            None | Some(503) if let Asker::User(conn) = asker => self.forward(conn, Ask::Submit { spec }),
             Some(200) => {
                 self.stats.accepted += 1;
                 log::debug!("job {}: accepted", spec.id);
                 let state = JobState { id: spec.id, stage: Stage::Pending, done: 0, running: 0 };
-                self.respond(conn, 201, wire::encode(&state), None);
+                match asker {
+                    Asker::User(conn) => self.respond(conn, 201, wire::encode(&state), None),
+                    Asker::Peer(conn) => {
+                        self.respond(conn, 200, peer::encode(&Answer::Accepted(state)), None)
+                    }
+                }
             }
-            Some(409) => self.query_for(conn, spec.id, Why::Known),
+            Some(409) => self.query_for(asker, spec.id, Why::Known),
             Some(429 | 503) if tries < 3 && now < at + 700 => {
                 let again = now + self.rng.u64(60..200);
-                self.retries.push_back((again, conn, spec, at, tries + 1));
+                self.retries.push_back((again, asker, spec, at, tries + 1));
             }
             // It may be accepted all the same: the retry will be told.
-            _ => self.refuse(conn, 503, "state service not available"),
+            _ => self.deny(asker, 503, "state service not available"),
         }
     }
 
     pub(crate) fn door_tick(&mut self) {
         let now = self.now.mono;
         for _ in 0..self.retries.len() {
-            let Some((due, conn, spec, at, tries)) = self.retries.pop_front() else { return };
+            let Some((due, asker, spec, at, tries)) = self.retries.pop_front() else { return };
             if due <= now {
-                self.accept(conn, spec, at, tries);
+                self.accept(asker, spec, at, tries);
             } else {
-                self.retries.push_back((due, conn, spec, at, tries));
+                self.retries.push_back((due, asker, spec, at, tries));
             }
         }
     }
@@ -182,31 +198,31 @@
     }
 
     fn query(&mut self, conn: u64, id: String) {
-        self.query_for(conn, id, Why::Query)
+        self.query_for(Asker::User(conn), id, Why::Query)
     }
 
-    fn query_for(&mut self, conn: u64, id: String, why: Why) {
+    fn query_for(&mut self, asker: Asker, id: String, why: Why) {
         if !wire::ids::valid_job_id(&id) {
-            return self.refuse(conn, 404, "no such job");
+            return self.deny(asker, 404, "no such job");
         }
         if let Some((stage, done)) = self.finals.get(&id) {
-            return self.tell(Asker::User(conn), JobState { id, stage, done, running: 0 });
+            return self.tell(asker, JobState { id, stage, done, running: 0 });
         }
         if self.owns() {
             if self.decides()
                 && let Some(state) = self.state_here(&id)
             {
-                return self.tell(Asker::User(conn), state);
+                return self.tell(asker, state);
             }
-            return self.read_job(conn, id, why);
+            return self.read_job(asker, id, why);
         }
         match self.owner_peer() {
             Some(peer) => {
                 let body = peer::encode(&Ask::Query { job: id.clone() });
-                let what = Pending::PeerQuery { conn, job: id, why };
+                let what = Pending::PeerQuery { asker, job: id, why };
                 self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body, PEER_TIMEOUT_MS, what);
             }
-            None => self.read_job(conn, id, why),
+            None => self.read_job(asker, id, why),
         }
     }
 
@@ -220,61 +236,67 @@
         self.settings.peers.iter().position(|p| p.node == owner)
     }
 
-    pub(crate) fn peer_queried(&mut self, conn: u64, job: String, why: Why, r: Option<Response>) {
+    pub(crate) fn peer_queried(&mut self, asker: Asker, job: String, why: Why, r: Option<Response>) {
         let answer = r.filter(|r| r.status == 200).and_then(|r| peer::decode::<Answer>(&r.body).ok());
         match answer {
-            Some(Answer::State(state)) if state.id == job => self.tell(Asker::User(conn), state),
-            _ => self.read_job(conn, job, why),
+            Some(Answer::State(state)) if state.id == job => self.tell(asker, state),
+            _ => self.read_job(asker, job, why),
         }
     }
 
     /// Looks the job up in the state service: first among the live, then among the ended, since jobs only
     /// move that way; a job that is in neither was never accepted.
-    fn read_job(&mut self, conn: u64, job: String, why: Why) {
+    fn read_job(&mut self, asker: Asker, job: String, why: Why) {
         let now = self.now.mono;
+        if self.state_down()
+            && matches!(why, Why::Query | Why::Known)
+            && let Asker::User(conn) = asker
+        {
+            return self.forward(conn, Ask::Lookup { job });
+        }
         if self.requests.level(now) < 1.0 {
-            return self.refuse(conn, 503, "busy");
+            return self.deny(asker, 503, "busy");
         }
         let path = format!("/keys/{}", records::live_key(&job));
-        let what = Pending::ReadLive { conn, job, why };
+        let what = Pending::ReadLive { asker, job, why };
         self.send(Dest::State, "GET", path, Vec::new(), READ_TIMEOUT_MS, what);
     }
 
-    pub(crate) fn live_read(&mut self, conn: u64, job: String, why: Why, r: Option<Response>) {
+    pub(crate) fn live_read(&mut self, asker: Asker, job: String, why: Why, r: Option<Response>) {
         match r.map(|r| r.status) {
-            Some(200) if why == Why::Cancel => self.refuse(conn, 503, "the owner does not know the job yet"),
+            Some(200) if why == Why::Cancel => self.deny(asker, 503, "the owner does not know the job yet"),
             Some(200) => {
                 let state = JobState { id: job, stage: Stage::Pending, done: 0, running: 0 };
-                self.tell(Asker::User(conn), state);
+                self.tell(asker, state);
             }
             Some(404) => {
                 let path = format!("/keys/{}", records::end_key(&job));
-                let what = Pending::ReadEnd { conn, job, why };
+                let what = Pending::ReadEnd { asker, job, why };
                 self.send(Dest::State, "GET", path, Vec::new(), READ_TIMEOUT_MS, what);
             }
-            _ => self.refuse(conn, 503, "state service not available"),
+            _ => self.deny(asker, 503, "state service not available"),
         }
     }
 
-    pub(crate) fn end_read(&mut self, conn: u64, job: String, why: Why, r: Option<Response>) {
+    pub(crate) fn end_read(&mut self, asker: Asker, job: String, why: Why, r: Option<Response>) {
         let Some(r) = r.filter(|r| r.status == 200 || r.status == 404) else {
-            return self.refuse(conn, 503, "state service not available");
+            return self.deny(asker, 503, "state service not available");
         };
         if r.status == 200 {
             let Some(item) = self.read::<Item<EndRec>>("state service", &r) else {
-                return self.refuse(conn, 503, "unreadable record");
+                return self.deny(asker, 503, "unreadable record");
             };
             let EndRec { stage, done } = item.value;
             if stage.is_final() {
                 self.finals.put(&job, stage, done);
             }
-            return self.tell(Asker::User(conn), JobState { id: job, stage, done, running: 0 });
+            return self.tell(asker, JobState { id: job, stage, done, running: 0 });
         }
         match why {
-            Why::Impossible => self.refuse(conn, 422, "can never run"),
+            Why::Impossible => self.deny(asker, 422, "can never run"),
             // Its record was in the way a moment ago; the user's retry will find out.
-            Why::Known => self.refuse(conn, 503, "undecided"),
-            Why::Query | Why::Cancel => self.refuse(conn, 404, "no such job"),
+            Why::Known => self.deny(asker, 503, "undecided"),
+            Why::Query | Why::Cancel => self.deny(asker, 404, "no such job"),
         }
     }
 
@@ -298,7 +320,7 @@
         let answer = r.filter(|r| r.status == 200).and_then(|r| peer::decode::<Answer>(&r.body).ok());
         match answer {
             Some(Answer::State(state)) if state.id == job => self.tell(Asker::User(conn), state),
-            Some(Answer::Unknown) => self.read_job(conn, job, Why::Cancel),
+            Some(Answer::Unknown) => self.read_job(Asker::User(conn), job, Why::Cancel),
             _ => self.refuse(conn, 503, "the owner does not answer"),
         }
     }
@@ -319,6 +341,8 @@
                 self.respond(conn, 200, peer::encode(&answer), None);
             }
             Some(Ask::Cancel { job }) => self.cancel(&job, Asker::Peer(conn)),
+            Some(Ask::Submit { spec }) => self.submit(Asker::Peer(conn), *spec),
+            Some(Ask::Lookup { job }) => self.query_for(Asker::Peer(conn), job, Why::Query),
             Some(Ask::Owns { node, token }) => {
                 self.owner_said(node, token);
                 self.respond(conn, 200, peer::encode(&Answer::NotNow), None);
@@ -327,6 +351,42 @@
         }
     }
 
+    /// Whether the state service seems not to serve this node now; others may be served.
+    fn state_down(&self) -> bool {
+        self.state_bad_at.is_some_and(|at| self.now.mono < at + STATE_BAD_MS)
+    }
+
+    /// Hands a user's request to a node that may be better placed: the owner, or else any.
+    fn forward(&mut self, conn: u64, ask: Ask) {
+        let peers = self.settings.peers.len();
+        if peers == 0 {
+            return self.refuse(conn, 503, "state service not available");
+        }
+        let any = self.rng.usize(0..peers);
+        let peer = self.owner_peer().unwrap_or(any);
+        let body = peer::encode(&ask);
+        let to = Dest::Peer(peer);
+        self.send(to, "POST", peer::PATH.into(), body, FORWARD_TIMEOUT_MS, Pending::Forward { conn });
+    }
+
+    pub(crate) fn forwarded(&mut self, conn: u64, r: Option<Response>) {
+        let answer = r.filter(|r| r.status == 200).and_then(|r| peer::decode::<Answer>(&r.body).ok());
+        match answer {
+            Some(Answer::State(state)) => self.tell(Asker::User(conn), state),
+            Some(Answer::Accepted(state)) => self.respond(conn, 201, wire::encode(&state), None),
+            Some(Answer::Refused { status }) => self.refuse(conn, status, "refused by a peer"),
+            _ => self.refuse(conn, 503, "state service not available"),
+        }
+    }
+
+    /// An error for an asker, as [`Node::refuse`] says it to a user.
+    fn deny(&mut self, asker: Asker, status: u16, why: &str) {
+        match asker {
+            Asker::User(conn) => self.refuse(conn, status, why),
+            Asker::Peer(conn) => self.respond(conn, 200, peer::encode(&Answer::Refused { status }), None),
+        }
+    }
+
     /// Gives an asker the state of a job.
     pub(crate) fn tell(&mut self, asker: Asker, state: JobState) {
         if state.stage.is_final() {
@@ -341,7 +401,7 @@
     /// A cancel of a job that the owner has not in memory: its record decides.
     pub(crate) fn unknown(&mut self, asker: Asker, job: &str) {
         match asker {
-            Asker::User(conn) => self.read_job(conn, job.to_owned(), Why::Cancel),
+            Asker::User(_) => self.read_job(asker, job.to_owned(), Why::Cancel),
             Asker::Peer(conn) => self.respond(conn, 200, peer::encode(&Answer::Unknown), None),
         }
     }
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -148,7 +148,7 @@
         self.send(Dest::State, "GET", path, Vec::new(), 7000, what);
     }
 
-    fn reread_shared(&mut self, wait: u64) {
+    pub(crate) fn reread_shared(&mut self, wait: u64) {
         self.shared.known = false;
         self.shared.busy = false;
         self.shared.round += 1;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -84,11 +84,12 @@
     LiveWatch { epoch: u64 },
     Commit { epoch: u64 },
     Verify { epoch: u64 },
-    Accept { conn: u64, spec: Box<JobSpec>, at: u64, tries: u32 },
-    ReadLive { conn: u64, job: String, why: door::Why },
-    ReadEnd { conn: u64, job: String, why: door::Why },
-    PeerQuery { conn: u64, job: String, why: door::Why },
+    Accept { asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32 },
+    ReadLive { asker: Asker, job: String, why: door::Why },
+    ReadEnd { asker: Asker, job: String, why: door::Why },
+    PeerQuery { asker: Asker, job: String, why: door::Why },
     PeerCancel { conn: u64, job: String },
+    Forward { conn: u64 },
     Catalog,
     List { epoch: u64 },
     Hire { epoch: u64, name: String },
@@ -97,6 +98,26 @@
     Show { epoch: u64, machine: usize, serial: u64 },
 }
 
+impl Pending {
+    /// A question to the state service that is answered at once if it serves us.
+    fn asks_state(&self) -> bool {
+        use Pending::*;
+        matches!(
+            self,
+            SharedRead
+                | Grant { .. }
+                | Renew { .. }
+                | Take { .. }
+                | Load { .. }
+                | Commit { .. }
+                | Verify { .. }
+                | Accept { .. }
+                | ReadLive { .. }
+                | ReadEnd { .. }
+        )
+    }
+}
+
 /// Largest answer that is read from the state service; watches have no limit of their own.
 const STATE_ANSWER: usize = 8 << 20;
 const SMALL_ANSWER: usize = 128 << 10;
@@ -121,7 +142,9 @@
     cloud: Bucket,
     finals: Finals,
     /// Accepts that the state service was too busy for, with the time of the next try.
-    retries: VecDeque<(u64, u64, Box<JobSpec>, u64, u32)>,
+    retries: VecDeque<(u64, Asker, Box<JobSpec>, u64, u32)>,
+    /// When the state service last refused or did not answer us, unless it has answered since.
+    state_bad_at: Option<u64>,
     catalog_at: u64,
     /// When we last gave the fleet up because most machines could not be heard.
     stood_back_at: Option<u64>,
@@ -194,6 +217,7 @@
             part: None,
             finals: Finals::new(finals),
             retries: VecDeque::new(),
+            state_bad_at: None,
             catalog_at: 0,
             stood_back_at: None,
             to_write: false,
@@ -287,6 +311,14 @@
     fn reply(&mut self, tag: u64, response: Option<Response>) {
         let Some(what) = self.pending.remove(&tag) else { return };
         let epoch = self.epoch;
+        if what.asks_state() {
+            let bad = response.as_ref().is_none_or(|r| r.status == 503);
+            self.state_bad_at = bad.then_some(self.now.mono);
+            // Looked at again and again until it serves us; the owner's renewals do the same.
+            if bad && self.shared.known && !self.owns() {
+                self.reread_shared(300);
+            }
+        }
         match what {
             Pending::SharedRead => self.shared_read(response),
             Pending::SharedWatch { round } => self.shared_changes(round, response),
@@ -294,11 +326,12 @@
             Pending::Renew { lease, sent } => self.renewed(lease, sent, response),
             Pending::Take { lease } => self.took(lease, response),
             Pending::Release => {}
-            Pending::Accept { conn, spec, at, tries } => self.accepted(conn, spec, at, tries, response),
-            Pending::ReadLive { conn, job, why } => self.live_read(conn, job, why, response),
-            Pending::ReadEnd { conn, job, why } => self.end_read(conn, job, why, response),
-            Pending::PeerQuery { conn, job, why } => self.peer_queried(conn, job, why, response),
+            Pending::Accept { asker, spec, at, tries } => self.accepted(asker, spec, at, tries, response),
+            Pending::ReadLive { asker, job, why } => self.live_read(asker, job, why, response),
+            Pending::ReadEnd { asker, job, why } => self.end_read(asker, job, why, response),
+            Pending::PeerQuery { asker, job, why } => self.peer_queried(asker, job, why, response),
             Pending::PeerCancel { conn, job } => self.peer_cancelled(conn, job, response),
+            Pending::Forward { conn } => self.forwarded(conn, response),
             Pending::Catalog => self.catalog_came(response),
             // What belongs to an earlier term of ownership no longer concerns us.
             Pending::Load { epoch: e, what } if e == epoch => self.load_came(what, response),
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -1,6 +1,7 @@
 //! What controllers say to each other: CBOR over the same HTTP framing.
 
-use crate::{BadBody, api::JobState};
+use crate::BadBody;
+use crate::api::{JobSpec, JobState};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 pub const PATH: &str = "/peer";
@@ -11,6 +12,10 @@
     Query { job: String },
     /// Cancel a job for a user.
     Cancel { job: String },
+    /// Accept a job, for a node that the state service does not answer.
+    Submit { spec: Box<JobSpec> },
+    /// The state of a job, from a node that can read it.
+    Lookup { job: String },
     /// The asker has become the owner. Nothing is decided by it: it only saves those who can't read the state
     /// service from sending workers the wrong way.
     Owns { node: String, token: u64 },
@@ -19,6 +24,12 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
     State(JobState),
+    /// The job has been accepted just now.
+    Accepted(JobState),
+    /// What the user is to be told instead.
+    Refused {
+        status: u16,
+    },
     /// The owner does not know the job: look into the state service.
     Unknown,
     /// Not the owner, or not sure of it.
