--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -523,7 +523,8 @@
         if part.job_ix.contains_key(&rec.spec.id) {
             return;
         }
-        log::debug!("job {}: {} tasks of class {}", rec.spec.id, rec.spec.tasks, rec.spec.class);
+        let spec = &rec.spec;
+        log::debug!("job {}: {} tasks of class {} for {}", spec.id, spec.tasks, spec.class, spec.team);
         part.classes.entry(rec.spec.class.clone()).or_default().arrived(&rec.spec, rec.at_ms);
         part.add_job(Job::new(rec, version));
         part.plan_due = true;
