A guarantee counts by the resource that is guaranteed; room is kept by the sooner aim

Cause: arrays that take GPUs in teams with only CPUs guaranteed were never within a guarantee, and a class with a patient aim of its own (150 s) had no room kept for its guaranteed work (10 s). Ruled out: the other reading, since the aim's count and its fractions on steady, troubles and apart include arrays.

--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -92,12 +92,13 @@
     for (class, seen) in &part.classes {
         let Some(spec) = &seen.like else { continue };
         let within = aims.iter().filter(|a| a.kind == "wait" && a.class.as_ref() == Some(class));
-        let (within, share) = match (within.filter_map(|a| a.within_s).reduce(f64::min), guaranteed) {
-            (Some(within), _) => (within, tuning.spare),
-            // What is of low urgency waits for a machine to boot.
-            (None, Some(within)) if spec.priority > Priority::Low => (within, tuning.spare_guaranteed),
-            _ => continue,
-        };
+        // The sooner of the two: a class whose own aim is patient may hold work that is guaranteed to start soon.
+        let own = within.filter_map(|a| a.within_s).reduce(f64::min).map(|within| (within, tuning.spare));
+        // What is of low urgency waits for a machine to boot.
+        let promised = guaranteed.filter(|_| spec.priority > Priority::Low);
+        let promised = promised.map(|within| (within, tuning.spare_guaranteed));
+        let sooner = |a: (f64, f64), b: (f64, f64)| if b.0 < a.0 { b } else { a };
+        let Some((within, share)) = own.into_iter().chain(promised).reduce(sooner) else { continue };
         let Some(team) = names.teams.get(spec.team.as_str()) else { continue };
         let like = shaped(spec, &mut part.images, names, *team);
         let lead = |t: &MachineType| t.boot_s + spec.image_gb / t.fetch_gb_per_s.max(0.01);
@@ -142,15 +143,15 @@
     let mut out = HashSet::new();
     for (_, ix, spec) in open {
         let Some((cpus, gpus)) = left.get_mut(spec.team.as_str()) else { continue };
+        let Some(team) = teams.iter().find(|t| t.name == spec.team) else { continue };
         let n = f64::from(spec.tasks);
+        *cpus -= spec.cores * n;
         *gpus -= spec.gpus * n;
-        // Where a job takes GPUs, its team's share of them is what counts.
-        let fits = if spec.gpus > 0.0 {
-            *gpus >= -1e-6
-        } else {
-            *cpus -= spec.cores * n;
-            *cpus >= -1e-6
-        };
+        // A team that has one resource guaranteed has its jobs counted by that one, whatever else they take; one
+        // that takes none of what is guaranteed has no guarantee.
+        let counted = |guaranteed: f64, need: f64| guaranteed > 0.0 && need > 0.0;
+        let (by_cpus, by_gpus) = (counted(team.cpus, spec.cores), counted(team.gpus, spec.gpus));
+        let fits = (by_cpus || by_gpus) && !(by_cpus && *cpus < -1e-6) && !(by_gpus && *gpus < -1e-6);
         if fits {
             out.insert(ix);
         }
