Gangs are promised the first room to come; the first aim that can still be kept is the deadline

Now a gang that finds no room is planned for the earliest time at which one zone has it, counting all tasks that fit on a machine and machines that boot; its places are promised, and later jobs take only what ends in time or is left beside it. Places are priced by what other classes lose by them. Deadlines: of what users were told a gang's first aim that can still be kept.

--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -2,7 +2,7 @@
 
 use crate::jobs::{Ending, JobIx};
 use crate::ledger::ClaimId;
-use crate::machines::{Claim, Need};
+use crate::machines::{Claim, Machine, Need};
 use crate::part::{HireState, Part};
 use crate::{Node, Tuning};
 use std::collections::{HashMap, HashSet};
@@ -121,11 +121,47 @@
     out
 }
 
+/// When a machine that boots is expected to take tasks. One that is late is expected a while from now.
+fn ready_in(machine: &Machine, boot_s: f64, wall: u64) -> f64 {
+    if machine.up || machine.deleting || machine.failed {
+        return f64::INFINITY;
+    }
+    let age = wall.saturating_sub(machine.hired_ms) as f64 / 1000.0;
+    if age < boot_s { boot_s - age + 1.0 } else { (age - boot_s) * 0.5 + 5.0 }
+}
+
+/// The tasks of each class that wait or run now, which other classes' places are weighed against.
+fn demands(part: &mut Part, names: &Names<'_>) -> Vec<plan::Demand> {
+    let mut tasks: HashMap<&str, f64> = HashMap::new();
+    for job in part.jobs.iter().flatten().filter(|j| !j.is_ending()) {
+        if let Some(spec) = &job.spec {
+            *tasks.entry(spec.class.as_str()).or_default() += f64::from(job.tasks - job.done_count);
+        }
+    }
+    let mut out = Vec::new();
+    for (class, seen) in &part.classes {
+        if let (Some(spec), Some(n)) = (&seen.like, tasks.get(class.as_str()))
+            && let Some(team) = names.teams.get(spec.team.as_str())
+        {
+            out.push(plan::Demand { like: shaped(spec, &mut part.images, names, *team), tasks: *n });
+        }
+    }
+    // In an order of its own: sums must not hang on that of the map.
+    out.sort_by(|a, b| a.like.image.cmp(&b.like.image).then(a.tasks.total_cmp(&b.tasks)));
+    out
+}
+
 /// How soon work within a guarantee is expected to start.
 fn guarantee_aim(aims: &[Objective]) -> Option<f64> {
     aims.iter().filter(|a| a.kind == "guarantee").filter_map(|a| a.within_s).reduce(f64::min)
 }
 
+/// How soon after its arrival a job that has waited for `age` should start: the first aim that can still be kept.
+fn told(aims: &[Objective], class: &str, guarantee: Option<f64>, age: f64) -> Option<f64> {
+    let own = aims.iter().filter(|a| a.kind == "wait" && a.class.as_deref() == Some(class));
+    own.filter_map(|a| a.within_s).chain(guarantee).filter(|within| *within > age).reduce(f64::min)
+}
+
 /// Jobs that fit into their team's guarantee together with the team's earlier jobs that have not ended.
 fn within_guarantee(part: &Part, teams: &[Team]) -> HashSet<JobIx> {
     let mut open: Vec<(u64, JobIx, &JobSpec)> = Vec::new();
@@ -294,6 +330,7 @@
                 zone: *zone,
                 spot: machine.spot,
                 usable: machine.usable(now.mono) && now.mono.saturating_sub(machine.heard_at) <= silent,
+                ready: ready_in(machine, t.boot_s, now.wall),
                 total: plan::Res { cores: t.cores, gpus: t.gpus, mem: t.mem_gb },
                 slots: (value_room as u32).saturating_sub(running.len() as u32),
                 running,
@@ -334,9 +371,15 @@
             let factor = part.classes.get(&spec.class).map_or(1.0, |c| c.factor());
             let arrival = -(now.wall.saturating_sub(job.at_ms) as f64 / 1000.0);
             let estimate = (spec.estimate_s * factor - job.progress_s).max(1.0);
-            // What a team is guaranteed is a deadline too: in time is what starts as the guarantee says.
-            let promised = promise.filter(|_| guaranteed.contains(&ix)).map(|within| within + estimate);
-            let due = spec.deadline_s.into_iter().chain(promised).reduce(f64::min);
+            // What users were told to expect is a deadline too: the first that can still be kept.
+            let promise = promise.filter(|_| guaranteed.contains(&ix));
+            let told = match spec.kind {
+                Kind::Gang => told(&self.settings.cluster.objectives, &spec.class, promise, -arrival),
+                // An array starts task by task: what is left of it is no less promised for being late.
+                _ => promise,
+            };
+            let due =
+                spec.deadline_s.into_iter().chain(told.map(|within| within + estimate)).reduce(f64::min);
             map.jobs.push(ix);
             let shape = shaped(spec, &mut part.images, &names, *team);
             input.jobs.push(plan::Job {
@@ -349,6 +392,7 @@
                 ..shape
             });
         }
+        input.demands = demands(part, &names);
         input.spares = spares(part, &self.settings.cluster.objectives, &names, &self.tuning, now.wall);
         (input, map)
     }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -5,6 +5,7 @@
 mod place;
 mod room;
 mod stretch;
+mod timeline;
 
 pub use hire::{HireInput, MachineOffer, Wish, wishes};
 pub use place::plan;
@@ -68,6 +69,8 @@
     pub spot: bool,
     /// Takes new tasks.
     pub usable: bool,
+    /// One that does not, when it is expected to; infinity if it is not.
+    pub ready: Secs,
     pub total: Res,
     pub running: Vec<Running>,
     /// Images that are or will soon be on it.
@@ -155,12 +158,20 @@
     pub images: Vec<(u32, f64, f64)>,
 }
 
+/// Tasks of a class that run, wait or are expected: what else the machines are needed for.
+#[derive(Debug, Clone)]
+pub struct Demand {
+    pub like: Job,
+    pub tasks: f64,
+}
+
 #[derive(Debug, Clone, Default)]
 pub struct Input {
     pub machines: Vec<Machine>,
     pub jobs: Vec<Job>,
     pub teams: Vec<Team>,
     pub spares: Vec<Spare>,
+    pub demands: Vec<Demand>,
     /// The online factor: the smallest stretch is relaxed by it.
     pub online_factor: f64,
     /// A job of higher priority waits this long for room before others are stopped for it.
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -2,7 +2,8 @@
 //! moving nothing that is placed already.
 
 use crate::room::{Clearing, Wide};
-use crate::{EPS, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, count_in, stretch};
+use crate::timeline::Line;
+use crate::{Demand, EPS, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, count_in, stretch};
 use std::collections::HashMap;
 
 /// Run times of a job's tasks differ from each other and from the estimate: a round is planned this much longer.
@@ -11,10 +12,18 @@
 /// How long it takes until a stopped task has gone and the next plan is made.
 const CLEARING: Secs = 3.0;
 
+/// What it is worth not to take the only place that a task of another class could have.
+const DISPLACED: Secs = 8.0;
+/// Past this a class is short of places, however short.
+const MOST_PRESSURE: f64 = 1.5;
+
 pub(crate) struct Pass<'a> {
     pub input: &'a Input,
     pub free: Vec<Res>,
-    slots: Vec<u32>,
+    pub slots: Vec<u32>,
+    pub lines: Vec<Line>,
+    /// For each class in demand, the share of all its places that is needed.
+    pressure: Vec<f64>,
     /// Until when a machine's room is promised to a wide job, and that job's priority.
     pub held: Vec<Option<Secs>>,
     images: Vec<Vec<u32>>,
@@ -31,6 +40,8 @@
         input,
         free: input.machines.iter().map(Machine::free).collect(),
         slots: input.machines.iter().map(|m| m.slots).collect(),
+        lines: vec![Line::default(); input.machines.len()],
+        pressure: Vec::new(),
         held: vec![None; input.machines.len()],
         images: input.machines.iter().map(|m| m.images.clone()).collect(),
         teams: input.teams.clone(),
@@ -38,6 +49,7 @@
         clearable: HashMap::new(),
         out: Output::default(),
     };
+    pass.pressure = input.demands.iter().map(|d| pass.pressure_of(d)).collect();
     pass.run();
     pass.out
 }
@@ -89,8 +101,8 @@
                     }
                     if self.gang(*i, want) {
                         left[*i] = 0;
-                    } else if !self.is_tired() {
-                        self.make_room(*i, want);
+                    } else if !self.is_tired() && !self.make_room(*i, want) {
+                        self.promise(*i, want);
                     }
                 }
                 _ => {
@@ -137,7 +149,7 @@
                     / input.machines[m].fetch_gb_per_s.max(0.01)
             };
             let mut order: Vec<(f64, usize)> = (0..input.machines.len())
-                .filter(|m| self.allowed(job, *m) && self.held[*m].is_none() && self.free[*m].fits(&job.need))
+                .filter(|m| self.allowed(job, *m) && self.held[*m].is_none() && self.unpromised(job, *m) > 0)
                 .map(|m| (missing(self, m) + self.place_score(job, m), m))
                 .collect();
             self.out.steps += input.machines.len() as u64;
@@ -173,7 +185,7 @@
     fn keep(&mut self, job: &Job, m: usize) -> u32 {
         self.held[m] = Some(0.0);
         self.out.kept.push(m as u32);
-        self.free[m].count(&job.need, self.slots[m])
+        self.unpromised(job, m)
     }
 
     /// The slowest fetch among the machine types that the job may use.
@@ -196,9 +208,13 @@
 
     pub(crate) fn allowed(&self, job: &Job, m: usize) -> bool {
         let machine = &self.input.machines[m];
-        machine.usable
-            && self.slots[m] > 0
-            && job.types >> machine.machine_type & 1 == 1
+        machine.usable && self.slots[m] > 0 && self.suits(job, m)
+    }
+
+    /// Whether a job may use a machine at all.
+    pub(crate) fn suits(&self, job: &Job, m: usize) -> bool {
+        let machine = &self.input.machines[m];
+        job.types >> machine.machine_type & 1 == 1
             && job.zone.is_none_or(|z| z == machine.zone)
             && (job.spot || !machine.spot)
             && !job.avoid.contains(&(m as u32))
@@ -226,22 +242,45 @@
         job.image_gb / self.input.machines[m].fetch_gb_per_s.max(0.01)
     }
 
-    /// Lower is better: fetch time first, then spot before ordinary, then the tightest fit.
-    fn score(&self, job: &Job, m: usize) -> f64 {
+    /// Lower is better: fetch time first, then what others lose, spot before ordinary, the tightest fit.
+    pub(crate) fn score(&self, job: &Job, m: usize) -> f64 {
         self.fetch(job, m) + self.place_score(job, m)
     }
 
+    /// How much of a class's places is needed. Above 1 they are short.
+    fn pressure_of(&self, demand: &Demand) -> f64 {
+        let machines = (0..self.input.machines.len()).filter(|m| self.suits(&demand.like, *m));
+        let places = machines.map(|m| self.input.machines[m].total.count(&demand.like.need, 10_000));
+        (demand.tasks / f64::from(places.sum::<u32>().max(1))).min(MOST_PRESSURE)
+    }
+
+    /// What a task takes from classes that can go to fewer machines: their places that are lost, each as dear as
+    /// they are scarce.
+    fn displaced(&self, job: &Job, m: usize) -> Secs {
+        let mut after = self.free[m];
+        after.add(&job.need, -1.0);
+        let mut loss = 0.0;
+        for (demand, pressure) in self.input.demands.iter().zip(&self.pressure) {
+            if demand.like.need != job.need && self.suits(&demand.like, m) {
+                let places = |room: &Res| f64::from(room.count(&demand.like.need, 1000));
+                loss += (places(&self.free[m]) - places(&after)) * pressure;
+            }
+        }
+        loss * DISPLACED
+    }
+
     fn place_score(&self, job: &Job, m: usize) -> f64 {
         let machine = &self.input.machines[m];
         let left =
             1.0 - machine.total.share(&job.need) - (1.0 - self.free[m].gpus / machine.total.gpus.max(EPS));
         let dear = if machine.spot { 0.0 } else { 2.0 };
-        dear + left.max(0.0) * 4.0
+        dear + left.max(0.0) * 4.0 + self.displaced(job, m)
     }
 
     fn take(&mut self, i: usize, m: usize, n: u32) {
         let job = &self.input.jobs[i];
         let zone = self.input.machines[m].zone;
+        self.note_start(job, m, n);
         self.free[m].add(&job.need, -f64::from(n));
         self.slots[m] -= n;
         self.teams[job.team as usize].take(&job.need, n);
@@ -276,7 +315,7 @@
         }
         for (_, m) in order {
             let zone = self.input.machines[m].zone;
-            let n = self.free[m].count(&job.need, left.min(self.slots[m])).min(self.zone_room(i, zone));
+            let n = self.room(job, m, left).min(self.zone_room(i, zone));
             if n > 0 {
                 self.take(i, m, n);
                 left -= n;
@@ -321,9 +360,7 @@
             for (score, m) in order {
                 let z = self.input.machines[m].zone;
                 let there = count_in(&mut by_zone, z);
-                let n = self.free[m]
-                    .count(&job.need, left.min(self.slots[m]))
-                    .min(self.zone_room(i, z).saturating_sub(*there));
+                let n = self.room(job, m, left).min(self.zone_room(i, z).saturating_sub(*there));
                 if n > 0 {
                     chosen.push((m, n));
                     *there += n;
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -43,14 +43,16 @@
 
 impl Pass<'_> {
     /// A gang that finds no room has it gathered: the machines that are free for it first are held, and tasks of
-    /// lower priority are stopped where waiting would take longer than the patience.
-    pub(crate) fn make_room(&mut self, i: usize, want: u32) {
-        for o in self.cheapest(i, want).map(|(_, chosen)| chosen).unwrap_or_default() {
+    /// lower priority are stopped where waiting would take longer than the patience. False if that does not do.
+    pub(crate) fn make_room(&mut self, i: usize, want: u32) -> bool {
+        let Some((_, chosen)) = self.cheapest(i, want) else { return false };
+        for o in chosen {
             self.held[o.machine] = Some(o.at);
             self.out.kept.push(o.machine as u32);
             let stops = o.stops.iter().map(|t| Preempt { machine: o.machine as u32, task: *t as u32 });
             self.out.preempts.extend(stops);
         }
+        true
     }
 
     /// The machines that can be had for all tasks of a gang at the least loss, and that loss.
--- /dev/null
+++ b/crates/plan/src/timeline.rs
@@ -0,0 +1,154 @@
+//! Rooms to come: when what runs now is expected to end, and what of that is promised to gangs.
+//!
+//! This is MoldableEDF's "earliest free time" for jobs that must start whole. A gang that finds no room now is
+//! planned for the earliest moment at which one zone has it, and its places are promised from then on. Jobs that
+//! come later in the order move no promise: they take what ends in time, or what is left beside it.
+
+use crate::place::Pass;
+use crate::{Job, Res, Secs, count_in};
+
+/// What is known of a machine's room beyond this moment.
+#[derive(Clone, Default)]
+pub(crate) struct Line {
+    /// Ends of the tasks that this plan starts.
+    ends: Vec<(Secs, Res)>,
+    /// Room that belongs to a gang from a time on.
+    promised: Vec<(Secs, Res)>,
+}
+
+/// Places that fall free on a machine at a time.
+struct Opening {
+    at: Secs,
+    machine: usize,
+    count: u32,
+}
+
+impl Pass<'_> {
+    /// What is free on a machine at a time, without what is promised from no later than `until`.
+    fn room_at(&self, m: usize, at: Secs, until: Secs) -> Res {
+        let mut room = self.free[m];
+        let running = self.input.machines[m].running.iter().map(|r| (r.ends, &r.need));
+        let started = self.lines[m].ends.iter().map(|(end, need)| (*end, need));
+        for (_, need) in running.chain(started).filter(|(end, _)| *end <= at) {
+            room.add(need, 1.0);
+        }
+        for (_, need) in self.lines[m].promised.iter().filter(|(from, _)| *from <= until) {
+            room.add(need, -1.0);
+        }
+        room
+    }
+
+    /// How many tasks of a job, at most `cap`, a machine takes now without breaking a promise.
+    pub(crate) fn room(&self, job: &Job, m: usize, cap: u32) -> u32 {
+        let mut n = self.free[m].count(&job.need, cap.min(self.slots[m]));
+        let ends = self.length(job, m);
+        for (from, _) in &self.lines[m].promised {
+            if n == 0 {
+                break;
+            }
+            if *from < ends {
+                n = self.room_at(m, *from, *from).count(&job.need, n);
+            }
+        }
+        n
+    }
+
+    /// The same where it is not known how long they would stay.
+    pub(crate) fn unpromised(&self, job: &Job, m: usize) -> u32 {
+        self.room_at(m, 0.0, f64::INFINITY).count(&job.need, self.slots[m])
+    }
+
+    /// Until when a task that starts on this machine now is expected to stay.
+    fn length(&self, job: &Job, m: usize) -> Secs {
+        self.fetch(job, m) + job.estimate
+    }
+
+    /// Notes that tasks start on a machine.
+    pub(crate) fn note_start(&mut self, job: &Job, m: usize, n: u32) {
+        let mut need = Res::default();
+        need.add(&job.need, f64::from(n));
+        let end = self.length(job, m);
+        self.lines[m].ends.push((end, need));
+    }
+
+    /// Promises a gang the first places that it can have all together.
+    pub(crate) fn promise(&mut self, i: usize, want: u32) {
+        let job = &self.input.jobs[i];
+        let openings = self.openings(job, want);
+        let zones = if job.one_zone { self.all_zones() } else { vec![None] };
+        let mut best: Option<(Secs, Option<u16>)> = None;
+        for zone in zones {
+            let mut left = want;
+            let mut taken: Vec<(u16, u32)> = Vec::new();
+            for o in &openings {
+                self.out.steps += 1;
+                let n = self.usable_part(i, o, zone, &mut taken).min(left);
+                left -= n;
+                if left == 0 {
+                    if best.is_none_or(|(at, _)| o.at < at) {
+                        best = Some((o.at, zone));
+                    }
+                    break;
+                }
+            }
+        }
+        let Some((at, zone)) = best else { return };
+        // Of all that is free by then, the places that suit it best.
+        let mut chosen: Vec<(Secs, Opening)> =
+            openings.into_iter().filter(|o| o.at <= at).map(|o| (self.score(job, o.machine), o)).collect();
+        chosen.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.machine.cmp(&b.1.machine)));
+        let mut left = want;
+        let mut taken: Vec<(u16, u32)> = Vec::new();
+        for (_, o) in chosen {
+            let n = self.usable_part(i, &o, zone, &mut taken).min(left);
+            if n == 0 {
+                continue;
+            }
+            let mut need = Res::default();
+            need.add(&job.need, f64::from(n));
+            self.lines[o.machine].promised.push((at, need));
+            self.out.kept.push(o.machine as u32);
+            left -= n;
+            if left == 0 {
+                break;
+            }
+        }
+    }
+
+    /// How much of an opening the gang may use, given what it takes elsewhere.
+    fn usable_part(&self, i: usize, o: &Opening, zone: Option<u16>, taken: &mut Vec<(u16, u32)>) -> u32 {
+        let z = self.input.machines[o.machine].zone;
+        if zone.is_some_and(|only| only != z) {
+            return 0;
+        }
+        let there = count_in(taken, z);
+        let n = o.count.min(self.zone_room(i, z).saturating_sub(*there));
+        *there += n;
+        n
+    }
+
+    /// All places that a job's tasks could have, now or later, by time.
+    fn openings(&mut self, job: &Job, want: u32) -> Vec<Opening> {
+        let mut out = Vec::new();
+        for (m, machine) in self.input.machines.iter().enumerate() {
+            let from = if machine.usable { 0.0 } else { machine.ready };
+            if !from.is_finite() || !self.suits(job, m) || self.held[m].is_some() {
+                continue;
+            }
+            let ends = machine.running.iter().map(|r| r.ends).chain(self.lines[m].ends.iter().map(|e| e.0));
+            let mut times: Vec<Secs> = ends.filter(|t| *t > from).chain([from]).collect();
+            times.sort_by(f64::total_cmp);
+            self.out.steps += 1 + times.len() as u64;
+            let mut before = 0;
+            for at in times {
+                let n = self.room_at(m, at, f64::INFINITY).count(&job.need, want);
+                if n > before {
+                    out.push(Opening { at, machine: m, count: n - before });
+                    before = n;
+                }
+            }
+        }
+        out.sort_by(|a, b| a.at.total_cmp(&b.at).then(a.machine.cmp(&b.machine)));
+        out
+    }
+}
--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -1,7 +1,7 @@
 //! Plans of generated fleets: nothing overlaps, limits and places hold, the stretch is the smallest.
 
 use plan::{
-    HireInput, Input, Job, Machine, MachineOffer, Res, Running, Shape, Sized, Team, Wish, plan,
+    Demand, HireInput, Input, Job, Machine, MachineOffer, Res, Running, Shape, Sized, Team, Wish, plan,
     smallest_stretch, wishes,
 };
 use proptest::prelude::*;
@@ -18,7 +18,7 @@
         let running = running.into_iter().map(|(g, ends, priority)| Running {
             need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: true, leaving: false,
         }).collect();
-        let mut m = Machine { machine_type: kind, zone, spot, usable, total, running, images, fetch_gb_per_s: 1.0, slots: 20 };
+        let mut m = Machine { machine_type: kind, zone, spot, usable, ready: 20.0, total, running, images, fetch_gb_per_s: 1.0, slots: 20 };
         while m.free().gpus < 0.0 {
             m.running.pop();
         }
@@ -41,7 +41,7 @@
     fn input()(machines in prop::collection::vec(machine(), 0..8), jobs in prop::collection::vec(job(), 0..10),
                limit in 1.0f64..30.0, online_factor in 1.0f64..3.0) -> Input {
         let team = |max| Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: max };
-        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], spares: vec![], online_factor, patience: 2.0, max_steps: u64::MAX / 4 }
+        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], spares: vec![], demands: vec![], online_factor, patience: 2.0, max_steps: u64::MAX / 4 }
     }
 }
 
@@ -88,13 +88,13 @@
     #[test]
     fn room_is_used(tasks in 1u32..20, n in 1usize..6) {
         let total = res(32.0, 4.0, 128.0);
-        let machine = Machine { machine_type: 0, zone: 0, spot: false, usable: true, total, running: vec![], images: vec![],
+        let machine = Machine { machine_type: 0, zone: 0, spot: false, usable: true, ready: 0.0, total, running: vec![], images: vec![],
                                 fetch_gb_per_s: 1.0, slots: 50 };
         let job = Job { shape: Shape::Array, priority: 1, arrival: 0.0, estimate: 10.0, tasks, pending: tasks,
                         need: res(1.0, 1.0, 1.0), types: 1, zone: None, one_zone: false, spread: false, spot: true, image: 0,
                         image_gb: 1.0, team: 0, due: None, zones: vec![], avoid: vec![] };
         let team = Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY };
-        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], spares: vec![], online_factor: 1.0, patience: 1.0, max_steps: u64::MAX / 4 };
+        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], spares: vec![], demands: vec![], online_factor: 1.0, patience: 1.0, max_steps: u64::MAX / 4 };
         let out = plan(&input);
         let started: u32 = out.starts.iter().map(|s| s.count).sum();
         prop_assert_eq!(started, tasks.min(4 * n as u32));
@@ -129,6 +129,7 @@
         zone,
         spot: false,
         usable: true,
+        ready: 0.0,
         total: res(32.0, 4.0, 128.0),
         running: vec![running],
         images: vec![],
@@ -168,6 +169,7 @@
         jobs,
         teams: vec![team],
         spares: vec![],
+        demands: vec![],
         online_factor: 1.0,
         patience: 3.0,
         max_steps: u64::MAX / 4,
@@ -246,3 +248,40 @@
     assert!(out.steps <= 2 * input.max_steps + one_job, "{} steps", out.steps);
     assert!(out.starts.iter().any(|s| s.job > 0), "no gang was started");
 }
+
+/// Smaller work took each place as it fell free, and wide gangs slipped for as long as any came.
+#[test]
+fn a_wide_gang_is_promised_the_first_room_to_come() {
+    let mut machines = vec![busy(0, 5.0, 2), busy(0, 5.0, 2), busy(0, 5.0, 2)];
+    machines[0].running.clear();
+    machines[1].running[0].ends = 30.0;
+    for (estimate, may) in [(20.0, true), (50.0, false)] {
+        let wide = Job { due: Some(1.0), ..gang(2, true) };
+        // Submitted later, so later in the order.
+        let small = Job { arrival: 0.0, estimate, image_gb: 0.0, ..gang(1, true) };
+        let array = Job { shape: Shape::Array, ..small.clone() };
+        for other in [small, array] {
+            let out = plan(&crowded(machines.clone(), vec![wide.clone(), other]));
+            let started: Vec<u32> = out.starts.iter().map(|s| s.job).collect();
+            assert_eq!(started, if may { vec![1] } else { vec![] }, "estimate {estimate}");
+            assert!(out.kept.contains(&0) && out.kept.contains(&1) && !out.kept.contains(&2));
+        }
+    }
+}
+
+/// One type of machine is all that GPU tasks have: gangs that need none go elsewhere while there is room.
+#[test]
+fn places_that_others_need_are_taken_last() {
+    let mut plain = busy(0, 0.0, 0);
+    plain.running.clear();
+    let gpus = plain.clone();
+    plain.total.gpus = 0.0;
+    let cpu = Job { need: res(28.0, 0.0, 8.0), image_gb: 2.0, ..gang(1, true) };
+    let on_gpus = Job { shape: Shape::Array, need: res(2.0, 1.0, 8.0), ..gang(4, false) };
+    // Its image is on the machine with GPUs already, which would save the fetch.
+    let gpus = Machine { images: vec![cpu.image], ..gpus };
+    let mut input = crowded(vec![gpus, plain], vec![cpu]);
+    assert_eq!(plan(&input).starts[0].machine, 0);
+    input.demands.push(Demand { like: on_gpus, tasks: 4.0 });
+    assert_eq!(plan(&input).starts[0].machine, 1);
+}
