--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -6,6 +6,7 @@
 use crate::jobs::JobIx;
 use crate::ledger::ClaimId;
 use crate::machines::{Claim, ClaimState, Exited, Machine};
+use crate::sched::grace;
 use crate::{Dest, Node, Pending};
 use std::collections::BTreeSet;
 use wire::api::{Cause, Kind, Order, Orders, Redirect, Report, TaskStage};
@@ -318,7 +319,7 @@
             let Some(spec) = part.job(c.job).and_then(|j| j.spec.as_ref()) else { continue };
             let ran = c.running_since.map_or(0.0, |t| now.saturating_sub(t) as f64 / 1000.0);
             if spec.checkpoint_s > 0.0 {
-                stops.push((c.job, spec.save_s * 1.2 + 1.0));
+                stops.push((c.job, grace(spec)));
             } else if c.running_since.is_none() || spec.estimate_s - ran > left {
                 stops.push((c.job, 0.0));
             }
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -73,6 +73,7 @@
         image_gb: spec.image_gb,
         team,
         due: None,
+        promised: false,
         zones: Vec::new(),
         avoid: Vec::new(),
     }
@@ -195,6 +196,11 @@
     out
 }
 
+/// The time that a stopped task is given to save, if it can.
+pub(crate) fn grace(spec: &JobSpec) -> f64 {
+    if spec.checkpoint_s > 0.0 { spec.save_s * 1.2 + 1.0 } else { 0.0 }
+}
+
 impl Node {
     pub(crate) fn sched_tick(&mut self) {
         let now = self.now.mono;
@@ -241,6 +247,9 @@
         for p in &output.preempts {
             self.preempt(map.machines[p.machine as usize], map.claims[p.machine as usize][p.task as usize]);
         }
+        for gang in &output.recalls {
+            self.recall(*gang as JobIx);
+        }
         // Right after a take-over the machines have not all been heard of yet.
         if now >= since + 2 * settle {
             self.hire_for(&input, &output, &catalog);
@@ -278,6 +287,9 @@
             });
         }
         let Some(part) = &mut self.part else { return (input, map) };
+        let promise = guarantee_aim(&self.settings.cluster.objectives);
+        let guaranteed = within_guarantee(part, &self.settings.cluster.teams);
+        let settle = self.tuning.settle_s;
         let mut to_plan: HashMap<usize, u32> = HashMap::new();
         for (m, machine) in part.machines.iter().enumerate() {
             let Some(machine) = machine else { continue };
@@ -319,6 +331,9 @@
                     lost: if saves > 0.0 { ran.min(2.0) } else { ran },
                     stoppable: c.stop.is_none() && job.kind() != Kind::Gang && job.kind() != Kind::Service,
                     leaving: c.stop.is_some(),
+                    team: teams.get(job.team.as_str()).copied().unwrap_or(u16::MAX),
+                    beyond: ran >= settle && c.stop.is_none() && !guaranteed.contains(&c.job),
+                    gang: (job.kind() == Kind::Gang).then_some(c.job as u32),
                 });
                 claims.push(k);
             }
@@ -343,8 +358,6 @@
             .iter()
             .map(|m| m.as_ref().and_then(|m| zones.get(m.zone.as_str()).copied()))
             .collect();
-        let promise = guarantee_aim(&self.settings.cluster.objectives);
-        let guaranteed = within_guarantee(part, &self.settings.cluster.teams);
         for (ix, job) in part.jobs.iter().enumerate() {
             let Some(job) = job else { continue };
             let Some(spec) = &job.spec else { continue };
@@ -387,6 +400,7 @@
                 estimate,
                 pending,
                 due: due.map(|d| d + arrival),
+                promised: promise.is_some_and(|within| within + arrival > 0.0),
                 zones: by_zone,
                 avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
                 ..shape
@@ -416,14 +430,24 @@
         self.to_write = true;
     }
 
+    /// Stops a gang that runs beyond its team's guarantee, with the time to save.
+    fn recall(&mut self, ix: JobIx) {
+        let Some(job) = self.part.as_ref().and_then(|p| p.job(ix)) else { return };
+        let Some(spec) = &job.spec else { return };
+        let grace = grace(spec);
+        let Some(m) = job.claimed.values().flatten().map(|(m, _)| *m).next() else { return };
+        log::info!("job {}: stopped to give another team its guarantee", job.id);
+        self.stats.preempts += u64::from(job.tasks);
+        self.stop_here(ix, m, grace);
+    }
+
     fn preempt(&mut self, m: usize, k: usize) {
         let Some(part) = &mut self.part else { return };
         let Some(machine) = part.machine(m) else { return };
         let Some(claim) = machine.claims.get(k) else { return };
         let (ix, task) = (claim.job, claim.task);
         let Some(job) = part.job(ix) else { return };
-        let saves = job.spec.as_ref().is_some_and(|s| s.checkpoint_s > 0.0);
-        let grace = if saves { job.spec.as_ref().map_or(0.0, |s| s.save_s * 1.2 + 1.0) } else { 0.0 };
+        let grace = job.spec.as_ref().map_or(0.0, |spec| grace(spec));
         log::info!("task {}/{task} on {}: stopped to make room", job.id, machine.name);
         if let Some(claim) = part.machine_mut(m).and_then(|x| x.claims.get_mut(k)) {
             claim.stop = Some(grace);
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod hire;
 mod place;
+mod recall;
 mod room;
 mod stretch;
 mod timeline;
@@ -60,6 +61,11 @@
     pub stoppable: bool,
     /// It is on its way out: its room is coming, and must not be made a second time.
     pub leaving: bool,
+    pub team: u16,
+    /// Its team runs it beyond its guarantee, and it may be stopped to give another team its own.
+    pub beyond: bool,
+    /// The gang that it belongs to, all of which stops with it.
+    pub gang: Option<u32>,
 }
 
 #[derive(Debug, Clone)]
@@ -120,6 +126,8 @@
     pub team: u16,
     /// Its own deadline, from now.
     pub due: Option<Secs>,
+    /// Within its team's guarantee, and not yet late for it.
+    pub promised: bool,
     /// Tasks that hold a place now, by zone.
     pub zones: Vec<(u16, u32)>,
     /// Machines that it should keep away from.
@@ -198,6 +206,8 @@
 pub struct Output {
     pub starts: Vec<Start>,
     pub preempts: Vec<Preempt>,
+    /// Gangs to be stopped whole.
+    pub recalls: Vec<u32>,
     /// Tasks that found no room now though their team's limit allows them: job and count.
     pub waiting: Vec<(u32, u32)>,
     /// Machines whose free room is kept, for the expected or for a gang that gathers room, and how much of each spare found no room.
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -102,7 +102,7 @@
                     if self.gang(*i, want) {
                         left[*i] = 0;
                     } else if !self.is_tired() && !self.make_room(*i, want) {
-                        self.promise(*i, want);
+                        self.wait(*i, want);
                     }
                 }
                 _ => {
--- /dev/null
+++ b/crates/plan/src/recall.rs
@@ -0,0 +1,182 @@
+//! Giving a team its guarantee: what other teams run beyond theirs is stopped, of any urgency.
+
+use crate::place::Pass;
+use crate::{Job, Preempt, Res, Secs};
+use std::collections::BTreeMap;
+
+/// How long it takes until a stopped task has saved and gone.
+const LEAVING: Secs = 4.0;
+/// What ends within this time is waited for.
+const NEARLY_OVER: Secs = 15.0;
+/// What a gang loses besides its work: it has to wait for room for all its tasks again.
+const GANG_LOSS: Secs = 20.0;
+/// The same for a single task.
+const TASK_LOSS: Secs = 5.0;
+
+/// What stops together: one task, or a whole gang.
+struct Victim {
+    gang: Option<u32>,
+    /// Machines and tasks.
+    tasks: Vec<(usize, usize)>,
+    cost: Secs,
+}
+
+/// What is to be stopped, with the loss, and the room on each machine then.
+struct Recall {
+    cost: Secs,
+    victims: Vec<Victim>,
+    places: Vec<(usize, u32)>,
+}
+
+impl Pass<'_> {
+    /// Stops for a gang within its team's guarantee what other teams run beyond theirs, and holds the room. False if
+    /// that does not make enough.
+    pub(crate) fn recall(&mut self, i: usize, want: u32) -> bool {
+        let job = &self.input.jobs[i];
+        let zones = if job.one_zone { self.all_zones() } else { vec![None] };
+        let mut best: Option<Recall> = None;
+        for zone in zones {
+            let found = self.recall_in(i, want, zone);
+            if let Some(found) = found
+                && best.as_ref().is_none_or(|b| found.cost < b.cost)
+            {
+                best = Some(found);
+            }
+        }
+        let Some(best) = best else { return false };
+        for victim in best.victims {
+            if let Some(gang) = victim.gang {
+                self.out.recalls.push(gang);
+                continue;
+            }
+            let stops = victim.tasks.iter().map(|(m, k)| Preempt { machine: *m as u32, task: *k as u32 });
+            self.out.preempts.extend(stops);
+        }
+        let mut left = want;
+        for (m, n) in best.places {
+            let n = n.min(left);
+            if n > 0 {
+                self.hold(job, m, n, LEAVING);
+                left -= n;
+            }
+        }
+        true
+    }
+
+    fn recall_in(&mut self, i: usize, want: u32, zone: Option<u16>) -> Option<Recall> {
+        let job = &self.input.jobs[i];
+        let mut rooms: BTreeMap<usize, Res> = BTreeMap::new();
+        for m in 0..self.input.machines.len() {
+            let machine = &self.input.machines[m];
+            if !self.allowed(job, m) || self.held[m].is_some() || zone.is_some_and(|z| z != machine.zone) {
+                continue;
+            }
+            self.out.steps += 1 + machine.running.len() as u64;
+            let mut room = self.room_at(m, 0.0, f64::INFINITY);
+            for r in machine.running.iter().filter(|r| r.leaving && r.ends > 0.0) {
+                room.add(&r.need, 1.0);
+            }
+            rooms.insert(m, room);
+        }
+        let mut victims = self.victims(job, &rooms);
+        let count = |rooms: &BTreeMap<usize, Res>| {
+            rooms.values().map(|room| room.count(&job.need, want)).sum::<u32>()
+        };
+        let mut chosen: Vec<Victim> = Vec::new();
+        let mut have = count(&rooms);
+        while have < want {
+            // The least loss for each place that is gained. What gains none by itself may do so with another.
+            let mut best: Option<(f64, usize)> = None;
+            for (k, victim) in victims.iter().enumerate() {
+                self.out.steps += victim.tasks.len() as u64;
+                let gain = self.gain(job, victim, &rooms).min(f64::from(want - have));
+                if gain > 0.0 && best.is_none_or(|(b, _)| victim.cost / gain < b) {
+                    best = Some((victim.cost / gain, k));
+                }
+            }
+            let victim = victims.swap_remove(best?.1);
+            self.give_back(&victim, &mut rooms, 1.0);
+            chosen.push(victim);
+            have = count(&rooms);
+        }
+        // What turned out not to be needed stays.
+        let mut k = chosen.len();
+        while k > 0 {
+            k -= 1;
+            self.give_back(&chosen[k], &mut rooms, -1.0);
+            if count(&rooms) >= want {
+                chosen.remove(k);
+            } else {
+                self.give_back(&chosen[k], &mut rooms, 1.0);
+            }
+        }
+        let cost = chosen.iter().map(|v| v.cost).sum();
+        let places = rooms.iter().map(|(m, room)| (*m, room.count(&job.need, want))).collect();
+        Some(Recall { cost, victims: chosen, places })
+    }
+
+    /// Places that a victim's end brings nearer: whole ones count most, parts of one a little.
+    fn gain(&self, job: &Job, victim: &Victim, rooms: &BTreeMap<usize, Res>) -> f64 {
+        let mut gain = 0.0;
+        let mut seen = usize::MAX;
+        let mut after = Res::default();
+        for (m, k) in &victim.tasks {
+            let Some(room) = rooms.get(m) else { continue };
+            if *m != seen {
+                (seen, after) = (*m, *room);
+            }
+            let before = after.count(&job.need, u32::MAX);
+            after.add(&self.input.machines[*m].running[*k].need, 1.0);
+            let whole = after.count(&job.need, u32::MAX) - before;
+            gain += if whole > 0 {
+                f64::from(whole)
+            } else if victim.gang.is_none() {
+                0.4
+            } else {
+                0.0
+            };
+        }
+        gain
+    }
+
+    fn give_back(&self, victim: &Victim, rooms: &mut BTreeMap<usize, Res>, times: f64) {
+        for (m, k) in &victim.tasks {
+            if let Some(room) = rooms.get_mut(m) {
+                room.add(&self.input.machines[*m].running[*k].need, times);
+            }
+        }
+    }
+
+    /// All that may be stopped for a job on these machines, with what that loses.
+    fn victims(&self, job: &Job, rooms: &BTreeMap<usize, Res>) -> Vec<Victim> {
+        let mut out = Vec::new();
+        let mut gangs: BTreeMap<u32, Victim> = BTreeMap::new();
+        for (m, machine) in self.input.machines.iter().enumerate() {
+            for (k, r) in machine.running.iter().enumerate() {
+                let stopping = self.out.preempts.iter().any(|p| (p.machine, p.task) == (m as u32, k as u32))
+                    || r.gang.is_some_and(|g| self.out.recalls.contains(&g));
+                if !r.beyond || r.team == job.team || r.leaving || r.ends < NEARLY_OVER || stopping {
+                    continue;
+                }
+                match r.gang {
+                    // All of a gang stops, also where that makes no room for the job.
+                    Some(gang) => {
+                        let victim = gangs.entry(gang).or_insert(Victim {
+                            gang: Some(gang),
+                            tasks: Vec::new(),
+                            cost: 0.0,
+                        });
+                        victim.tasks.push((m, k));
+                        victim.cost += r.lost + GANG_LOSS;
+                    }
+                    None if r.stoppable && rooms.contains_key(&m) => {
+                        out.push(Victim { gang: None, tasks: vec![(m, k)], cost: r.lost + TASK_LOSS });
+                    }
+                    None => {}
+                }
+            }
+        }
+        out.extend(gangs.into_values());
+        out
+    }
+}
--- a/crates/plan/src/timeline.rs
+++ b/crates/plan/src/timeline.rs
@@ -25,7 +25,7 @@
 
 impl Pass<'_> {
     /// What is free on a machine at a time, without what is promised from no later than `until`.
-    fn room_at(&self, m: usize, at: Secs, until: Secs) -> Res {
+    pub(crate) fn room_at(&self, m: usize, at: Secs, until: Secs) -> Res {
         let mut room = self.free[m];
         let running = self.input.machines[m].running.iter().map(|r| (r.ends, &r.need));
         let started = self.lines[m].ends.iter().map(|(end, need)| (*end, need));
@@ -71,19 +71,31 @@
         self.lines[m].ends.push((end, need));
     }
 
-    /// Promises a gang the first places that it can have all together.
-    pub(crate) fn promise(&mut self, i: usize, want: u32) {
+    /// Plans a gang for later: in the room that others must give back to its team's guarantee, or in the first that
+    /// falls free by itself.
+    pub(crate) fn wait(&mut self, i: usize, want: u32) {
         let job = &self.input.jobs[i];
         let openings = self.openings(job, want);
-        let zones = if job.one_zone { self.all_zones() } else { vec![None] };
+        let first = self.earliest(i, want, &openings);
+        let soon = first.is_some_and(|(at, _)| at <= self.input.patience);
+        if job.promised && !soon && self.recall(i, want) {
+            return;
+        }
+        if let Some((at, zone)) = first {
+            self.promise(i, want, openings, at, zone);
+        }
+    }
+
+    /// When, and in which zone, a gang can first have all its places.
+    fn earliest(&mut self, i: usize, want: u32, openings: &[Opening]) -> Option<(Secs, Option<u16>)> {
+        let zones = if self.input.jobs[i].one_zone { self.all_zones() } else { vec![None] };
         let mut best: Option<(Secs, Option<u16>)> = None;
         for zone in zones {
             let mut left = want;
             let mut taken: Vec<(u16, u32)> = Vec::new();
-            for o in &openings {
+            for o in openings {
                 self.out.steps += 1;
-                let n = self.usable_part(i, o, zone, &mut taken).min(left);
-                left -= n;
+                left -= self.usable_part(i, o, zone, &mut taken).min(left);
                 if left == 0 {
                     if best.is_none_or(|(at, _)| o.at < at) {
                         best = Some((o.at, zone));
@@ -92,7 +104,12 @@
                 }
             }
         }
-        let Some((at, zone)) = best else { return };
+        best
+    }
+
+    /// Promises a gang its places from a time on.
+    fn promise(&mut self, i: usize, want: u32, openings: Vec<Opening>, at: Secs, zone: Option<u16>) {
+        let job = &self.input.jobs[i];
         // Of all that is free by then, the places that suit it best.
         let mut chosen: Vec<(Secs, Opening)> =
             openings.into_iter().filter(|o| o.at <= at).map(|o| (self.score(job, o.machine), o)).collect();
@@ -104,10 +121,7 @@
             if n == 0 {
                 continue;
             }
-            let mut need = Res::default();
-            need.add(&job.need, f64::from(n));
-            self.lines[o.machine].promised.push((at, need));
-            self.out.kept.push(o.machine as u32);
+            self.hold(job, o.machine, n, at);
             left -= n;
             if left == 0 {
                 break;
@@ -115,6 +129,14 @@
         }
     }
 
+    /// Keeps room on a machine for tasks of a job from a time on.
+    pub(crate) fn hold(&mut self, job: &Job, m: usize, n: u32, at: Secs) {
+        let mut need = Res::default();
+        need.add(&job.need, f64::from(n));
+        self.lines[m].promised.push((at, need));
+        self.out.kept.push(m as u32);
+    }
+
     /// How much of an opening the gang may use, given what it takes elsewhere.
     fn usable_part(&self, i: usize, o: &Opening, zone: Option<u16>, taken: &mut Vec<(u16, u32)>) -> u32 {
         let z = self.input.machines[o.machine].zone;
--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -16,7 +16,7 @@
                  images in prop::collection::vec(0u32..3, 0..2)) -> Machine {
         let total = res(32.0, f64::from(kind + 1) * 4.0, 128.0);
         let running = running.into_iter().map(|(g, ends, priority)| Running {
-            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: true, leaving: false,
+            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: true, leaving: false, team: 1, beyond: false, gang: None,
         }).collect();
         let mut m = Machine { machine_type: kind, zone, spot, usable, ready: 20.0, total, running, images, fetch_gb_per_s: 1.0, slots: 20 };
         while m.free().gpus < 0.0 {
@@ -32,7 +32,7 @@
              flags in (any::<bool>(), any::<bool>(), any::<bool>()), image in 0u32..3, team in 0u16..2) -> Job {
         let shape = [Shape::Array, Shape::Gang, Shape::Service][shape as usize];
         Job { shape, priority, arrival, estimate, tasks, pending: tasks, need: res(4.0, f64::from(gpus), 16.0), types,
-              zone, one_zone: flags.0, spread: flags.1 && !flags.0, spot: flags.2, image, image_gb: 4.0, team, due: None,
+              zone, one_zone: flags.0, spread: flags.1 && !flags.0, spot: flags.2, image, image_gb: 4.0, team, due: None, promised: false,
               zones: Vec::new(), avoid: Vec::new() }
     }
 }
@@ -92,7 +92,7 @@
                                 fetch_gb_per_s: 1.0, slots: 50 };
         let job = Job { shape: Shape::Array, priority: 1, arrival: 0.0, estimate: 10.0, tasks, pending: tasks,
                         need: res(1.0, 1.0, 1.0), types: 1, zone: None, one_zone: false, spread: false, spot: true, image: 0,
-                        image_gb: 1.0, team: 0, due: None, zones: vec![], avoid: vec![] };
+                        image_gb: 1.0, team: 0, due: None, promised: false, zones: vec![], avoid: vec![] };
         let team = Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY };
         let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], spares: vec![], demands: vec![], online_factor: 1.0, patience: 1.0, max_steps: u64::MAX / 4 };
         let out = plan(&input);
@@ -123,7 +123,17 @@
 /// A machine whose room one task of this priority takes.
 fn busy(zone: u16, lost: f64, priority: u8) -> Machine {
     let need = res(8.0, 4.0, 8.0);
-    let running = Running { need, ends: 90.0, priority, lost, stoppable: true, leaving: false };
+    let running = Running {
+        need,
+        ends: 90.0,
+        priority,
+        lost,
+        stoppable: true,
+        leaving: false,
+        team: 1,
+        beyond: false,
+        gang: None,
+    };
     Machine {
         machine_type: 0,
         zone,
@@ -157,6 +167,7 @@
         image_gb: 1.0,
         team: 0,
         due: None,
+        promised: false,
         zones: vec![],
         avoid: vec![],
     }
