--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -332,7 +332,9 @@
                     stoppable: c.stop.is_none() && job.kind() != Kind::Gang && job.kind() != Kind::Service,
                     leaving: c.stop.is_some(),
                     team: teams.get(job.team.as_str()).copied().unwrap_or(u16::MAX),
-                    beyond: ran >= settle && c.stop.is_none() && !guaranteed.contains(&c.job),
+                    beyond: (ran >= settle || job.kind() == Kind::Array)
+                        && c.stop.is_none()
+                        && !guaranteed.contains(&c.job),
                     gang: (job.kind() == Kind::Gang).then_some(c.job as u32),
                 });
                 claims.push(k);
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -72,18 +72,21 @@
         self.out.stretch = s;
         let s = s * input.online_factor.max(1.0);
         // Urgency comes before the deadline: between jobs of one urgency the paper's order decides.
-        let mut order: Vec<(u8, Secs, usize)> = planned
+        // A gang that can still have what its team is guaranteed goes first among them; room made for it by stopping
+        // others would be theirs again otherwise.
+        let mut order: Vec<(u8, bool, Secs, usize)> = planned
             .iter()
             .zip(&sized)
             .map(|(i, z)| {
                 let job = &input.jobs[*i];
                 let due = job.arrival + z.work * s;
-                (job.priority, job.due.map_or(due, |own| own.min(due)), *i)
+                let first = job.promised && job.shape == Shape::Gang;
+                (job.priority, first, job.due.map_or(due, |own| own.min(due)), *i)
             })
             .collect();
-        order.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.total_cmp(&b.1)).then(a.2.cmp(&b.2)));
+        order.sort_by(|a, b| (b.0, b.1).cmp(&(a.0, a.1)).then(a.2.total_cmp(&b.2)).then(a.3.cmp(&b.3)));
         let mut kept = false;
-        for (priority, due, i) in &order {
+        for (priority, _, due, i) in &order {
             let job = &input.jobs[*i];
             if self.out.steps > 2 * input.max_steps {
                 break;
@@ -119,7 +122,7 @@
             self.keep_spares();
         }
         // Arrays also fill room that no planned job needs within one task estimate.
-        for (_, _, i) in &order {
+        for (_, _, _, i) in &order {
             if input.jobs[*i].shape == Shape::Array && left[*i] > 0 && self.out.steps <= 2 * input.max_steps {
                 left[*i] -= self.fill(*i, left[*i], true);
             }
