Room for guaranteed arrays follows the time that they may not wait; no price of places

An array that may wait 40 of the 68 s that a new machine takes needs room only for what comes in the other 28 s: 2 deviations by the root of that share.

--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -94,16 +94,17 @@
         let Some(spec) = &seen.like else { continue };
         let own = aims.iter().filter(|a| a.kind == "wait" && a.class.as_ref() == Some(class));
         let own = own.filter_map(|a| a.within_s).map(|within| (within, tuning.spare));
-        // What is of low urgency waits for a machine to boot.
-        let promised = guaranteed.filter(|_| spec.priority > Priority::Low);
-        // A gang that lacks one place has none, while an array starts with what there is.
-        let share = if spec.kind == Kind::Gang { tuning.spare } else { tuning.spare_guaranteed };
-        let promised = promised.map(|within| (within, share));
         let Some(team) = names.teams.get(spec.team.as_str()) else { continue };
         let like = shaped(spec, &mut part.images, names, *team);
         let lead = |t: &MachineType| t.boot_s + spec.image_gb / t.fetch_gb_per_s.max(0.01);
         let fitting = names.catalog.types.iter().enumerate().filter(|(i, _)| like.types >> i & 1 == 1);
         let Some(lead) = fitting.map(|(_, t)| lead(t)).reduce(f64::min) else { continue };
+        // What is of low urgency waits for a machine to boot. A gang that lacks one place has none, while an array
+        // starts with what there is. Who may wait for a while needs room only for what comes in the rest of the time.
+        let promised = guaranteed.filter(|_| spec.priority > Priority::Low).map(|within| match spec.kind {
+            Kind::Gang => (within, tuning.spare),
+            _ => (within, tuning.spare_guaranteed * (1.0 - within / lead).max(0.0).sqrt()),
+        });
         // A class may have a patient aim of its own and yet do work that is guaranteed to start soon.
         let hasty = own.chain(promised).filter(|(within, _)| *within < lead);
         let Some(share) = hasty.map(|(_, share)| share).reduce(f64::max) else { continue };
@@ -130,27 +131,6 @@
     if age < boot_s { boot_s - age + 1.0 } else { (age - boot_s) * 0.5 + 5.0 }
 }
 
-/// The tasks of each class that wait or run now, which other classes' places are weighed against.
-fn demands(part: &mut Part, names: &Names<'_>) -> Vec<plan::Demand> {
-    let mut tasks: HashMap<&str, f64> = HashMap::new();
-    for job in part.jobs.iter().flatten().filter(|j| !j.is_ending()) {
-        if let Some(spec) = &job.spec {
-            *tasks.entry(spec.class.as_str()).or_default() += f64::from(job.tasks - job.done_count);
-        }
-    }
-    let mut out = Vec::new();
-    for (class, seen) in &part.classes {
-        if let (Some(spec), Some(n)) = (&seen.like, tasks.get(class.as_str()))
-            && let Some(team) = names.teams.get(spec.team.as_str())
-        {
-            out.push(plan::Demand { like: shaped(spec, &mut part.images, names, *team), tasks: *n });
-        }
-    }
-    // In an order of its own: sums must not hang on that of the map.
-    out.sort_by(|a, b| a.like.image.cmp(&b.like.image).then(a.tasks.total_cmp(&b.tasks)));
-    out
-}
-
 /// How soon work within a guarantee is expected to start.
 fn guarantee_aim(aims: &[Objective]) -> Option<f64> {
     aims.iter().filter(|a| a.kind == "guarantee").filter_map(|a| a.within_s).reduce(f64::min)
@@ -407,7 +387,6 @@
                 ..shape
             });
         }
-        input.demands = demands(part, &names);
         input.spares = spares(part, &self.settings.cluster.objectives, &names, &self.tuning, now.wall);
         (input, map)
     }
--- a/crates/control/src/tuning.rs
+++ b/crates/control/src/tuning.rs
@@ -52,7 +52,7 @@
         idle_s = 5.0 in 0.0..=36000.0, "A machine without work is returned after this time.";
         horizon_s = 300.0 in 1.0..=36000.0, "Waiting array work is spread over this time when machines are rented.";
         spare = 2.5 in 0.0..=10.0, "Room kept free for jobs that may not wait, in deviations of those that come while a machine boots.";
-        spare_guaranteed = 1.5 in 0.0..=10.0, "The same for arrays of which only work within a guarantee may not wait.";
+        spare_guaranteed = 2.0 in 0.0..=10.0, "The same for arrays of which only work within a guarantee may not wait.";
         boot_patience = 3.0 in 1.0..=100.0, "A machine that is not up after so many boot times is given back.";
     }
 }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -166,20 +166,12 @@
     pub images: Vec<(u32, f64, f64)>,
 }
 
-/// Tasks of a class that run, wait or are expected: what else the machines are needed for.
-#[derive(Debug, Clone)]
-pub struct Demand {
-    pub like: Job,
-    pub tasks: f64,
-}
-
 #[derive(Debug, Clone, Default)]
 pub struct Input {
     pub machines: Vec<Machine>,
     pub jobs: Vec<Job>,
     pub teams: Vec<Team>,
     pub spares: Vec<Spare>,
-    pub demands: Vec<Demand>,
     /// The online factor: the smallest stretch is relaxed by it.
     pub online_factor: f64,
     /// A job of higher priority waits this long for room before others are stopped for it.
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -3,7 +3,7 @@
 
 use crate::room::{Clearing, Wide};
 use crate::timeline::Line;
-use crate::{Demand, EPS, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, count_in, stretch};
+use crate::{EPS, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, count_in, stretch};
 use std::collections::HashMap;
 
 /// Run times of a job's tasks differ from each other and from the estimate: a round is planned this much longer.
@@ -12,18 +12,11 @@
 /// How long it takes until a stopped task has gone and the next plan is made.
 const CLEARING: Secs = 3.0;
 
-/// What it is worth not to take the only place that a task of another class could have.
-const DISPLACED: Secs = 3.0;
-/// Past this a class is short of places, however short.
-const MOST_PRESSURE: f64 = 1.5;
-
 pub(crate) struct Pass<'a> {
     pub input: &'a Input,
     pub free: Vec<Res>,
     pub slots: Vec<u32>,
     pub lines: Vec<Line>,
-    /// For each class in demand, the share of all its places that is needed.
-    pressure: Vec<f64>,
     /// Until when a machine's room is promised to a wide job, and that job's priority.
     pub held: Vec<Option<Secs>>,
     images: Vec<Vec<u32>>,
@@ -41,7 +34,6 @@
         free: input.machines.iter().map(Machine::free).collect(),
         slots: input.machines.iter().map(|m| m.slots).collect(),
         lines: vec![Line::default(); input.machines.len()],
-        pressure: Vec::new(),
         held: vec![None; input.machines.len()],
         images: input.machines.iter().map(|m| m.images.clone()).collect(),
         teams: input.teams.clone(),
@@ -49,7 +41,6 @@
         clearable: HashMap::new(),
         out: Output::default(),
     };
-    pass.pressure = input.demands.iter().map(|d| pass.pressure_of(d)).collect();
     pass.run();
     pass.out
 }
@@ -245,39 +236,17 @@
         job.image_gb / self.input.machines[m].fetch_gb_per_s.max(0.01)
     }
 
-    /// Lower is better: fetch time first, then what others lose, spot before ordinary, the tightest fit.
+    /// Lower is better: fetch time first, then spot before ordinary, then the tightest fit.
     pub(crate) fn score(&self, job: &Job, m: usize) -> f64 {
         self.fetch(job, m) + self.place_score(job, m)
     }
 
-    /// How much of a class's places is needed. Above 1 they are short.
-    fn pressure_of(&self, demand: &Demand) -> f64 {
-        let machines = (0..self.input.machines.len()).filter(|m| self.suits(&demand.like, *m));
-        let places = machines.map(|m| self.input.machines[m].total.count(&demand.like.need, 10_000));
-        (demand.tasks / f64::from(places.sum::<u32>().max(1))).min(MOST_PRESSURE)
-    }
-
-    /// What a task takes from classes that can go to fewer machines: their places that are lost, each as dear as
-    /// they are scarce.
-    fn displaced(&self, job: &Job, m: usize) -> Secs {
-        let mut after = self.free[m];
-        after.add(&job.need, -1.0);
-        let mut loss = 0.0;
-        for (demand, pressure) in self.input.demands.iter().zip(&self.pressure) {
-            if demand.like.need != job.need && self.suits(&demand.like, m) {
-                let places = |room: &Res| f64::from(room.count(&demand.like.need, 1000));
-                loss += (places(&self.free[m]) - places(&after)) * pressure;
-            }
-        }
-        loss * DISPLACED
-    }
-
     fn place_score(&self, job: &Job, m: usize) -> f64 {
         let machine = &self.input.machines[m];
         let left =
             1.0 - machine.total.share(&job.need) - (1.0 - self.free[m].gpus / machine.total.gpus.max(EPS));
         let dear = if machine.spot { 0.0 } else { 2.0 };
-        dear + left.max(0.0) * 4.0 + self.displaced(job, m)
+        dear + left.max(0.0) * 4.0
     }
 
     fn take(&mut self, i: usize, m: usize, n: u32) {
