--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -268,7 +268,6 @@
         let Some(part) = &mut self.part else { return (input, map) };
         let promise = guarantee_aim(&self.settings.cluster.objectives);
         let guaranteed = within_guarantee(part, &self.settings.cluster.teams);
-        let settle = self.tuning.settle_s;
         let mut to_plan: HashMap<usize, u32> = HashMap::new();
         for (m, machine) in part.machines.iter().enumerate() {
             let Some(machine) = machine else { continue };
@@ -311,9 +310,7 @@
                     stoppable: c.stop.is_none() && job.kind() != Kind::Gang && job.kind() != Kind::Service,
                     leaving: c.stop.is_some(),
                     team: teams.get(job.team.as_str()).copied().unwrap_or(u16::MAX),
-                    beyond: (ran >= settle || job.kind() == Kind::Array)
-                        && c.stop.is_none()
-                        && !guaranteed.contains(&c.job),
+                    beyond: c.stop.is_none() && !guaranteed.contains(&c.job),
                     gang: (job.kind() == Kind::Gang).then_some(c.job as u32),
                 });
                 claims.push(k);
@@ -528,3 +525,81 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::jobs::Job;
+    use wire::records::JobRec;
+
+    fn spec(id: u32, team: &str, tasks: u32, cores: f64, gpus: f64) -> JobSpec {
+        JobSpec {
+            id: format!("job-{id}"),
+            class: "c".into(),
+            team: team.into(),
+            kind: Kind::Array,
+            priority: Priority::Normal,
+            tasks,
+            cores,
+            gpus,
+            mem_gb: 1.0,
+            image: "i".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 10.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
+
+    /// GPU jobs of a team that has only processors guaranteed were never within its guarantee.
+    #[test]
+    fn a_guarantee_counts_by_the_resources_that_are_guaranteed() {
+        let team = |name: &str, cpus: f64, gpus: f64| Team {
+            name: name.into(),
+            cpus,
+            cpus_max: 0.0,
+            gpus,
+            gpus_max: 0.0,
+        };
+        let teams = [team("cpus", 20.0, 0.0), team("gpus", 0.0, 4.0), team("both", 20.0, 4.0)];
+        let mut part = Part::new(1, 1, 0, 16.0);
+        let jobs = [
+            ("cpus", 3, 6.0, 1.0, true),  // 18 of 20 CPUs, though no GPU is guaranteed.
+            ("cpus", 1, 6.0, 0.0, false), // Past them, with the job before.
+            ("gpus", 4, 60.0, 1.0, true), // The CPUs do not count.
+            ("gpus", 1, 1.0, 0.0, false), // Takes nothing of what is guaranteed.
+            ("both", 4, 2.0, 1.0, true),  // Fits in both.
+            ("both", 1, 2.0, 1.0, false), // No GPU is left.
+            ("none", 1, 1.0, 0.0, false), // An unknown team.
+        ];
+        for (i, (team, tasks, cores, gpus, _)) in jobs.iter().enumerate() {
+            let spec = spec(i as u32, team, *tasks, *cores, *gpus);
+            part.add_job(Job::new(JobRec { spec, at_ms: i as u64, part: 0 }, 1));
+        }
+        let within = within_guarantee(&part, &teams);
+        for (i, (team, .., expected)) in jobs.iter().enumerate() {
+            assert_eq!(within.contains(&i), *expected, "job {i} of {team}");
+        }
+    }
+
+    /// A gang that had missed one aim for good stood before those that could still keep it.
+    #[test]
+    fn the_first_aim_that_can_still_be_kept_counts() {
+        let aim = |class: &str, within: f64| Objective {
+            kind: "wait".into(),
+            class: Some(class.into()),
+            within_s: Some(within),
+            share: None,
+        };
+        let aims = [aim("c", 250.0), aim("c", 150.0), aim("other", 20.0)];
+        let seen: Vec<Option<f64>> =
+            [0.0, 10.0, 200.0, 300.0].iter().map(|age| told(&aims, "c", Some(10.0), *age)).collect();
+        assert_eq!(seen, [Some(10.0), Some(150.0), Some(250.0), None]);
+    }
+}
--- a/crates/control/src/tuning.rs
+++ b/crates/control/src/tuning.rs
@@ -45,7 +45,6 @@
         every_ms = 1000.0 in 50.0..=60000.0, "Plans are at least this far apart.";
         online_factor = 1.5 in 1.0..=20.0, "The smallest stretch is relaxed by this factor.";
         patience_s = 3.0 in 0.0..=3600.0, "An urgent gang waits this long for room before others are stopped for it.";
-        settle_s = 0.0 in 0.0..=3600.0, "A gang beyond its team's guarantee that began less than this ago is not stopped for another team's.";
     }
     "fleet": {
         silent_s = 7.0 in 2.0..=600.0, "A machine that says nothing for so long is probed, then returned.";
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -126,7 +126,7 @@
         }
     }
 
-    fn is_tired(&self) -> bool {
+    pub(crate) fn is_tired(&self) -> bool {
         self.out.steps > self.input.max_steps
     }
 
--- a/crates/plan/src/recall.rs
+++ b/crates/plan/src/recall.rs
@@ -73,7 +73,7 @@
             }
             self.out.steps += 1 + machine.running.len() as u64;
             let mut room = self.room_at(m, 0.0, f64::INFINITY);
-            for r in machine.running.iter().filter(|r| r.leaving && r.ends > 0.0) {
+            for r in machine.running.iter().filter(|r| r.leaving) {
                 room.add(&r.need, 1.0);
             }
             rooms.insert(m, room);
@@ -85,6 +85,11 @@
         let mut chosen: Vec<Victim> = Vec::new();
         let mut have = count(&rooms);
         while have < want {
+            // Clearing has its bound of steps, as elsewhere.
+            self.out.steps += rooms.len() as u64;
+            if self.is_tired() {
+                return None;
+            }
             // The least loss for each place that is gained. What gains none by itself may do so with another.
             let mut best: Option<(f64, usize)> = None;
             for (k, victim) in victims.iter().enumerate() {
