Reread: one reading of a class's aims, of a team and of the grace to save

No behaviour changes. The aims of a class were filtered in two places, a team looked up twice, the time to save decided twice, and what several tasks take was added up in two. One comment still spoke of promises where whole machines are kept.

--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -318,10 +318,8 @@
         for c in &machine.claims {
             let Some(spec) = part.job(c.job).and_then(|j| j.spec.as_ref()) else { continue };
             let ran = c.running_since.map_or(0.0, |t| now.saturating_sub(t) as f64 / 1000.0);
-            if spec.checkpoint_s > 0.0 {
+            if spec.checkpoint_s > 0.0 || c.running_since.is_none() || spec.estimate_s - ran > left {
                 stops.push((c.job, grace(spec)));
-            } else if c.running_since.is_none() || spec.estimate_s - ran > left {
-                stops.push((c.job, 0.0));
             }
         }
         for (ix, grace) in stops {
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -92,8 +92,7 @@
     let mut out: Vec<plan::Spare> = Vec::new();
     for (class, seen) in &part.classes {
         let Some(spec) = &seen.like else { continue };
-        let own = aims.iter().filter(|a| a.kind == "wait" && a.class.as_ref() == Some(class));
-        let own = own.filter_map(|a| a.within_s).map(|within| (within, tuning.spare));
+        let own = wait_aims(aims, class).map(|within| (within, tuning.spare));
         let Some(team) = names.teams.get(spec.team.as_str()) else { continue };
         let like = shaped(spec, &mut part.images, names, *team);
         let lead = |t: &MachineType| t.boot_s + spec.image_gb / t.fetch_gb_per_s.max(0.01);
@@ -131,6 +130,12 @@
     if age < boot_s { boot_s - age + 1.0 } else { (age - boot_s) * 0.5 + 5.0 }
 }
 
+/// How soon jobs of a class are expected to start, by each aim for it.
+fn wait_aims<'a>(aims: &'a [Objective], class: &'a str) -> impl Iterator<Item = f64> + 'a {
+    let own = aims.iter().filter(move |a| a.kind == "wait" && a.class.as_deref() == Some(class));
+    own.filter_map(|a| a.within_s)
+}
+
 /// How soon work within a guarantee is expected to start.
 fn guarantee_aim(aims: &[Objective]) -> Option<f64> {
     aims.iter().filter(|a| a.kind == "guarantee").filter_map(|a| a.within_s).reduce(f64::min)
@@ -138,8 +143,7 @@
 
 /// How soon after its arrival a job that has waited for `age` should start: the first aim that can still be kept.
 fn told(aims: &[Objective], class: &str, guarantee: Option<f64>, age: f64) -> Option<f64> {
-    let own = aims.iter().filter(|a| a.kind == "wait" && a.class.as_deref() == Some(class));
-    own.filter_map(|a| a.within_s).chain(guarantee).filter(|within| *within > age).reduce(f64::min)
+    wait_aims(aims, class).chain(guarantee).filter(|within| *within > age).reduce(f64::min)
 }
 
 /// Jobs that fit into their team's guarantee together with the team's earlier jobs that have not ended.
@@ -154,12 +158,11 @@
         }
     }
     open.sort_unstable_by_key(|(at, ix, _)| (*at, *ix));
-    let mut left: HashMap<&str, (f64, f64)> =
-        teams.iter().map(|t| (t.name.as_str(), (t.cpus, t.gpus))).collect();
+    let mut left: HashMap<&str, (&Team, f64, f64)> =
+        teams.iter().map(|t| (t.name.as_str(), (t, t.cpus, t.gpus))).collect();
     let mut out = HashSet::new();
     for (_, ix, spec) in open {
-        let Some((cpus, gpus)) = left.get_mut(spec.team.as_str()) else { continue };
-        let Some(team) = teams.iter().find(|t| t.name == spec.team) else { continue };
+        let Some((team, cpus, gpus)) = left.get_mut(spec.team.as_str()) else { continue };
         let n = f64::from(spec.tasks);
         *cpus -= spec.cores * n;
         *gpus -= spec.gpus * n;
@@ -424,7 +427,7 @@
         let Some(claim) = machine.claims.get(k) else { return };
         let (ix, task) = (claim.job, claim.task);
         let Some(job) = part.job(ix) else { return };
-        let grace = job.spec.as_ref().map_or(0.0, |spec| grace(spec));
+        let grace = job.spec.as_deref().map_or(0.0, grace);
         log::info!("task {}/{task} on {}: stopped to make room", job.id, machine.name);
         if let Some(claim) = part.machine_mut(m).and_then(|x| x.claims.get_mut(k)) {
             claim.stop = Some(grace);
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -34,6 +34,12 @@
         self.gpus += o.gpus * n;
         self.mem += o.mem * n;
     }
+    /// What `n` such tasks take.
+    pub(crate) fn times(&self, n: u32) -> Res {
+        let mut all = Res::default();
+        all.add(self, f64::from(n));
+        all
+    }
     /// How many tasks of `need` fit in, at most `cap`.
     pub fn count(&self, need: &Res, cap: u32) -> u32 {
         let per =
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -17,7 +17,7 @@
     pub free: Vec<Res>,
     pub slots: Vec<u32>,
     pub lines: Vec<Line>,
-    /// Until when a machine's room is promised to a wide job, and that job's priority.
+    /// Until when a machine's whole room is kept: for the expected, or for a gang that others make room for.
     pub held: Vec<Option<Secs>>,
     images: Vec<Vec<u32>>,
     teams: Vec<Team>,
--- a/crates/plan/src/timeline.rs
+++ b/crates/plan/src/timeline.rs
@@ -65,10 +65,8 @@
 
     /// Notes that tasks start on a machine.
     pub(crate) fn note_start(&mut self, job: &Job, m: usize, n: u32) {
-        let mut need = Res::default();
-        need.add(&job.need, f64::from(n));
         let end = self.length(job, m);
-        self.lines[m].ends.push((end, need));
+        self.lines[m].ends.push((end, job.need.times(n)));
     }
 
     /// Plans a gang for later: in the room that others must give back to its team's guarantee, or in the first that
@@ -131,9 +129,7 @@
 
     /// Keeps room on a machine for tasks of a job from a time on.
     pub(crate) fn hold(&mut self, job: &Job, m: usize, n: u32, at: Secs) {
-        let mut need = Res::default();
-        need.add(&job.need, f64::from(n));
-        self.lines[m].promised.push((at, need));
+        self.lines[m].promised.push((at, job.need.times(n)));
         self.out.kept.push(m as u32);
     }
 
