Package quota: trees of members, desks and teams, and what each is entitled to

Need: one desk that floods the queue starves its neighbours in the same house, since guarantees are flat.

Change: a pure package that checks a tree against the teams of the settings, divides each node's guarantee by water-filling (siblings first, then upward, pace by dominant share), edits trees as a whole and reads them from TOML with path and line of each fault. Nothing uses it yet.

Entitlements agree with all divisions of tiny trees; generated trees leave nothing idle that somebody may use.

--- /dev/null
+++ b/crates/quota/src/edit.rs
@@ -0,0 +1,220 @@
+//! New trees from old ones. Nothing here changes a tree that is in force: the result is checked and put in its place
+//! as a whole.
+
+use crate::spec::{Amounts, Fault, NodeSpec, Place, Spec, TeamSpec};
+use crate::{Team, milli};
+use std::collections::{BTreeMap, BTreeSet};
+
+fn wrong(path: &str, what: String) -> Fault {
+    Fault { place: Place::Whole, path: path.to_owned(), line: None, what }
+}
+
+impl Spec {
+    fn node_at(&self, name: &str) -> Option<usize> {
+        self.nodes.iter().position(|n| n.name == name)
+    }
+
+    /// The node's name and those above it, nearest first; ends where a name is unknown, or comes again.
+    fn line(&self, from: Option<&str>) -> Vec<String> {
+        let parents: BTreeMap<&str, Option<&str>> =
+            self.nodes.iter().map(|n| (n.name.as_str(), n.parent.as_deref())).collect();
+        let mut out: Vec<String> = Vec::new();
+        let mut at = from;
+        while let Some(name) = at
+            && out.len() <= crate::MAX_DEPTH
+            && parents.contains_key(name)
+        {
+            out.push(name.to_owned());
+            at = parents[name];
+        }
+        out
+    }
+}
+
+/// Moves a team, or a node with all below it, below another node, or below the root. What is guaranteed to it goes
+/// along: it is taken from the nodes that it leaves and added to those that it comes to.
+pub fn transfer(spec: &Spec, teams: &[Team], name: &str, to: Option<&str>) -> Result<Spec, Fault> {
+    let mut out = spec.clone();
+    if let Some(to) = to
+        && spec.node_at(to).is_none()
+    {
+        return Err(wrong("to", format!("{to:?} is no node of the tree")));
+    }
+    let from: Option<String>;
+    let carried: Amounts;
+    if let Some(i) = spec.node_at(name) {
+        if spec.line(to).iter().any(|above| above == name) {
+            return Err(wrong("to", format!("{name:?} can't hang below itself")));
+        }
+        from = spec.nodes[i].parent.clone();
+        carried = spec.nodes[i].guarantee.clone();
+        out.nodes[i].parent = to.map(str::to_owned);
+    } else {
+        let Some(team) = teams.iter().find(|t| t.name == name) else {
+            return Err(wrong("name", format!("{name:?} is neither a node nor a team")));
+        };
+        let at = out.teams.iter().position(|t| t.name == name).unwrap_or_else(|| {
+            out.teams.push(TeamSpec::new(name, None));
+            out.teams.len() - 1
+        });
+        from = out.teams[at].parent.clone();
+        carried = out.teams[at].guarantee.clone().unwrap_or_else(|| team.guarantee.clone());
+        out.teams[at].parent = to.map(str::to_owned);
+    }
+    let (left, entered) = (spec.line(from.as_deref()), spec.line(to));
+    for node in &mut out.nodes {
+        let (leaves, enters) = (left.contains(&node.name), entered.contains(&node.name));
+        if leaves != enters {
+            shift(node, &carried, if enters { 1.0 } else { -1.0 });
+        }
+    }
+    Ok(out)
+}
+
+fn shift(node: &mut NodeSpec, by: &Amounts, sign: f64) {
+    for (name, units) in by {
+        let have = node.guarantee.entry(name.clone()).or_default();
+        // In thousandths, so that back and forth ends where it began.
+        *have = (milli(*have) + sign as i64 * milli(*units)).max(0) as f64 / 1000.0;
+    }
+    node.guarantee.retain(|_, units| *units > 0.0);
+}
+
+/// Gives a node other bounds. Where that leaves less than its children are guaranteed, `scale` cuts theirs in
+/// proportion, all the way down; without it the check refuses the tree and says by how much.
+pub fn shrink(
+    spec: &Spec,
+    teams: &[Team],
+    name: &str,
+    guarantee: &Amounts,
+    max: &Amounts,
+    scale: bool,
+) -> Result<Spec, Fault> {
+    let Some(i) = spec.node_at(name) else {
+        return Err(wrong("name", format!("{name:?} is no node of the tree")));
+    };
+    let mut out = spec.clone();
+    let node = &mut out.nodes[i];
+    node.guarantee.extend(guarantee.iter().map(|(r, units)| (r.clone(), *units)));
+    node.max.extend(max.iter().map(|(r, units)| (r.clone(), *units)));
+    if scale {
+        for (r, most) in &node.max {
+            if let Some(units) = node.guarantee.get_mut(r) {
+                *units = units.min(*most);
+            }
+        }
+        // No tree is deeper; one that goes in circles ends here too.
+        let mut level: BTreeSet<String> = [name.to_owned()].into();
+        for _ in 0..=crate::MAX_DEPTH {
+            let next: Vec<String> = level.iter().flat_map(|n| scale_below(&mut out, teams, n)).collect();
+            level = next.into_iter().collect();
+        }
+    }
+    Ok(out)
+}
+
+/// Cuts the guarantees directly below a node to what it has, and their maxima to its own; the inner ones among them.
+fn scale_below(spec: &mut Spec, teams: &[Team], name: &str) -> Vec<String> {
+    let Some(i) = spec.node_at(name) else { return Vec::new() };
+    let (own, max) = (spec.nodes[i].guarantee.clone(), spec.nodes[i].max.clone());
+    let settled = |t: &TeamSpec| {
+        let of_settings = teams.iter().find(|s| s.name == t.name).map(|s| s.guarantee.clone());
+        t.guarantee.clone().or(of_settings).unwrap_or_default()
+    };
+    let mut sums: BTreeMap<String, i64> = BTreeMap::new();
+    let below = |parent: &Option<String>| parent.as_deref() == Some(name);
+    let inner = spec.nodes.iter().filter(|n| below(&n.parent)).map(|n| n.guarantee.clone());
+    let leaves = spec.teams.iter().filter(|t| below(&t.parent)).map(settled);
+    for (r, units) in inner.chain(leaves).flatten() {
+        *sums.entry(r).or_default() += milli(units);
+    }
+    let own = |r: &str| own.get(r).map_or(0, |units| milli(*units));
+    let cut = |given: &Amounts| -> Amounts {
+        let part = |r: &String, units: &f64| {
+            let (sum, own) = (sums.get(r).copied().unwrap_or(0), own(r));
+            if sum <= own {
+                return *units;
+            }
+            let part = i128::from(milli(*units)) * i128::from(own) / i128::from(sum.max(1));
+            part as f64 / 1000.0
+        };
+        given.iter().map(|(r, units)| (r.clone(), part(r, units))).collect()
+    };
+    for t in spec.teams.iter_mut().filter(|t| below(&t.parent)) {
+        let before = settled(t);
+        let after = cut(&before);
+        if after != before {
+            t.guarantee = Some(after);
+        }
+    }
+    let mut inner = Vec::new();
+    for n in spec.nodes.iter_mut().filter(|n| below(&n.parent)) {
+        n.guarantee = cut(&n.guarantee);
+        for (r, most) in &max {
+            if let Some(units) = n.max.get_mut(r) {
+                *units = units.min(*most);
+            }
+            if let Some(units) = n.guarantee.get_mut(r) {
+                *units = units.min(*most);
+            }
+        }
+        inner.push(n.name.clone());
+    }
+    inner
+}
+
+/// What differs between two trees, a line each, for people; at most `most` lines.
+pub fn differences(old: &Spec, new: &Spec, most: usize) -> Vec<String> {
+    let mut out = Vec::new();
+    let nodes = |s: &Spec| -> BTreeMap<String, NodeSpec> {
+        s.nodes.iter().map(|n| (n.name.clone(), n.clone())).collect()
+    };
+    let (before, after) = (nodes(old), nodes(new));
+    let root = |p: &Option<String>| p.clone().unwrap_or_else(|| "the root".into());
+    for name in before.keys().chain(after.keys()).collect::<BTreeSet<_>>() {
+        match (before.get(name), after.get(name)) {
+            (Some(_), None) => out.push(format!("node {name}: removed")),
+            (None, Some(n)) => out.push(format!("node {name}: new, below {}", root(&n.parent))),
+            (Some(a), Some(b)) if a != b => {
+                if a.parent != b.parent {
+                    out.push(format!("node {name}: from {} to {}", root(&a.parent), root(&b.parent)));
+                }
+                out.extend(amounts_differ(name, "guarantee", &a.guarantee, &b.guarantee));
+                out.extend(amounts_differ(name, "max", &a.max, &b.max));
+                if (a.weight, a.over) != (b.weight, b.over) {
+                    let was = format!("weight {} over {:?}", a.weight, a.over);
+                    out.push(format!("node {name}: {was} -> weight {} over {:?}", b.weight, b.over));
+                }
+            }
+            _ => {}
+        }
+    }
+    let teams = |s: &Spec| -> BTreeMap<String, TeamSpec> {
+        s.teams.iter().map(|t| (t.name.clone(), t.clone())).collect()
+    };
+    let (before, after) = (teams(old), teams(new));
+    for name in before.keys().chain(after.keys()).collect::<BTreeSet<_>>() {
+        let none = TeamSpec::new(name, None);
+        let (a, b) = (before.get(name).unwrap_or(&none), after.get(name).unwrap_or(&none));
+        if a.parent != b.parent {
+            out.push(format!("team {name}: from {} to {}", root(&a.parent), root(&b.parent)));
+        }
+        if (a.weight, &a.guarantee) != (b.weight, &b.guarantee) {
+            let (a, b) = ((a.weight, &a.guarantee), (b.weight, &b.guarantee));
+            out.push(format!("team {name}: weight and guarantee {a:?} -> {b:?}"));
+        }
+    }
+    let more = out.len().saturating_sub(most);
+    out.truncate(most);
+    if more > 0 {
+        out.push(format!("and {more} more"));
+    }
+    out
+}
+
+fn amounts_differ(name: &str, field: &str, a: &Amounts, b: &Amounts) -> Vec<String> {
+    let show = |a: &Amounts, r: &String| a.get(r).map_or("none".to_owned(), f64::to_string);
+    let all: BTreeSet<&String> = a.keys().chain(b.keys()).collect();
+    let changed = all.into_iter().filter(|r| a.get(*r) != b.get(*r));
+    changed.map(|r| format!("node {name}: {field} of {r} {} -> {}", show(a, r), show(b, r))).collect()
+}
--- /dev/null
+++ b/crates/quota/src/tree.rs
@@ -0,0 +1,396 @@
+//! A tree that has been checked, with names as dense indices. It never changes.
+
+use crate::spec::{Amounts, Fault, NodeSpec, Over, Place, Spec};
+use crate::{
+    Amount, COMMON, MAX_AMOUNT, MAX_DEPTH, MAX_NAME, MAX_NODES, MAX_RESOURCES, MAX_TEAMS, UNBOUNDED,
+};
+use crate::{NOTHING, milli};
+use std::collections::HashMap;
+
+/// An inner node. Parents have lower numbers than their children.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct NodeId(pub u32);
+
+/// A leaf.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TeamId(pub u32);
+
+/// A team of the settings, in units; a maximum of 0 means none, as there.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Team {
+    pub name: String,
+    pub guarantee: Amounts,
+    pub max: Amounts,
+}
+
+impl Team {
+    /// One without guarantee or maximum.
+    pub fn new(name: &str) -> Self {
+        Team { name: name.to_owned(), guarantee: Amounts::new(), max: Amounts::new() }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Node {
+    pub name: String,
+    pub parent: Option<NodeId>,
+    /// Inner nodes above it.
+    pub depth: u8,
+    pub guarantee: Amount,
+    pub max: Amount,
+    pub weight: f64,
+    pub over: Over,
+    pub children: Vec<NodeId>,
+    pub teams: Vec<TeamId>,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Leaf {
+    pub name: String,
+    pub parent: Option<NodeId>,
+    pub guarantee: Amount,
+    pub max: Amount,
+    pub weight: f64,
+}
+
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Tree {
+    pub resources: Vec<String>,
+    pub nodes: Vec<Node>,
+    pub leaves: Vec<Leaf>,
+    node_ix: HashMap<String, NodeId>,
+    team_ix: HashMap<String, TeamId>,
+}
+
+impl Tree {
+    /// Checks a description against the teams of the settings. All that is wrong is returned, not just the first.
+    pub fn build(spec: &Spec, teams: &[Team]) -> Result<Tree, Vec<Fault>> {
+        let mut b = Builder { spec, faults: Vec::new(), tree: Tree::default() };
+        b.sizes(teams);
+        if b.faults.is_empty() {
+            b.resources();
+            let order = b.order();
+            b.inner(&order);
+            b.hang(teams);
+            b.sums();
+        }
+        if b.faults.is_empty() { Ok(b.tree) } else { Err(b.faults) }
+    }
+
+    pub fn node(&self, name: &str) -> Option<NodeId> {
+        self.node_ix.get(name).copied()
+    }
+    pub fn team(&self, name: &str) -> Option<TeamId> {
+        self.team_ix.get(name).copied()
+    }
+    /// A team's inner nodes from the root down to its parent.
+    pub fn path(&self, team: TeamId) -> Vec<NodeId> {
+        self.above(self.leaves[team.0 as usize].parent)
+    }
+    /// A node with all above it, from the root down.
+    pub fn above(&self, node: Option<NodeId>) -> Vec<NodeId> {
+        let mut out = Vec::new();
+        let mut at = node;
+        while let Some(n) = at {
+            out.push(n);
+            at = self.nodes[n.0 as usize].parent;
+        }
+        out.reverse();
+        out
+    }
+    pub fn resource(&self, name: &str) -> Option<usize> {
+        self.resources.iter().position(|r| r == name)
+    }
+    /// The largest depth of a leaf, in inner nodes.
+    pub fn levels(&self) -> usize {
+        let depth = |p: &Leaf| p.parent.map_or(0, |n| usize::from(self.nodes[n.0 as usize].depth) + 1);
+        self.leaves.iter().map(depth).max().unwrap_or(0)
+    }
+}
+
+struct Builder<'a> {
+    spec: &'a Spec,
+    faults: Vec<Fault>,
+    tree: Tree,
+}
+
+/// No more faults than this are told at once.
+const MOST_FAULTS: usize = 50;
+
+impl Builder<'_> {
+    fn fault(&mut self, place: Place, field: &str, what: impl Into<String>) {
+        if self.faults.len() >= MOST_FAULTS {
+            return;
+        }
+        let dot = if field.is_empty() { "" } else { "." };
+        let path = match place {
+            Place::Whole => field.to_owned(),
+            Place::Node(i) => format!("node {:?}{dot}{field}", short(&self.spec.nodes[i].name)),
+            Place::Team(i) => format!("team {:?}{dot}{field}", short(&self.spec.teams[i].name)),
+        };
+        self.faults.push(Fault { place, path, line: None, what: what.into() });
+    }
+
+    fn sizes(&mut self, teams: &[Team]) {
+        let (nodes, leaves) = (self.spec.nodes.len(), self.spec.teams.len().max(teams.len()));
+        if nodes > MAX_NODES {
+            self.fault(Place::Whole, "node", format!("{nodes} nodes; at most {MAX_NODES} are allowed"));
+        }
+        if leaves > MAX_TEAMS {
+            self.fault(Place::Whole, "team", format!("{leaves} teams; at most {MAX_TEAMS} are allowed"));
+        }
+    }
+
+    fn resources(&mut self) {
+        let spec = self.spec;
+        let mut all: Vec<String> = COMMON.iter().map(|c| (*c).to_owned()).collect();
+        let of_nodes = spec.nodes.iter().flat_map(|n| n.guarantee.keys().chain(n.max.keys()));
+        let of_teams = spec.teams.iter().filter_map(|t| t.guarantee.as_ref()).flat_map(|g| g.keys());
+        for name in of_nodes.chain(of_teams) {
+            if !all.contains(name) && all.len() <= MAX_RESOURCES {
+                all.push(name.clone());
+            }
+        }
+        if all.len() > MAX_RESOURCES {
+            let own = MAX_RESOURCES - COMMON.len();
+            self.fault(Place::Whole, "", format!("more than {own} resources besides {}", COMMON.join(", ")));
+            all.truncate(MAX_RESOURCES);
+        }
+        all[COMMON.len()..].sort();
+        self.tree.resources = all;
+    }
+
+    /// Amounts by resource; `none` stands where nothing is said.
+    fn amounts(&mut self, place: Place, field: &str, given: &Amounts, none: i64) -> Amount {
+        let mut out = [none; MAX_RESOURCES];
+        for (name, units) in given {
+            let Some(r) = self.tree.resource(name) else { continue };
+            if !units.is_finite() || *units < 0.0 || *units > MAX_AMOUNT {
+                let what = format!("must be from 0 to {MAX_AMOUNT:e}, is {units}");
+                self.fault(place, &format!("{field}.{name}"), what);
+            } else {
+                out[r] = milli(*units);
+            }
+        }
+        out
+    }
+
+    fn weight(&mut self, place: Place, weight: f64) {
+        if !(weight.is_finite() && (1e-3..=1e6).contains(&weight)) {
+            self.fault(place, "weight", format!("must be from 0.001 to 1000000, is {weight}"));
+        }
+    }
+
+    fn name(&mut self, place: Place, name: &str) {
+        if name.is_empty() || name.len() > MAX_NAME || name.chars().any(char::is_control) {
+            self.fault(place, "name", format!("must be 1 to {MAX_NAME} bytes without control characters"));
+        }
+    }
+
+    /// The nodes in an order in which parents come before their children.
+    fn order(&mut self) -> Vec<usize> {
+        let spec = self.spec;
+        let mut index: HashMap<&str, usize> = HashMap::new();
+        for (i, n) in spec.nodes.iter().enumerate() {
+            self.name(Place::Node(i), &n.name);
+            if index.insert(&n.name, i).is_some() {
+                self.fault(Place::Node(i), "name", "is named twice");
+            }
+        }
+        let mut below: HashMap<usize, Vec<usize>> = HashMap::new();
+        let mut order: Vec<usize> = Vec::new();
+        for (i, n) in spec.nodes.iter().enumerate() {
+            match n.parent.as_deref().map(|p| index.get(p)) {
+                None => order.push(i),
+                Some(Some(p)) => below.entry(*p).or_default().push(i),
+                Some(None) => self.fault(Place::Node(i), "parent", unknown(n.parent.as_deref())),
+            }
+        }
+        let mut at = 0;
+        while at < order.len() {
+            order.extend(below.remove(&order[at]).unwrap_or_default());
+            at += 1;
+        }
+        // What no root leads to hangs below itself, or below one that does not exist.
+        let mut round: Vec<usize> = below.into_values().flatten().collect();
+        round.sort_unstable();
+        for i in round {
+            if circles(spec, &index, i) {
+                self.fault(Place::Node(i), "parent", "hangs below itself");
+            }
+        }
+        order
+    }
+
+    fn inner(&mut self, order: &[usize]) {
+        let spec = self.spec;
+        let mut places: Vec<Place> = Vec::new();
+        for i in order {
+            let (n, place) = (&spec.nodes[*i], Place::Node(*i));
+            let parent = n.parent.as_deref().and_then(|p| self.tree.node(p));
+            let depth = parent.map_or(0, |p| self.tree.nodes[p.0 as usize].depth.saturating_add(1));
+            if usize::from(depth) >= MAX_DEPTH {
+                self.fault(place, "parent", format!("is deeper than {MAX_DEPTH} levels"));
+            }
+            let guarantee = self.amounts(place, "guarantee", &n.guarantee, 0);
+            let max = self.amounts(place, "max", &n.max, UNBOUNDED);
+            self.weight(place, n.weight);
+            self.not_above(place, guarantee, max, "its own maximum");
+            if let Some(p) = parent {
+                let above = self.tree.nodes[p.0 as usize].max;
+                self.not_above(place, guarantee, above, "its parent's maximum");
+                let bounded = std::array::from_fn(|r| if max[r] == UNBOUNDED { 0 } else { max[r] });
+                self.max_not_above(place, bounded, above);
+            }
+            let id = NodeId(self.tree.nodes.len() as u32);
+            self.tree.node_ix.insert(n.name.clone(), id);
+            if let Some(p) = parent {
+                self.tree.nodes[p.0 as usize].children.push(id);
+            }
+            self.tree.nodes.push(inner_node(n, parent, depth, guarantee, max));
+            places.push(place);
+        }
+    }
+
+    fn not_above(&mut self, place: Place, guarantee: Amount, max: Amount, whose: &str) {
+        for r in 0..self.tree.resources.len() {
+            if guarantee[r] > max[r] {
+                let field = format!("guarantee.{}", self.tree.resources[r]);
+                let what = format!("{} is above {whose}, {}", units(guarantee[r]), units(max[r]));
+                self.fault(place, &field, what);
+            }
+        }
+    }
+
+    fn max_not_above(&mut self, place: Place, max: Amount, above: Amount) {
+        for r in 0..self.tree.resources.len() {
+            if max[r] > above[r] {
+                let field = format!("max.{}", self.tree.resources[r]);
+                let what = format!("{} is above its parent's, {}", units(max[r]), units(above[r]));
+                self.fault(place, &field, what);
+            }
+        }
+    }
+
+    /// Hangs the teams: those that the tree names, then the others below the root.
+    fn hang(&mut self, teams: &[Team]) {
+        let spec = self.spec;
+        let known: HashMap<&str, &Team> = teams.iter().map(|t| (t.name.as_str(), t)).collect();
+        for (i, t) in spec.teams.iter().enumerate() {
+            let place = Place::Team(i);
+            self.weight(place, t.weight);
+            if self.tree.team_ix.contains_key(&t.name) {
+                self.fault(place, "name", "is named twice");
+                continue;
+            }
+            let Some(team) = known.get(t.name.as_str()) else {
+                self.fault(place, "name", "is no team of the settings");
+                continue;
+            };
+            let parent = t.parent.as_deref().and_then(|p| self.tree.node(p));
+            if t.parent.is_some() && parent.is_none() {
+                self.fault(place, "parent", unknown(t.parent.as_deref()));
+            }
+            let settled = self.amounts(place, "guarantee", &team.guarantee, 0);
+            let guarantee = match &t.guarantee {
+                Some(own) => {
+                    let own = self.amounts(place, "guarantee", own, 0);
+                    self.not_above(place, own, settled, "what the settings guarantee");
+                    own
+                }
+                None => settled,
+            };
+            self.leaf(team, parent, guarantee, t.weight);
+        }
+        for team in teams {
+            if !self.tree.team_ix.contains_key(&team.name) {
+                let guarantee = self.amounts(Place::Whole, "settings.teams", &team.guarantee, 0);
+                self.leaf(team, None, guarantee, 1.0);
+            }
+        }
+    }
+
+    fn leaf(&mut self, team: &Team, parent: Option<NodeId>, guarantee: Amount, weight: f64) {
+        let mut max = self.amounts(Place::Whole, "settings.teams", &team.max, 0);
+        max.iter_mut().filter(|m| **m == 0).for_each(|m| *m = UNBOUNDED);
+        let id = TeamId(self.tree.leaves.len() as u32);
+        self.tree.team_ix.insert(team.name.clone(), id);
+        if let Some(p) = parent {
+            self.tree.nodes[p.0 as usize].teams.push(id);
+        }
+        self.tree.leaves.push(Leaf { name: team.name.clone(), parent, guarantee, max, weight });
+    }
+
+    /// Children's guarantees add up to no more than their parent's.
+    fn sums(&mut self) {
+        let mut sums = vec![NOTHING; self.tree.nodes.len()];
+        let inner = self.tree.nodes.iter().map(|n| (n.parent, n.guarantee));
+        let leaves = self.tree.leaves.iter().map(|l| (l.parent, l.guarantee));
+        for (parent, guarantee) in inner.chain(leaves) {
+            if let Some(p) = parent {
+                add(&mut sums[p.0 as usize], &guarantee);
+            }
+        }
+        for (id, sum) in sums.into_iter().enumerate() {
+            let (name, own) = (self.tree.nodes[id].name.clone(), self.tree.nodes[id].guarantee);
+            let place = self.spec.nodes.iter().position(|n| n.name == name).map_or(Place::Whole, Place::Node);
+            for r in 0..self.tree.resources.len() {
+                if sum[r] > own[r] {
+                    let field = format!("guarantee.{}", self.tree.resources[r]);
+                    let over = units(sum[r] - own[r]);
+                    let what = format!(
+                        "its children are guaranteed {}, {over} more than its own {}",
+                        units(sum[r]),
+                        units(own[r])
+                    );
+                    self.fault(place, &field, what);
+                }
+            }
+        }
+    }
+}
+
+fn inner_node(n: &NodeSpec, parent: Option<NodeId>, depth: u8, guarantee: Amount, max: Amount) -> Node {
+    Node {
+        name: n.name.clone(),
+        parent,
+        depth,
+        guarantee,
+        max,
+        weight: n.weight,
+        over: n.over,
+        children: Vec::new(),
+        teams: Vec::new(),
+    }
+}
+
+/// Whether a node's line of parents comes back to it.
+fn circles(spec: &Spec, index: &HashMap<&str, usize>, from: usize) -> bool {
+    let mut at = from;
+    for _ in 0..spec.nodes.len() {
+        let Some(up) = spec.nodes[at].parent.as_deref().and_then(|p| index.get(p)) else { return false };
+        if *up == from {
+            return true;
+        }
+        at = *up;
+    }
+    false
+}
+
+fn unknown(parent: Option<&str>) -> String {
+    format!("{:?} is no node of this tree", short(parent.unwrap_or_default()))
+}
+
+/// A name of somebody else's, cut for messages.
+fn short(name: &str) -> String {
+    name.chars().take(60).collect()
+}
+
+/// Thousandths as units, for people.
+pub(crate) fn units(milli: i64) -> String {
+    if milli == UNBOUNDED { "none".to_owned() } else { (milli as f64 / 1000.0).to_string() }
+}
+
+pub(crate) fn add(to: &mut Amount, what: &Amount) {
+    to.iter_mut().zip(what).for_each(|(a, b)| *a = a.saturating_add(*b));
+}
--- /dev/null
+++ b/crates/quota/tests/entitlement.rs
@@ -0,0 +1,187 @@
+//! What every tree must keep, on generated trees and demands, and against all possible divisions of tiny ones.
+
+mod common;
+
+use common::trees;
+use proptest::prelude::*;
+use quota::{Amount, GPUS, Live, NOTHING, NodeId, Spec, Team, TeamId, Tree};
+use std::sync::Arc;
+
+fn gpus(n: i64) -> Amount {
+    let mut out = NOTHING;
+    out[GPUS] = n * 1000;
+    out
+}
+
+fn live(spec: &Spec, teams: &[Team], demands: &[i64]) -> Live {
+    let tree = Tree::build(spec, teams).unwrap_or_else(|f| panic!("{f:?}"));
+    let mut live = Live::new(Arc::new(tree));
+    for (i, d) in demands.iter().take(teams.len()).enumerate() {
+        live.set_demand(TeamId(i as u32), gpus(*d));
+    }
+    live
+}
+
+/// Teams below a node.
+fn below(tree: &Tree, node: NodeId) -> Vec<TeamId> {
+    (0..tree.leaves.len() as u32).map(TeamId).filter(|t| tree.path(*t).contains(&node)).collect()
+}
+
+fn entitled(live: &mut Live, team: TeamId, depth: usize) -> i64 {
+    live.entitled(team, depth)[GPUS].unwrap_or(0)
+}
+
+/// What all below a node could use: each bounded by its own maximum, on the way up too.
+fn wants(live: &Live, node: NodeId) -> i64 {
+    live.wanted(node)[GPUS].min(live.tree().nodes[node.0 as usize].max[GPUS])
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 600, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// A node's guarantee is divided whole while somebody below can use it, and never more than whole; what a
+    /// branch is guaranteed goes to its own first; nobody has less than both demand and guarantee.
+    #[test]
+    fn guarantees_are_divided_whole_and_siblings_come_first(
+        (spec, teams) in trees(), demands in prop::collection::vec(0..12i64, 7)
+    ) {
+        let mut live = live(&spec, &teams, &demands);
+        let tree = live.tree().clone();
+        // Rounding down costs a thousandth a child on each level.
+        let slack = (tree.nodes.len() + tree.leaves.len()) as i64;
+        for n in (0..tree.nodes.len() as u32).map(NodeId) {
+            let node = &tree.nodes[n.0 as usize];
+            let depth = usize::from(node.depth);
+            let sum: i64 = below(&tree, n).into_iter().map(|t| entitled(&mut live, t, depth)).sum();
+            let whole = node.guarantee[GPUS].min(wants(&live, n));
+            prop_assert!(sum <= whole && sum >= whole - slack, "{}: {sum} of {whole}", node.name);
+            for c in &node.children {
+                let child = &tree.nodes[c.0 as usize];
+                let own = child.guarantee[GPUS].min(wants(&live, *c));
+                let sum: i64 = below(&tree, *c).into_iter().map(|t| entitled(&mut live, t, depth)).sum();
+                prop_assert!(sum >= own - slack, "{} below {}: {sum} of {own}", child.name, node.name);
+            }
+        }
+        for t in (0..tree.leaves.len() as u32).map(TeamId) {
+            let leaf = &tree.leaves[t.0 as usize];
+            let own = leaf.guarantee[GPUS].min(live.team(t).demand[GPUS]);
+            let depths = tree.path(t).len();
+            // The same division is rounded down once more at each level.
+            let mut above = i64::MAX;
+            for depth in 0..=depths {
+                let has = entitled(&mut live, t, depth);
+                prop_assert!(has >= own && has <= above.saturating_add(slack), "{}: {has} at {depth}", leaf.name);
+                above = has;
+            }
+            prop_assert_eq!(above, own, "the last is the team's own");
+        }
+    }
+
+    /// Whatever the order of changes, what is kept from before equals what is worked out from nothing.
+    #[test]
+    fn changes_one_by_one_equal_all_at_once(
+        (spec, teams) in trees(), changes in prop::collection::vec((0..7usize, 0..12i64), 1..30)
+    ) {
+        let mut one = live(&spec, &teams, &[]);
+        let mut demands = vec![0; teams.len()];
+        for (i, d) in changes {
+            let t = i % teams.len();
+            demands[t] = d;
+            one.set_demand(TeamId(t as u32), gpus(d));
+            one.set_used(TeamId(t as u32), gpus(d / 2));
+            let snapshot = one.clone();
+            let mut all = live(&spec, &teams, &demands);
+            for t in (0..teams.len() as u32).map(TeamId) {
+                for depth in 0..=one.tree().path(t).len() {
+                    prop_assert_eq!(one.entitled(t, depth), all.entitled(t, depth));
+                }
+            }
+            prop_assert_eq!(snapshot.team(TeamId(t as u32)).demand, gpus(d), "a snapshot stays as it was");
+        }
+        let tree = one.tree().clone();
+        for n in (0..tree.nodes.len() as u32).map(NodeId) {
+            let sum: i64 = below(&tree, n).into_iter().map(|t| one.team(t).used[GPUS]).sum();
+            prop_assert_eq!(one.used(n)[GPUS], sum, "use adds up");
+            let max = tree.nodes[n.0 as usize].max[GPUS];
+            prop_assert!(max == quota::UNBOUNDED || one.room(Some(n))[GPUS] <= max - sum);
+        }
+    }
+
+    /// Without inner nodes a team has its own guarantee and nothing else, as before there were trees.
+    #[test]
+    fn a_flat_tree_entitles_to_the_guarantees((mut spec, teams) in trees(), demands in prop::collection::vec(0..12i64, 7)) {
+        spec.nodes.clear();
+        spec.teams.iter_mut().for_each(|t| t.parent = None);
+        let mut live = live(&spec, &teams, &demands);
+        for (i, team) in teams.iter().enumerate() {
+            let own = team.guarantee.get("gpus").map(|g| (*g as i64).min(live.team(TeamId(i as u32)).demand[GPUS] / 1000));
+            prop_assert_eq!(live.entitled(TeamId(i as u32), 0)[GPUS], own.map(|g| g * 1000));
+        }
+    }
+
+    /// No division of whole units among children is fairer, by the smallest part for its weight first. Their
+    /// demands differ, and none has a guarantee of its own.
+    #[test]
+    fn no_other_division_is_fairer(
+        budget in 0..12i64, children in prop::collection::vec((0..6i64, 1..4u32), 1..5)
+    ) {
+        let mut spec = Spec { nodes: vec![quota::NodeSpec::new("n", None)], teams: vec![] };
+        spec.nodes[0].guarantee = [("gpus".to_owned(), budget as f64)].into();
+        let teams: Vec<Team> = (0..children.len()).map(|i| Team::new(&format!("t{i}"))).collect();
+        for (team, (_, weight)) in teams.iter().zip(&children) {
+            let weight = f64::from(*weight);
+            spec.teams.push(quota::TeamSpec { weight, ..quota::TeamSpec::new(&team.name, Some("n")) });
+        }
+        let demands: Vec<i64> = children.iter().map(|(d, _)| *d).collect();
+        let mut live = live(&spec, &teams, &demands);
+        let parts = |has: &[f64]| {
+            let mut out: Vec<f64> = has.iter().zip(&children).map(|(h, (_, w))| h / f64::from(*w)).collect();
+            out.sort_by(f64::total_cmp);
+            out
+        };
+        let has: Vec<f64> =
+            (0..teams.len()).map(|i| entitled(&mut live, TeamId(i as u32), 0) as f64 / 1000.0).collect();
+        let ours = parts(&has);
+        for other in divisions(budget, &demands) {
+            let theirs = parts(&other.iter().map(|n| *n as f64).collect::<Vec<_>>());
+            // The first that differs by more than the rounding decides.
+            let first = ours.iter().zip(&theirs).find(|(a, b)| (*a - *b).abs() > 0.01);
+            prop_assert!(first.is_none_or(|(a, b)| a > b), "{has:?} against {other:?}");
+        }
+    }
+}
+
+/// All ways to give whole units, at most `budget` together and to nobody more than it wants.
+fn divisions(budget: i64, wants: &[i64]) -> Vec<Vec<i64>> {
+    let Some((first, rest)) = wants.split_first() else { return vec![Vec::new()] };
+    let mut out = Vec::new();
+    for n in 0..=(*first).min(budget) {
+        for mut tail in divisions(budget - n, rest) {
+            tail.insert(0, n);
+            out.push(tail);
+        }
+    }
+    out
+}
+
+/// Two resources: who wants much of what is scarce does not get more of it by wanting something else too, and
+/// what one leaves of a resource is there for the others.
+#[test]
+fn the_dominant_share_sets_the_pace() {
+    let mut spec = Spec { nodes: vec![quota::NodeSpec::new("n", None)], teams: vec![] };
+    spec.nodes[0].guarantee = quota::Amounts::from([("cpus".into(), 90.0), ("gpus".into(), 18.0)]);
+    let teams = [Team::new("a"), Team::new("b")];
+    spec.teams = teams.iter().map(|t| quota::TeamSpec::new(&t.name, Some("n"))).collect();
+    let tree = Tree::build(&spec, &teams).expect("good");
+    let mut live = Live::new(Arc::new(tree));
+    let (a, b) = (TeamId(0), TeamId(1));
+    // The example of the DRF paper (Ghodsi and others, 2011), ten times as large and without its memory's unit:
+    // tasks of 10 CPUs and 4 GPUs against tasks of 30 CPUs and 1 GPU.
+    live.set_demand(a, quota::amount(&[("cpus", 1000.0), ("gpus", 400.0)]));
+    live.set_demand(b, quota::amount(&[("cpus", 3000.0), ("gpus", 100.0)]));
+    let (has_a, has_b) = (live.entitled(a, 0), live.entitled(b, 0));
+    let share = |has: Option<i64>, of: i64| has.unwrap_or(0) * 100 / (of * 1000);
+    assert_eq!((share(has_a[GPUS], 18), share(has_b[quota::CPUS], 90)), (85, 66), "{has_a:?} {has_b:?}");
+    let all = |r: usize| has_a[r].unwrap_or(0) + has_b[r].unwrap_or(0);
+    assert!(all(quota::CPUS) >= 89_990 && all(GPUS) >= 17_990, "nothing idles while somebody wants it");
+}
