Planner: bounds and guarantees on many levels, nearest borrowers give back first

Need: nested quotas need the planner to know more than one level: bounds of groups of teams, and whose place may be called back by whom.

Change: teams carry their path of groups; a job and a running task carry how many levels of guarantees hold them. Recalls go to the nearest borrowers first, also for arrays where quotas nest; urgency of what is borrowed does not stop what is held; what is above a shrunk bound is stopped, least held first. Without groups all decisions are as before.

Measured: the earlier planner tests pass unchanged but for the renamed field; four new ones on the nested rules.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -5,6 +5,7 @@
 mod place;
 mod recall;
 mod room;
+mod shed;
 mod stretch;
 mod timeline;
 
@@ -68,8 +69,8 @@
     /// It is on its way out: its room is coming, and must not be made a second time.
     pub leaving: bool,
     pub team: u16,
-    /// Its team runs it beyond its guarantee, and it may be stopped to give another team its own.
-    pub beyond: bool,
+    /// How far its team's guarantees hold it, see [`Job::held`].
+    pub held: u8,
     /// The gang that it belongs to, all of which stops with it.
     pub gang: Option<u32>,
 }
@@ -132,17 +133,33 @@
     pub team: u16,
     /// Its own deadline, from now.
     pub due: Option<Secs>,
-    /// Within its team's guarantee, and not yet late for it.
+    /// Within a guarantee, and not yet late for it.
     pub promised: bool,
+    /// How many levels of guarantees hold it, from the root down: 0 if none does; 1 if what is guaranteed to the
+    /// uppermost group of its team holds it, as that is divided below it; one more than the groups of its team if
+    /// the team's own guarantee does. What holds it on one level holds it on all above.
+    pub held: u8,
     /// Tasks that hold a place now, by zone.
     pub zones: Vec<(u16, u32)>,
     /// Machines that it should keep away from.
     pub avoid: Vec<u32>,
 }
 
+/// Teams that share a bound: a node of the quota tree. All claims below it count.
+#[derive(Debug, Clone)]
+pub struct Group {
+    pub used: Res,
+    /// Infinity where there is none.
+    pub max: Res,
+    /// What is above the bound is stopped; otherwise it may run to its end.
+    pub sheds: bool,
+}
+
 /// A team's use and bounds; bounds of infinity where there is none.
 #[derive(Debug, Clone)]
 pub struct Team {
+    /// Its groups as indices, the uppermost first; none where quotas do not nest.
+    pub path: Vec<u16>,
     pub cores_used: f64,
     pub gpus_used: f64,
     pub cores_max: f64,
@@ -177,6 +194,7 @@
     pub machines: Vec<Machine>,
     pub jobs: Vec<Job>,
     pub teams: Vec<Team>,
+    pub groups: Vec<Group>,
     pub spares: Vec<Spare>,
     /// The online factor: the smallest stretch is relaxed by it.
     pub online_factor: f64,
@@ -217,6 +235,29 @@
     pub steps: u64,
 }
 
+impl Input {
+    /// Groups that two teams have in common.
+    pub fn kin(&self, a: u16, b: u16) -> u8 {
+        let path = |t: u16| self.teams.get(usize::from(t)).map_or(&[][..], |team| &team.path);
+        path(a).iter().zip(path(b)).take_while(|(x, y)| x == y).count() as u8
+    }
+
+    /// Whether a running task has its place beyond the guarantees that a job may call on: the job's side of the
+    /// tree is held at the level where the two part, and the task's is not.
+    pub fn owes(&self, r: &Running, job: &Job) -> bool {
+        let kin = self.kin(r.team, job.team);
+        r.team != job.team && r.held <= kin && job.held > kin
+    }
+
+    /// Whether a task may be stopped for a more urgent job. Where quotas nest, urgency of what is borrowed does not
+    /// count against what is held.
+    pub fn yields(&self, r: &Running, job: &Job) -> bool {
+        let kin = self.kin(r.team, job.team);
+        let borrows = r.team != job.team && r.held > kin && job.held <= kin;
+        r.priority < job.priority && (self.groups.is_empty() || !borrows)
+    }
+}
+
 /// How many tasks are in a zone.
 fn count_in(zones: &mut Vec<(u16, u32)>, zone: u16) -> &mut u32 {
     let at = zones.iter().position(|(z, _)| *z == zone).unwrap_or_else(|| {
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -3,7 +3,7 @@
 
 use crate::room::{Clearing, Wide};
 use crate::timeline::Line;
-use crate::{EPS, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, count_in, stretch};
+use crate::{EPS, Group, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, count_in, stretch};
 use std::collections::HashMap;
 
 /// Run times of a job's tasks differ from each other and from the estimate: a round is planned this much longer.
@@ -21,6 +21,7 @@
     pub held: Vec<Option<Secs>>,
     images: Vec<Vec<u32>>,
     teams: Vec<Team>,
+    groups: Vec<Group>,
     zones: Vec<Vec<(u16, u32)>>,
     /// What can be cleared for tasks of a kind, once it was asked for.
     pub clearable: HashMap<Wide, Vec<Clearing>>,
@@ -37,6 +38,7 @@
         held: vec![None; input.machines.len()],
         images: input.machines.iter().map(|m| m.images.clone()).collect(),
         teams: input.teams.clone(),
+        groups: input.groups.clone(),
         zones: input.jobs.iter().map(|j| j.zones.clone()).collect(),
         clearable: HashMap::new(),
         out: Output::default(),
@@ -48,6 +50,7 @@
 impl Pass<'_> {
     fn run(&mut self) {
         let input = self.input;
+        self.shed();
         // Services go at once, outside the plan; their room is busy for everybody else.
         let mut left: Vec<u32> = input.jobs.iter().map(|j| j.pending).collect();
         for (i, job) in input.jobs.iter().enumerate() {
@@ -65,19 +68,23 @@
         // Urgency comes before the deadline: between jobs of one urgency the paper's order decides.
         // A gang that can still have what its team is guaranteed goes first among them; room made for it by stopping
         // others would be theirs again otherwise.
-        let mut order: Vec<(u8, bool, Secs, usize)> = planned
+        // Where quotas nest, what a guarantee holds comes before what is borrowed, whose places it would call back.
+        let nested = !input.groups.is_empty();
+        let mut order: Vec<(bool, u8, bool, Secs, usize)> = planned
             .iter()
             .zip(&sized)
             .map(|(i, z)| {
                 let job = &input.jobs[*i];
                 let due = job.arrival + z.work * s;
                 let first = job.promised && job.shape == Shape::Gang;
-                (job.priority, first, job.due.map_or(due, |own| own.min(due)), *i)
+                (nested && job.held > 0, job.priority, first, job.due.map_or(due, |own| own.min(due)), *i)
             })
             .collect();
-        order.sort_by(|a, b| (b.0, b.1).cmp(&(a.0, a.1)).then(a.2.total_cmp(&b.2)).then(a.3.cmp(&b.3)));
+        order.sort_by(|a, b| {
+            (b.0, b.1, b.2).cmp(&(a.0, a.1, a.2)).then(a.3.total_cmp(&b.3)).then(a.4.cmp(&b.4))
+        });
         let mut kept = false;
-        for (priority, _, due, i) in &order {
+        for (_, priority, _, due, i) in &order {
             let job = &input.jobs[*i];
             if self.out.steps > 2 * input.max_steps {
                 break;
@@ -89,8 +96,7 @@
             match job.shape {
                 Shape::Gang => {
                     let want = left[*i];
-                    let allowed = self.teams[job.team as usize].allows(&job.need, want);
-                    if allowed < want {
+                    if self.allows(job, want) < want {
                         continue;
                     }
                     if self.gang(*i, want) {
@@ -106,6 +112,15 @@
                     let rounds = (time / (job.estimate.max(1.0) * SLACK)).floor().max(1.0);
                     let width = (f64::from(left[*i]) / rounds).ceil() as u32;
                     left[*i] -= self.fill(*i, width.min(left[*i]), true);
+                    // What a nested guarantee holds is due at once, whatever the width; others give it back.
+                    let due_back = nested && job.promised && -job.arrival > input.patience;
+                    if due_back && left[*i] > 0 && !self.is_tired() {
+                        left[*i] -= self.fill(*i, left[*i], true);
+                        let want = self.allows(job, left[*i]);
+                        if want > 0 {
+                            self.recall(*i, want);
+                        }
+                    }
                 }
             }
         }
@@ -113,13 +128,13 @@
             self.keep_spares();
         }
         // Arrays also fill room that no planned job needs within one task estimate.
-        for (_, _, _, i) in &order {
+        for (_, _, _, _, i) in &order {
             if input.jobs[*i].shape == Shape::Array && left[*i] > 0 && self.out.steps <= 2 * input.max_steps {
                 left[*i] -= self.fill(*i, left[*i], true);
             }
         }
         for (i, job) in input.jobs.iter().enumerate() {
-            let n = self.teams[job.team as usize].allows(&job.need, left[i]);
+            let n = self.allows(job, left[i]);
             if n > 0 && (job.shape != Shape::Gang || n == left[i]) {
                 self.out.waiting.push((i as u32, n));
             }
@@ -249,13 +264,28 @@
         dear + left.max(0.0) * 4.0
     }
 
+    /// How many more of a job's tasks, at most `cap`, its team's limit and all above it allow.
+    fn allows(&self, job: &Job, cap: u32) -> u32 {
+        let team = &self.teams[job.team as usize];
+        let above = team.path.iter().map(|g| &self.groups[*g as usize]);
+        above.fold(team.allows(&job.need, cap), |n, g| {
+            let mut room = g.max;
+            room.add(&g.used, -1.0);
+            room.count(&job.need, n)
+        })
+    }
+
     fn take(&mut self, i: usize, m: usize, n: u32) {
-        let job = &self.input.jobs[i];
+        let input = self.input;
+        let job = &input.jobs[i];
         let zone = self.input.machines[m].zone;
         self.note_start(job, m, n);
         self.free[m].add(&job.need, -f64::from(n));
         self.slots[m] -= n;
         self.teams[job.team as usize].take(&job.need, n);
+        for g in &input.teams[job.team as usize].path {
+            self.groups[*g as usize].used.add(&job.need, f64::from(n));
+        }
         *count_in(&mut self.zones[i], zone) += n;
         if !self.images[m].contains(&job.image) {
             self.images[m].push(job.image);
@@ -266,7 +296,7 @@
     /// Starts up to `want` tasks of a job that needs no gang; returns how many.
     fn fill(&mut self, i: usize, want: u32, keep_holds: bool) -> u32 {
         let job = &self.input.jobs[i];
-        let mut left = self.teams[job.team as usize].allows(&job.need, want);
+        let mut left = self.allows(job, want);
         let granted = left;
         if left == 0 {
             return 0;
--- a/crates/plan/src/recall.rs
+++ b/crates/plan/src/recall.rs
@@ -1,7 +1,11 @@
 //! Giving a team its guarantee: what other teams run beyond theirs is stopped, of any urgency.
+//!
+//! Where quotas nest, those that are nearest in the tree give back first: what a sibling has borrowed from the same
+//! desk goes before what another desk has, and that before other members'.
 
 use crate::place::Pass;
-use crate::{Job, Preempt, Res, Secs};
+use crate::{Job, Preempt, Res, Secs, Shape};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 /// How long it takes until a stopped task has saved and gone.
@@ -19,26 +23,31 @@
     /// Machines and tasks.
     tasks: Vec<(usize, usize)>,
     cost: Secs,
+    /// Groups that it has in common with the job.
+    kin: u8,
 }
 
 /// What is to be stopped, with the loss, and the room on each machine then.
 struct Recall {
+    /// Places that an array still lacks.
+    missing: u32,
     cost: Secs,
     victims: Vec<Victim>,
     places: Vec<(usize, u32)>,
 }
 
 impl Pass<'_> {
-    /// Stops for a gang within its team's guarantee what other teams run beyond theirs, and holds the room. False if
-    /// that does not make enough.
+    /// Stops for a job within a guarantee what other teams run beyond theirs, and holds the room. A gang needs all its
+    /// places, an array takes what there is. False if that does not make enough.
     pub(crate) fn recall(&mut self, i: usize, want: u32) -> bool {
         let job = &self.input.jobs[i];
         let zones = if job.one_zone { self.all_zones() } else { vec![None] };
         let mut best: Option<Recall> = None;
         for zone in zones {
             let found = self.recall_in(i, want, zone);
+            let better = |a: &Recall, b: &Recall| (a.missing, a.cost) < (b.missing, b.cost);
             if let Some(found) = found
-                && best.as_ref().is_none_or(|b| found.cost < b.cost)
+                && best.as_ref().is_none_or(|b| better(&found, b))
             {
                 best = Some(found);
             }
@@ -88,28 +97,35 @@
             // Clearing has its bound of steps, as elsewhere.
             self.out.steps += rooms.len() as u64;
             if self.is_tired() {
-                return None;
+                break;
             }
-            // The least loss for each place that is gained. What gains none by itself may do so with another.
-            let mut best: Option<(f64, usize)> = None;
+            // The nearest in the tree first, then the least loss for each place that is gained. What gains none by
+            // itself may do so with another.
+            let mut best: Option<(Reverse<u8>, f64, usize)> = None;
             for (k, victim) in victims.iter().enumerate() {
                 self.out.steps += victim.tasks.len() as u64;
                 let gain = self.gain(job, victim, &rooms).min(f64::from(want - have));
-                if gain > 0.0 && best.is_none_or(|(b, _)| victim.cost / gain < b) {
-                    best = Some((victim.cost / gain, k));
+                let (kin, loss) = (Reverse(victim.kin), victim.cost / gain);
+                if gain > 0.0 && best.is_none_or(|(k, l, _)| (kin, loss) < (k, l)) {
+                    best = Some((kin, loss, k));
                 }
             }
-            let victim = victims.swap_remove(best?.1);
+            let Some((_, _, k)) = best else { break };
+            let victim = victims.swap_remove(k);
             self.give_back(&victim, &mut rooms, 1.0);
             chosen.push(victim);
             have = count(&rooms);
         }
+        if have < want && job.shape == Shape::Gang {
+            return None;
+        }
         // What turned out not to be needed stays.
+        let enough = have.min(want);
         let mut k = chosen.len();
         while k > 0 {
             k -= 1;
             self.give_back(&chosen[k], &mut rooms, -1.0);
-            if count(&rooms) >= want {
+            if count(&rooms) >= enough {
                 chosen.remove(k);
             } else {
                 self.give_back(&chosen[k], &mut rooms, 1.0);
@@ -117,7 +133,7 @@
         }
         let cost = chosen.iter().map(|v| v.cost).sum();
         let places = rooms.iter().map(|(m, room)| (*m, room.count(&job.need, want))).collect();
-        Some(Recall { cost, victims: chosen, places })
+        Some(Recall { missing: want - enough, cost, victims: chosen, places })
     }
 
     /// Places that a victim's end brings nearer: whole ones count most, parts of one a little.
@@ -160,9 +176,10 @@
             for (k, r) in machine.running.iter().enumerate() {
                 let stopping = self.out.preempts.iter().any(|p| (p.machine, p.task) == (m as u32, k as u32))
                     || r.gang.is_some_and(|g| self.out.recalls.contains(&g));
-                if !r.beyond || r.team == job.team || r.leaving || r.ends < NEARLY_OVER || stopping {
+                if !self.input.owes(r, job) || r.leaving || r.ends < NEARLY_OVER || stopping {
                     continue;
                 }
+                let kin = self.input.kin(r.team, job.team);
                 match r.gang {
                     // All of a gang stops, also where that makes no room for the job.
                     Some(gang) => {
@@ -170,12 +187,13 @@
                             gang: Some(gang),
                             tasks: Vec::new(),
                             cost: 0.0,
+                            kin,
                         });
                         victim.tasks.push((m, k));
                         victim.cost += r.lost + GANG_LOSS;
                     }
                     None if r.stoppable && rooms.contains_key(&m) => {
-                        out.push(Victim { gang: None, tasks: vec![(m, k)], cost: r.lost + TASK_LOSS });
+                        out.push(Victim { gang: None, tasks: vec![(m, k)], cost: r.lost + TASK_LOSS, kin });
                     }
                     None => {}
                 }
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -153,7 +153,7 @@
         let mut victims: Vec<usize> = (0..machine.running.len())
             .filter(|k| {
                 let r = &machine.running[*k];
-                r.stoppable && !r.leaving && r.priority < job.priority
+                r.stoppable && !r.leaving && self.input.yields(r, job)
             })
             .collect();
         let cost = |k: &usize| machine.running[*k].lost * machine.total.share(&machine.running[*k].need);
--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -1,7 +1,7 @@
 //! Plans of generated fleets: nothing overlaps, limits and places hold, the stretch is the smallest.
 
 use plan::{
-    HireInput, Input, Job, Machine, MachineOffer, Res, Running, Shape, Sized, Team, Wish, plan,
+    Group, HireInput, Input, Job, Machine, MachineOffer, Res, Running, Shape, Sized, Team, Wish, plan,
     smallest_stretch, wishes,
 };
 use proptest::prelude::*;
@@ -16,7 +16,7 @@
                  images in prop::collection::vec(0u32..3, 0..2)) -> Machine {
         let total = res(32.0, f64::from(kind + 1) * 4.0, 128.0);
         let running = running.into_iter().map(|(g, ends, priority, beyond, gang)| Running {
-            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: gang.is_none(), leaving: false, team: 1, beyond, gang,
+            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: gang.is_none(), leaving: false, team: 1, held: u8::from(!beyond), gang,
         }).collect();
         let mut m = Machine { machine_type: kind, zone, spot, usable, ready: 20.0, total, running, images, fetch_gb_per_s: 1.0, slots: 20 };
         while m.free().gpus < 0.0 {
@@ -32,7 +32,7 @@
              flags in (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>()), image in 0u32..3, team in 0u16..2) -> Job {
         let shape = [Shape::Array, Shape::Gang, Shape::Service][shape as usize];
         Job { shape, priority, arrival, estimate, tasks, pending: tasks, need: res(4.0, f64::from(gpus), 16.0), types,
-              zone, one_zone: flags.0, spread: flags.1 && !flags.0, spot: flags.2, image, image_gb: 4.0, team, due: None, promised: flags.3,
+              zone, one_zone: flags.0, spread: flags.1 && !flags.0, spot: flags.2, image, image_gb: 4.0, team, due: None, promised: flags.3, held: u8::from(flags.3),
               zones: Vec::new(), avoid: Vec::new() }
     }
 }
@@ -40,8 +40,8 @@
 prop_compose! {
     fn input()(machines in prop::collection::vec(machine(), 0..8), jobs in prop::collection::vec(job(), 0..10),
                limit in 1.0f64..30.0, online_factor in 1.0f64..3.0) -> Input {
-        let team = |max| Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: max };
-        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], spares: vec![], online_factor, patience: 2.0, max_steps: u64::MAX / 4 }
+        let team = |max| Team { path: vec![], cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: max };
+        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], groups: vec![], spares: vec![], online_factor, patience: 2.0, max_steps: u64::MAX / 4 }
     }
 }
 
@@ -79,13 +79,13 @@
         // Only the less urgent make room, or what runs beyond a guarantee for what is within.
         for p in &out.preempts {
             let victim = &input.machines[p.machine as usize].running[p.task as usize];
-            let waits = |j: &Job| victim.priority < j.priority || (j.promised && victim.beyond && j.team != victim.team);
+            let waits = |j: &Job| victim.priority < j.priority || (j.promised && victim.held == 0 && j.team != victim.team);
             prop_assert!(victim.gang.is_none() && out.waiting.iter().any(|(j, _)| waits(&input.jobs[*j as usize])));
         }
         // Gangs stop whole, and only for the guarantee of another team.
         for g in &out.recalls {
             let mut of_it = input.machines.iter().flat_map(|m| &m.running).filter(|r| r.gang == Some(*g));
-            prop_assert!(of_it.any(|r| r.beyond && r.team == 1));
+            prop_assert!(of_it.any(|r| r.held == 0 && r.team == 1));
             prop_assert!(out.waiting.iter().any(|(j, _)| input.jobs[*j as usize].promised && input.jobs[*j as usize].team == 0));
         }
     }
@@ -98,9 +98,9 @@
                                 fetch_gb_per_s: 1.0, slots: 50 };
         let job = Job { shape: Shape::Array, priority: 1, arrival: 0.0, estimate: 10.0, tasks, pending: tasks,
                         need: res(1.0, 1.0, 1.0), types: 1, zone: None, one_zone: false, spread: false, spot: true, image: 0,
-                        image_gb: 1.0, team: 0, due: None, promised: false, zones: vec![], avoid: vec![] };
-        let team = Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY };
-        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], spares: vec![], online_factor: 1.0, patience: 1.0, max_steps: u64::MAX / 4 };
+                        image_gb: 1.0, team: 0, due: None, promised: false, held: 0, zones: vec![], avoid: vec![] };
+        let team = unbounded(&[]);
+        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], groups: vec![], spares: vec![], online_factor: 1.0, patience: 1.0, max_steps: u64::MAX / 4 };
         let out = plan(&input);
         let started: u32 = out.starts.iter().map(|s| s.count).sum();
         prop_assert_eq!(started, tasks.min(4 * n as u32));
@@ -137,7 +137,7 @@
         stoppable: true,
         leaving: false,
         team: 1,
-        beyond: false,
+        held: 1,
         gang: None,
     };
     Machine {
@@ -174,17 +174,24 @@
         team: 0,
         due: None,
         promised: false,
+        held: 0,
         zones: vec![],
         avoid: vec![],
     }
 }
 
+fn unbounded(path: &[u16]) -> Team {
+    let path = path.to_vec();
+    Team { path, cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY }
+}
+
 fn crowded(machines: Vec<Machine>, jobs: Vec<Job>) -> Input {
-    let team = Team { cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY };
+    let team = unbounded(&[]);
     Input {
         machines,
         jobs,
         teams: vec![team],
+        groups: vec![],
         spares: vec![],
         online_factor: 1.0,
         patience: 3.0,
@@ -288,7 +295,7 @@
 /// Beyond its team's guarantee, and of the same urgency as the gang that wants its place.
 fn borrowed(zone: u16, gang: Option<u32>) -> Machine {
     let mut m = busy(zone, 0.0, 2);
-    m.running[0].beyond = true;
+    m.running[0].held = 0;
     m.running[0].gang = gang;
     m
 }
@@ -296,7 +303,7 @@
 /// Guaranteed gangs waited for work that other teams ran beyond their guarantees.
 #[test]
 fn what_runs_beyond_a_guarantee_gives_room_to_what_is_within() {
-    let wide = Job { promised: true, ..gang(2, true) };
+    let wide = Job { promised: true, held: 1, ..gang(2, true) };
     // One zone has tasks that may be stopped one by one, the other a gang of three that stops whole.
     let machines = vec![
         borrowed(0, None),
@@ -334,8 +341,112 @@
 fn room_made_for_a_guarantee_is_not_taken_back() {
     let machines: Vec<Machine> = (0..2).map(|_| Machine { running: vec![], ..busy(0, 0.0, 0) }).collect();
     let stopped = Job { arrival: -300.0, due: Some(1.0), team: 1, ..gang(2, true) };
-    let guaranteed = Job { promised: true, due: Some(60.0), ..gang(2, true) };
+    let guaranteed = Job { promised: true, held: 1, due: Some(60.0), ..gang(2, true) };
     let mut input = crowded(machines, vec![stopped, guaranteed]);
     input.teams.push(input.teams[0].clone());
     assert!(plan(&input).starts.iter().all(|s| s.job == 1));
 }
+
+/// Team 0 and team 1 share desk 1 of house 0, team 2 is at its desk 2, team 3 in a house of its own (3).
+fn houses(machines: Vec<Machine>, jobs: Vec<Job>) -> Input {
+    let paths: [&[u16]; 4] = [&[0, 1], &[0, 1], &[0, 2], &[3]];
+    let none = res(f64::INFINITY, f64::INFINITY, f64::INFINITY);
+    Input {
+        teams: paths.iter().map(|p| unbounded(p)).collect(),
+        groups: vec![Group { used: res(0.0, 0.0, 0.0), max: none, sheds: true }; 4],
+        ..crowded(machines, jobs)
+    }
+}
+
+/// A machine taken by one task of this team, held on so many levels.
+fn taken(team: u16, held: u8, lost: f64) -> Machine {
+    let mut m = busy(0, lost, 2);
+    (m.running[0].team, m.running[0].held) = (team, held);
+    m
+}
+
+/// Siblings' borrowers give back first, whatever it costs, then the next desk, then other houses; and nobody what
+/// is held at the level where the two part.
+#[test]
+fn the_nearest_borrowers_give_back_first() {
+    let wide = Job { promised: true, held: 3, ..gang(1, false) };
+    let all = [
+        taken(3, 0, 1.0),
+        taken(2, 1, 5.0),
+        taken(1, 2, 50.0),
+        taken(1, 3, 0.0),
+        taken(2, 2, 0.0),
+        taken(3, 1, 0.0),
+    ];
+    for (gone, expected) in [(0, Some(2)), (1, Some(1)), (2, Some(0)), (3, None)] {
+        // Without the nearest ones, the next give back.
+        let mut machines = all.to_vec();
+        for k in 0..gone {
+            machines[2 - k].running[0].held = 3;
+        }
+        let out = plan(&houses(machines, vec![wide.clone()]));
+        let stopped: Vec<u32> = out.preempts.iter().map(|p| p.machine).collect();
+        assert_eq!(stopped, Vec::from_iter(expected), "without {gone}");
+    }
+    // What only the house's guarantee holds has no claim on its own siblings.
+    let lent = Job { held: 1, ..wide };
+    let out = plan(&houses(all.to_vec(), vec![lent]));
+    assert_eq!(out.preempts.iter().map(|p| p.machine).collect::<Vec<_>>(), [0]);
+}
+
+/// An array takes back one place for each task that is due to it, no more, and none twice.
+#[test]
+fn an_array_gets_back_what_is_due_to_it() {
+    let array = Job { shape: Shape::Array, promised: true, held: 3, image_gb: 0.0, ..gang(2, false) };
+    let mut machines: Vec<Machine> = (0..4).map(|i| taken(1, 0, f64::from(i))).collect();
+    let out = plan(&houses(machines.clone(), vec![array.clone()]));
+    assert_eq!(out.preempts.iter().map(|p| p.machine).collect::<Vec<_>>(), [0, 1]);
+    machines[0].running[0].leaving = true;
+    machines[1].running[0].leaving = true;
+    assert_eq!(plan(&houses(machines.clone(), vec![array.clone()])).preempts, []);
+    // Without nested quotas arrays wait, as ever.
+    let mut flat = crowded(machines, vec![Job { held: 1, team: 0, ..array }]);
+    flat.teams = vec![unbounded(&[]), unbounded(&[])];
+    assert_eq!(plan(&flat).preempts, []);
+}
+
+/// A neighbour's flood of urgent work stopped what others had by their guarantee, and had to give it back at once.
+#[test]
+fn urgency_of_what_is_borrowed_does_not_stop_what_is_held() {
+    let urgent = Job { priority: 3, team: 1, ..gang(1, false) };
+    let held = taken(0, 3, 0.0);
+    assert_eq!(plan(&houses(vec![held.clone()], vec![urgent.clone()])).preempts, []);
+    let own = Job { promised: true, held: 3, ..urgent.clone() };
+    assert_eq!(plan(&houses(vec![held], vec![own])).preempts.len(), 1, "within its own guarantee it may");
+    // What is held is placed first.
+    let free = Machine { running: vec![], ..busy(0, 0.0, 0) };
+    let modest = Job { promised: true, held: 3, priority: 0, ..gang(1, false) };
+    assert_eq!(
+        plan(&houses(vec![free], vec![urgent, modest])).starts.iter().map(|s| s.job).collect::<Vec<_>>(),
+        [1]
+    );
+}
+
+/// Nothing starts above a group's bound, and what is above a bound that shrank is stopped: no more than the excess,
+/// the least held first, and only where its policy says so.
+#[test]
+fn groups_keep_their_bounds() {
+    let free = Machine { running: vec![], ..busy(0, 0.0, 0) };
+    let jobs = vec![gang(1, false), Job { team: 2, ..gang(1, false) }];
+    let mut input = houses(vec![free; 3], jobs);
+    input.groups[0].max = res(1e9, 4.0, 1e9);
+    assert_eq!(plan(&input).starts.len(), 1, "one for the house");
+    let machines =
+        vec![taken(0, 3, 9.0), taken(1, 1, 3.0), taken(1, 1, 2.0), taken(2, 0, 9.0), taken(3, 0, 0.0)];
+    let mut input = houses(machines, vec![]);
+    input.groups[0].used = res(32.0, 16.0, 32.0);
+    input.groups[1].used = res(24.0, 12.0, 24.0);
+    input.groups[0].max = res(1e9, 8.0, 1e9);
+    input.groups[1].max = res(1e9, 8.0, 1e9);
+    let stopped = |input: &Input| plan(input).preempts.iter().map(|p| p.machine).collect::<Vec<_>>();
+    assert_eq!(stopped(&input), [2, 3], "one of the desk, then one more of the house");
+    input.machines[2].running[0].leaving = true;
+    assert_eq!(stopped(&input), [3], "not a second time");
+    input.groups.iter_mut().for_each(|g| g.sheds = false);
+    assert_eq!(stopped(&input), [] as [u32; 0]);
+}
