--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -13,7 +13,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 use wire::api::{Guard, Item, JobState, Revision, Txn, Write};
 use wire::http::Response;
-use wire::records::{self, ClaimsRec, DoneRec, EndRec, KindRec, LogRec, RackRec, Record, TokenRec};
+use wire::records::{self, AllotRec, ClaimsRec, DoneRec, EndRec, KindRec, LogRec, RackRec, Record, TokenRec};
+use wire::tree::HeadRec;
 
 enum Op {
     End(JobIx),
@@ -26,6 +27,9 @@
     RackOver(u64),
     Catalog,
     Allot,
+    TreePart(String),
+    TreePartOver(String),
+    Tree,
 }
 
 /// A log record on its way.
@@ -80,6 +84,12 @@
         self.guards.push(Guard { key: key.clone(), version });
         self.writes.push(Write::put(key, record));
     }
+    /// Writes what is named by its own digest: whatever stands there already is the same. So it can't tell whether
+    /// this transaction was applied, and has no guard but the owner's.
+    fn part(&mut self, key: String, record: Record) {
+        self.size += wire::encode(&record).len() + key.len();
+        self.writes.push(Write::put(key, record));
+    }
     fn remove(&mut self, key: String, version: u64) {
         if self.probe.is_none() {
             self.probe = Some((key.clone(), version, true));
@@ -220,6 +230,19 @@
         self.ops.push(Op::Log(log));
     }
 
+    /// The head of a new tree, and in the same transaction the allotment that names it.
+    fn tree(&mut self, part: &mut Part) {
+        let Some(change) = &part.changing else { return };
+        let head = change.head.clone();
+        let teams = part.allot.as_ref().map(|a| a.teams.clone()).unwrap_or_default();
+        let allot = AllotRec { teams, tree: head.version };
+        self.put(records::QUOTA.into(), change.stamp, Record::Quota(HeadRec { quota: head }));
+        self.put(records::allot_key(PART), part.allot_version, Record::Allot(allot.clone()));
+        part.allot = Some(allot);
+        part.allot_version = 0;
+        self.ops.extend([Op::Allot, Op::Tree]);
+    }
+
     /// Writes a rack as it stands now, or removes it.
     fn rack(&mut self, part: &mut Part, number: u64) {
         part.ledger.gone_from.remove(&number);
@@ -289,6 +312,10 @@
             return;
         }
         self.to_write = false;
+        if budget >= 2 && self.part.as_ref().is_some_and(Part::tree_is_due) {
+            // What was planned under the old bounds must not be recorded with the new ones.
+            self.drop_unrecorded();
+        }
         let Some(draft) = self.draft(budget) else { return };
         let Some(part) = &mut self.part else { return };
         let writes = draft.writes.len();
@@ -336,6 +363,9 @@
             part.allot_version = 0;
             d.ops.push(Op::Allot);
         }
+        if budget >= 2 && part.tree_is_due() {
+            d.tree(part);
+        }
         if part.raise_token && now >= part.commit.raised_at + 3000 && room(&d) {
             let token = shared_token.0.max(part.token) + 1;
             d.put(records::TOKEN.into(), shared_token.1, Record::Token(TokenRec { token }));
@@ -387,8 +417,29 @@
                 d.ops.push(Op::Catalog);
             }
         }
+        if let Some(change) = &mut part.changing {
+            while room(&d)
+                && let Some((name, rec)) = change.parts.pop_front()
+            {
+                d.part(format!("{}{name}", records::QUOTA_PARTS), Record::QuotaPart(rec));
+                change.busy += 1;
+                d.ops.push(Op::TreePart(name));
+            }
+        }
         if tidy {
             part.commit.tidied_at = now;
+            // Parts that no version names any more, unless a change is about to.
+            let quotas = &self.shared.quotas;
+            let over = |name: &&String| !quotas.head.parts.contains(name);
+            if part.changing.is_none() && quotas.version() == Some(quotas.head.version) {
+                for (name, stamp) in quotas.parts.iter().filter(|(name, _)| over(name)) {
+                    if !room(&d) {
+                        break;
+                    }
+                    d.remove(format!("{}{name}", records::QUOTA_PARTS), *stamp);
+                    d.ops.push(Op::TreePartOver(name.clone()));
+                }
+            }
             while room(&d)
                 && let Some(n) = part.ledger.gone_from.pop_first()
             {
@@ -477,6 +528,7 @@
         let ops = std::mem::take(&mut part.commit.ops);
         let mut changed: BTreeSet<JobIx> = BTreeSet::new();
         let mut told = Vec::new();
+        let mut new_tree = false;
         for op in ops {
             match op {
                 Op::End(ix) => {
@@ -538,11 +590,24 @@
                     }
                 }
                 Op::Allot => part.allot_version = revision,
+                Op::TreePart(name) => {
+                    self.shared.quotas.parts.insert(name, revision);
+                    if let Some(change) = &mut part.changing {
+                        change.busy = change.busy.saturating_sub(1);
+                    }
+                }
+                Op::TreePartOver(name) => {
+                    self.shared.quotas.parts.remove(&name);
+                }
+                Op::Tree => new_tree = true,
                 Op::Catalog => {
                     self.shared.catalog_version = self.shared.catalog_version.max(revision);
                 }
             }
         }
+        if new_tree {
+            self.tree_changed(revision);
+        }
         for (asker, state) in told {
             self.tell(asker, state);
         }
@@ -554,6 +619,12 @@
 }
 
 impl Part {
+    /// All that a new tree needs is in place but its head.
+    fn tree_is_due(&self) -> bool {
+        let settled = self.allot_version > 0 && self.allot_wanted.is_none();
+        settled && self.changing.as_ref().is_some_and(|c| c.is_due())
+    }
+
     /// A log record is in place: its claims may be sent, its results reaped.
     fn log_stands(&mut self, log: Log, revision: u64) {
         let mut segment = Segment { version: revision, ..Segment::default() };
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -185,6 +185,10 @@
         if over(team.cpus_max, spec.cores) || over(team.gpus_max, spec.gpus) {
             return Err("more than the team's limit");
         }
+        let all = crate::standing::takes(spec.cores * n, spec.gpus * n, spec.mem_gb * n);
+        if self.above_its_tree(&spec.team, &all) {
+            return Err("more than a node above the team may use");
+        }
         let fits = self.catalog().is_some_and(|c| {
             c.types.iter().any(|t| {
                 spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
@@ -231,7 +235,7 @@
         part.job(*part.job_ix.get(id)?).filter(|j| j.spec.is_some()).map(|j| j.state())
     }
 
-    fn owner_peer(&self) -> Option<usize> {
+    pub(crate) fn owner_peer(&self) -> Option<usize> {
         let owner = self.owner_name()?;
         self.settings.peers.iter().position(|p| p.node == owner)
     }
@@ -326,6 +330,9 @@
     }
 
     pub(crate) fn peer(&mut self, conn: u64, request: &Request) {
+        if self.admin_asked(conn, request) {
+            return;
+        }
         let ask = if request.method == "POST" && request.path == peer::PATH {
             peer::decode::<Ask>(&request.body).ok()
         } else {
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -35,6 +35,7 @@
     pub token_version: u64,
     pub catalog: Option<Catalog>,
     pub catalog_version: u64,
+    pub quotas: crate::quotas::Quotas,
     /// A read or a watch is out, and when to try again if not.
     busy: bool,
     round: u64,
@@ -206,7 +207,11 @@
     }
 
     fn shared_put(&mut self, key: &str, rec: SharedRec, version: u64) {
-        if key == records::TOKEN {
+        if key == records::QUOTA {
+            if let Some(head) = rec.quota {
+                self.shared.quotas.head_seen(head, version);
+            }
+        } else if key == records::TOKEN {
             if version >= self.shared.token_version {
                 self.shared.token = rec.token.unwrap_or(0);
                 self.shared.token_version = version;
@@ -312,6 +317,7 @@
         let now = self.now.mono;
         self.role = Role::Owner { lease, renewed, next_renewal: now, busy: false };
         self.epoch += 1;
+        self.shared.quotas.forget_reading();
         let c = &self.settings.cluster.state;
         // The owner does most of the writing; the others keep enough to accept jobs.
         // The owner does most of the writing. What the others write to accept jobs it sees, and leaves room for.
@@ -372,11 +378,15 @@
         }
         self.role = Role::Follower { may_stand_at: 0 };
         self.epoch += 1;
+        self.shared.quotas.forget_reading();
         let nodes = self.settings.peers.len() as f64 + 1.0;
         let c = &self.settings.cluster.state;
         self.requests.set_rate(c.rps * 0.4 / (nodes - 1.0).max(1.0));
         self.writes.set_rate(c.write_rps * OTHER_WRITES);
-        if let Some(part) = self.part.take() {
+        if let Some(mut part) = self.part.take() {
+            if let Some(change) = part.changing.take() {
+                self.change_cut_short(change);
+            }
             for asker in part.all_waiters() {
                 self.not_now(asker);
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! A controller without sockets, clocks or threads: events and the time go in, effects come out. All rules of
 //! the service live here, so that tests can play any order of failures in virtual time.
 
+mod admin;
 mod budget;
 mod commit;
 mod door;
@@ -10,8 +11,10 @@
 mod ledger;
 mod machines;
 mod part;
+mod quotas;
 mod reports;
 mod sched;
+mod standing;
 mod tuning;
 
 use budget::Bucket;
@@ -75,27 +78,90 @@
 /// What an answer that is still out belongs to. `epoch` ties it to one term of ownership.
 enum Pending {
     SharedRead,
-    SharedWatch { round: u64 },
-    Grant { sent: u64 },
-    Renew { lease: u64, sent: u64 },
-    Take { lease: u64 },
+    SharedWatch {
+        round: u64,
+    },
+    Grant {
+        sent: u64,
+    },
+    Renew {
+        lease: u64,
+        sent: u64,
+    },
+    Take {
+        lease: u64,
+    },
     Release,
-    Load { epoch: u64, what: part::Load },
-    LiveWatch { epoch: u64 },
-    Commit { epoch: u64 },
-    Verify { epoch: u64 },
-    Accept { asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32 },
-    ReadLive { asker: Asker, job: String, why: door::Why },
-    ReadEnd { asker: Asker, job: String, why: door::Why },
-    PeerQuery { asker: Asker, job: String, why: door::Why },
-    PeerCancel { conn: u64, job: String },
-    Forward { conn: u64 },
+    Load {
+        epoch: u64,
+        what: part::Load,
+    },
+    LiveWatch {
+        epoch: u64,
+    },
+    Commit {
+        epoch: u64,
+    },
+    Verify {
+        epoch: u64,
+    },
+    Accept {
+        asker: Asker,
+        spec: Box<JobSpec>,
+        at: u64,
+        tries: u32,
+    },
+    ReadLive {
+        asker: Asker,
+        job: String,
+        why: door::Why,
+    },
+    ReadEnd {
+        asker: Asker,
+        job: String,
+        why: door::Why,
+    },
+    PeerQuery {
+        asker: Asker,
+        job: String,
+        why: door::Why,
+    },
+    PeerCancel {
+        conn: u64,
+        job: String,
+    },
+    Forward {
+        conn: u64,
+    },
+    /// An operator's request that the owner answers.
+    Admin {
+        conn: u64,
+    },
+    TreeParts {
+        epoch: u64,
+    },
     Catalog,
-    List { epoch: u64 },
-    Hire { epoch: u64, name: String },
-    Delete { epoch: u64, machines: Vec<usize> },
-    Direct { epoch: u64, machine: usize, serial: u64 },
-    Show { epoch: u64, machine: usize, serial: u64 },
+    List {
+        epoch: u64,
+    },
+    Hire {
+        epoch: u64,
+        name: String,
+    },
+    Delete {
+        epoch: u64,
+        machines: Vec<usize>,
+    },
+    Direct {
+        epoch: u64,
+        machine: usize,
+        serial: u64,
+    },
+    Show {
+        epoch: u64,
+        machine: usize,
+        serial: u64,
+    },
 }
 
 impl Pending {
@@ -109,6 +175,7 @@
                 | Renew { .. }
                 | Take { .. }
                 | Load { .. }
+                | TreeParts { .. }
                 | Commit { .. }
                 | Verify { .. }
                 | Accept { .. }
@@ -251,6 +318,7 @@
     fn tick(&mut self) {
         self.election_tick();
         self.door_tick();
+        self.quotas_tick();
         if self.shared.catalog.is_none() || self.owns() {
             self.catalog_tick();
         }
@@ -282,6 +350,7 @@
         self.next_tag += 1;
         self.pending.insert(tag, what);
         let answer_limit = match to {
+            _ if path == wire::admin::PATH => wire::admin::ANSWER_LIMIT,
             Dest::State | Dest::Cloud => STATE_ANSWER,
             _ => SMALL_ANSWER,
         };
@@ -332,9 +401,11 @@
             Pending::PeerQuery { asker, job, why } => self.peer_queried(asker, job, why, response),
             Pending::PeerCancel { conn, job } => self.peer_cancelled(conn, job, response),
             Pending::Forward { conn } => self.forwarded(conn, response),
+            Pending::Admin { conn } => self.admin_answered(conn, response),
             Pending::Catalog => self.catalog_came(response),
             // What belongs to an earlier term of ownership no longer concerns us.
             Pending::Load { epoch: e, what } if e == epoch => self.load_came(what, response),
+            Pending::TreeParts { epoch: e } if e == epoch => self.tree_parts_came(response),
             Pending::LiveWatch { epoch: e } if e == epoch => self.live_changes(response),
             Pending::Commit { epoch: e } if e == epoch => self.committed(response),
             Pending::Verify { epoch: e } if e == epoch => self.verified(response),
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -19,6 +19,7 @@
     Log,
     Hires,
     Allot,
+    Tree,
 }
 
 pub(crate) struct Hire {
@@ -103,6 +104,10 @@
     pub allot_version: u64,
     /// The allotment that is to be written down instead.
     pub allot_wanted: Option<AllotRec>,
+    /// A change of the quota tree on its way.
+    pub changing: Option<crate::admin::Changing>,
+    /// The tree's counts, by the version that they belong to.
+    pub live: Option<(u64, quota::Live)>,
 }
 
 impl Part {
@@ -145,6 +150,8 @@
             allot: None,
             allot_version: 0,
             allot_wanted: None,
+            changing: None,
+            live: None,
         }
     }
 
@@ -330,6 +337,7 @@
             Load::Log => records::log_prefix(PART),
             Load::Hires => records::hires_prefix(PART),
             Load::Allot => records::allot_key(PART),
+            Load::Tree => records::QUOTA.to_owned(),
         };
         let mut path = format!("/keys?under={prefix}&limit=1000");
         if let Some(after) = &part.load_after {
@@ -340,12 +348,20 @@
     }
 
     pub(crate) fn load_came(&mut self, what: Load, response: Option<Response>) {
+        if what == Load::Tree {
+            let head = response.filter(|r| r.status == 200).and_then(|r| self.read("state service", &r));
+            return match head {
+                Some(head) => self.load_tree_head(head),
+                None => self.load(Load::Tree),
+            };
+        }
         let page = response.filter(|r| r.status == 200).and_then(|r| match what {
             Load::Jobs => self.read("state service", &r).map(|p| self.load_jobs(p)),
             Load::Racks => self.read("state service", &r).map(|p| self.load_racks(p)),
             Load::Log => self.read("state service", &r).map(|p| self.load_log(p)),
             Load::Hires => self.read("state service", &r).map(|p| self.load_hires(p)),
             Load::Allot => self.read("state service", &r).map(|p| self.load_allot(p)),
+            Load::Tree => None,
         });
         let Some(more) = page else {
             // Tried again from the same place; an owner that can't read keeps its lease or loses it.
@@ -362,10 +378,24 @@
             Load::Racks => self.load(Load::Log),
             Load::Log => self.load(Load::Hires),
             Load::Hires => self.load(Load::Allot),
+            Load::Allot if self.has_tree() => self.load(Load::Tree),
             Load::Allot => self.load_ended(),
+            Load::Tree => {}
         }
     }
 
+    /// The head of a tree and the allotment that names it come in one transaction: where this has none, there is none
+    /// that anything could have been started under.
+    fn has_tree(&self) -> bool {
+        let recorded = self.part.as_ref().and_then(|p| p.allot.as_ref()).is_some_and(|a| a.tree > 0);
+        recorded || self.shared.quotas.head.version > 0
+    }
+
+    /// The tree could not be read whole: from its head again.
+    pub(crate) fn load_tree_again(&mut self) {
+        self.load(Load::Tree);
+    }
+
     /// Notes where the next page goes on; true if there is one.
     fn page_end<T>(&mut self, range: &Range<T>) -> bool {
         if let Some(part) = &mut self.part {
@@ -447,15 +477,17 @@
     }
 
     /// The only part has all of every team's limit. Written down all the same: limits are kept by the record.
-    fn whole_allotment(&self) -> AllotRec {
+    pub(crate) fn whole_allotment(&self) -> AllotRec {
         let teams = self.settings.cluster.teams.iter();
         let teams = teams
             .map(|t| AllotedTeam { name: t.name.clone(), cpus_max: t.cpus_max, gpus_max: t.gpus_max })
             .collect();
-        AllotRec { teams }
+        // While no version can be acted on, the one that was recorded stays, and nothing starts.
+        let recorded = self.part.as_ref().and_then(|p| p.allot.as_ref()).map_or(0, |a| a.tree);
+        AllotRec { teams, tree: self.shared.quotas.version().unwrap_or(recorded) }
     }
 
-    fn load_ended(&mut self) {
+    pub(crate) fn load_ended(&mut self) {
         let now = self.now.mono;
         let whole = self.whole_allotment();
         let Some(part) = &mut self.part else { return };
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -4,6 +4,8 @@
 use crate::ledger::ClaimId;
 use crate::machines::{Claim, Machine, Need};
 use crate::part::{HireState, Part};
+use crate::quotas::Good;
+use crate::standing::{self, Levels};
 use crate::{Node, Tuning};
 use std::collections::{HashMap, HashSet};
 use wire::api::{Catalog, JobSpec, Kind, MachineType, Priority};
@@ -42,6 +44,49 @@
     types: &'a HashMap<&'a str, u16>,
     zones: &'a HashMap<&'a str, u16>,
     teams: &'a HashMap<&'a str, u16>,
+    /// Teams on whose path nothing is guaranteed, where quotas nest.
+    unheld: &'a HashSet<u16>,
+}
+
+/// How far guarantees hold what there is: by the team's own alone, or by those of the nodes above it too.
+struct Holds {
+    flat: HashSet<JobIx>,
+    nested: HashMap<JobIx, Levels>,
+    /// By team, as far as quotas nest: how much of what its nodes are due is used.
+    fulfilled: HashMap<u16, f64>,
+}
+
+impl Holds {
+    /// Levels that hold the task that is the `k`th of a job.
+    fn held(&self, job: JobIx, k: u32) -> u8 {
+        match self.nested.get(&job) {
+            Some(levels) => standing::held(levels, k),
+            None => u8::from(self.flat.contains(&job)),
+        }
+    }
+
+    /// The job's waiting tasks by the levels that hold them, when so many are claimed; one entry for all that must
+    /// not be parted.
+    fn waiting(&self, ix: JobIx, spec: &JobSpec, claimed: u32, pending: u32) -> Vec<(u8, u32)> {
+        let parted = spec.kind == Kind::Array && !spec.spread && !spec.one_zone;
+        if !parted || !self.nested.contains_key(&ix) {
+            return vec![(self.held(ix, claimed), pending)];
+        }
+        let mut out: Vec<(u8, u32)> = Vec::new();
+        for k in claimed..claimed + pending {
+            let held = self.held(ix, k);
+            match out.last_mut() {
+                Some((same, n)) if *same == held => *n += 1,
+                // What is held least comes last: the rest is all alike.
+                _ if held == 0 => {
+                    out.push((0, claimed + pending - k));
+                    break;
+                }
+                _ => out.push((held, 1)),
+            }
+        }
+        out
+    }
 }
 
 /// A job as the planner sees it, as far as its description says.
@@ -74,6 +119,7 @@
         team,
         due: None,
         promised: false,
+        held: 0,
         zones: Vec::new(),
         avoid: Vec::new(),
     }
@@ -100,7 +146,8 @@
         let Some(lead) = fitting.map(|(_, t)| lead(t)).reduce(f64::min) else { continue };
         // What is of low urgency waits for a machine to boot. A gang that lacks one place has none, while an array
         // starts with what there is. Who may wait for a while needs room only for what comes in the rest of the time.
-        let promised = guaranteed.filter(|_| spec.priority > Priority::Low).map(|within| match spec.kind {
+        let may_hold = spec.priority > Priority::Low && !names.unheld.contains(team);
+        let promised = guaranteed.filter(|_| may_hold).map(|within| match spec.kind {
             Kind::Gang => (within, tuning.spare),
             _ => (within, tuning.spare_guaranteed * (1.0 - within / lead).max(0.0).sqrt()),
         });
@@ -178,6 +225,61 @@
     out
 }
 
+/// How far guarantees hold all open jobs. Brings the tree's counts up to date on the way.
+fn holds(part: &mut Part, teams: &[Team], good: Option<&Good>, index: &HashMap<&str, u16>) -> Holds {
+    let Some(good) = good else {
+        return Holds {
+            flat: within_guarantee(part, teams),
+            nested: HashMap::new(),
+            fulfilled: HashMap::new(),
+        };
+    };
+    // A tree may have cut a team's guarantee below that of the settings.
+    let cut = |t: &Team| {
+        let own = good.spec.teams.iter().find(|s| s.name == t.name).and_then(|s| s.guarantee.as_ref());
+        let of = |name: &str, settled: f64| own.map_or(settled, |own| own.get(name).copied().unwrap_or(0.0));
+        Team { cpus: of("cpus", t.cpus), gpus: of("gpus", t.gpus), ..t.clone() }
+    };
+    let teams: Vec<Team> = teams.iter().map(cut).collect();
+    let flat = within_guarantee(part, &teams);
+    let tree = &good.tree;
+    if tree.nodes.is_empty() {
+        part.live = None;
+        return Holds { flat, nested: HashMap::new(), fulfilled: HashMap::new() };
+    }
+    let kept = part.live.take().filter(|(version, _)| *version == good.version);
+    let mut live = kept.map_or_else(|| quota::Live::new(tree.clone()), |(_, live)| live);
+    standing::update(&mut live, &standing::team_counts(part, tree));
+    let nested = standing::nested(part, &mut live);
+    let below = tree.leaves.iter().filter(|l| l.parent.is_some());
+    let ids = below.filter_map(|l| Some((*index.get(l.name.as_str())?, tree.team(&l.name)?)));
+    let fulfilled = ids.map(|(t, id)| (t, standing::fulfilled(&live, id))).collect();
+    part.live = Some((good.version, live));
+    Holds { flat, nested, fulfilled }
+}
+
+/// Teams on whose path nothing is guaranteed.
+fn unheld(tree: &quota::Tree, teams: &HashMap<&str, u16>) -> Vec<u16> {
+    let none = |name: &str| tree.team(name).is_some_and(|t| !standing::may_be_held(tree, t));
+    teams.iter().filter(|(name, _)| none(name)).map(|(_, t)| *t).collect()
+}
+
+/// The tree's nodes as the planner knows them; all claims below one count against its bound.
+fn groups(tree: &quota::Tree, live: &quota::Live) -> Vec<plan::Group> {
+    let units = |v: i64| if v == quota::UNBOUNDED { f64::INFINITY } else { v as f64 / 1000.0 };
+    let res = |a: &quota::Amount| plan::Res {
+        cores: units(a[quota::CPUS]),
+        gpus: units(a[quota::GPUS]),
+        mem: units(a[quota::MEM]),
+    };
+    let group = |(i, node): (usize, &quota::Node)| plan::Group {
+        used: res(&live.used(quota::NodeId(i as u32))),
+        max: res(&node.max),
+        sheds: node.over == quota::Over::Reclaim,
+    };
+    tree.nodes.iter().enumerate().map(group).collect()
+}
+
 /// The time that a stopped task is given to save, if it can.
 pub(crate) fn grace(spec: &JobSpec) -> f64 {
     if spec.checkpoint_s > 0.0 { spec.save_s * 1.2 + 1.0 } else { 0.0 }
@@ -245,7 +347,6 @@
         let types = index(catalog.types.iter().map(|t| &t.name));
         let zones = index(self.settings.cluster.zones.iter());
         let teams = index(self.settings.cluster.teams.iter().map(|t| &t.name));
-        let names = Names { catalog, types: &types, zones: &zones, teams: &teams };
         let silent = self.silent_ms();
         let value_room = (self.settings.cluster.state.value_kb * 1024.0 - 600.0) / 40.0;
         let mut input = plan::Input {
@@ -255,13 +356,23 @@
             ..plan::Input::default()
         };
         let mut map = Map { machines: Vec::new(), jobs: Vec::new(), claims: Vec::new() };
-        // Limits are those of the recorded allotment; without one there is no room at all.
-        let allot = self.part.as_ref().filter(|p| p.allot_version > 0).and_then(|p| p.allot.as_ref());
+        // Limits are those of the recorded allotment, the tree's by the version that stands there; without one, or
+        // with another version in force, there is no room at all.
+        let version = self.shared.quotas.version();
+        let recorded = |p: &&Part| p.allot_version > 0 && p.allot_wanted.is_none();
+        let allot = self.part.as_ref().filter(recorded).and_then(|p| p.allot.as_ref());
+        let allot = allot.filter(|a| Some(a.tree) == version);
+        let good = self.shared.quotas.good.clone();
+        let tree = good.as_ref().map(|g| g.tree.clone()).filter(|tree| !tree.nodes.is_empty());
         let none = AllotedTeam { name: String::new(), cpus_max: -1.0, gpus_max: -1.0 };
         for t in &self.settings.cluster.teams {
+            let name = &t.name;
             let t = allot.and_then(|a| a.teams.iter().find(|a| a.name == t.name)).unwrap_or(&none);
             let max = |m: f64| if m == 0.0 { f64::INFINITY } else { m.max(0.0) };
+            let path = tree.as_ref().and_then(|tree| Some(tree.path(tree.team(name)?)));
+            let path = path.unwrap_or_default().into_iter().map(|n| n.0 as u16).collect();
             input.teams.push(plan::Team {
+                path,
                 cores_used: 0.0,
                 gpus_used: 0.0,
                 cores_max: max(t.cpus_max),
@@ -270,7 +381,14 @@
         }
         let Some(part) = &mut self.part else { return (input, map) };
         let promise = guarantee_aim(&self.settings.cluster.objectives);
-        let guaranteed = within_guarantee(part, &self.settings.cluster.teams);
+        let holds = holds(part, &self.settings.cluster.teams, good.as_ref(), &teams);
+        let unheld: HashSet<u16> = tree.iter().flat_map(|tree| unheld(tree, &teams)).collect();
+        let names = Names { catalog, types: &types, zones: &zones, teams: &teams, unheld: &unheld };
+        if let (Some(tree), Some((_, live))) = (&tree, &part.live) {
+            input.groups = groups(tree, live);
+        }
+        // Claims of each job that stay: they count as held before what waits.
+        let mut staying: HashMap<JobIx, u32> = HashMap::new();
         let mut to_plan: HashMap<usize, u32> = HashMap::new();
         for (m, machine) in part.machines.iter().enumerate() {
             let Some(machine) = machine else { continue };
@@ -291,6 +409,13 @@
             let mut images: Vec<u32> = machine.images.iter().map(|(i, _)| *i).collect();
             for (k, c) in machine.claims.iter().enumerate() {
                 let Some(job) = part.jobs.get(c.job).and_then(Option::as_ref) else { continue };
+                // What is on its way out holds no place any more.
+                let mut held = 0;
+                if c.stop.is_none() {
+                    let nth = staying.entry(c.job).or_default();
+                    held = holds.held(c.job, *nth);
+                    *nth += 1;
+                }
                 let ran = c.running_since.map_or(0.0, |t| now.mono.saturating_sub(t) as f64 / 1000.0);
                 let mut expected = 60.0;
                 let mut saves = 0.0;
@@ -313,7 +438,7 @@
                     stoppable: c.stop.is_none() && job.kind() != Kind::Gang && job.kind() != Kind::Service,
                     leaving: c.stop.is_some(),
                     team: teams.get(job.team.as_str()).copied().unwrap_or(u16::MAX),
-                    beyond: c.stop.is_none() && !guaranteed.contains(&c.job),
+                    held,
                     gang: (job.kind() == Kind::Gang).then_some(c.job as u32),
                 });
                 claims.push(k);
@@ -366,26 +491,39 @@
             let arrival = -(now.wall.saturating_sub(job.at_ms) as f64 / 1000.0);
             let estimate = (spec.estimate_s * factor - job.progress_s).max(1.0);
             // What users were told to expect is a deadline too: the first that can still be kept.
-            let promise = promise.filter(|_| guaranteed.contains(&ix));
-            let told = match spec.kind {
-                Kind::Gang => told(&self.settings.cluster.objectives, &spec.class, promise, -arrival),
-                // An array starts task by task: what is left of it is no less promised for being late.
-                _ => promise,
-            };
-            let due =
-                spec.deadline_s.into_iter().chain(told.map(|within| within + estimate)).reduce(f64::min);
-            map.jobs.push(ix);
+            let claimed = staying.get(&ix).copied().unwrap_or(0);
+            let mut parts = holds.waiting(ix, spec, claimed, pending);
+            // Who is furthest below what it is due has the earliest deadline of those alike.
+            let due_part = holds.fulfilled.get(team).copied().unwrap_or(1.0);
+            let is_nested = holds.nested.contains_key(&ix);
             let shape = shaped(spec, &mut part.images, &names, *team);
-            input.jobs.push(plan::Job {
-                arrival,
-                estimate,
-                pending,
-                due: due.map(|d| d + arrival),
-                promised: promise.is_some_and(|within| within + arrival > 0.0),
-                zones: by_zone,
-                avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
-                ..shape
-            });
+            for (held, pending) in parts.drain(..) {
+                let promise = promise.filter(|_| held > 0).map(|within| within * due_part);
+                let told = match spec.kind {
+                    Kind::Gang => told(&self.settings.cluster.objectives, &spec.class, promise, -arrival),
+                    // An array starts task by task: what is left of it is no less promised for being late.
+                    _ => promise,
+                };
+                let due =
+                    spec.deadline_s.into_iter().chain(told.map(|within| within + estimate)).reduce(f64::min);
+                map.jobs.push(ix);
+                input.jobs.push(plan::Job {
+                    arrival,
+                    estimate,
+                    pending,
+                    due: due.map(|d| d + arrival),
+                    // What a tree entitles to stays due, also when the wait that users were told is over.
+                    promised: if is_nested {
+                        held > 0
+                    } else {
+                        promise.is_some_and(|within| within + arrival > 0.0)
+                    },
+                    held,
+                    zones: by_zone.clone(),
+                    avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
+                    ..shape.clone()
+                });
+            }
         }
         input.spares = spares(part, &self.settings.cluster.objectives, &names, &self.tuning, now.wall);
         (input, map)
--- a/crates/control/src/tuning.rs
+++ b/crates/control/src/tuning.rs
@@ -46,6 +46,9 @@
         online_factor = 1.5 in 1.0..=20.0, "The smallest stretch is relaxed by this factor.";
         patience_s = 3.0 in 0.0..=3600.0, "An urgent gang waits this long for room before others are stopped for it.";
     }
+    "admin": {
+        door = 0.0 in 0.0..=1.0, "1 opens the operators' door on the peers' side (stoathatch quota).";
+    }
     "fleet": {
         silent_s = 7.0 in 2.0..=600.0, "A machine that says nothing for so long is probed, then returned.";
         idle_s = 5.0 in 0.0..=36000.0, "A machine without work is returned after this time.";
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -27,6 +27,16 @@
     Peers,
 }
 
+impl Door {
+    /// Largest body of a request; operators come by the peers' door, with whole trees.
+    fn body_limit(self) -> usize {
+        match self {
+            Door::Clients => wire::api::BODY_LIMIT,
+            Door::Peers => wire::admin::BODY_LIMIT,
+        }
+    }
+}
+
 #[derive(Debug)]
 pub enum Event {
     Request {
@@ -318,7 +328,7 @@
             return;
         }
         let limit = match conn.side {
-            Side::Served(_) => wire::api::BODY_LIMIT + 16 * 1024,
+            Side::Served(door) => door.body_limit() + 16 * 1024,
             Side::Asked { limit, .. } => limit + 16 * 1024,
         };
         match conn.fill(limit) {
@@ -336,7 +346,7 @@
                     conn.deadline = now + SLOW;
                 }
                 if conn.phase == Phase::Reading {
-                    match http::parse_request(&conn.rbuf, wire::api::BODY_LIMIT) {
+                    match http::parse_request(&conn.rbuf, door.body_limit()) {
                         Ok(None) => {}
                         Ok(Some((request, used))) => {
                             conn.consume(used);
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -41,10 +41,12 @@
 mod live;
 mod spec;
 mod tree;
+mod why;
 
 pub use live::{Count, Live, Share};
 pub use spec::{Amounts, Fault, NodeSpec, Over, Place, Spec, TeamSpec};
 pub use tree::{Node, NodeId, Team, TeamId, Tree};
+pub use why::{Standing, Why};
 
 /// Resources of a tree: processors, GPUs, memory in GB, and up to three that it names itself.
 pub const MAX_RESOURCES: usize = 6;
--- /dev/null
+++ b/crates/quota/src/why.rs
@@ -0,0 +1,144 @@
+//! What a tree in use says of a node or a team, for people.
+
+use crate::tree::units;
+use crate::{Amount, Amounts, Live, MAX_RESOURCES, NodeId, TeamId, UNBOUNDED};
+use serde::{Deserialize, Serialize};
+
+/// One row of a tree as it is used now; amounts in units.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Standing {
+    pub name: String,
+    /// Inner nodes above it.
+    pub depth: usize,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub parent: Option<String>,
+    pub guarantee: Amounts,
+    /// Without those that have no bound.
+    pub max: Amounts,
+    pub weight: f64,
+    pub used: Amounts,
+    /// All that it could use now, what it uses included.
+    pub wanted: Amounts,
+}
+
+/// Why a team's work waits; amounts in units.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Why {
+    pub team: String,
+    /// Nodes above it, the uppermost first.
+    pub path: Vec<String>,
+    pub used: Amounts,
+    pub wanted: Amounts,
+    /// What it is entitled to of each guarantee on its path, and at last of its own.
+    pub entitled: Vec<(String, Amounts)>,
+    /// Nodes, or the team itself, whose maximum leaves no room for what it wants.
+    pub bounded_by: Vec<String>,
+    /// Who uses more than it is guaranteed, by the node at which it parts from the team: those that give back first
+    /// come first.
+    pub borrowed: Vec<(String, Amounts)>,
+    /// What the team is short of within its entitlements: this is called back.
+    pub short: Amounts,
+}
+
+fn named(live: &Live, amount: &Amount) -> Amounts {
+    let names = live.tree().resources.iter().zip(amount);
+    let some = names.filter(|(_, v)| **v != 0 && **v != UNBOUNDED);
+    some.map(|(name, v)| (name.clone(), *v as f64 / 1000.0)).collect()
+}
+
+impl Live {
+    /// All nodes, parents first.
+    pub fn nodes(&self) -> Vec<Standing> {
+        let row = |(i, n): (usize, &crate::Node)| {
+            let id = NodeId(i as u32);
+            Standing {
+                name: n.name.clone(),
+                depth: usize::from(n.depth),
+                parent: n.parent.map(|p| self.tree().nodes[p.0 as usize].name.clone()),
+                guarantee: named(self, &n.guarantee),
+                max: named(self, &n.max),
+                weight: n.weight,
+                used: named(self, &self.used(id)),
+                wanted: named(self, &self.wanted(id)),
+            }
+        };
+        self.tree().nodes.iter().enumerate().map(row).collect()
+    }
+
+    pub fn teams(&self) -> Vec<Standing> {
+        let row = |(i, l): (usize, &crate::tree::Leaf)| {
+            let count = self.team(TeamId(i as u32));
+            let parent = l.parent.map(|p| &self.tree().nodes[p.0 as usize]);
+            Standing {
+                name: l.name.clone(),
+                depth: parent.map_or(0, |p| usize::from(p.depth) + 1),
+                parent: parent.map(|p| p.name.clone()),
+                guarantee: named(self, &l.guarantee),
+                max: named(self, &l.max),
+                weight: l.weight,
+                used: named(self, &count.used),
+                wanted: named(self, &count.demand),
+            }
+        };
+        self.tree().leaves.iter().enumerate().map(row).collect()
+    }
+
+    pub fn why(&mut self, team: TeamId) -> Why {
+        let tree = self.tree().clone();
+        let leaf = &tree.leaves[team.0 as usize];
+        let path = tree.path(team);
+        let count = self.team(team);
+        let name = |n: &NodeId| tree.nodes[n.0 as usize].name.clone();
+        let mut entitled = Vec::new();
+        let mut most = [0; MAX_RESOURCES];
+        for depth in 0..=path.len() {
+            let share = self.entitled(team, depth).map(|v| v.unwrap_or(0));
+            (0..MAX_RESOURCES).for_each(|r| most[r] = most[r].max(share[r]));
+            entitled.push((path.get(depth).map_or_else(|| leaf.name.clone(), name), named(self, &share)));
+        }
+        let short: Amount = std::array::from_fn(|r| (most[r].min(count.demand[r]) - count.used[r]).max(0));
+        let mut bounded_by = Vec::new();
+        let waits = |r: usize| count.demand[r] > count.used[r];
+        let full =
+            |max: &Amount, used: &Amount| (0..MAX_RESOURCES).find(|r| waits(*r) && used[*r] >= max[*r]);
+        let bounds = path.iter().map(|n| (name(n), tree.nodes[n.0 as usize].max, self.used(*n)));
+        for (who, max, used) in bounds.chain([(leaf.name.clone(), leaf.max, count.used)]) {
+            if let Some(r) = full(&max, &used) {
+                let (has, most) = (units(used[r]), units(max[r]));
+                bounded_by.push(format!("{who}: uses {has} of at most {most} {}", tree.resources[r]));
+            }
+        }
+        Why {
+            team: leaf.name.clone(),
+            path: path.iter().map(name).collect(),
+            used: named(self, &count.used),
+            wanted: named(self, &count.demand),
+            entitled,
+            bounded_by,
+            borrowed: self.borrowers(team, &path),
+            short: named(self, &short),
+        }
+    }
+
+    /// Siblings of the team, then of its parent, and so on, that use more than they are guaranteed.
+    fn borrowers(&self, team: TeamId, path: &[NodeId]) -> Vec<(String, Amounts)> {
+        let tree = self.tree();
+        let beyond = |used: &Amount, own: &Amount| std::array::from_fn(|r| (used[r] - own[r]).max(0));
+        let mut out = Vec::new();
+        for level in (0..=path.len()).rev() {
+            let parent = level.checked_sub(1).map(|l| path[l]);
+            let teams =
+                tree.leaves.iter().enumerate().filter(|(i, l)| l.parent == parent && *i != team.0 as usize);
+            let teams =
+                teams.map(|(i, l)| (l.name.clone(), beyond(&self.team(TeamId(i as u32)).used, &l.guarantee)));
+            let inner = tree.nodes.iter().enumerate();
+            let inner =
+                inner.filter(|(i, n)| n.parent == parent && path.get(level) != Some(&NodeId(*i as u32)));
+            let inner =
+                inner.map(|(i, n)| (n.name.clone(), beyond(&self.used(NodeId(i as u32)), &n.guarantee)));
+            let some = teams.chain(inner).filter(|(_, over): &(String, Amount)| over.iter().any(|v| *v > 0));
+            out.extend(some.map(|(name, over)| (name, named(self, &over))));
+        }
+        out
+    }
+}
--- a/crates/standins/examples/play.rs
+++ b/crates/standins/examples/play.rs
@@ -15,6 +15,7 @@
         calm: false,
         large: false,
         wide: false,
+        scene: None,
     };
     let mut world = World::new(plan);
     world.run();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cloud;
 pub mod loopback;
 pub mod rules;
+pub mod scene;
 pub mod state;
 pub mod worker;
 pub mod world;
--- a/crates/standins/src/rules.rs
+++ b/crates/standins/src/rules.rs
@@ -16,6 +16,8 @@
 
 #[derive(Default)]
 pub struct Rules {
+    /// Quota trees that the part's allotment named, and since when.
+    pub trees: Vec<(u64, quota::Tree)>,
     pub jobs: BTreeMap<String, Job>,
     pub broken: BTreeMap<&'static str, String>,
     pub gpu_limits: BTreeMap<String, f64>,
@@ -23,6 +25,25 @@
     pub starts: u64,
 }
 
+/// A start that was claimed may come so much later.
+pub const LATE_MS: u64 = 90_000;
+
+/// Nodes that use more GPUs than they may.
+fn above(tree: &quota::Tree, used: &BTreeMap<String, f64>) -> Vec<String> {
+    let mut sums = vec![0.0; tree.nodes.len()];
+    for (team, gpus) in used {
+        for n in tree.team(team).map(|t| tree.path(t)).unwrap_or_default() {
+            sums[n.0 as usize] += gpus;
+        }
+    }
+    let over = |(n, sum): (&quota::Node, f64)| {
+        let max = n.max[quota::GPUS];
+        (max != quota::UNBOUNDED && sum * 1000.0 > max as f64 + 0.5)
+            .then(|| format!("{} uses {sum} of {}", n.name, max as f64 / 1000.0))
+    };
+    tree.nodes.iter().zip(sums).filter_map(over).collect()
+}
+
 /// A task that is on a machine.
 pub struct OnMachine<'a> {
     pub task: &'a str,
@@ -74,6 +95,49 @@
         if used > limit + 1e-6 {
             self.breaks("quota", format!("{now}: {team} uses {used} of {limit}"));
         }
+        if !self.trees.is_empty() {
+            let all = others.iter().map(|o| o.task).chain([new.task]);
+            let used = self.gpus_by_team(all);
+            self.nodes_kept(now, &used);
+        }
+    }
+
+    fn gpus_by_team<'a>(&self, tasks: impl Iterator<Item = &'a str>) -> BTreeMap<String, f64> {
+        let mut used: BTreeMap<String, f64> = BTreeMap::new();
+        for task in tasks {
+            let spec = wire::ids::parse_task(task).and_then(|(id, _)| self.jobs.get(id)?.spec.as_ref());
+            if let Some(spec) = spec {
+                *used.entry(spec.team.clone()).or_default() += spec.gpus;
+            }
+        }
+        used
+    }
+
+    /// No node of the tree is above its bound. What was claimed under an earlier version may arrive a while after the
+    /// next one: within that time either holds.
+    fn nodes_kept(&mut self, now: u64, used: &BTreeMap<String, f64>) {
+        let until = |i: usize| self.trees.get(i + 1).map_or(u64::MAX, |(since, _)| *since);
+        let recent = |i: &usize| until(*i).saturating_add(LATE_MS) >= now;
+        let mut broken: Option<Vec<String>> = None;
+        for i in (0..self.trees.len()).filter(recent) {
+            let above = above(&self.trees[i].1, used);
+            broken = Some(match broken {
+                Some(before) if above.is_empty() || before.is_empty() => Vec::new(),
+                Some(before) => before,
+                None => above,
+            });
+        }
+        // Before the first tree there was no bound.
+        let first = self.trees.first().is_none_or(|(since, _)| since.saturating_add(LATE_MS) >= now);
+        if let Some(what) = broken.filter(|b| !b.is_empty() && !first).and_then(|b| b.into_iter().next()) {
+            self.breaks("node_quota", format!("{now}: {what}"));
+        }
+    }
+
+    /// What is really on the machines some time after the last change of the tree, with nothing else going on.
+    pub fn settled(&mut self, now: u64, tasks: &[String]) {
+        let used = self.gpus_by_team(tasks.iter().map(String::as_str));
+        self.nodes_kept(now, &used);
     }
 
     /// Everything that is on machines at one moment: the same rules in one pass, for fleets too large to be looked
--- /dev/null
+++ b/crates/standins/src/scene.rs
@@ -0,0 +1,109 @@
+//! Scenes of a test's own: teams, jobs at their times, and operators who change the quota tree.
+
+use crate::state::State;
+use quota::{Spec, Tree};
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use wire::admin::{Change, Edit};
+use wire::api::{JobSpec, Kind, Priority};
+use wire::tree::{Head, HeadRec, PartRec};
+
+/// A team of the settings: GPUs that it is guaranteed, and may use at most (0 for any number).
+#[derive(Debug, Clone)]
+pub struct Team {
+    pub name: String,
+    pub guarantee: f64,
+    pub max: f64,
+}
+
+/// A job, when it is submitted, how long each of its tasks runs, and when after that it is cancelled.
+#[derive(Debug, Clone)]
+pub struct Timed {
+    pub at: u64,
+    pub run_ms: u64,
+    pub cancel_ms: Option<u64>,
+    pub spec: JobSpec,
+}
+
+#[derive(Debug, Clone, Default)]
+pub struct Scene {
+    pub teams: Vec<Team>,
+    pub jobs: Vec<Timed>,
+    pub changes: Vec<(u64, Change)>,
+    /// Machines that the cloud has at most.
+    pub machines: usize,
+}
+
+impl Scene {
+    pub fn team(mut self, name: &str, guarantee: f64, max: f64) -> Self {
+        self.teams.push(Team { name: name.into(), guarantee, max });
+        self
+    }
+
+    /// An operator puts this tree in place at a time.
+    pub fn tree(mut self, at: u64, id: &str, spec: &Spec) -> Self {
+        self.changes.push((at, change(id, None, Edit::Set { spec: spec.clone() })));
+        self
+    }
+
+    pub fn quota_teams(&self) -> Vec<quota::Team> {
+        let gpus = |v: f64| if v > 0.0 { [("gpus".to_owned(), v)].into() } else { BTreeMap::new() };
+        let team =
+            |t: &Team| quota::Team { name: t.name.clone(), guarantee: gpus(t.guarantee), max: gpus(t.max) };
+        self.teams.iter().map(team).collect()
+    }
+
+    /// The teams as the platform's settings have them.
+    pub fn teams_json(&self) -> Value {
+        let team = |t: &Team| json!({"name": t.name, "cpus": 0.0, "cpus_max": 0.0, "gpus": t.guarantee, "gpus_max": t.max});
+        self.teams.iter().map(team).collect()
+    }
+
+    /// The tree that stands in the state service; if its bounds were raised by sabotage, as it should be.
+    pub fn tree_in(&self, state: &State, raised: bool) -> Result<(u64, Tree), String> {
+        let read = |v: &Value| serde_json::from_value::<HeadRec>(v.clone()).map_err(|e| e.to_string());
+        let entry = state.keys.get(wire::records::QUOTA);
+        let head = entry.map_or(Ok(Head::default()), |e| read(&e.value).map(|r| r.quota))?;
+        let parts = state.keys.iter().filter_map(|(k, e)| {
+            let name = k.strip_prefix(wire::records::QUOTA_PARTS)?;
+            Some((name.to_owned(), serde_json::from_value::<PartRec>(e.value.clone()).ok()?))
+        });
+        let mut spec = wire::tree::join(&head, &parts.collect())?;
+        if raised {
+            spec.nodes.iter_mut().flat_map(|n| n.max.values_mut()).for_each(|m| *m /= 10.0);
+        }
+        let tree = Tree::build(&spec, &self.quota_teams()).map_err(|f| f[0].to_string())?;
+        Ok((head.version, tree))
+    }
+}
+
+/// A change by an operator, made for a version or for whatever is in force.
+pub fn change(id: &str, expect: Option<u64>, edit: Edit) -> Change {
+    Change { id: id.into(), by: "operator".into(), expect, dry_run: false, edit }
+}
+
+/// An array of one-GPU tasks that can save, on any machine.
+pub fn array(id: u32, team: &str, tasks: u32, estimate_s: f64) -> JobSpec {
+    JobSpec {
+        id: format!("job-{id:06}"),
+        class: "c".into(),
+        team: team.into(),
+        kind: Kind::Array,
+        priority: Priority::Normal,
+        tasks,
+        cores: 2.0,
+        gpus: 1.0,
+        mem_gb: 4.0,
+        image: "img-0".into(),
+        image_gb: 2.0,
+        types: None,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: false,
+        estimate_s,
+        checkpoint_s: 3.0,
+        save_s: 0.5,
+        deadline_s: None,
+    }
+}
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -2,12 +2,14 @@
 
 use crate::cloud::{Cloud, address};
 use crate::rules::{OnMachine, Rules};
+use crate::scene::Scene;
 use crate::state::{Limits, Outcome, State, Watch};
 use crate::worker::Worker;
 use control::{Dest, Effect, Event, Node, Now, Tuning};
 use serde_json::{Value, json};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
+use wire::admin::{self, Change, Changed, Refused};
 use wire::api::{Cause, JobSpec, JobState, Kind, Orders, Priority, Redirect, TaskStage};
 use wire::http::{Request, Response};
 use wire::settings::Settings;
@@ -28,6 +30,8 @@
     pub large: bool,
     /// Wide gangs of one urgency, each in one zone, some of them within a guarantee.
     pub wide: bool,
+    /// Teams, jobs and a quota tree of the test's own, instead of drawn ones.
+    pub scene: Option<Scene>,
 }
 
 /// What is broken on purpose, to see that a check can fail.
@@ -43,6 +47,8 @@
     DoneTooEarly,
     EndsLost,
     LogLost,
+    /// The controllers are told ten times as much as the tree's nodes may use.
+    NodesRaised,
 }
 
 #[derive(Clone)]
@@ -50,6 +56,7 @@
     User { job: String, kind: Ask, asked: u64 },
     Worker { name: String, number: u64, sent: u64 },
     Peer { node: usize, life: u64, tag: u64 },
+    Operator { change: Box<Change> },
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -79,6 +86,7 @@
     GiveUp(u64),
     World,
     User(Ask, String),
+    Operate(Box<Change>),
     Restart(usize),
     Fault,
 }
@@ -120,6 +128,10 @@
     pub rules: Rules,
     run_ms: BTreeMap<String, u64>,
     tuning: Tuning,
+    /// How operators' changes ended: the last status, and the version.
+    pub changes: BTreeMap<String, (u16, u64)>,
+    /// Run time that was lost with tasks that were stopped or died, in seconds.
+    pub lost_s: f64,
 }
 
 const LEASE_MS: u64 = 15_000;
@@ -132,8 +144,16 @@
     let nodes = plan.nodes;
     // Where gangs are wide, guarantees hold some of them, and are to be given at once.
     let (red, blue) = if plan.wide { (6.0, 8.0) } else { (2.0, 4.0) };
-    let promise =
-        if plan.wide { json!([{"kind": "guarantee", "within_s": 5.0, "share": 0.9}]) } else { json!([]) };
+    let promise = if plan.wide || plan.scene.is_some() {
+        json!([{"kind": "guarantee", "within_s": 5.0, "share": 0.9}])
+    } else {
+        json!([])
+    };
+    let teams = match &plan.scene {
+        Some(scene) => scene.teams_json(),
+        None => json!([{"name": "red", "cpus": 0.0, "cpus_max": 0.0, "gpus": red, "gpus_max": limit},
+                      {"name": "blue", "cpus": 0.0, "cpus_max": 0.0, "gpus": blue, "gpus_max": 0.0}]),
+    };
     let name = |i: usize| format!("burrow-{i}");
     let peers: Vec<Value> = (0..nodes)
         .filter(|i| *i != node)
@@ -143,8 +163,7 @@
         "peer_bind": format!("10.0.0.{}:8081", node + 1), "peers": peers,
         "endpoints": {"cloud": "10.2.0.2:8443", "state": "10.2.0.1:2379"},
         "cluster": {"initial_size": nodes, "zones": ["a", "b"],
-            "teams": [{"name": "red", "cpus": 0.0, "cpus_max": 0.0, "gpus": red, "gpus_max": limit},
-                      {"name": "blue", "cpus": 0.0, "cpus_max": 0.0, "gpus": blue, "gpus_max": 0.0}],
+            "teams": teams,
             "objectives": promise,
             "workers": {"report_s": report_s, "lease_s": LEASE_MS as f64 / 1000.0, "gang_wait_s": 10.0,
                         "gang_peer_s": 3.0, "cancel_s": CANCEL_MS as f64 / 1000.0},
@@ -203,6 +222,8 @@
             rules: Rules { cancel_ms: CANCEL_MS, ..Rules::default() },
             run_ms: BTreeMap::new(),
             tuning,
+            changes: BTreeMap::new(),
+            lost_s: 0.0,
             plan,
         };
         if world.plan.large {
@@ -211,8 +232,18 @@
             world.tuning = Tuning::default();
         }
         world.cloud.lies_about_deletes = world.plan.sabotage == Sabotage::CloudLies;
-        let limit = world.limit();
-        world.rules.gpu_limits.insert("red".into(), limit);
+        match world.plan.scene.clone() {
+            Some(scene) => {
+                world.cloud.capacity = scene.machines;
+                world.tuning.set("admin", "door", "1").expect("known setting");
+                let limits = scene.teams.iter().filter(|t| t.max > 0.0);
+                world.rules.gpu_limits = limits.map(|t| (t.name.clone(), t.max)).collect();
+            }
+            None => {
+                let limit = world.limit();
+                world.rules.gpu_limits.insert("red".into(), limit);
+            }
+        }
         world.begin();
         world
     }
@@ -247,6 +278,9 @@
             self.at(self.now + 5000, Ev::Fault);
         }
         let start = self.now;
+        if let Some(scene) = self.plan.scene.clone() {
+            return self.begin_scene(scene);
+        }
         for i in 0..self.plan.jobs {
             let job = self.draw_job(i);
             let id = job.id.clone();
@@ -267,6 +301,74 @@
         self.at(start + 2000, Ev::User(Ask::Poll, "job-999999".into()));
     }
 
+    fn begin_scene(&mut self, scene: Scene) {
+        let start = self.now;
+        for (at, change) in scene.changes {
+            self.at(start + at, Ev::Operate(Box::new(change)));
+        }
+        for job in scene.jobs {
+            let id = job.spec.id.clone();
+            self.run_ms.insert(id.clone(), job.run_ms);
+            if let Some(wait) = job.cancel_ms {
+                self.at(start + job.at + wait, Ev::User(Ask::Cancel, id.clone()));
+            }
+            self.rules.jobs.entry(id.clone()).or_default().spec = Some(job.spec);
+            self.at(start + job.at, Ev::User(Ask::Submit, id));
+        }
+    }
+
+    /// An operator asks any node for a change.
+    fn operate(&mut self, change: Box<Change>) {
+        let mut asked = change.clone();
+        if self.plan.sabotage == Sabotage::NodesRaised
+            && let admin::Edit::Set { spec } = &mut asked.edit
+        {
+            spec.nodes.iter_mut().flat_map(|n| n.max.values_mut()).for_each(|m| *m *= 10.0);
+        }
+        let body = admin::encode(&admin::Ask::Change(*asked));
+        let request = Request { method: "POST".into(), path: admin::PATH.into(), body, close: false };
+        let n = self.rng.usize(0..self.plan.nodes);
+        self.step(Ev::Request(n, Origin::Operator { change }, request, true));
+    }
+
+    /// What an operator is told. Without an answer the same change is asked for again.
+    fn operated(&mut self, change: Box<Change>, response: Option<Response>) {
+        let status = response.as_ref().map_or(0, |r| r.status);
+        let body = response.map(|r| r.body).unwrap_or_default();
+        let version = match status {
+            200 => admin::decode::<Changed>(&body).map_or(0, |c| c.version),
+            _ => admin::decode::<Refused>(&body).ok().and_then(|r| r.version).unwrap_or(0),
+        };
+        self.changes.insert(change.id.clone(), (status, version));
+        if status == 0 || status == 503 {
+            let again = self.now + self.rng.u64(500..2000);
+            self.at(again, Ev::Operate(change));
+        }
+    }
+
+    /// The tree that the part's allotment names, once it names another one.
+    fn follow_tree(&mut self) {
+        let Some(scene) = &self.plan.scene else { return };
+        let version = |s: &State| s.keys.get("part/0/allot")?.value.get("tree")?.as_u64();
+        let named = version(&self.state).unwrap_or(0);
+        if named as usize == self.rules.trees.len() {
+            return;
+        }
+        let raised = self.plan.sabotage == Sabotage::NodesRaised;
+        match scene.tree_in(&self.state, raised) {
+            Ok((version, tree)) if version == named => self.rules.trees.push((self.now, tree)),
+            Ok((version, _)) => {
+                self.rules.breaks("half_tree", format!("{}: {named} but {version}", self.now))
+            }
+            Err(why) => self.rules.breaks("half_tree", format!("{}: version {named}: {why}", self.now)),
+        }
+    }
+
+    /// Tasks that are on machines now.
+    pub fn on_machines(&self) -> Vec<String> {
+        self.workers.values().flat_map(on_machine).map(|o| o.task.to_owned()).collect()
+    }
+
     fn draw_job(&mut self, i: usize) -> JobSpec {
         let kind = match self.rng.u32(0..10) {
             0..5 => Kind::Array,
@@ -410,6 +512,7 @@
             }
             Ev::World => self.world_tick(),
             Ev::User(kind, job) => self.user(kind, job),
+            Ev::Operate(change) => self.operate(change),
             Ev::Fault => self.fault(),
         }
     }
@@ -481,6 +584,9 @@
                 self.state.expire(self.now);
                 match self.state.handle(self.now, c.method, &c.path, &c.body) {
                     Outcome::Now(status, body) => {
+                        if c.path == "/txn" && status == 200 {
+                            self.follow_tree();
+                        }
                         let stranger = self.plan.sabotage == Sabotage::StrangersKnown;
                         if stranger && status == 404 && c.path.starts_with("/keys/live/") {
                             return self.reply(&c, 200, &json!({"key": "x", "v": {}, "stamp": 1}));
@@ -565,6 +671,7 @@
                 let at = self.now + 1;
                 self.at(at, Ev::Reply(node, life, tag, response));
             }
+            Origin::Operator { change } => self.operated(change, response),
             Origin::User { job, kind, asked } => {
                 let status = response.as_ref().map_or(0, |r| r.status);
                 let state = response.as_ref().and_then(|r| wire::decode::<JobState>(&r.body).ok());
@@ -921,6 +1028,17 @@
         }
     }
 
+    /// The owner crashes as its next transaction is on its way, and comes back after a while.
+    pub fn doom_owner(&mut self) {
+        let owner = |h: &Host| h.node.as_ref().is_some_and(|n| n.role_name() == "owner");
+        self.doomed = self.hosts.iter().position(owner);
+    }
+
+    /// Milliseconds since the run began.
+    pub fn elapsed(&self) -> u64 {
+        self.now - 1_000_000
+    }
+
     fn die(&mut self, machine: &str) {
         self.workers.remove(machine);
         if let Some(r) = self.cloud.machines.get_mut(machine) {
--- a/crates/standins/tests/rules.rs
+++ b/crates/standins/tests/rules.rs
@@ -13,6 +13,7 @@
         calm: false,
         large: false,
         wide: false,
+        scene: None,
     }
 }
 
--- /dev/null
+++ b/crates/stoathatch/src/ask.rs
@@ -0,0 +1,76 @@
+//! Asks running controllers for an operator: one after the other, with the same request, until one has an answer.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+use wire::admin::{self, Ask, Refused};
+use wire::http::{self, Response};
+
+/// A change is given up after this time; whether it was made is then for the history to say.
+const PATIENCE: Duration = Duration::from_secs(30);
+const ONE_TRY: Duration = Duration::from_secs(16);
+
+/// Why there is no answer to work with.
+pub enum Failed {
+    /// The service has answered, and will not do it.
+    Refused(Refused),
+    /// No controller has answered in time, or what it said can't be read.
+    Unreachable(String),
+}
+
+/// Asks the controllers in turn. Repeating is harmless: a change carries its own id.
+pub fn ask<T: serde::de::DeserializeOwned>(nodes: &[SocketAddr], question: &Ask) -> Result<T, Failed> {
+    let body = admin::encode(question);
+    let end = Instant::now() + PATIENCE;
+    let mut last = "no controller was named".to_owned();
+    for node in nodes.iter().cycle() {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            break;
+        }
+        match once(*node, &body, left.min(ONE_TRY)) {
+            Ok(r) if r.status == 200 => {
+                return admin::decode(&r.body).map_err(|e| Failed::Unreachable(format!("{node}: {e}")));
+            }
+            Ok(r) if matches!(r.status, 429 | 503) => {
+                let why: Refused = admin::decode(&r.body).unwrap_or_default();
+                last = format!("{node}: {}", why.error);
+                let wait = Duration::from_secs(u64::from(r.retry_after_s.unwrap_or(1).min(10)));
+                std::thread::sleep(wait.min(end.saturating_duration_since(Instant::now())));
+            }
+            Ok(r) => {
+                let why = admin::decode(&r.body).unwrap_or_else(|_| Refused {
+                    error: format!("{node} answered {}; is the door open ([admin] door = 1)?", r.status),
+                    ..Refused::default()
+                });
+                return Err(Failed::Refused(why));
+            }
+            Err(e) => {
+                last = format!("{node}: {e}");
+                std::thread::sleep(Duration::from_millis(200));
+            }
+        }
+    }
+    Err(Failed::Unreachable(last))
+}
+
+fn once(to: SocketAddr, body: &[u8], timeout: Duration) -> Result<Response, String> {
+    let text = |e: std::io::Error| e.to_string();
+    let mut stream = TcpStream::connect_timeout(&to, timeout.min(Duration::from_secs(3))).map_err(text)?;
+    stream.set_read_timeout(Some(timeout)).map_err(text)?;
+    stream.set_write_timeout(Some(timeout)).map_err(text)?;
+    let mut out = Vec::new();
+    http::write_request(&mut out, &to.to_string(), "POST", admin::PATH, body);
+    stream.write_all(&out).map_err(text)?;
+    let mut got = Vec::new();
+    let mut chunk = [0; 16 * 1024];
+    loop {
+        let n = stream.read(&mut chunk).map_err(text)?;
+        got.extend_from_slice(&chunk[..n]);
+        match http::parse_response(&got, admin::ANSWER_LIMIT, n == 0) {
+            Ok(Some((response, _))) => return Ok(response),
+            Ok(None) if n > 0 => {}
+            _ => return Err("an answer that was cut off or can't be read".to_owned()),
+        }
+    }
+}
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -1,29 +1,43 @@
 //! The stoathatch cluster scheduler.
 
+mod ask;
 mod config;
+mod quota;
 mod service;
 
-use clap::Parser;
+use clap::{Parser, Subcommand};
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 /// Schedules jobs onto rented machines. One process of a small group that share a state service.
 #[derive(Parser)]
-#[command(version)]
+#[command(version, subcommand_negates_reqs = true, args_conflicts_with_subcommands = true)]
 struct Args {
     /// The settings file (JSON) that the platform hands over.
-    #[arg(long, value_name = "FILE")]
-    config: PathBuf,
+    #[arg(long, value_name = "FILE", required = true)]
+    config: Option<PathBuf>,
     /// Operators' own settings (INI); all have defaults.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_INI")]
     ini: Option<PathBuf>,
     /// Check the settings, print the operators' values in force, and end.
     #[arg(long)]
     check: bool,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+/// What operators ask a running service.
+#[derive(Subcommand)]
+enum Command {
+    /// Quotas of members, desks and teams.
+    Quota(quota::Command),
 }
 
 fn main() -> ExitCode {
     let args = Args::parse();
+    if let Some(Command::Quota(command)) = &args.command {
+        return quota::run(command);
+    }
     let level = std::env::var("LOG_LEVEL").unwrap_or_default();
     let filter = match level.to_ascii_lowercase().as_str() {
         "debug" => log::LevelFilter::Debug,
@@ -48,7 +62,8 @@
 }
 
 fn run(args: &Args) -> Result<(), String> {
-    let settings = config::settings(&args.config)?;
+    let config = args.config.as_ref().ok_or("--config is missing")?;
+    let settings = config::settings(config)?;
     let tuning = match &args.ini {
         Some(path) => config::tuning(path)?,
         None => control::Tuning::default(),
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -1,12 +1,14 @@
 //! The wire formats of stoathatch: what users, workers, the cloud, the state service and other
 //! controllers see. The protocol's own words (`baton`, `tenure`, …) occur only in this crate.
 
+pub mod admin;
 pub mod api;
 pub mod http;
 pub mod ids;
 pub mod peer;
 pub mod records;
 pub mod settings;
+pub mod tree;
 
 use serde::{Serialize, de::DeserializeOwned};
 
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -12,6 +12,9 @@
 pub const TOKEN: &str = "sys/token";
 pub const CATALOG: &str = "sys/catalog";
 pub const LIVE: &str = "live/";
+/// Which quota tree is in force; every controller follows it. Its parts are read when it changes.
+pub const QUOTA: &str = "sys/quota";
+pub const QUOTA_PARTS: &str = "quota/part/";
 
 pub fn owner_key(part: Part) -> String {
     format!("sys/owner/{part}")
@@ -55,6 +58,14 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AllotRec {
     pub teams: Vec<AllotedTeam>,
+    /// The version of the quota tree whose bounds the part keeps, all of them being its own as long as it is the only
+    /// one; 0 without a tree. Nothing starts under a version that does not stand here.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub tree: u64,
+}
+
+fn is_zero(v: &u64) -> bool {
+    *v == 0
 }
 
 /// A limit of 0 means none, as in the settings.
@@ -205,6 +216,8 @@
     Hire(HireRec),
     Catalog(Catalog),
     Allot(AllotRec),
+    Quota(crate::tree::HeadRec),
+    QuotaPart(crate::tree::PartRec),
 }
 
 /// What stands under [`SHARED`], read without knowing beforehand which.
@@ -216,6 +229,8 @@
     pub token: Option<u64>,
     #[serde(default)]
     pub lease: Option<u64>,
+    #[serde(default)]
+    pub quota: Option<crate::tree::Head>,
     #[serde(rename = "builds", default)]
     pub types: Option<Vec<crate::api::MachineType>>,
 }
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -103,6 +103,19 @@
 }
 
 impl Settings {
+    /// The teams as leaves of a quota tree.
+    pub fn quota_teams(&self) -> Vec<quota::Team> {
+        let given = |parts: [(&str, f64); 2]| {
+            parts.into_iter().filter(|(_, v)| *v > 0.0).map(|(name, v)| (name.to_owned(), v)).collect()
+        };
+        let team = |t: &Team| quota::Team {
+            name: t.name.clone(),
+            guarantee: given([("cpus", t.cpus), ("gpus", t.gpus)]),
+            max: given([("cpus", t.cpus_max), ("gpus", t.gpus_max)]),
+        };
+        self.cluster.teams.iter().map(team).collect()
+    }
+
     /// The limits stand within `cluster` or beside it, depending on the platform's version.
     pub fn limits(&self) -> Limits {
         self.cluster.limits.clone().or_else(|| self.limits.clone()).unwrap_or(Limits {
