--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -22,8 +22,8 @@
 /// A change on its way into the state service.
 pub(crate) struct Changing {
     id: String,
-    /// Who waits for it.
-    conn: u64,
+    /// Who waits for it; nobody for the first tree.
+    conn: Option<u64>,
     pub head: Head,
     pub spec: Arc<Spec>,
     /// Stamp of the head that it follows.
@@ -143,13 +143,13 @@
         }
         if let Some(other) = self.part.as_mut().and_then(|p| p.changing.as_mut()) {
             if other.id == change.id {
-                other.conn = conn;
+                other.conn = Some(conn);
                 return;
             }
             let error = format!("another change of version {version} is under way");
             return self.deny_admin(conn, 409, Refused { error, version: Some(version), faults: vec![] });
         }
-        match self.prepare(conn, &change) {
+        match self.prepare(Some(conn), &change) {
             Err(why) => self.deny_admin(conn, 422, why),
             Ok(ready) if change.dry_run => {
                 let answer = Changed { version, dry_run: true, ..ready.answer };
@@ -166,7 +166,7 @@
     }
 
     /// Makes the new tree and checks it; nothing is changed yet.
-    fn prepare(&self, conn: u64, change: &Change) -> Result<Changing, Refused> {
+    fn prepare(&self, conn: Option<u64>, change: &Change) -> Result<Changing, Refused> {
         let q = &self.shared.quotas;
         let teams = self.settings.quota_teams();
         let old = q.good.as_ref().map(|g| g.spec.clone()).unwrap_or_default();
@@ -199,17 +199,41 @@
         Ok(Changing { id: change.id.clone(), conn, head, spec, stamp: q.stamp, parts, busy: 0, answer })
     }
 
+    /// Puts the tree in place that this node was started with, if there has never been any.
+    pub(crate) fn first_tree(&mut self) {
+        let idle = self.part.as_ref().is_some_and(|p| p.loaded && p.changing.is_none());
+        if self.shared.quotas.head.version > 0 || !self.shared.known || !idle || !self.decides() {
+            return;
+        }
+        let Some(spec) = self.first.take() else { return };
+        let (id, by) = ("first".to_owned(), self.settings.node.clone());
+        let change = Change { id, by, expect: Some(0), dry_run: false, edit: Edit::Set { spec } };
+        match self.prepare(None, &change) {
+            Ok(ready) => {
+                if let Some(part) = &mut self.part {
+                    part.changing = Some(ready);
+                }
+                self.to_write = true;
+            }
+            Err(why) => log::error!("the first quota tree is refused: {} {:?}", why.error, why.faults),
+        }
+    }
+
     /// The head of a change stands in the state service, at this revision.
     pub(crate) fn tree_changed(&mut self, revision: u64) {
         let Some(done) = self.part.as_mut().and_then(|p| p.changing.take()) else { return };
         self.tree_committed(done.head, done.spec, revision);
-        self.respond(done.conn, 200, admin::encode(&done.answer), None);
+        if let Some(conn) = done.conn {
+            self.respond(conn, 200, admin::encode(&done.answer), None);
+        }
     }
 
     /// We are no longer the owner: whether the change was made is for its record to say.
     pub(crate) fn change_cut_short(&mut self, change: Changing) {
         let error = "the owner changed; ask for the history whether the change was made".to_owned();
-        self.deny_admin(change.conn, 503, Refused { error, ..Refused::default() });
+        if let Some(conn) = change.conn {
+            self.deny_admin(conn, 503, refused(&error));
+        }
     }
 }
 
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -217,6 +217,8 @@
     stood_back_at: Option<u64>,
     /// Something may be there to be written. Without it, only ticks look.
     to_write: bool,
+    /// The quota tree to begin with, where there has never been any.
+    first: Option<quota::Spec>,
     stats: Stats,
 }
 
@@ -288,10 +290,16 @@
             catalog_at: 0,
             stood_back_at: None,
             to_write: false,
+            first: None,
             stats: Stats::default(),
         }
     }
 
+    /// The same, with a quota tree to begin with. It is put in place only if there has never been one.
+    pub fn with_first_tree(self, spec: Option<quota::Spec>) -> Self {
+        Node { first: spec, ..self }
+    }
+
     pub fn stats(&self) -> &Stats {
         &self.stats
     }
@@ -319,6 +327,9 @@
         self.election_tick();
         self.door_tick();
         self.quotas_tick();
+        if self.first.is_some() {
+            self.first_tree();
+        }
         if self.shared.catalog.is_none() || self.owns() {
             self.catalog_tick();
         }
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -729,6 +729,46 @@
         }
     }
 
+    /// A flat tree that repeats the settings, and no tree, hold the same jobs; so decisions are the same, one for one.
+    #[test]
+    fn a_flat_tree_holds_what_the_settings_do() {
+        let team = |name: &str, cpus: f64, gpus: f64| Team {
+            name: name.into(),
+            cpus,
+            cpus_max: 0.0,
+            gpus,
+            gpus_max: 0.0,
+        };
+        let teams = [team("a", 20.0, 0.0), team("b", 0.3333, 4.0), team("c", 0.0, 0.0)];
+        let leaves: Vec<quota::Team> = teams
+            .iter()
+            .map(|t| quota::Team {
+                guarantee: [("cpus".to_owned(), t.cpus), ("gpus".to_owned(), t.gpus)].into(),
+                ..quota::Team::new(&t.name)
+            })
+            .collect();
+        let mut spec_of_tree = quota::Spec::default();
+        spec_of_tree.teams.extend(["a", "c"].map(|t| quota::TeamSpec::new(t, None)));
+        let tree = quota::Tree::build(&spec_of_tree, &leaves).expect("good");
+        let good = Good { version: 1, spec: spec_of_tree.into(), tree: tree.into() };
+        let index: HashMap<&str, u16> =
+            teams.iter().enumerate().map(|(i, t)| (t.name.as_str(), i as u16)).collect();
+        let mut rng = fastrand::Rng::with_seed(5);
+        for _ in 0..200 {
+            let mut part = Part::new(1, 1, 0, 16.0);
+            for i in 0..12 {
+                let team = ["a", "b", "c"][rng.usize(0..3)];
+                let (tasks, cores) = (rng.u32(1..5), [0.1111, 1.0, 6.0][rng.usize(0..3)]);
+                let spec = spec(i, team, tasks, cores, f64::from(rng.u32(0..3)));
+                part.add_job(Job::new(JobRec { spec, at_ms: u64::from(i), part: 0 }, 1));
+            }
+            let without = holds(&mut part, &teams, None, &index);
+            let with = holds(&mut part, &teams, Some(&good), &index);
+            assert_eq!(without.flat, with.flat);
+            assert!(with.nested.is_empty() && with.fulfilled.is_empty() && part.live.is_none());
+        }
+    }
+
     /// A gang that had missed one aim for good stood before those that could still keep it.
     #[test]
     fn the_first_aim_that_can_still_be_kept_counts() {
--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -323,6 +323,7 @@
     peers: &[SocketAddr],
     cloud: SocketAddr,
     state: SocketAddr,
+    teams: &Value,
 ) -> Value {
     let others: Vec<Value> = (0..clients.len())
         .filter(|i| *i != node)
@@ -332,7 +333,7 @@
         "peer_bind": peers[node].to_string(), "peers": others,
         "endpoints": {"cloud": cloud.to_string(), "state": state.to_string()},
         "cluster": {"initial_size": clients.len(), "zones": ["a"],
-            "teams": [{"name": "red", "cpus": 0.0, "cpus_max": 0.0, "gpus": 4.0, "gpus_max": 8.0}],
+            "teams": teams,
             "workers": {"report_s": 0.8, "lease_s": 20.0, "gang_wait_s": 10.0, "gang_peer_s": 3.0, "cancel_s": 20.0},
             "state": {"rps": 300.0, "write_rps": 100.0, "value_kb": 8.0, "txn_ops": 16},
             "cloud": {"rps": 20.0, "list_lag_s": 0.2},
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -19,6 +19,9 @@
     /// Operators' own settings (INI); all have defaults.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_INI")]
     ini: Option<PathBuf>,
+    /// A quota tree to begin with (TOML); used only if the deployment has never had one.
+    #[arg(long, value_name = "FILE", env = "STOATHATCH_QUOTA")]
+    quota: Option<PathBuf>,
     /// Check the settings, print the operators' values in force, and end.
     #[arg(long)]
     check: bool,
@@ -68,11 +71,15 @@
         Some(path) => config::tuning(path)?,
         None => control::Tuning::default(),
     };
+    let tree = match &args.quota {
+        Some(path) => Some(config::tree(path, &settings)?),
+        None => None,
+    };
     if args.check {
         for (section, key, value, meaning) in tuning.list() {
             println!("[{section}] {key} = {value}  ; {meaning}");
         }
         return Ok(());
     }
-    service::Service::new(settings, tuning)?.run()
+    service::Service::new(settings, tuning, tree)?.run()
 }
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -32,7 +32,7 @@
 }
 
 impl Service {
-    pub fn new(settings: Settings, tuning: Tuning) -> Result<Self, String> {
+    pub fn new(settings: Settings, tuning: Tuning, tree: Option<quota::Spec>) -> Result<Self, String> {
         let mut net = Net::new(settings.limits().max_sockets).map_err(|e| format!("event loop: {e}"))?;
         for (name, text, door) in [
             ("client_listen", &settings.listen, Door::Clients),
@@ -48,7 +48,7 @@
         log::info!("{} listens on {}", settings.node, settings.listen);
         // The seed only spreads retries; two nodes must not share it.
         let seed = fastrand::u64(..);
-        let node = Node::new(settings, tuning, seed, now(start));
+        let node = Node::new(settings, tuning, seed, now(start)).with_first_tree(tree);
         Ok(Service {
             net,
             node,
--- /dev/null
+++ b/crates/stoathatch/tests/e2e/main.rs
@@ -0,0 +1,5 @@
+//! The real program as three processes on loopback, against the stand-ins. Waits on conditions only.
+
+mod common;
+mod jobs;
+mod quota;
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -311,3 +311,78 @@
     let chunk = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\n";
     assert_eq!(http::parse_response(chunk, 1000, false), Err(Bad(502)));
 }
+
+/// Trees as the state service holds them.
+mod trees {
+    use proptest::prelude::*;
+    use quota::{Amounts, NodeSpec, Spec, TeamSpec};
+    use std::collections::BTreeMap;
+    use wire::tree::{FORMAT, HISTORY, Head, HeadRec, Past, join, split};
+
+    prop_compose! {
+        fn tree()(nodes in prop::collection::vec(("[a-zé\"]{1,40}", 0.0f64..1e6), 0..60), teams in prop::collection::vec("[a-z]{1,40}", 0..60)) -> Spec {
+            let amounts = |v: f64| Amounts::from([("gpus".to_owned(), v)]);
+            Spec {
+                nodes: nodes.iter().map(|(name, v)| NodeSpec { guarantee: amounts(*v), ..NodeSpec::new(name, None) }).collect(),
+                teams: teams.iter().map(|t| TeamSpec::new(t, Some("n"))).collect(),
+            }
+        }
+    }
+
+    proptest! {
+        #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
+
+        /// Parts stay within a value, and together are the tree again; one that is missing or damaged is named.
+        #[test]
+        fn parts_make_the_tree_again(spec in tree(), bytes in 400usize..4000, hit in any::<prop::sample::Index>()) {
+            let parts = split(&spec, bytes).expect("each entry fits");
+            for (_, part) in &parts {
+                prop_assert!(serde_json::to_vec(part).expect("written").len() <= bytes);
+            }
+            let names: Vec<String> = parts.iter().map(|(name, _)| name.clone()).collect();
+            let head = Head { format: FORMAT, version: 3, parts: names.clone(), history: vec![] };
+            let all: BTreeMap<_, _> = parts.into_iter().collect();
+            prop_assert_eq!(join(&head, &all).expect("whole"), spec);
+            if !names.is_empty() {
+                let name = hit.get(&names);
+                let mut less = all.clone();
+                less.remove(name);
+                prop_assert!(join(&head, &less).expect_err("missing").contains(name.as_str()));
+                let mut bent = all.clone();
+                bent.entry(name.clone()).and_modify(|p| p.teams.push(TeamSpec::new("stranger", None)));
+                prop_assert!(join(&head, &bent).expect_err("damaged").contains(name.as_str()));
+            }
+            let later = Head { format: FORMAT + 1, ..head };
+            prop_assert!(join(&later, &all).expect_err("from the future").contains("later version"));
+        }
+
+        /// A head never outgrows its value: the oldest changes are forgotten, the newest is kept.
+        #[test]
+        fn heads_stay_within_a_value(words in prop::collection::vec(".{0,300}", 1..40), parts in 0usize..20, bytes in 2000usize..8000) {
+            let mut head = Head::default();
+            let parts: Vec<String> = (0..parts).map(|i| format!("{i:024}")).collect();
+            for (i, what) in words.iter().enumerate() {
+                let past = Past::new(i as u64 + 1, &format!("id-{i}"), 0, what, what);
+                head = head.next(parts.clone(), past, bytes).expect("fits");
+                let size = serde_json::to_vec(&HeadRec { quota: head.clone() }).expect("written").len();
+                prop_assert!(size <= bytes, "{} of {}", size, bytes);
+                prop_assert_eq!(head.version, i as u64 + 1);
+                let id = format!("id-{i}");
+                prop_assert!(head.made(&id).is_some() && head.history.len() <= HISTORY);
+            }
+            let many: Vec<String> = (0..1000).map(|i| format!("{i:024}")).collect();
+            prop_assert!(head.next(many, Past::default(), bytes).is_err());
+        }
+
+        /// An operator's bytes are answered, never a panic.
+        #[test]
+        fn any_request_of_an_operator_is_answered(bytes in prop::collection::vec(any::<u8>(), 0..200), at in any::<prop::sample::Index>(), put in any::<u8>()) {
+            let _ = wire::admin::decode::<wire::admin::Ask>(&bytes);
+            let mut good = br#"{"change":{"id":"a","by":"b","edit":{"move":{"name":"t","to":null}}}}"#.to_vec();
+            prop_assert!(wire::admin::decode::<wire::admin::Ask>(&good).is_ok());
+            let i = at.index(good.len());
+            good[i] = put;
+            let _ = wire::admin::decode::<wire::admin::Ask>(&good);
+        }
+    }
+}
