Flood experiment: what a desk's flood costs its neighbours, with a tree and without

Need: nested quotas have to be shown to help, and their price named.

Change: the stand-ins' tasks go on from what they saved when they are stopped, in scenes; the experiment plays twenty seeds with a tree and with flat teams, and prints one JSON line.

--- /dev/null
+++ b/crates/standins/examples/flood.rs
@@ -0,0 +1,138 @@
+//! A desk floods the queue: what its neighbours notice with a quota tree, and with flat teams on the same seeds.
+//! In virtual time. Prints one JSON line last: `cargo run --release -q -p standins --example flood`.
+
+use quota::{Amounts, NodeSpec, Spec, TeamSpec};
+use standins::scene::{Scene, Timed, array};
+use standins::world::{Plan, Sabotage, World};
+
+const SEEDS: u64 = 20;
+/// Neighbours ask from here on, when the flood has all machines.
+const BEGIN: u64 = 90_000;
+const ROUNDS: u64 = 20;
+const EVERY: u64 = 30_000;
+const LOOK_S: u64 = 15;
+const TEAMS: [(&str, &str, f64); 4] =
+    [("flood", "film", 4.0), ("comp", "film", 2.0), ("news", "press", 4.0), ("sport", "press", 4.0)];
+
+fn gpus(n: f64) -> Amounts {
+    [("gpus".to_owned(), n)].into()
+}
+
+/// Two desks of one house; the settings' guarantees below them.
+fn tree() -> Spec {
+    let node = |name: &str, parent, n| NodeSpec { guarantee: gpus(n), ..NodeSpec::new(name, parent) };
+    Spec {
+        nodes: vec![
+            node("house", None, 14.0),
+            node("film", Some("house"), 6.0),
+            node("press", Some("house"), 8.0),
+        ],
+        teams: TEAMS.iter().map(|(team, desk, _)| TeamSpec::new(team, Some(desk))).collect(),
+    }
+}
+
+fn scene(seed: u64, nested: bool) -> Scene {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut scene = Scene { machines: 8, ..Scene::default() };
+    for (team, _, guarantee) in TEAMS {
+        scene = scene.team(team, guarantee, 0.0);
+    }
+    if nested {
+        scene = scene.tree(1000, "tree", &tree());
+    }
+    for i in 0..80 {
+        let run_ms = rng.u64(60_000..180_000);
+        let spec = array(1000 + i, "flood", rng.u32(4..12), run_ms as f64 / 1000.0);
+        scene.jobs.push(Timed { at: 5000 + u64::from(i) * 1000, run_ms, cancel_ms: None, spec });
+    }
+    let mut id = 2000;
+    for round in 0..ROUNDS {
+        for (team, _, guarantee) in &TEAMS[1..] {
+            id += 1;
+            // About what each is guaranteed: so much is asked for at once as ends meanwhile.
+            let run_ms = rng.u64(20_000..30_000);
+            let spec = array(id, team, *guarantee as u32, run_ms as f64 / 1000.0);
+            let at = BEGIN + round * EVERY + rng.u64(0..3000);
+            scene.jobs.push(Timed { at, run_ms, cancel_ms: None, spec });
+        }
+    }
+    scene
+}
+
+#[derive(Default)]
+struct Seen {
+    /// Seconds from the submission of a neighbour's task to its first run.
+    waits: Vec<f64>,
+    /// Of what the neighbours are guaranteed, the share that ran a minute after they had first asked.
+    shares: Vec<f64>,
+    stopped: u64,
+    lost_s: f64,
+    /// GPU seconds that were of use.
+    useful_s: f64,
+}
+
+fn play(seed: u64, nested: bool, seen: &mut Seen) {
+    let scene = scene(seed, nested);
+    let end = BEGIN + ROUNDS * EVERY + 60_000;
+    let mut world = World::new(Plan {
+        seed,
+        nodes: 3,
+        jobs: 0,
+        faults_until: 0,
+        end,
+        sabotage: Sabotage::None,
+        calm: true,
+        large: false,
+        wide: false,
+        scene: Some(scene.clone()),
+    });
+    let team_of = |job: &str| scene.jobs.iter().find(|j| j.spec.id == job).map(|j| j.spec.team.clone());
+    world.run_for(BEGIN + 60_000);
+    // They ask anew just then: the most that each has within the next seconds.
+    let mut most = [0.0f64; 3];
+    for _ in 0..LOOK_S {
+        world.run_for(1000);
+        let running = world.on_machines();
+        for (most, (team, _, guarantee)) in most.iter_mut().zip(&TEAMS[1..]) {
+            let of = |t: &&String| {
+                wire::ids::parse_task(t).is_some_and(|(job, _)| team_of(job).as_deref() == Some(*team))
+            };
+            *most = most.max((running.iter().filter(of).count() as f64).min(*guarantee));
+        }
+    }
+    let due: f64 = TEAMS[1..].iter().map(|(_, _, guarantee)| guarantee).sum();
+    seen.shares.push(most.iter().sum::<f64>() / due);
+    world.run_for(end - BEGIN - 60_000 - LOOK_S * 1000);
+    assert!(world.rules.broken.is_empty(), "seed {seed}: {:?}", world.rules.broken);
+    for job in scene.jobs.iter().filter(|j| j.spec.team != "flood") {
+        for n in 0..job.spec.tasks {
+            let began = world.began.get(&wire::ids::task_name(&job.spec.id, n)).copied();
+            // One that never ran has waited until the end.
+            seen.waits.push((began.unwrap_or(end).saturating_sub(job.at)) as f64 / 1000.0);
+        }
+    }
+    seen.stopped += world.stopped;
+    seen.lost_s += world.lost_ms as f64 / 1000.0;
+    let done = scene.jobs.iter().filter_map(|j| Some((j, world.rules.jobs.get(&j.spec.id)?)));
+    seen.useful_s += done.map(|(j, seen)| seen.done.len() as f64 * j.run_ms as f64 / 1000.0).sum::<f64>();
+}
+
+fn main() {
+    let mut rows = Vec::new();
+    for nested in [false, true] {
+        let mut seen = Seen::default();
+        (0..SEEDS).for_each(|seed| play(seed, nested, &mut seen));
+        seen.waits.sort_by(f64::total_cmp);
+        let at = |q: f64| seen.waits[((seen.waits.len() - 1) as f64 * q) as usize];
+        let share = seen.shares.iter().sum::<f64>() / seen.shares.len() as f64;
+        rows.push(format!(
+            "{{\"wait_p50_s\":{:.1},\"wait_p99_s\":{:.1},\"share_after_60_s\":{share:.3},\"stopped_tasks\":{},\"lost_gpu_s\":{:.0},\"useful_gpu_s\":{:.0}}}",
+            at(0.5),
+            at(0.99),
+            seen.stopped,
+            seen.lost_s,
+            seen.useful_s
+        ));
+    }
+    println!("{{\"seeds\":{SEEDS},\"flat\":{},\"tree\":{}}}", rows[0], rows[1]);
+}
--- a/crates/standins/src/worker.rs
+++ b/crates/standins/src/worker.rs
@@ -47,6 +47,8 @@
     pub changed: bool,
     /// For tests of the tests.
     pub ignores_stops: bool,
+    /// Tasks that were stopped as they ran, and for how long they had.
+    pub stopped: Vec<(String, u64)>,
 }
 
 impl Worker {
@@ -71,6 +73,7 @@
             taken_at: None,
             changed: false,
             ignores_stops: false,
+            stopped: Vec::new(),
         }
     }
 
@@ -185,6 +188,9 @@
                 Order::Stop { task, attempt, .. } if !self.ignores_stops => {
                     for t in self.tasks.iter_mut().filter(|t| t.name == *task && t.attempt == *attempt) {
                         if t.stage != TaskStage::Exited {
+                            if t.stage == TaskStage::Running {
+                                self.stopped.push((t.name.clone(), now.saturating_sub(t.since)));
+                            }
                             t.stage = TaskStage::Exited;
                             t.cause = Some(Cause::Stopped);
                         }
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -130,8 +130,12 @@
     tuning: Tuning,
     /// How operators' changes ended: the last status, and the version.
     pub changes: BTreeMap<String, (u16, u64)>,
-    /// Run time that was lost with tasks that were stopped or died, in seconds.
-    pub lost_s: f64,
+    /// Run time that was lost with attempts that were stopped, in milliseconds.
+    pub lost_ms: u64,
+    /// What tasks have saved when they were stopped, in scenes: so much less is left of them.
+    saved: BTreeMap<String, u64>,
+    /// When a task first ran.
+    pub began: BTreeMap<String, u64>,
 }
 
 const LEASE_MS: u64 = 15_000;
@@ -223,7 +227,9 @@
             run_ms: BTreeMap::new(),
             tuning,
             changes: BTreeMap::new(),
-            lost_s: 0.0,
+            lost_ms: 0,
+            saved: BTreeMap::new(),
+            began: BTreeMap::new(),
             plan,
         };
         if world.plan.large {
@@ -624,13 +630,13 @@
                     // Executed when it goes on, or comes through.
                     return self.at(until, Ev::Arrive(c));
                 }
-                let (jobs, runs) = (&self.rules.jobs, &self.run_ms);
+                let (jobs, runs, saved) = (&self.rules.jobs, &self.run_ms, &self.saved);
                 let Some(worker) = self.workers.get_mut(&name) else { return };
                 worker.expire(self.now, LEASE_MS);
                 let mut status = 200;
                 if c.path == "/commands" {
                     let Ok(orders) = wire::decode::<Orders>(&c.body) else { return };
-                    status = worker.commands(&orders, |t| times(jobs, runs, t), self.now);
+                    status = worker.commands(&orders, |t| times(jobs, runs, saved, t), self.now);
                 }
                 let report = serde_json::to_value(worker.report(self.now)).unwrap_or_default();
                 self.reply(&c, status, &report);
@@ -696,7 +702,7 @@
                 }
             }
             Origin::Worker { name, number, sent } => {
-                let (jobs, runs) = (&self.rules.jobs, &self.run_ms);
+                let (jobs, runs, saved) = (&self.rules.jobs, &self.run_ms, &self.saved);
                 let nodes = self.plan.nodes;
                 let Some(w) = self.workers.get_mut(&name) else { return };
                 if w.hung_until.max(w.cut_until) > self.now || w.out != Some((number, sent)) {
@@ -705,7 +711,7 @@
                 match response {
                     Some(r) if r.status == 200 => {
                         if let Ok(orders) = wire::decode::<Orders>(&r.body) {
-                            w.answered(number, sent, &orders, |t| times(jobs, runs, t), self.now);
+                            w.answered(number, sent, &orders, |t| times(jobs, runs, saved, t), self.now);
                         }
                     }
                     Some(r) if r.status == 421 => {
@@ -869,7 +875,21 @@
             w.out = Some((report.seq, now));
             send = Some((w.node, report));
         }
+        for (task, ms) in std::mem::take(&mut w.stopped) {
+            let job = wire::ids::parse_task(&task).and_then(|(id, _)| self.rules.jobs.get(id));
+            let saves = job.and_then(|j| j.spec.as_ref()).is_some_and(|s| s.checkpoint_s > 0.0);
+            if saves && self.plan.scene.is_some() {
+                *self.saved.entry(task).or_default() += ms;
+            } else {
+                self.lost_ms += ms;
+            }
+        }
         let (zone, machine_type, spot) = (w.zone.clone(), w.machine_type.clone(), w.spot);
+        if self.plan.scene.is_some() {
+            begun.iter().for_each(|t| {
+                self.began.entry(t.clone()).or_insert(now - 1_000_000);
+            });
+        }
         // In a large fleet everything is looked at once a second instead.
         if self.plan.large {
             self.rules.starts += begun.len() as u64;
@@ -1071,10 +1091,12 @@
 fn times(
     jobs: &BTreeMap<String, crate::rules::Job>,
     runs: &BTreeMap<String, u64>,
+    saved: &BTreeMap<String, u64>,
     task: &str,
 ) -> Option<(u64, u64)> {
     let (id, _) = wire::ids::parse_task(task)?;
     let job = jobs.get(id)?.spec.as_ref()?;
     let run = if job.kind == Kind::Service { 10_000_000 } else { *runs.get(id)? };
+    let run = run.saturating_sub(saved.get(task).copied().unwrap_or(0));
     Some((1000, run))
 }
