--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -5,6 +5,7 @@
 //! in place as a whole or not at all, whoever dies in its midst; what an owner that died had written of parts is in
 //! the way of nothing, and goes with the next change.
 
+use crate::quotas::fitting;
 use crate::standing::{team_counts, update};
 use crate::{Dest, Node, Pending};
 use quota::{Live, Spec, Tree, edit};
@@ -169,7 +170,7 @@
     fn prepare(&self, conn: Option<u64>, change: &Change) -> Result<Changing, Refused> {
         let q = &self.shared.quotas;
         let teams = self.settings.quota_teams();
-        let old = q.good.as_ref().map(|g| g.spec.clone()).unwrap_or_default();
+        let old = q.good.as_ref().map(|g| fitting(&g.spec, &teams)).unwrap_or_default();
         let new = match &change.edit {
             Edit::Set { spec } => Ok(spec.clone()),
             Edit::Move { name, to } => edit::transfer(&old, &teams, name, to.as_deref()),
--- a/crates/control/src/quotas.rs
+++ b/crates/control/src/quotas.rs
@@ -73,13 +73,7 @@
     fn adopt(&mut self, spec: Result<Spec, String>, teams: &[quota::Team]) {
         let version = self.head.version;
         let built = spec.and_then(|spec| {
-            // Who has left the settings has no work; its place in the tree waits for the next change.
-            let known: BTreeSet<&str> = teams.iter().map(|t| t.name.as_str()).collect();
-            let here: Spec = Spec {
-                teams: spec.teams.iter().filter(|t| known.contains(t.name.as_str())).cloned().collect(),
-                nodes: spec.nodes.clone(),
-            };
-            let tree = Tree::build(&here, teams).map_err(|f| f[0].to_string())?;
+            let tree = Tree::build(&fitting(&spec, teams), teams).map_err(|f| f[0].to_string())?;
             Ok(Good { version, spec: Arc::new(spec), tree: Arc::new(tree) })
         });
         match built {
@@ -101,6 +95,13 @@
     }
 }
 
+/// A tree without the teams that have left the settings: they have no work, and their places go with the next change.
+pub(crate) fn fitting(spec: &Spec, teams: &[quota::Team]) -> Spec {
+    let known: BTreeSet<&str> = teams.iter().map(|t| t.name.as_str()).collect();
+    let here = |t: &&quota::TeamSpec| known.contains(t.name.as_str());
+    Spec { nodes: spec.nodes.clone(), teams: spec.teams.iter().filter(here).cloned().collect() }
+}
+
 impl Node {
     /// Reads the parts of a new version, as soon as its head was seen.
     pub(crate) fn quotas_tick(&mut self) {
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -1,11 +1,10 @@
 //! Between the owner's memory and the planner: what it is shown, and what follows from its plan.
 
-use crate::jobs::{Ending, JobIx};
+use crate::jobs::{Ending, Job, JobIx};
 use crate::ledger::ClaimId;
 use crate::machines::{Claim, Machine, Need};
 use crate::part::{HireState, Part};
-use crate::quotas::Good;
-use crate::standing::{self, Levels};
+use crate::standing::{self, Holds};
 use crate::{Node, Tuning};
 use std::collections::{HashMap, HashSet};
 use wire::api::{Catalog, JobSpec, Kind, MachineType, Priority};
@@ -48,47 +47,6 @@
     unheld: &'a HashSet<u16>,
 }
 
-/// How far guarantees hold what there is: by the team's own alone, or by those of the nodes above it too.
-struct Holds {
-    flat: HashSet<JobIx>,
-    nested: HashMap<JobIx, Levels>,
-    /// By team, as far as quotas nest: how much of what its nodes are due is used.
-    fulfilled: HashMap<u16, f64>,
-}
-
-impl Holds {
-    /// Levels that hold the task that is the `k`th of a job.
-    fn held(&self, job: JobIx, k: u32) -> u8 {
-        match self.nested.get(&job) {
-            Some(levels) => standing::held(levels, k),
-            None => u8::from(self.flat.contains(&job)),
-        }
-    }
-
-    /// The job's waiting tasks by the levels that hold them, when so many are claimed; one entry for all that must
-    /// not be parted.
-    fn waiting(&self, ix: JobIx, spec: &JobSpec, claimed: u32, pending: u32) -> Vec<(u8, u32)> {
-        let parted = spec.kind == Kind::Array && !spec.spread && !spec.one_zone;
-        if !parted || !self.nested.contains_key(&ix) {
-            return vec![(self.held(ix, claimed), pending)];
-        }
-        let mut out: Vec<(u8, u32)> = Vec::new();
-        for k in claimed..claimed + pending {
-            let held = self.held(ix, k);
-            match out.last_mut() {
-                Some((same, n)) if *same == held => *n += 1,
-                // What is held least comes last: the rest is all alike.
-                _ if held == 0 => {
-                    out.push((0, claimed + pending - k));
-                    break;
-                }
-                _ => out.push((held, 1)),
-            }
-        }
-        out
-    }
-}
-
 /// A job as the planner sees it, as far as its description says.
 fn shaped(spec: &JobSpec, images: &mut crate::part::Names, names: &Names<'_>, team: u16) -> plan::Job {
     let types = match &spec.types {
@@ -188,96 +146,50 @@
     aims.iter().filter(|a| a.kind == "guarantee").filter_map(|a| a.within_s).reduce(f64::min)
 }
 
-/// How soon after its arrival a job that has waited for `age` should start: the first aim that can still be kept.
-fn told(aims: &[Objective], class: &str, guarantee: Option<f64>, age: f64) -> Option<f64> {
-    wait_aims(aims, class).chain(guarantee).filter(|within| *within > age).reduce(f64::min)
+/// What users were told to expect.
+struct Aims<'a> {
+    all: &'a [Objective],
 }
 
-/// Jobs that fit into their team's guarantee together with the team's earlier jobs that have not ended.
-fn within_guarantee(part: &Part, teams: &[Team]) -> HashSet<JobIx> {
-    let mut open: Vec<(u64, JobIx, &JobSpec)> = Vec::new();
-    for (ix, job) in part.jobs.iter().enumerate() {
-        if let Some(job) = job
-            && let Some(spec) = &job.spec
-            && !job.is_ending()
-        {
-            open.push((job.at_ms, ix, spec));
-        }
-    }
-    open.sort_unstable_by_key(|(at, ix, _)| (*at, *ix));
-    let mut left: HashMap<&str, (&Team, f64, f64)> =
-        teams.iter().map(|t| (t.name.as_str(), (t, t.cpus, t.gpus))).collect();
-    let mut out = HashSet::new();
-    for (_, ix, spec) in open {
-        let Some((team, cpus, gpus)) = left.get_mut(spec.team.as_str()) else { continue };
-        let n = f64::from(spec.tasks);
-        *cpus -= spec.cores * n;
-        *gpus -= spec.gpus * n;
-        // A team that has one resource guaranteed has its jobs counted by that one, whatever else they take; one
-        // that takes none of what is guaranteed has no guarantee.
-        let counted = |guaranteed: f64, need: f64| guaranteed > 0.0 && need > 0.0;
-        let (by_cpus, by_gpus) = (counted(team.cpus, spec.cores), counted(team.gpus, spec.gpus));
-        let fits = (by_cpus || by_gpus) && !(by_cpus && *cpus < -1e-6) && !(by_gpus && *gpus < -1e-6);
-        if fits {
-            out.insert(ix);
-        }
-    }
-    out
-}
-
-/// How far guarantees hold all open jobs. Brings the tree's counts up to date on the way.
-fn holds(part: &mut Part, teams: &[Team], good: Option<&Good>, index: &HashMap<&str, u16>) -> Holds {
-    let Some(good) = good else {
-        return Holds {
-            flat: within_guarantee(part, teams),
-            nested: HashMap::new(),
-            fulfilled: HashMap::new(),
+impl Aims<'_> {
+    /// What users were told to expect is a deadline too: the first that can still be kept. Who is furthest below what
+    /// it is due by the tree has the earliest of those alike.
+    fn with_deadline(&self, job: plan::Job, spec: &JobSpec, holds: &Holds, ix: JobIx) -> plan::Job {
+        let share = holds.fulfilled.get(&job.team).copied().unwrap_or(1.0);
+        let promise = guarantee_aim(self.all).filter(|_| job.held > 0).map(|within| within * share);
+        let told = match spec.kind {
+            Kind::Gang => told(self.all, &spec.class, promise, -job.arrival),
+            // An array starts task by task: what is left of it is no less promised for being late.
+            _ => promise,
         };
-    };
-    // A tree may have cut a team's guarantee below that of the settings.
-    let cut = |t: &Team| {
-        let own = good.spec.teams.iter().find(|s| s.name == t.name).and_then(|s| s.guarantee.as_ref());
-        let of = |name: &str, settled: f64| own.map_or(settled, |own| own.get(name).copied().unwrap_or(0.0));
-        Team { cpus: of("cpus", t.cpus), gpus: of("gpus", t.gpus), ..t.clone() }
-    };
-    let teams: Vec<Team> = teams.iter().map(cut).collect();
-    let flat = within_guarantee(part, &teams);
-    let tree = &good.tree;
-    if tree.nodes.is_empty() {
-        part.live = None;
-        return Holds { flat, nested: HashMap::new(), fulfilled: HashMap::new() };
+        let told = told.map(|within| within + job.estimate);
+        let due = spec.deadline_s.into_iter().chain(told).reduce(f64::min);
+        // What a tree entitles to stays due, also when the wait that users were told is over.
+        let promised = if holds.is_nested(ix) {
+            job.held > 0
+        } else {
+            promise.is_some_and(|within| within + job.arrival > 0.0)
+        };
+        plan::Job { due: due.map(|d| d + job.arrival), promised, ..job }
     }
-    let kept = part.live.take().filter(|(version, _)| *version == good.version);
-    let mut live = kept.map_or_else(|| quota::Live::new(tree.clone()), |(_, live)| live);
-    standing::update(&mut live, &standing::team_counts(part, tree));
-    let nested = standing::nested(part, &mut live);
-    let below = tree.leaves.iter().filter(|l| l.parent.is_some());
-    let ids = below.filter_map(|l| Some((*index.get(l.name.as_str())?, tree.team(&l.name)?)));
-    let fulfilled = ids.map(|(t, id)| (t, standing::fulfilled(&live, id))).collect();
-    part.live = Some((good.version, live));
-    Holds { flat, nested, fulfilled }
 }
 
-/// Teams on whose path nothing is guaranteed.
-fn unheld(tree: &quota::Tree, teams: &HashMap<&str, u16>) -> Vec<u16> {
-    let none = |name: &str| tree.team(name).is_some_and(|t| !standing::may_be_held(tree, t));
-    teams.iter().filter(|(name, _)| none(name)).map(|(_, t)| *t).collect()
+/// Tasks of a job that hold a place now, by zone.
+fn zones_taken(job: &Job, zone_of: &[Option<u16>]) -> Vec<(u16, u32)> {
+    let mut out: Vec<(u16, u32)> = Vec::new();
+    for (m, _) in job.claimed.values().flatten() {
+        let Some(Some(z)) = zone_of.get(*m) else { continue };
+        match out.iter_mut().find(|(id, _)| id == z) {
+            Some((_, n)) => *n += 1,
+            None => out.push((*z, 1)),
+        }
+    }
+    out
 }
 
-/// The tree's nodes as the planner knows them; all claims below one count against its bound.
-fn groups(tree: &quota::Tree, live: &quota::Live) -> Vec<plan::Group> {
-    let units = |v: i64| if v == quota::UNBOUNDED { f64::INFINITY } else { v as f64 / 1000.0 };
-    let res = |a: &quota::Amount| plan::Res {
-        cores: units(a[quota::CPUS]),
-        gpus: units(a[quota::GPUS]),
-        mem: units(a[quota::MEM]),
-    };
-    let group = |(i, node): (usize, &quota::Node)| plan::Group {
-        used: res(&live.used(quota::NodeId(i as u32))),
-        max: res(&node.max),
-        sheds: node.over == quota::Over::Reclaim,
-    };
-    tree.nodes.iter().enumerate().map(group).collect()
+/// How soon after its arrival a job that has waited for `age` should start: the first aim that can still be kept.
+fn told(aims: &[Objective], class: &str, guarantee: Option<f64>, age: f64) -> Option<f64> {
+    wait_aims(aims, class).chain(guarantee).filter(|within| *within > age).reduce(f64::min)
 }
 
 /// The time that a stopped task is given to save, if it can.
@@ -342,6 +254,29 @@
         }
     }
 
+    /// Teams with their limits: those of the recorded allotment, the tree's by the version that stands there. Without
+    /// one, or with another version in force, there is no room at all.
+    fn plan_teams(&self, tree: Option<&quota::Tree>) -> Vec<plan::Team> {
+        let version = self.shared.quotas.version();
+        let recorded = |p: &&Part| p.allot_version > 0 && p.allot_wanted.is_none();
+        let allot = self.part.as_ref().filter(recorded).and_then(|p| p.allot.as_ref());
+        let allot = allot.filter(|a| Some(a.tree) == version);
+        let none = AllotedTeam { name: String::new(), cpus_max: -1.0, gpus_max: -1.0 };
+        let max = |m: f64| if m == 0.0 { f64::INFINITY } else { m.max(0.0) };
+        let team = |t: &Team| {
+            let path = tree.and_then(|tree| Some(tree.path(tree.team(&t.name)?))).unwrap_or_default();
+            let t = allot.and_then(|a| a.teams.iter().find(|a| a.name == t.name)).unwrap_or(&none);
+            plan::Team {
+                path: path.into_iter().map(|n| n.0 as u16).collect(),
+                cores_used: 0.0,
+                gpus_used: 0.0,
+                cores_max: max(t.cpus_max),
+                gpus_max: max(t.gpus_max),
+            }
+        };
+        self.settings.cluster.teams.iter().map(team).collect()
+    }
+
     fn plan_input(&mut self, catalog: &Catalog) -> (plan::Input, Map) {
         let now = self.now;
         let types = index(catalog.types.iter().map(|t| &t.name));
@@ -356,36 +291,16 @@
             ..plan::Input::default()
         };
         let mut map = Map { machines: Vec::new(), jobs: Vec::new(), claims: Vec::new() };
-        // Limits are those of the recorded allotment, the tree's by the version that stands there; without one, or
-        // with another version in force, there is no room at all.
-        let version = self.shared.quotas.version();
-        let recorded = |p: &&Part| p.allot_version > 0 && p.allot_wanted.is_none();
-        let allot = self.part.as_ref().filter(recorded).and_then(|p| p.allot.as_ref());
-        let allot = allot.filter(|a| Some(a.tree) == version);
         let good = self.shared.quotas.good.clone();
         let tree = good.as_ref().map(|g| g.tree.clone()).filter(|tree| !tree.nodes.is_empty());
-        let none = AllotedTeam { name: String::new(), cpus_max: -1.0, gpus_max: -1.0 };
-        for t in &self.settings.cluster.teams {
-            let name = &t.name;
-            let t = allot.and_then(|a| a.teams.iter().find(|a| a.name == t.name)).unwrap_or(&none);
-            let max = |m: f64| if m == 0.0 { f64::INFINITY } else { m.max(0.0) };
-            let path = tree.as_ref().and_then(|tree| Some(tree.path(tree.team(name)?)));
-            let path = path.unwrap_or_default().into_iter().map(|n| n.0 as u16).collect();
-            input.teams.push(plan::Team {
-                path,
-                cores_used: 0.0,
-                gpus_used: 0.0,
-                cores_max: max(t.cpus_max),
-                gpus_max: max(t.gpus_max),
-            });
-        }
+        input.teams = self.plan_teams(tree.as_deref());
         let Some(part) = &mut self.part else { return (input, map) };
-        let promise = guarantee_aim(&self.settings.cluster.objectives);
-        let holds = holds(part, &self.settings.cluster.teams, good.as_ref(), &teams);
-        let unheld: HashSet<u16> = tree.iter().flat_map(|tree| unheld(tree, &teams)).collect();
+        let aims = Aims { all: &self.settings.cluster.objectives };
+        let holds = standing::holds(part, &self.settings.cluster.teams, good.as_ref(), &teams);
+        let unheld: HashSet<u16> = tree.iter().flat_map(|tree| standing::unheld(tree, &teams)).collect();
         let names = Names { catalog, types: &types, zones: &zones, teams: &teams, unheld: &unheld };
         if let (Some(tree), Some((_, live))) = (&tree, &part.live) {
-            input.groups = groups(tree, live);
+            input.groups = standing::groups(tree, live);
         }
         // Claims of each job that stay: they count as held before what waits.
         let mut staying: HashMap<JobIx, u32> = HashMap::new();
@@ -479,50 +394,20 @@
             if pending == 0 {
                 continue;
             }
-            let mut by_zone: Vec<(u16, u32)> = Vec::new();
-            for (m, _) in job.claimed.values().flatten() {
-                let Some(Some(z)) = zone_of.get(*m) else { continue };
-                match by_zone.iter_mut().find(|(id, _)| id == z) {
-                    Some((_, n)) => *n += 1,
-                    None => by_zone.push((*z, 1)),
-                }
-            }
+            let by_zone = zones_taken(job, &zone_of);
             let factor = part.classes.get(&spec.class).map_or(1.0, |c| c.factor());
-            let arrival = -(now.wall.saturating_sub(job.at_ms) as f64 / 1000.0);
-            let estimate = (spec.estimate_s * factor - job.progress_s).max(1.0);
-            // What users were told to expect is a deadline too: the first that can still be kept.
+            let like = plan::Job {
+                arrival: -(now.wall.saturating_sub(job.at_ms) as f64 / 1000.0),
+                estimate: (spec.estimate_s * factor - job.progress_s).max(1.0),
+                zones: by_zone,
+                avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
+                ..shaped(spec, &mut part.images, &names, *team)
+            };
             let claimed = staying.get(&ix).copied().unwrap_or(0);
-            let mut parts = holds.waiting(ix, spec, claimed, pending);
-            // Who is furthest below what it is due has the earliest deadline of those alike.
-            let due_part = holds.fulfilled.get(team).copied().unwrap_or(1.0);
-            let is_nested = holds.nested.contains_key(&ix);
-            let shape = shaped(spec, &mut part.images, &names, *team);
-            for (held, pending) in parts.drain(..) {
-                let promise = promise.filter(|_| held > 0).map(|within| within * due_part);
-                let told = match spec.kind {
-                    Kind::Gang => told(&self.settings.cluster.objectives, &spec.class, promise, -arrival),
-                    // An array starts task by task: what is left of it is no less promised for being late.
-                    _ => promise,
-                };
-                let due =
-                    spec.deadline_s.into_iter().chain(told.map(|within| within + estimate)).reduce(f64::min);
+            for (held, pending) in holds.waiting(ix, spec, claimed, pending) {
+                let planned = plan::Job { pending, held, ..like.clone() };
                 map.jobs.push(ix);
-                input.jobs.push(plan::Job {
-                    arrival,
-                    estimate,
-                    pending,
-                    due: due.map(|d| d + arrival),
-                    // What a tree entitles to stays due, also when the wait that users were told is over.
-                    promised: if is_nested {
-                        held > 0
-                    } else {
-                        promise.is_some_and(|within| within + arrival > 0.0)
-                    },
-                    held,
-                    zones: by_zone.clone(),
-                    avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
-                    ..shape.clone()
-                });
+                input.jobs.push(aims.with_deadline(planned, spec, &holds, ix));
             }
         }
         input.spares = spares(part, &self.settings.cluster.objectives, &names, &self.tuning, now.wall);
@@ -670,105 +555,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::jobs::Job;
-    use wire::records::JobRec;
-
-    fn spec(id: u32, team: &str, tasks: u32, cores: f64, gpus: f64) -> JobSpec {
-        JobSpec {
-            id: format!("job-{id}"),
-            class: "c".into(),
-            team: team.into(),
-            kind: Kind::Array,
-            priority: Priority::Normal,
-            tasks,
-            cores,
-            gpus,
-            mem_gb: 1.0,
-            image: "i".into(),
-            image_gb: 1.0,
-            types: None,
-            zone: None,
-            one_zone: false,
-            spread: false,
-            spot: false,
-            estimate_s: 10.0,
-            checkpoint_s: 0.0,
-            save_s: 0.0,
-            deadline_s: None,
-        }
-    }
-
-    /// GPU jobs of a team that has only processors guaranteed were never within its guarantee.
-    #[test]
-    fn a_guarantee_counts_by_the_resources_that_are_guaranteed() {
-        let team = |name: &str, cpus: f64, gpus: f64| Team {
-            name: name.into(),
-            cpus,
-            cpus_max: 0.0,
-            gpus,
-            gpus_max: 0.0,
-        };
-        let teams = [team("cpus", 20.0, 0.0), team("gpus", 0.0, 4.0), team("both", 20.0, 4.0)];
-        let mut part = Part::new(1, 1, 0, 16.0);
-        let jobs = [
-            ("cpus", 3, 6.0, 1.0, true),  // 18 of 20 CPUs, though no GPU is guaranteed.
-            ("cpus", 1, 6.0, 0.0, false), // Past them, with the job before.
-            ("gpus", 4, 60.0, 1.0, true), // The CPUs do not count.
-            ("gpus", 1, 1.0, 0.0, false), // Takes nothing of what is guaranteed.
-            ("both", 4, 2.0, 1.0, true),  // Fits in both.
-            ("both", 1, 2.0, 1.0, false), // No GPU is left.
-            ("none", 1, 1.0, 0.0, false), // An unknown team.
-        ];
-        for (i, (team, tasks, cores, gpus, _)) in jobs.iter().enumerate() {
-            let spec = spec(i as u32, team, *tasks, *cores, *gpus);
-            part.add_job(Job::new(JobRec { spec, at_ms: i as u64, part: 0 }, 1));
-        }
-        let within = within_guarantee(&part, &teams);
-        for (i, (team, .., expected)) in jobs.iter().enumerate() {
-            assert_eq!(within.contains(&i), *expected, "job {i} of {team}");
-        }
-    }
-
-    /// A flat tree that repeats the settings, and no tree, hold the same jobs; so decisions are the same, one for one.
-    #[test]
-    fn a_flat_tree_holds_what_the_settings_do() {
-        let team = |name: &str, cpus: f64, gpus: f64| Team {
-            name: name.into(),
-            cpus,
-            cpus_max: 0.0,
-            gpus,
-            gpus_max: 0.0,
-        };
-        let teams = [team("a", 20.0, 0.0), team("b", 0.3333, 4.0), team("c", 0.0, 0.0)];
-        let leaves: Vec<quota::Team> = teams
-            .iter()
-            .map(|t| quota::Team {
-                guarantee: [("cpus".to_owned(), t.cpus), ("gpus".to_owned(), t.gpus)].into(),
-                ..quota::Team::new(&t.name)
-            })
-            .collect();
-        let mut spec_of_tree = quota::Spec::default();
-        spec_of_tree.teams.extend(["a", "c"].map(|t| quota::TeamSpec::new(t, None)));
-        let tree = quota::Tree::build(&spec_of_tree, &leaves).expect("good");
-        let good = Good { version: 1, spec: spec_of_tree.into(), tree: tree.into() };
-        let index: HashMap<&str, u16> =
-            teams.iter().enumerate().map(|(i, t)| (t.name.as_str(), i as u16)).collect();
-        let mut rng = fastrand::Rng::with_seed(5);
-        for _ in 0..200 {
-            let mut part = Part::new(1, 1, 0, 16.0);
-            for i in 0..12 {
-                let team = ["a", "b", "c"][rng.usize(0..3)];
-                let (tasks, cores) = (rng.u32(1..5), [0.1111, 1.0, 6.0][rng.usize(0..3)]);
-                let spec = spec(i, team, tasks, cores, f64::from(rng.u32(0..3)));
-                part.add_job(Job::new(JobRec { spec, at_ms: u64::from(i), part: 0 }, 1));
-            }
-            let without = holds(&mut part, &teams, None, &index);
-            let with = holds(&mut part, &teams, Some(&good), &index);
-            assert_eq!(without.flat, with.flat);
-            assert!(with.nested.is_empty() && with.fulfilled.is_empty() && part.live.is_none());
-        }
-    }
-
     /// A gang that had missed one aim for good stood before those that could still keep it.
     #[test]
     fn the_first_aim_that_can_still_be_kept_counts() {
--- a/crates/control/src/standing.rs
+++ b/crates/control/src/standing.rs
@@ -3,9 +3,57 @@
 
 use crate::jobs::JobIx;
 use crate::part::Part;
+use crate::quotas::Good;
 use quota::{Amount, Count, Live, MAX_RESOURCES, NOTHING, Share, TeamId, Tree, amount};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use wire::api::{JobSpec, Kind};
+use wire::settings::Team;
+
+/// How far guarantees hold what there is: by the team's own alone, or by those of the nodes above it too.
+pub(crate) struct Holds {
+    flat: HashSet<JobIx>,
+    nested: HashMap<JobIx, Levels>,
+    /// By team, as far as quotas nest: how much of what its nodes are due is used.
+    pub fulfilled: HashMap<u16, f64>,
+}
+
+impl Holds {
+    /// Whether a job's team hangs below a node.
+    pub fn is_nested(&self, job: JobIx) -> bool {
+        self.nested.contains_key(&job)
+    }
+
+    /// Levels that hold the task that is the `k`th of a job.
+    pub fn held(&self, job: JobIx, k: u32) -> u8 {
+        match self.nested.get(&job) {
+            Some(levels) => held(levels, k),
+            None => u8::from(self.flat.contains(&job)),
+        }
+    }
+
+    /// The job's waiting tasks by the levels that hold them, when so many are claimed; one entry for all that must
+    /// not be parted.
+    pub fn waiting(&self, ix: JobIx, spec: &JobSpec, claimed: u32, pending: u32) -> Vec<(u8, u32)> {
+        let parted = spec.kind == Kind::Array && !spec.spread && !spec.one_zone;
+        if !parted || !self.nested.contains_key(&ix) {
+            return vec![(self.held(ix, claimed), pending)];
+        }
+        let mut out: Vec<(u8, u32)> = Vec::new();
+        for k in claimed..claimed + pending {
+            let held = self.held(ix, k);
+            match out.last_mut() {
+                Some((same, n)) if *same == held => *n += 1,
+                // What is held least comes last: the rest is all alike.
+                _ if held == 0 => {
+                    out.push((0, claimed + pending - k));
+                    break;
+                }
+                _ => out.push((held, 1)),
+            }
+        }
+        out
+    }
+}
 
 /// What tasks take, in the tree's resources.
 pub(crate) fn takes(cores: f64, gpus: f64, mem_gb: f64) -> Amount {
@@ -52,16 +100,16 @@
 }
 
 /// How many tasks of a job are held on at least one, two, ... levels, from the root down; the first is the largest.
-pub(crate) type Levels = Vec<u32>;
+type Levels = Vec<u32>;
 
 /// How many levels hold the task that is the `k`th of its job, those that run first.
-pub(crate) fn held(levels: &Levels, k: u32) -> u8 {
+fn held(levels: &Levels, k: u32) -> u8 {
     levels.iter().take_while(|n| **n > k).count() as u8
 }
 
 /// The jobs of teams below some node, each with how far its tasks are held. The earlier accepted come first, and an
 /// array is held task by task.
-pub(crate) fn nested(part: &Part, live: &mut Live) -> HashMap<JobIx, Levels> {
+fn nested(part: &Part, live: &mut Live) -> HashMap<JobIx, Levels> {
     let tree = live.tree().clone();
     let mut open: Vec<(u64, JobIx, TeamId, &JobSpec)> = Vec::new();
     for (ix, job) in part.jobs.iter().enumerate() {
@@ -111,7 +159,7 @@
 
 /// How much of what the nodes above a team are entitled to is used: that of the node furthest below, at most 1. The
 /// wait that a guarantee allows shrinks with it, so that who is furthest below has the earliest deadline.
-pub(crate) fn fulfilled(live: &Live, team: TeamId) -> f64 {
+fn fulfilled(live: &Live, team: TeamId) -> f64 {
     let tree = live.tree();
     let node = |n: &quota::NodeId| {
         let guarantee = tree.nodes[n.0 as usize].guarantee;
@@ -126,15 +174,135 @@
 }
 
 /// Whether something on a team's path is guaranteed anything.
-pub(crate) fn may_be_held(tree: &Tree, team: TeamId) -> bool {
+fn may_be_held(tree: &Tree, team: TeamId) -> bool {
     let leaf = &tree.leaves[team.0 as usize];
     let path = tree.path(team);
     path.is_empty() || leaf.guarantee != NOTHING || tree.nodes[path[0].0 as usize].guarantee != NOTHING
 }
 
+/// Jobs that fit into their team's guarantee together with the team's earlier jobs that have not ended.
+fn within_guarantee(part: &Part, teams: &[Team]) -> HashSet<JobIx> {
+    let mut open: Vec<(u64, JobIx, &JobSpec)> = Vec::new();
+    for (ix, job) in part.jobs.iter().enumerate() {
+        if let Some(job) = job
+            && let Some(spec) = &job.spec
+            && !job.is_ending()
+        {
+            open.push((job.at_ms, ix, spec));
+        }
+    }
+    open.sort_unstable_by_key(|(at, ix, _)| (*at, *ix));
+    let mut left: HashMap<&str, (&Team, f64, f64)> =
+        teams.iter().map(|t| (t.name.as_str(), (t, t.cpus, t.gpus))).collect();
+    let mut out = HashSet::new();
+    for (_, ix, spec) in open {
+        let Some((team, cpus, gpus)) = left.get_mut(spec.team.as_str()) else { continue };
+        let n = f64::from(spec.tasks);
+        *cpus -= spec.cores * n;
+        *gpus -= spec.gpus * n;
+        // A team that has one resource guaranteed has its jobs counted by that one, whatever else they take; one
+        // that takes none of what is guaranteed has no guarantee.
+        let counted = |guaranteed: f64, need: f64| guaranteed > 0.0 && need > 0.0;
+        let (by_cpus, by_gpus) = (counted(team.cpus, spec.cores), counted(team.gpus, spec.gpus));
+        let fits = (by_cpus || by_gpus) && !(by_cpus && *cpus < -1e-6) && !(by_gpus && *gpus < -1e-6);
+        if fits {
+            out.insert(ix);
+        }
+    }
+    out
+}
+
+/// How far guarantees hold all open jobs. Brings the tree's counts up to date on the way.
+pub(crate) fn holds(
+    part: &mut Part,
+    teams: &[Team],
+    good: Option<&Good>,
+    index: &HashMap<&str, u16>,
+) -> Holds {
+    let Some(good) = good else {
+        return Holds {
+            flat: within_guarantee(part, teams),
+            nested: HashMap::new(),
+            fulfilled: HashMap::new(),
+        };
+    };
+    // A tree may have cut a team's guarantee below that of the settings.
+    let cut = |t: &Team| {
+        let own = good.spec.teams.iter().find(|s| s.name == t.name).and_then(|s| s.guarantee.as_ref());
+        let of = |name: &str, settled: f64| own.map_or(settled, |own| own.get(name).copied().unwrap_or(0.0));
+        Team { cpus: of("cpus", t.cpus), gpus: of("gpus", t.gpus), ..t.clone() }
+    };
+    let teams: Vec<Team> = teams.iter().map(cut).collect();
+    let flat = within_guarantee(part, &teams);
+    let tree = &good.tree;
+    if tree.nodes.is_empty() {
+        part.live = None;
+        return Holds { flat, nested: HashMap::new(), fulfilled: HashMap::new() };
+    }
+    let kept = part.live.take().filter(|(version, _)| *version == good.version);
+    let mut live = kept.map_or_else(|| quota::Live::new(tree.clone()), |(_, live)| live);
+    update(&mut live, &team_counts(part, tree));
+    let nested = nested(part, &mut live);
+    let below = tree.leaves.iter().filter(|l| l.parent.is_some());
+    let ids = below.filter_map(|l| Some((*index.get(l.name.as_str())?, tree.team(&l.name)?)));
+    let fulfilled = ids.map(|(t, id)| (t, fulfilled(&live, id))).collect();
+    part.live = Some((good.version, live));
+    Holds { flat, nested, fulfilled }
+}
+
+/// Teams on whose path nothing is guaranteed.
+pub(crate) fn unheld(tree: &quota::Tree, teams: &HashMap<&str, u16>) -> Vec<u16> {
+    let none = |name: &str| tree.team(name).is_some_and(|t| !may_be_held(tree, t));
+    teams.iter().filter(|(name, _)| none(name)).map(|(_, t)| *t).collect()
+}
+
+/// The tree's nodes as the planner knows them; all claims below one count against its bound.
+pub(crate) fn groups(tree: &quota::Tree, live: &quota::Live) -> Vec<plan::Group> {
+    let units = |v: i64| if v == quota::UNBOUNDED { f64::INFINITY } else { v as f64 / 1000.0 };
+    let res = |a: &quota::Amount| plan::Res {
+        cores: units(a[quota::CPUS]),
+        gpus: units(a[quota::GPUS]),
+        mem: units(a[quota::MEM]),
+    };
+    let group = |(i, node): (usize, &quota::Node)| plan::Group {
+        used: res(&live.used(quota::NodeId(i as u32))),
+        max: res(&node.max),
+        sheds: node.over == quota::Over::Reclaim,
+    };
+    tree.nodes.iter().enumerate().map(group).collect()
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::jobs::Job;
+    use wire::api::Priority;
+    use wire::records::JobRec;
+
+    fn spec(id: u32, team: &str, tasks: u32, cores: f64, gpus: f64) -> JobSpec {
+        JobSpec {
+            id: format!("job-{id}"),
+            class: "c".into(),
+            team: team.into(),
+            kind: Kind::Array,
+            priority: Priority::Normal,
+            tasks,
+            cores,
+            gpus,
+            mem_gb: 1.0,
+            image: "i".into(),
+            image_gb: 1.0,
+            types: None,
+            zone: None,
+            one_zone: false,
+            spread: false,
+            spot: false,
+            estimate_s: 10.0,
+            checkpoint_s: 0.0,
+            save_s: 0.0,
+            deadline_s: None,
+        }
+    }
 
     fn share(gpus: i64) -> Share {
         let mut out = [None; MAX_RESOURCES];
@@ -159,4 +327,65 @@
         let levels = vec![4, 3, 1];
         assert_eq!((0..5).map(|k| held(&levels, k)).collect::<Vec<_>>(), [3, 2, 2, 1, 0]);
     }
+
+    fn team(name: &str, cpus: f64, gpus: f64) -> Team {
+        Team { name: name.into(), cpus, cpus_max: 0.0, gpus, gpus_max: 0.0 }
+    }
+
+    /// GPU jobs of a team that has only processors guaranteed were never within its guarantee.
+    #[test]
+    fn a_guarantee_counts_by_the_resources_that_are_guaranteed() {
+        let teams = [team("cpus", 20.0, 0.0), team("gpus", 0.0, 4.0), team("both", 20.0, 4.0)];
+        let mut part = Part::new(1, 1, 0, 16.0);
+        let jobs = [
+            ("cpus", 3, 6.0, 1.0, true),  // 18 of 20 CPUs, though no GPU is guaranteed.
+            ("cpus", 1, 6.0, 0.0, false), // Past them, with the job before.
+            ("gpus", 4, 60.0, 1.0, true), // The CPUs do not count.
+            ("gpus", 1, 1.0, 0.0, false), // Takes nothing of what is guaranteed.
+            ("both", 4, 2.0, 1.0, true),  // Fits in both.
+            ("both", 1, 2.0, 1.0, false), // No GPU is left.
+            ("none", 1, 1.0, 0.0, false), // An unknown team.
+        ];
+        for (i, (team, tasks, cores, gpus, _)) in jobs.iter().enumerate() {
+            let spec = spec(i as u32, team, *tasks, *cores, *gpus);
+            part.add_job(Job::new(JobRec { spec, at_ms: i as u64, part: 0 }, 1));
+        }
+        let within = within_guarantee(&part, &teams);
+        for (i, (team, .., expected)) in jobs.iter().enumerate() {
+            assert_eq!(within.contains(&i), *expected, "job {i} of {team}");
+        }
+    }
+
+    /// A flat tree that repeats the settings, and no tree, hold the same jobs; so decisions are the same, one for one.
+    #[test]
+    fn a_flat_tree_holds_what_the_settings_do() {
+        let teams = [team("a", 20.0, 0.0), team("b", 0.3333, 4.0), team("c", 0.0, 0.0)];
+        let leaves: Vec<quota::Team> = teams
+            .iter()
+            .map(|t| quota::Team {
+                guarantee: [("cpus".to_owned(), t.cpus), ("gpus".to_owned(), t.gpus)].into(),
+                ..quota::Team::new(&t.name)
+            })
+            .collect();
+        let mut spec_of_tree = quota::Spec::default();
+        spec_of_tree.teams.extend(["a", "c"].map(|t| quota::TeamSpec::new(t, None)));
+        let tree = quota::Tree::build(&spec_of_tree, &leaves).expect("good");
+        let good = Good { version: 1, spec: spec_of_tree.into(), tree: tree.into() };
+        let index: HashMap<&str, u16> =
+            teams.iter().enumerate().map(|(i, t)| (t.name.as_str(), i as u16)).collect();
+        let mut rng = fastrand::Rng::with_seed(5);
+        for _ in 0..200 {
+            let mut part = Part::new(1, 1, 0, 16.0);
+            for i in 0..12 {
+                let team = ["a", "b", "c"][rng.usize(0..3)];
+                let (tasks, cores) = (rng.u32(1..5), [0.1111, 1.0, 6.0][rng.usize(0..3)]);
+                let spec = spec(i, team, tasks, cores, f64::from(rng.u32(0..3)));
+                part.add_job(Job::new(JobRec { spec, at_ms: u64::from(i), part: 0 }, 1));
+            }
+            let without = holds(&mut part, &teams, None, &index);
+            let with = holds(&mut part, &teams, Some(&good), &index);
+            assert_eq!(without.flat, with.flat);
+            assert!(with.nested.is_empty() && with.fulfilled.is_empty() && part.live.is_none());
+        }
+    }
 }
