More teams than one record holds; bounds and claims never change in one transaction unchecked

Cause: the allotment listed every team of the settings in one record; with a thousand teams the state service refused it as too large, the owner stepped down, and nothing ever started. Two of the guards of a change of the tree could be taken out without any test failing.

Change: a list that would be too large is recorded as a digest of the whole limits. The stand-ins look into each transaction for claims beside new bounds, and a change made for an old version is tried seconds later too.

--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -234,8 +234,8 @@
     fn tree(&mut self, part: &mut Part) {
         let Some(change) = &part.changing else { return };
         let head = change.head.clone();
-        let teams = part.allot.as_ref().map(|a| a.teams.clone()).unwrap_or_default();
-        let allot = AllotRec { teams, tree: head.version };
+        let Some(allot) = part.allot.clone() else { return };
+        let allot = AllotRec { tree: head.version, ..allot };
         self.put(records::QUOTA.into(), change.stamp, Record::Quota(HeadRec { quota: head }));
         self.put(records::allot_key(PART), part.allot_version, Record::Allot(allot.clone()));
         part.allot = Some(allot);
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -484,7 +484,8 @@
             .collect();
         // While no version can be acted on, the one that was recorded stays, and nothing starts.
         let recorded = self.part.as_ref().and_then(|p| p.allot.as_ref()).map_or(0, |a| a.tree);
-        AllotRec { teams, tree: self.shared.quotas.version().unwrap_or(recorded) }
+        let value = value_limit(self.settings.cluster.state.value_kb);
+        AllotRec::whole(teams, self.shared.quotas.version().unwrap_or(recorded), value)
     }
 
     pub(crate) fn load_ended(&mut self) {
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -261,17 +261,21 @@
         let recorded = |p: &&Part| p.allot_version > 0 && p.allot_wanted.is_none();
         let allot = self.part.as_ref().filter(recorded).and_then(|p| p.allot.as_ref());
         let allot = allot.filter(|a| Some(a.tree) == version);
-        let none = AllotedTeam { name: String::new(), cpus_max: -1.0, gpus_max: -1.0 };
+        let listed: HashMap<&str, &AllotedTeam> =
+            allot.iter().flat_map(|a| &a.teams).map(|t| (t.name.as_str(), t)).collect();
+        let whole = allot.is_some_and(|a| a.whole.is_some());
         let max = |m: f64| if m == 0.0 { f64::INFINITY } else { m.max(0.0) };
         let team = |t: &Team| {
             let path = tree.and_then(|tree| Some(tree.path(tree.team(&t.name)?))).unwrap_or_default();
-            let t = allot.and_then(|a| a.teams.iter().find(|a| a.name == t.name)).unwrap_or(&none);
+            let limits = listed.get(t.name.as_str()).map(|a| (a.cpus_max, a.gpus_max));
+            let limits = limits.or(whole.then_some((t.cpus_max, t.gpus_max)));
+            let (cpus_max, gpus_max) = limits.unwrap_or((-1.0, -1.0));
             plan::Team {
                 path: path.into_iter().map(|n| n.0 as u16).collect(),
                 cores_used: 0.0,
                 gpus_used: 0.0,
-                cores_max: max(t.cpus_max),
-                gpus_max: max(t.gpus_max),
+                cores_max: max(cpus_max),
+                gpus_max: max(gpus_max),
             }
         };
         self.settings.cluster.teams.iter().map(team).collect()
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -352,6 +352,21 @@
         }
     }
 
+    /// What was planned under other bounds must not be recorded together with new ones.
+    fn claims_with_bounds(&mut self, body: &[u8]) {
+        let Ok(txn) = wire::decode::<Value>(body) else { return };
+        let writes = txn["writes"].as_array().map_or(&[][..], Vec::as_slice);
+        let puts = |key: &'static str| {
+            let at = move |w: &&Value| w["write"].as_str().is_some_and(|k| k.starts_with(key));
+            writes.iter().filter(at)
+        };
+        let claims = puts("part/0/log/").any(|w| w["v"]["claims"].as_array().is_some_and(|c| !c.is_empty()));
+        if claims && puts("part/0/allot").next().is_some() {
+            self.rules
+                .breaks("old_plan", format!("{}: claims in the transaction that changes bounds", self.now));
+        }
+    }
+
     /// The tree that the part's allotment names, once it names another one.
     fn follow_tree(&mut self) {
         let Some(scene) = &self.plan.scene else { return };
@@ -590,7 +605,8 @@
                 self.state.expire(self.now);
                 match self.state.handle(self.now, c.method, &c.path, &c.body) {
                     Outcome::Now(status, body) => {
-                        if c.path == "/txn" && status == 200 {
+                        if c.path == "/txn" && status == 200 && self.plan.scene.is_some() {
+                            self.claims_with_bounds(&c.body);
                             self.follow_tree();
                         }
                         let stranger = self.plan.sabotage == Sabotage::StrangersKnown;
--- a/crates/standins/tests/quotas.rs
+++ b/crates/standins/tests/quotas.rs
@@ -199,7 +199,9 @@
 fn one_of_two_changes_at_once_is_a_conflict() {
     for seed in 0..10 {
         let mut scene = scene().tree(5000, "first", &houses());
-        for (id, at) in [("a", 20_000), ("b", 20_000 + seed)] {
+        // In the midst of the other one, or well after it.
+        let later = if seed < 7 { seed } else { 1000 * seed };
+        for (id, at) in [("a", 20_000), ("b", 20_000 + later)] {
             let edit = Edit::Move { name: "blue".into(), to: Some("film".into()) };
             scene.changes.push((at, change(id, Some(1), edit)));
         }
@@ -285,3 +287,26 @@
     assert!(uses(&world, "green") >= 4, "and what it is guaranteed itself");
     assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
 }
+
+/// The allotment listed every team in one record: with more than some hundred it was refused as too large, and
+/// nothing ever started.
+#[test]
+fn a_thousand_teams_fit() {
+    let mut scene = Scene { machines: 8, ..Scene::default() };
+    let mut tree = houses();
+    tree.teams.clear();
+    for i in 0..1000 {
+        let name = format!("team-{i}-with-a-name-of-its-own");
+        scene = scene.team(&name, 0.0, if i == 0 { 3.0 } else { 0.0 });
+        tree.teams.push(TeamSpec::new(&name, Some(["news", "film", "south"][i % 3])));
+    }
+    scene = scene.tree(2000, "first", &tree);
+    for i in 0..20 {
+        let team = scene.teams[i % 2].name.clone();
+        scene.jobs.push(timed(5000, 5000, array(1000 + i as u32, &team, 2, 5.0)));
+    }
+    let mut world = world(1, 3, scene.clone());
+    world.run_for(120_000);
+    assert!(world.rules.broken.is_empty() && world.unfinished().is_empty(), "{:?}", world.rules.broken);
+    assert_eq!((world.state.counts.too_large, whole(&world, &scene)), (0, 1));
+}
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -58,12 +58,26 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct AllotRec {
     pub teams: Vec<AllotedTeam>,
+    /// Where a list of all teams would be too large: a digest of it. The part has the whole of each limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub whole: Option<String>,
     /// The version of the quota tree whose bounds the part keeps, all of them being its own as long as it is the only
     /// one; 0 without a tree. Nothing starts under a version that does not stand here.
     #[serde(default, skip_serializing_if = "is_zero")]
     pub tree: u64,
 }
 
+impl AllotRec {
+    /// All limits whole, in a record of at most `value` bytes.
+    pub fn whole(teams: Vec<AllotedTeam>, tree: u64, value: usize) -> Self {
+        let list = AllotRec { teams, whole: None, tree };
+        if crate::tree::text(&list).len() <= value {
+            return list;
+        }
+        AllotRec { teams: Vec::new(), whole: Some(crate::tree::digest(&list.teams)), tree }
+    }
+}
+
 fn is_zero(v: &u64) -> bool {
     *v == 0
 }
--- a/crates/wire/src/tree.rs
+++ b/crates/wire/src/tree.rs
@@ -86,17 +86,22 @@
 
 impl PartRec {
     fn name(&self) -> String {
-        let mut out = String::with_capacity(NAME);
-        for byte in Sha256::digest(text(self)).iter().take(NAME / 2) {
-            // Writing to a string can't fail.
-            let _ = write!(out, "{byte:02x}");
-        }
-        out
+        digest(self)
+    }
+}
+
+/// The first half of a digest, in hexadecimal.
+pub(crate) fn digest<T: Serialize>(value: &T) -> String {
+    let mut out = String::with_capacity(NAME);
+    for byte in Sha256::digest(text(value)).iter().take(NAME / 2) {
+        // Writing to a string can't fail.
+        let _ = write!(out, "{byte:02x}");
     }
+    out
 }
 
 /// The form that limits are counted in, and that digests are made of.
-fn text<T: Serialize>(value: &T) -> Vec<u8> {
+pub(crate) fn text<T: Serialize>(value: &T) -> Vec<u8> {
     serde_json::to_vec(value).unwrap_or_default()
 }
 
