--- a/crates/quota/src/why.rs
+++ b/crates/quota/src/why.rs
@@ -91,8 +91,11 @@
         let name = |n: &NodeId| tree.nodes[n.0 as usize].name.clone();
         let mut entitled = Vec::new();
         let mut most = [0; MAX_RESOURCES];
+        let mut counted = [false; MAX_RESOURCES];
         for depth in 0..=path.len() {
-            let share = self.entitled(team, depth).map(|v| v.unwrap_or(0));
+            let share = self.entitled(team, depth);
+            (0..MAX_RESOURCES).for_each(|r| counted[r] |= share[r].is_some());
+            let share = share.map(|v| v.unwrap_or(0));
             (0..MAX_RESOURCES).for_each(|r| most[r] = most[r].max(share[r]));
             entitled.push((path.get(depth).map_or_else(|| leaf.name.clone(), name), named(self, &share)));
         }
@@ -115,15 +118,18 @@
             wanted: named(self, &count.demand),
             entitled,
             bounded_by,
-            borrowed: self.borrowers(team, &path),
+            borrowed: self.borrowers(team, &path, &counted),
             short: named(self, &short),
         }
     }
 
-    /// Siblings of the team, then of its parent, and so on, that use more than they are guaranteed.
-    fn borrowers(&self, team: TeamId, path: &[NodeId]) -> Vec<(String, Amounts)> {
+    /// Siblings of the team, then of its parent, and so on, that use more than they are guaranteed of what something
+    /// above the team is guaranteed.
+    fn borrowers(&self, team: TeamId, path: &[NodeId], counted: &[bool]) -> Vec<(String, Amounts)> {
         let tree = self.tree();
-        let beyond = |used: &Amount, own: &Amount| std::array::from_fn(|r| (used[r] - own[r]).max(0));
+        let beyond = |used: &Amount, own: &Amount| {
+            std::array::from_fn(|r| if counted[r] { (used[r] - own[r]).max(0) } else { 0 })
+        };
         let mut out = Vec::new();
         for level in (0..=path.len()).rev() {
             let parent = level.checked_sub(1).map(|l| path[l]);
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1070,9 +1070,17 @@
         self.doomed = self.hosts.iter().position(owner);
     }
 
-    /// Milliseconds since the run began.
-    pub fn elapsed(&self) -> u64 {
-        self.now - 1_000_000
+    /// All controllers crash, and come back after a while.
+    pub fn crash_all(&mut self) {
+        (0..self.plan.nodes).for_each(|n| self.crash(n, 3000));
+    }
+
+    /// Somebody else writes into the state service.
+    pub fn write(&mut self, write: wire::api::Write) {
+        let txn = wire::api::Txn { guards: Vec::new(), writes: vec![write] };
+        let outcome = self.state.handle(self.now, "POST", "/txn", &wire::encode(&txn));
+        assert!(matches!(outcome, Outcome::Now(200, _)), "the stand-in takes it");
+        self.fire_watches();
     }
 
     fn die(&mut self, machine: &str) {
--- a/crates/standins/tests/quotas.rs
+++ b/crates/standins/tests/quotas.rs
@@ -288,6 +288,41 @@
     assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
 }
 
+/// A head from a later program, or with a part that is missing: the last good tree stays in force as long as somebody
+/// has it; an owner that has none starts nothing, until an operator puts a good one in its place.
+#[test]
+fn a_tree_that_does_not_check_out_is_refused() {
+    for (format, parts) in [(99, vec![]), (1, vec!["0123456789abcdef01234567".to_owned()])] {
+        let mut scene = scene().tree(2000, "first", &houses());
+        for i in 0..12 {
+            scene.jobs.push(timed(20_000 + 5000 * i, 9000, array(1000 + i as u32, "red", 6, 9.0)));
+        }
+        let again = Edit::Set { spec: houses() };
+        scene.changes.push((110_000, change("mended", Some(2), again)));
+        let mut world = world(format as u64, 3, scene.clone());
+        world.run_for(10_000);
+        let quota = wire::tree::Head { format, version: 2, parts, history: vec![] };
+        let bad = wire::records::Record::Quota(wire::tree::HeadRec { quota });
+        world.write(wire::api::Write::put(wire::records::QUOTA.into(), bad));
+        world.run_for(30_000);
+        assert!(uses(&world, "red") > 0 && uses(&world, "red") <= 10, "the last good one stays in force");
+        world.doom_owner();
+        world.run_for(20_000);
+        let before = world.rules.starts;
+        world.run_for(10_000);
+        assert!(world.rules.starts > before, "the next owner has it too");
+        world.crash_all();
+        world.run_for(15_000);
+        let before = world.rules.starts;
+        world.run_for(20_000);
+        assert_eq!(world.rules.starts, before, "nobody has it any more");
+        world.run_for(200_000);
+        assert_eq!(world.changes["mended"], (200, 3));
+        assert!(world.rules.broken.is_empty() && world.unfinished().is_empty(), "{:?}", world.rules.broken);
+        assert_eq!(whole(&world, &scene), 3);
+    }
+}
+
 /// The allotment listed every team in one record: with more than some hundred it was refused as too large, and
 /// nothing ever started.
 #[test]
--- a/crates/stoathatch/tests/e2e/quota.rs
+++ b/crates/stoathatch/tests/e2e/quota.rs
@@ -134,7 +134,11 @@
     );
     let why = json_of(&["why", "effects", "--json", "--node", &nodes]);
     assert_eq!((&why["path"], &why["bounded_by"]), (&json!(["north", "film"]), &json!([])));
-    assert!(text(&quota(&["show", "--node", &nodes]).stdout).contains("film"));
+    for args in [["show", "--node", &nodes].as_slice(), &["why", "effects", "--node", &nodes]] {
+        let out = text(&quota(args).stdout);
+        println!("{out}");
+        assert!(out.contains("film"), "{out}");
+    }
 
     // The next owner has the same tree before its first start.
     let owner = until("an owner", || world.owner());
