Counts of the tree follow the jobs that changed; faults of a set name the file's lines

Need: with a tree in force each plan counted all jobs and claims of all teams anew, though a start or an end changes one path; and what the service refused of a file was named without its line.

Change: whoever changes a job leaves a mark, and plans count only marked jobs; debug builds compare with counting anew at each plan. Faults travel as they are, and the command line adds path and line.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -6,7 +6,7 @@
 //! the way of nothing, and goes with the next change.
 
 use crate::quotas::fitting;
-use crate::standing::{team_counts, update};
+use crate::standing::Counted;
 use crate::{Dest, Node, Pending};
 use quota::{Live, Spec, Tree, edit};
 use std::collections::VecDeque;
@@ -89,9 +89,7 @@
 
     /// The tree with the counts of this moment.
     fn counted(&self, tree: &Arc<Tree>) -> Option<Live> {
-        let mut live = Live::new(tree.clone());
-        update(&mut live, &team_counts(self.part.as_ref()?, tree));
-        Some(live)
+        Some(Counted::new(self.part.as_ref()?, tree.clone()).live)
     }
 
     fn show_tree(&mut self, conn: u64) {
@@ -216,7 +214,10 @@
                 }
                 self.to_write = true;
             }
-            Err(why) => log::error!("the first quota tree is refused: {} {:?}", why.error, why.faults),
+            Err(why) => {
+                let faults: String = why.faults.iter().map(|f| format!("; {f}")).collect();
+                log::error!("the first quota tree is refused: {}{faults}", why.error);
+            }
         }
     }
 
@@ -243,8 +244,8 @@
 }
 
 fn faulty(faults: &[quota::Fault]) -> Refused {
-    let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
-    Refused { error: "the tree is refused; the one in force stays".into(), version: None, faults }
+    let error = "the tree is refused; the one in force stays".to_owned();
+    Refused { error, version: None, faults: faults.to_vec() }
 }
 
 /// What is above its bound, and what becomes of it.
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -118,6 +118,8 @@
     pub failed_on: BTreeSet<usize>,
     pub succeeded: bool,
     pub backoff_until: u64,
+    /// It may have changed since the last plan.
+    pub touched: bool,
 }
 
 impl Job {
@@ -160,6 +162,7 @@
             failed_on: BTreeSet::new(),
             succeeded: false,
             backoff_until: 0,
+            touched: false,
         }
     }
 
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -124,14 +124,15 @@
 impl Part {
     /// Puts a claim on a machine, to be recorded.
     pub fn make_claim(&mut self, id: ClaimId, claim: crate::machines::Claim) {
-        let (Some(job), Some(machine)) = (
-            self.jobs.get_mut(id.job).and_then(Option::as_mut),
-            self.machines.get_mut(id.machine).and_then(Option::as_mut),
-        ) else {
+        if self.job(id.job).is_none() || self.machine(id.machine).is_none() {
             return;
-        };
-        job.claim(id.task, id.machine, id.attempt);
-        machine.claims.push(claim);
+        }
+        if let Some(job) = self.job_mut(id.job) {
+            job.claim(id.task, id.machine, id.attempt);
+        }
+        if let Some(machine) = self.machine_mut(id.machine) {
+            machine.claims.push(claim);
+        }
         self.ledger.fresh.push_back(id);
     }
 
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -106,8 +106,10 @@
     pub allot_wanted: Option<AllotRec>,
     /// A change of the quota tree on its way.
     pub changing: Option<crate::admin::Changing>,
+    /// Jobs that may have changed since the last plan.
+    touched: Vec<JobIx>,
     /// The tree's counts, by the version that they belong to.
-    pub live: Option<(u64, quota::Live)>,
+    pub counted: Option<(u64, crate::standing::Counted)>,
 }
 
 impl Part {
@@ -151,7 +153,8 @@
             allot_version: 0,
             allot_wanted: None,
             changing: None,
-            live: None,
+            touched: Vec::new(),
+            counted: None,
         }
     }
 
@@ -175,8 +178,24 @@
     pub fn job(&self, ix: JobIx) -> Option<&Job> {
         self.jobs.get(ix).and_then(Option::as_ref)
     }
+    /// Whoever changes a job gets it here, so that plans know which ones changed.
     pub fn job_mut(&mut self, ix: JobIx) -> Option<&mut Job> {
-        self.jobs.get_mut(ix).and_then(Option::as_mut)
+        let job = self.jobs.get_mut(ix)?.as_mut()?;
+        if !std::mem::replace(&mut job.touched, true) {
+            self.touched.push(ix);
+        }
+        Some(job)
+    }
+
+    /// The jobs that may have changed, come or gone since this was asked last; some perhaps twice.
+    pub fn take_touched(&mut self) -> Vec<JobIx> {
+        let all = std::mem::take(&mut self.touched);
+        for ix in &all {
+            if let Some(Some(job)) = self.jobs.get_mut(*ix) {
+                job.touched = false;
+            }
+        }
+        all
     }
     pub fn machine(&self, m: usize) -> Option<&Machine> {
         self.machines.get(m).and_then(Option::as_ref)
@@ -192,6 +211,7 @@
         });
         self.job_ix.insert(job.id.clone(), ix);
         self.jobs[ix] = Some(job);
+        self.touched.push(ix);
         ix
     }
 
@@ -248,6 +268,7 @@
         if gone && let Some(job) = self.jobs[ix].take() {
             self.job_ix.remove(&job.id);
             self.free_jobs.push(ix);
+            self.touched.push(ix);
         }
     }
 
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -303,8 +303,8 @@
         let holds = standing::holds(part, &self.settings.cluster.teams, good.as_ref(), &teams);
         let unheld: HashSet<u16> = tree.iter().flat_map(|tree| standing::unheld(tree, &teams)).collect();
         let names = Names { catalog, types: &types, zones: &zones, teams: &teams, unheld: &unheld };
-        if let (Some(tree), Some((_, live))) = (&tree, &part.live) {
-            input.groups = standing::groups(tree, live);
+        if let (Some(tree), Some((_, counted))) = (&tree, &part.counted) {
+            input.groups = standing::groups(tree, &counted.live);
         }
         // Claims of each job that stay: they count as held before what waits.
         let mut staying: HashMap<JobIx, u32> = HashMap::new();
--- a/crates/control/src/standing.rs
+++ b/crates/control/src/standing.rs
@@ -1,11 +1,12 @@
 //! How far guarantees hold each job where quotas nest: its team's own, what its siblings leave of their desk's, what
 //! others leave of the house's, and so on up.
 
-use crate::jobs::JobIx;
+use crate::jobs::{Job, JobIx};
 use crate::part::Part;
 use crate::quotas::Good;
 use quota::{Amount, Count, Live, MAX_RESOURCES, NOTHING, Share, TeamId, Tree, amount};
 use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
 use wire::api::{JobSpec, Kind};
 use wire::settings::Team;
 
@@ -65,38 +66,66 @@
 }
 
 /// Tasks of a job that are not done, a gang's always all.
-fn open_tasks(job: &crate::jobs::Job, spec: &JobSpec) -> u32 {
+fn open_tasks(job: &Job, spec: &JobSpec) -> u32 {
     if spec.kind == Kind::Array { spec.tasks - job.done_count.min(spec.tasks) } else { spec.tasks }
 }
 
-/// What each team of the tree wants and has: all open tasks, and all claims, wherever they are.
-pub(crate) fn team_counts(part: &Part, tree: &Tree) -> Vec<Count> {
-    let mut out = vec![Count::default(); tree.leaves.len()];
-    for job in part.jobs.iter().flatten() {
-        let Some(team) = tree.team(&job.team) else { continue };
-        let count = &mut out[team.0 as usize];
-        let need = takes(job.need.cores, job.need.gpus, job.need.mem_gb);
-        let claims: usize = job.claimed.values().map(Vec::len).sum();
-        add(&mut count.used, &need, claims as i64);
-        let open = job.spec.as_deref().filter(|_| !job.is_ending()).map_or(0, |spec| open_tasks(job, spec));
-        // What still runs of an ended job is wanted too, until it is gone.
-        add(&mut count.demand, &need, i64::from(open).max(claims as i64));
-    }
-    out
+/// What a job adds to its team's counts: all open tasks, and all claims, wherever they are.
+fn counts(job: &Job, tree: &Tree) -> Option<(TeamId, Count)> {
+    let team = tree.team(&job.team)?;
+    let need = takes(job.need.cores, job.need.gpus, job.need.mem_gb);
+    let claims: usize = job.claimed.values().map(Vec::len).sum();
+    let open = job.spec.as_deref().filter(|_| !job.is_ending()).map_or(0, |spec| open_tasks(job, spec));
+    let mut count = Count::default();
+    add(&mut count.used, &need, claims as i64);
+    // What still runs of an ended job is wanted too, until it is gone.
+    add(&mut count.demand, &need, i64::from(open).max(claims as i64));
+    Some((team, count))
+}
+
+/// A tree with what its teams want and have. It is brought up to date by the jobs that changed, and no others.
+pub(crate) struct Counted {
+    pub live: Live,
+    by_job: HashMap<JobIx, (TeamId, Count)>,
 }
 
-/// Brings the tree's counts up to date; teams that did not change cost a comparison.
-pub(crate) fn update(live: &mut Live, counts: &[Count]) {
-    for (i, count) in counts.iter().enumerate() {
-        let team = TeamId(i as u32);
-        let before = live.team(team);
-        if before.demand != count.demand {
-            live.set_demand(team, count.demand);
+impl Counted {
+    /// All jobs, counted anew.
+    pub fn new(part: &Part, tree: Arc<Tree>) -> Self {
+        let mut out = Counted { live: Live::new(tree), by_job: HashMap::new() };
+        out.follow(part, 0..part.jobs.len());
+        out
+    }
+
+    fn follow(&mut self, part: &Part, touched: impl IntoIterator<Item = JobIx>) {
+        let mut teams: HashMap<TeamId, Count> = HashMap::new();
+        let mut shift = |live: &Live, team: TeamId, by: &Count, sign: i64| {
+            let count = teams.entry(team).or_insert_with(|| live.team(team));
+            add(&mut count.demand, &by.demand, sign);
+            add(&mut count.used, &by.used, sign);
+        };
+        for ix in touched {
+            let after = part.job(ix).and_then(|job| counts(job, self.live.tree()));
+            let before = match after {
+                Some(after) => self.by_job.insert(ix, after),
+                None => self.by_job.remove(&ix),
+            };
+            if before != after {
+                before.iter().for_each(|(team, count)| shift(&self.live, *team, count, -1));
+                after.iter().for_each(|(team, count)| shift(&self.live, *team, count, 1));
+            }
         }
-        if before.used != count.used {
-            live.set_used(team, count.used);
+        for (team, count) in teams {
+            self.live.set_demand(team, count.demand);
+            self.live.set_used(team, count.used);
         }
     }
+
+    /// Whether counting everything anew gives the same.
+    fn is_right(&self, part: &Part) -> bool {
+        let anew = Counted::new(part, self.live.tree().clone());
+        (0..self.live.tree().leaves.len() as u32).map(TeamId).all(|t| anew.live.team(t) == self.live.team(t))
+    }
 }
 
 /// How many tasks of a job are held on at least one, two, ... levels, from the root down; the first is the largest.
@@ -220,6 +249,7 @@
     index: &HashMap<&str, u16>,
 ) -> Holds {
     let Some(good) = good else {
+        part.take_touched();
         return Holds {
             flat: within_guarantee(part, teams),
             nested: HashMap::new(),
@@ -235,18 +265,25 @@
     let teams: Vec<Team> = teams.iter().map(cut).collect();
     let flat = within_guarantee(part, &teams);
     let tree = &good.tree;
+    let touched = part.take_touched();
     if tree.nodes.is_empty() {
-        part.live = None;
+        part.counted = None;
         return Holds { flat, nested: HashMap::new(), fulfilled: HashMap::new() };
     }
-    let kept = part.live.take().filter(|(version, _)| *version == good.version);
-    let mut live = kept.map_or_else(|| quota::Live::new(tree.clone()), |(_, live)| live);
-    update(&mut live, &team_counts(part, tree));
-    let nested = nested(part, &mut live);
+    let kept = part.counted.take().filter(|(version, _)| *version == good.version);
+    let mut counted = match kept {
+        Some((_, mut counted)) => {
+            counted.follow(part, touched);
+            counted
+        }
+        None => Counted::new(part, tree.clone()),
+    };
+    debug_assert!(counted.is_right(part), "a job was changed that plans did not hear of");
+    let nested = nested(part, &mut counted.live);
     let below = tree.leaves.iter().filter(|l| l.parent.is_some());
     let ids = below.filter_map(|l| Some((*index.get(l.name.as_str())?, tree.team(&l.name)?)));
-    let fulfilled = ids.map(|(t, id)| (t, fulfilled(&live, id))).collect();
-    part.live = Some((good.version, live));
+    let fulfilled = ids.map(|(t, id)| (t, fulfilled(&counted.live, id))).collect();
+    part.counted = Some((good.version, counted));
     Holds { flat, nested, fulfilled }
 }
 
@@ -275,7 +312,6 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::jobs::Job;
     use wire::api::Priority;
     use wire::records::JobRec;
 
@@ -385,7 +421,7 @@
             let without = holds(&mut part, &teams, None, &index);
             let with = holds(&mut part, &teams, Some(&good), &index);
             assert_eq!(without.flat, with.flat);
-            assert!(with.nested.is_empty() && with.fulfilled.is_empty() && part.live.is_none());
+            assert!(with.nested.is_empty() && with.fulfilled.is_empty() && part.counted.is_none());
         }
     }
 }
--- a/crates/quota/src/spec.rs
+++ b/crates/quota/src/spec.rs
@@ -88,7 +88,8 @@
 }
 
 /// Where in a tree's description something is wrong.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum Place {
     /// The description as a whole.
     Whole,
@@ -98,7 +99,7 @@
 }
 
 /// One thing that is wrong, with its place.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Fault {
     pub place: Place,
     /// The path to the field: `node "a".guarantee.gpus`.
--- a/crates/stoathatch/src/quota.rs
+++ b/crates/stoathatch/src/quota.rs
@@ -109,11 +109,25 @@
 
 impl From<Failed> for End {
     fn from(failed: Failed) -> Self {
+        End::located(failed, None)
+    }
+}
+
+impl End {
+    /// What the service has refused, with the lines of the file that it was sent from.
+    fn located(failed: Failed, from: Option<(&Path, &file::Parsed)>) -> Self {
         match failed {
             Failed::Unreachable(why) => End::Failed(why),
             Failed::Refused(why) => {
                 let version = why.version.map(|v| format!("version in force: {v}"));
-                End::Refused([why.error].into_iter().chain(why.faults).chain(version).collect())
+                let faults: Vec<String> = match from {
+                    Some((path, parsed)) => {
+                        let faults = parsed.locate(why.faults);
+                        faults.iter().map(|f| format!("{}: {f}", path.display())).collect()
+                    }
+                    None => why.faults.iter().map(ToString::to_string).collect(),
+                };
+                End::Refused([why.error].into_iter().chain(faults).chain(version).collect())
             }
         }
     }
@@ -163,14 +177,19 @@
             Ok(if c.json { json(&why) } else { reasons(&why) })
         }
         Verb::Set { file, how } => {
-            let spec = if file == Path::new("-") { Spec::default() } else { read(file)?.spec };
-            change(c, how, Edit::Set { spec })
+            if file == Path::new("-") {
+                return change(c, how, Edit::Set { spec: Spec::default() }, None);
+            }
+            let parsed = read(file)?;
+            change(c, how, Edit::Set { spec: parsed.spec.clone() }, Some((file, &parsed)))
+        }
+        Verb::Move { name, to, how } => {
+            change(c, how, Edit::Move { name: name.clone(), to: to.clone() }, None)
         }
-        Verb::Move { name, to, how } => change(c, how, Edit::Move { name: name.clone(), to: to.clone() }),
         Verb::Shrink { name, guarantee, max, scale, how } => {
             let all = |list: &[(String, f64)]| list.iter().cloned().collect::<Amounts>();
             let (guarantee, max) = (all(guarantee), all(max));
-            change(c, how, Edit::Shrink { name: name.clone(), guarantee, max, scale: *scale })
+            change(c, how, Edit::Shrink { name: name.clone(), guarantee, max, scale: *scale }, None)
         }
     }
 }
@@ -201,7 +220,7 @@
     Team { guarantee: t.guarantee.clone().unwrap_or_default(), ..Team::new(&t.name) }
 }
 
-fn change(c: &Command, how: &How, edit: Edit) -> Result<String, End> {
+fn change(c: &Command, how: &How, edit: Edit, from: Option<(&Path, &file::Parsed)>) -> Result<String, End> {
     let expect = match how.expect {
         Some(version) => version,
         None => ask::<wire::admin::Tree>(&c.nodes, &Ask::Show)?.version,
@@ -209,7 +228,8 @@
     // Made once: each try carries the same, so that it is made at most once.
     let id = format!("{:016x}", fastrand::u64(..));
     let (by, dry_run) = (how.by.clone(), how.dry_run);
-    let done: Changed = ask(&c.nodes, &Ask::Change(Change { id, by, expect: Some(expect), dry_run, edit }))?;
+    let change = Change { id, by, expect: Some(expect), dry_run, edit };
+    let done: Changed = ask(&c.nodes, &Ask::Change(change)).map_err(|f| End::located(f, from))?;
     if c.json {
         return Ok(json(&done));
     }
--- a/crates/stoathatch/tests/e2e/quota.rs
+++ b/crates/stoathatch/tests/e2e/quota.rs
@@ -95,6 +95,11 @@
     let late = quota(&["set", file, "--expect", "0", "--node", &nodes]);
     assert_eq!(late.status.code(), Some(1), "a conflict");
     assert!(text(&late.stderr).contains("version 1 is in force"), "{}", text(&late.stderr));
+    let unknown = Temp::new("unknown.toml", &TREE.replace("\"subtitles\"", "\"subtitle\""));
+    let unknown = quota(&["set", unknown.0.to_str().expect("a plain path"), "--node", &nodes]);
+    assert_eq!(unknown.status.code(), Some(1));
+    let said = text(&unknown.stderr);
+    assert!(said.contains("line 24: team \"subtitle\".name: is no team of the settings"), "{said}");
     let less = quota(&["shrink", "film", "--guarantee", "gpus=8", "--node", &nodes]);
     assert_eq!(less.status.code(), Some(1));
     assert!(text(&less.stderr).contains("2 more than its own 8"), "{}", text(&less.stderr));
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -78,7 +78,7 @@
     pub version: Option<u64>,
     /// What is wrong with the tree.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub faults: Vec<String>,
+    pub faults: Vec<quota::Fault>,
 }
 
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
