--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -349,7 +349,10 @@
         };
         let tidy = now >= part.commit.tidied_at + TIDY_MS;
         // Ends come first, but they do not keep claims waiting for ever.
-        let for_ends = budget - usize::from(budget > 2 && !part.ledger.fresh.is_empty());
+        // A new tree needs two writes, for which claims have made way already.
+        let tree = budget >= 2 && part.tree_is_due();
+        let kept = if tree { 2 } else { usize::from(budget > 2 && !part.ledger.fresh.is_empty()) };
+        let for_ends = budget - kept;
         while d.writes.len() + 2 <= for_ends && d.guards.len() + 2 < max_guards {
             let Some(ix) = part.ledger.ending.pop_front() else { break };
             d.end(part, ix);
@@ -363,7 +366,7 @@
             part.allot_version = 0;
             d.ops.push(Op::Allot);
         }
-        if budget >= 2 && part.tree_is_due() {
+        if tree {
             d.tree(part);
         }
         if part.raise_token && now >= part.commit.raised_at + 3000 && room(&d) {
--- a/crates/control/src/standing.rs
+++ b/crates/control/src/standing.rs
@@ -346,6 +346,39 @@
         out
     }
 
+    /// The wait that a guarantee allows shrinks with what the node furthest below has of what it is due; in a flat tree,
+    /// and for what nothing is due to, it stays as it is.
+    #[test]
+    fn the_furthest_below_has_the_earliest_deadline() {
+        let gpus = |n: f64| [("gpus".to_owned(), n)].into();
+        let node = |name: &str, parent, n| quota::NodeSpec {
+            guarantee: gpus(n),
+            ..quota::NodeSpec::new(name, parent)
+        };
+        let spec = quota::Spec {
+            nodes: vec![
+                node("house", None, 20.0),
+                node("a", Some("house"), 10.0),
+                node("b", Some("house"), 10.0),
+            ],
+            teams: vec![quota::TeamSpec::new("ta", Some("a")), quota::TeamSpec::new("tb", Some("b"))],
+        };
+        let teams = ["ta", "tb", "flat"].map(quota::Team::new);
+        let mut live = Live::new(Tree::build(&spec, &teams).expect("good").into());
+        let at = |n: f64| amount(&[("gpus", n)]);
+        for (team, demand, used) in [(0, 10.0, 2.0), (1, 12.0, 8.0), (2, 5.0, 0.0)] {
+            live.set_demand(TeamId(team), at(demand));
+            live.set_used(TeamId(team), at(used));
+        }
+        // Desk a has 2 of 10, desk b 8 of 10, the house 10 of 20.
+        assert_eq!([0, 1, 2].map(|t| fulfilled(&live, TeamId(t))), [0.2, 0.5, 1.0]);
+        live.set_used(TeamId(0), at(30.0));
+        assert_eq!(fulfilled(&live, TeamId(0)), 1.0, "never more");
+        live.set_demand(TeamId(0), at(0.0));
+        live.set_demand(TeamId(1), at(0.0));
+        assert_eq!(fulfilled(&live, TeamId(1)), 1.0, "nothing is due");
+    }
+
     /// An array is held task by task, a gang whole or not at all, and what is held below is held above.
     #[test]
     fn tasks_are_held_as_far_as_they_fit() {
--- a/crates/stoathatch/src/ask.rs
+++ b/crates/stoathatch/src/ask.rs
@@ -8,6 +8,8 @@
 
 /// A change is given up after this time; whether it was made is then for the history to say.
 const PATIENCE: Duration = Duration::from_secs(30);
+/// A question can be asked again at once.
+const QUESTION: Duration = Duration::from_secs(8);
 const ONE_TRY: Duration = Duration::from_secs(16);
 
 /// Why there is no answer to work with.
@@ -21,7 +23,7 @@
 /// Asks the controllers in turn. Repeating is harmless: a change carries its own id.
 pub fn ask<T: serde::de::DeserializeOwned>(nodes: &[SocketAddr], question: &Ask) -> Result<T, Failed> {
     let body = admin::encode(question);
-    let end = Instant::now() + PATIENCE;
+    let end = Instant::now() + if matches!(question, Ask::Change(_)) { PATIENCE } else { QUESTION };
     let mut last = "no controller was named".to_owned();
     for node in nodes.iter().cycle() {
         let left = end.saturating_duration_since(Instant::now());
--- a/crates/stoathatch/src/quota.rs
+++ b/crates/stoathatch/src/quota.rs
@@ -38,6 +38,7 @@
     },
     /// Check a tree's file, without asking anybody.
     Check {
+        /// The tree's file (TOML).
         file: PathBuf,
         /// Check against the teams of this settings file too.
         #[arg(long, value_name = "FILE")]
@@ -52,6 +53,7 @@
     },
     /// Move a team, or a node with all below it; its guarantee goes along.
     Move {
+        /// The team, or the node.
         name: String,
         /// The node that it is to hang below; the root without it.
         #[arg(long)]
@@ -61,6 +63,7 @@
     },
     /// Give a node other bounds.
     Shrink {
+        /// The node.
         name: String,
         /// What it is guaranteed from now on: `gpus=8`. Can be given several times.
         #[arg(long, value_name = "RESOURCE=UNITS", value_parser = amount)]
@@ -77,7 +80,10 @@
     /// The latest changes.
     History,
     /// Why a team's work waits.
-    Why { team: String },
+    Why {
+        /// As in the settings.
+        team: String,
+    },
     /// The schema of tree files (JSON Schema).
     Schema,
 }
