--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use wire::admin::{self, Ask, Change, Changed, Edit, Refused};
 use wire::http::{Request, Response};
-use wire::tree::{Head, PartRec, Past};
+use wire::tree::{Head, PartRec, Past, SHORT};
 
 /// A controller has this long to have the owner answer, a whole change included.
 const FORWARD_MS: u64 = 15_000;
@@ -127,6 +127,11 @@
     }
 
     fn change_tree(&mut self, conn: u64, change: Change) {
+        // A longer one would be remembered cut, and a repeat taken for another change.
+        if change.id.is_empty() || change.id.len() > SHORT || change.id.chars().any(char::is_control) {
+            let why = format!("id: must be 1 to {SHORT} bytes without control characters");
+            return self.deny_admin(conn, 400, refused(&why));
+        }
         let head = &self.shared.quotas.head;
         if let Some(past) = head.made(&change.id) {
             // A repeat after a lost answer.
--- a/crates/quota/src/edit.rs
+++ b/crates/quota/src/edit.rs
@@ -3,7 +3,7 @@
 
 use crate::spec::{Amounts, Fault, NodeSpec, Place, Spec, TeamSpec};
 use crate::{Team, milli};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 fn wrong(path: &str, what: String) -> Fault {
     Fault { place: Place::Whole, path: path.to_owned(), line: None, what }
@@ -103,64 +103,80 @@
                 *units = units.min(*most);
             }
         }
+        let below = Below::of(&out);
+        let settled: HashMap<&str, &Amounts> =
+            teams.iter().map(|t| (t.name.as_str(), &t.guarantee)).collect();
         // No tree is deeper; one that goes in circles ends here too.
-        let mut level: BTreeSet<String> = [name.to_owned()].into();
+        let mut level = vec![i];
         for _ in 0..=crate::MAX_DEPTH {
-            let next: Vec<String> = level.iter().flat_map(|n| scale_below(&mut out, teams, n)).collect();
-            level = next.into_iter().collect();
+            level = level.into_iter().flat_map(|n| below.scale(&mut out, &settled, n)).collect();
         }
     }
     Ok(out)
 }
 
-/// Cuts the guarantees directly below a node to what it has, and their maxima to its own; the inner ones among them.
-fn scale_below(spec: &mut Spec, teams: &[Team], name: &str) -> Vec<String> {
-    let Some(i) = spec.node_at(name) else { return Vec::new() };
-    let (own, max) = (spec.nodes[i].guarantee.clone(), spec.nodes[i].max.clone());
-    let settled = |t: &TeamSpec| {
-        let of_settings = teams.iter().find(|s| s.name == t.name).map(|s| s.guarantee.clone());
-        t.guarantee.clone().or(of_settings).unwrap_or_default()
-    };
-    let mut sums: BTreeMap<String, i64> = BTreeMap::new();
-    let below = |parent: &Option<String>| parent.as_deref() == Some(name);
-    let inner = spec.nodes.iter().filter(|n| below(&n.parent)).map(|n| n.guarantee.clone());
-    let leaves = spec.teams.iter().filter(|t| below(&t.parent)).map(settled);
-    for (r, units) in inner.chain(leaves).flatten() {
-        *sums.entry(r).or_default() += milli(units);
+/// What hangs directly below each node, as indices.
+struct Below {
+    nodes: HashMap<String, Vec<usize>>,
+    teams: HashMap<String, Vec<usize>>,
+}
+
+impl Below {
+    fn of(spec: &Spec) -> Self {
+        let mut out = Below { nodes: HashMap::new(), teams: HashMap::new() };
+        for (i, n) in spec.nodes.iter().enumerate() {
+            n.parent.iter().for_each(|p| out.nodes.entry(p.clone()).or_default().push(i));
+        }
+        for (i, t) in spec.teams.iter().enumerate() {
+            t.parent.iter().for_each(|p| out.teams.entry(p.clone()).or_default().push(i));
+        }
+        out
     }
-    let own = |r: &str| own.get(r).map_or(0, |units| milli(*units));
-    let cut = |given: &Amounts| -> Amounts {
-        let part = |r: &String, units: &f64| {
-            let (sum, own) = (sums.get(r).copied().unwrap_or(0), own(r));
-            if sum <= own {
-                return *units;
-            }
-            let part = i128::from(milli(*units)) * i128::from(own) / i128::from(sum.max(1));
-            part as f64 / 1000.0
+
+    /// Cuts the guarantees directly below a node to what it has, and their maxima to its own; the inner ones among
+    /// them.
+    fn scale(&self, spec: &mut Spec, settled: &HashMap<&str, &Amounts>, at: usize) -> Vec<usize> {
+        let NodeSpec { name, guarantee: own, max, .. } = spec.nodes[at].clone();
+        let inner = self.nodes.get(&name).cloned().unwrap_or_default();
+        let leaves = self.teams.get(&name).cloned().unwrap_or_default();
+        let of_team = |t: &TeamSpec| {
+            let of_settings = || settled.get(t.name.as_str()).map(|g| (*g).clone());
+            t.guarantee.clone().or_else(of_settings).unwrap_or_default()
         };
-        given.iter().map(|(r, units)| (r.clone(), part(r, units))).collect()
-    };
-    for t in spec.teams.iter_mut().filter(|t| below(&t.parent)) {
-        let before = settled(t);
-        let after = cut(&before);
-        if after != before {
-            t.guarantee = Some(after);
+        let mut sums: BTreeMap<String, i64> = BTreeMap::new();
+        let of_inner = inner.iter().map(|i| spec.nodes[*i].guarantee.clone());
+        for (r, units) in of_inner.chain(leaves.iter().map(|i| of_team(&spec.teams[*i]))).flatten() {
+            *sums.entry(r).or_default() += milli(units);
         }
-    }
-    let mut inner = Vec::new();
-    for n in spec.nodes.iter_mut().filter(|n| below(&n.parent)) {
-        n.guarantee = cut(&n.guarantee);
-        for (r, most) in &max {
-            if let Some(units) = n.max.get_mut(r) {
-                *units = units.min(*most);
+        let cut = |given: &Amounts| -> Amounts {
+            let part = |r: &String, units: &f64| {
+                let (sum, own) = (sums.get(r).copied().unwrap_or(0), own.get(r).map_or(0, |v| milli(*v)));
+                if sum <= own {
+                    return *units;
+                }
+                let part = i128::from(milli(*units)) * i128::from(own) / i128::from(sum.max(1));
+                part as f64 / 1000.0
+            };
+            given.iter().map(|(r, units)| (r.clone(), part(r, units))).collect()
+        };
+        for i in leaves {
+            let before = of_team(&spec.teams[i]);
+            let after = cut(&before);
+            if after != before {
+                spec.teams[i].guarantee = Some(after);
             }
-            if let Some(units) = n.guarantee.get_mut(r) {
-                *units = units.min(*most);
+        }
+        for i in &inner {
+            let n = &mut spec.nodes[*i];
+            n.guarantee = cut(&n.guarantee);
+            for (r, most) in &max {
+                for units in [n.max.get_mut(r), n.guarantee.get_mut(r)].into_iter().flatten() {
+                    *units = units.min(*most);
+                }
             }
         }
-        inner.push(n.name.clone());
+        inner
     }
-    inner
 }
 
 /// What differs between two trees, a line each, for people; at most `most` lines.
--- a/crates/quota/src/tree.rs
+++ b/crates/quota/src/tree.rs
@@ -332,10 +332,12 @@
             }
         }
         for (id, sum) in sums.into_iter().enumerate() {
-            let (name, own) = (self.tree.nodes[id].name.clone(), self.tree.nodes[id].guarantee);
-            let place = self.spec.nodes.iter().position(|n| n.name == name).map_or(Place::Whole, Place::Node);
+            let own = self.tree.nodes[id].guarantee;
             for r in 0..self.tree.resources.len() {
                 if sum[r] > own[r] {
+                    let name = &self.tree.nodes[id].name;
+                    let at = self.spec.nodes.iter().position(|n| n.name == *name);
+                    let place = at.map_or(Place::Whole, Place::Node);
                     let field = format!("guarantee.{}", self.tree.resources[r]);
                     let over = units(sum[r] - own[r]);
                     let what = format!(
--- a/crates/standins/tests/quotas.rs
+++ b/crates/standins/tests/quotas.rs
@@ -216,6 +216,20 @@
     }
 }
 
+/// An id that is remembered cut made each repeat another change.
+#[test]
+fn a_change_without_a_good_id_is_refused() {
+    let mut scene = scene();
+    let ids = ["".to_owned(), "x".repeat(41), "a\nb".to_owned()];
+    for id in &ids {
+        scene.changes.push((5000, change(id, None, Edit::Set { spec: houses() })));
+    }
+    let mut world = world(1, 3, scene);
+    world.run_for(10_000);
+    ids.iter().for_each(|id| assert_eq!(world.changes[id].0, 400, "{id:?}"));
+    assert!(!world.state.keys.contains_key(wire::records::QUOTA));
+}
+
 /// What runs above a bound that shrinks is stopped within seconds, and no more than that; or left to end.
 #[test]
 fn a_shrunk_node_comes_back_to_its_bound() {
--- a/crates/wire/src/tree.rs
+++ b/crates/wire/src/tree.rs
@@ -12,7 +12,7 @@
 /// Changes that the head remembers at most; fewer where a value has less room.
 pub const HISTORY: usize = 16;
 /// Characters of an operator's name or change id, and of what was changed.
-const SHORT: usize = 40;
+pub const SHORT: usize = 40;
 const LONG: usize = 160;
 /// Characters of a part's name: half as many bytes of a digest.
 const NAME: usize = 24;
