A test counts what a start costs among 100,000 jobs of 10,000 teams

Need: that a start or an end touches only its path was shown for the package alone, not for the service's counts.

Change: a test in control builds such a queue on six levels and counts steps.

Measured: at most 14 steps a changed job, under a thousandth of counting all.

--- a/crates/control/src/standing.rs
+++ b/crates/control/src/standing.rs
@@ -346,6 +346,45 @@
         out
     }
 
+    /// 100,000 jobs of 10,000 teams on six levels: a start or an end costs steps on its own path, not on the others'.
+    #[test]
+    fn a_start_among_many_jobs_touches_its_path() {
+        let mut spec_of_tree = quota::Spec::default();
+        for i in 0..1111u32 {
+            // Ten below each: levels of 1, 10, 100 and 1,000, and the last with a thin path of two more.
+            let parent = (i > 0).then(|| format!("n{}", (i - 1) / 10));
+            spec_of_tree.nodes.push(quota::NodeSpec::new(&format!("n{i}"), parent.as_deref()));
+        }
+        spec_of_tree.nodes.push(quota::NodeSpec::new("deep", Some("n1110")));
+        spec_of_tree.nodes[0].guarantee = [("cpus".to_owned(), 50_000.0)].into();
+        let teams: Vec<quota::Team> = (0..10_000).map(|i| quota::Team::new(&format!("t{i}"))).collect();
+        for (i, team) in teams.iter().enumerate() {
+            let parent = if i % 1000 == 999 { "deep".to_owned() } else { format!("n{}", 111 + i % 1000) };
+            spec_of_tree.teams.push(quota::TeamSpec::new(&team.name, Some(&parent)));
+        }
+        let tree = Arc::new(Tree::build(&spec_of_tree, &teams).expect("good"));
+        assert_eq!(tree.levels() + 1, 6);
+        let mut part = Part::new(1, 1, 0, 16.0);
+        for i in 0..100_000u32 {
+            let spec = spec(i, &teams[i as usize % 10_000].name, 2, 1.0, 0.0);
+            part.add_job(Job::new(JobRec { spec, at_ms: u64::from(i), part: 0 }, 1));
+        }
+        part.take_touched();
+        let mut counted = Counted::new(&part, tree);
+        let all = counted.live.steps;
+        for ix in [0, 999, 55_555] {
+            part.job_mut(ix).expect("there").claim(0, 7, 1);
+            let touched = part.take_touched();
+            assert_eq!(touched, [ix]);
+            let before = counted.live.steps;
+            counted.follow(&part, touched);
+            let steps = counted.live.steps - before;
+            assert!(steps <= 2 * 7 && steps * 1000 < all, "job {ix}: {steps} steps of {all}");
+        }
+        assert!(counted.is_right(&part));
+        assert_eq!(nested(&part, &mut counted.live).len(), 100_000);
+    }
+
     /// The wait that a guarantee allows shrinks with what the node furthest below has of what it is due; in a flat tree,
     /// and for what nothing is due to, it stays as it is.
     #[test]
