Reread: open jobs gathered once a plan, a new tree built once, its head loaded as all else is

Cause: rereading of the quota change. Each plan gathered and sorted the open jobs twice and looked every team up in the tree's list one by one; a tree was checked when a change was prepared and again when it was in place; the head was read by a case of its own beside the shared loading; tidying compared all parts each second; one check of the stand-ins was never called.

Change: one list of open jobs serves both readings of guarantees, cut guarantees go by name, the checked tree is kept with its change, the head is loaded by the common steps, parts are compared only when there are more than the head names, and what was dead is gone.

--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -3,9 +3,9 @@
 //! Any controller takes a request; the owner answers it. A change is made by the owner's own transactions, one after
 //! the other: parts that the state service has not yet, then in one the head and the part's allotment. So a change is
 //! in place as a whole or not at all, whoever dies in its midst; what an owner that died had written of parts is in
-//! the way of nothing, and goes with the next change.
+//! the way of nothing, and is tidied away by the next.
 
-use crate::quotas::fitting;
+use crate::quotas::{Good, fitting};
 use crate::standing::Counted;
 use crate::{Dest, Node, Pending};
 use quota::{Live, Spec, Tree, edit};
@@ -26,7 +26,7 @@
     /// Who waits for it; nobody for the first tree.
     conn: Option<u64>,
     pub head: Head,
-    pub spec: Arc<Spec>,
+    pub good: Good,
     /// Stamp of the head that it follows.
     pub stamp: u64,
     /// Parts still to be written, and how many of them are on their way.
@@ -49,7 +49,7 @@
             return false;
         }
         if request.method != "POST" {
-            self.deny_admin(conn, 405, Refused { error: "method not allowed".into(), ..Refused::default() });
+            self.deny_admin(conn, 405, refused("method not allowed"));
         } else if !self.owns() {
             self.forward_admin(conn, request);
         } else if !self.decides() {
@@ -143,7 +143,7 @@
             && expected != version
         {
             let error = format!("made for version {expected}, but version {version} is in force");
-            return self.deny_admin(conn, 409, Refused { error, version: Some(version), faults: vec![] });
+            return self.deny_admin(conn, 409, Refused { version: Some(version), ..refused(&error) });
         }
         if let Some(other) = self.part.as_mut().and_then(|p| p.changing.as_mut()) {
             if other.id == change.id {
@@ -151,7 +151,7 @@
                 return;
             }
             let error = format!("another change of version {version} is under way");
-            return self.deny_admin(conn, 409, Refused { error, version: Some(version), faults: vec![] });
+            return self.deny_admin(conn, 409, Refused { version: Some(version), ..refused(&error) });
         }
         match self.prepare(Some(conn), &change) {
             Err(why) => self.deny_admin(conn, 422, why),
@@ -159,16 +159,18 @@
                 let answer = Changed { version, dry_run: true, ..ready.answer };
                 self.respond(conn, 200, admin::encode(&answer), None);
             }
-            Ok(ready) => {
-                log::info!("quota tree: version {} by {:?} is to be written", ready.head.version, change.by);
-                if let Some(part) = &mut self.part {
-                    part.changing = Some(ready);
-                }
-                self.to_write = true;
-            }
+            Ok(ready) => self.begin_change(ready, &change.by),
         }
     }
 
+    fn begin_change(&mut self, ready: Changing, by: &str) {
+        log::info!("quota tree: version {} by {by:?} is to be written", ready.head.version);
+        if let Some(part) = &mut self.part {
+            part.changing = Some(ready);
+        }
+        self.to_write = true;
+    }
+
     /// Makes the new tree and checks it; nothing is changed yet.
     fn prepare(&self, conn: Option<u64>, change: &Change) -> Result<Changing, Refused> {
         let q = &self.shared.quotas;
@@ -199,8 +201,8 @@
         let above = self.counted(&tree).map(|live| above(&live)).unwrap_or_default();
         let answer = Changed { version: head.version, dry_run: false, differences, above };
         let parts = parts.into_iter().filter(|(name, _)| !q.parts.contains_key(name)).collect();
-        let spec = Arc::new(spec);
-        Ok(Changing { id: change.id.clone(), conn, head, spec, stamp: q.stamp, parts, busy: 0, answer })
+        let good = Good { version: head.version, spec: Arc::new(spec), tree };
+        Ok(Changing { id: change.id.clone(), conn, head, good, stamp: q.stamp, parts, busy: 0, answer })
     }
 
     /// Puts the tree in place that this node was started with, if there has never been any.
@@ -213,12 +215,7 @@
         let (id, by) = ("first".to_owned(), self.settings.node.clone());
         let change = Change { id, by, expect: Some(0), dry_run: false, edit: Edit::Set { spec } };
         match self.prepare(None, &change) {
-            Ok(ready) => {
-                if let Some(part) = &mut self.part {
-                    part.changing = Some(ready);
-                }
-                self.to_write = true;
-            }
+            Ok(ready) => self.begin_change(ready, &change.by),
             Err(why) => {
                 let faults: String = why.faults.iter().map(|f| format!("; {f}")).collect();
                 log::error!("the first quota tree is refused: {}{faults}", why.error);
@@ -229,7 +226,7 @@
     /// The head of a change stands in the state service, at this revision.
     pub(crate) fn tree_changed(&mut self, revision: u64) {
         let Some(done) = self.part.as_mut().and_then(|p| p.changing.take()) else { return };
-        self.tree_committed(done.head, done.spec, revision);
+        self.tree_committed(done.head, done.good, revision);
         if let Some(conn) = done.conn {
             self.respond(conn, 200, admin::encode(&done.answer), None);
         }
@@ -249,8 +246,7 @@
 }
 
 fn faulty(faults: &[quota::Fault]) -> Refused {
-    let error = "the tree is refused; the one in force stays".to_owned();
-    Refused { error, version: None, faults: faults.to_vec() }
+    Refused { faults: faults.to_vec(), ..refused("the tree is refused; the one in force stays") }
 }
 
 /// What is above its bound, and what becomes of it.
--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -434,7 +434,8 @@
             // Parts that no version names any more, unless a change is about to.
             let quotas = &self.shared.quotas;
             let over = |name: &&String| !quotas.head.parts.contains(name);
-            if part.changing.is_none() && quotas.version() == Some(quotas.head.version) {
+            let some = quotas.parts.len() > quotas.head.parts.len();
+            if some && part.changing.is_none() && quotas.version() == Some(quotas.head.version) {
                 for (name, stamp) in quotas.parts.iter().filter(|(name, _)| over(name)) {
                     if !room(&d) {
                         break;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -78,90 +78,29 @@
 /// What an answer that is still out belongs to. `epoch` ties it to one term of ownership.
 enum Pending {
     SharedRead,
-    SharedWatch {
-        round: u64,
-    },
-    Grant {
-        sent: u64,
-    },
-    Renew {
-        lease: u64,
-        sent: u64,
-    },
-    Take {
-        lease: u64,
-    },
+    SharedWatch { round: u64 },
+    Grant { sent: u64 },
+    Renew { lease: u64, sent: u64 },
+    Take { lease: u64 },
     Release,
-    Load {
-        epoch: u64,
-        what: part::Load,
-    },
-    LiveWatch {
-        epoch: u64,
-    },
-    Commit {
-        epoch: u64,
-    },
-    Verify {
-        epoch: u64,
-    },
-    Accept {
-        asker: Asker,
-        spec: Box<JobSpec>,
-        at: u64,
-        tries: u32,
-    },
-    ReadLive {
-        asker: Asker,
-        job: String,
-        why: door::Why,
-    },
-    ReadEnd {
-        asker: Asker,
-        job: String,
-        why: door::Why,
-    },
-    PeerQuery {
-        asker: Asker,
-        job: String,
-        why: door::Why,
-    },
-    PeerCancel {
-        conn: u64,
-        job: String,
-    },
-    Forward {
-        conn: u64,
-    },
-    /// An operator's request that the owner answers.
-    Admin {
-        conn: u64,
-    },
-    TreeParts {
-        epoch: u64,
-    },
+    Load { epoch: u64, what: part::Load },
+    LiveWatch { epoch: u64 },
+    Commit { epoch: u64 },
+    Verify { epoch: u64 },
+    Accept { asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32 },
+    ReadLive { asker: Asker, job: String, why: door::Why },
+    ReadEnd { asker: Asker, job: String, why: door::Why },
+    PeerQuery { asker: Asker, job: String, why: door::Why },
+    PeerCancel { conn: u64, job: String },
+    Forward { conn: u64 },
+    Admin { conn: u64 },
+    TreeParts { epoch: u64 },
     Catalog,
-    List {
-        epoch: u64,
-    },
-    Hire {
-        epoch: u64,
-        name: String,
-    },
-    Delete {
-        epoch: u64,
-        machines: Vec<usize>,
-    },
-    Direct {
-        epoch: u64,
-        machine: usize,
-        serial: u64,
-    },
-    Show {
-        epoch: u64,
-        machine: usize,
-        serial: u64,
-    },
+    List { epoch: u64 },
+    Hire { epoch: u64, name: String },
+    Delete { epoch: u64, machines: Vec<usize> },
+    Direct { epoch: u64, machine: usize, serial: u64 },
+    Show { epoch: u64, machine: usize, serial: u64 },
 }
 
 impl Pending {
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -350,7 +350,7 @@
         self.load(Load::Jobs);
     }
 
-    fn load(&mut self, what: Load) {
+    pub(crate) fn load(&mut self, what: Load) {
         let Some(part) = &self.part else { return };
         let prefix = match what {
             Load::Jobs => records::LIVE.to_owned(),
@@ -369,20 +369,16 @@
     }
 
     pub(crate) fn load_came(&mut self, what: Load, response: Option<Response>) {
-        if what == Load::Tree {
-            let head = response.filter(|r| r.status == 200).and_then(|r| self.read("state service", &r));
-            return match head {
-                Some(head) => self.load_tree_head(head),
-                None => self.load(Load::Tree),
-            };
-        }
         let page = response.filter(|r| r.status == 200).and_then(|r| match what {
             Load::Jobs => self.read("state service", &r).map(|p| self.load_jobs(p)),
             Load::Racks => self.read("state service", &r).map(|p| self.load_racks(p)),
             Load::Log => self.read("state service", &r).map(|p| self.load_log(p)),
             Load::Hires => self.read("state service", &r).map(|p| self.load_hires(p)),
             Load::Allot => self.read("state service", &r).map(|p| self.load_allot(p)),
-            Load::Tree => None,
+            Load::Tree => self.read("state service", &r).map(|p| {
+                self.load_tree_head(p);
+                false
+            }),
         });
         let Some(more) = page else {
             // Tried again from the same place; an owner that can't read keeps its lease or loses it.
@@ -401,7 +397,7 @@
             Load::Hires => self.load(Load::Allot),
             Load::Allot if self.has_tree() => self.load(Load::Tree),
             Load::Allot => self.load_ended(),
-            Load::Tree => {}
+            Load::Tree => self.read_tree(),
         }
     }
 
@@ -412,11 +408,6 @@
         recorded || self.shared.quotas.head.version > 0
     }
 
-    /// The tree could not be read whole: from its head again.
-    pub(crate) fn load_tree_again(&mut self) {
-        self.load(Load::Tree);
-    }
-
     /// Notes where the next page goes on; true if there is one.
     fn page_end<T>(&mut self, range: &Range<T>) -> bool {
         if let Some(part) = &mut self.part {
--- a/crates/control/src/quotas.rs
+++ b/crates/control/src/quotas.rs
@@ -3,6 +3,7 @@
 //! A controller acts on one whole version. It reads the parts of a new one, checks that it holds together with the
 //! teams of the settings, and only then takes it; one that does not check out is refused, and the last good one stays.
 
+use crate::part::Load;
 use crate::{Dest, Node, Pending};
 use quota::{Spec, Tree};
 use std::collections::{BTreeMap, BTreeSet};
@@ -69,7 +70,14 @@
         self.head.version == known || self.head.version == refused
     }
 
-    /// Takes a tree that was put together from the head's parts.
+    fn take(&mut self, good: Good) {
+        let (nodes, teams) = (good.tree.nodes.len(), good.tree.leaves.len());
+        log::info!("quota tree: version {} with {nodes} nodes and {teams} teams", good.version);
+        self.good = Some(good);
+        self.refused = None;
+    }
+
+    /// Takes a tree that was put together from the head's parts, or refuses it.
     fn adopt(&mut self, spec: Result<Spec, String>, teams: &[quota::Team]) {
         let version = self.head.version;
         let built = spec.and_then(|spec| {
@@ -77,15 +85,7 @@
             Ok(Good { version, spec: Arc::new(spec), tree: Arc::new(tree) })
         });
         match built {
-            Ok(good) => {
-                log::info!(
-                    "quota tree: version {version} with {} nodes and {} teams",
-                    good.tree.nodes.len(),
-                    good.tree.leaves.len()
-                );
-                self.good = Some(good);
-                self.refused = None;
-            }
+            Ok(good) => self.take(good),
             Err(why) => {
                 let kept = self.good.as_ref().map_or("none".to_owned(), |g| g.version.to_string());
                 log::error!("quota tree: version {version} is refused, {kept} stays in force: {why}");
@@ -163,7 +163,8 @@
         self.tree_read();
     }
 
-    /// The head that an owner reads before its first start; then the parts, if it knows them not yet.
+    /// The head that an owner reads before its first start, and then the parts: all of them, also those that no version
+    /// names, so that it can take them away and writes none a second time.
     pub(crate) fn load_tree_head(&mut self, range: Range<records::SharedRec>) {
         for item in range.items.into_iter().filter(|i| i.key == records::QUOTA) {
             if let Some(head) = item.value.quota {
@@ -172,30 +173,25 @@
         }
         // What was refused may have been incomplete for us alone.
         self.shared.quotas.refused = None;
-        // An owner knows all parts, also those that no version names: so that it can take them away, and writes none
-        // a second time.
-        self.read_tree();
     }
 
     /// The tree was read, or could not be.
     fn tree_read(&mut self) {
-        let now = self.now.mono;
         let owner_loads = self.part.as_ref().is_some_and(|p| !p.loaded);
-        let q = &mut self.shared.quotas;
-        let known = q.is_current();
-        if owner_loads && !known {
+        if !owner_loads {
+            self.tree_in_force();
+        } else if self.shared.quotas.is_current() {
+            self.load_ended();
+        } else {
             // Without it nothing may start: again, from the head.
-            q.retry_at = now + 1000;
-            return self.load_tree_again();
+            self.load(Load::Tree);
         }
-        if owner_loads { self.load_ended() } else { self.tree_in_force() }
     }
 
     /// A new version of ours is in place in the state service.
-    pub(crate) fn tree_committed(&mut self, head: Head, spec: Arc<Spec>, stamp: u64) {
+    pub(crate) fn tree_committed(&mut self, head: Head, good: Good, stamp: u64) {
         self.shared.quotas.head_seen(head, stamp);
-        let teams = self.settings.quota_teams();
-        self.shared.quotas.adopt(Ok((*spec).clone()), &teams);
+        self.shared.quotas.take(good);
         self.tree_in_force();
     }
 
--- a/crates/control/src/standing.rs
+++ b/crates/control/src/standing.rs
@@ -138,28 +138,20 @@
 
 /// The jobs of teams below some node, each with how far its tasks are held. The earlier accepted come first, and an
 /// array is held task by task.
-fn nested(part: &Part, live: &mut Live) -> HashMap<JobIx, Levels> {
+fn nested(part: &Part, open: &[(JobIx, &JobSpec)], live: &mut Live) -> HashMap<JobIx, Levels> {
     let tree = live.tree().clone();
-    let mut open: Vec<(u64, JobIx, TeamId, &JobSpec)> = Vec::new();
-    for (ix, job) in part.jobs.iter().enumerate() {
-        if let Some(job) = job
-            && let Some(spec) = &job.spec
-            && !job.is_ending()
-            && let Some(team) = tree.team(&spec.team)
-            && tree.leaves[team.0 as usize].parent.is_some()
-        {
-            open.push((job.at_ms, ix, team, spec));
-        }
-    }
-    open.sort_unstable_by_key(|(at, ix, _, _)| (*at, *ix));
     let mut left: HashMap<TeamId, Vec<Share>> = HashMap::new();
     let mut out = HashMap::new();
-    for (_, ix, team, spec) in open {
+    for (ix, spec) in open {
+        let Some(team) = tree.team(&spec.team) else { continue };
+        if tree.leaves[team.0 as usize].parent.is_none() {
+            continue;
+        }
         let left = left
             .entry(team)
             .or_insert_with(|| (0..=tree.path(team).len()).map(|depth| live.entitled(team, depth)).collect());
-        let tasks = part.job(ix).map_or(0, |job| open_tasks(job, spec));
-        out.insert(ix, fit(left, &takes(spec.cores, spec.gpus, spec.mem_gb), tasks, spec.kind));
+        let tasks = part.job(*ix).map_or(0, |job| open_tasks(job, spec));
+        out.insert(*ix, fit(left, &takes(spec.cores, spec.gpus, spec.mem_gb), tasks, spec.kind));
     }
     out
 }
@@ -209,8 +201,8 @@
     path.is_empty() || leaf.guarantee != NOTHING || tree.nodes[path[0].0 as usize].guarantee != NOTHING
 }
 
-/// Jobs that fit into their team's guarantee together with the team's earlier jobs that have not ended.
-fn within_guarantee(part: &Part, teams: &[Team]) -> HashSet<JobIx> {
+/// Jobs that have not ended, the earlier accepted first.
+fn open_jobs(part: &Part) -> Vec<(JobIx, &JobSpec)> {
     let mut open: Vec<(u64, JobIx, &JobSpec)> = Vec::new();
     for (ix, job) in part.jobs.iter().enumerate() {
         if let Some(job) = job
@@ -221,10 +213,15 @@
         }
     }
     open.sort_unstable_by_key(|(at, ix, _)| (*at, *ix));
+    open.into_iter().map(|(_, ix, spec)| (ix, spec)).collect()
+}
+
+/// Open jobs that fit into their team's guarantee together with the team's earlier ones.
+fn within_guarantee(open: &[(JobIx, &JobSpec)], teams: &[Team]) -> HashSet<JobIx> {
     let mut left: HashMap<&str, (&Team, f64, f64)> =
         teams.iter().map(|t| (t.name.as_str(), (t, t.cpus, t.gpus))).collect();
     let mut out = HashSet::new();
-    for (_, ix, spec) in open {
+    for (ix, spec) in open {
         let Some((team, cpus, gpus)) = left.get_mut(spec.team.as_str()) else { continue };
         let n = f64::from(spec.tasks);
         *cpus -= spec.cores * n;
@@ -235,7 +232,7 @@
         let (by_cpus, by_gpus) = (counted(team.cpus, spec.cores), counted(team.gpus, spec.gpus));
         let fits = (by_cpus || by_gpus) && !(by_cpus && *cpus < -1e-6) && !(by_gpus && *gpus < -1e-6);
         if fits {
-            out.insert(ix);
+            out.insert(*ix);
         }
     }
     out
@@ -248,30 +245,17 @@
     good: Option<&Good>,
     index: &HashMap<&str, u16>,
 ) -> Holds {
-    let Some(good) = good else {
-        part.take_touched();
-        return Holds {
-            flat: within_guarantee(part, teams),
-            nested: HashMap::new(),
-            fulfilled: HashMap::new(),
-        };
-    };
-    // A tree may have cut a team's guarantee below that of the settings.
-    let cut = |t: &Team| {
-        let own = good.spec.teams.iter().find(|s| s.name == t.name).and_then(|s| s.guarantee.as_ref());
-        let of = |name: &str, settled: f64| own.map_or(settled, |own| own.get(name).copied().unwrap_or(0.0));
-        Team { cpus: of("cpus", t.cpus), gpus: of("gpus", t.gpus), ..t.clone() }
-    };
-    let teams: Vec<Team> = teams.iter().map(cut).collect();
-    let flat = within_guarantee(part, &teams);
-    let tree = &good.tree;
     let touched = part.take_touched();
+    let kept = part.counted.take();
+    let flat_only = |flat| Holds { flat, nested: HashMap::new(), fulfilled: HashMap::new() };
+    let Some(good) = good else { return flat_only(within_guarantee(&open_jobs(part), teams)) };
+    let open = open_jobs(part);
+    let flat = within_guarantee(&open, &cut_guarantees(teams, good));
+    let tree = &good.tree;
     if tree.nodes.is_empty() {
-        part.counted = None;
-        return Holds { flat, nested: HashMap::new(), fulfilled: HashMap::new() };
+        return flat_only(flat);
     }
-    let kept = part.counted.take().filter(|(version, _)| *version == good.version);
-    let mut counted = match kept {
+    let mut counted = match kept.filter(|(version, _)| *version == good.version) {
         Some((_, mut counted)) => {
             counted.follow(part, touched);
             counted
@@ -279,7 +263,7 @@
         None => Counted::new(part, tree.clone()),
     };
     debug_assert!(counted.is_right(part), "a job was changed that plans did not hear of");
-    let nested = nested(part, &mut counted.live);
+    let nested = nested(part, &open, &mut counted.live);
     let below = tree.leaves.iter().filter(|l| l.parent.is_some());
     let ids = below.filter_map(|l| Some((*index.get(l.name.as_str())?, tree.team(&l.name)?)));
     let fulfilled = ids.map(|(t, id)| (t, fulfilled(&counted.live, id))).collect();
@@ -287,6 +271,20 @@
     Holds { flat, nested, fulfilled }
 }
 
+/// The teams of the settings, with the smaller guarantees that a tree may give them.
+fn cut_guarantees(teams: &[Team], good: &Good) -> Vec<Team> {
+    let own = good.spec.teams.iter().filter_map(|t| Some((t.name.as_str(), t.guarantee.as_ref()?)));
+    let own: HashMap<&str, &quota::Amounts> = own.collect();
+    let cut = |t: &Team| match own.get(t.name.as_str()) {
+        Some(own) => {
+            let of = |name: &str| own.get(name).copied().unwrap_or(0.0);
+            Team { cpus: of("cpus"), gpus: of("gpus"), ..t.clone() }
+        }
+        None => t.clone(),
+    };
+    teams.iter().map(cut).collect()
+}
+
 /// Teams on whose path nothing is guaranteed.
 pub(crate) fn unheld(tree: &quota::Tree, teams: &HashMap<&str, u16>) -> Vec<u16> {
     let none = |name: &str| tree.team(name).is_some_and(|t| !may_be_held(tree, t));
@@ -382,7 +380,7 @@
             assert!(steps <= 2 * 7 && steps * 1000 < all, "job {ix}: {steps} steps of {all}");
         }
         assert!(counted.is_right(&part));
-        assert_eq!(nested(&part, &mut counted.live).len(), 100_000);
+        assert_eq!(nested(&part, &open_jobs(&part), &mut counted.live).len(), 100_000);
     }
 
     /// The wait that a guarantee allows shrinks with what the node furthest below has of what it is due; in a flat tree,
@@ -458,7 +456,7 @@
             let spec = spec(i as u32, team, *tasks, *cores, *gpus);
             part.add_job(Job::new(JobRec { spec, at_ms: i as u64, part: 0 }, 1));
         }
-        let within = within_guarantee(&part, &teams);
+        let within = within_guarantee(&open_jobs(&part), &teams);
         for (i, (team, .., expected)) in jobs.iter().enumerate() {
             assert_eq!(within.contains(&i), *expected, "job {i} of {team}");
         }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -252,9 +252,11 @@
     /// Whether a task may be stopped for a more urgent job. Where quotas nest, urgency of what is borrowed does not
     /// count against what is held.
     pub fn yields(&self, r: &Running, job: &Job) -> bool {
-        let kin = self.kin(r.team, job.team);
-        let borrows = r.team != job.team && r.held > kin && job.held <= kin;
-        r.priority < job.priority && (self.groups.is_empty() || !borrows)
+        let borrows = || {
+            let kin = self.kin(r.team, job.team);
+            r.team != job.team && r.held > kin && job.held <= kin
+        };
+        r.priority < job.priority && (self.groups.is_empty() || !borrows())
     }
 }
 
--- a/crates/quota/src/edit.rs
+++ b/crates/quota/src/edit.rs
@@ -65,17 +65,17 @@
     for node in &mut out.nodes {
         let (leaves, enters) = (left.contains(&node.name), entered.contains(&node.name));
         if leaves != enters {
-            shift(node, &carried, if enters { 1.0 } else { -1.0 });
+            shift(node, &carried, if enters { 1 } else { -1 });
         }
     }
     Ok(out)
 }
 
-fn shift(node: &mut NodeSpec, by: &Amounts, sign: f64) {
+fn shift(node: &mut NodeSpec, by: &Amounts, sign: i64) {
     for (name, units) in by {
         let have = node.guarantee.entry(name.clone()).or_default();
         // In thousandths, so that back and forth ends where it began.
-        *have = (milli(*have) + sign as i64 * milli(*units)).max(0) as f64 / 1000.0;
+        *have = (milli(*have) + sign * milli(*units)).max(0) as f64 / 1000.0;
     }
     node.guarantee.retain(|_, units| *units > 0.0);
 }
--- a/crates/standins/src/rules.rs
+++ b/crates/standins/src/rules.rs
@@ -134,12 +134,6 @@
         }
     }
 
-    /// What is really on the machines some time after the last change of the tree, with nothing else going on.
-    pub fn settled(&mut self, now: u64, tasks: &[String]) {
-        let used = self.gpus_by_team(tasks.iter().map(String::as_str));
-        self.nodes_kept(now, &used);
-    }
-
     /// Everything that is on machines at one moment: the same rules in one pass, for fleets too large to be looked
     /// at for each start.
     pub fn all(&mut self, now: u64, on: &[OnMachine<'_>]) {
