Test controllers keep their ports: bound for the whole test, given to nobody else

Need: the suite failed once with "client_listen: can't listen on 127.0.0.1:44783: Address already in use". A port was found free and let go again before the controller took it; a stand-in worker or an outgoing connection of another test got it first, and the flood then waited for three controllers of which one had ended.

Change: the tests hold each port with a bound socket that does not listen, which lets the program listen there and keeps the port from everybody who asks for any port. The event loop says where it listens, so its tests ask for port 0.

--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -109,12 +109,14 @@
         })
     }
 
-    pub fn listen(&mut self, addr: SocketAddr, door: Door) -> io::Result<()> {
+    /// Listens there, and says where: port 0 stands for any free one.
+    pub fn listen(&mut self, addr: SocketAddr, door: Door) -> io::Result<SocketAddr> {
         let mut listener = TcpListener::bind(addr)?;
         let token = Token(LISTENERS + self.listeners.len());
         self.poll.registry().register(&mut listener, token, Interest::READABLE)?;
+        let bound = listener.local_addr()?;
         self.listeners.push((listener, door));
-        Ok(())
+        Ok(bound)
     }
 
     /// Lets another thread end a [`Net::poll`] early.
--- a/crates/net/tests/bounds.rs
+++ b/crates/net/tests/bounds.rs
@@ -7,10 +7,10 @@
 use wire::http::Response;
 
 fn listening(max: usize) -> (Net, SocketAddr) {
-    let port = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
     let mut net = Net::new(max).expect("an event loop");
-    net.listen(port, Door::Clients).expect("listening");
-    (net, port)
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let addr = net.listen(any, Door::Clients).expect("listening");
+    (net, addr)
 }
 
 fn client(addr: SocketAddr) -> TcpStream {
--- a/crates/stoathatch/tests/e2e/common.rs
+++ b/crates/stoathatch/tests/e2e/common.rs
@@ -1,8 +1,9 @@
 //! Controllers as real processes for the tests on loopback. Waits on conditions only.
 
 use serde_json::Value;
+use socket2::{Domain, Socket, Type};
 use standins::loopback::{Loopback, ask, settings};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 use wire::api::{Catalog, JobSpec, JobState, Kind, MachineType, Priority, Stage};
@@ -15,6 +16,8 @@
     pub peers: Vec<SocketAddr>,
     /// Further arguments of each process.
     options: Vec<String>,
+    /// Keeps the ports out of everybody else's reach, also while a process is down.
+    _held: Vec<(Socket, SocketAddr)>,
 }
 
 impl Controllers {
@@ -26,7 +29,8 @@
         teams: &Value,
         options: &[&str],
     ) -> (Self, Loopback) {
-        let (clients, peers) = (ports(3), ports(3));
+        let held: Vec<_> = (0..6).map(|_| hold_port().expect("a port")).collect();
+        let (clients, peers): (Vec<_>, Vec<_>) = held.chunks(2).map(|pair| (pair[0].1, pair[1].1)).unzip();
         let nodes = clients.iter().enumerate().map(|(i, a)| (format!("burrow-{i}"), *a)).collect();
         let world = Loopback::start(Catalog { types: vec![kind] }, nodes, run_ms, 20_000).expect("stand-ins");
         let files: Vec<_> = (0..3)
@@ -39,7 +43,8 @@
             })
             .collect();
         let options = options.iter().map(ToString::to_string).collect();
-        let mut c = Controllers { files, children: vec![None, None, None], clients, peers, options };
+        let mut c =
+            Controllers { files, children: vec![None, None, None], clients, peers, options, _held: held };
         (0..3).for_each(|n| c.start(n));
         (c, world)
     }
@@ -101,9 +106,15 @@
     }
 }
 
-pub fn ports(n: usize) -> Vec<SocketAddr> {
-    let held: Vec<TcpListener> = (0..n).map(|_| TcpListener::bind("127.0.0.1:0").expect("a port")).collect();
-    held.iter().map(|l| l.local_addr().expect("its address")).collect()
+/// A free port of this host that stays ours: bound, but not listened on. The program may still bind and listen there,
+/// since both sides let addresses be reused. A port that is found free and let go again can be given to a connection
+/// or a listener of anybody's before the program takes it: so a test once lost one of its three controllers.
+pub fn hold_port() -> std::io::Result<(Socket, SocketAddr)> {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.bind(&SocketAddr::from((Ipv4Addr::LOCALHOST, 0)).into())?;
+    let addr = socket.local_addr()?.as_socket().ok_or(std::io::ErrorKind::AddrNotAvailable)?;
+    Ok((socket, addr))
 }
 
 pub fn four_gpus(boot_s: f64) -> MachineType {
--- a/crates/stoathatch/tests/e2e/main.rs
+++ b/crates/stoathatch/tests/e2e/main.rs
@@ -2,4 +2,5 @@
 
 mod common;
 mod jobs;
+mod ports;
 mod quota;
