Event loop: failed accepts are made good, and raw doors hand over bytes as they come

Need: when an accept failed for want of files, the loop returned and nothing announced the waiting connections again; they stayed until somebody else came. And a second protocol needs connections that are not HTTP requests.

A raw door tells who came and from where, what he sent (256 KiB at a time) and, once, that he is gone; who leaves 8 MiB unread or says nothing for three minutes is closed.

--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -22,6 +22,19 @@
     Writing,
     /// Our request is out.
     Waiting,
+    /// Bytes both ways, without requests.
+    Raw,
+}
+
+/// What reading came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Filled {
+    /// Nothing more is there now.
+    Dry,
+    /// The bound was reached.
+    More,
+    /// The other side has closed.
+    Ended,
 }
 
 pub(crate) struct Conn {
@@ -88,17 +101,25 @@
 
     /// Reads what is there; true once the other side has closed. More than `limit` is an error.
     pub fn fill(&mut self, limit: usize) -> io::Result<bool> {
+        match self.fill_some(limit)? {
+            Filled::More => Err(io::ErrorKind::InvalidData.into()),
+            filled => Ok(filled == Filled::Ended),
+        }
+    }
+
+    /// Reads what is there, until more than `limit` bytes are held.
+    pub fn fill_some(&mut self, limit: usize) -> io::Result<Filled> {
         let mut chunk = [0u8; 16 * 1024];
         loop {
             match self.stream.read(&mut chunk) {
-                Ok(0) => return Ok(true),
+                Ok(0) => return Ok(Filled::Ended),
                 Ok(n) => {
-                    if self.rbuf.len() + n > limit {
-                        return Err(io::ErrorKind::InvalidData.into());
-                    }
                     self.rbuf.extend_from_slice(&chunk[..n]);
+                    if self.rbuf.len() > limit {
+                        return Ok(Filled::More);
+                    }
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(Filled::Dry),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
             }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -3,10 +3,10 @@
 
 mod conn;
 
-use conn::{Conn, Phase, Side};
+use conn::{Conn, Filled, Phase, Side};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,6 +25,8 @@
 pub enum Door {
     Clients,
     Peers,
+    /// Bytes as they come, for a protocol of the caller's, under a number of the caller's.
+    Raw(u8),
 }
 
 impl Door {
@@ -33,6 +35,7 @@
         match self {
             Door::Clients => wire::api::BODY_LIMIT,
             Door::Peers => wire::admin::BODY_LIMIT,
+            Door::Raw(_) => RAW_CHUNK,
         }
     }
 }
@@ -44,6 +47,19 @@
         door: Door,
         request: Request,
     },
+    /// Somebody came by a raw door. What he sends follows, and then his end, exactly once.
+    Opened {
+        conn: ConnId,
+        door: Door,
+        from: SocketAddr,
+    },
+    Bytes {
+        conn: ConnId,
+        bytes: Vec<u8>,
+    },
+    Closed {
+        conn: ConnId,
+    },
     /// The end of something we sent: an answer, or `None` if none came in time.
     Reply {
         tag: u64,
@@ -70,6 +86,12 @@
 const SLOW: Duration = Duration::from_secs(10);
 const IDLE: Duration = Duration::from_secs(75);
 const IDLE_OUT: Duration = Duration::from_secs(20);
+/// A raw connection that says nothing for so long is closed.
+const IDLE_RAW: Duration = Duration::from_secs(180);
+/// Most bytes of a raw connection that are handed over at once.
+const RAW_CHUNK: usize = 256 << 10;
+/// A raw connection that leaves more than this unread is closed.
+const RAW_UNREAD: usize = 8 << 20;
 /// More idle connections to one host than this are closed.
 const POOL: usize = 8;
 
@@ -77,6 +99,8 @@
     poll: Poll,
     events: Events,
     listeners: Vec<(TcpListener, Door)>,
+    /// Listeners whose last accept failed: connections may wait there, and nothing will say so.
+    owed: BTreeSet<usize>,
     conns: Vec<Option<Conn>>,
     free: Vec<usize>,
     generation: u32,
@@ -96,6 +120,7 @@
             poll: Poll::new()?,
             events: Events::with_capacity(256),
             listeners: Vec::new(),
+            owed: BTreeSet::new(),
             conns: Vec::new(),
             free: Vec::new(),
             generation: 0,
@@ -155,6 +180,7 @@
         if now.duration_since(self.swept) >= SWEEP {
             self.swept = now;
             self.sweep(now);
+            std::mem::take(&mut self.owed).into_iter().for_each(|index| self.accept(index, now));
         }
         Ok(std::mem::take(&mut self.out))
     }
@@ -163,7 +189,22 @@
         loop {
             let (listener, door) = &self.listeners[index];
             let door = *door;
-            let Ok((stream, _)) = listener.accept() else { return };
+            let (stream, from) = match listener.accept() {
+                Ok(accepted) => accepted,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                // These concern the one connection only.
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
+                {
+                    continue;
+                }
+                // Files have run out, or the like: those who wait are not announced again, so they are looked for.
+                Err(e) => {
+                    log::warn!("net: can't accept: {e}");
+                    self.owed.insert(index);
+                    return;
+                }
+            };
             if self.served >= self.max_served {
                 self.close_idlest();
             }
@@ -172,7 +213,15 @@
                 continue;
             }
             let _ = stream.set_nodelay(true);
-            self.insert(Conn::new(stream, Side::Served(door), now + IDLE), Interest::READABLE);
+            let raw = matches!(door, Door::Raw(_));
+            let mut conn = Conn::new(stream, Side::Served(door), now + if raw { IDLE_RAW } else { IDLE });
+            if raw {
+                conn.phase = Phase::Raw;
+            }
+            let slot = self.insert(conn, Interest::READABLE).filter(|_| raw);
+            if let Some(conn) = slot.and_then(|slot| self.id(slot)) {
+                self.out.push(Event::Opened { conn, door, from });
+            }
         }
     }
 
@@ -215,7 +264,13 @@
         self.free.push(slot);
         self.open -= 1;
         match conn.side {
-            Side::Served(_) => self.served -= 1,
+            Side::Served(door) => {
+                self.served -= 1;
+                if matches!(door, Door::Raw(_)) {
+                    let conn = ConnId { slot, generation: conn.generation };
+                    self.out.push(Event::Closed { conn });
+                }
+            }
             Side::Asked { to, tag, .. } => {
                 if conn.phase == Phase::Idle {
                     if let Some(pool) = self.idle.get_mut(&to) {
@@ -231,6 +286,36 @@
         }
     }
 
+    fn id(&self, slot: usize) -> Option<ConnId> {
+        let conn = self.conns.get(slot)?.as_ref()?;
+        Some(ConnId { slot, generation: conn.generation })
+    }
+
+    fn raw(&mut self, id: ConnId) -> Option<&mut Conn> {
+        let conn = self.conns.get_mut(id.slot)?.as_mut()?;
+        (conn.generation == id.generation && conn.phase == Phase::Raw).then_some(conn)
+    }
+
+    /// Sends bytes on a raw connection. One that does not take them is closed.
+    pub fn write(&mut self, id: ConnId, bytes: &[u8]) {
+        let Some(conn) = self.raw(id) else { return };
+        conn.wbuf.extend_from_slice(bytes);
+        if conn.wbuf.len() > RAW_UNREAD {
+            return self.close(id.slot);
+        }
+        self.drive_write(id.slot, Instant::now());
+    }
+
+    /// Closes a raw connection, once what was written has been taken.
+    pub fn finish(&mut self, id: ConnId) {
+        let Some(conn) = self.raw(id) else { return };
+        conn.close_after = true;
+        conn.deadline = Instant::now() + SLOW;
+        if conn.wbuf.is_empty() {
+            self.close(id.slot);
+        }
+    }
+
     /// Answers a request. An answer for a connection that has gone is dropped.
     pub fn respond(&mut self, id: ConnId, mut response: Response) {
         let now = Instant::now();
@@ -307,6 +392,7 @@
                     self.close(slot);
                 }
             }
+            Ok(true) if conn.phase == Phase::Raw && conn.close_after => self.close(slot),
             Ok(true) if conn.phase == Phase::Writing => {
                 if matches!(conn.side, Side::Asked { .. }) {
                     conn.phase = Phase::Waiting;
@@ -324,8 +410,38 @@
         }
     }
 
+    /// Hands over what has come in on a raw connection. More than a chunk at once is left for the next turn.
+    fn read_raw(&mut self, slot: usize, now: Instant) {
+        let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
+        let conn_id = ConnId { slot, generation: conn.generation };
+        let ended = conn.fill_some(RAW_CHUNK);
+        if !conn.rbuf.is_empty() {
+            // A connection that is over by our word is not read any more.
+            let bytes = std::mem::take(&mut conn.rbuf);
+            if !conn.close_after {
+                conn.deadline = now + IDLE_RAW;
+                self.out.push(Event::Bytes { conn: conn_id, bytes });
+            }
+        }
+        match ended {
+            Ok(Filled::Dry) => {}
+            // The edge is spent: ask to be told again.
+            Ok(Filled::More) => {
+                let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
+                let interest = Interest::READABLE | Interest::WRITABLE;
+                if self.poll.registry().reregister(&mut conn.stream, Token(slot), interest).is_err() {
+                    self.close(slot);
+                }
+            }
+            Ok(Filled::Ended) | Err(_) => self.close(slot),
+        }
+    }
+
     fn drive_read(&mut self, slot: usize, now: Instant) {
         let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
+        if conn.phase == Phase::Raw {
+            return self.read_raw(slot, now);
+        }
         if conn.connecting {
             return;
         }
