--- a/crates/control/src/side.rs
+++ b/crates/control/src/side.rs
@@ -28,9 +28,17 @@
 pub enum Ask {
     /// All records below a prefix, a page at a time, after a key.
     Page { under: String, after: Option<String> },
-    /// Changes of some records, by the owner: each key with the version that it must have, and its new value, or none
-    /// if it is to be removed.
-    Change { writes: Vec<(String, u64, Option<Value>)> },
+    /// Changes of some records, by the owner.
+    Change { writes: Vec<Change> },
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub struct Change {
+    pub key: String,
+    /// The version that it must have (0: it does not exist); none for what can only have one content.
+    pub version: Option<u64>,
+    /// None if it is to be removed.
+    pub value: Option<Value>,
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -69,7 +77,7 @@
         let refused = match &ask {
             Ask::Page { under, .. } => !own(under),
             Ask::Change { writes } => {
-                writes.is_empty() || writes.len() > MOST_WRITES || writes.iter().any(|(k, _, _)| !own(k))
+                writes.is_empty() || writes.len() > MOST_WRITES || writes.iter().any(|w| !own(&w.key))
             }
         };
         if refused {
@@ -92,7 +100,7 @@
         }
     }
 
-    fn side_change(&mut self, tag: u64, writes: Vec<(String, u64, Option<Value>)>) {
+    fn side_change(&mut self, tag: u64, writes: Vec<Change>) {
         let now = self.now.mono;
         let cost = writes.len() as f64;
         let enough = self.writes.level(now) >= cost.min(self.settings.cluster.state.write_rps / 2.0);
@@ -103,8 +111,8 @@
         self.writes.take(now, cost);
         let mut txn = Txn { guards: Vec::new(), writes: Vec::new() };
         txn.guards.push(Guard { key: records::owner_key(PART), version: owner });
-        for (key, version, value) in writes {
-            txn.guards.push(Guard { key: key.clone(), version });
+        for Change { key, version, value } in writes {
+            txn.guards.extend(version.map(|version| Guard { key: key.clone(), version }));
             txn.writes.push(match value {
                 Some(value) => Write::put(key, Record::Side(value)),
                 None => Write::Remove { key },
--- /dev/null
+++ b/crates/gateway/src/book/drains.rs
@@ -0,0 +1,106 @@
+//! Drains: queues, or the whole service, that take no new applications. Recorded before anybody is told, so they
+//! survive the node that was asked.
+
+use super::{Book, Key, Told, Waiter};
+use crate::Cx;
+use crate::queues::{Queue, ROOT};
+use crate::records::{Drain, DrainRec};
+use yarn::error::{Class, Fault};
+
+/// Queues that can be drained at once; there are hardly more.
+const MOST: usize = 200;
+
+impl Book {
+    /// Begins or ends a drain.
+    pub(super) fn set_drain(
+        &mut self,
+        cx: Cx<'_>,
+        user: &str,
+        name: &str,
+        drain: Option<Drain>,
+        waiter: Waiter,
+    ) -> Result<(), Fault> {
+        let queue = self.queue(name)?;
+        if !self.queues.may_administer(cx.config, queue, user) {
+            let why = format!("User {user} cannot administer queue {}", queue.path);
+            return Err(Fault::new(Class::AccessDenied, why));
+        }
+        let path = queue.path.clone();
+        match drain {
+            Some(drain) if self.drain.queues.len() < MOST => {
+                // A drain that stands keeps its begin.
+                let since_ms = self.drain.queues.get(&path).map_or(drain.since_ms, |d| d.since_ms);
+                self.drain.queues.insert(path, Drain { since_ms, ..drain });
+            }
+            Some(_) => return Err(Fault::new(Class::Yarn, format!("{MOST} queues are drained already"))),
+            None => {
+                self.drain.queues.remove(&path);
+            }
+        }
+        self.drain_waiters.push(waiter);
+        self.store.touch(Key::Drain);
+        Ok(())
+    }
+
+    pub(super) fn drain_saved(&mut self, rec: DrainRec) {
+        self.drained = rec;
+        for waiter in std::mem::take(&mut self.drain_waiters) {
+            debug_assert_eq!(waiter.told, Told::Drained);
+            self.tell_drains(waiter);
+        }
+    }
+
+    /// The drain that a queue stands under, with where it was asked for.
+    pub(super) fn drain_of<'a>(&'a self, queue: &'a Queue) -> Option<(&'a str, &'a Drain)> {
+        self.queues.above(queue).find_map(|q| Some((q.path.as_str(), self.drain.queues.get(&q.path)?)))
+    }
+
+    pub(super) fn not_drained(&self, queue: &Queue) -> Result<(), Fault> {
+        match self.drain_of(queue) {
+            None => Ok(()),
+            // Clients with several addresses go on to the next.
+            Some((ROOT, _)) => {
+                Err(Fault::new(Class::Standby, "the service takes no new applications: it is being drained"))
+            }
+            Some((path, _)) => {
+                let why = format!(
+                    "Queue {path} is DRAINING. Cannot accept submission of an application to {}",
+                    queue.path
+                );
+                Err(Fault::new(Class::Yarn, why))
+            }
+        }
+    }
+
+    /// No further containers are given to applications of this queue.
+    pub(super) fn holds_containers(&self, queue: &str) -> bool {
+        let found = self.queues.find(queue).and_then(|q| self.drain_of(q));
+        found.is_some_and(|(_, drain)| drain.containers)
+    }
+
+    /// The deadline of the drain that a queue stands under has passed, and the record says so.
+    pub(super) fn drained_away(&self, cx: Cx<'_>, queue: &str) -> bool {
+        let Some(queue) = self.queues.find(queue) else { return false };
+        let past = |q: &Queue| {
+            self.drained.queues.get(&q.path).and_then(|d| d.until_ms).is_some_and(|t| cx.now.wall >= t)
+        };
+        self.queues.above(queue).any(past)
+    }
+
+    /// Has the applications of queues looked at whose deadline has just passed.
+    pub(super) fn drains_tick(&mut self, cx: Cx<'_>) {
+        let passed = self
+            .drained
+            .queues
+            .values()
+            .filter_map(|d| d.until_ms)
+            .any(|t| cx.now.wall >= t && t > self.deadlines_at);
+        if !passed {
+            return;
+        }
+        self.deadlines_at = cx.now.wall;
+        let ids: Vec<u32> =
+            self.apps.iter().filter(|(_, a)| !a.rec.stage.is_final()).map(|(id, _)| *id).collect();
+        ids.into_iter().for_each(|id| self.schedule(id, cx.now.mono));
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod state;
 pub mod worker;
 pub mod world;
+pub mod yarn;
--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -10,7 +10,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
-use wire::api::{Catalog, Cause, Kind, Orders, Redirect, TaskStage};
+use wire::api::{Catalog, Cause, JobSpec, Kind, Orders, Redirect, TaskStage};
 use wire::http::{self, Response};
 use wire::records::{EndRec, JobRec};
 
@@ -77,6 +77,8 @@
     completed: Vec<String>,
     /// A task was on two machines at once.
     ran_twice: Option<String>,
+    /// Tasks of the gateway's jobs are ended by their runners.
+    has_runners: bool,
 }
 
 /// State service, cloud and workers on ports of this host.
@@ -106,6 +108,7 @@
             workers: BTreeMap::new(),
             completed: Vec::new(),
             ran_twice: None,
+            has_runners: false,
         };
         let all = Loopback {
             inner: Arc::new(Mutex::new(inner)),
@@ -158,6 +161,52 @@
         i.workers.values().flat_map(|w| &w.tasks).filter(|t| t.is_on()).map(|t| t.name.clone()).collect()
     }
 
+    /// Tasks of the gateway's jobs that run: job, number, attempt, machine and zone. They run until they are ended.
+    pub fn runners(&self) -> Vec<(JobSpec, u32, u64, String, String)> {
+        let i = self.lock();
+        let mut out = Vec::new();
+        for w in i.workers.values() {
+            for t in w.tasks.iter().filter(|t| t.stage == TaskStage::Running) {
+                let Some((job, task)) = wire::ids::parse_task(&t.name) else { continue };
+                let Some(live) = i.state.keys.get(&wire::records::live_key(job)) else { continue };
+                let rec = serde_json::from_value::<JobRec>(live.value.clone());
+                if let Some(rec) = rec.ok().filter(|_| wire::ids::reserved_job_id(job)) {
+                    out.push((rec.spec, task, t.attempt, w.name.clone(), w.zone.clone()));
+                }
+            }
+        }
+        out
+    }
+
+    /// From now on tasks of the gateway's jobs run until they are ended.
+    pub fn with_runners(&self) {
+        self.lock().has_runners = true;
+    }
+
+    /// Ends a task that runs, as done or as failed.
+    pub fn end_task(&self, job: &str, task: u32, attempt: u64, done: bool) {
+        let name = wire::ids::task_name(job, task);
+        for w in self.lock().workers.values_mut() {
+            let runs = |t: &&mut crate::worker::Task| {
+                t.name == name && t.attempt == attempt && t.stage == TaskStage::Running
+            };
+            for t in w.tasks.iter_mut().filter(runs) {
+                t.stage = TaskStage::Exited;
+                t.cause = Some(if done { Cause::Done } else { Cause::Error });
+                w.changed = true;
+            }
+        }
+    }
+
+    /// A machine dies with all that is on it.
+    pub fn lose(&self, machine: &str) {
+        let mut i = self.lock();
+        i.workers.remove(machine);
+        if let Some(rented) = i.cloud.machines.get_mut(machine) {
+            rented.up_at = None;
+        }
+    }
+
     /// Who owns the fleet, by the record.
     pub fn owner(&self) -> Option<String> {
         let mut i = self.lock();
@@ -217,7 +266,7 @@
     fn direct(&self, name: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
         let mut i = self.lock();
         let now = i.now();
-        let runs = self.runs(&i.state);
+        let runs = self.runs(&i.state, i.has_runners);
         let Some(w) = i.workers.get_mut(name) else { return (500, Vec::new()) };
         let mut status = 200;
         if path == "/commands" {
@@ -228,10 +277,15 @@
     }
 
     /// What workers know of submitted jobs: fetch and run time.
-    fn runs(&self, state: &State) -> BTreeMap<String, (u64, u64)> {
+    fn runs(&self, state: &State, has_runners: bool) -> BTreeMap<String, (u64, u64)> {
         let live = state.keys.iter().filter(|(k, _)| k.starts_with("live/"));
         live.filter_map(|(_, e)| serde_json::from_value::<JobRec>(e.value.clone()).ok())
-            .map(|r| (r.spec.id, (100, if r.spec.kind == Kind::Service { 1 << 40 } else { self.run_ms })))
+            .map(|r| {
+                // Services run on, and so does what a runner stands on, if there are any here.
+                let on =
+                    r.spec.kind == Kind::Service || (has_runners && wire::ids::reserved_job_id(&r.spec.id));
+                (r.spec.id, (100, if on { 1 << 40 } else { self.run_ms }))
+            })
             .collect()
     }
 
@@ -280,7 +334,7 @@
             ask(self.nodes[node].1, "POST", "/hello", &wire::encode(&report), Duration::from_secs(4));
         let mut i = self.lock();
         let now = i.now();
-        let runs = self.runs(&i.state);
+        let runs = self.runs(&i.state, i.has_runners);
         let Some(w) = i.workers.get_mut(name) else { return false };
         let orders =
             answer.as_ref().filter(|r| r.status == 200).and_then(|r| wire::decode::<Orders>(&r.body).ok());
--- a/crates/standins/src/scene.rs
+++ b/crates/standins/src/scene.rs
@@ -32,6 +32,9 @@
     pub changes: Vec<(u64, Change)>,
     /// Machines that the cloud has at most.
     pub machines: usize,
+    /// Every controller has a gateway beside it, and these clients come.
+    pub yarn: Option<gateway::Config>,
+    pub clients: Vec<crate::yarn::Client>,
 }
 
 impl Scene {
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -5,7 +5,9 @@
 use crate::scene::Scene;
 use crate::state::{Limits, Outcome, State, Watch};
 use crate::worker::Worker;
+use crate::yarn::{Exchange, Next, Runner, Stage as YarnStage, Who};
 use control::{Dest, Effect, Event, Node, Now, Tuning};
+use gateway::served::{Gateway, Out, Raw, Served};
 use serde_json::{Value, json};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
@@ -89,10 +91,23 @@
     Operate(Box<Change>),
     Restart(usize),
     Fault,
+    /// Bytes to a node, or to the client at the other end.
+    RawIn(u64, Vec<u8>),
+    RawOut(u64, Vec<u8>),
+    /// A connection ends, or is given up.
+    RawOver(u64),
+}
+
+/// A connection to the gateway, with its one call.
+struct Wire {
+    who: Who,
+    node: usize,
+    life: u64,
+    exchange: Exchange,
 }
 
 struct Host {
-    node: Option<Node>,
+    node: Option<Served>,
     life: u64,
     /// The state service refuses this node until then, or the network to it is cut.
     refused_until: u64,
@@ -136,6 +151,11 @@
     saved: BTreeMap<String, u64>,
     /// When a task first ran.
     pub began: BTreeMap<String, u64>,
+    /// YARN's clients, masters and runners.
+    pub yarn: YarnStage,
+    wires: BTreeMap<u64, Wire>,
+    /// Answers to native users: when they asked, and after how long they were answered.
+    pub waits: Vec<u64>,
 }
 
 const LEASE_MS: u64 = 15_000;
@@ -230,6 +250,9 @@
             lost_ms: 0,
             saved: BTreeMap::new(),
             began: BTreeMap::new(),
+            yarn: YarnStage::default(),
+            wires: BTreeMap::new(),
+            waits: Vec::new(),
             plan,
         };
         if world.plan.large {
@@ -309,6 +332,8 @@
 
     fn begin_scene(&mut self, scene: Scene) {
         let start = self.now;
+        self.yarn.clients = scene.clients;
+        self.yarn.clients.iter_mut().for_each(|c| c.starts_at(start));
         for (at, change) in scene.changes {
             self.at(start + at, Ev::Operate(Box::new(change)));
         }
@@ -440,7 +465,7 @@
     pub fn run_for(&mut self, ms: u64) {
         let end = self.now + ms;
         while let Some(Reverse((time, _, _))) = self.queue.peek().copied() {
-            if time > end || !self.rules.broken.is_empty() {
+            if time > end || !self.rules.broken.is_empty() || !self.yarn.checks.broken.is_empty() {
                 return;
             }
             let Some(Reverse((_, _, id))) = self.queue.pop() else { return };
@@ -466,11 +491,29 @@
 
     /// The state service refuses whichever node owns the fleet.
     pub fn refuse_owner(&mut self, ms: u64) {
-        let owner = |h: &&mut Host| h.node.as_ref().is_some_and(|n| n.role_name() == "owner");
+        let owner = |h: &&mut Host| h.node.as_ref().is_some_and(|n| n.node().role_name() == "owner");
         let until = self.now + ms;
         self.hosts.iter_mut().filter(owner).for_each(|h| h.refused_until = until);
     }
 
+    /// The controller that owns the fleet.
+    pub fn owner(&self) -> Option<&Served> {
+        self.hosts.iter().filter_map(|h| h.node.as_ref()).find(|n| n.node().term().is_some())
+    }
+
+    /// Machines on which tasks of a job are.
+    pub fn machines_of(&self, job: &str) -> Vec<String> {
+        let has = |w: &&Worker| {
+            w.tasks.iter().any(|t| t.is_on() && wire::ids::parse_task(&t.name).is_some_and(|(j, _)| j == job))
+        };
+        self.workers.values().filter(has).map(|w| w.name.clone()).collect()
+    }
+
+    /// A machine dies with all that is on it.
+    pub fn lose(&mut self, machine: &str) {
+        self.die(machine);
+    }
+
     /// Jobs that were accepted and have neither ended nor are services.
     pub fn unfinished(&self) -> Vec<&str> {
         self.rules
@@ -493,7 +536,9 @@
                 let report_s = self.report_ms() as f64 / 1000.0;
                 let settings = settings(n, &self.plan, limit, self.state.limits, report_s);
                 let node = Node::new(settings, self.tuning.clone(), seed, now);
-                self.hosts[n].node = Some(node);
+                let config = self.plan.scene.as_ref().and_then(|s| s.yarn.clone());
+                let gateway = config.map(|c| Gateway::new(c, [seed as u8; 32]));
+                self.hosts[n].node = Some(Served::new(node, gateway));
                 let life = self.hosts[n].life;
                 self.at(self.now, Ev::Tick(n, life));
             }
@@ -535,6 +580,132 @@
             Ev::User(kind, job) => self.user(kind, job),
             Ev::Operate(change) => self.operate(change),
             Ev::Fault => self.fault(),
+            Ev::RawIn(conn, bytes) => self.raw_in(conn, Raw::Bytes(bytes)),
+            Ev::RawOut(conn, bytes) => self.raw_out(conn, &bytes),
+            Ev::RawOver(conn) => self.raw_over(conn),
+        }
+    }
+
+    // ---- YARN's clients ----
+
+    /// Calls that are due, each on a connection of its own to any node.
+    fn yarn_tick(&mut self) {
+        if self.plan.scene.as_ref().is_none_or(|s| s.yarn.is_none()) {
+            return;
+        }
+        self.follow_runners();
+        for (who, ask) in self.yarn.due(self.now) {
+            let node = self.rng.usize(0..self.plan.nodes);
+            let conn = self.next_conn;
+            self.next_conn += 1;
+            let (exchange, web, first) = Exchange::begin(ask);
+            let life = self.hosts[node].life;
+            self.wires.insert(conn, Wire { who, node, life, exchange });
+            self.at(self.now + 6000, Ev::RawOver(conn));
+            let from = std::net::IpAddr::from([127, 0, 0, 1]);
+            self.raw_in(conn, Raw::Opened { web, from });
+            let faulty = self.now < 1_000_000 + self.plan.faults_until && !self.plan.calm;
+            let mut delay = self.rng.u64(1..5);
+            // Now and then what is sent comes late, and its client has long given up.
+            if faulty && self.rng.u32(0..60) == 0 {
+                delay += self.rng.u64(1000..60_000);
+            }
+            self.at(self.now + delay, Ev::RawIn(conn, first));
+        }
+    }
+
+    /// Runners stand on the tasks that run: they begin and end with them.
+    fn follow_runners(&mut self) {
+        let now = self.now;
+        let mut here = HashSet::new();
+        let mut new = Vec::new();
+        for w in self.workers.values() {
+            for t in w.tasks.iter().filter(|t| t.stage == TaskStage::Running) {
+                let Some((job, task)) = wire::ids::parse_task(&t.name) else { continue };
+                if !wire::ids::reserved_job_id(job) {
+                    continue;
+                }
+                let key = (t.name.clone(), t.attempt);
+                let spec = self.rules.jobs.get(job).and_then(|j| j.spec.as_ref());
+                if let Some(spec) = spec.filter(|_| !self.yarn.runners.contains_key(&key)) {
+                    new.push((key.clone(), Runner::new(spec, task, t.attempt, &w.name, &w.zone, now)));
+                }
+                here.insert(key);
+            }
+        }
+        self.yarn.runners.extend(new);
+        self.yarn.runners.retain(|key, _| here.contains(key));
+        // A runner that is through ends its task.
+        for w in self.workers.values_mut().filter(|w| w.hung_until <= now) {
+            for t in w.tasks.iter_mut().filter(|t| t.stage == TaskStage::Running) {
+                let runner = self.yarn.runners.get(&(t.name.clone(), t.attempt));
+                if let Some(done) = runner.and_then(|r| r.over) {
+                    t.stage = TaskStage::Exited;
+                    t.cause = Some(if done { Cause::Done } else { Cause::Error });
+                    w.changed = true;
+                    if done {
+                        self.rules.completed(&t.name);
+                    }
+                }
+            }
+        }
+    }
+
+    fn raw_in(&mut self, conn: u64, event: Raw) {
+        let Some(wire) = self.wires.get(&conn) else { return };
+        let (n, life) = (wire.node, wire.life);
+        let now = self.node_now(n);
+        let host = &mut self.hosts[n];
+        let cut = host.cut_until > self.now;
+        let Some(node) = host.node.as_mut().filter(|_| host.life == life && !cut) else { return };
+        let outs = node.raw(now, conn, event);
+        self.carry_out(n, outs);
+    }
+
+    fn raw_out(&mut self, conn: u64, bytes: &[u8]) {
+        let Some(wire) = self.wires.get_mut(&conn) else { return };
+        match wire.exchange.bytes(bytes) {
+            Next::Wait => {}
+            Next::Send(bytes) => self.at(self.now + 1, Ev::RawIn(conn, bytes)),
+            Next::Over(answer) => {
+                if let Some(wire) = self.wires.remove(&conn) {
+                    self.yarn.answer(self.now, &wire.who, answer);
+                    self.raw_gone(conn, &wire);
+                }
+            }
+        }
+    }
+
+    /// The connection breaks, or its client has waited long enough.
+    fn raw_over(&mut self, conn: u64) {
+        if let Some(wire) = self.wires.remove(&conn) {
+            self.yarn.answer(self.now, &wire.who, None);
+            self.raw_gone(conn, &wire);
+        }
+    }
+
+    fn raw_gone(&mut self, conn: u64, wire: &Wire) {
+        let now = self.node_now(wire.node);
+        let host = &mut self.hosts[wire.node];
+        if let Some(node) = host.node.as_mut().filter(|_| host.life == wire.life) {
+            let outs = node.raw(now, conn, Raw::Closed);
+            self.carry_out(wire.node, outs);
+        }
+    }
+
+    /// Jobs that the gateway has had accepted become known to the workers.
+    fn note_yarn_jobs(&mut self, body: &[u8]) {
+        let Ok(txn) = wire::decode::<Value>(body) else { return };
+        for w in txn["writes"].as_array().into_iter().flatten() {
+            let Some(job) = w["write"].as_str().and_then(|k| k.strip_prefix("live/")) else { continue };
+            if !wire::ids::reserved_job_id(job) {
+                continue;
+            }
+            let Ok(rec) = serde_json::from_value::<wire::records::JobRec>(w["v"].clone()) else { continue };
+            self.yarn.checks.accepted(job);
+            self.run_ms.insert(job.to_owned(), 10_000_000);
+            let entry = self.rules.jobs.entry(job.to_owned()).or_default();
+            (entry.spec, entry.submitted) = (Some(rec.spec), true);
         }
     }
 
@@ -545,13 +716,35 @@
 
     fn feed(&mut self, n: usize, event: Event) {
         let now = self.node_now(n);
-        let life = self.hosts[n].life;
         let Some(node) = self.hosts[n].node.as_mut() else { return };
+        let before = node.node().stats().preempts;
+        let outs = node.handle(now, event);
+        self.stopped += node.node().stats().preempts - before;
+        self.carry_out(n, outs);
+    }
+
+    fn carry_out(&mut self, n: usize, outs: Vec<Out>) {
+        let life = self.hosts[n].life;
         let mut dies = false;
-        let before = node.stats().preempts;
-        let effects = node.handle(now, event);
-        self.stopped += node.stats().preempts - before;
-        for effect in effects {
+        for out in outs {
+            let effect = match out {
+                Out::Node(effect) => effect,
+                Out::Write { conn, bytes } => {
+                    let faulty = self.now < 1_000_000 + self.plan.faults_until && !self.plan.calm;
+                    // Answers are lost with their connection, now and then.
+                    if faulty && self.rng.u32(0..40) == 0 {
+                        self.at(self.now + 1, Ev::RawOver(conn));
+                    } else {
+                        let at = self.now + self.rng.u64(1..5);
+                        self.at(at, Ev::RawOut(conn, bytes));
+                    }
+                    continue;
+                }
+                Out::Close { conn } => {
+                    self.at(self.now + 6, Ev::RawOver(conn));
+                    continue;
+                }
+            };
             match effect {
                 Effect::Respond { conn, response } => {
                     if let Some(origin) = self.conns.remove(&conn) {
@@ -560,7 +753,7 @@
                         self.at(at, Ev::Answer(origin, (!cut).then_some(response)));
                     }
                 }
-                // No door stands beside the users' here.
+                // Kept between the node and its gateway.
                 Effect::Side { .. } => {}
                 Effect::Send { tag, to, method, path, body, timeout_ms, .. } => {
                     dies |= self.doomed == Some(n) && path == "/txn";
@@ -608,6 +801,7 @@
                 match self.state.handle(self.now, c.method, &c.path, &c.body) {
                     Outcome::Now(status, body) => {
                         if c.path == "/txn" && status == 200 && self.plan.scene.is_some() {
+                            self.note_yarn_jobs(&c.body);
                             self.claims_with_bounds(&c.body);
                             self.follow_tree();
                         }
@@ -698,6 +892,7 @@
             Origin::Operator { change } => self.operated(change, response),
             Origin::User { job, kind, asked } => {
                 let status = response.as_ref().map_or(0, |r| r.status);
+                self.waits.push(self.now - asked);
                 let state = response.as_ref().and_then(|r| wire::decode::<JobState>(&r.body).ok());
                 let stage = state.map(|s| s.stage);
                 self.rules.told(self.now, asked, &job, status, stage, kind == Ask::Submit);
@@ -833,6 +1028,7 @@
             self.work(&name);
         }
         self.gangs();
+        self.yarn_tick();
         if self.plan.large && now.is_multiple_of(1000) {
             let on: Vec<OnMachine<'_>> = self.workers.values().flat_map(on_machine).collect();
             self.rules.all(now, &on);
@@ -1068,7 +1264,7 @@
 
     /// The owner crashes as its next transaction is on its way, and comes back after a while.
     pub fn doom_owner(&mut self) {
-        let owner = |h: &Host| h.node.as_ref().is_some_and(|n| n.role_name() == "owner");
+        let owner = |h: &Host| h.node.as_ref().is_some_and(|n| n.node().role_name() == "owner");
         self.doomed = self.hosts.iter().position(owner);
     }
 
@@ -1094,6 +1290,8 @@
 
     fn crash(&mut self, n: usize, back: u64) {
         if self.hosts[n].node.take().is_some() {
+            let broken: Vec<u64> = self.wires.iter().filter(|(_, w)| w.node == n).map(|(c, _)| *c).collect();
+            broken.into_iter().for_each(|conn| self.at(self.now + 5, Ev::RawOver(conn)));
             self.hosts[n].life += 1;
             self.at(self.now + back, Ev::Restart(n));
         }
--- /dev/null
+++ b/crates/standins/src/yarn.rs
@@ -0,0 +1,883 @@
+//! YARN's clients as stand-ins: they submit and repeat, ask and kill; runners start what the gateway describes; masters
+//! run a tally of two stages. All of it in virtual time, by the bytes of the protocols, one connection a call.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use gateway::book::runners::{CheckIn, Do, Told};
+use gateway::token;
+use prost::Message;
+use std::collections::{BTreeMap, BTreeSet};
+use wire::http;
+use yarn::error::{Class, Fault};
+use yarn::master::*;
+use yarn::proto::*;
+use yarn::rest::{self, Form};
+use yarn::rpc;
+
+/// One call.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Ask {
+    Rpc { user: String, token: Option<Token>, protocol: &'static str, method: &'static str, body: Vec<u8> },
+    Web { method: &'static str, target: String, body: Vec<u8> },
+}
+
+/// What came of it. `None`: nothing, or the connection broke.
+pub type Answer = Option<Result<Vec<u8>, Fault>>;
+
+/// A connection with one call on it.
+pub struct Exchange {
+    ask: Ask,
+    step: u8,
+    got: Vec<u8>,
+}
+
+/// What a connection does next.
+#[derive(Debug, PartialEq)]
+pub enum Next {
+    Wait,
+    Send(Vec<u8>),
+    Over(Answer),
+}
+
+const CLIENT_ID: &[u8] = b"stand-in-client!";
+
+impl Exchange {
+    /// The connection, whether it goes to the REST door, and its first bytes.
+    pub fn begin(ask: Ask) -> (Exchange, bool, Vec<u8>) {
+        let (web, first) = match &ask {
+            Ask::Web { method, target, body } => {
+                let mut out = Vec::new();
+                let head = format!(
+                    "{method} {target} HTTP/1.1\r\nHost: x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+                    body.len()
+                );
+                out.extend_from_slice(head.as_bytes());
+                out.extend_from_slice(body);
+                (true, out)
+            }
+            Ask::Rpc { token: Some(_), .. } => {
+                let mut out = rpc::open(rpc::AUTH_SASL);
+                out.extend(sasl(1, None));
+                (false, out)
+            }
+            Ask::Rpc { .. } => {
+                let mut out = rpc::open(rpc::AUTH_SIMPLE);
+                out.extend(call_bytes(&ask));
+                (false, out)
+            }
+        };
+        let step = if matches!(ask, Ask::Rpc { token: Some(_), .. }) { 0 } else { 2 };
+        (Exchange { ask, step, got: Vec::new() }, web, first)
+    }
+
+    pub fn bytes(&mut self, bytes: &[u8]) -> Next {
+        self.got.extend_from_slice(bytes);
+        if let Ask::Web { .. } = self.ask {
+            return match http::parse_response(&self.got, 8 << 20, false) {
+                Ok(Some((r, _))) if r.status < 300 => Next::Over(Some(Ok(r.body))),
+                Ok(Some((r, _))) => Next::Over(Some(Err(web_fault(r.status, &r.body)))),
+                Ok(None) => Next::Wait,
+                Err(_) => Next::Over(None),
+            };
+        }
+        let Ok(Some((body, used))) = rpc::take_frame(&self.got, 8 << 20) else { return Next::Wait };
+        let answer = rpc::parse_answer(body);
+        self.got.drain(..used);
+        let Ok((_, answer)) = answer else { return Next::Over(None) };
+        if self.step == 2 {
+            return Next::Over(Some(answer));
+        }
+        self.negotiated(answer)
+    }
+
+    fn negotiated(&mut self, answer: Result<Vec<u8>, Fault>) -> Next {
+        let Ask::Rpc { token: Some(token), .. } = &self.ask else { return Next::Over(None) };
+        let said = match answer {
+            Ok(body) => rpc::Sasl::decode(body.as_slice()).unwrap_or_default(),
+            Err(fault) => return Next::Over(Some(Err(fault))),
+        };
+        self.step += 1;
+        if self.step == 1 {
+            let challenge = said.auths.iter().find(|a| a.method == "TOKEN").and_then(|a| a.challenge.clone());
+            let challenge = String::from_utf8(challenge.unwrap_or_default()).unwrap_or_default();
+            let nonce = token::nonce_of(&challenge).unwrap_or_default();
+            return Next::Send(sasl(2, Some(token::respond(token, &nonce, "cnonce").into_bytes())));
+        }
+        Next::Send(call_bytes(&self.ask))
+    }
+}
+
+fn sasl(state: i32, token: Option<Vec<u8>>) -> Vec<u8> {
+    let message = rpc::Sasl { state, token, ..rpc::Sasl::default() };
+    rpc::frame_of(rpc::SASL_CALL, CLIENT_ID, &message)
+}
+
+fn call_bytes(ask: &Ask) -> Vec<u8> {
+    let Ask::Rpc { user, protocol, method, body, .. } = ask else { return Vec::new() };
+    let mut out = rpc::context(CLIENT_ID, user, protocol);
+    out.extend(rpc::request_bytes(1, CLIENT_ID, 0, protocol, method, body));
+    out
+}
+
+/// The fault that a REST answer stands for.
+fn web_fault(status: u16, body: &[u8]) -> Fault {
+    #[derive(serde::Deserialize)]
+    #[serde(rename_all = "PascalCase")]
+    struct Wrapped {
+        remote_exception: rest::RemoteException,
+    }
+    let read = rest::read::<Wrapped>(Form::Json, body).ok().map(|w| w.remote_exception);
+    let class = read.as_ref().and_then(|r| Class::of(&r.java_class_name)).unwrap_or(Class::Yarn);
+    Fault::new(class, read.map_or(status.to_string(), |r| r.message))
+}
+
+/// What must hold for applications, and what has been seen.
+#[derive(Default)]
+pub struct Checks {
+    pub broken: BTreeMap<&'static str, String>,
+    /// The furthest state that a client was told of an application.
+    told: BTreeMap<String, (ApplicationState, u64)>,
+    /// Native jobs that were accepted, and how often.
+    pub accepts: BTreeMap<String, u32>,
+    /// To which attempt a container was given, by application.
+    given: BTreeMap<(i32, i64), String>,
+    /// Where a container was started: task and attempt.
+    started: BTreeMap<(String, i64), (String, u64)>,
+    pub new_ids: BTreeSet<String>,
+    /// Masters that were told to go since their successor had registered.
+    pub fenced: u64,
+    pub containers_done: u64,
+}
+
+impl Checks {
+    fn breaks(&mut self, rule: &'static str, what: String) {
+        self.broken.entry(rule).or_insert(what);
+    }
+
+    /// A native job was accepted.
+    pub fn accepted(&mut self, job: &str) {
+        let n = self.accepts.entry(job.to_owned()).or_default();
+        *n += 1;
+        let n = *n;
+        if n > 1 {
+            self.breaks("placed_twice", format!("{job} was accepted {n} times"));
+        }
+    }
+
+    fn told(&mut self, id: &str, state: ApplicationState, asked: u64, now: u64) {
+        let known = self.told.get(id).copied();
+        // What was asked before another answer came may have been answered from before it.
+        if let Some((before, at)) = known.filter(|(_, at)| *at < asked) {
+            let final_before = before as i32 >= ApplicationState::Finished as i32;
+            if (final_before && state != before) || (state as i32) < before as i32 {
+                self.breaks("went_back", format!("{now}: {id} was {before:?} at {at}, then {state:?}"));
+            }
+        }
+        if known.is_none_or(|(before, _)| before as i32 <= state as i32) {
+            self.told.insert(id.to_owned(), (state, now));
+        }
+    }
+
+    fn new_id(&mut self, id: String) {
+        if !self.new_ids.insert(id.clone()) {
+            self.breaks("id_given_twice", id);
+        }
+    }
+
+    /// A container was given to a master: never the same again, unless that answer is repeated.
+    fn given(&mut self, master: &str, container: ContainerId) {
+        let app = container.app_attempt_id.and_then(|a| a.application_id).unwrap_or_default();
+        let whole = (app.id, container.id);
+        let before = self.given.entry(whole).or_insert_with(|| master.to_owned());
+        if before != master {
+            let what = format!("{container} to {before} and {master}");
+            self.breaks("container_given_twice", what);
+        }
+    }
+
+    fn started(&mut self, container: i64, task: &str, attempt: u64) {
+        let here = (task.to_owned(), attempt);
+        let app = task.get(..15).unwrap_or_default().to_owned();
+        let before = self.started.entry((app, container)).or_insert_with(|| here.clone());
+        if *before != here {
+            let what = format!("{container} on {before:?} and {here:?}");
+            self.breaks("container_ran_twice", what);
+        }
+    }
+}
+
+/// A client with one application to run.
+#[derive(Debug, Clone)]
+pub struct Client {
+    pub user: String,
+    pub queue: String,
+    pub kind: String,
+    /// Speaks REST instead of RPC.
+    pub web: bool,
+    /// When it comes.
+    pub at: u64,
+    /// Kills its application so long after the first try to submit it.
+    pub kill_after: Option<u64>,
+    /// Repeats its submission this long after it was accepted.
+    pub repeat_after: Option<u64>,
+    /// What the application's master runs.
+    pub tally: Tally,
+    pub unmanaged: bool,
+    pub id: Option<ApplicationId>,
+    pub state: Option<ApplicationState>,
+    pub outcome: Option<i32>,
+    /// Why the submission was refused for good.
+    pub refused: Option<Fault>,
+    submitted: bool,
+    kill_at: Option<u64>,
+    repeat_at: Option<u64>,
+    due: u64,
+    busy: Option<u64>,
+    last: Step,
+    /// Answers to submissions that were lost.
+    pub lost: u32,
+    pub submissions: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    New,
+    Submit,
+    Report,
+    Kill,
+}
+
+/// A tally: containers of each stage, and how long each runs. Without stages, a tool that only runs.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Tally {
+    pub stages: Vec<u32>,
+    pub run_ms: u64,
+    /// The process of each attempt fails, up to this one.
+    pub fails: u32,
+}
+
+impl Client {
+    pub fn new(user: &str, queue: &str, at: u64, tally: Tally) -> Client {
+        Client {
+            user: user.into(),
+            queue: queue.into(),
+            kind: "TALLY".into(),
+            web: false,
+            at,
+            kill_after: None,
+            repeat_after: None,
+            tally,
+            unmanaged: false,
+            id: None,
+            state: None,
+            outcome: None,
+            refused: None,
+            submitted: false,
+            kill_at: None,
+            repeat_at: None,
+            due: at,
+            busy: None,
+            last: Step::New,
+            lost: 0,
+            submissions: 0,
+        }
+    }
+
+    /// Times count from here.
+    pub fn starts_at(&mut self, start: u64) {
+        self.at += start;
+        self.due = self.at;
+    }
+
+    pub fn is_over(&self) -> bool {
+        self.refused.is_some() || self.state.is_some_and(|s| s as i32 >= ApplicationState::Finished as i32)
+    }
+
+    pub fn context(&self) -> ApplicationSubmissionContext {
+        let command = format!("tally {:?} {} {}", self.tally.stages, self.tally.run_ms, self.tally.fails);
+        let launch = ContainerLaunchContext { command: vec![command], ..ContainerLaunchContext::default() };
+        let resource = Resource { memory: Some(1024), virtual_cores: Some(1), values: Vec::new() };
+        ApplicationSubmissionContext {
+            application_id: self.id,
+            application_name: Some("tally".into()),
+            queue: Some(self.queue.clone()),
+            am_container_spec: Some(launch),
+            resource: Some(resource),
+            application_type: Some(self.kind.clone()),
+            unmanaged_am: Some(self.unmanaged),
+            max_app_attempts: Some(3),
+            ..ApplicationSubmissionContext::default()
+        }
+    }
+
+    fn submission(&self) -> rest::Submission {
+        let context = self.context();
+        let command = context.am_container_spec.and_then(|l| l.command.first().cloned()).unwrap_or_default();
+        rest::Submission {
+            application_id: self.id.unwrap_or_default().to_string(),
+            application_name: "tally".into(),
+            queue: self.queue.clone(),
+            am_container_spec: rest::Launch {
+                commands: rest::Commands { command },
+                ..rest::Launch::default()
+            },
+            resource: rest::Capability { memory: 1024, vcores: 1, named: None },
+            application_type: self.kind.clone(),
+            unmanaged_am: self.unmanaged,
+            max_app_attempts: 3,
+            ..rest::Submission::default()
+        }
+    }
+
+    /// The next call, if one is due.
+    fn ask(&mut self, now: u64) -> Option<Ask> {
+        if self.busy.is_some() || now < self.due {
+            return None;
+        }
+        let repeats = self.repeat_at.is_some_and(|at| now >= at);
+        let kills = self.kill_at.is_some_and(|at| now >= at) && self.id.is_some() && self.submitted;
+        if self.is_over() && !repeats {
+            return None;
+        }
+        self.busy = Some(now);
+        self.last = match self.id {
+            None => Step::New,
+            Some(_) if repeats || !self.submitted => Step::Submit,
+            Some(_) if kills => Step::Kill,
+            Some(_) => Step::Report,
+        };
+        Some(if self.web { self.web_ask() } else { self.rpc_ask() })
+    }
+
+    fn rpc_ask(&mut self) -> Ask {
+        let id = self.id;
+        let (method, body) = match self.last {
+            Step::New => ("getNewApplication", Vec::new()),
+            Step::Submit => {
+                self.submissions += 1;
+                let submit = SubmitApplicationRequest { context: Some(self.context()) };
+                ("submitApplication", submit.encode_to_vec())
+            }
+            Step::Report => {
+                ("getApplicationReport", GetApplicationReportRequest { application_id: id }.encode_to_vec())
+            }
+            Step::Kill => {
+                let kill = KillApplicationRequest { application_id: id, diagnostics: None };
+                ("forceKillApplication", kill.encode_to_vec())
+            }
+        };
+        Ask::Rpc { user: self.user.clone(), token: None, protocol: rpc::CLIENT_PROTOCOL, method, body }
+    }
+
+    fn web_ask(&mut self) -> Ask {
+        let apps = format!("{}/apps", rest::ROOT);
+        let id = self.id.map(|i| i.to_string()).unwrap_or_default();
+        let user = format!("?user.name={}", self.user);
+        let (method, target, body) = match self.last {
+            Step::New => ("POST", format!("{apps}/new-application{user}"), Vec::new()),
+            Step::Submit => {
+                self.submissions += 1;
+                ("POST", format!("{apps}{user}"), rest::render(Form::Json, "", true, &self.submission()))
+            }
+            Step::Report => ("GET", format!("{apps}/{id}{user}"), Vec::new()),
+            Step::Kill => {
+                let body = rest::render(Form::Json, "", true, &rest::AppState { state: "KILLED".into() });
+                ("PUT", format!("{apps}/{id}/state{user}"), body)
+            }
+        };
+        Ask::Web { method, target, body }
+    }
+
+    fn answer(&mut self, now: u64, answer: Answer, checks: &mut Checks) {
+        let asked = self.busy.take().unwrap_or(now);
+        self.due = now + 700;
+        match (self.last, answer) {
+            (Step::Submit, None) => self.lost += 1,
+            (_, None) => {}
+            (_, Some(Err(fault))) if fault.class.is_passing() => {}
+            (Step::New, Some(Ok(body))) => {
+                self.id = self.read_id(&body);
+                checks.new_id(self.id.unwrap_or_default().to_string());
+                self.kill_at = self.kill_after.map(|ms| now + ms);
+                self.due = now;
+            }
+            (Step::Submit, Some(Ok(_))) => {
+                if !self.submitted || self.repeat_at.take().is_none() {
+                    self.repeat_at = self.repeat_after.map(|ms| now + ms);
+                }
+                self.submitted = true;
+            }
+            (Step::Submit, Some(Err(fault))) => {
+                self.repeat_at = None;
+                if !self.submitted {
+                    self.refused = Some(fault);
+                }
+            }
+            (Step::Kill, Some(Ok(_))) => self.kill_at = None,
+            (Step::Report, Some(Ok(body))) => self.reported(&body, asked, now, checks),
+            (Step::Report, Some(Err(fault))) if fault.class == Class::ApplicationNotFound => {
+                let id = self.id.unwrap_or_default();
+                if self.is_over() {
+                    return;
+                }
+                checks.breaks("forgotten", format!("{now}: {id} is not known"));
+            }
+            _ => {}
+        }
+    }
+
+    fn read_id(&self, body: &[u8]) -> Option<ApplicationId> {
+        if self.web {
+            let new: rest::NewApplication = rest::read(Form::Json, body).ok()?;
+            return ApplicationId::parse(&new.application_id);
+        }
+        GetNewApplicationResponse::decode(body).ok()?.application_id
+    }
+
+    fn reported(&mut self, body: &[u8], asked: u64, now: u64, checks: &mut Checks) {
+        #[derive(serde::Deserialize)]
+        struct Wrapped {
+            app: rest::App,
+        }
+        let read = if self.web {
+            rest::read::<Wrapped>(Form::Json, body).ok().map(|w| (state_of(&w.app.state), w.app.final_status))
+        } else {
+            let report = GetApplicationReportResponse::decode(body).ok().and_then(|r| r.report);
+            report.map(|r| {
+                self.outcome = r.final_application_status;
+                let state = r.yarn_application_state.and_then(|s| ApplicationState::try_from(s).ok());
+                (state, String::new())
+            })
+        };
+        let Some((Some(state), _)) = read else { return };
+        checks.told(&self.id.unwrap_or_default().to_string(), state, asked, now);
+        self.state = Some(state);
+    }
+}
+
+fn state_of(name: &str) -> Option<ApplicationState> {
+    let all = (1..=8).filter_map(|n| ApplicationState::try_from(n).ok());
+    all.into_iter().find(|s| format!("{s:?}").eq_ignore_ascii_case(&name.replace('_', "")))
+}
+
+/// A task of the gateway's that runs on a machine.
+pub struct Runner {
+    pub job: String,
+    pub task: u32,
+    pub attempt: u64,
+    pub machine: String,
+    pub zone: String,
+    spec: (i64, i32, i64),
+    due: u64,
+    busy: bool,
+    container: Option<i64>,
+    of: Option<u32>,
+    /// What runs, until when.
+    process: Option<u64>,
+    master: Option<Box<Master>>,
+    exit: Option<i32>,
+    /// How the task ended.
+    pub over: Option<bool>,
+}
+
+impl Runner {
+    pub fn new(
+        job: &wire::api::JobSpec,
+        task: u32,
+        attempt: u64,
+        machine: &str,
+        zone: &str,
+        now: u64,
+    ) -> Runner {
+        Runner {
+            job: job.id.clone(),
+            task,
+            attempt,
+            machine: machine.into(),
+            zone: zone.into(),
+            spec: ((job.mem_gb * 1024.0) as i64, job.cores as i32, job.gpus as i64),
+            due: now,
+            busy: false,
+            container: None,
+            of: None,
+            process: None,
+            master: None,
+            exit: None,
+            over: None,
+        }
+    }
+
+    fn is_master(&self) -> bool {
+        self.job.ends_with("0000000")
+    }
+
+    /// What is due now: a call of the runner's own, or of the master that it runs.
+    fn ask(&mut self, now: u64) -> Option<(bool, Ask)> {
+        if let Some(master) = &mut self.master {
+            if let Some(status) = master.exit {
+                self.exit.get_or_insert(status);
+                self.due = self.due.min(now);
+            }
+            if let Some(ask) = master.ask(now) {
+                return Some((true, ask));
+            }
+        }
+        if self.process.is_some_and(|until| now >= until) && self.exit.is_none() {
+            self.exit = Some(0);
+            self.due = now;
+        }
+        if self.busy || now < self.due || self.over.is_some() {
+            return None;
+        }
+        self.busy = true;
+        let check_in = CheckIn {
+            job: self.job.clone(),
+            task: self.task,
+            tried: self.attempt,
+            machine: self.machine.clone(),
+            zone: self.zone.clone(),
+            memory_mb: self.spec.0,
+            cores: self.spec.1,
+            gpus: self.spec.2,
+            container: self.container,
+            attempt: self.of,
+            running: self.process.is_some() || self.master.is_some(),
+            exit: self.exit,
+            ..CheckIn::default()
+        };
+        let body = rest::render(Form::Json, "", true, &check_in);
+        let target = format!("{}/checkin", gateway::book::web::OWN);
+        Some((false, Ask::Web { method: "POST", target, body }))
+    }
+
+    fn told(&mut self, now: u64, answer: Answer, checks: &mut Checks) {
+        self.busy = false;
+        self.due = now + 1000;
+        let Some(Ok(body)) = answer else { return };
+        let Ok(told) = rest::read::<Told>(Form::Json, &body) else { return };
+        self.due = now + (told.again_s * 1000.0) as u64;
+        match told.what {
+            Do::Wait => {}
+            Do::Leave => self.over = Some(true),
+            Do::Fail => self.over = Some(false),
+            Do::Run => self.run(now, &told, checks),
+        }
+    }
+
+    fn run(&mut self, now: u64, told: &Told, checks: &mut Checks) {
+        let Some(launch) = told.launch.as_ref().filter(|_| self.process.is_none() && self.master.is_none())
+        else {
+            return;
+        };
+        let launch = BASE64.decode(launch).unwrap_or_default();
+        let launch = ContainerLaunchContext::decode(launch.as_slice()).unwrap_or_default();
+        let command = launch.command.first().cloned().unwrap_or_default();
+        (self.container, self.of) = (told.container, told.attempt);
+        if let Some(container) = told.container {
+            checks.started(container, &wire::ids::task_name(&self.job, self.task), self.attempt);
+        }
+        if self.is_master() {
+            self.master = Master::begin(&command, &told.environment, now).map(Box::new);
+            if self.master.as_ref().is_some_and(|m| m.is_plain()) {
+                self.process = Some(now + self.master.take().map_or(0, |m| m.tally.run_ms));
+            }
+        } else {
+            let ms = command.rsplit(' ').next().and_then(|n| n.parse().ok()).unwrap_or(1000);
+            self.process = Some(now + ms);
+        }
+        // What runs is reported at once.
+        self.due = now + 50;
+    }
+}
+
+/// Where one item of a tally's stage is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Item {
+    Open,
+    Given(i64),
+    Done,
+}
+
+/// A master that runs a tally: each stage in as many containers as it has items, each of them again if it is lost.
+pub struct Master {
+    name: String,
+    token: Token,
+    pub tally: Tally,
+    stage: usize,
+    items: Vec<Item>,
+    registered: bool,
+    response: i32,
+    /// The heartbeat that is to be repeated until it is answered.
+    beat: Option<AllocateRequest>,
+    /// How many containers have to be asked for anew.
+    asks_due: bool,
+    release: Vec<ContainerId>,
+    starts: Vec<Container>,
+    finished: bool,
+    busy: Option<&'static str>,
+    due: u64,
+    pub exit: Option<i32>,
+}
+
+impl Master {
+    fn begin(command: &str, environment: &BTreeMap<String, String>, now: u64) -> Option<Master> {
+        let mut parts = command.strip_prefix("tally [")?.split("] ");
+        let stages = parts.next()?.split(", ").filter_map(|n| n.parse().ok()).collect();
+        let mut numbers = parts.next()?.split(' ').filter_map(|n| n.parse::<u64>().ok());
+        let tally = Tally { stages, run_ms: numbers.next()?, fails: numbers.next()? as u32 };
+        let bytes =
+            |name: &str| environment.get(name).and_then(|v| BASE64.decode(v).ok()).unwrap_or_default();
+        let token = Token {
+            identifier: bytes("YARN_TOKEN_IDENTIFIER"),
+            password: bytes("YARN_TOKEN_PASSWORD"),
+            kind: token::KIND.into(),
+            service: String::new(),
+        };
+        let name = environment.get("APPLICATION_ATTEMPT_ID")?.clone();
+        let attempt = ApplicationAttemptId::parse(&name)?.attempt_id;
+        let fails = attempt <= tally.fails as i32;
+        Some(Master::new(name, token, tally, fails, now))
+    }
+
+    fn new(name: String, token: Token, tally: Tally, fails: bool, now: u64) -> Master {
+        let items = vec![Item::Open; tally.stages.first().copied().unwrap_or(0) as usize];
+        Master {
+            name,
+            token,
+            tally,
+            stage: 0,
+            items,
+            registered: false,
+            response: 0,
+            beat: None,
+            asks_due: true,
+            release: Vec::new(),
+            starts: Vec::new(),
+            finished: false,
+            busy: None,
+            due: now + 200,
+            exit: fails.then_some(1),
+        }
+    }
+
+    /// A tool that speaks to nobody.
+    fn is_plain(&self) -> bool {
+        self.tally.stages.is_empty()
+    }
+
+    fn rpc(&self, protocol: &'static str, method: &'static str, body: Vec<u8>) -> Ask {
+        Ask::Rpc { user: "master".into(), token: Some(self.token.clone()), protocol, method, body }
+    }
+
+    fn ask(&mut self, now: u64) -> Option<Ask> {
+        if self.busy.is_some() || now < self.due || self.exit.is_some() {
+            return None;
+        }
+        let (protocol, method, body) = if !self.registered {
+            let register = RegisterRequest {
+                host: Some("h".into()),
+                rpc_port: Some(1),
+                tracking_url: Some("http://h/t".into()),
+            };
+            (rpc::MASTER_PROTOCOL, "registerApplicationMaster", register.encode_to_vec())
+        } else if self.finished {
+            let finish = FinishRequest {
+                diagnostics: Some("counted".into()),
+                tracking_url: None,
+                final_status: Some(FinalStatus::Succeeded as i32),
+            };
+            (rpc::MASTER_PROTOCOL, "finishApplicationMaster", finish.encode_to_vec())
+        } else if !self.starts.is_empty() {
+            let launch = |ms| ContainerLaunchContext {
+                command: vec![format!("count {ms}")],
+                ..ContainerLaunchContext::default()
+            };
+            let start = |c: &Container| StartContainer {
+                context: Some(launch(self.tally.run_ms)),
+                container_token: c.container_token.clone(),
+            };
+            let requests = self.starts.iter().take(20).map(start).collect();
+            (rpc::CONTAINER_PROTOCOL, "startContainers", StartContainersRequest { requests }.encode_to_vec())
+        } else {
+            (rpc::MASTER_PROTOCOL, "allocate", self.heartbeat().encode_to_vec())
+        };
+        self.busy = Some(method);
+        Some(self.rpc(protocol, method, body))
+    }
+
+    /// The next heartbeat; the same again as long as it is not answered.
+    fn heartbeat(&mut self) -> AllocateRequest {
+        if let Some(beat) = &self.beat {
+            return beat.clone();
+        }
+        let mut ask = Vec::new();
+        if std::mem::take(&mut self.asks_due) {
+            let open = self.items.iter().filter(|i| **i == Item::Open).count() as i32;
+            ask.push(ResourceRequest {
+                priority: Some(Priority { priority: 1 }),
+                resource_name: Some(ANY.into()),
+                capability: Some(Resource { memory: Some(512), virtual_cores: Some(1), values: Vec::new() }),
+                num_containers: Some(open),
+                ..ResourceRequest::default()
+            });
+        }
+        let beat = AllocateRequest {
+            ask,
+            release: std::mem::take(&mut self.release),
+            response_id: Some(self.response),
+            progress: Some(0.5),
+            ..AllocateRequest::default()
+        };
+        self.beat = Some(beat.clone());
+        beat
+    }
+
+    fn answer(&mut self, now: u64, answer: Answer, checks: &mut Checks) {
+        let Some(method) = self.busy.take() else { return };
+        self.due = now + 1000;
+        let body = match answer {
+            Some(Ok(body)) => body,
+            Some(Err(fault)) => return self.refused(method, &fault, now, checks),
+            None => return,
+        };
+        match method {
+            "registerApplicationMaster" => {
+                self.registered = true;
+                self.response = 0;
+                self.beat = None;
+                self.asks_due = true;
+                self.due = now;
+            }
+            "finishApplicationMaster" => {
+                if FinishResponse::decode(body.as_slice()).is_ok_and(|r| r.is_unregistered == Some(true)) {
+                    self.exit = Some(0);
+                }
+            }
+            "startContainers" => self.started(&body),
+            _ => self.allocated(&body, checks),
+        }
+    }
+
+    fn refused(&mut self, method: &str, fault: &Fault, now: u64, checks: &mut Checks) {
+        match fault.class {
+            Class::NotRegistered => {
+                self.registered = false;
+                self.due = now;
+            }
+            // A successor is in force, or the application is over.
+            Class::AttemptNotFound => {
+                checks.fenced += 1;
+                self.exit = Some(3);
+            }
+            _ if method == "startContainers" && !fault.class.is_passing() => self.starts.clear(),
+            _ => {}
+        }
+    }
+
+    fn started(&mut self, body: &[u8]) {
+        let Ok(answer) = StartContainersResponse::decode(body) else { return };
+        let n = self.starts.len().min(20);
+        self.starts.drain(..n);
+        for failed in answer.failed {
+            self.lost(failed.container_id.unwrap_or_default().id);
+        }
+    }
+
+    fn lost(&mut self, container: i64) {
+        for item in self.items.iter_mut().filter(|i| **i == Item::Given(container)) {
+            *item = Item::Open;
+            self.asks_due = true;
+        }
+        self.starts.retain(|c| c.id.is_none_or(|id| id.id != container));
+    }
+
+    fn allocated(&mut self, body: &[u8], checks: &mut Checks) {
+        let Ok(answer) = AllocateResponse::decode(body) else { return };
+        self.beat = None;
+        self.response = answer.response_id.unwrap_or(0);
+        for c in answer.allocated {
+            let id = c.id.unwrap_or_default();
+            checks.given(&self.name, id);
+            match self.items.iter_mut().find(|i| **i == Item::Open) {
+                Some(item) => {
+                    *item = Item::Given(id.id);
+                    self.starts.push(c);
+                }
+                None => self.release.push(id),
+            }
+        }
+        for done in answer.completed {
+            let id = done.container_id.unwrap_or_default().id;
+            if done.exit_status == Some(0) {
+                let item = self.items.iter_mut().find(|i| **i == Item::Given(id));
+                if let Some(item) = item {
+                    *item = Item::Done;
+                    checks.containers_done += 1;
+                }
+            } else {
+                self.lost(id);
+            }
+        }
+        if self.items.iter().all(|i| *i == Item::Done) {
+            self.stage += 1;
+            match self.tally.stages.get(self.stage) {
+                Some(n) => {
+                    self.items = vec![Item::Open; *n as usize];
+                    self.asks_due = true;
+                }
+                None => self.finished = true,
+            }
+        }
+    }
+}
+
+/// Whose call it is.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Who {
+    Client(usize),
+    Runner(String, u64),
+    Master(String, u64),
+}
+
+/// All stand-ins of one run.
+#[derive(Default)]
+pub struct Stage {
+    pub clients: Vec<Client>,
+    /// By task and attempt.
+    pub runners: BTreeMap<(String, u64), Runner>,
+    pub checks: Checks,
+}
+
+impl Stage {
+    /// Calls that are due.
+    pub fn due(&mut self, now: u64) -> Vec<(Who, Ask)> {
+        let mut out = Vec::new();
+        for (i, client) in self.clients.iter_mut().enumerate() {
+            out.extend(client.ask(now).map(|ask| (Who::Client(i), ask)));
+        }
+        for ((task, attempt), runner) in &mut self.runners {
+            if let Some((master, ask)) = runner.ask(now) {
+                let who = if master { Who::Master } else { Who::Runner };
+                out.push((who(task.clone(), *attempt), ask));
+            }
+        }
+        out
+    }
+
+    pub fn answer(&mut self, now: u64, who: &Who, answer: Answer) {
+        match who {
+            Who::Client(i) => self.clients[*i].answer(now, answer, &mut self.checks),
+            Who::Runner(task, attempt) => {
+                if let Some(runner) = self.runners.get_mut(&(task.clone(), *attempt)) {
+                    runner.told(now, answer, &mut self.checks);
+                }
+            }
+            Who::Master(task, attempt) => {
+                let runner = self.runners.get_mut(&(task.clone(), *attempt));
+                if let Some(master) = runner.and_then(|r| r.master.as_mut()) {
+                    master.answer(now, answer, &mut self.checks);
+                }
+            }
+        }
+    }
+}
--- a/crates/stoathatch/src/ask.rs
+++ b/crates/stoathatch/src/ask.rs
@@ -30,7 +30,7 @@
         if left.is_zero() {
             break;
         }
-        match once(*node, &body, left.min(ONE_TRY)) {
+        match once(*node, "POST", admin::PATH, &body, left.min(ONE_TRY)) {
             Ok(r) if r.status == 200 => {
                 return admin::decode(&r.body).map_err(|e| Failed::Unreachable(format!("{node}: {e}")));
             }
@@ -56,13 +56,20 @@
     Err(Failed::Unreachable(last))
 }
 
-fn once(to: SocketAddr, body: &[u8], timeout: Duration) -> Result<Response, String> {
+/// One request, one answer, one connection.
+pub fn once(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &[u8],
+    timeout: Duration,
+) -> Result<Response, String> {
     let text = |e: std::io::Error| e.to_string();
     let mut stream = TcpStream::connect_timeout(&to, timeout.min(Duration::from_secs(3))).map_err(text)?;
     stream.set_read_timeout(Some(timeout)).map_err(text)?;
     stream.set_write_timeout(Some(timeout)).map_err(text)?;
     let mut out = Vec::new();
-    http::write_request(&mut out, &to.to_string(), "POST", admin::PATH, body);
+    http::write_request(&mut out, &to.to_string(), method, path, body);
     stream.write_all(&out).map_err(text)?;
     let mut got = Vec::new();
     let mut chunk = [0; 16 * 1024];
--- a/crates/stoathatch/src/config.rs
+++ b/crates/stoathatch/src/config.rs
@@ -9,6 +9,11 @@
     parse_settings(&text).map_err(|e| format!("{}: {e}", path.display()))
 }
 
+pub fn yarn(path: &Path) -> Result<gateway::Config, String> {
+    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
+    gateway::Config::parse(&text).map_err(|e| format!("{}: {e}", path.display()))
+}
+
 fn parse_settings(text: &str) -> Result<Settings, String> {
     let settings: Settings = serde_json::from_str(text).map_err(|e| e.to_string())?;
     settings.check()?;
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod quota;
 mod service;
+mod tools;
 
 use clap::{Parser, Subcommand};
 use std::path::PathBuf;
@@ -22,6 +23,9 @@
     /// A quota tree to begin with (TOML); used only if the deployment has never had one.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_QUOTA")]
     quota: Option<PathBuf>,
+    /// Serve YARN's clients too, as this file says (INI); without it nothing listens for them.
+    #[arg(long, value_name = "FILE", env = "STOATHATCH_YARN")]
+    yarn: Option<PathBuf>,
     /// Check the settings, print the operators' values in force, and end.
     #[arg(long)]
     check: bool,
@@ -34,12 +38,16 @@
 enum Command {
     /// Quotas of members, desks and teams.
     Quota(quota::Command),
+    /// Applications of YARN's clients, their queues, and drains.
+    Yarn(tools::Command),
 }
 
 fn main() -> ExitCode {
     let args = Args::parse();
-    if let Some(Command::Quota(command)) = &args.command {
-        return quota::run(command);
+    match &args.command {
+        Some(Command::Quota(command)) => return quota::run(command),
+        Some(Command::Yarn(command)) => return tools::run(command),
+        None => {}
     }
     let level = std::env::var("LOG_LEVEL").unwrap_or_default();
     let filter = match level.to_ascii_lowercase().as_str() {
@@ -75,11 +83,12 @@
         Some(path) => Some(config::tree(path, &settings)?),
         None => None,
     };
+    let yarn = args.yarn.as_deref().map(config::yarn).transpose()?;
     if args.check {
         for (section, key, value, meaning) in tuning.list() {
             println!("[{section}] {key} = {value}  ; {meaning}");
         }
         return Ok(());
     }
-    service::Service::new(settings, tuning, tree)?.run()
+    service::Service::new(settings, tuning, tree, yarn)?.run()
 }
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -1,22 +1,29 @@
 //! One process: the network thread that turns sockets into events for the controller, and back.
 
 use control::{Dest, Effect, Event, Node, Now, Tuning};
+use gateway::served::{Gateway, Out, Raw, Served};
 use net::{ConnId, Door, Net, Outgoing};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 use wire::settings::Settings;
 
+/// Numbers of the gateway's doors.
+const RPC: Door = Door::Raw(0);
+const WEB: Door = Door::Raw(1);
 const STATS_EVERY: Duration = Duration::from_secs(30);
 
 pub struct Service {
     net: Net,
-    node: Node,
+    node: Served,
     start: Instant,
     state: SocketAddr,
     cloud: SocketAddr,
     peers: Vec<SocketAddr>,
     conns: HashMap<u64, ConnId>,
+    /// Connections of the gateway's clients, both ways.
+    raw: HashMap<u64, ConnId>,
+    raw_ids: HashMap<ConnId, u64>,
     next_conn: u64,
     logged: Instant,
 }
@@ -32,7 +39,12 @@
 }
 
 impl Service {
-    pub fn new(settings: Settings, tuning: Tuning, tree: Option<quota::Spec>) -> Result<Self, String> {
+    pub fn new(
+        settings: Settings,
+        tuning: Tuning,
+        tree: Option<quota::Spec>,
+        yarn: Option<gateway::Config>,
+    ) -> Result<Self, String> {
         let mut net = Net::new(settings.limits().max_sockets).map_err(|e| format!("event loop: {e}"))?;
         for (name, text, door) in [
             ("client_listen", &settings.listen, Door::Clients),
@@ -41,6 +53,12 @@
             net.listen(addr(name, text)?, door)
                 .map_err(|e| format!("{name}: can't listen on {text}: {e}"))?;
         }
+        if let Some(yarn) = &yarn {
+            for (name, at, door) in [("[door] rpc", yarn.rpc, RPC), ("[door] web", yarn.web, WEB)] {
+                net.listen(at, door).map_err(|e| format!("{name}: can't listen on {at}: {e}"))?;
+            }
+            log::info!("YARN's clients are served on {} (RPC) and {} (REST)", yarn.rpc, yarn.web);
+        }
         let start = Instant::now();
         let state = addr("endpoints.state", &settings.endpoints.state)?;
         let cloud = addr("endpoints.cloud", &settings.endpoints.cloud)?;
@@ -49,6 +67,7 @@
         // The seed only spreads retries; two nodes must not share it.
         let seed = fastrand::u64(..);
         let node = Node::new(settings, tuning, seed, now(start)).with_first_tree(tree);
+        let node = Served::new(node, yarn.map(|c| Ok::<_, String>(Gateway::new(c, secret()?))).transpose()?);
         Ok(Service {
             net,
             node,
@@ -57,6 +76,8 @@
             cloud,
             peers,
             conns: HashMap::new(),
+            raw: HashMap::new(),
+            raw_ids: HashMap::new(),
             next_conn: 1,
             logged: start,
         })
@@ -67,7 +88,7 @@
         let mut ticked = Instant::now();
         self.feed(Event::Tick);
         loop {
-            let wait = Duration::from_millis(self.node.wait_ms());
+            let wait = Duration::from_millis(self.node.node().wait_ms());
             let left = (ticked + wait).saturating_duration_since(Instant::now());
             let events = self.net.poll(left).map_err(|e| format!("event loop: {e}"))?;
             for event in events {
@@ -79,10 +100,28 @@
                         self.feed(match door {
                             Door::Clients => Event::Client { conn: id, request },
                             Door::Peers => Event::Peer { conn: id, request },
+                            // Raw doors hand over bytes, never requests.
                             Door::Raw(_) => continue,
                         });
                     }
-                    net::Event::Opened { .. } | net::Event::Bytes { .. } | net::Event::Closed { .. } => {}
+                    net::Event::Opened { conn, door, from } => {
+                        let id = self.next_conn;
+                        self.next_conn += 1;
+                        self.raw.insert(id, conn);
+                        self.raw_ids.insert(conn, id);
+                        self.feed_raw(id, Raw::Opened { web: door == WEB, from: from.ip() });
+                    }
+                    net::Event::Bytes { conn, bytes } => {
+                        if let Some(id) = self.raw_ids.get(&conn).copied() {
+                            self.feed_raw(id, Raw::Bytes(bytes));
+                        }
+                    }
+                    net::Event::Closed { conn } => {
+                        if let Some(id) = self.raw_ids.remove(&conn) {
+                            self.raw.remove(&id);
+                            self.feed_raw(id, Raw::Closed);
+                        }
+                    }
                     net::Event::Reply { tag, response } => self.feed(Event::Reply { tag, response }),
                 }
             }
@@ -92,39 +131,69 @@
             }
             if self.logged.elapsed() >= STATS_EVERY {
                 self.logged = Instant::now();
-                log::info!("{}: {:?}", self.node.role_name(), self.node.stats());
+                let node = self.node.node();
+                log::info!("{}: {:?}", node.role_name(), node.stats());
+                if let Some(book) = self.node.book() {
+                    log::info!("yarn: {:?}", book.counts());
+                }
             }
         }
     }
 
     fn feed(&mut self, event: Event) {
-        for effect in self.node.handle(now(self.start), event) {
-            match effect {
-                Effect::Side { .. } => {}
-                Effect::Respond { conn, response } => {
-                    if let Some(id) = self.conns.remove(&conn) {
-                        self.net.respond(id, response);
+        let outs = self.node.handle(now(self.start), event);
+        self.carry_out(outs);
+    }
+
+    fn feed_raw(&mut self, conn: u64, event: Raw) {
+        let outs = self.node.raw(now(self.start), conn, event);
+        self.carry_out(outs);
+    }
+
+    fn carry_out(&mut self, outs: Vec<Out>) {
+        for out in outs {
+            match out {
+                Out::Node(effect) => self.carry_out_one(effect),
+                Out::Write { conn, bytes } => {
+                    if let Some(id) = self.raw.get(&conn) {
+                        self.net.write(*id, &bytes);
+                    }
+                }
+                Out::Close { conn } => {
+                    if let Some(id) = self.raw.get(&conn) {
+                        self.net.finish(*id);
                     }
                 }
-                Effect::Send { tag, to, method, path, body, timeout_ms, answer_limit } => {
-                    let to = match to {
-                        Dest::State => self.state,
-                        Dest::Cloud => self.cloud,
-                        Dest::Peer(i) => self.peers[i],
-                        Dest::Worker(addr) => addr,
-                    };
-                    let timeout = Duration::from_millis(timeout_ms);
-                    self.net.send(Outgoing {
-                        tag,
-                        to,
-                        method,
-                        path: &path,
-                        body: &body,
-                        timeout,
-                        answer_limit,
-                    });
+            }
+        }
+    }
+
+    fn carry_out_one(&mut self, effect: Effect) {
+        match effect {
+            Effect::Respond { conn, response } => {
+                if let Some(id) = self.conns.remove(&conn) {
+                    self.net.respond(id, response);
                 }
             }
+            Effect::Send { tag, to, method, path, body, timeout_ms, answer_limit } => {
+                let to = match to {
+                    Dest::State => self.state,
+                    Dest::Cloud => self.cloud,
+                    Dest::Peer(i) => self.peers[i],
+                    Dest::Worker(addr) => addr,
+                };
+                let timeout = Duration::from_millis(timeout_ms);
+                self.net.send(Outgoing { tag, to, method, path: &path, body: &body, timeout, answer_limit });
+            }
+            // The gateway's own requests have ended with it.
+            Effect::Side { .. } => {}
         }
     }
 }
+
+/// Random bytes for the gateway's keys.
+fn secret() -> Result<[u8; 32], String> {
+    let mut bytes = [0; 32];
+    getrandom::fill(&mut bytes).map_err(|e| format!("random bytes: {e}"))?;
+    Ok(bytes)
+}
--- /dev/null
+++ b/crates/stoathatch/src/tools.rs
@@ -0,0 +1,444 @@
+//! `stoathatch yarn`: applications of YARN's clients, queues and drains; and bundles, submitted as a whole.
+
+use crate::ask::once;
+use clap::{Args, Subcommand};
+use comfy_table::{Table, presets};
+use gateway::book::web::{DrainAsk, Drains, OWN};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::{Duration, Instant};
+use yarn::rest::{self, Form};
+
+/// A call is tried again, at each address in turn, for so long.
+const PATIENCE: Duration = Duration::from_secs(60);
+const ONE_TRY: Duration = Duration::from_secs(8);
+
+/// Exit codes: 0 done, 1 refused, 2 could not be asked.
+#[derive(Args)]
+pub struct Command {
+    /// A controller's REST address ([door] web); several are tried in turn. Any controller will do.
+    #[arg(
+        long = "web",
+        value_name = "IP:PORT",
+        env = "STOATHATCH_YARN_WEB",
+        value_delimiter = ',',
+        global = true
+    )]
+    nodes: Vec<SocketAddr>,
+    /// Who asks.
+    #[arg(long = "as", value_name = "USER", env = "USER", default_value = "unnamed", global = true)]
+    user: String,
+    /// Print JSON, for programs.
+    #[arg(long, global = true)]
+    json: bool,
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    /// Applications, newest first.
+    List {
+        /// Only those in this state, like RUNNING. Can be given several times.
+        #[arg(long)]
+        state: Vec<String>,
+        /// Only this queue and those below it.
+        #[arg(long)]
+        queue: Option<String>,
+        /// So many at most.
+        #[arg(long)]
+        limit: Option<u32>,
+    },
+    /// One application.
+    Status {
+        /// `application_..._0001`.
+        id: String,
+    },
+    /// End an application, and wait until it is over.
+    Kill { id: String },
+    /// Submit a bundle (a tool with its files, command and resources); prints the application's id.
+    Submit {
+        /// The bundle's file (TOML).
+        bundle: PathBuf,
+        /// Wait until it is over; exit code 1 if it did not succeed.
+        #[arg(long)]
+        wait: bool,
+    },
+    /// Queues, what they may use, and which are drained.
+    Queues,
+    /// Take no new applications in a queue (`root`: in the whole service), until told otherwise.
+    Drain {
+        queue: String,
+        /// End what still runs there after so many seconds.
+        #[arg(long, value_name = "SECONDS")]
+        within: Option<u64>,
+        /// Give running applications no further containers.
+        #[arg(long)]
+        containers: bool,
+        /// The drain is over.
+        #[arg(long, conflicts_with_all = ["within", "containers"])]
+        off: bool,
+    },
+    /// The schema of bundle files (JSON Schema).
+    Schema,
+}
+
+/// A tool that is run as a whole: what it needs, and how it starts.
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct Bundle {
+    /// Shown in lists.
+    name: String,
+    /// The queue that it is submitted to.
+    queue: String,
+    /// Application type; operators map types to classes.
+    #[serde(default = "bundle_type")]
+    kind: String,
+    /// Started by the shell of its image.
+    command: String,
+    #[serde(default)]
+    environment: BTreeMap<String, String>,
+    /// MiB of memory.
+    #[schemars(range(min = 1))]
+    memory_mb: i64,
+    #[serde(default = "one")]
+    #[schemars(range(min = 0))]
+    cores: i32,
+    #[serde(default)]
+    #[schemars(range(min = 0))]
+    gpus: i64,
+    /// Higher is sooner.
+    #[serde(default)]
+    priority: i32,
+    /// Times that its process may fail.
+    #[serde(default = "two")]
+    attempts: i32,
+    /// It is ended after so many seconds.
+    #[serde(default)]
+    within_s: Option<i64>,
+    /// Files and archives that are there when it starts, by the name that it finds them under.
+    #[serde(default)]
+    files: BTreeMap<String, BundleFile>,
+    #[serde(default)]
+    tags: Vec<String>,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+struct BundleFile {
+    /// Where its image fetches it from.
+    url: String,
+    /// It is unpacked.
+    #[serde(default)]
+    archive: bool,
+    #[serde(default)]
+    size: i64,
+}
+
+fn bundle_type() -> String {
+    "BUNDLE".into()
+}
+fn one() -> i32 {
+    1
+}
+fn two() -> i32 {
+    2
+}
+
+impl Bundle {
+    /// Reads a bundle; the error has path, line and place.
+    fn read(path: &Path) -> Result<Bundle, End> {
+        let fault = |e: &dyn std::fmt::Display| End::Refused(format!("{}: {e}", path.display()));
+        let text = std::fs::read_to_string(path).map_err(|e| fault(&e))?;
+        let bundle: Bundle = toml::from_str(&text).map_err(|e| {
+            let line = e.span().map_or(1, |s| text[..s.start.min(text.len())].lines().count().max(1));
+            fault(&format!("line {line}: {}", e.message()))
+        })?;
+        let bad = [
+            (bundle.command.trim().is_empty(), "command: must not be empty"),
+            (bundle.memory_mb <= 0, "memory_mb: must be above 0"),
+            (bundle.cores < 0 || bundle.gpus < 0, "cores, gpus: must not be below 0"),
+            (bundle.attempts < 1, "attempts: must be 1 or more"),
+        ];
+        match bad.iter().find(|(is, _)| *is) {
+            Some((_, why)) => Err(fault(why)),
+            None => Ok(bundle),
+        }
+    }
+
+    fn submission(&self, id: String) -> rest::Submission {
+        let file = |(key, f): (&String, &BundleFile)| rest::Entry {
+            key: key.clone(),
+            value: rest::LocalResource {
+                resource: f.url.clone(),
+                kind: if f.archive { "ARCHIVE".into() } else { "FILE".into() },
+                visibility: "APPLICATION".into(),
+                size: f.size,
+                timestamp: 0,
+            },
+        };
+        let variable =
+            |(key, value): (&String, &String)| rest::Entry { key: key.clone(), value: value.clone() };
+        let gpus =
+            rest::Information { name: yarn::master::GPUS.into(), value: self.gpus, units: String::new() };
+        let named = (self.gpus > 0).then(|| rest::Informations { each: vec![gpus] });
+        let timeout =
+            |s: &i64| rest::Timeout { kind: "LIFETIME".into(), remaining_s: *s, ..rest::Timeout::default() };
+        rest::Submission {
+            application_id: id,
+            application_name: self.name.clone(),
+            queue: self.queue.clone(),
+            priority: self.priority,
+            am_container_spec: rest::Launch {
+                local_resources: rest::Entries { entry: self.files.iter().map(file).collect() },
+                environment: rest::Entries { entry: self.environment.iter().map(variable).collect() },
+                commands: rest::Commands { command: self.command.clone() },
+            },
+            max_app_attempts: self.attempts,
+            resource: rest::Capability { memory: self.memory_mb, vcores: self.cores, named },
+            application_type: self.kind.clone(),
+            application_tags: rest::Tags { tag: self.tags.clone() },
+            application_timeouts: rest::Timeouts { timeout: self.within_s.iter().map(timeout).collect() },
+            ..rest::Submission::default()
+        }
+    }
+}
+
+enum End {
+    Refused(String),
+    Failed(String),
+}
+
+/// What a body holds below its root.
+#[derive(Deserialize)]
+struct Apps {
+    apps: rest::Apps,
+}
+#[derive(Deserialize)]
+struct App {
+    app: rest::App,
+}
+#[derive(Deserialize)]
+struct Scheduler {
+    scheduler: rest::Scheduler,
+}
+#[derive(Deserialize)]
+struct Refused {
+    #[serde(rename = "RemoteException")]
+    exception: rest::RemoteException,
+}
+
+impl Command {
+    /// Asks the controllers in turn until one answers. Each call may be repeated: a submission has its id.
+    fn ask(&self, method: &str, path: &str, body: &[u8]) -> Result<Vec<u8>, End> {
+        let mark = if path.contains('?') { '&' } else { '?' };
+        let user: String = self.user.bytes().map(escape).collect();
+        let target = format!("{path}{mark}user.name={user}");
+        let end = Instant::now() + PATIENCE;
+        let mut last = "no controller was named (--web IP:PORT)".to_owned();
+        for node in self.nodes.iter().cycle() {
+            if Instant::now() >= end {
+                break;
+            }
+            match once(*node, method, &target, body, ONE_TRY) {
+                Ok(r) if r.status < 300 => return Ok(r.body),
+                Ok(r) => {
+                    let why = rest::read::<Refused>(Form::Json, &r.body).map(|f| f.exception.message);
+                    let why = why.unwrap_or_else(|_| format!("status {}", r.status));
+                    if !matches!(r.status, 429 | 503) {
+                        return Err(End::Refused(why));
+                    }
+                    last = format!("{node}: {why}");
+                    let wait = u64::from(r.retry_after_s.unwrap_or(1).clamp(1, 10));
+                    std::thread::sleep(Duration::from_secs(wait));
+                }
+                Err(e) => {
+                    last = format!("{node}: {e}");
+                    std::thread::sleep(Duration::from_millis(200));
+                }
+            }
+        }
+        Err(End::Failed(last))
+    }
+
+    fn get<T: for<'de> Deserialize<'de>>(&self, path: &str) -> Result<(T, Vec<u8>), End> {
+        let body = self.ask("GET", path, &[])?;
+        let read = rest::read(Form::Json, &body).map_err(End::Failed)?;
+        Ok((read, body))
+    }
+
+    fn run(&self) -> Result<(), End> {
+        match &self.verb {
+            Verb::List { state, queue, limit } => {
+                let mut path = format!("{}/apps?states={}", rest::ROOT, state.join(","));
+                queue.iter().for_each(|q| path.push_str(&format!("&queue={q}")));
+                limit.iter().for_each(|n| path.push_str(&format!("&limit={n}")));
+                let (read, body): (Apps, _) = self.get(&path)?;
+                self.show(&body, || list(&read.apps.app))
+            }
+            Verb::Status { id } => {
+                let (read, body): (App, _) = self.get(&format!("{}/apps/{id}", rest::ROOT))?;
+                self.show(&body, || status(&read.app))
+            }
+            Verb::Kill { id } => self.kill(id),
+            Verb::Submit { bundle, wait } => self.submit(bundle, *wait),
+            Verb::Queues => {
+                let (read, body): (Scheduler, _) = self.get(&format!("{}/scheduler", rest::ROOT))?;
+                let (drains, _): (Drains, _) = self.get(&format!("{OWN}/drains"))?;
+                self.show(&body, || queues(&read.scheduler.scheduler_info, &drains))
+            }
+            Verb::Drain { queue, within, containers, off } => {
+                let ask =
+                    DrainAsk { queue: queue.clone(), off: *off, within_s: *within, containers: *containers };
+                let body = rest::render(Form::Json, "", true, &ask);
+                let body = self.ask("PUT", &format!("{OWN}/drains"), &body)?;
+                let drains: Drains = rest::read(Form::Json, &body).map_err(End::Failed)?;
+                self.show(&body, || drained(&drains))
+            }
+            Verb::Schema => {
+                let schema = schemars::schema_for!(Bundle);
+                println!("{}", serde_json::to_string_pretty(&schema).unwrap_or_default());
+                Ok(())
+            }
+        }
+    }
+
+    fn show(&self, body: &[u8], table: impl FnOnce() -> String) -> Result<(), End> {
+        if self.json {
+            println!("{}", String::from_utf8_lossy(body));
+        } else {
+            println!("{}", table());
+        }
+        Ok(())
+    }
+
+    fn kill(&self, id: &str) -> Result<(), End> {
+        let body = rest::render(Form::Json, "", true, &rest::AppState { state: "KILLED".into() });
+        self.ask("PUT", &format!("{}/apps/{id}/state", rest::ROOT), &body)?;
+        let app = self.until_over(id)?;
+        println!("{id} {}", app.state);
+        Ok(())
+    }
+
+    fn until_over(&self, id: &str) -> Result<rest::App, End> {
+        loop {
+            let (read, _): (App, _) = self.get(&format!("{}/apps/{id}", rest::ROOT))?;
+            if matches!(read.app.state.as_str(), "FINISHED" | "FAILED" | "KILLED") {
+                return Ok(read.app);
+            }
+            std::thread::sleep(Duration::from_millis(500));
+        }
+    }
+
+    fn submit(&self, path: &Path, wait: bool) -> Result<(), End> {
+        let bundle = Bundle::read(path)?;
+        let body = self.ask("POST", &format!("{}/apps/new-application", rest::ROOT), &[])?;
+        let new: rest::NewApplication = rest::read(Form::Json, &body).map_err(End::Failed)?;
+        let id = new.application_id;
+        // Printed before it is sent: whoever loses the answer can still ask for it.
+        println!("{id}");
+        let body = rest::render(Form::Json, "", true, &bundle.submission(id.clone()));
+        self.ask("POST", &format!("{}/apps", rest::ROOT), &body)?;
+        if !wait {
+            return Ok(());
+        }
+        let app = self.until_over(&id)?;
+        println!("{} {}", app.state, app.final_status);
+        if app.final_status == "SUCCEEDED" { Ok(()) } else { Err(End::Refused(app.diagnostics)) }
+    }
+}
+
+fn escape(byte: u8) -> String {
+    if byte.is_ascii_alphanumeric() || b"-_.".contains(&byte) {
+        return char::from(byte).to_string();
+    }
+    format!("%{byte:02X}")
+}
+
+fn table(head: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING);
+    table.set_header(head);
+    table
+}
+
+fn list(apps: &[rest::App]) -> String {
+    let mut t = table(&["id", "user", "queue", "type", "state", "final", "containers", "name"]);
+    for a in apps {
+        let containers = a.running_containers.to_string();
+        t.add_row([
+            &a.id,
+            &a.user,
+            &a.queue,
+            &a.application_type,
+            &a.state,
+            &a.final_status,
+            &containers,
+            &a.name,
+        ]);
+    }
+    t.to_string()
+}
+
+fn status(a: &rest::App) -> String {
+    let mut t = table(&["", ""]);
+    let seconds = format!("{:.1} s", a.elapsed_time as f64 / 1000.0);
+    for (name, value) in [
+        ("id", &a.id),
+        ("name", &a.name),
+        ("user", &a.user),
+        ("queue", &a.queue),
+        ("type", &a.application_type),
+        ("tags", &a.application_tags),
+        ("state", &a.state),
+        ("final status", &a.final_status),
+        ("time", &seconds),
+        ("diagnostics", &a.diagnostics),
+    ] {
+        t.add_row([name, value]);
+    }
+    t.to_string()
+}
+
+fn queues(root: &rest::Queue, drains: &Drains) -> String {
+    let mut t = table(&["queue", "guaranteed", "at most", "applications", "state", "until (ms since 1970)"]);
+    let mut left = vec![root];
+    while let Some(q) = left.pop() {
+        let until = drains.drains.get(&q.queue_path).and_then(|d| d.until_ms);
+        let until = until.map_or(String::new(), |ms| ms.to_string());
+        let (capacity, most) = (format!("{:.0}%", q.capacity), format!("{:.0}%", q.max_capacity));
+        t.add_row([&q.queue_path, &capacity, &most, &q.num_applications.to_string(), &q.state, &until]);
+        left.extend(q.queues.iter().flat_map(|c| &c.queue).rev());
+    }
+    t.to_string()
+}
+
+fn drained(drains: &Drains) -> String {
+    if drains.drains.is_empty() {
+        return "nothing is drained".into();
+    }
+    let mut t = table(&["drained", "until (ms since 1970)", "further containers"]);
+    for (queue, d) in &drains.drains {
+        let until = d.until_ms.map_or("as long as it takes".into(), |ms| ms.to_string());
+        t.add_row([queue.clone(), until, if d.containers { "none" } else { "yes" }.into()]);
+    }
+    t.to_string()
+}
+
+pub fn run(command: &Command) -> ExitCode {
+    match command.run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(End::Refused(why)) => {
+            eprintln!("stoathatch yarn: {why}");
+            ExitCode::from(1)
+        }
+        Err(End::Failed(why)) => {
+            eprintln!("stoathatch yarn: not answered: {why}");
+            ExitCode::from(2)
+        }
+    }
+}
--- a/crates/stoathatch/tests/e2e/common.rs
+++ b/crates/stoathatch/tests/e2e/common.rs
@@ -14,8 +14,11 @@
     children: Vec<Option<Child>>,
     pub clients: Vec<SocketAddr>,
     pub peers: Vec<SocketAddr>,
+    /// Where the gateways' doors are, if they are open.
+    pub rpc: Vec<SocketAddr>,
+    pub web: Vec<SocketAddr>,
     /// Further arguments of each process.
-    options: Vec<String>,
+    options: Vec<Vec<String>>,
     /// Keeps the ports out of everybody else's reach, also while a process is down.
     _held: Vec<(Socket, SocketAddr)>,
 }
@@ -29,11 +32,24 @@
         teams: &Value,
         options: &[&str],
     ) -> (Self, Loopback) {
-        let held: Vec<_> = (0..6).map(|_| hold_port().expect("a port")).collect();
-        let (clients, peers): (Vec<_>, Vec<_>) = held.chunks(2).map(|pair| (pair[0].1, pair[1].1)).unzip();
+        Controllers::with_yarn(name, kind, run_ms, teams, options, None)
+    }
+
+    /// The same with a gateway beside each, and further lines of its file.
+    pub fn with_yarn(
+        name: &str,
+        kind: MachineType,
+        run_ms: u64,
+        teams: &Value,
+        options: &[&str],
+        yarn: Option<&str>,
+    ) -> (Self, Loopback) {
+        let held: Vec<_> = (0..12).map(|_| hold_port().expect("a port")).collect();
+        let [clients, peers, rpc, web] =
+            [0, 1, 2, 3].map(|i| held.chunks(4).map(|c| c[i].1).collect::<Vec<_>>());
         let nodes = clients.iter().enumerate().map(|(i, a)| (format!("burrow-{i}"), *a)).collect();
         let world = Loopback::start(Catalog { types: vec![kind] }, nodes, run_ms, 20_000).expect("stand-ins");
-        let files: Vec<_> = (0..3)
+        let mut files: Vec<_> = (0..3)
             .map(|n| {
                 let file = format!("stoathatch-{name}-{}-{n}.json", std::process::id());
                 let path = std::env::temp_dir().join(file);
@@ -42,9 +58,20 @@
                 path
             })
             .collect();
-        let options = options.iter().map(ToString::to_string).collect();
-        let mut c =
-            Controllers { files, children: vec![None, None, None], clients, peers, options, _held: held };
+        let options: Vec<String> = options.iter().map(ToString::to_string).collect();
+        let mut options = vec![options; 3];
+        if let Some(more) = yarn {
+            for n in 0..3 {
+                let file = format!("stoathatch-{name}-{}-{n}.ini", std::process::id());
+                let path = std::env::temp_dir().join(file);
+                let text = format!("[door]\nrpc = {}\nweb = {}\n{more}", rpc[n], web[n]);
+                std::fs::write(&path, text).expect("written");
+                options[n].extend(["--yarn".to_owned(), path.to_string_lossy().into_owned()]);
+                files.push(path);
+            }
+        }
+        let children = vec![None, None, None];
+        let mut c = Controllers { files, children, clients, peers, rpc, web, options, _held: held };
         (0..3).for_each(|n| c.start(n));
         (c, world)
     }
@@ -57,7 +84,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_stoathatch"))
             .arg("--config")
             .arg(&self.files[n])
-            .args(&self.options)
+            .args(&self.options[n])
             .env("LOG_LEVEL", std::env::var("LOG_LEVEL").unwrap_or("error".into()))
             .stdin(Stdio::null())
             .spawn()
@@ -65,6 +92,10 @@
         self.children[n] = Some(child);
     }
 
+    pub fn runs(&self, n: usize) -> bool {
+        self.children[n].is_some()
+    }
+
     pub fn kill(&mut self, n: usize) {
         if let Some(mut child) = self.children[n].take() {
             child.kill().expect("killed");
--- a/crates/stoathatch/tests/e2e/main.rs
+++ b/crates/stoathatch/tests/e2e/main.rs
@@ -4,3 +4,4 @@
 mod jobs;
 mod ports;
 mod quota;
+mod yarn;
--- /dev/null
+++ b/crates/stoathatch/tests/e2e/yarn.rs
@@ -0,0 +1,160 @@
+//! YARN's clients against three real processes on loopback: by the command line, by REST, and by RPC.
+
+use crate::common::{Controllers, four_gpus, until};
+use serde_json::{Value, json};
+use standins::loopback::Loopback;
+use standins::yarn::{Answer, Ask, Client, Exchange, Next, Runner, Stage, Tally};
+use std::collections::HashSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+use wire::api::MachineType;
+use yarn::proto::{ApplicationState, FinalStatus};
+
+fn machine() -> MachineType {
+    MachineType { cores: 32.0, ..four_gpus(3.0) }
+}
+
+fn teams() -> Value {
+    json!([{"name": "red", "cpus": 16.0, "cpus_max": 0.0, "gpus": 0.0, "gpus_max": 0.0}])
+}
+
+/// One call on a connection of its own.
+fn exchange(rpc: SocketAddr, web: SocketAddr, ask: Ask) -> Answer {
+    let (mut exchange, by_web, first) = Exchange::begin(ask);
+    let mut stream =
+        TcpStream::connect_timeout(&if by_web { web } else { rpc }, Duration::from_secs(1)).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(6))).ok()?;
+    stream.write_all(&first).ok()?;
+    let mut chunk = [0; 16 * 1024];
+    loop {
+        let n = stream.read(&mut chunk).ok().filter(|n| *n > 0)?;
+        match exchange.bytes(&chunk[..n]) {
+            Next::Wait => {}
+            Next::Send(bytes) => stream.write_all(&bytes).ok()?,
+            Next::Over(answer) => return answer,
+        }
+    }
+}
+
+fn yarn(c: &Controllers, args: &[&str]) -> Output {
+    let nodes = c.web.iter().map(ToString::to_string).collect::<Vec<_>>().join(",");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_stoathatch"));
+    command.arg("yarn").args(["--web", &nodes, "--as", "ann"]).args(args).output().expect("it runs")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// What operators and users type; a drain that outlives the node that was asked; the same submission at every node.
+#[test]
+fn bundles_run_and_drains_stand() {
+    let rules = "admins = ann\n[queues]\nroot.default = red\n";
+    let (mut c, world) = Controllers::with_yarn("yarn", machine(), 800, &teams(), &[], Some(rules));
+    let bundle = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/yarn-bundle-example.toml");
+    let out = yarn(&c, &["submit", bundle, "--wait"]);
+    assert_eq!(out.status.code(), Some(0), "{} {}", text(&out.stdout), text(&out.stderr));
+    assert!(text(&out.stdout).contains("FINISHED SUCCEEDED"), "{}", text(&out.stdout));
+    let listed = text(&yarn(&c, &["list"]).stdout);
+    assert!(listed.contains("county tally") && listed.contains("FINISHED"), "{listed}");
+
+    let out = yarn(&c, &["drain", "default", "--containers"]);
+    assert_eq!(out.status.code(), Some(0), "{}", text(&out.stderr));
+    let owner = until("an owner", || world.owner());
+    c.kill(owner.trim_start_matches("burrow-").parse().expect("a node"));
+    until("another owner", || world.owner().filter(|o| *o != owner));
+    let out = yarn(&c, &["submit", bundle]);
+    assert_eq!(out.status.code(), Some(1), "{}", text(&out.stdout));
+    assert!(text(&out.stderr).contains("Queue root.default is DRAINING"), "{}", text(&out.stderr));
+    assert!(text(&yarn(&c, &["queues"]).stdout).contains("DRAINING"));
+    assert_eq!(yarn(&c, &["drain", "default", "--off"]).status.code(), Some(0));
+
+    // Every node is given the same submission: one application, one job.
+    let mut client = Client::new("ann", "default", 0, Tally { stages: Vec::new(), run_ms: 1, fails: 0 });
+    client.web = true;
+    let mut stage = Stage { clients: vec![client], ..Stage::default() };
+    let start = Instant::now();
+    let mut repeats = 0;
+    until("the application is over, and was submitted at each node", || {
+        let now = start.elapsed().as_millis() as u64;
+        for (who, ask) in stage.due(now) {
+            let submits =
+                matches!(&ask, Ask::Web { method: "POST", target, .. } if !target.contains("new-app"));
+            let alive = (0..3).filter(|n| c.runs(*n));
+            let mut answers: Vec<Answer> = alive.map(|n| exchange(c.rpc[n], c.web[n], ask.clone())).collect();
+            let good = answers.iter().position(|a| matches!(a, Some(Ok(_)))).unwrap_or(0);
+            repeats += usize::from(submits && answers.iter().all(|a| matches!(a, Some(Ok(_)))));
+            stage.answer(now, &who, answers.swap_remove(good));
+        }
+        (stage.clients[0].is_over() && repeats > 0).then_some(())
+    });
+    assert_eq!(stage.clients[0].state, Some(ApplicationState::Finished));
+    let id = stage.clients[0].id.expect("an id").id;
+    let tasks: Vec<String> =
+        world.completed().into_iter().filter(|t| t.contains(&format!("{id:010}"))).collect();
+    assert_eq!(tasks.len(), 1, "{tasks:?}");
+    assert_eq!(world.ran_twice(), None);
+}
+
+/// The tally's runners, standing on the tasks that run on the stand-in machines.
+fn follow(stage: &mut Stage, world: &Loopback, now: u64) {
+    let mut here = HashSet::new();
+    for (spec, task, attempt, machine, zone) in world.runners() {
+        let key = (wire::ids::task_name(&spec.id, task), attempt);
+        here.insert(key.clone());
+        stage.runners.entry(key).or_insert_with(|| Runner::new(&spec, task, attempt, &machine, &zone, now));
+    }
+    stage.runners.retain(|key, _| here.contains(key));
+    for r in stage.runners.values() {
+        if let Some(done) = r.over {
+            world.end_task(&r.job, r.task, r.attempt, done);
+        }
+    }
+}
+
+/// A master and a hundred containers in two stages by RPC, with the master killed once and a machine lost.
+#[test]
+fn a_two_stage_tally_ends() {
+    let rules = "[work]\nestimate_s = 2\nmaster_s = 30\n";
+    let (c, world) = Controllers::with_yarn("tally", machine(), 800, &teams(), &[], Some(rules));
+    world.with_runners();
+    let tally = Tally { stages: vec![80, 20], run_ms: 1500, fails: 1 };
+    let mut stage = Stage { clients: vec![Client::new("ann", "red", 0, tally)], ..Stage::default() };
+    let start = Instant::now();
+    let (done, answers) = std::sync::mpsc::channel();
+    let mut lost = false;
+    let mut turn = 0;
+    until("the tally is through", || {
+        let now = start.elapsed().as_millis() as u64;
+        follow(&mut stage, &world, now);
+        for (who, ask) in stage.due(now) {
+            turn += 1;
+            let (rpc, web, done) = (c.rpc[turn % 3], c.web[turn % 3], done.clone());
+            // A start is answered once its runner has come for it, so nobody waits for another here.
+            std::thread::spawn(move || done.send((who, exchange(rpc, web, ask))));
+        }
+        for (who, answer) in answers.try_iter() {
+            stage.answer(start.elapsed().as_millis() as u64, &who, answer);
+        }
+        if !lost && stage.checks.containers_done > 10 {
+            // One without the master on it.
+            let (masters, others): (Vec<&Runner>, Vec<&Runner>) =
+                stage.runners.values().partition(|r| r.job.ends_with("0000000"));
+            if let Some(r) = others.iter().find(|r| masters.iter().all(|m| m.machine != r.machine)) {
+                world.lose(&r.machine);
+                lost = true;
+            }
+        }
+        assert!(stage.checks.broken.is_empty(), "{:?}", stage.checks.broken);
+        stage.clients[0].is_over().then_some(())
+    });
+    let client = &stage.clients[0];
+    assert_eq!(
+        (client.state, client.outcome),
+        (Some(ApplicationState::Finished), Some(FinalStatus::Succeeded as i32))
+    );
+    assert!(stage.checks.containers_done >= 100);
+    assert_eq!(world.ran_twice(), None);
+}
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -166,13 +166,30 @@
     out.extend_from_slice(body);
 }
 
+/// A header of a request whose head is whole.
+pub fn request_header(buf: &[u8], name: &str) -> Option<String> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut head = httparse::Request::new(&mut headers);
+    head.parse(&buf[..buf.len().min(MAX_HEAD)]).ok()?;
+    let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(found.value).ok().map(|v| v.trim().to_owned())
+}
+
 pub fn write_response(out: &mut Vec<u8>, r: &Response) {
+    write_response_as(out, r, "application/msgpack", None);
+}
+
+/// A response whose body is of another type, and which may name the place of what it made.
+pub fn write_response_as(out: &mut Vec<u8>, r: &Response, content_type: &str, location: Option<&str>) {
     let reason = match r.status {
         200 => "OK",
         201 => "Created",
+        202 => "Accepted",
         400 => "Bad Request",
+        403 => "Forbidden",
         404 => "Not Found",
         405 => "Method Not Allowed",
+        406 => "Not Acceptable",
         408 => "Request Timeout",
         411 => "Length Required",
         413 => "Content Too Large",
@@ -180,11 +197,15 @@
         422 => "Unprocessable Content",
         429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
+        501 => "Not Implemented",
         503 => "Service Unavailable",
         _ => "Status",
     };
     let mut head = String::with_capacity(128);
-    let _ = write!(head, "HTTP/1.1 {} {reason}\r\nContent-Type: application/msgpack\r\n", r.status);
+    let _ = write!(head, "HTTP/1.1 {} {reason}\r\nContent-Type: {content_type}\r\n", r.status);
+    if let Some(place) = location {
+        let _ = write!(head, "Location: {place}\r\n");
+    }
     if let Some(s) = r.retry_after_s {
         let _ = write!(head, "Retry-After: {s}\r\n");
     }
--- a/crates/yarn/src/rpc.rs
+++ b/crates/yarn/src/rpc.rs
@@ -268,8 +268,7 @@
 pub fn context(client_id: &[u8], user: &str, protocol: &str) -> Vec<u8> {
     let user = UserInformation { effective_user: Some(user.to_owned()), real_user: None };
     let context = ConnectionContext { user: Some(user), protocol: Some(protocol.to_owned()) };
-    let head = header(CONTEXT_CALL, client_id, -1);
-    frame(&[head.encode_length_delimited_to_vec(), context.encode_length_delimited_to_vec()])
+    frame_of(CONTEXT_CALL, client_id, &context)
 }
 
 /// The frame of a call.
@@ -280,15 +279,42 @@
     protocol: &str,
     method: &str,
     argument: &T,
+) -> Vec<u8> {
+    request_bytes(call_id, client_id, retry, protocol, method, &argument.encode_to_vec())
+}
+
+/// The frame of a call whose argument is encoded already.
+pub fn request_bytes(
+    call_id: i32,
+    client_id: &[u8],
+    retry: i32,
+    protocol: &str,
+    method: &str,
+    argument: &[u8],
 ) -> Vec<u8> {
     let named = MethodHeader { method: method.to_owned(), protocol: protocol.to_owned(), version: 1 };
     frame(&[
         header(call_id, client_id, retry).encode_length_delimited_to_vec(),
         named.encode_length_delimited_to_vec(),
-        argument.encode_length_delimited_to_vec(),
+        delimit(argument),
     ])
 }
 
+/// The frame of a message that is no call: a step of authentication, or a context.
+pub fn frame_of<T: Message>(call_id: i32, client_id: &[u8], message: &T) -> Vec<u8> {
+    let head = header(call_id, client_id, -1);
+    frame(&[head.encode_length_delimited_to_vec(), message.encode_length_delimited_to_vec()])
+}
+
+/// Bytes with their length before them.
+fn delimit(body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::with_capacity(body.len() + 5);
+    // A vector takes whatever is written to it.
+    let _ = prost::encode_length_delimiter(body.len(), &mut out);
+    out.extend_from_slice(body);
+    out
+}
+
 /// The frame that keeps a connection alive.
 pub fn ping(client_id: &[u8]) -> Vec<u8> {
     frame(&[header(PING_CALL, client_id, -1).encode_length_delimited_to_vec()])
@@ -308,11 +334,7 @@
 
 /// The frame of an answer; `body` is the encoded message.
 pub fn answer(of: &RequestHeader, body: &[u8]) -> Vec<u8> {
-    let mut payload = Vec::with_capacity(body.len() + 5);
-    // A vector takes whatever is written to it.
-    let _ = prost::encode_length_delimiter(body.len(), &mut payload);
-    payload.extend_from_slice(body);
-    frame(&[answer_header(of, 0).encode_length_delimited_to_vec(), payload])
+    frame(&[answer_header(of, 0).encode_length_delimited_to_vec(), delimit(body)])
 }
 
 /// The frame that says why a call was not served.
