--- a/crates/standins/src/scene.rs
+++ b/crates/standins/src/scene.rs
@@ -35,6 +35,14 @@
     /// Every controller has a gateway beside it, and these clients come.
     pub yarn: Option<gateway::Config>,
     pub clients: Vec<crate::yarn::Client>,
+    /// Drains that an operator asks for, with their times.
+    pub drains: Vec<(u64, gateway::book::web::DrainAsk)>,
+    /// What the gateway writes reaches the state service so much later.
+    pub records_ms: u64,
+    /// One in so many of these transactions is held for some seconds, and lands after its sender has gone on or died.
+    pub held_one_in: u32,
+    /// Masters go on after their task has gone, as if their machine were only out of sight.
+    pub undead: bool,
 }
 
 impl Scene {
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -5,7 +5,7 @@
 use crate::scene::Scene;
 use crate::state::{Limits, Outcome, State, Watch};
 use crate::worker::Worker;
-use crate::yarn::{Exchange, Next, Runner, Stage as YarnStage, Who};
+use crate::yarn::{Drain, Exchange, Next, Runner, Stage as YarnStage, Who};
 use control::{Dest, Effect, Event, Node, Now, Tuning};
 use gateway::served::{Gateway, Out, Raw, Served};
 use serde_json::{Value, json};
@@ -333,6 +333,8 @@
     fn begin_scene(&mut self, scene: Scene) {
         let start = self.now;
         self.yarn.clients = scene.clients;
+        self.yarn.undead = scene.undead;
+        self.yarn.drains = scene.drains.into_iter().map(|(at, ask)| Drain::new(start + at, ask)).collect();
         self.yarn.clients.iter_mut().for_each(|c| c.starts_at(start));
         for (at, change) in scene.changes {
             self.at(start + at, Ev::Operate(Box::new(change)));
@@ -501,6 +503,12 @@
         self.hosts.iter().filter_map(|h| h.node.as_ref()).find(|n| n.node().term().is_some())
     }
 
+    /// Applications that are recorded.
+    pub fn applications(&self) -> Vec<u32> {
+        let id = |k: &String| k.strip_prefix(gateway::records::APPS)?.parse().ok();
+        self.state.keys.keys().filter_map(id).collect()
+    }
+
     /// Machines on which tasks of a job are.
     pub fn machines_of(&self, job: &str) -> Vec<String> {
         let has = |w: &&Worker| {
@@ -634,7 +642,7 @@
             }
         }
         self.yarn.runners.extend(new);
-        self.yarn.runners.retain(|key, _| here.contains(key));
+        self.yarn.gone(&here);
         // A runner that is through ends its task.
         for w in self.workers.values_mut().filter(|w| w.hung_until <= now) {
             for t in w.tasks.iter_mut().filter(|t| t.stage == TaskStage::Running) {
@@ -767,6 +775,9 @@
                     } else if faulty && self.rng.u32(0..300) == 0 {
                         delay += self.rng.u64(1000..40_000);
                     }
+                    if path == "/txn" {
+                        delay += self.record_delay(&body);
+                    }
                     self.at(
                         self.now + delay,
                         Ev::Arrive(Call { node: n, life, tag, to, method, path, body }),
@@ -780,6 +791,17 @@
         }
     }
 
+    /// How much later a transaction with records of the gateway's comes.
+    fn record_delay(&mut self, body: &[u8]) -> u64 {
+        let Some(scene) = &self.plan.scene else { return 0 };
+        let (slow, held) = (scene.records_ms, scene.held_one_in);
+        if slow + u64::from(held) == 0 || !body.windows(10).any(|w| w == b"side/yarn/") {
+            return 0;
+        }
+        let is_held = held > 0 && self.rng.u32(0..held) == 0;
+        slow + if is_held { self.rng.u64(2500..9000) } else { 0 }
+    }
+
     fn reply(&mut self, c: &Call, status: u16, body: &Value) {
         let response = Response { status, body: wire::encode(body), close: false, retry_after_s: None };
         let faulty = self.now < 1_000_000 + self.plan.faults_until;
--- a/crates/standins/src/yarn.rs
+++ b/crates/standins/src/yarn.rs
@@ -146,6 +146,10 @@
     pub new_ids: BTreeSet<String>,
     /// Masters that were told to go since their successor had registered.
     pub fenced: u64,
+    /// Attempts that have registered.
+    registered: BTreeMap<String, u64>,
+    /// Queues and since when an operator was told that they are drained.
+    drained: Vec<(String, u64)>,
     pub containers_done: u64,
 }
 
@@ -184,6 +188,19 @@
         }
     }
 
+    /// A later attempt of the same application has registered.
+    fn is_succeeded(&self, master: &str) -> bool {
+        let app = |name: &str| name.rsplit_once('_').map(|(app, _)| app.to_owned());
+        self.registered.keys().any(|m| app(m) == app(master) && m.as_str() > master)
+    }
+
+    /// A submission that was first tried at some time was taken.
+    fn taken(&mut self, queue: &str, tried: u64, now: u64) {
+        if self.drained.iter().any(|(q, since)| q == queue && tried > *since) {
+            self.breaks("drain_ignored", format!("{now}: {queue} took what was first tried at {tried}"));
+        }
+    }
+
     /// A container was given to a master: never the same again, unless that answer is repeated.
     fn given(&mut self, master: &str, container: ContainerId) {
         let app = container.app_attempt_id.and_then(|a| a.application_id).unwrap_or_default();
@@ -234,6 +251,12 @@
     due: u64,
     busy: Option<u64>,
     last: Step,
+    /// Does not repeat a submission whose answer was lost, but asks what became of it.
+    pub gives_up: bool,
+    /// Asks again what became of its application so long after it was over, as often as this.
+    pub looks_back: Option<(u64, u32)>,
+    /// When it first submitted.
+    first: Option<u64>,
     /// Answers to submissions that were lost.
     pub lost: u32,
     pub submissions: u32,
@@ -278,6 +301,9 @@
             due: at,
             busy: None,
             last: Step::New,
+            gives_up: false,
+            looks_back: None,
+            first: None,
             lost: 0,
             submissions: 0,
         }
@@ -336,16 +362,20 @@
         }
         let repeats = self.repeat_at.is_some_and(|at| now >= at);
         let kills = self.kill_at.is_some_and(|at| now >= at) && self.id.is_some() && self.submitted;
-        if self.is_over() && !repeats {
+        let looks = self.looks_back.is_some_and(|(_, n)| n > 0);
+        if self.is_over() && !repeats && !looks {
             return None;
         }
         self.busy = Some(now);
         self.last = match self.id {
             None => Step::New,
-            Some(_) if repeats || !self.submitted => Step::Submit,
+            Some(_) if repeats || !(self.submitted || self.gives_up && self.first.is_some()) => Step::Submit,
             Some(_) if kills => Step::Kill,
             Some(_) => Step::Report,
         };
+        if self.last == Step::Submit {
+            self.first.get_or_insert(now);
+        }
         Some(if self.web { self.web_ask() } else { self.rpc_ask() })
     }
 
@@ -405,6 +435,7 @@
                 if !self.submitted || self.repeat_at.take().is_none() {
                     self.repeat_at = self.repeat_after.map(|ms| now + ms);
                 }
+                checks.taken(&self.queue, self.first.unwrap_or(now), now);
                 self.submitted = true;
             }
             (Step::Submit, Some(Err(fault))) => {
@@ -417,7 +448,8 @@
             (Step::Report, Some(Ok(body))) => self.reported(&body, asked, now, checks),
             (Step::Report, Some(Err(fault))) if fault.class == Class::ApplicationNotFound => {
                 let id = self.id.unwrap_or_default();
-                if self.is_over() {
+                if !self.submitted {
+                    self.refused = Some(fault);
                     return;
                 }
                 checks.breaks("forgotten", format!("{now}: {id} is not known"));
@@ -451,6 +483,12 @@
         };
         let Some((Some(state), _)) = read else { return };
         checks.told(&self.id.unwrap_or_default().to_string(), state, asked, now);
+        if let Some((ms, n)) =
+            self.looks_back.as_mut().filter(|_| state as i32 >= ApplicationState::Finished as i32)
+        {
+            *n = n.saturating_sub(1);
+            self.due = now + *ms;
+        }
         self.state = Some(state);
     }
 }
@@ -742,6 +780,7 @@
         };
         match method {
             "registerApplicationMaster" => {
+                checks.registered.insert(self.name.clone(), now);
                 self.registered = true;
                 self.response = 0;
                 self.beat = None;
@@ -831,12 +870,48 @@
     }
 }
 
+/// An operator who drains a queue, and repeats it until he is answered.
+pub struct Drain {
+    at: u64,
+    ask: gateway::book::web::DrainAsk,
+    busy: bool,
+    pub done: bool,
+}
+
+impl Drain {
+    pub fn new(at: u64, ask: gateway::book::web::DrainAsk) -> Drain {
+        Drain { at, ask, busy: false, done: false }
+    }
+
+    fn ask(&mut self, now: u64) -> Option<Ask> {
+        if self.busy || self.done || now < self.at {
+            return None;
+        }
+        self.busy = true;
+        let target = format!("{}/drains?user.name=operator", gateway::book::web::OWN);
+        Some(Ask::Web { method: "PUT", target, body: rest::render(Form::Json, "", true, &self.ask) })
+    }
+
+    fn answer(&mut self, now: u64, answer: Answer, checks: &mut Checks) {
+        (self.busy, self.at) = (false, now + 500);
+        if let Some(Ok(_)) = answer {
+            self.done = true;
+            checks.drained.retain(|(q, _)| *q != self.ask.queue);
+            if !self.ask.off {
+                checks.drained.push((self.ask.queue.clone(), now));
+            }
+        }
+    }
+}
+
 /// Whose call it is.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Who {
     Client(usize),
     Runner(String, u64),
     Master(String, u64),
+    Undead(usize),
+    Operator(usize),
 }
 
 /// All stand-ins of one run.
@@ -846,9 +921,23 @@
     /// By task and attempt.
     pub runners: BTreeMap<(String, u64), Runner>,
     pub checks: Checks,
+    pub drains: Vec<Drain>,
+    /// Masters whose tasks have gone and that go on.
+    pub undead: bool,
+    pub ghosts: Vec<Master>,
 }
 
 impl Stage {
+    /// Runners whose tasks are not there any more.
+    pub fn gone(&mut self, here: &std::collections::HashSet<(String, u64)>) {
+        let gone: Vec<_> = self.runners.keys().filter(|k| !here.contains(k)).cloned().collect();
+        for key in gone {
+            let master = self.runners.remove(&key).and_then(|r| r.master);
+            let alive = master.filter(|m| self.undead && m.exit.is_none() && m.registered);
+            self.ghosts.extend(alive.map(|m| *m));
+        }
+    }
+
     /// Calls that are due.
     pub fn due(&mut self, now: u64) -> Vec<(Who, Ask)> {
         let mut out = Vec::new();
@@ -861,12 +950,26 @@
                 out.push((who(task.clone(), *attempt), ask));
             }
         }
+        for (i, ghost) in self.ghosts.iter_mut().enumerate() {
+            out.extend(ghost.ask(now).map(|ask| (Who::Undead(i), ask)));
+        }
+        for (i, drain) in self.drains.iter_mut().enumerate() {
+            out.extend(drain.ask(now).map(|ask| (Who::Operator(i), ask)));
+        }
         out
     }
 
     pub fn answer(&mut self, now: u64, who: &Who, answer: Answer) {
         match who {
             Who::Client(i) => self.clients[*i].answer(now, answer, &mut self.checks),
+            Who::Operator(i) => self.drains[*i].answer(now, answer, &mut self.checks),
+            Who::Undead(i) => {
+                let ghost = &mut self.ghosts[*i];
+                if matches!(answer, Some(Ok(_))) && self.checks.is_succeeded(&ghost.name) {
+                    self.checks.breaks("zombie_served", format!("{now}: {}", ghost.name));
+                }
+                ghost.answer(now, answer, &mut self.checks);
+            }
             Who::Runner(task, attempt) => {
                 if let Some(runner) = self.runners.get_mut(&(task.clone(), *attempt)) {
                     runner.told(now, answer, &mut self.checks);
--- a/crates/standins/tests/yarn.rs
+++ b/crates/standins/tests/yarn.rs
@@ -154,3 +154,186 @@
     assert_eq!(why[2].class, Class::AccessDenied);
     assert!(world.yarn.checks.accepts.is_empty());
 }
+
+/// After all is quiet: nothing runs, and no job was accepted of which no record is left.
+fn nothing_left(world: &mut World, what: &str) {
+    world.run_for(90_000);
+    sound(world);
+    assert!(world.on_machines().is_empty(), "{what}: {:?}", world.on_machines());
+    let known = world.applications();
+    for job in world.yarn.checks.accepts.keys() {
+        let app: u32 = job[5..15].parse().expect("an id of the gateway's");
+        assert!(known.contains(&app), "{what}: {job} ran for nobody: {known:?}");
+    }
+}
+
+/// The owner is lost at each step of a submission, of a kill during it, and of its repeat; its last transaction lands
+/// late. Whoever was told "yes" finds his application, and whoever was not may find it or not, but never half of it.
+#[test]
+fn crashes_at_each_step_leave_one_placement_or_none() {
+    for step in 0..60 {
+        let mut repeats = Client::new("ann", "red", 2000, TOOL);
+        repeats.repeat_after = Some(0);
+        let mut gives_up = Client::new("ann", "red", 2000, TOOL);
+        (gives_up.gives_up, gives_up.web) = (true, true);
+        let mut killed = Client::new("bob", "blue", 2000, tally(&[2]));
+        killed.kill_after = Some(step * 180);
+        let mut ends = Client::new("bob", "blue", 2000, tally(&[2]));
+        ends.looks_back = Some((400, 20));
+        let mut scene = scene(vec![repeats, gives_up, killed, ends]);
+        scene.records_ms = 700;
+        let mut world = World::new(plan(100 + step, 3, scene));
+        world.run_for(2000 + step * 500);
+        world.doom_owner();
+        through(&mut world, 200_000);
+        nothing_left(&mut world, &format!("step {step}"));
+        assert_eq!(world.yarn.clients[0].state, Some(ApplicationState::Finished), "step {step}");
+    }
+}
+
+/// Whoever repeats a submission whose record is still on its way is not told "yes" before it stands: the state service
+/// refuses it in the end, and both hear that they have to come again.
+#[test]
+fn repeats_wait_for_the_record_too() {
+    for seed in 0..6 {
+        let mut scene = scene(vec![Client::new("ann", "red", 12_000, TOOL)]);
+        scene.records_ms = 700;
+        let mut world = World::new(plan(200 + seed, 3, scene));
+        world.run_for(11_000);
+        while world.yarn.clients[0].submissions == 0 {
+            world.run_for(50);
+        }
+        let mut twin = Client::new("ann", "red", 0, TOOL);
+        twin.id = world.yarn.clients[0].id;
+        world.yarn.clients.push(twin);
+        world.run_for(250);
+        world.refuse_owner(10_000);
+        through(&mut world, 200_000);
+        assert!(
+            world.yarn.clients.iter().all(|c| c.state == Some(ApplicationState::Finished)),
+            "seed {seed}"
+        );
+        nothing_left(&mut world, &format!("seed {seed}"));
+    }
+}
+
+/// A drain that was answered holds, whoever owns the fleet: nothing that comes later is taken, what runs may end, and
+/// what is left at the deadline is ended.
+#[test]
+fn drains_outlive_owners_and_end_what_is_left() {
+    for seed in 0..8 {
+        let long = Tally { run_ms: 500_000, ..TOOL };
+        let mut clients = vec![Client::new("ann", "red", 2000, long), Client::new("ann", "red", 2000, TOOL)];
+        clients
+            .extend((0..30).map(|i| Client::new("bob", ["red", "blue"][i % 2], 8000 + 700 * i as u64, TOOL)));
+        let mut scene = scene(clients);
+        scene.yarn = Some(Config::parse("[door]\nadmins = operator\n").expect("good"));
+        scene.records_ms = 500;
+        let ask = |off| gateway::book::web::DrainAsk {
+            queue: "red".into(),
+            off,
+            within_s: (!off).then_some(40),
+            containers: false,
+        };
+        scene.drains = vec![(9000, ask(false)), (100_000, ask(true))];
+        scene.clients.push(Client::new("bob", "red", 120_000, TOOL));
+        let mut world = World::new(plan(300 + seed, 3, scene));
+        world.run_for(9000 + seed * 150);
+        world.doom_owner();
+        through(&mut world, 300_000);
+        let states: Vec<_> = world.yarn.clients.iter().map(|c| c.state).collect();
+        assert_eq!(
+            states[..2],
+            [Some(ApplicationState::Killed), Some(ApplicationState::Finished)],
+            "seed {seed}"
+        );
+        assert_eq!(states.last(), Some(&Some(ApplicationState::Finished)), "seed {seed}: open again");
+        let refused = world.yarn.clients.iter().filter_map(|c| c.refused.as_ref());
+        let other = refused.clone().find(|f| !f.message.contains("DRAINING"));
+        assert!(other.is_none(), "seed {seed}: {other:?}");
+        assert!(refused.count() >= 4, "seed {seed}: {states:?}");
+        nothing_left(&mut world, &format!("seed {seed}"));
+    }
+}
+
+/// The same id with another content is another application, and is refused; so is an id that was never given, and one
+/// whose application is over and forgotten.
+#[test]
+fn ids_stand_for_one_content() {
+    let mut scene = scene((0..6).map(|i| Client::new("ann", "red", 2000 + 4000 * i, TOOL)).collect());
+    scene.yarn = Some(Config::parse("[most]\nremembered = 2\n").expect("good"));
+    let mut world = World::new(plan(5, 3, scene));
+    through(&mut world, 120_000);
+    world.run_for(10_000);
+    let (first, last) = (world.yarn.clients[0].clone(), world.yarn.clients[5].clone());
+    let again = |id: &Client, user: &str, run_ms: u64| {
+        let mut c = Client::new(user, "red", 0, Tally { run_ms, ..TOOL });
+        c.id = id.id;
+        c
+    };
+    let mut stranger = again(&last, "ann", TOOL.run_ms);
+    stranger.id = last.id.map(|i| yarn::proto::ApplicationId { id: i.id + 500, ..i });
+    let cases = [
+        (again(&last, "ann", 1), "another content"),
+        (again(&last, "eve", TOOL.run_ms), "another content"),
+        (again(&first, "ann", TOOL.run_ms), "ask for a new id"),
+        (stranger, "ask for a new id"),
+    ];
+    let known = world.yarn.clients.len();
+    world.yarn.clients.extend(cases.iter().map(|(c, _)| c.clone()));
+    world.yarn.clients.push(again(&last, "ann", TOOL.run_ms));
+    through(&mut world, 60_000);
+    for (i, (_, why)) in cases.iter().enumerate() {
+        let refused = world.yarn.clients[known + i].refused.clone().expect("refused");
+        assert!(refused.message.contains(why), "{refused}");
+    }
+    // The same content by the same user is the same application.
+    assert_eq!(world.yarn.clients[known + 4].state, Some(ApplicationState::Finished));
+    assert!(world.yarn.checks.accepts.values().all(|n| *n == 1));
+}
+
+/// Masters that go on after their successors have registered get nothing any more.
+#[test]
+fn successors_fence_their_predecessors() {
+    let mut fenced = 0;
+    for seed in 0..4 {
+        let mut scene =
+            scene((0..3).map(|i| Client::new("ann", "red", 2000 + i * 500, tally(&[12, 6]))).collect());
+        scene.undead = true;
+        let mut world = World::new(plan(400 + seed, 3, scene));
+        world.run_for(16_000 + seed * 700);
+        let machine = world.machines_of("job-900000000010000000").pop().expect("a master runs");
+        world.lose(&machine);
+        through(&mut world, 300_000);
+        fenced += world.yarn.checks.fenced;
+        assert!(
+            world.yarn.clients.iter().all(|c| c.state == Some(ApplicationState::Finished)),
+            "seed {seed}"
+        );
+        nothing_left(&mut world, &format!("seed {seed}"));
+    }
+    assert!(fenced > 0, "some predecessor came back");
+}
+
+/// Transactions of an owner that has died land after its successor has read, written and answered: they change nothing.
+#[test]
+fn what_lands_late_changes_nothing() {
+    for seed in 0..25 {
+        let clients = (0..8).map(|i| {
+            let mut c =
+                Client::new("ann", "red", 2000 + i * 1500, if i % 2 == 0 { TOOL } else { tally(&[2]) });
+            c.kill_after = (i % 3 == 0).then_some(4000 + i * 1000);
+            c.looks_back = Some((3000, 25));
+            c
+        });
+        let mut scene = scene(clients.collect());
+        scene.held_one_in = 4;
+        let mut world = World::new(plan(500 + seed, 3, scene));
+        for _ in 0..8 {
+            world.run_for(6000);
+            world.doom_owner();
+        }
+        through(&mut world, 400_000);
+        nothing_left(&mut world, &format!("seed {seed}"));
+    }
+}
