--- a/crates/control/src/budget.rs
+++ b/crates/control/src/budget.rs
@@ -16,6 +16,15 @@
         self.rate = rate;
     }
 
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
+    /// What `share` of a second's worth is.
+    pub fn part(&self, share: f64) -> f64 {
+        self.rate * share
+    }
+
     /// What may be spent now.
     pub fn level(&mut self, now: u64) -> f64 {
         let gone = now.saturating_sub(self.at) as f64 / 1000.0;
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -112,7 +112,8 @@
         }
         // The owner sees all accepts, its own too, and counts them when they have been made.
         let cost = if self.owns() { 0.0 } else { 1.0 };
-        if self.requests.level(now) < 1.0 || self.writes.level(now) < 1.0 {
+        let conn = if let Asker::User(conn) = asker { Some(conn) } else { None };
+        if !self.has_room_for(conn) {
             return self.deny(asker, 429, "busy");
         }
         self.writes.take(now, cost);
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -318,11 +318,11 @@
         self.role = Role::Owner { lease, renewed, next_renewal: now, busy: false };
         self.epoch += 1;
         self.shared.quotas.forget_reading();
-        let c = &self.settings.cluster.state;
+        let c = self.settings.cluster.state.clone();
         // The owner does most of the writing; the others keep enough to accept jobs.
         // The owner does most of the writing. What the others write to accept jobs it sees, and leaves room for.
         self.requests.set_rate(c.rps * 0.5);
-        self.writes.set_rate(c.write_rps * OWNER_WRITES);
+        self.set_writes(c.write_rps * OWNER_WRITES);
         self.part = Some(Part::new(token, version, now, c.value_kb));
         self.start_load();
         let body = wire::peer::encode(&Ask::Owns { node: self.settings.node.clone(), token });
@@ -380,9 +380,9 @@
         self.epoch += 1;
         self.shared.quotas.forget_reading();
         let nodes = self.settings.peers.len() as f64 + 1.0;
-        let c = &self.settings.cluster.state;
+        let c = self.settings.cluster.state.clone();
         self.requests.set_rate(c.rps * 0.4 / (nodes - 1.0).max(1.0));
-        self.writes.set_rate(c.write_rps * OTHER_WRITES);
+        self.set_writes(c.write_rps * OTHER_WRITES);
         if let Some(mut part) = self.part.take() {
             if let Some(change) = part.changing.take() {
                 self.change_cut_short(change);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -182,6 +182,7 @@
     first: Option<quota::Spec>,
     /// Another door of this process is open, and has job ids of its own.
     beside: bool,
+    side: side::Side,
     stats: Stats,
 }
 
@@ -255,6 +256,7 @@
             to_write: false,
             first: None,
             beside: false,
+            side: side::Side::new(),
             stats: Stats::default(),
         }
     }
@@ -296,6 +298,7 @@
     fn tick(&mut self) {
         self.election_tick();
         self.door_tick();
+        self.share_writes();
         self.quotas_tick();
         if self.first.is_some() {
             self.first_tree();
--- a/crates/control/src/side.rs
+++ b/crates/control/src/side.rs
@@ -4,6 +4,7 @@
 //! Its records stand under [`wire::records::SIDE`] and are written by the owner of the fleet only, under the guard of
 //! its record. They come last: a request is refused at once while the node has little left of what it may ask.
 
+use crate::budget::Bucket;
 use crate::election::PART;
 use crate::{Dest, Node, Pending};
 use serde_json::Value;
@@ -20,10 +21,27 @@
 pub const CONNS: u64 = 1 << 63;
 /// So much of a second's requests and changes is left to claims, accepts and reads.
 const LEFT: f64 = 0.25;
+/// The share of this node's changes that such a door has while it asks for any, and how long that lasts.
+const SHARE: f64 = 0.2;
+const ASKS_MS: u64 = 2000;
 const TIMEOUT_MS: u64 = 900;
 /// Most keys that one transaction may change, where the settings allow more.
 const MOST_WRITES: usize = 16;
 
+/// What this node allows a door beside.
+pub(crate) struct Side {
+    writes: Bucket,
+    /// It has a share now.
+    shares: bool,
+    asked_at: u64,
+}
+
+impl Side {
+    pub fn new() -> Self {
+        Side { writes: Bucket::new(0.0), shares: false, asked_at: 0 }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub enum Ask {
     /// All records below a prefix, a page at a time, after a key.
@@ -63,8 +81,9 @@
 
 /// How many keys one [`Ask::Change`] may name.
 pub fn writes_at_once(settings: &Settings) -> usize {
-    // A key more stands in the transaction: the owner's, as a guard.
-    settings.cluster.state.txn_ops.saturating_sub(1).clamp(1, MOST_WRITES)
+    let state = &settings.cluster.state;
+    // No more at once than a few seconds of the door's own share.
+    state.txn_ops.min((state.write_rps / 3.0) as usize).clamp(1, MOST_WRITES)
 }
 
 impl Node {
@@ -72,6 +91,56 @@
         self.beside && conn < CONNS && wire::ids::reserved_job_id(&spec.id)
     }
 
+    /// Whether so many changes can be spared for a door beside, and takes them: of its own share, which it has only
+    /// while it asks, or of what users leave. Theirs are never driven into debt by it.
+    fn spare(&mut self, cost: f64) -> bool {
+        let now = self.now.mono;
+        self.side.asked_at = now;
+        self.share_writes();
+        let own = self.side.writes.level(now) >= cost.min(self.side.writes.part(0.9));
+        if own {
+            self.side.writes.take(now, cost);
+        } else if self.writes.level(now) >= cost + self.writes.part(LEFT) {
+            self.writes.take(now, cost);
+        } else {
+            return false;
+        }
+        true
+    }
+
+    /// A door beside has a share of this node's changes while it asks for any.
+    pub(crate) fn share_writes(&mut self) {
+        let asks = self.beside && self.now.mono < self.side.asked_at + ASKS_MS;
+        if asks == self.side.shares {
+            return;
+        }
+        self.side.shares = asks;
+        let (own, all) = (self.side.writes.rate(), self.writes.rate());
+        if asks {
+            self.side.writes.set_rate(all * SHARE);
+            self.writes.set_rate(all * (1.0 - SHARE));
+        } else {
+            self.side.writes.set_rate(0.0);
+            self.writes.set_rate(all + own);
+        }
+    }
+
+    /// This node may make another number of changes from now on: whatever a door beside had of them is its own again.
+    pub(crate) fn set_writes(&mut self, rate: f64) {
+        self.side.shares = false;
+        self.side.writes.set_rate(0.0);
+        self.writes.set_rate(rate);
+    }
+
+    /// Whether a job that comes in now can be written down: those who come by another door go behind users.
+    pub(crate) fn has_room_for(&mut self, conn: Option<u64>) -> bool {
+        let now = self.now.mono;
+        if conn.is_some_and(|c| c >= CONNS) {
+            return self.requests.level(now) >= 1.0 + self.requests.part(LEFT) && self.spare(1.0);
+        }
+        self.requests.level(now) >= 1.0 && self.writes.level(now) >= 1.0
+    }
+
     pub(crate) fn side_asked(&mut self, tag: u64, ask: Ask) {
         let own = |key: &str| key.starts_with(records::SIDE);
         let refused = match &ask {
@@ -84,8 +153,7 @@
             return self.side_over(tag, Answer::Refused);
         }
         let now = self.now.mono;
-        let rate = self.settings.cluster.state.rps / (self.settings.peers.len() as f64 + 1.0);
-        if self.requests.level(now) < 1.0 + rate * LEFT {
+        if self.requests.level(now) < 1.0 + self.requests.part(LEFT) {
             return self.side_over(tag, Answer::Busy);
         }
         match ask {
@@ -101,14 +169,10 @@
     }
 
     fn side_change(&mut self, tag: u64, writes: Vec<Change>) {
-        let now = self.now.mono;
-        let cost = writes.len() as f64;
-        let enough = self.writes.level(now) >= cost.min(self.settings.cluster.state.write_rps / 2.0);
-        let Some(owner) = self.part.as_ref().map(|p| p.owner_version).filter(|_| self.decides() && enough)
-        else {
+        let owner = self.part.as_ref().map(|p| p.owner_version).filter(|_| self.decides());
+        let Some(owner) = owner.filter(|_| self.spare(writes.len() as f64)) else {
             return self.side_over(tag, Answer::Busy);
         };
-        self.writes.take(now, cost);
         let mut txn = Txn { guards: Vec::new(), writes: Vec::new() };
         txn.guards.push(Guard { key: records::owner_key(PART), version: owner });
         for Change { key, version, value } in writes {
--- a/crates/gateway/src/book/containers.rs
+++ b/crates/gateway/src/book/containers.rs
@@ -298,8 +298,8 @@
     }
 
     /// A container has ended: its master is told with the next heartbeat.
-    pub(super) fn complete(&mut self, cx: Cx<'_>, app: u32, container: i64, status: i32, why: &str) {
-        let Some(app) = self.apps.get_mut(&app) else { return };
+    pub(super) fn complete(&mut self, cx: Cx<'_>, id: u32, container: i64, status: i32, why: &str) {
+        let Some(app) = self.apps.get_mut(&id) else { return };
         let Some(c) = app.groups.containers.get_mut(&container).filter(|c| !c.is_over()) else { return };
         c.stage = Stage::Complete;
         c.exit = status;
@@ -311,7 +311,7 @@
             session.completed.push(status);
         }
         for call in starting {
-            self.start_over(call, container);
+            self.start_over(id, call, container);
         }
     }
 }
--- a/crates/gateway/src/book/masters.rs
+++ b/crates/gateway/src/book/masters.rs
@@ -473,27 +473,30 @@
         call: u64,
     ) -> Result<Option<StartContainersResponse>, Fault> {
         let id = self.mastered(proved)?;
-        let mut answer = StartContainersResponse::default();
+        let mut described = Vec::new();
         for request in &r.requests {
             let launch = request.context.clone().unwrap_or_default();
-            let token = request.container_token.as_ref();
-            let checked = token.and_then(|t| self.cluster.keys.check(t, 8));
-            let container =
-                checked.and_then(|(_, more)| more.first_chunk::<8>().map(|b| i64::from_be_bytes(*b)));
+            let checked = request.container_token.as_ref().and_then(|t| self.cluster.keys.check(t, 8));
+            let of = |a: ApplicationAttemptId| a.application_id == Some(self.app_id(id));
+            let more = checked.filter(|(attempt, _)| of(*attempt)).map(|(_, more)| more);
+            let container = more.and_then(|m| m.first_chunk::<8>().map(|b| i64::from_be_bytes(*b)));
             let container = container
                 .ok_or_else(|| Fault::new(Class::AccessDenied, "the container's token is not good"))?;
             if launch.encoded_len() > cx.config.most.launch {
                 let why = format!("launch description: at most {} bytes", cx.config.most.launch);
                 return Err(Fault::new(Class::BadArgument, why));
             }
-            let young = cx.now.mono < self.begun + SETTLING_MS;
+            described.push((container, launch));
+        }
+        let young = cx.now.mono < self.begun + SETTLING_MS;
+        let known = |c: &i64| self.apps.get(&id).is_some_and(|a| a.groups.containers.contains_key(c));
+        if young && !described.iter().all(|(c, _)| known(c)) {
+            let why = "the containers of an earlier owner are being looked for";
+            return Err(Fault::new(Class::Retriable, why));
+        }
+        let mut answer = StartContainersResponse::default();
+        for (container, launch) in described {
             let Some(app) = self.apps.get_mut(&id) else { continue };
-            if young && !app.groups.containers.contains_key(&container) {
-                return Err(Fault::new(
-                    Class::Retriable,
-                    "the containers of an earlier owner are being looked for",
-                ));
-            }
             match app.groups.containers.get_mut(&container) {
                 Some(c) if c.stage == Place::Running => answer.succeeded.push(c.id),
                 Some(c) if !c.is_over() => {
@@ -519,11 +522,11 @@
     }
 
     /// One of the containers of a start is with its runner, or over: when all are, the master is answered.
-    pub(super) fn start_over(&mut self, call: u64, container: i64) {
+    pub(super) fn start_over(&mut self, id: u32, call: u64, container: i64) {
         let Some(start) = self.starts.get_mut(&call) else { return };
         start.open.remove(&container);
-        let found = self.apps.values().find_map(|a| a.groups.containers.get(&container));
-        match found {
+        // Other applications have containers of the same number.
+        match self.apps.get(&id).and_then(|a| a.groups.containers.get(&container)) {
             Some(c) if !c.is_over() => start.answer.succeeded.push(c.id),
             Some(c) => start.answer.failed.push(failure(c.id, c.diagnostics.clone())),
             None => {}
--- a/crates/gateway/src/book/runners.rs
+++ b/crates/gateway/src/book/runners.rs
@@ -319,7 +319,7 @@
             }
             held.stage = Place::Running;
             for call in std::mem::take(&mut held.starting) {
-                self.start_over(call, container);
+                self.start_over(id, call, container);
             }
         } else if held.stage == Place::Given {
             told.what = Do::Wait;
--- a/crates/gateway/src/conns.rs
+++ b/crates/gateway/src/conns.rs
@@ -63,7 +63,7 @@
 struct Conn {
     kind: Kind,
     buf: Vec<u8>,
-    /// Since when a part of a frame is here.
+    /// Since when a part of a frame is here, or nothing is known of who it is.
     partial: Option<u64>,
     next: u64,
 }
@@ -80,12 +80,13 @@
         Conns { config, all: HashMap::new(), secret, nonces: 0 }
     }
 
-    pub fn len(&self) -> usize {
-        self.all.len()
+    /// Connections, and those of them that have begun a frame and not ended it.
+    pub fn counts(&self) -> (usize, usize) {
+        (self.all.len(), self.all.values().filter(|c| c.partial.is_some()).count())
     }
 
     /// A new connection; false if nobody is served there.
-    pub fn opened(&mut self, id: u64, web: bool, from: IpAddr) -> bool {
+    pub fn opened(&mut self, now: u64, id: u64, web: bool, from: IpAddr) -> bool {
         if !self.config.is_allowed(from) {
             log::warn!("yarn: a connection from {from} is not allowed");
             return false;
@@ -98,7 +99,7 @@
             open: HashMap::new(),
         };
         let kind = if web { Kind::Web(WebSide::default()) } else { Kind::Rpc(rpc()) };
-        self.all.insert(id, Conn { kind, buf: Vec::new(), partial: None, next: 1 });
+        self.all.insert(id, Conn { kind, buf: Vec::new(), partial: (!web).then_some(now), next: 1 });
         true
     }
 
@@ -118,7 +119,8 @@
         let Some(conn) = self.all.get_mut(&id) else { return Vec::new() };
         conn.buf.extend_from_slice(bytes);
         let did = conn.advance(&self.config, &nonce);
-        conn.partial = if conn.buf.is_empty() || conn.is_busy() { None } else { conn.partial.or(Some(now)) };
+        let open = conn.buf.is_empty() && conn.is_introduced() || conn.is_busy();
+        conn.partial = if open { None } else { conn.partial.or(Some(now)) };
         did
     }
 
@@ -142,6 +144,10 @@
         matches!(&self.kind, Kind::Web(web) if web.busy.is_some())
     }
 
+    fn is_introduced(&self) -> bool {
+        matches!(&self.kind, Kind::Web(_)) || matches!(&self.kind, Kind::Rpc(rpc) if rpc.step == Step::Ready)
+    }
+
     /// Takes all frames that are whole.
     fn advance(&mut self, config: &Config, nonce: &str) -> Vec<Did> {
         let mut did = Vec::new();
--- a/crates/gateway/src/served.rs
+++ b/crates/gateway/src/served.rs
@@ -107,8 +107,9 @@
         self.gateway.as_ref()?.book.as_ref()
     }
 
-    pub fn connections(&self) -> usize {
-        self.gateway.as_ref().map_or(0, |g| g.conns.len())
+    /// Connections of the gateway, and those of them that are in the midst of a frame.
+    pub fn connections(&self) -> (usize, usize) {
+        self.gateway.as_ref().map_or((0, 0), |g| g.conns.counts())
     }
 
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Out> {
@@ -131,7 +132,7 @@
         let Some(g) = &mut self.gateway else { return vec![Out::Close { conn }] };
         match event {
             Raw::Opened { web, from } => {
-                if !g.conns.opened(conn, web, from) {
+                if !g.conns.opened(now.mono, conn, web, from) {
                     self.out.push(Out::Close { conn });
                 }
             }
--- a/crates/standins/src/scene.rs
+++ b/crates/standins/src/scene.rs
@@ -39,6 +39,8 @@
     pub drains: Vec<(u64, gateway::book::web::DrainAsk)>,
     /// What the gateway writes reaches the state service so much later.
     pub records_ms: u64,
+    /// What the state service bears, instead of the usual.
+    pub limits: Option<crate::state::Limits>,
     /// One in so many of these transactions is held for some seconds, and lands after its sender has gone on or died.
     pub held_one_in: u32,
     /// Masters go on after their task has gone, as if their machine were only out of sight.
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -156,6 +156,8 @@
     wires: BTreeMap<u64, Wire>,
     /// Answers to native users: when they asked, and after how long they were answered.
     pub waits: Vec<u64>,
+    /// What the owner has taken for bytes of the gateway's clients, in nanoseconds of this machine.
+    pub call_ns: Vec<u64>,
 }
 
 const LEASE_MS: u64 = 15_000;
@@ -253,6 +255,7 @@
             yarn: YarnStage::default(),
             wires: BTreeMap::new(),
             waits: Vec::new(),
+            call_ns: Vec::new(),
             plan,
         };
         if world.plan.large {
@@ -260,10 +263,14 @@
             world.cloud.capacity = LARGE_FLEET;
             world.tuning = Tuning::default();
         }
+        if world.plan.large && world.plan.scene.is_some() {
+            world.tuning.set("fleet", "idle_s", "10").expect("known setting");
+        }
         world.cloud.lies_about_deletes = world.plan.sabotage == Sabotage::CloudLies;
         match world.plan.scene.clone() {
             Some(scene) => {
                 world.cloud.capacity = scene.machines;
+                world.state.limits = scene.limits.unwrap_or(world.state.limits);
                 world.tuning.set("admin", "door", "1").expect("known setting");
                 let limits = scene.teams.iter().filter(|t| t.max > 0.0);
                 world.rules.gpu_limits = limits.map(|t| (t.name.clone(), t.max)).collect();
@@ -603,23 +610,52 @@
         }
         self.follow_runners();
         for (who, ask) in self.yarn.due(self.now) {
-            let node = self.rng.usize(0..self.plan.nodes);
-            let conn = self.next_conn;
-            self.next_conn += 1;
-            let (exchange, web, first) = Exchange::begin(ask);
-            let life = self.hosts[node].life;
-            self.wires.insert(conn, Wire { who, node, life, exchange });
-            self.at(self.now + 6000, Ev::RawOver(conn));
-            let from = std::net::IpAddr::from([127, 0, 0, 1]);
-            self.raw_in(conn, Raw::Opened { web, from });
-            let faulty = self.now < 1_000_000 + self.plan.faults_until && !self.plan.calm;
-            let mut delay = self.rng.u64(1..5);
-            // Now and then what is sent comes late, and its client has long given up.
-            if faulty && self.rng.u32(0..60) == 0 {
-                delay += self.rng.u64(1000..60_000);
-            }
-            self.at(self.now + delay, Ev::RawIn(conn, first));
+            self.dial(who, ask);
+        }
+    }
+
+    /// A connection to any node, for one call.
+    fn dial(&mut self, who: Who, ask: crate::yarn::Ask) {
+        let (exchange, web, first) = Exchange::begin(ask);
+        let conn = self.open_wire(who, exchange, web);
+        self.at(self.now + 6000, Ev::RawOver(conn));
+        let faulty = self.now < 1_000_000 + self.plan.faults_until && !self.plan.calm;
+        let mut delay = self.rng.u64(1..5);
+        // Now and then what is sent comes late, and its client has long given up.
+        if faulty && self.rng.u32(0..60) == 0 {
+            delay += self.rng.u64(1000..60_000);
+        }
+        self.at(self.now + delay, Ev::RawIn(conn, first));
+    }
+
+    fn open_wire(&mut self, who: Who, exchange: Exchange, web: bool) -> u64 {
+        let node = self.rng.usize(0..self.plan.nodes);
+        let conn = self.next_conn;
+        self.next_conn += 1;
+        let life = self.hosts[node].life;
+        self.wires.insert(conn, Wire { who, node, life, exchange });
+        let from = std::net::IpAddr::from([127, 0, 0, 1]);
+        self.raw_in(conn, Raw::Opened { web, from });
+        conn
+    }
+
+    /// A call of a test's own, until its answer.
+    pub fn call(&mut self, ask: crate::yarn::Ask) -> crate::yarn::Answer {
+        self.yarn.answered = None;
+        self.dial(Who::Test, ask);
+        while self.yarn.answered.is_none() {
+            self.run_for(10);
         }
+        self.yarn.answered.take().flatten()
+    }
+
+    /// Any bytes on a connection that nobody listens on, and that nobody ends.
+    pub fn pour(&mut self, web: bool, bytes: Vec<u8>) {
+        let ask = crate::yarn::Ask::Web { method: "GET", target: String::new(), body: Vec::new() };
+        let (exchange, _, _) = Exchange::begin(ask);
+        let conn = self.open_wire(Who::Test, exchange, web);
+        self.at(self.now + 1, Ev::RawIn(conn, bytes));
+        self.run_for(2);
     }
 
     /// Runners stand on the tasks that run: they begin and end with them.
@@ -666,7 +702,11 @@
         let host = &mut self.hosts[n];
         let cut = host.cut_until > self.now;
         let Some(node) = host.node.as_mut().filter(|_| host.life == life && !cut) else { return };
+        let (owns, begun) = (node.node().term().is_some(), std::time::Instant::now());
         let outs = node.raw(now, conn, event);
+        if owns {
+            self.call_ns.push(begun.elapsed().as_nanos() as u64);
+        }
         self.carry_out(n, outs);
     }
 
--- a/crates/standins/src/yarn.rs
+++ b/crates/standins/src/yarn.rs
@@ -151,6 +151,8 @@
     /// Queues and since when an operator was told that they are drained.
     drained: Vec<(String, u64)>,
     pub containers_done: u64,
+    /// Containers that masters could not start.
+    pub starts_refused: usize,
 }
 
 impl Checks {
@@ -237,9 +239,13 @@
     pub kill_after: Option<u64>,
     /// Repeats its submission this long after it was accepted.
     pub repeat_after: Option<u64>,
-    /// What the application's master runs.
+    /// What the application's master runs, how urgent it is, and the GPUs that it takes.
     pub tally: Tally,
+    pub priority: i32,
+    pub gpus: i64,
+    /// Its master is its own.
     pub unmanaged: bool,
+    master: Option<Box<Master>>,
     pub id: Option<ApplicationId>,
     pub state: Option<ApplicationState>,
     pub outcome: Option<i32>,
@@ -255,8 +261,9 @@
     pub gives_up: bool,
     /// Asks again what became of its application so long after it was over, as often as this.
     pub looks_back: Option<(u64, u32)>,
-    /// When it first submitted.
+    /// When it first submitted, and when that was taken.
     first: Option<u64>,
+    taken_at: Option<u64>,
     /// Answers to submissions that were lost.
     pub lost: u32,
     pub submissions: u32,
@@ -290,7 +297,10 @@
             kill_after: None,
             repeat_after: None,
             tally,
+            priority: 0,
+            gpus: 0,
             unmanaged: false,
+            master: None,
             id: None,
             state: None,
             outcome: None,
@@ -304,6 +314,7 @@
             gives_up: false,
             looks_back: None,
             first: None,
+            taken_at: None,
             lost: 0,
             submissions: 0,
         }
@@ -322,8 +333,11 @@
     pub fn context(&self) -> ApplicationSubmissionContext {
         let command = format!("tally {:?} {} {}", self.tally.stages, self.tally.run_ms, self.tally.fails);
         let launch = ContainerLaunchContext { command: vec![command], ..ContainerLaunchContext::default() };
-        let resource = Resource { memory: Some(1024), virtual_cores: Some(1), values: Vec::new() };
+        let gpus = ResourceInformation { key: GPUS.into(), value: Some(self.gpus), units: None };
+        let values = if self.gpus > 0 { vec![gpus] } else { Vec::new() };
+        let resource = Resource { memory: Some(1024), virtual_cores: Some(1), values };
         ApplicationSubmissionContext {
+            priority: Some(Priority { priority: self.priority }),
             application_id: self.id,
             application_name: Some("tally".into()),
             queue: Some(self.queue.clone()),
@@ -339,6 +353,8 @@
     fn submission(&self) -> rest::Submission {
         let context = self.context();
         let command = context.am_container_spec.and_then(|l| l.command.first().cloned()).unwrap_or_default();
+        let gpus = rest::Information { name: GPUS.into(), value: self.gpus, units: String::new() };
+        let named = (self.gpus > 0).then(|| rest::Informations { each: vec![gpus] });
         rest::Submission {
             application_id: self.id.unwrap_or_default().to_string(),
             application_name: "tally".into(),
@@ -347,16 +363,24 @@
                 commands: rest::Commands { command },
                 ..rest::Launch::default()
             },
-            resource: rest::Capability { memory: 1024, vcores: 1, named: None },
+            priority: self.priority,
+            resource: rest::Capability { memory: 1024, vcores: 1, named },
             application_type: self.kind.clone(),
-            unmanaged_am: self.unmanaged,
             max_app_attempts: 3,
             ..rest::Submission::default()
         }
     }
 
-    /// The next call, if one is due.
+    /// How long its submission took to be taken.
+    pub fn taken_after(&self) -> Option<u64> {
+        self.taken_at.zip(self.first).map(|(taken, first)| taken - first)
+    }
+
+    /// The next call, if one is due: its own, or of the master that it runs itself.
     fn ask(&mut self, now: u64) -> Option<Ask> {
+        if let Some(master) = &mut self.master {
+            return master.ask(now);
+        }
         if self.busy.is_some() || now < self.due {
             return None;
         }
@@ -419,6 +443,13 @@
     }
 
     fn answer(&mut self, now: u64, answer: Answer, checks: &mut Checks) {
+        if let Some(master) = &mut self.master {
+            master.answer(now, answer, checks);
+            if master.exit.is_some() {
+                self.master = None;
+            }
+            return;
+        }
         let asked = self.busy.take().unwrap_or(now);
         self.due = now + 700;
         match (self.last, answer) {
@@ -436,6 +467,7 @@
                     self.repeat_at = self.repeat_after.map(|ms| now + ms);
                 }
                 checks.taken(&self.queue, self.first.unwrap_or(now), now);
+                self.taken_at.get_or_insert(now);
                 self.submitted = true;
             }
             (Step::Submit, Some(Err(fault))) => {
@@ -458,6 +490,14 @@
         }
     }
 
+    /// Whoever submits an unmanaged application runs its master, with the token that the report has for him.
+    fn begin_master(&mut self, token: Option<&Token>, attempt: Option<ApplicationAttemptId>, now: u64) {
+        if let (true, Some(token), Some(attempt)) = (self.unmanaged, token, attempt) {
+            let master = Master::new(attempt.to_string(), token.clone(), self.tally.clone(), false, now);
+            self.master = Some(Box::new(master));
+        }
+    }
+
     fn read_id(&self, body: &[u8]) -> Option<ApplicationId> {
         if self.web {
             let new: rest::NewApplication = rest::read(Form::Json, body).ok()?;
@@ -477,6 +517,7 @@
             let report = GetApplicationReportResponse::decode(body).ok().and_then(|r| r.report);
             report.map(|r| {
                 self.outcome = r.final_application_status;
+                self.begin_master(r.am_rm_token.as_ref(), r.current_application_attempt_id, now);
                 let state = r.yarn_application_state.and_then(|s| ApplicationState::try_from(s).ok());
                 (state, String::new())
             })
@@ -637,6 +678,7 @@
 }
 
 /// A master that runs a tally: each stage in as many containers as it has items, each of them again if it is lost.
+#[derive(Debug, Clone)]
 pub struct Master {
     name: String,
     token: Token,
@@ -792,7 +834,7 @@
                     self.exit = Some(0);
                 }
             }
-            "startContainers" => self.started(&body),
+            "startContainers" => self.started(&body, checks),
             _ => self.allocated(&body, checks),
         }
     }
@@ -813,10 +855,11 @@
         }
     }
 
-    fn started(&mut self, body: &[u8]) {
+    fn started(&mut self, body: &[u8], checks: &mut Checks) {
         let Ok(answer) = StartContainersResponse::decode(body) else { return };
         let n = self.starts.len().min(20);
         self.starts.drain(..n);
+        checks.starts_refused += answer.failed.len();
         for failed in answer.failed {
             self.lost(failed.container_id.unwrap_or_default().id);
         }
@@ -911,6 +954,8 @@
     Runner(String, u64),
     Master(String, u64),
     Undead(usize),
+    /// A test of its own.
+    Test,
     Operator(usize),
 }
 
@@ -922,6 +967,10 @@
     pub runners: BTreeMap<(String, u64), Runner>,
     pub checks: Checks,
     pub drains: Vec<Drain>,
+    /// How calls have ended, and how often.
+    pub answers: BTreeMap<String, u64>,
+    /// What a test's own call came to.
+    pub answered: Option<Answer>,
     /// Masters whose tasks have gone and that go on.
     pub undead: bool,
     pub ghosts: Vec<Master>,
@@ -960,8 +1009,17 @@
     }
 
     pub fn answer(&mut self, now: u64, who: &Who, answer: Answer) {
+        let what = match &answer {
+            None => "no answer".to_owned(),
+            Some(Ok(_)) => "served".to_owned(),
+            Some(Err(fault)) => fault.message.clone(),
+        };
+        if self.answers.len() < 100 || self.answers.contains_key(&what) {
+            *self.answers.entry(what).or_default() += 1;
+        }
         match who {
             Who::Client(i) => self.clients[*i].answer(now, answer, &mut self.checks),
+            Who::Test => self.answered = Some(answer),
             Who::Operator(i) => self.drains[*i].answer(now, answer, &mut self.checks),
             Who::Undead(i) => {
                 let ghost = &mut self.ghosts[*i];
--- a/crates/standins/tests/yarn.rs
+++ b/crates/standins/tests/yarn.rs
@@ -337,3 +337,12 @@
         nothing_left(&mut world, &format!("seed {seed}"));
     }
 }
+
+/// Guards against containers of one application being taken for those of another: their numbers are the same.
+#[test]
+fn tallies_side_by_side_do_not_meet() {
+    let clients = (0..4).map(|i| Client::new("ann", "red", 2000 + i, tally(&[20, 10])));
+    let mut world = World::new(plan(6, 3, scene(clients.collect())));
+    through(&mut world, 200_000);
+    assert_eq!((world.yarn.checks.starts_refused, world.yarn.checks.containers_done), (0, 120));
+}
