--- a/crates/gateway/src/book/clients.rs
+++ b/crates/gateway/src/book/clients.rs
@@ -154,7 +154,9 @@
                 } else {
                     usize::from(r.include_child_queues == Some(true))
                 };
-                let info = self.queue_info(queue, r.include_applications == Some(true), levels, user);
+                let apps =
+                    if r.include_applications == Some(true) { self.by_queue() } else { Default::default() };
+                let info = self.queue_info(queue, &apps, levels, user);
                 now(&GetQueueInfoResponse { queue_info: Some(info) })
             }
             "getQueueUserAcls" => {
--- a/crates/gateway/src/book/containers.rs
+++ b/crates/gateway/src/book/containers.rs
@@ -13,6 +13,7 @@
 use super::{App, Asked, Book, Want};
 use crate::Cx;
 use crate::records::AppRec;
+use roaring::RoaringBitmap;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use wire::api::JobSpec;
 use wire::http::Response;
@@ -70,8 +71,6 @@
     pub container: Option<i64>,
     /// Its number was given: never again.
     pub spent: bool,
-    /// The runner is told to end.
-    pub leaving: bool,
     pub since: u64,
 }
 
@@ -137,6 +136,10 @@
     /// The highest number that this term has used.
     used: u32,
     pub slots: HashMap<(u32, u32), Slot>,
+    /// Tasks by group whose runners were told to leave: they get nothing any more, whoever comes for them.
+    gone: BTreeMap<u32, RoaringBitmap>,
+    /// Groups of which all tasks are gone.
+    through: RoaringBitmap,
     pub containers: BTreeMap<i64, Container>,
     closed: BTreeSet<u32>,
     closing: BTreeSet<u32>,
@@ -169,7 +172,7 @@
     /// Places of a shape that are still to come, or wait for a container.
     fn supply(&self, shape: &Shape) -> u32 {
         let coming = self.all.values().filter(|g| g.shape == *shape && !g.dropped).map(|g| g.tasks - g.seen);
-        let idle = |s: &&Slot| !s.spent && !s.leaving && s.shape == *shape;
+        let idle = |s: &&Slot| !s.spent && s.shape == *shape;
         coming.sum::<u32>() + self.slots.values().filter(idle).count() as u32
     }
 
@@ -209,6 +212,23 @@
         }
     }
 
+    /// A runner is told to leave. All that is kept of its place is that nothing more is given there.
+    pub fn leave(&mut self, at: (u32, u32)) {
+        self.slots.remove(&at);
+        let gone = self.gone.entry(at.0).or_default();
+        gone.insert(at.1);
+        let all = self.all.get(&at.0).is_some_and(|g| gone.len() >= u64::from(g.tasks));
+        if all {
+            self.all.remove(&at.0);
+            self.gone.remove(&at.0);
+            self.through.insert(at.0);
+        }
+    }
+
+    pub fn is_gone(&self, at: (u32, u32)) -> bool {
+        self.through.contains(at.0) || self.gone.get(&at.0).is_some_and(|g| g.contains(at.1))
+    }
+
     pub fn shape(&self, group: u32) -> Option<&Shape> {
         self.all.get(&group).map(|g| &g.shape)
     }
--- a/crates/gateway/src/book/drains.rs
+++ b/crates/gateway/src/book/drains.rs
@@ -1,13 +1,13 @@
-//! Drains: queues, or the whole service, that take no new applications. Recorded before anybody is told, so they
-//! survive the node that was asked.
+//! Drains: queues, or the whole service, that take no new applications, and machines that get no further containers.
+//! Recorded before anybody is told, so they survive the node that was asked.
 
 use super::{Book, Key, Told, Waiter};
 use crate::Cx;
 use crate::queues::{Queue, ROOT};
-use crate::records::{Drain, DrainRec};
+use crate::records::{self, Drain, DrainRec};
 use yarn::error::{Class, Fault};
 
-/// Queues that can be drained at once; there are hardly more.
+/// Queues, and machines, that can be drained at once.
 const MOST: usize = 200;
 
 impl Book {
@@ -42,6 +42,45 @@
         Ok(())
     }
 
+    /// Begins or ends the drain of a machine. It needs not be up: it may come back.
+    pub(super) fn set_machine_drain(
+        &mut self,
+        cx: Cx<'_>,
+        user: &str,
+        name: &str,
+        drain: Option<Drain>,
+        waiter: Waiter,
+    ) -> Result<(), Fault> {
+        if !cx.config.admins.contains(user) {
+            return Err(Fault::new(Class::AccessDenied, format!("User {user} cannot drain machines")));
+        }
+        if name.is_empty() || name.len() > records::TAG {
+            return Err(Fault::new(
+                Class::BadArgument,
+                format!("machine: must be 1 to {} bytes", records::TAG),
+            ));
+        }
+        match drain {
+            Some(drain) if self.drain.machines.len() < MOST => {
+                let since_ms = self.drain.machines.get(name).map_or(drain.since_ms, |d| d.since_ms);
+                self.drain.machines.insert(name.to_owned(), Drain { since_ms, ..drain });
+            }
+            Some(_) => return Err(Fault::new(Class::Yarn, format!("{MOST} machines are drained already"))),
+            None => {
+                self.drain.machines.remove(name);
+            }
+        }
+        self.drain_waiters.push(waiter);
+        self.store.touch(Key::Drain);
+        Ok(())
+    }
+
+    /// A machine gets no containers; after the drain's deadline those that run there are ended.
+    pub(super) fn machine_drain(&self, cx: Cx<'_>, machine: &str) -> Option<bool> {
+        let drain = self.drain.machines.get(machine)?;
+        Some(drain.until_ms.is_some_and(|t| cx.now.wall >= t))
+    }
+
     pub(super) fn drain_saved(&mut self, rec: DrainRec) {
         self.drained = rec;
         for waiter in std::mem::take(&mut self.drain_waiters) {
--- a/crates/gateway/src/book/masters.rs
+++ b/crates/gateway/src/book/masters.rs
@@ -429,6 +429,10 @@
     /// Gives a free place the container that its master wants most, if it wants one there.
     pub(super) fn give(&mut self, cx: Cx<'_>, id: u32, at: (u32, u32)) -> Option<i64> {
         let stamp = self.cluster.stamp;
+        let machine = &self.apps.get(&id)?.groups.slots.get(&at)?.machine;
+        if self.drain.machines.contains_key(machine) {
+            return None;
+        }
         let app = self.apps.get_mut(&id)?;
         let session = app.session.as_mut()?;
         let slot = app.groups.slots.get(&at).filter(|s| !s.spent)?;
@@ -663,5 +667,5 @@
 /// A place as it is first seen.
 pub(super) fn new_slot(tried: u64, machine: &str, zone: &str, shape: Shape, now: u64) -> Slot {
     let (machine, zone) = (machine.to_owned(), zone.to_owned());
-    Slot { tried, machine, zone, shape, container: None, spent: false, leaving: false, since: now }
+    Slot { tried, machine, zone, shape, container: None, spent: false, since: now }
 }
--- a/crates/gateway/src/book/runners.rs
+++ b/crates/gateway/src/book/runners.rs
@@ -220,7 +220,7 @@
         let now = cx.now.mono;
         let Some(app) = self.apps.get_mut(&id) else { return Told::new(Do::Leave) };
         let known = app.groups.slots.get(&at).map(|s| s.tried);
-        if known.is_some_and(|tried| c.tried < tried) {
+        if app.groups.is_gone(at) || known.is_some_and(|tried| c.tried < tried) {
             return Told::new(Do::Leave);
         }
         if known.is_none() && app.groups.is_old(at.0) && app.session.is_none() {
@@ -235,16 +235,16 @@
         }
         let Some(app) = self.apps.get_mut(&id) else { return Told::new(Do::Leave) };
         let Some(slot) = app.groups.slots.get(&at) else { return Told::new(Do::Leave) };
-        if slot.leaving {
-            return Told::new(Do::Leave);
-        }
         if let Some(container) = slot.container {
             return self.holder_in(cx, id, at, container, c);
         }
         let since = slot.since;
         match self.give(cx, id, at) {
             Some(_) => Told::new(Do::Wait),
-            None => self.idle_in(id, at, now.saturating_sub(since)),
+            None => {
+                let drained = self.machine_drain(cx, &c.machine).is_some();
+                self.idle_in(id, at, if drained { u64::MAX } else { now.saturating_sub(since) })
+            }
         }
     }
 
@@ -295,6 +295,7 @@
 
     /// A runner that has been given a container.
     fn holder_in(&mut self, cx: Cx<'_>, id: u32, at: (u32, u32), container: i64, c: &CheckIn) -> Told {
+        let drained = self.machine_drain(cx, &c.machine) == Some(true);
         let Some(app) = self.apps.get_mut(&id) else { return Told::new(Do::Leave) };
         let owed = app.session.as_ref().is_some_and(|s| s.owes(container));
         let Some(held) = app.groups.containers.get_mut(&container) else { return self.leave(id, at) };
@@ -302,6 +303,9 @@
             // The runner stays until the master knows: should this node go, another learns it from the runner.
             return if owed { Told::new(Do::Wait) } else { self.leave(id, at) };
         }
+        if drained {
+            held.stopping.get_or_insert(exit::ABORTED);
+        }
         let ended = c.exit.filter(|_| c.container == Some(container));
         if let Some(status) = ended.or(held.stopping) {
             let why = if held.stopping.is_some() { "Container killed on request" } else { "" };
@@ -329,9 +333,8 @@
     }
 
     fn leave(&mut self, id: u32, at: (u32, u32)) -> Told {
-        if let Some(slot) = self.apps.get_mut(&id).and_then(|a| a.groups.slots.get_mut(&at)) {
-            slot.leaving = true;
-            slot.container = None;
+        if let Some(app) = self.apps.get_mut(&id) {
+            app.groups.leave(at);
         }
         Told::new(Do::Leave)
     }
--- a/crates/gateway/src/book/views.rs
+++ b/crates/gateway/src/book/views.rs
@@ -4,6 +4,7 @@
 use crate::queues::{Queue, ROOT};
 use crate::records::{AppRec, Stage};
 use crate::{Cx, token};
+use std::collections::HashMap;
 use yarn::proto::*;
 
 impl Stage {
@@ -162,12 +163,26 @@
         self.apps.values().rev().filter(matches).take(limit).collect()
     }
 
-    /// A queue with what is asked for below it.
-    pub(super) fn queue_info(&self, queue: &Queue, apps: bool, children: usize, user: &str) -> QueueInfo {
+    /// Recorded applications by the path of their queue.
+    pub(super) fn by_queue(&self) -> HashMap<&str, Vec<&App>> {
+        let mut out: HashMap<&str, Vec<&App>> = HashMap::new();
+        for app in self.apps.values().filter(|a| a.saved.is_some()) {
+            out.entry(&app.rec.queue).or_default().push(app);
+        }
+        out
+    }
+
+    /// A queue with what is asked for below it; `apps` are to be shown, by queue.
+    pub(super) fn queue_info(
+        &self,
+        queue: &Queue,
+        apps: &HashMap<&str, Vec<&App>>,
+        children: usize,
+        user: &str,
+    ) -> QueueInfo {
         let state = if self.drain_of(queue).is_some() { QueueState::Draining } else { QueueState::Running };
         let below = |child: &usize| self.queue_info(&self.queues.all[*child], apps, children - 1, user);
-        let filter =
-            GetApplicationsRequest { queues: vec![queue.path.clone()], ..GetApplicationsRequest::default() };
+        let here = apps.get(queue.path.as_str()).into_iter().flatten();
         QueueInfo {
             // Published servers name the leaf only; the root is itself.
             queue_name: Some(if queue.path == ROOT { ROOT.into() } else { queue.path.clone() }),
@@ -176,11 +191,7 @@
             current_capacity: Some(0.0),
             state: Some(state as i32),
             child_queues: if children == 0 { Vec::new() } else { queue.children.iter().map(below).collect() },
-            applications: if apps {
-                self.filtered(&filter).into_iter().map(|a| self.report(a, user)).collect()
-            } else {
-                Vec::new()
-            },
+            applications: here.map(|a| self.report(a, user)).collect(),
         }
     }
 
--- a/crates/gateway/src/book/web.rs
+++ b/crates/gateway/src/book/web.rs
@@ -10,7 +10,7 @@
 use crate::records::{Drain, Stage};
 use crate::web::{list, parameter};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use yarn::error::{Class, Fault};
 use yarn::proto::*;
 use yarn::rest;
@@ -21,7 +21,11 @@
 /// What operators ask of a drain.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct DrainAsk {
+    #[serde(default, skip_serializing_if = "String::is_empty")]
     pub queue: String,
+    /// A machine, instead of a queue.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub machine: Option<String>,
     /// The drain is over.
     #[serde(default)]
     pub off: bool,
@@ -37,6 +41,9 @@
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Drains {
     pub drains: BTreeMap<String, Drain>,
+    /// The same for machines.
+    #[serde(default)]
+    pub machines: BTreeMap<String, Drain>,
 }
 
 type Served = Result<Option<Reply>, Fault>;
@@ -83,8 +90,10 @@
             ("GET", ["metrics"]) => show("clusterMetrics", false, &self.metrics(cx)),
             ("GET", ["scheduler"]) => {
                 let root = self.queues.find(ROOT).ok_or_else(|| missing("root"))?;
-                let scheduler_info =
-                    rest::Queue { kind: "capacityScheduler".into(), ..self.queue_page(root) };
+                let scheduler_info = rest::Queue {
+                    kind: "capacityScheduler".into(),
+                    ..self.queue_page(root, &self.by_queue())
+                };
                 show("scheduler", false, &rest::Scheduler { scheduler_info })
             }
             ("GET", ["apps"]) => {
@@ -184,7 +193,10 @@
                 let drain =
                     (!ask.off).then_some(Drain { since_ms: wall, until_ms, containers: ask.containers });
                 let waiter = Book::waiter(call, Surface::Web(form), Told::Drained);
-                self.set_drain(cx, user, &ask.queue, drain, waiter)?;
+                match &ask.machine {
+                    Some(machine) => self.set_machine_drain(cx, user, machine, drain, waiter)?,
+                    None => self.set_drain(cx, user, &ask.queue, drain, waiter)?,
+                }
                 Ok(None)
             }
             _ => Err(missing(path)),
@@ -192,7 +204,7 @@
     }
 
     fn drains(&self) -> Drains {
-        Drains { drains: self.drained.queues.clone() }
+        Drains { drains: self.drained.queues.clone(), machines: self.drained.machines.clone() }
     }
 
     pub(super) fn tell_drains(&mut self, waiter: super::Waiter) {
@@ -243,13 +255,11 @@
         m
     }
 
-    fn queue_page(&self, queue: &Queue) -> rest::Queue {
-        let below: Vec<rest::Queue> =
-            queue.children.iter().map(|c| self.queue_page(&self.queues.all[*c])).collect();
-        let here = format!("{}.", queue.path);
-        let live = |a: &&App| {
-            !a.shown().stage.is_final() && (a.rec.queue == queue.path || a.rec.queue.starts_with(&here))
-        };
+    fn queue_page(&self, queue: &Queue, apps: &HashMap<&str, Vec<&App>>) -> rest::Queue {
+        let pages = queue.children.iter().map(|c| self.queue_page(&self.queues.all[*c], apps));
+        let below: Vec<rest::Queue> = pages.collect();
+        let live = |a: &&&App| !a.shown().stage.is_final();
+        let here = apps.get(queue.path.as_str()).into_iter().flatten().filter(live).count() as u64;
         rest::Queue {
             kind: String::new(),
             capacity: f64::from(queue.capacity) * 100.0,
@@ -258,7 +268,7 @@
             queue_name: queue.name().to_owned(),
             queue_path: queue.path.clone(),
             state: if self.drain_of(queue).is_some() { "DRAINING".into() } else { "RUNNING".into() },
-            num_applications: self.apps.values().filter(live).count() as u64,
+            num_applications: here + below.iter().map(|q| q.num_applications).sum::<u64>(),
             queues: (!below.is_empty()).then_some(rest::Queues { queue: below }),
         }
     }
--- a/crates/gateway/src/queues.rs
+++ b/crates/gateway/src/queues.rs
@@ -29,6 +29,8 @@
 pub struct Queues {
     pub all: Vec<Queue>,
     by_path: BTreeMap<String, usize>,
+    /// Own names; none where several queues have the same.
+    by_name: BTreeMap<String, Option<usize>>,
 }
 
 /// What stands for a node's or team's size: the largest of its guaranteed amounts, in thousandths.
@@ -75,6 +77,7 @@
             self.all[p].children.push(at);
         }
         self.by_path.insert(path.clone(), at);
+        self.by_name.entry(name.to_owned()).and_modify(|known| *known = None).or_insert(Some(at));
         let team = team.map(str::to_owned);
         self.all.push(Queue { path, parent, children: Vec::new(), team, capacity, maximum });
         at
@@ -122,10 +125,7 @@
     pub fn find(&self, name: &str) -> Option<&Queue> {
         let full = |p: &str| self.by_path.get(p).map(|at| &self.all[*at]);
         let found = full(name).or_else(|| full(&format!("{ROOT}.{name}")));
-        found.or_else(|| {
-            let mut same = self.all.iter().filter(|q| q.name() == name);
-            same.next().filter(|_| same.next().is_none())
-        })
+        found.or_else(|| self.by_name.get(name).copied().flatten().map(|at| &self.all[at]))
     }
 
     /// A queue and all that are above it, the lowest first.
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -45,6 +45,9 @@
 pub struct DrainRec {
     /// Queue path (`root` is the whole service) to what was asked.
     pub queues: BTreeMap<String, Drain>,
+    /// Machines that get no further containers.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub machines: BTreeMap<String, Drain>,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -643,8 +643,13 @@
     pub fn call(&mut self, ask: crate::yarn::Ask) -> crate::yarn::Answer {
         self.yarn.answered = None;
         self.dial(Who::Test, ask);
-        while self.yarn.answered.is_none() {
-            self.run_for(10);
+        let end = self.now + 10_000;
+        // Guards against a world that stands still since a rule is broken: it would be waited for without end.
+        while self.yarn.answered.is_none() && self.now < end {
+            let before = self.now;
+            self.run_for(100);
+            let broken = (&self.rules.broken, &self.yarn.checks.broken);
+            assert!(self.now > before || self.yarn.answered.is_some(), "nothing goes on: {broken:?}");
         }
         self.yarn.answered.take().flatten()
     }
--- a/crates/standins/src/yarn.rs
+++ b/crates/standins/src/yarn.rs
@@ -586,6 +586,11 @@
         }
     }
 
+    /// It runs a container.
+    pub fn holds(&self) -> bool {
+        !self.is_master() && self.process.is_some() && self.over.is_none()
+    }
+
     fn is_master(&self) -> bool {
         self.job.ends_with("0000000")
     }
--- a/crates/standins/tests/placement.rs
+++ b/crates/standins/tests/placement.rs
@@ -140,8 +140,15 @@
             method,
             body: argument.encode_to_vec(),
         };
-        let body = self.world.call(ask).expect("answered")?;
-        Ok(R::decode(body.as_slice()).expect("an answer of that kind"))
+        // Messages are lost now and then: repeated as clients do.
+        for _ in 0..20 {
+            match self.world.call(ask.clone()) {
+                Some(Ok(body)) => return Ok(R::decode(body.as_slice()).expect("an answer of that kind")),
+                Some(Err(fault)) if !fault.class.is_passing() => return Err(fault),
+                _ => self.world.run_for(1000),
+            }
+        }
+        panic!("{method} was never answered");
     }
 
     fn client<A: Message, R: Message + Default>(
@@ -352,6 +359,113 @@
     assert_eq!(denied.class, Class::AccessDenied);
 }
 
+/// What is known of an unmanaged application: the reference that the service is held against.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Model {
+    /// Nobody has registered for it.
+    Accepted,
+    /// Its master has, and whether the owner of the fleet knows him.
+    Running(bool),
+    Over(ApplicationState, FinalStatus),
+}
+
+impl Model {
+    fn shown(self) -> (ApplicationState, FinalStatus) {
+        match self {
+            Model::Accepted => (ApplicationState::Accepted, FinalStatus::Undefined),
+            Model::Running(_) => (ApplicationState::Running, FinalStatus::Undefined),
+            Model::Over(state, status) => (state, status),
+        }
+    }
+}
+
+/// Generated calls, in any order and with owners lost between them, against the reference: each answer, and what is
+/// shown afterwards.
+#[test]
+fn applications_follow_their_reference() {
+    for seed in 0..40 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let mut world = ready(1000 + seed);
+        let mut c = Caller { world: &mut world, user: "ann", token: None };
+        let id = c.unmanaged();
+        let (mut model, mut number) = (Model::Accepted, 0);
+        let mut past = Vec::new();
+        for _ in 0..14 {
+            let op = rng.u32(0..100);
+            past.push(op);
+            let told = |model: Model| match model {
+                Model::Accepted | Model::Running(false) => Some(Class::NotRegistered),
+                Model::Running(true) => None,
+                Model::Over(..) => Some(Class::AttemptNotFound),
+            };
+            match op {
+                0..30 => {
+                    let r = c.master::<_, RegisterResponse>(
+                        "registerApplicationMaster",
+                        &RegisterRequest::default(),
+                    );
+                    let over = matches!(model, Model::Over(..));
+                    assert_eq!(
+                        r.err().map(|f| f.class),
+                        over.then_some(Class::AttemptNotFound),
+                        "{seed}: {past:?}"
+                    );
+                    if !over {
+                        // A session that is known goes on with its numbers.
+                        number = if model == Model::Running(true) { number } else { 0 };
+                        model = Model::Running(true);
+                    }
+                }
+                30..65 => match c.beat(number, Vec::new(), Vec::new()) {
+                    Ok(beat) => {
+                        assert_eq!(told(model), None, "{seed}: {past:?}");
+                        number = beat.response_id.unwrap_or(0);
+                    }
+                    Err(fault) => assert_eq!(told(model), Some(fault.class), "{seed}: {past:?}"),
+                },
+                65..75 => {
+                    let status = [FinalStatus::Succeeded, FinalStatus::Failed][rng.usize(0..2)];
+                    let finish =
+                        FinishRequest { final_status: Some(status as i32), ..FinishRequest::default() };
+                    let r = c.master::<_, FinishResponse>("finishApplicationMaster", &finish);
+                    match (model, told(model)) {
+                        // Whoever says goodbye to what is over is told that it is.
+                        (Model::Over(..), _) | (_, None) => {
+                            assert_eq!(r.expect("goodbye").is_unregistered, Some(true), "{seed}: {past:?}");
+                        }
+                        (_, why) => assert_eq!(r.err().map(|f| f.class), why, "{seed}: {past:?}"),
+                    }
+                    if model == Model::Running(true) {
+                        model = Model::Over(ApplicationState::Finished, status);
+                    }
+                }
+                75..82 => {
+                    let kill = KillApplicationRequest { application_id: Some(id), diagnostics: None };
+                    let _: KillApplicationResponse = c.client("forceKillApplication", &kill).expect("killed");
+                    c.world.run_for(3000);
+                    if !matches!(model, Model::Over(..)) {
+                        model = Model::Over(ApplicationState::Killed, FinalStatus::Killed);
+                    }
+                }
+                82..92 => {
+                    c.world.crash_all();
+                    c.world.run_for(12_000);
+                    if matches!(model, Model::Running(_)) {
+                        model = Model::Running(false);
+                    }
+                }
+                _ => c.world.run_for(rng.u64(0..5000)),
+            }
+            let ask = GetApplicationReportRequest { application_id: Some(id) };
+            let report: GetApplicationReportResponse = c.client("getApplicationReport", &ask).expect("known");
+            let report = report.report.expect("a report");
+            let (state, status) = model.shown();
+            let shown = (report.yarn_application_state, report.final_application_status);
+            assert_eq!(shown, (Some(state as i32), Some(status as i32)), "{seed}: {past:?} {model:?}");
+        }
+    }
+}
+
 /// Connections take any bytes without harm: they answer in their protocol's way or close, and hold a bounded amount.
 #[test]
 fn any_bytes_are_survived() {
--- a/crates/standins/tests/yarn.rs
+++ b/crates/standins/tests/yarn.rs
@@ -231,6 +231,7 @@
         scene.records_ms = 500;
         let ask = |off| gateway::book::web::DrainAsk {
             queue: "red".into(),
+            machine: None,
             off,
             within_s: (!off).then_some(40),
             containers: false,
@@ -346,3 +347,27 @@
     through(&mut world, 200_000);
     assert_eq!((world.yarn.checks.starts_refused, world.yarn.checks.containers_done), (0, 120));
 }
+
+/// A machine that is drained gets no further containers, and after the deadline it has none; the tally goes on elsewhere.
+#[test]
+fn drained_machines_lose_their_containers() {
+    let long = Tally { run_ms: 25_000, ..tally(&[24]) };
+    let mut scene = scene(vec![Client::new("ann", "red", 2000, long)]);
+    scene.yarn = Some(Config::parse("[door]\nadmins = operator\n[work]\nestimate_s = 25\n").expect("good"));
+    let mut world = World::new(plan(7, 3, scene));
+    world.run_for(25_000);
+    let containers = "job-900000000010000001";
+    let machine = world.machines_of(containers).pop().expect("containers run");
+    let ask = gateway::book::web::DrainAsk {
+        machine: Some(machine.clone()),
+        within_s: Some(5),
+        ..Default::default()
+    };
+    world.yarn.drains.push(standins::yarn::Drain::new(0, ask));
+    world.run_for(14_000);
+    assert!(world.yarn.drains[0].done);
+    let left = world.yarn.runners.values().filter(|r| r.machine == machine && r.holds());
+    assert_eq!(left.count(), 0, "containers are left on {machine}");
+    through(&mut world, 300_000);
+    assert_eq!(world.yarn.clients[0].state, Some(ApplicationState::Finished));
+}
--- a/crates/stoathatch/src/tools.rs
+++ b/crates/stoathatch/src/tools.rs
@@ -70,9 +70,14 @@
     },
     /// Queues, what they may use, and which are drained.
     Queues,
-    /// Take no new applications in a queue (`root`: in the whole service), until told otherwise.
+    /// Take no new applications in a queue (`root`: in the whole service), or give a machine no further containers,
+    /// until told otherwise.
     Drain {
-        queue: String,
+        /// The queue, or the machine with `--machine`.
+        name: String,
+        /// Drain a machine: what it runs may end.
+        #[arg(long)]
+        machine: bool,
         /// End what still runs there after so many seconds.
         #[arg(long, value_name = "SECONDS")]
         within: Option<u64>,
@@ -291,9 +296,15 @@
                 let (drains, _): (Drains, _) = self.get(&format!("{OWN}/drains"))?;
                 self.show(&body, || queues(&read.scheduler.scheduler_info, &drains))
             }
-            Verb::Drain { queue, within, containers, off } => {
-                let ask =
-                    DrainAsk { queue: queue.clone(), off: *off, within_s: *within, containers: *containers };
+            Verb::Drain { name, machine, within, containers, off } => {
+                let machine = machine.then(|| name.clone());
+                let ask = DrainAsk {
+                    queue: name.clone(),
+                    machine,
+                    off: *off,
+                    within_s: *within,
+                    containers: *containers,
+                };
                 let body = rest::render(Form::Json, "", true, &ask);
                 let body = self.ask("PUT", &format!("{OWN}/drains"), &body)?;
                 let drains: Drains = rest::read(Form::Json, &body).map_err(End::Failed)?;
@@ -418,11 +429,11 @@
 }
 
 fn drained(drains: &Drains) -> String {
-    if drains.drains.is_empty() {
+    if drains.drains.is_empty() && drains.machines.is_empty() {
         return "nothing is drained".into();
     }
     let mut t = table(&["drained", "until (ms since 1970)", "further containers"]);
-    for (queue, d) in &drains.drains {
+    for (queue, d) in drains.drains.iter().chain(&drains.machines) {
         let until = d.until_ms.map_or("as long as it takes".into(), |ms| ms.to_string());
         t.add_row([queue.clone(), until, if d.containers { "none" } else { "yes" }.into()]);
     }
