Tests: drained machines get nothing new, and who was told to leave gets nothing more

Need: two guards were not seen to fail when taken out: containers are not given on a drained machine, and a place whose runner was told to leave stays empty when that answer is lost and the runner comes again.

Change: a test for each; a container that a master takes twice is a fault.

Sources of the service are unchanged.

--- a/crates/standins/src/yarn.rs
+++ b/crates/standins/src/yarn.rs
@@ -203,14 +203,12 @@
         }
     }
 
-    /// A container was given to a master: never the same again, unless that answer is repeated.
+    /// A container was given to a master, in an answer that he took: never the same again.
     fn given(&mut self, master: &str, container: ContainerId) {
         let app = container.app_attempt_id.and_then(|a| a.application_id).unwrap_or_default();
         let whole = (app.id, container.id);
-        let before = self.given.entry(whole).or_insert_with(|| master.to_owned());
-        if before != master {
-            let what = format!("{container} to {before} and {master}");
-            self.breaks("container_given_twice", what);
+        if let Some(before) = self.given.insert(whole, master.to_owned()) {
+            self.breaks("container_given_twice", format!("{container} to {before} and {master}"));
         }
     }
 
@@ -555,6 +553,8 @@
     process: Option<u64>,
     master: Option<Box<Master>>,
     exit: Option<i32>,
+    /// The first answer that tells it to leave is lost.
+    pub deaf: bool,
     /// How the task ended.
     pub over: Option<bool>,
 }
@@ -582,6 +582,7 @@
             process: None,
             master: None,
             exit: None,
+            deaf: false,
             over: None,
         }
     }
@@ -642,6 +643,7 @@
         self.due = now + (told.again_s * 1000.0) as u64;
         match told.what {
             Do::Wait => {}
+            Do::Leave if std::mem::take(&mut self.deaf) => {}
             Do::Leave => self.over = Some(true),
             Do::Fail => self.over = Some(false),
             Do::Run => self.run(now, &told, checks),
--- a/crates/standins/tests/yarn.rs
+++ b/crates/standins/tests/yarn.rs
@@ -371,3 +371,42 @@
     through(&mut world, 300_000);
     assert_eq!(world.yarn.clients[0].state, Some(ApplicationState::Finished));
 }
+
+/// As long as a machine is drained nothing new begins there; what runs may end.
+#[test]
+fn nothing_new_begins_on_a_drained_machine() {
+    let mut scene = scene(vec![Client::new("ann", "red", 2000, tally(&[150, 30]))]);
+    scene.yarn = Some(Config::parse("[door]\nadmins = operator\n[work]\nestimate_s = 3\n").expect("good"));
+    let mut world = World::new(plan(8, 3, scene));
+    world.run_for(20_000);
+    let machine = world.machines_of("job-900000000010000001").pop().expect("containers run");
+    let ask = gateway::book::web::DrainAsk { machine: Some(machine.clone()), ..Default::default() };
+    world.yarn.drains.push(standins::yarn::Drain::new(0, ask));
+    world.run_for(5000);
+    assert!(world.yarn.drains[0].done);
+    let holders = |world: &World| -> Vec<(String, u64)> {
+        let here = world.yarn.runners.iter().filter(|(_, r)| r.machine == machine && r.holds());
+        here.map(|(key, _)| key.clone()).collect()
+    };
+    // What was given there before may still begin.
+    let before: Vec<_> = world.yarn.runners.keys().cloned().collect();
+    while !world.yarn.clients[0].is_over() {
+        world.run_for(500);
+        sound(&world);
+        let new: Vec<_> = holders(&world).into_iter().filter(|h| !before.contains(h)).collect();
+        assert!(new.is_empty(), "{new:?} began on {machine}");
+    }
+    assert_eq!(world.yarn.clients[0].state, Some(ApplicationState::Finished));
+}
+
+/// Runners that come again after they were told to leave get nothing, however many containers are wanted.
+#[test]
+fn whoever_was_told_to_leave_gets_nothing() {
+    let mut world = World::new(plan(9, 3, scene(vec![Client::new("ann", "red", 2000, tally(&[60, 20]))])));
+    while !world.yarn.clients[0].is_over() {
+        world.run_for(100);
+        world.yarn.runners.values_mut().filter(|r| r.holds()).for_each(|r| r.deaf = true);
+        sound(&world);
+    }
+    assert_eq!(world.yarn.checks.containers_done, 80);
+}
