Reread: calls handed on are marked, one way to begin drains, heartbeats no longer walk the fleet

Change: the mark stands with the call; the rest is one piece each, and in its own module. Machines are counted by their index. Behaviour is as before.

--- a/crates/control/src/side.rs
+++ b/crates/control/src/side.rs
@@ -189,12 +189,10 @@
     pub(crate) fn side_answered(&mut self, tag: u64, response: Option<Response>) {
         let answer = match response {
             Some(r) if r.status == 200 => {
-                let page = wire::decode::<Range<Value>>(&r.body);
-                let revision = wire::decode::<Revision>(&r.body);
-                match (page, revision) {
-                    (Ok(page), _) => Answer::Page { items: page.items, more: page.more },
-                    (_, Ok(r)) => Answer::Changed { revision: r.revision },
-                    _ => Answer::Unknown,
+                let changed = |r: Revision| Answer::Changed { revision: r.revision };
+                match wire::decode::<Range<Value>>(&r.body) {
+                    Ok(page) => Answer::Page { items: page.items, more: page.more },
+                    Err(_) => wire::decode(&r.body).map_or(Answer::Unknown, changed),
                 }
             }
             Some(r) if r.status == 409 => Answer::Conflict,
@@ -232,6 +230,11 @@
         self.shared.quotas.good.as_ref().map(|g| g.tree.clone())
     }
 
+    /// How many machines the fleet has.
+    pub fn machine_count(&self) -> usize {
+        self.part.as_ref().map_or(0, |p| p.machine_ix.len())
+    }
+
     /// Machines of the fleet with what their claims take; nothing unless this node owns the fleet.
     pub fn machines(&self) -> impl Iterator<Item = MachineView<'_>> {
         let all = self.part.iter().flat_map(|p| p.machines.iter().flatten());
--- a/crates/gateway/src/book/apps.rs
+++ b/crates/gateway/src/book/apps.rs
@@ -519,7 +519,8 @@
         self.touch(id);
     }
 
-    fn ask(&mut self, cx: Cx<'_>, asked: Asked) {
+    /// Asks the scheduler for something of an application.
+    pub(super) fn ask(&mut self, cx: Cx<'_>, asked: Asked) {
         let Some(app) = self.apps.get_mut(&asked.app) else { return };
         let id = job_id(asked.app, asked.group);
         let (method, path, body) = match asked.what {
@@ -537,14 +538,6 @@
         self.acts.push(Act::Native { ask: CONNS | number, method, path, body });
     }
 
-    pub(super) fn ask_cancel(&mut self, cx: Cx<'_>, app: u32, group: u32) {
-        self.ask(cx, Asked { app, group, what: Want::Cancel });
-    }
-
-    pub(super) fn submit_group(&mut self, cx: Cx<'_>, app: u32, group: u32) {
-        self.ask(cx, Asked { app, group, what: Want::Submit });
-    }
-
     /// The scheduler's answer.
     pub fn native_answered(&mut self, cx: Cx<'_>, ask: u64, response: &Response) {
         let Some(asked) = self.asked.remove(&(ask & !CONNS)) else { return };
@@ -705,7 +698,7 @@
         Err(Fault::new(Class::AccessDenied, why))
     }
 
-    /// Wants an application killed. `true` if it is over already.
+    /// Wants an application killed. Told once that is recorded, or that it was over already.
     pub(super) fn kill(
         &mut self,
         cx: Cx<'_>,
--- a/crates/gateway/src/book/containers.rs
+++ b/crates/gateway/src/book/containers.rs
@@ -102,7 +102,31 @@
     pub starting: Vec<u64>,
 }
 
+impl Slot {
+    /// A place as it is first seen.
+    pub fn new(tried: u64, machine: &str, zone: &str, shape: Shape, now: u64) -> Slot {
+        let (machine, zone) = (machine.to_owned(), zone.to_owned());
+        Slot { tried, machine, zone, shape, container: None, spent: false, since: now }
+    }
+}
+
 impl Container {
+    pub fn new(id: ContainerId, machine: &str, zone: &str, key: AskKey, wall: u64) -> Container {
+        Container {
+            id,
+            machine: machine.to_owned(),
+            zone: zone.to_owned(),
+            key,
+            stage: Stage::Given,
+            exit: exit::UNKNOWN,
+            diagnostics: String::new(),
+            created_ms: wall,
+            finished_ms: 0,
+            stopping: None,
+            starting: Vec::new(),
+        }
+    }
+
     pub fn is_over(&self) -> bool {
         self.stage == Stage::Complete
     }
@@ -233,6 +257,16 @@
         self.all.get(&group).map(|g| &g.shape)
     }
 
+    /// Groups that are not wanted any more and still to be cancelled, a few at a time.
+    fn next_to_drop(&self) -> Vec<u32> {
+        let due = |(n, g): &(&u32, &Group)| g.dropped && g.accepted && !self.closing.contains(*n);
+        self.all.iter().filter(due).map(|(n, _)| *n).take(SENT_AT_ONCE).collect()
+    }
+
+    pub(super) fn begin_drop(&mut self, group: u32) {
+        self.closing.insert(group);
+    }
+
     /// Tasks that may still become containers.
     fn outstanding(&self) -> u32 {
         self.all.values().filter(|g| !g.dropped).map(|g| g.tasks - g.seen).sum()
@@ -273,7 +307,7 @@
             if let Some(g) = self.apps.get_mut(&id).and_then(|a| a.groups.all.get_mut(&group)) {
                 g.asking = true;
             }
-            self.submit_group(cx, id, group);
+            self.ask(cx, Asked { app: id, group, what: Want::Submit });
         }
         for group in dropped {
             self.cancel_group(cx, id, group);
@@ -336,17 +370,6 @@
     }
 }
 
-impl Groups {
-    fn next_to_drop(&self) -> Vec<u32> {
-        let due = |(n, g): &(&u32, &Group)| g.dropped && g.accepted && !self.closing.contains(*n);
-        self.all.iter().filter(due).map(|(n, _)| *n).take(SENT_AT_ONCE).collect()
-    }
-
-    pub(super) fn begin_drop(&mut self, group: u32) {
-        self.closing.insert(group);
-    }
-}
-
 /// A group of so many places; false if no number is left that the record allows for.
 fn new_group(app: &mut App, shape: Shape, tasks: u32) -> bool {
     let allowed = app.saved.as_ref().map_or(0, |s| s.groups);
--- a/crates/gateway/src/book/drains.rs
+++ b/crates/gateway/src/book/drains.rs
@@ -5,11 +5,32 @@
 use crate::Cx;
 use crate::queues::{Queue, ROOT};
 use crate::records::{self, Drain, DrainRec};
+use std::collections::BTreeMap;
 use yarn::error::{Class, Fault};
 
 /// Queues, and machines, that can be drained at once.
 const MOST: usize = 200;
 
+/// Begins or ends one of several drains; one that stands keeps its begin.
+fn change(
+    drains: &mut BTreeMap<String, Drain>,
+    what: &str,
+    name: String,
+    drain: Option<Drain>,
+) -> Result<(), Fault> {
+    match drain {
+        Some(drain) if drains.len() < MOST => {
+            let since_ms = drains.get(&name).map_or(drain.since_ms, |d| d.since_ms);
+            drains.insert(name, Drain { since_ms, ..drain });
+        }
+        Some(_) => return Err(Fault::new(Class::Yarn, format!("{MOST} {what} are drained already"))),
+        None => {
+            drains.remove(&name);
+        }
+    }
+    Ok(())
+}
+
 impl Book {
     /// Begins or ends a drain.
     pub(super) fn set_drain(
@@ -26,17 +47,7 @@
             return Err(Fault::new(Class::AccessDenied, why));
         }
         let path = queue.path.clone();
-        match drain {
-            Some(drain) if self.drain.queues.len() < MOST => {
-                // A drain that stands keeps its begin.
-                let since_ms = self.drain.queues.get(&path).map_or(drain.since_ms, |d| d.since_ms);
-                self.drain.queues.insert(path, Drain { since_ms, ..drain });
-            }
-            Some(_) => return Err(Fault::new(Class::Yarn, format!("{MOST} queues are drained already"))),
-            None => {
-                self.drain.queues.remove(&path);
-            }
-        }
+        change(&mut self.drain.queues, "queues", path, drain)?;
         self.drain_waiters.push(waiter);
         self.store.touch(Key::Drain);
         Ok(())
@@ -60,16 +71,7 @@
                 format!("machine: must be 1 to {} bytes", records::TAG),
             ));
         }
-        match drain {
-            Some(drain) if self.drain.machines.len() < MOST => {
-                let since_ms = self.drain.machines.get(name).map_or(drain.since_ms, |d| d.since_ms);
-                self.drain.machines.insert(name.to_owned(), Drain { since_ms, ..drain });
-            }
-            Some(_) => return Err(Fault::new(Class::Yarn, format!("{MOST} machines are drained already"))),
-            None => {
-                self.drain.machines.remove(name);
-            }
-        }
+        change(&mut self.drain.machines, "machines", name.to_owned(), drain)?;
         self.drain_waiters.push(waiter);
         self.store.touch(Key::Drain);
         Ok(())
--- a/crates/gateway/src/book/masters.rs
+++ b/crates/gateway/src/book/masters.rs
@@ -5,7 +5,7 @@
 //! anything of a heartbeat is taken, so a refused one has changed nothing.
 
 use super::apps::Size;
-use super::containers::{AskKey, Container, Shape, Slot, Stage as Place, number_of};
+use super::containers::{AskKey, Container, Shape, Stage as Place, number_of};
 use super::{Book, Waiter};
 use crate::call::Proved;
 use crate::records::{self, Ending, Stage, cut};
@@ -391,7 +391,7 @@
             allocated,
             completed,
             limit: self.largest(cx).ok().map(Size::proto),
-            num_cluster_nodes: Some(cx.node.machines().count() as i32),
+            num_cluster_nodes: Some(cx.node.machine_count() as i32),
             // A master of an older key is given the new token before the old one is refused.
             am_rm_token: (keys_number > 1).then(|| self.cluster.keys.token(token::KIND, attempt, &[])),
             application_priority: Some(Priority { priority: app.rec.priority }),
@@ -444,9 +444,9 @@
         let attempt = token::attempt_id(stamp, id, app.rec.attempt);
         let container = ContainerId::new(attempt, 0, number_of(at) as u64);
         session.given.push(container.id);
-        let (machine, zone) = (slot.machine.clone(), slot.zone.clone());
+        let new = Container::new(container, &slot.machine, &slot.zone, key, cx.now.wall);
         self.counts.containers += 1;
-        app.groups.containers.insert(container.id, new_container(container, machine, zone, key, cx.now.wall));
+        app.groups.containers.insert(container.id, new);
         let slot = app.groups.slots.get_mut(&at)?;
         (slot.container, slot.spent) = (Some(container.id), true);
         Some(container.id)
@@ -634,28 +634,6 @@
     UpdateError { reason: Some("a container keeps its size here".into()), request: Some(update.clone()) }
 }
 
-pub(super) fn new_container(
-    id: ContainerId,
-    machine: String,
-    zone: String,
-    key: AskKey,
-    wall: u64,
-) -> Container {
-    Container {
-        id,
-        machine,
-        zone,
-        key,
-        stage: Place::Given,
-        exit: exit::UNKNOWN,
-        diagnostics: String::new(),
-        created_ms: wall,
-        finished_ms: 0,
-        stopping: None,
-        starting: Vec::new(),
-    }
-}
-
 /// Of those that are over, the latest are shown.
 fn forget_old(containers: &mut BTreeMap<i64, Container>) {
     let over: Vec<i64> = containers.iter().filter(|(_, c)| c.is_over()).map(|(id, _)| *id).collect();
@@ -663,9 +641,3 @@
         containers.remove(id);
     }
 }
-
-/// A place as it is first seen.
-pub(super) fn new_slot(tried: u64, machine: &str, zone: &str, shape: Shape, now: u64) -> Slot {
-    let (machine, zone) = (machine.to_owned(), zone.to_owned());
-    Slot { tried, machine, zone, shape, container: None, spent: false, since: now }
-}
--- a/crates/gateway/src/book/mod.rs
+++ b/crates/gateway/src/book/mod.rs
@@ -210,11 +210,6 @@
         self.term
     }
 
-    /// The first number that this book has not used: another's must begin there.
-    pub fn next_number(&self) -> u64 {
-        self.next
-    }
-
     pub fn take_acts(&mut self) -> Vec<Act> {
         std::mem::take(&mut self.acts)
     }
@@ -223,11 +218,6 @@
         Counts { txns: self.store.txns, changes: self.store.changes, ..self.counts }
     }
 
-    /// Nothing is to be written, and nothing is on its way.
-    pub fn is_idle(&self) -> bool {
-        self.is_ready() && self.store.is_idle() && self.asked.is_empty()
-    }
-
     fn number(&mut self) -> u64 {
         self.next += 1;
         self.next
@@ -338,7 +328,7 @@
             return good;
         }
         if let Some(read) = self.reads.remove(&tag) {
-            self.part_read(cx, read, answer);
+            self.part_read(read, answer);
             return true;
         }
         let Phase::Loading { after, tag: asked, again_at } = &mut self.phase else { return true };
--- a/crates/gateway/src/book/runners.rs
+++ b/crates/gateway/src/book/runners.rs
@@ -2,9 +2,8 @@
 //! how that ended; then it ends itself, and the scheduler has its task done.
 
 use super::apps::{Size, job_id, parse_job};
-use super::containers::{AskKey, Shape, Stage as Place, number_of};
-use super::masters::{new_container, new_slot};
-use super::{Book, Native};
+use super::containers::{AskKey, Container, Shape, Slot, Stage as Place, number_of};
+use super::{Asked, Book, Native, Want};
 use crate::records::{self, Stage};
 use crate::{Act, Cx, token};
 use base64::Engine;
@@ -194,7 +193,7 @@
         self.reads.insert(tag, read);
     }
 
-    pub(super) fn part_read(&mut self, _cx: Cx<'_>, mut read: Read, answer: Answer) {
+    pub(super) fn part_read(&mut self, mut read: Read, answer: Answer) {
         let Some(app) = self.apps.get_mut(&read.app) else { return };
         let Answer::Page { items, more } = answer else {
             app.reading = false;
@@ -258,7 +257,7 @@
         };
         let shape = app.groups.shape(at.0).cloned().unwrap_or(said);
         let old = app.groups.is_old(at.0);
-        let mut slot = new_slot(c.tried, &c.machine, &c.zone, shape.clone(), cx.now.mono);
+        let mut slot = Slot::new(c.tried, &c.machine, &c.zone, shape.clone(), cx.now.mono);
         let before = app.groups.slots.remove(&at);
         slot.spent = before.as_ref().map_or(old, |b| b.spent);
         app.groups.slots.insert(at, slot);
@@ -283,7 +282,7 @@
         let attempt = token::attempt_id(self.cluster.stamp, id, of);
         let key = AskKey { priority: 0, number: -1, shape };
         let whole = ContainerId { app_id: None, app_attempt_id: Some(attempt), id: number };
-        let mut container = new_container(whole, c.machine.clone(), c.zone.clone(), key, cx.now.wall);
+        let mut container = Container::new(whole, &c.machine, &c.zone, key, cx.now.wall);
         container.stage = Place::Running;
         // Its attempt may be over since.
         container.stopping = (of != current && !app.rec.keep).then_some(exit::ABORTED);
@@ -356,6 +355,6 @@
             app.native = Native::Known;
         }
         log::info!("yarn: {} is not wanted any more", job_id(id, group));
-        self.ask_cancel(cx, id, group);
+        self.ask(cx, Asked { app: id, group, what: Want::Cancel });
     }
 }
--- a/crates/gateway/src/book/store.rs
+++ b/crates/gateway/src/book/store.rs
@@ -62,9 +62,6 @@
     pub fn touch(&mut self, key: Key) {
         self.dirty.insert(key);
     }
-    pub fn is_idle(&self) -> bool {
-        self.dirty.is_empty() && self.flight.is_none()
-    }
 }
 
 /// A transaction in the making.
@@ -102,7 +99,7 @@
 
     fn draft(&mut self, most: usize, now: u64) -> Option<Flight> {
         let mut draft = Draft { changes: Vec::new(), sent: Vec::new(), size: 0, most };
-        let keys: Vec<Key> = self.store.dirty.iter().copied().collect();
+        let keys: Vec<Key> = self.store.dirty.iter().copied().take(most).collect();
         for key in keys {
             if !draft.has_room(1, 0) || !self.draft_one(key, &mut draft) {
                 break;
--- a/crates/gateway/src/served.rs
+++ b/crates/gateway/src/served.rs
@@ -4,13 +4,13 @@
 //! at once, in words that make his client try again; a call that another node handed over is never handed on.
 
 use crate::book::Book;
-use crate::call::{Call, PEER_PATH, Reply, What};
+use crate::call::{Call, PEER_PATH, Reply};
 use crate::config::Config;
 use crate::conns::{Conns, Did};
 use crate::{Act, Cx};
 use control::side::CONNS;
 use control::{Dest, Effect, Event, Node, Now};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::sync::Arc;
 use wire::http::{Request, Response};
@@ -52,6 +52,8 @@
 struct Waiting {
     asker: Asker,
     until: u64,
+    /// Another node was asked, under the call's own number.
+    handed: bool,
 }
 
 /// The gateway's own state.
@@ -61,11 +63,9 @@
     conns: Conns,
     book: Option<Book>,
     waiting: BTreeMap<u64, Waiting>,
-    /// Calls of each connection of a peer's or client's: numbers rise with time, so the first are the oldest.
+    /// The number of the next call.
     next: u64,
     swept: u64,
-    /// What a peer was asked for, by tag.
-    handed: HashMap<u64, u64>,
 }
 
 impl Gateway {
@@ -80,7 +80,6 @@
             waiting: BTreeMap::new(),
             next: 1,
             swept: 0,
-            handed: HashMap::new(),
         }
     }
 }
@@ -222,8 +221,7 @@
     fn drop_book(&mut self, now: Now, class: Class, why: &str) {
         let Some(g) = &mut self.gateway else { return };
         g.book = None;
-        let handed: Vec<u64> = g.handed.values().copied().collect();
-        let left: Vec<u64> = g.waiting.keys().copied().filter(|c| !handed.contains(c)).collect();
+        let left: Vec<u64> = g.waiting.iter().filter(|(_, w)| !w.handed).map(|(c, _)| *c).collect();
         for call in left {
             self.answer(now, call, Fault::new(class, why).into());
         }
@@ -261,7 +259,7 @@
         let from_peer = matches!(asker, Asker::Peer { .. });
         let until = now.mono + if from_peer { PEER_PATIENCE_MS } else { PATIENCE_MS };
         let full = g.waiting.len() >= g.config.most.calls;
-        g.waiting.insert(number, Waiting { asker, until });
+        g.waiting.insert(number, Waiting { asker, until, handed: false });
         if full {
             let fault = Fault::new(Class::Retriable, "too many calls are not answered yet");
             return self.answer(now, number, fault.into());
@@ -276,10 +274,11 @@
                 Fault::new(Class::Standby, "this node does not own the fleet, and knows of none that does");
             return self.answer(now, number, fault.into());
         };
-        let tag = TAGS | number;
-        g.handed.insert(tag, number);
+        if let Some(waiting) = g.waiting.get_mut(&number) {
+            waiting.handed = true;
+        }
         self.out.push(Out::Node(Effect::Send {
-            tag,
+            tag: TAGS | number,
             to: Dest::Peer(peer),
             method: "POST",
             path: PEER_PATH.into(),
@@ -317,7 +316,6 @@
     }
 
     fn peer_replied(&mut self, now: Now, tag: u64, response: Option<Response>) {
-        let Some(call) = self.gateway.as_mut().and_then(|g| g.handed.remove(&tag)) else { return };
         let read = |r: Response| wire::peer::decode::<Reply>(&r.body).ok();
         let reply = response.filter(|r| r.status == 200).and_then(read);
         let lost = || {
@@ -327,17 +325,6 @@
             )
             .into()
         };
-        self.answer(now, call, reply.unwrap_or_else(lost));
-    }
-}
-
-impl Call {
-    /// What a call is about, for the log.
-    pub fn name(&self) -> &str {
-        match &self.what {
-            What::Rpc { method, .. } => method,
-            What::Web(web) => &web.target,
-            What::Prove { .. } => "token",
-        }
+        self.answer(now, tag & !TAGS, reply.unwrap_or_else(lost));
     }
 }
--- a/crates/standins/tests/placement.rs
+++ b/crates/standins/tests/placement.rs
@@ -199,6 +199,20 @@
     }
 }
 
+impl Caller<'_> {
+    /// What a master is given within 40 s.
+    fn given(&mut self, number: &mut i32) -> Vec<Container> {
+        let mut given = Vec::new();
+        for _ in 0..40 {
+            self.world.run_for(1000);
+            let beat = self.beat(*number, Vec::new(), Vec::new()).expect("a heartbeat");
+            *number = beat.response_id.unwrap_or(0);
+            given.extend(beat.allocated);
+        }
+        given
+    }
+}
+
 fn ask(name: &str, n: i32, relax: bool) -> ResourceRequest {
     ResourceRequest {
         priority: Some(Priority_ { priority: 1 }),
@@ -239,13 +253,7 @@
     let wrong = c.beat(7, Vec::new(), Vec::new()).expect_err("a number out of turn");
     assert!(wrong.message.contains("Invalid responseId"), "{wrong}");
     let mut number = first.response_id.unwrap_or(0);
-    let mut given = Vec::new();
-    for _ in 0..40 {
-        c.world.run_for(1000);
-        let beat = c.beat(number, Vec::new(), Vec::new()).expect("a heartbeat");
-        number = beat.response_id.unwrap_or(0);
-        given.extend(beat.allocated);
-    }
+    let given = c.given(&mut number);
     assert_eq!(given.len(), 3, "as many as were asked for, and no more");
 
     // One is released before it runs, one is stopped by its master.
@@ -316,13 +324,7 @@
         .expect("taken")
         .response_id
         .unwrap_or(0);
-    let mut given = Vec::new();
-    for _ in 0..40 {
-        c.world.run_for(1000);
-        let beat = c.beat(number, Vec::new(), Vec::new()).expect("a heartbeat");
-        number = beat.response_id.unwrap_or(0);
-        given.extend(beat.allocated);
-    }
+    let given = c.given(&mut number);
     assert_eq!(given.len(), 2, "nothing of what was refused, and all that was taken");
     let jobs = world.rules.jobs.values().filter_map(|j| j.spec.as_ref());
     let bound: Vec<_> = jobs.filter(|s| s.id.starts_with("job-9")).map(|s| s.zone.clone()).collect();
