Gateway: losses outlive the owner, long descriptions go, repeated starts are not failures

Need: found on rereading. A description of more parts than a transaction may change was never taken away. A record was written a second time after its description. And, as tests were widened for it: a container lost with its machine was forgotten if the owner died before the master's next heartbeat, so its tally never ended; a start repeated after a lost answer called containers failed that had run and ended meanwhile, and they ran again.

Change: a closed record is written only once its description is gone, in as many transactions as that takes, so a new owner goes on with it; what is still to be written stays listed without being touched again. A place that begins again keeps its lost container until the master knows, like the runner of one that has ended. A container that was started counts as started in a repeated start, however it ended since.

Two tests wait for their condition instead of a time, one plays twelve moments instead of one; what they assert is unchanged.

--- a/crates/gateway/src/book/apps.rs
+++ b/crates/gateway/src/book/apps.rs
@@ -118,11 +118,11 @@
 impl App {
     pub(super) fn new(rec: AppRec, parts: Vec<String>) -> App {
         App {
+            described: rec.parts,
             rec,
             saved: None,
             version: 0,
             parts,
-            tidied: false,
             waiters: Vec::new(),
             native: Native::Unsent,
             asking: false,
--- a/crates/gateway/src/book/containers.rs
+++ b/crates/gateway/src/book/containers.rs
@@ -92,6 +92,8 @@
     pub zone: String,
     pub key: AskKey,
     pub stage: Stage,
+    /// Its runner has started it, whatever became of it since.
+    pub started: bool,
     pub exit: i32,
     pub diagnostics: String,
     pub created_ms: u64,
@@ -118,6 +120,7 @@
             zone: zone.to_owned(),
             key,
             stage: Stage::Given,
+            started: false,
             exit: exit::UNKNOWN,
             diagnostics: String::new(),
             created_ms: wall,
@@ -127,6 +130,11 @@
         }
     }
 
+    /// Its runner has it.
+    pub fn begin(&mut self) {
+        (self.stage, self.started) = (Stage::Running, true);
+    }
+
     pub fn is_over(&self) -> bool {
         self.stage == Stage::Complete
     }
--- a/crates/gateway/src/book/masters.rs
+++ b/crates/gateway/src/book/masters.rs
@@ -502,7 +502,9 @@
         for (container, launch) in described {
             let Some(app) = self.apps.get_mut(&id) else { continue };
             match app.groups.containers.get_mut(&container) {
-                Some(c) if c.stage == Place::Running => answer.succeeded.push(c.id),
+                // Also for one that is over since: this call may be repeated since its answer was lost, and how it
+                // ended is told with a heartbeat.
+                Some(c) if c.started => answer.succeeded.push(c.id),
                 Some(c) if !c.is_over() => {
                     c.stage = Place::Described(launch.encode_to_vec());
                     c.starting.push(call);
@@ -531,7 +533,7 @@
         start.open.remove(&container);
         // Other applications have containers of the same number.
         match self.apps.get(&id).and_then(|a| a.groups.containers.get(&container)) {
-            Some(c) if !c.is_over() => start.answer.succeeded.push(c.id),
+            Some(c) if c.started => start.answer.succeeded.push(c.id),
             Some(c) => start.answer.failed.push(failure(c.id, c.diagnostics.clone())),
             None => {}
         }
--- a/crates/gateway/src/book/mod.rs
+++ b/crates/gateway/src/book/mod.rs
@@ -73,8 +73,8 @@
     version: u64,
     /// Parts of the description that are not written yet.
     parts: Vec<String>,
-    /// Its description is gone, or on its way out.
-    tidied: bool,
+    /// Parts of it that are, or will be, in the state service.
+    described: u32,
     waiters: Vec<Waiter>,
     native: Native,
     /// A request to the scheduler is out.
@@ -378,7 +378,10 @@
         }
         let mut app = App::new(rec.clone(), Vec::new());
         app.groups = Groups::loaded(rec.groups);
-        (app.saved, app.version, app.tidied) = (Some(rec), version, app.rec.closed);
+        if rec.closed {
+            app.described = 0;
+        }
+        (app.saved, app.version) = (Some(rec), version);
         self.apps.insert(id, app);
     }
 
--- a/crates/gateway/src/book/runners.rs
+++ b/crates/gateway/src/book/runners.rs
@@ -260,11 +260,13 @@
         let mut slot = Slot::new(c.tried, &c.machine, &c.zone, shape.clone(), cx.now.mono);
         let before = app.groups.slots.remove(&at);
         slot.spent = before.as_ref().map_or(old, |b| b.spent);
+        // It stays until the master knows what became of that, like the runner of a container that has ended: should this
+        // node go before, the next learns of the loss from this very place.
+        slot.container = before.as_ref().and_then(|b| b.container);
         app.groups.slots.insert(at, slot);
         let number = number_of(at);
         if let Some(container) = before.and_then(|b| b.container) {
             self.complete(cx, id, container, exit::ABORTED, LOST);
-            self.leave(id, at);
         } else if old && c.container == Some(number) && (c.running || c.exit.is_some()) {
             self.adopt(cx, id, at, shape, c);
         } else if old {
@@ -283,7 +285,7 @@
         let key = AskKey { priority: 0, number: -1, shape };
         let whole = ContainerId { app_id: None, app_attempt_id: Some(attempt), id: number };
         let mut container = Container::new(whole, &c.machine, &c.zone, key, cx.now.wall);
-        container.stage = Place::Running;
+        container.begin();
         // Its attempt may be over since.
         container.stopping = (of != current && !app.rec.keep).then_some(exit::ABORTED);
         app.groups.containers.insert(number, container);
@@ -320,7 +322,7 @@
                 told.again_s = SOON_S;
                 return told;
             }
-            held.stage = Place::Running;
+            held.begin();
             for call in std::mem::take(&mut held.starting) {
                 self.start_over(id, call, container);
             }
--- a/crates/gateway/src/book/store.rs
+++ b/crates/gateway/src/book/store.rs
@@ -26,6 +26,8 @@
     App(u32, Box<AppRec>),
     /// Parts of an application's description, the first so many.
     Parts(u32, usize),
+    /// The last so many of them are taken away.
+    PartsGone(u32, u32),
     Forget(u32),
 }
 
@@ -109,7 +111,7 @@
         (!changes.is_empty()).then_some(Flight { changes, sent, unsure: false, out: false, retry_at: now })
     }
 
-    /// Adds a record; false once the transaction is full.
+    /// Adds a record; false once the transaction is full, and then what did not fit is still to be written.
     fn draft_one(&mut self, key: Key, draft: &mut Draft) -> bool {
         match key {
             Key::Cluster => {
@@ -151,20 +153,26 @@
         if parts < app.parts.len() {
             return false;
         }
-        // When it has ended, its description goes with the same record.
-        let over = if app.rec.closed && !app.tidied { app.rec.parts as usize } else { 0 };
+        // When nothing is left of it, its description goes, and then the record says so: a new owner that finds another
+        // record takes away what is there.
+        let mut gone = 0;
+        while app.rec.closed && gone < app.described && draft.has_room(1, 0) {
+            gone += 1;
+            let key = records::part_key(id, &app.rec.print, app.described - gone);
+            draft.push(key, None, None);
+        }
+        if gone > 0 {
+            draft.sent.push(Sent::PartsGone(id, gone));
+        }
+        if app.rec.closed && gone < app.described {
+            return false;
+        }
         let rec = value(&app.rec);
         if !draft.has_room(1, rec.as_ref().map_or(0, |v| v.to_string().len())) {
             return false;
         }
         draft.push(records::app_key(id), Some(app.version), rec);
         draft.sent.push(Sent::App(id, Box::new(app.rec.clone())));
-        if draft.has_room(over, 0) {
-            app.tidied |= app.rec.closed;
-            for part in 0..over {
-                draft.push(records::part_key(id, &app.rec.print, part as u32), None, None);
-            }
-        }
         self.store.dirty.remove(&Key::App(id));
         true
     }
@@ -214,7 +222,11 @@
             Sent::Parts(id, n) => {
                 if let Some(app) = self.apps.get_mut(&id) {
                     app.parts.drain(..n);
-                    self.store.touch(Key::App(id));
+                }
+            }
+            Sent::PartsGone(id, n) => {
+                if let Some(app) = self.apps.get_mut(&id) {
+                    app.described -= n;
                 }
             }
             Sent::App(id, rec) => {
@@ -234,7 +246,7 @@
             Sent::Cluster(_) => self.store.touch(Key::Cluster),
             Sent::Drain(_) => self.store.touch(Key::Drain),
             Sent::Forget(id) => self.store.touch(Key::Forget(id)),
-            Sent::App(id, _) | Sent::Parts(id, _) => {
+            Sent::App(id, _) | Sent::Parts(id, _) | Sent::PartsGone(id, _) => {
                 let is_new = self.apps.get(&id).is_some_and(|a| a.saved.is_none());
                 if is_new {
                     self.not_taken(id);
--- a/crates/standins/src/yarn.rs
+++ b/crates/standins/src/yarn.rs
@@ -241,6 +241,8 @@
     pub tally: Tally,
     pub priority: i32,
     pub gpus: i64,
+    /// Bytes that its description is longer than it need be.
+    pub padding: usize,
     /// Its master is its own.
     pub unmanaged: bool,
     master: Option<Box<Master>>,
@@ -297,6 +299,7 @@
             tally,
             priority: 0,
             gpus: 0,
+            padding: 0,
             unmanaged: false,
             master: None,
             id: None,
@@ -330,7 +333,13 @@
 
     pub fn context(&self) -> ApplicationSubmissionContext {
         let command = format!("tally {:?} {} {}", self.tally.stages, self.tally.run_ms, self.tally.fails);
-        let launch = ContainerLaunchContext { command: vec![command], ..ContainerLaunchContext::default() };
+        let padding = StringString { key: "PADDING".into(), value: Some("x".repeat(self.padding)) };
+        let environment = if self.padding > 0 { vec![padding] } else { Vec::new() };
+        let launch = ContainerLaunchContext {
+            command: vec![command],
+            environment,
+            ..ContainerLaunchContext::default()
+        };
         let gpus = ResourceInformation { key: GPUS.into(), value: Some(self.gpus), units: None };
         let values = if self.gpus > 0 { vec![gpus] } else { Vec::new() };
         let resource = Resource { memory: Some(1024), virtual_cores: Some(1), values };
--- a/crates/standins/tests/yarn.rs
+++ b/crates/standins/tests/yarn.rs
@@ -72,20 +72,29 @@
 /// The two-stage tally of a hundred containers, with a machine lost and the owner replaced in its midst.
 #[test]
 fn a_tally_of_two_stages_ends_though_machines_and_owners_go() {
-    let client = Client::new("ann", "red", 2000, tally(&[100, 20]));
-    let mut world = World::new(plan(2, 3, scene(vec![client])));
-    world.run_for(25_000);
-    let machine = world.machines_of("job-900000000010000001").pop().expect("containers run");
-    world.lose(&machine);
-    world.run_for(10_000);
-    world.doom_owner();
-    through(&mut world, 400_000);
-    let c = &world.yarn.clients[0];
-    assert_eq!((c.state, c.outcome), (Some(ApplicationState::Finished), Some(FinalStatus::Succeeded as i32)));
-    assert!(world.yarn.checks.containers_done >= 120, "{}", world.yarn.checks.containers_done);
-    world.run_for(60_000);
-    sound(&world);
-    assert!(world.on_machines().is_empty(), "nothing is left of it: {:?}", world.on_machines());
+    for moment in 0..12 {
+        let client = Client::new("ann", "red", 2000, tally(&[100, 20]));
+        let mut world = World::new(plan(2 + moment, 3, scene(vec![client])));
+        while world.yarn.checks.containers_done == 0 {
+            world.run_for(500);
+            sound(&world);
+        }
+        let machine = world.machines_of("job-900000000010000001").pop().expect("containers run");
+        world.lose(&machine);
+        // Each time another moment of the containers that end then.
+        world.run_for(10_000 + moment * 230);
+        world.doom_owner();
+        through(&mut world, 400_000);
+        let c = &world.yarn.clients[0];
+        assert_eq!(
+            (c.state, c.outcome),
+            (Some(ApplicationState::Finished), Some(FinalStatus::Succeeded as i32))
+        );
+        assert!(world.yarn.checks.containers_done >= 120, "{}", world.yarn.checks.containers_done);
+        world.run_for(60_000);
+        sound(&world);
+        assert!(world.on_machines().is_empty(), "nothing is left of it: {:?}", world.on_machines());
+    }
 }
 
 /// A master that fails is begun again as another attempt, and no more often than its submitter allows.
@@ -261,7 +270,7 @@
 /// whose application is over and forgotten.
 #[test]
 fn ids_stand_for_one_content() {
-    let mut scene = scene((0..6).map(|i| Client::new("ann", "red", 2000 + 4000 * i, TOOL)).collect());
+    let mut scene = scene((0..6).map(|i| Client::new("ann", "red", 2000 + 9000 * i, TOOL)).collect());
     scene.yarn = Some(Config::parse("[most]\nremembered = 2\n").expect("good"));
     let mut world = World::new(plan(5, 3, scene));
     through(&mut world, 120_000);
@@ -302,7 +311,11 @@
             scene((0..3).map(|i| Client::new("ann", "red", 2000 + i * 500, tally(&[12, 6]))).collect());
         scene.undead = true;
         let mut world = World::new(plan(400 + seed, 3, scene));
-        world.run_for(16_000 + seed * 700);
+        // Its master has asked for containers, and some have come.
+        while world.machines_of("job-900000000010000001").is_empty() {
+            world.run_for(500);
+            sound(&world);
+        }
         let machine = world.machines_of("job-900000000010000000").pop().expect("a master runs");
         world.lose(&machine);
         through(&mut world, 300_000);
@@ -410,3 +423,55 @@
     }
     assert_eq!(world.yarn.checks.containers_done, 80);
 }
+
+/// Guards against descriptions that stay in the state service for ever: one that takes more records than a transaction
+/// may change is taken away by several, with those that are over.
+#[test]
+fn long_descriptions_go_with_their_application() {
+    let mut client = Client::new("ann", "red", 2000, TOOL);
+    client.padding = 45_000;
+    let mut world = World::new(plan(10, 3, scene(vec![client])));
+    let parts =
+        |world: &World| world.state.keys.keys().filter(|k| k.starts_with(gateway::records::PARTS)).count();
+    world.run_for(9000);
+    assert!(parts(&world) > 8, "more than one transaction: {}", parts(&world));
+    through(&mut world, 120_000);
+    world.run_for(20_000);
+    assert_eq!(parts(&world), 0);
+}
+
+/// Guards against a container that is lost for ever: its machine dies, its task begins again elsewhere, and the owner
+/// dies before the master has heard of the loss. The next owner can learn it from that task's runner only.
+#[test]
+fn losses_are_told_though_the_owner_dies_first() {
+    for moment in 0..14 {
+        let client = Client::new("ann", "red", 2000, Tally { run_ms: 20_000, ..tally(&[80]) });
+        let mut world = World::new(plan(600 + moment, 3, scene(vec![client])));
+        while world.yarn.runners.values().filter(|r| r.holds()).count() < 60 {
+            world.run_for(200);
+        }
+        let master = world.machines_of("job-900000000010000000");
+        let mut others = world.yarn.runners.values().filter(|r| r.holds() && !master.contains(&r.machine));
+        let machine = others.next().expect("containers run beside the master").machine.clone();
+        let on = |world: &World| -> Vec<(String, u64)> {
+            let here = world.yarn.runners.iter().filter(|(_, r)| r.machine == machine && r.holds());
+            here.map(|(key, _)| key.clone()).collect()
+        };
+        let lost = on(&world);
+        world.lose(&machine);
+        let again = |world: &World| {
+            let begun = |(task, old): &(String, u64)| {
+                world.yarn.runners.keys().any(|(t, attempt)| t == task && attempt > old)
+            };
+            lost.iter().any(begun)
+        };
+        while !again(&world) {
+            world.run_for(50);
+            sound(&world);
+        }
+        world.run_for(moment * 100);
+        world.crash_all();
+        through(&mut world, 300_000);
+        assert_eq!(world.yarn.clients[0].state, Some(ApplicationState::Finished), "moment {moment}");
+    }
+}
