Workers that can't reach the owner are served through any node that they do reach

Cause: where no node had both ways (two lost the state service, the third the workers), the owner heard nobody: thousands of tasks were killed by their leases and nothing was started for as long as it lasted.

Change: package reach judges from workers' flight which zones can't get to the owner; control::relay hands their reports and commands on, bounded, and control::views tells the nodes once a second who owns, whom the state service answers and which tokens are known (the vouching of the mend rides on it). An owner steps down for hearing few machines only where somebody could follow. A start in an answer to a report is owed until the next report: till then, what the worker answers to commands proves no absence.

--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -358,9 +358,15 @@
                 self.owner_said(node, token);
                 self.respond(conn, 200, peer::encode(&Answer::NotNow), None);
             }
-            Some(Ask::Vouch { token }) => {
-                let answer = if self.vouches_for(token) { Answer::Vouched } else { Answer::NotNow };
-                self.respond(conn, 200, peer::encode(&answer), None);
+            Some(Ask::View(view)) => {
+                if self.view_seen(view).is_none() {
+                    return self.refuse(conn, 400, "view: from nobody we know, or a token that can't be");
+                }
+                self.respond(conn, 200, peer::encode(&Answer::View(self.view())), None);
+            }
+            Some(Ask::Reports { node, reports }) => self.reports_handed(conn, &node, reports),
+            Some(Ask::Tell { machine, addr, body }) => {
+                self.tell_asked(conn, &machine, &addr, body.into_vec())
             }
             None => self.refuse(conn, 400, "not understood"),
         }
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -339,7 +339,8 @@
         if !self.sure() && self.part.as_ref().is_some_and(|p| p.token < token) {
             self.step_down("a peer owns the fleet with a higher token");
         }
-        if self.settings.peers.iter().any(|p| p.node == node) {
+        let newest = self.hint.as_ref().is_none_or(|h| h.token <= token || h.until <= self.now.mono);
+        if newest && self.settings.peers.iter().any(|p| p.node == node) {
             self.hint = Some(Hint { node, token, until });
         }
     }
@@ -351,9 +352,18 @@
 
     /// The node that workers should report to.
     pub(crate) fn owner_name(&self) -> Option<String> {
-        let known = self.shared.owner.as_ref().map(|o| (o.rec.token, &o.rec.node));
-        let said = self.hint.as_ref().filter(|h| h.until > self.now.mono).map(|h| (h.token, &h.node));
-        known.into_iter().chain(said).max_by_key(|(token, _)| *token).map(|(_, node)| node.clone())
+        self.owner_known().map(|(_, node)| node.to_owned())
+    }
+
+    pub(crate) fn owner_token(&self) -> Option<u64> {
+        self.owner_known().map(|(token, _)| token)
+    }
+
+    fn owner_known(&self) -> Option<(u64, &str)> {
+        let known = self.shared.owner.as_ref().map(|o| (o.rec.token, o.rec.node.as_str()));
+        let said = self.hint.as_ref().filter(|h| h.until > self.now.mono);
+        let said = said.map(|h| (h.token, h.node.as_str()));
+        known.into_iter().chain(said).max_by_key(|(token, _)| *token)
     }
 
     pub(crate) fn renewed(&mut self, asked: u64, sent: u64, response: Option<Response>) {
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -274,6 +274,7 @@
             .map(|c| c.types.iter().map(|t| (t.name.clone(), t.boot_s)).collect())
             .unwrap_or_default();
         let patience = self.tuning.boot_patience;
+        let can_follow = self.could_be_followed();
         let Some(part) = &mut self.part else { return };
         if now.mono < part.since + grace {
             return;
@@ -307,6 +308,7 @@
         }
         if up >= 4
             && quiet * 2 > up
+            && can_follow
             && self.stood_back_at.is_none_or(|at| now.mono > at + STAND_BACK_MEMORY_MS)
         {
             // That many seldom fail at once: more likely we are cut off from them, and another node is not.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -12,12 +12,14 @@
 mod machines;
 mod part;
 mod quotas;
+mod relay;
 mod renewal;
 mod reports;
 mod sched;
 pub mod side;
 mod standing;
 mod tuning;
+mod views;
 
 use budget::Bucket;
 use election::{Role, Shared};
@@ -103,7 +105,9 @@
     Grant { sent: u64 },
     Renew { lease: u64, sent: u64 },
     Take { lease: u64 },
-    Vouch { epoch: u64, sent: u64, peer: usize },
+    View { sent: u64, peer: usize },
+    Relayed { conns: Vec<u64> },
+    Tell { conn: u64 },
     Release,
     Load { epoch: u64, what: part::Load },
     LiveWatch { epoch: u64 },
@@ -122,8 +126,8 @@
     List { epoch: u64 },
     Hire { epoch: u64, name: String },
     Delete { epoch: u64, machines: Vec<usize> },
-    Direct { epoch: u64, machine: usize, serial: u64 },
-    Show { epoch: u64, machine: usize, serial: u64 },
+    Direct { epoch: u64, machine: usize, serial: u64, via: bool },
+    Show { epoch: u64, machine: usize, serial: u64, via: bool },
 }
 
 impl Pending {
@@ -151,6 +155,7 @@
 /// Largest answer that is read from the state service; watches have no limit of their own.
 const STATE_ANSWER: usize = 8 << 20;
 const SMALL_ANSWER: usize = 128 << 10;
+const PEER_ANSWER: usize = 1 << 20;
 
 /// One controller.
 pub struct Node {
@@ -175,6 +180,12 @@
     retries: VecDeque<(u64, Asker, Box<JobSpec>, u64, u32)>,
     /// When the state service last refused or did not answer us, unless it has answered since.
     state_bad_at: Option<u64>,
+    /// When it last answered us.
+    state_good_at: Option<u64>,
+    /// What the other nodes say.
+    views: views::Views,
+    /// What we hand on for them.
+    relay: relay::Relay,
     catalog_at: u64,
     /// When we last gave the fleet up because most machines could not be heard.
     stood_back_at: Option<u64>,
@@ -198,6 +209,8 @@
     pub plan_steps: u64,
     pub starts: u64,
     pub preempts: u64,
+    /// Reports that came by way of a peer.
+    pub relayed: u64,
 }
 
 /// Final states that were seen: they never change, so any copy is as good as the record.
@@ -253,6 +266,9 @@
             finals: Finals::new(finals),
             retries: VecDeque::new(),
             state_bad_at: None,
+            state_good_at: None,
+            views: views::Views::default(),
+            relay: relay::Relay::default(),
             catalog_at: 0,
             stood_back_at: None,
             to_write: false,
@@ -299,7 +315,8 @@
 
     fn tick(&mut self) {
         self.election_tick();
-        self.renewal_tick();
+        self.views_tick();
+        self.relay_tick();
         self.door_tick();
         self.share_writes();
         self.quotas_tick();
@@ -339,6 +356,8 @@
         let answer_limit = match to {
             _ if path == wire::admin::PATH => wire::admin::ANSWER_LIMIT,
             Dest::State | Dest::Cloud => STATE_ANSWER,
+            // Orders for many workers.
+            Dest::Peer(_) => PEER_ANSWER,
             _ => SMALL_ANSWER,
         };
         if to == Dest::State {
@@ -370,6 +389,9 @@
         if what.asks_state() {
             let bad = response.as_ref().is_none_or(|r| r.status == 503);
             self.state_bad_at = bad.then_some(self.now.mono);
+            if !bad {
+                self.state_good_at = Some(self.now.mono);
+            }
             // Looked at again and again until it serves us; the owner's renewals do the same.
             if bad && self.shared.known && !self.owns() {
                 self.reread_shared(300);
@@ -382,7 +404,9 @@
             Pending::Renew { lease, sent } => self.renewed(lease, sent, response),
             Pending::Take { lease } => self.took(lease, response),
             Pending::Release => {}
-            Pending::Vouch { epoch: e, sent, peer } if e == epoch => self.vouched(sent, peer, response),
+            Pending::View { sent, peer } => self.view_came(sent, peer, response),
+            Pending::Relayed { conns } => self.relayed(conns, response),
+            Pending::Tell { conn } => self.worker_told(conn, response),
             Pending::Accept { asker, spec, at, tries } => self.accepted(asker, spec, at, tries, response),
             Pending::ReadLive { asker, job, why } => self.live_read(asker, job, why, response),
             Pending::ReadEnd { asker, job, why } => self.end_read(asker, job, why, response),
@@ -401,11 +425,11 @@
             Pending::List { epoch: e } if e == epoch => self.list_came(response),
             Pending::Hire { epoch: e, name } if e == epoch => self.hired(name, response),
             Pending::Delete { epoch: e, machines } if e == epoch => self.deleted(machines, response),
-            Pending::Direct { epoch: e, machine, serial } if e == epoch => {
-                self.direct_came(machine, serial, response)
+            Pending::Direct { epoch: e, machine, serial, via } if e == epoch => {
+                self.direct_came(machine, serial, if via { relay::told(response) } else { response })
             }
-            Pending::Show { epoch: e, machine, serial } if e == epoch => {
-                self.show_came(machine, serial, response)
+            Pending::Show { epoch: e, machine, serial, via } if e == epoch => {
+                self.show_came(machine, serial, if via { relay::told(response) } else { response })
             }
             _ => {}
         }
--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -83,6 +83,10 @@
     pub size: usize,
     pub recorded: bool,
     pub addr: Option<SocketAddr>,
+    /// The peer by way of which its worker reports, if not by itself.
+    pub via: Option<usize>,
+    /// A report whose answer carried a start, which may still be on its way to the worker.
+    pub owed: Option<(u64, u64)>,
     /// Its worker has reported to us.
     pub up: bool,
     pub heard_at: u64,
@@ -122,6 +126,8 @@
             size: KindRec::entry(name, machine_type, zone),
             recorded: false,
             addr: None,
+            via: None,
+            owed: None,
             up: false,
             heard_at: 0,
             seen: (0, 0),
--- /dev/null
+++ b/crates/control/src/relay.rs
@@ -0,0 +1,183 @@
+//! Reports that come to a node which does not own the fleet, from workers that can't reach the one that does: handed to
+//! the owner, many to a message, and its orders handed back within the time that a worker waits. Commands to such
+//! workers go the same way.
+//!
+//! A relayed report is the worker's own, with its session and number, and a relayed answer is the owner's own, with
+//! its token: a relay judges, renews and orders nothing. It asks only the owner, so that nothing goes in circles.
+
+use crate::reports::Told;
+use crate::{Dest, Node, Pending};
+use reach::{Caller, Owner, Turn, Ways};
+use serde_bytes::ByteBuf;
+use std::net::SocketAddr;
+use wire::api::Report;
+use wire::http::Response;
+use wire::peer::{self, Answer, Ask};
+
+/// Reports in a message, their bytes, and messages that are out at once. What is beyond is refused: relays are the
+/// first thing that overload sheds.
+const BATCH: usize = 32;
+const BATCH_BYTES: usize = 256 << 10;
+const OUT: usize = 16;
+const QUEUE: usize = 256;
+/// A worker waits 4 s for its answer.
+const REPORTS_TIMEOUT_MS: u64 = 2500;
+/// An owner that does not take what is handed to it is left alone for so long.
+const REST_MS: u64 = 1000;
+/// Shorter than an owner waits for the answer to a command.
+const TELL_TIMEOUT_MS: u64 = 1500;
+
+/// What the end of a command is called that a peer has not sent, since it does not serve that worker.
+pub(crate) const NOT_SENT: u16 = 421;
+
+/// What a relay holds.
+#[derive(Default)]
+pub(crate) struct Relay {
+    pub ways: Ways,
+    queue: Vec<(u64, ByteBuf)>,
+    bytes: usize,
+    out: usize,
+    rests_until: u64,
+}
+
+impl Node {
+    fn relays(&self) -> bool {
+        self.tuning.relays > 0.0
+    }
+
+    /// A report to a node that does not own the fleet: true if it is handed on.
+    pub(crate) fn takes(&mut self, conn: u64, report: &Report, body: &[u8]) -> bool {
+        let now = self.now.mono;
+        let owner = self.owner_peer().zip(self.owner_token());
+        let Some((node, token)) = owner.filter(|_| self.relays() && now >= self.relay.rests_until) else {
+            return false;
+        };
+        let owner = Owner { node, token };
+        let caller = Caller { machine: &report.machine, zone: &report.zone, token: report.token };
+        if self.relay.ways.came(now, &caller, owner) == Turn::Send {
+            return false;
+        }
+        if self.relay.queue.len() >= QUEUE {
+            self.refuse(conn, 503, "too many reports to hand on");
+            return true;
+        }
+        self.relay.bytes += body.len();
+        self.relay.queue.push((conn, ByteBuf::from(body)));
+        if self.relay.queue.len() >= BATCH || self.relay.bytes >= BATCH_BYTES {
+            self.hand_on();
+        }
+        true
+    }
+
+    pub(crate) fn relay_tick(&mut self) {
+        if !self.relay.queue.is_empty() {
+            self.hand_on();
+        }
+    }
+
+    fn hand_on(&mut self) {
+        let Some(peer) = self.owner_peer().filter(|_| self.relay.out < OUT) else {
+            return self.refuse_queue();
+        };
+        self.relay.bytes = 0;
+        let (conns, reports): (Vec<u64>, Vec<ByteBuf>) = self.relay.queue.drain(..).unzip();
+        self.relay.out += 1;
+        let body = peer::encode(&Ask::Reports { node: self.settings.node.clone(), reports });
+        let to = Dest::Peer(peer);
+        self.send(to, "POST", peer::PATH.into(), body, REPORTS_TIMEOUT_MS, Pending::Relayed { conns });
+    }
+
+    fn refuse_queue(&mut self) {
+        self.relay.bytes = 0;
+        for (conn, _) in std::mem::take(&mut self.relay.queue) {
+            self.refuse(conn, 503, "the owner can't be reached from here");
+        }
+    }
+
+    pub(crate) fn relayed(&mut self, conns: Vec<u64>, response: Option<Response>) {
+        self.relay.out = self.relay.out.saturating_sub(1);
+        let answer = response.filter(|r| r.status == 200).and_then(|r| peer::decode::<Answer>(&r.body).ok());
+        let bodies = match answer {
+            Some(Answer::Orders(bodies)) if bodies.len() == conns.len() => bodies,
+            _ => {
+                self.relay.rests_until = self.now.mono + REST_MS;
+                conns.iter().map(|_| ByteBuf::new()).collect()
+            }
+        };
+        for (conn, body) in conns.into_iter().zip(bodies) {
+            if body.is_empty() {
+                self.refuse(conn, 503, "the owner does not answer");
+            } else {
+                self.respond(conn, 200, body.into_vec(), None);
+            }
+        }
+    }
+
+    /// Reports that a peer hands on. What can't be taken is refused one by one, and nothing else is lost.
+    pub(crate) fn reports_handed(&mut self, conn: u64, node: &str, reports: Vec<ByteBuf>) {
+        let peer = self.settings.peers.iter().position(|p| p.node == node);
+        let Some(peer) = peer.filter(|_| reports.len() <= QUEUE) else {
+            self.stats.bad_answers += 1;
+            return self.refuse(conn, 400, "reports: from nobody we know, or too many");
+        };
+        if self.part.is_none() {
+            return self.respond(conn, 200, peer::encode(&Answer::NotNow), None);
+        }
+        let bodies = reports.iter().map(|body| self.handed(peer, body)).collect();
+        self.respond(conn, 200, peer::encode(&Answer::Orders(bodies)), None);
+    }
+
+    fn handed(&mut self, peer: usize, body: &[u8]) -> ByteBuf {
+        let Ok(report) = wire::decode::<Report>(body) else {
+            self.stats.bad_answers += 1;
+            return ByteBuf::new();
+        };
+        self.stats.relayed += 1;
+        match self.take_report(&report, Some(peer)) {
+            Told::Orders(body) => ByteBuf::from(body),
+            Told::Refused(_) => ByteBuf::new(),
+        }
+    }
+
+    /// The owner has something to say to a worker that is served here.
+    pub(crate) fn tell_asked(&mut self, conn: u64, machine: &str, addr: &str, body: Vec<u8>) {
+        let known = self.relay.ways.serves(self.now.mono, machine);
+        let Some(addr) = addr.parse::<SocketAddr>().ok().filter(|_| known && self.relays()) else {
+            let answer = Answer::Refused { status: NOT_SENT };
+            return self.respond(conn, 200, peer::encode(&answer), None);
+        };
+        let what = Pending::Tell { conn };
+        self.send(Dest::Worker(addr), "POST", "/commands".into(), body, TELL_TIMEOUT_MS, what);
+    }
+
+    pub(crate) fn worker_told(&mut self, conn: u64, response: Option<Response>) {
+        let answer =
+            response.map_or(Answer::NotNow, |r| Answer::Told { status: r.status, body: r.body.into() });
+        self.respond(conn, 200, peer::encode(&answer), None);
+    }
+
+    /// A command to a worker, by way of the node that it reports to.
+    pub(crate) fn command(&mut self, m: usize, addr: SocketAddr, body: Vec<u8>, timeout: u64, what: Pending) {
+        let machine = self.part.as_ref().and_then(|p| p.machine(m));
+        let via = machine.and_then(|m| Some((m.via?, m.name.clone())));
+        match via {
+            Some((peer, machine)) => {
+                let ask = Ask::Tell { machine, addr: addr.to_string(), body: body.into() };
+                self.send(Dest::Peer(peer), "POST", peer::PATH.into(), peer::encode(&ask), timeout, what);
+            }
+            None => self.send(Dest::Worker(addr), "POST", "/commands".into(), body, timeout, what),
+        }
+    }
+}
+
+/// What a worker answered, where a peer tells it. A peer's own answer that is none is as good as silence.
+pub(crate) fn told(response: Option<Response>) -> Option<Response> {
+    let response = response.filter(|r| r.status == 200)?;
+    match peer::decode::<Answer>(&response.body) {
+        Ok(Answer::Told { status, body }) if status != NOT_SENT => {
+            Some(Response { status, body: body.into_vec(), ..response })
+        }
+        Ok(Answer::Refused { status }) => Some(Response { status, ..response }),
+        _ => None,
+    }
+}
--- a/crates/control/src/renewal.rs
+++ b/crates/control/src/renewal.rs
@@ -6,18 +6,14 @@
 //!
 //! Nothing here gives an order or decides who owns.
 
+use crate::Node;
 use crate::election::Role;
-use crate::{Dest, Node, Pending};
-use wire::http::Response;
-use wire::peer::{self, Answer, Ask};
 use wire::settings::Workers;
 
 /// Two clocks that drift apart by 0.05% each, doubled.
 const DRIFT: f64 = 0.002;
 /// Workers look at their lease now and then, and an end takes a moment.
 const SLACK_MS: f64 = 2000.0;
-/// An unsure owner asks its peers this often.
-const ASK_EVERY_MS: u64 = 1000;
 
 /// How long, in milliseconds, answers may go on after the last moment at which no other node can have told anybody
 /// of a cancel: what is renewed at its end is gone `cancel_s` after that moment.
@@ -69,31 +65,18 @@
         self.sure() || self.now.mono < known + bound_ms(&self.settings.cluster.workers)
     }
 
-    /// An owner that is unsure asks all others whether anybody else can have told of a cancel.
-    pub(crate) fn renewal_tick(&mut self) {
-        let (now, sure, epoch) = (self.now.mono, self.sure(), self.epoch);
-        let peers = self.settings.peers.len();
-        let Some(part) = self.part.as_mut().filter(|p| p.loaded && !sure) else { return };
-        if now < part.vouches.asked + ASK_EVERY_MS {
-            return;
+    /// All others are asked now what they know.
+    pub(crate) fn ask_for_word(&mut self, now: u64, peers: usize) {
+        if let Some(part) = &mut self.part {
+            part.vouches.ask(now, peers);
         }
-        part.vouches.ask(now, peers);
-        let body = peer::encode(&Ask::Vouch { token: part.token });
-        for peer in 0..peers {
-            let what = Pending::Vouch { epoch, sent: now, peer };
-            self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body.clone(), ASK_EVERY_MS, what);
-        }
-    }
-
-    /// Whether no cancel can have been told under a higher token by this node up to now. One that has begun since
-    /// must have read the counter first: it may have been the owner before it ended.
-    pub(crate) fn vouches_for(&self, token: u64) -> bool {
-        self.shared.revision > 0 && self.shared.token <= token && self.hinted_token() <= token
     }
 
-    pub(crate) fn vouched(&mut self, sent: u64, peer: usize, response: Option<Response>) {
-        let answer = response.filter(|r| r.status == 200).and_then(|r| peer::decode::<Answer>(&r.body).ok());
-        if let (Some(Answer::Vouched), Some(part)) = (answer, &mut self.part) {
+    /// A peer has answered what was sent then: the highest token that it knows of, if it has read the counter.
+    pub(crate) fn word_came(&mut self, sent: u64, peer: usize, token: Option<u64>) {
+        if let Some(part) = &mut self.part
+            && token.is_some_and(|t| t <= part.token)
+        {
             part.vouches.answer(sent, peer);
         }
     }
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -6,24 +6,34 @@
 use crate::jobs::JobIx;
 use crate::ledger::ClaimId;
 use crate::machines::{Claim, ClaimState, Exited, Machine};
+use crate::relay::NOT_SENT;
 use crate::sched::grace;
-use crate::{Dest, Node, Pending};
+use crate::views::TOKEN_BOUND;
+use crate::{Node, Pending};
 use std::collections::BTreeSet;
 use wire::api::{Cause, Kind, Order, Orders, Redirect, Report, TaskStage};
 use wire::http::Response;
 use wire::ids;
 
-/// Attempts hold the token in their upper half.
-const TOKEN_BOUND: u64 = 1 << 31;
 const DIRECT_TIMEOUT_MS: u64 = 2000;
 
+/// What a report is answered.
+pub(crate) enum Told {
+    /// The body of a 200.
+    Orders(Vec<u8>),
+    Refused(&'static str),
+}
+
 impl Node {
     pub(crate) fn hello(&mut self, conn: u64, body: &[u8]) {
         let report: Report = match wire::decode(body) {
             Ok(r) => r,
             Err(e) => return self.refuse(conn, 400, &e.to_string()),
         };
-        let Some(part) = &self.part else {
+        if self.part.is_none() {
+            if self.takes(conn, &report, body) {
+                return;
+            }
             return match self.owner_name().filter(|o| *o != self.settings.node) {
                 Some(node) => {
                     let body = wire::encode(&Redirect { report_to: Some(node) });
@@ -31,45 +41,80 @@
                 }
                 None => self.refuse(conn, 503, "no owner yet"),
             };
-        };
+        }
+        match self.take_report(&report, None) {
+            Told::Orders(body) => self.respond(conn, 200, body, None),
+            Told::Refused(why) => self.refuse(conn, 503, why),
+        }
+    }
+
+    /// A report to the owner, from the worker itself or by way of a peer.
+    pub(crate) fn take_report(&mut self, report: &Report, via: Option<usize>) -> Told {
+        let Some(part) = &self.part else { return Told::Refused("not the owner") };
         if report.token > part.token {
-            return self.outranked(conn, report.token);
+            return Told::Refused(self.outranked(report.token));
         }
         let token = part.token;
         if !part.loaded {
             // What runs there may have been cancelled long ago, so its lease is not renewed: the worker drops what
             // has no token, but stays.
             let body = wire::encode(&Orders { token: 0, session: None, orders: Vec::new() });
-            return self.respond(conn, 200, body, None);
+            return Told::Orders(body);
         }
         if !self.may_renew() {
-            return self.refuse(conn, 503, "not sure for too long");
+            return Told::Refused("not sure for too long");
         }
-        let orders = match self.reporter(&report) {
-            Some(m) if self.absorb(m, &report) => self.orders_for(m),
+        let orders = match self.reporter(report) {
+            Some(m) if self.heard(m, report, via) => {
+                let orders = self.orders_for(m);
+                self.owe(m, &orders);
+                orders
+            }
             _ => Vec::new(),
         };
-        let body = wire::encode(&Orders { token, session: None, orders });
-        self.respond(conn, 200, body, None);
+        Told::Orders(wire::encode(&Orders { token, session: None, orders }))
+    }
+
+    /// A start in the answer to a report may overtake a command, or be overtaken: until the next report, what a worker
+    /// answers to commands proves nothing about it.
+    fn owe(&mut self, m: usize, orders: &[Order]) {
+        if orders.iter().any(|o| matches!(o, Order::Start { .. }))
+            && let Some(machine) = self.part.as_mut().and_then(|p| p.machine_mut(m))
+        {
+            machine.owed = Some(machine.seen);
+        }
+    }
+
+    /// A report that a worker has made of itself; true if it is the newest. It waits for no answer to an earlier one
+    /// any more, so nothing of that can still be executed.
+    fn heard(&mut self, m: usize, report: &Report, via: Option<usize>) -> bool {
+        let Some(machine) = self.part.as_mut().and_then(|p| p.machine_mut(m)) else { return false };
+        if (report.session, report.seq) > machine.seen {
+            machine.via = via;
+            if machine.owed.is_some_and(|owed| owed < (report.session, report.seq)) {
+                machine.owed = None;
+            }
+        }
+        self.absorb(m, report)
     }
 
     /// Its worker obeys a higher token than ours. While sure of our lease that can only be a stray number, and
     /// we go above it; otherwise there is a new owner.
-    fn outranked(&mut self, conn: u64, token: u64) {
+    fn outranked(&mut self, token: u64) -> &'static str {
         log::warn!("a worker obeys token {token}, above ours");
         if self.sure() {
             // One worker's absurd number must neither use up the counter nor unseat a rightful owner.
             if token >= TOKEN_BOUND {
-                return self.refuse(conn, 503, "that token was never given out");
+                return "that token was never given out";
             }
             self.shared.token = self.shared.token.max(token);
             if let Some(part) = &mut self.part {
                 part.raise_token = true;
             }
-            return self.refuse(conn, 503, "raising the token");
+            return "raising the token";
         }
         self.step_down("workers obey a higher token");
-        self.refuse(conn, 503, "not the owner any more");
+        "not the owner any more"
     }
 
     /// The machine that a report comes from; one that nobody expected is taken in.
@@ -112,8 +157,9 @@
             part.plan_due = true;
         }
         // What is not listed now is gone only if nothing that could start it is still under way: no command
-        // of an earlier token, no direct command unanswered.
-        let proof = report.token >= token && machine.direct.is_none() && machine.taint.is_none();
+        // of an earlier token, no direct command unanswered, no start in an answer that a worker still waits for.
+        let quiet = machine.direct.is_none() && machine.owed.is_none() && machine.taint.is_none();
+        let proof = report.token >= token && quiet;
         let noticed =
             report.notice_s.filter(|n| n.is_finite() && *n >= 0.0).map(|n| now + (n * 1000.0) as u64);
         let new_notice = noticed.is_some() && machine.notice_until.is_none();
@@ -450,9 +496,10 @@
             let Some(machine) = part.machine_mut(m) else { continue };
             let Some(addr) = machine.addr else { continue };
             machine.direct = Some(serial);
+            let via = machine.via.is_some();
             let body = wire::encode(&Orders { token, session: Some(machine.seen.0), orders });
-            let what = Pending::Direct { epoch, machine: m, serial };
-            self.send(Dest::Worker(addr), "POST", "/commands".into(), body, DIRECT_TIMEOUT_MS, what);
+            let what = Pending::Direct { epoch, machine: m, serial, via };
+            self.command(m, addr, body, DIRECT_TIMEOUT_MS, what);
         }
     }
 
@@ -463,6 +510,7 @@
     }
 
     pub(crate) fn direct_came(&mut self, m: usize, serial: u64, response: Option<Response>) {
+        let unsent = response.as_ref().is_some_and(|r| r.status == NOT_SENT);
         let report = self.command_report(response);
         let Some(part) = &mut self.part else { return };
         let token = part.token;
@@ -475,6 +523,8 @@
             Some(report) if report.machine == machine.name => {
                 self.absorb(m, &report);
             }
+            // Nothing of it can ever be executed; its next report brings what is missing to light.
+            _ if unsent => {}
             _ => {
                 // It may be executed minutes from now. Only a higher token, once the worker has seen it, rules
                 // that out; until then nothing here is reaped or proved gone, and nothing new is placed.
@@ -498,9 +548,10 @@
         machine.probed_at = now;
         // Most have never lost their lease; otherwise the refusal tells the session.
         let session = Some(machine.seen.0.max(1));
+        let via = machine.via.is_some();
         let body = wire::encode(&Orders { token, session, orders: Vec::new() });
-        let what = Pending::Show { epoch, machine: m, serial };
-        self.send(Dest::Worker(addr), "POST", "/commands".into(), body, DIRECT_TIMEOUT_MS, what);
+        let what = Pending::Show { epoch, machine: m, serial, via };
+        self.command(m, addr, body, DIRECT_TIMEOUT_MS, what);
     }
 
     pub(crate) fn show_came(&mut self, m: usize, serial: u64, response: Option<Response>) {
--- a/crates/control/src/tuning.rs
+++ b/crates/control/src/tuning.rs
@@ -46,6 +46,9 @@
         online_factor = 1.5 in 1.0..=20.0, "The smallest stretch is relaxed by this factor.";
         patience_s = 3.0 in 0.0..=3600.0, "An urgent gang waits this long for room before others are stopped for it.";
     }
+    "reach": {
+        relays = 1.0 in 0.0..=1.0, "1 lets a node hand on reports and commands of workers that can't reach the owner.";
+    }
     "admin": {
         door = 0.0 in 0.0..=1.0, "1 opens the operators' door on the peers' side (stoathatch quota).";
     }
--- /dev/null
+++ b/crates/control/src/views.rs
@@ -0,0 +1,91 @@
+//! What the nodes tell each other once a second: who owns, whom the state service answers, which tokens are known.
+//!
+//! What it says of reach only chooses who acts. What it says of tokens is proof for [`crate::renewal`].
+
+use crate::{Dest, Node, Pending};
+use wire::http::Response;
+use wire::peer::{self, Answer, Ask, View};
+
+/// Nodes ask each other this often; an answer that takes longer is none.
+const EVERY_MS: u64 = 1000;
+/// A view is believed for so long.
+const FRESH_MS: u64 = 3000;
+/// The state service answers a node that has heard from it within this time: its watch says something every 5 s.
+const STATE_MS: u64 = 6500;
+/// Where the service does not count this high, nobody has a token above it.
+pub(crate) const TOKEN_BOUND: u64 = 1 << 31;
+
+/// The newest view of each peer, with its time.
+#[derive(Debug, Default)]
+pub(crate) struct Views {
+    asked: u64,
+    of: Vec<Option<(u64, View)>>,
+}
+
+impl Node {
+    pub(crate) fn views_tick(&mut self) {
+        let now = self.now.mono;
+        let peers = self.settings.peers.len();
+        if now < self.views.asked + EVERY_MS {
+            return;
+        }
+        self.views.asked = now;
+        self.views.of.resize_with(peers, || None);
+        self.ask_for_word(now, peers);
+        let body = peer::encode(&Ask::View(self.view()));
+        for peer in 0..peers {
+            let what = Pending::View { sent: now, peer };
+            self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body.clone(), EVERY_MS, what);
+        }
+    }
+
+    pub(crate) fn view(&self) -> View {
+        let now = self.now.mono;
+        View {
+            node: self.settings.node.clone(),
+            state_ms: self.state_good_at.map(|at| now.saturating_sub(at)),
+            // Until the counter has been read, nothing is known of what this node was before it began.
+            token: (self.shared.revision > 0).then(|| self.shared.token.max(self.hinted_token())),
+            owns: self.part.as_ref().filter(|_| self.decides()).map(|p| p.token),
+            serves: self.relay.ways.taken(now) as u32,
+        }
+    }
+
+    /// A peer's view, as it asked or answered. A name or a token that can't be is refused.
+    pub(crate) fn view_seen(&mut self, view: View) -> Option<usize> {
+        let peer = self.settings.peers.iter().position(|p| p.node == view.node)?;
+        if view.owns.max(view.token).is_some_and(|t| t >= TOKEN_BOUND) {
+            self.stats.bad_answers += 1;
+            return None;
+        }
+        if let Some(token) = view.owns {
+            self.owner_said(view.node.clone(), token);
+        }
+        let now = self.now.mono;
+        self.views.of.resize_with(self.settings.peers.len(), || None);
+        self.views.of[peer] = Some((now, view));
+        Some(peer)
+    }
+
+    pub(crate) fn view_came(&mut self, sent: u64, peer: usize, response: Option<Response>) {
+        let answer = response.filter(|r| r.status == 200).and_then(|r| peer::decode::<Answer>(&r.body).ok());
+        let Some(Answer::View(view)) = answer else { return };
+        let token = view.token;
+        if self.view_seen(view) == Some(peer) {
+            self.word_came(sent, peer, token);
+        }
+    }
+
+    fn fresh_views(&self) -> impl Iterator<Item = (u64, &View)> {
+        let now = self.now.mono;
+        let fresh = self.views.of.iter().flatten().filter(move |(at, _)| now < at + FRESH_MS);
+        fresh.map(move |(at, view)| (now - at, view))
+    }
+
+    /// Whether another node could own the fleet in this one's place, as far as anybody can say: one that the state
+    /// service answers, or, while no peer says anything, perhaps any.
+    pub(crate) fn could_be_followed(&self) -> bool {
+        let state = |(age, v): (u64, &View)| v.state_ms.is_some_and(|ms| ms.saturating_add(age) < STATE_MS);
+        self.fresh_views().next().is_none() || self.fresh_views().any(state)
+    }
+}
--- /dev/null
+++ b/crates/reach/src/lib.rs
@@ -0,0 +1,205 @@
+//! Which ways between hosts seem open: from what is sent anyway, a node judges whether a zone's workers reach the owner
+//! by themselves, or should be served through this node.
+//!
+//! Pure: no I/O, no clock, no randomness; times are milliseconds of the caller's steady clock. It only chooses who
+//! acts: nothing that must hold may rest on it, and it may not decide who owns, who is alive or what may start.
+//!
+//! Taken from the field: suspicion that grows with each failure and decays with time, as in the φ accrual detector
+//! (Hayashibara et al., 2004), and the indirect way through another member once the direct one has failed, as in SWIM
+//! (Das et al., 2002). Own to this place: what is measured is not a heartbeat but workers that flee from the owner.
+//!
+//! ```
+//! use reach::{Caller, Owner, Turn, Ways};
+//! let mut ways = Ways::default();
+//! let owner = Owner { node: 2, token: 7 };
+//! let caller = |token| Caller { machine: "m1", zone: "a", token };
+//! // It has obeyed an earlier owner only: it may simply not have found the present one yet.
+//! assert_eq!(ways.came(0, &caller(6), owner), Turn::Send);
+//! // It was sent there and comes back: it can't get there.
+//! assert_eq!(ways.came(6_000, &caller(6), owner), Turn::Take);
+//! ```
+
+use std::collections::HashMap;
+
+/// Machines that are remembered at most.
+const MACHINES: usize = 8192;
+/// Zones that are remembered at most.
+const ZONES: usize = 64;
+/// A worker that was sent to the owner and is back within this time has not been served there.
+const BACK_MS: u64 = 20_000;
+/// What is suspected falls to half in this time.
+const HALF_MS: f64 = 15_000.0;
+/// From so many failures on, machines of a zone are not sent to the owner any more.
+const SUSPECT: f64 = 1.5;
+/// How long after a failure one machine is sent there, to see whether the way is open again; doubled each time that it is not.
+const PROBE_MS: u64 = 6000;
+const PROBE_MOST_MS: u64 = 30_000;
+/// A machine that was sent as a probe and is not back by then has been served.
+const PROBE_OPEN_MS: u64 = 8000;
+/// The interval is halved for each such time without a failure, so that flapping ways are not believed at once.
+const CALM_MS: u64 = 60_000;
+
+/// A worker that reports to a node which does not own the fleet.
+#[derive(Debug, Clone, Copy)]
+pub struct Caller<'a> {
+    pub machine: &'a str,
+    pub zone: &'a str,
+    /// The highest token that it has seen.
+    pub token: u64,
+}
+
+/// Who owns the fleet, as far as the caller knows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Owner {
+    /// Any number that stands for its host.
+    pub node: usize,
+    pub token: u64,
+}
+
+/// What to do with it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// Send it to the owner.
+    Send,
+    /// Take its report and hand it on.
+    Take,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Last {
+    Sent,
+    Taken,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    at: u64,
+    last: Last,
+}
+
+/// How a zone's way to the owner looks.
+#[derive(Debug, Clone)]
+struct Zone {
+    /// Failures, decaying; as of a time.
+    lost: f64,
+    at: u64,
+    every: u64,
+    probe_at: u64,
+    /// The machine that was sent to try, and when.
+    probe: Option<(String, u64)>,
+    /// A probe did not come back, and nobody has failed since: all are sent on.
+    open: bool,
+}
+
+impl Zone {
+    fn new(now: u64) -> Self {
+        Zone { lost: 0.0, at: now, every: PROBE_MS, probe_at: now + PROBE_MS, probe: None, open: false }
+    }
+
+    fn suspicion(&self, now: u64) -> f64 {
+        self.lost * 0.5f64.powf(now.saturating_sub(self.at) as f64 / HALF_MS)
+    }
+
+    fn failed(&mut self, now: u64, machine: &str) {
+        let calm = now.saturating_sub(self.at) / CALM_MS;
+        self.every = (self.every >> calm.min(8)).max(PROBE_MS);
+        self.lost = (self.suspicion(now) + 1.0).min(4.0 * SUSPECT);
+        self.open = false;
+        self.at = now;
+        let is_probe = self.probe.as_ref().is_some_and(|(m, _)| m == machine);
+        if is_probe {
+            self.probe = None;
+            self.every = (self.every * 2).min(PROBE_MOST_MS);
+            self.probe_at = now + self.every;
+        }
+    }
+
+    /// Whether this machine should try the way again.
+    fn tries(&mut self, now: u64, machine: &str) -> bool {
+        if let Some((_, since)) = &self.probe {
+            if now < since + PROBE_OPEN_MS {
+                return false;
+            }
+            // It has not come back: the way is open, and the others may go too.
+            self.probe = None;
+            self.lost = 0.0;
+            self.open = true;
+        }
+        if self.open || now < self.probe_at {
+            return self.open;
+        }
+        self.probe = Some((machine.to_owned(), now));
+        self.probe_at = now + self.every;
+        true
+    }
+}
+
+/// What a node that does not own the fleet has seen of the workers that come to it.
+#[derive(Debug, Default)]
+pub struct Ways {
+    /// The owner, with the first of its tokens that was heard of: it may raise it, and the ways stay the same. With
+    /// another owner, all ways are others.
+    owner: Option<Owner>,
+    machines: HashMap<String, Seen>,
+    zones: HashMap<String, Zone>,
+    /// When a worker last came that can't reach the owner.
+    taken_at: Option<u64>,
+}
+
+impl Ways {
+    /// A worker reports here while somebody else owns the fleet under `owner`.
+    pub fn came(&mut self, now: u64, caller: &Caller<'_>, owner: Owner) -> Turn {
+        if self.owner.is_none_or(|o| o.node != owner.node) {
+            *self = Ways { owner: Some(owner), ..Ways::default() };
+        }
+        let since = self.owner.map_or(owner.token, |o| o.token);
+        let seen = self.machines.get(caller.machine).copied();
+        let back = seen.is_some_and(|s| s.last == Last::Sent && now < s.at + BACK_MS);
+        // It has obeyed this owner and does not report to it any more; or it was sent there, in vain.
+        let fled = back || (seen.is_none() && (since..=owner.token).contains(&caller.token));
+        if self.zones.len() >= ZONES && !self.zones.contains_key(caller.zone) {
+            return Turn::Send;
+        }
+        let zone = self.zones.entry(caller.zone.to_owned()).or_insert_with(|| Zone::new(now));
+        let stays = seen.is_some_and(|s| s.last == Last::Taken);
+        let turn = if fled {
+            zone.failed(now, caller.machine);
+            Turn::Take
+        } else if stays && zone.tries(now, caller.machine) {
+            Turn::Send
+        } else if stays || zone.suspicion(now) >= SUSPECT {
+            Turn::Take
+        } else {
+            Turn::Send
+        };
+        if turn == Turn::Take {
+            self.taken_at = Some(now);
+        }
+        self.remember(now, caller.machine, if turn == Turn::Take { Last::Taken } else { Last::Sent });
+        turn
+    }
+
+    fn remember(&mut self, now: u64, machine: &str, last: Last) {
+        if self.machines.len() >= MACHINES && !self.machines.contains_key(machine) {
+            self.machines.retain(|_, s| now < s.at + 2 * BACK_MS);
+            // Still full: it is sent on as if it had never come.
+            if self.machines.len() >= MACHINES {
+                return;
+            }
+        }
+        self.machines.insert(machine.to_owned(), Seen { at: now, last });
+    }
+
+    /// How many workers are served through this node at present; its memory is bounded, and so is this.
+    pub fn taken(&self, now: u64) -> usize {
+        if self.taken_at.is_none_or(|at| now >= at + BACK_MS) {
+            return 0;
+        }
+        self.machines.values().filter(|s| s.last == Last::Taken && now < s.at + BACK_MS).count()
+    }
+
+    /// Whether this worker was taken lately; only such are told anything for the owner.
+    pub fn serves(&self, now: u64, machine: &str) -> bool {
+        self.machines.get(machine).is_some_and(|s| s.last == Last::Taken && now < s.at + BACK_MS)
+    }
+}
--- /dev/null
+++ b/crates/reach/tests/ways.rs
@@ -0,0 +1,131 @@
+//! Workers that come, flee and come back, in generated orders.
+
+use proptest::prelude::*;
+use reach::{Caller, Owner, Turn, Ways};
+
+const OWNER: Owner = Owner { node: 2, token: 7 };
+
+fn came(ways: &mut Ways, now: u64, machine: &str, token: u64) -> Turn {
+    ways.came(now, &Caller { machine, zone: "a", token }, OWNER)
+}
+
+/// A worker that has left the owner is served here at once, and stays.
+#[test]
+fn who_fled_is_taken_and_stays() {
+    let mut ways = Ways::default();
+    assert_eq!(came(&mut ways, 0, "m", 7), Turn::Take);
+    assert_eq!(came(&mut ways, 5000, "m", 7), Turn::Take);
+    assert!(ways.serves(5000, "m") && !ways.serves(5000, "n"));
+    assert_eq!(ways.taken(5000), 1);
+}
+
+/// Once some have come back in vain, others of the zone are not sent first; those of other zones are.
+#[test]
+fn a_zone_is_suspected_after_some_came_back() {
+    let mut ways = Ways::default();
+    for m in ["m1", "m2", "m3"] {
+        assert_eq!(came(&mut ways, 0, m, 1), Turn::Send);
+    }
+    for m in ["m1", "m2"] {
+        assert_eq!(came(&mut ways, 5500, m, 1), Turn::Take);
+    }
+    assert_eq!(came(&mut ways, 5600, "m9", 1), Turn::Take);
+    let elsewhere = Caller { machine: "x", zone: "b", token: 1 };
+    assert_eq!(ways.came(5600, &elsewhere, OWNER), Turn::Send);
+}
+
+/// One machine tries the way now and then. Where it comes back the next try is later; where it does not, all go.
+#[test]
+fn the_way_is_tried_by_one_and_then_by_all() {
+    let mut ways = Ways::default();
+    let names: Vec<String> = (0..10).map(|i| format!("m{i}")).collect();
+    let (mut sent, mut tries) = (None, Vec::new());
+    for step in 0..60u64 {
+        let now = step * 1000;
+        for (i, m) in names.iter().enumerate() {
+            // Reports every five seconds; who was sent is back after five.
+            if step % 5 == i as u64 % 5 && sent.is_none_or(|(s, at)| s != i || now >= at + 5000) {
+                let turn = came(&mut ways, now, m, 7);
+                if sent.is_some_and(|(s, _)| s == i) {
+                    sent = None;
+                }
+                if turn == Turn::Send {
+                    tries.push(now);
+                    sent = Some((i, now));
+                }
+            }
+        }
+    }
+    assert!((2..=5).contains(&tries.len()), "{tries:?}");
+    // The way opens: the next one that tries does not come back.
+    let (mut gone, mut now) = (std::collections::BTreeSet::new(), 60_000);
+    while now < 160_000 {
+        for m in &names {
+            if !gone.contains(m) && came(&mut ways, now, m, 7) == Turn::Send {
+                gone.insert(m.clone());
+            }
+        }
+        now += 5000;
+    }
+    assert!(gone.len() >= 9, "{gone:?}");
+}
+
+/// Another owner, other ways.
+#[test]
+fn nothing_is_held_against_the_next_owner() {
+    let mut ways = Ways::default();
+    for m in ["m1", "m2", "m3"] {
+        assert_eq!(came(&mut ways, 0, m, 7), Turn::Take);
+    }
+    let caller = Caller { machine: "m4", zone: "a", token: 7 };
+    assert_eq!(ways.came(100, &caller, Owner { node: 1, token: 8 }), Turn::Send);
+    assert_eq!(ways.taken(100), 0);
+}
+
+/// An owner that raised its token was taken for another one: all that it was served with here was forgotten, and the
+/// whole fleet was sent back to where it could not go.
+#[test]
+fn an_owner_that_raises_its_token_is_the_same() {
+    let mut ways = Ways::default();
+    assert_eq!(came(&mut ways, 0, "m", 7), Turn::Take);
+    let higher = Owner { token: 9, ..OWNER };
+    for token in [7, 8, 9] {
+        let caller = Caller { machine: "m", zone: "a", token };
+        assert_eq!(ways.came(100 * token, &caller, higher), Turn::Take);
+        assert_eq!(ways.came(100 * token, &Caller { machine: "new", ..caller }, higher), Turn::Take);
+    }
+}
+
+proptest! {
+    /// Whatever comes: nobody is sent to the owner and back for ever, and memory is bounded.
+    #[test]
+    fn who_comes_back_is_taken(calls in prop::collection::vec((0u64..8000, 0usize..6, 0usize..2, 0u64..9), 1..400)) {
+        let mut ways = Ways::default();
+        let mut now = 0;
+        let mut sent: std::collections::HashMap<(usize, usize), u64> = Default::default();
+        for (gap, machine, zone, token) in calls {
+            now += gap;
+            let (name, zone_name) = (format!("m{machine}-{zone}"), format!("z{zone}"));
+            let caller = Caller { machine: &name, zone: &zone_name, token };
+            let turn = ways.came(now, &caller, OWNER);
+            if let Some(at) = sent.remove(&(machine, zone)) {
+                prop_assert!(now >= at + 20_000 || turn == Turn::Take, "sent twice in a row");
+            }
+            if turn == Turn::Send {
+                sent.insert((machine, zone), now);
+            }
+            prop_assert!(ways.taken(now) <= 12);
+        }
+    }
+
+    /// Names and zones without end.
+    #[test]
+    fn memory_is_bounded(seed in 0u64..4) {
+        let mut ways = Ways::default();
+        for i in 0..9000u64 {
+            let (name, zone) = (format!("m{seed}-{i}"), format!("z{}", i % 100));
+            ways.came(i, &Caller { machine: &name, zone: &zone, token: 7 }, OWNER);
+        }
+        prop_assert!(ways.taken(9000) <= 8192);
+    }
+}
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -493,6 +493,16 @@
         machines.map(|w| w.name.clone()).collect()
     }
 
+    /// Sets an operator's setting for all controllers that begin from now on.
+    pub fn tune(&mut self, section: &str, key: &str, value: &str) {
+        self.tuning.set(section, key, value).expect("known setting");
+    }
+
+    /// Reports that came to the owner by way of a peer.
+    pub fn relayed(&self) -> u64 {
+        self.hosts.iter().filter_map(|h| h.node.as_ref()).map(|n| n.node().stats().relayed).sum()
+    }
+
     /// Cuts links.
     pub fn cut(&mut self, cut: Cut) {
         self.links.cut(cut);
--- a/crates/standins/tests/ways.rs
+++ b/crates/standins/tests/ways.rs
@@ -9,7 +9,11 @@
     let jobs =
         (0..6).map(|i| Timed { at: 1000, run_ms, cancel_ms: None, spec: array(1000 + i, "red", 4, 60.0) });
     let scene = Scene { jobs: jobs.collect(), machines: 12, ..Scene::default() }.team("red", 24.0, 0.0);
-    World::new(Plan {
+    World::new(plan(seed, nodes, scene))
+}
+
+fn plan(seed: u64, nodes: usize, scene: Scene) -> Plan {
+    Plan {
         seed,
         nodes,
         jobs: 0,
@@ -20,7 +24,7 @@
         large: false,
         wide: false,
         scene: Some(scene),
-    })
+    }
 }
 
 fn zone_of(node: usize) -> &'static str {
@@ -149,3 +153,52 @@
         kept(&world, &format!("seed {seed}"));
     }
 }
+
+/// Short tasks without end, relays on.
+fn busy(seed: u64, nodes: usize) -> World {
+    let job = |i: u32| {
+        let spec = array(1000 + i, "red", 6, 8.0);
+        Timed { at: 1000 + u64::from(i) * 2000, run_ms: 8000, cancel_ms: None, spec }
+    };
+    let scene = Scene { jobs: (0..100).map(job).collect(), machines: 12, ..Scene::default() };
+    let mut world = World::new(plan(seed, nodes, scene.team("red", 24.0, 0.0)));
+    world.tune("reach", "relays", "1");
+    world
+}
+
+/// Nobody has both ways: all but one node lose the state service, the last one loses the machines.
+fn no_node_has_both(world: &mut World, nodes: usize, how: How, ms: u64) {
+    let blind = (owner(world) + 1) % nodes;
+    let now = world.now();
+    for n in 0..nodes {
+        let lost = if n == blind { Side::Machines } else { Side::State };
+        world.cut(Cut { how, ..Cut::between(Side::Node(n), lost, now, ms) });
+    }
+}
+
+/// Where no node had both ways, all tasks were killed by their leases and nothing was started for as long as it lasted.
+#[test]
+fn work_goes_on_though_no_node_has_both_ways() {
+    for nodes in [3, 5, 7] {
+        for (seed, how) in [(1, How::Hold), (2, How::Reset), (3, How::Hold), (4, How::Reset)] {
+            let what = format!("{nodes} nodes, seed {seed}, {how:?}");
+            let mut world = busy(seed, nodes);
+            world.run_for(40_000);
+            let lost = world.sessions_lost();
+            no_node_has_both(&mut world, nodes, how, 60_000);
+            world.run_for(14_000);
+            let before = world.rules.starts;
+            for second in 0..4 {
+                let before = world.rules.starts;
+                world.run_for(10_000);
+                assert!(world.rules.starts > before, "{what}: no start in ten seconds, {second}");
+            }
+            assert!(world.rules.starts > before + 40, "{what}: {} starts", world.rules.starts - before);
+            assert!(world.relayed() > 20, "{what}: {} reports relayed", world.relayed());
+            assert!(world.sessions_lost() <= lost + 1, "{what}: {} leases", world.sessions_lost() - lost);
+            world.run_for(300_000);
+            kept(&world, &what);
+            assert!(world.unfinished().is_empty(), "{what}: {:?}", world.unfinished());
+        }
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -3,6 +3,7 @@
 use crate::BadBody;
 use crate::api::{JobSpec, JobState};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
+use serde_bytes::ByteBuf;
 
 pub const PATH: &str = "/peer";
 
@@ -19,8 +20,12 @@
     /// The asker has become the owner. Nothing is decided by it: it only saves those who can't read the state
     /// service from sending workers the wrong way.
     Owns { node: String, token: u64 },
-    /// An owner that is unsure asks whether anybody can have told of a cancel under a higher token than its own.
-    Vouch { token: u64 },
+    /// What the asker sees, for what the other sees.
+    View(View),
+    /// Reports of workers that can't reach the owner, as they came.
+    Reports { node: String, reports: Vec<ByteBuf> },
+    /// A command for a worker that the other serves, as the worker is to get it.
+    Tell { machine: String, addr: String, body: ByteBuf },
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -36,8 +41,29 @@
     Unknown,
     /// Not the owner, or not sure of it.
     NotNow,
-    /// Up to now, this node has told nobody of a cancel under a higher token.
-    Vouched,
+    View(View),
+    /// The answers to reports, in their order; an empty one refuses.
+    Orders(Vec<ByteBuf>),
+    /// What the worker answered.
+    Told {
+        status: u16,
+        body: ByteBuf,
+    },
+}
+
+/// What a node sees of the others, and knows itself.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct View {
+    pub node: String,
+    /// How long ago the state service has answered it, in milliseconds.
+    pub state_ms: Option<u64>,
+    /// The highest token that it knows of, if it has read the counter since it began: up to now, it has told nobody of
+    /// anything under a higher one.
+    pub token: Option<u64>,
+    /// Its token, if it owns the fleet and is sure of it.
+    pub owns: Option<u64>,
+    /// Workers that it hands on to the owner at present.
+    pub serves: u32,
 }
 
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
