What a node says of tokens never falls: a late read can't make it vouch wrongly

Cause, found in rereading: nodes vouch for an unsure owner by the highest token that they know, and took it from the last read of the counter. A read that is older than one before, coming late, lowered it, so that a node could have vouched against a term of its own.

Change: the highest token read or given out is kept apart and only rises. It serves the keepers too.

Measured: a test of the controller alone, seen to fail before (Some(5) for Some(7)).

--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -554,6 +554,7 @@
                     part.token = token;
                     part.raise_token = false;
                     self.shared.token = token;
+                    self.shared.highest = self.shared.highest.max(token);
                     self.shared.token_version = self.shared.token_version.max(revision);
                     for (m, machine) in part.machines.iter().enumerate() {
                         if machine.as_ref().is_some_and(|x| x.taint.is_some()) {
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -33,6 +33,8 @@
     pub owner: Option<OwnerView>,
     pub token: u64,
     pub token_version: u64,
+    /// The highest token ever read or given out here. It never falls, as `token` may with a read that comes late.
+    pub highest: u64,
     pub catalog: Option<Catalog>,
     pub catalog_version: u64,
     pub quotas: crate::quotas::Quotas,
@@ -212,6 +214,7 @@
                 self.shared.quotas.head_seen(head, version);
             }
         } else if key == records::TOKEN {
+            self.shared.highest = self.shared.highest.max(rec.token.unwrap_or(0));
             if version >= self.shared.token_version {
                 self.shared.token = rec.token.unwrap_or(0);
                 self.shared.token_version = version;
@@ -315,6 +318,7 @@
     fn become_owner(&mut self, lease: u64, renewed: u64, token: u64, version: u64) {
         log::info!("owner of part {PART} with token {token}");
         let now = self.now.mono;
+        self.shared.highest = self.shared.highest.max(token);
         self.role = Role::Owner { lease, renewed, next_renewal: now, busy: false };
         self.epoch += 1;
         self.shared.quotas.forget_reading();
@@ -345,9 +349,9 @@
         }
     }
 
-    /// The highest token that a peer has lately named as its own.
-    pub(crate) fn hinted_token(&self) -> u64 {
-        self.hint.as_ref().map_or(0, |h| h.token)
+    /// The highest token that this node knows of, by itself or from whoever named one as its own last.
+    pub(crate) fn highest_token(&self) -> u64 {
+        self.shared.highest.max(self.hint.as_ref().map_or(0, |h| h.token))
     }
 
     /// The node that workers should report to.
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -46,7 +46,7 @@
         let from = asked + (workers.lease_s * 250.0) as u64;
         let until = asked + bound_ms(workers);
         let in_time = (from..until).contains(&self.now.mono);
-        let highest = report.token.max(self.shared.token).max(self.hinted_token());
+        let highest = report.token.max(self.highest_token());
         let ours = report.zone == self.settings.zone && highest <= keep.token;
         let kept = in_time && ours && !keep.except.contains(&report.machine);
         kept.then(|| wire::encode(&Orders { token: keep.token, session: None, orders: Vec::new() }))
--- a/crates/control/src/views.rs
+++ b/crates/control/src/views.rs
@@ -45,7 +45,7 @@
             node: self.settings.node.clone(),
             state_ms: self.state_good_at.map(|at| now.saturating_sub(at)),
             // Until the counter has been read, nothing is known of what this node was before it began.
-            token: (self.shared.revision > 0).then(|| self.shared.token.max(self.hinted_token())),
+            token: (self.shared.revision > 0).then(|| self.highest_token()),
             owns: self.part.as_ref().filter(|_| self.decides()).map(|p| p.token),
             deaf: self.part.as_ref().is_some_and(|p| p.is_deaf(now)),
             serves: self.relay.ways.taken(now) as u32,
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -92,3 +92,38 @@
         assert_eq!(ask(&mut node, &tell), (200, Some(Answer::Refused { status: 421 })));
     }
 }
+
+/// Sends of a node to the state service whose path begins so, by their tags.
+fn sent(effects: &[Effect], start: &str) -> Option<u64> {
+    effects.iter().find_map(|e| match e {
+        Effect::Send { tag, path, .. } if path.starts_with(start) => Some(*tag),
+        _ => None,
+    })
+}
+
+/// What a node says of tokens is proof for an earlier owner that it may go on renewing leases. It said less than it had
+/// known once an older read came in late, and could have vouched against its own term.
+#[test]
+fn the_highest_token_that_was_known_is_never_unsaid() {
+    let mut node = node();
+    let read = |node: &mut Node, mono: u64, token: u64| {
+        let now = Now { mono, wall: mono };
+        let tag = sent(&node.handle(now, Event::Tick), "/keys?under=sys/").expect("reads what is shared");
+        let item = serde_json::json!({"key": wire::records::TOKEN, "v": {"token": token}, "stamp": token});
+        let body = wire::encode(&serde_json::json!({"items": [item], "more": false, "ledger": 9}));
+        let response = Some(Response { status: 200, body, close: false, retry_after_s: None });
+        node.handle(now, Event::Reply { tag, response });
+    };
+    let known = |node: &mut Node| match ask(node, &Ask::View(view(&peer()))).1 {
+        Some(Answer::View(view)) => view.token,
+        answer => panic!("not a view: {answer:?}"),
+    };
+    read(&mut node, 2000, 7);
+    assert_eq!(known(&mut node), Some(7));
+    // The watch is lost, so that all is read anew; the answer is older than what was known.
+    let now = Now { mono: 3000, wall: 3000 };
+    let watch = sent(&node.handle(now, Event::Tick), "/changes?under=sys/").expect("watches what is shared");
+    node.handle(now, Event::Reply { tag: watch, response: None });
+    read(&mut node, 4000, 5);
+    assert_eq!(known(&mut node), Some(7));
+}
