Sockets have shares: commands let theirs go early, workers beyond theirs come anew

Unused connections to workers are closed after 1 s, all unused ones to others when 85 in 100 are open; users, peers and the owner's own questions have room that workers and commands can't fill; a worker beyond the share is answered with Connection: close. What was not sent is told apart from what was not answered.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -62,6 +62,10 @@
         tag: u64,
         response: Option<Response>,
     },
+    /// Nothing of it has left this host: there was no socket for it.
+    Unsent {
+        tag: u64,
+    },
     /// Another door of this process asks for its records.
     Side {
         tag: u64,
@@ -305,6 +309,7 @@
             Event::Client { conn, request } => self.client(conn, request),
             Event::Peer { conn, request } => self.peer(conn, &request),
             Event::Reply { tag, response } => self.reply(tag, response),
+            Event::Unsent { tag } => self.unsent(tag),
             Event::Side { tag, ask } => self.side_asked(tag, ask),
             Event::Tick => self.tick(),
         }
@@ -387,6 +392,29 @@
         }
     }
 
+    /// What was not sent has no effect later, and says nothing of whom it was for.
+    fn unsent(&mut self, tag: u64) {
+        let epoch = self.epoch;
+        match self.pending.get(&tag) {
+            Some(Pending::Direct { epoch: e, machine, serial, .. }) if *e == epoch => {
+                let (machine, serial) = (*machine, *serial);
+                self.pending.remove(&tag);
+                self.direct_came(machine, serial, Some(relay::not_sent()));
+            }
+            Some(Pending::Show { epoch: e, machine, serial, .. }) if *e == epoch => {
+                let (machine, serial) = (*machine, *serial);
+                self.pending.remove(&tag);
+                self.show_unsent(machine, serial);
+            }
+            Some(Pending::Tell { conn }) => {
+                let conn = *conn;
+                self.pending.remove(&tag);
+                self.tell_unsent(conn);
+            }
+            _ => self.reply(tag, None),
+        }
+    }
+
     fn reply(&mut self, tag: u64, response: Option<Response>) {
         let Some(what) = self.pending.remove(&tag) else { return };
         let epoch = self.epoch;
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -138,13 +138,17 @@
     pub(crate) fn tell_asked(&mut self, conn: u64, machine: &str, addr: &str, body: Vec<u8>) {
         let known = self.relay.ways.serves(self.now.mono, machine);
         let Some(addr) = addr.parse::<SocketAddr>().ok().filter(|_| known && self.relays()) else {
-            let answer = Answer::Refused { status: NOT_SENT };
-            return self.respond(conn, 200, peer::encode(&answer), None);
+            return self.tell_unsent(conn);
         };
         let what = Pending::Tell { conn };
         self.send(Dest::Worker(addr), "POST", "/commands".into(), body, TELL_TIMEOUT_MS, what);
     }
 
+    pub(crate) fn tell_unsent(&mut self, conn: u64) {
+        let answer = Answer::Refused { status: NOT_SENT };
+        self.respond(conn, 200, peer::encode(&answer), None);
+    }
+
     pub(crate) fn worker_told(&mut self, conn: u64, response: Option<Response>) {
         let answer =
             response.map_or(Answer::NotNow, |r| Answer::Told { status: r.status, body: r.body.into() });
@@ -165,6 +169,11 @@
     }
 }
 
+/// The end of a command that has not left this host.
+pub(crate) fn not_sent() -> Response {
+    Response { status: NOT_SENT, body: Vec::new(), close: false, retry_after_s: None }
+}
+
 /// What a worker answered, where a peer tells it. A peer's own answer that is none is as good as silence.
 pub(crate) fn told(response: Option<Response>) -> Option<Response> {
     let as_worker = |status, body| Response { status, body, close: false, retry_after_s: None };
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -559,6 +559,14 @@
         self.command(m, addr, body, DIRECT_TIMEOUT_MS, what);
     }
 
+    /// The machine was not asked: it will be.
+    pub(crate) fn show_unsent(&mut self, m: usize, serial: u64) {
+        let machine = self.part.as_mut().and_then(|p| p.machine_mut(m));
+        if let Some(machine) = machine.filter(|x| x.probe == Some(serial)) {
+            machine.probe = None;
+        }
+    }
+
     pub(crate) fn show_came(&mut self, m: usize, serial: u64, response: Option<Response>) {
         let report = self.command_report(response);
         let now = self.now.mono;
@@ -609,3 +617,66 @@
         && name.len() <= 100
         && name.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b))
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::part::Part;
+    use crate::{Dest, Effect, Event, Now, Tuning};
+
+    /// An owner with one machine that was last heard long ago, and the serial that its next command has.
+    fn owner() -> (Node, usize) {
+        let text = include_str!("../../../deploy/settings-example.json");
+        let settings = serde_json::from_str(text).expect("the example is accepted");
+        let now = Now { mono: 1_000_000, wall: 1_000_000 };
+        let mut node = Node::new(settings, Tuning::default(), 1, now);
+        let mut part = Part::new(7, 1, 0, 8.0);
+        let mut machine = Machine::unrecorded("host-1", "g8", "a", false, 0, 0);
+        machine.addr = Some(([127, 0, 0, 1], 1).into());
+        machine.direct = Some(3);
+        let m = part.add_machine(machine);
+        node.part = Some(part);
+        (node, m)
+    }
+
+    fn tag(node: &mut Node, what: Pending) -> u64 {
+        let to = Dest::Worker(([127, 0, 0, 1], 1).into());
+        node.send(to, "POST", "/commands".into(), Vec::new(), 1000, what);
+        let Some(Effect::Send { tag, .. }) = node.effects.pop() else { panic!("nothing is sent") };
+        tag
+    }
+
+    /// Without a socket nothing was sent, so nothing can be executed later: no token need be raised for it.
+    #[test]
+    fn a_command_that_was_not_sent_casts_no_doubt() {
+        for (via, sent) in [(false, false), (true, false), (false, true)] {
+            let (mut node, m) = owner();
+            let tag = tag(&mut node, Pending::Direct { epoch: 0, machine: m, serial: 3, via });
+            node.unsent_or_silent(tag, sent);
+            let part = node.part.as_ref().expect("the owner");
+            let machine = part.machine(m).expect("the machine");
+            assert_eq!(machine.direct, None);
+            assert_eq!((machine.taint.is_some(), part.raise_token), (sent, sent), "via a peer: {via}");
+        }
+    }
+
+    /// A machine that could not be asked for want of a socket has not failed to answer.
+    #[test]
+    fn a_machine_that_was_not_asked_is_not_returned() {
+        for sent in [false, true] {
+            let (mut node, m) = owner();
+            node.part.as_mut().and_then(|p| p.machine_mut(m)).expect("the machine").probe = Some(3);
+            let tag = tag(&mut node, Pending::Show { epoch: 0, machine: m, serial: 3, via: false });
+            node.unsent_or_silent(tag, sent);
+            let machine = node.part.as_ref().and_then(|p| p.machine(m)).expect("the machine");
+            assert_eq!((machine.probe, machine.deleting), (None, sent));
+        }
+    }
+
+    impl Node {
+        fn unsent_or_silent(&mut self, tag: u64, sent: bool) {
+            let event = if sent { Event::Reply { tag, response: None } } else { Event::Unsent { tag } };
+            self.handle(self.now, event);
+        }
+    }
+}
--- a/crates/gateway/src/served.rs
+++ b/crates/gateway/src/served.rs
@@ -117,6 +117,7 @@
                 self.peer_call(now, conn, &request);
             }
             Event::Reply { tag, response } if tag >= TAGS => self.peer_replied(now, tag, response),
+            Event::Unsent { tag } if tag >= TAGS => self.peer_replied(now, tag, None),
             Event::Tick => {
                 self.feed(now, Event::Tick);
                 self.tick(now);
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -4,7 +4,7 @@
 use mio::net::TcpStream;
 use std::io::{self, Read, Write};
 use std::net::SocketAddr;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Side {
@@ -47,6 +47,11 @@
     pub wbuf: Vec<u8>,
     written: usize,
     pub deadline: Instant,
+    /// Unused since, and kept unused for so long: of those to others.
+    pub since: Instant,
+    pub keep: Duration,
+    /// See [`crate::Net::regular`].
+    pub regular: bool,
     pub generation: u32,
 }
 
@@ -62,6 +67,9 @@
             wbuf: Vec::new(),
             written: 0,
             deadline,
+            since: deadline,
+            keep: Duration::ZERO,
+            regular: false,
             generation: 0,
         }
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,10 +2,13 @@
 //! connections, buffers and waits. It knows nothing of jobs.
 
 mod conn;
+mod shares;
 
 use conn::{Conn, Filled, Phase, Side};
 use mio::net::{TcpListener, TcpStream};
 use mio::{Events, Interest, Poll, Token, Waker};
+use shares::Shares;
+pub use shares::{KEEP, KEEP_SHORT};
 use std::collections::{BTreeSet, HashMap};
 use std::io;
 use std::net::SocketAddr;
@@ -65,6 +68,10 @@
         tag: u64,
         response: Option<Response>,
     },
+    /// There was no socket for it, and not a byte of it has left.
+    Unsent {
+        tag: u64,
+    },
 }
 
 /// Something to ask another host.
@@ -77,6 +84,9 @@
     pub body: &'a [u8],
     pub timeout: Duration,
     pub answer_limit: usize,
+    /// How long the connection is kept for the next question: [`KEEP`], or [`KEEP_SHORT`] for a host of many, which
+    /// is asked only while that leaves room for the others.
+    pub keep: Duration,
 }
 
 const WAKE: Token = Token(usize::MAX);
@@ -85,7 +95,6 @@
 /// A request that takes longer than this to arrive, or an answer that takes longer to be taken.
 const SLOW: Duration = Duration::from_secs(10);
 const IDLE: Duration = Duration::from_secs(75);
-const IDLE_OUT: Duration = Duration::from_secs(20);
 /// A raw connection that says nothing for so long is closed.
 const IDLE_RAW: Duration = Duration::from_secs(180);
 /// Most bytes of a raw connection that are handed over at once.
@@ -105,17 +114,17 @@
     free: Vec<usize>,
     generation: u32,
     idle: HashMap<SocketAddr, Vec<usize>>,
-    max_conns: usize,
-    max_served: usize,
+    shares: Shares,
     served: usize,
+    regulars: usize,
     open: usize,
     swept: Instant,
     out: Vec<Event>,
 }
 
 impl Net {
-    /// `max_conns` bounds all sockets together; most of them are for those who ask us.
-    pub fn new(max_conns: usize) -> io::Result<Self> {
+    /// `sockets` bounds all together; most of them are for those who ask us.
+    pub fn new(sockets: usize) -> io::Result<Self> {
         Ok(Net {
             poll: Poll::new()?,
             events: Events::with_capacity(256),
@@ -125,9 +134,9 @@
             free: Vec::new(),
             generation: 0,
             idle: HashMap::new(),
-            max_conns: max_conns * 9 / 10,
-            max_served: max_conns * 7 / 10,
+            shares: Shares::of(sockets),
             served: 0,
+            regulars: 0,
             open: 0,
             swept: Instant::now(),
             out: Vec::new(),
@@ -205,10 +214,13 @@
                     return;
                 }
             };
-            if self.served >= self.max_served {
+            if self.served >= self.shares.served {
                 self.close_idlest();
             }
-            if self.served >= self.max_served || self.open >= self.max_conns {
+            if self.open >= self.shares.all {
+                self.close_unused(1);
+            }
+            if self.served >= self.shares.served || self.open >= self.shares.all {
                 log::warn!("net: too many connections, turning one away");
                 continue;
             }
@@ -239,6 +251,26 @@
         }
     }
 
+    /// Closes connections to others that nobody uses, the longest unused first.
+    fn close_unused(&mut self, most: usize) {
+        let unused = self.conns.iter().enumerate().filter_map(|(i, c)| {
+            let c = c.as_ref().filter(|c| matches!(c.side, Side::Asked { .. }) && c.phase == Phase::Idle)?;
+            Some((c.since, i))
+        });
+        let mut unused: Vec<(Instant, usize)> = unused.collect();
+        unused.sort_unstable();
+        unused.into_iter().take(most).for_each(|(_, slot)| self.close(slot));
+    }
+
+    /// Whoever asks on this connection comes back at his own pace for ever. Where such clients fill their share, the
+    /// answer ends the connection, so that they are served all the same and leave room for others in between.
+    pub fn regular(&mut self, id: ConnId) {
+        let Some(Some(conn)) = self.conns.get_mut(id.slot) else { return };
+        if conn.generation == id.generation && !std::mem::replace(&mut conn.regular, true) {
+            self.regulars += 1;
+        }
+    }
+
     fn insert(&mut self, mut conn: Conn, interest: Interest) -> Option<usize> {
         self.generation = self.generation.wrapping_add(1);
         conn.generation = self.generation;
@@ -263,6 +295,7 @@
         let _ = self.poll.registry().deregister(&mut conn.stream);
         self.free.push(slot);
         self.open -= 1;
+        self.regulars -= usize::from(conn.regular);
         match conn.side {
             Side::Served(door) => {
                 self.served -= 1;
@@ -323,7 +356,8 @@
         if conn.generation != id.generation || conn.phase != Phase::Working {
             return;
         }
-        conn.close_after |= response.close;
+        let crowded = conn.regular && self.regulars > self.shares.regulars;
+        conn.close_after |= response.close || crowded;
         response.close = conn.close_after;
         http::write_response(&mut conn.wbuf, &response);
         conn.phase = Phase::Writing;
@@ -331,15 +365,17 @@
         self.drive_write(id.slot, now);
     }
 
-    /// Asks another host. The end always comes as an [`Event::Reply`], never from within this call.
+    /// Asks another host. The end always comes as an [`Event::Reply`] or an [`Event::Unsent`], never from within this
+    /// call.
     pub fn send(&mut self, o: Outgoing<'_>) {
         let now = Instant::now();
-        let slot = self.reuse(o.to).or_else(|| self.connect(o.to, now));
+        let slot = self.reuse(o.to).or_else(|| self.connect(o.to, o.keep, now));
         let Some(slot) = slot else {
-            self.out.push(Event::Reply { tag: o.tag, response: None });
+            self.out.push(Event::Unsent { tag: o.tag });
             return;
         };
         let Some(conn) = self.conns[slot].as_mut() else { return };
+        conn.keep = o.keep;
         conn.side = Side::Asked { to: o.to, tag: o.tag, limit: o.answer_limit };
         conn.phase = if conn.connecting { Phase::Connecting } else { Phase::Writing };
         conn.deadline = now + o.timeout;
@@ -358,8 +394,12 @@
         slot
     }
 
-    fn connect(&mut self, to: SocketAddr, now: Instant) -> Option<usize> {
-        if self.open >= self.max_conns {
+    fn connect(&mut self, to: SocketAddr, keep: Duration, now: Instant) -> Option<usize> {
+        let left = if keep < KEEP { self.shares.own } else { 0 };
+        if self.open + left >= self.shares.all {
+            self.close_unused(1);
+        }
+        if self.open + left >= self.shares.all {
             return None;
         }
         let stream = TcpStream::connect(to).ok()?;
@@ -501,7 +541,8 @@
                         let reusable =
                             !response.close && !ended && conn.rbuf.is_empty() && conn.wbuf.is_empty();
                         conn.phase = Phase::Idle;
-                        conn.deadline = now + IDLE_OUT;
+                        conn.since = now;
+                        conn.deadline = now + conn.keep;
                         self.out.push(Event::Reply { tag, response: Some(response) });
                         let pool = self.idle.entry(to).or_default();
                         pool.push(slot);
@@ -526,5 +567,8 @@
                 self.close(slot);
             }
         }
+        if self.open > self.shares.unused {
+            self.close_unused(self.open - self.shares.unused);
+        }
     }
 }
--- a/crates/net/tests/bounds.rs
+++ b/crates/net/tests/bounds.rs
@@ -103,7 +103,16 @@
     let gone = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
     for (tag, to) in [(1, silent.local_addr().expect("its address")), (2, gone)] {
         let timeout = Duration::from_millis(200);
-        net.send(net::Outgoing { tag, to, method: "GET", path: "/", body: &[], timeout, answer_limit: 100 });
+        net.send(net::Outgoing {
+            tag,
+            to,
+            method: "GET",
+            path: "/",
+            body: &[],
+            timeout,
+            answer_limit: 100,
+            keep: net::KEEP,
+        });
     }
     let end = Instant::now() + Duration::from_secs(60);
     let mut ended = Vec::new();
--- /dev/null
+++ b/crates/net/tests/shares.rs
@@ -0,0 +1,150 @@
+//! The shares of a full host's sockets, on loopback.
+
+use net::{Door, Event, KEEP, KEEP_SHORT, Net, Outgoing};
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+use wire::http::Response;
+
+/// Another host: it answers each question on its connections, or none, and counts what it has open.
+struct Host {
+    listener: TcpListener,
+    conns: Vec<TcpStream>,
+    answers: bool,
+}
+
+impl Host {
+    fn new(answers: bool) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        listener.set_nonblocking(true).expect("nonblocking");
+        Host { listener, conns: Vec::new(), answers }
+    }
+
+    fn addr(&self) -> SocketAddr {
+        self.listener.local_addr().expect("its address")
+    }
+
+    fn turn(&mut self) {
+        while let Ok((stream, _)) = self.listener.accept() {
+            stream.set_nonblocking(true).expect("nonblocking");
+            self.conns.push(stream);
+        }
+        let answers = self.answers;
+        self.conns.retain_mut(|conn| match conn.read(&mut [0; 1024]) {
+            Ok(0) => false,
+            Ok(_) if answers => conn.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_ok(),
+            Ok(_) => true,
+            Err(e) => e.kind() == ErrorKind::WouldBlock,
+        });
+    }
+}
+
+fn ask(net: &mut Net, tag: u64, host: &Host, keep: Duration) {
+    let (to, timeout) = (host.addr(), Duration::from_secs(50));
+    net.send(Outgoing { tag, to, method: "GET", path: "/", body: &[], timeout, answer_limit: 100, keep });
+}
+
+/// How the questions ended until the condition held: true for an answer, false for one that was not sent.
+fn until(
+    net: &mut Net,
+    hosts: &mut [Host],
+    mut over: impl FnMut(&[Host], &[(u64, bool)]) -> bool,
+) -> Vec<(u64, bool)> {
+    let mut ends = Vec::new();
+    let end = Instant::now() + Duration::from_secs(40);
+    while !over(hosts, &ends) {
+        assert!(Instant::now() < end, "the condition never held: {ends:?}");
+        for event in net.poll(Duration::from_millis(5)).expect("polled") {
+            match event {
+                Event::Reply { tag, response } => {
+                    ends.push((tag, response.expect("an answer").status == 200))
+                }
+                Event::Unsent { tag } => ends.push((tag, false)),
+                Event::Request { conn, request, .. } => {
+                    if request.path == "/regular" {
+                        net.regular(conn);
+                    }
+                    let body = Vec::new();
+                    net.respond(conn, Response { status: 200, body, close: false, retry_after_s: None });
+                }
+                _ => {}
+            }
+        }
+        hosts.iter_mut().for_each(Host::turn);
+    }
+    ends
+}
+
+/// A host of many is let go soon after its answer, one that is always being asked is not.
+#[test]
+fn one_of_many_is_let_go_soon() {
+    let mut net = Net::new(200).expect("an event loop");
+    let mut hosts = [Host::new(true), Host::new(true)];
+    ask(&mut net, 1, &hosts[0], KEEP);
+    ask(&mut net, 2, &hosts[1], KEEP_SHORT);
+    until(&mut net, &mut hosts, |_, ends| ends.len() == 2);
+    until(&mut net, &mut hosts, |hosts, _| hosts[1].conns.is_empty());
+    assert_eq!(hosts[0].conns.len(), 1);
+}
+
+/// Unused connections to others make way long before they would be closed for their age.
+#[test]
+fn unused_connections_make_way() {
+    // 90 sockets; from 76 on the unused are closed.
+    let mut net = Net::new(100).expect("an event loop");
+    let mut hosts: Vec<Host> = (0..85).map(|_| Host::new(true)).collect();
+    for (tag, host) in hosts.iter().enumerate() {
+        ask(&mut net, tag as u64, host, Duration::from_secs(1000));
+    }
+    until(&mut net, &mut hosts, |_, ends| ends.len() == 85);
+    until(&mut net, &mut hosts, |hosts, _| hosts.iter().map(|h| h.conns.len()).sum::<usize>() <= 76);
+}
+
+/// Questions to hosts of many that take their time leave sockets for the others; what finds none is told apart from
+/// what was not answered.
+#[test]
+fn questions_to_many_leave_room() {
+    let mut net = Net::new(32).expect("an event loop");
+    let mut hosts: Vec<Host> = (0..30).map(|_| Host::new(false)).collect();
+    hosts.push(Host::new(true));
+    for (tag, host) in hosts[..30].iter().enumerate() {
+        ask(&mut net, tag as u64, host, KEEP_SHORT);
+    }
+    ask(&mut net, 99, &hosts[30], KEEP);
+    let ends = until(&mut net, &mut hosts, |_, ends| ends.contains(&(99, true)));
+    let unsent = ends.iter().filter(|(_, answered)| !answered).count();
+    assert!((1..30).contains(&unsent), "{ends:?}");
+}
+
+/// More regulars than their share: each is answered, and enough are told to come anew for others to be let in and to
+/// stay.
+#[test]
+fn regulars_beyond_their_share_are_served_and_told_to_come_anew() {
+    // 28 sockets, 20 for those who ask, 15 of them for regulars.
+    let mut net = Net::new(32).expect("an event loop");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let addr = net.listen(any, Door::Clients).expect("listening");
+    let answered = |net: &mut Net, path: &str| {
+        let mut client = TcpStream::connect(addr).expect("connected");
+        client.set_nonblocking(true).expect("nonblocking");
+        client.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).expect("written");
+        let mut got = Vec::new();
+        until(net, &mut [], |_, _| {
+            let mut chunk = [0; 256];
+            let n = client.read(&mut chunk).unwrap_or(0);
+            got.extend_from_slice(&chunk[..n]);
+            got.ends_with(b"\r\n\r\n")
+        });
+        let text = String::from_utf8(got).expect("text");
+        assert!(text.starts_with("HTTP/1.1 200"), "{text}");
+        (client, text.contains("Connection: close"))
+    };
+    let users: Vec<_> = (0..4).map(|_| answered(&mut net, "/user")).collect();
+    let regulars: Vec<_> = (0..40).map(|_| answered(&mut net, "/regular")).collect();
+    assert_eq!(regulars.iter().filter(|(_, told)| *told).count(), 25);
+    assert!(users.iter().all(|(_, told)| !told));
+    for (mut user, _) in users {
+        let kept = user.read(&mut [0; 16]).expect_err("still open");
+        assert_eq!(kept.kind(), ErrorKind::WouldBlock);
+    }
+}
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -97,6 +97,9 @@
                         let id = self.next_conn;
                         self.next_conn += 1;
                         self.conns.insert(id, conn);
+                        if door == Door::Clients && request.path == "/hello" {
+                            self.net.regular(conn);
+                        }
                         self.feed(match door {
                             Door::Clients => Event::Client { conn: id, request },
                             Door::Peers => Event::Peer { conn: id, request },
@@ -123,6 +126,7 @@
                         }
                     }
                     net::Event::Reply { tag, response } => self.feed(Event::Reply { tag, response }),
+                    net::Event::Unsent { tag } => self.feed(Event::Unsent { tag }),
                 }
             }
             if ticked.elapsed() >= wait {
@@ -176,14 +180,16 @@
                 }
             }
             Effect::Send { tag, to, method, path, body, timeout_ms, answer_limit } => {
-                let to = match to {
-                    Dest::State => self.state,
-                    Dest::Cloud => self.cloud,
-                    Dest::Peer(i) => self.peers[i],
-                    Dest::Worker(addr) => addr,
+                // A worker is told something now and then; the others are always being asked.
+                let (to, keep) = match to {
+                    Dest::State => (self.state, net::KEEP),
+                    Dest::Cloud => (self.cloud, net::KEEP),
+                    Dest::Peer(i) => (self.peers[i], net::KEEP),
+                    Dest::Worker(addr) => (addr, net::KEEP_SHORT),
                 };
                 let timeout = Duration::from_millis(timeout_ms);
-                self.net.send(Outgoing { tag, to, method, path: &path, body: &body, timeout, answer_limit });
+                let (path, body) = (path.as_str(), body.as_slice());
+                self.net.send(Outgoing { tag, to, method, path, body, timeout, answer_limit, keep });
             }
             // The gateway's own requests have ended with it.
             Effect::Side { .. } => {}
