--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -4,6 +4,7 @@
 //! that lands late, or from an earlier owner, changes nothing. Without an answer the same bytes are sent
 //! again: either the first or the second is applied, never both.
 
+use crate::documents::{KindId, for_kind};
 use crate::election::PART;
 use crate::jobs::{Ending, JobIx};
 use crate::ledger::{ClaimId, Segment};
@@ -13,10 +14,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use wire::api::{Guard, Item, JobState, Revision, Txn, Write};
 use wire::http::Response;
-use wire::records::{self, AllotRec, ClaimsRec, DoneRec, EndRec, KindRec, LogRec, RackRec, Record, TokenRec};
-use wire::tree::HeadRec;
+use wire::records::{self, ClaimsRec, DoneRec, EndRec, KindRec, LogRec, RackRec, Record, TokenRec};
 
-enum Op {
+pub(crate) enum Op {
     End(JobIx),
     Token(u64),
     Hire(String),
@@ -27,13 +27,14 @@
     RackOver(u64),
     Catalog,
     Allot,
-    TreePart(String),
-    TreePartOver(String),
-    Tree,
+    /// A document's part, its removal, its head.
+    Part(KindId, String),
+    PartOver(KindId, String),
+    Head(KindId),
 }
 
 /// A log record on its way.
-struct Log {
+pub(crate) struct Log {
     number: u64,
     claims: Vec<ClaimId>,
     /// Results, and whether they are all that the job has.
@@ -65,8 +66,8 @@
 /// its 64 KiB.
 const SIZE: usize = 24 * 1024;
 
-struct Draft {
-    ops: Vec<Op>,
+pub(crate) struct Draft {
+    pub ops: Vec<Op>,
     guards: Vec<Guard>,
     writes: Vec<Write>,
     probe: Option<(String, u64, bool)>,
@@ -74,7 +75,7 @@
 }
 
 impl Draft {
-    fn put(&mut self, key: String, version: u64, record: Record) {
+    pub fn put(&mut self, key: String, version: u64, record: Record) {
         self.size += wire::encode(&record).len() + key.len();
         // A record that is put also tells at which revision; guards against versions taken from a removal,
         // which has none.
@@ -86,11 +87,11 @@
     }
     /// Writes what is named by its own digest: whatever stands there already is the same. So it can't tell whether
     /// this transaction was applied, and has no guard but the owner's.
-    fn part(&mut self, key: String, record: Record) {
+    pub fn part(&mut self, key: String, record: Record) {
         self.size += wire::encode(&record).len() + key.len();
         self.writes.push(Write::put(key, record));
     }
-    fn remove(&mut self, key: String, version: u64) {
+    pub fn remove(&mut self, key: String, version: u64) {
         if self.probe.is_none() {
             self.probe = Some((key.clone(), version, true));
         }
@@ -230,19 +231,6 @@
         self.ops.push(Op::Log(log));
     }
 
-    /// The head of a new tree, and in the same transaction the allotment that names it.
-    fn tree(&mut self, part: &mut Part) {
-        let Some(change) = &part.changing else { return };
-        let head = change.head.clone();
-        let Some(allot) = part.allot.clone() else { return };
-        let allot = AllotRec { tree: head.version, ..allot };
-        self.put(records::QUOTA.into(), change.stamp, Record::Quota(HeadRec { quota: head }));
-        self.put(records::allot_key(PART), part.allot_version, Record::Allot(allot.clone()));
-        part.allot = Some(allot);
-        part.allot_version = 0;
-        self.ops.extend([Op::Allot, Op::Tree]);
-    }
-
     /// Writes a rack as it stands now, or removes it.
     fn rack(&mut self, part: &mut Part, number: u64) {
         part.ledger.gone_from.remove(&number);
@@ -312,10 +300,7 @@
             return;
         }
         self.to_write = false;
-        if budget >= 2 && self.part.as_ref().is_some_and(Part::tree_is_due) {
-            // What was planned under the old bounds must not be recorded with the new ones.
-            self.drop_unrecorded();
-        }
+        self.before_heads(budget);
         let Some(draft) = self.draft(budget) else { return };
         let Some(part) = &mut self.part else { return };
         let writes = draft.writes.len();
@@ -339,6 +324,7 @@
         let shared_token = (self.shared.token, self.shared.token_version);
         let catalog = self.shared.catalog.as_ref();
         let catalog_version = self.shared.catalog_version;
+        let documents = &mut self.shared.documents;
         let part = self.part.as_mut()?;
         let mut d = Draft {
             ops: Vec::new(),
@@ -349,9 +335,10 @@
         };
         let tidy = now >= part.commit.tidied_at + TIDY_MS;
         // Ends come first, but they do not keep claims waiting for ever.
-        // A new tree needs two writes, for which claims have made way already.
-        let tree = budget >= 2 && part.tree_is_due();
-        let kept = if tree { 2 } else { usize::from(budget > 2 && !part.ledger.fresh.is_empty()) };
+        // So does a document's head, with what is written beside it.
+        let head = Draft::head_due(documents, part, budget);
+        let for_claims = || usize::from(budget > 2 && !part.ledger.fresh.is_empty());
+        let kept = head.map_or_else(for_claims, |(_, writes)| writes);
         let for_ends = budget - kept;
         while d.writes.len() + 2 <= for_ends && d.guards.len() + 2 < max_guards {
             let Some(ix) = part.ledger.ending.pop_front() else { break };
@@ -366,8 +353,8 @@
             part.allot_version = 0;
             d.ops.push(Op::Allot);
         }
-        if tree {
-            d.tree(part);
+        if let Some((kind, _)) = head {
+            d.head(documents, part, kind);
         }
         if part.raise_token && now >= part.commit.raised_at + 3000 && room(&d) {
             let token = shared_token.0.max(part.token) + 1;
@@ -420,30 +407,10 @@
                 d.ops.push(Op::Catalog);
             }
         }
-        if let Some(change) = &mut part.changing {
-            while room(&d)
-                && let Some((name, rec)) = change.parts.pop_front()
-            {
-                d.part(format!("{}{name}", records::QUOTA_PARTS), Record::QuotaPart(rec));
-                change.busy += 1;
-                d.ops.push(Op::TreePart(name));
-            }
-        }
+        d.parts(documents, room);
         if tidy {
             part.commit.tidied_at = now;
-            // Parts that no version names any more, unless a change is about to.
-            let quotas = &self.shared.quotas;
-            let over = |name: &&String| !quotas.head.parts.contains(name);
-            let some = quotas.parts.len() > quotas.head.parts.len();
-            if some && part.changing.is_none() && quotas.version() == Some(quotas.head.version) {
-                for (name, stamp) in quotas.parts.iter().filter(|(name, _)| over(name)) {
-                    if !room(&d) {
-                        break;
-                    }
-                    d.remove(format!("{}{name}", records::QUOTA_PARTS), *stamp);
-                    d.ops.push(Op::TreePartOver(name.clone()));
-                }
-            }
+            d.parts_over(documents, room);
             while room(&d)
                 && let Some(n) = part.ledger.gone_from.pop_first()
             {
@@ -532,7 +499,7 @@
         let ops = std::mem::take(&mut part.commit.ops);
         let mut changed: BTreeSet<JobIx> = BTreeSet::new();
         let mut told = Vec::new();
-        let mut new_tree = false;
+        let mut heads = Vec::new();
         for op in ops {
             match op {
                 Op::End(ix) => {
@@ -595,23 +562,16 @@
                     }
                 }
                 Op::Allot => part.allot_version = revision,
-                Op::TreePart(name) => {
-                    self.shared.quotas.parts.insert(name, revision);
-                    if let Some(change) = &mut part.changing {
-                        change.busy = change.busy.saturating_sub(1);
-                    }
-                }
-                Op::TreePartOver(name) => {
-                    self.shared.quotas.parts.remove(&name);
-                }
-                Op::Tree => new_tree = true,
+                Op::Part(kind, name) => self.shared.documents.part_written(kind, name, revision),
+                Op::PartOver(kind, name) => self.shared.documents.part_over(kind, &name),
+                Op::Head(kind) => heads.push(kind),
                 Op::Catalog => {
                     self.shared.catalog_version = self.shared.catalog_version.max(revision);
                 }
             }
         }
-        if new_tree {
-            self.tree_changed(revision);
+        for kind in heads {
+            for_kind!(kind, K => self.head_written::<K>(revision));
         }
         for (asker, state) in told {
             self.tell(asker, state);
@@ -624,12 +584,6 @@
 }
 
 impl Part {
-    /// All that a new tree needs is in place but its head.
-    fn tree_is_due(&self) -> bool {
-        let settled = self.allot_version > 0 && self.allot_wanted.is_none();
-        settled && self.changing.as_ref().is_some_and(|c| c.is_due())
-    }
-
     /// A log record is in place: its claims may be sent, its results reaped.
     fn log_stands(&mut self, log: Log, revision: u64) {
         let mut segment = Segment { version: revision, ..Segment::default() };
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -3,7 +3,7 @@
 
 use crate::election::PART;
 use crate::{Asker, Dest, Node, Pending, Role};
-use wire::api::{BODY_LIMIT, ErrorBody, Guard, Item, JobSpec, JobState, Kind, Stage, Txn, Write};
+use wire::api::{BODY_LIMIT, Conflict, ErrorBody, Guard, Item, JobSpec, JobState, Kind, Stage, Txn, Write};
 use wire::http::{Request, Response};
 use wire::peer::{self, Answer, Ask};
 use wire::records::{self, EndRec, JobRec, Record};
@@ -35,6 +35,12 @@
     response.filter(|r| r.status == 200).and_then(|r| peer::decode(&r.body).ok())
 }
 
+/// Whether nothing but another version of a document stood against a transaction.
+fn only_heads_failed(response: &Response) -> bool {
+    let failed = wire::decode::<Conflict>(&response.body).map(|c| c.failed).unwrap_or_default();
+    !failed.is_empty() && failed.iter().all(|key| key.starts_with(records::SHARED))
+}
+
 impl Node {
     pub(crate) fn client(&mut self, conn: u64, request: Request) {
         let path = request.path.split('?').next().unwrap_or("");
@@ -87,7 +93,7 @@
         if let Err(field) = spec.check() {
             return self.deny(asker, 400, &format!("invalid: {field}"));
         }
-        let rec = JobRec { spec: spec.clone(), at_ms: self.now.wall, part: PART };
+        let rec = JobRec::new(spec.clone(), self.now.wall, PART);
         let limit = (self.settings.cluster.state.value_kb * 1024.0).min(BODY_LIMIT as f64);
         // Counted in another form by the service, which takes somewhat more.
         if wire::encode(&rec).len() as f64 * 1.3 > limit {
@@ -128,18 +134,35 @@
     fn accept(&mut self, asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32) {
         // The acceptance counts from the first try.
         let wall = self.now.wall - (self.now.mono - at);
-        let rec = JobRec { spec: (*spec).clone(), at_ms: wall, part: PART };
-        let txn = Txn {
-            guards: vec![
-                Guard { key: records::live_key(&spec.id), version: 0 },
-                Guard { key: records::end_key(&spec.id), version: 0 },
-            ],
-            writes: vec![Write::put(records::live_key(&spec.id), Record::Job(rec))],
+        let rec = self.bound((*spec).clone(), wall);
+        let Some(mut guards) = self.head_guards() else {
+            return self.accept_later(asker, spec, at, tries);
         };
+        guards.extend([
+            Guard { key: records::live_key(&spec.id), version: 0 },
+            Guard { key: records::end_key(&spec.id), version: 0 },
+        ]);
+        let txn = Txn { guards, writes: vec![Write::put(records::live_key(&spec.id), Record::Job(Box::new(rec)))] };
         let what = Pending::Accept { asker, spec, at, tries };
         self.send(Dest::State, "POST", "/txn".into(), wire::encode(&txn), ACCEPT_TIMEOUT_MS, what);
     }
 
+    /// The record of a job accepted now, with all that is agreed for it from then on.
+    fn bound(&self, spec: JobSpec, wall: u64) -> JobRec {
+        JobRec::new(spec, wall, PART)
+    }
+
+    /// Once more in a moment, if there is time for it.
+    fn accept_later(&mut self, asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32) {
+        let now = self.now.mono;
+        if tries >= 3 || now >= at + 700 {
+            // It may be accepted all the same: the retry will be told.
+            return self.deny(asker, 503, "state service not available");
+        }
+        let again = now + self.rng.u64(60..200);
+        self.retries.push_back((again, asker, spec, at, tries + 1));
+    }
+
     pub(crate) fn accepted(
         &mut self,
         asker: Asker,
@@ -148,8 +171,8 @@
         tries: u32,
         r: Option<Response>,
     ) {
-        let now = self.now.mono;
-        match r.map(|r| r.status) {
+        let status = r.as_ref().map(|r| r.status);
+        match status {
             // Only this node may be refused, or not heard: another may take the job at once. Should our own try
             // have gone through, it will find the job known.
             None | Some(503) if let Asker::User(conn) = asker => self.forward(conn, Ask::Submit { spec }),
@@ -164,11 +187,13 @@
                     }
                 }
             }
-            Some(409) => self.query_for(asker, spec.id, Why::Known),
-            Some(429 | 503) if tries < 3 && now < at + 700 => {
-                let again = now + self.rng.u64(60..200);
-                self.retries.push_back((again, asker, spec, at, tries + 1));
+            // Bound by a version that is no longer in force, and not accepted.
+            Some(409) if r.is_some_and(|r| only_heads_failed(&r)) => {
+                self.reread_shared(0);
+                self.accept_later(asker, spec, at, tries)
             }
+            Some(409) => self.query_for(asker, spec.id, Why::Known),
+            Some(429 | 503) => self.accept_later(asker, spec, at, tries),
             // It may be accepted all the same: the retry will be told.
             _ => self.deny(asker, 503, "state service not available"),
         }
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -37,7 +37,7 @@
     pub highest: u64,
     pub catalog: Option<Catalog>,
     pub catalog_version: u64,
-    pub quotas: crate::quotas::Quotas,
+    pub documents: crate::documents::Documents,
     /// A read or a watch is out, and when to try again if not.
     busy: bool,
     round: u64,
@@ -209,10 +209,8 @@
     }
 
     fn shared_put(&mut self, key: &str, rec: SharedRec, version: u64) {
-        if key == records::QUOTA {
-            if let Some(head) = rec.quota {
-                self.shared.quotas.head_seen(head, version);
-            }
+        if rec.document.is_some() {
+            self.shared.documents.head_seen(key, &rec, version);
         } else if key == records::TOKEN {
             self.shared.highest = self.shared.highest.max(rec.token.unwrap_or(0));
             if version >= self.shared.token_version {
@@ -321,7 +319,7 @@
         self.shared.highest = self.shared.highest.max(token);
         self.role = Role::Owner { lease, renewed, next_renewal: now, busy: false };
         self.epoch += 1;
-        self.shared.quotas.forget_reading();
+        self.shared.documents.forget_readings();
         let c = self.settings.cluster.state.clone();
         // The owner does most of the writing; the others keep enough to accept jobs.
         // The owner does most of the writing. What the others write to accept jobs it sees, and leaves room for.
@@ -397,15 +395,12 @@
         }
         self.role = Role::Follower { may_stand_at: 0 };
         self.epoch += 1;
-        self.shared.quotas.forget_reading();
+        self.documents_let_go();
         let nodes = self.settings.peers.len() as f64 + 1.0;
         let c = self.settings.cluster.state.clone();
         self.requests.set_rate(c.rps * 0.4 / (nodes - 1.0).max(1.0));
         self.set_writes(c.write_rps * OTHER_WRITES);
-        if let Some(mut part) = self.part.take() {
-            if let Some(change) = part.changing.take() {
-                self.change_cut_short(change);
-            }
+        if let Some(part) = self.part.take() {
             for asker in part.all_waiters() {
                 self.not_now(asker);
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 mod admin;
 mod budget;
 mod commit;
+mod documents;
 mod door;
 mod election;
 mod fleet;
@@ -23,6 +24,7 @@
 mod views;
 
 use budget::Bucket;
+use documents::for_kind;
 use election::{Role, Shared};
 use part::Part;
 use std::collections::{HashMap, VecDeque};
@@ -122,7 +124,7 @@
     Forward { conn: u64 },
     Admin { conn: u64 },
     Side { tag: u64 },
-    TreeParts { epoch: u64 },
+    Parts { epoch: u64, kind: documents::KindId },
     Catalog,
     List { epoch: u64 },
     Hire { epoch: u64, name: String },
@@ -142,7 +144,7 @@
                 | Renew { .. }
                 | Take { .. }
                 | Load { .. }
-                | TreeParts { .. }
+                | Parts { .. }
                 | Commit { .. }
                 | Verify { .. }
                 | Accept { .. }
@@ -194,8 +196,6 @@
     stood_back_at: Option<u64>,
     /// Something may be there to be written. Without it, only ticks look.
     to_write: bool,
-    /// The quota tree to begin with, where there has never been any.
-    first: Option<quota::Spec>,
     /// Another door of this process is open, and has job ids of its own.
     beside: bool,
     side: side::Side,
@@ -276,7 +276,6 @@
             catalog_at: 0,
             stood_back_at: None,
             to_write: false,
-            first: None,
             beside: false,
             side: side::Side::new(),
             stats: Stats::default(),
@@ -284,8 +283,9 @@
     }
 
     /// The same, with a quota tree to begin with. It is put in place only if there has never been one.
-    pub fn with_first_tree(self, spec: Option<quota::Spec>) -> Self {
-        Node { first: spec, ..self }
+    pub fn with_first_tree(mut self, spec: Option<quota::Spec>) -> Self {
+        self.shared.documents.quota.first = spec;
+        self
     }
 
     /// The same with another door beside it, whose job ids users can't take.
@@ -323,10 +323,7 @@
         self.relay_tick();
         self.door_tick();
         self.share_writes();
-        self.quotas_tick();
-        if self.first.is_some() {
-            self.first_tree();
-        }
+        self.documents_tick();
         if self.shared.catalog.is_none() || self.owns() {
             self.catalog_tick();
         }
@@ -358,7 +355,7 @@
         self.next_tag += 1;
         self.pending.insert(tag, what);
         let answer_limit = match to {
-            _ if path == wire::admin::PATH => wire::admin::ANSWER_LIMIT,
+            _ if wire::admin::kind_of(&path).is_some() => wire::admin::ANSWER_LIMIT,
             Dest::State | Dest::Cloud => STATE_ANSWER,
             // Orders for many workers.
             Dest::Peer(_) => PEER_ANSWER,
@@ -422,7 +419,9 @@
             Pending::Catalog => self.catalog_came(response),
             // What belongs to an earlier term of ownership no longer concerns us.
             Pending::Load { epoch: e, what } if e == epoch => self.load_came(what, response),
-            Pending::TreeParts { epoch: e } if e == epoch => self.tree_parts_came(response),
+            Pending::Parts { epoch: e, kind } if e == epoch => {
+                for_kind!(kind, K => self.parts_came::<K>(response))
+            }
             Pending::LiveWatch { epoch: e } if e == epoch => self.live_changes(response),
             Pending::Commit { epoch: e } if e == epoch => self.committed(response),
             Pending::Verify { epoch: e } if e == epoch => self.verified(response),
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -19,7 +19,7 @@
     Log,
     Hires,
     Allot,
-    Tree,
+    Heads,
 }
 
 pub(crate) struct Hire {
@@ -114,8 +114,6 @@
     pub allot_version: u64,
     /// The allotment that is to be written down instead.
     pub allot_wanted: Option<AllotRec>,
-    /// A change of the quota tree on its way.
-    pub changing: Option<crate::admin::Changing>,
     /// Jobs that may have changed since the last plan.
     touched: Vec<JobIx>,
     /// Jobs that are not wanted any more and still have claims.
@@ -167,7 +165,6 @@
             allot: None,
             allot_version: 0,
             allot_wanted: None,
-            changing: None,
             touched: Vec::new(),
             unwanted: BTreeSet::new(),
             counted: None,
@@ -398,7 +395,7 @@
             Load::Log => records::log_prefix(PART),
             Load::Hires => records::hires_prefix(PART),
             Load::Allot => records::allot_key(PART),
-            Load::Tree => records::QUOTA.to_owned(),
+            Load::Heads => records::SHARED.to_owned(),
         };
         let mut path = format!("/keys?under={prefix}&limit=1000");
         if let Some(after) = &part.load_after {
@@ -415,8 +412,8 @@
             Load::Log => self.read("state service", &r).map(|p| self.load_log(p)),
             Load::Hires => self.read("state service", &r).map(|p| self.load_hires(p)),
             Load::Allot => self.read("state service", &r).map(|p| self.load_allot(p)),
-            Load::Tree => self.read("state service", &r).map(|p| {
-                self.load_tree_head(p);
+            Load::Heads => self.read("state service", &r).map(|p| {
+                self.load_heads(p);
                 false
             }),
         });
@@ -435,19 +432,11 @@
             Load::Racks => self.load(Load::Log),
             Load::Log => self.load(Load::Hires),
             Load::Hires => self.load(Load::Allot),
-            Load::Allot if self.has_tree() => self.load(Load::Tree),
-            Load::Allot => self.load_ended(),
-            Load::Tree => self.read_tree(),
+            Load::Allot => self.load(Load::Heads),
+            Load::Heads => self.load_documents(),
         }
     }
 
-    /// The head of a tree and the allotment that names it come in one transaction: where this has none, there is none
-    /// that anything could have been started under.
-    fn has_tree(&self) -> bool {
-        let recorded = self.part.as_ref().and_then(|p| p.allot.as_ref()).is_some_and(|a| a.tree > 0);
-        recorded || self.shared.quotas.head.version > 0
-    }
-
     /// Notes where the next page goes on; true if there is one.
     fn page_end<T>(&mut self, range: &Range<T>) -> bool {
         if let Some(part) = &mut self.part {
@@ -537,7 +526,7 @@
         // While no version can be acted on, the one that was recorded stays, and nothing starts.
         let recorded = self.part.as_ref().and_then(|p| p.allot.as_ref()).map_or(0, |a| a.tree);
         let value = value_limit(self.settings.cluster.state.value_kb);
-        AllotRec::whole(teams, self.shared.quotas.version().unwrap_or(recorded), value)
+        AllotRec::whole(teams, self.shared.documents.quota.version().unwrap_or(recorded), value)
     }
 
     pub(crate) fn load_ended(&mut self) {
--- a/crates/control/src/quotas.rs
+++ b/crates/control/src/quotas.rs
@@ -1,200 +1,137 @@
-//! Which quota tree is in force, as every controller follows it.
-//!
-//! A controller acts on one whole version. It reads the parts of a new one, checks that it holds together with the
-//! teams of the settings, and only then takes it; one that does not check out is refused, and the last good one stays.
-
-use crate::part::Load;
-use crate::{Dest, Node, Pending};
-use quota::{Spec, Tree};
-use std::collections::{BTreeMap, BTreeSet};
+//! The quota tree as a document in force: its bounds are recorded as the part's allotment before anything starts
+//! under them, and a new version comes in one transaction with the allotment that names it.
+
+use crate::commit::{Draft, Op};
+use crate::documents::{Doc, Documents, Kind, KindId};
+use crate::election::PART;
+use crate::part::Part;
+use crate::{Node, documents, standing};
+use document::{Fault, Head};
+use quota::{Live, Spec, Tree, edit};
+use std::collections::BTreeSet;
 use std::sync::Arc;
-use wire::api::{Item, Range};
-use wire::http::Response;
-use wire::records;
-use wire::tree::{Head, PartRec};
+use wire::admin::{self, Edit, Question};
+use wire::records::{self, AllotRec, Record};
+use wire::tree::HeadRec;
 
-/// A version that checks out.
-#[derive(Clone)]
-pub(crate) struct Good {
-    pub version: u64,
-    pub spec: Arc<Spec>,
-    pub tree: Arc<Tree>,
-}
+pub(crate) struct Quota;
 
-#[derive(Default)]
-pub(crate) struct Quotas {
-    /// The head as last seen, and its stamp; 0 if there is none.
-    pub head: Head,
-    pub stamp: u64,
-    pub good: Option<Good>,
-    /// A version that did not check out, and why.
-    pub refused: Option<(u64, String)>,
-    /// Parts that are in the state service, by name, with their stamps.
-    pub parts: BTreeMap<String, u64>,
-    reading: Option<Reading>,
-    retry_at: u64,
-}
-
-/// Parts as they come in, page by page.
-#[derive(Default)]
-struct Reading {
-    found: BTreeMap<String, (u64, PartRec)>,
-    after: Option<String>,
-}
+pub(crate) type Good = documents::Good<Spec>;
 
-impl Quotas {
-    /// Nothing that was asked for in another term of ownership is waited for.
-    pub fn forget_reading(&mut self) {
-        self.reading = None;
-    }
-
-    /// The version whose bounds hold here; 0 without a tree. `None` if there is one that can't be acted on.
-    pub fn version(&self) -> Option<u64> {
-        match &self.good {
-            Some(good) => Some(good.version),
-            None if self.head.version == 0 => Some(0),
-            None => None,
-        }
-    }
+impl Kind for Quota {
+    type Content = Spec;
+    type Edit = Edit;
+    type Ask = Question;
+    const ID: KindId = KindId::Quota;
+    /// The head, and the allotment.
+    const WRITES: usize = 2;
 
-    /// A head that was read or watched; older ones change nothing.
-    pub fn head_seen(&mut self, head: Head, stamp: u64) {
-        if stamp >= self.stamp {
-            (self.head, self.stamp) = (head, stamp);
-        }
+    fn doc(all: &Documents) -> &Doc<Quota> {
+        &all.quota
     }
-
-    fn is_current(&self) -> bool {
-        let known = self.good.as_ref().map_or(0, |g| g.version);
-        let refused = self.refused.as_ref().map_or(0, |(version, _)| *version);
-        self.head.version == known || self.head.version == refused
+    fn doc_mut(all: &mut Documents) -> &mut Doc<Quota> {
+        &mut all.quota
     }
-
-    fn take(&mut self, good: Good) {
-        let (nodes, teams) = (good.tree.nodes.len(), good.tree.leaves.len());
-        log::info!("quota tree: version {} with {nodes} nodes and {teams} teams", good.version);
-        self.good = Some(good);
-        self.refused = None;
+    fn context(node: &Node) -> Vec<quota::Team> {
+        node.settings.quota_teams()
     }
-
-    /// Takes a tree that was put together from the head's parts, or refuses it.
-    fn adopt(&mut self, spec: Result<Spec, String>, teams: &[quota::Team]) {
-        let version = self.head.version;
-        let built = spec.and_then(|spec| {
-            let tree = Tree::build(&fitting(&spec, teams), teams).map_err(|f| f[0].to_string())?;
-            Ok(Good { version, spec: Arc::new(spec), tree: Arc::new(tree) })
-        });
-        match built {
-            Ok(good) => self.take(good),
-            Err(why) => {
-                let kept = self.good.as_ref().map_or("none".to_owned(), |g| g.version.to_string());
-                log::error!("quota tree: version {version} is refused, {kept} stays in force: {why}");
-                self.refused = Some((version, why));
+    fn edited(edit: &Edit, old: &Spec, teams: &Vec<quota::Team>) -> Result<Spec, Fault> {
+        match edit {
+            Edit::Set { spec } => Ok(spec.clone()),
+            Edit::Move { name, to } => edit::transfer(old, teams, name, to.as_deref()),
+            Edit::Shrink { name, guarantee, max, scale } => {
+                edit::shrink(old, teams, name, guarantee, max, *scale)
             }
         }
     }
-}
-
-/// A tree without the teams that have left the settings: they have no work, and their places go with the next change.
-pub(crate) fn fitting(spec: &Spec, teams: &[quota::Team]) -> Spec {
-    let known: BTreeSet<&str> = teams.iter().map(|t| t.name.as_str()).collect();
-    let here = |t: &&quota::TeamSpec| known.contains(t.name.as_str());
-    Spec { nodes: spec.nodes.clone(), teams: spec.teams.iter().filter(here).cloned().collect() }
-}
-
-impl Node {
-    /// Reads the parts of a new version, as soon as its head was seen.
-    pub(crate) fn quotas_tick(&mut self) {
-        let now = self.now.mono;
-        let owner_loads = self.part.as_ref().is_some_and(|p| !p.loaded);
-        let q = &mut self.shared.quotas;
-        if q.is_current() || q.reading.is_some() || now < q.retry_at || owner_loads {
-            return;
+    fn set(spec: Spec) -> Edit {
+        Edit::Set { spec }
+    }
+    fn asked(node: &mut Node, conn: u64, Question::Why { team }: Question) {
+        let live = node.tree_here().and_then(|tree| node.counted(&tree));
+        let found = live.and_then(|mut live| live.tree().team(&team).map(|t| live.why(t)));
+        match found {
+            Some(why) => node.respond(conn, 200, admin::encode(&why), None),
+            None => {
+                let why = format!("no team {team:?} in the settings");
+                node.deny_admin(conn, 404, documents::refused(&why))
+            }
         }
-        // Not the owner's budget for claims: once a second at most.
-        q.retry_at = now + 1000;
-        self.read_tree();
     }
-
-    /// Starts to read all parts, from the first page.
-    pub(crate) fn read_tree(&mut self) {
-        self.shared.quotas.reading = Some(Reading::default());
-        self.read_tree_page();
+    /// The tree with the counts of this moment.
+    fn show(node: &Node) -> Vec<u8> {
+        let q = &node.shared.documents.quota;
+        let (version, spec) =
+            q.good.as_ref().map_or((0, Spec::default()), |g| (g.version, (*g.spec).clone()));
+        let live = node.tree_here().and_then(|tree| node.counted(&tree));
+        admin::encode(&admin::Tree {
+            version,
+            spec,
+            nodes: live.as_ref().map(Live::nodes).unwrap_or_default(),
+            teams: live.as_ref().map(Live::teams).unwrap_or_default(),
+            history: q.head.history.clone(),
+            refused: q.refused(),
+        })
+    }
+    fn told(node: &Node, tree: &Arc<Tree>) -> Vec<String> {
+        node.counted(tree).map(|live| above(&live)).unwrap_or_default()
+    }
+    fn in_force(node: &mut Node) {
+        node.tree_in_force();
+    }
+    fn settled(part: &Part) -> bool {
+        part.allot_version > 0 && part.allot_wanted.is_none()
+    }
+    /// What was planned under the old bounds must not be recorded with the new ones.
+    fn before_head(node: &mut Node) {
+        node.drop_unrecorded();
+    }
+    /// The allotment that names the tree.
+    fn with_head(draft: &mut Draft, part: &mut Part, version: u64) {
+        let Some(allot) = part.allot.clone() else { return };
+        let allot = AllotRec { tree: version, ..allot };
+        draft.put(records::allot_key(PART), part.allot_version, Record::Allot(allot.clone()));
+        part.allot = Some(allot);
+        part.allot_version = 0;
+        draft.ops.push(Op::Allot);
+    }
+    fn record(head: Head) -> Record {
+        Record::Quota(HeadRec { quota: head })
     }
+}
 
-    fn read_tree_page(&mut self) {
-        let Some(reading) = &self.shared.quotas.reading else { return };
-        let mut path = format!("/keys?under={}&limit=1000", records::QUOTA_PARTS);
-        if let Some(after) = &reading.after {
-            path.push_str(&format!("&from={after}"));
+/// What is above its bound, and what becomes of it.
+fn above(live: &Live) -> Vec<String> {
+    let tree = live.tree();
+    let mut out = Vec::new();
+    for (i, node) in tree.nodes.iter().enumerate() {
+        let used = live.used(quota::NodeId(i as u32));
+        for (r, name) in tree.resources.iter().enumerate().filter(|(r, _)| used[*r] > node.max[*r]) {
+            let over = (used[r] - node.max[r]) as f64 / 1000.0;
+            let then = match node.over {
+                quota::Over::Reclaim => "stopped with the time to save",
+                quota::Over::LetEnd => "left to end",
+            };
+            out.push(format!("{}: {over} {name} above the new maximum, {then}", node.name));
         }
-        self.send(Dest::State, "GET", path, Vec::new(), 3000, Pending::TreeParts { epoch: self.epoch });
-    }
-
-    pub(crate) fn tree_parts_came(&mut self, response: Option<Response>) {
-        let page = response
-            .filter(|r| r.status == 200)
-            .and_then(|r| self.read::<Range<PartRec>>("state service", &r));
-        let Some(page) = page else {
-            self.shared.quotas.reading = None;
-            return self.tree_read();
-        };
-        let q = &mut self.shared.quotas;
-        let Some(reading) = &mut q.reading else { return };
-        reading.after = page.items.last().map(|i| i.key.clone());
-        let more = page.more && !page.items.is_empty();
-        for Item { key, value, version } in page.items {
-            if let Some(name) = key.strip_prefix(records::QUOTA_PARTS) {
-                reading.found.insert(name.to_owned(), (version, value));
-            }
-        }
-        if more {
-            return self.read_tree_page();
-        }
-        let found = q.reading.take().unwrap_or_default().found;
-        q.parts = found.iter().map(|(name, (stamp, _))| (name.clone(), *stamp)).collect();
-        let parts = found.into_iter().map(|(name, (_, part))| (name, part)).collect();
-        if !q.is_current() {
-            let spec = wire::tree::join(&q.head, &parts);
-            // A version after this one may have taken its parts away: its head is on its way to us.
-            let teams = self.settings.quota_teams();
-            self.shared.quotas.adopt(spec, &teams);
-        }
-        self.tree_read();
     }
+    out
+}
 
-    /// The head that an owner reads before its first start, and then the parts: all of them, also those that no version
-    /// names, so that it can take them away and writes none a second time.
-    pub(crate) fn load_tree_head(&mut self, range: Range<records::SharedRec>) {
-        for item in range.items.into_iter().filter(|i| i.key == records::QUOTA) {
-            if let Some(head) = item.value.quota {
-                self.shared.quotas.head_seen(head, item.version);
-            }
-        }
-        // What was refused may have been incomplete for us alone.
-        self.shared.quotas.refused = None;
+impl Node {
+    /// The tree with the counts of this moment.
+    fn counted(&self, tree: &Arc<Tree>) -> Option<Live> {
+        Some(standing::Counted::new(self.part.as_ref()?, tree.clone()).live)
     }
 
-    /// The tree was read, or could not be.
-    fn tree_read(&mut self) {
-        let owner_loads = self.part.as_ref().is_some_and(|p| !p.loaded);
-        if !owner_loads {
-            self.tree_in_force();
-        } else if self.shared.quotas.is_current() {
-            self.load_ended();
-        } else {
-            // Without it nothing may start: again, from the head.
-            self.load(Load::Tree);
+    /// The tree in force; without one, the teams alone.
+    fn tree_here(&self) -> Option<Arc<Tree>> {
+        match &self.shared.documents.quota.good {
+            Some(good) => Some(good.built.clone()),
+            None => Tree::build(&Spec::default(), &self.settings.quota_teams()).ok().map(Arc::new),
         }
     }
 
-    /// A new version of ours is in place in the state service.
-    pub(crate) fn tree_committed(&mut self, head: Head, good: Good, stamp: u64) {
-        self.shared.quotas.head_seen(head, stamp);
-        self.shared.quotas.take(good);
-        self.tree_in_force();
-    }
-
     /// Where we are the owner, the bounds of a new version are recorded before anything starts under them.
     pub(crate) fn tree_in_force(&mut self) {
         let whole = self.whole_allotment();
@@ -232,8 +169,8 @@
 
     /// Whether this is more than some node above a team may use at all.
     pub(crate) fn above_its_tree(&self, team: &str, all: &quota::Amount) -> bool {
-        let Some(good) = &self.shared.quotas.good else { return false };
-        let tree = &good.tree;
+        let Some(good) = &self.shared.documents.quota.good else { return false };
+        let tree = &good.built;
         let path = tree.team(team).map(|t| tree.path(t)).unwrap_or_default();
         let over = |n: &quota::NodeId| {
             let max = &tree.nodes[n.0 as usize].max;
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -257,7 +257,7 @@
     /// Teams with their limits: those of the recorded allotment, the tree's by the version that stands there. Without
     /// one, or with another version in force, there is no room at all.
     fn plan_teams(&self, tree: Option<&quota::Tree>) -> Vec<plan::Team> {
-        let version = self.shared.quotas.version();
+        let version = self.shared.documents.quota.version();
         let recorded = |p: &&Part| p.allot_version > 0 && p.allot_wanted.is_none();
         let allot = self.part.as_ref().filter(recorded).and_then(|p| p.allot.as_ref());
         let allot = allot.filter(|a| Some(a.tree) == version);
@@ -295,8 +295,8 @@
             ..plan::Input::default()
         };
         let mut map = Map { machines: Vec::new(), jobs: Vec::new(), claims: Vec::new() };
-        let good = self.shared.quotas.good.clone();
-        let tree = good.as_ref().map(|g| g.tree.clone()).filter(|tree| !tree.nodes.is_empty());
+        let good = self.shared.documents.quota.good.clone();
+        let tree = good.as_ref().map(|g| g.built.clone()).filter(|tree| !tree.nodes.is_empty());
         input.teams = self.plan_teams(tree.as_deref());
         let Some(part) = &mut self.part else { return (input, map) };
         let aims = Aims { all: &self.settings.cluster.objectives };
--- a/crates/control/src/side.rs
+++ b/crates/control/src/side.rs
@@ -178,7 +178,7 @@
         for Change { key, version, value } in writes {
             txn.guards.extend(version.map(|version| Guard { key: key.clone(), version }));
             txn.writes.push(match value {
-                Some(value) => Write::put(key, Record::Side(value)),
+                Some(value) => Write::put(key, Record::Other(value)),
                 None => Write::Remove { key },
             });
         }
@@ -227,7 +227,7 @@
 
     /// The quota tree that this node acts on, if there is one.
     pub fn quota_tree(&self) -> Option<Arc<quota::Tree>> {
-        self.shared.quotas.good.as_ref().map(|g| g.tree.clone())
+        self.shared.documents.quota.good.as_ref().map(|g| g.built.clone())
     }
 
     /// How many machines the fleet has.
--- a/crates/control/src/standing.rs
+++ b/crates/control/src/standing.rs
@@ -251,7 +251,7 @@
     let Some(good) = good else { return flat_only(within_guarantee(&open_jobs(part), teams)) };
     let open = open_jobs(part);
     let flat = within_guarantee(&open, &cut_guarantees(teams, good));
-    let tree = &good.tree;
+    let tree = &good.built;
     if tree.nodes.is_empty() {
         return flat_only(flat);
     }
@@ -365,7 +365,7 @@
         let mut part = Part::new(1, 1, 0, 16.0);
         for i in 0..100_000u32 {
             let spec = spec(i, &teams[i as usize % 10_000].name, 2, 1.0, 0.0);
-            part.add_job(Job::new(JobRec { spec, at_ms: u64::from(i), part: 0 }, 1));
+            part.add_job(Job::new(JobRec::new(spec, u64::from(i), 0), 1));
         }
         part.take_touched();
         let mut counted = Counted::new(&part, tree);
@@ -454,7 +454,7 @@
         ];
         for (i, (team, tasks, cores, gpus, _)) in jobs.iter().enumerate() {
             let spec = spec(i as u32, team, *tasks, *cores, *gpus);
-            part.add_job(Job::new(JobRec { spec, at_ms: i as u64, part: 0 }, 1));
+            part.add_job(Job::new(JobRec::new(spec, i as u64, 0), 1));
         }
         let within = within_guarantee(&open_jobs(&part), &teams);
         for (i, (team, .., expected)) in jobs.iter().enumerate() {
@@ -476,7 +476,7 @@
         let mut spec_of_tree = quota::Spec::default();
         spec_of_tree.teams.extend(["a", "c"].map(|t| quota::TeamSpec::new(t, None)));
         let tree = quota::Tree::build(&spec_of_tree, &leaves).expect("good");
-        let good = Good { version: 1, spec: spec_of_tree.into(), tree: tree.into() };
+        let good = Good { version: 1, spec: spec_of_tree.into(), built: tree.into() };
         let index: HashMap<&str, u16> =
             teams.iter().enumerate().map(|(i, t)| (t.name.as_str(), i as u16)).collect();
         let mut rng = fastrand::Rng::with_seed(5);
@@ -486,7 +486,7 @@
                 let team = ["a", "b", "c"][rng.usize(0..3)];
                 let (tasks, cores) = (rng.u32(1..5), [0.1111, 1.0, 6.0][rng.usize(0..3)]);
                 let spec = spec(i, team, tasks, cores, f64::from(rng.u32(0..3)));
-                part.add_job(Job::new(JobRec { spec, at_ms: u64::from(i), part: 0 }, 1));
+                part.add_job(Job::new(JobRec::new(spec, u64::from(i), 0), 1));
             }
             let without = holds(&mut part, &teams, None, &index);
             let with = holds(&mut part, &teams, Some(&good), &index);
--- /dev/null
+++ b/crates/document/src/fault.rs
@@ -0,0 +1,102 @@
+//! What is wrong with a document, and where.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// Where in a document something is wrong.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(from = "Form", into = "Form")]
+pub enum Place {
+    /// The document as a whole.
+    Whole,
+    /// An entry of one of its lists.
+    Entry(String, usize),
+}
+
+impl Place {
+    pub fn entry(list: &str, index: usize) -> Self {
+        Place::Entry(list.to_owned(), index)
+    }
+}
+
+/// As records and answers have it: `"whole"`, or `{"node": 3}`.
+#[derive(Serialize, Deserialize)]
+#[serde(untagged)]
+enum Form {
+    Whole(String),
+    Entry(BTreeMap<String, usize>),
+}
+
+impl From<Form> for Place {
+    fn from(form: Form) -> Self {
+        match form {
+            Form::Whole(_) => Place::Whole,
+            Form::Entry(at) => at.into_iter().next().map_or(Place::Whole, |(list, i)| Place::Entry(list, i)),
+        }
+    }
+}
+
+impl From<Place> for Form {
+    fn from(place: Place) -> Self {
+        match place {
+            Place::Whole => Form::Whole("whole".to_owned()),
+            Place::Entry(list, i) => Form::Entry([(list, i)].into()),
+        }
+    }
+}
+
+/// One thing that is wrong, with its place.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Fault {
+    pub place: Place,
+    /// The path to the field: `node "a".guarantee.gpus`.
+    pub path: String,
+    /// Line of a file, counted from 1, where there is one.
+    pub line: Option<usize>,
+    pub what: String,
+}
+
+impl Fault {
+    pub fn whole(path: &str, what: impl Into<String>) -> Self {
+        Fault { place: Place::Whole, path: path.to_owned(), line: None, what: what.into() }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
+        }
+        write!(f, "{}: {}", self.path, self.what)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// No more faults than this are told at once.
+const MOST: usize = 50;
+
+/// What a check has found so far.
+#[derive(Debug, Clone, Default)]
+pub struct Faults(Vec<Fault>);
+
+impl Faults {
+    pub fn add(&mut self, place: Place, path: impl Into<String>, what: impl Into<String>) {
+        if self.0.len() < MOST {
+            self.0.push(Fault { place, path: path.into(), line: None, what: what.into() });
+        }
+    }
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+    /// What was checked, if nothing is wrong with it.
+    pub fn or<T>(self, good: T) -> Result<T, Vec<Fault>> {
+        if self.0.is_empty() { Ok(good) } else { Err(self.0) }
+    }
+}
+
+/// A name of somebody else's, cut for messages.
+pub fn short(name: &str) -> String {
+    name.chars().take(60).collect()
+}
--- /dev/null
+++ b/crates/document/src/file.rs
@@ -0,0 +1,82 @@
+//! Documents as operators write them: TOML, since INI can't hold lists of things with parts.
+
+use crate::{Fault, Place};
+use schemars::JsonSchema;
+use serde::{Serialize, de::DeserializeOwned};
+use std::collections::BTreeMap;
+pub use toml::Spanned;
+
+/// Larger files are refused unread: a tree of 20,000 teams takes less.
+pub const MAX_FILE: usize = 4 << 20;
+
+/// A file's form, with the places of its entries.
+pub trait Raw: DeserializeOwned {
+    type Spec;
+    /// The document that it says, the places of its entries handed over with [`Lines::list`].
+    fn spec(self, lines: &mut Lines) -> Self::Spec;
+}
+
+/// Where each entry stands in the file.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Lines {
+    /// Where each line starts.
+    starts: Vec<usize>,
+    entries: BTreeMap<&'static str, Vec<usize>>,
+}
+
+impl Lines {
+    fn of(text: &str) -> Self {
+        let starts = std::iter::once(0).chain(text.match_indices('\n').map(|(i, _)| i + 1)).collect();
+        Lines { starts, entries: BTreeMap::new() }
+    }
+    fn at(&self, byte: usize) -> usize {
+        self.starts.partition_point(|s| *s <= byte)
+    }
+    /// Notes the lines of a list's entries, which follow those that it had.
+    pub fn list<T>(&mut self, name: &'static str, all: Vec<Spanned<T>>) -> Vec<T> {
+        let lines: Vec<usize> = all.iter().map(|s| self.at(s.span().start)).collect();
+        self.entries.entry(name).or_default().extend(lines);
+        all.into_iter().map(Spanned::into_inner).collect()
+    }
+}
+
+/// A file that could be read, and the lines of its entries.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Parsed<S> {
+    pub spec: S,
+    lines: Lines,
+}
+
+impl<S> Parsed<S> {
+    /// Adds the lines to what is wrong with the document.
+    pub fn locate(&self, faults: Vec<Fault>) -> Vec<Fault> {
+        let line = |place: &Place| match place {
+            Place::Whole => None,
+            Place::Entry(list, i) => self.lines.entries.get(list.as_str())?.get(*i).copied(),
+        };
+        faults.into_iter().map(|f| Fault { line: f.line.or_else(|| line(&f.place)), ..f }).collect()
+    }
+}
+
+/// Reads a file's text. Whether the document holds together is for [`crate::Content::build`] to say.
+pub fn parse<R: Raw>(text: &str) -> Result<Parsed<R::Spec>, Vec<Fault>> {
+    let mut lines = Lines::of(text);
+    let whole = |line, what: &str| vec![Fault { line, ..Fault::whole("file", what.trim()) }];
+    if text.len() > MAX_FILE {
+        return Err(whole(None, &format!("{} bytes; at most {MAX_FILE} are read", text.len())));
+    }
+    let raw: R = toml::from_str(text).map_err(|e| whole(e.span().map(|s| lines.at(s.start)), e.message()))?;
+    let spec = raw.spec(&mut lines);
+    Ok(Parsed { spec, lines })
+}
+
+/// The document as text that [`parse`] reads back to the same.
+pub fn render<S: Serialize>(spec: &S) -> Result<String, String> {
+    toml::to_string(spec).map_err(|e| e.to_string())
+}
+
+/// The published schema of such files (JSON Schema), generated from the types.
+pub fn schema<S: JsonSchema>() -> String {
+    let schema = schemars::schema_for!(S);
+    format!("{:#}", schema.as_value())
+}
--- a/crates/quota/src/edit.rs
+++ b/crates/quota/src/edit.rs
@@ -1,14 +1,11 @@
 //! New trees from old ones. Nothing here changes a tree that is in force: the result is checked and put in its place
 //! as a whole.
 
-use crate::spec::{Amounts, Fault, NodeSpec, Place, Spec, TeamSpec};
+use crate::spec::{Amounts, NodeSpec, Spec, TeamSpec};
 use crate::{Team, milli};
+use document::Fault;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
-fn wrong(path: &str, what: String) -> Fault {
-    Fault { place: Place::Whole, path: path.to_owned(), line: None, what }
-}
-
 impl Spec {
     fn node_at(&self, name: &str) -> Option<usize> {
         self.nodes.iter().position(|n| n.name == name)
@@ -38,20 +35,20 @@
     if let Some(to) = to
         && spec.node_at(to).is_none()
     {
-        return Err(wrong("to", format!("{to:?} is no node of the tree")));
+        return Err(Fault::whole("to", format!("{to:?} is no node of the tree")));
     }
     let from: Option<String>;
     let carried: Amounts;
     if let Some(i) = spec.node_at(name) {
         if spec.line(to).iter().any(|above| above == name) {
-            return Err(wrong("to", format!("{name:?} can't hang below itself")));
+            return Err(Fault::whole("to", format!("{name:?} can't hang below itself")));
         }
         from = spec.nodes[i].parent.clone();
         carried = spec.nodes[i].guarantee.clone();
         out.nodes[i].parent = to.map(str::to_owned);
     } else {
         let Some(team) = teams.iter().find(|t| t.name == name) else {
-            return Err(wrong("name", format!("{name:?} is neither a node nor a team")));
+            return Err(Fault::whole("name", format!("{name:?} is neither a node nor a team")));
         };
         let at = out.teams.iter().position(|t| t.name == name).unwrap_or_else(|| {
             out.teams.push(TeamSpec::new(name, None));
@@ -91,7 +88,7 @@
     scale: bool,
 ) -> Result<Spec, Fault> {
     let Some(i) = spec.node_at(name) else {
-        return Err(wrong("name", format!("{name:?} is no node of the tree")));
+        return Err(Fault::whole("name", format!("{name:?} is no node of the tree")));
     };
     let mut out = spec.clone();
     let node = &mut out.nodes[i];
--- a/crates/quota/src/lib.rs
+++ b/crates/quota/src/lib.rs
@@ -35,6 +35,7 @@
 //! # Ok::<(), String>(())
 //! ```
 
+mod content;
 pub mod edit;
 pub mod file;
 mod fill;
@@ -43,8 +44,10 @@
 mod tree;
 mod why;
 
+pub use content::Part;
+pub use document::{Fault, Place};
 pub use live::{Count, Live, Share};
-pub use spec::{Amounts, Fault, NodeSpec, Over, Place, Spec, TeamSpec};
+pub use spec::{Amounts, NodeSpec, Over, Spec, TeamSpec};
 pub use tree::{Node, NodeId, Team, TeamId, Tree};
 pub use why::{Standing, Why};
 
--- a/crates/quota/src/spec.rs
+++ b/crates/quota/src/spec.rs
@@ -3,7 +3,6 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
-use std::fmt;
 
 /// Units by resource: `cpus`, `gpus`, `mem_gb`, or a name of the installation's own.
 pub type Amounts = BTreeMap<String, f64>;
@@ -87,39 +86,6 @@
     pub teams: Vec<TeamSpec>,
 }
 
-/// Where in a tree's description something is wrong.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum Place {
-    /// The description as a whole.
-    Whole,
-    /// An index into its nodes, or teams.
-    Node(usize),
-    Team(usize),
-}
-
-/// One thing that is wrong, with its place.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Fault {
-    pub place: Place,
-    /// The path to the field: `node "a".guarantee.gpus`.
-    pub path: String,
-    /// Line of a file, counted from 1, where there is one.
-    pub line: Option<usize>,
-    pub what: String,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        if let Some(line) = self.line {
-            write!(f, "line {line}: ")?;
-        }
-        write!(f, "{}: {}", self.path, self.what)
-    }
-}
-
-impl std::error::Error for Fault {}
-
 fn one() -> f64 {
     1.0
 }
--- a/crates/quota/src/tree.rs
+++ b/crates/quota/src/tree.rs
@@ -1,10 +1,12 @@
 //! A tree that has been checked, with names as dense indices. It never changes.
 
-use crate::spec::{Amounts, Fault, NodeSpec, Over, Place, Spec};
+use crate::file::{NODE, TEAM};
+use crate::spec::{Amounts, NodeSpec, Over, Spec};
 use crate::{
     Amount, COMMON, MAX_AMOUNT, MAX_DEPTH, MAX_NAME, MAX_NODES, MAX_RESOURCES, MAX_TEAMS, UNBOUNDED,
 };
 use crate::{NOTHING, milli};
+use document::{Fault, Faults, short};
 use std::collections::HashMap;
 
 /// An inner node. Parents have lower numbers than their children.
@@ -65,7 +67,7 @@
 impl Tree {
     /// Checks a description against the teams of the settings. All that is wrong is returned, not just the first.
     pub fn build(spec: &Spec, teams: &[Team]) -> Result<Tree, Vec<Fault>> {
-        let mut b = Builder { spec, faults: Vec::new(), tree: Tree::default() };
+        let mut b = Builder { spec, faults: Faults::default(), tree: Tree::default() };
         b.sizes(teams);
         if b.faults.is_empty() {
             b.resources();
@@ -74,7 +76,7 @@
             b.hang(teams);
             b.sums();
         }
-        if b.faults.is_empty() { Ok(b.tree) } else { Err(b.faults) }
+        b.faults.or(b.tree)
     }
 
     pub fn node(&self, name: &str) -> Option<NodeId> {
@@ -110,25 +112,28 @@
 
 struct Builder<'a> {
     spec: &'a Spec,
-    faults: Vec<Fault>,
+    faults: Faults,
     tree: Tree,
 }
 
-/// No more faults than this are told at once.
-const MOST_FAULTS: usize = 50;
+/// Where in a description something is wrong: as a whole, or in one of its nodes or teams, as indices.
+#[derive(Clone, Copy)]
+enum Place {
+    Whole,
+    Node(usize),
+    Team(usize),
+}
 
 impl Builder<'_> {
     fn fault(&mut self, place: Place, field: &str, what: impl Into<String>) {
-        if self.faults.len() >= MOST_FAULTS {
-            return;
-        }
         let dot = if field.is_empty() { "" } else { "." };
-        let path = match place {
-            Place::Whole => field.to_owned(),
-            Place::Node(i) => format!("node {:?}{dot}{field}", short(&self.spec.nodes[i].name)),
-            Place::Team(i) => format!("team {:?}{dot}{field}", short(&self.spec.teams[i].name)),
+        let (list, i, name) = match place {
+            Place::Whole => return self.faults.add(document::Place::Whole, field, what),
+            Place::Node(i) => (NODE, i, &self.spec.nodes[i].name),
+            Place::Team(i) => (TEAM, i, &self.spec.teams[i].name),
         };
-        self.faults.push(Fault { place, path, line: None, what: what.into() });
+        let path = format!("{list} {:?}{dot}{field}", short(name));
+        self.faults.add(document::Place::entry(list, i), path, what);
     }
 
     fn sizes(&mut self, teams: &[Team]) {
@@ -383,11 +388,6 @@
     format!("{:?} is no node of this tree", short(parent.unwrap_or_default()))
 }
 
-/// A name of somebody else's, cut for messages.
-fn short(name: &str) -> String {
-    name.chars().take(60).collect()
-}
-
 /// Thousandths as units, for people.
 pub(crate) fn units(milli: i64) -> String {
     if milli == UNBOUNDED { "none".to_owned() } else { (milli as f64 / 1000.0).to_string() }
--- a/crates/stoathatch/src/ask.rs
+++ b/crates/stoathatch/src/ask.rs
@@ -3,7 +3,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
-use wire::admin::{self, Ask, Refused};
+use wire::admin::{self, Refused};
 use wire::http::{self, Response};
 
 /// A change is given up after this time; whether it was made is then for the history to say.
@@ -21,16 +21,21 @@
 }
 
 /// Asks the controllers in turn. Repeating is harmless: a change carries its own id.
-pub fn ask<T: serde::de::DeserializeOwned>(nodes: &[SocketAddr], question: &Ask) -> Result<T, Failed> {
+pub fn ask<T: serde::de::DeserializeOwned>(
+    nodes: &[SocketAddr],
+    path: &str,
+    question: &impl serde::Serialize,
+    change: bool,
+) -> Result<T, Failed> {
     let body = admin::encode(question);
-    let end = Instant::now() + if matches!(question, Ask::Change(_)) { PATIENCE } else { QUESTION };
+    let end = Instant::now() + if change { PATIENCE } else { QUESTION };
     let mut last = "no controller was named".to_owned();
     for node in nodes.iter().cycle() {
         let left = end.saturating_duration_since(Instant::now());
         if left.is_zero() {
             break;
         }
-        match once(*node, "POST", admin::PATH, &body, left.min(ONE_TRY)) {
+        match once(*node, "POST", path, &body, left.min(ONE_TRY)) {
             Ok(r) if r.status == 200 => {
                 return admin::decode(&r.body).map_err(|e| Failed::Unreachable(format!("{node}: {e}")));
             }
--- a/crates/stoathatch/src/config.rs
+++ b/crates/stoathatch/src/config.rs
@@ -36,18 +36,6 @@
     Ok(tuning)
 }
 
-/// A quota tree that fits the settings' teams; the error names all that is wrong, with path and line.
-pub fn tree(path: &Path, settings: &Settings) -> Result<quota::Spec, String> {
-    let text = std::fs::read_to_string(path).map_err(|e| format!("{}: {e}", path.display()))?;
-    let named = |faults: Vec<quota::Fault>| {
-        let lines: Vec<String> = faults.iter().map(|f| format!("{}: {f}", path.display())).collect();
-        lines.join("\n")
-    };
-    let parsed = quota::file::parse(&text).map_err(named)?;
-    quota::Tree::build(&parsed.spec, &settings.quota_teams()).map_err(|f| named(parsed.locate(f)))?;
-    Ok(parsed.spec)
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/stoathatch/src/documents.rs
@@ -0,0 +1,255 @@
+//! What operators can do with every kind of document: see it, check a file, put another version in force, and list
+//! the changes. A kind adds a small [`Table`], and verbs of its own beside the common ones.
+
+use crate::ask::{Failed, ask};
+use clap::{Args, Subcommand};
+use comfy_table::{Table as Rows, presets};
+use document::file::Parsed;
+use document::{Content, Fault, Past};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use wire::admin::{self, AskOf, ChangeOf, Changed};
+use wire::settings::Settings;
+
+/// Exit codes: 0 done, 1 refused, 2 could not be asked.
+#[derive(Args)]
+pub struct Asked {
+    /// A controller's peer address; several are tried in turn. Any controller will do.
+    #[arg(
+        long = "node",
+        value_name = "IP:PORT",
+        env = "STOATHATCH_NODES",
+        value_delimiter = ',',
+        global = true
+    )]
+    nodes: Vec<SocketAddr>,
+    /// Print JSON, for programs.
+    #[arg(long, global = true)]
+    pub json: bool,
+}
+
+#[derive(Subcommand)]
+pub enum Common {
+    /// The version in force, with what it comes to now.
+    Show {
+        /// Print it as a file that `set` takes.
+        #[arg(long)]
+        file: bool,
+    },
+    /// Check a file, without asking anybody.
+    Check {
+        /// The file (TOML).
+        file: PathBuf,
+        /// Check against the teams and zones of this settings file too.
+        #[arg(long, value_name = "FILE")]
+        config: Option<PathBuf>,
+    },
+    /// Put another version in the place of the one in force.
+    Set {
+        /// The file; `-` for an empty one, with which all is as if there had never been any.
+        file: PathBuf,
+        #[command(flatten)]
+        how: How,
+    },
+    /// The latest changes.
+    History,
+    /// The schema of such files (JSON Schema).
+    Schema,
+}
+
+#[derive(Args)]
+pub struct How {
+    /// Say what would change and what would come of it, and change nothing.
+    #[arg(long)]
+    pub dry_run: bool,
+    /// The version that this change is made for; the one in force now, if not given.
+    #[arg(long, value_name = "VERSION")]
+    pub expect: Option<u64>,
+    /// Who makes the change, for the history.
+    #[arg(long, env = "USER", default_value = "unnamed")]
+    pub by: String,
+}
+
+/// What a kind adds to the common verbs.
+pub trait Table {
+    type Spec: Content + schemars::JsonSchema;
+    /// What is answered to "show".
+    type Shown: Serialize + DeserializeOwned;
+    type Edit: Serialize;
+
+    fn parse(text: &str) -> Result<Parsed<Self::Spec>, Vec<Fault>>;
+    /// Checks it, against settings too where there are any, and says how much there is of it.
+    fn check(spec: &Self::Spec, settings: Option<&Settings>) -> Result<String, Vec<Fault>>;
+    /// The change that puts it in force as a whole.
+    fn set(spec: Self::Spec) -> Self::Edit;
+    fn parts(shown: &Self::Shown) -> (u64, &Self::Spec, &[Past]);
+    /// For people.
+    fn shown(shown: &Self::Shown) -> String;
+}
+
+/// What is wrong with a file or a request, or whatever else ends a command.
+pub enum End {
+    Refused(Vec<String>),
+    Failed(String),
+}
+
+impl From<Failed> for End {
+    fn from(failed: Failed) -> Self {
+        End::located::<()>(failed, None)
+    }
+}
+
+impl End {
+    /// What the service has refused, with the lines of the file that it was sent from.
+    fn located<S>(failed: Failed, from: Option<(&Path, &Parsed<S>)>) -> Self {
+        match failed {
+            Failed::Unreachable(why) => End::Failed(why),
+            Failed::Refused(why) => {
+                let version = why.version.map(|v| format!("version in force: {v}"));
+                let faults: Vec<String> = match from {
+                    Some((path, parsed)) => {
+                        let faults = parsed.locate(why.faults);
+                        faults.iter().map(|f| format!("{}: {f}", path.display())).collect()
+                    }
+                    None => why.faults.iter().map(ToString::to_string).collect(),
+                };
+                End::Refused([why.error].into_iter().chain(faults).chain(version).collect())
+            }
+        }
+    }
+
+    fn placed(path: &Path, faults: &[Fault]) -> Self {
+        End::Refused(faults.iter().map(|f| format!("{}: {f}", path.display())).collect())
+    }
+
+    fn lines(self) -> Vec<String> {
+        match self {
+            End::Refused(lines) => lines,
+            End::Failed(why) => vec![why],
+        }
+    }
+}
+
+/// Prints how a command ended.
+pub fn end(result: Result<String, End>) -> ExitCode {
+    match result {
+        Ok(text) => {
+            println!("{}", text.trim_end());
+            ExitCode::SUCCESS
+        }
+        Err(end) => {
+            let code = ExitCode::from(if matches!(end, End::Refused(_)) { 1 } else { 2 });
+            end.lines().iter().for_each(|line| eprintln!("stoathatch: {line}"));
+            code
+        }
+    }
+}
+
+impl Asked {
+    /// A question about a kind.
+    pub fn ask<T: Table, A: DeserializeOwned>(&self, question: &impl Serialize) -> Result<A, Failed> {
+        ask(&self.nodes, &admin::path(T::Spec::KIND), question, false)
+    }
+
+    fn shown<T: Table>(&self) -> Result<T::Shown, Failed> {
+        self.ask::<T, _>(&AskOf::<T::Edit>::Show)
+    }
+}
+
+pub fn run<T: Table>(asked: &Asked, common: &Common) -> Result<String, End> {
+    match common {
+        Common::Schema => Ok(document::file::schema::<T::Spec>()),
+        Common::Check { file, config } => {
+            let parsed = read::<T>(file)?;
+            let settings = config.as_deref().map(crate::config::settings).transpose().map_err(End::Failed)?;
+            let checked = T::check(&parsed.spec, settings.as_ref());
+            let words = checked.map_err(|faults| End::placed(file, &parsed.locate(faults)))?;
+            Ok(format!("{}: {words}", file.display()))
+        }
+        Common::Show { file } => {
+            let shown = asked.shown::<T>()?;
+            match (file, asked.json) {
+                (true, _) => document::file::render(T::parts(&shown).1).map_err(End::Failed),
+                (_, true) => Ok(json(&shown)),
+                _ => Ok(T::shown(&shown)),
+            }
+        }
+        Common::History => {
+            let shown = asked.shown::<T>()?;
+            let (_, _, history) = T::parts(&shown);
+            if asked.json {
+                return Ok(json(&history));
+            }
+            let rows = history.iter().map(|p| {
+                vec![p.version.to_string(), (p.at_ms / 1000).to_string(), p.by.clone(), p.what.clone()]
+            });
+            Ok(table(&["version", "unix time", "by", "what"], rows))
+        }
+        Common::Set { file, how } if file == Path::new("-") => {
+            change::<T>(asked, how, T::set(T::Spec::default()), None)
+        }
+        Common::Set { file, how } => {
+            let parsed = read::<T>(file)?;
+            change::<T>(asked, how, T::set(parsed.spec.clone()), Some((file, &parsed)))
+        }
+    }
+}
+
+fn read<T: Table>(path: &Path) -> Result<Parsed<T::Spec>, End> {
+    let text = std::fs::read_to_string(path).map_err(|e| End::Failed(format!("{}: {e}", path.display())))?;
+    T::parse(&text).map_err(|faults| End::placed(path, &faults))
+}
+
+/// A document to begin with, that fits the settings; the error names all that is wrong, with path and line.
+pub fn first<T: Table>(path: &Path, settings: &Settings) -> Result<T::Spec, String> {
+    let parsed = read::<T>(path).map_err(|end| end.lines().join("\n"))?;
+    match T::check(&parsed.spec, Some(settings)) {
+        Ok(_) => Ok(parsed.spec),
+        Err(faults) => Err(End::placed(path, &parsed.locate(faults)).lines().join("\n")),
+    }
+}
+
+/// Asks for a change, and says what came of it.
+pub fn change<T: Table>(
+    asked: &Asked,
+    how: &How,
+    edit: T::Edit,
+    from: Option<(&Path, &Parsed<T::Spec>)>,
+) -> Result<String, End> {
+    let expect = match how.expect {
+        Some(version) => version,
+        None => T::parts(&asked.shown::<T>()?).0,
+    };
+    // Made once: each try carries the same, so that it is made at most once.
+    let id = format!("{:016x}", fastrand::u64(..));
+    let (by, dry_run) = (how.by.clone(), how.dry_run);
+    let change = AskOf::Change(ChangeOf { id, by, expect: Some(expect), dry_run, edit });
+    let path = admin::path(T::Spec::KIND);
+    let done: Changed = ask(&asked.nodes, &path, &change, true).map_err(|f| End::located(f, from))?;
+    if asked.json {
+        return Ok(json(&done));
+    }
+    let mut out = if done.dry_run {
+        format!("version {} stays; this would change:\n", done.version)
+    } else {
+        format!("version {} is in force\n", done.version)
+    };
+    done.differences.iter().chain(&done.above).for_each(|line| out.push_str(&format!("  {line}\n")));
+    Ok(out)
+}
+
+pub fn json<T: Serialize>(value: &T) -> String {
+    serde_json::to_string(value).unwrap_or_default()
+}
+
+pub fn table(head: &[&str], rows: impl Iterator<Item = Vec<String>>) -> String {
+    let mut table = Rows::new();
+    table.load_preset(presets::NOTHING).set_header(head.iter().copied());
+    rows.for_each(|row| {
+        table.add_row(row);
+    });
+    table.to_string()
+}
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod config;
+mod documents;
 mod quota;
 mod service;
 mod tools;
@@ -80,7 +81,7 @@
         None => control::Tuning::default(),
     };
     let tree = match &args.quota {
-        Some(path) => Some(config::tree(path, &settings)?),
+        Some(path) => Some(documents::first::<quota::Quota>(path, &settings)?),
         None => None,
     };
     let yarn = args.yarn.as_deref().map(config::yarn).transpose()?;
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -1,28 +1,33 @@
 //! What operators ask a controller, as JSON over the peers' door. Any controller takes it; the owner answers.
 
+use document::{Fault, Past};
 use quota::{Amounts, Spec};
 use serde::{Deserialize, Serialize};
 
+const PREFIX: &str = "/admin/";
 pub const PATH: &str = "/admin/quota";
 /// Largest request: a tree of 20,000 teams takes less. Answers add what each of them uses.
 pub const BODY_LIMIT: usize = 2 << 20;
 pub const ANSWER_LIMIT: usize = 16 << 20;
 
+/// The path of a kind of document.
+pub fn path(kind: &str) -> String {
+    format!("{PREFIX}{kind}")
+}
+
+/// What is asked about any document. Questions that its kind alone has come in a form of their own, as its other
+/// asks.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
-pub enum Ask {
-    /// The tree in force with use and wants, and the latest changes.
+pub enum AskOf<E> {
+    /// The version in force, and the latest changes.
     Show,
-    /// Why a team's work waits.
-    Why {
-        team: String,
-    },
-    Change(Change),
+    Change(ChangeOf<E>),
 }
 
-/// One change of the tree.
+/// One change of a document.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Change {
+pub struct ChangeOf<E> {
     /// Made by the operator before the first try; a repeat with the same one is the same change.
     pub id: String,
     pub by: String,
@@ -32,7 +37,30 @@
     /// Only say what would change, and what would be stopped.
     #[serde(default)]
     pub dry_run: bool,
-    pub edit: Edit,
+    pub edit: E,
+}
+
+/// The only change of most kinds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Whole<C> {
+    /// Another document as a whole; an empty one takes it away.
+    Set { spec: C },
+}
+
+/// No questions of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Nothing {}
+
+/// What is asked about the quota tree. It is shown with use and wants.
+pub type Ask = AskOf<Edit>;
+pub type Change = ChangeOf<Edit>;
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Question {
+    /// Why a team's work waits.
+    Why { team: String },
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -46,13 +74,24 @@
     Shrink { name: String, guarantee: Amounts, max: Amounts, scale: bool },
 }
 
+/// A document that has nothing beside it to show.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Shown<C> {
+    pub version: u64,
+    pub spec: C,
+    pub history: Vec<Past>,
+    /// A version that did not check out, and why; the one in force is the last good one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub refused: Option<String>,
+}
+
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Tree {
     pub version: u64,
     pub spec: Spec,
     pub nodes: Vec<quota::Standing>,
     pub teams: Vec<quota::Standing>,
-    pub history: Vec<crate::tree::Past>,
+    pub history: Vec<Past>,
     /// A version that did not check out, and why; the one in force is the last good one.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub refused: Option<String>,
@@ -65,7 +104,7 @@
     pub version: u64,
     pub dry_run: bool,
     pub differences: Vec<String>,
-    /// What is above its bound then: by node, how much, and what becomes of it.
+    /// What comes of it: of a tree what is above its bound then, how much, and what becomes of it.
     pub above: Vec<String>,
 }
 
@@ -76,9 +115,14 @@
     /// The version in force, where it was another one than expected.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<u64>,
-    /// What is wrong with the tree.
+    /// What is wrong with the document.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub faults: Vec<quota::Fault>,
+    pub faults: Vec<Fault>,
+}
+
+/// The kind of document that a path is for.
+pub fn kind_of(path: &str) -> Option<&str> {
+    path.strip_prefix(PREFIX)
 }
 
 pub fn encode<T: Serialize>(value: &T) -> Vec<u8> {
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -367,6 +367,13 @@
     pub revision: u64,
 }
 
+/// Why a transaction was not made: the keys whose versions were others than its guards say.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Conflict {
+    #[serde(default)]
+    pub failed: Vec<String>,
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Item<T> {
     pub key: String,
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -12,12 +12,19 @@
 pub const TOKEN: &str = "sys/token";
 pub const CATALOG: &str = "sys/catalog";
 pub const LIVE: &str = "live/";
-/// Which quota tree is in force; every controller follows it. Its parts are read when it changes.
+/// [`head_key`] and [`parts_prefix`] of the quota tree.
 pub const QUOTA: &str = "sys/quota";
 pub const QUOTA_PARTS: &str = "quota/part/";
 /// Records of doors beside the users' own.
 pub const SIDE: &str = "side/";
 
+/// Which version of a kind of document is in force; every controller follows it. Its parts are read when it changes.
+pub fn head_key(kind: &str) -> String {
+    format!("{SHARED}{kind}")
+}
+pub fn parts_prefix(kind: &str) -> String {
+    format!("{kind}/part/")
+}
 pub fn owner_key(part: Part) -> String {
     format!("sys/owner/{part}")
 }
@@ -73,10 +80,10 @@
     /// All limits whole, in a record of at most `value` bytes.
     pub fn whole(teams: Vec<AllotedTeam>, tree: u64, value: usize) -> Self {
         let list = AllotRec { teams, whole: None, tree };
-        if crate::tree::text(&list).len() <= value {
+        if document::text(&list).len() <= value {
             return list;
         }
-        AllotRec { teams: Vec::new(), whole: Some(crate::tree::digest(&list.teams)), tree }
+        AllotRec { teams: Vec::new(), whole: Some(document::digest(&list.teams)), tree }
     }
 }
 
@@ -105,6 +112,46 @@
     /// Time of day of the acceptance; good within the clock error of the settings.
     pub at_ms: u64,
     pub part: Part,
+    /// What was agreed for it when it was accepted. Read from here, never worked out again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hour: Option<HourRec>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub county: Option<CountyRec>,
+}
+
+impl JobRec {
+    /// One that nothing was agreed for.
+    pub fn new(spec: JobSpec, at_ms: u64, part: Part) -> Self {
+        JobRec { spec, at_ms, part, hour: None, county: None }
+    }
+}
+
+/// The hour by which a job is to be released.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HourRec {
+    /// Time of day, in milliseconds.
+    pub due_ms: u64,
+    /// The version of the calendar that said so.
+    pub version: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub moved: Option<MovedRec>,
+}
+
+/// An operator's last move of an hour.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MovedRec {
+    pub by: String,
+    pub at_ms: u64,
+    pub from_ms: u64,
+}
+
+/// The county that a job counts for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CountyRec {
+    /// Its stable id.
+    pub county: String,
+    /// The version that bound it.
+    pub version: u64,
 }
 
 /// The final state of a job. Kept for ever.
@@ -220,12 +267,18 @@
     pub at_ms: u64,
 }
 
+/// The head of a document other than the quota tree.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HeadRec {
+    pub document: document::Head,
+}
+
 #[derive(Debug, Clone, PartialEq, Serialize)]
 #[serde(untagged)]
 pub enum Record {
     Owner(OwnerRec),
     Token(TokenRec),
-    Job(JobRec),
+    Job(Box<JobRec>),
     End(EndRec),
     Log(LogRec),
     Rack(RackRec),
@@ -233,9 +286,9 @@
     Catalog(Catalog),
     Allot(AllotRec),
     Quota(crate::tree::HeadRec),
-    QuotaPart(crate::tree::PartRec),
-    /// What a door beside the users' own keeps; its form is that door's.
-    Side(serde_json::Value),
+    Document(HeadRec),
+    /// A part of a document, in its kind's form; or what a door beside the users' own keeps, in that door's.
+    Other(serde_json::Value),
 }
 
 /// What stands under [`SHARED`], read without knowing beforehand which.
@@ -247,8 +300,9 @@
     pub token: Option<u64>,
     #[serde(default)]
     pub lease: Option<u64>,
-    #[serde(default)]
-    pub quota: Option<crate::tree::Head>,
+    /// The head of a document; the key tells which.
+    #[serde(default, alias = "quota")]
+    pub document: Option<document::Head>,
     #[serde(rename = "builds", default)]
     pub types: Option<Vec<crate::api::MachineType>>,
 }
