The largest jobs begin in a flood too: old jobs go before younger ones, at last before all

From [plan] wait_s on (150 s) a job goes before younger ones of its urgency, with a sixteenth of an array before all others; from latest_s on (220 s) all of it does. What an old array has by that is not stopped for urgency alone; guarantees still may, last of all. An old gang is promised the first places to come and keeps those that are free.

--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -120,6 +120,8 @@
     pub backoff_until: u64,
     /// It may have changed since the last plan.
     pub touched: bool,
+    /// A plan has seen some of it run.
+    pub began: bool,
 }
 
 impl Job {
@@ -163,9 +165,15 @@
             succeeded: false,
             backoff_until: 0,
             touched: false,
+            began: false,
         }
     }
 
+    /// Whether what is pending waits for its first start, as far as is known. Of an array, any task may.
+    pub fn waits(&self) -> bool {
+        self.kind() == Kind::Array || !self.began && self.progress_s == 0.0
+    }
+
     pub fn kind(&self) -> Kind {
         self.spec.as_ref().map_or(Kind::Array, |s| s.kind)
     }
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -76,6 +76,7 @@
         image_gb: spec.image_gb,
         team,
         due: None,
+        waits: false,
         promised: false,
         held: 0,
         zones: Vec::new(),
@@ -187,6 +188,15 @@
     out
 }
 
+/// Whether the `nth` claim of a job is not stopped for urgency alone: of an old array a first share until some of it is
+/// done, of one that has waited as long as any may all.
+fn is_spared(job: &Job, nth: u32, waits: &plan::Waits, wall: u64) -> bool {
+    let Some(spec) = job.spec.as_deref().filter(|s| s.kind == Kind::Array) else { return false };
+    let age = wall.saturating_sub(job.at_ms) as f64 / 1000.0;
+    let first = job.done_count == 0 && nth < plan::first_share(plan::Shape::Array, spec.tasks);
+    age >= waits.latest || first && age >= waits.old
+}
+
 /// How soon after its arrival a job that has waited for `age` should start: the first aim that can still be kept.
 fn told(aims: &[Objective], class: &str, guarantee: Option<f64>, age: f64) -> Option<f64> {
     wait_aims(aims, class).chain(guarantee).filter(|within| *within > age).reduce(f64::min)
@@ -291,6 +301,7 @@
         let mut input = plan::Input {
             online_factor: self.tuning.online_factor,
             patience: self.tuning.patience_s,
+            waits: plan::Waits { old: self.tuning.wait_s, latest: self.tuning.latest_s },
             max_steps: (self.settings.limits().cores * STEPS_A_CORE) as u64,
             ..plan::Input::default()
         };
@@ -306,6 +317,7 @@
         if let (Some(tree), Some((_, counted))) = (&tree, &part.counted) {
             input.groups = standing::groups(tree, &counted.live);
         }
+        part.jobs.iter_mut().flatten().for_each(|j| j.began |= j.running > 0);
         // Claims of each job that stay: they count as held before what waits.
         let mut staying: HashMap<JobIx, u32> = HashMap::new();
         let mut to_plan: HashMap<usize, u32> = HashMap::new();
@@ -329,10 +341,11 @@
             for (k, c) in machine.claims.iter().enumerate() {
                 let Some(job) = part.jobs.get(c.job).and_then(Option::as_ref) else { continue };
                 // What is on its way out holds no place any more.
-                let mut held = 0;
+                let (mut held, mut spared) = (0, false);
                 if c.stop.is_none() {
                     let nth = staying.entry(c.job).or_default();
                     held = holds.held(c.job, *nth);
+                    spared = is_spared(job, *nth, &input.waits, now.wall);
                     *nth += 1;
                 }
                 let ran = c.running_since.map_or(0.0, |t| now.mono.saturating_sub(t) as f64 / 1000.0);
@@ -358,6 +371,7 @@
                     leaving: c.stop.is_some(),
                     team: teams.get(job.team.as_str()).copied().unwrap_or(u16::MAX),
                     held,
+                    spared,
                     gang: (job.kind() == Kind::Gang).then_some(c.job as u32),
                 });
                 claims.push(k);
@@ -404,12 +418,13 @@
                 arrival: -(now.wall.saturating_sub(job.at_ms) as f64 / 1000.0),
                 estimate: (spec.estimate_s * factor - job.progress_s).max(1.0),
                 zones: by_zone,
+                waits: job.waits(),
                 avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
                 ..shaped(spec, &mut part.images, &names, *team)
             };
             let claimed = staying.get(&ix).copied().unwrap_or(0);
-            for (held, pending) in holds.waiting(ix, spec, claimed, pending) {
-                let planned = plan::Job { pending, held, ..like.clone() };
+            for (k, (held, pending)) in holds.waiting(ix, spec, claimed, pending).into_iter().enumerate() {
+                let planned = plan::Job { pending, held, waits: like.waits && k == 0, ..like.clone() };
                 map.jobs.push(ix);
                 input.jobs.push(aims.with_deadline(planned, spec, &holds, ix));
             }
--- a/crates/control/src/tuning.rs
+++ b/crates/control/src/tuning.rs
@@ -45,6 +45,8 @@
         every_ms = 1000.0 in 50.0..=60000.0, "Plans are at least this far apart.";
         online_factor = 1.5 in 1.0..=20.0, "The smallest stretch is relaxed by this factor.";
         patience_s = 3.0 in 0.0..=3600.0, "An urgent gang waits this long for room before others are stopped for it.";
+        wait_s = 150.0 in 1.0..=36000.0, "A job that has waited so long goes before younger ones of its urgency, a share of it before all.";
+        latest_s = 220.0 in 1.0..=36000.0, "A job that has waited so long goes before all others, of any urgency.";
     }
     "reach": {
         relays = 1.0 in 0.0..=1.0, "1 lets a node hand on reports and commands of workers that can't reach the owner.";
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,6 +1,7 @@
 //! The planner: pure functions from jobs, machines and the time to starts, preemptions and hires.
 //! No I/O, clock or randomness. The design and its sources are in `docs/design.md`.
 
+mod aged;
 mod hire;
 mod place;
 mod recall;
@@ -9,6 +10,7 @@
 mod stretch;
 mod timeline;
 
+pub use aged::{Waits, first_share};
 pub use hire::{HireInput, MachineOffer, Wish, wishes};
 pub use place::plan;
 pub use stretch::{Sized, smallest_stretch};
@@ -71,6 +73,8 @@
     pub team: u16,
     /// How far its team's guarantees hold it, see [`Job::held`].
     pub held: u8,
+    /// Of the first share of an old job: not stopped for urgency alone.
+    pub spared: bool,
     /// The gang that it belongs to, all of which stops with it.
     pub gang: Option<u32>,
 }
@@ -131,6 +135,8 @@
     pub image: u32,
     pub image_gb: f64,
     pub team: u16,
+    /// Some of it has not run yet, so that the time since its arrival is a wait.
+    pub waits: bool,
     /// Its own deadline, from now.
     pub due: Option<Secs>,
     /// Within a guarantee, and not yet late for it.
@@ -200,6 +206,7 @@
     pub online_factor: f64,
     /// A job of higher priority waits this long for room before others are stopped for it.
     pub patience: Secs,
+    pub waits: Waits,
     /// Past so many steps nothing is cleared any more, and past twice as many the rest waits for the next plan.
     pub max_steps: u64,
 }
@@ -249,14 +256,14 @@
         r.team != job.team && r.held <= kin && job.held > kin
     }
 
-    /// Whether a task may be stopped for a more urgent job. Where quotas nest, urgency of what is borrowed does not
+    /// Whether a task may be stopped for a more urgent job. Not the first share of an old one. Where quotas nest, urgency of what is borrowed does not
     /// count against what is held.
     pub fn yields(&self, r: &Running, job: &Job) -> bool {
         let borrows = || {
             let kin = self.kin(r.team, job.team);
             r.team != job.team && r.held > kin && job.held <= kin
         };
-        r.priority < job.priority && (self.groups.is_empty() || !borrows())
+        r.priority < job.priority && !r.spared && (self.groups.is_empty() || !borrows())
     }
 }
 
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -70,19 +70,23 @@
         // others would be theirs again otherwise.
         // Where quotas nest, what a guarantee holds comes before what is borrowed, whose places it would call back.
         let nested = !input.groups.is_empty();
+        // What is old goes before the younger of its urgency, the longest wait first.
         let mut order: Vec<(bool, u8, bool, Secs, usize)> = planned
             .iter()
             .zip(&sized)
             .map(|(i, z)| {
                 let job = &input.jobs[*i];
                 let due = job.arrival + z.work * s;
-                let first = job.promised && job.shape == Shape::Gang;
-                (nested && job.held > 0, job.priority, first, job.due.map_or(due, |own| own.min(due)), *i)
+                let old = input.waits.is_old(job);
+                let first = old || job.promised && job.shape == Shape::Gang;
+                let due = if old { job.arrival } else { job.due.map_or(due, |own| own.min(due)) };
+                (nested && job.held > 0, job.priority, first, due, *i)
             })
             .collect();
         order.sort_by(|a, b| {
             (b.0, b.1, b.2).cmp(&(a.0, a.1, a.2)).then(a.3.total_cmp(&b.3)).then(a.4.cmp(&b.4))
         });
+        self.serve_old(&mut left);
         let mut kept = false;
         for (_, priority, _, due, i) in &order {
             let job = &input.jobs[*i];
@@ -94,17 +98,9 @@
                 self.keep_spares();
             }
             match job.shape {
-                Shape::Gang => {
-                    let want = left[*i];
-                    if self.allows(job, want) < want {
-                        continue;
-                    }
-                    if self.gang(*i, want) {
-                        left[*i] = 0;
-                    } else if !self.is_tired() && !self.make_room(*i, want) {
-                        self.wait(*i, want);
-                    }
-                }
+                // What is old has had its turn.
+                Shape::Gang if !input.waits.is_old(job) => self.start_or_wait(*i, &mut left),
+                Shape::Gang => {}
                 _ => {
                     // Narrowest width j with ceil(n / j) rounds of one estimate ending by the deadline.
                     // Most rounds start with the image there; the first may have to fetch it.
@@ -141,6 +137,19 @@
         }
     }
 
+    /// Starts a gang whole, or sees to the room that it waits for.
+    pub(crate) fn start_or_wait(&mut self, i: usize, left: &mut [u32]) {
+        let want = left[i];
+        if want == 0 || self.allows(&self.input.jobs[i], want) < want {
+            return;
+        }
+        if self.gang(i, want) {
+            left[i] = 0;
+        } else if !self.is_tired() && !self.make_room(i, want) {
+            self.wait(i, want);
+        }
+    }
+
     pub(crate) fn is_tired(&self) -> bool {
         self.out.steps > self.input.max_steps
     }
@@ -294,7 +303,7 @@
     }
 
     /// Starts up to `want` tasks of a job that needs no gang; returns how many.
-    fn fill(&mut self, i: usize, want: u32, keep_holds: bool) -> u32 {
+    pub(crate) fn fill(&mut self, i: usize, want: u32, keep_holds: bool) -> u32 {
         let job = &self.input.jobs[i];
         let mut left = self.allows(job, want);
         let granted = left;
--- a/crates/plan/src/recall.rs
+++ b/crates/plan/src/recall.rs
@@ -17,6 +17,9 @@
 /// The same for a single task.
 const TASK_LOSS: Secs = 5.0;
 
+/// What else is lost of an old job's first share: it goes last.
+const SPARED_LOSS: Secs = 120.0;
+
 /// What stops together: one task, or a whole gang.
 struct Victim {
     gang: Option<u32>,
@@ -193,7 +196,9 @@
                         victim.cost += r.lost + GANG_LOSS;
                     }
                     None if r.stoppable && rooms.contains_key(&m) => {
-                        out.push(Victim { gang: None, tasks: vec![(m, k)], cost: r.lost + TASK_LOSS, kin });
+                        let spared = if r.spared { SPARED_LOSS } else { 0.0 };
+                        let cost = r.lost + TASK_LOSS + spared;
+                        out.push(Victim { gang: None, tasks: vec![(m, k)], cost, kin });
                     }
                     None => {}
                 }
--- /dev/null
+++ b/crates/plan/tests/floods.rs
@@ -0,0 +1,257 @@
+//! Floods of urgent work played in plan turns: who waits long begins, and nothing is stopped for it against its urgency.
+
+use plan::{Input, Job, Machine, Output, Res, Running, Shape, Team, Waits, first_share, plan};
+use proptest::prelude::*;
+
+/// In turns.
+const WAITS: Waits = Waits { old: 20.0, latest: 30.0 };
+const PLACES: u32 = 4;
+
+fn task() -> Res {
+    Res { cores: 1.0, gpus: 1.0, mem: 1.0 }
+}
+
+fn job(shape: Shape, priority: u8, tasks: u32) -> Job {
+    // A task of an urgent gang takes a whole machine.
+    let places = if shape == Shape::Gang { PLACES } else { 1 };
+    let mut need = Res::default();
+    need.add(&task(), f64::from(places));
+    Job {
+        shape,
+        priority,
+        arrival: 0.0,
+        estimate: 6.0,
+        tasks,
+        pending: tasks,
+        need,
+        types: 1,
+        zone: None,
+        one_zone: false,
+        spread: false,
+        spot: true,
+        image: 0,
+        image_gb: 0.0,
+        team: 0,
+        waits: true,
+        due: None,
+        promised: false,
+        held: 0,
+        zones: vec![],
+        avoid: vec![],
+    }
+}
+
+/// A task on a machine: its job, when it ends, and when it began.
+struct Placed {
+    job: usize,
+    machine: usize,
+    ends: i32,
+    began: i32,
+}
+
+/// A fleet that does as it is told, a plan a turn.
+struct Fleet {
+    machines: usize,
+    jobs: Vec<(i32, Job)>,
+    placed: Vec<Placed>,
+    done: Vec<u32>,
+    began: Vec<Option<i32>>,
+    /// Of each job, tasks that were stopped.
+    stopped: Vec<u32>,
+    bound: bool,
+}
+
+impl Fleet {
+    fn new(machines: usize, jobs: Vec<(i32, Job)>, bound: bool) -> Self {
+        let n = jobs.len();
+        Fleet {
+            machines,
+            jobs,
+            placed: vec![],
+            done: vec![0; n],
+            began: vec![None; n],
+            stopped: vec![0; n],
+            bound,
+        }
+    }
+
+    /// What the planner is shown, with our indices of the jobs, and of the tasks on each machine.
+    fn input(&self, now: i32) -> (Input, Vec<usize>, Vec<Vec<usize>>) {
+        let total = Res { cores: 4.0, gpus: 4.0, mem: 4.0 };
+        let machine = Machine {
+            machine_type: 0,
+            zone: 0,
+            spot: false,
+            usable: true,
+            ready: 0.0,
+            total,
+            running: vec![],
+            images: vec![0],
+            fetch_gb_per_s: 1.0,
+            slots: 10,
+        };
+        let mut input = Input {
+            machines: vec![machine; self.machines],
+            online_factor: 1.5,
+            patience: 3.0,
+            max_steps: u64::MAX / 4,
+            waits: if self.bound { WAITS } else { Waits::default() },
+            ..Input::default()
+        };
+        input.teams = vec![Team {
+            path: vec![],
+            cores_used: 0.0,
+            gpus_used: 0.0,
+            cores_max: f64::INFINITY,
+            gpus_max: f64::INFINITY,
+        }];
+        let mut on: Vec<Vec<usize>> = vec![vec![]; self.machines];
+        let mut claims = vec![0u32; self.jobs.len()];
+        for (k, p) in self.placed.iter().enumerate() {
+            let job = &self.jobs[p.job].1;
+            let (array, first) = (job.shape == Shape::Array, first_share(job.shape, job.tasks));
+            let age = f64::from(now - self.jobs[p.job].0);
+            let share = self.done[p.job] == 0 && claims[p.job] < first;
+            let spared = self.bound && array && (age >= WAITS.latest || share && age >= WAITS.old);
+            claims[p.job] += 1;
+            on[p.machine].push(k);
+            input.machines[p.machine].running.push(Running {
+                need: job.need,
+                ends: f64::from(p.ends - now),
+                priority: job.priority,
+                lost: f64::from(now - p.began),
+                stoppable: array,
+                leaving: false,
+                team: 0,
+                held: 0,
+                spared,
+                gang: (!array).then_some(p.job as u32),
+            });
+        }
+        let mut map = Vec::new();
+        for (j, (at, job)) in self.jobs.iter().enumerate() {
+            let left = job.tasks - self.done[j] - claims[j];
+            if *at > now || left == 0 || (job.shape == Shape::Gang && claims[j] > 0) {
+                continue;
+            }
+            let zones = if claims[j] > 0 { vec![(0, claims[j])] } else { vec![] };
+            let waits = job.shape == Shape::Array || self.began[j].is_none();
+            input.jobs.push(Job { arrival: f64::from(at - now), pending: left, zones, waits, ..job.clone() });
+            map.push(j);
+        }
+        (input, map, on)
+    }
+
+    fn turn(&mut self, now: i32) -> Result<(), TestCaseError> {
+        let over: Vec<usize> = self.placed.iter().filter(|p| p.ends <= now).map(|p| p.job).collect();
+        over.into_iter().for_each(|j| self.done[j] += 1);
+        self.placed.retain(|p| p.ends > now);
+        let (input, map, on) = self.input(now);
+        let out: Output = plan(&input);
+        prop_assert_eq!(&out.recalls, &Vec::<u32>::new(), "no guarantee, so no gang stops");
+        for s in &out.starts {
+            let j = map[s.job as usize];
+            self.began[j].get_or_insert(now);
+            let ends = now + self.jobs[j].1.estimate as i32;
+            let new = || Placed { job: j, machine: s.machine as usize, ends, began: now };
+            self.placed.extend((0..s.count).map(|_| new()));
+        }
+        let stop: Vec<usize> = out.preempts.iter().map(|p| on[p.machine as usize][p.task as usize]).collect();
+        let most = input.jobs.iter().map(|j| j.priority).max().unwrap_or(0);
+        for k in &stop {
+            let j = self.placed[*k].job;
+            prop_assert!(self.jobs[j].1.priority < most, "stopped for work that is no more urgent");
+            self.stopped[j] += 1;
+        }
+        let mut k = 0;
+        self.placed.retain(|_| {
+            k += 1;
+            !stop.contains(&(k - 1))
+        });
+        Ok(())
+    }
+}
+
+/// A flood that lasts: urgent gangs, twice as many a turn as the fleet ends; and some large jobs of low urgency.
+fn flood(machines: usize, until: i32, large: &[(i32, Shape, u32)]) -> Vec<(i32, Job)> {
+    let a_turn = machines.div_ceil(3);
+    let urgent = (0..until).flat_map(|t| (0..a_turn).map(move |_| (t, job(Shape::Gang, 2, 1))));
+    let large = large.iter().map(|(t, shape, tasks)| (*t, job(*shape, 0, *tasks)));
+    large.chain(urgent).collect()
+}
+
+/// When the first `n` jobs of a flood began, and how many of their tasks were stopped.
+fn play(
+    jobs: Vec<(i32, Job)>,
+    machines: usize,
+    n: usize,
+    turns: i32,
+    bound: bool,
+) -> Result<Fleet, TestCaseError> {
+    let mut fleet = Fleet::new(machines, jobs, bound);
+    for now in 0..turns {
+        fleet.turn(now)?;
+    }
+    fleet.began.truncate(n);
+    Ok(fleet)
+}
+
+prop_compose! {
+    fn large()(at in 0i32..20, array: bool, tasks in 30u32..90, width in 2u32..5) -> (i32, Shape, u32) {
+        if array { (at, Shape::Array, tasks) } else { (at, Shape::Gang, width) }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(26), ..ProptestConfig::default() })]
+
+    /// Whoever waits begins within the bound, twice the longest run and what other large jobs before it take, though
+    /// twice the work that the fleet can do keeps coming; without the bound nobody does.
+    #[test]
+    fn the_largest_begin_in_a_flood(machines in 6usize..10, large in prop::collection::vec(large(), 1..4)) {
+        let turns = 130;
+        let jobs = flood(machines, turns, &large);
+        let fleet = play(jobs.clone(), machines, large.len(), turns, true)?;
+        for (k, (began, (at, shape, tasks))) in fleet.began.iter().zip(&large).enumerate() {
+            let before = large.iter().enumerate().filter(|(o, l)| *o != k && l.0 <= *at);
+            let loads: u32 = before.map(|(_, (_, s, n))| if *s == Shape::Array { n.div_ceil(PLACES) } else { *n }).sum();
+            let bound = WAITS.old as i32 + 12 + (loads * 6).div_ceil(machines as u32) as i32;
+            let waited = began.map(|b| b - at);
+            prop_assert!(waited.is_some_and(|w| w <= bound), "{shape:?} of {tasks}: {waited:?}, {bound}");
+        }
+        let started: Vec<i32> = large.iter().filter(|l| l.0 > 1).map(|l| l.0).collect();
+        let forgotten = play(jobs, machines, large.len(), turns, false)?;
+        let late = forgotten.began.iter().zip(&large).filter(|(b, l)| l.0 > 1 && b.is_none()).count();
+        prop_assert_eq!(late, started.len(), "a flood in which they begin anyway shows nothing");
+    }
+
+    /// What has begun so late is not stopped at once by the next urgent gang: some of it ends.
+    #[test]
+    fn what_began_late_gets_to_an_end(machines in 6usize..10, tasks in 60u32..300) {
+        let turns = 70;
+        let fleet = play(flood(machines, turns, &[(2, Shape::Array, tasks)]), machines, 1, turns, true)?;
+        prop_assert!(fleet.done[0] >= first_share(Shape::Array, tasks).min(PLACES), "done: {}", fleet.done[0]);
+    }
+
+    /// Who has its share stands where it stood, and nothing else is moved.
+    #[test]
+    fn with_its_share_a_job_has_no_more_before_others(machines in 3usize..6, tasks in 17u32..100, gangs in 0usize..6) {
+        let mut jobs = flood(machines, 1, &[(0, Shape::Array, tasks)]);
+        jobs.extend((0..gangs).map(|_| (0, job(Shape::Gang, 2, 1))));
+        let mut fleet = Fleet::new(machines, jobs, true);
+        let has = first_share(Shape::Array, tasks);
+        fleet.placed.extend((0..has).map(|k| Placed { job: 0, machine: (k / PLACES) as usize, ends: 50, began: -5 }));
+        let (mut input, _, _) = fleet.input(0);
+        let young = plan(&input);
+        // Alone of its urgency, it has nobody to go before there.
+        input.jobs[0].arrival = -WAITS.old;
+        let old = plan(&input);
+        let sums = |out: &Output| {
+            let mut sums = std::collections::BTreeMap::new();
+            out.starts.iter().for_each(|s| *sums.entry((s.job, s.machine)).or_insert(0) += s.count);
+            sums
+        };
+        prop_assert_eq!(sums(&young), sums(&old));
+        prop_assert_eq!(young.preempts, old.preempts);
+    }
+}
--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -16,7 +16,7 @@
                  images in prop::collection::vec(0u32..3, 0..2)) -> Machine {
         let total = res(32.0, f64::from(kind + 1) * 4.0, 128.0);
         let running = running.into_iter().map(|(g, ends, priority, beyond, gang)| Running {
-            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: gang.is_none(), leaving: false, team: 1, held: u8::from(!beyond), gang,
+            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: gang.is_none(), leaving: false, team: 1, held: u8::from(!beyond), spared: false, gang,
         }).collect();
         let mut m = Machine { machine_type: kind, zone, spot, usable, ready: 20.0, total, running, images, fetch_gb_per_s: 1.0, slots: 20 };
         while m.free().gpus < 0.0 {
@@ -32,7 +32,7 @@
              flags in (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>()), image in 0u32..3, team in 0u16..2) -> Job {
         let shape = [Shape::Array, Shape::Gang, Shape::Service][shape as usize];
         Job { shape, priority, arrival, estimate, tasks, pending: tasks, need: res(4.0, f64::from(gpus), 16.0), types,
-              zone, one_zone: flags.0, spread: flags.1 && !flags.0, spot: flags.2, image, image_gb: 4.0, team, due: None, promised: flags.3, held: u8::from(flags.3),
+              zone, one_zone: flags.0, spread: flags.1 && !flags.0, spot: flags.2, image, image_gb: 4.0, team, due: None, waits: false, promised: flags.3, held: u8::from(flags.3),
               zones: Vec::new(), avoid: Vec::new() }
     }
 }
@@ -41,7 +41,7 @@
     fn input()(machines in prop::collection::vec(machine(), 0..8), jobs in prop::collection::vec(job(), 0..10),
                limit in 1.0f64..30.0, online_factor in 1.0f64..3.0) -> Input {
         let team = |max| Team { path: vec![], cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: max };
-        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], groups: vec![], spares: vec![], online_factor, patience: 2.0, max_steps: u64::MAX / 4 }
+        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], groups: vec![], spares: vec![], online_factor, patience: 2.0, waits: plan::Waits::default(), max_steps: u64::MAX / 4 }
     }
 }
 
@@ -98,9 +98,9 @@
                                 fetch_gb_per_s: 1.0, slots: 50 };
         let job = Job { shape: Shape::Array, priority: 1, arrival: 0.0, estimate: 10.0, tasks, pending: tasks,
                         need: res(1.0, 1.0, 1.0), types: 1, zone: None, one_zone: false, spread: false, spot: true, image: 0,
-                        image_gb: 1.0, team: 0, due: None, promised: false, held: 0, zones: vec![], avoid: vec![] };
+                        image_gb: 1.0, team: 0, due: None, waits: false, promised: false, held: 0, zones: vec![], avoid: vec![] };
         let team = unbounded(&[]);
-        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], groups: vec![], spares: vec![], online_factor: 1.0, patience: 1.0, max_steps: u64::MAX / 4 };
+        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], groups: vec![], spares: vec![], online_factor: 1.0, patience: 1.0, waits: plan::Waits::default(), max_steps: u64::MAX / 4 };
         let out = plan(&input);
         let started: u32 = out.starts.iter().map(|s| s.count).sum();
         prop_assert_eq!(started, tasks.min(4 * n as u32));
@@ -138,6 +138,7 @@
         leaving: false,
         team: 1,
         held: 1,
+        spared: false,
         gang: None,
     };
     Machine {
@@ -173,6 +174,7 @@
         image_gb: 1.0,
         team: 0,
         due: None,
+        waits: false,
         promised: false,
         held: 0,
         zones: vec![],
@@ -195,6 +197,7 @@
         spares: vec![],
         online_factor: 1.0,
         patience: 3.0,
+        waits: plan::Waits::default(),
         max_steps: u64::MAX / 4,
     }
 }
