--- /dev/null
+++ b/crates/standins/src/balancer.rs
@@ -0,0 +1,190 @@
+//! The users' load balancer as the protocol describes it: whom it takes to be healthy, and whom it sends connections to.
+//! It knows nothing of requests; the world probes for it and tells it what came of each connection.
+
+use std::collections::VecDeque;
+
+pub const PROBE_MS: u64 = 1000;
+/// A node that has not accepted a connection by then is turned away from.
+pub const ACCEPT_MS: u64 = 500;
+/// Nodes that are tried for a connection.
+pub const TRIES: usize = 3;
+const PAUSE_MS: u64 = 3000;
+const LONGEST_PAUSE_MS: u64 = 60_000;
+const DOUBLED_WITHIN_MS: u64 = 120_000;
+const SHARE_MS: u64 = 10_000;
+const RESET_MS: u64 = 5000;
+const PASSED_MS: u64 = 3000;
+
+#[derive(Debug, Default)]
+struct Node {
+    healthy_at: Option<u64>,
+    removed_at: Option<u64>,
+    ever: bool,
+    /// The last six probes, the latest first.
+    probes: VecDeque<bool>,
+    pause_ms: u64,
+    /// Connections that failed in a row, and until when it is passed over for them.
+    failed: u32,
+    passed_until: u64,
+}
+
+impl Node {
+    fn last(&self, n: usize, ok: bool) -> bool {
+        self.probes.len() >= n && self.probes.iter().take(n).all(|p| *p == ok)
+    }
+
+    fn probed(&mut self, now: u64, ok: bool) {
+        self.probes.push_front(ok);
+        self.probes.truncate(6);
+        if self.healthy_at.is_some() {
+            // What failed before it was healthy again counts among the six: the hardest reading.
+            let failed = self.probes.iter().filter(|p| !**p).count();
+            if !ok && (self.last(2, false) || failed >= 3) {
+                let again = self.removed_at.is_some_and(|at| now <= at + DOUBLED_WITHIN_MS);
+                self.pause_ms = if again { (2 * self.pause_ms).min(LONGEST_PAUSE_MS) } else { PAUSE_MS };
+                (self.healthy_at, self.removed_at) = (None, Some(now));
+            }
+        } else if ok {
+            let may = self.removed_at.is_none_or(|at| now >= at + self.pause_ms);
+            if !self.ever || (self.last(2, true) && may) {
+                (self.healthy_at, self.ever) = (Some(now), true);
+            }
+        }
+    }
+
+    /// The part of its share of new connections that it gets.
+    fn share(&self, now: u64) -> f64 {
+        let since = now - self.healthy_at.unwrap_or(now);
+        (since as f64 / SHARE_MS as f64).clamp(0.1, 1.0)
+    }
+}
+
+#[derive(Debug)]
+pub struct Balancer {
+    nodes: Vec<Node>,
+}
+
+impl Balancer {
+    pub fn new(nodes: usize) -> Self {
+        Balancer { nodes: (0..nodes).map(|_| Node::default()).collect() }
+    }
+
+    pub fn probed(&mut self, now: u64, n: usize, ok: bool) {
+        self.nodes[n].probed(now, ok);
+    }
+
+    pub fn is_healthy(&self, n: usize) -> bool {
+        self.nodes[n].healthy_at.is_some()
+    }
+
+    /// Its open connections are reset.
+    pub fn resets(&self, now: u64, n: usize) -> bool {
+        let node = &self.nodes[n];
+        node.healthy_at.is_none() && node.removed_at.is_some_and(|at| now >= at + RESET_MS)
+    }
+
+    /// The node for a new connection, or for one that others did not take.
+    pub fn choose(
+        &self,
+        now: u64,
+        rng: &mut fastrand::Rng,
+        open: &[usize],
+        tried: &[usize],
+    ) -> Option<usize> {
+        let fit = |n: &usize| {
+            self.nodes[*n].healthy_at.is_some() && self.nodes[*n].passed_until <= now && !tried.contains(n)
+        };
+        let all: Vec<usize> = (0..self.nodes.len()).filter(fit).collect();
+        let mut some: Vec<usize> =
+            all.iter().copied().filter(|n| rng.f64() < self.nodes[*n].share(now)).collect();
+        if some.is_empty() {
+            some = all;
+        }
+        rng.shuffle(&mut some);
+        some.into_iter().min_by_key(|n| open[*n])
+    }
+
+    pub fn connected(&mut self, now: u64, n: usize, ok: bool) {
+        let node = &mut self.nodes[n];
+        node.failed = if ok { 0 } else { node.failed + 1 };
+        if node.failed >= 3 {
+            (node.failed, node.passed_until) = (0, now + PASSED_MS);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Probes once a second, from a second on; when it was healthy after each.
+    fn health(probes: &str) -> String {
+        let mut node = Node::default();
+        let after = |(i, p)| {
+            node.probed(1000 * (i as u64 + 1), p == '+');
+            if node.healthy_at.is_some() { '+' } else { '-' }
+        };
+        probes.chars().enumerate().map(after).collect()
+    }
+
+    #[test]
+    fn a_node_is_removed_and_comes_back_as_the_protocol_says() {
+        // One success is enough at first; two failures in a row, or three among six, are too many.
+        assert_eq!(health("-+-+-+"), "-+++--");
+        assert_eq!(health("+--"), "++-");
+        assert_eq!(health("+-+-+-"), "+++++-");
+        // Two successes, and not before three seconds; then not before six.
+        assert_eq!(health("+--++++"), "++---++");
+        assert_eq!(health("+--++++++++--++++++"), "++---+++++++------+");
+    }
+
+    #[test]
+    fn pauses_double_up_to_a_minute_and_are_forgotten_after_two() {
+        let mut node = Node::default();
+        let (mut now, mut pauses) = (0, Vec::new());
+        for calm in [0, 0, 0, 0, 0, 0, 0, 130_000] {
+            node.probed(now, true);
+            while node.healthy_at.is_none() {
+                now += 1000;
+                node.probed(now, true);
+            }
+            if let Some(at) = node.removed_at {
+                pauses.push((now - at) / 1000);
+            }
+            for _ in 0..6 + calm / 1000 {
+                now += 1000;
+                node.probed(now, true);
+            }
+            now += 2000;
+            node.probed(now - 1000, false);
+            node.probed(now, false);
+        }
+        node.probed(now + 1000, true);
+        node.probed(now + 3000, true);
+        assert_eq!(pauses, [3, 6, 12, 24, 48, 60, 60]);
+        assert!(node.healthy_at.is_some(), "three seconds again");
+    }
+
+    #[test]
+    fn connections_go_to_few_and_are_reset_after_five_seconds() {
+        let mut b = Balancer::new(3);
+        let mut rng = fastrand::Rng::with_seed(1);
+        assert_eq!(b.choose(0, &mut rng, &[0; 3], &[]), None);
+        (0..3).for_each(|n| b.probed(0, n, true));
+        assert_eq!(b.choose(20_000, &mut rng, &[5, 2, 9], &[]), Some(1));
+        assert_eq!(b.choose(20_000, &mut rng, &[5, 2, 9], &[1]), Some(0));
+        // Passed over after three failures in a row.
+        (0..3).for_each(|_| b.connected(20_000, 1, false));
+        assert_eq!(b.choose(22_999, &mut rng, &[5, 2, 9], &[]), Some(0));
+        assert_eq!(b.choose(23_000, &mut rng, &[5, 2, 9], &[]), Some(1));
+        b.probed(24_000, 0, false);
+        b.probed(25_000, 0, false);
+        assert!(!b.is_healthy(0) && !b.resets(29_999, 0) && b.resets(30_000, 0));
+        // Brought up to its share over ten seconds, although it has no connection.
+        b.probed(30_000, 0, true);
+        b.probed(31_000, 0, true);
+        let mut to = |now| (0..1000).filter(|_| b.choose(now, &mut rng, &[0, 9, 9], &[]) == Some(0)).count();
+        let (early, half, late) = (to(31_500), to(36_000), to(41_000));
+        assert!((50..200).contains(&early) && (400..600).contains(&half) && late == 1000);
+    }
+}
--- /dev/null
+++ b/crates/standins/src/days.rs
@@ -0,0 +1,388 @@
+//! Days of the operators' own kind: troubles at their times, drawn from a seed, for any number of controllers and for
+//! fleets of a dozen or of over a thousand machines.
+
+use crate::links::{How, Side};
+use crate::scene::{Scene, Timed, array};
+use crate::state::Limits;
+use crate::world::Plan;
+use std::collections::BTreeSet;
+use wire::api::{Kind, Priority};
+
+/// Whom a trouble hits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Who {
+    Node(usize),
+    /// Whichever owns the fleet then.
+    Owner,
+    All,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+pub enum Trouble {
+    /// Processes end and are started again after so long.
+    Crash {
+        who: Who,
+        back_ms: u64,
+    },
+    /// It crashes as it sends this one of its next questions to the state service, whichever life it is in by then.
+    Fuse {
+        who: Who,
+        question: u32,
+        back_ms: u64,
+    },
+    /// Processes stand still while their clocks run on.
+    Freeze {
+        who: Who,
+        ms: u64,
+    },
+    /// Cut off from some hosts.
+    Cut {
+        who: Who,
+        from: Side,
+        how: How,
+        ms: u64,
+    },
+    Zone {
+        zone: &'static str,
+        ms: u64,
+    },
+    /// The state service answers nobody, or none of these, or slowly.
+    StateOut {
+        ms: u64,
+    },
+    Refused {
+        who: Who,
+        ms: u64,
+    },
+    StateSlow {
+        ms: u64,
+    },
+    /// So many machines die.
+    Die {
+        machines: usize,
+    },
+}
+
+impl Trouble {
+    /// How long it lasts.
+    pub fn ms(&self) -> u64 {
+        match self {
+            Trouble::Crash { back_ms, .. } | Trouble::Fuse { back_ms, .. } => *back_ms,
+            Trouble::Freeze { ms, .. }
+            | Trouble::Cut { ms, .. }
+            | Trouble::Zone { ms, .. }
+            | Trouble::StateOut { ms }
+            | Trouble::Refused { ms, .. }
+            | Trouble::StateSlow { ms } => *ms,
+            Trouble::Die { .. } => 0,
+        }
+    }
+}
+
+/// A day with a balancer, users that keep their connections, and checkers.
+#[derive(Debug, Clone, Default)]
+pub struct Day {
+    pub troubles: Vec<(u64, Trouble)>,
+    /// The last trouble is over by then.
+    pub quiet: u64,
+    /// For tests of the tests: tasks of these jobs never get their image.
+    pub held: BTreeSet<String>,
+}
+
+/// Troubles begin here, when the fleet is at work.
+const BEGIN: u64 = 60_000;
+
+/// How large a day is.
+#[derive(Debug, Clone, Copy)]
+pub struct Size {
+    pub machines: usize,
+    /// Troubles, and arrivals, last so long.
+    pub troubles_ms: u64,
+    /// Until everything ought to be done.
+    pub after_ms: u64,
+}
+
+impl Size {
+    /// A dozen machines, for tests.
+    pub const SMALL: Size = Size { machines: 12, troubles_ms: 60_000, after_ms: 280_000 };
+
+    pub const fn fleet(machines: usize) -> Size {
+        Size { machines, troubles_ms: 150_000, after_ms: 270_000 }
+    }
+
+    fn large(&self) -> bool {
+        self.machines > 100
+    }
+}
+
+struct Draw {
+    rng: fastrand::Rng,
+    nodes: usize,
+    size: Size,
+    day: Vec<(u64, Trouble)>,
+}
+
+impl Draw {
+    fn node(&mut self) -> Who {
+        Who::Node(self.rng.usize(0..self.nodes))
+    }
+
+    /// How soon processes are back on this day: within a fraction of a second, or as late as the sites have it.
+    fn back(&mut self) -> u64 {
+        match self.rng.u32(0..4) {
+            0 => self.rng.u64(50..100),
+            1 | 2 => self.rng.u64(100..400),
+            _ => self.rng.u64(400..8000),
+        }
+    }
+
+    fn end(&self) -> u64 {
+        BEGIN + self.size.troubles_ms
+    }
+
+    fn add(&mut self, at: u64, trouble: Trouble) {
+        self.day.push((at, trouble));
+    }
+
+    /// Something every so often, until troubles end.
+    fn every(&mut self, ms: u64, mut f: impl FnMut(&mut Self, u64)) {
+        for at in (BEGIN..self.end()).step_by(ms.max(1) as usize) {
+            f(self, at);
+        }
+    }
+
+    fn crash_all(&mut self, at: u64, back_ms: u64) {
+        self.add(at, Trouble::Crash { who: Who::All, back_ms });
+    }
+
+    /// So many nodes crash again and again; how often and how soon they are back is the day's.
+    fn crash_loop(&mut self, who: &[Who]) {
+        let every = self.rng.u64(100..5000);
+        let back_ms = if every < 400 { self.rng.u64(50..100) } else { self.back().min(every) };
+        let who = who.to_vec();
+        self.every(every, |d, at| who.iter().for_each(|w| d.add(at, Trouble::Crash { who: *w, back_ms })));
+    }
+
+    /// All three times in a row, somewhere in the trouble that lasts so long.
+    fn three_crashes(&mut self, at: u64, ms: u64) {
+        for _ in 0..3 {
+            let (at, back) = (at + self.rng.u64(0..ms), self.back());
+            self.crash_all(at, back);
+        }
+    }
+}
+
+type Troubles = fn(&mut Draw);
+
+/// Each kind of day: its name, what happens, and how many times as many gangs come meanwhile.
+const KINDS: [(&str, Troubles, u32); 16] = [
+    ("calm", |_| {}, 1),
+    (
+        "loop of one",
+        |d| {
+            let one = d.node();
+            d.crash_loop(&[one]);
+        },
+        1,
+    ),
+    ("loop of two", |d| d.crash_loop(&[Who::Node(0), Who::Node(1)]), 1),
+    ("loop of the owner", |d| d.crash_loop(&[Who::Owner]), 1),
+    ("loop of all", |d| d.crash_loop(&[Who::All]), 1),
+    ("all every 3 s, back after 0.15 s", |d| d.every(3000, |d, at| d.crash_all(at, 150)), 1),
+    (
+        "crashes at each step of a take-over",
+        |d| {
+            // Whoever takes over next crashes at one step of it, and the next one at another.
+            d.every(4000, |d, at| {
+                let back = d.back();
+                d.add(at, Trouble::Crash { who: Who::Owner, back_ms: back });
+                for n in 0..d.nodes {
+                    let (question, back_ms) = (d.rng.u32(1..25), d.back());
+                    d.add(at + 1, Trouble::Fuse { who: Who::Node(n), question, back_ms });
+                }
+            });
+        },
+        1,
+    ),
+    (
+        "outages with crashes of all",
+        |d| {
+            d.every(22_000, |d, at| {
+                d.add(at, Trouble::StateOut { ms: 8000 });
+                let (within, back) = (d.rng.u64(0..8000), d.back());
+                d.crash_all(at + within, back);
+            })
+        },
+        1,
+    ),
+    (
+        "outage of 30 s, three crashes",
+        |d| {
+            d.add(BEGIN, Trouble::StateOut { ms: 30_000 });
+            d.three_crashes(BEGIN, 30_000);
+        },
+        1,
+    ),
+    (
+        "cuts from the state service, crashes",
+        |d| {
+            d.every(16_000, |d, at| {
+                d.add(at, Trouble::Cut { who: Who::All, from: Side::State, how: How::Hold, ms: 7000 });
+                let (within, back) = (d.rng.u64(0..7000), d.back());
+                d.add(at + within, Trouble::Crash { who: Who::Owner, back_ms: back });
+            })
+        },
+        1,
+    ),
+    (
+        "freezes with quick restarts",
+        |d| {
+            d.every(12_000, |d, at| {
+                let (who, ms, back_ms) = (d.node(), d.rng.u64(1000..10_000), d.back());
+                d.add(at, Trouble::Freeze { who, ms });
+                let within = d.rng.u64(0..ms);
+                d.add(at + within, Trouble::Crash { who, back_ms });
+                d.add(at + 500, Trouble::Freeze { who: Who::Owner, ms: ms / 2 });
+            })
+        },
+        1,
+    ),
+    (
+        "a zone cut, three crashes, machines die",
+        |d| {
+            let (zone, machines) = (["a", "b"][d.rng.usize(0..2)], d.size.machines / 10);
+            d.add(BEGIN, Trouble::Zone { zone, ms: 40_000 });
+            d.three_crashes(BEGIN, 40_000);
+            d.add(BEGIN + 15_000, Trouble::Die { machines });
+        },
+        1,
+    ),
+    (
+        "owner cut from the state, crashes, peers refuse",
+        |d| {
+            d.every(30_000, |d, at| {
+                d.add(at, Trouble::Cut { who: Who::Owner, from: Side::State, how: How::Hold, ms: 15_000 });
+                d.add(at, Trouble::Cut { who: Who::All, from: Side::Nodes, how: How::Reset, ms: 20_000 });
+                let (who, back_ms) = (d.node(), d.back());
+                d.add(at + 4000, Trouble::Crash { who, back_ms });
+                d.add(at + 9000, Trouble::Crash { who: Who::Owner, back_ms });
+            })
+        },
+        1,
+    ),
+    (
+        "refused owners, a slow state service",
+        |d| {
+            d.every(20_000, |d, at| {
+                d.add(at, Trouble::Refused { who: Who::Owner, ms: 10_000 });
+                d.add(at + 5000, Trouble::StateSlow { ms: 10_000 });
+                let back_ms = d.back();
+                d.add(at + 12_000, Trouble::Crash { who: Who::Owner, back_ms });
+            })
+        },
+        1,
+    ),
+    (
+        "messages of former lives held",
+        |d| {
+            d.every(5000, |d, at| {
+                // What is under way is held until after its sender is back, and comes to the new life.
+                let (who, back_ms) = (d.node(), d.rng.u64(50..300));
+                let from = [Side::State, Side::Nodes, Side::Machines, Side::Users][d.rng.usize(0..4)].clone();
+                d.add(at, Trouble::Cut { who, from, how: How::Hold, ms: 2000 });
+                let within = d.rng.u64(200..1800);
+                d.add(at + within, Trouble::Crash { who, back_ms });
+            })
+        },
+        1,
+    ),
+    (
+        "flood of gangs, a zone cut, machines die, all crash",
+        |d| {
+            d.add(BEGIN + 20_000, Trouble::Zone { zone: "b", ms: 20_000 });
+            let (machines, back) = (d.size.machines / 6, d.back());
+            d.add(BEGIN + 30_000, Trouble::Die { machines });
+            d.crash_all(BEGIN + 35_000, back);
+            d.crash_all(BEGIN + 60_000, 150);
+        },
+        5,
+    ),
+];
+
+/// Jobs of the day: gangs of high urgency, and arrays of low urgency and very unequal sizes, in three teams.
+fn jobs(rng: &mut fastrand::Rng, size: Size, flood: u32) -> Vec<Timed> {
+    let large = size.large();
+    // For each GPU-carrying machine as much work as fills half of the fleet.
+    let scale = size.machines as f64 / if large { 1200.0 } else { 12.0 };
+    let end = BEGIN + size.troubles_ms;
+    let (gangs_a_minute, arrays_a_minute) = if large { (80.0 * scale, 15.0 * scale) } else { (10.0, 6.0) };
+    let mut jobs = Vec::new();
+    let mut add = |class: &str, kind: Kind, at: u64, tasks: u32, run_ms: u64, rng: &mut fastrand::Rng| {
+        let mut spec = array(
+            1000 + jobs.len() as u32,
+            ["red", "blue", "green"][rng.usize(0..3)],
+            tasks,
+            run_ms as f64 / 1000.0,
+        );
+        (spec.class, spec.kind) = (class.into(), kind);
+        spec.priority = if kind == Kind::Gang { Priority::High } else { Priority::Low };
+        if kind == Kind::Gang && large {
+            (spec.cores, spec.gpus, spec.mem_gb) = (16.0, 2.0, 24.0);
+        }
+        spec.spot = rng.bool();
+        spec.one_zone = kind == Kind::Gang && rng.bool();
+        let cancel_ms = (rng.u32(0..12) == 0).then(|| rng.u64(0..30_000));
+        jobs.push(Timed { at, run_ms, cancel_ms, spec });
+    };
+    let mut at = 1000.0;
+    while (at as u64) < end {
+        let many = (BEGIN..BEGIN + 90_000).contains(&(at as u64));
+        let rate = if many { gangs_a_minute * f64::from(flood) } else { gangs_a_minute };
+        at += 120_000.0 / rate * rng.f64();
+        let run = if large { rng.u64(50_000..110_000) } else { rng.u64(5000..20_000) };
+        add("gang", Kind::Gang, at as u64, [1, 2, 4][rng.usize(0..3)], run, rng);
+    }
+    at = 1000.0;
+    while (at as u64) < end {
+        at += 120_000.0 / arrays_a_minute * rng.f64();
+        let widest = if rng.u32(0..10) == 0 { 5 } else { 1 };
+        let (tasks, run) = match large {
+            true => (rng.u32(40..160) * widest.min(4), rng.u64(30_000..70_000)),
+            false => (rng.u32(1..7) * widest, rng.u64(3000..12_000)),
+        };
+        add("array", Kind::Array, at as u64, tasks, run, rng);
+    }
+    jobs
+}
+
+/// The names of the kinds of days.
+pub fn kinds() -> Vec<&'static str> {
+    KINDS.iter().map(|(name, ..)| *name).collect()
+}
+
+/// One day of a kind, as [`kinds`] counts them.
+pub fn plan(kind: usize, seed: u64, nodes: usize, size: Size) -> Plan {
+    let (_, troubles, flood) = KINDS[kind];
+    let mut draw = Draw { rng: fastrand::Rng::with_seed(seed), nodes, size, day: Vec::new() };
+    troubles(&mut draw);
+    let quiet = draw.day.iter().map(|(at, t)| at + t.ms()).max().unwrap_or(BEGIN);
+    let gpus = size.machines as f64 * 3.0;
+    let scale = size.machines as f64 / 1200.0;
+    let limits = Limits { rps: 150.0 * scale, write_rps: 35.0 * scale, value_kb: 8.0, txn_ops: 16 };
+    let scene = Scene {
+        jobs: jobs(&mut draw.rng, size, flood),
+        machines: size.machines,
+        limits: size.large().then_some(limits),
+        day: Some(Day { troubles: draw.day, quiet, held: BTreeSet::new() }),
+        ..Scene::default()
+    };
+    let scene = scene.team("red", gpus / 6.0, gpus * 0.6).team("blue", gpus / 6.0, gpus * 0.8).team(
+        "green",
+        gpus / 6.0,
+        0.0,
+    );
+    let end = BEGIN + size.troubles_ms + size.after_ms;
+    // On every other day messages are late now and then, until the last trouble is over.
+    let late = if seed % 2 == 1 { quiet } else { 0 };
+    Plan { large: size.large(), ..Plan::of_scene(seed, nodes, scene, late, end) }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,10 @@
 //! For tests: a state service, a cloud and workers of our own, and a world in virtual time that plays
 //! controllers against them under seeded faults, checking the rules after each step.
 
+pub mod balancer;
+pub mod checks;
 pub mod cloud;
+pub mod days;
 pub mod links;
 pub mod loopback;
 pub mod rules;
--- a/crates/standins/src/scene.rs
+++ b/crates/standins/src/scene.rs
@@ -45,6 +45,8 @@
     pub held_one_in: u32,
     /// Masters go on after their task has gone, as if their machine were only out of sight.
     pub undead: bool,
+    /// Users come through a balancer, and troubles at their times.
+    pub day: Option<crate::days::Day>,
 }
 
 impl Scene {
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1,12 +1,15 @@
 //! Controllers, state service, cloud, workers and users in one virtual time, with seeded faults.
 
+mod bed;
+mod wires;
+
 use crate::cloud::{Cloud, address};
 use crate::links::{Cut, How, Links, Place, Side};
 use crate::rules::{OnMachine, Rules};
 use crate::scene::Scene;
 use crate::state::{Limits, Outcome, State, Watch};
 use crate::worker::Worker;
-use crate::yarn::{Drain, Exchange, Next, Runner, Stage as YarnStage, Who};
+use crate::yarn::{Drain, Exchange, Stage as YarnStage, Who};
 use control::{Dest, Effect, Event, Node, Now, Tuning};
 use gateway::served::{Gateway, Out, Raw, Served};
 use serde_json::{Value, json};
@@ -71,17 +74,39 @@
     LogLost,
     /// The controllers are told ten times as much as the tree's nodes may use.
     NodesRaised,
+    /// On days with a balancer: polls of some jobs are never answered, and leases are no longer granted.
+    PollsLost,
+    GrantsLost,
 }
 
 #[derive(Clone)]
 enum Origin {
-    User { job: String, kind: Ask, asked: u64 },
-    Worker { name: String, number: u64, sent: u64 },
-    Peer { node: usize, life: u64, tag: u64 },
-    Operator { change: Box<Change> },
+    User {
+        job: String,
+        kind: Ask,
+        asked: u64,
+    },
+    Worker {
+        name: String,
+        number: u64,
+        sent: u64,
+    },
+    Peer {
+        node: usize,
+        life: u64,
+        tag: u64,
+    },
+    Operator {
+        change: Box<Change>,
+    },
+    /// The balancer.
+    Probe {
+        node: usize,
+        asked: u64,
+    },
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Ask {
     Submit,
     Poll,
@@ -116,6 +141,9 @@
     RawOut(u64, Vec<u8>),
     /// A connection ends, or is given up.
     RawOver(u64),
+    /// The balancer probes a node; a trouble of the day begins.
+    Probe(usize),
+    Trouble(usize),
 }
 
 /// A connection to the gateway, with its one call.
@@ -131,6 +159,8 @@
     life: u64,
     /// The state service refuses this node until then.
     refused_until: u64,
+    /// It stands still until then.
+    frozen_until: u64,
     drift: f64,
 }
 
@@ -181,8 +211,11 @@
     pub lost: u64,
     /// What the owner has taken for bytes of the gateway's clients, in nanoseconds of this machine.
     pub call_ns: Vec<u64>,
+    bed: Option<Box<bed::Bed>>,
 }
 
+/// When worlds begin.
+const START: u64 = 1_000_000;
 const LEASE_MS: u64 = 15_000;
 const CANCEL_MS: u64 = 40_000;
 
@@ -255,7 +288,7 @@
         }
         let mut world = World {
             rng: fastrand::Rng::with_seed(plan.seed),
-            now: 1_000_000,
+            now: START,
             queue: BinaryHeap::new(),
             events: HashMap::new(),
             serial: 0,
@@ -286,6 +319,7 @@
             refused: 0,
             lost: 0,
             call_ns: Vec::new(),
+            bed: None,
             plan,
         };
         if world.plan.large {
@@ -336,7 +370,7 @@
     fn begin(&mut self) {
         for n in 0..self.plan.nodes {
             let drift = 1.0 + self.rng.f64() * 0.0005;
-            self.hosts.push(Host { node: None, life: 0, refused_until: 0, drift });
+            self.hosts.push(Host { node: None, life: 0, refused_until: 0, frozen_until: 0, drift });
             self.links.node_zones.push(ZONES[n % 2].to_owned());
             self.at(self.now, Ev::Restart(n));
         }
@@ -386,6 +420,9 @@
             self.rules.jobs.entry(id.clone()).or_default().spec = Some(job.spec);
             self.at(start + job.at, Ev::User(Ask::Submit, id));
         }
+        if let Some(day) = scene.day {
+            self.begin_bed(day);
+        }
     }
 
     /// An operator asks any node for a change.
@@ -614,7 +651,7 @@
     /// What stands between a node and whoever it answers, if anything.
     fn answer_is_cut(&self, n: usize, to: &Origin) -> Option<How> {
         let to = match to {
-            Origin::User { .. } | Origin::Operator { .. } => Place::Users,
+            Origin::User { .. } | Origin::Operator { .. } | Origin::Probe { .. } => Place::Users,
             Origin::Peer { node, .. } => Place::Node(*node),
             Origin::Worker { name, .. } => {
                 let w = self.workers.get(name)?;
@@ -672,6 +709,9 @@
     }
 
     fn step(&mut self, ev: Ev) {
+        if let Some(until) = self.wakes_at(&ev) {
+            return self.at(until, ev);
+        }
         match ev {
             Ev::Restart(n) => {
                 let raised = if self.plan.sabotage == Sabotage::LimitsRaised { 10.0 } else { 1.0 };
@@ -708,7 +748,7 @@
                     return self.at(self.now + 500, Ev::Answer(origin, None));
                 }
                 // Workers and nodes have looked at their links when they sent it.
-                let users = matches!(origin, Origin::User { .. } | Origin::Operator { .. });
+                let users = !matches!(origin, Origin::Worker { .. } | Origin::Peer { .. });
                 if users && self.links.blocked(self.now, Place::Users, Place::Node(n)).is_some() {
                     return self.at(self.now + 500, Ev::Answer(origin, None));
                 }
@@ -734,167 +774,8 @@
             Ev::RawIn(conn, bytes) => self.raw_in(conn, Raw::Bytes(bytes)),
             Ev::RawOut(conn, bytes) => self.raw_out(conn, &bytes),
             Ev::RawOver(conn) => self.raw_over(conn),
-        }
-    }
-
-    // ---- YARN's clients ----
-
-    /// Calls that are due, each on a connection of its own to any node.
-    fn yarn_tick(&mut self) {
-        if self.plan.scene.as_ref().is_none_or(|s| s.yarn.is_none()) {
-            return;
-        }
-        self.follow_runners();
-        for (who, ask) in self.yarn.due(self.now) {
-            self.dial(who, ask);
-        }
-    }
-
-    /// A connection to any node, for one call.
-    fn dial(&mut self, who: Who, ask: crate::yarn::Ask) {
-        let (exchange, web, first) = Exchange::begin(ask);
-        let conn = self.open_wire(who, exchange, web);
-        self.at(self.now + 6000, Ev::RawOver(conn));
-        let faulty = self.now < 1_000_000 + self.plan.faults_until && !self.plan.calm;
-        let mut delay = self.rng.u64(1..5);
-        // Now and then what is sent comes late, and its client has long given up.
-        if faulty && self.rng.u32(0..60) == 0 {
-            delay += self.rng.u64(1000..60_000);
-        }
-        self.at(self.now + delay, Ev::RawIn(conn, first));
-    }
-
-    fn open_wire(&mut self, who: Who, exchange: Exchange, web: bool) -> u64 {
-        let node = self.rng.usize(0..self.plan.nodes);
-        let conn = self.next_conn;
-        self.next_conn += 1;
-        let life = self.hosts[node].life;
-        self.wires.insert(conn, Wire { who, node, life, exchange });
-        let from = std::net::IpAddr::from([127, 0, 0, 1]);
-        self.raw_in(conn, Raw::Opened { web, from });
-        conn
-    }
-
-    /// A call of a test's own, until its answer.
-    pub fn call(&mut self, ask: crate::yarn::Ask) -> crate::yarn::Answer {
-        self.yarn.answered = None;
-        self.dial(Who::Test, ask);
-        let end = self.now + 10_000;
-        // Guards against a world that stands still since a rule is broken: it would be waited for without end.
-        while self.yarn.answered.is_none() && self.now < end {
-            let before = self.now;
-            self.run_for(100);
-            let broken = (&self.rules.broken, &self.yarn.checks.broken);
-            assert!(self.now > before || self.yarn.answered.is_some(), "nothing goes on: {broken:?}");
-        }
-        self.yarn.answered.take().flatten()
-    }
-
-    /// Any bytes on a connection that nobody listens on, and that nobody ends.
-    pub fn pour(&mut self, web: bool, bytes: Vec<u8>) {
-        let ask = crate::yarn::Ask::Web { method: "GET", target: String::new(), body: Vec::new() };
-        let (exchange, _, _) = Exchange::begin(ask);
-        let conn = self.open_wire(Who::Test, exchange, web);
-        self.at(self.now + 1, Ev::RawIn(conn, bytes));
-        self.run_for(2);
-    }
-
-    /// Runners stand on the tasks that run: they begin and end with them.
-    fn follow_runners(&mut self) {
-        let now = self.now;
-        let mut here = HashSet::new();
-        let mut new = Vec::new();
-        for w in self.workers.values() {
-            for t in w.tasks.iter().filter(|t| t.stage == TaskStage::Running) {
-                let Some((job, task)) = wire::ids::parse_task(&t.name) else { continue };
-                if !wire::ids::reserved_job_id(job) {
-                    continue;
-                }
-                let key = (t.name.clone(), t.attempt);
-                let spec = self.rules.jobs.get(job).and_then(|j| j.spec.as_ref());
-                if let Some(spec) = spec.filter(|_| !self.yarn.runners.contains_key(&key)) {
-                    new.push((key.clone(), Runner::new(spec, task, t.attempt, &w.name, &w.zone, now)));
-                }
-                here.insert(key);
-            }
-        }
-        self.yarn.runners.extend(new);
-        self.yarn.gone(&here);
-        // A runner that is through ends its task.
-        for w in self.workers.values_mut().filter(|w| w.hung_until <= now) {
-            for t in w.tasks.iter_mut().filter(|t| t.stage == TaskStage::Running) {
-                let runner = self.yarn.runners.get(&(t.name.clone(), t.attempt));
-                if let Some(done) = runner.and_then(|r| r.over) {
-                    t.stage = TaskStage::Exited;
-                    t.cause = Some(if done { Cause::Done } else { Cause::Error });
-                    w.changed = true;
-                    if done {
-                        self.rules.completed(&t.name);
-                    }
-                }
-            }
-        }
-    }
-
-    fn raw_in(&mut self, conn: u64, event: Raw) {
-        let Some(wire) = self.wires.get(&conn) else { return };
-        let (n, life) = (wire.node, wire.life);
-        let now = self.node_now(n);
-        let cut = self.links.blocked(self.now, Place::Users, Place::Node(n)).is_some();
-        let host = &mut self.hosts[n];
-        let Some(node) = host.node.as_mut().filter(|_| host.life == life && !cut) else { return };
-        let (owns, begun) = (node.node().term().is_some(), std::time::Instant::now());
-        let outs = node.raw(now, conn, event);
-        if owns {
-            self.call_ns.push(begun.elapsed().as_nanos() as u64);
-        }
-        self.carry_out(n, outs);
-    }
-
-    fn raw_out(&mut self, conn: u64, bytes: &[u8]) {
-        let Some(wire) = self.wires.get_mut(&conn) else { return };
-        match wire.exchange.bytes(bytes) {
-            Next::Wait => {}
-            Next::Send(bytes) => self.at(self.now + 1, Ev::RawIn(conn, bytes)),
-            Next::Over(answer) => {
-                if let Some(wire) = self.wires.remove(&conn) {
-                    self.yarn.answer(self.now, &wire.who, answer);
-                    self.raw_gone(conn, &wire);
-                }
-            }
-        }
-    }
-
-    /// The connection breaks, or its client has waited long enough.
-    fn raw_over(&mut self, conn: u64) {
-        if let Some(wire) = self.wires.remove(&conn) {
-            self.yarn.answer(self.now, &wire.who, None);
-            self.raw_gone(conn, &wire);
-        }
-    }
-
-    fn raw_gone(&mut self, conn: u64, wire: &Wire) {
-        let now = self.node_now(wire.node);
-        let host = &mut self.hosts[wire.node];
-        if let Some(node) = host.node.as_mut().filter(|_| host.life == wire.life) {
-            let outs = node.raw(now, conn, Raw::Closed);
-            self.carry_out(wire.node, outs);
-        }
-    }
-
-    /// Jobs that the gateway has had accepted become known to the workers.
-    fn note_yarn_jobs(&mut self, body: &[u8]) {
-        let Ok(txn) = wire::decode::<Value>(body) else { return };
-        for w in txn["writes"].as_array().into_iter().flatten() {
-            let Some(job) = w["write"].as_str().and_then(|k| k.strip_prefix("live/")) else { continue };
-            if !wire::ids::reserved_job_id(job) {
-                continue;
-            }
-            let Ok(rec) = serde_json::from_value::<wire::records::JobRec>(w["v"].clone()) else { continue };
-            self.yarn.checks.accepted(job);
-            self.run_ms.insert(job.to_owned(), 10_000_000);
-            let entry = self.rules.jobs.entry(job.to_owned()).or_default();
-            (entry.spec, entry.submitted) = (Some(rec.spec), true);
+            Ev::Probe(n) => self.probe(n),
+            Ev::Trouble(i) => self.trouble(i),
         }
     }
 
@@ -914,12 +795,12 @@
 
     fn carry_out(&mut self, n: usize, outs: Vec<Out>) {
         let life = self.hosts[n].life;
-        let mut dies = false;
+        let mut dies = None;
         for out in outs {
             let effect = match out {
                 Out::Node(effect) => effect,
                 Out::Write { conn, bytes } => {
-                    let faulty = self.now < 1_000_000 + self.plan.faults_until && !self.plan.calm;
+                    let faulty = self.now < START + self.plan.faults_until && !self.plan.calm;
                     // Answers are lost with their connection, now and then.
                     if faulty && self.rng.u32(0..40) == 0 {
                         self.at(self.now + 1, Ev::RawOver(conn));
@@ -950,11 +831,14 @@
                 // Kept between the node and its gateway.
                 Effect::Side { .. } => {}
                 Effect::Send { tag, to, method, path, body, timeout_ms, .. } => {
-                    dies |= self.doomed == Some(n) && path == "/txn";
+                    if self.doomed == Some(n) && path == "/txn" {
+                        dies = Some(2500);
+                    }
+                    dies = self.burns(n, to).or(dies);
                     self.open.insert((n, life, tag));
                     self.at(self.now + timeout_ms, Ev::Reply(n, life, tag, None));
                     let mut delay = self.rng.u64(1..8);
-                    let faulty = self.now < 1_000_000 + self.plan.faults_until;
+                    let faulty = self.now < START + self.plan.faults_until;
                     // A cut holds what was sent and delivers it late; now and then a message is slow anyway.
                     if let Some((until, how)) = self.sending_is_cut(n, to) {
                         if how == How::Reset {
@@ -975,9 +859,9 @@
                 }
             }
         }
-        if dies {
-            self.doomed = None;
-            self.crash(n, 2500);
+        if let Some(back) = dies {
+            self.doomed = self.doomed.filter(|d| *d != n);
+            self.crash(n, back);
         }
     }
 
@@ -994,7 +878,7 @@
 
     fn reply(&mut self, c: &Call, status: u16, body: &Value) {
         let response = Response { status, body: wire::encode(body), close: false, retry_after_s: None };
-        let faulty = self.now < 1_000_000 + self.plan.faults_until;
+        let faulty = self.now < START + self.plan.faults_until;
         let cut = self.reply_is_cut(c);
         if (faulty && self.rng.u32(0..200) == 0) || cut {
             return;
@@ -1011,6 +895,12 @@
                     return self.reply(&c, 503, &json!({"error": "trouble"}));
                 }
                 self.state.expire(self.now);
+                if self.plan.sabotage == Sabotage::GrantsLost
+                    && self.now > START + 60_000
+                    && c.path == "/grants"
+                {
+                    return self.reply(&c, 503, &json!({"error": "trouble"}));
+                }
                 match self.state.handle(self.now, c.method, &c.path, &c.body) {
                     Outcome::Now(status, body) => {
                         if c.path == "/txn" && status == 200 && self.plan.scene.is_some() {
@@ -1104,6 +994,10 @@
                 self.at(at, Ev::Reply(node, life, tag, response));
             }
             Origin::Operator { change } => self.operated(change, response),
+            Origin::Probe { node, asked } => self.probed(node, asked, response),
+            Origin::User { job, kind, asked } if self.bed.is_some() => {
+                self.answer_balanced(job, kind, asked, response)
+            }
             Origin::User { job, kind, asked } => {
                 let status = response.as_ref().map_or(0, |r| r.status);
                 self.waits.push(self.now - asked);
@@ -1199,6 +1093,9 @@
             }
         };
         let request = Request { method: method.into(), path, body, close: false };
+        if self.bed.is_some() {
+            return self.ask_balanced(job, kind, request);
+        }
         self.step(Ev::Request(n, Origin::User { job, kind, asked: self.now }, request, false));
     }
 
@@ -1242,6 +1139,7 @@
         }
         self.gangs();
         self.yarn_tick();
+        self.look_for_owner();
         if self.plan.large && now.is_multiple_of(1000) {
             let on: Vec<OnMachine<'_>> = self.workers.values().flat_map(on_machine).collect();
             self.rules.all(now, &on);
@@ -1268,15 +1166,16 @@
         self.lost += w.expire(now, LEASE_MS);
         let mut begun = Vec::new();
         let early = self.plan.sabotage == Sabotage::DoneTooEarly;
+        let is_held = |task: &str| self.bed.as_ref().is_some_and(|b| b.is_held(task));
         for t in &mut w.tasks {
             let gang = wire::ids::parse_task(&t.name)
                 .and_then(|(id, _)| self.rules.jobs.get(id)?.spec.as_ref())
                 .is_some_and(|s| s.kind == Kind::Gang);
-            if t.stage == TaskStage::Fetching && t.fetched_at <= now {
+            if t.stage == TaskStage::Fetching && t.fetched_at <= now && !is_held(&t.name) {
                 t.stage = if gang { TaskStage::Waiting } else { TaskStage::Running };
                 t.since = now;
                 w.changed = true;
-                begun.push(t.name.clone());
+                begun.push((t.name.clone(), gang));
             } else if t.stage == TaskStage::Running && t.ends_at <= now && !gang {
                 t.stage = TaskStage::Exited;
                 t.cause = Some(Cause::Done);
@@ -1313,16 +1212,19 @@
         }
         let (zone, machine_type, spot) = (w.zone.clone(), w.machine_type.clone(), w.spot);
         if self.plan.scene.is_some() {
-            begun.iter().for_each(|t| {
-                self.began.entry(t.clone()).or_insert(now - 1_000_000);
-            });
+            for (task, gang) in &begun {
+                self.began.entry(task.clone()).or_insert(now - START);
+                if let Some((job, _)) = wire::ids::parse_task(task).filter(|_| !gang) {
+                    self.seen_to_run(job);
+                }
+            }
         }
         // In a large fleet everything is looked at once a second instead.
         if self.plan.large {
             self.rules.starts += begun.len() as u64;
             begun.clear();
         }
-        for task in begun {
+        for (task, _) in begun {
             let others: Vec<OnMachine<'_>> = self
                 .workers
                 .values()
@@ -1349,7 +1251,7 @@
                     How::Reset => return self.at(at, Ev::Answer(origin, None)),
                     How::Hold => at = until,
                 }
-            } else if now < 1_000_000 + self.plan.faults_until && self.rng.u32(0..200) == 0 {
+            } else if now < START + self.plan.faults_until && self.rng.u32(0..200) == 0 {
                 at += self.rng.u64(1000..20_000);
             }
             self.at(at, Ev::Request(node, origin, request, false));
@@ -1389,6 +1291,7 @@
             let mut start = false;
             if all(TaskStage::Waiting) {
                 start = true;
+                self.seen_to_run(&id);
             } else if all(TaskStage::Running) {
                 if since + run <= now {
                     exit = Some(Cause::Done);
@@ -1421,7 +1324,7 @@
 
     fn fault(&mut self) {
         let now = self.now;
-        if now > 1_000_000 + self.plan.faults_until {
+        if now > START + self.plan.faults_until {
             return;
         }
         let next = now + self.rng.u64(1500..9000);
--- /dev/null
+++ b/crates/standins/src/world/wires.rs
@@ -0,0 +1,170 @@
+//! Clients of the gateway, each call on a connection of its own, and the runners on machines.
+
+use super::{Ev, START, Wire, World};
+use crate::links::Place;
+use crate::yarn::{Exchange, Next, Runner, Who};
+use gateway::served::Raw;
+use serde_json::Value;
+use std::collections::HashSet;
+use wire::api::{Cause, TaskStage};
+
+impl World {
+    /// Calls that are due, each on a connection of its own to any node.
+    pub(super) fn yarn_tick(&mut self) {
+        if self.plan.scene.as_ref().is_none_or(|s| s.yarn.is_none()) {
+            return;
+        }
+        self.follow_runners();
+        for (who, ask) in self.yarn.due(self.now) {
+            self.dial(who, ask);
+        }
+    }
+
+    /// A connection to any node, for one call.
+    fn dial(&mut self, who: Who, ask: crate::yarn::Ask) {
+        let (exchange, web, first) = Exchange::begin(ask);
+        let conn = self.open_wire(who, exchange, web);
+        self.at(self.now + 6000, Ev::RawOver(conn));
+        let faulty = self.now < START + self.plan.faults_until && !self.plan.calm;
+        let mut delay = self.rng.u64(1..5);
+        // Now and then what is sent comes late, and its client has long given up.
+        if faulty && self.rng.u32(0..60) == 0 {
+            delay += self.rng.u64(1000..60_000);
+        }
+        self.at(self.now + delay, Ev::RawIn(conn, first));
+    }
+
+    fn open_wire(&mut self, who: Who, exchange: Exchange, web: bool) -> u64 {
+        let node = self.rng.usize(0..self.plan.nodes);
+        let conn = self.next_conn;
+        self.next_conn += 1;
+        let life = self.hosts[node].life;
+        self.wires.insert(conn, Wire { who, node, life, exchange });
+        let from = std::net::IpAddr::from([127, 0, 0, 1]);
+        self.raw_in(conn, Raw::Opened { web, from });
+        conn
+    }
+
+    /// A call of a test's own, until its answer.
+    pub fn call(&mut self, ask: crate::yarn::Ask) -> crate::yarn::Answer {
+        self.yarn.answered = None;
+        self.dial(Who::Test, ask);
+        let end = self.now + 10_000;
+        // Guards against a world that stands still since a rule is broken: it would be waited for without end.
+        while self.yarn.answered.is_none() && self.now < end {
+            let before = self.now;
+            self.run_for(100);
+            let broken = (&self.rules.broken, &self.yarn.checks.broken);
+            assert!(self.now > before || self.yarn.answered.is_some(), "nothing goes on: {broken:?}");
+        }
+        self.yarn.answered.take().flatten()
+    }
+
+    /// Any bytes on a connection that nobody listens on, and that nobody ends.
+    pub fn pour(&mut self, web: bool, bytes: Vec<u8>) {
+        let ask = crate::yarn::Ask::Web { method: "GET", target: String::new(), body: Vec::new() };
+        let (exchange, _, _) = Exchange::begin(ask);
+        let conn = self.open_wire(Who::Test, exchange, web);
+        self.at(self.now + 1, Ev::RawIn(conn, bytes));
+        self.run_for(2);
+    }
+
+    /// Runners stand on the tasks that run: they begin and end with them.
+    fn follow_runners(&mut self) {
+        let now = self.now;
+        let mut here = HashSet::new();
+        let mut new = Vec::new();
+        for w in self.workers.values() {
+            for t in w.tasks.iter().filter(|t| t.stage == TaskStage::Running) {
+                let Some((job, task)) = wire::ids::parse_task(&t.name) else { continue };
+                if !wire::ids::reserved_job_id(job) {
+                    continue;
+                }
+                let key = (t.name.clone(), t.attempt);
+                let spec = self.rules.jobs.get(job).and_then(|j| j.spec.as_ref());
+                if let Some(spec) = spec.filter(|_| !self.yarn.runners.contains_key(&key)) {
+                    new.push((key.clone(), Runner::new(spec, task, t.attempt, &w.name, &w.zone, now)));
+                }
+                here.insert(key);
+            }
+        }
+        self.yarn.runners.extend(new);
+        self.yarn.gone(&here);
+        // A runner that is through ends its task.
+        for w in self.workers.values_mut().filter(|w| w.hung_until <= now) {
+            for t in w.tasks.iter_mut().filter(|t| t.stage == TaskStage::Running) {
+                let runner = self.yarn.runners.get(&(t.name.clone(), t.attempt));
+                if let Some(done) = runner.and_then(|r| r.over) {
+                    t.stage = TaskStage::Exited;
+                    t.cause = Some(if done { Cause::Done } else { Cause::Error });
+                    w.changed = true;
+                    if done {
+                        self.rules.completed(&t.name);
+                    }
+                }
+            }
+        }
+    }
+
+    pub(super) fn raw_in(&mut self, conn: u64, event: Raw) {
+        let Some(wire) = self.wires.get(&conn) else { return };
+        let (n, life) = (wire.node, wire.life);
+        let now = self.node_now(n);
+        let cut = self.links.blocked(self.now, Place::Users, Place::Node(n)).is_some();
+        let host = &mut self.hosts[n];
+        let Some(node) = host.node.as_mut().filter(|_| host.life == life && !cut) else { return };
+        let (owns, begun) = (node.node().term().is_some(), std::time::Instant::now());
+        let outs = node.raw(now, conn, event);
+        if owns {
+            self.call_ns.push(begun.elapsed().as_nanos() as u64);
+        }
+        self.carry_out(n, outs);
+    }
+
+    pub(super) fn raw_out(&mut self, conn: u64, bytes: &[u8]) {
+        let Some(wire) = self.wires.get_mut(&conn) else { return };
+        match wire.exchange.bytes(bytes) {
+            Next::Wait => {}
+            Next::Send(bytes) => self.at(self.now + 1, Ev::RawIn(conn, bytes)),
+            Next::Over(answer) => {
+                if let Some(wire) = self.wires.remove(&conn) {
+                    self.yarn.answer(self.now, &wire.who, answer);
+                    self.raw_gone(conn, &wire);
+                }
+            }
+        }
+    }
+
+    /// The connection breaks, or its client has waited long enough.
+    pub(super) fn raw_over(&mut self, conn: u64) {
+        if let Some(wire) = self.wires.remove(&conn) {
+            self.yarn.answer(self.now, &wire.who, None);
+            self.raw_gone(conn, &wire);
+        }
+    }
+
+    fn raw_gone(&mut self, conn: u64, wire: &Wire) {
+        let now = self.node_now(wire.node);
+        let host = &mut self.hosts[wire.node];
+        if let Some(node) = host.node.as_mut().filter(|_| host.life == wire.life) {
+            let outs = node.raw(now, conn, Raw::Closed);
+            self.carry_out(wire.node, outs);
+        }
+    }
+
+    /// Jobs that the gateway has had accepted become known to the workers.
+    pub(super) fn note_yarn_jobs(&mut self, body: &[u8]) {
+        let Ok(txn) = wire::decode::<Value>(body) else { return };
+        for w in txn["writes"].as_array().into_iter().flatten() {
+            let Some(job) = w["write"].as_str().and_then(|k| k.strip_prefix("live/")) else { continue };
+            if !wire::ids::reserved_job_id(job) {
+                continue;
+            }
+            let Ok(rec) = serde_json::from_value::<wire::records::JobRec>(w["v"].clone()) else { continue };
+            self.yarn.checks.accepted(job);
+            self.run_ms.insert(job.to_owned(), 10_000_000);
+            let entry = self.rules.jobs.entry(job.to_owned()).or_default();
+            (entry.spec, entry.submitted) = (Some(rec.spec), true);
+        }
+    }
+}
