Release hours as a calendar: studios' local hours, holidays, exceptions and agreements, checked by line

Member studios agree by when their jobs are released. Package `hours` reads and checks such a calendar and says which hour applies to a job accepted at a moment: the first that leaves the notice. An hour that clocks skip is due when they skip it, one that comes twice the first time. Time zones come with the program (`jiff`), so that all controllers agree.

--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -142,7 +142,8 @@
             Guard { key: records::live_key(&spec.id), version: 0 },
             Guard { key: records::end_key(&spec.id), version: 0 },
         ]);
-        let txn = Txn { guards, writes: vec![Write::put(records::live_key(&spec.id), Record::Job(Box::new(rec)))] };
+        let txn =
+            Txn { guards, writes: vec![Write::put(records::live_key(&spec.id), Record::Job(Box::new(rec)))] };
         let what = Pending::Accept { asker, spec, at, tries };
         self.send(Dest::State, "POST", "/txn".into(), wire::encode(&txn), ACCEPT_TIMEOUT_MS, what);
     }
--- /dev/null
+++ b/crates/hours/src/calendar.rs
@@ -0,0 +1,401 @@
+//! A calendar that has been checked. It never changes.
+
+use crate::file::{AGREEMENT, EXCEPTION, HOLIDAY, RELEASE, STUDIO};
+use crate::spec::{Agreement, Exception, Holiday, Release, Spec, Studio};
+use crate::when::{DAYS, date, day, day_of, is_skipped, moment, reached, time};
+use crate::{
+    MAX_AGREEMENTS, MAX_AHEAD_DAYS, MAX_DATES, MAX_HOURS, MAX_NAME, MAX_NOTICE, MAX_RELEASES, MAX_STUDIOS,
+    MAX_TEAMS,
+};
+use document::{Fault, Faults, Place, short};
+use jiff::civil::{Date, Time};
+use jiff::tz::{TimeZone, TimeZoneDatabase};
+use jiff::{Timestamp, ToSpan};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// A team, and the nodes above it in the quota tree, the nearest last.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct TeamAt {
+    pub name: String,
+    pub path: Vec<String>,
+}
+
+/// What a calendar has to fit.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Around {
+    /// The teams of the settings; without them no name is compared.
+    pub teams: Option<Vec<TeamAt>>,
+    /// The nodes of the quota tree.
+    pub nodes: BTreeSet<String>,
+}
+
+/// The hour that applies to a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Due {
+    /// Time of day, in milliseconds.
+    pub at_ms: u64,
+    /// Agreed for this job alone.
+    pub agreed: bool,
+}
+
+struct House {
+    name: String,
+    zone: TimeZone,
+    notice_ms: i64,
+    by_class: HashMap<Option<String>, Rule>,
+    /// Hours of single days, by class.
+    exceptions: BTreeMap<Date, HashMap<Option<String>, Vec<Time>>>,
+    holidays: BTreeSet<Date>,
+}
+
+struct Rule {
+    hours: Vec<Time>,
+    days: [bool; DAYS.len()],
+    notice_ms: Option<i64>,
+}
+
+/// Which hour applies to each job.
+#[derive(Default)]
+pub struct Calendar {
+    houses: Vec<House>,
+    of_team: HashMap<String, usize>,
+    /// Hours of single jobs.
+    agreed: HashMap<String, u64>,
+}
+
+impl Calendar {
+    /// Checks a description. All that is wrong is returned, not just the first.
+    pub fn build(spec: &Spec, around: &Around) -> Result<Calendar, Vec<Fault>> {
+        let mut b =
+            Builder { spec, faults: Faults::default(), calendar: Calendar::default(), index: HashMap::new() };
+        b.sizes();
+        if b.faults.is_empty() {
+            b.studios();
+            b.teams(around);
+            b.releases();
+            b.holidays();
+            b.exceptions();
+            b.agreements();
+        }
+        b.faults.or(b.calendar)
+    }
+
+    /// The hour of a job that was accepted at this time of day; none where nothing is agreed for its studio.
+    pub fn due(&self, team: &str, class: &str, job: &str, accepted_ms: u64) -> Option<Due> {
+        if let Some(at_ms) = self.agreed.get(job) {
+            return Some(Due { at_ms: *at_ms, agreed: true });
+        }
+        let house = self.houses.get(*self.of_team.get(team)?)?;
+        let at_ms = u64::try_from(house.due(class, i64::try_from(accepted_ms).ok()?)?).ok()?;
+        Some(Due { at_ms, agreed: false })
+    }
+
+    /// The studio that a team belongs to.
+    pub fn studio_of(&self, team: &str) -> Option<&str> {
+        self.of_team.get(team).and_then(|i| self.houses.get(*i)).map(|h| h.name.as_str())
+    }
+
+    pub fn studios(&self) -> Vec<&str> {
+        self.houses.iter().map(|h| h.name.as_str()).collect()
+    }
+
+    /// How many jobs have an hour of their own.
+    pub fn agreed(&self) -> usize {
+        self.agreed.len()
+    }
+
+    /// A moment as a studio's clocks show it; as UTC for none that is known.
+    pub fn local(&self, studio: &str, at_ms: u64) -> String {
+        let zone = self.houses.iter().find(|h| h.name == studio).map_or(TimeZone::UTC, |h| h.zone.clone());
+        let at = i64::try_from(at_ms).ok().and_then(|ms| Timestamp::from_millisecond(ms).ok());
+        at.map_or_else(
+            || at_ms.to_string(),
+            |t| t.to_zoned(zone).strftime("%Y-%m-%dT%H:%M:%S%:z").to_string(),
+        )
+    }
+
+    /// A moment that an operator names for a studio: its local time (`2026-12-24T18:00`), or with an offset.
+    pub fn moment(&self, studio: &str, text: &str) -> Result<u64, String> {
+        let house = self.houses.iter().find(|h| h.name == studio);
+        let at = match (moment(text), house) {
+            (Some(local), Some(house)) if is_skipped(&house.zone, local) => {
+                return Err(format!("{text} does not exist in {studio}: its clocks skip it"));
+            }
+            (Some(local), Some(house)) => reached(&house.zone, local),
+            _ => text.parse::<Timestamp>().ok().map(Timestamp::as_millisecond),
+        };
+        let at = at.and_then(|ms| u64::try_from(ms).ok());
+        at.ok_or_else(|| format!("{text:?} is no time; like 2026-12-24T18:00, or 2026-12-24T18:00:00+01:00"))
+    }
+}
+
+impl House {
+    fn due(&self, class: &str, accepted_ms: i64) -> Option<i64> {
+        let named = Some(class.to_owned());
+        let rule = self.by_class.get(&named).or_else(|| self.by_class.get(&None));
+        let notice = rule.and_then(|r| r.notice_ms).unwrap_or(self.notice_ms);
+        let least = accepted_ms.checked_add(notice)?;
+        let today = Timestamp::from_millisecond(least).ok()?.to_zoned(self.zone.clone()).date();
+        // A clock may have been set back over midnight: what it reached first lies up to two days further on.
+        let mut day = today.checked_sub(2.days()).ok()?;
+        for _ in 0..MAX_AHEAD_DAYS {
+            let hours = self.hours(&named, rule, day);
+            // Rising in time as in name, since each is due when the clock first reaches it.
+            let due = hours.iter().filter_map(|h| reached(&self.zone, day.to_datetime(*h)));
+            if let Some(at) = due.into_iter().find(|at| *at >= least) {
+                return Some(at);
+            }
+            day = day.tomorrow().ok()?;
+        }
+        None
+    }
+
+    /// The hours of one day.
+    fn hours<'a>(&'a self, class: &Option<String>, rule: Option<&'a Rule>, day: Date) -> &'a [Time] {
+        let own = self.exceptions.get(&day).and_then(|e| e.get(class).or_else(|| e.get(&None)));
+        if let Some(hours) = own {
+            return hours;
+        }
+        let rule = rule.filter(|r| r.days[day_of(day.weekday())] && !self.holidays.contains(&day));
+        rule.map_or(&[], |r| r.hours.as_slice())
+    }
+}
+
+struct Builder<'a> {
+    spec: &'a Spec,
+    faults: Faults,
+    calendar: Calendar,
+    index: HashMap<&'a str, usize>,
+}
+
+impl<'a> Builder<'a> {
+    fn sizes(&mut self) {
+        let s = self.spec;
+        let dates = s.exceptions.len() + s.holidays.iter().map(|h| h.dates.len()).sum::<usize>();
+        for (what, n, most) in [
+            (STUDIO, s.studios.len(), MAX_STUDIOS),
+            (RELEASE, s.releases.len(), MAX_RELEASES),
+            ("exception and holiday", dates, MAX_DATES),
+            (AGREEMENT, s.agreements.len(), MAX_AGREEMENTS),
+        ] {
+            if n > most {
+                self.faults.add(Place::Whole, what, format!("{n} entries; at most {most} are allowed"));
+            }
+        }
+    }
+
+    /// Something is wrong with a field of an entry that is known by a name.
+    fn fault(&mut self, list: &str, i: usize, name: &str, field: &str, what: impl Into<String>) {
+        let path = format!("{list} {:?}.{field}", short(name));
+        self.faults.add(Place::entry(list, i), path, what);
+    }
+
+    /// A name that can be kept and shown.
+    fn name(&mut self, list: &str, i: usize, name: &str, field: &str) {
+        if name.is_empty() || name.len() > MAX_NAME || name.chars().any(char::is_control) {
+            let what = format!("must be 1 to {MAX_NAME} bytes without control characters");
+            self.fault(list, i, name, field, what);
+        }
+    }
+
+    fn notice(&mut self, list: &str, i: usize, name: &str, minutes: u32) -> i64 {
+        if minutes > MAX_NOTICE {
+            self.fault(list, i, name, "notice_min", format!("must be at most {MAX_NOTICE}, is {minutes}"));
+        }
+        i64::from(minutes) * 60_000
+    }
+
+    fn studios(&mut self) {
+        let spec = self.spec;
+        let zones = TimeZoneDatabase::bundled();
+        for (i, Studio { name, zone, notice_min, teams, .. }) in spec.studios.iter().enumerate() {
+            self.name(STUDIO, i, name, "name");
+            if self.index.insert(name, i).is_some() {
+                self.fault(STUDIO, i, name, "name", "is named twice");
+            }
+            if teams.len() > MAX_TEAMS {
+                self.fault(STUDIO, i, name, "teams", format!("more than {MAX_TEAMS}"));
+            }
+            let known = zones.get(zone);
+            if known.is_err() {
+                self.fault(STUDIO, i, name, "zone", format!("{:?} is no time zone", short(zone)));
+            }
+            let notice_ms = self.notice(STUDIO, i, name, *notice_min);
+            self.calendar.houses.push(House {
+                name: name.clone(),
+                zone: known.unwrap_or(TimeZone::UTC),
+                notice_ms,
+                by_class: HashMap::new(),
+                exceptions: BTreeMap::new(),
+                holidays: BTreeSet::new(),
+            });
+        }
+    }
+
+    /// Which studio each team belongs to: the one that names it, or else the one of the nearest node above it.
+    fn teams(&mut self, around: &Around) {
+        let spec = self.spec;
+        let known = around.teams.as_ref();
+        let names: Option<BTreeSet<&str>> = known.map(|all| all.iter().map(|t| t.name.as_str()).collect());
+        let mut of_node: HashMap<&str, usize> = HashMap::new();
+        for (i, studio) in spec.studios.iter().enumerate() {
+            for team in &studio.teams {
+                if names.as_ref().is_some_and(|names| !names.contains(team.as_str())) {
+                    let what = format!("{:?} is no team of the settings", short(team));
+                    self.fault(STUDIO, i, &studio.name, "teams", what);
+                }
+                if self.calendar.of_team.insert(team.clone(), i).is_some() {
+                    let what = format!("{:?} is named twice", short(team));
+                    self.fault(STUDIO, i, &studio.name, "teams", what);
+                }
+            }
+            let Some(node) = &studio.node else { continue };
+            if known.is_some() && !around.nodes.contains(node) {
+                let what = format!("{:?} is no node of the quota tree", short(node));
+                self.fault(STUDIO, i, &studio.name, "node", what);
+            }
+            if of_node.insert(node, i).is_some() {
+                let what = format!("{:?} is another studio's", short(node));
+                self.fault(STUDIO, i, &studio.name, "node", what);
+            }
+        }
+        for team in known.into_iter().flatten() {
+            let nearest = team.path.iter().rev().find_map(|n| of_node.get(n.as_str()));
+            if let Some(i) = nearest {
+                self.calendar.of_team.entry(team.name.clone()).or_insert(*i);
+            }
+        }
+    }
+
+    /// The studio that an entry is of.
+    fn studio(&mut self, list: &str, i: usize, name: &str) -> Option<usize> {
+        let at = self.index.get(name).copied();
+        if at.is_none() {
+            self.fault(list, i, name, "studio", "is no studio of this calendar");
+        }
+        at
+    }
+
+    /// Local times of an entry, in order.
+    fn hours(&mut self, list: &str, i: usize, name: &str, at: &[String]) -> Vec<Time> {
+        if at.len() > MAX_HOURS {
+            self.fault(list, i, name, "at", format!("more than {MAX_HOURS} hours"));
+        }
+        let mut out = BTreeSet::new();
+        for text in at {
+            match time(text) {
+                Some(hour) if out.insert(hour) => {}
+                Some(_) => self.fault(list, i, name, "at", format!("{text:?} is named twice")),
+                None => {
+                    let what = format!("{:?} is no time of day; like \"07:30\"", short(text));
+                    self.fault(list, i, name, "at", what)
+                }
+            }
+        }
+        out.into_iter().collect()
+    }
+
+    fn date(&mut self, list: &str, i: usize, name: &str, field: &str, text: &str) -> Option<Date> {
+        let day = date(text);
+        if day.is_none() {
+            let what = format!("{:?} is no date; like \"2026-12-24\"", short(text));
+            self.fault(list, i, name, field, what);
+        }
+        day
+    }
+
+    fn releases(&mut self) {
+        let spec = self.spec;
+        for (i, Release { studio, class, at, days, notice_min }) in spec.releases.iter().enumerate() {
+            let hours = self.hours(RELEASE, i, studio, at);
+            if at.is_empty() {
+                self.fault(RELEASE, i, studio, "at", "must have at least one hour");
+            }
+            let mut week = [days.is_empty(); DAYS.len()];
+            for name in days {
+                match day(name) {
+                    Some(d) if !week[d] => week[d] = true,
+                    Some(_) => self.fault(RELEASE, i, studio, "days", format!("{name:?} is named twice")),
+                    None => {
+                        let what = format!("{:?} is no weekday; one of {}", short(name), DAYS.join(" "));
+                        self.fault(RELEASE, i, studio, "days", what)
+                    }
+                }
+            }
+            class.iter().for_each(|c| self.name(RELEASE, i, c, "class"));
+            let notice_ms = notice_min.map(|n| self.notice(RELEASE, i, studio, n));
+            let Some(house) = self.studio(RELEASE, i, studio) else { continue };
+            let rule = Rule { hours, days: week, notice_ms };
+            if self.calendar.houses[house].by_class.insert(class.clone(), rule).is_some() {
+                let what = match class {
+                    Some(class) => format!("{:?} has another release of this studio already", short(class)),
+                    None => "any class has another release of this studio already".to_owned(),
+                };
+                self.fault(RELEASE, i, studio, "class", what);
+            }
+        }
+    }
+
+    fn holidays(&mut self) {
+        let spec = self.spec;
+        for (i, Holiday { studio, dates }) in spec.holidays.iter().enumerate() {
+            let name = studio.as_deref().unwrap_or("all");
+            let days: Vec<Date> =
+                dates.iter().filter_map(|text| self.date(HOLIDAY, i, name, "dates", text)).collect();
+            let whose = match studio {
+                Some(studio) => self.studio(HOLIDAY, i, studio).map_or(0..0, |h| h..h + 1),
+                None => 0..self.calendar.houses.len(),
+            };
+            for house in &mut self.calendar.houses[whose] {
+                house.holidays.extend(&days);
+            }
+        }
+    }
+
+    fn exceptions(&mut self) {
+        let spec = self.spec;
+        for (i, Exception { studio, class, date: text, at }) in spec.exceptions.iter().enumerate() {
+            let hours = self.hours(EXCEPTION, i, studio, at);
+            class.iter().for_each(|c| self.name(EXCEPTION, i, c, "class"));
+            let day = self.date(EXCEPTION, i, studio, "date", text);
+            let (Some(house), Some(day)) = (self.studio(EXCEPTION, i, studio), day) else { continue };
+            let of_day = self.calendar.houses[house].exceptions.entry(day).or_default();
+            if of_day.insert(class.clone(), hours).is_some() {
+                self.fault(
+                    EXCEPTION,
+                    i,
+                    studio,
+                    "date",
+                    format!("{text} has another one of this class already"),
+                );
+            }
+        }
+    }
+
+    fn agreements(&mut self) {
+        let spec = self.spec;
+        for (i, Agreement { studio, job, at }) in spec.agreements.iter().enumerate() {
+            self.name(AGREEMENT, i, job, "job");
+            let Some(house) = self.studio(AGREEMENT, i, studio) else { continue };
+            let zone = self.calendar.houses[house].zone.clone();
+            let Some(local) = moment(at) else {
+                let what = format!("{:?} is no local time; like \"2026-12-24T18:00\"", short(at));
+                self.fault(AGREEMENT, i, job, "at", what);
+                continue;
+            };
+            if is_skipped(&zone, local) {
+                let what = format!("{at} does not exist in {studio}: its clocks skip it");
+                self.fault(AGREEMENT, i, job, "at", what);
+                continue;
+            }
+            let due = reached(&zone, local).and_then(|ms| u64::try_from(ms).ok());
+            let Some(due) = due else {
+                self.fault(AGREEMENT, i, job, "at", format!("{at} is too long ago"));
+                continue;
+            };
+            if self.calendar.agreed.insert(job.clone(), due).is_some() {
+                self.fault(AGREEMENT, i, job, "job", "has another agreement already");
+            }
+        }
+    }
+}
