Release hours are bound at acceptance, cap deadlines in the plan, and are listed, moved and re-agreed

With a calendar in force (`--hours FILE`, `stoathatch hours set`) a job's hour is worked out from the recorded time of its acceptance and written in the accepting transaction, which is guarded by the calendar's head (and by the quota tree's where studios are nodes of it). It is only read from then on. In the plan it caps the deadline, less start, fetch and saving; one that can't be kept any more caps nothing. Jobs are told to be due, at risk and why, missed, kept.

`stoathatch hours list|move|reagree` ask the owner. A move writes the job's record anew in one guarded transaction, with who, when and from what. Without a calendar nothing is written, guarded or planned otherwise.

--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -31,6 +31,8 @@
     Part(KindId, String),
     PartOver(KindId, String),
     Head(KindId),
+    /// A moved hour, with the time of the move.
+    Hour(crate::hours::Move, u64),
 }
 
 /// A log record on its way.
@@ -85,6 +87,10 @@
         self.guards.push(Guard { key: key.clone(), version });
         self.writes.push(Write::put(key, record));
     }
+    /// Whether it changes this key already.
+    pub fn writes_to(&self, key: &str) -> bool {
+        self.guards.iter().any(|g| g.key == key)
+    }
     /// Writes what is named by its own digest: whatever stands there already is the same. So it can't tell whether
     /// this transaction was applied, and has no guard but the owner's.
     pub fn part(&mut self, key: String, record: Record) {
@@ -99,11 +105,12 @@
         self.writes.push(Write::Remove { key });
     }
 
-    fn end(&mut self, part: &mut Part, ix: JobIx) {
+    fn end(&mut self, part: &mut Part, ix: JobIx, wall: u64) {
         let Some(job) = part.job_mut(ix) else { return };
         let Ending::Wanted(stage) = job.ending else { return };
         let done = job.done_count;
-        self.put(records::end_key(&job.id), 0, Record::End(EndRec { stage, done }));
+        let hour = crate::hours::end_rec(job, wall);
+        self.put(records::end_key(&job.id), 0, Record::End(EndRec { stage, done, hour }));
         self.remove(records::live_key(&job.id), job.version);
         job.ending = Ending::Writing(stage);
         self.ops.push(Op::End(ix));
@@ -317,7 +324,7 @@
 
     /// Gathers what is to be written, most urgent first.
     fn draft(&mut self, budget: usize) -> Option<Draft> {
-        let now = self.now.mono;
+        let (now, wall) = (self.now.mono, self.now.wall);
         let limits = &self.settings.cluster.state;
         let max_guards = limits.txn_ops * 4;
         let value = value_limit(limits.value_kb);
@@ -342,7 +349,7 @@
         let for_ends = budget - kept;
         while d.writes.len() + 2 <= for_ends && d.guards.len() + 2 < max_guards {
             let Some(ix) = part.ledger.ending.pop_front() else { break };
-            d.end(part, ix);
+            d.end(part, ix, wall);
         }
         let room = |d: &Draft| d.writes.len() < budget && d.size < SIZE && d.guards.len() + 2 < max_guards;
         if room(&d)
@@ -370,6 +377,7 @@
             d.put(key, 0, Record::Hire(hire.rec.clone()));
             d.ops.push(Op::Hire(name.clone()));
         }
+        d.moves(part, wall, value, room);
         // Claims, with the results that have gathered. Room is left for the guards on the claims' jobs.
         while room(&d) && (!part.ledger.fresh.is_empty() || (tidy && !part.ledger.unsaved.is_empty())) {
             let before = d.ops.len();
@@ -500,6 +508,7 @@
         let mut changed: BTreeSet<JobIx> = BTreeSet::new();
         let mut told = Vec::new();
         let mut heads = Vec::new();
+        let mut moved = Vec::new();
         for op in ops {
             match op {
                 Op::End(ix) => {
@@ -512,6 +521,9 @@
                         self.finals.put(&job.id, stage, job.done_count);
                         told.extend(waiters.into_iter().map(|w| (w, state.clone())));
                         let segments = std::mem::take(&mut job.segments);
+                        if let Some(job) = &part.jobs[ix] {
+                            part.hours.ended(job, ix, stage);
+                        }
                         part.ledger.results_over(ix, segments);
                     }
                     changed.insert(ix);
@@ -565,11 +577,15 @@
                 Op::Part(kind, name) => self.shared.documents.part_written(kind, name, revision),
                 Op::PartOver(kind, name) => self.shared.documents.part_over(kind, &name),
                 Op::Head(kind) => heads.push(kind),
+                Op::Hour(hour, wall) => moved.push((hour, wall)),
                 Op::Catalog => {
                     self.shared.catalog_version = self.shared.catalog_version.max(revision);
                 }
             }
         }
+        for (hour, wall) in moved {
+            self.hour_moved(hour, wall, revision);
+        }
         for kind in heads {
             for_kind!(kind, K => self.head_written::<K>(revision));
         }
--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -10,6 +10,7 @@
 //! the next.
 
 use crate::commit::{Draft, Op};
+use crate::hours::Hours;
 use crate::part::{Load, Part};
 use crate::quotas::Quota;
 use crate::{Dest, Node, Pending};
@@ -29,9 +30,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum KindId {
     Quota,
+    Hours,
 }
 
-pub(crate) const ALL: [KindId; 1] = [KindId::Quota];
+pub(crate) const ALL: [KindId; 2] = [KindId::Quota, KindId::Hours];
 
 /// Does something for a kind that is known by its id alone.
 macro_rules! for_kind {
@@ -41,6 +43,10 @@
                 type $K = $crate::quotas::Quota;
                 $what
             }
+            $crate::documents::KindId::Hours => {
+                type $K = $crate::hours::Hours;
+                $what
+            }
         }
     };
 }
@@ -49,6 +55,7 @@
 #[derive(Default)]
 pub(crate) struct Documents {
     pub quota: Doc<Quota>,
+    pub hours: Doc<Hours>,
 }
 
 /// A kind of document, as controllers act on it.
@@ -76,6 +83,10 @@
     /// A question that no other kind has, asked of the owner.
     fn asked(node: &mut Node, conn: u64, ask: Self::Ask);
 
+    /// The same, where it depends on the others in force.
+    fn binds(_all: &Documents) -> bool {
+        Self::BINDS
+    }
     /// The document's answer to "show".
     fn show(node: &Node) -> Vec<u8> {
         Self::doc(&node.shared.documents).shown()
@@ -611,7 +622,7 @@
         for kind in ALL {
             let (binds, stamp, current) = for_kind!(kind, K => {
                 let doc = K::doc(&self.shared.documents);
-                (K::BINDS, doc.stamp, doc.is_current() && doc.version().is_some())
+                (K::binds(&self.shared.documents), doc.stamp, doc.is_current() && doc.version().is_some())
             });
             if binds && stamp > 0 {
                 if !current {
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -93,7 +93,7 @@
         if let Err(field) = spec.check() {
             return self.deny(asker, 400, &format!("invalid: {field}"));
         }
-        let rec = JobRec::new(spec.clone(), self.now.wall, PART);
+        let rec = self.bound(spec.clone(), self.now.wall);
         let limit = (self.settings.cluster.state.value_kb * 1024.0).min(BODY_LIMIT as f64);
         // Counted in another form by the service, which takes somewhat more.
         if wire::encode(&rec).len() as f64 * 1.3 > limit {
@@ -150,7 +150,7 @@
 
     /// The record of a job accepted now, with all that is agreed for it from then on.
     fn bound(&self, spec: JobSpec, wall: u64) -> JobRec {
-        JobRec::new(spec, wall, PART)
+        JobRec { hour: self.hour_for(&spec, wall), ..JobRec::new(spec, wall, PART) }
     }
 
     /// Once more in a moment, if there is time for it.
@@ -328,7 +328,7 @@
             let Some(item) = self.read::<Item<EndRec>>("state service", &r) else {
                 return self.deny(asker, 503, "unreadable record");
             };
-            let EndRec { stage, done } = item.value;
+            let EndRec { stage, done, .. } = item.value;
             if stage.is_final() {
                 self.finals.put(&job, stage, done);
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -8,6 +8,7 @@
 mod door;
 mod election;
 mod fleet;
+mod hours;
 mod jobs;
 mod keeper;
 mod ledger;
@@ -288,6 +289,12 @@
         self
     }
 
+    /// The same, with a calendar of release hours to begin with.
+    pub fn with_first_hours(mut self, spec: Option<::hours::Spec>) -> Self {
+        self.shared.documents.hours.first = spec;
+        self
+    }
+
     /// The same with another door beside it, whose job ids users can't take.
     pub fn with_door_beside(self) -> Self {
         Node { beside: true, ..self }
@@ -331,6 +338,7 @@
             self.fleet_tick();
             self.machines_tick();
             self.sched_tick();
+            self.hours_tick();
         }
     }
 
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -120,6 +120,8 @@
     pub unwanted: BTreeSet<JobIx>,
     /// The tree's counts, by the version that they belong to.
     pub counted: Option<(u64, crate::standing::Counted)>,
+    /// Release hours of its jobs.
+    pub hours: crate::hours::Watch,
 }
 
 impl Part {
@@ -168,6 +170,7 @@
             touched: Vec::new(),
             unwanted: BTreeSet::new(),
             counted: None,
+            hours: crate::hours::Watch::default(),
         }
     }
 
@@ -231,6 +234,7 @@
             self.jobs.len() - 1
         });
         self.job_ix.insert(job.id.clone(), ix);
+        self.hours.add(&job, ix);
         self.jobs[ix] = Some(job);
         self.touched.push(ix);
         ix
@@ -532,6 +536,7 @@
     pub(crate) fn load_ended(&mut self) {
         let now = self.now.mono;
         let whole = self.whole_allotment();
+        self.refit_hours();
         let Some(part) = &mut self.part else { return };
         part.allot_wanted = (part.allot.as_ref() != Some(&whole)).then_some(whole);
         part.loaded = true;
--- a/crates/control/src/quotas.rs
+++ b/crates/control/src/quotas.rs
@@ -26,6 +26,10 @@
     /// The head, and the allotment.
     const WRITES: usize = 2;
 
+    /// Studios may be nodes of the tree.
+    fn binds(all: &Documents) -> bool {
+        all.hours.good.as_ref().is_some_and(|g| g.spec.follows_tree())
+    }
     fn doc(all: &Documents) -> &Doc<Quota> {
         &all.quota
     }
@@ -134,6 +138,7 @@
 
     /// Where we are the owner, the bounds of a new version are recorded before anything starts under them.
     pub(crate) fn tree_in_force(&mut self) {
+        self.refit_hours();
         let whole = self.whole_allotment();
         let Some(part) = self.part.as_mut().filter(|p| p.loaded) else { return };
         let stands = part.allot.as_ref() == Some(&whole) && part.allot_wanted.is_none();
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -229,6 +229,7 @@
             output.waiting.len(),
             output.steps
         );
+        self.hours_planned(&input, &output, &map.jobs);
         let mut attempts: HashMap<u32, u64> = HashMap::new();
         for start in &output.starts {
             let Some(part) = &mut self.part else { return };
@@ -411,7 +412,11 @@
             for (held, pending) in holds.waiting(ix, spec, claimed, pending) {
                 let planned = plan::Job { pending, held, ..like.clone() };
                 map.jobs.push(ix);
-                input.jobs.push(aims.with_deadline(planned, spec, &holds, ix));
+                let planned = aims.with_deadline(planned, spec, &holds, ix);
+                input.jobs.push(match &job.hour {
+                    Some(hour) => hour.cap(planned, spec, catalog, now.wall),
+                    None => planned,
+                });
             }
         }
         input.spares = spares(part, &self.settings.cluster.objectives, &names, &self.tuning, now.wall);
--- a/crates/hours/src/spec.rs
+++ b/crates/hours/src/spec.rs
@@ -90,6 +90,13 @@
     pub agreements: Vec<Agreement>,
 }
 
+impl Spec {
+    /// Some studio is a node of the quota tree: its teams change with that.
+    pub fn follows_tree(&self) -> bool {
+        self.studios.iter().any(|s| s.node.is_some())
+    }
+}
+
 fn is_zero(v: &u32) -> bool {
     *v == 0
 }
--- /dev/null
+++ b/crates/stoathatch/src/hours.rs
@@ -0,0 +1,172 @@
+//! `stoathatch hours`: the calendar of release hours, and by when what is due.
+
+use crate::documents::{Asked, Common, End, Table, json, table};
+use clap::{Args, Subcommand};
+use document::file::Parsed;
+use document::{Content, Fault};
+use hours::{Around, Calendar, Spec, TeamAt};
+use std::process::ExitCode;
+use wire::admin::{Shown, Whole};
+use wire::hours::{Ask, Line, List, Moved, Risk, State};
+use wire::settings::Settings;
+
+#[derive(Args)]
+pub struct Command {
+    #[command(flatten)]
+    asked: Asked,
+    #[command(subcommand)]
+    verb: Verb,
+}
+
+#[derive(Subcommand)]
+enum Verb {
+    #[command(flatten)]
+    Common(Common),
+    /// By when jobs are due, what is at risk and why, and what was kept or missed.
+    List {
+        /// Of this studio alone.
+        studio: Option<String>,
+    },
+    /// Give one job another hour, or its first.
+    Move {
+        /// The job's id.
+        job: String,
+        /// Its studio's local time, like 2026-12-24T18:00, or one with an offset.
+        #[arg(long)]
+        to: String,
+        /// Who moves it, for its record.
+        #[arg(long, env = "USER", default_value = "unnamed")]
+        by: String,
+    },
+    /// Give a studio's pending jobs the hours that the calendar in force has for them.
+    Reagree {
+        /// The studio.
+        studio: String,
+        /// Say which hours would move, and move none.
+        #[arg(long)]
+        dry_run: bool,
+        /// Who moves them, for their records.
+        #[arg(long, env = "USER", default_value = "unnamed")]
+        by: String,
+    },
+}
+
+/// The calendar's part in the common verbs.
+pub enum Hours {}
+
+impl Table for Hours {
+    type Spec = Spec;
+    type Shown = Shown<Spec>;
+    type Edit = Whole<Spec>;
+
+    fn parse(text: &str) -> Result<Parsed<Spec>, Vec<Fault>> {
+        hours::file::parse(text)
+    }
+    /// Nodes are those of a running service's quota tree: here they are not compared.
+    fn check(spec: &Spec, settings: Option<&Settings>) -> Result<String, Vec<Fault>> {
+        let named = |s: &Settings| {
+            let teams = s.cluster.teams.iter();
+            teams.map(|t| TeamAt { name: t.name.clone(), path: Vec::new() }).collect()
+        };
+        let nodes = spec.studios.iter().filter_map(|s| s.node.clone()).collect();
+        let calendar = Calendar::build(spec, &Around { teams: settings.map(named), nodes })?;
+        let against = if settings.is_some() { "" } else { "; its teams were not compared with any settings" };
+        Ok(format!("{}{against}", Spec::size(&calendar)))
+    }
+    fn set(spec: Spec) -> Whole<Spec> {
+        Whole::Set { spec }
+    }
+    fn parts(shown: &Shown<Spec>) -> (u64, &Spec, &[document::Past]) {
+        (shown.version, &shown.spec, &shown.history)
+    }
+    fn shown(shown: &Shown<Spec>) -> String {
+        let class = |c: &Option<String>| c.clone().unwrap_or_else(|| "any".to_owned());
+        let days = |d: &[String]| if d.is_empty() { "every day".to_owned() } else { d.join(" ") };
+        let studio = |name: &str| shown.spec.studios.iter().find(|s| s.name == name);
+        let rows = shown.spec.releases.iter().map(|r| {
+            let zone = studio(&r.studio).map(|s| s.zone.clone()).unwrap_or_default();
+            let notice = r.notice_min.or(studio(&r.studio).map(|s| s.notice_min)).unwrap_or(0);
+            vec![
+                r.studio.clone(),
+                class(&r.class),
+                r.at.join(" "),
+                days(&r.days),
+                zone,
+                format!("{notice} min"),
+            ]
+        });
+        let head = ["studio", "class", "at", "on", "zone", "notice"];
+        let refused = shown.refused.iter().map(|why| format!("\nrefused: {why}")).collect::<String>();
+        let own = format!(
+            "{} exceptions, {} holidays, {} agreements (show --file lists them)",
+            shown.spec.exceptions.len(),
+            shown.spec.holidays.iter().map(|h| h.dates.len()).sum::<usize>(),
+            shown.spec.agreements.len()
+        );
+        format!("version {}{refused}\n{}\n{own}", shown.version, table(&head, rows))
+    }
+}
+
+pub fn run(command: &Command) -> ExitCode {
+    crate::documents::end(execute(command))
+}
+
+fn execute(c: &Command) -> Result<String, End> {
+    let asked = &c.asked;
+    match &c.verb {
+        Verb::Common(common) => crate::documents::run::<Hours>(asked, common),
+        Verb::List { studio } => {
+            let list: List = asked.ask::<Hours, _>(&Ask::List { studio: studio.clone() })?;
+            Ok(if asked.json { json(&list) } else { listed(&list) })
+        }
+        Verb::Move { job, to, by } => {
+            let ask = Ask::Move { job: job.clone(), to: to.clone(), by: by.clone() };
+            moved(asked, &ask)
+        }
+        Verb::Reagree { studio, dry_run, by } => {
+            let ask = Ask::Reagree { studio: studio.clone(), by: by.clone(), dry_run: *dry_run };
+            moved(asked, &ask)
+        }
+    }
+}
+
+fn moved(asked: &Asked, ask: &Ask) -> Result<String, End> {
+    let moved: Moved = asked.ask::<Hours, _>(ask)?;
+    if asked.json {
+        return Ok(json(&moved));
+    }
+    let words = if moved.dry_run { "would move" } else { "move" };
+    let lines = moved.lines.iter().map(|line| format!("  {line}\n")).collect::<String>();
+    Ok(format!("{} hours {words}\n{lines}", moved.jobs))
+}
+
+fn listed(list: &List) -> String {
+    let rows = list.lines.iter().map(|l| {
+        let studio = l.studio.clone().unwrap_or_else(|| "-".to_owned());
+        let moved = l.moved.as_ref().map(|m| format!("by {}", m.by)).unwrap_or_default();
+        vec![studio, l.due.clone(), l.job.clone(), l.class.clone(), state(l), moved]
+    });
+    let more = if list.more > 0 { format!("\nand {} more", list.more) } else { String::new() };
+    format!("{}{more}", table(&["studio", "due", "job", "class", "", "moved"], rows))
+}
+
+fn state(line: &Line) -> String {
+    let late = line.late_s.map(|s| format!(" by {s:.0} s")).unwrap_or_default();
+    match line.state {
+        State::Due => "due".to_owned(),
+        State::AtRisk(risk) => format!("at risk: {}", why(risk)),
+        State::Missed => format!("missed{late}"),
+        State::Kept => "kept".to_owned(),
+        State::Withdrawn => "cancelled".to_owned(),
+    }
+}
+
+fn why(risk: Risk) -> &'static str {
+    match risk {
+        Risk::Room => "no room",
+        Risk::Quota => "its team is at its bound",
+        Risk::Image => "its image is being fetched",
+        Risk::Boot => "machines are booting",
+        Risk::Cut => "its zone is cut off",
+    }
+}
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -3,6 +3,7 @@
 mod ask;
 mod config;
 mod documents;
+mod hours;
 mod quota;
 mod service;
 mod tools;
@@ -24,6 +25,9 @@
     /// A quota tree to begin with (TOML); used only if the deployment has never had one.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_QUOTA")]
     quota: Option<PathBuf>,
+    /// A calendar of release hours to begin with (TOML); used only if the deployment has never had one.
+    #[arg(long, value_name = "FILE", env = "STOATHATCH_HOURS")]
+    hours: Option<PathBuf>,
     /// Serve YARN's clients too, as this file says (INI); without it nothing listens for them.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_YARN")]
     yarn: Option<PathBuf>,
@@ -39,6 +43,8 @@
 enum Command {
     /// Quotas of members, desks and teams.
     Quota(quota::Command),
+    /// Release hours of studios' jobs.
+    Hours(hours::Command),
     /// Applications of YARN's clients, their queues, and drains.
     Yarn(tools::Command),
 }
@@ -47,6 +53,7 @@
     let args = Args::parse();
     match &args.command {
         Some(Command::Quota(command)) => return quota::run(command),
+        Some(Command::Hours(command)) => return hours::run(command),
         Some(Command::Yarn(command)) => return tools::run(command),
         None => {}
     }
@@ -80,9 +87,9 @@
         Some(path) => config::tuning(path)?,
         None => control::Tuning::default(),
     };
-    let tree = match &args.quota {
-        Some(path) => Some(documents::first::<quota::Quota>(path, &settings)?),
-        None => None,
+    let first = service::First {
+        tree: first::<quota::Quota>(args.quota.as_ref(), &settings)?,
+        hours: first::<hours::Hours>(args.hours.as_ref(), &settings)?,
     };
     let yarn = args.yarn.as_deref().map(config::yarn).transpose()?;
     if args.check {
@@ -91,5 +98,13 @@
         }
         return Ok(());
     }
-    service::Service::new(settings, tuning, tree, yarn)?.run()
+    service::Service::new(settings, tuning, first, yarn)?.run()
+}
+
+/// The document that a deployment begins with, if one is named.
+fn first<T: documents::Table>(
+    path: Option<&PathBuf>,
+    settings: &wire::settings::Settings,
+) -> Result<Option<T::Spec>, String> {
+    path.map(|path| documents::first::<T>(path, settings)).transpose()
 }
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -13,6 +13,12 @@
 const WEB: Door = Door::Raw(1);
 const STATS_EVERY: Duration = Duration::from_secs(30);
 
+/// Documents to begin with, where there have never been any.
+pub struct First {
+    pub tree: Option<quota::Spec>,
+    pub hours: Option<hours::Spec>,
+}
+
 pub struct Service {
     net: Net,
     node: Served,
@@ -42,7 +48,7 @@
     pub fn new(
         settings: Settings,
         tuning: Tuning,
-        tree: Option<quota::Spec>,
+        first: First,
         yarn: Option<gateway::Config>,
     ) -> Result<Self, String> {
         let mut net = Net::new(settings.limits().max_sockets).map_err(|e| format!("event loop: {e}"))?;
@@ -66,7 +72,9 @@
         log::info!("{} listens on {}", settings.node, settings.listen);
         // The seed only spreads retries; two nodes must not share it.
         let seed = fastrand::u64(..);
-        let node = Node::new(settings, tuning, seed, now(start)).with_first_tree(tree);
+        let node = Node::new(settings, tuning, seed, now(start))
+            .with_first_tree(first.tree)
+            .with_first_hours(first.hours);
         let node = Served::new(node, yarn.map(|c| Ok::<_, String>(Gateway::new(c, secret()?))).transpose()?);
         Ok(Service {
             net,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod admin;
 pub mod api;
+pub mod hours;
 pub mod http;
 pub mod ids;
 pub mod peer;
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -142,6 +142,7 @@
 pub struct MovedRec {
     pub by: String,
     pub at_ms: u64,
+    /// 0 if it had none.
     pub from_ms: u64,
 }
 
@@ -159,6 +160,16 @@
 pub struct EndRec {
     pub stage: Stage,
     pub done: u32,
+    /// By when it was to end, and when it did.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hour: Option<EndHourRec>,
+}
+
+/// What became of a job's hour: times of day, in milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndHourRec {
+    pub due_ms: u64,
+    pub ended_ms: u64,
 }
 
 /// Machines that may exist: one leaves its rack only when the cloud has said that it is gone. What a log record
