Hours in virtual time: none moves but by an operator, under crashes, late transactions, cuts and outages

`hours_moved` follows the state service's history: each hour is the one that the calendar in force has for the recorded time of acceptance, and stands until a recorded move. It found that a node whose watch had been cut off took jobs without an hour for as long as it had not heard of the first calendar: a node that has not heard for six seconds now guards its accepts by the absence of such documents too.

--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -23,6 +23,8 @@
 use wire::http::Response;
 use wire::records::{self, Record, SharedRec};
 
+/// What the watch of the heads has not said for so long may be otherwise: it is asked every five seconds.
+const STALE_MS: u64 = 6000;
 /// Differences that an answer lists.
 const DIFFERENCES: usize = 200;
 
@@ -616,15 +618,17 @@
 /// What binds a job at its acceptance.
 impl Node {
     /// Guards by which an accept fails where another version is in force than the one that it was bound by. Nothing
-    /// without such documents. `None` while a version that was seen has not been read.
+    /// without such documents, unless this node has not heard for a while whether there are any. `None` while a version
+    /// that was seen has not been read.
     pub(crate) fn head_guards(&self) -> Option<Vec<Guard>> {
         let mut out = Vec::new();
+        let stale = self.now.mono >= self.shared.heard_at + STALE_MS;
         for kind in ALL {
             let (binds, stamp, current) = for_kind!(kind, K => {
                 let doc = K::doc(&self.shared.documents);
                 (K::binds(&self.shared.documents), doc.stamp, doc.is_current() && doc.version().is_some())
             });
-            if binds && stamp > 0 {
+            if binds && (stamp > 0 || stale) {
                 if !current {
                     return None;
                 }
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -38,6 +38,8 @@
     pub catalog: Option<Catalog>,
     pub catalog_version: u64,
     pub documents: crate::documents::Documents,
+    /// When the state service last said how all this stands.
+    pub heard_at: u64,
     /// A read or a watch is out, and when to try again if not.
     busy: bool,
     round: u64,
@@ -174,6 +176,7 @@
         }
         self.shared.revision = range.revision;
         self.shared.known = true;
+        self.shared.heard_at = self.now.mono;
         self.owner_seen();
     }
 
@@ -205,6 +208,7 @@
             }
         }
         self.shared.revision = self.shared.revision.max(changes.revision);
+        self.shared.heard_at = self.now.mono;
         self.owner_seen();
     }
 
--- /dev/null
+++ b/crates/standins/src/hours.rs
@@ -0,0 +1,95 @@
+//! Release hours, held against what the state service has seen.
+
+use crate::rules::Rules;
+use crate::state::State;
+use hours::{Around, Calendar, Spec};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use wire::records::{EndRec, HourRec, JobRec, SharedRec};
+
+/// The first calendar has reached all nodes after this time, and what was sent before has landed.
+const UNHEARD_MS: u64 = 20_000;
+
+/// What the history of the state service says.
+#[derive(Default)]
+pub struct Watcher {
+    /// Changes that were looked at.
+    at: usize,
+    parts: BTreeMap<String, Spec>,
+    /// Calendars by version; the last is in force.
+    calendars: BTreeMap<u64, Calendar>,
+    /// When the first came.
+    since: u64,
+    /// The last hour of each job that was accepted.
+    pub hours: BTreeMap<String, Option<HourRec>>,
+    pub moves: usize,
+    /// Ended jobs, and whether their hour was kept.
+    pub kept: BTreeMap<String, bool>,
+}
+
+impl Watcher {
+    /// Follows the history: each hour is the one that the calendar in force has for the recorded time of acceptance, and
+    /// stands until an operator's move.
+    pub fn follow(&mut self, state: &State, rules: &mut Rules, now: u64) {
+        for (_, key, value) in state.history(self.at) {
+            self.at += 1;
+            let Some(value) = value else { continue };
+            if self.calendars.is_empty() {
+                self.since = now;
+            }
+            if let Err(what) = self.put(key, value, now) {
+                rules.breaks("hours_moved", format!("{now}: {what}"));
+            }
+        }
+    }
+
+    fn put(&mut self, key: &str, value: &Value, now: u64) -> Result<(), String> {
+        if let Some(name) = key.strip_prefix("hours/part/") {
+            self.parts.insert(name.to_owned(), read(key, value)?);
+        } else if key == "sys/hours" {
+            let head = read::<SharedRec>(key, value)?.document.ok_or("no head")?;
+            let spec: Spec = document::join(&head, &self.parts)?;
+            let built = Calendar::build(&spec, &Around::default()).map_err(|f| f[0].to_string())?;
+            self.calendars.insert(head.version, built);
+        } else if let Some(job) = key.strip_prefix("live/").filter(|_| !self.calendars.is_empty()) {
+            return self.job(job, read(key, value)?, now);
+        } else if let Some(job) = key.strip_prefix("end/") {
+            let Some(Some(hour)) = self.hours.get(job) else { return Ok(()) };
+            let end = read::<EndRec>(key, value)?.hour.ok_or(format!("{job} ended without its hour"))?;
+            if end.due_ms != hour.due_ms {
+                return Err(format!("{job} was due at {}, and ended as due at {}", hour.due_ms, end.due_ms));
+            }
+            self.kept.insert(job.to_owned(), end.ended_ms <= end.due_ms);
+        }
+        Ok(())
+    }
+
+    fn job(&mut self, job: &str, rec: JobRec, now: u64) -> Result<(), String> {
+        let Some(old) = self.hours.insert(job.to_owned(), rec.hour.clone()) else {
+            let (version, calendar) = self.calendars.last_key_value().ok_or("no calendar")?;
+            let spec = &rec.spec;
+            let due = calendar.due(&spec.team, &spec.class, job, rec.at_ms);
+            let due = due.filter(|_| spec.kind != wire::api::Kind::Service);
+            let hour = due.map(|d| HourRec { due_ms: d.at_ms, version: *version, moved: None });
+            // Nodes that have not heard of the first calendar yet accept without.
+            let unheard = rec.hour.is_none() && now < self.since + UNHEARD_MS;
+            return if rec.hour == hour || unheard {
+                Ok(())
+            } else {
+                Err(format!("{job} should be due at {hour:?}, is at {:?}", rec.hour))
+            };
+        };
+        let from = old.as_ref().map_or(0, |h| h.due_ms);
+        let moved = rec.hour.as_ref().and_then(|h| h.moved.as_ref());
+        let is_new = moved.is_some() && old.as_ref().and_then(|h| h.moved.as_ref()) != moved;
+        if is_new && moved.is_some_and(|m| m.from_ms == from && !m.by.is_empty()) {
+            self.moves += 1;
+            return Ok(());
+        }
+        if rec.hour == old { Ok(()) } else { Err(format!("{job} was due at {old:?}, is at {:?}", rec.hour)) }
+    }
+}
+
+fn read<T: serde::de::DeserializeOwned>(key: &str, value: &Value) -> Result<T, String> {
+    serde_json::from_value(value.clone()).map_err(|e| format!("{key}: {e}"))
+}
--- a/crates/standins/src/scene.rs
+++ b/crates/standins/src/scene.rs
@@ -30,6 +30,8 @@
     pub teams: Vec<Team>,
     pub jobs: Vec<Timed>,
     pub changes: Vec<(u64, Change)>,
+    /// What operators ask about other documents, with the path, again and again until it is answered.
+    pub asks: Vec<(u64, String, Value)>,
     /// Machines that the cloud has at most.
     pub machines: usize,
     /// Every controller has a gateway beside it, and these clients come.
@@ -43,6 +45,8 @@
     pub limits: Option<crate::state::Limits>,
     /// One in so many of these transactions is held for some seconds, and lands after its sender has gone on or died.
     pub held_one_in: u32,
+    /// Each node's time of day is so much ahead of the one before it.
+    pub skew_ms: u64,
     /// Masters go on after their task has gone, as if their machine were only out of sight.
     pub undead: bool,
 }
