--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -10,6 +10,7 @@
 //! the next.
 
 use crate::commit::{Draft, Op};
+use crate::hours::Hours;
 use crate::part::{Load, Part};
 use crate::quotas::Quota;
 use crate::{Dest, Node, Pending};
@@ -22,6 +23,8 @@
 use wire::http::Response;
 use wire::records::{self, Record, SharedRec};
 
+/// What the watch of the heads has not said for so long may be otherwise: it is asked every five seconds.
+const STALE_MS: u64 = 6000;
 /// Differences that an answer lists.
 const DIFFERENCES: usize = 200;
 
@@ -29,9 +32,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum KindId {
     Quota,
+    Hours,
 }
 
-pub(crate) const ALL: [KindId; 1] = [KindId::Quota];
+pub(crate) const ALL: [KindId; 2] = [KindId::Quota, KindId::Hours];
 
 /// Does something for a kind that is known by its id alone.
 macro_rules! for_kind {
@@ -41,6 +45,10 @@
                 type $K = $crate::quotas::Quota;
                 $what
             }
+            $crate::documents::KindId::Hours => {
+                type $K = $crate::hours::Hours;
+                $what
+            }
         }
     };
 }
@@ -49,6 +57,7 @@
 #[derive(Default)]
 pub(crate) struct Documents {
     pub quota: Doc<Quota>,
+    pub hours: Doc<Hours>,
 }
 
 /// A kind of document, as controllers act on it.
@@ -76,6 +85,10 @@
     /// A question that no other kind has, asked of the owner.
     fn asked(node: &mut Node, conn: u64, ask: Self::Ask);
 
+    /// The same, where it depends on the others in force.
+    fn binds(_all: &Documents) -> bool {
+        Self::BINDS
+    }
     /// The document's answer to "show".
     fn show(node: &Node) -> Vec<u8> {
         Self::doc(&node.shared.documents).shown()
@@ -605,15 +618,17 @@
 /// What binds a job at its acceptance.
 impl Node {
     /// Guards by which an accept fails where another version is in force than the one that it was bound by. Nothing
-    /// without such documents. `None` while a version that was seen has not been read.
+    /// without such documents, unless this node has not heard for a while whether there are any. `None` while a version
+    /// that was seen has not been read.
     pub(crate) fn head_guards(&self) -> Option<Vec<Guard>> {
         let mut out = Vec::new();
+        let stale = self.now.mono >= self.shared.heard_at + STALE_MS;
         for kind in ALL {
             let (binds, stamp, current) = for_kind!(kind, K => {
                 let doc = K::doc(&self.shared.documents);
-                (K::BINDS, doc.stamp, doc.is_current() && doc.version().is_some())
+                (K::binds(&self.shared.documents), doc.stamp, doc.is_current() && doc.version().is_some())
             });
-            if binds && stamp > 0 {
+            if binds && (stamp > 0 || stale) {
                 if !current {
                     return None;
                 }
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -38,6 +38,8 @@
     pub catalog: Option<Catalog>,
     pub catalog_version: u64,
     pub documents: crate::documents::Documents,
+    /// When the state service last said how all this stands.
+    pub heard_at: u64,
     /// A read or a watch is out, and when to try again if not.
     busy: bool,
     round: u64,
@@ -185,6 +187,7 @@
         }
         self.shared.revision = range.revision;
         self.shared.known = true;
+        self.shared.heard_at = self.now.mono;
         self.owner_seen();
     }
 
@@ -216,6 +219,7 @@
             }
         }
         self.shared.revision = self.shared.revision.max(changes.revision);
+        self.shared.heard_at = self.now.mono;
         self.owner_seen();
     }
 
@@ -434,6 +438,7 @@
         self.requests.set_rate(c.rps * 0.4 / (nodes - 1.0).max(1.0));
         self.set_writes(c.write_rps * OTHER_WRITES);
         if let Some(part) = self.part.take() {
+            let part = self.hours_let_go(part);
             for asker in part.all_waiters() {
                 self.not_now(asker);
             }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -9,6 +9,7 @@
 mod election;
 mod fleet;
 mod hand;
+mod hours;
 mod jobs;
 mod keeper;
 mod ledger;
@@ -305,6 +306,12 @@
         self
     }
 
+    /// The same, with a calendar of release hours to begin with.
+    pub fn with_first_hours(mut self, spec: Option<::hours::Spec>) -> Self {
+        self.shared.documents.hours.first = spec;
+        self
+    }
+
     /// The same with another door beside it, whose job ids users can't take.
     pub fn with_door_beside(self) -> Self {
         Node { beside: true, ..self }
@@ -349,6 +356,7 @@
             self.fleet_tick();
             self.machines_tick();
             self.sched_tick();
+            self.hours_tick();
         }
     }
 
--- a/crates/control/src/lookup.rs
+++ b/crates/control/src/lookup.rs
@@ -152,7 +152,7 @@
             let Some(item) = self.read::<Item<EndRec>>("state service", &r) else {
                 return self.unanswered(&q, "unreadable record");
             };
-            let EndRec { stage, done } = item.value;
+            let EndRec { stage, done, .. } = item.value;
             return self.tell(q.asker, JobState { id: q.job, stage, done, running: 0 });
         }
         match q.why {
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -239,6 +239,7 @@
             output.waiting.len(),
             output.steps
         );
+        self.hours_planned(&input, &output, &map.jobs);
         let mut attempts: HashMap<u32, u64> = HashMap::new();
         for start in &output.starts {
             let Some(part) = &mut self.part else { return };
@@ -426,7 +427,11 @@
             for (k, (held, pending)) in holds.waiting(ix, spec, claimed, pending).into_iter().enumerate() {
                 let planned = plan::Job { pending, held, waits: like.waits && k == 0, ..like.clone() };
                 map.jobs.push(ix);
-                input.jobs.push(aims.with_deadline(planned, spec, &holds, ix));
+                let planned = aims.with_deadline(planned, spec, &holds, ix);
+                input.jobs.push(match &job.hour {
+                    Some(hour) => hour.cap(planned, spec, catalog, now.wall),
+                    None => planned,
+                });
             }
         }
         input.spares = spares(part, &self.settings.cluster.objectives, &names, &self.tuning, now.wall);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod checks;
 pub mod cloud;
 pub mod days;
+pub mod hours;
 pub mod links;
 pub mod loopback;
 pub mod rules;
