County partitions as a pure package: rules, bindings, counts that are counted once

For the Directorate's tallies, which must never mix. Rules are checked with file, line and field; the first that fits binds a job. Counts of what has ended come as deltas with the number of the record that they stand in, and are folded into sheets with a watermark each, so that a lost, late or repeated transaction counts nothing twice. Nothing uses the package yet.

--- /dev/null
+++ b/crates/county/src/bind.rs
@@ -0,0 +1,293 @@
+//! Checked counties, and which of them a job belongs to.
+
+use crate::fault::{Fault, Faults, Place};
+use crate::spec::{Apart, CountySpec, Others, Rule, Spec, fits};
+use crate::{MAX_COUNTIES, MAX_ID, MAX_NAME, MAX_NAMES, MAX_RULES, MAX_ZONES, OTHER};
+use std::collections::{BTreeSet, HashMap};
+
+/// What counties have to fit.
+#[derive(Debug, Clone, Default)]
+pub struct Known {
+    pub teams: BTreeSet<String>,
+    pub zones: BTreeSet<String>,
+    /// Nodes of the quota tree, where they are known.
+    pub desks: Option<BTreeSet<String>>,
+}
+
+/// A job, as far as rules ask.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Job<'a> {
+    pub id: &'a str,
+    pub team: &'a str,
+    /// The nodes above its team.
+    pub desks: &'a [&'a str],
+    pub class: &'a str,
+    pub zone: Option<&'a str>,
+    pub image: &'a str,
+}
+
+/// What a job was bound to.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Bound {
+    pub county: String,
+    /// It shares no machine with others at the same time.
+    pub alone: bool,
+    /// The only zones that it may run in; none for all.
+    pub zones: Vec<String>,
+}
+
+/// Why a job is bound to nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unbound {
+    /// No rule fits, and such jobs are refused.
+    NoCounty,
+    /// It asks for a zone that its county may not use.
+    ForeignZone,
+}
+
+/// Counties that hold together.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Counties {
+    spec: Spec,
+    /// All rules in order: the county, and the rule's number in it.
+    rules: Vec<(usize, usize)>,
+    /// Rules by one name that a job must have to fit; and those that have to be tried for every job.
+    by_name: HashMap<(Field, String), Vec<usize>>,
+    rest: Vec<usize>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+enum Field {
+    Id,
+    Team,
+    Desk,
+    Image,
+    Class,
+    Zone,
+}
+
+impl Counties {
+    /// Checks that the counties hold together and fit what is known.
+    pub fn build(spec: &Spec, known: &Known) -> Result<Self, Vec<Fault>> {
+        let mut faults = Faults::default();
+        let rules: usize = spec.counties.iter().map(|c| c.rules.len()).sum();
+        if spec.counties.len() > MAX_COUNTIES || rules > MAX_RULES {
+            let what = format!(
+                "{} counties with {rules} rules; at most {MAX_COUNTIES} and {MAX_RULES}",
+                spec.counties.len()
+            );
+            return Err(vec![Fault::whole("county", what)]);
+        }
+        if rules == 0 && spec.others == Others::Refuse {
+            faults.add(Place::Whole, "others", "without any rule every job would be refused");
+        }
+        let mut seen = BTreeSet::new();
+        for (i, c) in spec.counties.iter().enumerate() {
+            check(spec, known, &mut faults, i);
+            if !seen.insert(c.id.as_str()) {
+                faults.add(Place::entry("county", i), path(c), "stands here a second time");
+            }
+        }
+        shadowed(spec, &mut faults);
+        let mut out =
+            Counties { spec: spec.clone(), rules: Vec::new(), by_name: HashMap::new(), rest: Vec::new() };
+        out.index();
+        faults.into_result(out)
+    }
+
+    pub fn spec(&self) -> &Spec {
+        &self.spec
+    }
+
+    pub fn county(&self, id: &str) -> Option<&CountySpec> {
+        self.spec.counties.iter().find(|c| c.id == id)
+    }
+
+    /// Whether some rule asks for nodes of the quota tree.
+    pub fn asks_desks(&self) -> bool {
+        self.by_name.keys().any(|(field, _)| *field == Field::Desk)
+            || self.rules.iter().any(|(c, r)| !self.spec.counties[*c].rules[*r].desks.is_empty())
+    }
+
+    /// The county of the first rule that fits.
+    pub fn bind(&self, job: &Job<'_>) -> Result<Bound, Unbound> {
+        let none: &[usize] = &[];
+        let at = |field, name: &str| self.by_name.get(&(field, name.to_owned())).map_or(none, Vec::as_slice);
+        let mut lists = vec![
+            self.rest.as_slice(),
+            at(Field::Id, job.id),
+            at(Field::Team, job.team),
+            at(Field::Image, job.image),
+            at(Field::Class, job.class),
+        ];
+        lists.extend(job.zone.map(|z| at(Field::Zone, z)));
+        lists.extend(job.desks.iter().map(|d| at(Field::Desk, d)));
+        // Each list is in order: the first of each that fits, and of these the first.
+        let first = |list: &&[usize]| list.iter().copied().find(|n| self.fits(*n, job));
+        let Some(n) = lists.iter().filter_map(first).min() else {
+            return match self.spec.others {
+                Others::Refuse => Err(Unbound::NoCounty),
+                Others::Count => Ok(Bound { county: OTHER.into(), alone: false, zones: Vec::new() }),
+            };
+        };
+        let c = &self.spec.counties[self.rules[n].0];
+        let zones = if c.apart == Apart::Zones { c.zones.clone() } else { Vec::new() };
+        if !zones.is_empty() && job.zone.is_some_and(|z| !zones.iter().any(|own| own == z)) {
+            return Err(Unbound::ForeignZone);
+        }
+        Ok(Bound { county: c.id.clone(), alone: c.apart == Apart::Machine, zones })
+    }
+
+    fn fits(&self, n: usize, job: &Job<'_>) -> bool {
+        let (c, r) = self.rules[n];
+        let rule = &self.spec.counties[c].rules[r];
+        let has = |list: &[String], name: &str| list.is_empty() || list.iter().any(|l| l == name);
+        let like = |list: &[String], name: &str| list.is_empty() || list.iter().any(|l| fits(l, name));
+        has(&rule.teams, job.team)
+            && has(&rule.classes, job.class)
+            && (rule.zones.is_empty() || job.zone.is_some_and(|z| has(&rule.zones, z)))
+            && (rule.desks.is_empty() || job.desks.iter().any(|d| has(&rule.desks, d)))
+            && like(&rule.images, job.image)
+            && like(&rule.ids, job.id)
+    }
+
+    /// Sorts the rules by a name that fitting jobs must have, of their narrowest list without beginnings.
+    fn index(&mut self) {
+        for (c, county) in self.spec.counties.iter().enumerate().filter(|(_, c)| !c.closed) {
+            for (r, rule) in county.rules.iter().enumerate() {
+                let n = self.rules.len();
+                self.rules.push((c, r));
+                let lists = [
+                    (Field::Id, &rule.ids),
+                    (Field::Team, &rule.teams),
+                    (Field::Image, &rule.images),
+                    (Field::Desk, &rule.desks),
+                    (Field::Class, &rule.classes),
+                    (Field::Zone, &rule.zones),
+                ];
+                let exact =
+                    |(_, l): &&(Field, &Vec<String>)| !l.is_empty() && !l.iter().any(|n| n.ends_with('*'));
+                match lists.iter().find(exact) {
+                    Some((field, names)) => {
+                        for name in names.iter().collect::<BTreeSet<_>>() {
+                            self.by_name.entry((*field, name.clone())).or_default().push(n);
+                        }
+                    }
+                    None => self.rest.push(n),
+                }
+            }
+        }
+    }
+}
+
+fn path(c: &CountySpec) -> String {
+    format!("county {:?}", c.id)
+}
+
+fn plain(id: &str) -> bool {
+    let ok = |b: u8| b.is_ascii_lowercase() || b.is_ascii_digit() || b"-_.".contains(&b);
+    !id.is_empty() && id.len() <= MAX_ID && id.bytes().all(ok)
+}
+
+fn check(spec: &Spec, known: &Known, faults: &mut Faults, i: usize) {
+    let c = &spec.counties[i];
+    let place = || Place::entry("county", i);
+    let mut bad = |field: &str, what: String| faults.add(place(), format!("{}{field}", path(c)), what);
+    if !plain(&c.id) {
+        bad(".id", format!("must be 1 to {MAX_ID} of a-z, 0-9, '-', '_' and '.'"));
+    }
+    if c.name.as_ref().is_some_and(|n| n.is_empty() || n.len() > MAX_NAME || n.chars().any(char::is_control))
+    {
+        bad(".name", format!("must be 1 to {MAX_NAME} bytes without control characters"));
+    }
+    if (c.apart == Apart::Zones) == c.zones.is_empty() {
+        bad(".zones", "are named if, and only if, apart is \"zones\"".into());
+    }
+    if c.zones.len() > MAX_ZONES {
+        bad(".zones", format!("{} zones; at most {MAX_ZONES}", c.zones.len()));
+    }
+    for z in c.zones.iter().filter(|z| !known.zones.contains(*z)) {
+        bad(".zones", format!("no zone {z:?} in the settings"));
+    }
+    if c.closed && !c.rules.is_empty() {
+        bad(".rule", "a closed county has no rules: nothing is bound to it any more".into());
+    }
+    if !c.closed && !c.into.is_empty() {
+        bad(".into", "only a closed county was split into others".into());
+    }
+    for other in &c.into {
+        if *other == c.id || spec.counties.iter().all(|o| o.id != *other) {
+            bad(".into", format!("no other county {other:?}"));
+        }
+    }
+    for (r, rule) in c.rules.iter().enumerate() {
+        if *rule == Rule::default() {
+            bad(&format!(".rule[{r}]"), "names nothing, so it would fit every job".into());
+        }
+        for (list, names) in rule.lists() {
+            let at = format!(".rule[{r}].{list}");
+            if names.len() > MAX_NAMES {
+                bad(&at, format!("{} names; at most {MAX_NAMES}", names.len()));
+            }
+            if let Some(n) = names.iter().find(|n| n.is_empty() || n.len() > MAX_NAME || *n == "*") {
+                bad(&at, format!("{n:?}: must be 1 to {MAX_NAME} bytes, and more than \"*\""));
+            }
+            let all = match list {
+                "teams" => Some(&known.teams),
+                "zones" => Some(&known.zones),
+                "desks" => known.desks.as_ref(),
+                _ => None,
+            };
+            for n in all.iter().flat_map(|all| names.iter().filter(|n| !all.contains(*n))) {
+                bad(&at, format!("no {} {n:?}", list.trim_end_matches('s')));
+            }
+        }
+        if !c.zones.is_empty() && !rule.zones.is_empty() && rule.zones.iter().all(|z| !c.zones.contains(z)) {
+            bad(&format!(".rule[{r}].zones"), "none of them is a zone that the county may use".into());
+        }
+    }
+}
+
+/// Rules that can never decide, since an earlier one fits all that they do.
+fn shadowed(spec: &Spec, faults: &mut Faults) {
+    // By one name that the narrower rule has: only wider rules with that name, or without such a list, can cover it.
+    let mut seen: Vec<(usize, usize, &Rule)> = Vec::new();
+    let mut steps = 0usize;
+    for (i, c) in spec.counties.iter().enumerate() {
+        for (r, rule) in c.rules.iter().enumerate() {
+            // Past so many comparisons the rest is not looked at: shadowed rules do no harm but to puzzle.
+            if steps > 4_000_000 {
+                return;
+            }
+            steps += seen.len();
+            if let Some((ei, er, _)) = seen.iter().find(|(_, _, earlier)| earlier.covers(rule)) {
+                let what =
+                    format!("never decides: {}.rule[{er}] fits all that it does", path(&spec.counties[*ei]));
+                faults.add(Place::entry("county", i), format!("{}.rule[{r}]", path(c)), what);
+            }
+            seen.push((i, r, rule));
+        }
+    }
+}
+
+impl Spec {
+    /// Without the names that have left the settings or the quota tree. A rule that named nothing else goes with them,
+    /// since without its list it would fit more than before.
+    pub fn fitting(&self, known: &Known) -> Spec {
+        let mut out = self.clone();
+        for c in &mut out.counties {
+            c.rules.retain_mut(|rule| {
+                let keep = |list: &mut Vec<String>, all: Option<&BTreeSet<String>>| {
+                    let Some(all) = all else { return true };
+                    let before = list.len();
+                    list.retain(|n| all.contains(n));
+                    before == 0 || !list.is_empty()
+                };
+                let mut whole = keep(&mut rule.teams, Some(&known.teams));
+                whole &= keep(&mut rule.zones, Some(&known.zones));
+                whole && keep(&mut rule.desks, known.desks.as_ref())
+            });
+        }
+        out
+    }
+}
--- /dev/null
+++ b/crates/county/tests/counting.rs
@@ -0,0 +1,269 @@
+//! Each end is counted once, whatever is lost, late or repeated: against a count kept beside.
+
+use county::{Cell, Count, Delta, Sheet, Tally};
+use std::collections::BTreeMap;
+
+/// What stands in the state service.
+#[derive(Clone, Default)]
+struct Store {
+    log: BTreeMap<u64, Vec<Delta>>,
+    sheets: BTreeMap<u32, (u64, Sheet)>,
+    revision: u64,
+    owner: u64,
+}
+
+/// A transaction of one owner: what it puts, and what it takes away.
+#[derive(Clone)]
+struct Txn {
+    owner: u64,
+    log: Option<(u64, Vec<Delta>)>,
+    fold: Option<county::Fold>,
+    over: Vec<u64>,
+}
+
+impl Store {
+    /// Applied as a whole, or not at all: guarded by the owner and by the version of each key.
+    fn apply(&mut self, txn: &Txn) -> Option<u64> {
+        let puts = || txn.fold.iter().flat_map(|f| &f.puts);
+        let stamps = puts().all(|(n, stamp, _)| self.sheets.get(n).map_or(0, |(s, _)| *s) == *stamp);
+        let log = txn.log.iter().all(|(n, _)| !self.log.contains_key(n));
+        if self.owner != txn.owner || !stamps || !log || !txn.over.iter().all(|n| self.log.contains_key(n)) {
+            return None;
+        }
+        self.revision += 1;
+        self.log.extend(txn.log.clone());
+        let revision = self.revision;
+        self.sheets.extend(puts().map(|(n, _, sheet)| (*n, (revision, sheet.clone()))));
+        txn.over.iter().for_each(|n| {
+            self.log.remove(n);
+        });
+        Some(revision)
+    }
+}
+
+struct World {
+    store: Store,
+    tally: Tally,
+    serial: u64,
+    limit: usize,
+    /// Log records that may go.
+    over: Vec<u64>,
+    late: Option<Txn>,
+    truth: BTreeMap<Cell, Count>,
+}
+
+impl World {
+    fn new(limit: usize) -> Self {
+        let mut world = World {
+            store: Store::default(),
+            tally: Tally::new(limit),
+            serial: 0,
+            limit,
+            over: Vec::new(),
+            late: None,
+            truth: BTreeMap::new(),
+        };
+        world.take_over(true);
+        world
+    }
+
+    /// Another owner, which reads the log and the sheets in either order.
+    fn take_over(&mut self, log_first: bool) {
+        self.store.owner += 1;
+        self.serial = 0;
+        self.tally = Tally::new(self.limit);
+        self.over.clear();
+        let log = self.store.log.clone();
+        let note = |world: &mut World| {
+            for (n, deltas) in &log {
+                if !world.tally.noted(*n, deltas.clone()) {
+                    world.over.push(*n);
+                }
+            }
+        };
+        if log_first {
+            note(self);
+        }
+        self.tally.begin_reading();
+        for (n, (stamp, sheet)) in self.store.sheets.clone() {
+            self.tally.sheet_read(n, stamp, sheet);
+        }
+        let over = self.tally.reading_over(true);
+        self.over.extend(over);
+        if !log_first {
+            note(self);
+        }
+    }
+
+    fn number(&mut self) -> u64 {
+        self.serial += 1;
+        self.store.owner << 32 | self.serial
+    }
+
+    fn end(&mut self, cells: &[(u32, u32)]) -> Txn {
+        let mut deltas = Vec::new();
+        for (county, class) in cells {
+            let cell = self.tally.cell(&format!("c{county}"), &format!("k{class}"));
+            Delta::add_to(&mut deltas, &cell, &Count { done: 1, cancelled: 0, tasks: 3 });
+        }
+        let number = self.number();
+        Txn { owner: self.store.owner, log: Some((number, deltas)), fold: None, over: Vec::new() }
+    }
+
+    fn fold(&mut self, most: usize, txn: Option<Txn>) -> Txn {
+        let empty = Txn { owner: self.store.owner, log: None, fold: None, over: Vec::new() };
+        Txn { fold: self.tally.fold(most), over: std::mem::take(&mut self.over), ..txn.unwrap_or(empty) }
+    }
+
+    /// What has been applied counts, whether or not its sender hears of it.
+    fn apply(&mut self, txn: &Txn) -> Option<u64> {
+        let revision = self.store.apply(txn)?;
+        for d in txn.log.iter().flat_map(|(_, deltas)| deltas) {
+            let count = self.truth.entry(d.cell()).or_default();
+            count.done += d.done;
+            count.tasks += d.tasks;
+        }
+        Some(revision)
+    }
+
+    fn commit(&mut self, txn: &Txn) {
+        let revision = self.apply(txn).expect("the only owner's transaction");
+        if let Some((n, deltas)) = &txn.log
+            && !self.tally.noted(*n, deltas.clone())
+        {
+            self.over.push(*n);
+        }
+        if let Some(fold) = &txn.fold {
+            let over = self.tally.folded(fold, revision);
+            self.over.extend(over);
+        }
+    }
+
+    fn check(&self, what: &str) {
+        assert_eq!(self.tally.counts().as_ref(), Ok(&self.truth), "{what}");
+    }
+}
+
+/// One of the things that can happen next.
+fn step(world: &mut World, what: u8) {
+    match what {
+        0 => {
+            let txn = world.end(&[(0, 0), (1, 0)]);
+            world.commit(&txn);
+        }
+        // One sheet of several is folded, together with another end.
+        1 => {
+            let txn = world.end(&[(1, 0), (2, 0)]);
+            let txn = world.fold(1, Some(txn));
+            world.commit(&txn);
+        }
+        2 => {
+            let txn = world.fold(9, None);
+            world.commit(&txn);
+        }
+        // The owner is lost with a fold and an end on their way, which land before the next reads.
+        3 | 4 => {
+            let txn = world.end(&[(0, 0)]);
+            let txn = world.fold(1, Some(txn));
+            if what == 3 {
+                world.apply(&txn);
+            } else {
+                world.late = Some(txn);
+            }
+            world.take_over(what == 3);
+        }
+        // What an earlier owner had sent lands now.
+        _ => {
+            if let Some(txn) = world.late.take() {
+                assert_eq!(world.store.apply(&txn), None);
+            }
+        }
+    }
+}
+
+/// Every order of six steps.
+#[test]
+fn every_short_history_counts_each_end_once() {
+    for mut code in 0..6u32.pow(6) {
+        // Two cells to a sheet: several sheets, and log records that wait for more than one of them.
+        let mut world = World::new(2 * Delta::frame("c0", "k0"));
+        let mut told = String::new();
+        for _ in 0..6 {
+            let what = (code % 6) as u8;
+            code /= 6;
+            told.push((b'0' + what) as char);
+            step(&mut world, what);
+            world.check(&told);
+        }
+    }
+}
+
+/// Hundreds of counties, more classes than are counted by themselves, owners lost at any time.
+#[test]
+fn long_histories_keep_their_bounds() {
+    for seed in 0..20 {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let limit = 4_000;
+        let mut world = World::new(limit);
+        for _ in 0..600 {
+            match rng.u8(..100) {
+                0..70 => {
+                    let cells: Vec<_> =
+                        (0..rng.usize(1..20)).map(|_| (rng.u32(..300), rng.u32(..3))).collect();
+                    let cells = if rng.u8(..10) == 0 { vec![(7, rng.u32(..80))] } else { cells };
+                    let txn = world.end(&cells);
+                    world.commit(&txn);
+                }
+                70..94 => {
+                    let most = rng.usize(1..20);
+                    let txn = world.fold(most, None);
+                    world.commit(&txn);
+                }
+                _ => {
+                    let txn = world.end(&[(rng.u32(..300), 0)]);
+                    let txn = world.fold(3, Some(txn));
+                    if rng.bool() {
+                        world.apply(&txn);
+                    }
+                    // Another value_kb: sheets that were full have room again.
+                    world.limit = rng.usize(limit / 2..limit);
+                    let log_first = rng.bool();
+                    world.take_over(log_first);
+                    assert_eq!(world.store.apply(&txn), None);
+                }
+            }
+            world.check(&format!("seed {seed}"));
+        }
+        // All is folded in the end, and nothing of the log has to stay.
+        for _ in 0..200 {
+            let txn = world.fold(16, None);
+            world.commit(&txn);
+        }
+        assert!(world.store.log.is_empty(), "seed {seed}: {} log records stay", world.store.log.len());
+        let classes = world.truth.keys().filter(|c| c.county == "c7").count();
+        assert!(classes <= county::MAX_CLASSES + 1, "seed {seed}: {classes} classes");
+        let longest =
+            world.store.sheets.values().map(|(_, s)| toml::to_string(s).map_or(0, |t| t.len())).max();
+        assert!(longest.is_some_and(|l| l <= limit), "seed {seed}: {longest:?}");
+    }
+}
+
+#[test]
+fn what_was_not_read_is_neither_told_nor_folded() {
+    let mut tally = Tally::new(1000);
+    let cell = tally.cell("a", "k");
+    assert!(tally.noted(5, vec![Delta::new(&cell, &Count { done: 1, ..Count::default() })]));
+    assert_eq!((tally.counts(), tally.fold(9)), (Err(county::Unread::NotYet), None));
+    tally.begin_reading();
+    assert!(tally.reading_over(false).is_empty());
+    assert_eq!((tally.counts(), tally.fold(9)), (Err(county::Unread::Bad), None));
+    // Read again, once that sheet can be understood: what it has is not counted again.
+    tally.begin_reading();
+    tally.sheet_read(
+        0,
+        3,
+        Sheet { upto: 5, cells: vec![Delta::new(&cell, &Count { done: 4, ..Count::default() })] },
+    );
+    assert_eq!(tally.reading_over(true), [5]);
+    assert_eq!(tally.counts().map(|c| c[&cell].done), Ok(4));
+}
