Plans keep counties apart on machines, and what waits for a machine of its county gets one

A county's work may have to share no machine with others' at the same time, or run in named zones only. A place is one only if all that is on the machine, on its way out too, may be beside the job; hiring counts machines for each county by itself. Nothing has a county yet, so no plan changes.

--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -80,6 +80,8 @@
         held: 0,
         zones: Vec::new(),
         avoid: Vec::new(),
+        tenant: plan::Tenant::default(),
+        only: Vec::new(),
     }
 }
 
@@ -359,6 +361,7 @@
                     team: teams.get(job.team.as_str()).copied().unwrap_or(u16::MAX),
                     held,
                     gang: (job.kind() == Kind::Gang).then_some(c.job as u32),
+                    tenant: plan::Tenant::default(),
                 });
                 claims.push(k);
             }
--- a/crates/plan/src/hire.rs
+++ b/crates/plan/src/hire.rs
@@ -1,5 +1,6 @@
 //! What to rent: enough for the tasks that found no room, where renting is worth its price.
 
+use crate::apart::Tenants;
 use crate::place::SLACK;
 use crate::{EPS, Input, Job, Output, Res, Secs, Shape, count_in};
 
@@ -38,6 +39,7 @@
     offer: MachineOffer,
     free: Res,
     new: Option<usize>,
+    tenants: Tenants,
 }
 
 /// The machines to rent now, cheapest kind that the job allows first.
@@ -46,7 +48,12 @@
     let mut full: Vec<usize> = Vec::new();
     for (offer, n) in h.coming {
         for _ in 0..*n {
-            fleet.push(Virtual { offer: offer.clone(), free: offer.total, new: None });
+            fleet.push(Virtual {
+                offer: offer.clone(),
+                free: offer.total,
+                new: None,
+                tenants: Tenants::default(),
+            });
         }
     }
     let jobs = &h.input.jobs;
@@ -59,6 +66,7 @@
         let fits = |o: &MachineOffer| {
             job.types >> o.machine_type & 1 == 1
                 && job.zone.is_none_or(|z| z == o.zone)
+                && (job.only.is_empty() || job.only.contains(&o.zone))
                 && (job.spot || !o.spot)
                 && o.total.fits(&job.need)
         };
@@ -81,12 +89,15 @@
         let mut k = 0;
         while left > 0 && k < fleet.len() {
             let v = &mut fleet[k];
-            if fits(&v.offer) {
+            if fits(&v.offer) && v.tenants.take(&job.tenant) {
                 let there = count_in(&mut zones, v.offer.zone);
                 let n = v.free.count(&job.need, left.min(most.saturating_sub(*there)));
                 v.free.add(&job.need, -f64::from(n));
                 *there += n;
                 left -= n;
+                if n > 0 {
+                    v.tenants.add(&job.tenant);
+                }
             }
             // What is full is not looked at again.
             if v.free.cores <= EPS || v.free.mem <= EPS || (v.offer.total.gpus > EPS && v.free.gpus <= EPS) {
@@ -106,7 +117,12 @@
             // All that are needed of this kind at once; another kind only where this one's zone is full.
             let there = count_in(&mut zones, offer.zone);
             loop {
-                let mut v = Virtual { offer: offer.clone(), free: offer.total, new: Some(index) };
+                let mut v = Virtual {
+                    offer: offer.clone(),
+                    free: offer.total,
+                    new: Some(index),
+                    tenants: Tenants::of([&job.tenant]),
+                };
                 let n = v.free.count(&job.need, left.min(most - *there)).max(1);
                 v.free.add(&job.need, -f64::from(n));
                 left -= n.min(left);
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -1,6 +1,7 @@
 //! The planner: pure functions from jobs, machines and the time to starts, preemptions and hires.
 //! No I/O, clock or randomness. The design and its sources are in `docs/design.md`.
 
+mod apart;
 mod hire;
 mod place;
 mod recall;
@@ -9,6 +10,7 @@
 mod stretch;
 mod timeline;
 
+pub use apart::Tenant;
 pub use hire::{HireInput, MachineOffer, Wish, wishes};
 pub use place::plan;
 pub use stretch::{Sized, smallest_stretch};
@@ -73,6 +75,8 @@
     pub held: u8,
     /// The gang that it belongs to, all of which stops with it.
     pub gang: Option<u32>,
+    /// Whose work it is.
+    pub tenant: Tenant,
 }
 
 #[derive(Debug, Clone)]
@@ -143,6 +147,9 @@
     pub zones: Vec<(u16, u32)>,
     /// Machines that it should keep away from.
     pub avoid: Vec<u32>,
+    /// Whose work it is, and the only zones for it; none for all.
+    pub tenant: Tenant,
+    pub only: Vec<u16>,
 }
 
 /// Teams that share a bound: a node of the quota tree. All claims below it count.
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -1,10 +1,11 @@
 //! One pass of MoldableEDF: by rising deadline, each job takes the narrowest width that meets its deadline,
 //! moving nothing that is placed already.
 
+use crate::apart::Tenants;
 use crate::room::{Clearing, Wide};
 use crate::timeline::Line;
 use crate::{EPS, Group, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, count_in, stretch};
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 /// Run times of a job's tasks differ from each other and from the estimate: a round is planned this much longer.
 pub(crate) const SLACK: f64 = 1.25;
@@ -20,6 +21,10 @@
     /// Until when a machine's whole room is kept: for the expected, or for a gang that others make room for.
     pub held: Vec<Option<Secs>>,
     images: Vec<Vec<u32>>,
+    pub tenants: Vec<Tenants>,
+    /// Some work shares no machine, and the counties that were promised one for that.
+    pub apart: bool,
+    pub waits: BTreeSet<u16>,
     teams: Vec<Team>,
     groups: Vec<Group>,
     zones: Vec<Vec<(u16, u32)>>,
@@ -30,6 +35,7 @@
 
 /// Makes a plan for this moment.
 pub fn plan(input: &Input) -> Output {
+    let running = input.machines.iter().flat_map(|m| &m.running);
     let mut pass = Pass {
         input,
         free: input.machines.iter().map(Machine::free).collect(),
@@ -37,6 +43,9 @@
         lines: vec![Line::default(); input.machines.len()],
         held: vec![None; input.machines.len()],
         images: input.machines.iter().map(|m| m.images.clone()).collect(),
+        tenants: input.machines.iter().map(|m| Tenants::of(m.running.iter().map(|r| &r.tenant))).collect(),
+        apart: input.jobs.iter().map(|j| &j.tenant).chain(running.map(|r| &r.tenant)).any(|t| t.alone),
+        waits: BTreeSet::new(),
         teams: input.teams.clone(),
         groups: input.groups.clone(),
         zones: input.jobs.iter().map(|j| j.zones.clone()).collect(),
@@ -56,6 +65,9 @@
         for (i, job) in input.jobs.iter().enumerate() {
             if job.shape == Shape::Service {
                 left[i] -= self.fill(i, left[i], false);
+                if left[i] > 0 {
+                    self.wait_for_others(i);
+                }
             }
         }
         let planned: Vec<usize> = (0..input.jobs.len())
@@ -111,7 +123,11 @@
                     let time = due - job.image_gb / self.fetch_rate(job);
                     let rounds = (time / (job.estimate.max(1.0) * SLACK)).floor().max(1.0);
                     let width = (f64::from(left[*i]) / rounds).ceil() as u32;
-                    left[*i] -= self.fill(*i, width.min(left[*i]), true);
+                    let started = self.fill(*i, width.min(left[*i]), true);
+                    left[*i] -= started;
+                    if started == 0 && left[*i] > 0 {
+                        self.wait_for_others(*i);
+                    }
                     // What a nested guarantee holds is due at once, whatever the width; others give it back.
                     let due_back = nested && job.promised && -job.arrival > input.patience;
                     if due_back && left[*i] > 0 && !self.is_tired() {
@@ -217,7 +233,7 @@
 
     pub(crate) fn allowed(&self, job: &Job, m: usize) -> bool {
         let machine = &self.input.machines[m];
-        machine.usable && self.slots[m] > 0 && self.suits(job, m)
+        machine.usable && self.slots[m] > 0 && self.suits(job, m) && self.tenants[m].take(&job.tenant)
     }
 
     /// Whether a job may use a machine at all.
@@ -225,6 +241,7 @@
         let machine = &self.input.machines[m];
         job.types >> machine.machine_type & 1 == 1
             && job.zone.is_none_or(|z| z == machine.zone)
+            && (job.only.is_empty() || job.only.contains(&machine.zone))
             && (job.spot || !machine.spot)
             && !job.avoid.contains(&(m as u32))
     }
@@ -282,6 +299,7 @@
         self.note_start(job, m, n);
         self.free[m].add(&job.need, -f64::from(n));
         self.slots[m] -= n;
+        self.tenants[m].add(&job.tenant);
         self.teams[job.team as usize].take(&job.need, n);
         for g in &input.teams[job.team as usize].path {
             self.groups[*g as usize].used.add(&job.need, f64::from(n));
--- a/crates/plan/src/recall.rs
+++ b/crates/plan/src/recall.rs
@@ -80,6 +80,9 @@
             if !self.allowed(job, m) || self.held[m].is_some() || zone.is_some_and(|z| z != machine.zone) {
                 continue;
             }
+            if self.is_promised_to_others(job, m) {
+                continue;
+            }
             self.out.steps += 1 + machine.running.len() as u64;
             let mut room = self.room_at(m, 0.0, f64::INFINITY);
             for r in machine.running.iter().filter(|r| r.leaving) {
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -1,7 +1,7 @@
 //! Room for those that find none: machines that are free soon are held, and the less urgent are stopped.
 
 use crate::place::Pass;
-use crate::{Job, Preempt, Res, Secs, count_in};
+use crate::{Job, Preempt, Res, Secs, Tenant, count_in};
 
 /// A machine that can be had for a task.
 #[derive(Clone)]
@@ -26,6 +26,8 @@
     zone: Option<u16>,
     spot: bool,
     image: u32,
+    tenant: Tenant,
+    only: Vec<u16>,
 }
 
 impl Wide {
@@ -37,6 +39,8 @@
             zone: job.zone,
             spot: job.spot,
             image: job.image,
+            tenant: job.tenant,
+            only: job.only.clone(),
         }
     }
 }
--- a/crates/plan/src/timeline.rs
+++ b/crates/plan/src/timeline.rs
@@ -5,15 +5,15 @@
 //! come later in the order move no promise: they take what ends in time, or what is left beside it.
 
 use crate::place::Pass;
-use crate::{Job, Res, Secs, count_in};
+use crate::{Job, Res, Secs, Tenant, count_in};
 
 /// What is known of a machine's room beyond this moment.
 #[derive(Clone, Default)]
 pub(crate) struct Line {
     /// Ends of the tasks that this plan starts.
-    ends: Vec<(Secs, Res)>,
+    pub ends: Vec<(Secs, Res, Tenant)>,
     /// Room that belongs to a gang from a time on.
-    promised: Vec<(Secs, Res)>,
+    pub promised: Vec<(Secs, Res, Tenant)>,
 }
 
 /// Places that fall free on a machine at a time.
@@ -28,11 +28,11 @@
     pub(crate) fn room_at(&self, m: usize, at: Secs, until: Secs) -> Res {
         let mut room = self.free[m];
         let running = self.input.machines[m].running.iter().map(|r| (r.ends, &r.need));
-        let started = self.lines[m].ends.iter().map(|(end, need)| (*end, need));
+        let started = self.lines[m].ends.iter().map(|(end, need, _)| (*end, need));
         for (_, need) in running.chain(started).filter(|(end, _)| *end <= at) {
             room.add(need, 1.0);
         }
-        for (_, need) in self.lines[m].promised.iter().filter(|(from, _)| *from <= until) {
+        for (_, need, _) in self.lines[m].promised.iter().filter(|(from, _, _)| *from <= until) {
             room.add(need, -1.0);
         }
         room
@@ -42,11 +42,13 @@
     pub(crate) fn room(&self, job: &Job, m: usize, cap: u32) -> u32 {
         let mut n = self.free[m].count(&job.need, cap.min(self.slots[m]));
         let ends = self.length(job, m);
-        for (from, _) in &self.lines[m].promised {
+        for (from, _, tenant) in &self.lines[m].promised {
             if n == 0 {
                 break;
             }
-            if *from < ends {
+            if *from < ends && tenant.bars(&job.tenant) {
+                n = 0;
+            } else if *from < ends {
                 n = self.room_at(m, *from, *from).count(&job.need, n);
             }
         }
@@ -55,6 +57,9 @@
 
     /// The same where it is not known how long they would stay.
     pub(crate) fn unpromised(&self, job: &Job, m: usize) -> u32 {
+        if self.is_promised_to_others(job, m) {
+            return 0;
+        }
         self.room_at(m, 0.0, f64::INFINITY).count(&job.need, self.slots[m])
     }
 
@@ -66,7 +71,7 @@
     /// Notes that tasks start on a machine.
     pub(crate) fn note_start(&mut self, job: &Job, m: usize, n: u32) {
         let end = self.length(job, m);
-        self.lines[m].ends.push((end, job.need.times(n)));
+        self.lines[m].ends.push((end, job.need.times(n), job.tenant));
     }
 
     /// Plans a gang for later: in the room that others must give back to its team's guarantee, or in the first that
@@ -84,6 +89,14 @@
         }
     }
 
+    /// Promises a job its first places that fall free by themselves.
+    pub(crate) fn promise_first(&mut self, i: usize, want: u32) {
+        let openings = self.openings(&self.input.jobs[i], want);
+        if let Some((at, zone)) = self.earliest(i, want, &openings) {
+            self.promise(i, want, openings, at, zone);
+        }
+    }
+
     /// When, and in which zone, a gang can first have all its places.
     fn earliest(&mut self, i: usize, want: u32, openings: &[Opening]) -> Option<(Secs, Option<u16>)> {
         let zones = if self.input.jobs[i].one_zone { self.all_zones() } else { vec![None] };
@@ -129,7 +142,7 @@
 
     /// Keeps room on a machine for tasks of a job from a time on.
     pub(crate) fn hold(&mut self, job: &Job, m: usize, n: u32, at: Secs) {
-        self.lines[m].promised.push((at, job.need.times(n)));
+        self.lines[m].promised.push((at, job.need.times(n), job.tenant));
         self.out.kept.push(m as u32);
     }
 
@@ -153,6 +166,10 @@
             if !from.is_finite() || !self.suits(job, m) || self.held[m].is_some() {
                 continue;
             }
+            if self.is_promised_to_others(job, m) {
+                continue;
+            }
+            let from = from.max(self.free_of_others(job, m));
             let ends = machine.running.iter().map(|r| r.ends).chain(self.lines[m].ends.iter().map(|e| e.0));
             let mut times: Vec<Secs> = ends.filter(|t| *t > from).chain([from]).collect();
             times.sort_by(f64::total_cmp);
--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -1,22 +1,27 @@
 //! Plans of generated fleets: nothing overlaps, limits and places hold, the stretch is the smallest.
 
 use plan::{
-    Group, HireInput, Input, Job, Machine, MachineOffer, Res, Running, Shape, Sized, Team, Wish, plan,
-    smallest_stretch, wishes,
+    Group, HireInput, Input, Job, Machine, MachineOffer, Res, Running, Shape, Sized, Team, Tenant, Wish,
+    plan, smallest_stretch, wishes,
 };
 use proptest::prelude::*;
 
+/// Work of the second county and of the third shares no machine.
+fn of(county: u16) -> Tenant {
+    Tenant { county, alone: county > 1 }
+}
+
 fn res(cores: f64, gpus: f64, mem: f64) -> Res {
     Res { cores, gpus, mem }
 }
 
 prop_compose! {
     fn machine()(kind in 0u16..2, zone in 0u16..2, spot: bool, usable in prop::bool::weighted(0.9),
-                 running in prop::collection::vec((1u32..4, 0.0f64..60.0, 0u8..3, any::<bool>(), prop::option::of(0u32..3)), 0..3),
+                 running in prop::collection::vec((1u32..4, 0.0f64..60.0, 0u8..3, any::<bool>(), prop::option::of(0u32..3), 0u16..3), 0..3),
                  images in prop::collection::vec(0u32..3, 0..2)) -> Machine {
         let total = res(32.0, f64::from(kind + 1) * 4.0, 128.0);
-        let running = running.into_iter().map(|(g, ends, priority, beyond, gang)| Running {
-            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: gang.is_none(), leaving: false, team: 1, held: u8::from(!beyond), gang,
+        let running = running.into_iter().map(|(g, ends, priority, beyond, gang, county)| Running {
+            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: gang.is_none(), leaving: false, team: 1, held: u8::from(!beyond), gang, tenant: of(county),
         }).collect();
         let mut m = Machine { machine_type: kind, zone, spot, usable, ready: 20.0, total, running, images, fetch_gb_per_s: 1.0, slots: 20 };
         while m.free().gpus < 0.0 {
@@ -29,11 +34,12 @@
 prop_compose! {
     fn job()(shape in 0u8..3, priority in 0u8..4, arrival in -100.0f64..0.0, estimate in 1.0f64..100.0,
              tasks in 1u32..12, gpus in 1u32..5, types in 1u64..4, zone in prop::option::of(0u16..2),
-             flags in (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>()), image in 0u32..3, team in 0u16..2) -> Job {
+             flags in (any::<bool>(), any::<bool>(), any::<bool>(), any::<bool>()), image in 0u32..3, team in 0u16..2, county in 0u16..4,
+             only in prop::collection::vec(0u16..2, 0..2)) -> Job {
         let shape = [Shape::Array, Shape::Gang, Shape::Service][shape as usize];
         Job { shape, priority, arrival, estimate, tasks, pending: tasks, need: res(4.0, f64::from(gpus), 16.0), types,
               zone, one_zone: flags.0, spread: flags.1 && !flags.0, spot: flags.2, image, image_gb: 4.0, team, due: None, promised: flags.3, held: u8::from(flags.3),
-              zones: Vec::new(), avoid: Vec::new() }
+              zones: Vec::new(), avoid: Vec::new(), tenant: of(county), only }
     }
 }
 
@@ -59,6 +65,10 @@
             let (j, m) = (&input.jobs[s.job as usize], &input.machines[s.machine as usize]);
             prop_assert!(m.usable && j.types >> m.machine_type & 1 == 1);
             prop_assert!(j.zone.is_none_or(|z| z == m.zone) && (j.spot || !m.spot));
+            prop_assert!(j.only.is_empty() || j.only.contains(&m.zone), "outside its county's zones");
+            let there = m.running.iter().map(|r| r.tenant);
+            let with = out.starts.iter().filter(|o| o.machine == s.machine).map(|o| input.jobs[o.job as usize].tenant);
+            prop_assert!(!there.chain(with).any(|t| t.bars(&j.tenant)), "two counties on a machine");
             free[s.machine as usize].add(&j.need, -f64::from(s.count));
             used[j.team as usize] += j.need.gpus * f64::from(s.count);
             started[s.job as usize] += s.count;
@@ -98,7 +108,7 @@
                                 fetch_gb_per_s: 1.0, slots: 50 };
         let job = Job { shape: Shape::Array, priority: 1, arrival: 0.0, estimate: 10.0, tasks, pending: tasks,
                         need: res(1.0, 1.0, 1.0), types: 1, zone: None, one_zone: false, spread: false, spot: true, image: 0,
-                        image_gb: 1.0, team: 0, due: None, promised: false, held: 0, zones: vec![], avoid: vec![] };
+                        image_gb: 1.0, team: 0, due: None, promised: false, held: 0, zones: vec![], avoid: vec![], tenant: Default::default(), only: vec![] };
         let team = unbounded(&[]);
         let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], groups: vec![], spares: vec![], online_factor: 1.0, patience: 1.0, max_steps: u64::MAX / 4 };
         let out = plan(&input);
@@ -139,6 +149,7 @@
         team: 1,
         held: 1,
         gang: None,
+        tenant: Default::default(),
     };
     Machine {
         machine_type: 0,
@@ -177,6 +188,8 @@
         held: 0,
         zones: vec![],
         avoid: vec![],
+        tenant: Default::default(),
+        only: vec![],
     }
 }
 
