--- /dev/null
+++ b/crates/control/src/audit.rs
@@ -0,0 +1,204 @@
+//! Counts by county made again from the records, to be held against those that are kept.
+//!
+//! The counts are noted as of the last transaction with ends that is known to stand, and with them the jobs that live;
+//! after that all live records are read, and then all ended ones, since jobs only move that way. What was recorded
+//! later is told apart by its stamp. One audit at a time, page by page, and only with what the owner's other work leaves of its requests.
+
+use crate::part::Part;
+use crate::tally::Held;
+use crate::{Dest, Node, Pending};
+use county::{Cell, Count};
+use std::collections::{BTreeMap, HashMap};
+use wire::api::{Item, Range, Stage};
+use wire::http::Response;
+use wire::records::{self, EndRec, JobRec};
+use wire::tally::{self, DIFFERENCES};
+
+/// Requests that an audit leaves to others.
+const SPARED: f64 = 5.0;
+const PAGE: usize = 1000;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Under {
+    Live,
+    Ended,
+}
+
+pub(crate) struct Audit {
+    id: String,
+    revision: u64,
+    /// Acceptances were seen up to here.
+    seen: u64,
+    counts: BTreeMap<Cell, Count>,
+    /// Jobs that lived and were not found yet, with their counties.
+    live: HashMap<String, String>,
+    again: BTreeMap<Cell, Count>,
+    under: Under,
+    after: Option<String>,
+    busy: bool,
+    read: u64,
+    differences: Vec<String>,
+    over: bool,
+}
+
+impl Audit {
+    fn differs(&mut self, what: String) {
+        if self.differences.len() < DIFFERENCES {
+            self.differences.push(what);
+        }
+    }
+
+    fn live_found(&mut self, rec: &JobRec, stamp: u64) {
+        let Some(county) = &rec.county else { return };
+        match self.live.remove(&rec.spec.id) {
+            Some(known) if known == county.county => {}
+            None if stamp > self.seen => {}
+            Some(known) => {
+                self.differs(format!("{}: bound to {}, counted for {known}", rec.spec.id, county.county))
+            }
+            None => self.differs(format!("{}: bound to {}, not counted", rec.spec.id, county.county)),
+        }
+    }
+
+    fn end_found(&mut self, job: &str, rec: &EndRec, stamp: u64) {
+        let Some(counted) = &rec.county else { return };
+        if stamp > self.revision {
+            // It lived then, if it was there.
+            if let Some(known) = self.live.remove(job).filter(|known| *known != counted.county) {
+                self.differs(format!("{job}: ended for {}, counted for {known}", counted.county));
+            }
+            return;
+        }
+        let cell = Cell { county: counted.county.clone(), class: counted.class.clone() };
+        let row = self.again.entry(cell).or_default();
+        match rec.stage {
+            Stage::Cancelled => row.cancelled += 1,
+            _ => row.done += 1,
+        }
+        row.tasks += u64::from(rec.done);
+    }
+
+    /// All records were read.
+    fn finish(&mut self) {
+        let mut lost: Vec<_> = std::mem::take(&mut self.live).into_iter().collect();
+        lost.sort();
+        lost.into_iter()
+            .for_each(|(job, county)| self.differs(format!("{job}: counted for {county}, has no record")));
+        let (counts, again) = (std::mem::take(&mut self.counts), std::mem::take(&mut self.again));
+        let cells: std::collections::BTreeSet<&Cell> = counts.keys().chain(again.keys()).collect();
+        for cell in cells {
+            let of = |all: &BTreeMap<Cell, Count>| all.get(cell).copied().unwrap_or_default();
+            let (kept, found) = (of(&counts), of(&again));
+            for (what, kept, found) in [
+                ("done jobs", kept.done, found.done),
+                ("cancelled jobs", kept.cancelled, found.cancelled),
+                ("done tasks", kept.tasks, found.tasks),
+            ] {
+                if kept != found {
+                    self.differs(format!(
+                        "{}, {}: {kept} {what} counted, {found} in the records",
+                        cell.county, cell.class
+                    ));
+                }
+            }
+        }
+        self.over = true;
+    }
+
+    pub fn told(&self) -> tally::Audit {
+        let (revision, read) = (self.revision, self.read);
+        match self.over {
+            true => tally::Audit::Done { revision, read, differences: self.differences.clone() },
+            false => tally::Audit::Running { read },
+        }
+    }
+}
+
+impl Part {
+    /// The audit with this id, which is begun if none is running; `None` while another one is.
+    pub fn audit(&mut self, id: &str) -> Result<Option<tally::Audit>, Held> {
+        match &self.tally.audit {
+            Some(audit) if audit.id == id => return Ok(Some(audit.told())),
+            Some(audit) if !audit.over => return Ok(None),
+            _ => {}
+        }
+        let counts = self.tally.ended().map_err(Held::Unread)?;
+        let revision = self.ends_known();
+        let mut live: HashMap<String, String> = HashMap::new();
+        for job in self.jobs.iter().flatten().filter(|j| !j.is_over()) {
+            if let Some(county) = &job.county {
+                live.insert(job.id.clone(), county.county.clone());
+            }
+        }
+        let audit = Audit {
+            id: id.to_owned(),
+            revision,
+            seen: self.live_revision,
+            counts,
+            live,
+            again: BTreeMap::new(),
+            under: Under::Live,
+            after: None,
+            busy: false,
+            read: 0,
+            differences: Vec::new(),
+            over: false,
+        };
+        let told = audit.told();
+        self.tally.audit = Some(audit);
+        Ok(Some(told))
+    }
+}
+
+impl Node {
+    /// The next page, if there is room for it.
+    pub(crate) fn audit_tick(&mut self) {
+        let epoch = self.epoch;
+        let spare = self.requests.level(self.now.mono) > SPARED;
+        let Some(audit) = self.part.as_mut().and_then(|p| p.tally.audit.as_mut()) else { return };
+        if audit.over || audit.busy || !spare {
+            return;
+        }
+        audit.busy = true;
+        let prefix = if audit.under == Under::Live { records::LIVE } else { records::ENDED };
+        let mut path = format!("/keys?under={prefix}&limit={PAGE}");
+        if let Some(after) = &audit.after {
+            path.push_str(&format!("&from={after}"));
+        }
+        let what = Pending::Audit { epoch, under: audit.under };
+        self.send(Dest::State, "GET", path, Vec::new(), 3000, what);
+    }
+
+    pub(crate) fn audit_came(&mut self, under: Under, response: Option<Response>) {
+        let response = response.filter(|r| r.status == 200);
+        let page = response.and_then(|r| match under {
+            Under::Live => self
+                .read("state service", &r)
+                .map(|p| self.audit_page(p, |a, job: JobRec, _, stamp| a.live_found(&job, stamp))),
+            Under::Ended => self
+                .read("state service", &r)
+                .map(|p| self.audit_page(p, |a, end: EndRec, key, stamp| a.end_found(key, &end, stamp))),
+        });
+        let Some(audit) = self.part.as_mut().and_then(|p| p.tally.audit.as_mut()) else { return };
+        audit.busy = false;
+        match (page, under) {
+            (Some(false), Under::Live) => (audit.under, audit.after) = (Under::Ended, None),
+            (Some(false), Under::Ended) => audit.finish(),
+            // The next page, or the same again.
+            _ => {}
+        }
+    }
+
+    /// Counts what a page has; true if there is another.
+    fn audit_page<T>(&mut self, page: Range<T>, count: impl Fn(&mut Audit, T, &str, u64)) -> bool {
+        let Some(audit) = self.part.as_mut().and_then(|p| p.tally.audit.as_mut()) else { return false };
+        let more = page.more && !page.items.is_empty();
+        audit.after = page.items.last().map(|i| i.key.clone());
+        audit.read += page.items.len() as u64;
+        for Item { key, value, version } in page.items {
+            let job = key.rsplit('/').next().unwrap_or("");
+            count(audit, value, job, version);
+        }
+        more
+    }
+}
--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -16,13 +16,14 @@
 use wire::records::{self, AllotRec, ClaimsRec, DoneRec, EndRec, KindRec, LogRec, RackRec, Record, TokenRec};
 use wire::tree::HeadRec;
 
-enum Op {
+pub(crate) enum Op {
     End(JobIx),
     Token(u64),
     Hire(String),
     HireOver(String),
     Log(Log),
     LogOver(u64),
+    Fold(county::Fold),
     Rack(u64, BTreeSet<usize>),
     RackOver(u64),
     Catalog,
@@ -33,11 +34,12 @@
 }
 
 /// A log record on its way.
-struct Log {
+pub(crate) struct Log {
     number: u64,
     claims: Vec<ClaimId>,
     /// Results, and whether they are all that the job has.
     done: Vec<(JobIx, Vec<u32>, bool)>,
+    ended: Vec<county::Delta>,
 }
 
 #[derive(Default)]
@@ -65,16 +67,18 @@
 /// its 64 KiB.
 const SIZE: usize = 24 * 1024;
 
-struct Draft {
-    ops: Vec<Op>,
+pub(crate) struct Draft {
+    pub ops: Vec<Op>,
     guards: Vec<Guard>,
     writes: Vec<Write>,
     probe: Option<(String, u64, bool)>,
     size: usize,
+    /// Counts of the jobs that it ends, for its log record.
+    pub counts: crate::tally::Counts,
 }
 
 impl Draft {
-    fn put(&mut self, key: String, version: u64, record: Record) {
+    pub fn put(&mut self, key: String, version: u64, record: Record) {
         self.size += wire::encode(&record).len() + key.len();
         // A record that is put also tells at which revision; guards against versions taken from a removal,
         // which has none.
@@ -102,24 +106,27 @@
         let Some(job) = part.job_mut(ix) else { return };
         let Ending::Wanted(stage) = job.ending else { return };
         let done = job.done_count;
-        self.put(records::end_key(&job.id), 0, Record::End(EndRec { stage, done }));
-        self.remove(records::live_key(&job.id), job.version);
         job.ending = Ending::Writing(stage);
+        let (id, version) = (job.id.clone(), job.version);
+        let county = self.counts.add(part, ix, stage);
+        self.put(records::end_key(&id), 0, Record::End(EndRec { stage, done, county }));
+        self.remove(records::live_key(&id), version);
         self.ops.push(Op::End(ix));
     }
 
     /// One log record: claims as far as they fit, then results, then what is moved out of the oldest record.
     fn log(&mut self, part: &mut Part, value: usize, max_guards: usize) {
-        let mut log = Log { number: part.next_log(), claims: Vec::new(), done: Vec::new() };
+        let ended = self.counts.take();
+        let mut log = Log { number: part.next_log(), claims: Vec::new(), done: Vec::new(), ended };
         let mut entries: BTreeMap<(JobIx, u64), BTreeMap<usize, BTreeSet<u32>>> = BTreeMap::new();
-        let mut size = 64;
+        let mut size = 64 + crate::tally::length(&log.ended);
         let mut grow = |part: &Part, id: &ClaimId| {
             let (Some(job), Some(machine)) = (part.job(id.job), part.machine(id.machine)) else {
                 return false;
             };
             let known = entries.contains_key(&(id.job, id.attempt));
             let more = ClaimsRec::entry(&machine.name)
-                + if known { 0 } else { ClaimsRec::frame(&job.id, &job.team) };
+                + if known { 0 } else { ClaimsRec::frame(&job.id, &job.team) + crate::tally::frame(job) };
             if size + more > value {
                 return false;
             }
@@ -162,7 +169,7 @@
             log.claims.push(id);
         }
         // The oldest record's claims that still hold, where there are too many records.
-        let old = part.ledger.segments.first_key_value().map(|(n, _)| *n);
+        let old = part.ledger.segments.iter().find(|(_, s)| s.holds()).map(|(n, _)| *n);
         let old = old.filter(|_| part.ledger.segments.len() > SEGMENTS);
         let moving = old.and_then(|n| part.ledger.segments.get(&n));
         for id in moving.map(|s| s.claims.clone()).unwrap_or_default() {
@@ -173,7 +180,7 @@
                 log.claims.push(id);
             }
         }
-        let mut rec = LogRec::default();
+        let mut rec = LogRec { ended: log.ended.clone(), ..LogRec::default() };
         for ((ix, attempt), on) in entries {
             let Some(job) = part.job(ix) else { continue };
             let mut list = Vec::new();
@@ -190,6 +197,8 @@
                 mem_gb: job.need.mem_gb,
                 attempt,
                 on: list,
+                county: crate::tally::claims_county(job),
+                alone: job.tenant.alone,
             });
         }
         let moved: Vec<JobIx> = old
@@ -223,7 +232,7 @@
             rec.done.push(DoneRec { job: id, tasks: list });
             log.done.push((ix, tasks, all));
         }
-        if rec.claims.is_empty() && rec.done.is_empty() {
+        if rec.claims.is_empty() && rec.done.is_empty() && rec.ended.is_empty() {
             return;
         }
         self.put(records::log_key(PART, log.number), 0, Record::Log(rec));
@@ -279,6 +288,13 @@
     }
 }
 
+impl Commit {
+    /// A transaction is under way, or may be.
+    pub fn is_out(&self) -> bool {
+        !self.body.is_empty()
+    }
+}
+
 /// What a value may take, with some distance to the service's own count.
 pub(crate) fn value_limit(value_kb: f64) -> usize {
     (value_kb * 1024.0 * 0.95) as usize
@@ -346,18 +362,24 @@
             writes: Vec::new(),
             probe: None,
             size: 0,
+            counts: crate::tally::Counts::new(value),
         };
         let tidy = now >= part.commit.tidied_at + TIDY_MS;
         // Ends come first, but they do not keep claims waiting for ever.
         // A new tree needs two writes, for which claims have made way already.
         let tree = budget >= 2 && part.tree_is_due();
-        let kept = if tree { 2 } else { usize::from(budget > 2 && !part.ledger.fresh.is_empty()) };
-        let for_ends = budget - kept;
-        while d.writes.len() + 2 <= for_ends && d.guards.len() + 2 < max_guards {
+        // What is counted needs a log record in the same transaction; one for claims does for both.
+        let log = part.tally.keeps(budget);
+        let kept =
+            if tree { 2 + log } else { usize::from(budget > 2 && !part.ledger.fresh.is_empty()).max(log) };
+        let for_ends = budget.saturating_sub(kept);
+        while d.writes.len() + 2 <= for_ends && d.guards.len() + 2 < max_guards && !d.counts.is_full() {
             let Some(ix) = part.ledger.ending.pop_front() else { break };
             d.end(part, ix);
         }
-        let room = |d: &Draft| d.writes.len() < budget && d.size < SIZE && d.guards.len() + 2 < max_guards;
+        let room = |d: &Draft| {
+            d.writes.len() + d.counts.owed() < budget && d.size < SIZE && d.guards.len() + 2 < max_guards
+        };
         if room(&d)
             && let Some(whole) = part.allot_wanted.take()
         {
@@ -383,6 +405,9 @@
             d.put(key, 0, Record::Hire(hire.rec.clone()));
             d.ops.push(Op::Hire(name.clone()));
         }
+        if d.counts.owed() > 0 {
+            d.log(part, value, max_guards);
+        }
         // Claims, with the results that have gathered. Room is left for the guards on the claims' jobs.
         while room(&d) && (!part.ledger.fresh.is_empty() || (tidy && !part.ledger.unsaved.is_empty())) {
             let before = d.ops.len();
@@ -431,6 +456,7 @@
         }
         if tidy {
             part.commit.tidied_at = now;
+            d.fold(part, now, room);
             // Parts that no version names any more, unless a change is about to.
             let quotas = &self.shared.quotas;
             let over = |name: &&String| !quotas.head.parts.contains(name);
@@ -572,6 +598,7 @@
                     part.hires.remove(&name);
                 }
                 Op::Log(log) => part.log_stands(log, revision),
+                Op::Fold(fold) => part.fold_stands(&fold, revision),
                 Op::LogOver(n) => {
                     part.ledger.segments.remove(&n);
                 }
@@ -633,6 +660,7 @@
     /// A log record is in place: its claims may be sent, its results reaped.
     fn log_stands(&mut self, log: Log, revision: u64) {
         let mut segment = Segment { version: revision, ..Segment::default() };
+        segment.counts = self.tally.stands(log.number, log.ended, revision);
         for id in log.claims {
             // What has ended meanwhile stands in the record all the same, as in any that is older.
             let Some(claim) = self.claim_mut(&id) else { continue };
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -87,7 +87,7 @@
         if let Err(field) = spec.check() {
             return self.deny(asker, 400, &format!("invalid: {field}"));
         }
-        let rec = JobRec { spec: spec.clone(), at_ms: self.now.wall, part: PART };
+        let rec = JobRec::new(spec.clone(), self.now.wall, PART);
         let limit = (self.settings.cluster.state.value_kb * 1024.0).min(BODY_LIMIT as f64);
         // Counted in another form by the service, which takes somewhat more.
         if wire::encode(&rec).len() as f64 * 1.3 > limit {
@@ -128,7 +128,7 @@
     fn accept(&mut self, asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32) {
         // The acceptance counts from the first try.
         let wall = self.now.wall - (self.now.mono - at);
-        let rec = JobRec { spec: (*spec).clone(), at_ms: wall, part: PART };
+        let rec = JobRec::new((*spec).clone(), wall, PART);
         let txn = Txn {
             guards: vec![
                 Guard { key: records::live_key(&spec.id), version: 0 },
@@ -302,7 +302,7 @@
             let Some(item) = self.read::<Item<EndRec>>("state service", &r) else {
                 return self.deny(asker, 503, "unreadable record");
             };
-            let EndRec { stage, done } = item.value;
+            let EndRec { stage, done, .. } = item.value;
             if stage.is_final() {
                 self.finals.put(&job, stage, done);
             }
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -4,7 +4,7 @@
 use crate::{Asker, Node};
 use std::collections::{BTreeSet, HashMap};
 use wire::api::{JobSpec, JobState, Kind, Priority, Stage};
-use wire::records::JobRec;
+use wire::records::{CountyRec, JobRec};
 
 pub(crate) type JobIx = usize;
 
@@ -94,6 +94,10 @@
     pub spec: Option<Box<JobSpec>>,
     pub team: String,
     pub need: Need,
+    /// Bound when it was accepted, or as its claims say.
+    pub county: Option<CountyRec>,
+    /// The same for the planner.
+    pub tenant: plan::Tenant,
     pub at_ms: u64,
     pub version: u64,
     pub tasks: u32,
@@ -130,6 +134,7 @@
         job.tasks = spec.tasks;
         job.done = vec![0; spec.tasks.div_ceil(64) as usize];
         job.at_ms = rec.at_ms;
+        job.county = rec.county;
         job.version = version;
         job.ending = Ending::No;
         job.spec = Some(Box::new(spec));
@@ -143,6 +148,8 @@
             spec: None,
             team: team.to_owned(),
             need,
+            county: None,
+            tenant: plan::Tenant::default(),
             at_ms: 0,
             version: 0,
             tasks: 0,
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -27,11 +27,17 @@
     pub jobs: BTreeSet<JobIx>,
     /// All its claims, for moving those that still hold.
     pub claims: Vec<ClaimId>,
+    /// It has counts that are not in their sheets yet.
+    pub counts: bool,
 }
 
 impl Segment {
     fn over(&self) -> bool {
-        self.live == 0 && self.jobs.is_empty()
+        !self.holds() && !self.counts
+    }
+    /// Claims or results in it that are still wanted.
+    pub fn holds(&self) -> bool {
+        self.live > 0 || !self.jobs.is_empty()
     }
 }
 
@@ -85,6 +91,18 @@
         }
     }
 
+    /// The counts of these segments are in their sheets.
+    pub fn counted(&mut self, segments: impl IntoIterator<Item = u64>) {
+        for n in segments {
+            if let Some(s) = self.segments.get_mut(&n) {
+                s.counts = false;
+                if s.over() {
+                    self.garbage.insert(n);
+                }
+            }
+        }
+    }
+
     pub fn add_segment(&mut self, number: u64, segment: Segment) {
         if segment.over() {
             self.garbage.insert(number);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,6 +2,7 @@
 //! the service live here, so that tests can play any order of failures in virtual time.
 
 mod admin;
+mod audit;
 mod budget;
 mod commit;
 mod door;
@@ -19,6 +20,7 @@
 mod sched;
 pub mod side;
 mod standing;
+mod tally;
 mod tuning;
 mod views;
 
@@ -123,6 +125,8 @@
     Admin { conn: u64 },
     Side { tag: u64 },
     TreeParts { epoch: u64 },
+    Sheets { epoch: u64 },
+    Audit { epoch: u64, under: audit::Under },
     Catalog,
     List { epoch: u64 },
     Hire { epoch: u64, name: String },
@@ -143,6 +147,8 @@
                 | Take { .. }
                 | Load { .. }
                 | TreeParts { .. }
+                | Sheets { .. }
+                | Audit { .. }
                 | Commit { .. }
                 | Verify { .. }
                 | Accept { .. }
@@ -334,6 +340,8 @@
             self.fleet_tick();
             self.machines_tick();
             self.sched_tick();
+            self.tally_tick();
+            self.audit_tick();
         }
     }
 
@@ -423,6 +431,8 @@
             // What belongs to an earlier term of ownership no longer concerns us.
             Pending::Load { epoch: e, what } if e == epoch => self.load_came(what, response),
             Pending::TreeParts { epoch: e } if e == epoch => self.tree_parts_came(response),
+            Pending::Audit { epoch: e, under } if e == epoch => self.audit_came(under, response),
+            Pending::Sheets { epoch: e } if e == epoch => self.sheets_came(response),
             Pending::LiveWatch { epoch: e } if e == epoch => self.live_changes(response),
             Pending::Commit { epoch: e } if e == epoch => self.committed(response),
             Pending::Verify { epoch: e } if e == epoch => self.verified(response),
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -122,6 +122,8 @@
     pub unwanted: BTreeSet<JobIx>,
     /// The tree's counts, by the version that they belong to.
     pub counted: Option<(u64, crate::standing::Counted)>,
+    /// Counts by county.
+    pub tally: crate::tally::Tallies,
 }
 
 impl Part {
@@ -171,6 +173,7 @@
             touched: Vec::new(),
             unwanted: BTreeSet::new(),
             counted: None,
+            tally: crate::tally::Tallies::new(value_limit(value_kb)),
         }
     }
 
@@ -228,7 +231,8 @@
         self.machines.get_mut(m).and_then(Option::as_mut)
     }
 
-    pub fn add_job(&mut self, job: Job) -> JobIx {
+    pub fn add_job(&mut self, mut job: Job) -> JobIx {
+        job.tenant = self.tally.tenant(job.county.as_ref());
         let ix = self.free_jobs.pop().unwrap_or_else(|| {
             self.jobs.push(None);
             self.jobs.len() - 1
@@ -321,6 +325,7 @@
     /// Takes in a log record of earlier owners.
     fn load_segment(&mut self, number: u64, version: u64, rec: LogRec) {
         let mut segment = Segment { version, ..Segment::default() };
+        segment.counts = self.tally.stands(number, rec.ended, 0);
         for group in rec.claims {
             let need = Need { cores: group.cores, gpus: group.gpus, mem_gb: group.mem_gb };
             let attempt = group.attempt;
@@ -330,7 +335,11 @@
                 let job = match self.job_ix.get(&group.job) {
                     Some(ix) => *ix,
                     // Ended, but its tasks may still be there: they count until they are proved gone.
-                    None => self.add_job(Job::ended(&group.job, &group.team, need)),
+                    None => {
+                        let mut job = Job::ended(&group.job, &group.team, need);
+                        job.county = crate::tally::claimed(&group.county, group.alone);
+                        self.add_job(job)
+                    }
                 };
                 for task in records::unrange(&[(first, n)]) {
                     let id = ClaimId { machine, job, task, attempt };
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -361,7 +361,7 @@
                     team: teams.get(job.team.as_str()).copied().unwrap_or(u16::MAX),
                     held,
                     gang: (job.kind() == Kind::Gang).then_some(c.job as u32),
-                    tenant: plan::Tenant::default(),
+                    tenant: job.tenant,
                 });
                 claims.push(k);
             }
@@ -408,6 +408,8 @@
                 estimate: (spec.estimate_s * factor - job.progress_s).max(1.0),
                 zones: by_zone,
                 avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
+                tenant: job.tenant,
+                only: crate::tally::zones(job, &zones),
                 ..shaped(spec, &mut part.images, &names, *team)
             };
             let claimed = staying.get(&ix).copied().unwrap_or(0);
--- a/crates/control/src/standing.rs
+++ b/crates/control/src/standing.rs
@@ -365,7 +365,7 @@
         let mut part = Part::new(1, 1, 0, 16.0);
         for i in 0..100_000u32 {
             let spec = spec(i, &teams[i as usize % 10_000].name, 2, 1.0, 0.0);
-            part.add_job(Job::new(JobRec { spec, at_ms: u64::from(i), part: 0 }, 1));
+            part.add_job(Job::new(JobRec::new(spec, u64::from(i), 0), 1));
         }
         part.take_touched();
         let mut counted = Counted::new(&part, tree);
@@ -454,7 +454,7 @@
         ];
         for (i, (team, tasks, cores, gpus, _)) in jobs.iter().enumerate() {
             let spec = spec(i as u32, team, *tasks, *cores, *gpus);
-            part.add_job(Job::new(JobRec { spec, at_ms: i as u64, part: 0 }, 1));
+            part.add_job(Job::new(JobRec::new(spec, i as u64, 0), 1));
         }
         let within = within_guarantee(&open_jobs(&part), &teams);
         for (i, (team, .., expected)) in jobs.iter().enumerate() {
@@ -486,7 +486,7 @@
                 let team = ["a", "b", "c"][rng.usize(0..3)];
                 let (tasks, cores) = (rng.u32(1..5), [0.1111, 1.0, 6.0][rng.usize(0..3)]);
                 let spec = spec(i, team, tasks, cores, f64::from(rng.u32(0..3)));
-                part.add_job(Job::new(JobRec { spec, at_ms: u64::from(i), part: 0 }, 1));
+                part.add_job(Job::new(JobRec::new(spec, u64::from(i), 0), 1));
             }
             let without = holds(&mut part, &teams, None, &index);
             let with = holds(&mut part, &teams, Some(&good), &index);
--- /dev/null
+++ b/crates/control/src/tally.rs
@@ -0,0 +1,339 @@
+//! Counts by county as the owner keeps them: deltas that ride in the log, and sheets that they are folded into.
+//!
+//! What ends is counted in the transaction that records its end, by way of its log record; a job that lives counts by
+//! its own record. So counting costs no write at an acceptance, and at an end none where a log record goes along
+//! anyway. `county::Tally` has the rules; this is what the part adds to them.
+
+use crate::commit::{Draft, Op};
+use crate::election::PART;
+use crate::jobs::{Job, JobIx};
+use crate::part::Part;
+use crate::{Dest, Node, Pending};
+use county::{Cell, Count, Delta, Fold, OTHER, Sheet, Tally, Unread};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use wire::api::{Item, Range, Stage};
+use wire::http::Response;
+use wire::records::{self, ClaimsRec, CountedRec, CountyRec, Record};
+
+/// Sheets are folded so often, so many at a time, and no longer than this. With more log records than this waiting
+/// for them, they are folded with each tidying, and more at a time.
+const FOLD_MS: u64 = 5_000;
+const FOLD_SHEETS: usize = 2;
+const SHEET: usize = 8 * 1024;
+const BEHIND: usize = 150;
+const FOLD_BEHIND: usize = 4;
+/// Sheets are read again so long after they could not be reached, or understood.
+const RETRY_MS: u64 = 500;
+const BAD_MS: u64 = 30_000;
+/// Transactions with ends that are remembered until the watch has come past them.
+const RECENT: usize = 4_000;
+
+pub(crate) struct Tallies {
+    counts: Tally,
+    /// Some job or record has a county. Without any, nothing is read, kept free or written.
+    in_use: bool,
+    reading: Option<Reading>,
+    read_at: u64,
+    folded_at: u64,
+    /// Ends that were recorded at a revision which the watch may not have come to.
+    recent: VecDeque<(u64, Vec<Delta>)>,
+    /// Ends up to here were forgotten too early: nothing can be said as of an earlier revision.
+    forgotten: u64,
+    /// The last transaction with ends that is known to stand.
+    last_end: u64,
+    tenants: HashMap<String, u16>,
+    pub audit: Option<crate::audit::Audit>,
+}
+
+/// Sheets as they come in, page by page.
+struct Reading {
+    after: Option<String>,
+    all_good: bool,
+}
+
+/// Counts of the jobs that one transaction ends.
+pub(crate) struct Counts {
+    deltas: Vec<Delta>,
+    /// What they may take of the log record.
+    most: usize,
+}
+
+/// What a job's claims say of its county, for those who find them after its end.
+pub(crate) fn claims_county(job: &Job) -> Option<String> {
+    job.county.as_ref().map(|c| c.county.clone()).filter(|c| c != OTHER)
+}
+
+/// The county of a job that only has claims left.
+pub(crate) fn claimed(county: &Option<String>, alone: bool) -> Option<CountyRec> {
+    county.as_ref().map(|c| CountyRec { county: c.clone(), version: 0, alone, zones: Vec::new() })
+}
+
+/// Bounds what a job's county adds to its claims' length.
+pub(crate) fn frame(job: &Job) -> usize {
+    job.county.as_ref().map_or(0, |c| ClaimsRec::county(&c.county))
+}
+
+/// The same of counts.
+pub(crate) fn length(deltas: &[Delta]) -> usize {
+    deltas.iter().map(|d| Delta::frame(&d.county, &d.class)).sum()
+}
+
+/// The only zones for a job, as the planner's indices; one that does not exist where none of them does any more.
+pub(crate) fn zones(job: &Job, index: &HashMap<&str, u16>) -> Vec<u16> {
+    let names = job.county.iter().flat_map(|c| &c.zones);
+    names.map(|z| index.get(z.as_str()).copied().unwrap_or(u16::MAX)).collect()
+}
+
+impl Counts {
+    pub fn new(value: usize) -> Self {
+        Counts { deltas: Vec::new(), most: value / 2 }
+    }
+
+    /// Counts a job's end, if it has a county.
+    pub fn add(&mut self, part: &mut Part, ix: JobIx, stage: Stage) -> Option<CountedRec> {
+        let job = part.jobs.get(ix)?.as_ref()?;
+        let (county, class) = (job.county.as_ref()?.county.clone(), job.spec.as_ref()?.class.clone());
+        let cancelled = stage == Stage::Cancelled;
+        let count = Count {
+            done: u64::from(!cancelled),
+            cancelled: u64::from(cancelled),
+            tasks: u64::from(job.done_count),
+        };
+        let cell = part.tally.counts.cell(&county, &class);
+        Delta::add_to(&mut self.deltas, &cell, &count);
+        Some(CountedRec { county: cell.county, class: cell.class })
+    }
+
+    pub fn take(&mut self) -> Vec<Delta> {
+        std::mem::take(&mut self.deltas)
+    }
+
+    /// No more ends should be taken along.
+    pub fn is_full(&self) -> bool {
+        length(&self.deltas) > self.most
+    }
+
+    /// Writes that the transaction still needs for them.
+    pub fn owed(&self) -> usize {
+        usize::from(!self.deltas.is_empty())
+    }
+}
+
+impl Tallies {
+    pub fn new(value: usize) -> Self {
+        Tallies {
+            counts: Tally::new(value.min(SHEET)),
+            in_use: false,
+            reading: None,
+            read_at: 0,
+            folded_at: 0,
+            recent: VecDeque::new(),
+            forgotten: 0,
+            tenants: HashMap::new(),
+            last_end: 0,
+            audit: None,
+        }
+    }
+
+    /// Whose work a job is, for the planner; numbers hold for this term.
+    pub fn tenant(&mut self, county: Option<&CountyRec>) -> plan::Tenant {
+        let Some(c) = county else { return plan::Tenant::default() };
+        self.in_use = true;
+        if c.county == OTHER {
+            return plan::Tenant::default();
+        }
+        let next = u16::try_from(self.tenants.len() + 1).unwrap_or(u16::MAX);
+        let number = match self.tenants.get(&c.county) {
+            Some(n) => *n,
+            None => *self.tenants.entry(c.county.clone()).or_insert(next),
+        };
+        plan::Tenant { county: number, alone: c.alone }
+    }
+
+    /// Writes that are kept free of ends for the log record that counts them.
+    pub fn keeps(&self, budget: usize) -> usize {
+        usize::from(self.in_use && budget > 2)
+    }
+
+    /// A log record with counts stands, at this revision, or was read back. True if it has to stay for them.
+    pub fn stands(&mut self, number: u64, ended: Vec<Delta>, revision: u64) -> bool {
+        if ended.is_empty() {
+            return false;
+        }
+        self.in_use = true;
+        if revision > 0 {
+            self.last_end = revision;
+            self.recent.push_back((revision, ended.clone()));
+            if self.recent.len() > RECENT
+                && let Some((old, _)) = self.recent.pop_front()
+            {
+                self.forgotten = old;
+            }
+        }
+        self.counts.noted(number, ended)
+    }
+
+    /// All that has ended, as of the last transaction with ends.
+    pub fn ended(&self) -> Result<BTreeMap<Cell, Count>, Unread> {
+        self.counts.counts()
+    }
+
+    fn is_due(&self, now: u64) -> bool {
+        self.in_use && (now >= self.folded_at + FOLD_MS || self.is_behind())
+    }
+
+    fn is_behind(&self) -> bool {
+        self.counts.backlog().0 > BEHIND
+    }
+
+    fn wants_reading(&self, now: u64) -> bool {
+        self.in_use && self.counts.state().is_err() && self.reading.is_none() && now >= self.read_at
+    }
+}
+
+impl Draft {
+    /// Puts the sheets that have waited longest, as many as there is room for.
+    pub fn fold(&mut self, part: &mut Part, now: u64, room: impl Fn(&Draft) -> bool) {
+        if !part.tally.is_due(now) {
+            return;
+        }
+        let most = if part.tally.is_behind() { FOLD_BEHIND } else { FOLD_SHEETS };
+        let Some(fold) = part.tally.counts.fold(most) else { return };
+        let mut puts = Vec::new();
+        for (number, stamp, sheet) in fold.puts {
+            if !room(self) {
+                break;
+            }
+            self.put(records::tally_key(PART, number), stamp, Record::Tally(sheet.clone()));
+            puts.push((number, stamp, sheet));
+        }
+        if !puts.is_empty() {
+            part.tally.folded_at = now;
+            self.ops.push(Op::Fold(Fold { puts }));
+        }
+    }
+}
+
+impl Part {
+    /// Sheets are in place: log records that have waited for them alone may go.
+    pub fn fold_stands(&mut self, fold: &Fold, revision: u64) {
+        let over = self.tally.counts.folded(fold, revision);
+        self.ledger.counted(over);
+    }
+}
+
+impl Node {
+    /// Reads the sheets once something has a county. Nothing else waits for that: until then counts are held back, and
+    /// what ends meanwhile stays in the log.
+    pub(crate) fn tally_tick(&mut self) {
+        let now = self.now.mono;
+        let Some(part) = &mut self.part else { return };
+        if !part.tally.wants_reading(now) {
+            return;
+        }
+        part.tally.counts.begin_reading();
+        part.tally.reading = Some(Reading { after: None, all_good: true });
+        self.read_sheets();
+    }
+
+    fn read_sheets(&mut self) {
+        let epoch = self.epoch;
+        let Some(reading) = self.part.as_ref().and_then(|p| p.tally.reading.as_ref()) else { return };
+        // An answer may be 8 MiB.
+        let mut path = format!("/keys?under={}&limit=200", records::tally_prefix(PART));
+        if let Some(after) = &reading.after {
+            path.push_str(&format!("&from={after}"));
+        }
+        self.send(Dest::State, "GET", path, Vec::new(), 3000, Pending::Sheets { epoch });
+    }
+
+    pub(crate) fn sheets_came(&mut self, response: Option<Response>) {
+        let now = self.now.mono;
+        let page = response.filter(|r| r.status == 200);
+        let page = page.and_then(|r| self.read::<Range<serde_json::Value>>("state service", &r));
+        let Some(part) = &mut self.part else { return };
+        let tally = &mut part.tally;
+        let Some(page) = page else {
+            tally.reading = None;
+            tally.read_at = now + RETRY_MS;
+            return;
+        };
+        let Some(reading) = &mut tally.reading else { return };
+        let prefix = records::tally_prefix(PART);
+        reading.after = page.items.last().map(|i| i.key.clone());
+        let more = page.more && !page.items.is_empty();
+        for Item { key, value, version } in page.items {
+            let number = key.strip_prefix(&prefix).and_then(|n| n.parse().ok());
+            match (number, serde_json::from_value::<Sheet>(value)) {
+                (Some(number), Ok(sheet)) => tally.counts.sheet_read(number, version, sheet),
+                _ => {
+                    reading.all_good = false;
+                    log::error!("{key} can't be understood: counts by county are held back");
+                }
+            }
+        }
+        if more {
+            return self.read_sheets();
+        }
+        let all_good = reading.all_good;
+        tally.reading = None;
+        tally.read_at = now + BAD_MS;
+        let over = tally.counts.reading_over(all_good);
+        part.ledger.counted(over);
+    }
+}
+
+/// One class of a county, as of one revision.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct Row {
+    pub live: u64,
+    pub ended: Count,
+}
+
+/// Why there is nothing to tell now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Held {
+    Unread(Unread),
+    /// Acceptances were not seen up to the latest revision yet.
+    Behind,
+}
+
+impl Part {
+    /// The last revision at which something ended, as far as is known: earlier owners' were before our term.
+    pub fn ends_known(&self) -> u64 {
+        self.tally.last_end.max(self.owner_version)
+    }
+
+    /// All counts as of one revision, the latest that is known: what ended after it still lives there, and what was
+    /// accepted after it does not yet.
+    pub fn counts(&mut self) -> Result<(u64, BTreeMap<Cell, Row>), Held> {
+        // What is under way may have been recorded already, after all that is known to stand.
+        let known = if self.commit.is_out() { self.ends_known() } else { u64::MAX };
+        let at = self.live_revision.min(known);
+        let ended = self.tally.ended().map_err(Held::Unread)?;
+        if self.tally.forgotten > at {
+            return Err(Held::Behind);
+        }
+        while self.tally.recent.front().is_some_and(|(r, _)| *r <= at) {
+            self.tally.recent.pop_front();
+        }
+        let mut rows: BTreeMap<Cell, Row> =
+            ended.into_iter().map(|(cell, ended)| (cell, Row { live: 0, ended })).collect();
+        for d in self.tally.recent.iter().flat_map(|(_, deltas)| deltas) {
+            let row = rows.entry(d.cell()).or_default();
+            row.live += d.done + d.cancelled;
+            row.ended.done = row.ended.done.saturating_sub(d.done);
+            row.ended.cancelled = row.ended.cancelled.saturating_sub(d.cancelled);
+            row.ended.tasks = row.ended.tasks.saturating_sub(d.tasks);
+        }
+        let counts = &mut self.tally.counts;
+        for job in self.jobs.iter().flatten().filter(|j| !j.is_over()) {
+            let (Some(county), Some(spec)) = (&job.county, &job.spec) else { continue };
+            if job.version > at {
+                continue;
+            }
+            rows.entry(counts.cell(&county.county, &spec.class)).or_default().live += 1;
+        }
+        Ok((at, rows))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/counties.rs
@@ -0,0 +1,177 @@
+//! Counts and machines of counties, held against what the state service has seen, users were told and workers had.
+
+use crate::rules::{OnMachine, Rules};
+use crate::state::State;
+use county::{Delta, Sheet};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use wire::api::Stage;
+use wire::records::{CountyRec, EndRec, JobRec, LogRec};
+
+/// Done jobs, cancelled jobs, done tasks.
+type Sums = BTreeMap<(String, String), [u64; 3]>;
+
+/// What the history of the state service says.
+#[derive(Default)]
+pub struct Watcher {
+    /// Changes that were looked at.
+    at: usize,
+    /// Jobs with their first binding and their class.
+    pub bound: BTreeMap<String, (CountyRec, String)>,
+    pub ended: BTreeMap<String, (Stage, u32)>,
+    sums: Sums,
+    /// Puts of sheets, and of log records with nothing but counts.
+    pub folds: u64,
+    pub only_counts: u64,
+}
+
+impl Watcher {
+    /// Follows the history, and holds what stands of the counts against it: sheets, and of the log what is above their
+    /// watermarks.
+    pub fn follow(&mut self, state: &State, rules: &mut Rules, now: u64) {
+        for (_, key, value) in state.history(self.at) {
+            self.at += 1;
+            let Some(value) = value else { continue };
+            if let Err(what) = self.put(key, value) {
+                rules.breaks("tallies_wrong", format!("{now}: {what}"));
+            }
+        }
+        if self.bound.is_empty() {
+            return;
+        }
+        let stands = standing(state);
+        if stands != self.sums {
+            let differs = |(cell, sums): &(&(String, String), &[u64; 3])| stands.get(*cell) != Some(*sums);
+            let first = self
+                .sums
+                .iter()
+                .find(differs)
+                .or_else(|| stands.iter().find(|(c, _)| !self.sums.contains_key(*c)));
+            rules.breaks(
+                "tallies_wrong",
+                format!("{now}: {first:?} ended, {:?} stands", first.and_then(|(c, _)| stands.get(c))),
+            );
+        }
+    }
+
+    fn put(&mut self, key: &str, value: &Value) -> Result<(), String> {
+        let read = |e: serde_json::Error| format!("{key}: {e}");
+        // Nearly all puts have nothing to do with counties.
+        let of_county = |job: &str| self.bound.contains_key(job) || value.get("county").is_some();
+        if let Some(job) = key.strip_prefix("live/").filter(|j| of_county(j)) {
+            let rec = JobRec::deserialize_from(value).map_err(read)?;
+            if let Some(county) = rec.county {
+                let new = (county, rec.spec.class);
+                let old = self.bound.entry(job.to_owned()).or_insert_with(|| new.clone());
+                if *old != new {
+                    return Err(format!("{job} was bound to {old:?}, then to {new:?}"));
+                }
+            }
+        } else if let Some(job) = key.strip_prefix("end/").filter(|j| of_county(j)) {
+            let rec = EndRec::deserialize_from(value).map_err(read)?;
+            self.ended.insert(job.to_owned(), (rec.stage, rec.done));
+            let bound = self.bound.get(job).map(|(c, class)| (c.county.clone(), class.clone()));
+            if bound != rec.county.as_ref().map(|c| (c.county.clone(), c.class.clone())) {
+                return Err(format!("{job} was bound to {bound:?} and ended for {:?}", rec.county));
+            }
+            if let Some(cell) = bound {
+                add(&mut self.sums, cell, &count(rec.stage, rec.done));
+            }
+        } else if key.starts_with("part/0/tally/") {
+            self.folds += 1;
+        } else if key.starts_with("part/0/log/") && value.get("ended").is_some() {
+            let rec = LogRec::deserialize_from(value).map_err(read)?;
+            self.only_counts += u64::from(rec.claims.is_empty() && rec.done.is_empty());
+        }
+        Ok(())
+    }
+
+    /// Whether users were told the same ends.
+    pub fn users(&self, rules: &mut Rules) {
+        let mut wrong = Vec::new();
+        for (id, job) in rules.jobs.iter().filter(|(id, _)| self.bound.contains_key(*id)) {
+            let told = (job.told_done.is_some(), job.told_cancelled.is_some());
+            let stage = self.ended.get(id).map(|(stage, _)| *stage);
+            let agrees = match told {
+                (true, _) => stage == Some(Stage::Done),
+                (_, true) => stage == Some(Stage::Cancelled),
+                _ => true,
+            };
+            if !agrees {
+                wrong.push(format!("{id}: users were told {told:?}, {stage:?} was counted"));
+            }
+        }
+        wrong.into_iter().for_each(|what| rules.breaks("tallies_wrong", what));
+    }
+
+    /// All ended jobs and done tasks by county and class.
+    pub fn sums(&self) -> &Sums {
+        &self.sums
+    }
+}
+
+trait FromValue: Sized {
+    fn deserialize_from(value: &Value) -> Result<Self, serde_json::Error>;
+}
+
+impl<T: serde::de::DeserializeOwned> FromValue for T {
+    fn deserialize_from(value: &Value) -> Result<Self, serde_json::Error> {
+        serde_json::from_value(value.clone())
+    }
+}
+
+fn count(stage: Stage, done: u32) -> [u64; 3] {
+    let cancelled = u64::from(stage == Stage::Cancelled);
+    [1 - cancelled, cancelled, u64::from(done)]
+}
+
+fn add(sums: &mut Sums, cell: (String, String), more: &[u64; 3]) {
+    let sum = sums.entry(cell).or_default();
+    sum.iter_mut().zip(more).for_each(|(s, m)| *s += m);
+}
+
+/// The counts as a reader of the records finds them.
+fn standing(state: &State) -> Sums {
+    let mut sums = Sums::new();
+    let mut marks: BTreeMap<(String, String), u64> = BTreeMap::new();
+    let of = |d: &Delta| ((d.county.clone(), d.class.clone()), [d.done, d.cancelled, d.tasks]);
+    for (_, entry) in state.keys.range("part/0/tally/".to_owned().."part/0/tally0".to_owned()) {
+        let Ok(sheet) = Sheet::deserialize_from(&entry.value) else { continue };
+        for (cell, more) in sheet.cells.iter().map(of) {
+            marks.insert(cell.clone(), sheet.upto);
+            add(&mut sums, cell, &more);
+        }
+    }
+    for (key, entry) in state.keys.range("part/0/log/".to_owned().."part/0/log0".to_owned()) {
+        let number = key.rsplit('/').next().and_then(|n| u64::from_str_radix(n, 16).ok()).unwrap_or(0);
+        let Ok(rec) = LogRec::deserialize_from(&entry.value) else { continue };
+        for (cell, more) in
+            rec.ended.iter().map(of).filter(|(cell, _)| marks.get(cell).is_none_or(|m| *m < number))
+        {
+            add(&mut sums, cell, &more);
+        }
+    }
+    sums
+}
+
+impl Rules {
+    /// A task starts on a machine: what is there may be beside it, and its county may use the zone.
+    pub fn apart(&mut self, now: u64, new: &OnMachine<'_>, others: &[OnMachine<'_>], watcher: &Watcher) {
+        let county = |task: &str| {
+            let job = wire::ids::parse_task(task).map(|(id, _)| id)?;
+            watcher.bound.get(job).map(|(c, _)| c)
+        };
+        let own = county(new.task);
+        if own.is_some_and(|c| !c.zones.is_empty() && !c.zones.iter().any(|z| z == new.zone)) {
+            self.breaks("mixed", format!("{now}: {} in {}", new.task, new.zone));
+        }
+        for o in others.iter().filter(|o| o.machine == new.machine) {
+            let other = county(o.task);
+            let same = own.map(|c| &c.county) == other.map(|c| &c.county);
+            let alone = own.is_some_and(|c| c.alone) || other.is_some_and(|c| c.alone);
+            if alone && !same {
+                self.breaks("mixed", format!("{now}: {} beside {} on {}", new.task, o.task, o.machine));
+            }
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! controllers against them under seeded faults, checking the rules after each step.
 
 pub mod cloud;
+pub mod counties;
 pub mod links;
 pub mod loopback;
 pub mod rules;
--- a/crates/standins/src/scene.rs
+++ b/crates/standins/src/scene.rs
@@ -30,6 +30,8 @@
     pub teams: Vec<Team>,
     pub jobs: Vec<Timed>,
     pub changes: Vec<(u64, Change)>,
+    /// What operators ask about other documents, with the path, again and again until it is answered.
+    pub asks: Vec<(u64, String, Value)>,
     /// Machines that the cloud has at most.
     pub machines: usize,
     /// Every controller has a gateway beside it, and these clients come.
--- a/crates/standins/src/state.rs
+++ b/crates/standins/src/state.rs
@@ -89,6 +89,11 @@
 }
 
 impl State {
+    /// All changes from the `from`th on.
+    pub fn history(&self, from: usize) -> &[(u64, String, Option<Value>)] {
+        self.log.get(from..).unwrap_or_default()
+    }
+
     pub fn expire(&mut self, now: u64) {
         let over: Vec<u64> =
             self.leases.iter().filter(|(_, (end, _))| *end <= now).map(|(l, _)| *l).collect();
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -79,6 +79,7 @@
     Worker { name: String, number: u64, sent: u64 },
     Peer { node: usize, life: u64, tag: u64 },
     Operator { change: Box<Change> },
+    Asker { path: String, ask: Value },
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -109,6 +110,7 @@
     World,
     User(Ask, String),
     Operate(Box<Change>),
+    Inquire(String, Value),
     Restart(usize),
     Fault,
     /// Bytes to a node, or to the client at the other end.
@@ -164,6 +166,10 @@
     tuning: Tuning,
     /// How operators' changes ended: the last status, and the version.
     pub changes: BTreeMap<String, (u16, u64)>,
+    /// What operators were answered about other documents: their asks, the last status, and what was said.
+    pub answers: Vec<(Value, u16, Value)>,
+    /// Counts by county as the state service's history has them, once some job has a county.
+    pub counties: crate::counties::Watcher,
     /// Run time that was lost with attempts that were stopped, in milliseconds.
     pub lost_ms: u64,
     /// What tasks have saved when they were stopped, in scenes: so much less is left of them.
@@ -277,6 +283,8 @@
             run_ms: BTreeMap::new(),
             tuning,
             changes: BTreeMap::new(),
+            answers: Vec::new(),
+            counties: Default::default(),
             lost_ms: 0,
             saved: BTreeMap::new(),
             began: BTreeMap::new(),
@@ -374,6 +382,9 @@
         self.yarn.undead = scene.undead;
         self.yarn.drains = scene.drains.into_iter().map(|(at, ask)| Drain::new(start + at, ask)).collect();
         self.yarn.clients.iter_mut().for_each(|c| c.starts_at(start));
+        for (at, path, ask) in scene.asks {
+            self.at(start + at, Ev::Inquire(path, ask));
+        }
         for (at, change) in scene.changes {
             self.at(start + at, Ev::Operate(Box::new(change)));
         }
@@ -402,6 +413,24 @@
         self.step(Ev::Request(n, Origin::Operator { change }, request, true));
     }
 
+    /// An operator asks any node about a document.
+    pub fn inquire(&mut self, path: String, ask: Value) {
+        let request =
+            Request { method: "POST".into(), path: path.clone(), body: admin::encode(&ask), close: false };
+        let n = self.rng.usize(0..self.plan.nodes);
+        self.step(Ev::Request(n, Origin::Asker { path, ask }, request, true));
+    }
+
+    fn inquired(&mut self, path: String, ask: Value, response: Option<Response>) {
+        let status = response.as_ref().map_or(0, |r| r.status);
+        let body = response.and_then(|r| serde_json::from_slice(&r.body).ok()).unwrap_or_default();
+        if status == 0 || status == 503 {
+            let again = self.now + self.rng.u64(200..900);
+            return self.at(again, Ev::Inquire(path, ask));
+        }
+        self.answers.push((ask, status, body));
+    }
+
     /// What an operator is told. Without an answer the same change is asked for again.
     fn operated(&mut self, change: Box<Change>, response: Option<Response>) {
         let status = response.as_ref().map_or(0, |r| r.status);
@@ -614,7 +643,7 @@
     /// What stands between a node and whoever it answers, if anything.
     fn answer_is_cut(&self, n: usize, to: &Origin) -> Option<How> {
         let to = match to {
-            Origin::User { .. } | Origin::Operator { .. } => Place::Users,
+            Origin::User { .. } | Origin::Operator { .. } | Origin::Asker { .. } => Place::Users,
             Origin::Peer { node, .. } => Place::Node(*node),
             Origin::Worker { name, .. } => {
                 let w = self.workers.get(name)?;
@@ -708,7 +737,8 @@
                     return self.at(self.now + 500, Ev::Answer(origin, None));
                 }
                 // Workers and nodes have looked at their links when they sent it.
-                let users = matches!(origin, Origin::User { .. } | Origin::Operator { .. });
+                let users =
+                    matches!(origin, Origin::User { .. } | Origin::Operator { .. } | Origin::Asker { .. });
                 if users && self.links.blocked(self.now, Place::Users, Place::Node(n)).is_some() {
                     return self.at(self.now + 500, Ev::Answer(origin, None));
                 }
@@ -730,6 +760,7 @@
             Ev::World => self.world_tick(),
             Ev::User(kind, job) => self.user(kind, job),
             Ev::Operate(change) => self.operate(change),
+            Ev::Inquire(path, ask) => self.inquire(path, ask),
             Ev::Fault => self.fault(),
             Ev::RawIn(conn, bytes) => self.raw_in(conn, Raw::Bytes(bytes)),
             Ev::RawOut(conn, bytes) => self.raw_out(conn, &bytes),
@@ -1017,6 +1048,7 @@
                             self.note_yarn_jobs(&c.body);
                             self.claims_with_bounds(&c.body);
                             self.follow_tree();
+                            self.counties.follow(&self.state, &mut self.rules, self.now);
                         }
                         let stranger = self.plan.sabotage == Sabotage::StrangersKnown;
                         if stranger && status == 404 && c.path.starts_with("/keys/live/") {
@@ -1104,6 +1136,7 @@
                 self.at(at, Ev::Reply(node, life, tag, response));
             }
             Origin::Operator { change } => self.operated(change, response),
+            Origin::Asker { path, ask } => self.inquired(path, ask, response),
             Origin::User { job, kind, asked } => {
                 let status = response.as_ref().map_or(0, |r| r.status);
                 self.waits.push(self.now - asked);
@@ -1332,6 +1365,7 @@
             let new =
                 OnMachine { task: &task, machine: name, zone: &zone, machine_type: &machine_type, spot };
             self.rules.started(now, &new, &others);
+            self.rules.apart(now, &new, &others, &self.counties);
         }
         if let Some((node, report)) = send {
             let request = Request {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod peer;
 pub mod records;
 pub mod settings;
+pub mod tally;
 pub mod tree;
 
 use serde::{Serialize, de::DeserializeOwned};
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -12,6 +12,7 @@
 pub const TOKEN: &str = "sys/token";
 pub const CATALOG: &str = "sys/catalog";
 pub const LIVE: &str = "live/";
+pub const ENDED: &str = "end/";
 /// Which quota tree is in force; every controller follows it. Its parts are read when it changes.
 pub const QUOTA: &str = "sys/quota";
 pub const QUOTA_PARTS: &str = "quota/part/";
@@ -43,6 +44,13 @@
 pub fn allot_key(part: Part) -> String {
     format!("part/{part}/allot")
 }
+/// Sheets of counts by county.
+pub fn tally_key(part: Part, number: u32) -> String {
+    format!("{}{number}", tally_prefix(part))
+}
+pub fn tally_prefix(part: Part) -> String {
+    format!("part/{part}/tally/")
+}
 pub fn hires_prefix(part: Part) -> String {
     format!("part/{part}/hire/")
 }
@@ -83,6 +91,9 @@
 fn is_zero(v: &u64) -> bool {
     *v == 0
 }
+fn is_false(v: &bool) -> bool {
+    !*v
+}
 
 /// A limit of 0 means none, as in the settings.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -105,6 +116,52 @@
     /// Time of day of the acceptance; good within the clock error of the settings.
     pub at_ms: u64,
     pub part: Part,
+    /// What was agreed for it when it was accepted. Read from here, never worked out again.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hour: Option<HourRec>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub county: Option<CountyRec>,
+}
+
+impl JobRec {
+    /// One that nothing was agreed for.
+    pub fn new(spec: JobSpec, at_ms: u64, part: Part) -> Self {
+        JobRec { spec, at_ms, part, hour: None, county: None }
+    }
+}
+
+/// The hour by which a job is to be released.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct HourRec {
+    /// Time of day, in milliseconds.
+    pub due_ms: u64,
+    /// The version of the calendar that said so.
+    pub version: u64,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub moved: Option<MovedRec>,
+}
+
+/// An operator's last move of an hour.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct MovedRec {
+    pub by: String,
+    pub at_ms: u64,
+    pub from_ms: u64,
+}
+
+/// The county that a job counts for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CountyRec {
+    /// Its stable id.
+    pub county: String,
+    /// The version that bound it.
+    pub version: u64,
+    /// It shares no machine with other work at the same time.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub alone: bool,
+    /// The only zones that it may run in; none for all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zones: Vec<String>,
 }
 
 /// The final state of a job. Kept for ever.
@@ -112,6 +169,16 @@
 pub struct EndRec {
     pub stage: Stage,
     pub done: u32,
+    /// Where it was counted, so that counts can be made again from the records.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub county: Option<CountedRec>,
+}
+
+/// The county and the class that an ended job is counted in.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CountedRec {
+    pub county: String,
+    pub class: String,
 }
 
 /// Machines that may exist: one leaves its rack only when the cloud has said that it is gone. What a log record
@@ -138,6 +205,9 @@
     pub claims: Vec<ClaimsRec>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<DoneRec>,
+    /// What ended in the same transaction, by county and class. The record stays until that is in their sheets.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<county::Delta>,
 }
 
 /// Claims on tasks of one job by one attempt. What a task takes stands here too, so that it counts against the
@@ -152,6 +222,12 @@
     pub attempt: u64,
     /// Machine, first task, and how many tasks from there on.
     pub on: Vec<(String, u32, u32)>,
+    /// Whose work it is, and whether it shares no machine: this holds until the tasks are gone, also when the job
+    /// itself has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub county: Option<String>,
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub alone: bool,
 }
 
 /// Completed tasks of a job that has not ended: the first, and how many from there on.
@@ -170,6 +246,10 @@
         // JSON escapes at most six bytes for one; our own names are plain, teams are not ours.
         job.len() + team.len() * 6 + 4 * NUMBER + 80
     }
+    /// The same for the county.
+    pub fn county(county: &str) -> usize {
+        county.len() + 32
+    }
     /// The same for one entry.
     pub fn entry(machine: &str) -> usize {
         machine.len() + 2 * 11 + 6
@@ -230,6 +310,7 @@
     Log(LogRec),
     Rack(RackRec),
     Hire(HireRec),
+    Tally(county::Sheet),
     Catalog(Catalog),
     Allot(AllotRec),
     Quota(crate::tree::HeadRec),
--- a/crates/wire/tests/formats.rs
+++ b/crates/wire/tests/formats.rs
@@ -144,10 +144,13 @@
         let job = format!("job-{job:018}");
         let finite = |x: f64| if x.is_finite() { x } else { 1e300 };
         let claims = ClaimsRec { job: job.clone(), team: team.clone(), cores: finite(amounts.0), gpus: finite(amounts.1),
-            mem_gb: finite(amounts.2), attempt, on: on.iter().map(|(t, n)| (name.clone(), *t, *n)).collect() };
+            mem_gb: finite(amounts.2), attempt, on: on.iter().map(|(t, n)| (name.clone(), *t, *n)).collect(),
+            county: Some(name.clone()), alone: true };
         let done = DoneRec { job: job.clone(), tasks: on.iter().map(|(t, n)| (t % 100_000, n % 100_001)).collect() };
-        let log = LogRec { claims: vec![claims], done: vec![done] };
-        let bound = 64 + ClaimsRec::frame(&job, &team) + on.len() * ClaimsRec::entry(&name)
+        let (most, county) = (u64::MAX, name.clone());
+        let ended = county::Delta { county, class: team.clone(), done: most, cancelled: most, tasks: most };
+        let log = LogRec { claims: vec![claims], done: vec![done], ended: vec![ended] };
+        let bound = 64 + county::Delta::frame(&name, &team) + ClaimsRec::county(&name) + ClaimsRec::frame(&job, &team) + on.len() * ClaimsRec::entry(&name)
             + DoneRec::frame(&job) + on.len() * DoneRec::ENTRY;
         let long = serde_json::to_vec(&log).expect("JSON").len();
         prop_assert!(long <= bound);
