--- a/crates/control/src/standing.rs
+++ b/crates/control/src/standing.rs
@@ -251,7 +251,7 @@
     let Some(good) = good else { return flat_only(within_guarantee(&open_jobs(part), teams)) };
     let open = open_jobs(part);
     let flat = within_guarantee(&open, &cut_guarantees(teams, good));
-    let tree = &good.tree;
+    let tree = &good.built;
     if tree.nodes.is_empty() {
         return flat_only(flat);
     }
@@ -476,7 +476,7 @@
         let mut spec_of_tree = quota::Spec::default();
         spec_of_tree.teams.extend(["a", "c"].map(|t| quota::TeamSpec::new(t, None)));
         let tree = quota::Tree::build(&spec_of_tree, &leaves).expect("good");
-        let good = Good { version: 1, spec: spec_of_tree.into(), tree: tree.into() };
+        let good = Good { version: 1, spec: spec_of_tree.into(), built: tree.into() };
         let index: HashMap<&str, u16> =
             teams.iter().enumerate().map(|(i, t)| (t.name.as_str(), i as u16)).collect();
         let mut rng = fastrand::Rng::with_seed(5);
