Jobs are bound to their county when they are accepted; counts are told and audited

Counties are a document of the one mechanism: `stoathatch counties show|check|set|history`, and `counties tally` and `counties audit`. The accepting transaction has the binding and is guarded by the head's stamp; a job that no rule fits, or whose county has no room in its zones, gets 422. A county goes only once it was closed in the version in force and nothing is bound to it. Without a document nothing more is written.

--- /dev/null
+++ b/crates/control/src/counties.rs
@@ -0,0 +1,201 @@
+//! Which counties are in force, and which of them a job is bound to when it is accepted.
+
+use crate::documents::{Doc, Documents, Kind, KindId, refused};
+use crate::tally::Held;
+use crate::{Node, quotas::Quota};
+use county::{Cell, Counties, Job, Known, OTHER, Spec, Unbound, Unread};
+use document::Fault;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use wire::admin::{self, Whole};
+use wire::api::JobSpec;
+use wire::records::CountyRec;
+use wire::tally::{Counts, Line, Question};
+
+pub(crate) struct County;
+
+impl Kind for County {
+    type Content = Spec;
+    type Edit = Whole<Spec>;
+    type Ask = Question;
+    const ID: KindId = KindId::Counties;
+    const BINDS: bool = true;
+
+    fn doc(all: &Documents) -> &Doc<Self> {
+        &all.counties
+    }
+    fn doc_mut(all: &mut Documents) -> &mut Doc<Self> {
+        &mut all.counties
+    }
+    /// Without the quota tree's nodes: they come and go, and only a change is held against them.
+    fn context(node: &Node) -> Known {
+        let cluster = &node.settings.cluster;
+        let teams = cluster.teams.iter().map(|t| t.name.clone()).collect();
+        Known { teams, zones: cluster.zones.iter().cloned().collect(), desks: None }
+    }
+    fn edited(edit: &Whole<Spec>, _: &Spec, _: &Known) -> Result<Spec, Fault> {
+        let Whole::Set { spec } = edit;
+        Ok(spec.clone())
+    }
+    fn set(spec: Spec) -> Whole<Spec> {
+        Whole::Set { spec }
+    }
+    fn may_change(node: &Node, new: &Counties) -> Result<(), Vec<Fault>> {
+        let faults = node.lost_by(new);
+        if faults.is_empty() { Ok(()) } else { Err(faults) }
+    }
+    fn told(node: &Node, new: &Arc<Counties>) -> Vec<String> {
+        let live = node.live_by_county();
+        let closed = new.spec().counties.iter().filter(|c| c.closed);
+        let bound = closed.filter_map(|c| Some((c, live.get(&c.id)?)));
+        bound.map(|(c, n)| format!("{}: {n} live jobs stay bound to it", c.id)).collect()
+    }
+    fn asked(node: &mut Node, conn: u64, ask: Question) {
+        match ask {
+            Question::Tally { county } => node.tally_asked(conn, county.as_deref()),
+            Question::Audit { id } => node.audit_asked(conn, &id),
+        }
+    }
+}
+
+/// Why a job is not accepted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Denied {
+    Unbound(Unbound),
+    /// No machine type in its county's zones has room for it.
+    NoRoom,
+}
+
+impl Denied {
+    pub fn why(self) -> &'static str {
+        match self {
+            Denied::Unbound(Unbound::NoCounty) => "no county: no rule fits the job",
+            Denied::Unbound(Unbound::ForeignZone) => "it asks for a zone that its county may not use",
+            Denied::NoRoom => "fits no machine type in its county's zones",
+        }
+    }
+}
+
+impl Node {
+    /// The county that a job accepted now belongs to; none without a document.
+    pub(crate) fn county_for(&self, spec: &JobSpec) -> Result<Option<CountyRec>, Denied> {
+        let Some(good) = &self.shared.documents.counties.good else { return Ok(None) };
+        if good.spec.counties.is_empty() {
+            return Ok(None);
+        }
+        let tree = Quota::doc(&self.shared.documents).good.as_ref().map(|g| &g.built);
+        let path = tree.and_then(|tree| Some(tree.path(tree.team(&spec.team)?))).unwrap_or_default();
+        let desks: Vec<&str> = tree
+            .iter()
+            .flat_map(|tree| path.iter().map(|n| tree.nodes[n.0 as usize].name.as_str()))
+            .collect();
+        let job = Job {
+            id: &spec.id,
+            team: &spec.team,
+            desks: &desks,
+            class: &spec.class,
+            zone: spec.zone.as_deref(),
+            image: &spec.image,
+        };
+        let bound = good.built.bind(&job).map_err(Denied::Unbound)?;
+        if !bound.zones.is_empty() && !self.has_room_in(spec, &bound.zones) {
+            return Err(Denied::NoRoom);
+        }
+        let (county, version) = (bound.county, good.version);
+        Ok(Some(CountyRec { county, version, alone: bound.alone, zones: bound.zones }))
+    }
+
+    fn has_room_in(&self, spec: &JobSpec, zones: &[String]) -> bool {
+        self.catalog().is_some_and(|c| {
+            c.types.iter().any(|t| {
+                spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
+                    && t.zones
+                        .iter()
+                        .any(|z| zones.contains(z) && spec.zone.as_ref().is_none_or(|own| own == z))
+                    && spec.cores <= t.cores + 1e-6
+                    && spec.gpus <= t.gpus + 1e-6
+                    && spec.mem_gb <= t.mem_gb + 1e-6
+            })
+        })
+    }
+
+    fn live_by_county(&self) -> BTreeMap<String, u64> {
+        let mut live: BTreeMap<String, u64> = BTreeMap::new();
+        let jobs = self.part.iter().flat_map(|p| p.jobs.iter().flatten()).filter(|j| !j.is_over());
+        for county in jobs.filter_map(|j| j.county.as_ref()) {
+            *live.entry(county.county.clone()).or_default() += 1;
+        }
+        live
+    }
+
+    /// What a new document has no place for any more: bindings, and nodes of the quota tree.
+    fn lost_by(&self, new: &Counties) -> Vec<Fault> {
+        let counties = &self.shared.documents.counties;
+        let mut faults = Vec::new();
+        if let Some(old) = &counties.good {
+            faults = county::lost(&old.spec, new.spec(), &self.live_by_county());
+            // A county that was closed may have been bound to until then.
+            let seen = self.part.as_ref().map_or(0, |p| p.live_revision);
+            let drops = old.spec.counties.iter().any(|c| new.county(&c.id).is_none());
+            if drops && seen < counties.stamp {
+                let what = "what was accepted under the version in force was not seen yet; again in a second";
+                faults.push(Fault::whole("county", what));
+            }
+        }
+        let tree = Quota::doc(&self.shared.documents).good.as_ref();
+        let known = |desk: &String| tree.is_some_and(|t| t.built.nodes.iter().any(|n| n.name == *desk));
+        for (c, r, desk) in new.desks().filter(|(_, _, desk)| !known(desk)) {
+            let path = format!("county {c:?}.rule[{r}].desks");
+            faults.push(Fault::whole(&path, format!("no node {desk:?} in the quota tree")));
+        }
+        faults.truncate(50);
+        faults
+    }
+
+    fn tally_asked(&mut self, conn: u64, county: Option<&str>) {
+        let Some(part) = &mut self.part else { return };
+        let (revision, rows) = match part.counts() {
+            Ok(counts) => counts,
+            Err(why) => return self.deny_admin(conn, 503, refused(held(why))),
+        };
+        let good = self.shared.documents.counties.good.as_ref();
+        let name = |id: &str| good.and_then(|g| g.built.county(id)?.name.clone());
+        let wanted = |cell: &Cell| county.is_none_or(|c| c == cell.county);
+        let known = |c: &str| c == OTHER || good.is_some_and(|g| g.built.county(c).is_some());
+        let lines: Vec<Line> = rows
+            .into_iter()
+            .filter(|(cell, _)| wanted(cell))
+            .map(|(cell, row)| Line {
+                name: name(&cell.county),
+                county: cell.county,
+                class: cell.class,
+                accepted: row.live + row.ended.done + row.ended.cancelled,
+                live: row.live,
+                done: row.ended.done,
+                cancelled: row.ended.cancelled,
+                done_tasks: row.ended.tasks,
+            })
+            .collect();
+        if let Some(c) = county.filter(|c| lines.is_empty() && !known(c)) {
+            return self.deny_admin(conn, 404, refused(&format!("no county {c:?}")));
+        }
+        self.respond(conn, 200, admin::encode(&Counts { revision, lines }), None);
+    }
+
+    fn audit_asked(&mut self, conn: u64, id: &str) {
+        let Some(part) = &mut self.part else { return };
+        match part.audit(id) {
+            Ok(Some(told)) => self.respond(conn, 200, admin::encode(&told), None),
+            Ok(None) => self.deny_admin(conn, 409, refused("another audit is under way")),
+            Err(why) => self.deny_admin(conn, 503, refused(held(why))),
+        }
+    }
+}
+
+fn held(why: Held) -> &'static str {
+    match why {
+        Held::Unread(Unread::NotYet) => "counts are held back: their records are being read",
+        Held::Unread(Unread::Bad) => "counts are held back: a record of them can't be understood",
+        Held::Behind => "counts are held back: acceptances were not seen far enough",
+    }
+}
--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -10,6 +10,7 @@
 //! the next.
 
 use crate::commit::{Draft, Op};
+use crate::counties::County;
 use crate::part::{Load, Part};
 use crate::quotas::Quota;
 use crate::{Dest, Node, Pending};
@@ -29,9 +30,10 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum KindId {
     Quota,
+    Counties,
 }
 
-pub(crate) const ALL: [KindId; 1] = [KindId::Quota];
+pub(crate) const ALL: [KindId; 2] = [KindId::Quota, KindId::Counties];
 
 /// Does something for a kind that is known by its id alone.
 macro_rules! for_kind {
@@ -41,6 +43,10 @@
                 type $K = $crate::quotas::Quota;
                 $what
             }
+            $crate::documents::KindId::Counties => {
+                type $K = $crate::counties::County;
+                $what
+            }
         }
     };
 }
@@ -49,6 +55,7 @@
 #[derive(Default)]
 pub(crate) struct Documents {
     pub quota: Doc<Quota>,
+    pub counties: Doc<County>,
 }
 
 /// A kind of document, as controllers act on it.
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -1,6 +1,7 @@
 //! Requests of users and peers. Any controller serves them: accepts go straight to the state service, states
 //! come from the owner while it is sure of its lease, or else from a fresh read, and ends from any copy.
 
+use crate::counties::Denied;
 use crate::election::PART;
 use crate::{Asker, Dest, Node, Pending, Role};
 use wire::api::{BODY_LIMIT, Conflict, ErrorBody, Guard, Item, JobSpec, JobState, Kind, Stage, Txn, Write};
@@ -17,6 +18,8 @@
     Known,
     /// A submission that can never run, unless it was accepted before.
     Impossible,
+    /// One that is bound to no county, unless it was accepted before.
+    Unbound(Denied),
     /// A cancel of a job that the owner does not know.
     Cancel,
 }
@@ -134,7 +137,10 @@
     fn accept(&mut self, asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32) {
         // The acceptance counts from the first try.
         let wall = self.now.wall - (self.now.mono - at);
-        let rec = self.bound((*spec).clone(), wall);
+        let rec = match self.bound((*spec).clone(), wall) {
+            Ok(rec) => rec,
+            Err(why) => return self.read_job(asker, spec.id, Why::Unbound(why)),
+        };
         let Some(mut guards) = self.head_guards() else {
             return self.accept_later(asker, spec, at, tries);
         };
@@ -142,14 +148,16 @@
             Guard { key: records::live_key(&spec.id), version: 0 },
             Guard { key: records::end_key(&spec.id), version: 0 },
         ]);
-        let txn = Txn { guards, writes: vec![Write::put(records::live_key(&spec.id), Record::Job(Box::new(rec)))] };
+        let txn =
+            Txn { guards, writes: vec![Write::put(records::live_key(&spec.id), Record::Job(Box::new(rec)))] };
         let what = Pending::Accept { asker, spec, at, tries };
         self.send(Dest::State, "POST", "/txn".into(), wire::encode(&txn), ACCEPT_TIMEOUT_MS, what);
     }
 
     /// The record of a job accepted now, with all that is agreed for it from then on.
-    fn bound(&self, spec: JobSpec, wall: u64) -> JobRec {
-        JobRec::new(spec, wall, PART)
+    fn bound(&self, spec: JobSpec, wall: u64) -> Result<JobRec, Denied> {
+        let county = self.county_for(&spec)?;
+        Ok(JobRec { county, ..JobRec::new(spec, wall, PART) })
     }
 
     /// Once more in a moment, if there is time for it.
@@ -335,6 +343,7 @@
         }
         match why {
             Why::Impossible => self.deny(asker, 422, "can never run"),
+            Why::Unbound(denied) => self.deny(asker, 422, denied.why()),
             // Its record was in the way a moment ago; the user's retry will find out.
             Why::Known => self.deny(asker, 503, "undecided"),
             Why::Query | Why::Cancel => self.deny(asker, 404, "no such job"),
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -5,6 +5,7 @@
 mod audit;
 mod budget;
 mod commit;
+mod counties;
 mod documents;
 mod door;
 mod election;
@@ -294,6 +295,12 @@
         self
     }
 
+    /// The same with counties to begin with.
+    pub fn with_first_counties(mut self, spec: Option<county::Spec>) -> Self {
+        self.shared.documents.counties.first = spec;
+        self
+    }
+
     /// The same with another door beside it, whose job ids users can't take.
     pub fn with_door_beside(self) -> Self {
         Node { beside: true, ..self }
--- a/crates/control/src/tally.rs
+++ b/crates/control/src/tally.rs
@@ -227,7 +227,9 @@
     /// what ends meanwhile stays in the log.
     pub(crate) fn tally_tick(&mut self) {
         let now = self.now.mono;
+        let known = self.shared.documents.counties.head.version > 0;
         let Some(part) = &mut self.part else { return };
+        part.tally.in_use |= known;
         if !part.tally.wants_reading(now) {
             return;
         }
--- a/crates/county/src/bind.rs
+++ b/crates/county/src/bind.rs
@@ -1,8 +1,8 @@
 //! Checked counties, and which of them a job belongs to.
 
-use crate::fault::{Fault, Faults, Place};
 use crate::spec::{Apart, CountySpec, Others, Rule, Spec, fits};
 use crate::{MAX_COUNTIES, MAX_ID, MAX_NAME, MAX_NAMES, MAX_RULES, MAX_ZONES, OTHER};
+use document::{Fault, Faults, Place};
 use std::collections::{BTreeSet, HashMap};
 
 /// What counties have to fit.
@@ -92,7 +92,7 @@
         let mut out =
             Counties { spec: spec.clone(), rules: Vec::new(), by_name: HashMap::new(), rest: Vec::new() };
         out.index();
-        faults.into_result(out)
+        faults.or(out)
     }
 
     pub fn spec(&self) -> &Spec {
@@ -103,10 +103,10 @@
         self.spec.counties.iter().find(|c| c.id == id)
     }
 
-    /// Whether some rule asks for nodes of the quota tree.
-    pub fn asks_desks(&self) -> bool {
-        self.by_name.keys().any(|(field, _)| *field == Field::Desk)
-            || self.rules.iter().any(|(c, r)| !self.spec.counties[*c].rules[*r].desks.is_empty())
+    /// All nodes of the quota tree that rules ask for, with county and rule.
+    pub fn desks(&self) -> impl Iterator<Item = (&str, usize, &String)> {
+        let rules = self.spec.counties.iter().flat_map(|c| c.rules.iter().enumerate().map(move |r| (c, r)));
+        rules.flat_map(|(c, (r, rule))| rule.desks.iter().map(move |d| (c.id.as_str(), r, d)))
     }
 
     /// The county of the first rule that fits.
@@ -271,9 +271,9 @@
 }
 
 impl Spec {
-    /// Without the names that have left the settings or the quota tree. A rule that named nothing else goes with them,
+    /// Without the names that have left what is known. A rule that named nothing else goes with them,
     /// since without its list it would fit more than before.
-    pub fn fitting(&self, known: &Known) -> Spec {
+    pub(crate) fn without_the_left(&self, known: &Known) -> Spec {
         let mut out = self.clone();
         for c in &mut out.counties {
             c.rules.retain_mut(|rule| {
--- a/crates/county/src/lib.rs
+++ b/crates/county/src/lib.rs
@@ -9,13 +9,13 @@
 //! This package may not do I/O, read a clock or draw random numbers. It knows nothing of controllers or machines.
 
 mod bind;
-mod fault;
+mod content;
 pub mod file;
 mod spec;
 mod tally;
 
 pub use bind::{Bound, Counties, Job, Known, Unbound};
-pub use fault::{Fault, Faults, Place};
+pub use content::Part;
 pub use spec::{Apart, CountySpec, Others, Rule, Spec, differences, lost};
 pub use tally::{Cell, Count, Delta, Fold, Sheet, Tally, Unread};
 
--- a/crates/county/src/spec.rs
+++ b/crates/county/src/spec.rs
@@ -1,6 +1,6 @@
 //! What people and records say of counties, before it is checked, and how one document follows another.
 
-use crate::fault::{Fault, Place};
+use document::Fault;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -175,15 +175,15 @@
 /// Bindings to what the new document no longer has. A county goes only once it was closed in the document before, so
 /// that nothing was bound to it since, and once no job is bound to it any more.
 pub fn lost(old: &Spec, new: &Spec, live: &BTreeMap<String, u64>) -> Vec<Fault> {
-    let gone = old.counties.iter().enumerate().filter(|(_, c)| new.counties.iter().all(|n| n.id != c.id));
-    let fault = |(i, c): (usize, &CountySpec)| {
+    let gone = old.counties.iter().filter(|c| new.counties.iter().all(|n| n.id != c.id));
+    let fault = |c: &CountySpec| {
         let what = match live.get(&c.id).copied().unwrap_or(0) {
             0 if c.closed => return None,
-            0 => "is open in the version in force: close it first, so that nothing is bound to it meanwhile"
-                .into(),
+            0 => "is open in the version in force: close it first, so that nothing is bound meanwhile"
+                .to_owned(),
             n => format!("{n} jobs are bound to it: keep it closed until they have ended"),
         };
-        Some(Fault { place: Place::entry("county", i), path: format!("county {:?}", c.id), line: None, what })
+        Some(Fault::whole(&format!("county {:?}", c.id), what))
     };
     gone.filter_map(fault).collect()
 }
--- a/crates/county/tests/rules.rs
+++ b/crates/county/tests/rules.rs
@@ -1,6 +1,7 @@
 //! Which county a job belongs to, and which documents are refused.
 
-use county::{Counties, Fault, Job, Known, Unbound, differences, file, lost};
+use county::{Counties, Job, Known, Unbound, differences, file, lost};
+use document::{Content, Fault};
 use std::collections::BTreeMap;
 
 const FILE: &str = r#"
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod config;
+mod counties;
 mod documents;
 mod quota;
 mod service;
@@ -24,6 +25,9 @@
     /// A quota tree to begin with (TOML); used only if the deployment has never had one.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_QUOTA")]
     quota: Option<PathBuf>,
+    /// Counties to begin with (TOML); used only if the deployment has never had any.
+    #[arg(long, value_name = "FILE", env = "STOATHATCH_COUNTIES")]
+    counties: Option<PathBuf>,
     /// Serve YARN's clients too, as this file says (INI); without it nothing listens for them.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_YARN")]
     yarn: Option<PathBuf>,
@@ -39,6 +43,8 @@
 enum Command {
     /// Quotas of members, desks and teams.
     Quota(quota::Command),
+    /// Counties, and their counts.
+    Counties(counties::Command),
     /// Applications of YARN's clients, their queues, and drains.
     Yarn(tools::Command),
 }
@@ -47,6 +53,7 @@
     let args = Args::parse();
     match &args.command {
         Some(Command::Quota(command)) => return quota::run(command),
+        Some(Command::Counties(command)) => return counties::run(command),
         Some(Command::Yarn(command)) => return tools::run(command),
         None => {}
     }
@@ -84,6 +91,10 @@
         Some(path) => Some(documents::first::<quota::Quota>(path, &settings)?),
         None => None,
     };
+    let counties = match &args.counties {
+        Some(path) => Some(documents::first::<counties::Partition>(path, &settings)?),
+        None => None,
+    };
     let yarn = args.yarn.as_deref().map(config::yarn).transpose()?;
     if args.check {
         for (section, key, value, meaning) in tuning.list() {
@@ -91,5 +102,5 @@
         }
         return Ok(());
     }
-    service::Service::new(settings, tuning, tree, yarn)?.run()
+    service::Service::new(settings, tuning, tree, counties, yarn)?.run()
 }
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -43,6 +43,7 @@
         settings: Settings,
         tuning: Tuning,
         tree: Option<quota::Spec>,
+        counties: Option<county::Spec>,
         yarn: Option<gateway::Config>,
     ) -> Result<Self, String> {
         let mut net = Net::new(settings.limits().max_sockets).map_err(|e| format!("event loop: {e}"))?;
@@ -66,7 +67,8 @@
         log::info!("{} listens on {}", settings.node, settings.listen);
         // The seed only spreads retries; two nodes must not share it.
         let seed = fastrand::u64(..);
-        let node = Node::new(settings, tuning, seed, now(start)).with_first_tree(tree);
+        let node =
+            Node::new(settings, tuning, seed, now(start)).with_first_tree(tree).with_first_counties(counties);
         let node = Served::new(node, yarn.map(|c| Ok::<_, String>(Gateway::new(c, secret()?))).transpose()?);
         Ok(Service {
             net,
