A node that has not read the documents' heads accepts nothing by itself; damaged counts are found out

A controller that had just come back knew the machine types from the cloud and accepted jobs before it had read whether there are documents: with counties in force such a job was bound to none. It hands them to a peer now.

--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -612,8 +612,12 @@
 /// What binds a job at its acceptance.
 impl Node {
     /// Guards by which an accept fails where another version is in force than the one that it was bound by. Nothing
-    /// without such documents. `None` while a version that was seen has not been read.
+    /// without such documents. `None` while the heads, or a version that was seen, have not been read.
     pub(crate) fn head_guards(&self) -> Option<Vec<Guard>> {
+        // A node that has just begun may know the machine types and not yet whether there are documents.
+        if self.shared.revision == 0 {
+            return None;
+        }
         let mut out = Vec::new();
         for kind in ALL {
             let (binds, stamp, current) = for_kind!(kind, K => {
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -142,7 +142,11 @@
             Err(why) => return self.read_job(asker, spec.id, Why::Unbound(why)),
         };
         let Some(mut guards) = self.head_guards() else {
-            return self.accept_later(asker, spec, at, tries);
+            // A peer has read what this node has not yet.
+            return match asker {
+                Asker::User(conn) if self.shared.revision == 0 => self.forward(conn, Ask::Submit { spec }),
+                _ => self.accept_later(asker, spec, at, tries),
+            };
         };
         guards.extend([
             Guard { key: records::live_key(&spec.id), version: 0 },
--- a/crates/standins/tests/counties.rs
+++ b/crates/standins/tests/counties.rs
@@ -205,3 +205,41 @@
     assert!(world.rules.jobs["job-000003"].accepted.is_none());
     assert_eq!(world.counties.sums().len(), 2);
 }
+
+/// A sheet that can't be understood holds counts back until it can be; one that says something else is found out.
+#[test]
+fn damage_is_held_back_or_named() {
+    let mut world = World::new(plan(3, 3, scene(3, 4, 20, 30_000), 0, true));
+    audited(&mut world, "before");
+    let key = "part/0/tally/0";
+    let good = world.state.keys[key].value.clone();
+    world.counties.damaged = true;
+    let mut damage = |world: &mut World, value: &Value| {
+        let rec = wire::records::Record::Other(value.clone());
+        world.write(wire::api::Write::put(key.into(), rec));
+        world.crash_all();
+        world.run_for(20_000);
+    };
+    let ask = |world: &mut World, id: &str| {
+        world.answers.clear();
+        world.inquire(PATH.into(), json!({"tally": {"county": null}}));
+        world.inquire(PATH.into(), json!({"audit": {"id": id}}));
+        world.run_for(8000);
+        world.inquire(PATH.into(), json!({"audit": {"id": id}}));
+        world.run_for(8000);
+    };
+    let mut more = good.clone();
+    more["cells"][0]["done"] = json!(more["cells"][0]["done"].as_u64().unwrap_or(0) + 1);
+    damage(&mut world, &more);
+    ask(&mut world, "more");
+    let told =
+        answers(&world, "audit").pop().map(|(_, v)| v["done"]["differences"].clone()).unwrap_or_default();
+    assert!(told[0].as_str().is_some_and(|d| d.contains("done jobs counted")), "{told}");
+    damage(&mut world, &json!({"cells": 5}));
+    ask(&mut world, "junk");
+    assert!(answers(&world, "tally").is_empty() && answers(&world, "audit").is_empty());
+    world.write(wire::api::Write::put(key.into(), wire::records::Record::Other(good)));
+    world.run_for(40_000);
+    assert_eq!(answers(&world, "tally").len(), 1);
+    whole(&world, "mended");
+}
