--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -10,6 +10,7 @@
 //! the next.
 
 use crate::commit::{Draft, Op};
+use crate::counties::County;
 use crate::hours::Hours;
 use crate::part::{Load, Part};
 use crate::quotas::Quota;
@@ -33,9 +34,10 @@
 pub(crate) enum KindId {
     Quota,
     Hours,
+    Counties,
 }
 
-pub(crate) const ALL: [KindId; 2] = [KindId::Quota, KindId::Hours];
+pub(crate) const ALL: [KindId; 3] = [KindId::Quota, KindId::Hours, KindId::Counties];
 
 /// Does something for a kind that is known by its id alone.
 macro_rules! for_kind {
@@ -49,6 +51,10 @@
                 type $K = $crate::hours::Hours;
                 $what
             }
+            $crate::documents::KindId::Counties => {
+                type $K = $crate::counties::County;
+                $what
+            }
         }
     };
 }
@@ -58,6 +64,7 @@
 pub(crate) struct Documents {
     pub quota: Doc<Quota>,
     pub hours: Doc<Hours>,
+    pub counties: Doc<County>,
 }
 
 /// A kind of document, as controllers act on it.
@@ -618,9 +625,13 @@
 /// What binds a job at its acceptance.
 impl Node {
     /// Guards by which an accept fails where another version is in force than the one that it was bound by. Nothing
-    /// without such documents, unless this node has not heard for a while whether there are any. `None` while a version
-    /// that was seen has not been read.
+    /// without such documents, unless this node has not heard for a while whether there are any. `None` while the heads, or
+    /// a version that was seen, have not been read.
     pub(crate) fn head_guards(&self) -> Option<Vec<Guard>> {
+        // A node that has just begun may know the machine types and not yet whether there are documents.
+        if self.shared.revision == 0 {
+            return None;
+        }
         let mut out = Vec::new();
         let stale = self.now.mono >= self.shared.heard_at + STALE_MS;
         for kind in ALL {
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -1,6 +1,7 @@
 //! Requests of users and peers. Any controller serves them: accepts go straight to the state service, and questions
 //! about jobs to [`crate::lookup`].
 
+use crate::counties::Denied;
 use crate::election::PART;
 use crate::lookup::{Question, Why};
 use crate::{Asker, Dest, Node, Pending, Role};
@@ -75,10 +76,8 @@
         if let Err(field) = spec.check() {
             return self.deny(asker, 400, &format!("invalid: {field}"));
         }
-        let rec = self.bound(spec.clone(), self.now.wall);
-        let limit = (self.settings.cluster.state.value_kb * 1024.0).min(BODY_LIMIT as f64);
-        // Counted in another form by the service, which takes somewhat more.
-        if wire::encode(&rec).len() as f64 * 1.3 > limit {
+        // As it is without what is bound to it: a repeat must not be refused for a later document.
+        if !self.is_storable(&JobRec::new(spec.clone(), self.now.wall, PART)) {
             return self.deny(asker, 400, "too large");
         }
         if let Some((stage, done)) = self.finals.get(&spec.id) {
@@ -121,9 +120,24 @@
     fn accept(&mut self, asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32) {
         // The acceptance counts from the first try.
         let wall = self.now.wall - (self.now.mono - at);
-        let rec = self.bound((*spec).clone(), wall);
+        // What can be bound, and to what, is for the versions in force to say.
         let Some(mut guards) = self.head_guards() else {
-            return self.accept_later(asker, spec, at, tries);
+            // A peer has read what this node has not yet.
+            return match asker {
+                Asker::User(conn) if self.shared.revision == 0 => self.hand_submit(conn, spec),
+                _ => self.accept_later(asker, spec, at, tries),
+            };
+        };
+        let rec = match self.bound((*spec).clone(), wall) {
+            Ok(rec) if self.is_storable(&rec) => rec,
+            Ok(_) => {
+                let question = self.question(asker, spec.id, Why::Impossible);
+                return self.read_job(question);
+            }
+            Err(why) => {
+                let question = self.question(asker, spec.id, Why::Unbound(why));
+                return self.read_job(question);
+            }
         };
         guards.extend([
             Guard { key: records::live_key(&spec.id), version: 0 },
@@ -135,9 +149,16 @@
         self.send(Dest::State, "POST", "/txn".into(), wire::encode(&txn), ACCEPT_TIMEOUT_MS, what);
     }
 
+    /// Whether the state service takes the record. It counts in another form, which takes somewhat more.
+    fn is_storable(&self, rec: &JobRec) -> bool {
+        let limit = (self.settings.cluster.state.value_kb * 1024.0).min(BODY_LIMIT as f64);
+        wire::encode(rec).len() as f64 * 1.3 <= limit
+    }
+
     /// The record of a job accepted now, with all that is agreed for it from then on.
-    fn bound(&self, spec: JobSpec, wall: u64) -> JobRec {
-        JobRec { hour: self.hour_for(&spec, wall), ..JobRec::new(spec, wall, PART) }
+    fn bound(&self, spec: JobSpec, wall: u64) -> Result<JobRec, Denied> {
+        let (hour, county) = (self.hour_for(&spec, wall), self.county_for(&spec)?);
+        Ok(JobRec { hour, county, ..JobRec::new(spec, wall, PART) })
     }
 
     /// Once more in a moment, if there is time for it.
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -96,6 +96,8 @@
     pub need: Need,
     /// Bound when it was accepted, or as its claims say.
     pub county: Option<CountyRec>,
+    /// The same for the planner.
+    pub tenant: plan::Tenant,
     pub at_ms: u64,
     pub version: u64,
     pub tasks: u32,
@@ -152,6 +154,7 @@
             team: team.to_owned(),
             need,
             county: None,
+            tenant: plan::Tenant::default(),
             at_ms: 0,
             version: 0,
             tasks: 0,
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -2,8 +2,10 @@
 //! the service live here, so that tests can play any order of failures in virtual time.
 
 mod admin;
+mod audit;
 mod budget;
 mod commit;
+mod counties;
 mod documents;
 mod door;
 mod election;
@@ -24,6 +26,7 @@
 mod sched;
 pub mod side;
 mod standing;
+mod tally;
 mod tuning;
 mod views;
 
@@ -132,6 +135,8 @@
     Hand { conn: u64, ask: Box<wire::peer::Ask>, until: u64, peer: usize, sent: u64 },
     Admin { conn: u64 },
     Side { tag: u64 },
+    Sheets { epoch: u64 },
+    Audit { epoch: u64, under: audit::Under },
     Parts { epoch: u64, kind: documents::KindId },
     Catalog,
     List { epoch: u64 },
@@ -152,6 +157,8 @@
                 | Renew { .. }
                 | Take { .. }
                 | Load { .. }
+                | Sheets { .. }
+                | Audit { .. }
                 | Parts { .. }
                 | Commit { .. }
                 | Verify { .. }
@@ -312,6 +319,12 @@
         self
     }
 
+    /// The same with counties to begin with.
+    pub fn with_first_counties(mut self, spec: Option<county::Spec>) -> Self {
+        self.shared.documents.counties.first = spec;
+        self
+    }
+
     /// The same with another door beside it, whose job ids users can't take.
     pub fn with_door_beside(self) -> Self {
         Node { beside: true, ..self }
@@ -357,6 +370,8 @@
             self.machines_tick();
             self.sched_tick();
             self.hours_tick();
+            self.tally_tick();
+            self.audit_tick();
         }
     }
 
@@ -470,6 +485,8 @@
             Pending::Catalog => self.catalog_came(response),
             // What belongs to an earlier term of ownership no longer concerns us.
             Pending::Load { epoch: e, what } if e == epoch => self.load_came(what, response),
+            Pending::Audit { epoch: e, under } if e == epoch => self.audit_came(under, response),
+            Pending::Sheets { epoch: e } if e == epoch => self.sheets_came(response),
             Pending::Parts { epoch: e, kind } if e == epoch => {
                 for_kind!(kind, K => self.parts_came::<K>(response))
             }
--- a/crates/control/src/lookup.rs
+++ b/crates/control/src/lookup.rs
@@ -1,6 +1,7 @@
 //! Questions about jobs. They are answered from known ends, by the owner while it is sure of its lease, or from a
 //! fresh read of the state service, by this node or by a peer that is served; each step takes what time is left.
 
+use crate::counties::Denied;
 use crate::door::peer_answer;
 use crate::{Asker, Dest, Node, Pending};
 use wire::api::{Item, JobState, Stage};
@@ -17,6 +18,8 @@
     Known,
     /// A submission that can never run, unless it was accepted before.
     Impossible,
+    /// One that is bound to no county, unless it was accepted before.
+    Unbound(Denied),
     /// A cancel of a job that the owner does not know.
     Cancel,
 }
@@ -157,6 +160,7 @@
         }
         match q.why {
             Why::Impossible => self.deny(q.asker, 422, "can never run"),
+            Why::Unbound(denied) => self.deny(q.asker, 422, denied.why()),
             // Its record was in the way a moment ago; the user's retry will find out.
             Why::Known => self.deny(q.asker, 503, "undecided"),
             Why::Query | Why::Cancel => self.deny(q.asker, 404, "no such job"),
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -81,6 +81,8 @@
         held: 0,
         zones: Vec::new(),
         avoid: Vec::new(),
+        tenant: plan::Tenant::default(),
+        only: Vec::new(),
     }
 }
 
@@ -374,6 +376,7 @@
                     held,
                     spared,
                     gang: (job.kind() == Kind::Gang).then_some(c.job as u32),
+                    tenant: job.tenant,
                 });
                 claims.push(k);
             }
@@ -421,6 +424,8 @@
                 zones: by_zone,
                 waits: job.waits(),
                 avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
+                tenant: job.tenant,
+                only: crate::tally::zones(job, &zones),
                 ..shaped(spec, &mut part.images, &names, *team)
             };
             let claimed = staying.get(&ix).copied().unwrap_or(0);
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -2,6 +2,7 @@
 //! No I/O, clock or randomness. The design and its sources are in `docs/design.md`.
 
 mod aged;
+mod apart;
 mod hire;
 mod place;
 mod recall;
@@ -11,6 +12,7 @@
 mod timeline;
 
 pub use aged::{Waits, first_share};
+pub use apart::Tenant;
 pub use hire::{HireInput, MachineOffer, Wish, wishes};
 pub use place::plan;
 pub use stretch::{Sized, smallest_stretch};
@@ -77,6 +79,8 @@
     pub spared: bool,
     /// The gang that it belongs to, all of which stops with it.
     pub gang: Option<u32>,
+    /// Whose work it is.
+    pub tenant: Tenant,
 }
 
 #[derive(Debug, Clone)]
@@ -149,6 +153,9 @@
     pub zones: Vec<(u16, u32)>,
     /// Machines that it should keep away from.
     pub avoid: Vec<u32>,
+    /// Whose work it is, and the only zones for it; none for all.
+    pub tenant: Tenant,
+    pub only: Vec<u16>,
 }
 
 /// Teams that share a bound: a node of the quota tree. All claims below it count.
--- a/crates/plan/tests/floods.rs
+++ b/crates/plan/tests/floods.rs
@@ -38,6 +38,8 @@
         held: 0,
         zones: vec![],
         avoid: vec![],
+        tenant: Default::default(),
+        only: vec![],
     }
 }
 
@@ -126,6 +128,7 @@
                 held: 0,
                 spared,
                 gang: (!array).then_some(p.job as u32),
+                tenant: Default::default(),
             });
         }
         let mut map = Vec::new();
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod balancer;
 pub mod checks;
 pub mod cloud;
+pub mod counties;
 pub mod days;
 pub mod hours;
 pub mod links;
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -211,6 +211,8 @@
     pub answers: Vec<(Value, u16, Value)>,
     /// Release hours as the state service's history has them.
     pub hours: crate::hours::Watcher,
+    /// Counts by county as the state service's history has them, once some job has a county.
+    pub counties: crate::counties::Watcher,
     /// Run time that was lost with attempts that were stopped, in milliseconds.
     pub lost_ms: u64,
     /// What tasks have saved when they were stopped, in scenes: so much less is left of them.
@@ -334,6 +336,7 @@
             changes: BTreeMap::new(),
             answers: Vec::new(),
             hours: Default::default(),
+            counties: Default::default(),
             lost_ms: 0,
             saved: BTreeMap::new(),
             began: BTreeMap::new(),
@@ -973,6 +976,7 @@
                             self.claims_with_bounds(&c.body);
                             self.follow_tree();
                             self.hours.follow(&self.state, &mut self.rules, self.now);
+                            self.counties.follow(&self.state, &mut self.rules, self.now);
                         }
                         let stranger = self.plan.sabotage == Sabotage::StrangersKnown;
                         if stranger && status == 404 && c.path.starts_with("/keys/live/") {
@@ -1301,6 +1305,7 @@
             let new =
                 OnMachine { task: &task, machine: name, zone: &zone, machine_type: &machine_type, spot };
             self.rules.started(now, &new, &others);
+            self.rules.apart(now, &new, &others, &self.counties);
         }
         if let Some((node, report)) = send {
             let request = Request {
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -2,6 +2,7 @@
 
 mod ask;
 mod config;
+mod counties;
 mod documents;
 mod hours;
 mod quota;
@@ -28,6 +29,9 @@
     /// A calendar of release hours to begin with (TOML); used only if the deployment has never had one.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_HOURS")]
     hours: Option<PathBuf>,
+    /// Counties to begin with (TOML); used only if the deployment has never had any.
+    #[arg(long, value_name = "FILE", env = "STOATHATCH_COUNTIES")]
+    counties: Option<PathBuf>,
     /// Serve YARN's clients too, as this file says (INI); without it nothing listens for them.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_YARN")]
     yarn: Option<PathBuf>,
@@ -45,6 +49,8 @@
     Quota(quota::Command),
     /// Release hours of studios' jobs.
     Hours(hours::Command),
+    /// Counties, and their counts.
+    Counties(counties::Command),
     /// Applications of YARN's clients, their queues, and drains.
     Yarn(tools::Command),
 }
@@ -54,6 +60,7 @@
     match &args.command {
         Some(Command::Quota(command)) => return quota::run(command),
         Some(Command::Hours(command)) => return hours::run(command),
+        Some(Command::Counties(command)) => return counties::run(command),
         Some(Command::Yarn(command)) => return tools::run(command),
         None => {}
     }
@@ -90,6 +97,7 @@
     let first = service::First {
         tree: first::<quota::Quota>(args.quota.as_ref(), &settings)?,
         hours: first::<hours::Hours>(args.hours.as_ref(), &settings)?,
+        counties: first::<counties::Partition>(args.counties.as_ref(), &settings)?,
     };
     let yarn = args.yarn.as_deref().map(config::yarn).transpose()?;
     if args.check {
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -17,6 +17,7 @@
 pub struct First {
     pub tree: Option<quota::Spec>,
     pub hours: Option<hours::Spec>,
+    pub counties: Option<county::Spec>,
 }
 
 pub struct Service {
@@ -74,7 +75,8 @@
         let seed = fastrand::u64(..);
         let node = Node::new(settings, tuning, seed, now(start))
             .with_first_tree(first.tree)
-            .with_first_hours(first.hours);
+            .with_first_hours(first.hours)
+            .with_first_counties(first.counties);
         let node = Served::new(node, yarn.map(|c| Ok::<_, String>(Gateway::new(c, secret()?))).transpose()?);
         Ok(Service {
             net,
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -12,6 +12,7 @@
 pub const TOKEN: &str = "sys/token";
 pub const CATALOG: &str = "sys/catalog";
 pub const LIVE: &str = "live/";
+pub const ENDED: &str = "end/";
 /// [`head_key`] and [`parts_prefix`] of the quota tree.
 pub const QUOTA: &str = "sys/quota";
 pub const QUOTA_PARTS: &str = "quota/part/";
@@ -50,6 +51,13 @@
 pub fn allot_key(part: Part) -> String {
     format!("part/{part}/allot")
 }
+/// Sheets of counts by county.
+pub fn tally_key(part: Part, number: u32) -> String {
+    format!("{}{number}", tally_prefix(part))
+}
+pub fn tally_prefix(part: Part) -> String {
+    format!("part/{part}/tally/")
+}
 pub fn hires_prefix(part: Part) -> String {
     format!("part/{part}/hire/")
 }
@@ -93,6 +101,9 @@
 fn is_zero(v: &u64) -> bool {
     *v == 0
 }
+fn is_false(v: &bool) -> bool {
+    !*v
+}
 
 /// A limit of 0 means none, as in the settings.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -156,6 +167,12 @@
     pub county: String,
     /// The version that bound it.
     pub version: u64,
+    /// It shares no machine with other work at the same time.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub alone: bool,
+    /// The only zones that it may run in; none for all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub zones: Vec<String>,
 }
 
 /// The final state of a job. Kept for ever.
@@ -166,6 +183,9 @@
     /// By when it was to end, and when it did.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub hour: Option<EndHourRec>,
+    /// Where it was counted, so that counts can be made again from the records.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub county: Option<CountedRec>,
 }
 
 /// What became of a job's hour: times of day, in milliseconds.
@@ -175,6 +195,13 @@
     pub ended_ms: u64,
 }
 
+/// The county and the class that an ended job is counted in.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct CountedRec {
+    pub county: String,
+    pub class: String,
+}
+
 /// Machines that may exist: one leaves its rack only when the cloud has said that it is gone. What a log record
 /// says of a machine that stands in no rack is void.
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
@@ -199,6 +226,9 @@
     pub claims: Vec<ClaimsRec>,
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub done: Vec<DoneRec>,
+    /// What ended in the same transaction, by county and class. The record stays until that is in their sheets.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<county::Delta>,
 }
 
 /// Claims on tasks of one job by one attempt. What a task takes stands here too, so that it counts against the
@@ -213,6 +243,12 @@
     pub attempt: u64,
     /// Machine, first task, and how many tasks from there on.
     pub on: Vec<(String, u32, u32)>,
+    /// Whose work it is, and whether it shares no machine: this holds until the tasks are gone, also when the job
+    /// itself has ended.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub county: Option<String>,
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub alone: bool,
 }
 
 /// Completed tasks of a job that has not ended: the first, and how many from there on.
@@ -231,6 +267,10 @@
         // JSON escapes at most six bytes for one; our own names are plain, teams are not ours.
         job.len() + team.len() * 6 + 4 * NUMBER + 80
     }
+    /// The same for the county.
+    pub fn county(county: &str) -> usize {
+        county.len() + 32
+    }
     /// The same for one entry.
     pub fn entry(machine: &str) -> usize {
         machine.len() + 2 * 11 + 6
@@ -297,6 +337,7 @@
     Log(LogRec),
     Rack(RackRec),
     Hire(HireRec),
+    Tally(county::Sheet),
     Catalog(Catalog),
     Allot(AllotRec),
     Quota(crate::tree::HeadRec),
