--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -50,8 +50,8 @@
     /// Unused since, and kept unused for so long: of those to others.
     pub since: Instant,
     pub keep: Duration,
-    /// See [`crate::Net::regular`].
-    pub regular: bool,
+    /// See [`crate::Net::regular`]: how long it may be silent.
+    pub regular: Option<Duration>,
     pub generation: u32,
 }
 
@@ -69,7 +69,7 @@
             deadline,
             since: deadline,
             keep: Duration::ZERO,
-            regular: false,
+            regular: None,
             generation: 0,
         }
     }
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -263,10 +263,11 @@
     }
 
     /// Whoever asks on this connection comes back at his own pace for ever. Where such clients fill their share, the
-    /// answer ends the connection, so that they are served all the same and leave room for others in between.
-    pub fn regular(&mut self, id: ConnId) {
+    /// answer ends the connection, so that they are served all the same and leave room for others in between. One that
+    /// has been silent for much longer than its pace has gone, and has come again on another connection.
+    pub fn regular(&mut self, id: ConnId, silent: Duration) {
         let Some(Some(conn)) = self.conns.get_mut(id.slot) else { return };
-        if conn.generation == id.generation && !std::mem::replace(&mut conn.regular, true) {
+        if conn.generation == id.generation && conn.regular.replace(silent.min(IDLE)).is_none() {
             self.regulars += 1;
         }
     }
@@ -295,7 +296,7 @@
         let _ = self.poll.registry().deregister(&mut conn.stream);
         self.free.push(slot);
         self.open -= 1;
-        self.regulars -= usize::from(conn.regular);
+        self.regulars -= usize::from(conn.regular.is_some());
         match conn.side {
             Side::Served(door) => {
                 self.served -= 1;
@@ -356,7 +357,7 @@
         if conn.generation != id.generation || conn.phase != Phase::Working {
             return;
         }
-        let crowded = conn.regular && self.regulars > self.shares.regulars;
+        let crowded = conn.regular.is_some() && self.regulars > self.shares.regulars;
         conn.close_after |= response.close || crowded;
         response.close = conn.close_after;
         http::write_response(&mut conn.wbuf, &response);
@@ -440,7 +441,7 @@
                     self.close(slot);
                 } else {
                     conn.phase = Phase::Idle;
-                    conn.deadline = now + IDLE;
+                    conn.deadline = now + conn.regular.unwrap_or(IDLE);
                     if !conn.rbuf.is_empty() {
                         self.parse(slot, false, now);
                     }
--- a/crates/net/tests/shares.rs
+++ b/crates/net/tests/shares.rs
@@ -61,8 +61,10 @@
                 }
                 Event::Unsent { tag } => ends.push((tag, false)),
                 Event::Request { conn, request, .. } => {
-                    if request.path == "/regular" {
-                        net.regular(conn);
+                    match request.path.as_str() {
+                        "/regular" => net.regular(conn, Duration::from_secs(60)),
+                        "/gone" => net.regular(conn, Duration::from_secs(1)),
+                        _ => {}
                     }
                     let body = Vec::new();
                     net.respond(conn, Response { status: 200, body, close: false, retry_after_s: None });
@@ -148,3 +150,21 @@
         assert_eq!(kept.kind(), ErrorKind::WouldBlock);
     }
 }
+
+/// A regular that has gone without a word leaves its place much sooner than a user.
+#[test]
+fn a_regular_that_says_nothing_any_more_is_let_go() {
+    let mut net = Net::new(32).expect("an event loop");
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let addr = net.listen(any, Door::Clients).expect("listening");
+    let mut clients = ["/gone", "/user"].map(|path| {
+        let mut client = TcpStream::connect(addr).expect("connected");
+        client.set_nonblocking(true).expect("nonblocking");
+        client.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).expect("written");
+        client
+    });
+    until(&mut net, &mut [], |_, _| matches!(clients[0].read(&mut [0; 256]), Ok(0)));
+    while clients[1].read(&mut [0; 256]).is_ok_and(|n| n > 0) {}
+    let kept = clients[1].read(&mut [0; 256]).expect_err("still open");
+    assert_eq!(kept.kind(), ErrorKind::WouldBlock);
+}
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -17,6 +17,8 @@
     net: Net,
     node: Served,
     start: Instant,
+    /// A worker's connection that says nothing for so long is over.
+    silent: Duration,
     state: SocketAddr,
     cloud: SocketAddr,
     peers: Vec<SocketAddr>,
@@ -60,6 +62,7 @@
             log::info!("YARN's clients are served on {} (RPC) and {} (REST)", yarn.rpc, yarn.web);
         }
         let start = Instant::now();
+        let silent = Duration::from_secs_f64((settings.cluster.workers.report_s * 3.0).clamp(1.0, 600.0));
         let state = addr("endpoints.state", &settings.endpoints.state)?;
         let cloud = addr("endpoints.cloud", &settings.endpoints.cloud)?;
         let peers = settings.peers.iter().map(|p| addr("peers", &p.addr)).collect::<Result<_, _>>()?;
@@ -72,6 +75,7 @@
             net,
             node,
             start,
+            silent,
             state,
             cloud,
             peers,
@@ -98,7 +102,7 @@
                         self.next_conn += 1;
                         self.conns.insert(id, conn);
                         if door == Door::Clients && request.path == "/hello" {
-                            self.net.regular(conn);
+                            self.net.regular(conn, self.silent);
                         }
                         self.feed(match door {
                             Door::Clients => Event::Client { conn: id, request },
