--- a/crates/standins/src/cloud.rs
+++ b/crates/standins/src/cloud.rs
@@ -136,3 +136,11 @@
     let n: u64 = name.trim_start_matches("host-").parse().unwrap_or(0);
     format!("10.1.{}.{}:9000", n / 250, n % 250 + 1)
 }
+
+/// The machine at an address.
+pub fn name_at(addr: std::net::SocketAddr) -> Option<String> {
+    let std::net::IpAddr::V4(ip) = addr.ip() else { return None };
+    let [_, _, c, d] = ip.octets();
+    let n = (u32::from(c) * 250 + u32::from(d)).checked_sub(1)?;
+    Some(format!("host-{n:06}"))
+}
--- a/crates/standins/src/days.rs
+++ b/crates/standins/src/days.rs
@@ -42,6 +42,12 @@
         how: How,
         ms: u64,
     },
+    /// What its present life sends in this time comes up to so much later, whoever is there by then.
+    Late {
+        who: Who,
+        for_ms: u64,
+        ms: u64,
+    },
     Zone {
         zone: &'static str,
         ms: u64,
@@ -74,6 +80,7 @@
             | Trouble::StateOut { ms }
             | Trouble::Refused { ms, .. }
             | Trouble::StateSlow { ms } => *ms,
+            Trouble::Late { for_ms, ms, .. } => for_ms + ms,
             Trouble::Die { .. } => 0,
         }
     }
@@ -90,7 +97,7 @@
 }
 
 /// Troubles begin here, when the fleet is at work.
-const BEGIN: u64 = 60_000;
+pub const BEGIN: u64 = 60_000;
 
 /// How large a day is.
 #[derive(Debug, Clone, Copy)]
@@ -292,6 +299,10 @@
                 d.add(at, Trouble::Cut { who, from, how: How::Hold, ms: 2000 });
                 let within = d.rng.u64(200..1800);
                 d.add(at + within, Trouble::Crash { who, back_ms });
+                // The owner's last messages come after the next life has begun, or another owner.
+                let ms = d.rng.u64(200..12_000);
+                d.add(at + 2500, Trouble::Late { who: Who::Owner, for_ms: 300, ms });
+                d.add(at + 2800, Trouble::Crash { who: Who::Owner, back_ms });
             })
         },
         1,
