--- a/crates/standins/tests/hours.rs
+++ b/crates/standins/tests/hours.rs
@@ -183,7 +183,7 @@
 fn operators_are_told() {
     let mut scene = scene();
     scene.asks.push((1000, PATH.into(), set("first", &calendar(3, 0))));
-    for (i, run_ms) in [(0, 10_000), (1, 400_000), (2, 400_000)] {
+    for (i, run_ms) in [(0, 10_000), (1, 400_000), (2, 200_000)] {
         let team = if i == 2 { "blue" } else { "red" };
         scene.jobs.push(Timed { at: 30_000, run_ms, cancel_ms: None, spec: array(1000 + i, team, 1, 10.0) });
     }
@@ -195,8 +195,12 @@
     ask(&mut scene, 151_000, json!({"reagree": {"studio": "south", "by": "ida", "dry_run": false}}));
     ask(&mut scene, 200_000, json!({"list": {"studio": null}}));
     let mut world = World::new(Plan::of_scene(3, 3, scene, 0, 300_000));
-    world.run_for(260_000);
+    world.run_for(100_000);
+    let token = world.state.keys["sys/token"].value.clone();
+    world.run_for(200_000);
     assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+    assert_eq!(world.hours.kept.get("job-001002"), Some(&true), "ended after its hour was moved");
+    assert_eq!(world.state.keys["sys/token"].value, token, "no transaction failed on a moved job's stamp");
     assert_eq!(answers(&world, "move").iter().map(|(s, _)| *s).collect::<Vec<_>>(), [404, 422]);
     let agreed = answers(&world, "reagree");
     assert_eq!(
