--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -32,6 +32,8 @@
     Part(KindId, String),
     PartOver(KindId, String),
     Head(KindId),
+    /// A moved hour, with the time of the move.
+    Hour(crate::hours::Move, u64),
 }
 
 /// A log record on its way.
@@ -89,6 +91,10 @@
         self.guards.push(Guard { key: key.clone(), version });
         self.writes.push(Write::put(key, record));
     }
+    /// Whether it changes this key already.
+    pub fn writes_to(&self, key: &str) -> bool {
+        self.guards.iter().any(|g| g.key == key)
+    }
     /// Writes what is named by its own digest: whatever stands there already is the same. So it can't tell whether
     /// this transaction was applied, and has no guard but the owner's.
     pub fn part(&mut self, key: String, record: Record) {
@@ -103,14 +109,15 @@
         self.writes.push(Write::Remove { key });
     }
 
-    fn end(&mut self, part: &mut Part, ix: JobIx) {
+    fn end(&mut self, part: &mut Part, ix: JobIx, wall: u64) {
         let Some(job) = part.job_mut(ix) else { return };
         let Ending::Wanted(stage) = job.ending else { return };
         let done = job.done_count;
+        let hour = crate::hours::end_rec(job, wall);
         job.ending = Ending::Writing(stage);
         let (id, version) = (job.id.clone(), job.version);
         let county = self.counts.add(part, ix, stage);
-        self.put(records::end_key(&id), 0, Record::End(EndRec { stage, done, county }));
+        self.put(records::end_key(&id), 0, Record::End(EndRec { stage, done, hour, county }));
         self.remove(records::live_key(&id), version);
         self.ops.push(Op::End(ix));
     }
@@ -333,7 +340,7 @@
 
     /// Gathers what is to be written, most urgent first.
     fn draft(&mut self, budget: usize) -> Option<Draft> {
-        let now = self.now.mono;
+        let (now, wall) = (self.now.mono, self.now.wall);
         let limits = &self.settings.cluster.state;
         let max_guards = limits.txn_ops * 4;
         let value = value_limit(limits.value_kb);
@@ -361,7 +368,7 @@
         let for_ends = budget.saturating_sub(kept);
         while d.writes.len() + 2 <= for_ends && d.guards.len() + 2 < max_guards && !d.counts.is_full() {
             let Some(ix) = part.ledger.ending.pop_front() else { break };
-            d.end(part, ix);
+            d.end(part, ix, wall);
         }
         let room = |d: &Draft| {
             d.writes.len() + d.counts.owed() < budget && d.size < SIZE && d.guards.len() + 2 < max_guards
@@ -391,6 +398,7 @@
             d.put(key, 0, Record::Hire(hire.rec.clone()));
             d.ops.push(Op::Hire(name.clone()));
         }
+        d.moves(part, wall, value, room);
         if d.counts.owed() > 0 {
             d.log(part, value, max_guards);
         }
@@ -525,6 +533,7 @@
         let mut changed: BTreeSet<JobIx> = BTreeSet::new();
         let mut told = Vec::new();
         let mut heads = Vec::new();
+        let mut moved = Vec::new();
         for op in ops {
             match op {
                 Op::End(ix) => {
@@ -537,6 +546,9 @@
                         self.finals.put(&job.id, stage, job.done_count);
                         told.extend(waiters.into_iter().map(|w| (w, state.clone())));
                         let segments = std::mem::take(&mut job.segments);
+                        if let Some(job) = &part.jobs[ix] {
+                            part.hours.ended(job, ix, stage);
+                        }
                         part.ledger.results_over(ix, segments);
                     }
                     changed.insert(ix);
@@ -591,11 +603,15 @@
                 Op::Part(kind, name) => self.shared.documents.part_written(kind, name, revision),
                 Op::PartOver(kind, name) => self.shared.documents.part_over(kind, &name),
                 Op::Head(kind) => heads.push(kind),
+                Op::Hour(hour, wall) => moved.push((hour, wall)),
                 Op::Catalog => {
                     self.shared.catalog_version = self.shared.catalog_version.max(revision);
                 }
             }
         }
+        for (hour, wall) in moved {
+            self.hour_moved(hour, wall, revision);
+        }
         for kind in heads {
             for_kind!(kind, K => self.head_written::<K>(revision));
         }
--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -11,6 +11,7 @@
 
 use crate::commit::{Draft, Op};
 use crate::counties::County;
+use crate::hours::Hours;
 use crate::part::{Load, Part};
 use crate::quotas::Quota;
 use crate::{Dest, Node, Pending};
@@ -23,6 +24,8 @@
 use wire::http::Response;
 use wire::records::{self, Record, SharedRec};
 
+/// What the watch of the heads has not said for so long may be otherwise: it is asked every five seconds.
+const STALE_MS: u64 = 6000;
 /// Differences that an answer lists.
 const DIFFERENCES: usize = 200;
 
@@ -30,10 +33,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum KindId {
     Quota,
+    Hours,
     Counties,
 }
 
-pub(crate) const ALL: [KindId; 2] = [KindId::Quota, KindId::Counties];
+pub(crate) const ALL: [KindId; 3] = [KindId::Quota, KindId::Hours, KindId::Counties];
 
 /// Does something for a kind that is known by its id alone.
 macro_rules! for_kind {
@@ -43,6 +47,10 @@
                 type $K = $crate::quotas::Quota;
                 $what
             }
+            $crate::documents::KindId::Hours => {
+                type $K = $crate::hours::Hours;
+                $what
+            }
             $crate::documents::KindId::Counties => {
                 type $K = $crate::counties::County;
                 $what
@@ -55,6 +63,7 @@
 #[derive(Default)]
 pub(crate) struct Documents {
     pub quota: Doc<Quota>,
+    pub hours: Doc<Hours>,
     pub counties: Doc<County>,
 }
 
@@ -83,6 +92,10 @@
     /// A question that no other kind has, asked of the owner.
     fn asked(node: &mut Node, conn: u64, ask: Self::Ask);
 
+    /// The same, where it depends on the others in force.
+    fn binds(_all: &Documents) -> bool {
+        Self::BINDS
+    }
     /// The document's answer to "show".
     fn show(node: &Node) -> Vec<u8> {
         Self::doc(&node.shared.documents).shown()
@@ -612,19 +625,21 @@
 /// What binds a job at its acceptance.
 impl Node {
     /// Guards by which an accept fails where another version is in force than the one that it was bound by. Nothing
-    /// without such documents. `None` while the heads, or a version that was seen, have not been read.
+    /// without such documents, unless this node has not heard for a while whether there are any. `None` while the heads, or
+    /// a version that was seen, have not been read.
     pub(crate) fn head_guards(&self) -> Option<Vec<Guard>> {
         // A node that has just begun may know the machine types and not yet whether there are documents.
         if self.shared.revision == 0 {
             return None;
         }
         let mut out = Vec::new();
+        let stale = self.now.mono >= self.shared.heard_at + STALE_MS;
         for kind in ALL {
             let (binds, stamp, current) = for_kind!(kind, K => {
                 let doc = K::doc(&self.shared.documents);
-                (K::BINDS, doc.stamp, doc.is_current() && doc.version().is_some())
+                (K::binds(&self.shared.documents), doc.stamp, doc.is_current() && doc.version().is_some())
             });
-            if binds && stamp > 0 {
+            if binds && (stamp > 0 || stale) {
                 if !current {
                     return None;
                 }
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -124,6 +124,10 @@
     pub backoff_until: u64,
     /// It may have changed since the last plan.
     pub touched: bool,
+    /// A plan has seen some of it run.
+    pub began: bool,
+    /// By when it is to be released.
+    pub hour: Option<Box<crate::hours::Hour>>,
 }
 
 impl Job {
@@ -135,6 +139,7 @@
         job.done = vec![0; spec.tasks.div_ceil(64) as usize];
         job.at_ms = rec.at_ms;
         job.county = rec.county;
+        job.hour = rec.hour.map(crate::hours::Hour::new);
         job.version = version;
         job.ending = Ending::No;
         job.spec = Some(Box::new(spec));
@@ -170,9 +175,16 @@
             succeeded: false,
             backoff_until: 0,
             touched: false,
+            began: false,
+            hour: None,
         }
     }
 
+    /// Whether what is pending waits for its first start, as far as is known. Of an array, any task may.
+    pub fn waits(&self) -> bool {
+        self.kind() == Kind::Array || !self.began && self.progress_s == 0.0
+    }
+
     pub fn kind(&self) -> Kind {
         self.spec.as_ref().map_or(Kind::Array, |s| s.kind)
     }
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,9 +10,13 @@
 mod door;
 mod election;
 mod fleet;
+mod hand;
+mod hours;
 mod jobs;
 mod keeper;
 mod ledger;
+mod life;
+mod lookup;
 mod machines;
 mod part;
 mod quotas;
@@ -67,6 +71,10 @@
         tag: u64,
         response: Option<Response>,
     },
+    /// Nothing of it has left this host: there was no socket for it.
+    Unsent {
+        tag: u64,
+    },
     /// Another door of this process asks for its records.
     Side {
         tag: u64,
@@ -120,11 +128,11 @@
     Commit { epoch: u64 },
     Verify { epoch: u64 },
     Accept { asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32 },
-    ReadLive { asker: Asker, job: String, why: door::Why },
-    ReadEnd { asker: Asker, job: String, why: door::Why },
-    PeerQuery { asker: Asker, job: String, why: door::Why },
+    ReadLive { question: lookup::Question },
+    ReadEnd { question: lookup::Question },
+    PeerQuery { question: lookup::Question, peer: usize, sent: u64 },
     PeerCancel { conn: u64, job: String },
-    Forward { conn: u64 },
+    Hand { conn: u64, ask: Box<wire::peer::Ask>, until: u64, peer: usize, sent: u64 },
     Admin { conn: u64 },
     Side { tag: u64 },
     Sheets { epoch: u64 },
@@ -178,6 +186,7 @@
     next_tag: u64,
     shared: Shared,
     role: Role,
+    life: life::Life,
     hint: Option<election::Hint>,
     epoch: u64,
     part: Option<Part>,
@@ -194,6 +203,8 @@
     state_good_at: Option<u64>,
     /// What the other nodes say.
     views: views::Views,
+    /// How they answer what is handed to them.
+    hands: hand::Hands,
     /// What we hand on for them.
     relay: relay::Relay,
     /// What the owner has us keep.
@@ -214,6 +225,10 @@
 pub struct Stats {
     pub accepted: u64,
     pub shed: u64,
+    /// Users' requests that were handed to a peer.
+    pub handed: u64,
+    /// Questions about jobs that nobody could answer.
+    pub unanswered: u64,
     pub bad_answers: u64,
     pub plans: u64,
     pub plan_steps: u64,
@@ -256,6 +271,7 @@
         let nodes = settings.peers.len() as f64 + 1.0;
         let limits = settings.limits();
         // About 150 bytes a final state; a tenth of the memory is theirs.
+        let mut rng = fastrand::Rng::with_seed(seed);
         let finals = ((limits.mem_mb * 1e5 / 150.0) as usize).clamp(1000, 1_000_000);
         Node {
             requests: Bucket::new(c.state.rps * 0.9 / nodes),
@@ -263,7 +279,8 @@
             cloud: Bucket::new(c.cloud.rps * 0.8),
             settings,
             tuning,
-            rng: fastrand::Rng::with_seed(seed),
+            life: life::Life::begin(&mut rng),
+            rng,
             now,
             effects: Vec::new(),
             pending: HashMap::new(),
@@ -278,6 +295,7 @@
             state_bad_at: None,
             state_good_at: None,
             views: views::Views::default(),
+            hands: hand::Hands::default(),
             relay: relay::Relay::default(),
             charge: None,
             catalog_at: 0,
@@ -295,6 +313,12 @@
         self
     }
 
+    /// The same, with a calendar of release hours to begin with.
+    pub fn with_first_hours(mut self, spec: Option<::hours::Spec>) -> Self {
+        self.shared.documents.hours.first = spec;
+        self
+    }
+
     /// The same with counties to begin with.
     pub fn with_first_counties(mut self, spec: Option<county::Spec>) -> Self {
         self.shared.documents.counties.first = spec;
@@ -318,6 +342,7 @@
             Event::Client { conn, request } => self.client(conn, request),
             Event::Peer { conn, request } => self.peer(conn, &request),
             Event::Reply { tag, response } => self.reply(tag, response),
+            Event::Unsent { tag } => self.unsent(tag),
             Event::Side { tag, ask } => self.side_asked(tag, ask),
             Event::Tick => self.tick(),
         }
@@ -344,6 +369,7 @@
             self.fleet_tick();
             self.machines_tick();
             self.sched_tick();
+            self.hours_tick();
             self.tally_tick();
             self.audit_tick();
         }
@@ -399,6 +425,29 @@
         }
     }
 
+    /// What was not sent has no effect later, and says nothing of whom it was for.
+    fn unsent(&mut self, tag: u64) {
+        let epoch = self.epoch;
+        match self.pending.get(&tag) {
+            Some(Pending::Direct { epoch: e, machine, serial, .. }) if *e == epoch => {
+                let (machine, serial) = (*machine, *serial);
+                self.pending.remove(&tag);
+                self.direct_came(machine, serial, Some(relay::not_sent()));
+            }
+            Some(Pending::Show { epoch: e, machine, serial, .. }) if *e == epoch => {
+                let (machine, serial) = (*machine, *serial);
+                self.pending.remove(&tag);
+                self.show_unsent(machine, serial);
+            }
+            Some(Pending::Tell { conn }) => {
+                let conn = *conn;
+                self.pending.remove(&tag);
+                self.tell_unsent(conn);
+            }
+            _ => self.reply(tag, None),
+        }
+    }
+
     fn reply(&mut self, tag: u64, response: Option<Response>) {
         let Some(what) = self.pending.remove(&tag) else { return };
         let epoch = self.epoch;
@@ -424,11 +473,13 @@
             Pending::Relayed { conns } => self.relayed(conns, response),
             Pending::Tell { conn } => self.worker_told(conn, response),
             Pending::Accept { asker, spec, at, tries } => self.accepted(asker, spec, at, tries, response),
-            Pending::ReadLive { asker, job, why } => self.live_read(asker, job, why, response),
-            Pending::ReadEnd { asker, job, why } => self.end_read(asker, job, why, response),
-            Pending::PeerQuery { asker, job, why } => self.peer_queried(asker, job, why, response),
+            Pending::ReadLive { question } => self.live_read(question, response),
+            Pending::ReadEnd { question } => self.end_read(question, response),
+            Pending::PeerQuery { question, peer, sent } => self.peer_queried(question, peer, sent, response),
             Pending::PeerCancel { conn, job } => self.peer_cancelled(conn, job, response),
-            Pending::Forward { conn } => self.forwarded(conn, response),
+            Pending::Hand { conn, ask, until, peer, sent } => {
+                self.handed_back(conn, ask, until, peer, sent, response)
+            }
             Pending::Admin { conn } => self.admin_answered(conn, response),
             Pending::Side { tag } => self.side_answered(tag, response),
             Pending::Catalog => self.catalog_came(response),
--- a/crates/plan/tests/apart.rs
+++ b/crates/plan/tests/apart.rs
@@ -25,6 +25,7 @@
         image_gb: 0.0,
         team: 0,
         due: None,
+        waits: false,
         promised: false,
         held: 0,
         zones: vec![],
@@ -97,6 +98,7 @@
                     leaving: false,
                     team: 0,
                     held: 0,
+                    spared: false,
                     gang: None,
                     tenant: j.tenant,
                 });
--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -20,8 +20,8 @@
                  running in prop::collection::vec((1u32..4, 0.0f64..60.0, 0u8..3, any::<bool>(), prop::option::of(0u32..3), 0u16..3), 0..3),
                  images in prop::collection::vec(0u32..3, 0..2)) -> Machine {
         let total = res(32.0, f64::from(kind + 1) * 4.0, 128.0);
-        let running = running.into_iter().map(|(g, ends, priority, beyond, gang, county)| Running {
-            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: gang.is_none(), leaving: false, team: 1, held: u8::from(!beyond), gang, tenant: of(county),
+         let running = running.into_iter().map(|(g, ends, priority, beyond, gang, county)| Running {
+            need: res(2.0 * f64::from(g), f64::from(g), 8.0), ends, priority, lost: 5.0, stoppable: gang.is_none(), leaving: false, team: 1, held: u8::from(!beyond), spared: false, gang, tenant: of(county),
         }).collect();
         let mut m = Machine { machine_type: kind, zone, spot, usable, ready: 20.0, total, running, images, fetch_gb_per_s: 1.0, slots: 20 };
         while m.free().gpus < 0.0 {
@@ -38,7 +38,7 @@
              only in prop::collection::vec(0u16..2, 0..2)) -> Job {
         let shape = [Shape::Array, Shape::Gang, Shape::Service][shape as usize];
         Job { shape, priority, arrival, estimate, tasks, pending: tasks, need: res(4.0, f64::from(gpus), 16.0), types,
-              zone, one_zone: flags.0, spread: flags.1 && !flags.0, spot: flags.2, image, image_gb: 4.0, team, due: None, promised: flags.3, held: u8::from(flags.3),
+              zone, one_zone: flags.0, spread: flags.1 && !flags.0, spot: flags.2, image, image_gb: 4.0, team, due: None, waits: false, promised: flags.3, held: u8::from(flags.3),
               zones: Vec::new(), avoid: Vec::new(), tenant: of(county), only }
     }
 }
@@ -47,7 +47,7 @@
     fn input()(machines in prop::collection::vec(machine(), 0..8), jobs in prop::collection::vec(job(), 0..10),
                limit in 1.0f64..30.0, online_factor in 1.0f64..3.0) -> Input {
         let team = |max| Team { path: vec![], cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: max };
-        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], groups: vec![], spares: vec![], online_factor, patience: 2.0, max_steps: u64::MAX / 4 }
+        Input { machines, jobs, teams: vec![team(limit), team(f64::INFINITY)], groups: vec![], spares: vec![], online_factor, patience: 2.0, waits: plan::Waits::default(), max_steps: u64::MAX / 4 }
     }
 }
 
@@ -108,9 +108,9 @@
                                 fetch_gb_per_s: 1.0, slots: 50 };
         let job = Job { shape: Shape::Array, priority: 1, arrival: 0.0, estimate: 10.0, tasks, pending: tasks,
                         need: res(1.0, 1.0, 1.0), types: 1, zone: None, one_zone: false, spread: false, spot: true, image: 0,
-                        image_gb: 1.0, team: 0, due: None, promised: false, held: 0, zones: vec![], avoid: vec![], tenant: Default::default(), only: vec![] };
+                        image_gb: 1.0, team: 0, due: None, waits: false, promised: false, held: 0, zones: vec![], avoid: vec![], tenant: Default::default(), only: vec![] };
         let team = unbounded(&[]);
-        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], groups: vec![], spares: vec![], online_factor: 1.0, patience: 1.0, max_steps: u64::MAX / 4 };
+        let input = Input { machines: vec![machine; n], jobs: vec![job], teams: vec![team], groups: vec![], spares: vec![], online_factor: 1.0, patience: 1.0, waits: plan::Waits::default(), max_steps: u64::MAX / 4 };
         let out = plan(&input);
         let started: u32 = out.starts.iter().map(|s| s.count).sum();
         prop_assert_eq!(started, tasks.min(4 * n as u32));
@@ -148,6 +148,7 @@
         leaving: false,
         team: 1,
         held: 1,
+        spared: false,
         gang: None,
         tenant: Default::default(),
     };
@@ -184,6 +185,7 @@
         image_gb: 1.0,
         team: 0,
         due: None,
+        waits: false,
         promised: false,
         held: 0,
         zones: vec![],
@@ -208,6 +210,7 @@
         spares: vec![],
         online_factor: 1.0,
         patience: 3.0,
+        waits: plan::Waits::default(),
         max_steps: u64::MAX / 4,
     }
 }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,8 +1,12 @@
 //! For tests: a state service, a cloud and workers of our own, and a world in virtual time that plays
 //! controllers against them under seeded faults, checking the rules after each step.
 
+pub mod balancer;
+pub mod checks;
 pub mod cloud;
 pub mod counties;
+pub mod days;
+pub mod hours;
 pub mod links;
 pub mod loopback;
 pub mod rules;
--- a/crates/standins/src/scene.rs
+++ b/crates/standins/src/scene.rs
@@ -45,8 +45,12 @@
     pub limits: Option<crate::state::Limits>,
     /// One in so many of these transactions is held for some seconds, and lands after its sender has gone on or died.
     pub held_one_in: u32,
+    /// Each node's time of day is so much ahead of the one before it.
+    pub skew_ms: u64,
     /// Masters go on after their task has gone, as if their machine were only out of sight.
     pub undead: bool,
+    /// Users come through a balancer, and troubles at their times.
+    pub day: Option<crate::days::Day>,
 }
 
 impl Scene {
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1,12 +1,15 @@
 //! Controllers, state service, cloud, workers and users in one virtual time, with seeded faults.
 
+mod bed;
+mod wires;
+
 use crate::cloud::{Cloud, address};
 use crate::links::{Cut, How, Links, Place, Side};
 use crate::rules::{OnMachine, Rules};
 use crate::scene::Scene;
 use crate::state::{Limits, Outcome, State, Watch};
 use crate::worker::Worker;
-use crate::yarn::{Drain, Exchange, Next, Runner, Stage as YarnStage, Who};
+use crate::yarn::{Drain, Exchange, Stage as YarnStage, Who};
 use control::{Dest, Effect, Event, Node, Now, Tuning};
 use gateway::served::{Gateway, Out, Raw, Served};
 use serde_json::{Value, json};
@@ -71,18 +74,43 @@
     LogLost,
     /// The controllers are told ten times as much as the tree's nodes may use.
     NodesRaised,
+    /// On days with a balancer: polls of some jobs are never answered, and leases are no longer granted.
+    PollsLost,
+    GrantsLost,
 }
 
 #[derive(Clone)]
 enum Origin {
-    User { job: String, kind: Ask, asked: u64 },
-    Worker { name: String, number: u64, sent: u64 },
-    Peer { node: usize, life: u64, tag: u64 },
-    Operator { change: Box<Change> },
-    Asker { path: String, ask: Value },
+    User {
+        job: String,
+        kind: Ask,
+        asked: u64,
+    },
+    Worker {
+        name: String,
+        number: u64,
+        sent: u64,
+    },
+    Peer {
+        node: usize,
+        life: u64,
+        tag: u64,
+    },
+    Operator {
+        change: Box<Change>,
+    },
+    /// The balancer.
+    Probe {
+        node: usize,
+        asked: u64,
+    },
+    Asker {
+        path: String,
+        ask: Value,
+    },
 }
 
-#[derive(Clone, Copy, PartialEq, Eq)]
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Ask {
     Submit,
     Poll,
@@ -118,6 +146,9 @@
     RawOut(u64, Vec<u8>),
     /// A connection ends, or is given up.
     RawOver(u64),
+    /// The balancer probes a node; a trouble of the day begins.
+    Probe(usize),
+    Trouble(usize),
 }
 
 /// A connection to the gateway, with its one call.
@@ -133,7 +164,11 @@
     life: u64,
     /// The state service refuses this node until then.
     refused_until: u64,
+    /// It stands still until then.
+    frozen_until: u64,
     drift: f64,
+    /// The number in the name that it goes by: its own, but for two of one name.
+    name: usize,
 }
 
 pub struct World {
@@ -159,6 +194,12 @@
     links: Links,
     /// This node crashes as its next transaction is on its way.
     doomed: Option<usize>,
+    /// Requests to the state service until a node crashes, and how soon it is back.
+    fuses: BTreeMap<usize, (u32, u64)>,
+    /// The last transaction of the doomed node comes so much later.
+    held_ms: u64,
+    /// Crashed nodes come back after this time, instead of the usual.
+    back_ms: Option<u64>,
     /// Tasks that were stopped to make room.
     pub stopped: u64,
     pub rules: Rules,
@@ -168,6 +209,8 @@
     pub changes: BTreeMap<String, (u16, u64)>,
     /// What operators were answered about other documents: their asks, the last status, and what was said.
     pub answers: Vec<(Value, u16, Value)>,
+    /// Release hours as the state service's history has them.
+    pub hours: crate::hours::Watcher,
     /// Counts by county as the state service's history has them, once some job has a county.
     pub counties: crate::counties::Watcher,
     /// Run time that was lost with attempts that were stopped, in milliseconds.
@@ -187,9 +230,14 @@
     pub lost: u64,
     /// What the owner has taken for bytes of the gateway's clients, in nanoseconds of this machine.
     pub call_ns: Vec<u64>,
+    bed: Option<Box<bed::Bed>>,
 }
 
+/// When worlds begin.
+const START: u64 = 1_000_000;
 const LEASE_MS: u64 = 15_000;
+/// How soon a crashed node is back, where nothing else is said.
+const BACK_MS: u64 = 2500;
 const CANCEL_MS: u64 = 40_000;
 
 /// Nodes stand in them by turns.
@@ -261,7 +309,7 @@
         }
         let mut world = World {
             rng: fastrand::Rng::with_seed(plan.seed),
-            now: 1_000_000,
+            now: START,
             queue: BinaryHeap::new(),
             events: HashMap::new(),
             serial: 0,
@@ -278,12 +326,16 @@
             slow_until: 0,
             links: Links::default(),
             doomed: None,
+            fuses: BTreeMap::new(),
+            held_ms: 0,
+            back_ms: None,
             stopped: 0,
             rules: Rules { cancel_ms: CANCEL_MS, ..Rules::default() },
             run_ms: BTreeMap::new(),
             tuning,
             changes: BTreeMap::new(),
             answers: Vec::new(),
+            hours: Default::default(),
             counties: Default::default(),
             lost_ms: 0,
             saved: BTreeMap::new(),
@@ -294,6 +346,7 @@
             refused: 0,
             lost: 0,
             call_ns: Vec::new(),
+            bed: None,
             plan,
         };
         if world.plan.large {
@@ -344,7 +397,8 @@
     fn begin(&mut self) {
         for n in 0..self.plan.nodes {
             let drift = 1.0 + self.rng.f64() * 0.0005;
-            self.hosts.push(Host { node: None, life: 0, refused_until: 0, drift });
+            let life = 0;
+            self.hosts.push(Host { node: None, life, refused_until: 0, frozen_until: 0, drift, name: n });
             self.links.node_zones.push(ZONES[n % 2].to_owned());
             self.at(self.now, Ev::Restart(n));
         }
@@ -397,6 +451,9 @@
             self.rules.jobs.entry(id.clone()).or_default().spec = Some(job.spec);
             self.at(start + job.at, Ev::User(Ask::Submit, id));
         }
+        if let Some(day) = scene.day {
+            self.begin_bed(day);
+        }
     }
 
     /// An operator asks any node for a change.
@@ -643,7 +700,9 @@
     /// What stands between a node and whoever it answers, if anything.
     fn answer_is_cut(&self, n: usize, to: &Origin) -> Option<How> {
         let to = match to {
-            Origin::User { .. } | Origin::Operator { .. } | Origin::Asker { .. } => Place::Users,
+            Origin::User { .. } | Origin::Operator { .. } | Origin::Asker { .. } | Origin::Probe { .. } => {
+                Place::Users
+            }
             Origin::Peer { node, .. } => Place::Node(*node),
             Origin::Worker { name, .. } => {
                 let w = self.workers.get(name)?;
@@ -701,6 +760,9 @@
     }
 
     fn step(&mut self, ev: Ev) {
+        if let Some(until) = self.wakes_at(&ev) {
+            return self.at(until, ev);
+        }
         match ev {
             Ev::Restart(n) => {
                 let raised = if self.plan.sabotage == Sabotage::LimitsRaised { 10.0 } else { 1.0 };
@@ -709,7 +771,8 @@
                 let now = self.node_now(n);
                 self.hosts[n].life += 1;
                 let report_s = self.report_ms() as f64 / 1000.0;
-                let settings = settings(n, &self.plan, limit, self.state.limits, report_s);
+                let mut settings = settings(n, &self.plan, limit, self.state.limits, report_s);
+                settings.node = format!("burrow-{}", self.hosts[n].name);
                 let node = Node::new(settings, self.tuning.clone(), seed, now);
                 let config = self.plan.scene.as_ref().and_then(|s| s.yarn.clone());
                 let gateway = config.map(|c| Gateway::new(c, [seed as u8; 32]));
@@ -737,8 +800,7 @@
                     return self.at(self.now + 500, Ev::Answer(origin, None));
                 }
                 // Workers and nodes have looked at their links when they sent it.
-                let users =
-                    matches!(origin, Origin::User { .. } | Origin::Operator { .. } | Origin::Asker { .. });
+                let users = !matches!(origin, Origin::Worker { .. } | Origin::Peer { .. });
                 if users && self.links.blocked(self.now, Place::Users, Place::Node(n)).is_some() {
                     return self.at(self.now + 500, Ev::Answer(origin, None));
                 }
@@ -765,173 +827,15 @@
             Ev::RawIn(conn, bytes) => self.raw_in(conn, Raw::Bytes(bytes)),
             Ev::RawOut(conn, bytes) => self.raw_out(conn, &bytes),
             Ev::RawOver(conn) => self.raw_over(conn),
-        }
-    }
-
-    // ---- YARN's clients ----
-
-    /// Calls that are due, each on a connection of its own to any node.
-    fn yarn_tick(&mut self) {
-        if self.plan.scene.as_ref().is_none_or(|s| s.yarn.is_none()) {
-            return;
-        }
-        self.follow_runners();
-        for (who, ask) in self.yarn.due(self.now) {
-            self.dial(who, ask);
-        }
-    }
-
-    /// A connection to any node, for one call.
-    fn dial(&mut self, who: Who, ask: crate::yarn::Ask) {
-        let (exchange, web, first) = Exchange::begin(ask);
-        let conn = self.open_wire(who, exchange, web);
-        self.at(self.now + 6000, Ev::RawOver(conn));
-        let faulty = self.now < 1_000_000 + self.plan.faults_until && !self.plan.calm;
-        let mut delay = self.rng.u64(1..5);
-        // Now and then what is sent comes late, and its client has long given up.
-        if faulty && self.rng.u32(0..60) == 0 {
-            delay += self.rng.u64(1000..60_000);
-        }
-        self.at(self.now + delay, Ev::RawIn(conn, first));
-    }
-
-    fn open_wire(&mut self, who: Who, exchange: Exchange, web: bool) -> u64 {
-        let node = self.rng.usize(0..self.plan.nodes);
-        let conn = self.next_conn;
-        self.next_conn += 1;
-        let life = self.hosts[node].life;
-        self.wires.insert(conn, Wire { who, node, life, exchange });
-        let from = std::net::IpAddr::from([127, 0, 0, 1]);
-        self.raw_in(conn, Raw::Opened { web, from });
-        conn
-    }
-
-    /// A call of a test's own, until its answer.
-    pub fn call(&mut self, ask: crate::yarn::Ask) -> crate::yarn::Answer {
-        self.yarn.answered = None;
-        self.dial(Who::Test, ask);
-        let end = self.now + 10_000;
-        // Guards against a world that stands still since a rule is broken: it would be waited for without end.
-        while self.yarn.answered.is_none() && self.now < end {
-            let before = self.now;
-            self.run_for(100);
-            let broken = (&self.rules.broken, &self.yarn.checks.broken);
-            assert!(self.now > before || self.yarn.answered.is_some(), "nothing goes on: {broken:?}");
-        }
-        self.yarn.answered.take().flatten()
-    }
-
-    /// Any bytes on a connection that nobody listens on, and that nobody ends.
-    pub fn pour(&mut self, web: bool, bytes: Vec<u8>) {
-        let ask = crate::yarn::Ask::Web { method: "GET", target: String::new(), body: Vec::new() };
-        let (exchange, _, _) = Exchange::begin(ask);
-        let conn = self.open_wire(Who::Test, exchange, web);
-        self.at(self.now + 1, Ev::RawIn(conn, bytes));
-        self.run_for(2);
-    }
-
-    /// Runners stand on the tasks that run: they begin and end with them.
-    fn follow_runners(&mut self) {
-        let now = self.now;
-        let mut here = HashSet::new();
-        let mut new = Vec::new();
-        for w in self.workers.values() {
-            for t in w.tasks.iter().filter(|t| t.stage == TaskStage::Running) {
-                let Some((job, task)) = wire::ids::parse_task(&t.name) else { continue };
-                if !wire::ids::reserved_job_id(job) {
-                    continue;
-                }
-                let key = (t.name.clone(), t.attempt);
-                let spec = self.rules.jobs.get(job).and_then(|j| j.spec.as_ref());
-                if let Some(spec) = spec.filter(|_| !self.yarn.runners.contains_key(&key)) {
-                    new.push((key.clone(), Runner::new(spec, task, t.attempt, &w.name, &w.zone, now)));
-                }
-                here.insert(key);
-            }
-        }
-        self.yarn.runners.extend(new);
-        self.yarn.gone(&here);
-        // A runner that is through ends its task.
-        for w in self.workers.values_mut().filter(|w| w.hung_until <= now) {
-            for t in w.tasks.iter_mut().filter(|t| t.stage == TaskStage::Running) {
-                let runner = self.yarn.runners.get(&(t.name.clone(), t.attempt));
-                if let Some(done) = runner.and_then(|r| r.over) {
-                    t.stage = TaskStage::Exited;
-                    t.cause = Some(if done { Cause::Done } else { Cause::Error });
-                    w.changed = true;
-                    if done {
-                        self.rules.completed(&t.name);
-                    }
-                }
-            }
-        }
-    }
-
-    fn raw_in(&mut self, conn: u64, event: Raw) {
-        let Some(wire) = self.wires.get(&conn) else { return };
-        let (n, life) = (wire.node, wire.life);
-        let now = self.node_now(n);
-        let cut = self.links.blocked(self.now, Place::Users, Place::Node(n)).is_some();
-        let host = &mut self.hosts[n];
-        let Some(node) = host.node.as_mut().filter(|_| host.life == life && !cut) else { return };
-        let (owns, begun) = (node.node().term().is_some(), std::time::Instant::now());
-        let outs = node.raw(now, conn, event);
-        if owns {
-            self.call_ns.push(begun.elapsed().as_nanos() as u64);
-        }
-        self.carry_out(n, outs);
-    }
-
-    fn raw_out(&mut self, conn: u64, bytes: &[u8]) {
-        let Some(wire) = self.wires.get_mut(&conn) else { return };
-        match wire.exchange.bytes(bytes) {
-            Next::Wait => {}
-            Next::Send(bytes) => self.at(self.now + 1, Ev::RawIn(conn, bytes)),
-            Next::Over(answer) => {
-                if let Some(wire) = self.wires.remove(&conn) {
-                    self.yarn.answer(self.now, &wire.who, answer);
-                    self.raw_gone(conn, &wire);
-                }
-            }
-        }
-    }
-
-    /// The connection breaks, or its client has waited long enough.
-    fn raw_over(&mut self, conn: u64) {
-        if let Some(wire) = self.wires.remove(&conn) {
-            self.yarn.answer(self.now, &wire.who, None);
-            self.raw_gone(conn, &wire);
-        }
-    }
-
-    fn raw_gone(&mut self, conn: u64, wire: &Wire) {
-        let now = self.node_now(wire.node);
-        let host = &mut self.hosts[wire.node];
-        if let Some(node) = host.node.as_mut().filter(|_| host.life == wire.life) {
-            let outs = node.raw(now, conn, Raw::Closed);
-            self.carry_out(wire.node, outs);
-        }
-    }
-
-    /// Jobs that the gateway has had accepted become known to the workers.
-    fn note_yarn_jobs(&mut self, body: &[u8]) {
-        let Ok(txn) = wire::decode::<Value>(body) else { return };
-        for w in txn["writes"].as_array().into_iter().flatten() {
-            let Some(job) = w["write"].as_str().and_then(|k| k.strip_prefix("live/")) else { continue };
-            if !wire::ids::reserved_job_id(job) {
-                continue;
-            }
-            let Ok(rec) = serde_json::from_value::<wire::records::JobRec>(w["v"].clone()) else { continue };
-            self.yarn.checks.accepted(job);
-            self.run_ms.insert(job.to_owned(), 10_000_000);
-            let entry = self.rules.jobs.entry(job.to_owned()).or_default();
-            (entry.spec, entry.submitted) = (Some(rec.spec), true);
+            Ev::Probe(n) => self.probe(n),
+            Ev::Trouble(i) => self.trouble(i),
         }
     }
 
     fn node_now(&self, n: usize) -> Now {
         let mono = (self.now as f64 * self.hosts[n].drift) as u64;
-        Now { mono, wall: self.now }
+        let skew = self.plan.scene.as_ref().map_or(0, |s| s.skew_ms);
+        Now { mono, wall: self.now + skew * n as u64 }
     }
 
     fn feed(&mut self, n: usize, event: Event) {
@@ -945,12 +849,12 @@
 
     fn carry_out(&mut self, n: usize, outs: Vec<Out>) {
         let life = self.hosts[n].life;
-        let mut dies = false;
+        let mut dies = None;
         for out in outs {
             let effect = match out {
                 Out::Node(effect) => effect,
                 Out::Write { conn, bytes } => {
-                    let faulty = self.now < 1_000_000 + self.plan.faults_until && !self.plan.calm;
+                    let faulty = self.now < START + self.plan.faults_until && !self.plan.calm;
                     // Answers are lost with their connection, now and then.
                     if faulty && self.rng.u32(0..40) == 0 {
                         self.at(self.now + 1, Ev::RawOver(conn));
@@ -981,11 +885,15 @@
                 // Kept between the node and its gateway.
                 Effect::Side { .. } => {}
                 Effect::Send { tag, to, method, path, body, timeout_ms, .. } => {
-                    dies |= self.doomed == Some(n) && path == "/txn";
+                    let last = self.doomed == Some(n) && path == "/txn";
+                    if last {
+                        dies = Some(BACK_MS);
+                    }
+                    dies = self.burns(n, to).or(dies);
                     self.open.insert((n, life, tag));
                     self.at(self.now + timeout_ms, Ev::Reply(n, life, tag, None));
                     let mut delay = self.rng.u64(1..8);
-                    let faulty = self.now < 1_000_000 + self.plan.faults_until;
+                    let faulty = self.now < START + self.plan.faults_until;
                     // A cut holds what was sent and delivers it late; now and then a message is slow anyway.
                     if let Some((until, how)) = self.sending_is_cut(n, to) {
                         if how == How::Reset {
@@ -997,7 +905,7 @@
                         delay += self.rng.u64(1000..40_000);
                     }
                     if path == "/txn" {
-                        delay += self.record_delay(&body);
+                        delay += self.record_delay(&body) + if last { self.held_ms } else { 0 };
                     }
                     self.at(
                         self.now + delay,
@@ -1006,17 +914,30 @@
                 }
             }
         }
-        if dies {
-            self.doomed = None;
-            self.crash(n, 2500);
+        if let Some(back) = dies {
+            self.doomed = self.doomed.filter(|d| *d != n);
+            self.crash(n, back);
         }
     }
 
+    /// A node asks; if it crashes as its question is on its way, how soon it is back.
+    fn burns(&mut self, n: usize, to: Dest) -> Option<u64> {
+        let burning = to == Dest::State && self.now < self.quiet_from();
+        let (left, back) = self.fuses.get_mut(&n).filter(|_| burning)?;
+        *left = left.saturating_sub(1);
+        let burnt = (*left == 0).then_some(*back);
+        if burnt.is_some() {
+            self.fuses.remove(&n);
+        }
+        burnt
+    }
+
     /// How much later a transaction with records of the gateway's comes.
     fn record_delay(&mut self, body: &[u8]) -> u64 {
         let Some(scene) = &self.plan.scene else { return 0 };
         let (slow, held) = (scene.records_ms, scene.held_one_in);
-        if slow + u64::from(held) == 0 || !body.windows(10).any(|w| w == b"side/yarn/") {
+        let concerned = scene.yarn.is_none() || body.windows(10).any(|w| w == b"side/yarn/");
+        if slow + u64::from(held) == 0 || !concerned {
             return 0;
         }
         let is_held = held > 0 && self.rng.u32(0..held) == 0;
@@ -1025,7 +946,7 @@
 
     fn reply(&mut self, c: &Call, status: u16, body: &Value) {
         let response = Response { status, body: wire::encode(body), close: false, retry_after_s: None };
-        let faulty = self.now < 1_000_000 + self.plan.faults_until;
+        let faulty = self.now < START + self.plan.faults_until;
         let cut = self.reply_is_cut(c);
         if (faulty && self.rng.u32(0..200) == 0) || cut {
             return;
@@ -1042,12 +963,19 @@
                     return self.reply(&c, 503, &json!({"error": "trouble"}));
                 }
                 self.state.expire(self.now);
+                if self.plan.sabotage == Sabotage::GrantsLost
+                    && self.now > START + 60_000
+                    && c.path == "/grants"
+                {
+                    return self.reply(&c, 503, &json!({"error": "trouble"}));
+                }
                 match self.state.handle(self.now, c.method, &c.path, &c.body) {
                     Outcome::Now(status, body) => {
                         if c.path == "/txn" && status == 200 && self.plan.scene.is_some() {
                             self.note_yarn_jobs(&c.body);
                             self.claims_with_bounds(&c.body);
                             self.follow_tree();
+                            self.hours.follow(&self.state, &mut self.rules, self.now);
                             self.counties.follow(&self.state, &mut self.rules, self.now);
                         }
                         let stranger = self.plan.sabotage == Sabotage::StrangersKnown;
@@ -1136,6 +1064,10 @@
                 self.at(at, Ev::Reply(node, life, tag, response));
             }
             Origin::Operator { change } => self.operated(change, response),
+            Origin::Probe { node, asked } => self.probed(node, asked, response),
+            Origin::User { job, kind, asked } if self.bed.is_some() => {
+                self.answer_balanced(job, kind, asked, response)
+            }
             Origin::Asker { path, ask } => self.inquired(path, ask, response),
             Origin::User { job, kind, asked } => {
                 let status = response.as_ref().map_or(0, |r| r.status);
@@ -1232,6 +1164,9 @@
             }
         };
         let request = Request { method: method.into(), path, body, close: false };
+        if self.bed.is_some() {
+            return self.ask_balanced(job, kind, request);
+        }
         self.step(Ev::Request(n, Origin::User { job, kind, asked: self.now }, request, false));
     }
 
@@ -1275,6 +1210,7 @@
         }
         self.gangs();
         self.yarn_tick();
+        self.look_for_owner();
         if self.plan.large && now.is_multiple_of(1000) {
             let on: Vec<OnMachine<'_>> = self.workers.values().flat_map(on_machine).collect();
             self.rules.all(now, &on);
@@ -1301,15 +1237,16 @@
         self.lost += w.expire(now, LEASE_MS);
         let mut begun = Vec::new();
         let early = self.plan.sabotage == Sabotage::DoneTooEarly;
+        let is_held = |task: &str| self.bed.as_ref().is_some_and(|b| b.is_held(task));
         for t in &mut w.tasks {
             let gang = wire::ids::parse_task(&t.name)
                 .and_then(|(id, _)| self.rules.jobs.get(id)?.spec.as_ref())
                 .is_some_and(|s| s.kind == Kind::Gang);
-            if t.stage == TaskStage::Fetching && t.fetched_at <= now {
+            if t.stage == TaskStage::Fetching && t.fetched_at <= now && !is_held(&t.name) {
                 t.stage = if gang { TaskStage::Waiting } else { TaskStage::Running };
                 t.since = now;
                 w.changed = true;
-                begun.push(t.name.clone());
+                begun.push((t.name.clone(), gang));
             } else if t.stage == TaskStage::Running && t.ends_at <= now && !gang {
                 t.stage = TaskStage::Exited;
                 t.cause = Some(Cause::Done);
@@ -1346,16 +1283,19 @@
         }
         let (zone, machine_type, spot) = (w.zone.clone(), w.machine_type.clone(), w.spot);
         if self.plan.scene.is_some() {
-            begun.iter().for_each(|t| {
-                self.began.entry(t.clone()).or_insert(now - 1_000_000);
-            });
+            for (task, gang) in &begun {
+                self.began.entry(task.clone()).or_insert(now - START);
+                if let Some((job, _)) = wire::ids::parse_task(task).filter(|_| !gang) {
+                    self.seen_to_run(job);
+                }
+            }
         }
         // In a large fleet everything is looked at once a second instead.
         if self.plan.large {
             self.rules.starts += begun.len() as u64;
             begun.clear();
         }
-        for task in begun {
+        for (task, _) in begun {
             let others: Vec<OnMachine<'_>> = self
                 .workers
                 .values()
@@ -1383,7 +1323,7 @@
                     How::Reset => return self.at(at, Ev::Answer(origin, None)),
                     How::Hold => at = until,
                 }
-            } else if now < 1_000_000 + self.plan.faults_until && self.rng.u32(0..200) == 0 {
+            } else if now < START + self.plan.faults_until && self.rng.u32(0..200) == 0 {
                 at += self.rng.u64(1000..20_000);
             }
             self.at(at, Ev::Request(node, origin, request, false));
@@ -1423,6 +1363,7 @@
             let mut start = false;
             if all(TaskStage::Waiting) {
                 start = true;
+                self.seen_to_run(&id);
             } else if all(TaskStage::Running) {
                 if since + run <= now {
                     exit = Some(Cause::Done);
@@ -1455,7 +1396,7 @@
 
     fn fault(&mut self) {
         let now = self.now;
-        if now > 1_000_000 + self.plan.faults_until {
+        if now > START + self.plan.faults_until {
             return;
         }
         let next = now + self.rng.u64(1500..9000);
@@ -1493,7 +1434,7 @@
                     self.die(&m);
                 }
             }
-            0 | 1 => self.crash(n, 2500),
+            0 | 1 => self.crash(n, BACK_MS),
             2 => (0..self.plan.nodes).for_each(|n| self.crash(n, 3000)),
             3 => self.outage_until = self.outage_until.max(now + long.min(12_000)),
             4 => self.hosts[n].refused_until = now + long,
@@ -1520,9 +1461,29 @@
         self.doomed = self.hosts.iter().position(owner);
     }
 
+    /// A node crashes as its next transaction is on its way, which comes this much later.
+    pub fn doom(&mut self, n: usize, held_ms: u64) {
+        (self.doomed, self.held_ms) = (Some(n), held_ms);
+    }
+
+    /// A node crashes as the `nth` request that it now sends to the state service is on its way.
+    pub fn dies_asking(&mut self, n: usize, nth: u32) {
+        self.fuses.insert(n, (nth, BACK_MS));
+    }
+
+    /// Nodes that crash from now on come back after this time.
+    pub fn come_back_after(&mut self, ms: u64) {
+        self.back_ms = Some(ms);
+    }
+
+    /// From its next life on, a node goes by another one's name as well.
+    pub fn rename(&mut self, n: usize, to: usize) {
+        self.hosts[n].name = to;
+    }
+
     /// A controller crashes, and comes back after a while.
     pub fn crash_node(&mut self, n: usize) {
-        self.crash(n, 2500);
+        self.crash(n, BACK_MS);
     }
 
     /// All controllers crash, and come back after a while.
@@ -1550,6 +1511,7 @@
             let broken: Vec<u64> = self.wires.iter().filter(|(_, w)| w.node == n).map(|(c, _)| *c).collect();
             broken.into_iter().for_each(|conn| self.at(self.now + 5, Ev::RawOver(conn)));
             self.hosts[n].life += 1;
+            let back = self.back_ms.unwrap_or(back);
             self.at(self.now + back, Ev::Restart(n));
         }
     }
--- a/crates/standins/tests/counties.rs
+++ b/crates/standins/tests/counties.rs
@@ -221,7 +221,7 @@
     let key = "part/0/tally/0";
     let good = world.state.keys[key].value.clone();
     world.counties.damaged = true;
-    let mut damage = |world: &mut World, value: &Value| {
+    let damage = |world: &mut World, value: &Value| {
         let rec = wire::records::Record::Other(value.clone());
         world.write(wire::api::Write::put(key.into(), rec));
         world.crash_all();
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -4,6 +4,7 @@
 mod config;
 mod counties;
 mod documents;
+mod hours;
 mod quota;
 mod service;
 mod tools;
@@ -25,6 +26,9 @@
     /// A quota tree to begin with (TOML); used only if the deployment has never had one.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_QUOTA")]
     quota: Option<PathBuf>,
+    /// A calendar of release hours to begin with (TOML); used only if the deployment has never had one.
+    #[arg(long, value_name = "FILE", env = "STOATHATCH_HOURS")]
+    hours: Option<PathBuf>,
     /// Counties to begin with (TOML); used only if the deployment has never had any.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_COUNTIES")]
     counties: Option<PathBuf>,
@@ -43,6 +47,8 @@
 enum Command {
     /// Quotas of members, desks and teams.
     Quota(quota::Command),
+    /// Release hours of studios' jobs.
+    Hours(hours::Command),
     /// Counties, and their counts.
     Counties(counties::Command),
     /// Applications of YARN's clients, their queues, and drains.
@@ -53,6 +59,7 @@
     let args = Args::parse();
     match &args.command {
         Some(Command::Quota(command)) => return quota::run(command),
+        Some(Command::Hours(command)) => return hours::run(command),
         Some(Command::Counties(command)) => return counties::run(command),
         Some(Command::Yarn(command)) => return tools::run(command),
         None => {}
@@ -87,13 +94,10 @@
         Some(path) => config::tuning(path)?,
         None => control::Tuning::default(),
     };
-    let tree = match &args.quota {
-        Some(path) => Some(documents::first::<quota::Quota>(path, &settings)?),
-        None => None,
-    };
-    let counties = match &args.counties {
-        Some(path) => Some(documents::first::<counties::Partition>(path, &settings)?),
-        None => None,
+    let first = service::First {
+        tree: first::<quota::Quota>(args.quota.as_ref(), &settings)?,
+        hours: first::<hours::Hours>(args.hours.as_ref(), &settings)?,
+        counties: first::<counties::Partition>(args.counties.as_ref(), &settings)?,
     };
     let yarn = args.yarn.as_deref().map(config::yarn).transpose()?;
     if args.check {
@@ -102,5 +106,13 @@
         }
         return Ok(());
     }
-    service::Service::new(settings, tuning, tree, counties, yarn)?.run()
+    service::Service::new(settings, tuning, first, yarn)?.run()
+}
+
+/// The document that a deployment begins with, if one is named.
+fn first<T: documents::Table>(
+    path: Option<&PathBuf>,
+    settings: &wire::settings::Settings,
+) -> Result<Option<T::Spec>, String> {
+    path.map(|path| documents::first::<T>(path, settings)).transpose()
 }
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -13,6 +13,13 @@
 const WEB: Door = Door::Raw(1);
 const STATS_EVERY: Duration = Duration::from_secs(30);
 
+/// Documents to begin with, where there have never been any.
+pub struct First {
+    pub tree: Option<quota::Spec>,
+    pub hours: Option<hours::Spec>,
+    pub counties: Option<county::Spec>,
+}
+
 pub struct Service {
     net: Net,
     node: Served,
@@ -42,8 +49,7 @@
     pub fn new(
         settings: Settings,
         tuning: Tuning,
-        tree: Option<quota::Spec>,
-        counties: Option<county::Spec>,
+        first: First,
         yarn: Option<gateway::Config>,
     ) -> Result<Self, String> {
         let mut net = Net::new(settings.limits().max_sockets).map_err(|e| format!("event loop: {e}"))?;
@@ -67,8 +73,10 @@
         log::info!("{} listens on {}", settings.node, settings.listen);
         // The seed only spreads retries; two nodes must not share it.
         let seed = fastrand::u64(..);
-        let node =
-            Node::new(settings, tuning, seed, now(start)).with_first_tree(tree).with_first_counties(counties);
+        let node = Node::new(settings, tuning, seed, now(start))
+            .with_first_tree(first.tree)
+            .with_first_hours(first.hours)
+            .with_first_counties(first.counties);
         let node = Served::new(node, yarn.map(|c| Ok::<_, String>(Gateway::new(c, secret()?))).transpose()?);
         Ok(Service {
             net,
@@ -99,6 +107,9 @@
                         let id = self.next_conn;
                         self.next_conn += 1;
                         self.conns.insert(id, conn);
+                        if door == Door::Clients && request.path == "/hello" {
+                            self.net.regular(conn);
+                        }
                         self.feed(match door {
                             Door::Clients => Event::Client { conn: id, request },
                             Door::Peers => Event::Peer { conn: id, request },
@@ -125,6 +136,7 @@
                         }
                     }
                     net::Event::Reply { tag, response } => self.feed(Event::Reply { tag, response }),
+                    net::Event::Unsent { tag } => self.feed(Event::Unsent { tag }),
                 }
             }
             if ticked.elapsed() >= wait {
@@ -178,14 +190,16 @@
                 }
             }
             Effect::Send { tag, to, method, path, body, timeout_ms, answer_limit } => {
-                let to = match to {
-                    Dest::State => self.state,
-                    Dest::Cloud => self.cloud,
-                    Dest::Peer(i) => self.peers[i],
-                    Dest::Worker(addr) => addr,
+                // A worker is told something now and then; the others are always being asked.
+                let (to, keep) = match to {
+                    Dest::State => (self.state, net::KEEP),
+                    Dest::Cloud => (self.cloud, net::KEEP),
+                    Dest::Peer(i) => (self.peers[i], net::KEEP),
+                    Dest::Worker(addr) => (addr, net::KEEP_SHORT),
                 };
                 let timeout = Duration::from_millis(timeout_ms);
-                self.net.send(Outgoing { tag, to, method, path: &path, body: &body, timeout, answer_limit });
+                let (path, body) = (path.as_str(), body.as_slice());
+                self.net.send(Outgoing { tag, to, method, path, body, timeout, answer_limit, keep });
             }
             // The gateway's own requests have ended with it.
             Effect::Side { .. } => {}
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -69,6 +69,9 @@
     pub token: u64,
     /// Tells a lost answer to our own take-over from somebody else's.
     pub lease: u64,
+    /// Which life of the node wrote it; 0 in records of before.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub life: u64,
 }
 
 /// The room that a part may give each team; the parts' allotments add up to the team's limit at most.
@@ -153,6 +156,7 @@
 pub struct MovedRec {
     pub by: String,
     pub at_ms: u64,
+    /// 0 if it had none.
     pub from_ms: u64,
 }
 
@@ -176,11 +180,21 @@
 pub struct EndRec {
     pub stage: Stage,
     pub done: u32,
+    /// By when it was to end, and when it did.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub hour: Option<EndHourRec>,
     /// Where it was counted, so that counts can be made again from the records.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub county: Option<CountedRec>,
 }
 
+/// What became of a job's hour: times of day, in milliseconds.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct EndHourRec {
+    pub due_ms: u64,
+    pub ended_ms: u64,
+}
+
 /// The county and the class that an ended job is counted in.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct CountedRec {
@@ -341,6 +355,8 @@
     pub token: Option<u64>,
     #[serde(default)]
     pub lease: Option<u64>,
+    #[serde(default)]
+    pub life: u64,
     /// The head of a document; the key tells which.
     #[serde(default, alias = "quota")]
     pub document: Option<document::Head>,
