--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -251,7 +251,6 @@
         let nodes = settings.peers.len() as f64 + 1.0;
         let limits = settings.limits();
         // About 150 bytes a final state; a tenth of the memory is theirs.
-        let mut rng = fastrand::Rng::with_seed(seed);
         let finals = ((limits.mem_mb * 1e5 / 150.0) as usize).clamp(1000, 1_000_000);
         Node {
             requests: Bucket::new(c.state.rps * 0.9 / nodes),
@@ -259,8 +258,8 @@
             cloud: Bucket::new(c.cloud.rps * 0.8),
             settings,
             tuning,
-            life: life::Life::begin(&mut rng),
-            rng,
+            life: life::Life::begin(seed),
+            rng: fastrand::Rng::with_seed(seed),
             now,
             effects: Vec::new(),
             pending: HashMap::new(),
--- a/crates/control/src/life.rs
+++ b/crates/control/src/life.rs
@@ -16,9 +16,9 @@
 }
 
 impl Life {
-    pub fn begin(rng: &mut fastrand::Rng) -> Self {
+    pub fn begin(seed: u64) -> Self {
         // Numbers that any reader of the records can hold exactly.
-        Life { mark: rng.u64(1..1 << 53), has_owned: false }
+        Life { mark: fastrand::Rng::with_seed(!seed).u64(1..1 << 53), has_owned: false }
     }
 
     pub fn mark(&self) -> u64 {
