A new owner stops nothing to make room before the machines had time to report

Right after a take-over the owner sees free room only on machines that it has heard. In a crash loop each owner stopped tasks for room that lay free elsewhere: 200 to 300 in 20 s, 50 before the loop.

--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -240,13 +240,18 @@
                 attempt,
             );
         }
-        for p in &output.preempts {
-            self.preempt(map.machines[p.machine as usize], map.claims[p.machine as usize][p.task as usize]);
-        }
-        for gang in &output.recalls {
-            self.recall(*gang as JobIx);
+        // Right after a take-over most machines have not been heard of yet, and the room on them is not seen.
+        if now >= since + settle {
+            for p in &output.preempts {
+                self.preempt(
+                    map.machines[p.machine as usize],
+                    map.claims[p.machine as usize][p.task as usize],
+                );
+            }
+            for gang in &output.recalls {
+                self.recall(*gang as JobIx);
+            }
         }
-        // Right after a take-over the machines have not all been heard of yet.
         if now >= since + 2 * settle {
             self.hire_for(&input, &output, &catalog);
             let kept: Vec<usize> = output.kept.iter().map(|m| map.machines[*m as usize]).collect();
