A flood of submissions to the owner leaves room for claims and ends

Its own acceptances on their way now count, and a tenth of a second's writes is left.

The flood of gangs was not measured with it.

--- a/crates/control/src/side.rs
+++ b/crates/control/src/side.rs
@@ -17,6 +17,8 @@
 #[cfg(doc)]
 use crate::Event;
 
+/// What the owner's own users leave of a second's changes: claims and ends go before what is new.
+const KEPT: f64 = 0.1;
 /// Connection numbers of the door beside; users' are below.
 pub const CONNS: u64 = 1 << 63;
 /// So much of a second's requests and changes is left to claims, accepts and reads.
@@ -138,7 +140,13 @@
         if conn.is_some_and(|c| c >= CONNS) {
             return self.requests.level(now) >= 1.0 + self.requests.part(LEFT) && self.spare(1.0);
         }
-        self.requests.level(now) >= 1.0 && self.writes.level(now) >= 1.0
+        let before = if self.owns() { self.accepting() + self.writes.part(KEPT) } else { 0.0 };
+        self.requests.level(now) >= 1.0 && self.writes.level(now) >= 1.0 + before
+    }
+
+    /// Acceptances on their way. The owner counts what its watch has seen, so these are not counted yet.
+    fn accepting(&self) -> f64 {
+        self.pending.values().filter(|p| matches!(p, Pending::Accept { .. })).count() as f64
     }
 
     pub(crate) fn side_asked(&mut self, tag: u64, ask: Ask) {
@@ -259,3 +267,36 @@
     /// It has reported.
     pub up: bool,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::part::Part;
+    use crate::{Asker, Now, Tuning};
+
+    /// A flood of submissions to the owner: it accepts no more at once than it may write, and claims and ends find a
+    /// part of the second's changes left. Its watch has counted none of them yet.
+    #[test]
+    fn the_owner_s_users_leave_room_for_claims() {
+        let text = include_str!("../../../deploy/settings-example.json");
+        let settings = serde_json::from_str(text).expect("the example is accepted");
+        let now = Now { mono: 1_000_000, wall: 1_000_000 };
+        let mut node = Node::new(settings, Tuning::default(), 1, now);
+        node.part = Some(Part::new(7, 1, 0, 8.0));
+        node.set_writes(30.0);
+        node.writes.level(now.mono);
+        let spec = r#"{"nameId":"job-000412","lot":"train","desk":"vision","shape":"array","urgency":"high",
+            "pieces":1,"cores":8.0,"gpus":1.0,"ramGb":64.0,"kit":"img-07","pullGb":6.2,"builds":null,"hall":null,
+            "together":false,"spread":false,"loaners":true,"expectS":240.0,"bookmarkS":30.0,"stashS":4.0,
+            "dueS":null}"#;
+        let spec: wire::api::JobSpec = serde_json::from_str(spec).expect("a job");
+        let mut accepted = 0;
+        while accepted < 100 && node.has_room_for(Some(1)) {
+            let (asker, spec) = (Asker::User(1), Box::new(spec.clone()));
+            let what = Pending::Accept { asker, spec, at: now.mono, tries: 0 };
+            node.send(Dest::State, "POST", "/txn".into(), Vec::new(), 700, what);
+            accepted += 1;
+        }
+        assert_eq!(accepted, 27);
+    }
+}
