--- /dev/null
+++ b/crates/model/src/spec.rs
@@ -0,0 +1,239 @@
+//! What people and records say of models, and what is wrong with it.
+
+use crate::{MAX_JOBS, MAX_NAME, MAX_REPLICAS, MAX_RULES, MAX_WAKES};
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+/// How a model begins whose record was never written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Begin {
+    /// Its submission is its first demand.
+    #[default]
+    Awake,
+    /// It waits to be asked for.
+    Asleep,
+}
+
+/// Standing jobs that are models. A job belongs to the first rule that fits it in all that the rule names.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Rule {
+    /// Unique in the document.
+    pub name: String,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub class: Option<String>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub team: Option<String>,
+    /// Single jobs by their ids.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub jobs: Vec<String>,
+    /// Replicas that stay while nobody asks; 0 gives all machines back.
+    #[serde(default)]
+    pub least: u32,
+    /// Replicas while it is awake, if fewer than the job has tasks.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub most: Option<u32>,
+    /// So long after the last demand it goes to sleep.
+    pub idle_s: f64,
+    /// How many times it may be woken within `period_s`.
+    #[serde(default = "wakes")]
+    pub wakes: u32,
+    #[serde(default = "period")]
+    pub period_s: f64,
+    /// A wake without a replica after this time is given up, and the next one may not begin at once.
+    #[serde(default = "give_up")]
+    pub give_up_s: f64,
+    /// So long one machine that holds the weights is kept after the model has gone to sleep.
+    #[serde(default)]
+    pub keep_s: f64,
+    #[serde(default)]
+    pub begin: Begin,
+}
+
+impl Rule {
+    pub fn new(name: &str, idle_s: f64) -> Self {
+        Rule {
+            name: name.to_owned(),
+            class: None,
+            team: None,
+            jobs: Vec::new(),
+            least: 0,
+            most: None,
+            idle_s,
+            wakes: wakes(),
+            period_s: period(),
+            give_up_s: give_up(),
+            keep_s: 0.0,
+            begin: Begin::Awake,
+        }
+    }
+
+    fn fits(&self, job: &Job<'_>) -> bool {
+        self.class.as_deref().is_none_or(|c| c == job.class)
+            && self.team.as_deref().is_none_or(|t| t == job.team)
+            && (self.jobs.is_empty() || self.jobs.iter().any(|j| j == job.id))
+    }
+
+    /// Replicas of a job of so many tasks while it is awake, and while nobody asks.
+    pub fn awake(&self, tasks: u32) -> u32 {
+        tasks.min(self.most.unwrap_or(tasks))
+    }
+    pub fn resting(&self, tasks: u32) -> u32 {
+        self.least.min(self.awake(tasks))
+    }
+
+    /// Whether no job is left for a later rule that this one does not fit.
+    fn hides(&self, later: &Rule) -> bool {
+        let within = |own: &Option<String>, its: &Option<String>| own.is_none() || own == its;
+        let ids = self.jobs.is_empty()
+            || !later.jobs.is_empty() && later.jobs.iter().all(|j| self.jobs.contains(j));
+        within(&self.class, &later.class) && within(&self.team, &later.team) && ids
+    }
+}
+
+/// What of a standing job decides whether it is a model.
+#[derive(Debug, Clone, Copy)]
+pub struct Job<'a> {
+    pub id: &'a str,
+    pub class: &'a str,
+    pub team: &'a str,
+}
+
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct Spec {
+    #[serde(default, rename = "model", skip_serializing_if = "Vec::is_empty")]
+    pub rules: Vec<Rule>,
+}
+
+/// Where in a document something is wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Place {
+    Whole,
+    /// An index into its rules.
+    Rule(usize),
+}
+
+/// One thing that is wrong, with its place.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Fault {
+    pub place: Place,
+    /// The path to the field: `model "chat".idle_s`.
+    pub path: String,
+    /// Line of a file, counted from 1, where there is one.
+    pub line: Option<usize>,
+    pub what: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if let Some(line) = self.line {
+            write!(f, "line {line}: ")?;
+        }
+        write!(f, "{}: {}", self.path, self.what)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+impl Spec {
+    /// The rule that a job belongs to.
+    pub fn rule(&self, job: &Job<'_>) -> Option<&Rule> {
+        self.rules.iter().find(|r| r.fits(job))
+    }
+
+    /// All that is wrong with the document; `teams` are those of the settings.
+    pub fn check(&self, teams: &[&str]) -> Vec<Fault> {
+        let mut faults = Vec::new();
+        if self.rules.len() > MAX_RULES {
+            let what = format!("{} rules; at most {MAX_RULES}", self.rules.len());
+            return vec![Fault { place: Place::Whole, path: "model".into(), line: None, what }];
+        }
+        let teams: BTreeSet<&str> = teams.iter().copied().collect();
+        let mut names: BTreeMap<&str, usize> = BTreeMap::new();
+        let mut ids: BTreeMap<&str, usize> = BTreeMap::new();
+        for (i, rule) in self.rules.iter().enumerate() {
+            let mut fault = |field: &str, what: String| {
+                let name: String = rule.name.chars().take(MAX_NAME).collect();
+                let path = format!("model {name:?}.{field}");
+                faults.push(Fault { place: Place::Rule(i), path, line: None, what });
+            };
+            rule.check(&teams, &mut fault);
+            if names.insert(&rule.name, i).is_some() {
+                fault("name", "another rule has this name".into());
+            }
+            for id in &rule.jobs {
+                if let Some(other) = ids.insert(id, i) {
+                    let other = &self.rules[other].name;
+                    fault("jobs", format!("{id:?} is named already, by {other:?}"));
+                }
+            }
+            if let Some(other) = self.rules[..i].iter().find(|r| r.hides(rule)) {
+                fault("class", format!("never used: whatever fits it belongs to {:?} before it", other.name));
+            }
+        }
+        faults
+    }
+}
+
+impl Rule {
+    fn check(&self, teams: &BTreeSet<&str>, fault: &mut impl FnMut(&str, String)) {
+        let name_ok = |s: &str| !s.is_empty() && s.len() <= MAX_NAME && !s.chars().any(char::is_control);
+        if !name_ok(&self.name) {
+            fault("name", format!("1 to {MAX_NAME} bytes, no control characters"));
+        }
+        if self.class.as_deref().is_some_and(|c| !name_ok(c)) {
+            fault("class", format!("1 to {MAX_NAME} bytes, no control characters"));
+        }
+        if let Some(team) = self.team.as_deref().filter(|t| !teams.contains(t)) {
+            fault("team", format!("no team {team:?} in the settings"));
+        }
+        if self.class.is_none() && self.team.is_none() && self.jobs.is_empty() {
+            fault("class", "a class, a team or jobs: otherwise every standing job would be a model".into());
+        }
+        if self.jobs.len() > MAX_JOBS {
+            fault("jobs", format!("{} ids; at most {MAX_JOBS}", self.jobs.len()));
+        }
+        if let Some(id) = self.jobs.iter().find(|j| !name_ok(j)) {
+            fault("jobs", format!("{id:?} is no id"));
+        }
+        let most = self.most.unwrap_or(MAX_REPLICAS);
+        if most == 0 || most > MAX_REPLICAS {
+            fault("most", format!("1 to {MAX_REPLICAS}"));
+        }
+        if self.least > most {
+            fault("least", format!("{} is more than the most, {most}", self.least));
+        }
+        if self.wakes == 0 || self.wakes > MAX_WAKES {
+            fault("wakes", format!("1 to {MAX_WAKES}"));
+        }
+        let times = [
+            ("idle_s", self.idle_s, 1.0, WEEK),
+            ("period_s", self.period_s, 1.0, WEEK),
+            ("give_up_s", self.give_up_s, 10.0, WEEK),
+            ("keep_s", self.keep_s, 0.0, DAY),
+        ];
+        for (field, value, from, to) in times {
+            if !(from..=to).contains(&value) {
+                fault(field, format!("{value}; {from} to {to} seconds"));
+            }
+        }
+    }
+}
+
+const DAY: f64 = 86_400.0;
+const WEEK: f64 = 7.0 * DAY;
+
+fn wakes() -> u32 {
+    12
+}
+fn period() -> f64 {
+    3600.0
+}
+fn give_up() -> f64 {
+    900.0
+}
