--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -341,7 +341,7 @@
     }
 
     pub(crate) fn peer(&mut self, conn: u64, request: &Request) {
-        if self.admin_asked(conn, request) {
+        if self.demand_at_door(conn, request) || self.admin_asked(conn, request) {
             return;
         }
         let ask = if request.method == "POST" && request.path == peer::PATH {
@@ -376,12 +376,13 @@
             Some(Ask::Tell { machine, addr, body }) => {
                 self.tell_asked(conn, &machine, &addr, body.into_vec())
             }
+            Some(Ask::Wake { model, owner }) => self.demand_of_peer(conn, &model, owner),
             None => self.refuse(conn, 400, "not understood"),
         }
     }
 
     /// Whether the state service seems not to serve this node now; others may be served.
-    fn state_down(&self) -> bool {
+    pub(crate) fn state_down(&self) -> bool {
         self.state_bad_at.is_some_and(|at| self.now.mono < at + STATE_BAD_MS)
     }
 
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -120,6 +120,8 @@
     pub backoff_until: u64,
     /// It may have changed since the last plan.
     pub touched: bool,
+    /// Of a model: how many of its tasks may be there now. Only [`crate::models`] sets it.
+    pub replicas: Option<u32>,
 }
 
 impl Job {
@@ -163,6 +165,7 @@
             succeeded: false,
             backoff_until: 0,
             touched: false,
+            replicas: None,
         }
     }
 
@@ -275,7 +278,9 @@
     pub fn pending(&self) -> u32 {
         let open = self.tasks - self.done_count.min(self.tasks);
         let busy = self.claimed.keys().filter(|t| !self.is_done(**t)).count() as u32;
-        open.saturating_sub(busy)
+        let all = open.saturating_sub(busy);
+        // Whatever still holds a place, also on its way out, is one of its replicas.
+        self.replicas.map_or(all, |n| n.saturating_sub(self.claimed.len() as u32).min(all))
     }
 
     /// Takes a task that is neither done nor claimed.
@@ -316,6 +321,7 @@
     /// Follows up on a change of a job: what is left of a broken gang goes, an ended job is forgotten.
     pub(crate) fn job_changed(&mut self, ix: JobIx) {
         self.to_write = true;
+        self.model_changed(ix);
         let Some(part) = &mut self.part else { return };
         part.plan_due = true;
         part.job_to_write(ix);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod keeper;
 mod ledger;
 mod machines;
+mod models;
 mod part;
 mod quotas;
 mod relay;
@@ -21,12 +22,14 @@
 mod standing;
 mod tuning;
 mod views;
+mod wake;
 
 use budget::Bucket;
 use election::{Role, Shared};
 use part::Part;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
+use std::sync::Arc;
 pub use tuning::Tuning;
 use wire::api::{Catalog, JobSpec, Stage};
 use wire::http::{Request, Response};
@@ -123,6 +126,12 @@
     Admin { conn: u64 },
     Side { tag: u64 },
     TreeParts { epoch: u64 },
+    Models { epoch: u64 },
+    ModelWatch { epoch: u64 },
+    ModelWrite { epoch: u64, model: String },
+    Wake { model: String, step: wake::Step },
+    WakeForward { waiter: wake::Waiter },
+    Said { model: String },
     Catalog,
     List { epoch: u64 },
     Hire { epoch: u64, name: String },
@@ -149,6 +158,9 @@
                 | ReadLive { .. }
                 | ReadEnd { .. }
                 | Side { .. }
+                | Models { .. }
+                | ModelWrite { .. }
+                | Wake { .. }
         )
     }
 }
@@ -199,6 +211,7 @@
     /// Another door of this process is open, and has job ids of its own.
     beside: bool,
     side: side::Side,
+    models: models::Models,
     stats: Stats,
 }
 
@@ -279,6 +292,7 @@
             first: None,
             beside: false,
             side: side::Side::new(),
+            models: models::Models::default(),
             stats: Stats::default(),
         }
     }
@@ -288,6 +302,12 @@
         Node { first: spec, ..self }
     }
 
+    /// The same with models.
+    pub fn with_models(mut self, spec: Option<model::Spec>) -> Self {
+        self.models_in_force(spec.map(Arc::new));
+        self
+    }
+
     /// The same with another door beside it, whose job ids users can't take.
     pub fn with_door_beside(self) -> Self {
         Node { beside: true, ..self }
@@ -335,6 +355,7 @@
             self.machines_tick();
             self.sched_tick();
         }
+        self.models_tick();
     }
 
     fn owns(&self) -> bool {
@@ -419,10 +440,16 @@
             Pending::Forward { conn } => self.forwarded(conn, response),
             Pending::Admin { conn } => self.admin_answered(conn, response),
             Pending::Side { tag } => self.side_answered(tag, response),
+            Pending::Wake { model, step } => self.wake_came(model, step, response),
+            Pending::WakeForward { waiter } => self.demand_forwarded(waiter, response),
+            Pending::Said { model } => self.said_to_owner(&model, response),
             Pending::Catalog => self.catalog_came(response),
             // What belongs to an earlier term of ownership no longer concerns us.
             Pending::Load { epoch: e, what } if e == epoch => self.load_came(what, response),
             Pending::TreeParts { epoch: e } if e == epoch => self.tree_parts_came(response),
+            Pending::Models { epoch: e } if e == epoch => self.models_came(response),
+            Pending::ModelWatch { epoch: e } if e == epoch => self.models_watched(response),
+            Pending::ModelWrite { epoch: e, model } if e == epoch => self.model_written(model, response),
             Pending::LiveWatch { epoch: e } if e == epoch => self.live_changes(response),
             Pending::Commit { epoch: e } if e == epoch => self.committed(response),
             Pending::Verify { epoch: e } if e == epoch => self.verified(response),
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -541,6 +541,9 @@
     }
 
     pub(crate) fn load_ended(&mut self) {
+        if self.models_to_read() {
+            return;
+        }
         let now = self.now.mono;
         let whole = self.whole_allotment();
         let Some(part) = &mut self.part else { return };
@@ -611,8 +614,9 @@
         let spec = &rec.spec;
         log::debug!("job {}: {} tasks of class {} for {}", spec.id, spec.tasks, spec.class, spec.team);
         part.classes.entry(rec.spec.class.clone()).or_default().arrived(&rec.spec, rec.at_ms);
-        part.add_job(Job::new(rec, version));
+        let ix = part.add_job(Job::new(rec, version));
         part.plan_due = true;
+        self.model_came(ix);
     }
 
     /// Keeps only what later lists may still need.
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -249,7 +249,8 @@
         // Right after a take-over the machines have not all been heard of yet.
         if now >= since + 2 * settle {
             self.hire_for(&input, &output, &catalog);
-            let kept: Vec<usize> = output.kept.iter().map(|m| map.machines[*m as usize]).collect();
+            let mut kept: Vec<usize> = output.kept.iter().map(|m| map.machines[*m as usize]).collect();
+            kept.extend(self.kept_for_models());
             self.return_idle(&kept);
         }
     }
--- a/crates/control/src/side.rs
+++ b/crates/control/src/side.rs
@@ -6,6 +6,7 @@
 
 use crate::budget::Bucket;
 use crate::election::PART;
+use crate::wake::Waiter;
 use crate::{Dest, Node, Pending};
 use serde_json::Value;
 use std::sync::Arc;
@@ -48,6 +49,8 @@
     Page { under: String, after: Option<String> },
     /// Changes of some records, by the owner.
     Change { writes: Vec<Change> },
+    /// A model is wanted: as good as demand at the operators' door.
+    Demand { model: String },
 }
 
 #[derive(Debug, Clone, PartialEq)]
@@ -77,6 +80,8 @@
     Unknown,
     /// It can't be asked like that.
     Refused,
+    /// How the model stands.
+    Model(Box<wire::models::Told>),
 }
 
 /// How many keys one [`Ask::Change`] may name.
@@ -148,6 +153,7 @@
             Ask::Change { writes } => {
                 writes.is_empty() || writes.len() > MOST_WRITES || writes.iter().any(|w| !own(&w.key))
             }
+            Ask::Demand { .. } => false,
         };
         if refused {
             return self.side_over(tag, Answer::Refused);
@@ -165,6 +171,7 @@
                 self.send(Dest::State, "GET", path, Vec::new(), 2 * TIMEOUT_MS, Pending::Side { tag });
             }
             Ask::Change { writes } => self.side_change(tag, writes),
+            Ask::Demand { model } => self.demand(&model, Waiter::Side(tag)),
         }
     }
 
@@ -203,7 +210,7 @@
         self.side_over(tag, answer);
     }
 
-    fn side_over(&mut self, tag: u64, answer: Answer) {
+    pub(crate) fn side_over(&mut self, tag: u64, answer: Answer) {
         self.effects.push(crate::Effect::Side { tag, answer });
     }
 
--- a/crates/control/src/standing.rs
+++ b/crates/control/src/standing.rs
@@ -67,7 +67,11 @@
 
 /// Tasks of a job that are not done, a gang's always all.
 fn open_tasks(job: &Job, spec: &JobSpec) -> u32 {
-    if spec.kind == Kind::Array { spec.tasks - job.done_count.min(spec.tasks) } else { spec.tasks }
+    if spec.kind == Kind::Array {
+        return spec.tasks - job.done_count.min(spec.tasks);
+    }
+    // Nothing is held for a model that is asleep.
+    job.replicas.map_or(spec.tasks, |n| n.min(spec.tasks))
 }
 
 /// What a job adds to its team's counts: all open tasks, and all claims, wherever they are.
@@ -217,13 +221,16 @@
 }
 
 /// Open jobs that fit into their team's guarantee together with the team's earlier ones.
-fn within_guarantee(open: &[(JobIx, &JobSpec)], teams: &[Team]) -> HashSet<JobIx> {
+fn within_guarantee(part: &Part, open: &[(JobIx, &JobSpec)], teams: &[Team]) -> HashSet<JobIx> {
     let mut left: HashMap<&str, (&Team, f64, f64)> =
         teams.iter().map(|t| (t.name.as_str(), (t, t.cpus, t.gpus))).collect();
     let mut out = HashSet::new();
     for (ix, spec) in open {
         let Some((team, cpus, gpus)) = left.get_mut(spec.team.as_str()) else { continue };
-        let n = f64::from(spec.tasks);
+        let n = f64::from(part.job(*ix).and_then(|j| j.replicas).map_or(spec.tasks, |n| n.min(spec.tasks)));
+        if n == 0.0 {
+            continue;
+        }
         *cpus -= spec.cores * n;
         *gpus -= spec.gpus * n;
         // A team that has one resource guaranteed has its jobs counted by that one, whatever else they take; one
@@ -248,9 +255,9 @@
     let touched = part.take_touched();
     let kept = part.counted.take();
     let flat_only = |flat| Holds { flat, nested: HashMap::new(), fulfilled: HashMap::new() };
-    let Some(good) = good else { return flat_only(within_guarantee(&open_jobs(part), teams)) };
+    let Some(good) = good else { return flat_only(within_guarantee(part, &open_jobs(part), teams)) };
     let open = open_jobs(part);
-    let flat = within_guarantee(&open, &cut_guarantees(teams, good));
+    let flat = within_guarantee(part, &open, &cut_guarantees(teams, good));
     let tree = &good.tree;
     if tree.nodes.is_empty() {
         return flat_only(flat);
@@ -456,7 +463,7 @@
             let spec = spec(i as u32, team, *tasks, *cores, *gpus);
             part.add_job(Job::new(JobRec { spec, at_ms: i as u64, part: 0 }, 1));
         }
-        let within = within_guarantee(&open_jobs(&part), &teams);
+        let within = within_guarantee(&part, &open_jobs(&part), &teams);
         for (i, (team, .., expected)) in jobs.iter().enumerate() {
             assert_eq!(within.contains(&i), *expected, "job {i} of {team}");
         }
--- a/crates/gateway/src/book/store.rs
+++ b/crates/gateway/src/book/store.rs
@@ -205,7 +205,7 @@
                 flight.retry_at = now + AGAIN_MS;
                 true
             }
-            Answer::Conflict | Answer::Refused | Answer::Page { .. } => false,
+            Answer::Conflict | Answer::Refused | Answer::Page { .. } | Answer::Model(_) => false,
         }
     }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod cloud;
 pub mod links;
 pub mod loopback;
+pub mod models;
 pub mod rules;
 pub mod scene;
 pub mod state;
--- /dev/null
+++ b/crates/standins/src/models.rs
@@ -0,0 +1,132 @@
+//! What the state service, the workers and those who ask see of models, checked against what was agreed: a generation
+//! is begun once and starts what it wants once, and whoever was told that a model comes has it.
+
+use model::{Phase, Rec, Spec};
+use serde_json::Value;
+use std::collections::{BTreeMap, BTreeSet};
+use wire::models::Told;
+
+/// An answer to demand.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    pub asked: u64,
+    pub at: u64,
+    pub node: usize,
+    pub model: String,
+    pub status: u16,
+    pub told: Option<Told>,
+}
+
+/// A task on a machine.
+type On = (String, String);
+
+#[derive(Default)]
+pub struct Models {
+    pub spec: Spec,
+    pub answers: Vec<Answer>,
+    /// Records as they were written last, and how often each phase was written.
+    pub recs: BTreeMap<String, Rec>,
+    pub written: BTreeMap<&'static str, u64>,
+    on: BTreeMap<String, BTreeSet<On>>,
+    /// By generation: replicas that were started in it, and that were lost in it.
+    counts: BTreeMap<(String, u64), (u32, u32)>,
+    /// From demand on a model that was not up to its first replica, by generation.
+    pub first: BTreeMap<(String, u64), u64>,
+}
+
+impl Models {
+    /// A transaction was applied; what is wrong with it.
+    pub fn wrote(&mut self, now: u64, txn: &Value, live: impl Fn(&str) -> bool) -> Result<(), String> {
+        for w in txn["writes"].as_array().into_iter().flatten() {
+            if let Some(model) = w["remove"].as_str().and_then(|k| k.strip_prefix("model/")) {
+                if live(model) {
+                    return Err(format!("{now}: the record of {model} goes before its job"));
+                }
+                self.recs.remove(model);
+            }
+            let Some(model) = w["write"].as_str().and_then(|k| k.strip_prefix("model/")) else { continue };
+            let rec = serde_json::from_value::<Rec>(w["v"].clone()).map_err(|e| e.to_string())?;
+            if !live(model) {
+                return Err(format!("{now}: {model} is written after the end of its job"));
+            }
+            let before = self.recs.get(model).cloned().unwrap_or_default();
+            let begins = rec.phase == Phase::Waking;
+            *self.written.entry(name(rec.phase)).or_default() += 1;
+            if rec.generation != before.generation + u64::from(begins) || (begins && before.is_up()) {
+                let what = |r: &Rec| format!("{:?} {}", r.phase, r.generation);
+                return Err(format!("{now}: {model}: {} after {}", what(&rec), what(&before)));
+            }
+            self.recs.insert(model.to_owned(), rec);
+        }
+        Ok(())
+    }
+
+    /// Somebody was told how a model stands. Nothing is promised that is not written.
+    pub fn answered(&mut self, answer: Answer) -> Result<(), String> {
+        let told = answer.told.as_ref().map_or(0, |t| t.generation);
+        let stands = self.recs.get(&answer.model).map_or(u64::MAX, |r| r.generation);
+        let wrong = format!("{}: {} is told generation {told} of {stands}", answer.at, answer.model);
+        self.answers.push(answer);
+        if told > stands { Err(wrong) } else { Ok(()) }
+    }
+
+    /// What is on machines now.
+    pub fn follow(&mut self, now: u64, tasks: impl Iterator<Item = On>) -> Result<(), String> {
+        let mut on: BTreeMap<String, BTreeSet<On>> = BTreeMap::new();
+        for (task, machine) in tasks {
+            let job = wire::ids::parse_task(&task).map(|(job, _)| job.to_owned());
+            if let Some(job) = job.filter(|j| self.recs.contains_key(j)) {
+                on.entry(job).or_default().insert((task, machine));
+            }
+        }
+        let empty = BTreeSet::new();
+        for (model, rec) in &self.recs {
+            let (was, is) = (self.on.get(model).unwrap_or(&empty), on.get(model).unwrap_or(&empty));
+            if was == is {
+                continue;
+            }
+            let key = (model.clone(), rec.generation);
+            let (started, lost) = self.counts.entry(key.clone()).or_default();
+            *started += is.difference(was).count() as u32;
+            *lost += was.difference(is).count() as u32;
+            if !is.is_empty() && rec.is_up() {
+                self.first.entry(key).or_insert(now);
+            }
+            if *started > rec.wanted + *lost {
+                return Err(format!("{now}: {model}: generation {} started {started}", rec.generation));
+            }
+        }
+        self.on = on;
+        Ok(())
+    }
+
+    /// Models that are up without a replica, or asleep with more than they keep. For a world that has come to rest.
+    pub fn lost(&self, cancelled: impl Fn(&str) -> bool) -> Vec<String> {
+        let mut out = Vec::new();
+        for (model, rec) in self.recs.iter().filter(|(m, _)| !cancelled(m)) {
+            let on = self.on.get(model).map_or(0, BTreeSet::len);
+            let wrong = match rec.phase {
+                Phase::Asleep => on > 0 && self.spec.rules.iter().all(|r| r.least == 0),
+                Phase::Waking | Phase::Awake => on == 0,
+                Phase::Leaving => true,
+            };
+            if wrong {
+                out.push(format!("{model}: {:?} with {on} replicas", rec.phase));
+            }
+        }
+        out
+    }
+
+    pub fn replicas(&self, model: &str) -> usize {
+        self.on.get(model).map_or(0, BTreeSet::len)
+    }
+}
+
+fn name(phase: Phase) -> &'static str {
+    match phase {
+        Phase::Asleep => "asleep",
+        Phase::Waking => "waking",
+        Phase::Awake => "awake",
+        Phase::Leaving => "leaving",
+    }
+}
--- a/crates/standins/src/scene.rs
+++ b/crates/standins/src/scene.rs
@@ -43,6 +43,9 @@
     pub limits: Option<crate::state::Limits>,
     /// One in so many of these transactions is held for some seconds, and lands after its sender has gone on or died.
     pub held_one_in: u32,
+    /// Models, and when each is asked for, at any node or at a certain one.
+    pub models: Option<model::Spec>,
+    pub demands: Vec<(u64, String, Option<usize>)>,
     /// Masters go on after their task has gone, as if their machine were only out of sight.
     pub undead: bool,
 }
--- a/crates/standins/src/state.rs
+++ b/crates/standins/src/state.rs
@@ -46,6 +46,8 @@
     /// Refused since they were larger than the limits allow.
     pub too_large: u64,
     pub largest_value: usize,
+    /// Reads and watches of models' records.
+    pub models: u64,
 }
 
 pub struct Entry {
@@ -132,6 +134,7 @@
     pub fn handle(&mut self, now: u64, method: &str, path: &str, body: &[u8]) -> Outcome {
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
         self.counts.requests += 1;
+        self.counts.models += u64::from(query.contains("under=model/") || path.contains("/model/"));
         if !self.take(now, 1.0, 0.0) {
             return Outcome::Now(429, json!({}));
         }
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::cloud::{Cloud, address};
 use crate::links::{Cut, How, Links, Place, Side};
+use crate::models::{Answer, Models};
 use crate::rules::{OnMachine, Rules};
 use crate::scene::Scene;
 use crate::state::{Limits, Outcome, State, Watch};
@@ -15,6 +16,7 @@
 use wire::admin::{self, Change, Changed, Refused};
 use wire::api::{Cause, JobSpec, JobState, Kind, Orders, Priority, Redirect, TaskStage};
 use wire::http::{Request, Response};
+use wire::models::{DEMAND, Demand};
 use wire::settings::Settings;
 
 /// Faults and sabotage of one run.
@@ -79,6 +81,7 @@
     Worker { name: String, number: u64, sent: u64 },
     Peer { node: usize, life: u64, tag: u64 },
     Operator { change: Box<Change> },
+    Demand { model: String, node: usize, asked: u64 },
 }
 
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -109,6 +112,7 @@
     World,
     User(Ask, String),
     Operate(Box<Change>),
+    Demand(String, Option<usize>),
     Restart(usize),
     Fault,
     /// Bytes to a node, or to the client at the other end.
@@ -160,6 +164,7 @@
     /// Tasks that were stopped to make room.
     pub stopped: u64,
     pub rules: Rules,
+    pub models: Models,
     run_ms: BTreeMap<String, u64>,
     tuning: Tuning,
     /// How operators' changes ended: the last status, and the version.
@@ -274,6 +279,7 @@
             doomed: None,
             stopped: 0,
             rules: Rules { cancel_ms: CANCEL_MS, ..Rules::default() },
+            models: Models::default(),
             run_ms: BTreeMap::new(),
             tuning,
             changes: BTreeMap::new(),
@@ -377,6 +383,10 @@
         for (at, change) in scene.changes {
             self.at(start + at, Ev::Operate(Box::new(change)));
         }
+        self.models.spec = scene.models.unwrap_or_default();
+        for (at, model, node) in scene.demands {
+            self.at(start + at, Ev::Demand(model, node));
+        }
         for job in scene.jobs {
             let id = job.spec.id.clone();
             self.run_ms.insert(id.clone(), job.run_ms);
@@ -402,6 +412,35 @@
         self.step(Ev::Request(n, Origin::Operator { change }, request, true));
     }
 
+    /// Somebody asks for a model, at any node or at a certain one.
+    pub fn demand(&mut self, model: &str, node: Option<usize>) {
+        let n = node.unwrap_or_else(|| self.rng.usize(0..self.plan.nodes));
+        let body = admin::encode(&Demand { model: model.to_owned() });
+        let request = Request { method: "POST".into(), path: DEMAND.into(), body, close: false };
+        let origin = Origin::Demand { model: model.to_owned(), node: n, asked: self.now };
+        self.step(Ev::Request(n, origin, request, true));
+    }
+
+    /// What the workers and the state service show of models.
+    fn follow_models(&mut self) {
+        if self.plan.scene.as_ref().is_none_or(|s| s.models.is_none()) {
+            return;
+        }
+        let on = self.workers.values().flat_map(on_machine);
+        let on: Vec<_> = on.map(|o| (o.task.to_owned(), o.machine.to_owned())).collect();
+        if let Err(what) = self.models.follow(self.now, on.into_iter()) {
+            self.rules.breaks("cold_starts_twice", what);
+        }
+    }
+
+    fn note_models(&mut self, body: &[u8]) {
+        let Ok(txn) = wire::decode::<Value>(body) else { return };
+        let live = |m: &str| self.state.keys.contains_key(&format!("live/{m}"));
+        if let Err(what) = self.models.wrote(self.now, &txn, live) {
+            self.rules.breaks("cold_starts_twice", what);
+        }
+    }
+
     /// What an operator is told. Without an answer the same change is asked for again.
     fn operated(&mut self, change: Box<Change>, response: Option<Response>) {
         let status = response.as_ref().map_or(0, |r| r.status);
@@ -614,7 +653,7 @@
     /// What stands between a node and whoever it answers, if anything.
     fn answer_is_cut(&self, n: usize, to: &Origin) -> Option<How> {
         let to = match to {
-            Origin::User { .. } | Origin::Operator { .. } => Place::Users,
+            Origin::User { .. } | Origin::Operator { .. } | Origin::Demand { .. } => Place::Users,
             Origin::Peer { node, .. } => Place::Node(*node),
             Origin::Worker { name, .. } => {
                 let w = self.workers.get(name)?;
@@ -682,6 +721,7 @@
                 let report_s = self.report_ms() as f64 / 1000.0;
                 let settings = settings(n, &self.plan, limit, self.state.limits, report_s);
                 let node = Node::new(settings, self.tuning.clone(), seed, now);
+                let node = node.with_models(self.plan.scene.as_ref().and_then(|s| s.models.clone()));
                 let config = self.plan.scene.as_ref().and_then(|s| s.yarn.clone());
                 let gateway = config.map(|c| Gateway::new(c, [seed as u8; 32]));
                 self.hosts[n].node = Some(Served::new(node, gateway));
@@ -708,7 +748,8 @@
                     return self.at(self.now + 500, Ev::Answer(origin, None));
                 }
                 // Workers and nodes have looked at their links when they sent it.
-                let users = matches!(origin, Origin::User { .. } | Origin::Operator { .. });
+                let users =
+                    matches!(origin, Origin::User { .. } | Origin::Operator { .. } | Origin::Demand { .. });
                 if users && self.links.blocked(self.now, Place::Users, Place::Node(n)).is_some() {
                     return self.at(self.now + 500, Ev::Answer(origin, None));
                 }
@@ -730,6 +771,7 @@
             Ev::World => self.world_tick(),
             Ev::User(kind, job) => self.user(kind, job),
             Ev::Operate(change) => self.operate(change),
+            Ev::Demand(model, node) => self.demand(&model, node),
             Ev::Fault => self.fault(),
             Ev::RawIn(conn, bytes) => self.raw_in(conn, Raw::Bytes(bytes)),
             Ev::RawOut(conn, bytes) => self.raw_out(conn, &bytes),
@@ -1017,6 +1059,7 @@
                             self.note_yarn_jobs(&c.body);
                             self.claims_with_bounds(&c.body);
                             self.follow_tree();
+                            self.note_models(&c.body);
                         }
                         let stranger = self.plan.sabotage == Sabotage::StrangersKnown;
                         if stranger && status == 404 && c.path.starts_with("/keys/live/") {
@@ -1104,6 +1147,14 @@
                 self.at(at, Ev::Reply(node, life, tag, response));
             }
             Origin::Operator { change } => self.operated(change, response),
+            Origin::Demand { model, node, asked } => {
+                let status = response.as_ref().map_or(0, |r| r.status);
+                let told = response.and_then(|r| admin::decode(&r.body).ok());
+                let answer = Answer { asked, at: self.now, node, model, status, told };
+                if let Err(what) = self.models.answered(answer) {
+                    self.rules.breaks("models_lost", what);
+                }
+            }
             Origin::User { job, kind, asked } => {
                 let status = response.as_ref().map_or(0, |r| r.status);
                 self.waits.push(self.now - asked);
@@ -1241,6 +1292,7 @@
             self.work(&name);
         }
         self.gangs();
+        self.follow_models();
         self.yarn_tick();
         if self.plan.large && now.is_multiple_of(1000) {
             let on: Vec<OnMachine<'_>> = self.workers.values().flat_map(on_machine).collect();
@@ -1496,6 +1548,14 @@
         (0..self.plan.nodes).for_each(|n| self.crash(n, 3000));
     }
 
+    /// All controllers crash within so many milliseconds of each other, each back within as many as `back`.
+    pub fn crash_all_for(&mut self, apart: u64, back: u64) {
+        for n in 0..self.plan.nodes {
+            let back = back + self.rng.u64(0..apart);
+            self.crash(n, back);
+        }
+    }
+
     /// Somebody else writes into the state service.
     pub fn write(&mut self, write: wire::api::Write) {
         let txn = wire::api::Txn { guards: Vec::new(), writes: vec![write] };
--- /dev/null
+++ b/crates/standins/tests/models.rs
@@ -0,0 +1,222 @@
+//! Models in virtual time: woken once whoever asks and whoever dies, asleep by proof, and back again.
+
+use model::{Begin, Phase, Rule, Spec};
+use standins::links::{Cut, Side};
+use standins::scene::{Scene, Timed, array};
+use standins::world::{Plan, World};
+use wire::api::{JobSpec, Kind};
+
+fn rule() -> Rule {
+    let class = Some("serve".to_owned());
+    Rule { class, most: Some(2), wakes: 32, begin: Begin::Asleep, ..Rule::new("all", 20.0) }
+}
+
+fn model(id: u32) -> JobSpec {
+    JobSpec {
+        kind: Kind::Service,
+        class: "serve".into(),
+        image: format!("m-{id}"),
+        ..array(id, "red", 3, 60.0)
+    }
+}
+
+fn id(n: u32) -> String {
+    format!("job-{n:06}")
+}
+
+/// Models that are submitted at the begin, and so many machines.
+fn scene(models: std::ops::Range<u32>, machines: usize, rule: Rule) -> Scene {
+    let mut scene = Scene { machines, ..Scene::default() }.team("red", 4.0, 0.0);
+    scene.models = Some(Spec { rules: vec![rule] });
+    let timed = |n| Timed { at: 3000, run_ms: 10_000_000, cancel_ms: None, spec: model(n) };
+    scene.jobs = models.map(timed).collect();
+    scene
+}
+
+fn world(seed: u64, nodes: usize, scene: Scene) -> World {
+    World::new(Plan::of_scene(seed, nodes, scene, 0, 900_000))
+}
+
+fn rec(w: &World, n: u32) -> (Phase, u64) {
+    w.models.recs.get(&id(n)).map_or((Phase::Asleep, 0), |r| (r.phase, r.generation))
+}
+
+fn is_whole(w: &World) {
+    assert!(w.rules.broken.is_empty(), "{:?}", w.rules.broken);
+    let cancelled = |m: &str| w.rules.jobs.get(m).is_none_or(|j| j.told_cancelled.is_some());
+    assert_eq!(w.models.lost(cancelled), Vec::<String>::new(), "models_lost");
+}
+
+/// Asleep at first, woken by ten thousand at once by one transaction, up, idle, asleep by proof with its machines given
+/// back, and woken again into the next generation.
+#[test]
+fn a_model_wakes_once_and_gives_its_machines_back() {
+    let mut w = world(1, 3, scene(1..2, 4, rule()));
+    w.run_for(30_000);
+    assert_eq!((rec(&w, 1), w.models.replicas(&id(1)), w.models.recs.len()), ((Phase::Asleep, 0), 0, 0));
+    for i in 0..10_000 {
+        w.demand(&id(1), Some(i % 3));
+        if i % 10 == 0 {
+            w.run_for(1);
+        }
+    }
+    w.run_for(12_000);
+    assert_eq!(rec(&w, 1), (Phase::Awake, 1));
+    assert_eq!(w.models.written["waking"], 1);
+    let told = |status| w.models.answers.iter().filter(|a| a.status == status).count();
+    assert_eq!((told(200) + told(503), w.models.replicas(&id(1))), (10_000, 2));
+    assert!(told(200) > 5000, "{} were told", told(200));
+    w.run_for(60_000);
+    assert_eq!((rec(&w, 1), w.models.replicas(&id(1))), ((Phase::Asleep, 1), 0));
+    w.run_for(30_000);
+    assert_eq!(w.owner().expect("owner").node().machine_count(), 0, "all machines are given back");
+    w.demand(&id(1), None);
+    w.run_for(12_000);
+    assert_eq!(rec(&w, 1), (Phase::Awake, 2));
+    is_whole(&w);
+}
+
+/// Without a document, the same standing job starts all its tasks, and nothing of models is ever written or read; with one
+/// that it does not fit, nothing is written.
+#[test]
+fn without_a_document_nothing_differs() {
+    for models in [false, true] {
+        let mut scene = scene(1..2, 4, Rule { jobs: vec![id(7)], ..rule() });
+        if !models {
+            scene.models = None;
+        }
+        let mut w = world(2, 3, scene);
+        w.demand(&id(1), None);
+        w.run_for(60_000);
+        assert!(w.rules.broken.is_empty(), "{:?}", w.rules.broken);
+        assert_eq!((w.on_machines().len(), w.models.written.len()), (3, 0));
+        assert_eq!(w.state.counts.models > 0, models);
+        assert_eq!(w.models.answers[0].status, 404);
+    }
+}
+
+/// The owner is lost before, in and after each write of a wake and of a sleep, with one restart or all controllers at
+/// once and back within 0.2 s: one generation, whoever goes on with it.
+#[test]
+fn whoever_dies_at_each_write_the_generation_goes_on() {
+    for nodes in [3, 5, 7] {
+        for step in 0..24u64 {
+            let mut w = world(100 + step, nodes, scene(1..3, 6, rule()));
+            w.run_for(20_000 + step * 7);
+            (1..3).for_each(|n| w.demand(&id(n), None));
+            w.run_for([2, 20, 60, 200, 400, 900, 2500, 7000][step as usize % 8]);
+            match step / 8 {
+                0 => w.doom_owner(),
+                1 => w.crash_all_for(100, 200),
+                _ => {
+                    let owner = w.owner_at().unwrap_or(0);
+                    w.crash_node(owner);
+                    w.crash_node((owner + 1) % nodes);
+                }
+            }
+            w.run_for(1000);
+            (1..3).for_each(|n| w.demand(&id(n), None));
+            w.run_for(24_000);
+            is_whole(&w);
+            assert_eq!((rec(&w, 1), rec(&w, 2)), ((Phase::Awake, 1), (Phase::Awake, 1)), "{nodes}, {step}");
+            // And in the midst of going to sleep.
+            w.run_for(step * 50);
+            w.doom_owner();
+            w.run_for(45_000);
+            is_whole(&w);
+            assert_eq!((rec(&w, 1), rec(&w, 2)), ((Phase::Asleep, 1), (Phase::Asleep, 1)), "{nodes}, {step}");
+        }
+    }
+}
+
+/// Demand at both sides of a cut is one generation; a node that can't reach the owner keeps the model awake by its
+/// record, or wakes the next generation after a sleep.
+#[test]
+fn demand_at_two_sides_of_a_cut_is_one_generation() {
+    for seed in 0..6 {
+        let mut w = world(200 + seed, 5, scene(1..2, 4, rule()));
+        w.run_for(20_000);
+        let owner = w.owner_at().expect("an owner");
+        let far = (owner + 1) % 5;
+        w.cut(Cut::between(Side::Node(far), Side::Nodes, w.now(), 200_000));
+        w.demand(&id(1), Some(far));
+        w.demand(&id(1), Some(owner));
+        w.run_for(12_000);
+        assert_eq!(rec(&w, 1), (Phase::Awake, 1));
+        // Only the node that the owner does not hear goes on asking.
+        for _ in 0..20 {
+            w.demand(&id(1), Some(far));
+            w.run_for(4000);
+        }
+        assert_eq!(rec(&w, 1), (Phase::Awake, 1), "its demand stands in the record");
+        w.run_for(40_000);
+        assert_eq!(rec(&w, 1), (Phase::Asleep, 1));
+        w.demand(&id(1), Some(far));
+        w.run_for(12_000);
+        assert_eq!(rec(&w, 1), (Phase::Awake, 2));
+        is_whole(&w);
+    }
+}
+
+/// Demand at any moment of a sleep: the model is kept, or comes back in the next generation, and no replica runs twice.
+#[test]
+fn a_wake_in_the_midst_of_a_sleep_turns_it_round() {
+    for step in 0..16 {
+        let mut w = world(300 + step, 3, scene(1..2, 4, rule()));
+        w.run_for(20_000);
+        w.demand(&id(1), None);
+        let leaves = (0..3000).find(|_| {
+            w.run_for(20);
+            rec(&w, 1).0 == Phase::Leaving
+        });
+        assert!(leaves.is_some(), "it never sleeps: {:?}", w.rules.broken);
+        w.run_for(step * 60);
+        w.demand(&id(1), None);
+        w.run_for(12_000);
+        assert_eq!((rec(&w, 1), w.models.replicas(&id(1))), ((Phase::Awake, 2), 2), "{step}");
+        is_whole(&w);
+    }
+}
+
+/// The cloud is out in the midst of a wake: it goes on when the cloud is back. A cancelled model never wakes, and its
+/// record goes.
+#[test]
+fn a_wake_outlasts_the_cloud_and_a_cancelled_model_never_wakes() {
+    let mut w = world(4, 3, scene(1..3, 4, rule()));
+    w.run_for(20_000);
+    w.cloud_out(30_000);
+    (1..3).for_each(|n| w.demand(&id(n), None));
+    w.run_for(25_000);
+    assert_eq!((rec(&w, 1), rec(&w, 2)), ((Phase::Waking, 1), (Phase::Waking, 1)));
+    w.cancel(&id(2));
+    w.run_for(20_000);
+    assert_eq!((rec(&w, 1), w.models.replicas(&id(2))), ((Phase::Awake, 1), 0));
+    (0..3).for_each(|n| w.demand(&id(2), Some(n)));
+    w.run_for(20_000);
+    assert_eq!(w.models.answers.iter().rev().take(3).map(|a| a.status).collect::<Vec<_>>(), [404; 3]);
+    assert!(!w.state.keys.contains_key("model/job-000002"), "its record is gone");
+    is_whole(&w);
+}
+
+/// Two hundred models, a tenth of them awake, and a flood of demand on the rest: one generation and two writes each
+/// until they are up, and nobody is answered late.
+#[test]
+fn a_flood_on_two_hundred_models_wakes_each_once() {
+    let mut w = world(5, 5, scene(1..201, 110, Rule { most: Some(1), idle_s: 120.0, ..rule() }));
+    w.run_for(30_000);
+    (1..21).for_each(|n| w.demand(&id(n), None));
+    w.run_for(20_000);
+    assert_eq!(w.models.written["waking"], 20);
+    for round in 0..40 {
+        for n in 1..201 {
+            w.demand(&id(n), Some((n + round) as usize % 5));
+        }
+        w.run_for(100);
+    }
+    w.run_for(60_000);
+    is_whole(&w);
+    assert_eq!((1..201).filter(|n| rec(&w, *n) == (Phase::Awake, 1)).count(), 200);
+    assert_eq!((w.models.written["waking"], w.models.written["awake"]), (200, 200));
+    let slow = w.models.answers.iter().filter(|a| a.at > a.asked + 2000).count();
+    assert_eq!(slow, 0, "answers that took long");
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod api;
 pub mod http;
 pub mod ids;
+pub mod models;
 pub mod peer;
 pub mod records;
 pub mod settings;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -26,6 +26,8 @@
     Reports { node: String, reports: Vec<ByteBuf> },
     /// A command for a worker that the other serves, as the worker is to get it.
     Tell { machine: String, addr: String, body: ByteBuf },
+    /// A model is wanted. For the owner alone: it is to know of it, so that it does not put the model to sleep.
+    Wake { model: String, owner: bool },
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -49,6 +51,8 @@
         status: u16,
         body: ByteBuf,
     },
+    /// How the model stands.
+    Model(Box<crate::models::Told>),
 }
 
 /// What a node sees of the others, and knows itself.
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -18,6 +18,12 @@
 /// Records of doors beside the users' own.
 pub const SIDE: &str = "side/";
 
+/// Models that were ever woken, by the ids of their jobs.
+pub const MODELS: &str = "model/";
+
+pub fn model_key(model: &str) -> String {
+    format!("{MODELS}{model}")
+}
 pub fn owner_key(part: Part) -> String {
     format!("sys/owner/{part}")
 }
@@ -234,6 +240,7 @@
     Allot(AllotRec),
     Quota(crate::tree::HeadRec),
     QuotaPart(crate::tree::PartRec),
+    Model(model::Rec),
     /// What a door beside the users' own keeps; its form is that door's.
     Side(serde_json::Value),
 }
