--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,9 +4,11 @@
 mod admin;
 mod budget;
 mod commit;
+mod documents;
 mod door;
 mod election;
 mod fleet;
+mod hours;
 mod jobs;
 mod keeper;
 mod ledger;
@@ -25,11 +27,11 @@
 mod wake;
 
 use budget::Bucket;
+use documents::for_kind;
 use election::{Role, Shared};
 use part::Part;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::Arc;
 pub use tuning::Tuning;
 use wire::api::{Catalog, JobSpec, Stage};
 use wire::http::{Request, Response};
@@ -125,13 +127,13 @@
     Forward { conn: u64 },
     Admin { conn: u64 },
     Side { tag: u64 },
-    TreeParts { epoch: u64 },
     Models { epoch: u64 },
     ModelWatch { epoch: u64 },
     ModelWrite { epoch: u64, model: String },
     Wake { model: String, step: wake::Step },
     WakeForward { waiter: wake::Waiter },
     Said { model: String },
+    Parts { epoch: u64, kind: documents::KindId },
     Catalog,
     List { epoch: u64 },
     Hire { epoch: u64, name: String },
@@ -151,7 +153,7 @@
                 | Renew { .. }
                 | Take { .. }
                 | Load { .. }
-                | TreeParts { .. }
+                | Parts { .. }
                 | Commit { .. }
                 | Verify { .. }
                 | Accept { .. }
@@ -206,8 +208,6 @@
     stood_back_at: Option<u64>,
     /// Something may be there to be written. Without it, only ticks look.
     to_write: bool,
-    /// The quota tree to begin with, where there has never been any.
-    first: Option<quota::Spec>,
     /// Another door of this process is open, and has job ids of its own.
     beside: bool,
     side: side::Side,
@@ -289,7 +289,6 @@
             catalog_at: 0,
             stood_back_at: None,
             to_write: false,
-            first: None,
             beside: false,
             side: side::Side::new(),
             models: models::Models::default(),
@@ -298,13 +297,20 @@
     }
 
     /// The same, with a quota tree to begin with. It is put in place only if there has never been one.
-    pub fn with_first_tree(self, spec: Option<quota::Spec>) -> Self {
-        Node { first: spec, ..self }
+    pub fn with_first_tree(mut self, spec: Option<quota::Spec>) -> Self {
+        self.shared.documents.quota.first = spec;
+        self
+    }
+
+    /// The same, with a calendar of release hours to begin with.
+    pub fn with_first_hours(mut self, spec: Option<::hours::Spec>) -> Self {
+        self.shared.documents.hours.first = spec;
+        self
     }
 
-    /// The same with models.
-    pub fn with_models(mut self, spec: Option<model::Spec>) -> Self {
-        self.models_in_force(spec.map(Arc::new));
+    /// The same, with a list of models to begin with.
+    pub fn with_first_models(mut self, spec: Option<model::Spec>) -> Self {
+        self.shared.documents.models.first = spec;
         self
     }
 
@@ -343,10 +349,7 @@
         self.relay_tick();
         self.door_tick();
         self.share_writes();
-        self.quotas_tick();
-        if self.first.is_some() {
-            self.first_tree();
-        }
+        self.documents_tick();
         if self.shared.catalog.is_none() || self.owns() {
             self.catalog_tick();
         }
@@ -354,6 +357,7 @@
             self.fleet_tick();
             self.machines_tick();
             self.sched_tick();
+            self.hours_tick();
         }
         self.models_tick();
     }
@@ -379,7 +383,7 @@
         self.next_tag += 1;
         self.pending.insert(tag, what);
         let answer_limit = match to {
-            _ if path == wire::admin::PATH => wire::admin::ANSWER_LIMIT,
+            _ if wire::admin::kind_of(&path).is_some() => wire::admin::ANSWER_LIMIT,
             Dest::State | Dest::Cloud => STATE_ANSWER,
             // Orders for many workers.
             Dest::Peer(_) => PEER_ANSWER,
@@ -446,10 +450,12 @@
             Pending::Catalog => self.catalog_came(response),
             // What belongs to an earlier term of ownership no longer concerns us.
             Pending::Load { epoch: e, what } if e == epoch => self.load_came(what, response),
-            Pending::TreeParts { epoch: e } if e == epoch => self.tree_parts_came(response),
             Pending::Models { epoch: e } if e == epoch => self.models_came(response),
             Pending::ModelWatch { epoch: e } if e == epoch => self.models_watched(response),
             Pending::ModelWrite { epoch: e, model } if e == epoch => self.model_written(model, response),
+            Pending::Parts { epoch: e, kind } if e == epoch => {
+                for_kind!(kind, K => self.parts_came::<K>(response))
+            }
             Pending::LiveWatch { epoch: e } if e == epoch => self.live_changes(response),
             Pending::Commit { epoch: e } if e == epoch => self.committed(response),
             Pending::Verify { epoch: e } if e == epoch => self.verified(response),
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -229,6 +229,7 @@
             output.waiting.len(),
             output.steps
         );
+        self.hours_planned(&input, &output, &map.jobs);
         let mut attempts: HashMap<u32, u64> = HashMap::new();
         for start in &output.starts {
             let Some(part) = &mut self.part else { return };
@@ -258,7 +259,7 @@
     /// Teams with their limits: those of the recorded allotment, the tree's by the version that stands there. Without
     /// one, or with another version in force, there is no room at all.
     fn plan_teams(&self, tree: Option<&quota::Tree>) -> Vec<plan::Team> {
-        let version = self.shared.quotas.version();
+        let version = self.shared.documents.quota.version();
         let recorded = |p: &&Part| p.allot_version > 0 && p.allot_wanted.is_none();
         let allot = self.part.as_ref().filter(recorded).and_then(|p| p.allot.as_ref());
         let allot = allot.filter(|a| Some(a.tree) == version);
@@ -296,8 +297,8 @@
             ..plan::Input::default()
         };
         let mut map = Map { machines: Vec::new(), jobs: Vec::new(), claims: Vec::new() };
-        let good = self.shared.quotas.good.clone();
-        let tree = good.as_ref().map(|g| g.tree.clone()).filter(|tree| !tree.nodes.is_empty());
+        let good = self.shared.documents.quota.good.clone();
+        let tree = good.as_ref().map(|g| g.built.clone()).filter(|tree| !tree.nodes.is_empty());
         input.teams = self.plan_teams(tree.as_deref());
         let Some(part) = &mut self.part else { return (input, map) };
         let aims = Aims { all: &self.settings.cluster.objectives };
@@ -412,7 +413,11 @@
             for (held, pending) in holds.waiting(ix, spec, claimed, pending) {
                 let planned = plan::Job { pending, held, ..like.clone() };
                 map.jobs.push(ix);
-                input.jobs.push(aims.with_deadline(planned, spec, &holds, ix));
+                let planned = aims.with_deadline(planned, spec, &holds, ix);
+                input.jobs.push(match &job.hour {
+                    Some(hour) => hour.cap(planned, spec, catalog, now.wall),
+                    None => planned,
+                });
             }
         }
         input.spares = spares(part, &self.settings.cluster.objectives, &names, &self.tuning, now.wall);
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,7 +14,7 @@
 
 pub use rec::{MAX_NEAR, Phase, Rec, Seen};
 pub use rules::{Asked, Why, asked};
-pub use spec::{Begin, Fault, Job, Place, Rule, Spec};
+pub use spec::{Begin, Job, Rule, Spec};
 
 /// Rules of one document, and jobs that a rule may name.
 pub const MAX_RULES: usize = 2_000;
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -721,7 +721,7 @@
                 let report_s = self.report_ms() as f64 / 1000.0;
                 let settings = settings(n, &self.plan, limit, self.state.limits, report_s);
                 let node = Node::new(settings, self.tuning.clone(), seed, now);
-                let node = node.with_models(self.plan.scene.as_ref().and_then(|s| s.models.clone()));
+                let node = node.with_first_models(self.plan.scene.as_ref().and_then(|s| s.models.clone()));
                 let config = self.plan.scene.as_ref().and_then(|s| s.yarn.clone());
                 let gateway = config.map(|c| Gateway::new(c, [seed as u8; 32]));
                 self.hosts[n].node = Some(Served::new(node, gateway));
--- a/crates/wire/src/models.rs
+++ b/crates/wire/src/models.rs
@@ -29,6 +29,14 @@
     pub not_before_ms: Option<u64>,
 }
 
+/// What only this kind of document is asked.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Ask {
+    /// All models, as the owner sees them.
+    List {},
+}
+
 /// A model as its owner sees it.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Standing {
