--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -286,7 +286,7 @@
     }
 
     pub(crate) fn peer(&mut self, conn: u64, request: &Request) {
-        if self.admin_asked(conn, request) {
+        if self.demand_at_door(conn, request) || self.admin_asked(conn, request) {
             return;
         }
         let ask = if request.method == "POST" && request.path == peer::PATH {
@@ -321,6 +321,7 @@
             Some(Ask::Tell { machine, addr, body }) => {
                 self.tell_asked(conn, &machine, &addr, body.into_vec())
             }
+            Some(Ask::Wake { model, owner }) => self.demand_of_peer(conn, &model, owner),
             None => self.refuse(conn, 400, "not understood"),
         }
     }
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -126,6 +126,8 @@
     pub touched: bool,
     /// A plan has seen some of it run.
     pub began: bool,
+    /// Of a model: how many of its tasks may be there now. Only [`crate::models`] sets it.
+    pub replicas: Option<u32>,
     /// By when it is to be released.
     pub hour: Option<Box<crate::hours::Hour>>,
 }
@@ -176,6 +178,7 @@
             backoff_until: 0,
             touched: false,
             began: false,
+            replicas: None,
             hour: None,
         }
     }
@@ -294,7 +297,9 @@
     pub fn pending(&self) -> u32 {
         let open = self.tasks - self.done_count.min(self.tasks);
         let busy = self.claimed.keys().filter(|t| !self.is_done(**t)).count() as u32;
-        open.saturating_sub(busy)
+        let all = open.saturating_sub(busy);
+        // Whatever still holds a place, also on its way out, is one of its replicas.
+        self.replicas.map_or(all, |n| n.saturating_sub(self.claimed.len() as u32).min(all))
     }
 
     /// Takes a task that is neither done nor claimed.
@@ -335,6 +340,7 @@
     /// Follows up on a change of a job: what is left of a broken gang goes, an ended job is forgotten.
     pub(crate) fn job_changed(&mut self, ix: JobIx) {
         self.to_write = true;
+        self.model_changed(ix);
         let Some(part) = &mut self.part else { return };
         part.plan_due = true;
         part.job_to_write(ix);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -18,6 +18,7 @@
 mod life;
 mod lookup;
 mod machines;
+mod models;
 mod part;
 mod quotas;
 mod relay;
@@ -29,6 +30,7 @@
 mod tally;
 mod tuning;
 mod views;
+mod wake;
 
 use budget::Bucket;
 use documents::for_kind;
@@ -137,6 +139,12 @@
     Side { tag: u64 },
     Sheets { epoch: u64 },
     Audit { epoch: u64, under: audit::Under },
+    Models { epoch: u64 },
+    ModelWatch { epoch: u64 },
+    ModelWrite { epoch: u64, model: String },
+    Wake { model: String, step: wake::Step },
+    WakeForward { waiter: wake::Waiter },
+    Said { model: String },
     Parts { epoch: u64, kind: documents::KindId },
     Catalog,
     List { epoch: u64 },
@@ -166,6 +174,9 @@
                 | ReadLive { .. }
                 | ReadEnd { .. }
                 | Side { .. }
+                | Models { .. }
+                | ModelWrite { .. }
+                | Wake { .. }
         )
     }
 }
@@ -217,6 +228,7 @@
     /// Another door of this process is open, and has job ids of its own.
     beside: bool,
     side: side::Side,
+    models: models::Models,
     stats: Stats,
 }
 
@@ -303,6 +315,7 @@
             to_write: false,
             beside: false,
             side: side::Side::new(),
+            models: models::Models::default(),
             stats: Stats::default(),
         }
     }
@@ -325,6 +338,12 @@
         self
     }
 
+    /// The same, with a list of models to begin with.
+    pub fn with_first_models(mut self, spec: Option<model::Spec>) -> Self {
+        self.shared.documents.models.first = spec;
+        self
+    }
+
     /// The same with another door beside it, whose job ids users can't take.
     pub fn with_door_beside(self) -> Self {
         Node { beside: true, ..self }
@@ -373,6 +392,7 @@
             self.tally_tick();
             self.audit_tick();
         }
+        self.models_tick();
     }
 
     fn owns(&self) -> bool {
@@ -482,11 +502,17 @@
             }
             Pending::Admin { conn } => self.admin_answered(conn, response),
             Pending::Side { tag } => self.side_answered(tag, response),
+            Pending::Wake { model, step } => self.wake_came(model, step, response),
+            Pending::WakeForward { waiter } => self.demand_forwarded(waiter, response),
+            Pending::Said { model } => self.said_to_owner(&model, response),
             Pending::Catalog => self.catalog_came(response),
             // What belongs to an earlier term of ownership no longer concerns us.
             Pending::Load { epoch: e, what } if e == epoch => self.load_came(what, response),
             Pending::Audit { epoch: e, under } if e == epoch => self.audit_came(under, response),
             Pending::Sheets { epoch: e } if e == epoch => self.sheets_came(response),
+            Pending::Models { epoch: e } if e == epoch => self.models_came(response),
+            Pending::ModelWatch { epoch: e } if e == epoch => self.models_watched(response),
+            Pending::ModelWrite { epoch: e, model } if e == epoch => self.model_written(model, response),
             Pending::Parts { epoch: e, kind } if e == epoch => {
                 for_kind!(kind, K => self.parts_came::<K>(response))
             }
--- a/crates/stoathatch/src/documents.rs
+++ b/crates/stoathatch/src/documents.rs
@@ -25,7 +25,7 @@
         value_delimiter = ',',
         global = true
     )]
-    nodes: Vec<SocketAddr>,
+    pub nodes: Vec<SocketAddr>,
     /// Print JSON, for programs.
     #[arg(long, global = true)]
     pub json: bool,
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -5,6 +5,7 @@
 mod counties;
 mod documents;
 mod hours;
+mod models;
 mod quota;
 mod service;
 mod tools;
@@ -32,6 +33,9 @@
     /// Counties to begin with (TOML); used only if the deployment has never had any.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_COUNTIES")]
     counties: Option<PathBuf>,
+    /// A list of models to begin with (TOML); used only if the deployment has never had one.
+    #[arg(long, value_name = "FILE", env = "STOATHATCH_MODELS")]
+    models: Option<PathBuf>,
     /// Serve YARN's clients too, as this file says (INI); without it nothing listens for them.
     #[arg(long, value_name = "FILE", env = "STOATHATCH_YARN")]
     yarn: Option<PathBuf>,
@@ -51,6 +55,8 @@
     Hours(hours::Command),
     /// Counties, and their counts.
     Counties(counties::Command),
+    /// Models that sleep while nobody asks for them.
+    Models(models::Command),
     /// Applications of YARN's clients, their queues, and drains.
     Yarn(tools::Command),
 }
@@ -61,6 +67,7 @@
         Some(Command::Quota(command)) => return quota::run(command),
         Some(Command::Hours(command)) => return hours::run(command),
         Some(Command::Counties(command)) => return counties::run(command),
+        Some(Command::Models(command)) => return models::run(command),
         Some(Command::Yarn(command)) => return tools::run(command),
         None => {}
     }
@@ -98,6 +105,7 @@
         tree: first::<quota::Quota>(args.quota.as_ref(), &settings)?,
         hours: first::<hours::Hours>(args.hours.as_ref(), &settings)?,
         counties: first::<counties::Partition>(args.counties.as_ref(), &settings)?,
+        models: first::<models::Models>(args.models.as_ref(), &settings)?,
     };
     let yarn = args.yarn.as_deref().map(config::yarn).transpose()?;
     if args.check {
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -18,6 +18,7 @@
     pub tree: Option<quota::Spec>,
     pub hours: Option<hours::Spec>,
     pub counties: Option<county::Spec>,
+    pub models: Option<model::Spec>,
 }
 
 pub struct Service {
@@ -79,7 +80,8 @@
         let node = Node::new(settings, tuning, seed, now(start))
             .with_first_tree(first.tree)
             .with_first_hours(first.hours)
-            .with_first_counties(first.counties);
+            .with_first_counties(first.counties)
+            .with_first_models(first.models);
         let node = Served::new(node, yarn.map(|c| Ok::<_, String>(Gateway::new(c, secret()?))).transpose()?);
         Ok(Service {
             net,
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod hours;
 pub mod http;
 pub mod ids;
+pub mod models;
 pub mod peer;
 pub mod records;
 pub mod settings;
