--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -12,6 +12,7 @@
 use crate::commit::{Draft, Op};
 use crate::counties::County;
 use crate::hours::Hours;
+use crate::models::Listed;
 use crate::part::{Load, Part};
 use crate::quotas::Quota;
 use crate::{Dest, Node, Pending};
@@ -35,9 +36,10 @@
     Quota,
     Hours,
     Counties,
+    Models,
 }
 
-pub(crate) const ALL: [KindId; 3] = [KindId::Quota, KindId::Hours, KindId::Counties];
+pub(crate) const ALL: [KindId; 4] = [KindId::Quota, KindId::Hours, KindId::Counties, KindId::Models];
 
 /// Does something for a kind that is known by its id alone.
 macro_rules! for_kind {
@@ -55,6 +57,10 @@
                 type $K = $crate::counties::County;
                 $what
             }
+            $crate::documents::KindId::Models => {
+                type $K = $crate::models::Listed;
+                $what
+            }
         }
     };
 }
@@ -65,6 +71,7 @@
     pub quota: Doc<Quota>,
     pub hours: Doc<Hours>,
     pub counties: Doc<County>,
+    pub models: Doc<Listed>,
 }
 
 /// A kind of document, as controllers act on it.
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod hours;
 pub mod links;
 pub mod loopback;
+pub mod models;
 pub mod rules;
 pub mod scene;
 pub mod state;
--- a/crates/standins/src/scene.rs
+++ b/crates/standins/src/scene.rs
@@ -47,6 +47,9 @@
     pub held_one_in: u32,
     /// Each node's time of day is so much ahead of the one before it.
     pub skew_ms: u64,
+    /// Models, and when each is asked for, at any node or at a certain one.
+    pub models: Option<model::Spec>,
+    pub demands: Vec<(u64, String, Option<usize>)>,
     /// Masters go on after their task has gone, as if their machine were only out of sight.
     pub undead: bool,
     /// Users come through a balancer, and troubles at their times.
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -5,6 +5,7 @@
 
 use crate::cloud::{Cloud, name_at};
 use crate::links::{Cut, How, Links, Place, Side};
+use crate::models::{Answer, Models};
 use crate::rules::{OnMachine, Rules};
 use crate::scene::Scene;
 use crate::state::{Limits, Outcome, State, Watch};
@@ -18,6 +19,7 @@
 use wire::admin::{self, Change, Changed, Refused};
 use wire::api::{Cause, JobSpec, JobState, Kind, Orders, Priority, Redirect, TaskStage};
 use wire::http::{Request, Response};
+use wire::models::{DEMAND, Demand};
 use wire::settings::Settings;
 
 /// Faults and sabotage of one run.
@@ -108,6 +110,11 @@
         path: String,
         ask: Value,
     },
+    Demand {
+        model: String,
+        node: usize,
+        asked: u64,
+    },
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -139,6 +146,7 @@
     User(Ask, String),
     Operate(Box<Change>),
     Inquire(String, Value),
+    Demand(String, Option<usize>),
     Restart(usize),
     Fault,
     /// Bytes to a node, or to the client at the other end.
@@ -203,6 +211,7 @@
     /// Tasks that were stopped to make room.
     pub stopped: u64,
     pub rules: Rules,
+    pub models: Models,
     run_ms: BTreeMap<String, u64>,
     tuning: Tuning,
     /// How operators' changes ended: the last status, and the version.
@@ -331,6 +340,7 @@
             back_ms: None,
             stopped: 0,
             rules: Rules { cancel_ms: CANCEL_MS, ..Rules::default() },
+            models: Models::default(),
             run_ms: BTreeMap::new(),
             tuning,
             changes: BTreeMap::new(),
@@ -442,6 +452,10 @@
         for (at, change) in scene.changes {
             self.at(start + at, Ev::Operate(Box::new(change)));
         }
+        self.models.spec = scene.models.unwrap_or_default();
+        for (at, model, node) in scene.demands {
+            self.at(start + at, Ev::Demand(model, node));
+        }
         for job in scene.jobs {
             let id = job.spec.id.clone();
             self.run_ms.insert(id.clone(), job.run_ms);
@@ -488,6 +502,35 @@
         self.answers.push((ask, status, body));
     }
 
+    /// Somebody asks for a model, at any node or at a certain one.
+    pub fn demand(&mut self, model: &str, node: Option<usize>) {
+        let n = node.unwrap_or_else(|| self.rng.usize(0..self.plan.nodes));
+        let body = admin::encode(&Demand { model: model.to_owned() });
+        let request = Request { method: "POST".into(), path: DEMAND.into(), body, close: false };
+        let origin = Origin::Demand { model: model.to_owned(), node: n, asked: self.now };
+        self.step(Ev::Request(n, origin, request, true));
+    }
+
+    /// What the workers and the state service show of models.
+    fn follow_models(&mut self) {
+        if self.plan.scene.as_ref().is_none_or(|s| s.models.is_none()) {
+            return;
+        }
+        let on = self.workers.values().flat_map(on_machine);
+        let on: Vec<_> = on.map(|o| (o.task.to_owned(), o.machine.to_owned())).collect();
+        if let Err(what) = self.models.follow(self.now, on.into_iter()) {
+            self.rules.breaks("cold_starts_twice", what);
+        }
+    }
+
+    fn note_models(&mut self, body: &[u8]) {
+        let Ok(txn) = wire::decode::<Value>(body) else { return };
+        let live = |m: &str| self.state.keys.contains_key(&format!("live/{m}"));
+        if let Err(what) = self.models.wrote(self.now, &txn, live) {
+            self.rules.breaks("cold_starts_twice", what);
+        }
+    }
+
     /// What an operator is told. Without an answer the same change is asked for again.
     fn operated(&mut self, change: Box<Change>, response: Option<Response>) {
         let status = response.as_ref().map_or(0, |r| r.status);
@@ -699,9 +742,11 @@
     /// What stands between a node and whoever it answers, if anything.
     fn answer_is_cut(&self, n: usize, to: &Origin) -> Option<How> {
         let to = match to {
-            Origin::User { .. } | Origin::Operator { .. } | Origin::Asker { .. } | Origin::Probe { .. } => {
-                Place::Users
-            }
+            Origin::User { .. }
+            | Origin::Operator { .. }
+            | Origin::Asker { .. }
+            | Origin::Demand { .. }
+            | Origin::Probe { .. } => Place::Users,
             Origin::Peer { node, .. } => Place::Node(*node),
             Origin::Worker { name, .. } => {
                 let w = self.workers.get(name)?;
@@ -773,6 +818,7 @@
                 let mut settings = settings(n, &self.plan, limit, self.state.limits, report_s);
                 settings.node = format!("burrow-{}", self.hosts[n].name);
                 let node = Node::new(settings, self.tuning.clone(), seed, now);
+                let node = node.with_first_models(self.plan.scene.as_ref().and_then(|s| s.models.clone()));
                 let config = self.plan.scene.as_ref().and_then(|s| s.yarn.clone());
                 let gateway = config.map(|c| Gateway::new(c, [seed as u8; 32]));
                 self.hosts[n].node = Some(Served::new(node, gateway));
@@ -822,6 +868,7 @@
             Ev::User(kind, job) => self.user(kind, job),
             Ev::Operate(change) => self.operate(change),
             Ev::Inquire(path, ask) => self.inquire(path, ask),
+            Ev::Demand(model, node) => self.demand(&model, node),
             Ev::Fault => self.fault(),
             Ev::RawIn(conn, bytes) => self.raw_in(conn, Raw::Bytes(bytes)),
             Ev::RawOut(conn, bytes) => self.raw_out(conn, &bytes),
@@ -977,6 +1024,7 @@
                             self.follow_tree();
                             self.hours.follow(&self.state, &mut self.rules, self.now);
                             self.counties.follow(&self.state, &mut self.rules, self.now);
+                            self.note_models(&c.body);
                         }
                         let stranger = self.plan.sabotage == Sabotage::StrangersKnown;
                         if stranger && status == 404 && c.path.starts_with("/keys/live/") {
@@ -1069,6 +1117,14 @@
                 self.answer_balanced(job, kind, asked, response)
             }
             Origin::Asker { path, ask } => self.inquired(path, ask, response),
+            Origin::Demand { model, node, asked } => {
+                let status = response.as_ref().map_or(0, |r| r.status);
+                let told = response.and_then(|r| admin::decode(&r.body).ok());
+                let answer = Answer { asked, at: self.now, node, model, status, told };
+                if let Err(what) = self.models.answered(answer) {
+                    self.rules.breaks("models_lost", what);
+                }
+            }
             Origin::User { job, kind, asked } => {
                 let status = response.as_ref().map_or(0, |r| r.status);
                 self.waits.push(self.now - asked);
@@ -1209,6 +1265,7 @@
             self.work(&name);
         }
         self.gangs();
+        self.follow_models();
         self.yarn_tick();
         self.look_for_owner();
         if self.plan.large && now.is_multiple_of(1000) {
@@ -1489,6 +1546,14 @@
         (0..self.plan.nodes).for_each(|n| self.crash(n, 3000));
     }
 
+    /// All controllers crash within so many milliseconds of each other, each back within as many as `back`.
+    pub fn crash_all_for(&mut self, apart: u64, back: u64) {
+        for n in 0..self.plan.nodes {
+            let back = back + self.rng.u64(0..apart);
+            self.crash(n, back);
+        }
+    }
+
     /// Somebody else writes into the state service.
     pub fn write(&mut self, write: wire::api::Write) {
         let txn = wire::api::Txn { guards: Vec::new(), writes: vec![write] };
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -19,6 +19,12 @@
 /// Records of doors beside the users' own.
 pub const SIDE: &str = "side/";
 
+/// Models that were ever woken, by the ids of their jobs.
+pub const MODELS: &str = "model/";
+
+pub fn model_key(model: &str) -> String {
+    format!("{MODELS}{model}")
+}
 /// Which version of a kind of document is in force; every controller follows it. Its parts are read when it changes.
 pub fn head_key(kind: &str) -> String {
     format!("{SHARED}{kind}")
@@ -342,6 +348,7 @@
     Allot(AllotRec),
     Quota(crate::tree::HeadRec),
     Document(HeadRec),
+    Model(model::Rec),
     /// A part of a document, in its kind's form; or what a door beside the users' own keeps, in that door's.
     Other(serde_json::Value),
 }
