--- a/crates/model/tests/rules.rs
+++ b/crates/model/tests/rules.rs
@@ -116,3 +116,9 @@
     assert_eq!(next(&rec, &rule, 1000, (2, 1, 0)), None);
     assert_eq!(next(&rec, &rule, 1000, (1, 1, 0)).map(|r| r.phase), Some(Phase::Asleep));
 }
+
+#[test]
+fn the_example_is_accepted() {
+    let parsed = file::parse(include_str!("../../../deploy/models-example.toml")).expect("readable");
+    assert_eq!((parsed.spec.check(None), parsed.spec.rules.len()), (Ok(()), 2));
+}
