--- a/crates/model/src/spec.rs
+++ b/crates/model/src/spec.rs
@@ -129,7 +129,7 @@
         for (i, rule) in self.rules.iter().enumerate() {
             let mut fault = |field: &str, what: String| {
                 let name: String = rule.name.chars().take(MAX_NAME).collect();
-                faults.add(Place::entry(MODEL, i), &format!("{MODEL} {name:?}.{field}"), what);
+                faults.add(Place::entry(MODEL, i), format!("{MODEL} {name:?}.{field}"), what);
             };
             rule.check(teams.as_ref(), &mut fault);
             if names.insert(&rule.name, i).is_some() {
