--- a/crates/standins/src/models.rs
+++ b/crates/standins/src/models.rs
@@ -82,6 +82,10 @@
         let empty = BTreeSet::new();
         for (model, rec) in &self.recs {
             let (was, is) = (self.on.get(model).unwrap_or(&empty), on.get(model).unwrap_or(&empty));
+            let least = self.spec.rules.iter().map(|r| r.least).max().unwrap_or(0);
+            if rec.phase == Phase::Asleep && is.len() > least as usize && rec.generation > 0 {
+                return Err(format!("{now}: {model}: asleep with {} replicas", is.len()));
+            }
             if was == is {
                 continue;
             }
