A test for new owners that stop nothing to make room in their first report interval

The guard in `sched_tick` came without one. Now urgent gangs arrive on a fleet with room for all, beside long tasks of low urgency, as the owner crashes ten times and is back after 0.1 to 0.3 s, in 32 seeds: in the 0.9 s after each take-over (reports come each second) nothing is stopped, and without crashes nothing at all.

--- a/crates/standins/tests/quick.rs
+++ b/crates/standins/tests/quick.rs
@@ -3,6 +3,7 @@
 use standins::scene::{Scene, Timed, array};
 use standins::world::{Plan, World};
 use std::collections::BTreeMap;
+use wire::api::{JobSpec, Kind, Priority};
 
 /// No owner for longer than this after a quick restart, outside of an outage.
 const VACANT_MS: u64 = 1500;
@@ -179,6 +180,65 @@
     }
 }
 
+/// Long tasks of low urgency on a fleet of which most falls free within a minute and is kept, then urgent gangs that
+/// all fit.
+fn roomy(seed: u64) -> World {
+    let timed = |at, run_ms, spec| Timed { at, run_ms, cancel_ms: None, spec };
+    let low = |id, tasks| JobSpec { priority: Priority::Low, ..array(id, "red", tasks, 60.0) };
+    let gang = |id| JobSpec { kind: Kind::Gang, priority: Priority::High, ..array(id, "blue", 3, 1.0) };
+    let mut jobs = vec![timed(1000, 200_000, low(1, 10)), timed(1000, 15_000, low(2, 14))];
+    jobs.extend((0..GANGS).map(|i| timed(90_000 + u64::from(i) * 1000, 1000, gang(100 + i))));
+    let scene = Scene { jobs, machines: 12, ..Scene::default() };
+    let scene = scene.team("red", 0.0, 0.0).team("blue", 0.0, 0.0);
+    let mut world = World::new(Plan::of_scene(seed, 3, scene, 0, 600_000));
+    world.tune("fleet", "idle_s", "1000");
+    world
+}
+
+const GANGS: u32 = 40;
+/// A little less than the stand-ins' machines take from one report to the next.
+const REPORT_MS: u64 = 900;
+
+/// An owner that has just begun sees free room only on machines that it has heard, and stopped tasks for room that lay
+/// free elsewhere.
+#[test]
+fn nothing_is_stopped_for_room_that_a_new_owner_does_not_see_yet() {
+    for seed in 0..32u64 {
+        // Without crashes nothing has to be stopped, so there is room for all.
+        for crashes in [false, true] {
+            let what = format!("seed {seed}, crashes {crashes}");
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let (mut world, mut last) = (roomy(seed), 0);
+            world.run_for(90_000);
+            assert_eq!(world.on_machines().len(), 10, "{what}: tasks that ran");
+            for _ in 0..10 {
+                world.come_back_after(rng.u64(100..300));
+                let before = world.stopped;
+                if crashes {
+                    crash(&mut world, Who::Owner, 3, &mut last);
+                }
+                let (begun, mut step) = (world.now(), STEP_MS);
+                while world.owner().is_none() && world.now() + step < begun + VACANT_MS {
+                    let at = world.now();
+                    world.run_for(step);
+                    // Nothing happened yet.
+                    step = if world.now() == at { step + STEP_MS } else { STEP_MS };
+                }
+                assert!(world.owner().is_some(), "{what}: no owner");
+                world.run_for(REPORT_MS);
+                assert_eq!(world.stopped - before, 0, "{what}: stopped to make room");
+                world.run_for(rng.u64(1000..2500));
+            }
+            assert!(crashes || world.stopped == 0, "{what}: {} stopped to make room", world.stopped);
+            world.run_for(25_000);
+            let began =
+                |i: &u32| world.began.contains_key(&wire::ids::task_name(&format!("job-{:06}", 100 + i), 0));
+            assert_eq!((0..GANGS).filter(began).count(), GANGS as usize, "{what}: gangs that began");
+            kept(&world, &what);
+        }
+    }
+}
+
 /// Two processes go by one name. Each takes over from the other once at most, so that the fleet has a lasting owner.
 #[test]
 fn two_processes_of_one_name_do_not_take_turns() {
