`stoathatch tally` and `tally audit`: a command of its own, code 1 on differences

The counts stood under `counties tally` and `counties audit`; operators asked for `tally [COUNTY]` and `tally audit`. The two verbs have moved out of `counties`, with nothing left behind. With `--json` an audit that names differences ended with code 0: it now prints the same JSON and ends with 1.

--- a/crates/stoathatch/src/counties.rs
+++ b/crates/stoathatch/src/counties.rs
@@ -1,35 +1,20 @@
-//! `stoathatch counties`: what operators see and change of counties, and their counts.
+//! `stoathatch counties`: what operators see and change of counties. Their counts are [`crate::tally`]'s.
 
-use crate::documents::{Asked, Common, End, Table, json, table};
-use clap::{Args, Subcommand};
+use crate::documents::{Asked, Common, Table, table};
+use clap::Args;
 use county::{Apart, Counties, Known, Others, Rule, Spec};
 use document::file::Parsed;
 use document::{Content, Fault, Past};
 use std::process::ExitCode;
-use std::time::Duration;
 use wire::admin::{Shown, Whole};
 use wire::settings::Settings;
-use wire::tally::{Audit, Counts, Line, Question};
 
 #[derive(Args)]
 pub struct Command {
     #[command(flatten)]
     asked: Asked,
     #[command(subcommand)]
-    verb: Verb,
-}
-
-#[derive(Subcommand)]
-enum Verb {
-    #[command(flatten)]
-    Common(Common),
-    /// Accepted, live, done and cancelled jobs, and done tasks, as of one revision.
-    Tally {
-        /// Its id; all of them without it.
-        county: Option<String>,
-    },
-    /// Count again from all records, and name each difference. Exit code 1 if there is one.
-    Audit,
+    verb: Common,
 }
 
 /// The counties' part in the common verbs.
@@ -95,49 +80,6 @@
     known
 }
 
-pub fn run(command: &Command) -> ExitCode {
-    crate::documents::end(execute(command))
-}
-
-fn execute(c: &Command) -> Result<String, End> {
-    let asked = &c.asked;
-    match &c.verb {
-        Verb::Common(common) => crate::documents::run::<Partition>(asked, common),
-        Verb::Tally { county } => {
-            let counts: Counts = asked.ask::<Partition, _>(&Question::Tally { county: county.clone() })?;
-            Ok(if asked.json { json(&counts) } else { told(&counts) })
-        }
-        Verb::Audit => audit(asked),
-    }
-}
-
-fn told(counts: &Counts) -> String {
-    let row = |l: &Line| {
-        let name = l.name.clone().unwrap_or_else(|| l.county.clone());
-        let counts = [l.accepted, l.live, l.done, l.cancelled, l.done_tasks].map(|n| n.to_string());
-        [l.county.clone(), name, l.class.clone()].into_iter().chain(counts).collect()
-    };
-    let head = ["county", "name", "class", "accepted", "live", "done", "cancelled", "done tasks"];
-    format!("as of revision {}\n{}", counts.revision, table(&head, counts.lines.iter().map(row)))
-}
-
-/// Asks until the audit is through. An owner that is lost takes it along; the next begins it anew.
-fn audit(asked: &Asked) -> Result<String, End> {
-    let question = Question::Audit { id: format!("{:016x}", fastrand::u64(..)) };
-    loop {
-        match asked.ask::<Partition, Audit>(&question)? {
-            Audit::Running { read } => {
-                eprintln!("{read} records read");
-                std::thread::sleep(Duration::from_secs(1));
-            }
-            done if asked.json => return Ok(json(&done)),
-            Audit::Done { revision, read, differences } if differences.is_empty() => {
-                return Ok(format!("as of revision {revision}: the counts are those of {read} records"));
-            }
-            Audit::Done { revision, differences, .. } => {
-                let head = format!("as of revision {revision} the counts differ from the records");
-                return Err(End::Refused([head].into_iter().chain(differences).collect()));
-            }
-        }
-    }
+pub fn run(c: &Command) -> ExitCode {
+    crate::documents::end(crate::documents::run::<Partition>(&c.asked, &c.verb))
 }
--- a/crates/stoathatch/src/documents.rs
+++ b/crates/stoathatch/src/documents.rs
@@ -94,6 +94,8 @@
 pub enum End {
     Refused(Vec<String>),
     Failed(String),
+    /// An answer for programs that names differences.
+    Differs(String),
 }
 
 impl From<Failed> for End {
@@ -128,7 +130,7 @@
     fn lines(self) -> Vec<String> {
         match self {
             End::Refused(lines) => lines,
-            End::Failed(why) => vec![why],
+            End::Failed(why) | End::Differs(why) => vec![why],
         }
     }
 }
@@ -140,6 +142,10 @@
             println!("{}", text.trim_end());
             ExitCode::SUCCESS
         }
+        Err(End::Differs(text)) => {
+            println!("{text}");
+            ExitCode::from(1)
+        }
         Err(end) => {
             let code = ExitCode::from(if matches!(end, End::Refused(_)) { 1 } else { 2 });
             end.lines().iter().for_each(|line| eprintln!("stoathatch: {line}"));
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -8,6 +8,7 @@
 mod models;
 mod quota;
 mod service;
+mod tally;
 mod tools;
 
 use clap::{Parser, Subcommand};
@@ -53,8 +54,10 @@
     Quota(quota::Command),
     /// Release hours of studios' jobs.
     Hours(hours::Command),
-    /// Counties, and their counts.
+    /// Counties: whose jobs are whose.
     Counties(counties::Command),
+    /// The counties' counts, and their audit.
+    Tally(tally::Command),
     /// Models that sleep while nobody asks for them.
     Models(models::Command),
     /// Applications of YARN's clients, their queues, and drains.
@@ -67,6 +70,7 @@
         Some(Command::Quota(command)) => return quota::run(command),
         Some(Command::Hours(command)) => return hours::run(command),
         Some(Command::Counties(command)) => return counties::run(command),
+        Some(Command::Tally(command)) => return tally::run(command),
         Some(Command::Models(command)) => return models::run(command),
         Some(Command::Yarn(command)) => return tools::run(command),
         None => {}
