The example `agreed`: hours, tallies and models at fleet size; `mixed` is looked at there too

Fleets of 1,200 and 1,800 machines in virtual time, calm and with all controllers crashing every 3 s, with the three documents and without: hours kept, counts audited, seconds from demand to the first replica, changes of state a job, and a JSON line of what must be 0. Without documents the state service's whole history is read: puts of keys that exist for them, and bytes of any field in jobs', ends' and log records that was not there before.

In a large fleet starts are not looked at one by one, and with them nobody looked at `mixed`: it is now held once a second over all machines.

--- /dev/null
+++ b/crates/standins/examples/agreed.rs
@@ -0,0 +1,316 @@
+//! What the controllers agree on, at fleet size and in virtual time: release hours, tallies and models that wake, calm
+//! and while all controllers crash, with the documents in force and without.
+//!
+//! `cargo run --release -q -p standins --example agreed`; the last line is JSON. `-- planted` plays one small day with
+//! an hour that moves, one with a count too many and one with work beside another county's, and ends well only if each
+//! is seen.
+
+use hours::{Release, Spec, Studio};
+use model::{Begin, Rule};
+use serde_json::{Value, json};
+use standins::days::{Size, kinds, plan};
+use standins::scene::{Timed, array};
+use standins::world::{Plan, World};
+use std::collections::BTreeMap;
+use wire::api::{JobSpec, Kind, Write};
+use wire::records::Record;
+
+const CALM: usize = 0;
+/// All controllers crash every 3 s, and are back after 0.15 s.
+const CRASHES: usize = 5;
+const MODELS: u32 = 40;
+/// Documents are in force everywhere by then, and nobody has come before.
+const OPEN_MS: u64 = 10_000;
+const COUNTIES: &str = "/admin/counties";
+
+#[derive(Clone, Copy)]
+struct Day {
+    kind: usize,
+    size: Size,
+    nodes: usize,
+    documents: bool,
+}
+
+/// What a day came to.
+#[derive(Default)]
+struct Seen {
+    jobs: usize,
+    due: usize,
+    kept: usize,
+    audited: u64,
+    wakes: Vec<u64>,
+    changes: u64,
+    replica_s: usize,
+    broken: BTreeMap<&'static str, String>,
+    audit: Vec<String>,
+    lost: Vec<String>,
+    extra: u64,
+    extra_bytes: usize,
+}
+
+/// Hours every minute, agreed with the teams of two studios, each at least three minutes away.
+fn calendar() -> Spec {
+    let at: Vec<String> = (18..58).map(|m| format!("00:{m}")).collect();
+    let studio = |name: &str, team: &str| Studio {
+        name: name.into(),
+        teams: vec![team.into()],
+        node: None,
+        zone: "UTC".into(),
+        notice_min: 3,
+    };
+    let release = |studio: &str| Release {
+        studio: studio.into(),
+        class: None,
+        at: at.clone(),
+        days: vec![],
+        notice_min: None,
+    };
+    Spec {
+        studios: vec![studio("north", "red"), studio("south", "blue")],
+        releases: vec![release("north"), release("south")],
+        ..Spec::default()
+    }
+}
+
+/// One county in zone a only, one without bounds, one that shares no machine, and the rest.
+fn counties() -> Value {
+    json!({"others": "count", "county": [
+        {"id": "gangs", "apart": "zones", "zones": ["a"], "rule": [{"teams": ["red"], "classes": ["gang"]}]},
+        {"id": "red", "rule": [{"teams": ["red"]}]},
+        {"id": "blue", "apart": "machine", "rule": [{"teams": ["blue"]}]},
+    ]})
+}
+
+fn set(spec: Value) -> Value {
+    json!({"change": {"id": "first", "by": "operator", "expect": null, "dry_run": false, "edit": {"set": {"spec": spec}}}})
+}
+
+fn model_id(n: u32) -> String {
+    format!("job-{n:06}")
+}
+
+/// The day's own jobs, models beside them, and waves of demand for these.
+fn scene(day: Day) -> Plan {
+    let mut plan = plan(day.kind, 2, day.nodes, day.size);
+    let Some(scene) = plan.scene.as_mut() else { return plan };
+    scene.jobs.retain(|j| j.at >= OPEN_MS);
+    for n in 1..=MODELS.min(day.size.machines as u32) {
+        let spec = JobSpec {
+            kind: Kind::Service,
+            class: "serve".into(),
+            image: format!("m-{n}"),
+            ..array(n, "green", 2, 60.0)
+        };
+        scene.jobs.push(Timed { at: OPEN_MS, run_ms: 10_000_000, cancel_ms: None, spec });
+        // Two waves of five questions each; between them it falls asleep.
+        for at in [70_000, 200_000].map(|wave| wave + u64::from(n) * 300) {
+            (0..5).for_each(|k| scene.demands.push((at + k * 2000, model_id(n), None)));
+        }
+    }
+    if day.documents {
+        let rule = Rule {
+            class: Some("serve".into()),
+            most: Some(2),
+            wakes: 32,
+            begin: Begin::Asleep,
+            ..Rule::new("all", 20.0)
+        };
+        scene.models = Some(model::Spec { rules: vec![rule] });
+        scene.asks.push((1000, "/admin/hours".into(), set(json!(calendar()))));
+        scene.asks.push((1000, COUNTIES.into(), set(counties())));
+    }
+    plan
+}
+
+/// Fields that a record has had before there were such documents; what is read is each put into the state service.
+fn known(key: &str) -> Option<&'static [&'static str]> {
+    match key.split_once('/')?.0 {
+        "live" => Some(&["spec", "at_ms", "part"]),
+        "end" => Some(&["stage", "done"]),
+        _ if key.starts_with("part/0/log/") => Some(&["claims", "done"]),
+        _ => None,
+    }
+}
+
+/// Puts that are there for the documents alone, and the bytes of fields that are in other records for them.
+fn extra(world: &World) -> (u64, usize) {
+    let (mut puts, mut bytes) = (0, 0);
+    for (_, key, value) in world.state.history(0) {
+        let Some(value) = value else { continue };
+        let own = ["hours", "counties", "models", "tally", "model"];
+        puts += u64::from(key.split('/').any(|word| own.contains(&word)));
+        let mut count = |value: &Value, known: &[&str]| {
+            let more = value.as_object().into_iter().flatten().filter(|(k, _)| !known.contains(&k.as_str()));
+            bytes += more.map(|(k, v)| k.len() + v.to_string().len() + 4).sum::<usize>();
+        };
+        let Some(fields) = known(key) else { continue };
+        count(value, fields);
+        for claim in value["claims"].as_array().into_iter().flatten() {
+            count(claim, &["job", "team", "cores", "gpus", "mem_gb", "attempt", "on"]);
+        }
+    }
+    (puts, bytes)
+}
+
+/// From the first question that was not told of an earlier generation to the first replica, in milliseconds.
+fn wakes(world: &World) -> Vec<u64> {
+    let models = &world.models;
+    let mut out: Vec<u64> = Vec::new();
+    for ((model, generation), first) in &models.first {
+        let asked = || models.answers.iter().filter(|a| a.model == *model);
+        let earlier = |told: &wire::models::Told| told.generation < *generation;
+        let before = asked().filter(|a| a.status == 200 && a.told.as_ref().is_some_and(earlier));
+        let before = before.map(|a| a.asked).max().unwrap_or(0);
+        let since = asked().map(|a| a.asked).filter(|at| *at > before && at <= first).min();
+        out.extend(since.map(|at| first - at));
+    }
+    out.sort_unstable();
+    out
+}
+
+/// What the owner's counts and audit differ in from what the state service saw; empty if nothing.
+fn audit(world: &mut World, seen: &mut Seen) {
+    world.inquire(COUNTIES.into(), json!({"tally": {"county": null}}));
+    for _ in 0..40 {
+        world.inquire(COUNTIES.into(), json!({"audit": {"id": "last"}}));
+        world.run_for(1000);
+    }
+    world.counties.users(&mut world.rules);
+    let last = |ask: &str| world.answers.iter().rev().find(|(a, s, _)| a.get(ask).is_some() && *s == 200);
+    let done = last("audit").map(|(_, _, v)| v["done"].clone()).unwrap_or_default();
+    match done["differences"].as_array() {
+        Some(named) => seen.audit.extend(named.iter().map(ToString::to_string)),
+        None => seen.audit.push("the audit was not answered".into()),
+    }
+    seen.audited = done["read"].as_u64().unwrap_or(0);
+    let mut told: BTreeMap<(String, String), [u64; 3]> = BTreeMap::new();
+    for line in last("tally").and_then(|(_, _, v)| v["lines"].as_array()).into_iter().flatten() {
+        let text = |f: &str| line[f].as_str().unwrap_or_default().to_owned();
+        let counts = ["done", "cancelled", "done_tasks"].map(|f| line[f].as_u64().unwrap_or(u64::MAX));
+        told.insert((text("county"), text("class")), counts);
+    }
+    told.retain(|_, counts| *counts != [0; 3]);
+    let stands: BTreeMap<_, _> =
+        world.counties.sums().iter().filter(|(_, c)| **c != [0; 3]).map(|(k, c)| (k.clone(), *c)).collect();
+    if told != stands {
+        seen.audit.push(format!("told {told:?}, seen {stands:?}"));
+    }
+}
+
+/// Something goes wrong behind the controllers' backs.
+fn plant(world: &mut World, what: &str) {
+    let live = world.state.keys.iter().find(|(k, e)| k.starts_with("live/") && e.value.get("hour").is_some());
+    let (key, mut rec) = live.map(|(k, e)| (k.clone(), e.value.clone())).expect("a job with an hour");
+    match what {
+        "hours_moved" => rec["hour"]["due_ms"] = json!(rec["hour"]["due_ms"].as_u64().unwrap_or(0) + 60_000),
+        "tallies_wrong" => rec["county"]["county"] = json!("elsewhere"),
+        _ => world.counties.bound.values_mut().enumerate().for_each(|(i, (county, _))| {
+            (county.county, county.alone) = (format!("own {i}"), true);
+        }),
+    }
+    if what != "mixed" {
+        world.write(Write::put(key, Record::Other(rec)));
+    }
+}
+
+fn play(day: Day, planted: Option<&str>) -> Seen {
+    let plan = scene(day);
+    let (end, jobs) = (plan.end, plan.scene.as_ref().map_or(0, |s| s.jobs.len()));
+    let mut world = World::new(plan);
+    let mut seen = Seen { jobs, ..Seen::default() };
+    for second in 0..end / 1000 {
+        world.run_for(1000);
+        seen.replica_s += world.on_machines().iter().filter(|t| t.as_str() < "job-001000").count();
+        if let Some(what) = planted.filter(|_| second == 80) {
+            plant(&mut world, what);
+        }
+    }
+    if day.documents && world.rules.broken.is_empty() {
+        audit(&mut world, &mut seen);
+    }
+    let ran = |id: &str| world.rules.jobs.get(id).is_some_and(|j| !j.cancel_asked);
+    let due = || world.hours.hours.iter().filter(|(id, h)| h.is_some() && ran(id));
+    seen.due = due().count();
+    seen.kept = due().filter(|(id, _)| world.hours.kept.get(*id) == Some(&true)).count();
+    let cancelled = |m: &str| world.rules.jobs.get(m).is_none_or(|j| j.told_cancelled.is_some());
+    seen.lost = world.models.lost(cancelled);
+    seen.wakes = wakes(&world);
+    (seen.extra, seen.extra_bytes) = extra(&world);
+    seen.changes = world.state.counts.changes;
+    seen.broken = std::mem::take(&mut world.rules.broken);
+    seen
+}
+
+/// The share `part` of 100 of sorted waits, in seconds.
+fn percentile(waits: &[u64], part: usize) -> String {
+    waits
+        .get((waits.len() * part / 100).min(waits.len().saturating_sub(1)))
+        .map_or("-".into(), |ms| format!("{:.1}", *ms as f64 / 1000.0))
+}
+
+fn table(days: &[Day], seen: &[Seen]) {
+    println!("virtual time; wakes: from demand to the first replica; models: {MODELS}, two replicas each");
+    println!("extra: puts for the documents alone + bytes of their fields in jobs', ends' and log records");
+    let head = ["hours kept", "audited", "wakes", "p50 s", "p99 s", "replica s", "changes/job", "extra"];
+    println!("{:<58}{}", "machines, controllers and day", head.map(|h| format!("{h:>14}")).concat());
+    for (day, s) in days.iter().zip(seen) {
+        let with = if day.documents { "with" } else { "without" };
+        let name = format!("{} {} {}, {with}", day.size.machines, day.nodes, kinds()[day.kind]);
+        let row = [
+            format!("{}/{}", s.kept, s.due),
+            s.audited.to_string(),
+            s.wakes.len().to_string(),
+            percentile(&s.wakes, 50),
+            percentile(&s.wakes, 99),
+            s.replica_s.to_string(),
+            format!("{:.2}", s.changes as f64 / s.jobs.max(1) as f64),
+            format!("{}+{}", s.extra, s.extra_bytes),
+        ];
+        println!("{name:<58}{}", row.map(|c| format!("{c:>14}")).concat());
+        s.broken.iter().for_each(|(rule, what)| println!("    {rule}: {what}"));
+        s.audit.iter().chain(&s.lost).take(5).for_each(|what| println!("    {what}"));
+    }
+}
+
+fn main() {
+    if std::env::args().nth(1).is_some_and(|a| a == "planted") {
+        let day = Day { kind: CALM, size: Size { machines: 120, ..Size::SMALL }, nodes: 3, documents: true };
+        let missed = ["hours_moved", "tallies_wrong", "mixed"].into_iter().filter(|what| {
+            let broken = play(day, Some(what)).broken;
+            println!("{what}: {broken:?}");
+            !broken.contains_key(what)
+        });
+        std::process::exit(missed.count() as i32);
+    }
+    let variants = [(CALM, 3, true), (CRASHES, 5, true), (CALM, 3, false), (CRASHES, 5, false)];
+    let days: Vec<Day> = [1800, 1200]
+        .into_iter()
+        .flat_map(|m| {
+            variants.map(|(kind, nodes, documents)| Day { kind, size: Size::fleet(m), nodes, documents })
+        })
+        .collect();
+    let seen: Vec<Seen> = std::thread::scope(|s| {
+        let running: Vec<_> = days.iter().map(|d| s.spawn(|| play(*d, None))).collect();
+        running.into_iter().map(|r| r.join().expect("no day panics")).collect()
+    });
+    table(&days, &seen);
+    let broken = |rule: &str| seen.iter().filter(|s| s.broken.contains_key(rule)).count();
+    let named = ["hours_moved", "mixed", "cold_starts_twice", "tallies_wrong"];
+    let others = seen.iter().flat_map(|s| s.broken.keys()).filter(|r| !named.contains(r)).count();
+    let wrong = broken("tallies_wrong") + seen.iter().map(|s| s.audit.len()).sum::<usize>();
+    let lost: usize = seen.iter().map(|s| s.lost.len()).sum();
+    let plain = || days.iter().zip(&seen).filter(|(d, _)| !d.documents).map(|(_, s)| s);
+    let writes = plain().map(|s| s.extra as usize + s.extra_bytes).sum::<usize>();
+    let [moved, mixed, twice] = ["hours_moved", "mixed", "cold_starts_twice"].map(broken);
+    println!(
+        "\n{}",
+        json!({"hours_moved": moved, "tallies_wrong": wrong, "mixed": mixed, "cold_starts_twice": twice,
+            "models_lost": lost, "rules_broken": others, "extra_writes_without_documents": writes})
+    );
+    // The counters must have had something to see.
+    let idle = days.iter().zip(&seen).any(|(d, s)| {
+        d.documents && (s.extra == 0 || s.extra_bytes == 0 || s.due == 0 || s.wakes.is_empty())
+    });
+    let bad = moved + wrong + mixed + twice + lost + others + writes;
+    std::process::exit(i32::from(bad > 0 || idle));
+}
--- a/crates/standins/src/counties.rs
+++ b/crates/standins/src/counties.rs
@@ -170,6 +170,16 @@
 }
 
 impl Rules {
+    /// As [`Self::apart`], for all tasks that are on machines.
+    pub fn all_apart(&mut self, now: u64, on: &[OnMachine<'_>], watcher: &Watcher) {
+        if watcher.bound.is_empty() {
+            return;
+        }
+        for beside in on.chunk_by(|a, b| a.machine == b.machine) {
+            beside.iter().for_each(|task| self.apart(now, task, beside, watcher));
+        }
+    }
+
     /// A task starts on a machine: what is there may be beside it, and its county may use the zone.
     pub fn apart(&mut self, now: u64, new: &OnMachine<'_>, others: &[OnMachine<'_>], watcher: &Watcher) {
         let county = |task: &str| {
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1271,6 +1271,7 @@
         if self.plan.large && now.is_multiple_of(1000) {
             let on: Vec<OnMachine<'_>> = self.workers.values().flat_map(on_machine).collect();
             self.rules.all(now, &on);
+            self.rules.all_apart(now, &on, &self.counties);
         }
         // In a large fleet everything is looked at once a second.
         if self.plan.large && !now.is_multiple_of(1000) {
