--- a/crates/plan/src/aged.rs
+++ b/crates/plan/src/aged.rs
@@ -32,10 +32,6 @@
 }
 
 impl Waits {
-    pub fn is_old(&self, job: &Job) -> bool {
-        job.waits && -job.arrival >= self.old && job.shape != Shape::Service
-    }
-
     /// How many of a job's waiting tasks go before all others.
     fn before_all(&self, job: &Job) -> u32 {
         if job.shape == Shape::Gang || -job.arrival >= self.latest {
@@ -47,10 +43,21 @@
 }
 
 impl Pass<'_> {
+    /// Whether a job's age counts. That of a gang does only before what is more urgent: among its own, whole machines for
+    /// who is late already would make others late too.
+    pub(crate) fn is_old(&self, job: &Job) -> bool {
+        let counts = match job.shape {
+            Shape::Array => true,
+            Shape::Gang => job.priority < self.most_urgent,
+            Shape::Service => false,
+        };
+        counts && job.waits && -job.arrival >= self.input.waits.old
+    }
+
     /// Serves the old, the longest wait first.
     pub(crate) fn serve_old(&mut self, left: &mut [u32]) {
         let (jobs, waits) = (&self.input.jobs, &self.input.waits);
-        let mut order: Vec<usize> = (0..jobs.len()).filter(|i| waits.is_old(&jobs[*i])).collect();
+        let mut order: Vec<usize> = (0..jobs.len()).filter(|i| self.is_old(&jobs[*i])).collect();
         // What a tree entitles to would call its places back.
         let nested = !self.input.groups.is_empty();
         let key = |j: &Job| Reverse(nested && j.held > 0);
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -25,6 +25,8 @@
     /// Some work shares no machine, and the counties that were promised one for that.
     pub apart: bool,
     pub waits: BTreeSet<u16>,
+    /// The highest urgency that waits.
+    pub most_urgent: u8,
     teams: Vec<Team>,
     groups: Vec<Group>,
     zones: Vec<Vec<(u16, u32)>>,
@@ -42,6 +44,7 @@
         slots: input.machines.iter().map(|m| m.slots).collect(),
         lines: vec![Line::default(); input.machines.len()],
         held: vec![None; input.machines.len()],
+        most_urgent: input.jobs.iter().map(|j| j.priority).max().unwrap_or(0),
         images: input.machines.iter().map(|m| m.images.clone()).collect(),
         tenants: input.machines.iter().map(|m| Tenants::of(m.running.iter().map(|r| &r.tenant))).collect(),
         apart: input.jobs.iter().map(|j| &j.tenant).chain(running.map(|r| &r.tenant)).any(|t| t.alone),
@@ -89,7 +92,7 @@
             .map(|(i, z)| {
                 let job = &input.jobs[*i];
                 let due = job.arrival + z.work * s;
-                let old = input.waits.is_old(job);
+                let old = self.is_old(job);
                 let first = old || job.promised && job.shape == Shape::Gang;
                 let due = if old { job.arrival } else { job.due.map_or(due, |own| own.min(due)) };
                 (nested && job.held > 0, job.priority, first, due, *i)
@@ -111,7 +114,7 @@
             }
             match job.shape {
                 // What is old has had its turn.
-                Shape::Gang if !input.waits.is_old(job) => self.start_or_wait(*i, &mut left),
+                Shape::Gang if !self.is_old(job) => self.start_or_wait(*i, &mut left),
                 Shape::Gang => {}
                 _ => {
                     // Narrowest width j with ceil(n / j) rounds of one estimate ending by the deadline.
--- a/crates/plan/src/timeline.rs
+++ b/crates/plan/src/timeline.rs
@@ -123,7 +123,7 @@
         let job = &self.input.jobs[i];
         // Of all that is free by then, the places that suit it best; if it is old, the first, so that what is
         // free already stays its own however wrong the rest was expected.
-        let rank = |o: &Opening| if self.input.waits.is_old(job) { o.at } else { self.score(job, o.machine) };
+        let rank = |o: &Opening| if self.is_old(job) { o.at } else { self.score(job, o.machine) };
         let mut chosen: Vec<(Secs, Opening)> =
             openings.into_iter().filter(|o| o.at <= at).map(|o| (rank(&o), o)).collect();
         chosen.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.machine.cmp(&b.1.machine)));
