--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -1,34 +1,18 @@
-//! Requests of users and peers. Any controller serves them: accepts go straight to the state service, states
-//! come from the owner while it is sure of its lease, or else from a fresh read, and ends from any copy.
+//! Requests of users and peers. Any controller serves them: accepts go straight to the state service, and questions
+//! about jobs to [`crate::lookup`].
 
 use crate::election::PART;
+use crate::lookup::{Question, Why};
 use crate::{Asker, Dest, Node, Pending, Role};
-use wire::api::{BODY_LIMIT, ErrorBody, Guard, Item, JobSpec, JobState, Kind, Stage, Txn, Write};
+use wire::api::{BODY_LIMIT, ErrorBody, Guard, JobSpec, JobState, Kind, Stage, Txn, Write};
 use wire::http::{Request, Response};
 use wire::peer::{self, Answer, Ask};
-use wire::records::{self, EndRec, JobRec, Record};
+use wire::records::{self, JobRec, Record};
 
-/// Why a job's state is looked up.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Why {
-    /// A user asks.
-    Query,
-    /// A repeated submission, to be answered with the current state.
-    Known,
-    /// A submission that can never run, unless it was accepted before.
-    Impossible,
-    /// A cancel of a job that the owner does not know.
-    Cancel,
-}
-
-const READ_TIMEOUT_MS: u64 = 900;
-const PEER_TIMEOUT_MS: u64 = 700;
 const CANCEL_TIMEOUT_MS: u64 = 3500;
-/// A peer has this long to accept a job for us.
-const FORWARD_TIMEOUT_MS: u64 = 1500;
-/// After a refusal, or silence, the state service is taken to be out of reach for so long.
-const STATE_BAD_MS: u64 = 3000;
 const ACCEPT_TIMEOUT_MS: u64 = 700;
+/// Users wait 5 s for a submission, of which our own try has taken some.
+const SUBMIT_WAITS_MS: u64 = 3500;
 
 /// What a peer answered; anything else than an answer is none.
 pub(crate) fn peer_answer(response: Option<Response>) -> Option<Answer> {
@@ -51,7 +35,7 @@
             ("GET", "/ready", _) => self.ready(conn),
             ("GET", _, Some(id)) if !id.contains('/') => {
                 let id = id.to_owned();
-                self.query(conn, id)
+                self.query_for(Asker::User(conn), id, Why::Query)
             }
             ("POST", _, Some(rest)) if rest.ends_with("/cancel") => {
                 let id = rest.trim_end_matches("/cancel").to_owned();
@@ -65,13 +49,11 @@
         }
     }
 
-    /// Healthy once the state service has been seen: without it nothing can be taken.
+    /// A node that lives is healthy. It may know nothing yet, or not be served: it still tells what others know or can
+    /// take, and refuses the rest at once, where a removal sends its users away for up to a minute and can't tell one
+    /// node's trouble from all nodes'.
     fn ready(&mut self, conn: u64) {
-        if self.shared.known || self.owns() || self.shared.revision > 0 {
-            self.respond(conn, 200, wire::encode(&ErrorBody { error: String::new() }), None)
-        } else {
-            self.refuse(conn, 503, "starting")
-        }
+        self.respond(conn, 200, wire::encode(&ErrorBody { error: String::new() }), None)
     }
 
     /// An error, with the time to come back where coming back helps.
@@ -97,11 +79,16 @@
             return self.tell(asker, JobState { id: spec.id, stage, done, running: 0 });
         }
         if self.catalog().is_none() {
-            return self.deny(asker, 503, "machine types not known yet");
+            // It has only begun; another may know them.
+            return match asker {
+                Asker::User(conn) => self.hand_submit(conn, Box::new(spec)),
+                Asker::Peer(_) => self.deny(asker, 503, "machine types not known yet"),
+            };
         }
         if let Err(why) = self.can_run(&spec) {
             log::debug!("job {}: can never run: {why}", spec.id);
-            return self.read_job(asker, spec.id, Why::Impossible);
+            let question = self.question(asker, spec.id, Why::Impossible);
+            return self.read_job(question);
         }
         if self.decides()
             && let Some(part) = &self.part
@@ -113,7 +100,7 @@
         if self.state_down()
             && let Asker::User(conn) = asker
         {
-            return self.forward(conn, Ask::Submit { spec: Box::new(spec) });
+            return self.hand_submit(conn, Box::new(spec));
         }
         // The owner sees all accepts, its own too, and counts them when they have been made.
         let cost = if self.owns() { 0.0 } else { 1.0 };
@@ -152,7 +139,7 @@
         match r.map(|r| r.status) {
             // Only this node may be refused, or not heard: another may take the job at once. Should our own try
             // have gone through, it will find the job known.
-            None | Some(503) if let Asker::User(conn) = asker => self.forward(conn, Ask::Submit { spec }),
+            None | Some(503) if let Asker::User(conn) = asker => self.hand_submit(conn, spec),
             Some(200) => {
                 self.stats.accepted += 1;
                 log::debug!("job {}: accepted", spec.id);
@@ -174,6 +161,11 @@
         }
     }
 
+    fn hand_submit(&mut self, conn: u64, spec: Box<JobSpec>) {
+        let until = self.now.mono + SUBMIT_WAITS_MS;
+        self.hand(conn, Box::new(Ask::Submit { spec }), until);
+    }
+
     pub(crate) fn door_tick(&mut self) {
         let now = self.now.mono;
         for _ in 0..self.retries.len() {
@@ -210,40 +202,6 @@
         if fits { Ok(()) } else { Err("fits no allowed machine type") }
     }
 
-    fn query(&mut self, conn: u64, id: String) {
-        self.query_for(Asker::User(conn), id, Why::Query)
-    }
-
-    fn query_for(&mut self, asker: Asker, id: String, why: Why) {
-        if !wire::ids::valid_job_id(&id) {
-            return self.deny(asker, 404, "no such job");
-        }
-        if let Some((stage, done)) = self.finals.get(&id) {
-            return self.tell(asker, JobState { id, stage, done, running: 0 });
-        }
-        if self.owns() {
-            if self.decides()
-                && let Some(state) = self.state_here(&id)
-            {
-                return self.tell(asker, state);
-            }
-            return self.read_job(asker, id, why);
-        }
-        match self.owner_peer() {
-            Some(peer) => {
-                let body = peer::encode(&Ask::Query { job: id.clone() });
-                let what = Pending::PeerQuery { asker, job: id, why };
-                self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body, PEER_TIMEOUT_MS, what);
-            }
-            None => self.read_job(asker, id, why),
-        }
-    }
-
-    fn state_here(&self, id: &str) -> Option<JobState> {
-        let part = self.part.as_ref()?;
-        part.job(*part.job_ix.get(id)?).filter(|j| j.spec.is_some()).map(|j| j.state())
-    }
-
     pub(crate) fn owner_peer(&self) -> Option<usize> {
         let owner = self.owner_name()?;
         self.peer_named(&owner)
@@ -253,69 +211,6 @@
         self.settings.peers.iter().position(|p| p.node == node)
     }
 
-    pub(crate) fn peer_queried(&mut self, asker: Asker, job: String, why: Why, r: Option<Response>) {
-        match peer_answer(r) {
-            Some(Answer::State(state)) if state.id == job => self.tell(asker, state),
-            _ => self.read_job(asker, job, why),
-        }
-    }
-
-    /// Looks the job up in the state service: first among the live, then among the ended, since jobs only
-    /// move that way; a job that is in neither was never accepted.
-    fn read_job(&mut self, asker: Asker, job: String, why: Why) {
-        let now = self.now.mono;
-        if self.state_down()
-            && matches!(why, Why::Query | Why::Known)
-            && let Asker::User(conn) = asker
-        {
-            return self.forward(conn, Ask::Lookup { job });
-        }
-        if self.requests.level(now) < 1.0 {
-            return self.deny(asker, 503, "busy");
-        }
-        let path = format!("/keys/{}", records::live_key(&job));
-        let what = Pending::ReadLive { asker, job, why };
-        self.send(Dest::State, "GET", path, Vec::new(), READ_TIMEOUT_MS, what);
-    }
-
-    pub(crate) fn live_read(&mut self, asker: Asker, job: String, why: Why, r: Option<Response>) {
-        match r.map(|r| r.status) {
-            Some(200) if why == Why::Cancel => self.deny(asker, 503, "the owner does not know the job yet"),
-            Some(200) => {
-                let state = JobState { id: job, stage: Stage::Pending, done: 0, running: 0 };
-                self.tell(asker, state);
-            }
-            Some(404) => {
-                let path = format!("/keys/{}", records::end_key(&job));
-                let what = Pending::ReadEnd { asker, job, why };
-                self.send(Dest::State, "GET", path, Vec::new(), READ_TIMEOUT_MS, what);
-            }
-            _ => self.deny(asker, 503, "state service not available"),
-        }
-    }
-
-    pub(crate) fn end_read(&mut self, asker: Asker, job: String, why: Why, r: Option<Response>) {
-        let Some(r) = r.filter(|r| r.status == 200 || r.status == 404) else {
-            return self.deny(asker, 503, "state service not available");
-        };
-        if r.status == 200 {
-            let Some(item) = self.read::<Item<EndRec>>("state service", &r) else {
-                return self.deny(asker, 503, "unreadable record");
-            };
-            let EndRec { stage, done } = item.value;
-            if stage.is_final() {
-                self.finals.put(&job, stage, done);
-            }
-            return self.tell(asker, JobState { id: job, stage, done, running: 0 });
-        }
-        match why {
-            Why::Impossible => self.deny(asker, 422, "can never run"),
-            // Its record was in the way a moment ago; the user's retry will find out.
-            Why::Known => self.deny(asker, 503, "undecided"),
-            Why::Query | Why::Cancel => self.deny(asker, 404, "no such job"),
-        }
-    }
-
     fn cancel_asked(&mut self, conn: u64, id: String) {
         if !wire::ids::valid_job_id(&id) {
             return self.refuse(conn, 404, "no such job");
@@ -335,7 +230,10 @@
     pub(crate) fn peer_cancelled(&mut self, conn: u64, job: String, r: Option<Response>) {
         match peer_answer(r) {
             Some(Answer::State(state)) if state.id == job => self.tell(Asker::User(conn), state),
-            Some(Answer::Unknown) => self.read_job(Asker::User(conn), job, Why::Cancel),
+            Some(Answer::Unknown) => {
+                let question = self.question(Asker::User(conn), job, Why::Cancel);
+                self.read_job(question)
+            }
             _ => self.refuse(conn, 503, "the owner does not answer"),
         }
     }
@@ -351,16 +249,16 @@
         };
         match ask {
             Some(Ask::Query { job }) => {
-                let answer = if !self.decides() {
-                    Answer::NotNow
-                } else {
-                    self.state_here(&job).map_or(Answer::Unknown, Answer::State)
-                };
+                let unknown = if self.decides() { Answer::Unknown } else { Answer::NotNow };
+                let answer = self.state_here(&job).map_or(unknown, Answer::State);
                 self.respond(conn, 200, peer::encode(&answer), None);
             }
             Some(Ask::Cancel { job }) => self.cancel(&job, Asker::Peer(conn)),
             Some(Ask::Submit { spec }) => self.submit(Asker::Peer(conn), *spec),
-            Some(Ask::Lookup { job }) => self.query_for(Asker::Peer(conn), job, Why::Query),
+            Some(Ask::Lookup { job, past_owner }) => {
+                let question = self.question(Asker::Peer(conn), job, Why::Query);
+                self.query(Question { past_owner, ..question })
+            }
             Some(Ask::Owns { node, token }) => {
                 self.owner_said(node, token);
                 self.respond(conn, 200, peer::encode(&Answer::NotNow), None);
@@ -380,35 +278,8 @@
         }
     }
 
-    /// Whether the state service seems not to serve this node now; others may be served.
-    fn state_down(&self) -> bool {
-        self.state_bad_at.is_some_and(|at| self.now.mono < at + STATE_BAD_MS)
-    }
-
-    /// Hands a user's request to a node that may be better placed: the owner, or else any.
-    fn forward(&mut self, conn: u64, ask: Ask) {
-        let peers = self.settings.peers.len();
-        if peers == 0 {
-            return self.refuse(conn, 503, "state service not available");
-        }
-        let any = self.rng.usize(0..peers);
-        let peer = self.owner_peer().unwrap_or(any);
-        let body = peer::encode(&ask);
-        let to = Dest::Peer(peer);
-        self.send(to, "POST", peer::PATH.into(), body, FORWARD_TIMEOUT_MS, Pending::Forward { conn });
-    }
-
-    pub(crate) fn forwarded(&mut self, conn: u64, r: Option<Response>) {
-        match peer_answer(r) {
-            Some(Answer::State(state)) => self.tell(Asker::User(conn), state),
-            Some(Answer::Accepted(state)) => self.respond(conn, 201, wire::encode(&state), None),
-            Some(Answer::Refused { status }) => self.refuse(conn, status, "refused by a peer"),
-            _ => self.refuse(conn, 503, "state service not available"),
-        }
-    }
-
     /// An error for an asker, as [`Node::refuse`] says it to a user.
-    fn deny(&mut self, asker: Asker, status: u16, why: &str) {
+    pub(crate) fn deny(&mut self, asker: Asker, status: u16, why: &str) {
         match asker {
             Asker::User(conn) => self.refuse(conn, status, why),
             Asker::Peer(conn) => self.respond(conn, 200, peer::encode(&Answer::Refused { status }), None),
@@ -429,7 +300,10 @@
     /// A cancel of a job that the owner has not in memory: its record decides.
     pub(crate) fn unknown(&mut self, asker: Asker, job: &str) {
         match asker {
-            Asker::User(_) => self.read_job(asker, job.to_owned(), Why::Cancel),
+            Asker::User(_) => {
+                let question = self.question(asker, job.to_owned(), Why::Cancel);
+                self.read_job(question)
+            }
             Asker::Peer(conn) => self.respond(conn, 200, peer::encode(&Answer::Unknown), None),
         }
     }
--- /dev/null
+++ b/crates/control/src/hand.rs
@@ -0,0 +1,114 @@
+//! Handing a user's request to a peer that may be better placed, and choosing which. What nodes say of themselves once
+//! a second only chooses: whoever is asked answers by its own rules.
+
+use crate::door::peer_answer;
+use crate::{Asker, Dest, Node, Pending};
+use wire::http::Response;
+use wire::peer::{self, Answer, Ask};
+
+/// A peer has this long to answer for us.
+const HAND_TIMEOUT_MS: u64 = 1500;
+/// A peer that has left something unanswered is not asked for so long, unless it says something.
+const REST_MS: u64 = 1000;
+/// After a refusal, or silence, the state service is taken to be out of reach for so long.
+const STATE_BAD_MS: u64 = 3000;
+/// With less time left than this, nobody else is asked.
+const LEAST_MS: u64 = 100;
+
+/// How peers have answered what they were asked for users.
+#[derive(Debug, Default)]
+pub(crate) struct Hands {
+    /// By peer: when it last answered, and until when it is passed over.
+    of: Vec<(u64, u64)>,
+}
+
+impl Hands {
+    fn of(&mut self, peer: usize) -> &mut (u64, u64) {
+        if self.of.len() <= peer {
+            self.of.resize(peer + 1, (0, 0));
+        }
+        &mut self.of[peer]
+    }
+
+    pub fn rests(&self, peer: usize, now: u64) -> bool {
+        self.of.get(peer).is_some_and(|(_, until)| now < *until)
+    }
+
+    /// What was sent then has been answered, or not. Silence counts only if nothing has been answered since.
+    fn heard(&mut self, peer: usize, sent: u64, answered: bool, now: u64) {
+        let (at, until) = self.of(peer);
+        if answered {
+            (*at, *until) = (now, 0);
+        } else if *at <= sent {
+            *until = now + REST_MS;
+        }
+    }
+}
+
+impl Node {
+    pub(crate) fn peer_heard(&mut self, peer: usize, sent: u64, answered: bool) {
+        self.hands.heard(peer, sent, answered, self.now.mono);
+    }
+
+    /// Whether the state service seems not to serve this node now; others may be served.
+    pub(crate) fn state_down(&self) -> bool {
+        self.state_bad_at.is_some_and(|at| self.now.mono < at + STATE_BAD_MS)
+    }
+
+    /// Whom a request is handed to: the owner, or another that says it is served, or one that says nothing. If all say
+    /// that they are not served, only a job's end may still be known, best to the owner.
+    fn helper(&mut self, ask: &Ask) -> Option<usize> {
+        let now = self.now.mono;
+        let peers = 0..self.settings.peers.len();
+        let able: Vec<usize> = peers.filter(|p| !self.hands.rests(*p, now)).collect();
+        let served = |down| able.iter().copied().filter(|p| self.says_down(*p) == down).collect::<Vec<_>>();
+        let (up, silent) = (served(Some(false)), served(None));
+        let past_owner = matches!(ask, Ask::Lookup { past_owner: true, .. });
+        let owner = self.owner_peer().filter(|p| !past_owner && able.contains(p));
+        if let Some(owner) = owner.filter(|p| self.says_down(*p) != Some(true)) {
+            return Some(owner);
+        }
+        let any = if up.is_empty() { silent } else { up };
+        if any.is_empty() {
+            return owner.filter(|_| matches!(ask, Ask::Lookup { .. }));
+        }
+        Some(any[self.rng.usize(0..any.len())])
+    }
+
+    /// Hands a user's request on; whoever asks waits until then.
+    pub(crate) fn hand(&mut self, conn: u64, ask: Box<Ask>, until: u64) {
+        let now = self.now.mono;
+        let helper = if until < now + LEAST_MS { None } else { self.helper(&ask) };
+        let Some(peer) = helper else {
+            self.stats.unanswered += u64::from(matches!(*ask, Ask::Lookup { .. }));
+            return self.refuse(conn, 503, "state service not available");
+        };
+        self.stats.handed += 1;
+        let body = peer::encode(&*ask);
+        let timeout = (until - now).min(HAND_TIMEOUT_MS);
+        let what = Pending::Hand { conn, ask, until, peer, sent: now };
+        self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body, timeout, what);
+    }
+
+    /// A peer's answer to what was handed to it. One that gives none rests, so another is asked while there is time.
+    pub(crate) fn handed_back(
+        &mut self,
+        conn: u64,
+        ask: Box<Ask>,
+        until: u64,
+        peer: usize,
+        sent: u64,
+        r: Option<Response>,
+    ) {
+        self.peer_heard(peer, sent, r.is_some());
+        if r.is_none() && self.hands.rests(peer, self.now.mono) {
+            return self.hand(conn, ask, until);
+        }
+        match peer_answer(r) {
+            Some(Answer::State(state)) => self.tell(Asker::User(conn), state),
+            Some(Answer::Accepted(state)) => self.respond(conn, 201, wire::encode(&state), None),
+            Some(Answer::Refused { status }) => self.refuse(conn, status, "refused by a peer"),
+            _ => self.refuse(conn, 503, "state service not available"),
+        }
+    }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,9 +7,11 @@
 mod door;
 mod election;
 mod fleet;
+mod hand;
 mod jobs;
 mod keeper;
 mod ledger;
+mod lookup;
 mod machines;
 mod part;
 mod quotas;
@@ -115,11 +117,11 @@
     Commit { epoch: u64 },
     Verify { epoch: u64 },
     Accept { asker: Asker, spec: Box<JobSpec>, at: u64, tries: u32 },
-    ReadLive { asker: Asker, job: String, why: door::Why },
-    ReadEnd { asker: Asker, job: String, why: door::Why },
-    PeerQuery { asker: Asker, job: String, why: door::Why },
+    ReadLive { question: lookup::Question },
+    ReadEnd { question: lookup::Question },
+    PeerQuery { question: lookup::Question, peer: usize, sent: u64 },
     PeerCancel { conn: u64, job: String },
-    Forward { conn: u64 },
+    Hand { conn: u64, ask: Box<wire::peer::Ask>, until: u64, peer: usize, sent: u64 },
     Admin { conn: u64 },
     Side { tag: u64 },
     TreeParts { epoch: u64 },
@@ -185,6 +187,8 @@
     state_good_at: Option<u64>,
     /// What the other nodes say.
     views: views::Views,
+    /// How they answer what is handed to them.
+    hands: hand::Hands,
     /// What we hand on for them.
     relay: relay::Relay,
     /// What the owner has us keep.
@@ -207,6 +211,10 @@
 pub struct Stats {
     pub accepted: u64,
     pub shed: u64,
+    /// Users' requests that were handed to a peer.
+    pub handed: u64,
+    /// Questions about jobs that nobody could answer.
+    pub unanswered: u64,
     pub bad_answers: u64,
     pub plans: u64,
     pub plan_steps: u64,
@@ -271,6 +279,7 @@
             state_bad_at: None,
             state_good_at: None,
             views: views::Views::default(),
+            hands: hand::Hands::default(),
             relay: relay::Relay::default(),
             charge: None,
             catalog_at: 0,
@@ -412,11 +421,13 @@
             Pending::Relayed { conns } => self.relayed(conns, response),
             Pending::Tell { conn } => self.worker_told(conn, response),
             Pending::Accept { asker, spec, at, tries } => self.accepted(asker, spec, at, tries, response),
-            Pending::ReadLive { asker, job, why } => self.live_read(asker, job, why, response),
-            Pending::ReadEnd { asker, job, why } => self.end_read(asker, job, why, response),
-            Pending::PeerQuery { asker, job, why } => self.peer_queried(asker, job, why, response),
+            Pending::ReadLive { question } => self.live_read(question, response),
+            Pending::ReadEnd { question } => self.end_read(question, response),
+            Pending::PeerQuery { question, peer, sent } => self.peer_queried(question, peer, sent, response),
             Pending::PeerCancel { conn, job } => self.peer_cancelled(conn, job, response),
-            Pending::Forward { conn } => self.forwarded(conn, response),
+            Pending::Hand { conn, ask, until, peer, sent } => {
+                self.handed_back(conn, ask, until, peer, sent, response)
+            }
             Pending::Admin { conn } => self.admin_answered(conn, response),
             Pending::Side { tag } => self.side_answered(tag, response),
             Pending::Catalog => self.catalog_came(response),
--- /dev/null
+++ b/crates/control/src/lookup.rs
@@ -0,0 +1,183 @@
+//! Questions about jobs. They are answered from known ends, by the owner while it is sure of its lease, or from a
+//! fresh read of the state service, by this node or by a peer that is served; each step takes what time is left.
+
+use crate::door::peer_answer;
+use crate::{Asker, Dest, Node, Pending};
+use wire::api::{Item, JobState, Stage};
+use wire::http::Response;
+use wire::peer::{self, Answer, Ask};
+use wire::records::{self, EndRec};
+
+/// Why a job's state is looked up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Why {
+    /// A user asks.
+    Query,
+    /// A repeated submission, to be answered with the current state.
+    Known,
+    /// A submission that can never run, unless it was accepted before.
+    Impossible,
+    /// A cancel of a job that the owner does not know.
+    Cancel,
+}
+
+/// A question that is still to be answered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Question {
+    pub asker: Asker,
+    pub job: String,
+    pub why: Why,
+    /// Whoever asks waits until then.
+    pub until: u64,
+    /// The owner has been asked, or need not be.
+    pub past_owner: bool,
+}
+
+/// Users wait 2 s for a state, and peers that ask for them less.
+const USER_WAITS_MS: u64 = 1800;
+const PEER_WAITS_MS: u64 = 1000;
+const READ_TIMEOUT_MS: u64 = 900;
+const OWNER_TIMEOUT_MS: u64 = 700;
+/// With less time left than this, nobody else is asked.
+const LEAST_MS: u64 = 50;
+
+impl Question {
+    fn timeout(&self, now: u64, most: u64) -> u64 {
+        self.until.saturating_sub(now).clamp(LEAST_MS, most)
+    }
+
+    /// The user that another node may answer as well as this one.
+    fn user(&self) -> Option<u64> {
+        match self.asker {
+            Asker::User(conn) if matches!(self.why, Why::Query | Why::Known) => Some(conn),
+            _ => None,
+        }
+    }
+}
+
+impl Node {
+    pub(crate) fn question(&self, asker: Asker, job: String, why: Why) -> Question {
+        let waits = if matches!(asker, Asker::User(_)) { USER_WAITS_MS } else { PEER_WAITS_MS };
+        Question { asker, job, why, until: self.now.mono + waits, past_owner: false }
+    }
+
+    pub(crate) fn query_for(&mut self, asker: Asker, id: String, why: Why) {
+        let question = self.question(asker, id, why);
+        self.query(question);
+    }
+
+    pub(crate) fn query(&mut self, mut q: Question) {
+        if !wire::ids::valid_job_id(&q.job) {
+            return self.deny(q.asker, 404, "no such job");
+        }
+        if let Some((stage, done)) = self.finals.get(&q.job) {
+            return self.tell(q.asker, JobState { id: q.job, stage, done, running: 0 });
+        }
+        if let Some(state) = self.state_here(&q.job) {
+            return self.tell(q.asker, state);
+        }
+        q.past_owner |= self.owns();
+        let now = self.now.mono;
+        match self.owner_peer().filter(|p| !q.past_owner && !self.hands.rests(*p, now)) {
+            Some(peer) => {
+                let body = peer::encode(&Ask::Query { job: q.job.clone() });
+                let timeout = q.timeout(now, OWNER_TIMEOUT_MS);
+                let what = Pending::PeerQuery { question: q, peer, sent: now };
+                self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body, timeout, what);
+            }
+            None => self.read_job(q),
+        }
+    }
+
+    /// What the owner knows, while it is sure. Jobs that it has read back are live even before all else has been read:
+    /// nobody but itself can end them.
+    pub(crate) fn state_here(&self, id: &str) -> Option<JobState> {
+        let part = self.part.as_ref().filter(|_| self.sure())?;
+        part.job(*part.job_ix.get(id)?).filter(|j| j.spec.is_some()).map(|j| j.state())
+    }
+
+    pub(crate) fn peer_queried(&mut self, mut q: Question, peer: usize, sent: u64, r: Option<Response>) {
+        self.peer_heard(peer, sent, r.is_some());
+        match peer_answer(r) {
+            Some(Answer::State(state)) if state.id == q.job => self.tell(q.asker, state),
+            _ => {
+                q.past_owner = true;
+                self.read_job(q)
+            }
+        }
+    }
+
+    /// Looks the job up in the state service: first among the live, then among the ended, since jobs only
+    /// move that way; a job that is in neither was never accepted.
+    pub(crate) fn read_job(&mut self, q: Question) {
+        let now = self.now.mono;
+        // A node that is not served, or has asked for all that it may, leaves it to another.
+        if let Some(conn) = q.user()
+            && (self.state_down() || self.requests.level(now) < 1.0)
+        {
+            return self.look_elsewhere(conn, q);
+        }
+        if self.requests.level(now) < 1.0 {
+            return self.unanswered(&q, "busy");
+        }
+        let path = format!("/keys/{}", records::live_key(&q.job));
+        let timeout = q.timeout(now, READ_TIMEOUT_MS);
+        self.send(Dest::State, "GET", path, Vec::new(), timeout, Pending::ReadLive { question: q });
+    }
+
+    pub(crate) fn live_read(&mut self, q: Question, r: Option<Response>) {
+        match r.map(|r| r.status) {
+            Some(200) if q.why == Why::Cancel => {
+                self.deny(q.asker, 503, "the owner does not know the job yet")
+            }
+            Some(200) => {
+                let state = JobState { id: q.job, stage: Stage::Pending, done: 0, running: 0 };
+                self.tell(q.asker, state);
+            }
+            Some(404) => {
+                let path = format!("/keys/{}", records::end_key(&q.job));
+                let timeout = q.timeout(self.now.mono, READ_TIMEOUT_MS);
+                self.send(Dest::State, "GET", path, Vec::new(), timeout, Pending::ReadEnd { question: q });
+            }
+            status => self.unread(q, status),
+        }
+    }
+
+    pub(crate) fn end_read(&mut self, q: Question, r: Option<Response>) {
+        let r = match r {
+            Some(r) if r.status == 200 || r.status == 404 => r,
+            r => return self.unread(q, r.map(|r| r.status)),
+        };
+        if r.status == 200 {
+            let Some(item) = self.read::<Item<EndRec>>("state service", &r) else {
+                return self.unanswered(&q, "unreadable record");
+            };
+            let EndRec { stage, done } = item.value;
+            return self.tell(q.asker, JobState { id: q.job, stage, done, running: 0 });
+        }
+        match q.why {
+            Why::Impossible => self.deny(q.asker, 422, "can never run"),
+            // Its record was in the way a moment ago; the user's retry will find out.
+            Why::Known => self.deny(q.asker, 503, "undecided"),
+            Why::Query | Why::Cancel => self.deny(q.asker, 404, "no such job"),
+        }
+    }
+
+    /// The state service did not answer. Only this node may be refused, or not heard.
+    fn unread(&mut self, q: Question, status: Option<u16>) {
+        match q.user().filter(|_| matches!(status, None | Some(503))) {
+            Some(conn) => self.look_elsewhere(conn, q),
+            None => self.unanswered(&q, "state service not available"),
+        }
+    }
+
+    fn look_elsewhere(&mut self, conn: u64, q: Question) {
+        let ask = Ask::Lookup { job: q.job, past_owner: q.past_owner };
+        self.hand(conn, Box::new(ask), q.until);
+    }
+
+    fn unanswered(&mut self, q: &Question, why: &str) {
+        self.stats.unanswered += 1;
+        self.deny(q.asker, 503, why);
+    }
+}
--- a/crates/control/src/views.rs
+++ b/crates/control/src/views.rs
@@ -49,6 +49,7 @@
             token: (self.shared.revision > 0).then(|| self.highest_token()),
             owns: self.part.as_ref().filter(|_| self.decides()).map(|p| p.token),
             deaf: self.part.as_ref().is_some_and(|p| p.is_deaf(now)),
+            down: self.state_good_at.is_none() || self.state_down(),
             keep: None,
         }
     }
@@ -86,6 +87,12 @@
         view.is_some_and(|(at, v)| v.deaf && self.now.mono < at + FRESH_MS)
     }
 
+    /// Whether a peer says that the state service does not serve it; nothing if it has not said anything lately.
+    pub(crate) fn says_down(&self, peer: usize) -> Option<bool> {
+        let (at, view) = self.views.of.get(peer)?.as_ref()?;
+        (self.now.mono < at + FRESH_MS).then_some(view.down)
+    }
+
     /// When a peer was last heard; 0 for never.
     pub(crate) fn last_view(&self, peer: usize) -> u64 {
         self.views.of.get(peer).and_then(Option::as_ref).map_or(0, |(at, _)| *at)
--- /dev/null
+++ b/crates/control/tests/door.rs
@@ -0,0 +1,284 @@
+//! A node's answers to users when it knows little, is not served, or others are: who is asked, in which order, and that
+//! whoever asks is answered while he waits.
+
+use control::{Dest, Effect, Event, Node, Now, Tuning};
+use serde_json::{Value, json};
+use wire::http::{Request, Response};
+use wire::peer::{Answer, Ask, View, decode, encode};
+
+/// A node, its time, and what it has sent that nobody has answered yet.
+struct Played {
+    node: Node,
+    now: u64,
+    sent: Vec<Sent>,
+    /// Answers to users and peers: their connection, the status, the body and when.
+    told: Vec<(u64, u16, Vec<u8>, u64)>,
+}
+
+#[derive(Debug, Clone)]
+struct Sent {
+    tag: u64,
+    to: Dest,
+    path: String,
+    body: Vec<u8>,
+    due: u64,
+}
+
+impl Sent {
+    fn ask(&self) -> Option<Ask> {
+        matches!(self.to, Dest::Peer(_)).then(|| decode(&self.body).expect("peers speak so"))
+    }
+    fn is_question(&self) -> bool {
+        self.ask().is_some_and(|a| !matches!(a, Ask::View(_) | Ask::Owns { .. }))
+    }
+}
+
+impl Played {
+    fn new() -> Self {
+        let text = include_str!("../../../deploy/settings-example.json");
+        let settings = serde_json::from_str(text).expect("the example is accepted");
+        let now = 1_000_000;
+        let node = Node::new(settings, Tuning::default(), 1, Now { mono: now, wall: now });
+        Played { node, now, sent: Vec::new(), told: Vec::new() }
+    }
+
+    fn step(&mut self, event: Event) {
+        let effects = self.node.handle(Now { mono: self.now, wall: self.now }, event);
+        for effect in effects {
+            match effect {
+                Effect::Respond { conn, response: r } => self.told.push((conn, r.status, r.body, self.now)),
+                Effect::Send { tag, to, path, body, timeout_ms, .. } => {
+                    self.sent.push(Sent { tag, to, path, body, due: self.now + timeout_ms });
+                }
+                Effect::Side { .. } => {}
+            }
+        }
+    }
+
+    /// Nobody answers for so long: what was sent ends in its time.
+    fn silence(&mut self, ms: u64) {
+        let end = self.now + ms;
+        loop {
+            let next = self.sent.iter().map(|s| s.due).min().unwrap_or(u64::MAX);
+            let tick = (self.now / 100 + 1) * 100;
+            if next.min(tick) > end {
+                self.now = end;
+                return;
+            }
+            self.now = next.min(tick);
+            match self.sent.iter().position(|s| s.due <= self.now) {
+                Some(i) => {
+                    let tag = self.sent.remove(i).tag;
+                    self.step(Event::Reply { tag, response: None });
+                }
+                None => self.step(Event::Tick),
+            }
+        }
+    }
+
+    fn take(&mut self, which: impl Fn(&Sent) -> bool) -> Option<Sent> {
+        let i = self.sent.iter().position(which)?;
+        Some(self.sent.remove(i))
+    }
+
+    fn reply(&mut self, sent: &Sent, status: u16, body: Vec<u8>) {
+        let response = Some(Response { status, body, close: false, retry_after_s: None });
+        self.step(Event::Reply { tag: sent.tag, response });
+    }
+
+    /// The state service answers a read of these records.
+    fn page(&mut self, under: &str, items: Value) {
+        let start = format!("/keys?under={under}");
+        let sent = self.take(|s| s.path.starts_with(&start)).expect("reads them");
+        self.reply(&sent, 200, wire::encode(&json!({"items": items, "more": false, "ledger": 9})));
+    }
+
+    /// The node learns what is shared, and who owns the fleet.
+    fn learns(&mut self, owner: Option<&str>) {
+        self.step(Event::Tick);
+        let types = json!([{"label": "g8", "cpus": 64.0, "cores": 64.0, "gpus": 8.0, "ramGb": 512.0, "halls": ["a"]}]);
+        let mut items = vec![
+            json!({"key": "sys/catalog", "v": {"types": types}, "stamp": 2}),
+            json!({"key": "sys/token", "v": {"token": 3}, "stamp": 3}),
+        ];
+        items.extend(owner.map(
+            |node| json!({"key": "sys/owner/0", "v": {"node": node, "token": 3, "lease": 5}, "stamp": 3}),
+        ));
+        self.page("sys/", Value::Array(items));
+    }
+
+    /// The only lease is granted, and our name stands on it.
+    fn takes_over(&mut self) {
+        self.learns(None);
+        for _ in 0..5 {
+            self.now += 100;
+            self.step(Event::Tick);
+        }
+        let grant = self.take(|s| s.path == "/grants").expect("asks for a lease");
+        self.reply(&grant, 200, wire::encode(&json!({"tenancy": 7})));
+        let take = self.take(|s| s.path == "/txn").expect("takes over");
+        self.reply(&take, 200, wire::encode(&json!({"ledger": 12})));
+    }
+
+    fn ask(&mut self, conn: u64, method: &str, path: &str, body: Vec<u8>) {
+        let request = Request { method: method.into(), path: path.into(), body, close: false };
+        self.step(Event::Client { conn, request });
+    }
+
+    fn query(&mut self, conn: u64) {
+        self.ask(conn, "GET", "/work/job-000001", Vec::new());
+    }
+
+    fn asked(&mut self, ask: &Ask) {
+        let request =
+            Request { method: "POST".into(), path: wire::peer::PATH.into(), body: encode(ask), close: false };
+        self.step(Event::Peer { conn: 900, request });
+    }
+
+    /// A peer says how it is served.
+    fn view(&mut self, node: &str, down: bool) {
+        let (state_ms, token) = (Some(10), Some(3));
+        let view = View { node: node.into(), state_ms, token, owns: None, deaf: false, down, keep: None };
+        self.asked(&Ask::View(view));
+    }
+
+    fn status(&self, conn: u64) -> Option<u16> {
+        self.told.iter().find(|t| t.0 == conn).map(|t| t.1)
+    }
+
+    fn questions(&self) -> Vec<(Dest, Ask)> {
+        self.sent.iter().filter(|s| s.is_question()).map(|s| (s.to, s.ask().expect("one"))).collect()
+    }
+}
+
+fn job() -> Value {
+    json!({
+        "nameId": "job-000001", "lot": "c", "desk": "effects", "shape": "array", "urgency": "normal", "pieces": 3,
+        "cores": 2.0, "gpus": 1.0, "ramGb": 4.0, "kit": "img-0", "pullGb": 1.0, "builds": null, "hall": null,
+        "together": false, "spread": false, "loaners": false, "expectS": 10.0, "bookmarkS": 0.0, "stashS": 0.0,
+        "dueS": null
+    })
+}
+
+/// Where a restarted node called itself unhealthy until the state service had answered it, each restart in an outage
+/// was a removal, and each doubled the balancer's pause: three nodes up, and connections that found none.
+#[test]
+fn a_node_that_lives_is_healthy() {
+    let mut p = Played::new();
+    p.ask(1, "GET", "/ready", Vec::new());
+    p.silence(9000);
+    p.ask(2, "GET", "/ready", Vec::new());
+    assert_eq!((p.status(1), p.status(2)), (Some(200), Some(200)));
+}
+
+/// Its users are none the worse for it: what it can't know yet, another may.
+#[test]
+fn a_node_that_knows_nothing_yet_hands_submissions_on() {
+    let mut p = Played::new();
+    p.ask(1, "POST", "/work", wire::encode(&job()));
+    assert!(matches!(&p.questions()[..], [(Dest::Peer(_), Ask::Submit { .. })]), "{:?}", p.questions());
+    let sent = p.take(Sent::is_question).expect("handed on");
+    let state = wire::api::JobState {
+        id: "job-000001".into(),
+        stage: wire::api::Stage::Pending,
+        done: 0,
+        running: 0,
+    };
+    p.reply(&sent, 200, encode(&Answer::Accepted(state)));
+    assert_eq!(p.status(1), Some(201));
+}
+
+/// A peer that does not answer is not asked again at once: the other is.
+#[test]
+fn a_silent_peer_is_followed_by_another() {
+    let mut p = Played::new();
+    p.ask(1, "POST", "/work", wire::encode(&job()));
+    let first = p.questions()[0].0;
+    let sent = p.take(Sent::is_question).expect("handed on");
+    p.step(Event::Reply { tag: sent.tag, response: None });
+    let second = p.questions();
+    assert!(matches!(&second[..], [(Dest::Peer(_), _)]) && second[0].0 != first, "{second:?}");
+}
+
+/// If nobody is served, a submission is refused at once instead of going round.
+#[test]
+fn where_nobody_is_served_nobody_is_asked() {
+    let mut p = Played::new();
+    p.view("burrow-1", true);
+    p.view("burrow-2", true);
+    p.ask(1, "POST", "/work", wire::encode(&job()));
+    assert_eq!(p.status(1), Some(503));
+    assert!(p.questions().is_empty());
+    // One that is served again gets all of it.
+    p.view("burrow-2", false);
+    p.ask(2, "POST", "/work", wire::encode(&job()));
+    assert!(matches!(&p.questions()[..], [(Dest::Peer(1), Ask::Submit { .. })]), "{:?}", p.questions());
+}
+
+/// Whoever asks waits 2 s. Owner, state service and peers were each given their own time, 4 s in all.
+#[test]
+fn a_question_ends_while_its_user_waits() {
+    let mut p = Played::new();
+    p.learns(Some("burrow-1"));
+    let asked = p.now;
+    p.query(1);
+    // Nobody says anything, but for a read that takes long.
+    p.silence(1500);
+    let read = p.take(|s| s.path.starts_with("/keys/live/")).expect("reads");
+    p.reply(&read, 404, Vec::new());
+    p.silence(4000);
+    let told = p.told.iter().find(|t| t.0 == 1).expect("is answered");
+    assert!(told.1 == 503 && told.3 < asked + 2000, "{told:?} after {}", told.3 - asked);
+}
+
+/// A node that can't read leaves it to one that can, and not to the owner who has just been asked.
+#[test]
+fn what_can_t_be_read_here_is_read_by_another() {
+    let mut p = Played::new();
+    p.learns(Some("burrow-1"));
+    p.query(1);
+    let owner = p.take(Sent::is_question).expect("the owner is asked");
+    p.reply(&owner, 200, encode(&Answer::NotNow));
+    let read = p.take(|s| s.path.starts_with("/keys/live/")).expect("reads");
+    p.reply(&read, 503, Vec::new());
+    let asked = p.questions();
+    assert!(matches!(&asked[..], [(Dest::Peer(1), Ask::Lookup { past_owner: true, .. })]), "{asked:?}");
+}
+
+/// The same for a node that has asked for all that it may.
+#[test]
+fn a_node_without_reads_left_leaves_questions_to_others() {
+    let mut p = Played::new();
+    p.learns(None);
+    (1..200).for_each(|conn| p.query(conn));
+    let reads = p.sent.iter().filter(|s| s.path.starts_with("/keys/live/")).count();
+    let handed = p.questions().len();
+    assert!(reads > 20 && handed == 199 - reads && p.told.is_empty(), "{reads} read, {handed} handed on");
+}
+
+/// Whoever is asked to look reads at once where the owner was asked before: no question goes in circles.
+#[test]
+fn a_question_does_not_go_back_to_the_owner() {
+    let mut p = Played::new();
+    p.learns(Some("burrow-1"));
+    p.asked(&Ask::Lookup { job: "job-000001".into(), past_owner: true });
+    assert!(p.questions().is_empty());
+    assert!(p.take(|s| s.path.starts_with("/keys/live/")).is_some());
+    p.asked(&Ask::Lookup { job: "job-000001".into(), past_owner: false });
+    assert!(matches!(&p.questions()[..], [(Dest::Peer(0), Ask::Query { .. })]));
+}
+
+/// A new owner knows what is live from its first page on; nobody else can end it.
+#[test]
+fn a_new_owner_answers_for_what_it_has_read_back() {
+    let mut p = Played::new();
+    p.takes_over();
+    let rec = json!({"spec": job(), "at_ms": 5, "part": 0});
+    p.page("live/", json!([{"key": "live/job-000001", "v": rec, "stamp": 8}]));
+    p.query(1);
+    assert_eq!(p.status(1), Some(200), "{:?}", p.sent);
+    // Once its lease may be over, others may have ended it.
+    p.silence(3000);
+    p.query(2);
+    assert_eq!(p.status(2), None);
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -15,8 +15,13 @@
     Cancel { job: String },
     /// Accept a job, for a node that the state service does not answer.
     Submit { spec: Box<JobSpec> },
-    /// The state of a job, from a node that can read it.
-    Lookup { job: String },
+    /// The state of a job, from a node that can read it, or has its end in memory.
+    Lookup {
+        job: String,
+        /// The owner asks, or has been asked.
+        #[serde(default)]
+        past_owner: bool,
+    },
     /// The asker has become the owner. Nothing is decided by it: it only saves those who can't read the state
     /// service from sending workers the wrong way.
     Owns { node: String, token: u64 },
@@ -65,6 +70,9 @@
     /// It owns the fleet, and no worker has come to it by itself since.
     #[serde(default)]
     pub deaf: bool,
+    /// The state service refuses it, or does not answer.
+    #[serde(default)]
+    pub down: bool,
     /// From the owner, in an answer: what the asker may keep alive for it in its own zone.
     #[serde(default)]
     pub keep: Option<Keep>,
