--- a/crates/standins/src/days.rs
+++ b/crates/standins/src/days.rs
@@ -6,6 +6,7 @@
 use crate::state::Limits;
 use crate::world::Plan;
 use std::collections::BTreeSet;
+use std::ops::Range;
 use wire::api::{Kind, Priority};
 
 /// Whom a trouble hits.
@@ -17,6 +18,16 @@
     All,
 }
 
+/// Which machines become deaf.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Deaf {
+    /// So many, or such a share of those that are there, drawn when it begins.
+    Count(usize),
+    Share(f64),
+    /// All in a zone, also those that come up meanwhile.
+    Zone(&'static str),
+}
+
 #[derive(Debug, Clone, PartialEq)]
 pub enum Trouble {
     /// Processes end and are started again after so long.
@@ -67,8 +78,35 @@
     Die {
         machines: usize,
     },
+    /// Of the transactions that come to the state service in this time, such a share gets no answer and is carried out
+    /// [`LATE_WRITE_MS`] later, after newer ones of the same node.
+    LateWrites {
+        share: f64,
+        for_ms: u64,
+    },
+    /// Of such a share of the workers' reports that are sent in this time, a copy comes again to the same node
+    /// [`LATE_REPORT_MS`] later; its answer goes nowhere.
+    LateReports {
+        share: f64,
+        for_ms: u64,
+    },
+    /// Their reports arrive; answers and direct commands to them are lost.
+    Deaf {
+        machines: Deaf,
+        ms: u64,
+    },
+    /// Cut from the state service and from the other nodes, both ways; workers and users still reach it.
+    CutOff {
+        who: Who,
+        ms: u64,
+    },
 }
 
+/// How much later a late transaction is carried out.
+pub const LATE_WRITE_MS: Range<u64> = 2000..12_000;
+/// How much later the copy of a report comes: up to two leases.
+pub const LATE_REPORT_MS: Range<u64> = 2000..30_000;
+
 impl Trouble {
     /// How long it lasts.
     pub fn ms(&self) -> u64 {
@@ -80,7 +118,10 @@
             | Trouble::StateOut { ms }
             | Trouble::Refused { ms, .. }
             | Trouble::StateSlow { ms } => *ms,
+            Trouble::Deaf { ms, .. } | Trouble::CutOff { ms, .. } => *ms,
             Trouble::Late { for_ms, ms, .. } => for_ms + ms,
+            Trouble::LateWrites { for_ms, .. } => for_ms + LATE_WRITE_MS.end,
+            Trouble::LateReports { for_ms, .. } => for_ms + LATE_REPORT_MS.end,
             Trouble::Die { .. } => 0,
         }
     }
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1,8 +1,11 @@
 //! Controllers, state service, cloud, workers and users in one virtual time, with seeded faults.
 
 mod bed;
+mod troubles;
 mod wires;
 
+pub use troubles::Hits;
+
 use crate::cloud::{Cloud, name_at};
 use crate::links::{Cut, How, Links, Place, Side};
 use crate::models::{Answer, Models};
@@ -115,6 +118,8 @@
         node: usize,
         asked: u64,
     },
+    /// A copy of what was asked before.
+    Nobody,
 }
 
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -132,6 +137,8 @@
     method: &'static str,
     path: String,
     body: Vec<u8>,
+    /// A transaction that the state service carries out late, and doesn't answer.
+    late: bool,
 }
 
 enum Ev {
@@ -240,6 +247,9 @@
     /// What the owner has taken for bytes of the gateway's clients, in nanoseconds of this machine.
     pub call_ns: Vec<u64>,
     bed: Option<Box<bed::Bed>>,
+    troubles: troubles::Troubles,
+    /// What troubles of the list hit so far.
+    pub hits: Hits,
 }
 
 /// When worlds begin.
@@ -357,6 +367,8 @@
             lost: 0,
             call_ns: Vec::new(),
             bed: None,
+            troubles: troubles::Troubles::new(plan.seed, plan.nodes),
+            hits: Hits::default(),
             plan,
         };
         if world.plan.large {
@@ -747,6 +759,7 @@
             | Origin::Asker { .. }
             | Origin::Demand { .. }
             | Origin::Probe { .. } => Place::Users,
+            Origin::Nobody => return None,
             Origin::Peer { node, .. } => Place::Node(*node),
             Origin::Worker { name, .. } => {
                 let w = self.workers.get(name)?;
@@ -845,7 +858,8 @@
                     return self.at(self.now + 500, Ev::Answer(origin, None));
                 }
                 // Workers and nodes have looked at their links when they sent it.
-                let users = !matches!(origin, Origin::Worker { .. } | Origin::Peer { .. });
+                self.hits.copies += u64::from(matches!(origin, Origin::Nobody));
+                let users = !matches!(origin, Origin::Worker { .. } | Origin::Peer { .. } | Origin::Nobody);
                 if users && self.links.blocked(self.now, Place::Users, Place::Node(n)).is_some() {
                     return self.at(self.now + 500, Ev::Answer(origin, None));
                 }
@@ -956,7 +970,7 @@
                     delay += self.lateness(n);
                     self.at(
                         self.now + delay,
-                        Ev::Arrive(Call { node: n, life, tag, to, method, path, body }),
+                        Ev::Arrive(Call { node: n, life, tag, to, method, path, body, late: false }),
                     );
                 }
             }
@@ -1006,9 +1020,17 @@
     fn arrive(&mut self, c: Call) {
         match c.to {
             Dest::State => {
-                if self.outage_until > self.now || self.hosts[c.node].refused_until > self.now {
+                // A late one was taken before: nothing but an outage keeps it.
+                if c.late && self.outage_until > self.now {
+                    return self.at(self.outage_until + 100, Ev::Arrive(c));
+                }
+                let refused = !c.late && self.hosts[c.node].refused_until > self.now;
+                if self.outage_until > self.now || refused {
                     return self.reply(&c, 503, &json!({"error": "trouble"}));
                 }
+                if let Some(ms) = self.write_lateness(&c) {
+                    return self.at(self.now + ms, Ev::Arrive(Call { late: true, ..c }));
+                }
                 self.state.expire(self.now);
                 if self.plan.sabotage == Sabotage::GrantsLost
                     && self.now > START + 60_000
@@ -1030,7 +1052,13 @@
                         if stranger && status == 404 && c.path.starts_with("/keys/live/") {
                             return self.reply(&c, 200, &json!({"key": "x", "v": {}, "stamp": 1}));
                         }
-                        self.reply(&c, status, &body);
+                        if !c.late {
+                            self.reply(&c, status, &body);
+                        } else if status == 200 {
+                            self.hits.late_writes += 1;
+                        } else {
+                            self.hits.late_refused += 1;
+                        }
                     }
                     Outcome::Wait(w) => self.watches.push((w, c.node, c.life, c.tag)),
                 }
@@ -1058,7 +1086,7 @@
             }
             Dest::Worker(addr) => {
                 let name = name_at(addr).filter(|n| self.workers.contains_key(n));
-                let Some(name) = name else { return };
+                let Some(name) = name.filter(|n| !self.misses_command(n)) else { return };
                 let until = self.workers[&name].hung_until;
                 if until > self.now {
                     // Executed when it goes on, or comes through.
@@ -1097,6 +1125,7 @@
                         method: "GET",
                         path: String::new(),
                         body: Vec::new(),
+                        late: false,
                     };
                     self.reply(&call, 200, &body);
                 }
@@ -1151,6 +1180,8 @@
                     _ => self.at(self.now + wait, Ev::User(kind, job)),
                 }
             }
+            Origin::Nobody => {}
+            Origin::Worker { name, .. } if response.is_some() && self.misses_answer(&name) => {}
             Origin::Worker { name, number, sent } => {
                 let (jobs, runs, saved) = (&self.rules.jobs, &self.run_ms, &self.saved);
                 let nodes = self.plan.nodes;
@@ -1382,6 +1413,7 @@
             } else if now < START + self.plan.faults_until && self.rng.u32(0..200) == 0 {
                 at += self.rng.u64(1000..20_000);
             }
+            self.may_come_again(node, at, &request);
             self.at(at, Ev::Request(node, origin, request, false));
         }
     }
--- a/crates/standins/src/world/bed.rs
+++ b/crates/standins/src/world/bed.rs
@@ -3,8 +3,8 @@
 use super::{Ask, Ev, Origin, START, World};
 use crate::balancer::{ACCEPT_MS, Balancer, PROBE_MS, TRIES};
 use crate::checks::{Checks, Verdict};
-use crate::days::{BEGIN, Day, Trouble, Who};
-use crate::links::{Cut, How, Place, Side};
+use crate::days::{BEGIN, Day};
+use crate::links::{How, Place};
 use crate::world::Sabotage;
 use std::collections::BTreeMap;
 use wire::api::{JobState, TaskStage};
@@ -39,9 +39,6 @@
     first: BTreeMap<(String, Ask), u64>,
     /// A probe that is out, by node.
     probes: Vec<Option<u64>>,
-    /// What this life of a node sends until then comes up to so much later: life, until, milliseconds.
-    late: Vec<(u64, u64, u64)>,
-    last_owner: usize,
 }
 
 impl Bed {
@@ -78,8 +75,6 @@
             out: BTreeMap::new(),
             first: BTreeMap::new(),
             probes: vec![None; nodes],
-            late: vec![(0, 0, 0); nodes],
-            last_owner: 0,
         }));
     }
 
@@ -93,6 +88,12 @@
         }
     }
 
+    /// The `i`th trouble of the day, and who owned the fleet when that was last looked for.
+    pub(super) fn trouble(&mut self, i: usize) {
+        let Some((_, trouble)) = self.bed.as_ref().map(|b| b.day.troubles[i].clone()) else { return };
+        self.bring_with(&trouble, self.troubles.last_owner);
+    }
+
     /// What operators judge the day by so far.
     pub fn verdict(&mut self) -> Verdict {
         let now = self.now;
@@ -268,70 +269,6 @@
         bed.balancer.probed(now, n, response.is_some_and(|r| r.status == 200));
     }
 
-    // ---- Troubles ----
-
-    fn whom(&self, who: Who) -> Vec<usize> {
-        match who {
-            Who::Node(n) => vec![n],
-            Who::Owner => vec![self.bed.as_deref().map_or(0, |b| b.last_owner)],
-            Who::All => (0..self.plan.nodes).collect(),
-        }
-    }
-
-    pub(super) fn trouble(&mut self, i: usize) {
-        let now = self.now;
-        let Some((_, trouble)) = self.bed.as_ref().map(|b| b.day.troubles[i].clone()) else { return };
-        match trouble {
-            Trouble::Crash { who, back_ms } => {
-                self.whom(who).into_iter().for_each(|n| self.crash(n, back_ms));
-            }
-            Trouble::Fuse { who, question, back_ms } => {
-                let nodes = self.whom(who);
-                self.fuses.extend(nodes.into_iter().map(|n| (n, (question, back_ms))));
-            }
-            Trouble::Freeze { who, ms } => {
-                for n in self.whom(who) {
-                    self.hosts[n].frozen_until = self.hosts[n].frozen_until.max(now + ms);
-                }
-            }
-            Trouble::Cut { who, from, how, ms } => {
-                for n in self.whom(who) {
-                    self.cut(Cut { how, ..Cut::between(Side::Node(n), from.clone(), now, ms) });
-                }
-            }
-            Trouble::Late { who, for_ms, ms } => {
-                for n in self.whom(who) {
-                    let life = self.hosts[n].life;
-                    if let Some(bed) = self.bed.as_mut() {
-                        bed.late[n] = (life, now + for_ms, ms);
-                    }
-                }
-            }
-            Trouble::Zone { zone, ms } => self.cut_off(zone, ms),
-            Trouble::StateOut { ms } => self.outage_until = self.outage_until.max(now + ms),
-            Trouble::Refused { who, ms } => {
-                for n in self.whom(who) {
-                    self.hosts[n].refused_until = now + ms;
-                }
-            }
-            Trouble::StateSlow { ms } => self.slow_until = now + ms,
-            Trouble::Die { machines } => {
-                let mut names: Vec<String> = self.workers.keys().cloned().collect();
-                self.rng.shuffle(&mut names);
-                names.truncate(machines);
-                names.iter().for_each(|m| self.die(m));
-            }
-        }
-    }
-
-    /// How much later comes what a node sends.
-    pub(super) fn lateness(&mut self, n: usize) -> u64 {
-        let Some(bed) = self.bed.as_ref() else { return 0 };
-        let (life, until, ms) = bed.late[n];
-        let late = self.now < until && self.hosts[n].life == life;
-        if late { self.rng.u64(0..ms) } else { 0 }
-    }
-
     // ---- What the checkers see ----
 
     /// Whether there is an owner, or some node that could be one.
@@ -344,11 +281,11 @@
                 && h.refused_until <= now
                 && self.links.blocked(now, Place::Node(n), Place::State).is_none()
         };
+        self.troubles.last_owner = owner.unwrap_or(self.troubles.last_owner);
         let healthy = self.healthy() > 0;
         let could_be = self.outage_until <= now && self.hosts.iter().enumerate().any(could);
         let Some(bed) = self.bed.as_mut() else { return };
         bed.checks.nodes(now, owner.is_some(), healthy, could_be);
-        bed.last_owner = owner.unwrap_or(bed.last_owner);
         if now >= START + BEGIN && now.is_multiple_of(1000) {
             let running =
                 |w: &crate::worker::Worker| w.tasks.iter().filter(|t| t.stage == TaskStage::Running).count();
--- /dev/null
+++ b/crates/standins/src/world/troubles.rs
@@ -0,0 +1,176 @@
+//! Troubles of the one list, brought about in a day at their times or by a test at any moment.
+
+use super::{Call, Ev, Origin, World};
+use crate::days::{Deaf, LATE_REPORT_MS, LATE_WRITE_MS, Trouble, Who};
+use crate::links::{Cut, Side};
+use std::collections::BTreeMap;
+use wire::http::Request;
+
+/// What troubles hit so far, so that a test sees that they did.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Hits {
+    /// Late transactions: carried out, and refused as they came (a guard, a lease that had ended, too many at once).
+    pub late_writes: u64,
+    pub late_refused: u64,
+    /// Copies of reports that came to a node that was there.
+    pub copies: u64,
+    /// Answers and direct commands that deaf machines didn't hear.
+    pub unheard_answers: u64,
+    pub unheard_commands: u64,
+}
+
+/// Troubles that last, and what they draw from: nothing else in a world draws from it.
+pub(super) struct Troubles {
+    rng: fastrand::Rng,
+    /// Share, and until when.
+    late_writes: (f64, u64),
+    late_reports: (f64, u64),
+    /// Until when machines, and all machines of a zone, are deaf.
+    deaf: BTreeMap<String, u64>,
+    deaf_zones: BTreeMap<&'static str, u64>,
+    /// What this life of a node sends until then comes up to so much later: life, until, milliseconds.
+    late: Vec<(u64, u64, u64)>,
+    pub(super) last_owner: usize,
+}
+
+impl Troubles {
+    pub(super) fn new(seed: u64, nodes: usize) -> Self {
+        Troubles {
+            rng: fastrand::Rng::with_seed(seed ^ 0x6c61_7465),
+            late_writes: (0.0, 0),
+            late_reports: (0.0, 0),
+            deaf: BTreeMap::new(),
+            deaf_zones: BTreeMap::new(),
+            late: vec![(0, 0, 0); nodes],
+            last_owner: 0,
+        }
+    }
+
+    fn hits(&mut self, (share, until): (f64, u64), now: u64) -> bool {
+        now < until && self.rng.f64() < share
+    }
+}
+
+impl World {
+    /// Brings a trouble about now; its owner is whoever owns the fleet, or did last.
+    pub fn bring(&mut self, trouble: &Trouble) {
+        let owner = self.owner_at().unwrap_or(self.troubles.last_owner);
+        self.bring_with(trouble, owner);
+    }
+
+    pub(super) fn bring_with(&mut self, trouble: &Trouble, owner: usize) {
+        let now = self.now;
+        let whom = |who: Who| match who {
+            Who::Node(n) => n..n + 1,
+            Who::Owner => owner..owner + 1,
+            Who::All => 0..self.plan.nodes,
+        };
+        match trouble.clone() {
+            Trouble::Crash { who, back_ms } => whom(who).for_each(|n| self.crash(n, back_ms)),
+            Trouble::Fuse { who, question, back_ms } => {
+                self.fuses.extend(whom(who).map(|n| (n, (question, back_ms))));
+            }
+            Trouble::Freeze { who, ms } => {
+                for n in whom(who) {
+                    self.hosts[n].frozen_until = self.hosts[n].frozen_until.max(now + ms);
+                }
+            }
+            Trouble::Cut { who, from, how, ms } => {
+                for n in whom(who) {
+                    self.cut(Cut { how, ..Cut::between(Side::Node(n), from.clone(), now, ms) });
+                }
+            }
+            Trouble::Late { who, for_ms, ms } => {
+                for n in whom(who) {
+                    self.troubles.late[n] = (self.hosts[n].life, now + for_ms, ms);
+                }
+            }
+            Trouble::Zone { zone, ms } => self.cut_off(zone, ms),
+            Trouble::StateOut { ms } => self.outage_until = self.outage_until.max(now + ms),
+            Trouble::Refused { who, ms } => {
+                whom(who).for_each(|n| self.hosts[n].refused_until = now + ms);
+            }
+            Trouble::StateSlow { ms } => self.slow_until = now + ms,
+            Trouble::Die { machines } => {
+                let mut names: Vec<String> = self.workers.keys().cloned().collect();
+                self.rng.shuffle(&mut names);
+                names.truncate(machines);
+                names.iter().for_each(|m| self.die(m));
+            }
+            Trouble::LateWrites { share, for_ms } => self.troubles.late_writes = (share, now + for_ms),
+            Trouble::LateReports { share, for_ms } => self.troubles.late_reports = (share, now + for_ms),
+            Trouble::Deaf { machines, ms } => self.deafen(machines, now + ms),
+            Trouble::CutOff { who, ms } => {
+                for n in whom(who) {
+                    self.cut(Cut::between(Side::Node(n), Side::State, now, ms));
+                    self.cut(Cut::between(Side::Node(n), Side::Nodes, now, ms));
+                }
+            }
+        }
+    }
+
+    fn deafen(&mut self, machines: Deaf, until: u64) {
+        let mut names: Vec<String> = self.workers.keys().cloned().collect();
+        let count = match machines {
+            Deaf::Count(count) => count,
+            Deaf::Share(share) => (share * names.len() as f64).ceil() as usize,
+            Deaf::Zone(zone) => {
+                let end = self.troubles.deaf_zones.entry(zone).or_default();
+                *end = until.max(*end);
+                return;
+            }
+        };
+        let now = self.now;
+        let troubles = &mut self.troubles;
+        // Those that hear again are forgotten, so that the table stays as large as the fleet.
+        troubles.deaf.retain(|_, end| *end > now);
+        troubles.rng.shuffle(&mut names);
+        for name in names.into_iter().take(count) {
+            let end = troubles.deaf.entry(name).or_default();
+            *end = until.max(*end);
+        }
+    }
+
+    fn is_deaf(&self, machine: &str) -> bool {
+        let troubles = &self.troubles;
+        let zone = self.workers.get(machine).map_or("", |w| w.zone.as_str());
+        let ends = [troubles.deaf.get(machine), troubles.deaf_zones.get(zone)];
+        ends.into_iter().flatten().any(|end| self.now < *end)
+    }
+
+    /// Whether a machine doesn't hear the answer to its report.
+    pub(super) fn misses_answer(&mut self, machine: &str) -> bool {
+        let deaf = self.is_deaf(machine);
+        self.hits.unheard_answers += u64::from(deaf);
+        deaf
+    }
+
+    pub(super) fn misses_command(&mut self, machine: &str) -> bool {
+        let deaf = self.is_deaf(machine);
+        self.hits.unheard_commands += u64::from(deaf);
+        deaf
+    }
+
+    /// A transaction has come to the state service: by how much later it is carried out, if it is a late one.
+    pub(super) fn write_lateness(&mut self, c: &Call) -> Option<u64> {
+        if c.path != "/txn" || c.late || !self.troubles.hits(self.troubles.late_writes, self.now) {
+            return None;
+        }
+        Some(self.troubles.rng.u64(LATE_WRITE_MS))
+    }
+
+    /// A report has been sent that comes at this time; a copy of it may come again.
+    pub(super) fn may_come_again(&mut self, node: usize, at: u64, report: &Request) {
+        if self.troubles.hits(self.troubles.late_reports, self.now) {
+            let later = at + self.troubles.rng.u64(LATE_REPORT_MS);
+            self.at(later, Ev::Request(node, Origin::Nobody, report.clone(), false));
+        }
+    }
+
+    /// How much later comes what a node sends.
+    pub(super) fn lateness(&mut self, n: usize) -> u64 {
+        let (life, until, ms) = self.troubles.late[n];
+        let late = self.now < until && self.hosts[n].life == life;
+        if late { self.rng.u64(0..ms) } else { 0 }
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/troubles.rs
@@ -0,0 +1,125 @@
+//! Each trouble of the list does what it says: a trouble that hits nothing would let every test of it pass.
+
+use standins::days::{Deaf, Trouble, Who};
+use standins::scene::{Scene, Timed, array};
+use standins::world::{Plan, World};
+
+/// A dozen machines with tasks of 20 s that come one after the other, and half a minute of it.
+fn world(seed: u64) -> World {
+    let job = |i: u32| Timed {
+        at: 1000 + u64::from(i) * 3000,
+        run_ms: 20_000,
+        cancel_ms: None,
+        spec: array(1000 + i, "red", 4, 20.0),
+    };
+    let scene = Scene { jobs: (0..40).map(job).collect(), machines: 12, ..Scene::default() };
+    let mut world = World::new(Plan::of_scene(seed, 3, scene.team("red", 24.0, 0.0), 0, 600_000));
+    world.run_for(30_000);
+    world
+}
+
+fn kept(world: &World) {
+    assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+}
+
+#[test]
+fn late_writes_are_carried_out_after_newer_ones() {
+    let mut world = world(1);
+    let before = world.state.counts.txns;
+    world.bring(&Trouble::LateWrites { share: 0.3, for_ms: 30_000 });
+    world.run_for(60_000);
+    let (hits, txns) = (world.hits, world.state.counts.txns - before);
+    assert!(hits.late_writes > 0 && hits.late_refused > 0, "{hits:?}");
+    assert!(txns > hits.late_writes + hits.late_refused, "{hits:?} of {txns}");
+    kept(&world);
+    // Over: nothing more is late.
+    let hits = world.hits;
+    world.run_for(30_000);
+    assert_eq!(world.hits, hits);
+}
+
+/// What is late is carried out even if its node is refused meanwhile, and not within an outage.
+#[test]
+fn a_late_write_outlasts_a_refusal_and_waits_for_the_end_of_an_outage() {
+    let mut world = world(2);
+    world.bring(&Trouble::LateWrites { share: 1.0, for_ms: 1000 });
+    world.run_for(1000);
+    world.bring(&Trouble::Refused { who: Who::All, ms: 20_000 });
+    world.bring(&Trouble::StateOut { ms: 14_000 });
+    let before = world.state.revision;
+    world.run_for(13_900);
+    assert_eq!((world.state.revision, world.hits.late_writes), (before, 0));
+    world.run_for(500);
+    assert!(world.hits.late_writes > 0, "{:?}", world.hits);
+    world.run_for(60_000);
+    kept(&world);
+}
+
+#[test]
+fn copies_of_reports_come_again_up_to_two_leases_later() {
+    let mut world = world(3);
+    world.bring(&Trouble::LateReports { share: 0.5, for_ms: 10_000 });
+    world.run_for(10_000);
+    let soon = world.hits.copies;
+    world.run_for(10_000);
+    let later = world.hits.copies;
+    world.run_for(25_000);
+    assert!(soon > 0 && later > soon && world.hits.copies > later, "{:?}", world.hits);
+    let all = world.hits.copies;
+    world.run_for(30_000);
+    assert_eq!(world.hits.copies, all);
+    kept(&world);
+}
+
+/// The deaf lose their leases, and nobody else does.
+#[test]
+fn the_deaf_report_and_hear_nothing() {
+    for (machines, seed) in [(Deaf::Count(3), 4), (Deaf::Share(0.25), 5), (Deaf::Zone("a"), 6)] {
+        let mut world = world(seed);
+        let before = world.sessions_lost();
+        world.bring(&Trouble::Deaf { machines, ms: 18_000 });
+        world.run_for(18_000);
+        let (hits, lost) = (world.hits, world.sessions_lost() - before);
+        assert!(hits.unheard_answers > 5 && hits.unheard_commands > 0, "{machines:?}: {hits:?}");
+        assert!((1..=8).contains(&lost), "{machines:?}: {lost}");
+        if machines != Deaf::Zone("a") {
+            assert_eq!(lost, 3, "{machines:?}");
+        }
+        world.run_for(40_000);
+        assert_eq!(world.sessions_lost() - before, lost, "{machines:?}");
+        assert_eq!(world.hits, hits, "{machines:?}");
+        kept(&world);
+    }
+}
+
+/// Another node owns the fleet while the one cut off goes on answering users; it loses no lease.
+#[test]
+fn a_node_cut_off_loses_the_fleet_and_keeps_its_workers() {
+    let mut world = world(7);
+    let owner = world.owner_at().expect("some node owns the fleet");
+    let before = world.sessions_lost();
+    world.bring(&Trouble::CutOff { who: Who::Owner, ms: 20_000 });
+    world.run_for(12_000);
+    assert!(world.owner_at().is_some_and(|n| n != owner), "{:?}", world.owner_at());
+    world.run_for(40_000);
+    assert_eq!(world.sessions_lost(), before);
+    kept(&world);
+}
+
+/// A trouble brought about by hand and one of a day are the same; `Who::Owner` is whoever owns the fleet now.
+#[test]
+fn the_owner_is_whoever_owns_the_fleet_now() {
+    let mut world = world(8);
+    let first = world.owner_at().expect("some node owns the fleet");
+    world.bring(&Trouble::Freeze { who: Who::Owner, ms: 30_000 });
+    world.run_for(15_000);
+    // The first stands still and is of its old mind; the next one is who is hit.
+    world.bring(&Trouble::Crash { who: Who::Node(first), back_ms: 60_000 });
+    world.run_for(5000);
+    let next = world.owner_at().expect("another node owns the fleet");
+    assert_ne!(next, first);
+    world.bring(&Trouble::Refused { who: Who::Owner, ms: 8000 });
+    world.run_for(8000);
+    assert!(world.owner_at().is_some_and(|n| n != next));
+    kept(&world);
+}
