The gap in virtual time: refused leader, next leader's cancels, long outage

The stand-ins' leases have their full time again after an outage also where a request comes before the next tick.

--- a/crates/standins/src/rules.rs
+++ b/crates/standins/src/rules.rs
@@ -23,6 +23,8 @@
     pub gpu_limits: BTreeMap<String, f64>,
     pub cancel_ms: u64,
     pub starts: u64,
+    /// For how long a task was still on a machine after its user was told of the cancel, at most.
+    pub longest_cancelled_ms: u64,
 }
 
 /// A start that was claimed may come so much later.
@@ -163,7 +165,9 @@
     /// A task is still on a machine.
     pub fn is_on(&mut self, now: u64, task: &str) {
         let Some((id, _)) = wire::ids::parse_task(task) else { return };
-        if self.jobs.get(id).and_then(|j| j.told_cancelled).is_some_and(|at| now > at + self.cancel_ms) {
+        let Some(told) = self.jobs.get(id).and_then(|j| j.told_cancelled) else { return };
+        self.longest_cancelled_ms = self.longest_cancelled_ms.max(now.saturating_sub(told));
+        if now > told + self.cancel_ms {
             self.breaks("ran_cancelled", format!("{now}: {task} still runs"));
         }
     }
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -64,6 +64,13 @@
     }
 }
 
+/// A take-over that gets no answer: carried out at once, or so much later.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TakeOver {
+    Unanswered,
+    Late(u64),
+}
+
 /// What is broken on purpose, to see that a check can fail.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sabotage {
@@ -202,6 +209,10 @@
     conns: HashMap<u64, Origin>,
     next_conn: u64,
     outage_until: u64,
+    /// The end of the last outage after which leases have had their full time again.
+    renewed_for: u64,
+    /// What becomes of the next take-over that is sent.
+    take_over: Option<TakeOver>,
     cloud_out_until: u64,
     /// The state service answers slowly until then.
     slow_until: u64,
@@ -341,6 +352,8 @@
             conns: HashMap::new(),
             next_conn: 1,
             outage_until: 0,
+            renewed_for: 0,
+            take_over: None,
             cloud_out_until: 0,
             slow_until: 0,
             links: Links::default(),
@@ -694,6 +707,11 @@
         self.cloud_out_until = self.now + ms;
     }
 
+    /// What becomes of the next take-over that is sent.
+    pub fn take_over_is(&mut self, fate: TakeOver) {
+        self.take_over = Some(fate);
+    }
+
     /// The state service answers nobody.
     pub fn state_out(&mut self, ms: u64) {
         self.outage_until = self.now + ms;
@@ -709,6 +727,11 @@
         self.at(self.now, Ev::User(Ask::Cancel, job.to_owned()));
     }
 
+    /// The same so much later.
+    pub fn cancel_in(&mut self, job: &str, ms: u64) {
+        self.at(self.now + ms, Ev::User(Ask::Cancel, job.to_owned()));
+    }
+
     /// Sessions that workers have lost to their leases so far.
     pub fn sessions_lost(&self) -> u64 {
         self.workers.values().map(|w| w.session - 1).sum()
@@ -968,9 +991,10 @@
                         delay += self.record_delay(&body) + if last { self.held_ms } else { 0 };
                     }
                     delay += self.lateness(n);
+                    let late = self.take_over_lateness(&path, &body);
                     self.at(
-                        self.now + delay,
-                        Ev::Arrive(Call { node: n, life, tag, to, method, path, body, late: false }),
+                        self.now + delay + late.unwrap_or(0),
+                        Ev::Arrive(Call { node: n, life, tag, to, method, path, body, late: late.is_some() }),
                     );
                 }
             }
@@ -981,6 +1005,16 @@
         }
     }
 
+    /// By how much later the next take-over is carried out, where it gets no answer.
+    fn take_over_lateness(&mut self, path: &str, body: &[u8]) -> Option<u64> {
+        let fate = self.take_over.filter(|_| path == "/txn" && takes_over(body))?;
+        self.take_over = None;
+        match fate {
+            TakeOver::Unanswered => Some(0),
+            TakeOver::Late(ms) => Some(ms),
+        }
+    }
+
     /// A node asks; if it crashes as its question is on its way, how soon it is back.
     fn burns(&mut self, n: usize, to: Dest) -> Option<u64> {
         let burning = to == Dest::State && self.now < self.quiet_from();
@@ -1031,7 +1065,7 @@
                 if let Some(ms) = self.write_lateness(&c) {
                     return self.at(self.now + ms, Ev::Arrive(Call { late: true, ..c }));
                 }
-                self.state.expire(self.now);
+                self.expire_leases();
                 if self.plan.sabotage == Sabotage::GrantsLost
                     && self.now > START + 60_000
                     && c.path == "/grants"
@@ -1106,6 +1140,15 @@
         }
     }
 
+    /// Leases end, or after an outage have their full time again, whoever looks first.
+    fn expire_leases(&mut self) {
+        if self.renewed_for != self.outage_until {
+            self.renewed_for = self.outage_until;
+            self.state.renew_all(self.outage_until);
+        }
+        self.state.expire(self.now);
+    }
+
     fn fire_watches(&mut self) {
         let waiting = std::mem::take(&mut self.watches);
         for (w, node, life, tag) in waiting {
@@ -1260,11 +1303,8 @@
     fn world_tick(&mut self) {
         let now = self.now;
         self.at(now + 100, Ev::World);
-        if self.outage_until <= now && self.outage_until + 100 > now && self.outage_until > 0 {
-            self.state.renew_all(now);
-        }
         if self.outage_until <= now {
-            self.state.expire(now);
+            self.expire_leases();
         }
         self.fire_watches();
         if now.is_multiple_of(500) {
@@ -1613,6 +1653,13 @@
     }
 }
 
+/// Whether a transaction puts an owner record.
+fn takes_over(body: &[u8]) -> bool {
+    let txn = wire::decode::<Value>(body).unwrap_or_default();
+    let writes = txn["writes"].as_array().map_or(&[][..], Vec::as_slice);
+    writes.iter().any(|w| w["write"].as_str().is_some_and(|k| k.starts_with("sys/owner/")))
+}
+
 fn on_machine(w: &Worker) -> impl Iterator<Item = OnMachine<'_>> {
     w.tasks.iter().filter(|t| t.is_on()).map(|t| OnMachine {
         task: &t.name,
--- /dev/null
+++ b/crates/standins/tests/gap.rs
@@ -0,0 +1,377 @@
+//! The gap: the state service refuses the leader alone, another controller takes over and confirms cancels, then the state
+//! service goes away for everybody, for longer than a cancel may take, and workers go on reporting to the old leader. Every
+//! task of a confirmed cancel has to be gone in time all the same.
+//!
+//! A day is drawn from its number alone. The tests play a fixed set. `GAP_DAYS=N cargo test --release -p standins --test gap
+//! -- --nocapture` plays N days for each number of controllers instead, from day `GAP_FROM` (0) on, and prints how many
+//! there were and the longest life of a cancelled task; `GAP_DAY=N` plays that one, with the controllers' logs where
+//! `RUST_LOG` asks for them.
+
+use fastrand::Rng;
+use standins::days::{Trouble, Who};
+use standins::links::{Cut, How, Side};
+use standins::scene::{Scene, Timed, array};
+use standins::world::{Plan, TakeOver, World};
+
+const JOBS: u32 = 16;
+const CANCEL_MS: u64 = 40_000;
+const LEASE_MS: u64 = 15_000;
+/// An owner renews this often, under the settings of the stand-ins.
+const RENEWAL_MS: u64 = 500;
+/// Steps in which the moments are looked for that others are counted from.
+const STEP_MS: u64 = 2;
+/// The next leader, and what it tells, are waited for so long.
+const PATIENCE_MS: u64 = 15_000;
+
+/// What the outage's begin is counted from: the next leader's record, its knowing of it, its having read all, the
+/// first record of a cancel, the first time that a user is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum From {
+    Refusal,
+    Stands,
+    Leads,
+    Loaded,
+    Recorded,
+    Told,
+}
+
+/// Which messages between controllers pass.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Peers {
+    All,
+    None,
+    /// The old leader hears nobody, or nobody hears it.
+    OldDeaf,
+    OldMute,
+    /// The old leader and the next do not reach each other.
+    OldAndNext,
+    /// Each link is drawn by itself, one way or both.
+    Any,
+}
+
+/// Who reaches the machines, and is reached by them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reach {
+    All,
+    /// The old leader alone.
+    Old,
+    /// The old leader; others are reached by reports, but do not reach the machines themselves.
+    Reports,
+    /// A zone of machines is cut off from outside, a node in it may be charged to keep it.
+    Zone,
+    Any,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    None,
+    Freeze(u64),
+    Crash(u64),
+}
+
+#[derive(Debug, Clone)]
+struct Day {
+    nodes: usize,
+    seed: u64,
+    /// The refusal begins so much after the leader was last seen to renew, and lasts so long.
+    refused_at: u64,
+    refused_ms: u64,
+    take_over: Option<TakeOver>,
+    /// Some cancels are asked for so far apart, the first of them so long after the refusal; the others when the next
+    /// leader stands, and so far apart.
+    first_cancel: u64,
+    cancels_apart: u64,
+    outage: (From, u64),
+    outage_ms: u64,
+    /// The outage is over for so long, and then begins again for so long.
+    again: Option<(u64, u64)>,
+    peers: Peers,
+    reach: Reach,
+    how: How,
+    cloud_out: bool,
+    /// What becomes of the next leader and of the old one, so long after the outage's begin.
+    next: (Fate, u64),
+    old: (Fate, u64),
+    /// One-way loss of the answers that the state service gives the old leader, for so long before the refusal.
+    unheard_ms: u64,
+}
+
+fn fate(rng: &mut Rng) -> (Fate, u64) {
+    let ms = if rng.bool() { rng.u64(50..8000) } else { rng.u64(50..500) };
+    let at = if rng.bool() { rng.u64(0..3000) } else { rng.u64(0..30_000) };
+    let fates = [Fate::None, Fate::None, Fate::Freeze(ms), Fate::Crash(ms), Fate::Crash(ms)];
+    (fates[rng.usize(0..fates.len())], at)
+}
+
+impl Day {
+    fn draw(nodes: usize, seed: u64) -> Day {
+        let mut rng = Rng::with_seed(seed * 8 + nodes as u64);
+        let from = [From::Refusal, From::Stands, From::Leads, From::Loaded, From::Recorded, From::Told];
+        let from = from[rng.usize(0..from.len())];
+        let peers = [Peers::All, Peers::None, Peers::OldDeaf, Peers::OldMute, Peers::OldAndNext, Peers::Any];
+        let reach = [Reach::All, Reach::Old, Reach::Old, Reach::Reports, Reach::Zone, Reach::Any];
+        let late = TakeOver::Late(rng.u64(1..4000));
+        let take_over = [None, None, None, Some(TakeOver::Unanswered), Some(late)];
+        let most = if from == From::Refusal { 8000 } else { [100, 1000, 4000][rng.usize(0..3)] };
+        Day {
+            nodes,
+            seed,
+            refused_at: rng.u64(0..RENEWAL_MS),
+            refused_ms: if rng.u32(0..4) == 0 { rng.u64(1500..14_000) } else { 150_000 },
+            take_over: take_over[rng.usize(0..take_over.len())],
+            first_cancel: if rng.u32(0..3) == 0 { 0 } else { rng.u64(1500..4500) },
+            cancels_apart: rng.u64(2..100),
+            outage: (from, rng.u64(0..most)),
+            outage_ms: rng.u64(45_000..70_000),
+            again: (rng.u32(0..3) == 0).then(|| (rng.u64(50..4000), rng.u64(45_000..70_000))),
+            peers: peers[rng.usize(0..peers.len())],
+            reach: reach[rng.usize(0..reach.len())],
+            how: [How::Hold, How::Reset][rng.usize(0..2)],
+            cloud_out: rng.u32(0..4) > 0,
+            next: fate(&mut rng),
+            old: fate(&mut rng),
+            unheard_ms: if rng.u32(0..6) == 0 { rng.u64(1..1500) } else { 0 },
+        }
+    }
+}
+
+/// What came of a day.
+#[derive(Debug, Clone, Copy, Default)]
+struct Seen {
+    days: u64,
+    /// Another leader told of cancels before the outage.
+    told: u64,
+    /// A cancelled task lived on for longer than a lease: somebody renewed it.
+    renewed: u64,
+    longest_ms: u64,
+}
+
+impl Seen {
+    fn add(&mut self, other: Seen) {
+        self.days += other.days;
+        self.told += other.told;
+        self.renewed += other.renewed;
+        self.longest_ms = self.longest_ms.max(other.longest_ms);
+    }
+}
+
+fn world(day: &Day) -> World {
+    let job = |i| Timed { at: 500, run_ms: 600_000, cancel_ms: None, spec: array(1000 + i, "red", 2, 60.0) };
+    let scene = Scene { jobs: (0..JOBS).map(job).collect(), machines: 12, ..Scene::default() };
+    World::new(Plan::of_scene(day.seed, day.nodes, scene.team("red", 40.0, 0.0), 0, 600_000))
+}
+
+/// Node and token of the owner record.
+fn record(world: &World) -> Option<(usize, u64)> {
+    let rec = &world.state.keys.get("sys/owner/0")?.value;
+    let node = rec["node"].as_str()?.strip_prefix("burrow-")?.parse().ok()?;
+    Some((node, rec["token"].as_u64()?))
+}
+
+fn told(world: &World) -> usize {
+    world.rules.jobs.values().filter(|j| j.told_cancelled.is_some()).count()
+}
+
+/// Plays on until something is so, for at most so long; false if it never was.
+fn until(world: &mut World, ms: u64, mut so: impl FnMut(&World) -> bool) -> bool {
+    let (end, mut step) = (world.now() + ms, STEP_MS);
+    while world.now() + step <= end && !so(world) {
+        let before = world.now();
+        world.run_for(step);
+        // A world's time stands still until something happens.
+        step = if world.now() == before { step + STEP_MS } else { STEP_MS };
+    }
+    so(world)
+}
+
+/// Plays on to a moment, as near as something happens there.
+fn play_to(world: &mut World, at: u64) {
+    world.run_for(at.saturating_sub(world.now()));
+}
+
+/// How long links stay cut: to the end of the day.
+const FOR_LONG: u64 = 300_000;
+
+impl Day {
+    fn one_way(&self, world: &mut World, from: Side, to: Side) {
+        let cut = Cut::between(from, to, world.now(), FOR_LONG);
+        world.cut(Cut { both: false, how: self.how, ..cut });
+    }
+
+    fn both_ways(&self, world: &mut World, from: Side, to: Side) {
+        let cut = Cut::between(from, to, world.now(), FOR_LONG);
+        world.cut(Cut { how: self.how, ..cut });
+    }
+
+    fn cut_peers(&self, world: &mut World, old: usize, rng: &mut Rng) {
+        match self.peers {
+            Peers::All | Peers::OldAndNext => {}
+            Peers::None => self.both_ways(world, Side::Nodes, Side::Nodes),
+            Peers::OldDeaf => self.one_way(world, Side::Nodes, Side::Node(old)),
+            Peers::OldMute => self.one_way(world, Side::Node(old), Side::Nodes),
+            Peers::Any => {
+                for (a, b) in (0..self.nodes).flat_map(|a| (0..self.nodes).map(move |b| (a, b))) {
+                    if a != b && rng.bool() {
+                        self.one_way(world, Side::Node(a), Side::Node(b));
+                    }
+                }
+            }
+        }
+    }
+
+    fn cut_machines(&self, world: &mut World, old: usize, rng: &mut Rng) {
+        let others: Vec<usize> = (0..self.nodes).filter(|n| *n != old).collect();
+        for n in others {
+            match self.reach {
+                Reach::All | Reach::Zone => {}
+                Reach::Old => self.both_ways(world, Side::Node(n), Side::Machines),
+                Reach::Reports => self.one_way(world, Side::Node(n), Side::Machines),
+                Reach::Any => match rng.u32(0..4) {
+                    0 => self.both_ways(world, Side::Node(n), Side::Machines),
+                    1 => self.one_way(world, Side::Node(n), Side::Machines),
+                    2 => self.one_way(world, Side::Machines, Side::Node(n)),
+                    _ => {}
+                },
+            }
+        }
+        if self.reach == Reach::Zone {
+            world.cut_off(["a", "b"][rng.usize(0..2)], FOR_LONG);
+        }
+    }
+
+    fn meet(&self, world: &mut World, node: usize, fate: Fate) {
+        let who = Who::Node(node);
+        match fate {
+            Fate::None => {}
+            Fate::Freeze(ms) => world.bring(&Trouble::Freeze { who, ms }),
+            Fate::Crash(back_ms) => world.bring(&Trouble::Crash { who, back_ms }),
+        }
+    }
+
+    fn play(&self) -> Seen {
+        let mut world = world(self);
+        let mut rng = Rng::with_seed(self.seed);
+        world.run_for(18_000);
+        let old = world.owner_at().expect("some node owns the fleet");
+        let (_, token) = record(&world).expect("an owner record");
+        if self.cloud_out {
+            world.cloud_out(FOR_LONG);
+        }
+        self.cut_machines(&mut world, old, &mut rng);
+        self.cut_peers(&mut world, old, &mut rng);
+        if self.unheard_ms > 0 {
+            let cut =
+                Cut::between(Side::State, Side::Node(old), world.now(), self.refused_at + self.unheard_ms);
+            world.cut(Cut { both: false, ..cut });
+        }
+        if let Some(fate) = self.take_over {
+            world.take_over_is(fate);
+        }
+        world.run_for(self.refused_at);
+        world.bring(&Trouble::Refused { who: Who::Node(old), ms: self.refused_ms });
+        self.cancel(&mut world, 0..JOBS / 4, self.first_cancel);
+        let next = self.wait_for_outage(&mut world, old, token);
+        let told_before = told(&world);
+        world.bring(&Trouble::StateOut { ms: self.outage_ms });
+        let mut fates = [(self.next.1, next, self.next.0), (self.old.1, old, self.old.0)];
+        fates.sort_by_key(|(at, _, _)| *at);
+        let began = world.now();
+        for (at, node, fate) in fates {
+            play_to(&mut world, began + at);
+            self.meet(&mut world, node, fate);
+        }
+        if let Some((open, ms)) = self.again {
+            play_to(&mut world, began + self.outage_ms + open);
+            world.bring(&Trouble::StateOut { ms });
+        }
+        world.run_for(self.outage_ms + CANCEL_MS);
+        assert!(world.rules.broken.is_empty(), "{:?}\n{self:?}", world.rules.broken);
+        let longest_ms = world.rules.longest_cancelled_ms;
+        log::info!(
+            "told {told_before} before the outage, {} in all; {longest_ms} ms: {self:?}",
+            told(&world)
+        );
+        Seen {
+            days: 1,
+            told: u64::from(told_before > 0),
+            renewed: u64::from(longest_ms > LEASE_MS + 1000),
+            longest_ms,
+        }
+    }
+
+    fn cancel(&self, world: &mut World, jobs: std::ops::Range<u32>, first: u64) {
+        for (i, job) in jobs.enumerate() {
+            world.cancel_in(&format!("job-{:06}", 1000 + job), first + i as u64 * self.cancels_apart);
+        }
+    }
+
+    /// Plays on to the moment at which the outage begins; the node that leads by then, or would.
+    fn wait_for_outage(&self, world: &mut World, old: usize, token: u64) -> usize {
+        let stands = |w: &World| record(w).is_some_and(|(_, t)| t > token);
+        let (from, after) = self.outage;
+        if from != From::Refusal {
+            until(world, PATIENCE_MS, stands);
+        }
+        // The last of them are never cancelled.
+        self.cancel(world, JOBS / 4..JOBS - 3, 0);
+        let next = record(world).map_or((old + 1) % self.nodes, |(n, _)| n);
+        if self.peers == Peers::OldAndNext && next != old {
+            self.both_ways(world, Side::Node(old), Side::Node(next));
+        }
+        match from {
+            From::Refusal | From::Stands => {}
+            From::Leads => {
+                until(world, PATIENCE_MS, |w| w.owner_at().is_some_and(|n| n != old));
+            }
+            From::Loaded => {
+                until(world, PATIENCE_MS, |w| w.owner_at().is_some_and(|n| n != old));
+                // Reading takes a dozen messages.
+                world.run_for(40);
+            }
+            From::Recorded => {
+                let ended = |w: &World| w.state.keys.keys().any(|k| k.starts_with("end/"));
+                until(world, PATIENCE_MS, ended);
+            }
+            From::Told => {
+                until(world, PATIENCE_MS, |w| told(w) > 0);
+            }
+        }
+        world.run_for(after);
+        next
+    }
+}
+
+fn number(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Plays the fixed days, or those that the environment asks for.
+fn sweep(nodes: usize, fixed: u64) {
+    let _ = env_logger::builder().is_test(false).try_init();
+    let from = number("GAP_DAY").or(number("GAP_FROM")).unwrap_or(0);
+    let days = number("GAP_DAY").map(|_| 1).or(number("GAP_DAYS"));
+    let mut seen = Seen::default();
+    for seed in from..from + days.unwrap_or(fixed) {
+        seen.add(Day::draw(nodes, seed).play());
+    }
+    println!("gap: {nodes} nodes, from day {from}: {seen:?}, of {CANCEL_MS} ms");
+    if days.is_none() {
+        assert!(seen.told * 4 > seen.days, "hardly ever was anything told before the outage: {seen:?}");
+        assert!(seen.renewed * 20 > seen.days, "hardly ever was anything renewed: {seen:?}");
+    }
+}
+
+#[test]
+fn three_controllers() {
+    sweep(3, 100);
+}
+
+#[test]
+fn five_controllers() {
+    sweep(5, 60);
+}
+
+#[test]
+fn seven_controllers() {
+    sweep(7, 40);
+}
