The search knows an owner that waits for its answer before it stops what was cancelled

Need: the model let an owner's answers stop a job from the moment its user asks, as unsure owners do. A sure one went by what it had heard to be recorded, while another node may read the record earlier and tell of it.

Change: planted as `WaitsForAnswer`, an owner that stops only what it has heard to stand.

--- a/crates/control/tests/search.rs
+++ b/crates/control/tests/search.rs
@@ -210,6 +210,7 @@
         (SureTooLong, plain, two),
         (TellsFirst, plain, lives),
         (NoStops, plain, lives),
+        (WaitsForAnswer, plain, lives),
         (UnguardedEnd, plain, lives),
     ];
     for (planted, b, rule) in all {
--- a/crates/control/tests/search/model.rs
+++ b/crates/control/tests/search/model.rs
@@ -107,6 +107,8 @@
     TellsFirst,
     /// What an unsure owner's own users have cancelled is renewed without a stop.
     NoStops,
+    /// A sure owner stops what was cancelled only once it has heard that the end is recorded: others may read it before.
+    WaitsForAnswer,
     /// A keeper does not mind that it, or its worker, knows a higher token.
     KeepsBelow,
     /// A life takes over from its own record too.
@@ -159,6 +161,8 @@
     /// Age of a renewal that the state service has carried out and whose answer is under way.
     renewing: u8,
     knows: bool,
+    /// It has heard that the end stands (looked at with `Planted::WaitsForAnswer` alone).
+    heard: bool,
     owned: bool,
     charge: Option<Charge>,
 }
@@ -176,6 +180,7 @@
         answered: 0,
         renewing: NEVER,
         knows: false,
+        heard: false,
         owned: false,
         charge: None,
     };
@@ -494,6 +499,7 @@
         for n in 0..b.nodes {
             self.vouch_at_once(n, b);
             self.charge_at_once(n, b);
+            self.nodes[n].heard &= b.planted == Planted::WaitsForAnswer;
             let node = &mut self.nodes[n];
             // A word that comes for an older question adds nothing.
             if node.ask != NEVER && node.ask >= node.known && b.planted != Planted::VouchesFromArrival {
@@ -787,6 +793,9 @@
                 let stands = self.rec.map_or(0, |r| r.token);
                 if stands == owner || b.planted == Planted::UnguardedEnd {
                     self.ended = true;
+                    if answered && let Some(n) = self.nodes.iter_mut().find(|n| n.token == owner) {
+                        n.heard = true;
+                    }
                 }
             }
         }
@@ -854,6 +863,7 @@
         node.loaded = true;
         // `Ending::Before`.
         node.knows = ended;
+        node.heard = ended;
         true
     }
 
@@ -977,8 +987,12 @@
     fn answers(&self, n: u8, b: &Bounds) -> Option<u8> {
         let node = &self.nodes[n as usize];
         if node.role == Role::Owner {
-            // `orders_for` and `last_orders`.
-            let stops = node.knows && b.planted != Planted::NoStops;
+            // `orders_for` and `last_orders`. An end on its way that was not answered counts as recorded.
+            let stops = match b.planted {
+                Planted::NoStops => false,
+                Planted::WaitsForAnswer => node.knows && (node.heard || !node.sure(b)),
+                _ => node.knows,
+            };
             return (self.obeys <= node.token && node.may_renew(b) && !stops).then_some(node.token);
         }
         // `keeper::keeps`.
