A transaction's end is not read off keys that a later owner may have written

A try without an answer was sent again, and on 409 a key of it was read: if that had another version than before, the transaction was taken to stand. A later owner may have written the same key. So a cancel that had never landed was told to its user, and remembered by that node for ever, though the next owner had recorded the job as done (`went_back`). Now 409 with the owner record among what failed ends the term, and nothing is concluded. While that record stands nobody else writes these keys, so the read says what it should.

A take-over whose answer came after another had followed worked its token out from that one's, which nobody had recorded, and told it to all peers: they then vouch for nobody, and the true owner steps down where it is unsure. The token is the one that was written, and an answer that is older than the owner that is known changes nothing.

A rack's number could be used again within a term while its removal was under way. A late copy of the transaction that first wrote it could then pass for the record of other machines, which stood in none. Numbers of racks that went are not used again.

--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -12,7 +12,7 @@
 use crate::part::{HireState, Part};
 use crate::{Dest, Node, Pending};
 use std::collections::{BTreeMap, BTreeSet};
-use wire::api::{Guard, Item, JobState, Revision, Txn, Write};
+use wire::api::{Conflict, Guard, Item, JobState, Revision, Txn, Write};
 use wire::http::Response;
 use wire::records::{self, ClaimsRec, DoneRec, EndRec, KindRec, LogRec, RackRec, Record, TokenRec};
 
@@ -25,7 +25,6 @@
     LogOver(u64),
     Fold(county::Fold),
     Rack(u64, BTreeSet<usize>),
-    RackOver(u64),
     Catalog,
     Allot,
     /// A document's part, its removal, its head.
@@ -253,11 +252,12 @@
         let Some(rack) = part.ledger.racks.get(&number) else { return };
         let key = records::rack_key(PART, number);
         if rack.machines.is_empty() {
-            if rack.version > 0 {
-                self.remove(key, rack.version);
-                self.ops.push(Op::RackOver(number));
-            } else {
-                part.ledger.racks.remove(&number);
+            let version = rack.version;
+            // Its number is not used again in this term. A late copy of the transaction that first wrote it finds
+            // no rack of other machines in its place, and is taken for none.
+            part.ledger.racks.remove(&number);
+            if version > 0 {
+                self.remove(key, version);
             }
             return;
         }
@@ -290,6 +290,12 @@
     }
 }
 
+/// Whether a transaction failed since our owner record no longer stands, or for reasons that can't be read.
+fn owner_failed(response: Option<&Response>) -> bool {
+    let conflict = response.and_then(|r| wire::decode::<Conflict>(&r.body).ok());
+    conflict.is_none_or(|c| c.failed.contains(&records::owner_key(PART)))
+}
+
 /// What a value may take, with some distance to the service's own count.
 pub(crate) fn value_limit(value_kb: f64) -> usize {
     (value_kb * 1024.0 * 0.95) as usize
@@ -474,8 +480,12 @@
                 Some(Ok(r)) => self.apply(r.revision),
                 _ => self.step_down("an unreadable answer to a transaction"),
             },
+            Some(409) if part.commit.unsure && owner_failed(response.as_ref()) => {
+                // A later owner may have written the same keys: what stands there says nothing of our own tries.
+                self.step_down("another owner, or none, stands in the state service");
+            }
             Some(409) if part.commit.unsure => {
-                // An earlier try may be what makes this one fail.
+                // Only this term's transactions write these keys, so an earlier try is what makes this one fail.
                 let Some((key, _, _)) = part.commit.probe.clone() else {
                     return self.step_down("a transaction without keys");
                 };
@@ -590,15 +600,6 @@
                         }
                     }
                 }
-                Op::RackOver(n) => {
-                    // It may have been taken into use again meanwhile.
-                    if let Some(rack) = part.ledger.racks.get_mut(&n) {
-                        rack.version = 0;
-                        if rack.machines.is_empty() {
-                            part.ledger.racks.remove(&n);
-                        }
-                    }
-                }
                 Op::Allot => part.allot_version = revision,
                 Op::Part(kind, name) => self.shared.documents.part_written(kind, name, revision),
                 Op::PartOver(kind, name) => self.shared.documents.part_over(kind, &name),
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -307,10 +307,17 @@
             ],
         };
         self.writes.take(self.now.mono, 2.0);
-        self.send(Dest::State, "POST", "/txn".into(), wire::encode(&txn), 2000, Pending::Take { lease });
+        self.send(
+            Dest::State,
+            "POST",
+            "/txn".into(),
+            wire::encode(&txn),
+            2000,
+            Pending::Take { lease, token },
+        );
     }
 
-    pub(crate) fn took(&mut self, asked: u64, response: Option<Response>) {
+    pub(crate) fn took(&mut self, asked: u64, token: u64, response: Option<Response>) {
         let Role::Standing { lease: Some(lease), sent, .. } = self.role else { return };
         if lease != asked {
             return;
@@ -320,8 +327,11 @@
             .filter(|r| r.status == 200)
             .and_then(|r| wire::decode::<wire::api::Revision>(&r.body).ok());
         match won {
+            // The answer was so late that another owner is known to have followed already.
+            Some(r) if self.shared.owner.as_ref().is_some_and(|o| o.version > r.revision) => {
+                self.role = Role::Follower { may_stand_at: 0 };
+            }
             Some(r) => {
-                let token = self.shared.token + 1;
                 self.shared.token = token;
                 self.shared.token_version = r.revision;
                 let rec = self.own_record(token, lease);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -120,7 +120,7 @@
     SharedWatch { round: u64 },
     Grant { sent: u64 },
     Renew { lease: u64, sent: u64 },
-    Take { lease: u64 },
+    Take { lease: u64, token: u64 },
     View { sent: u64, peer: usize },
     Relayed { conns: Vec<u64> },
     Tell { conn: u64 },
@@ -486,7 +486,7 @@
             Pending::SharedWatch { round } => self.shared_changes(round, response),
             Pending::Grant { sent } => self.granted(sent, response),
             Pending::Renew { lease, sent } => self.renewed(lease, sent, response),
-            Pending::Take { lease } => self.took(lease, response),
+            Pending::Take { lease, token } => self.took(lease, token, response),
             Pending::Release => {}
             Pending::View { sent, peer } => self.view_came(sent, peer, response),
             Pending::Relayed { conns } => self.relayed(conns, response),
