Old reports to a new leader: no end, stray or machine is taken from a copy

A leader that has just begun knows no order yet, so the first it hears of a machine may be a copy of a report that was overtaken long ago. Three things followed from that:

- An attempt whose start was answered by nobody was sent again in the worker's next session.
A copy of what had become of it in the session before was then taken for its end, and the task that ran counted no more.
It is given up now, and begun as another attempt: an attempt has one session.
- A task listed without a claim was taken for a stray, and a gang that ran in a later attempt was taken apart for it.
Reports from before the leader's time make no strays any more.
- A machine that was returned was taken in as an unexpected one, and given tasks.
One that only a report speaks of is asked now, and gets tasks once it has answered or obeys our token.
Returned names are remembered ten minutes.

--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -37,6 +37,8 @@
     pub loaded: bool,
     /// A start may have been sent, by us or by an earlier owner.
     pub sent: bool,
+    /// The worker's session that our last start was for; in a later one it is never executed.
+    pub session: u64,
     pub stage: Option<TaskStage>,
     /// When it was first seen running.
     pub running_since: Option<u64>,
@@ -55,6 +57,7 @@
             segment: 0,
             loaded: false,
             sent: false,
+            session: 0,
             stage: None,
             running_since: None,
             stop: None,
@@ -89,6 +92,9 @@
     pub owed: Option<(u64, u64)>,
     /// Its worker has reported to us.
     pub up: bool,
+    /// All that speaks for it is a report, made under this token, which may be a copy of one that is long past: it gets
+    /// no tasks until its worker has answered us.
+    pub hearsay: Option<u64>,
     pub heard_at: u64,
     /// Session and number of the newest message.
     pub seen: (u64, u64),
@@ -129,6 +135,7 @@
             via: None,
             owed: None,
             up: false,
+            hearsay: None,
             heard_at: 0,
             seen: (0, 0),
             notice_until: None,
@@ -167,6 +174,7 @@
     /// May be given new tasks.
     pub fn usable(&self, now: u64) -> bool {
         self.up
+            && self.hearsay.is_none()
             && self.recorded
             && !self.deleting
             && !self.failed
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -39,6 +39,10 @@
     Over,
 }
 
+/// Lists and reports that come later than this after a machine's return are taken for a machine's that nobody knows;
+/// names never come back, so only memory speaks for forgetting them.
+const RETURNED_MS: u64 = 600_000;
+
 /// Names of a kind, as dense indices.
 #[derive(Default)]
 pub(crate) struct Names {
@@ -626,7 +630,7 @@
     pub(crate) fn forget_returned(&mut self) {
         let now = self.now.mono;
         if let Some(part) = &mut self.part {
-            part.returned.retain(|_, at| *at + 120_000 > now);
+            part.returned.retain(|_, at| *at + RETURNED_MS > now);
         }
     }
 }
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -92,10 +92,13 @@
     /// any more, so nothing of that can still be executed.
     fn heard(&mut self, m: usize, report: &Report, via: Option<usize>) -> bool {
         let Some(part) = &mut self.part else { return false };
+        let ours = part.token;
         part.heard_itself |= via.is_none();
         let Some(machine) = part.machine_mut(m) else { return false };
         if (report.session, report.seq) > machine.seen {
             machine.via = via;
+            // It has heard of us after that first report, if it obeys a token now that it did not know then.
+            machine.hearsay = machine.hearsay.filter(|token| *token >= ours || report.token < ours);
             if machine.owed.is_some_and(|owed| owed < (report.session, report.seq)) {
                 machine.owed = None;
             }
@@ -134,8 +137,13 @@
         }
         log::info!("machine {}: reports unexpectedly, taken in", report.machine);
         let r = report;
-        let machine = Machine::unrecorded(&r.machine, &r.machine_type, &r.zone, r.spot, now.wall, now.mono);
-        Some(part.add_machine(machine))
+        let mut machine =
+            Machine::unrecorded(&r.machine, &r.machine_type, &r.zone, r.spot, now.wall, now.mono);
+        machine.hearsay = Some(r.token);
+        machine.addr = r.addr.parse().ok();
+        let m = part.add_machine(machine);
+        self.call(m);
+        Some(m)
     }
 
     /// Takes in a report, unless a newer one was seen. True if it is the newest.
@@ -193,6 +201,10 @@
                 continue;
             }
             let Some(k) = found else {
+                // A report from before our time may be a copy of one that was overtaken long ago.
+                if report.token < token {
+                    continue;
+                }
                 // Not expected to happen; it counts and is stopped all the same.
                 log::warn!("machine {}: task {} attempt {} without a claim", machine.name, t.task, t.attempt);
                 if let Some(ix) = ix {
@@ -239,7 +251,10 @@
                     continue;
                 }
                 // One that was read back may have ended and been reaped before our time.
-                if claim.stage.is_some() || claim.stop.is_some() || claim.loaded {
+                // Nor is an attempt begun in two sessions: what it came to in the first would be taken for its end in
+                // the second, where a copy of an old report comes to a later owner.
+                let earlier = claim.session < report.session;
+                if claim.stage.is_some() || claim.stop.is_some() || claim.loaded || earlier {
                     ends.push((k, None, false));
                 } else {
                     // It never got there: the same attempt can be sent again, since nothing was reaped.
@@ -436,6 +451,7 @@
                     continue;
                 }
                 c.sent = true;
+                c.session = machine.seen.0;
                 orders.push(Order::Start { task: ids::task_name(&job.id, c.task), attempt: c.attempt });
             }
         }
@@ -526,6 +542,7 @@
         machine.direct = None;
         match report {
             Some(report) if report.machine == machine.name => {
+                machine.hearsay = None;
                 self.absorb(m, &report);
             }
             // Nothing of it can ever be executed; its next report brings what is missing to light.
@@ -578,6 +595,7 @@
         machine.probe = None;
         let direct = machine.via.is_none();
         if let Some(report) = report.filter(|r| r.machine == machine.name) {
+            machine.hearsay = None;
             if let Some(part) = self.part.as_mut().filter(|_| direct) {
                 part.heard_itself = true;
             }
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -7,7 +7,7 @@
 use crate::standing::{self, Holds};
 use crate::{Node, Tuning};
 use std::collections::{HashMap, HashSet};
-use wire::api::{Catalog, JobSpec, Kind, MachineType, Priority};
+use wire::api::{Catalog, Cause, JobSpec, Kind, MachineType, Priority};
 use wire::records::AllotedTeam;
 use wire::settings::{Objective, Team};
 
@@ -573,11 +573,20 @@
         let Some(part) = &mut self.part else { return };
         // Also while tasks wait: a machine that is idle all the same is none that they may use, and it may
         // stand in the way of one.
+        let (jobs, job_ix) = (&part.jobs, &part.job_ix);
+        // With the machine, a result that is recorded nowhere would be gone, were this owner to end too.
+        let owes = |machine: &Machine| {
+            machine.exited.iter().filter(|e| e.cause == Some(Cause::Done)).any(|e| {
+                let job = job_ix.get(&e.job).and_then(|ix| jobs.get(*ix)).and_then(Option::as_ref);
+                job.is_some_and(|j| !j.recorded(e.task))
+            })
+        };
         for (m, machine) in part.machines.iter_mut().enumerate() {
             let Some(machine) = machine else { continue };
             let idle = machine.up
                 && !kept.contains(&m)
                 && machine.claims.is_empty()
+                && !owes(machine)
                 && !machine.deleting
                 && machine.idle_since + idle_ms < now;
             if idle {
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1,6 +1,7 @@
 //! Controllers, state service, cloud, workers and users in one virtual time, with seeded faults.
 
 mod bed;
+mod late;
 mod wires;
 
 use crate::cloud::{Cloud, name_at};
@@ -240,6 +241,8 @@
     /// What the owner has taken for bytes of the gateway's clients, in nanoseconds of this machine.
     pub call_ns: Vec<u64>,
     bed: Option<Box<bed::Bed>>,
+    /// What a test holds back or repeats.
+    late: late::Late,
 }
 
 /// When worlds begin.
@@ -357,6 +360,7 @@
             lost: 0,
             call_ns: Vec::new(),
             bed: None,
+            late: Default::default(),
             plan,
         };
         if world.plan.large {
@@ -920,8 +924,12 @@
                     if let Some(origin) = self.conns.remove(&conn) {
                         let cut = self.answer_is_cut(n, &origin);
                         // An answer that is held is of no use when it comes.
+                        let slow = match origin {
+                            Origin::Worker { .. } => self.late.answer(self.now),
+                            _ => 0,
+                        };
                         let (at, response) = match cut {
-                            None => (self.now + self.rng.u64(1..5), Some(response)),
+                            None => (self.now + slow + self.rng.u64(1..5), Some(response)),
                             Some(How::Reset) => (self.now + self.rng.u64(1..5), None),
                             Some(How::Hold) => (self.now + 4000, None),
                         };
@@ -954,6 +962,9 @@
                         delay += self.record_delay(&body) + if last { self.held_ms } else { 0 };
                     }
                     delay += self.lateness(n);
+                    if matches!(to, Dest::Worker(_)) {
+                        delay += self.late.command(self.now);
+                    }
                     self.at(
                         self.now + delay,
                         Ev::Arrive(Call { node: n, life, tag, to, method, path, body }),
@@ -1364,6 +1375,7 @@
             self.rules.apart(now, &new, &others, &self.counties);
         }
         if let Some((node, report)) = send {
+            self.late.reported(&report);
             let request = Request {
                 method: "POST".into(),
                 path: "/hello".into(),
--- /dev/null
+++ b/crates/standins/tests/changes_of_leader.rs
@@ -0,0 +1,241 @@
+//! The leader changes while tasks run: jobs whose tasks end far apart, machines out of reach, machines that do not hear
+//! the next leader.
+
+use standins::links::{Cut, How, Side};
+use standins::scene::{Scene, Timed, array};
+use standins::world::{Plan, World};
+use wire::api::JobSpec;
+
+const NODES: [usize; 3] = [3, 5, 7];
+
+fn kept(world: &World, what: &str) {
+    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+}
+
+fn ends(world: &mut World, ms: u64, what: &str) {
+    world.run_for(ms);
+    kept(world, what);
+    assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+}
+
+/// Plays on for so long, or to the next thing that happens.
+fn pass(world: &mut World, ms: u64) {
+    let (before, mut step) = (world.now(), ms);
+    while world.now() == before {
+        world.run_for(step);
+        step += 10;
+    }
+}
+
+/// So many rounds, or as many as `SWEEP` says.
+fn sweep(rounds: u64) -> u64 {
+    std::env::var("SWEEP").ok().and_then(|n| n.parse().ok()).unwrap_or(rounds)
+}
+
+/// How the leader changes.
+#[derive(Debug, Clone, Copy)]
+enum Change {
+    /// It ends and is back at once, or another one takes over.
+    Back(u64),
+    /// It ends as its next transaction is on its way, which lands so much later.
+    Doomed(u64),
+    /// It goes on, refused by the state service for so long.
+    Refused(u64),
+    /// It ends with its `n`th question to the state service.
+    Asking(u32),
+    /// All end, and are back within the second.
+    All,
+}
+
+const CHANGES: [Change; 10] = [
+    Change::Back(60),
+    Change::Back(700),
+    Change::Back(20_000),
+    Change::Doomed(0),
+    Change::Doomed(150),
+    Change::Doomed(4000),
+    Change::Refused(5000),
+    Change::Asking(1),
+    Change::Asking(2),
+    Change::All,
+];
+
+fn change(world: &mut World, how: Change) {
+    world.come_back_after(if let Change::Back(ms) = how { ms } else { 100 });
+    let Some(owner) = world.owner_at() else { return };
+    match how {
+        Change::Back(_) => world.crash_node(owner),
+        Change::Doomed(held) => world.doom(owner, held),
+        Change::Refused(ms) => world.refuse_owner(ms),
+        Change::Asking(n) => world.dies_asking(owner, n),
+        Change::All => world.crash_all_for(300, 50),
+    }
+}
+
+/// Jobs of two and three tasks, one of which ends within seconds and the last one after a minute. None of them can
+/// save, so that one which begins again is seen.
+fn uneven(seed: u64, nodes: usize, machines: usize) -> (World, u64) {
+    let job = |i: u32| {
+        let spec = JobSpec { checkpoint_s: 0.0, ..array(100 + i, "red", 2 + i % 2, 30.0) };
+        Timed { at: 1000 + u64::from(i) * 150, run_ms: 60_000, cancel_ms: None, spec }
+    };
+    let jobs: Vec<Timed> = (0..8).map(job).collect();
+    let tasks = jobs.iter().map(|j| u64::from(j.spec.tasks)).sum();
+    let scene = Scene { jobs, machines, ..Scene::default() }.team("red", 24.0, 0.0);
+    let mut world = World::new(Plan::of_scene(seed, nodes, scene, 0, 600_000));
+    for i in 0..8u64 {
+        world.shorten(&format!("job-{:06}/0", 100 + i), 2000 + 300 * i);
+        world.shorten(&format!("job-{:06}/1", 100 + i), if i % 2 == 0 { 60_000 } else { 20_000 });
+    }
+    (world, tasks)
+}
+
+fn done(world: &World) -> usize {
+    world.rules.jobs.values().map(|j| j.done.len()).sum()
+}
+
+/// Plays on until so many tasks are done.
+fn until_done(world: &mut World, many: usize, what: &str) {
+    let end = world.now() + 120_000;
+    while done(world) < many && world.now() < end {
+        pass(world, 10);
+    }
+    assert!(done(world) >= many, "{what}: {} tasks are done", done(world));
+}
+
+/// Between the end of a task and its record, between the record and the reaping, and after it: nothing that has ended is
+/// run again, and every job ends, though the idle machines with the first results are long returned.
+#[test]
+fn what_is_done_stays_done_whoever_leads() {
+    for (c, how) in CHANGES.into_iter().enumerate() {
+        // Right at the first end, and from there on until its machine is returned.
+        for step in 0..sweep(16) {
+            let nodes = NODES[(c + step as usize) % 3];
+            let what = format!("{nodes} nodes, {how:?}, step {step}");
+            let (mut world, tasks) = uneven(c as u64 * 100 + step, nodes, 12);
+            until_done(&mut world, 1 + step as usize % 3, &what);
+            world.run_for(if step % 16 < 12 { step * 110 } else { (step - 11) * 2500 });
+            change(&mut world, how);
+            ends(&mut world, 110_000, &what);
+            assert_eq!(world.rules.starts, tasks, "{what}: tasks began again");
+        }
+    }
+}
+
+/// The same with a leader that changes again and again, all the way from the first end to the last.
+#[test]
+fn what_is_done_stays_done_through_many_changes() {
+    for seed in 0..sweep(9) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let nodes = NODES[seed as usize % 3];
+        let what = format!("{nodes} nodes, seed {seed}");
+        let (mut world, tasks) = uneven(seed, nodes, 12);
+        until_done(&mut world, 1, &what);
+        for _ in 0..20 {
+            // All at once would leave nobody for longer than a lease, now and then.
+            let how = CHANGES[rng.usize(0..CHANGES.len() - 1)];
+            change(&mut world, how);
+            world.run_for(rng.u64(300..4000));
+        }
+        ends(&mut world, 110_000, &what);
+        assert_eq!(world.rules.starts, tasks, "{what}: tasks began again");
+    }
+}
+
+/// Full machines with long tasks, and as many again that wait for their team's limit. Some are cancelled.
+fn full(seed: u64, nodes: usize) -> World {
+    let job = |i: u32| Timed {
+        at: 1000 + u64::from(i / 6) * 20_000,
+        run_ms: 45_000 + u64::from(i) * 1000,
+        cancel_ms: (i % 4 == 3).then_some(24_000 + u64::from(i) * 500),
+        spec: array(100 + i, "red", 2, 40.0),
+    };
+    let scene = Scene { jobs: (0..12).map(job).collect(), machines: 6, ..Scene::default() };
+    World::new(Plan::of_scene(seed, nodes, scene.team("red", 12.0, 12.0), 0, 600_000))
+}
+
+/// Machines that are out of reach, or that are heard and do not hear.
+#[derive(Debug, Clone, Copy)]
+enum Away {
+    Held,
+    Refused,
+    /// What is sent to them is held, and comes through later.
+    Unhearing,
+    /// They stand still.
+    Hung,
+}
+
+fn away(world: &mut World, how: Away, zone: &str, ms: u64) {
+    let now = world.now();
+    let machines = Side::MachinesIn(zone.into());
+    match how {
+        Away::Held => world.cut(Cut::between(Side::Any, machines, now, ms)),
+        Away::Refused => world.cut(Cut { how: How::Reset, ..Cut::between(Side::Any, machines, now, ms) }),
+        Away::Unhearing => world.cut(Cut { both: false, ..Cut::between(Side::Nodes, machines, now, ms) }),
+        Away::Hung => world.machines().iter().for_each(|m| world.hang(m, ms)),
+    }
+}
+
+/// The leader ends before, while or after machines are away, for less and for more than their leases. What is not seen
+/// counts until it is proved gone: limits and zones hold, and in the end everything is done.
+#[test]
+fn claims_that_nobody_sees_count_whoever_leads() {
+    let hows = [Away::Held, Away::Refused, Away::Unhearing, Away::Hung];
+    for (h, how) in hows.into_iter().enumerate() {
+        for (l, long) in [3000, 13_000, 17_000, 40_000].into_iter().enumerate() {
+            for (b, before) in [-1500i64, 40, 5000].into_iter().enumerate() {
+                let round = h * 100 + l * 10 + b;
+                let nodes = NODES[round % 3];
+                let what = format!("{nodes} nodes, {how:?} for {long} ms, leader ends after {before} ms");
+                let mut world = full(round as u64, nodes);
+                world.run_for(30_000);
+                if before < 0 {
+                    change(&mut world, Change::Back(4000));
+                    world.run_for(before.unsigned_abs());
+                }
+                away(&mut world, how, ["a", "b"][b % 2], long);
+                if b % 3 == 2 {
+                    world.cloud_out(long + 5000);
+                }
+                if before >= 0 {
+                    world.run_for(before.unsigned_abs());
+                    change(&mut world, [Change::Back(80), Change::Back(15_000), Change::All][b % 3]);
+                }
+                ends(&mut world, 330_000, &what);
+            }
+        }
+    }
+}
+
+/// A vacancy that lasts nearly as long as a worker's lease, after a cancel whose stops never arrived; then a leader that
+/// stands and can read nothing, since the state service is out. What it does not know must not be kept alive.
+#[test]
+fn who_has_read_nothing_keeps_nothing_alive() {
+    for nodes in NODES {
+        for step in 0..sweep(8) {
+            let what = format!("{nodes} nodes, step {step}");
+            let jobs =
+                vec![Timed { at: 1000, run_ms: 300_000, cancel_ms: None, spec: array(1, "red", 6, 60.0) }];
+            let scene = Scene { jobs, machines: 6, ..Scene::default() }.team("red", 24.0, 0.0);
+            let mut world = World::new(Plan::of_scene(step, nodes, scene, 0, 600_000));
+            world.run_for(30_000);
+            // Stops are lost until all have ended; reports find nobody who may answer.
+            let unheard = Cut::between(Side::Nodes, Side::Machines, world.now(), 1000);
+            world.cut(Cut { how: How::Reset, ..unheard });
+            world.cancel("job-000001");
+            world.run_for(1000);
+            world.come_back_after(9000 + step * 250);
+            world.crash_all();
+            let end = world.now() + 20_000;
+            while world.owner().is_none() && world.now() < end {
+                pass(&mut world, 5);
+            }
+            assert!(world.owner().is_some(), "{what}: nobody stands");
+            world.state_out(120_000);
+            world.cloud_out(120_000);
+            world.run_for(130_000);
+            assert!(world.rules.jobs["job-000001"].told_cancelled.is_some(), "{what}: nobody was told");
+            kept(&world, &what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/old_reports.rs
@@ -0,0 +1,287 @@
+//! Copies of old reports come after newer ones: of an earlier session or attempt, to the next leader before any other,
+//! for machines that are long gone, and at nodes that only hand them on.
+
+use standins::links::{Cut, How, Side};
+use standins::scene::{Scene, Timed, array};
+use standins::world::{Plan, World};
+use wire::api::{JobSpec, Kind, Report, TaskStage};
+
+const NODES: [usize; 3] = [3, 5, 7];
+const IDLE_MS: u64 = 40_000;
+
+/// So many rounds, or as many as `SWEEP` says.
+fn sweep(rounds: u64) -> u64 {
+    std::env::var("SWEEP").ok().and_then(|n| n.parse().ok()).unwrap_or(rounds)
+}
+
+fn kept(world: &World, what: &str) {
+    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+}
+
+fn timed(at: u64, run_ms: u64, spec: JobSpec) -> Timed {
+    Timed { at, run_ms, cancel_ms: None, spec }
+}
+
+fn world(seed: u64, nodes: usize, scene: Scene) -> World {
+    let mut world = World::new(Plan::of_scene(seed, nodes, scene, 0, 600_000));
+    world.keep_reports();
+    world
+}
+
+/// Plays on for so long, or to the next thing that happens.
+fn pass(world: &mut World, ms: u64) {
+    let (before, mut step) = (world.now(), ms);
+    while world.now() == before {
+        world.run_for(step);
+        step += 10;
+    }
+}
+
+/// The leader ends, and its next life is told what the reports say, again and again until well after it has read
+/// everything: it hears the old ones first.
+fn first_heard(world: &mut World, copies: &[Report]) {
+    world.come_back_after(100);
+    let owner = world.owner_at().expect("some node owns the fleet");
+    world.crash_node(owner);
+    let end = world.now() + 3000;
+    while world.now() < end {
+        pass(world, 10);
+        if let Some(owner) = world.owner_at() {
+            copies.iter().for_each(|c| world.copy(c, owner));
+        }
+    }
+}
+
+/// The newest report for which this holds.
+fn last(world: &World, is: impl Fn(&Report) -> bool) -> Option<Report> {
+    world.reports().iter().rev().find(|r| is(r)).cloned()
+}
+
+fn lists(report: &Report, task: &str, stage: TaskStage) -> bool {
+    report.tasks.iter().any(|t| t.task == task && t.stage == stage)
+}
+
+/// A task ended in a session whose reports never came, and that end was lost with the session. It began again in the
+/// next one. A copy of the report that had it as ended comes to the next leader first: the task that runs now must
+/// count all the same.
+#[test]
+fn the_end_of_an_earlier_session_is_not_the_end_of_a_later_one() {
+    for round in 0..9u64 {
+        let nodes = NODES[round as usize % 3];
+        let what = format!("{nodes} nodes, round {round}");
+        let mut jobs = vec![timed(1000, 4000, array(1, "blue", 8, 4.0))];
+        jobs.push(timed(IDLE_MS, 9000, array(2, "red", 1, 9.0)));
+        jobs.push(timed(IDLE_MS + 2000, 20_000, array(3, "red", 1, 20.0)));
+        let scene = Scene { jobs, machines: 4, ..Scene::default() };
+        let mut world = world(round, nodes, scene.team("blue", 8.0, 0.0).team("red", 1.0, 1.0));
+        world.tune("fleet", "idle_s", "1000");
+        world.tune("fleet", "silent_s", "40");
+        world.run_for(IDLE_MS - 1);
+        // Commands arrive; their answers are lost, and reports are refused.
+        for how in [How::Hold, How::Reset] {
+            let unheard = Cut::between(Side::Machines, Side::Nodes, world.now(), 17_000);
+            world.cut(Cut { both: false, how, ..unheard });
+        }
+        world.run_for(17_000);
+        let task = "job-000002/0";
+        let ended = last(&world, |r| r.session == 1 && lists(r, task, TaskStage::Exited));
+        let ended = ended.unwrap_or_else(|| panic!("{what}: it ends in the first session"));
+        let mut waited = 0;
+        while world.machines_of("job-000002").is_empty() && waited < 10_000 {
+            world.run_for(100);
+            waited += 100;
+        }
+        world.run_for(round * 300);
+        assert!(!world.machines_of("job-000002").is_empty(), "{what}: it begins again");
+        first_heard(&mut world, &[ended]);
+        world.run_for(120_000);
+        kept(&world, &what);
+        assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+    }
+}
+
+/// A gang runs in its second attempt. A copy of a report of the first one comes to the next leader first: what it lists
+/// is long gone, and the gang that runs must not be taken apart for it.
+#[test]
+fn a_report_of_an_earlier_attempt_takes_no_gang_apart() {
+    for round in 0..9u64 {
+        let nodes = NODES[round as usize % 3];
+        let what = format!("{nodes} nodes, round {round}");
+        let gang = JobSpec { kind: Kind::Gang, gpus: 2.0, checkpoint_s: 0.0, ..array(2, "red", 2, 60.0) };
+        let jobs = vec![timed(1000, 4000, array(1, "blue", 12, 4.0)), timed(IDLE_MS, 60_000, gang)];
+        let scene = Scene { jobs, machines: 6, ..Scene::default() };
+        let mut world = world(round, nodes, scene.team("blue", 0.0, 0.0).team("red", 0.0, 0.0));
+        world.tune("fleet", "idle_s", "1000");
+        world.run_for(IDLE_MS + 8000);
+        let on = world.machines_of("job-000002");
+        assert_eq!(on.len(), 2, "{what}: the gang runs on two machines");
+        world.lose(&on[1]);
+        world.run_for(30_000);
+        let now = world.machines_of("job-000002");
+        assert_eq!(now.len(), 2, "{what}: it runs again");
+        let attempt = attempts(&world, &now[0])[0];
+        let is_old = |r: &Report| {
+            r.tasks.iter().any(|t| {
+                t.task.starts_with("job-000002/") && t.attempt != attempt && t.stage == TaskStage::Running
+            }) && r.machine != on[1]
+        };
+        let copy = last(&world, is_old).unwrap_or_else(|| panic!("{what}: a report of the first attempt"));
+        first_heard(&mut world, &[copy]);
+        world.run_for(5000);
+        let after: Vec<u64> = now.iter().flat_map(|m| attempts(&world, m)).collect();
+        assert_eq!(after, [attempt, attempt], "{what}: the second attempt goes on");
+        world.run_for(100_000);
+        kept(&world, &what);
+        assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+    }
+}
+
+/// Attempts of the gang that run on a machine.
+fn attempts(world: &World, machine: &str) -> Vec<u64> {
+    let runs = world.held(machine).into_iter().filter(|(_, _, stage)| *stage == TaskStage::Running);
+    runs.map(|(_, attempt, _)| attempt).collect()
+}
+
+/// Machines for which claims were recorded.
+fn claimed_on(world: &World) -> Vec<String> {
+    let logs = world.state.keys.iter().filter(|(k, _)| k.starts_with("part/0/log/"));
+    let claims = logs.flat_map(|(_, e)| e.value["claims"].as_array().cloned().unwrap_or_default());
+    let on = claims.flat_map(|c| c["on"].as_array().cloned().unwrap_or_default());
+    on.filter_map(|o| Some(o[0].as_str()?.to_owned())).collect()
+}
+
+/// Machines were returned; copies of their reports come afterwards, to the next leader, or much later to the same one.
+/// They may be taken in, but get no tasks, and are returned again.
+#[test]
+fn no_task_goes_to_a_machine_that_only_an_old_report_speaks_of() {
+    for round in 0..12u64 {
+        let nodes = NODES[round as usize % 3];
+        let same_term = round % 4 == 3;
+        let what = format!("{nodes} nodes, round {round}, same term {same_term}");
+        let wait = if same_term { 190_000 } else { 60_000 };
+        let jobs = vec![
+            timed(1000, 4000, array(1, "red", 8, 4.0)),
+            timed(1000 + wait, 5000, array(2, "red", 8, 5.0)),
+        ];
+        let scene = Scene { jobs, machines: 6, ..Scene::default() };
+        let mut world = world(round, nodes, scene.team("red", 0.0, 0.0));
+        world.run_for(wait - 1000);
+        let mut copies: Vec<Report> = Vec::new();
+        for report in world.reports() {
+            copies.retain(|c| c.machine != report.machine);
+            copies.push(report.clone());
+        }
+        copies.retain(|c| !world.is_rented(&c.machine));
+        assert!(!copies.is_empty(), "{what}: none is returned");
+        if same_term {
+            let owner = world.owner_at().expect("some node owns the fleet");
+            copies.iter().for_each(|c| world.copy(c, owner));
+        } else {
+            first_heard(&mut world, &copies);
+        }
+        let gone: Vec<String> = copies.into_iter().map(|c| c.machine).collect();
+        for _ in 0..300 {
+            world.run_for(100);
+            let on = claimed_on(&world);
+            assert!(on.iter().all(|m| !gone.contains(m)), "{what}: claims on machines that are gone");
+        }
+        world.run_for(30_000);
+        kept(&world, &what);
+        assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+        let racks = world.state.keys.iter().filter(|(k, _)| k.starts_with("part/0/rack"));
+        let racks: String = racks.map(|(_, e)| e.value.to_string()).collect();
+        assert!(gone.iter().all(|m| !racks.contains(m.as_str())), "{what}: they stay in the records");
+    }
+}
+
+/// A machine is dead, and copies of what it said go on coming: it is given up as soon as without them.
+#[test]
+fn old_reports_keep_no_dead_machine() {
+    for round in 0..6u64 {
+        let nodes = NODES[round as usize % 3];
+        let mut took = [0, 0];
+        for (copied, took) in took.iter_mut().enumerate() {
+            let what = format!("{nodes} nodes, round {round}, copies {copied}");
+            let jobs = vec![timed(1000, 60_000, array(1, "red", 8, 60.0))];
+            let scene = Scene { jobs, machines: 6, ..Scene::default() };
+            let mut world = world(round, nodes, scene.team("red", 0.0, 0.0));
+            world.run_for(25_000);
+            let dead = world.machines_of("job-000001").remove(0);
+            world.lose(&dead);
+            let said: Vec<Report> = world.reports().iter().filter(|r| r.machine == dead).cloned().collect();
+            while world.is_rented(&dead) && *took < 60_000 {
+                world.run_for(100);
+                *took += 100;
+                if copied == 1
+                    && let Some(owner) = world.owner_at()
+                {
+                    let n = *took as usize / 100 % said.len();
+                    world.copy(&said[n], owner);
+                }
+            }
+            assert!(*took < 60_000, "{what}: never given up");
+            world.run_for(120_000);
+            kept(&world, &what);
+            assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+        }
+        assert!(took[1] <= took[0] + 2000, "{nodes} nodes: {took:?}");
+    }
+}
+
+/// Copies of any reports at any time, to any node, most of them to a leader that has just begun; beside them owners
+/// that end, machines that die, hang and are cut off, so that sessions and attempts are many.
+#[test]
+fn rules_hold_whatever_comes_again() {
+    for seed in 0..sweep(12) {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let nodes = NODES[seed as usize % 3];
+        let what = format!("{nodes} nodes, seed {seed}");
+        let job = |i: u32| {
+            let kind = if i.is_multiple_of(4) { Kind::Gang } else { Kind::Array };
+            let spec = JobSpec { kind, ..array(1000 + i, "red", rng.u32(1..4), 8.0) };
+            let cancel_ms = i.is_multiple_of(5).then(|| rng.u64(0..20_000));
+            Timed { at: rng.u64(1000..110_000), run_ms: rng.u64(500..25_000), cancel_ms, spec }
+        };
+        let scene = Scene { jobs: (0..45).map(job).collect(), machines: 8, ..Scene::default() };
+        let mut world = world(seed, nodes, scene.team("red", 8.0, 8.0));
+        let machine = |world: &World, rng: &mut fastrand::Rng| {
+            let all = world.machines();
+            (!all.is_empty()).then(|| all[rng.usize(0..all.len())].clone())
+        };
+        for _ in 0..60 {
+            match rng.u32(0..8) {
+                0 | 1 => {
+                    world.come_back_after(rng.u64(50..2500));
+                    let owner = world.owner_at();
+                    owner.into_iter().for_each(|n| world.crash_node(n));
+                }
+                2 => machine(&world, &mut rng).into_iter().for_each(|m| world.hang(&m, 3000 + seed * 400)),
+                3 => machine(&world, &mut rng).into_iter().for_each(|m| world.lose(&m)),
+                4 => {
+                    let (now, ms) = (world.now(), rng.u64(1000..25_000));
+                    let how = [How::Hold, How::Reset][rng.usize(0..2)];
+                    let m = machine(&world, &mut rng).map_or(Side::MachinesIn("a".into()), Side::Machine);
+                    let cut = Cut::between(m, Side::Nodes, now, ms);
+                    world.cut(Cut { how, both: rng.bool(), ..cut });
+                }
+                _ => {}
+            }
+            for _ in 0..rng.u32(5..40) {
+                world.run_for(50);
+                let all = world.reports();
+                if all.is_empty() {
+                    continue;
+                }
+                // From the last half minute, or from ever.
+                let from = if rng.bool() { 0 } else { all.len().saturating_sub(200) };
+                let copy = all[rng.usize(from..all.len())].clone();
+                let to = world.owner_at().filter(|_| rng.u32(0..4) > 0);
+                let to = to.unwrap_or_else(|| rng.usize(0..nodes));
+                world.copy(&copy, to);
+            }
+        }
+        world.run_for(300_000);
+        kept(&world, &what);
+        assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+    }
+}
