--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1,6 +1,7 @@
 //! Controllers, state service, cloud, workers and users in one virtual time, with seeded faults.
 
 mod bed;
+mod late;
 mod troubles;
 mod wires;
 
@@ -261,6 +262,8 @@
     troubles: troubles::Troubles,
     /// What troubles of the list hit so far.
     pub hits: Hits,
+    /// What a test holds back or repeats.
+    late: late::Late,
 }
 
 /// When worlds begin.
@@ -382,6 +385,7 @@
             bed: None,
             troubles: troubles::Troubles::new(plan.seed, plan.nodes),
             hits: Hits::default(),
+            late: Default::default(),
             plan,
         };
         if world.plan.large {
@@ -957,8 +961,12 @@
                     if let Some(origin) = self.conns.remove(&conn) {
                         let cut = self.answer_is_cut(n, &origin);
                         // An answer that is held is of no use when it comes.
+                        let slow = match origin {
+                            Origin::Worker { .. } => self.late.answer(self.now),
+                            _ => 0,
+                        };
                         let (at, response) = match cut {
-                            None => (self.now + self.rng.u64(1..5), Some(response)),
+                            None => (self.now + slow + self.rng.u64(1..5), Some(response)),
                             Some(How::Reset) => (self.now + self.rng.u64(1..5), None),
                             Some(How::Hold) => (self.now + 4000, None),
                         };
@@ -992,6 +1000,9 @@
                     }
                     delay += self.lateness(n);
                     let late = self.take_over_lateness(&path, &body);
+                    if matches!(to, Dest::Worker(_)) {
+                        delay += self.late.command(self.now);
+                    }
                     self.at(
                         self.now + delay + late.unwrap_or(0),
                         Ev::Arrive(Call { node: n, life, tag, to, method, path, body, late: late.is_some() }),
@@ -1435,6 +1446,7 @@
             self.rules.apart(now, &new, &others, &self.counties);
         }
         if let Some((node, report)) = send {
+            self.late.reported(&report);
             let request = Request {
                 method: "POST".into(),
                 path: "/hello".into(),
