An end on its way may stand already: its tasks stop, and memory denies nothing

An owner whose transaction is carried out but not answered stays sure, since its renewals are answered. Other nodes that can't ask it read the end from the state service and tell users of it. The owner meanwhile called the job running (went_back), and began to stop a cancelled job's tasks only when its own repeat of the transaction was answered, which may be longer than cancel_s (ran_cancelled).

Once a transaction has gone without an answer, the tasks of the cancels in it are stopped. While an end is on its way the owner answers for that job from a read, not from memory.

--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -493,6 +493,7 @@
             None => {
                 part.commit.unsure = true;
                 part.commit.retry_at = now + backoff;
+                self.ends_may_stand();
             }
             Some(other) => {
                 let body =
@@ -502,6 +503,17 @@
         }
     }
 
+    /// Ends that were not answered may be recorded, and others may read them and tell of them before we hear: from then
+    /// on the tasks of what was cancelled have to go.
+    fn ends_may_stand(&mut self) {
+        let Some(part) = &self.part else { return };
+        let ends =
+            part.commit.ops.iter().filter_map(|op| if let Op::End(ix) = op { Some(*ix) } else { None });
+        for ix in ends.collect::<Vec<JobIx>>() {
+            self.job_changed(ix);
+        }
+    }
+
     pub(crate) fn verified(&mut self, response: Option<Response>) {
         let Some(part) = &mut self.part else { return };
         part.commit.in_flight = false;
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -202,9 +202,16 @@
     pub fn is_ending(&self) -> bool {
         self.ending != Ending::No
     }
-    /// Its tasks are to be stopped, since their user has cancelled it or it had ended before our time.
+    /// Its tasks are to be stopped, since their user has cancelled it or it had ended before our time. While the end is
+    /// on its way, others may have read it already.
     pub fn is_void(&self) -> bool {
-        matches!(self.ending, Ending::Recorded(Stage::Cancelled) | Ending::Before)
+        use Ending::{Before, Recorded, Writing};
+        matches!(self.ending, Recorded(Stage::Cancelled) | Writing(Stage::Cancelled) | Before)
+    }
+
+    /// Whether its end may be recorded though we have not heard so: only a read tells.
+    pub fn may_be_over(&self) -> bool {
+        matches!(self.ending, Ending::Writing(_))
     }
 
     /// Its user has asked for its end, whether or not that is recorded yet, or it had ended before our time.
--- a/crates/control/src/lookup.rs
+++ b/crates/control/src/lookup.rs
@@ -3,6 +3,7 @@
 
 use crate::counties::Denied;
 use crate::door::peer_answer;
+use crate::jobs::Job;
 use crate::{Asker, Dest, Node, Pending};
 use wire::api::{Item, JobState, Stage};
 use wire::http::Response;
@@ -93,10 +94,11 @@
     }
 
     /// What the owner knows, while it is sure. Jobs that it has read back are live even before all else has been read:
-    /// nobody but itself can end them.
+    /// nobody but itself can end them. One whose end is on its way may have ended: others may have read and told so.
     pub(crate) fn state_here(&self, id: &str) -> Option<JobState> {
         let part = self.part.as_ref().filter(|_| self.sure())?;
-        part.job(*part.job_ix.get(id)?).filter(|j| j.spec.is_some()).map(|j| j.state())
+        let known = |j: &&Job| j.spec.is_some() && !j.may_be_over();
+        part.job(*part.job_ix.get(id)?).filter(known).map(Job::state)
     }
 
     pub(crate) fn peer_queried(&mut self, mut q: Question, peer: usize, sent: u64, r: Option<Response>) {
--- a/crates/standins/tests/gap.rs
+++ b/crates/standins/tests/gap.rs
@@ -375,3 +375,25 @@
 fn seven_controllers() {
     sweep(7, 40);
 }
+
+/// An owner whose transactions land and are not answered: the others, which can't ask it, read that a job is cancelled
+/// and tell so. The owner went on calling the job running, and did not stop it, for as long as that lasted.
+#[test]
+fn what_may_be_recorded_is_stopped_and_not_denied() {
+    let mut all = 0;
+    for seed in 0..6 {
+        let mut world = world(&Day::draw(3, seed));
+        world.run_for(18_000);
+        let old = world.owner_at().expect("some node owns the fleet");
+        for n in (0..3).filter(|n| *n != old) {
+            let cut = Cut::between(Side::Node(n), Side::Node(old), world.now(), 100_000);
+            world.cut(Cut { how: How::Reset, ..cut });
+        }
+        world.bring(&Trouble::LateWrites { share: 1.0, for_ms: 70_000 });
+        (0..4u32).for_each(|i| world.cancel_in(&format!("job-{:06}", 1000 + i), u64::from(i) * 3000));
+        world.run_for(90_000);
+        assert!(world.rules.broken.is_empty(), "seed {seed}: {:?}", world.rules.broken);
+        all += told(&world);
+    }
+    assert!(all > 8, "{all} cancels told");
+}
