The search is made step by step too, without what its model takes at once

Need: the model takes words of all peers, newer charges and renewals of the worker at once, since they only let a task live longer. That is an argument, and was seen nowhere.

Change: `Bounds::literal` leaves it out, so that each of them is a step that may be missing.

--- a/crates/control/tests/search.rs
+++ b/crates/control/tests/search.rs
@@ -131,18 +131,18 @@
 const MOST: usize = 60_000_000;
 
 fn bounds(lengths: Lengths, nodes: usize, (restarts, outages, tokens): (u8, u8, u8), late: bool) -> Bounds {
-    Bounds { lengths, nodes, restarts, outages, tokens, late, planted: Planted::Nothing }
+    Bounds { lengths, nodes, restarts, outages, tokens, late, literal: false, planted: Planted::Nothing }
 }
 
 fn said(b: &Bounds, f: &Found) -> String {
-    let Bounds { nodes, restarts, outages, tokens, late, lengths, planted } = b;
+    let Bounds { nodes, restarts, outages, tokens, late, literal, lengths, planted } = b;
     let end = match &f.broken {
         Some((what, steps)) => format!("{what}: {}", told(b, steps)),
         None if f.whole => "all of them".to_owned(),
         None => "not all of them".to_owned(),
     };
     format!(
-        "{planted:?}, {nodes} nodes, {restarts} restarts, {outages} outages, tokens to {tokens}, late {late}, \
+        "{planted:?}, {nodes} nodes, {restarts} restarts, {outages} outages, tokens to {tokens}, late {late}, literal {literal}, \
          {}/{}/{} ticks: {} worlds, {} steps deep, {:.1} s: {end}",
         lengths.ttl, lengths.lease, lengths.cancel, f.worlds, f.depth, f.seconds
     )
@@ -162,6 +162,21 @@
     holds(&bounds(SHORT, 2, (2, 2, 3), false), 500_000);
 }
 
+/// The same without what the model takes at once, since it only lets a task live longer: each word, charge and renewal
+/// is a step that may be missing. What is found without a guard is found here too.
+#[test]
+fn a_cancelled_task_is_gone_in_time_step_by_step() {
+    use Planted::{CountsUnread, KeeperNoBound, LongBound, NoBound};
+    let b = Bounds { literal: true, ..bounds(SHORT, 2, (1, 1, 2), false) };
+    holds(&b, 140_000);
+    for planted in [NoBound, LongBound, CountsUnread, KeeperNoBound] {
+        let b = Bounds { planted, ..b };
+        let found = search(&b, 600_000);
+        println!("{}", said(&b, &found));
+        assert!(found.broken.is_some(), "{}", said(&b, &found));
+    }
+}
+
 /// Lengths that leave an owner sure, and a bound running, over several ticks.
 #[test]
 fn a_cancelled_task_is_gone_in_time_with_longer_leases() {
@@ -241,6 +256,8 @@
         return println!("not asked for: STOATHATCH_SEARCH=large");
     }
     for (b, least) in [
+        (Bounds { literal: true, ..bounds(SHORT, 2, (1, 1, 3), false) }, 600_000),
+        (Bounds { literal: true, ..bounds(SHORT, 3, (0, 1, 2), false) }, 600_000),
         (bounds(SHORT, 2, (1, 1, 3), true), 1_500_000),
         (bounds(LONG, 2, (2, 2, 3), false), 1_500_000),
         (bounds(LONG, 2, (1, 1, 2), true), 1_500_000),
--- a/crates/control/tests/search/model.rs
+++ b/crates/control/tests/search/model.rs
@@ -130,6 +130,8 @@
     /// transactions may come twice. Without it they come in the step in which they are given, or never; transactions
     /// may be late all the same.
     pub late: bool,
+    /// Nothing is taken at once (`World::tidy`): each word, charge and renewal is a step that may be missing.
+    pub literal: bool,
     pub planted: Planted,
 }
 
@@ -494,11 +496,13 @@
     /// A renewal of the worker's lease under the token that it obeys already, the word of all peers, and a charge that
     /// is newer than the keeper's under the same token change nothing but how long answers may go on. Whatever can come
     /// of a world without them can come of the one with them, so the latter alone is looked at, and a task that lives
-    /// too long is found all the same.
+    /// too long is found all the same; `Bounds::literal` looks at both.
     fn tidy(&mut self, b: &Bounds) {
         for n in 0..b.nodes {
-            self.vouch_at_once(n, b);
-            self.charge_at_once(n, b);
+            if !b.literal {
+                self.vouch_at_once(n, b);
+                self.charge_at_once(n, b);
+            }
             self.nodes[n].heard &= b.planted == Planted::WaitsForAnswer;
             let node = &mut self.nodes[n];
             // A word that comes for an older question adds nothing.
@@ -511,7 +515,7 @@
             let overtaken = |c: &Charge| c.token < highest;
             node.charge = node.charge.filter(|c| !useless(c) && !overtaken(c));
         }
-        if (0..b.nodes as u8).any(|n| self.answers(n, b) == Some(self.obeys)) {
+        if !b.literal && (0..b.nodes as u8).any(|n| self.answers(n, b) == Some(self.obeys)) {
             self.lease = 0;
         }
         for i in 0..ON_THE_WAY {
@@ -910,7 +914,7 @@
         let node = self.node(n);
         // With one peer the question and its answer may as well come at once.
         let newest = node.known == 0 && b.planted != Planted::VouchesFromArrival;
-        if b.nodes < 3 || node.role != Role::Owner || newest || node.ask == 0 {
+        if b.nodes < 3 && !b.literal || node.role != Role::Owner || newest || node.ask == 0 {
             return false;
         }
         (node.ask, node.answered) = (0, 0);
