--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1,6 +1,7 @@
 //! Controllers, state service, cloud, workers and users in one virtual time, with seeded faults.
 
 mod bed;
+mod holds;
 mod late;
 mod troubles;
 mod wires;
@@ -264,6 +265,7 @@
     pub hits: Hits,
     /// What a test holds back or repeats.
     late: late::Late,
+    holds: holds::Holds,
 }
 
 /// When worlds begin.
@@ -386,6 +388,7 @@
             troubles: troubles::Troubles::new(plan.seed, plan.nodes),
             hits: Hits::default(),
             late: Default::default(),
+            holds: Default::default(),
             plan,
         };
         if world.plan.large {
@@ -1073,6 +1076,7 @@
                 if self.outage_until > self.now || refused {
                     return self.reply(&c, 503, &json!({"error": "trouble"}));
                 }
+                let Some(c) = self.held_back(c) else { return };
                 if let Some(ms) = self.write_lateness(&c) {
                     return self.at(self.now + ms, Ev::Arrive(Call { late: true, ..c }));
                 }
