The owner does not unsay an end that is on its way and that others may have read

An end that had landed, but whose answer was slow or lost, was read from the state service and told by nodes that did not reach the owner, while the owner went on answering `running` from memory until it heard of its own transaction: half a second with a slow state service, two seconds and more with a lost answer.

While an end is on its way the owner now says nothing of that job from memory; users and peers are told what stands in the state service. It is a read more for some ten milliseconds of a job's life.

--- a/crates/control/src/lookup.rs
+++ b/crates/control/src/lookup.rs
@@ -3,6 +3,7 @@
 
 use crate::counties::Denied;
 use crate::door::peer_answer;
+use crate::jobs::Ending;
 use crate::{Asker, Dest, Node, Pending};
 use wire::api::{Item, JobState, Stage};
 use wire::http::Response;
@@ -92,11 +93,13 @@
         }
     }
 
-    /// What the owner knows, while it is sure. Jobs that it has read back are live even before all else has been read:
+    /// What the owner knows, while it is sure. Of an end on its way it does not know whether it has landed, nor whether
+    /// others have read it and told of it: then the state service says how the job stands. Jobs that it has read back are live even before all else has been read:
     /// nobody but itself can end them.
     pub(crate) fn state_here(&self, id: &str) -> Option<JobState> {
         let part = self.part.as_ref().filter(|_| self.sure())?;
-        part.job(*part.job_ix.get(id)?).filter(|j| j.spec.is_some()).map(|j| j.state())
+        let job = part.job(*part.job_ix.get(id)?).filter(|j| j.spec.is_some())?;
+        (!matches!(job.ending, Ending::Writing(_))).then(|| job.state())
     }
 
     pub(crate) fn peer_queried(&mut self, mut q: Question, peer: usize, sent: u64, r: Option<Response>) {
--- a/crates/control/tests/door.rs
+++ b/crates/control/tests/door.rs
@@ -431,6 +431,7 @@
     p.sent.clear();
     p.takes_over();
     p.reads_back();
+    p.served(500);
     p.cancel(2);
     p.reply(&commit, 200, wire::encode(&json!({"ledger": 14})));
     assert_eq!(p.answer(2), None, "told before its record");
@@ -457,3 +458,55 @@
         assert_eq!(p.answer(1), Some((200, Some(end.unwrap_or("pending").into()))));
     }
 }
+
+/// A take-over that lands after its node has given up on it is waited out like anybody's: a process takes the place of
+/// a former life only, never of itself.
+#[test]
+fn one_s_own_late_take_over_is_waited_out() {
+    let mut p = Played::new();
+    p.learns(None);
+    (0..5).for_each(|_| {
+        p.now += 100;
+        p.step(Event::Tick);
+    });
+    let grant = p.take(|s| s.path == "/grants").expect("asks for a lease");
+    p.reply(&grant, 200, wire::encode(&json!({"tenancy": 7})));
+    let take = p.take(|s| s.path == "/txn").expect("takes over");
+    let written = wire::decode::<Value>(&take.body).expect("a transaction");
+    let mine = written["writes"]
+        .as_array()
+        .and_then(|w| w.iter().find(|w| w["write"] == OWNER))
+        .expect("its record");
+    for life in [mine["v"]["life"].as_u64(), Some(77)] {
+        p.silence(4500);
+        while !p.sent.iter().any(|s| s.path.starts_with("/keys?under=sys/")) {
+            p.silence(100);
+        }
+        let rec = json!({"node": "burrow-0", "token": 4, "lease": 7, "life": life});
+        let token = json!({"key": "sys/token", "v": {"token": 4}, "stamp": 12});
+        p.page("sys/", json!([{"key": OWNER, "v": rec, "stamp": 12}, token]));
+        p.silence(1500);
+        // Of another life under its name it knows that it is over.
+        let stands = p.sent.iter().any(|s| s.path == "/grants");
+        assert_eq!(stands, life == Some(77), "{life:?}");
+    }
+}
+
+/// An end on its way may have landed, and others may have read it and told of it: until its owner knows, it says no more
+/// than what stands in the state service. It went on saying that the job ran.
+#[test]
+fn an_end_on_its_way_is_not_unsaid() {
+    let mut p = owner_of_one_job();
+    p.cancel(1);
+    assert!(p.sent.iter().any(|s| s.path == "/txn"), "its record is on its way");
+    p.query(2);
+    p.ask(3, "POST", "/work", wire::encode(&job()));
+    assert_eq!((p.answer(2), p.answer(3)), (None, None), "told from memory");
+    p.asked(&Ask::Query { job: "job-000001".into() });
+    let told = p.told.pop().expect("peers are answered at once");
+    assert_eq!(decode::<Answer>(&told.2).ok(), Some(Answer::Unknown));
+    let read = p.take(|s| s.path == "/keys/live/job-000001").expect("reads");
+    p.reply(&read, 404, Vec::new());
+    assert!(p.end_is("cancelled"));
+    assert_eq!(p.answer(2), Some((200, Some("cancelled".into()))));
+}
