--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1,5 +1,6 @@
 //! Controllers, state service, cloud, workers and users in one virtual time, with seeded faults.
 
+mod asks;
 mod bed;
 mod troubles;
 mod wires;
@@ -240,6 +241,8 @@
     wires: BTreeMap<u64, Wire>,
     /// Answers to native users: when they asked, and after how long they were answered.
     pub waits: Vec<u64>,
+    /// When a user was last told how a job stands.
+    answered_at: BTreeMap<String, u64>,
     /// Submissions that were not taken when they were sent: refused, or not answered.
     pub refused: u64,
     /// Tasks that were killed by their leases, or that were on machines as these were returned.
@@ -363,6 +366,7 @@
             yarn: YarnStage::default(),
             wires: BTreeMap::new(),
             waits: Vec::new(),
+            answered_at: BTreeMap::new(),
             refused: 0,
             lost: 0,
             call_ns: Vec::new(),
@@ -1162,6 +1166,7 @@
                 let state = response.as_ref().and_then(|r| wire::decode::<JobState>(&r.body).ok());
                 let stage = state.map(|s| s.stage);
                 self.rules.told(self.now, asked, &job, status, stage, kind == Ask::Submit);
+                self.is_recorded(&job, stage);
                 let over = stage.is_some_and(|s| s.is_final());
                 let wait = self.rng.u64(500..2500);
                 match kind {
@@ -1222,6 +1227,10 @@
 
     fn user(&mut self, kind: Ask, job: String) {
         let n = self.rng.usize(0..self.plan.nodes);
+        self.user_at(n, kind, job);
+    }
+
+    fn user_at(&mut self, n: usize, kind: Ask, job: String) {
         let Some(entry) = self.rules.jobs.get_mut(&job) else {
             let request = Request {
                 method: "GET".into(),
--- a/crates/standins/src/world/bed.rs
+++ b/crates/standins/src/world/bed.rs
@@ -190,6 +190,7 @@
         let stage = state.map(|s| s.stage);
         bed.checks.answered(now, &job, kind == Ask::Poll, status, stage);
         self.rules.told(now, asked, &job, status, stage, kind == Ask::Submit);
+        self.is_recorded(&job, stage);
         self.waits.push(now - asked);
         let pause = response.and_then(|r| r.retry_after_s).map_or(0, |s| u64::from(s.min(30)) * 1000);
         let over = stage.is_some_and(|s| s.is_final());
--- /dev/null
+++ b/crates/standins/tests/hand_over.rs
@@ -0,0 +1,240 @@
+//! Controllers hand over and back, all end, and one returns, within a second: with users who cancel and ask at each
+//! moment of it, and submit again much later at whatever node.
+
+use standins::days::{Trouble, Who};
+use standins::links::{Cut, How, Side};
+use standins::scene::{Scene, Timed, array};
+use standins::world::{Plan, World};
+use std::collections::BTreeMap;
+
+const LONG: u32 = 12;
+const BEGIN: u64 = 30_000;
+/// By then all troubles are over.
+const OVER_MS: u64 = 20_000;
+
+fn long(i: u32) -> String {
+    format!("job-{:06}", 1000 + i)
+}
+
+fn world(seed: u64, nodes: usize) -> World {
+    let long = (0..LONG).map(|i| Timed {
+        at: 1000,
+        run_ms: 60_000,
+        cancel_ms: None,
+        spec: array(1000 + i, "red", 1, 60.0),
+    });
+    let short = (0..50).map(|i| Timed {
+        at: 20_000 + u64::from(i) * 500,
+        run_ms: 1000,
+        cancel_ms: (i % 5 == 0).then_some(700),
+        spec: array(2000 + i, "red", 1, 1.0),
+    });
+    let scene = Scene { jobs: long.chain(short).collect(), machines: 12, ..Scene::default() };
+    World::new(Plan::of_scene(seed, nodes, scene.team("red", 24.0, 0.0), 0, 600_000))
+}
+
+fn kept(world: &World, what: &str) {
+    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+}
+
+/// Token and life of the owner record.
+fn record(world: &World) -> Option<(u64, u64)> {
+    let rec = &world.state.keys.get("sys/owner/0")?.value;
+    Some((rec["token"].as_u64()?, rec["life"].as_u64()?))
+}
+
+/// Tokens as they were seen, each with its life: none is given twice, and none is followed by a lower one.
+#[derive(Default)]
+struct Terms(BTreeMap<u64, u64>);
+
+impl Terms {
+    fn run_for(&mut self, world: &mut World, ms: u64, what: &str) {
+        let end = world.now() + ms;
+        let mut step = 10;
+        while world.now() + step <= end {
+            let before = world.now();
+            world.run_for(step);
+            // Nothing happened yet.
+            step = if world.now() == before { step + 10 } else { 10 };
+            let Some((token, life)) = record(world) else { continue };
+            let highest = self.0.last_key_value().map_or(0, |(token, _)| *token);
+            assert!(token >= highest, "{what}: token {token} after {highest}");
+            assert_eq!(*self.0.entry(token).or_insert(life), life, "{what}: two lives with token {token}");
+        }
+    }
+}
+
+/// A user cancels one more of the long jobs, and all nodes are asked about those that were cancelled before.
+struct Users {
+    nodes: usize,
+    next: u32,
+}
+
+impl Users {
+    fn act(&mut self, world: &mut World) {
+        if self.next < LONG {
+            world.cancel_at(self.next as usize % self.nodes, &long(self.next));
+            self.next += 1;
+        }
+        for i in 0..self.next {
+            world.poll_at((self.next + i) as usize % self.nodes, &long(i));
+        }
+    }
+}
+
+fn ends(world: &mut World, what: &str) {
+    world.run_for(OVER_MS);
+    kept(world, what);
+    let silent = world.unanswered_for(15_000);
+    assert!(silent.is_empty(), "{what}: no answers about {silent:?}");
+    // Much later, at every node, asked and sent again.
+    world.ask_everywhere();
+    world.run_for(150_000);
+    kept(world, what);
+    assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+}
+
+/// Handed over by a refusal, handed back by another, then all end within a fraction of a second and one is back at
+/// once, the others later. Every step of it comes at another distance from the one before.
+#[test]
+fn handed_over_and_back_then_all_end_and_one_returns() {
+    for nodes in [3, 5, 7] {
+        for step in 0..12u64 {
+            let what = format!("{nodes} nodes, step {step}");
+            let mut world = world(step, nodes);
+            let (mut users, mut terms) = (Users { nodes, next: 0 }, Terms::default());
+            world.run_for(BEGIN + step * 7);
+            let first = world.owner_at().expect("some node owns the fleet");
+            world.bring(&Trouble::Refused { who: Who::Node(first), ms: 2600 + step * 20 });
+            users.act(&mut world);
+            terms.run_for(&mut world, 1500 + step * 90, &what);
+            users.act(&mut world);
+            terms.run_for(&mut world, 600, &what);
+            let second = world.owner_at().unwrap_or((first + 1) % nodes);
+            // Back: all but the first are refused for as long as the second one's lease lasts.
+            for n in (0..nodes).filter(|n| *n != first) {
+                world.bring(&Trouble::Refused { who: Who::Node(n), ms: 2800 });
+            }
+            users.act(&mut world);
+            terms.run_for(&mut world, 1700 + step * 80, &what);
+            users.act(&mut world);
+            // All end within a second of each other; one is back at once.
+            for i in 0..nodes {
+                let n = (second + i) % nodes;
+                let back_ms = if n == first { 50 + step * 45 } else { 1200 + 300 * i as u64 };
+                world.bring(&Trouble::Crash { who: Who::Node(n), back_ms });
+                terms.run_for(&mut world, step * 40 / nodes as u64, &what);
+                users.act(&mut world);
+            }
+            for _ in 0..6 {
+                terms.run_for(&mut world, 150 + step * 10, &what);
+                users.act(&mut world);
+            }
+            terms.run_for(&mut world, 8000, &what);
+            ends(&mut world, &what);
+        }
+    }
+}
+
+/// The owner ends with its transactions held until it is back, owns again, or another does: its last ends and claims,
+/// its take-over and the end of its lease come to the next life, or the one after.
+#[test]
+fn what_is_held_comes_to_a_later_life() {
+    for nodes in [3, 5, 7] {
+        for step in 0..10u64 {
+            let what = format!("{nodes} nodes, step {step}");
+            let mut world = world(100 + step, nodes);
+            let (mut users, mut terms) = (Users { nodes, next: 0 }, Terms::default());
+            world.run_for(BEGIN);
+            for round in 0..5u64 {
+                let owner = world.owner_at().unwrap_or(0);
+                world.bring(&Trouble::Late {
+                    who: Who::Node(owner),
+                    for_ms: 300,
+                    ms: [60, 400, 2500][step as usize % 3],
+                });
+                world.bring(&Trouble::LateWrites { share: 0.5, for_ms: 1500 });
+                users.act(&mut world);
+                terms.run_for(&mut world, 11 + step * 13, &what);
+                match (step + round) % 4 {
+                    0 => world.bring(&Trouble::Crash { who: Who::All, back_ms: 60 + step * 50 }),
+                    1 => world.bring(&Trouble::Crash { who: Who::Node(owner), back_ms: 50 }),
+                    2 => world.bring(&Trouble::Freeze { who: Who::Node(owner), ms: 2400 }),
+                    _ => world.bring(&Trouble::Refused { who: Who::Node(owner), ms: 2400 }),
+                }
+                users.act(&mut world);
+                terms.run_for(&mut world, 700 + round * 500, &what);
+            }
+            terms.run_for(&mut world, 14_000, &what);
+            ends(&mut world, &what);
+        }
+    }
+}
+
+/// All end as they are asked, at each of the first questions of the next take-over, and only one comes back at first.
+#[test]
+fn one_returns_and_ends_at_any_question() {
+    for nodes in [3, 5, 7] {
+        for question in 1..=14u32 {
+            let what = format!("{nodes} nodes, question {question}");
+            let mut world = world(200 + u64::from(question), nodes);
+            let (mut users, mut terms) = (Users { nodes, next: 0 }, Terms::default());
+            world.run_for(BEGIN);
+            let owner = world.owner_at().expect("some node owns the fleet");
+            for round in 0..3 {
+                users.act(&mut world);
+                terms.run_for(&mut world, 5 + u64::from(question), &what);
+                for n in 0..nodes {
+                    let back_ms = if n == owner { 80 } else { 2500 };
+                    world.bring(&Trouble::Crash { who: Who::Node(n), back_ms });
+                }
+                world.bring(&Trouble::Fuse {
+                    who: Who::Node(owner),
+                    question: question + round,
+                    back_ms: 70,
+                });
+                users.act(&mut world);
+                terms.run_for(&mut world, 900, &what);
+                users.act(&mut world);
+                terms.run_for(&mut world, 400, &what);
+            }
+            terms.run_for(&mut world, 4000, &what);
+            ends(&mut world, &what);
+        }
+    }
+}
+
+/// Cancelled under the former owner while no machine could be told; the next one stands, and has read nothing when the
+/// state service goes out. What it renewed, it would keep alive through the outage without knowing that it is to end.
+#[test]
+fn a_new_owner_that_has_read_nothing_renews_nothing() {
+    for nodes in [3, 5, 7] {
+        for step in 0..4u64 {
+            let what = format!("{nodes} nodes, step {step}");
+            let mut world = world(300 + step, nodes);
+            world.run_for(BEGIN);
+            let first = world.owner_at().expect("some node owns the fleet");
+            let unheard = Cut::between(Side::Nodes, Side::Machines, world.now(), 6000);
+            world.cut(Cut { how: How::Reset, ..unheard });
+            (0..LONG).for_each(|i| world.cancel_at(first, &long(i)));
+            world.run_for(300 + step * 100);
+            world.bring(&Trouble::Refused { who: Who::Node(first), ms: 20_000 });
+            let (before, _) = record(&world).expect("an owner");
+            let (begun, mut wait) = (world.now(), 5);
+            while record(&world).is_none_or(|(token, _)| token <= before) && world.now() < begun + 8000 {
+                let at = world.now();
+                world.run_for(wait);
+                // Nothing happened yet.
+                wait = if world.now() == at { wait + 5 } else { 5 };
+            }
+            assert!(record(&world).is_some_and(|(token, _)| token > before), "{what}: nobody took over");
+            // Its take-over is answered, and its first reads are not.
+            world.run_for(step);
+            world.bring(&Trouble::StateOut { ms: 70_000 });
+            world.run_for(75_000);
+            let told = world.rules.jobs.values().filter(|j| j.told_cancelled.is_some()).count();
+            assert!(told > 4, "{what}: {told} told");
+            ends(&mut world, &what);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/tests/refusals.rs
@@ -0,0 +1,254 @@
+//! The state service slow, or refusing the leader and then everybody, and a leader cut off from the state service and
+//! the other controllers, while users submit, cancel and ask at every node, in every moment of it.
+//!
+//! Beside the rules, what users are told is held against what stands in the state service at that moment.
+
+use standins::days::{Trouble, Who};
+use standins::links::{How, Side};
+use standins::scene::{Scene, Timed, array};
+use standins::world::{Plan, World};
+
+/// Jobs that run for a minute and more, of which most are cancelled, and a steady flow of short ones that end.
+const LONG: u32 = 12;
+const SHORT: u32 = 60;
+/// When troubles begin.
+const BEGIN: u64 = 30_000;
+
+fn long(i: u32) -> String {
+    format!("job-{:06}", 1000 + i)
+}
+
+fn world(seed: u64, nodes: usize) -> World {
+    let long = (0..LONG).map(|i| Timed {
+        at: 1000,
+        run_ms: 90_000,
+        cancel_ms: None,
+        spec: array(1000 + i, "red", 1, 90.0),
+    });
+    let short = (0..SHORT).map(|i| Timed {
+        at: 20_000 + u64::from(i) * 400,
+        run_ms: 1000,
+        cancel_ms: None,
+        spec: array(2000 + i, "red", 1, 1.0),
+    });
+    let scene = Scene { jobs: long.chain(short).collect(), machines: 12, ..Scene::default() };
+    World::new(Plan::of_scene(seed, nodes, scene.team("red", 24.0, 0.0), 0, 600_000))
+}
+
+fn kept(world: &World, what: &str) {
+    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+}
+
+fn owner(world: &World) -> usize {
+    world.owner_at().expect("some node owns the fleet")
+}
+
+/// Cancels come one after the other, this often, each at another node, while all nodes are asked about all of them.
+fn cancel_and_ask(world: &mut World, nodes: usize, every: u64) {
+    for i in 0..LONG {
+        world.cancel_at(i as usize % nodes, &long(i));
+        for j in 0..=i {
+            world.poll_at((i + j) as usize % nodes, &long(j));
+        }
+        world.run_for(every);
+    }
+}
+
+/// Once all is over, everybody is told what stands, at every node, and nobody has been forgotten.
+fn ends(world: &mut World, what: &str) {
+    world.run_for(20_000);
+    kept(world, what);
+    let silent = world.unanswered_for(75_000);
+    assert!(silent.is_empty(), "{what}: no answers about {silent:?}");
+    world.ask_everywhere();
+    world.run_for(200_000);
+    kept(world, what);
+    assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+    let told = world.rules.jobs.values().filter(|j| j.told_cancelled.is_some()).count();
+    assert!(told * 2 > LONG as usize, "{what}: {told} told of their cancels");
+}
+
+/// The leader alone is refused, the next one confirms, then nobody is served for longer than `cancel_s`. Cancels and
+/// questions sweep the time from before the refusal to the outage in steps of a few hundredths of a second.
+#[test]
+fn a_refused_leader_and_then_an_outage() {
+    for nodes in [3, 5, 7] {
+        for step in 0..9 {
+            let what = format!("{nodes} nodes, step {step}");
+            let mut world = world(step, nodes);
+            world.run_for(BEGIN - 100 + step * 23);
+            let begun = world.now();
+            let every = [40, 160, 420][step as usize / 2 % 3];
+            if step % 2 == 0 {
+                world.bring(&Trouble::Refused { who: Who::Owner, ms: 14_000 });
+                cancel_and_ask(&mut world, nodes, every);
+            } else {
+                // The refusal comes in the midst of it.
+                let owner = owner(&world);
+                world.bring(&Trouble::StateSlow { ms: 4000 });
+                world.run_for(every);
+                (0..3).for_each(|i| world.cancel_at(i as usize % nodes, &long(i)));
+                world.run_for(step * 3);
+                world.bring(&Trouble::Refused { who: Who::Node(owner), ms: 14_000 });
+                cancel_and_ask(&mut world, nodes, every);
+            }
+            world.run_for((begun + 2000 + step * 300).saturating_sub(world.now()));
+            world.bring(&Trouble::StateOut { ms: 45_000 });
+            cancel_and_ask(&mut world, nodes, every);
+            world.run_for(50_000);
+            ends(&mut world, &what);
+        }
+    }
+}
+
+/// Answers take up to half a second and the owner is refused, stands still or crashes in the midst of them, so that
+/// they come when its lease has ended.
+#[test]
+fn slow_answers_that_come_after_the_lease_has_ended() {
+    for nodes in [3, 5, 7] {
+        for step in 0..9u64 {
+            let what = format!("{nodes} nodes, step {step}");
+            let mut world = world(100 + step, nodes);
+            world.run_for(BEGIN);
+            world.bring(&Trouble::StateSlow { ms: 40_000 });
+            for round in 0..4u32 {
+                world.run_for(2000);
+                let before = owner_or(&world, 0);
+                (0..3).for_each(|i| world.cancel_at(before, &long(round * 3 + i)));
+                // From the cancel to its record and the answer, and beyond.
+                world.run_for(step * 31);
+                let who = Who::Node(before);
+                world.bring(&match (step + u64::from(round)) % 3 {
+                    0 => Trouble::Freeze { who, ms: 1700 + step * 90 },
+                    1 => Trouble::Refused { who, ms: 3000 },
+                    _ => Trouble::Crash { who, back_ms: 50 + step * 40 },
+                });
+                for i in 0..(round + 1) * 3 {
+                    world.poll_at(before, &long(i));
+                    world.poll_at((before + 1) % nodes, &long(i));
+                }
+            }
+            world.run_for(10_000);
+            ends(&mut world, &what);
+        }
+    }
+}
+
+fn owner_or(world: &World, node: usize) -> usize {
+    world.owner_at().unwrap_or(node)
+}
+
+/// A leader without the state service and the other controllers, whose workers and users reach it, and whose last
+/// transaction never landed; the next one cancels what it took for done. Back again, it told of its own end.
+#[test]
+fn a_leader_cut_off_with_an_end_on_its_way() {
+    for nodes in [3, 5, 7] {
+        for step in 0..8u64 {
+            let what = format!("{nodes} nodes, step {step}");
+            let mut world = world(200 + step, nodes);
+            world.run_for(BEGIN + step * 17);
+            let old = owner(&world);
+            let ms = 7000 + step * 61;
+            let how = [How::Reset, How::Hold][usize::from(step % 4 == 3)];
+            for from in [Side::State, Side::Nodes] {
+                world.bring(&Trouble::Cut { who: Who::Node(old), from, how, ms });
+            }
+            // Its short jobs end there while it is sure, and its users cancel some.
+            world.run_for(600 + step * 20);
+            for i in 0..4 {
+                world.cancel_at(old, &long(i));
+            }
+            world.run_for(4200);
+            // All that the next one still takes for open is cancelled there, in turn.
+            let open: Vec<String> = world.unfinished().into_iter().map(str::to_owned).collect();
+            for (i, job) in open.iter().enumerate() {
+                world.cancel_at((old + 1 + i % (nodes - 1)) % nodes, job);
+            }
+            (0..LONG).for_each(|i| world.poll_at(old, &long(i)));
+            world.run_for(ms);
+            ends(&mut world, &what);
+        }
+    }
+}
+
+/// The others reach the state service and not the leader, whose answers are slow to come: what they have read of an end
+/// and told, it has not heard yet, and went on calling the job running.
+#[test]
+fn what_others_have_read_is_not_unsaid_by_the_leader() {
+    for nodes in [3, 5, 7] {
+        for seed in 0..3u64 {
+            let what = format!("{nodes} nodes, seed {seed}");
+            let mut world = world(400 + seed, nodes);
+            world.run_for(BEGIN);
+            let leader = owner(&world);
+            world.bring(&Trouble::Cut {
+                who: Who::Node(leader),
+                from: Side::Nodes,
+                how: How::Reset,
+                ms: 9000,
+            });
+            world.bring(&Trouble::StateSlow { ms: 9000 });
+            for i in 0..LONG {
+                world.cancel_at(leader, &long(i));
+                for _ in 0..8 {
+                    world.poll_at((leader + 1) % nodes, &long(i));
+                    world.run_for(60 + seed * 7);
+                    world.poll_at(leader, &long(i));
+                }
+            }
+            ends(&mut world, &what);
+        }
+    }
+}
+
+/// Alone with its users, a leader is asked to cancel what ends under the next one a moment later. Its own record never
+/// landed; back again, it took the other's for it and told of a cancel, once in some ways in which it may come back.
+#[test]
+fn an_end_that_never_landed_is_told_by_nobody() {
+    for nodes in [3, 5, 7] {
+        for seed in 0..12u64 {
+            let what = format!("{nodes} nodes, seed {seed}");
+            let timed =
+                |at, run_ms, id| Timed { at, run_ms, cancel_ms: None, spec: array(id, "red", 1, 3.0) };
+            let mut jobs = vec![timed(1000, 45_000, 1000), timed(1000, 45_000, 1001)];
+            jobs.push(timed(28_000, 2500 + seed * 30, 2000));
+            let scene = Scene { jobs, machines: 12, ..Scene::default() }.team("red", 24.0, 0.0);
+            let mut world = World::new(Plan::of_scene(seed, nodes, scene, 0, 600_000));
+            world.run_for(BEGIN);
+            let old = owner(&world);
+            for from in [Side::State, Side::Nodes, Side::Machines, Side::Cloud] {
+                world.bring(&Trouble::Cut {
+                    who: Who::Node(old),
+                    from,
+                    how: How::Reset,
+                    ms: 9000 + seed * 11,
+                });
+            }
+            world.cancel_at(old, "job-002000");
+            world.run_for(9000 + seed * 11);
+            for _ in 0..20 {
+                world.poll_at(old, "job-002000");
+                world.run_for(50);
+            }
+            world.ask_everywhere();
+            world.run_for(40_000);
+            kept(&world, &what);
+            assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+        }
+    }
+}
+
+/// The combined cut, longer than a user may go without an answer: users whose connections lead to the node that is cut
+/// off have to be answered too.
+#[test]
+fn nobody_is_forgotten_behind_a_leader_that_is_cut_off() {
+    for (nodes, ms) in [(3, 30_000), (5, 60_000), (7, 95_000)] {
+        let what = format!("{nodes} nodes, {ms} ms");
+        let mut world = world(300, nodes);
+        world.run_for(BEGIN);
+        world.bring(&Trouble::CutOff { who: Who::Owner, ms });
+        cancel_and_ask(&mut world, nodes, 900);
+        world.run_for(ms);
+        ends(&mut world, &what);
+    }
+}
