--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -94,7 +94,7 @@
     /// Machines whose workers are to be told something at once.
     pub push: BTreeSet<usize>,
     pub raise_token: bool,
-    pub classes: HashMap<String, Class>,
+    pub classes: BTreeMap<String, Class>,
     pub images: Names,
     /// Machines that were returned, with the time: old lists and reports may still name them.
     pub returned: HashMap<String, u64>,
@@ -156,7 +156,7 @@
             value_limit: value_limit(value_kb),
             push: BTreeSet::new(),
             raise_token: false,
-            classes: HashMap::new(),
+            classes: BTreeMap::new(),
             images: Names::default(),
             returned: HashMap::new(),
             refused: HashMap::new(),
