--- a/crates/standins/examples/own_days.rs
+++ b/crates/standins/examples/own_days.rs
@@ -9,9 +9,9 @@
 use serde_json::json;
 use standins::checks::Verdict;
 use standins::days::{Size, kinds, plan};
+use standins::parallel;
 use standins::world::World;
 use std::collections::BTreeMap;
-use std::sync::Mutex;
 
 const RECORDED: &str = "crates/standins/examples/own_days.json";
 const SIZES: [usize; 2] = [1200, 1800];
@@ -57,11 +57,7 @@
     let mut world = World::new(plan(day.kind, day.seed, day.nodes, day.size));
     world.run_day();
     let v: Verdict = world.verdict();
-    let mut notes: Vec<String> =
-        world.rules.broken.iter().map(|(rule, what)| format!("{rule}: {what}")).collect();
-    notes.extend(v.forgotten_75.iter().map(|j| format!("forgotten: {j}")));
-    notes.extend(v.served_below_half.iter().cloned());
-    notes.extend(v.largest_late.iter().map(|j| format!("late: {j}")));
+    let notes = v.failures(&world.rules);
     let seen = Seen {
         rules_broken: world.rules.broken.len(),
         forgotten_75: v.forgotten_75.len(),
@@ -79,24 +75,6 @@
     (seen, notes)
 }
 
-/// Plays them side by side, the results in their order.
-fn play_all(days: &[Day]) -> Vec<(Seen, Vec<String>)> {
-    let next = Mutex::new(0);
-    let results = Mutex::new(vec![(Seen::default(), Vec::new()); days.len()]);
-    let one = || loop {
-        let i = {
-            let mut next = next.lock().expect("no day panics");
-            *next += 1;
-            *next - 1
-        };
-        let Some(day) = days.get(i) else { return };
-        let seen = play(*day);
-        results.lock().expect("no day panics")[i] = seen;
-    };
-    std::thread::scope(|s| (0..THREADS).for_each(|_| drop(s.spawn(one))));
-    results.into_inner().expect("no day panics")
-}
-
 fn name(day: &Day) -> String {
     format!("{} {} {}", day.size.machines, day.nodes, kinds()[day.kind])
 }
@@ -186,7 +164,7 @@
 fn main() {
     let args: Vec<String> = std::env::args().skip(1).collect();
     let days = chosen(&args);
-    let seen = play_all(&days);
+    let seen = parallel::map(&days, THREADS, |day| play(*day));
     let sum = summed_up(&seen);
     if args.first().is_some_and(|a| a == "record") {
         let named = days.iter().zip(&seen).map(|(d, (s, _))| (name(d), s.clone()));
--- a/crates/standins/src/checks/mod.rs
+++ b/crates/standins/src/checks/mod.rs
@@ -3,6 +3,7 @@
 
 mod served;
 
+use crate::rules::Rules;
 use std::collections::BTreeMap;
 use wire::api::{JobSpec, Kind, Stage};
 
@@ -90,6 +91,16 @@
     pub done: usize,
 }
 
+impl Verdict {
+    /// Every rule that was broken, every job forgotten or late, and every group of which less than half was served.
+    pub fn failures(&self, rules: &Rules) -> Vec<String> {
+        let broken = rules.broken.iter().map(|(rule, what)| format!("{rule}: {what}"));
+        let forgotten = self.forgotten_75.iter().map(|j| format!("forgotten: {j}"));
+        let late = self.largest_late.iter().map(|j| format!("late: {j}"));
+        broken.chain(forgotten).chain(self.served_below_half.iter().cloned()).chain(late).collect()
+    }
+}
+
 impl Checks {
     pub fn new(quiet: u64, specs: impl Iterator<Item = JobSpec>) -> Self {
         let seen = |s: JobSpec| {
--- /dev/null
+++ b/crates/standins/src/meetings.rs
@@ -0,0 +1,392 @@
+//! Meetings of troubles: days on which two or three of the list come together, drawn from a seed, and one day by name for
+//! each meeting that operators have seen break rules. Jobs of several classes, sizes and teams come meanwhile; a share of
+//! them is cancelled while the troubles last.
+
+use crate::checks::Verdict;
+use crate::days::{BEGIN, Day, Deaf, Trouble, Who};
+use crate::links::{How, Side};
+use crate::scene::{Scene, Timed, array};
+use crate::state::Limits;
+use crate::world::{Plan, Sabotage, World};
+use std::collections::BTreeSet;
+use std::ops::Range;
+use wire::api::{JobSpec, Kind, Priority};
+
+const MACHINES: usize = 12;
+/// Jobs come until then.
+const ARRIVALS: u64 = BEGIN + 90_000;
+/// After the last trouble, until everything ought to be done.
+const AFTER_MS: u64 = 280_000;
+const TEAMS: [&str; 3] = ["red", "blue", "green"];
+
+/// Troubles of one day as they are drawn, and what comes meanwhile.
+struct Draw {
+    rng: fastrand::Rng,
+    nodes: usize,
+    troubles: Vec<(u64, Trouble)>,
+    jobs: Jobs,
+}
+
+/// What of the day's jobs differs from day to day.
+struct Jobs {
+    /// Such a share is cancelled while troubles last.
+    cancelled: f64,
+    /// How long tasks of the long class run, and how far apart these jobs and the short ones come on average.
+    long_ms: Range<u64>,
+    long_every: u64,
+    short_every: u64,
+}
+
+impl Draw {
+    fn new(seed: u64, nodes: usize) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let cancelled = 0.2 + 0.5 * rng.f64();
+        let jobs = Jobs { cancelled, long_ms: 60_000..100_000, long_every: 18_000, short_every: 5000 };
+        Draw { rng, nodes, troubles: Vec::new(), jobs }
+    }
+
+    fn add(&mut self, at: u64, trouble: Trouble) {
+        self.troubles.push((at, trouble));
+    }
+
+    fn ms(&mut self, range: Range<u64>) -> u64 {
+        self.rng.u64(range)
+    }
+
+    /// The owner more often than any other.
+    fn one(&mut self) -> Who {
+        if self.rng.u32(0..5) < 3 { Who::Owner } else { Who::Node(self.rng.usize(0..self.nodes)) }
+    }
+
+    fn zone(&mut self) -> &'static str {
+        ["a", "b"][self.rng.usize(0..2)]
+    }
+
+    /// How soon a process is back: at once, or as late as the sites have it.
+    fn back(&mut self) -> u64 {
+        match self.rng.u32(0..3) {
+            0 => self.rng.u64(50..150),
+            1 => self.rng.u64(150..1000),
+            _ => self.rng.u64(1000..8000),
+        }
+    }
+
+    fn how(&mut self) -> How {
+        if self.rng.bool() { How::Hold } else { How::Reset }
+    }
+
+    fn cut(&mut self, from: Side) -> Trouble {
+        Trouble::Cut { who: self.one(), from, how: self.how(), ms: self.ms(3000..40_000) }
+    }
+
+    /// Rounds of troubles so far apart.
+    fn rounds(&mut self, rounds: u64, apart: u64, mut f: impl FnMut(&mut Self, u64)) {
+        (0..rounds).for_each(|i| f(self, BEGIN + i * apart));
+    }
+}
+
+type Fault = fn(&mut Draw) -> Trouble;
+
+/// Every kind of trouble of the list, as meetings draw it.
+const FAULTS: [(&str, Fault); 17] = [
+    ("crash", |d| Trouble::Crash { who: d.one(), back_ms: d.back() }),
+    ("crash-all", |d| Trouble::Crash { who: Who::All, back_ms: d.back() }),
+    ("fuse", |d| Trouble::Fuse { who: d.one(), question: d.rng.u32(1..25), back_ms: d.back() }),
+    ("freeze", |d| Trouble::Freeze { who: d.one(), ms: d.ms(1000..20_000) }),
+    ("cut-state", |d| d.cut(Side::State)),
+    ("cut-peers", |d| d.cut(Side::Nodes)),
+    ("cut-machines", |d| d.cut(Side::Machines)),
+    ("late", |d| Trouble::Late { who: d.one(), for_ms: d.ms(300..5000), ms: d.ms(1000..15_000) }),
+    ("zone", |d| Trouble::Zone { zone: d.zone(), ms: d.ms(5000..40_000) }),
+    ("state-out", |d| Trouble::StateOut { ms: d.ms(3000..45_000) }),
+    ("refused", |d| Trouble::Refused { who: d.one(), ms: d.ms(3000..40_000) }),
+    ("state-slow", |d| Trouble::StateSlow { ms: d.ms(5000..40_000) }),
+    ("die", |d| Trouble::Die { machines: d.rng.usize(1..4) }),
+    ("late-writes", |d| Trouble::LateWrites {
+        share: [0.1, 0.3, 0.7][d.rng.usize(0..3)],
+        for_ms: d.ms(3000..40_000),
+    }),
+    ("late-reports", |d| Trouble::LateReports {
+        share: [0.1, 0.5, 1.0][d.rng.usize(0..3)],
+        for_ms: d.ms(3000..40_000),
+    }),
+    ("deaf", |d| {
+        let zone = d.zone();
+        let machines =
+            [Deaf::Count(d.rng.usize(1..4)), Deaf::Share(0.5), Deaf::Zone(zone)][d.rng.usize(0..3)];
+        Trouble::Deaf { machines, ms: d.ms(3000..40_000) }
+    }),
+    ("cut-off", |d| Trouble::CutOff { who: d.one(), ms: d.ms(3000..60_000) }),
+];
+
+/// The names of all kinds of trouble.
+pub fn kinds() -> Vec<&'static str> {
+    FAULTS.iter().map(|(name, _)| *name).collect()
+}
+
+type Named = fn(&mut Draw);
+
+/// One day for each meeting that broke rules elsewhere.
+const NAMED: [(&str, Named); 9] = [
+    // The state service refuses the leader alone, then everybody for longer than a cancel may take, twice.
+    ("refused-then-out", |d| {
+        d.jobs = Jobs { cancelled: 0.5, long_ms: 100_000..187_000, long_every: 9000, short_every: 20_000 };
+        d.rounds(2, 90_000, |d, at| {
+            let (ms, apart, out) = (d.ms(3000..16_000), d.ms(1000..7000), d.ms(41_000..46_000));
+            d.add(at, Trouble::Refused { who: Who::Owner, ms });
+            // Users give up a submission after a minute.
+            d.add(at + apart, Trouble::StateOut { ms: out });
+        });
+    }),
+    // It answers slowly, with a refusal and an outage in between, while users cancel and ask.
+    ("slow-then-refused", |d| {
+        d.jobs.cancelled = 0.6;
+        d.rounds(3, 30_000, |d, at| {
+            d.add(at, Trouble::StateSlow { ms: 25_000 });
+            let (refused, out) = (d.ms(500..10_000), d.ms(5000..20_000));
+            let (ms, all) = (d.ms(2000..12_000), d.ms(1000..8000));
+            d.add(at + refused, Trouble::Refused { who: Who::Owner, ms });
+            d.add(at + out, Trouble::StateOut { ms: all });
+        });
+    }),
+    // Commands and answers are held up for seconds, and the machine then goes on.
+    ("commands-held", |d| {
+        d.jobs.cancelled = 0.5;
+        d.rounds(6, 14_000, |d, at| {
+            let (for_ms, ms) = (d.ms(1000..6000), d.ms(2000..12_000));
+            d.add(at, Trouble::Late { who: Who::Owner, for_ms, ms });
+            let (apart, ms) = (d.ms(0..8000), d.ms(1000..6000));
+            d.add(at + apart, Trouble::Cut { who: Who::Owner, from: Side::Machines, how: How::Hold, ms });
+        });
+    }),
+    // A leader ends while machines with long tasks are out of reach, or don't hear the next one.
+    ("leader-ends-unheard", |d| {
+        (d.jobs.cancelled, d.jobs.long_every) = (0.3, 9000);
+        d.rounds(3, 40_000, |d, at| {
+            let (zone, ms) = (d.zone(), d.ms(6000..25_000));
+            let machines = [Deaf::Share(0.4), Deaf::Zone(zone)][d.rng.usize(0..2)];
+            d.add(at, Trouble::Deaf { machines, ms });
+            let (cut, apart, back_ms) = (d.ms(3000..15_000), d.ms(0..6000), d.back());
+            if d.rng.bool() {
+                let (from, how) = (Side::MachinesIn(zone.into()), d.how());
+                d.add(at, Trouble::Cut { who: Who::All, from, how, ms: cut });
+            }
+            d.add(at + apart, Trouble::Crash { who: Who::Owner, back_ms });
+        });
+    }),
+    // Transactions land late, after newer ones, also of an owner that has ended since.
+    ("late-writes", |d| {
+        d.jobs.cancelled = 0.5;
+        d.add(BEGIN, Trouble::LateWrites { share: 0.3, for_ms: 80_000 });
+        d.rounds(5, 16_000, |d, at| {
+            let (apart, back_ms) = (d.ms(1000..14_000), d.back());
+            d.add(at + apart, Trouble::Crash { who: Who::Owner, back_ms });
+        });
+    }),
+    // Jobs of two or three tasks that end far apart, with changes of leader in between.
+    ("short-jobs-apart", |d| {
+        d.jobs = Jobs { cancelled: 0.2, long_ms: 40_000..70_000, long_every: 20_000, short_every: 2500 };
+        d.rounds(6, 14_000, |d, at| {
+            let (apart, back_ms) = (d.ms(0..9000), d.back());
+            d.add(at + apart, Trouble::Crash { who: Who::Owner, back_ms });
+            let (die, ms) = (d.ms(0..12_000), d.ms(2000..17_000));
+            d.add(at + die, Trouble::Deaf { machines: Deaf::Count(2), ms });
+            if d.rng.bool() {
+                d.add(at + die, Trouble::Die { machines: 1 });
+            }
+        });
+    }),
+    // Cut from the state service and its peers, while workers and users still reach it.
+    ("leader-cut-off", |d| {
+        (d.jobs.cancelled, d.jobs.long_every) = (0.6, 9000);
+        d.rounds(3, 40_000, |d, at| {
+            let (ms, apart) = (d.ms(8000..60_000), d.ms(3000..12_000));
+            d.add(at, Trouble::CutOff { who: Who::Owner, ms });
+            if d.rng.bool() {
+                d.add(at + apart, Trouble::CutOff { who: Who::Owner, ms: ms / 2 });
+            }
+        });
+    }),
+    // Handed over and back, all end, and one returns, also within a second.
+    ("hand-over-and-back", |d| {
+        d.jobs.cancelled = 0.4;
+        d.rounds(5, 18_000, |d, at| {
+            for apart in [0, 700, 1500, 2500] {
+                let (apart, back_ms) = (apart + d.ms(0..700), d.ms(50..600));
+                d.add(at + apart, Trouble::Crash { who: Who::Owner, back_ms });
+            }
+            let (all, back_ms) = (d.ms(4000..12_000), d.ms(4000..15_000));
+            // All end; one of them returns at once, since it ends later and is back sooner.
+            d.add(at + all, Trouble::Crash { who: Who::All, back_ms });
+            let (one, soon) = (d.rng.usize(0..d.nodes), d.ms(50..1000));
+            d.add(at + all - 1, Trouble::Crash { who: Who::Node(one), back_ms: soon });
+        });
+    }),
+    // Old reports after newer ones, from sessions and attempts of before, over changes of leader.
+    ("old-reports", |d| {
+        d.jobs.cancelled = 0.4;
+        d.add(BEGIN, Trouble::LateReports { share: 0.6, for_ms: 80_000 });
+        d.rounds(4, 20_000, |d, at| {
+            let (apart, ms) = (d.ms(0..10_000), d.ms(10_000..25_000));
+            d.add(at + apart, Trouble::Deaf { machines: Deaf::Share(0.3), ms });
+            let (apart, back_ms) = (d.ms(0..18_000), d.back());
+            d.add(at + apart, Trouble::Crash { who: Who::Owner, back_ms });
+        });
+    }),
+];
+
+/// The names of the days that have one.
+pub fn named() -> Vec<&'static str> {
+    NAMED.iter().map(|(name, _)| *name).collect()
+}
+
+/// A day on which troubles of these kinds meet, and what it is called.
+pub fn meeting(seed: u64, nodes: usize, kinds: &[usize]) -> (Plan, String) {
+    let name: Vec<&str> = kinds.iter().map(|k| FAULTS[*k].0).collect();
+    let name = name.join("+");
+    let mut d = Draw::new(seed ^ hash(&name), nodes);
+    // Far enough that two outages don't make one in which users give up their submissions.
+    let apart = d.ms(70_000..85_000);
+    d.rounds(2, apart, |d, at| {
+        // Within a moment of each other as often as within seconds.
+        let within = if d.rng.bool() { 1500 } else { 14_000 };
+        for kind in kinds {
+            let (later, trouble) = (d.ms(0..within), FAULTS[*kind].1(d));
+            d.add(at + later, trouble);
+        }
+    });
+    (d.plan(seed), name)
+}
+
+/// A day by its name: one of [`named`], or kinds of trouble joined by `+`.
+pub fn day(name: &str, seed: u64, nodes: usize) -> Option<Plan> {
+    if let Some((_, troubles)) = NAMED.iter().find(|(n, _)| *n == name) {
+        let mut d = Draw::new(seed ^ hash(name), nodes);
+        troubles(&mut d);
+        return Some(d.plan(seed));
+    }
+    let kind = |name: &str| FAULTS.iter().position(|(n, _)| *n == name);
+    let kinds: Option<Vec<usize>> = name.split('+').map(kind).collect();
+    Some(meeting(seed, nodes, &kinds?).0)
+}
+
+/// Days of one seed differ by their names too.
+fn hash(name: &str) -> u64 {
+    name.bytes().fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x0100_0000_01b3))
+}
+
+impl Draw {
+    fn plan(mut self, seed: u64) -> Plan {
+        let quiet = self.troubles.iter().map(|(at, t)| at + t.ms()).max().unwrap_or(BEGIN);
+        self.troubles.sort_by_key(|(at, _)| *at);
+        let jobs = self.draw_jobs(quiet);
+        // Now and then the state service bears little.
+        let little = Limits { rps: 80.0, write_rps: 25.0, value_kb: 8.0, txn_ops: 8 };
+        let limits = (seed % 3 == 2).then_some(little);
+        let day = Day { troubles: self.troubles, quiet, held: BTreeSet::new() };
+        let scene = Scene { jobs, machines: MACHINES, limits, day: Some(day), ..Scene::default() };
+        let scene = scene.team("red", 8.0, 24.0).team("blue", 8.0, 28.0).team("green", 8.0, 0.0);
+        Plan::of_scene(seed, self.nodes, scene, 0, quiet + AFTER_MS)
+    }
+
+    fn draw_jobs(&mut self, quiet: u64) -> Vec<Timed> {
+        let mut jobs = Vec::new();
+        let (long, long_every, short_every) =
+            (self.jobs.long_ms.clone(), self.jobs.long_every, self.jobs.short_every);
+        self.arrive("array", 11_000, 3..13, 8000..20_000, quiet, &mut jobs);
+        self.arrive("gang", 13_000, 2..5, 8000..25_000, quiet, &mut jobs);
+        self.arrive("short", short_every, 2..4, 1500..6000, quiet, &mut jobs);
+        self.arrive("long", long_every, 1..4, long, quiet, &mut jobs);
+        jobs
+    }
+
+    /// Jobs of a class, so far apart on average.
+    fn arrive(
+        &mut self,
+        class: &str,
+        every: u64,
+        tasks: Range<u32>,
+        run: Range<u64>,
+        quiet: u64,
+        jobs: &mut Vec<Timed>,
+    ) {
+        let mut at = self.ms(1000..every);
+        while at < ARRIVALS {
+            let run_ms = self.ms(run.clone());
+            let team = TEAMS[self.rng.usize(0..3)];
+            let tasks = self.rng.u32(tasks.clone());
+            let spec = array(1000 + jobs.len() as u32, team, tasks, run_ms as f64 / 1000.0);
+            let spec = self.dress(class, spec);
+            let cancel_ms = (self.rng.f64() < self.jobs.cancelled).then(|| self.cancelled_at(at, quiet) - at);
+            jobs.push(Timed { at, run_ms, cancel_ms, spec });
+            at += self.ms(1..2 * every);
+        }
+    }
+
+    /// Close after some trouble began, or at any moment of them all.
+    fn cancelled_at(&mut self, submitted: u64, quiet: u64) -> u64 {
+        let near = self.rng.bool();
+        let at = match self.troubles.len() {
+            n if n > 0 && near => self.troubles[self.rng.usize(0..n)].0 + self.rng.u64(0..15_000),
+            _ => self.rng.u64(BEGIN - 5000..quiet.max(BEGIN + 1)),
+        };
+        at.max(submitted + 200)
+    }
+
+    fn dress(&mut self, class: &str, mut spec: JobSpec) -> JobSpec {
+        spec.class = class.into();
+        spec.priority = [Priority::Low, Priority::Normal][self.rng.usize(0..2)];
+        if class == "gang" {
+            (spec.kind, spec.priority) = (Kind::Gang, Priority::High);
+            spec.one_zone = self.rng.bool();
+        }
+        spec.spot = self.rng.bool();
+        // Half of what runs long loses everything when it is stopped.
+        if class == "long" && self.rng.bool() {
+            spec.checkpoint_s = 0.0;
+        }
+        spec
+    }
+}
+
+/// What became of a day.
+#[derive(Debug, Clone, Default)]
+pub struct Played {
+    pub rules_broken: usize,
+    pub verdict: Verdict,
+    /// The longest that a task of a cancelled job was on a machine after its user was told, and what is allowed.
+    pub cancelled_life_ms: u64,
+    pub cancel_ms: u64,
+    pub lost: u64,
+    /// Every rule broken and every job or group not served.
+    pub failures: Vec<String>,
+}
+
+/// Plays a day. On every other one the operators' settings are what they are without a file, instead of quicker.
+pub fn play(plan: Plan) -> (World, Played) {
+    let usual = plan.seed % 2 == 1;
+    let mut world = World::new(plan);
+    if usual {
+        for (section, key, value) in
+            [("fleet", "silent_s", "7"), ("fleet", "idle_s", "5"), ("owner", "ttl_ms", "3000")]
+        {
+            world.tune(section, key, value);
+        }
+    }
+    world.run_day();
+    let verdict = world.verdict();
+    let played = Played {
+        rules_broken: world.rules.broken.len(),
+        failures: verdict.failures(&world.rules),
+        verdict,
+        cancelled_life_ms: world.rules.longest_cancelled_ms,
+        cancel_ms: world.rules.cancel_ms,
+        lost: world.lost,
+    };
+    (world, played)
+}
+
+/// For tests of the tests: the same day with something broken on purpose.
+pub fn sabotaged(plan: Plan, sabotage: Sabotage) -> Played {
+    play(Plan { sabotage, ..plan }).1
+}
--- /dev/null
+++ b/crates/standins/src/parallel.rs
@@ -0,0 +1,21 @@
+//! Days played side by side.
+
+use std::sync::Mutex;
+
+/// What `f` makes of each, on so many threads, in their order.
+pub fn map<T: Sync, R: Send>(items: &[T], threads: usize, f: impl Fn(&T) -> R + Sync) -> Vec<R> {
+    let next = Mutex::new(items.iter().enumerate());
+    let results = Mutex::new(Vec::with_capacity(items.len()));
+    let one = || {
+        loop {
+            let item = next.lock().expect("nobody panics with it").next();
+            let Some((i, item)) = item else { return };
+            let made = f(item);
+            results.lock().expect("nobody panics with it").push((i, made));
+        }
+    };
+    std::thread::scope(|s| (0..threads).for_each(|_| drop(s.spawn(one))));
+    let mut results = results.into_inner().expect("nobody panics with it");
+    results.sort_by_key(|(i, _)| *i);
+    results.into_iter().map(|(_, made)| made).collect()
+}
--- a/crates/standins/src/world/bed.rs
+++ b/crates/standins/src/world/bed.rs
@@ -83,7 +83,12 @@
         let end = START + self.plan.end;
         let mut rest = 0;
         while self.now < end && rest < 3 && self.rules.broken.is_empty() {
+            let before = self.now;
             self.run_for(10_000.min(end - self.now));
+            // What is left of the day is less than the time to whatever happens next.
+            if self.now == before {
+                return;
+            }
             rest = if self.bed.as_ref().is_some_and(|b| b.checks.settled(self.now)) { rest + 1 } else { 0 };
         }
     }
