Log records go again without waiting for results that are on their way

Cause: a record waited until no result at all was unsaved. Change: the wait is taken out; no test had shown the repeated work that it was meant to save, and no rule rests on it (a claim's attempt is never used again).

--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -12,7 +12,7 @@
 use crate::part::{HireState, Part};
 use crate::{Dest, Node, Pending};
 use std::collections::{BTreeMap, BTreeSet};
-use wire::api::{Conflict, Guard, Item, JobState, Revision, Stage, Txn, Write};
+use wire::api::{Conflict, Guard, Item, JobState, Revision, Txn, Write};
 use wire::http::Response;
 use wire::records::{self, ClaimsRec, DoneRec, EndRec, KindRec, LogRec, RackRec, Record, TokenRec};
 
@@ -455,11 +455,7 @@
             {
                 d.rack(part, n);
             }
-            // What its claims came to must stand before a record goes: whoever follows would run it again.
-            let ended = |ix: &JobIx| part.job(*ix).is_some_and(|j| j.ending == Ending::Wanted(Stage::Done));
-            let owing = !part.ledger.unsaved.is_empty() || part.ledger.ending.iter().any(ended);
             while room(&d)
-                && !owing
                 && let Some(n) = part.ledger.garbage.pop_first()
             {
                 let Some(segment) = part.ledger.segments.get(&n) else { continue };
