--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -12,7 +12,7 @@
 use crate::part::{HireState, Part};
 use crate::{Dest, Node, Pending};
 use std::collections::{BTreeMap, BTreeSet};
-use wire::api::{Guard, Item, JobState, Revision, Txn, Write};
+use wire::api::{Conflict, Guard, Item, JobState, Revision, Txn, Write};
 use wire::http::Response;
 use wire::records::{self, ClaimsRec, DoneRec, EndRec, KindRec, LogRec, RackRec, Record, TokenRec};
 
@@ -295,6 +295,12 @@
     (value_kb * 1024.0 * 0.95) as usize
 }
 
+/// Whether a transaction failed for the owner's record, or nobody can say for what.
+fn owner_failed(response: &Response) -> bool {
+    let failed = wire::decode::<Conflict>(&response.body).map(|c| c.failed).unwrap_or_default();
+    failed.is_empty() || failed.contains(&records::owner_key(PART))
+}
+
 impl Node {
     pub(crate) fn flush_commit(&mut self) {
         let now = self.now.mono;
@@ -474,8 +480,13 @@
                 Some(Ok(r)) => self.apply(r.revision),
                 _ => self.step_down("an unreadable answer to a transaction"),
             },
+            // Another owner may have written the same keys meanwhile: that is not this transaction.
+            Some(409) if response.as_ref().is_none_or(owner_failed) => {
+                self.step_down("another owner, or none, stands in the state service");
+            }
             Some(409) if part.commit.unsure => {
-                // An earlier try may be what makes this one fail.
+                // An earlier try may be what makes this one fail. Nobody else has written these keys: our record
+                // has stood all the time.
                 let Some((key, _, _)) = part.commit.probe.clone() else {
                     return self.step_down("a transaction without keys");
                 };
--- a/crates/control/tests/door.rs
+++ b/crates/control/tests/door.rs
@@ -267,3 +267,193 @@
     p.query(2);
     assert_eq!(p.status(2), None);
 }
+
+/// An owner that has read back one job and nothing else, and whose writes are taken so far.
+fn owner_of_one_job() -> Played {
+    let mut p = Played::new();
+    p.takes_over();
+    p.reads_back();
+    p.served(500);
+    p
+}
+
+impl Played {
+    /// The only job is read back, and nothing beside it.
+    fn reads_back(&mut self) {
+        let rec = json!({"spec": job(), "at_ms": 5, "part": 0});
+        self.page("live/", json!([{"key": "live/job-000001", "v": rec, "stamp": 8}]));
+        while let Some(read) = self.take(|s| s.path.starts_with("/keys?under=")) {
+            self.reply(&read, 200, wire::encode(&json!({"items": [], "more": false, "ledger": 13})));
+        }
+    }
+
+    fn knows_machine_types(&mut self) {
+        let read = self.take(|s| s.path == "/catalog").expect("asks the cloud");
+        let kind = json!({"label": "g8", "cores": 64.0, "gpus": 8.0, "ramGb": 512.0, "localGb": 200.0,
+            "fetchGbPerS": 1.0, "hourly": 12.0, "lowPrice": 4.5, "startupS": 45.0, "halls": ["a"]});
+        self.reply(&read, 200, wire::encode(&json!({"builds": [kind]})));
+    }
+
+    /// For so long the state service takes all writes and renewals at once.
+    fn served(&mut self, ms: u64) {
+        let end = self.now + ms;
+        while self.now < end {
+            self.now += 50;
+            self.step(Event::Tick);
+            while let Some(write) = self.take(|s| s.path == "/txn" || s.path.ends_with("/renew")) {
+                self.reply(&write, 200, wire::encode(&json!({"ledger": self.now, "tenancy": 7})));
+            }
+        }
+    }
+
+    fn cancel(&mut self, conn: u64) {
+        self.ask(conn, "POST", "/work/job-000001/cancel", Vec::new());
+    }
+
+    /// What a user was told: the status, and the stage if there is one.
+    fn answer(&self, conn: u64) -> Option<(u16, Option<String>)> {
+        let (_, status, body, _) = self.told.iter().find(|t| t.0 == conn)?;
+        let stage = wire::decode::<Value>(body).ok().and_then(|v| Some(v["stage"].as_str()?.to_owned()));
+        Some((*status, stage))
+    }
+
+    /// The only transaction under way gets no answer, and is sent again as it was.
+    fn unheard(&mut self) -> Sent {
+        let first = self.take(|s| s.path == "/txn").expect("writes");
+        self.step(Event::Reply { tag: first.tag, response: None });
+        self.now += 300;
+        self.step(Event::Tick);
+        let again = self.take(|s| s.path == "/txn").expect("writes again");
+        assert_eq!(first.body, again.body, "the same guards and writes");
+        again
+    }
+
+    fn conflict(&mut self, sent: &Sent, failed: &[&str]) {
+        self.reply(sent, 409, wire::encode(&json!({"failed": failed, "ledger": 20})));
+    }
+
+    /// The record of the job's end, if it is read.
+    fn end_is(&mut self, stage: &str) -> bool {
+        let Some(read) = self.take(|s| s.path == "/keys/end/job-000001") else { return false };
+        let rec = json!({"key": "end/job-000001", "v": {"stage": stage, "done": 3}, "stamp": 19});
+        self.reply(&read, 200, wire::encode(&rec));
+        true
+    }
+}
+
+const OWNER: &str = "sys/owner/0";
+const LIVE: &str = "live/job-000001";
+const END: &str = "end/job-000001";
+
+/// A cancel whose record landed though nobody heard of it: the repeat fails for it, and the user is told what stands.
+#[test]
+fn a_cancel_that_landed_unheard_is_told() {
+    let mut p = owner_of_one_job();
+    p.cancel(1);
+    assert_eq!(p.answer(1), None, "nothing is told before its record");
+    let again = p.unheard();
+    p.conflict(&again, &[END, LIVE]);
+    assert_eq!(p.answer(1), None, "a refused repeat alone says nothing");
+    assert!(p.end_is("cancelled"), "what stands is read");
+    assert_eq!(p.answer(1), Some((200, Some("cancelled".into()))));
+    p.query(2);
+    assert_eq!(p.answer(2), Some((200, Some("cancelled".into()))));
+}
+
+/// An owner whose cancel never landed came back from a cut, found that the next owner had recorded an end, and took it
+/// for its own: it told its users of a cancel where the other had told `done`, and remembered it for good.
+#[test]
+fn another_owner_s_end_is_not_taken_for_one_s_own() {
+    let mut p = owner_of_one_job();
+    p.cancel(1);
+    let again = p.unheard();
+    p.conflict(&again, &[OWNER, END, LIVE]);
+    p.end_is("done");
+    let told = p.answer(1);
+    assert!(told.as_ref().is_none_or(|(status, _)| *status == 503), "told {told:?}");
+    // What it says from now on it has read anew.
+    p.query(2);
+    p.cancel(3);
+    for conn in [2, 3] {
+        let told = p.answer(conn);
+        assert!(told.as_ref().is_none_or(|(status, _)| *status == 503), "told {told:?}");
+    }
+    if let Some(read) = p.take(|s| s.path == "/keys/live/job-000001") {
+        p.reply(&read, 404, Vec::new());
+        assert!(p.end_is("done"));
+        assert_eq!(p.answer(2), Some((200, Some("done".into()))));
+    }
+}
+
+/// A process that stood still for longer than its lease answers nothing from memory, to users or peers, and decides
+/// nothing, though it has heard of no other owner.
+#[test]
+fn an_owner_that_stood_still_answers_nothing_from_memory() {
+    let mut p = owner_of_one_job();
+    p.query(1);
+    assert_eq!(p.answer(1), Some((200, Some("pending".into()))));
+    p.now += 3000;
+    p.query(2);
+    assert_eq!(p.answer(2), None, "it asks the state service");
+    p.asked(&Ask::Query { job: "job-000001".into() });
+    let told = p.told.pop().expect("peers are answered at once");
+    assert_eq!(decode::<Answer>(&told.2).ok(), Some(Answer::NotNow));
+    p.cancel(3);
+    assert_eq!(p.answer(3).map(|a| a.0), Some(503));
+    assert!(p.take(|s| s.path == "/txn").is_none(), "it writes nothing");
+}
+
+/// An answer to a renewal is as good as its sending time, however late it comes: the lease may have ended since.
+#[test]
+fn a_renewal_counts_from_its_sending() {
+    let mut p = owner_of_one_job();
+    p.now += 1000;
+    p.step(Event::Tick);
+    let renewal = p.take(|s| s.path.ends_with("/renew")).expect("renews");
+    p.now += 2900;
+    p.reply(&renewal, 200, wire::encode(&json!({"tenancy": 7})));
+    p.query(1);
+    p.cancel(2);
+    assert_eq!((p.answer(1), p.answer(2).map(|a| a.0)), (None, Some(503)));
+}
+
+/// What was under way in an earlier term of the same process is nothing to the next one: its end may never have landed.
+#[test]
+fn what_an_earlier_term_had_on_its_way_tells_nobody() {
+    let mut p = owner_of_one_job();
+    p.cancel(1);
+    let commit = p.take(|s| s.path == "/txn").expect("writes");
+    p.now += 1000;
+    p.step(Event::Tick);
+    let renewal = p.take(|s| s.path.ends_with("/renew")).expect("renews");
+    p.reply(&renewal, 404, Vec::new());
+    assert_eq!(p.answer(1).map(|a| a.0), Some(503), "who waited is told to come again");
+    p.sent.clear();
+    p.takes_over();
+    p.reads_back();
+    p.cancel(2);
+    p.reply(&commit, 200, wire::encode(&json!({"ledger": 14})));
+    assert_eq!(p.answer(2), None, "told before its record");
+    p.served(200);
+    assert_eq!(p.answer(2), Some((200, Some("cancelled".into()))));
+}
+
+/// A submission that comes again much later, at a node that knows nothing of it: what stands there is told, through all
+/// three places where it may be.
+#[test]
+fn a_submission_much_later_is_told_what_stands() {
+    for end in [None, Some("done"), Some("cancelled")] {
+        let mut p = Played::new();
+        p.learns(None);
+        p.knows_machine_types();
+        p.ask(1, "POST", "/work", wire::encode(&job()));
+        let accept = p.take(|s| s.path == "/txn").expect("tries to accept it");
+        p.conflict(&accept, &[if end.is_some() { END } else { LIVE }]);
+        let read = p.take(|s| s.path == "/keys/live/job-000001").expect("reads");
+        p.reply(&read, if end.is_some() { 404 } else { 200 }, Vec::new());
+        if let Some(stage) = end {
+            assert!(p.end_is(stage));
+        }
+        assert_eq!(p.answer(1), Some((200, Some(end.unwrap_or("pending").into()))));
+    }
+}
