--- a/crates/control/src/admin.rs
+++ b/crates/control/src/admin.rs
@@ -13,7 +13,9 @@
     /// A request at the door, if it is one for it.
     pub(crate) fn admin_asked(&mut self, conn: u64, request: &Request) -> bool {
         let kind = admin::kind_of(&request.path).and_then(KindId::named);
-        let Some(kind) = kind.filter(|_| self.tuning.door >= 1.0) else { return false };
+        let Some(kind) = kind.filter(|_| self.tuning.door >= 1.0) else {
+            return false;
+        };
         if request.method != "POST" {
             self.deny_admin(conn, 405, refused("method not allowed"));
         } else if !self.owns() {
@@ -52,9 +54,11 @@
     pub(crate) fn admin_answered(&mut self, conn: u64, response: Option<Response>) {
         match response {
             Some(r) => self.respond(conn, r.status, r.body, r.retry_after_s),
-            None => {
-                self.deny_admin(conn, 503, refused("the owner does not answer; a change may have been made"))
-            }
+            None => self.deny_admin(
+                conn,
+                503,
+                refused("the owner does not answer; a change may have been made"),
+            ),
         }
     }
 
--- a/crates/control/src/audit.rs
+++ b/crates/control/src/audit.rs
@@ -53,10 +53,14 @@
         match self.live.remove(&rec.spec.id) {
             Some(known) if known == county.county => {}
             None if stamp > self.seen => {}
-            Some(known) => {
-                self.differs(format!("{}: bound to {}, counted for {known}", rec.spec.id, county.county))
-            }
-            None => self.differs(format!("{}: bound to {}, not counted", rec.spec.id, county.county)),
+            Some(known) => self.differs(format!(
+                "{}: bound to {}, counted for {known}",
+                rec.spec.id, county.county
+            )),
+            None => self.differs(format!(
+                "{}: bound to {}, not counted",
+                rec.spec.id, county.county
+            )),
         }
     }
 
@@ -64,12 +68,22 @@
         let Some(counted) = &rec.county else { return };
         if stamp > self.revision {
             // It lived then, if it was there.
-            if let Some(known) = self.live.remove(job).filter(|known| *known != counted.county) {
-                self.differs(format!("{job}: ended for {}, counted for {known}", counted.county));
+            if let Some(known) = self
+                .live
+                .remove(job)
+                .filter(|known| *known != counted.county)
+            {
+                self.differs(format!(
+                    "{job}: ended for {}, counted for {known}",
+                    counted.county
+                ));
             }
             return;
         }
-        let cell = Cell { county: counted.county.clone(), class: counted.class.clone() };
+        let cell = Cell {
+            county: counted.county.clone(),
+            class: counted.class.clone(),
+        };
         let row = self.again.entry(cell).or_default();
         match rec.stage {
             Stage::Cancelled => row.cancelled += 1,
@@ -82,9 +96,13 @@
     fn finish(&mut self) {
         let mut lost: Vec<_> = std::mem::take(&mut self.live).into_iter().collect();
         lost.sort();
-        lost.into_iter()
-            .for_each(|(job, county)| self.differs(format!("{job}: counted for {county}, has no record")));
-        let (counts, again) = (std::mem::take(&mut self.counts), std::mem::take(&mut self.again));
+        lost.into_iter().for_each(|(job, county)| {
+            self.differs(format!("{job}: counted for {county}, has no record"))
+        });
+        let (counts, again) = (
+            std::mem::take(&mut self.counts),
+            std::mem::take(&mut self.again),
+        );
         let cells: std::collections::BTreeSet<&Cell> = counts.keys().chain(again.keys()).collect();
         for cell in cells {
             let of = |all: &BTreeMap<Cell, Count>| all.get(cell).copied().unwrap_or_default();
@@ -108,7 +126,11 @@
     pub fn told(&self) -> tally::Audit {
         let (revision, read) = (self.revision, self.read);
         match self.over {
-            true => tally::Audit::Done { revision, read, differences: self.differences.clone() },
+            true => tally::Audit::Done {
+                revision,
+                read,
+                differences: self.differences.clone(),
+            },
             false => tally::Audit::Running { read },
         }
     }
@@ -155,17 +177,26 @@
     pub(crate) fn audit_tick(&mut self) {
         let epoch = self.epoch;
         let spare = self.requests.level(self.now.mono) > SPARED;
-        let Some(audit) = self.part.as_mut().and_then(|p| p.tally.audit.as_mut()) else { return };
+        let Some(audit) = self.part.as_mut().and_then(|p| p.tally.audit.as_mut()) else {
+            return;
+        };
         if audit.over || audit.busy || !spare {
             return;
         }
         audit.busy = true;
-        let prefix = if audit.under == Under::Live { records::LIVE } else { records::ENDED };
+        let prefix = if audit.under == Under::Live {
+            records::LIVE
+        } else {
+            records::ENDED
+        };
         let mut path = format!("/keys?under={prefix}&limit={PAGE}");
         if let Some(after) = &audit.after {
             path.push_str(&format!("&from={after}"));
         }
-        let what = Pending::Audit { epoch, under: audit.under };
+        let what = Pending::Audit {
+            epoch,
+            under: audit.under,
+        };
         self.send(Dest::State, "GET", path, Vec::new(), 3000, what);
     }
 
@@ -175,11 +206,15 @@
             Under::Live => self
                 .read("state service", &r)
                 .map(|p| self.audit_page(p, |a, job: JobRec, _, stamp| a.live_found(&job, stamp))),
-            Under::Ended => self
-                .read("state service", &r)
-                .map(|p| self.audit_page(p, |a, end: EndRec, key, stamp| a.end_found(key, &end, stamp))),
+            Under::Ended => self.read("state service", &r).map(|p| {
+                self.audit_page(p, |a, end: EndRec, key, stamp| {
+                    a.end_found(key, &end, stamp)
+                })
+            }),
         });
-        let Some(audit) = self.part.as_mut().and_then(|p| p.tally.audit.as_mut()) else { return };
+        let Some(audit) = self.part.as_mut().and_then(|p| p.tally.audit.as_mut()) else {
+            return;
+        };
         audit.busy = false;
         match (page, under) {
             (Some(false), Under::Live) => (audit.under, audit.after) = (Under::Ended, None),
@@ -191,11 +226,18 @@
 
     /// Counts what a page has; true if there is another.
     fn audit_page<T>(&mut self, page: Range<T>, count: impl Fn(&mut Audit, T, &str, u64)) -> bool {
-        let Some(audit) = self.part.as_mut().and_then(|p| p.tally.audit.as_mut()) else { return false };
+        let Some(audit) = self.part.as_mut().and_then(|p| p.tally.audit.as_mut()) else {
+            return false;
+        };
         let more = page.more && !page.items.is_empty();
         audit.after = page.items.last().map(|i| i.key.clone());
         audit.read += page.items.len() as u64;
-        for Item { key, value, version } in page.items {
+        for Item {
+            key,
+            value,
+            version,
+        } in page.items
+        {
             let job = key.rsplit('/').next().unwrap_or("");
             count(audit, value, job, version);
         }
--- a/crates/control/src/budget.rs
+++ b/crates/control/src/budget.rs
@@ -9,7 +9,11 @@
 
 impl Bucket {
     pub fn new(rate: f64) -> Self {
-        Bucket { rate, level: rate, at: 0 }
+        Bucket {
+            rate,
+            level: rate,
+            at: 0,
+        }
     }
 
     pub fn set_rate(&mut self, rate: f64) {
--- a/crates/control/src/commit.rs
+++ b/crates/control/src/commit.rs
@@ -88,7 +88,10 @@
         if self.probe.as_ref().is_none_or(|(_, _, removed)| *removed) {
             self.probe = Some((key.clone(), version, false));
         }
-        self.guards.push(Guard { key: key.clone(), version });
+        self.guards.push(Guard {
+            key: key.clone(),
+            version,
+        });
         self.writes.push(Write::put(key, record));
     }
     /// Whether it changes this key already.
@@ -105,19 +108,33 @@
         if self.probe.is_none() {
             self.probe = Some((key.clone(), version, true));
         }
-        self.guards.push(Guard { key: key.clone(), version });
+        self.guards.push(Guard {
+            key: key.clone(),
+            version,
+        });
         self.writes.push(Write::Remove { key });
     }
 
     fn end(&mut self, part: &mut Part, ix: JobIx, wall: u64) {
         let Some(job) = part.job_mut(ix) else { return };
-        let Ending::Wanted(stage) = job.ending else { return };
+        let Ending::Wanted(stage) = job.ending else {
+            return;
+        };
         let done = job.done_count;
         let hour = crate::hours::end_rec(job, wall);
         job.ending = Ending::Writing(stage);
         let (id, version) = (job.id.clone(), job.version);
         let county = self.counts.add(part, ix, stage);
-        self.put(records::end_key(&id), 0, Record::End(EndRec { stage, done, hour, county }));
+        self.put(
+            records::end_key(&id),
+            0,
+            Record::End(EndRec {
+                stage,
+                done,
+                hour,
+                county,
+            }),
+        );
         self.remove(records::live_key(&id), version);
         self.ops.push(Op::End(ix));
     }
@@ -125,7 +142,12 @@
     /// One log record: claims as far as they fit, then results, then what is moved out of the oldest record.
     fn log(&mut self, part: &mut Part, value: usize, max_guards: usize) {
         let ended = self.counts.take();
-        let mut log = Log { number: part.next_log(), claims: Vec::new(), done: Vec::new(), ended };
+        let mut log = Log {
+            number: part.next_log(),
+            claims: Vec::new(),
+            done: Vec::new(),
+            ended,
+        };
         let mut entries: BTreeMap<(JobIx, u64), BTreeMap<usize, BTreeSet<u32>>> = BTreeMap::new();
         let mut size = 64 + crate::tally::length(&log.ended);
         let mut grow = |part: &Part, id: &ClaimId| {
@@ -134,7 +156,11 @@
             };
             let known = entries.contains_key(&(id.job, id.attempt));
             let more = ClaimsRec::entry(&machine.name)
-                + if known { 0 } else { ClaimsRec::frame(&job.id, &job.team) + crate::tally::frame(job) };
+                + if known {
+                    0
+                } else {
+                    ClaimsRec::frame(&job.id, &job.team) + crate::tally::frame(job)
+                };
             if size + more > value {
                 return false;
             }
@@ -177,7 +203,12 @@
             log.claims.push(id);
         }
         // The oldest record's claims that still hold, where there are too many records.
-        let old = part.ledger.segments.iter().find(|(_, s)| s.holds()).map(|(n, _)| *n);
+        let old = part
+            .ledger
+            .segments
+            .iter()
+            .find(|(_, s)| s.holds())
+            .map(|(n, _)| *n);
         let old = old.filter(|_| part.ledger.segments.len() > SEGMENTS);
         let moving = old.and_then(|n| part.ledger.segments.get(&n));
         for id in moving.map(|s| s.claims.clone()).unwrap_or_default() {
@@ -188,14 +219,23 @@
                 log.claims.push(id);
             }
         }
-        let mut rec = LogRec { ended: log.ended.clone(), ..LogRec::default() };
+        let mut rec = LogRec {
+            ended: log.ended.clone(),
+            ..LogRec::default()
+        };
         for ((ix, attempt), on) in entries {
             let Some(job) = part.job(ix) else { continue };
             let mut list = Vec::new();
             for (m, tasks) in on {
-                let Some(machine) = part.machine(m) else { continue };
+                let Some(machine) = part.machine(m) else {
+                    continue;
+                };
                 let tasks = records::ranges(tasks);
-                list.extend(tasks.into_iter().map(|(first, n)| (machine.name.clone(), first, n)));
+                list.extend(
+                    tasks
+                        .into_iter()
+                        .map(|(first, n)| (machine.name.clone(), first, n)),
+                );
             }
             rec.claims.push(ClaimsRec {
                 job: job.id.clone(),
@@ -214,14 +254,20 @@
             .map(|s| s.jobs.iter().copied().collect())
             .unwrap_or_default();
         let unsaved: Vec<JobIx> = part.ledger.unsaved.iter().copied().collect();
-        let results = unsaved.into_iter().map(|ix| (ix, false)).chain(moved.into_iter().map(|ix| (ix, true)));
+        let results = unsaved
+            .into_iter()
+            .map(|ix| (ix, false))
+            .chain(moved.into_iter().map(|ix| (ix, true)));
         for (ix, all) in results {
             let Some(job) = part.job(ix).filter(|j| j.ending == Ending::No) else {
                 part.ledger.unsaved.remove(&ix);
                 continue;
             };
-            let mut tasks: Vec<u32> =
-                if all { job.saved().collect() } else { job.unsaved.iter().copied().collect() };
+            let mut tasks: Vec<u32> = if all {
+                job.saved().collect()
+            } else {
+                job.unsaved.iter().copied().collect()
+            };
             let mut list = records::ranges(tasks.iter().copied());
             let frame = size + DoneRec::frame(&job.id);
             let fits = value.saturating_sub(frame) / DoneRec::ENTRY;
@@ -237,7 +283,10 @@
             }
             size = frame + list.len() * DoneRec::ENTRY;
             let id = part.job(ix).map(|j| j.id.clone()).unwrap_or_default();
-            rec.done.push(DoneRec { job: id, tasks: list });
+            rec.done.push(DoneRec {
+                job: id,
+                tasks: list,
+            });
             log.done.push((ix, tasks, all));
         }
         if rec.claims.is_empty() && rec.done.is_empty() && rec.ended.is_empty() {
@@ -250,7 +299,9 @@
     /// Writes a rack as it stands now, or removes it.
     fn rack(&mut self, part: &mut Part, number: u64) {
         part.ledger.gone_from.remove(&number);
-        let Some(rack) = part.ledger.racks.get(&number) else { return };
+        let Some(rack) = part.ledger.racks.get(&number) else {
+            return;
+        };
         let key = records::rack_key(PART, number);
         if rack.machines.is_empty() {
             let version = rack.version;
@@ -265,7 +316,9 @@
         let mut rec = RackRec::default();
         for machine in rack.machines.iter().filter_map(|m| part.machine(*m)) {
             let same = |k: &&mut KindRec| {
-                k.machine_type == machine.machine_type && k.zone == machine.zone && k.spot == machine.spot
+                k.machine_type == machine.machine_type
+                    && k.zone == machine.zone
+                    && k.spot == machine.spot
             };
             let entry = (machine.name.clone(), machine.hired_ms);
             match rec.kinds.iter_mut().find(same) {
@@ -278,7 +331,12 @@
                 }),
             }
         }
-        let names = rec.kinds.iter().flat_map(|k| &k.machines).map(|(name, _)| name.clone()).collect();
+        let names = rec
+            .kinds
+            .iter()
+            .flat_map(|k| &k.machines)
+            .map(|(name, _)| name.clone())
+            .collect();
         self.put(key, rack.version, Record::Rack(rec));
         self.ops.push(Op::Rack(number, names));
     }
@@ -319,22 +377,34 @@
             self.writes.take(now, part.commit.writes as f64);
             part.commit.in_flight = true;
             let body = part.commit.body.clone();
-            return self.send(Dest::State, "POST", "/txn".into(), body, 2000, Pending::Commit { epoch });
+            return self.send(
+                Dest::State,
+                "POST",
+                "/txn".into(),
+                body,
+                2000,
+                Pending::Commit { epoch },
+            );
         }
         if !sure || !self.to_write {
             return;
         }
-        let budget =
-            (self.writes.level(now).floor().max(0.0) as usize).min(self.settings.cluster.state.txn_ops);
+        let budget = (self.writes.level(now).floor().max(0.0) as usize)
+            .min(self.settings.cluster.state.txn_ops);
         if budget < 1 || self.requests.level(now) < 1.0 {
             return;
         }
         self.to_write = false;
         self.before_heads(budget);
-        let Some(draft) = self.draft(budget) else { return };
+        let Some(draft) = self.draft(budget) else {
+            return;
+        };
         let Some(part) = &mut self.part else { return };
         let writes = draft.writes.len();
-        let body = wire::encode(&Txn { guards: draft.guards, writes: draft.writes });
+        let body = wire::encode(&Txn {
+            guards: draft.guards,
+            writes: draft.writes,
+        });
         part.commit.ops = draft.ops;
         part.commit.probe = draft.probe;
         part.commit.body = body.clone();
@@ -342,7 +412,14 @@
         part.commit.in_flight = true;
         part.commit.writes = writes;
         self.writes.take(now, writes as f64);
-        self.send(Dest::State, "POST", "/txn".into(), body, 2000, Pending::Commit { epoch });
+        self.send(
+            Dest::State,
+            "POST",
+            "/txn".into(),
+            body,
+            2000,
+            Pending::Commit { epoch },
+        );
     }
 
     /// Gathers what is to be written, most urgent first.
@@ -358,7 +435,10 @@
         let part = self.part.as_mut()?;
         let mut d = Draft {
             ops: Vec::new(),
-            guards: vec![Guard { key: records::owner_key(PART), version: part.owner_version }],
+            guards: vec![Guard {
+                key: records::owner_key(PART),
+                version: part.owner_version,
+            }],
             writes: Vec::new(),
             probe: None,
             size: 0,
@@ -373,17 +453,28 @@
         let for_claims = || usize::from(budget > 2 && !part.ledger.fresh.is_empty()).max(log);
         let kept = head.map_or_else(for_claims, |(_, writes)| writes + log);
         let for_ends = budget.saturating_sub(kept);
-        while d.writes.len() + 2 <= for_ends && d.guards.len() + 2 < max_guards && !d.counts.is_full() {
-            let Some(ix) = part.ledger.ending.pop_front() else { break };
+        while d.writes.len() + 2 <= for_ends
+            && d.guards.len() + 2 < max_guards
+            && !d.counts.is_full()
+        {
+            let Some(ix) = part.ledger.ending.pop_front() else {
+                break;
+            };
             d.end(part, ix, wall);
         }
         let room = |d: &Draft| {
-            d.writes.len() + d.counts.owed() < budget && d.size < SIZE && d.guards.len() + 2 < max_guards
+            d.writes.len() + d.counts.owed() < budget
+                && d.size < SIZE
+                && d.guards.len() + 2 < max_guards
         };
         if room(&d)
             && let Some(whole) = part.allot_wanted.take()
         {
-            d.put(records::allot_key(PART), part.allot_version, Record::Allot(whole.clone()));
+            d.put(
+                records::allot_key(PART),
+                part.allot_version,
+                Record::Allot(whole.clone()),
+            );
             part.allot = Some(whole);
             part.allot_version = 0;
             d.ops.push(Op::Allot);
@@ -393,7 +484,11 @@
         }
         if part.raise_token && now >= part.commit.raised_at + 3000 && room(&d) {
             let token = shared_token.0.max(part.token) + 1;
-            d.put(records::TOKEN.into(), shared_token.1, Record::Token(TokenRec { token }));
+            d.put(
+                records::TOKEN.into(),
+                shared_token.1,
+                Record::Token(TokenRec { token }),
+            );
             d.ops.push(Op::Token(token));
             part.commit.raised_at = now;
         }
@@ -410,7 +505,9 @@
             d.log(part, value, max_guards);
         }
         // Claims, with the results that have gathered. Room is left for the guards on the claims' jobs.
-        while room(&d) && (!part.ledger.fresh.is_empty() || (tidy && !part.ledger.unsaved.is_empty())) {
+        while room(&d)
+            && (!part.ledger.fresh.is_empty() || (tidy && !part.ledger.unsaved.is_empty()))
+        {
             let before = d.ops.len();
             d.log(part, value, max_guards);
             if d.ops.len() == before {
@@ -442,7 +539,11 @@
         {
             part.catalog_dirty = false;
             if wire::encode(c).len() as f64 * 1.3 < self.settings.cluster.state.value_kb * 1024.0 {
-                d.put(records::CATALOG.into(), catalog_version, Record::Catalog(c.clone()));
+                d.put(
+                    records::CATALOG.into(),
+                    catalog_version,
+                    Record::Catalog(c.clone()),
+                );
                 d.ops.push(Op::Catalog);
             }
         }
@@ -459,7 +560,9 @@
             while room(&d)
                 && let Some(n) = part.ledger.garbage.pop_first()
             {
-                let Some(segment) = part.ledger.segments.get(&n) else { continue };
+                let Some(segment) = part.ledger.segments.get(&n) else {
+                    continue;
+                };
                 d.remove(records::log_key(PART, n), segment.version);
                 d.ops.push(Op::LogOver(n));
             }
@@ -507,8 +610,9 @@
                 self.ends_may_stand();
             }
             Some(other) => {
-                let body =
-                    response.map(|r| String::from_utf8_lossy(&r.body).into_owned()).unwrap_or_default();
+                let body = response
+                    .map(|r| String::from_utf8_lossy(&r.body).into_owned())
+                    .unwrap_or_default();
                 self.step_down(&format!("a transaction was refused with {other}: {body:?}"));
             }
         }
@@ -518,8 +622,13 @@
     /// on the tasks of what was cancelled have to go.
     fn ends_may_stand(&mut self) {
         let Some(part) = &self.part else { return };
-        let ends =
-            part.commit.ops.iter().filter_map(|op| if let Op::End(ix) = op { Some(*ix) } else { None });
+        let ends = part.commit.ops.iter().filter_map(|op| {
+            if let Op::End(ix) = op {
+                Some(*ix)
+            } else {
+                None
+            }
+        });
         for ix in ends.collect::<Vec<JobIx>>() {
             self.job_changed(ix);
         }
@@ -528,7 +637,9 @@
     pub(crate) fn verified(&mut self, response: Option<Response>) {
         let Some(part) = &mut self.part else { return };
         part.commit.in_flight = false;
-        let Some((_, before, removed)) = part.commit.probe.clone() else { return };
+        let Some((_, before, removed)) = part.commit.probe.clone() else {
+            return;
+        };
         match response {
             Some(r) if r.status == 200 => {
                 #[derive(serde::Deserialize)]
@@ -560,7 +671,9 @@
         for op in ops {
             match op {
                 Op::End(ix) => {
-                    let Some(job) = part.job_mut(ix) else { continue };
+                    let Some(job) = part.job_mut(ix) else {
+                        continue;
+                    };
                     if let Ending::Writing(stage) = job.ending {
                         job.ending = Ending::Recorded(stage);
                         log::info!("job {}: {stage:?}", job.id);
@@ -609,7 +722,9 @@
                     }
                     for name in machines {
                         let m = part.machine_ix.get(&name).copied();
-                        if let Some(machine) = m.and_then(|m| part.machine_mut(m)).filter(|x| x.rack == n) {
+                        if let Some(machine) =
+                            m.and_then(|m| part.machine_mut(m)).filter(|x| x.rack == n)
+                        {
                             part.plan_due |= !std::mem::replace(&mut machine.recorded, true);
                         }
                     }
@@ -643,11 +758,16 @@
 impl Part {
     /// A log record is in place: its claims may be sent, its results reaped.
     fn log_stands(&mut self, log: Log, revision: u64) {
-        let mut segment = Segment { version: revision, ..Segment::default() };
+        let mut segment = Segment {
+            version: revision,
+            ..Segment::default()
+        };
         segment.counts = self.tally.stands(log.number, log.ended, revision);
         for id in log.claims {
             // What has ended meanwhile stands in the record all the same, as in any that is older.
-            let Some(claim) = self.claim_mut(&id) else { continue };
+            let Some(claim) = self.claim_mut(&id) else {
+                continue;
+            };
             let from = std::mem::replace(&mut claim.segment, log.number);
             let first = claim.state == ClaimState::Writing;
             claim.state = ClaimState::Recorded;
@@ -660,7 +780,9 @@
             }
         }
         for (ix, tasks, all) in log.done {
-            let Some(job) = self.job_mut(ix).filter(|j| j.ending == Ending::No) else { continue };
+            let Some(job) = self.job_mut(ix).filter(|j| j.ending == Ending::No) else {
+                continue;
+            };
             if all {
                 let old = std::mem::take(&mut job.segments);
                 job.segments.insert(log.number);
--- a/crates/control/src/counties.rs
+++ b/crates/control/src/counties.rs
@@ -31,7 +31,11 @@
     fn context(node: &Node) -> Known {
         let cluster = &node.settings.cluster;
         let teams = cluster.teams.iter().map(|t| t.name.clone()).collect();
-        Known { teams, zones: cluster.zones.iter().cloned().collect(), desks: None }
+        Known {
+            teams,
+            zones: cluster.zones.iter().cloned().collect(),
+            desks: None,
+        }
     }
     fn edited(edit: &Whole<Spec>, _: &Spec, _: &Known) -> Result<Spec, Fault> {
         let Whole::Set { spec } = edit;
@@ -42,13 +46,19 @@
     }
     fn may_change(node: &Node, new: &Counties) -> Result<(), Vec<Fault>> {
         let faults = node.lost_by(new);
-        if faults.is_empty() { Ok(()) } else { Err(faults) }
+        if faults.is_empty() {
+            Ok(())
+        } else {
+            Err(faults)
+        }
     }
     fn told(node: &Node, new: &Arc<Counties>) -> Vec<String> {
         let live = node.live_by_county();
         let closed = new.spec().counties.iter().filter(|c| c.closed);
         let bound = closed.filter_map(|c| Some((c, live.get(&c.id)?)));
-        bound.map(|(c, n)| format!("{}: {n} live jobs stay bound to it", c.id)).collect()
+        bound
+            .map(|(c, n)| format!("{}: {n} live jobs stay bound to it", c.id))
+            .collect()
     }
     fn asked(node: &mut Node, conn: u64, ask: Question) {
         match ask {
@@ -68,12 +78,19 @@
 impl Node {
     /// The county that a job accepted now belongs to; none without a document.
     pub(crate) fn county_for(&self, spec: &JobSpec) -> Result<Option<CountyRec>, &'static str> {
-        let Some(good) = &self.shared.documents.counties.good else { return Ok(None) };
+        let Some(good) = &self.shared.documents.counties.good else {
+            return Ok(None);
+        };
         if good.spec.counties.is_empty() {
             return Ok(None);
         }
-        let tree = Quota::doc(&self.shared.documents).good.as_ref().map(|g| &g.built);
-        let path = tree.and_then(|tree| Some(tree.path(tree.team(&spec.team)?))).unwrap_or_default();
+        let tree = Quota::doc(&self.shared.documents)
+            .good
+            .as_ref()
+            .map(|g| &g.built);
+        let path = tree
+            .and_then(|tree| Some(tree.path(tree.team(&spec.team)?)))
+            .unwrap_or_default();
         let desks: Vec<&str> = tree
             .iter()
             .flat_map(|tree| path.iter().map(|n| tree.nodes[n.0 as usize].name.as_str()))
@@ -88,12 +105,21 @@
         };
         let bound = good.built.bind(&job).map_err(why)?;
         let (county, version) = (bound.county, good.version);
-        Ok(Some(CountyRec { county, version, alone: bound.alone, zones: bound.zones }))
+        Ok(Some(CountyRec {
+            county,
+            version,
+            alone: bound.alone,
+            zones: bound.zones,
+        }))
     }
 
     fn live_by_county(&self) -> BTreeMap<String, u64> {
         let mut live: BTreeMap<String, u64> = BTreeMap::new();
-        let jobs = self.part.iter().flat_map(|p| p.jobs.iter().flatten()).filter(|j| !j.is_over());
+        let jobs = self
+            .part
+            .iter()
+            .flat_map(|p| p.jobs.iter().flatten())
+            .filter(|j| !j.is_over());
         for county in jobs.filter_map(|j| j.county.as_ref()) {
             *live.entry(county.county.clone()).or_default() += 1;
         }
@@ -108,17 +134,25 @@
             faults = county::lost(&old.spec, new.spec(), &self.live_by_county());
             // A county that was closed may have been bound to until then.
             let seen = self.part.as_ref().map_or(0, |p| p.live_revision);
-            let drops = old.spec.counties.iter().any(|c| new.county(&c.id).is_none());
+            let drops = old
+                .spec
+                .counties
+                .iter()
+                .any(|c| new.county(&c.id).is_none());
             if drops && seen < counties.stamp {
                 let what = "what was accepted under the version in force was not seen yet; again in a second";
                 faults.push(Fault::whole("county", what));
             }
         }
         let tree = Quota::doc(&self.shared.documents).good.as_ref();
-        let known = |desk: &String| tree.is_some_and(|t| t.built.nodes.iter().any(|n| n.name == *desk));
+        let known =
+            |desk: &String| tree.is_some_and(|t| t.built.nodes.iter().any(|n| n.name == *desk));
         for (c, r, desk) in new.desks().filter(|(_, _, desk)| !known(desk)) {
             let path = format!("county {c:?}.rule[{r}].desks");
-            faults.push(Fault::whole(&path, format!("no node {desk:?} in the quota tree")));
+            faults.push(Fault::whole(
+                &path,
+                format!("no node {desk:?} in the quota tree"),
+            ));
         }
         faults.truncate(50);
         faults
--- a/crates/control/src/documents.rs
+++ b/crates/control/src/documents.rs
@@ -39,7 +39,12 @@
     Models,
 }
 
-pub(crate) const ALL: [KindId; 4] = [KindId::Quota, KindId::Hours, KindId::Counties, KindId::Models];
+pub(crate) const ALL: [KindId; 4] = [
+    KindId::Quota,
+    KindId::Hours,
+    KindId::Counties,
+    KindId::Models,
+];
 
 /// Does something for a kind that is known by its id alone.
 macro_rules! for_kind {
@@ -103,7 +108,10 @@
         Self::doc(&node.shared.documents).shown()
     }
     /// Whether what is there now stands against a new version.
-    fn may_change(_node: &Node, _new: &<Self::Content as Content>::Built) -> Result<(), Vec<Fault>> {
+    fn may_change(
+        _node: &Node,
+        _new: &<Self::Content as Content>::Built,
+    ) -> Result<(), Vec<Fault>> {
         Ok(())
     }
     /// What comes of a new version, for whoever asks for it.
@@ -134,7 +142,11 @@
 
 impl<C: Content> Clone for Good<C> {
     fn clone(&self) -> Self {
-        Good { version: self.version, spec: self.spec.clone(), built: self.built.clone() }
+        Good {
+            version: self.version,
+            spec: self.spec.clone(),
+            built: self.built.clone(),
+        }
     }
 }
 
@@ -229,16 +241,30 @@
     }
 
     /// Takes a version that was put together from the head's parts, or refuses it.
-    fn adopt(&mut self, spec: Result<K::Content, String>, context: &<K::Content as Content>::Context) {
+    fn adopt(
+        &mut self,
+        spec: Result<K::Content, String>,
+        context: &<K::Content as Content>::Context,
+    ) {
         let version = self.head.version;
         let built = spec.and_then(|spec| {
-            let built = spec.fitting(context).build(context).map_err(|f| f[0].to_string())?;
-            Ok(Good { version, spec: Arc::new(spec), built: Arc::new(built) })
+            let built = spec
+                .fitting(context)
+                .build(context)
+                .map_err(|f| f[0].to_string())?;
+            Ok(Good {
+                version,
+                spec: Arc::new(spec),
+                built: Arc::new(built),
+            })
         });
         match built {
             Ok(good) => self.take(good),
             Err(why) => {
-                let kept = self.good.as_ref().map_or("none".to_owned(), |g| g.version.to_string());
+                let kept = self
+                    .good
+                    .as_ref()
+                    .map_or("none".to_owned(), |g| g.version.to_string());
                 let name = K::Content::NAME;
                 log::error!("{name}: version {version} is refused, {kept} stays in force: {why}");
                 self.refused = Some((version, why));
@@ -247,19 +273,29 @@
     }
 
     pub fn refused(&self) -> Option<String> {
-        self.refused.as_ref().map(|(version, why)| format!("version {version}: {why}"))
+        self.refused
+            .as_ref()
+            .map(|(version, why)| format!("version {version}: {why}"))
     }
 
     fn shown(&self) -> Vec<u8> {
-        let (version, spec) =
-            self.good.as_ref().map_or((0, K::Content::default()), |g| (g.version, (*g.spec).clone()));
+        let (version, spec) = self.good.as_ref().map_or((0, K::Content::default()), |g| {
+            (g.version, (*g.spec).clone())
+        });
         let (history, refused) = (self.head.history.clone(), self.refused());
-        admin::encode(&Shown { version, spec, history, refused })
+        admin::encode(&Shown {
+            version,
+            spec,
+            history,
+            refused,
+        })
     }
 
     /// All that its change needs is in place but the head.
     fn is_due(&self) -> bool {
-        self.changing.as_ref().is_some_and(|c| c.parts.is_empty() && c.busy == 0)
+        self.changing
+            .as_ref()
+            .is_some_and(|c| c.parts.is_empty() && c.busy == 0)
     }
 
     /// Parts that no version names any more, unless a change is about to.
@@ -269,7 +305,11 @@
             return Vec::new();
         }
         let over = |(name, _): &(&String, &u64)| !self.head.parts.contains(name);
-        self.parts.iter().filter(over).map(|(name, stamp)| (name.clone(), *stamp)).collect()
+        self.parts
+            .iter()
+            .filter(over)
+            .map(|(name, stamp)| (name.clone(), *stamp))
+            .collect()
     }
 }
 
@@ -280,7 +320,8 @@
 impl KindId {
     /// The kind with this word.
     pub fn named(word: &str) -> Option<KindId> {
-        ALL.into_iter().find(|id| for_kind!(*id, K => <K as Kind>::Content::KIND) == word)
+        ALL.into_iter()
+            .find(|id| for_kind!(*id, K => <K as Kind>::Content::KIND) == word)
     }
 }
 
@@ -321,9 +362,15 @@
     }
 
     fn head_of<K: Kind>(&mut self, all: &Documents, part: &mut Part) {
-        let Some(change) = &K::doc(all).changing else { return };
+        let Some(change) = &K::doc(all).changing else {
+            return;
+        };
         let version = change.head.version;
-        self.put(records::head_key(K::Content::KIND), change.stamp, K::record(change.head.clone()));
+        self.put(
+            records::head_key(K::Content::KIND),
+            change.stamp,
+            K::record(change.head.clone()),
+        );
         K::with_head(self, part, version);
         self.ops.push(Op::Head(K::ID));
     }
@@ -336,7 +383,9 @@
     }
 
     fn parts_of<K: Kind>(&mut self, doc: &mut Doc<K>, room: impl Fn(&Draft) -> bool) {
-        let Some(change) = &mut doc.changing else { return };
+        let Some(change) = &mut doc.changing else {
+            return;
+        };
         while room(self)
             && let Some((name, part)) = change.parts.pop_front()
         {
@@ -354,7 +403,10 @@
                 if !room(self) {
                     return;
                 }
-                self.remove(format!("{}{name}", for_kind!(kind, K => prefix::<K>())), stamp);
+                self.remove(
+                    format!("{}{name}", for_kind!(kind, K => prefix::<K>())),
+                    stamp,
+                );
                 self.ops.push(Op::PartOver(kind, name));
             }
         }
@@ -401,17 +453,25 @@
     /// Starts to read all parts, from the first page.
     fn read_parts<K: Kind>(&mut self) {
         let doc = K::doc_mut(&mut self.shared.documents);
-        doc.reading = Some(Reading { found: BTreeMap::new(), after: None });
+        doc.reading = Some(Reading {
+            found: BTreeMap::new(),
+            after: None,
+        });
         self.read_page::<K>();
     }
 
     fn read_page<K: Kind>(&mut self) {
-        let Some(reading) = &K::doc(&self.shared.documents).reading else { return };
+        let Some(reading) = &K::doc(&self.shared.documents).reading else {
+            return;
+        };
         let mut path = format!("/keys?under={}&limit=1000", prefix::<K>());
         if let Some(after) = &reading.after {
             path.push_str(&format!("&from={after}"));
         }
-        let what = Pending::Parts { epoch: self.epoch, kind: K::ID };
+        let what = Pending::Parts {
+            epoch: self.epoch,
+            kind: K::ID,
+        };
         self.send(Dest::State, "GET", path, Vec::new(), 3000, what);
     }
 
@@ -426,10 +486,17 @@
             doc.reading = None;
             return self.document_read::<K>();
         };
-        let Some(reading) = &mut doc.reading else { return };
+        let Some(reading) = &mut doc.reading else {
+            return;
+        };
         reading.after = page.items.last().map(|i| i.key.clone());
         let more = page.more && !page.items.is_empty();
-        for Item { key, value, version } in page.items {
+        for Item {
+            key,
+            value,
+            version,
+        } in page.items
+        {
             if let Some(name) = key.strip_prefix(&prefix::<K>()) {
                 reading.found.insert(name.to_owned(), (version, value));
             }
@@ -439,8 +506,14 @@
         }
         let found = doc.reading.take().map(|r| r.found).unwrap_or_default();
         doc.read_in = epoch;
-        doc.parts = found.iter().map(|(name, (stamp, _))| (name.clone(), *stamp)).collect();
-        let parts = found.into_iter().map(|(name, (_, part))| (name, part)).collect();
+        doc.parts = found
+            .iter()
+            .map(|(name, (stamp, _))| (name.clone(), *stamp))
+            .collect();
+        let parts = found
+            .into_iter()
+            .map(|(name, (_, part))| (name, part))
+            .collect();
         if !doc.is_current() {
             let spec = document::join(&doc.head, &parts);
             // A version after this one may have taken its parts away: its head is on its way to us.
@@ -494,14 +567,20 @@
 impl Node {
     pub(crate) fn change<K: Kind>(&mut self, conn: u64, change: ChangeOf<K::Edit>) {
         // A longer one would be remembered cut, and a repeat taken for another change.
-        if change.id.is_empty() || change.id.len() > SHORT || change.id.chars().any(char::is_control) {
+        if change.id.is_empty()
+            || change.id.len() > SHORT
+            || change.id.chars().any(char::is_control)
+        {
             let why = format!("id: must be 1 to {SHORT} bytes without control characters");
             return self.deny_admin(conn, 400, refused(&why));
         }
         let doc = K::doc_mut(&mut self.shared.documents);
         if let Some(past) = doc.head.made(&change.id) {
             // A repeat after a lost answer.
-            let answer = Changed { version: past.version, ..Changed::default() };
+            let answer = Changed {
+                version: past.version,
+                ..Changed::default()
+            };
             return self.respond(conn, 200, admin::encode(&answer), None);
         }
         let version = doc.head.version;
@@ -509,7 +588,14 @@
             && expected != version
         {
             let error = format!("made for version {expected}, but version {version} is in force");
-            return self.deny_admin(conn, 409, Refused { version: Some(version), ..refused(&error) });
+            return self.deny_admin(
+                conn,
+                409,
+                Refused {
+                    version: Some(version),
+                    ..refused(&error)
+                },
+            );
         }
         if let Some(other) = &mut doc.changing {
             if other.id == change.id {
@@ -517,12 +603,23 @@
                 return;
             }
             let error = format!("another change of version {version} is under way");
-            return self.deny_admin(conn, 409, Refused { version: Some(version), ..refused(&error) });
+            return self.deny_admin(
+                conn,
+                409,
+                Refused {
+                    version: Some(version),
+                    ..refused(&error)
+                },
+            );
         }
         match self.prepare::<K>(Some(conn), &change) {
             Err(why) => self.deny_admin(conn, 422, why),
             Ok(ready) if change.dry_run => {
-                let answer = Changed { version, dry_run: true, ..ready.answer };
+                let answer = Changed {
+                    version,
+                    dry_run: true,
+                    ..ready.answer
+                };
                 self.respond(conn, 200, admin::encode(&answer), None);
             }
             Ok(ready) => self.begin(ready, &change.by),
@@ -530,7 +627,11 @@
     }
 
     fn begin<K: Kind>(&mut self, ready: Changing<K>, by: &str) {
-        log::info!("{}: version {} by {by:?} is to be written", K::Content::NAME, ready.head.version);
+        log::info!(
+            "{}: version {} by {by:?} is to be written",
+            K::Content::NAME,
+            ready.head.version
+        );
         K::doc_mut(&mut self.shared.documents).changing = Some(ready);
         self.to_write = true;
     }
@@ -543,8 +644,13 @@
     ) -> Result<Changing<K>, Refused> {
         let doc = K::doc(&self.shared.documents);
         let context = K::context(self);
-        let old = doc.good.as_ref().map(|g| g.spec.fitting(&context)).unwrap_or_default();
-        let spec = K::edited(&change.edit, &old, &context).map_err(|fault| faulty::<K>(vec![fault]))?;
+        let old = doc
+            .good
+            .as_ref()
+            .map(|g| g.spec.fitting(&context))
+            .unwrap_or_default();
+        let spec =
+            K::edited(&change.edit, &old, &context).map_err(|fault| faulty::<K>(vec![fault]))?;
         let built = Arc::new(spec.build(&context).map_err(faulty::<K>)?);
         K::may_change(self, &built).map_err(faulty::<K>)?;
         let value = crate::commit::value_limit(self.settings.cluster.state.value_kb);
@@ -557,41 +663,90 @@
             String::new()
         };
         let what = format!("{words}{more}");
-        let past = Past::new(doc.head.version + 1, &change.id, self.now.wall, &change.by, &what);
+        let past = Past::new(
+            doc.head.version + 1,
+            &change.id,
+            self.now.wall,
+            &change.by,
+            &what,
+        );
         let names = parts.iter().map(|(name, _)| name.clone()).collect();
         let head = doc.head.next(names, past, value).map_err(|e| refused(&e))?;
-        let head = Head { format: K::Content::FORMAT, ..head };
+        let head = Head {
+            format: K::Content::FORMAT,
+            ..head
+        };
         let above = K::told(self, &built);
-        let answer = Changed { version: head.version, dry_run: false, differences, above };
-        let parts = parts.into_iter().filter(|(name, _)| !doc.parts.contains_key(name)).collect();
-        let good = Good { version: head.version, spec: Arc::new(spec), built };
-        Ok(Changing { id: change.id.clone(), conn, head, good, stamp: doc.stamp, parts, busy: 0, answer })
+        let answer = Changed {
+            version: head.version,
+            dry_run: false,
+            differences,
+            above,
+        };
+        let parts = parts
+            .into_iter()
+            .filter(|(name, _)| !doc.parts.contains_key(name))
+            .collect();
+        let good = Good {
+            version: head.version,
+            spec: Arc::new(spec),
+            built,
+        };
+        Ok(Changing {
+            id: change.id.clone(),
+            conn,
+            head,
+            good,
+            stamp: doc.stamp,
+            parts,
+            busy: 0,
+            answer,
+        })
     }
 
     /// Puts the document in place that this node was started with, if there has never been any.
     fn first_version<K: Kind>(&mut self) {
         let doc = K::doc(&self.shared.documents);
-        if doc.first.is_none() || doc.head.version > 0 || doc.changing.is_some() || !self.shared.known {
+        if doc.first.is_none()
+            || doc.head.version > 0
+            || doc.changing.is_some()
+            || !self.shared.known
+        {
             return;
         }
         if !self.decides() {
             return;
         }
-        let Some(spec) = K::doc_mut(&mut self.shared.documents).first.take() else { return };
+        let Some(spec) = K::doc_mut(&mut self.shared.documents).first.take() else {
+            return;
+        };
         let (id, by) = ("first".to_owned(), self.settings.node.clone());
-        let change = ChangeOf { id, by, expect: Some(0), dry_run: false, edit: K::set(spec) };
+        let change = ChangeOf {
+            id,
+            by,
+            expect: Some(0),
+            dry_run: false,
+            edit: K::set(spec),
+        };
         match self.prepare::<K>(None, &change) {
             Ok(ready) => self.begin(ready, &change.by),
             Err(why) => {
                 let faults: String = why.faults.iter().map(|f| format!("; {f}")).collect();
-                log::error!("the first {} is refused: {}{faults}", K::Content::NAME, why.error);
+                log::error!(
+                    "the first {} is refused: {}{faults}",
+                    K::Content::NAME,
+                    why.error
+                );
             }
         }
     }
 
     /// A head goes into the next transaction.
     pub(crate) fn before_heads(&mut self, budget: usize) {
-        let due = self.part.as_ref().and_then(|part| self.shared.documents.due(part, budget));
+        let due = self
+            .part
+            .as_ref()
+            .and_then(|part| self.shared.documents.due(part, budget));
         if let Some(kind) = due {
             for_kind!(kind, K => K::before_head(self));
         }
@@ -600,7 +755,9 @@
     /// The head of a change stands in the state service, at this revision.
     pub(crate) fn head_written<K: Kind>(&mut self, revision: u64) {
         let doc = K::doc_mut(&mut self.shared.documents);
-        let Some(done) = doc.changing.take() else { return };
+        let Some(done) = doc.changing.take() else {
+            return;
+        };
         doc.head_seen(done.head, revision);
         doc.take(done.good);
         K::in_force(self);
@@ -646,7 +803,10 @@
                     return None;
                 }
                 let key = records::head_key(for_kind!(kind, K => <K as Kind>::Content::KIND));
-                out.push(Guard { key, version: stamp });
+                out.push(Guard {
+                    key,
+                    version: stamp,
+                });
             }
         }
         Some(out)
@@ -654,10 +814,19 @@
 }
 
 pub(crate) fn refused(why: &str) -> Refused {
-    Refused { error: why.to_owned(), ..Refused::default() }
+    Refused {
+        error: why.to_owned(),
+        ..Refused::default()
+    }
 }
 
 fn faulty<K: Kind>(faults: Vec<Fault>) -> Refused {
-    let why = format!("the {} is refused; the one in force stays", K::Content::NAME);
-    Refused { faults, ..refused(&why) }
+    let why = format!(
+        "the {} is refused; the one in force stays",
+        K::Content::NAME
+    );
+    Refused {
+        faults,
+        ..refused(&why)
+    }
 }
--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -26,12 +26,16 @@
 
 /// What a peer answered; anything else than an answer is none.
 pub(crate) fn peer_answer(response: Option<Response>) -> Option<Answer> {
-    response.filter(|r| r.status == 200).and_then(|r| peer::decode(&r.body).ok())
+    response
+        .filter(|r| r.status == 200)
+        .and_then(|r| peer::decode(&r.body).ok())
 }
 
 /// Whether nothing but another version of a document stood against a transaction.
 fn only_heads_failed(response: &Response) -> bool {
-    let failed = wire::decode::<Conflict>(&response.body).map(|c| c.failed).unwrap_or_default();
+    let failed = wire::decode::<Conflict>(&response.body)
+        .map(|c| c.failed)
+        .unwrap_or_default();
     !failed.is_empty() && failed.iter().all(|key| key.starts_with(records::SHARED))
 }
 
@@ -63,7 +67,14 @@
     /// take, and refuses the rest at once, where a removal sends its users away for up to a minute and can't tell one
     /// node's trouble from all nodes'.
     fn ready(&mut self, conn: u64) {
-        self.respond(conn, 200, wire::encode(&ErrorBody { error: String::new() }), None)
+        self.respond(
+            conn,
+            200,
+            wire::encode(&ErrorBody {
+                error: String::new(),
+            }),
+            None,
+        )
     }
 
     /// An error, with the time to come back where coming back helps.
@@ -72,20 +83,35 @@
         if status == 429 || status == 503 {
             self.stats.shed += 1;
         }
-        self.respond(conn, status, wire::encode(&ErrorBody { error: why.to_owned() }), retry);
+        self.respond(
+            conn,
+            status,
+            wire::encode(&ErrorBody {
+                error: why.to_owned(),
+            }),
+            retry,
+        );
     }
 
     /// What a user sent as a submission.
     fn sent_in(&mut self, conn: u64, body: &[u8]) {
         let read = submission::read(body);
-        let id = read.as_ref().map_or_else(|m| m.id.as_deref(), |spec| Some(&spec.id));
+        let id = read
+            .as_ref()
+            .map_or_else(|m| m.id.as_deref(), |spec| Some(&spec.id));
         if id.is_some_and(|id| self.is_foreign(conn, id)) {
-            let fault = Fault { field: "nameId", why: "is reserved" };
+            let fault = Fault {
+                field: "nameId",
+                why: "is reserved",
+            };
             return self.refuse(conn, 400, &fault.to_string());
         }
         match read {
             Ok(spec) => self.submit(Asker::User(conn), spec),
-            Err(Malformed { fault, id: Some(id) }) => self.malformed(Asker::User(conn), id, fault),
+            Err(Malformed {
+                fault,
+                id: Some(id),
+            }) => self.malformed(Asker::User(conn), id, fault),
             Err(Malformed { fault, id: None }) => self.refuse(conn, 400, &fault.to_string()),
         }
     }
@@ -128,56 +154,105 @@
         {
             return self.hand_submit(conn, Box::new(spec));
         }
-        let conn = if let Asker::User(conn) = asker { Some(conn) } else { None };
+        let conn = if let Asker::User(conn) = asker {
+            Some(conn)
+        } else {
+            None
+        };
         // What can never run writes nothing.
         let writes = self.judged(&spec, self.now.wall).is_ok();
-        let room = if writes { self.has_room_for(conn) } else { self.requests.level(now) >= 1.0 };
+        let room = if writes {
+            self.has_room_for(conn)
+        } else {
+            self.requests.level(now) >= 1.0
+        };
         if !room {
             return self.deny(asker, 429, "busy");
         }
         // The owner sees all accepts, its own too, and counts them when they have been made.
-        self.writes.take(now, if writes && !self.owns() { 1.0 } else { 0.0 });
-        self.accept(Submission { asker, spec: Box::new(spec), at: now, tries: 0 });
+        self.writes
+            .take(now, if writes && !self.owns() { 1.0 } else { 0.0 });
+        self.accept(Submission {
+            asker,
+            spec: Box::new(spec),
+            at: now,
+            tries: 0,
+        });
     }
 
     /// Accepts a job, or refuses it for good: both in one transaction, which holds only if the job is not known yet
     /// and the documents that it was judged by are in force.
     fn accept(&mut self, submission: Submission) {
-        let Submission { asker, spec, at, .. } = &submission;
+        let Submission {
+            asker, spec, at, ..
+        } = &submission;
         // The acceptance counts from the first try.
         let wall = self.now.wall - (self.now.mono - at);
         // What can be bound, and to what, is for the versions in force to say.
         let Some(mut guards) = self.head_guards() else {
             // A peer has read what this node has not yet.
             return match asker {
-                Asker::User(conn) if self.shared.revision == 0 => self.hand_submit(*conn, submission.spec),
+                Asker::User(conn) if self.shared.revision == 0 => {
+                    self.hand_submit(*conn, submission.spec)
+                }
                 _ => self.accept_later(submission),
             };
         };
         guards.extend([
-            Guard { key: records::live_key(&spec.id), version: 0 },
-            Guard { key: records::end_key(&spec.id), version: 0 },
+            Guard {
+                key: records::live_key(&spec.id),
+                version: 0,
+            },
+            Guard {
+                key: records::end_key(&spec.id),
+                version: 0,
+            },
         ]);
         // Judged each time: between two tries another version may have come into force.
         let (writes, denied) = match self.judged(spec, wall) {
-            Ok(rec) => (vec![Write::put(records::live_key(&spec.id), Record::Job(Box::new(rec)))], None),
+            Ok(rec) => (
+                vec![Write::put(
+                    records::live_key(&spec.id),
+                    Record::Job(Box::new(rec)),
+                )],
+                None,
+            ),
             Err(why) => (Vec::new(), Some(why)),
         };
         let body = wire::encode(&Txn { guards, writes });
-        let what = Pending::Accept { submission, denied, mark: self.said.mark() };
-        self.send(Dest::State, "POST", "/txn".into(), body, ACCEPT_TIMEOUT_MS, what);
+        let what = Pending::Accept {
+            submission,
+            denied,
+            mark: self.said.mark(),
+        };
+        self.send(
+            Dest::State,
+            "POST",
+            "/txn".into(),
+            body,
+            ACCEPT_TIMEOUT_MS,
+            what,
+        );
     }
 
     /// Once more in a moment, if there is time for it.
     fn accept_later(&mut self, submission: Submission) {
         let now = self.now.mono;
-        let Submission { asker, at, tries, .. } = submission;
+        let Submission {
+            asker, at, tries, ..
+        } = submission;
         if tries >= 3 || now >= at + 700 {
             // It may be accepted all the same: the retry will be told.
             return self.deny(asker, 503, "state service not available");
         }
         let again = now + self.rng.u64(60..200);
-        self.retries.push_back((again, Submission { tries: tries + 1, ..submission }));
+        self.retries.push_back((
+            again,
+            Submission {
+                tries: tries + 1,
+                ..submission
+            },
+        ));
     }
 
     pub(crate) fn accepted(
@@ -191,7 +266,9 @@
         match (r.as_ref().map(|r| r.status), denied) {
             // Only this node may be refused, or not heard: another may take the job at once. Should our own try
             // have gone through, it will find the job known.
-            (None | Some(503), _) if let Asker::User(conn) = asker => self.hand_submit(conn, submission.spec),
+            (None | Some(503), _) if let Asker::User(conn) = asker => {
+                self.hand_submit(conn, submission.spec)
+            }
             // The denial is as old as its transaction: what this node has told since is newer.
             (Some(200), Some(_)) if self.said.since(&submission.spec.id, mark) => {
                 self.query_for(asker, submission.spec.id, Why::Known)
@@ -203,7 +280,12 @@
             (Some(200), None) => {
                 self.stats.accepted += 1;
                 log::debug!("job {}: accepted", submission.spec.id);
-                let state = JobState { id: submission.spec.id, stage: Stage::Pending, done: 0, running: 0 };
+                let state = JobState {
+                    id: submission.spec.id,
+                    stage: Stage::Pending,
+                    done: 0,
+                    running: 0,
+                };
                 self.tell_accepted(asker, state)
             }
             // Judged and bound by a version that is no longer in force, and neither accepted nor refused.
@@ -220,13 +302,20 @@
 
     fn hand_submit(&mut self, conn: u64, spec: Box<JobSpec>) {
         let until = self.now.mono + SUBMIT_WAITS_MS;
-        self.hand(Handed { conn, ask: Box::new(Ask::Submit { spec }), until, fault: None });
+        self.hand(Handed {
+            conn,
+            ask: Box::new(Ask::Submit { spec }),
+            until,
+            fault: None,
+        });
     }
 
     pub(crate) fn door_tick(&mut self) {
         let now = self.now.mono;
         for _ in 0..self.retries.len() {
-            let Some((due, submission)) = self.retries.pop_front() else { return };
+            let Some((due, submission)) = self.retries.pop_front() else {
+                return;
+            };
             if due <= now {
                 self.accept(submission);
             } else {
@@ -254,10 +343,19 @@
         if let Some(state) = self.finals.get(&id) {
             return self.tell(Asker::User(conn), state);
         }
-        let Some(peer) = self.owner_peer() else { return self.refuse(conn, 503, "no owner now") };
+        let Some(peer) = self.owner_peer() else {
+            return self.refuse(conn, 503, "no owner now");
+        };
         let body = peer::encode(&Ask::Cancel { job: id.clone() });
         let what = Pending::PeerCancel { conn, job: id };
-        self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body, CANCEL_TIMEOUT_MS, what);
+        self.send(
+            Dest::Peer(peer),
+            "POST",
+            peer::PATH.into(),
+            body,
+            CANCEL_TIMEOUT_MS,
+            what,
+        );
     }
 
     pub(crate) fn peer_cancelled(&mut self, conn: u64, job: String, r: Option<Response>) {
@@ -282,7 +380,11 @@
         };
         match ask {
             Some(Ask::Query { job }) => {
-                let unknown = if self.decides() { Answer::Unknown } else { Answer::NotNow };
+                let unknown = if self.decides() {
+                    Answer::Unknown
+                } else {
+                    Answer::NotNow
+                };
                 match self.state_here(&job) {
                     Some(state) => self.tell(Asker::Peer(conn), state),
                     None => self.respond(conn, 200, peer::encode(&unknown), None),
@@ -292,7 +394,10 @@
             Some(Ask::Submit { spec }) => self.submit(Asker::Peer(conn), *spec),
             Some(Ask::Lookup { job, past_owner }) => {
                 let question = self.question(Asker::Peer(conn), job, Why::Query);
-                self.query(Question { past_owner, ..question })
+                self.query(Question {
+                    past_owner,
+                    ..question
+                })
             }
             Some(Ask::Owns { node, token }) => {
                 self.owner_said(node, token);
@@ -300,15 +405,24 @@
             }
             Some(Ask::View(view)) => {
                 let Some(peer) = self.view_seen(view) else {
-                    return self.refuse(conn, 400, "view: from nobody we know, or a token that can't be");
+                    return self.refuse(
+                        conn,
+                        400,
+                        "view: from nobody we know, or a token that can't be",
+                    );
+                };
+                let view = peer::View {
+                    keep: self.charge_for(peer),
+                    ..self.view()
                 };
-                let view = peer::View { keep: self.charge_for(peer), ..self.view() };
                 self.respond(conn, 200, peer::encode(&Answer::View(view)), None);
             }
             Some(Ask::Reports { node, reports }) => self.reports_handed(conn, &node, reports),
-            Some(Ask::Tell { machine, addr, body }) => {
-                self.tell_asked(conn, &machine, &addr, body.into_vec())
-            }
+            Some(Ask::Tell {
+                machine,
+                addr,
+                body,
+            }) => self.tell_asked(conn, &machine, &addr, body.into_vec()),
             Some(Ask::Wake { model, owner }) => self.demand_of_peer(conn, &model, owner),
             None => self.refuse(conn, 400, "not understood"),
         }
@@ -318,7 +432,9 @@
     pub(crate) fn deny(&mut self, asker: Asker, status: u16, why: &str) {
         match asker {
             Asker::User(conn) => self.refuse(conn, status, why),
-            Asker::Peer(conn) => self.respond(conn, 200, peer::encode(&Answer::refused(status, why)), None),
+            Asker::Peer(conn) => {
+                self.respond(conn, 200, peer::encode(&Answer::refused(status, why)), None)
+            }
         }
     }
 
@@ -344,7 +460,9 @@
         self.said.note(&state.id);
         match asker {
             Asker::User(conn) => self.respond(conn, 201, wire::encode(&state), None),
-            Asker::Peer(conn) => self.respond(conn, 200, peer::encode(&Answer::Accepted(state)), None),
+            Asker::Peer(conn) => {
+                self.respond(conn, 200, peer::encode(&Answer::Accepted(state)), None)
+            }
         }
     }
 
--- a/crates/control/src/election.rs
+++ b/crates/control/src/election.rs
@@ -106,19 +106,38 @@
                 self.watch_shared();
             } else {
                 let path = format!("/keys?under={}&limit=1000", records::SHARED);
-                self.send(Dest::State, "GET", path, Vec::new(), 2000, Pending::SharedRead);
+                self.send(
+                    Dest::State,
+                    "GET",
+                    path,
+                    Vec::new(),
+                    2000,
+                    Pending::SharedRead,
+                );
             }
         }
         match self.role {
             Role::Follower { may_stand_at } => self.follow(may_stand_at),
             Role::Standing { give_up_at, .. } if now >= give_up_at => {
-                self.role = Role::Follower { may_stand_at: now + self.rng.u64(100..1000) };
+                self.role = Role::Follower {
+                    may_stand_at: now + self.rng.u64(100..1000),
+                };
                 self.reread_shared(0);
             }
             Role::Standing { .. } => {}
-            Role::Owner { lease, renewed, next_renewal, busy } => {
+            Role::Owner {
+                lease,
+                renewed,
+                next_renewal,
+                busy,
+            } => {
                 if !busy && now >= next_renewal {
-                    self.role = Role::Owner { lease, renewed, next_renewal, busy: true };
+                    self.role = Role::Owner {
+                        lease,
+                        renewed,
+                        next_renewal,
+                        busy: true,
+                    };
                     let path = format!("/grants/{lease}/renew");
                     let what = Pending::Renew { lease, sent: now };
                     // In an outage the answer is slow to come; a late one is as good as its sending time.
@@ -135,11 +154,25 @@
         if vacant && may_stand_at == 0 && self.shared.owner.is_none() {
             // A little luck keeps all from standing at once.
             let wait = self.rng.u64(20..250);
-            self.role = Role::Follower { may_stand_at: now + wait };
+            self.role = Role::Follower {
+                may_stand_at: now + wait,
+            };
         } else if vacant && now >= may_stand_at {
-            self.role = Role::Standing { lease: None, sent: now, give_up_at: now + 4000, former: None };
+            self.role = Role::Standing {
+                lease: None,
+                sent: now,
+                give_up_at: now + 4000,
+                former: None,
+            };
             let body = wire::encode(&GrantRequest { ttl_ms: self.ttl() });
-            self.send(Dest::State, "POST", "/grants".into(), body, 2000, Pending::Grant { sent: now });
+            self.send(
+                Dest::State,
+                "POST",
+                "/grants".into(),
+                body,
+                2000,
+                Pending::Grant { sent: now },
+            );
         } else if !vacant && may_stand_at != 0 && now >= may_stand_at {
             self.role = Role::Follower { may_stand_at: 0 };
         }
@@ -159,8 +192,14 @@
 
     fn watch_shared(&mut self) {
         self.shared.round += 1;
-        let path = format!("/changes?under={}&from={}&waitMs=5000", records::SHARED, self.shared.revision);
-        let what = Pending::SharedWatch { round: self.shared.round };
+        let path = format!(
+            "/changes?under={}&from={}&waitMs=5000",
+            records::SHARED,
+            self.shared.revision
+        );
+        let what = Pending::SharedWatch {
+            round: self.shared.round,
+        };
         self.send(Dest::State, "GET", path, Vec::new(), 7000, what);
     }
 
@@ -245,26 +284,49 @@
         } else if key == records::owner_key(PART)
             && let (Some(node), Some(token), Some(lease)) = (rec.node, rec.token, rec.lease)
         {
-            self.shared.owner =
-                Some(OwnerView { rec: OwnerRec { node, token, lease, life: rec.life }, version });
+            self.shared.owner = Some(OwnerView {
+                rec: OwnerRec {
+                    node,
+                    token,
+                    lease,
+                    life: rec.life,
+                },
+                version,
+            });
         }
     }
 
     /// Draws the conclusions from who is the owner now.
     fn owner_seen(&mut self) {
-        let mine = |o: &OwnerView, lease: u64, node: &str| o.rec.node == node && o.rec.lease == lease;
+        let mine =
+            |o: &OwnerView, lease: u64, node: &str| o.rec.node == node && o.rec.lease == lease;
         let node = self.settings.node.clone();
         match self.role {
             Role::Owner { lease, .. }
-                if !self.shared.owner.as_ref().is_some_and(|o| mine(o, lease, &node)) =>
+                if !self
+                    .shared
+                    .owner
+                    .as_ref()
+                    .is_some_and(|o| mine(o, lease, &node)) =>
             {
-                if self.shared.owner.as_ref().is_some_and(|o| self.life.is_namesakes(&o.rec, &node)) {
-                    log::error!("another process lives under the name {node}; only one of them can serve");
+                if self
+                    .shared
+                    .owner
+                    .as_ref()
+                    .is_some_and(|o| self.life.is_namesakes(&o.rec, &node))
+                {
+                    log::error!(
+                        "another process lives under the name {node}; only one of them can serve"
+                    );
                 }
                 self.step_down("another owner, or none, stands in the state service");
             }
             // Our take-over went through although its answer was lost.
-            Role::Standing { lease: Some(lease), sent, .. } => {
+            Role::Standing {
+                lease: Some(lease),
+                sent,
+                ..
+            } => {
                 if let Some(o) = self.shared.owner.clone().filter(|o| mine(o, lease, &node)) {
                     self.become_owner(lease, sent, o.rec.token, o.version);
                 }
@@ -275,27 +337,49 @@
     }
 
     pub(crate) fn granted(&mut self, asked: u64, response: Option<Response>) {
-        let Role::Standing { lease: None, sent, give_up_at, .. } = self.role else { return };
+        let Role::Standing {
+            lease: None,
+            sent,
+            give_up_at,
+            ..
+        } = self.role
+        else {
+            return;
+        };
         if sent != asked {
             return;
         }
-        let grant =
-            response.filter(|r| r.status == 200).and_then(|r| self.read::<Grant>("state service", &r));
+        let grant = response
+            .filter(|r| r.status == 200)
+            .and_then(|r| self.read::<Grant>("state service", &r));
         let Some(Grant { lease }) = grant else {
-            self.role = Role::Follower { may_stand_at: self.now.mono + self.rng.u64(200..600) };
+            self.role = Role::Follower {
+                may_stand_at: self.now.mono + self.rng.u64(200..600),
+            };
             return;
         };
         let Some((version, former)) = self.replaceable() else {
             self.role = Role::Follower { may_stand_at: 0 };
             return;
         };
-        self.role = Role::Standing { lease: Some(lease), sent, give_up_at, former };
+        self.role = Role::Standing {
+            lease: Some(lease),
+            sent,
+            give_up_at,
+            former,
+        };
         let token = self.shared.token + 1;
         let owner = self.own_record(token, lease);
         let txn = Txn {
             guards: vec![
-                Guard { key: records::owner_key(PART), version },
-                Guard { key: records::TOKEN.into(), version: self.shared.token_version },
+                Guard {
+                    key: records::owner_key(PART),
+                    version,
+                },
+                Guard {
+                    key: records::TOKEN.into(),
+                    version: self.shared.token_version,
+                },
             ],
             writes: vec![
                 Write::Put {
@@ -318,7 +402,14 @@
     }
 
     pub(crate) fn took(&mut self, asked: u64, token: u64, response: Option<Response>) {
-        let Role::Standing { lease: Some(lease), sent, .. } = self.role else { return };
+        let Role::Standing {
+            lease: Some(lease),
+            sent,
+            ..
+        } = self.role
+        else {
+            return;
+        };
         if lease != asked {
             return;
         }
@@ -328,39 +419,64 @@
             .and_then(|r| wire::decode::<wire::api::Revision>(&r.body).ok());
         match won {
             // The answer was so late that another owner is known to have followed already.
-            Some(r) if self.shared.owner.as_ref().is_some_and(|o| o.version > r.revision) => {
+            Some(r)
+                if self
+                    .shared
+                    .owner
+                    .as_ref()
+                    .is_some_and(|o| o.version > r.revision) =>
+            {
                 self.role = Role::Follower { may_stand_at: 0 };
             }
             Some(r) => {
                 self.shared.token = token;
                 self.shared.token_version = r.revision;
                 let rec = self.own_record(token, lease);
-                self.shared.owner = Some(OwnerView { rec, version: r.revision });
+                self.shared.owner = Some(OwnerView {
+                    rec,
+                    version: r.revision,
+                });
                 self.become_owner(lease, sent, token, r.revision);
             }
             // No answer: it may be in place, which a fresh read will show while we still stand.
             None if response.is_none() => self.reread_shared(0),
             None => {
-                self.role = Role::Follower { may_stand_at: self.now.mono + self.rng.u64(50..300) };
+                self.role = Role::Follower {
+                    may_stand_at: self.now.mono + self.rng.u64(50..300),
+                };
                 self.reread_shared(0);
             }
         }
     }
 
     fn own_record(&self, token: u64, lease: u64) -> OwnerRec {
-        OwnerRec { node: self.settings.node.clone(), token, lease, life: self.life.mark() }
+        OwnerRec {
+            node: self.settings.node.clone(),
+            token,
+            lease,
+            life: self.life.mark(),
+        }
     }
 
     fn become_owner(&mut self, lease: u64, renewed: u64, token: u64, version: u64) {
         log::info!("owner of part {PART} with token {token}");
         let now = self.now.mono;
         self.life.owns_now();
-        if let Role::Standing { former: Some(former), .. } = self.role {
+        if let Role::Standing {
+            former: Some(former),
+            ..
+        } = self.role
+        {
             // Nothing hangs on it any more. If it is renewed all the same, whoever does so hears that it is over.
             self.end_lease(former);
         }
         self.shared.highest = self.shared.highest.max(token);
-        self.role = Role::Owner { lease, renewed, next_renewal: now, busy: false };
+        self.role = Role::Owner {
+            lease,
+            renewed,
+            next_renewal: now,
+            busy: false,
+        };
         self.epoch += 1;
         self.shared.documents.forget_readings();
         let c = self.settings.cluster.state.clone();
@@ -370,10 +486,20 @@
         self.set_writes(c.write_rps * OWNER_WRITES);
         self.part = Some(Part::new(token, version, now, c.value_kb));
         self.start_load();
-        let body = wire::peer::encode(&Ask::Owns { node: self.settings.node.clone(), token });
+        let body = wire::peer::encode(&Ask::Owns {
+            node: self.settings.node.clone(),
+            token,
+        });
         for i in 0..self.settings.peers.len() {
             let to = Dest::Peer(i);
-            self.send(to, "POST", wire::peer::PATH.into(), body.clone(), 1000, Pending::Release);
+            self.send(
+                to,
+                "POST",
+                wire::peer::PATH.into(),
+                body.clone(),
+                1000,
+                Pending::Release,
+            );
         }
     }
 
@@ -384,7 +510,10 @@
         if !self.sure() && self.part.as_ref().is_some_and(|p| p.token < token) {
             self.step_down("a peer owns the fleet with a higher token");
         }
-        let newest = self.hint.as_ref().is_none_or(|h| h.token <= token || h.until <= self.now.mono);
+        let newest = self
+            .hint
+            .as_ref()
+            .is_none_or(|h| h.token <= token || h.until <= self.now.mono);
         if newest && self.settings.peers.iter().any(|p| p.node == node) {
             self.hint = Some(Hint { node, token, until });
         }
@@ -392,7 +521,9 @@
 
     /// The highest token that this node knows of, by itself or from whoever named one as its own last.
     pub(crate) fn highest_token(&self) -> u64 {
-        self.shared.highest.max(self.hint.as_ref().map_or(0, |h| h.token))
+        self.shared
+            .highest
+            .max(self.hint.as_ref().map_or(0, |h| h.token))
     }
 
     /// The node that workers should report to.
@@ -405,14 +536,23 @@
     }
 
     fn owner_known(&self) -> Option<(u64, &str)> {
-        let known = self.shared.owner.as_ref().map(|o| (o.rec.token, o.rec.node.as_str()));
+        let known = self
+            .shared
+            .owner
+            .as_ref()
+            .map(|o| (o.rec.token, o.rec.node.as_str()));
         let said = self.hint.as_ref().filter(|h| h.until > self.now.mono);
         let said = said.map(|h| (h.token, h.node.as_str()));
-        known.into_iter().chain(said).max_by_key(|(token, _)| *token)
+        known
+            .into_iter()
+            .chain(said)
+            .max_by_key(|(token, _)| *token)
     }
 
     pub(crate) fn renewed(&mut self, asked: u64, sent: u64, response: Option<Response>) {
-        let Role::Owner { lease, renewed, .. } = self.role else { return };
+        let Role::Owner { lease, renewed, .. } = self.role else {
+            return;
+        };
         if lease != asked {
             return;
         }
@@ -420,18 +560,35 @@
         let every = self.ttl() / 4;
         match response.map(|r| r.status) {
             Some(200) => {
-                self.role = Role::Owner { lease, renewed: sent, next_renewal: sent + every, busy: false };
+                self.role = Role::Owner {
+                    lease,
+                    renewed: sent,
+                    next_renewal: sent + every,
+                    busy: false,
+                };
             }
             Some(404) => self.step_down("the lease has ended"),
             _ => {
                 let again = now + self.rng.u64(50..200);
-                self.role = Role::Owner { lease, renewed, next_renewal: again, busy: false };
+                self.role = Role::Owner {
+                    lease,
+                    renewed,
+                    next_renewal: again,
+                    busy: false,
+                };
             }
         }
     }
 
     fn end_lease(&mut self, lease: u64) {
-        self.send(Dest::State, "DELETE", format!("/grants/{lease}"), Vec::new(), 2000, Pending::Release);
+        self.send(
+            Dest::State,
+            "DELETE",
+            format!("/grants/{lease}"),
+            Vec::new(),
+            2000,
+            Pending::Release,
+        );
     }
 
     /// Gives ownership up, for good unless elected again with a higher token.
@@ -458,6 +615,8 @@
 
     /// Stays out of the next election, so that a better placed node can win it.
     pub(crate) fn stand_back(&mut self, ms: u64) {
-        self.role = Role::Follower { may_stand_at: self.now.mono + ms };
+        self.role = Role::Follower {
+            may_stand_at: self.now.mono + ms,
+        };
     }
 }
--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -35,21 +35,38 @@
             return;
         }
         self.catalog_at = now + CATALOG_EVERY_MS;
-        self.send(Dest::Cloud, "GET", "/catalog".into(), Vec::new(), CLOUD_TIMEOUT_MS, Pending::Catalog);
+        self.send(
+            Dest::Cloud,
+            "GET",
+            "/catalog".into(),
+            Vec::new(),
+            CLOUD_TIMEOUT_MS,
+            Pending::Catalog,
+        );
     }
 
     pub(crate) fn catalog_came(&mut self, response: Option<Response>) {
-        let catalog = response.filter(|r| r.status == 200).and_then(|r| self.read::<Catalog>("cloud", &r));
+        let catalog = response
+            .filter(|r| r.status == 200)
+            .and_then(|r| self.read::<Catalog>("cloud", &r));
         let Some(mut catalog) = catalog else {
             self.catalog_at = self.now.mono + self.rng.u64(1000..2500);
             return;
         };
         catalog.types.truncate(64);
         // Prices move all the time; the record is for those who start without the cloud.
-        let names =
-            |c: &Catalog| c.types.iter().map(|t| (t.name.clone(), t.zones.clone())).collect::<Vec<_>>();
+        let names = |c: &Catalog| {
+            c.types
+                .iter()
+                .map(|t| (t.name.clone(), t.zones.clone()))
+                .collect::<Vec<_>>()
+        };
         let known = self.shared.catalog_version > 0
-            && self.shared.catalog.as_ref().is_some_and(|old| names(old) == names(&catalog));
+            && self
+                .shared
+                .catalog
+                .as_ref()
+                .is_some_and(|old| names(old) == names(&catalog));
         self.shared.catalog = Some(catalog);
         if let Some(part) = &mut self.part {
             part.catalog_dirty |= !known;
@@ -91,7 +108,14 @@
                 count: rec.count,
             });
             let what = Pending::Hire { epoch, name };
-            self.send(Dest::Cloud, "POST", "/machines".into(), body, CLOUD_TIMEOUT_MS, what);
+            self.send(
+                Dest::Cloud,
+                "POST",
+                "/machines".into(),
+                body,
+                CLOUD_TIMEOUT_MS,
+                what,
+            );
         }
         let Some(part) = &mut self.part else { return };
         if !part.delete_busy && now >= part.delete_retry_at {
@@ -101,11 +125,20 @@
                 .collect();
             if !machines.is_empty() && self.cloud.try_take(now, 1.0) {
                 part.delete_busy = true;
-                let names =
-                    machines.iter().filter_map(|m| part.machine(*m).map(|x| x.name.clone())).collect();
+                let names = machines
+                    .iter()
+                    .filter_map(|m| part.machine(*m).map(|x| x.name.clone()))
+                    .collect();
                 let body = wire::encode(&MachineNames { machines: names });
                 let what = Pending::Delete { epoch, machines };
-                self.send(Dest::Cloud, "POST", "/machines/delete".into(), body, CLOUD_TIMEOUT_MS, what);
+                self.send(
+                    Dest::Cloud,
+                    "POST",
+                    "/machines/delete".into(),
+                    body,
+                    CLOUD_TIMEOUT_MS,
+                    what,
+                );
             }
         }
         let every = (self.settings.cluster.cloud.list_lag_s * 500.0) as u64;
@@ -113,14 +146,28 @@
         if !part.list.busy && now >= part.list.next_at && self.cloud.try_take(now, 1.0) {
             part.list.busy = true;
             part.list.next_at = now + every.max(1500);
-            let from = part.list.after.as_ref().map(|a| format!("from={a}&")).unwrap_or_default();
+            let from = part
+                .list
+                .after
+                .as_ref()
+                .map(|a| format!("from={a}&"))
+                .unwrap_or_default();
             let path = format!("/machines?{from}limit=500");
-            self.send(Dest::Cloud, "GET", path, Vec::new(), CLOUD_TIMEOUT_MS, Pending::List { epoch });
+            self.send(
+                Dest::Cloud,
+                "GET",
+                path,
+                Vec::new(),
+                CLOUD_TIMEOUT_MS,
+                Pending::List { epoch },
+            );
         }
     }
 
     pub(crate) fn list_came(&mut self, response: Option<Response>) {
-        let list = response.filter(|r| r.status == 200).and_then(|r| self.read::<MachineList>("cloud", &r));
+        let list = response
+            .filter(|r| r.status == 200)
+            .and_then(|r| self.read::<MachineList>("cloud", &r));
         self.forget_returned();
         let Some(part) = &mut self.part else { return };
         part.list.busy = false;
@@ -141,7 +188,9 @@
         let now = self.now;
         let Some(part) = &mut self.part else { return };
         if let Some(m) = part.machine_ix.get(&l.name).copied() {
-            let Some(machine) = part.machine_mut(m) else { return };
+            let Some(machine) = part.machine_mut(m) else {
+                return;
+            };
             if machine.addr.is_none() {
                 machine.addr = l.addr.parse().ok();
             }
@@ -158,8 +207,11 @@
         }
         // Machines of a rental whose answer is still out are expected, but take them in all the same.
         log::info!("machine {}: listed, taken in", l.name);
-        let hired = now.wall.saturating_sub((l.age_s.clamp(0.0, 1e6) * 1000.0) as u64);
-        let mut machine = Machine::unrecorded(&l.name, &l.machine_type, &l.zone, l.spot, hired, now.mono);
+        let hired = now
+            .wall
+            .saturating_sub((l.age_s.clamp(0.0, 1e6) * 1000.0) as u64);
+        let mut machine =
+            Machine::unrecorded(&l.name, &l.machine_type, &l.zone, l.spot, hired, now.mono);
         machine.addr = l.addr.parse().ok();
         machine.failed = l.stage == "failed";
         machine.deleting = machine.failed;
@@ -180,21 +232,35 @@
             count: count.min(50),
             at_ms: wall,
         };
-        part.hires.insert(name, Hire { rec, version: 0, busy: false, retry_at: 0, state: HireState::New });
+        part.hires.insert(
+            name,
+            Hire {
+                rec,
+                version: 0,
+                busy: false,
+                retry_at: 0,
+                state: HireState::New,
+            },
+        );
     }
 
     pub(crate) fn hired(&mut self, name: String, response: Option<Response>) {
         let now = self.now;
         let status = response.as_ref().map(|r| r.status);
-        let got =
-            response.as_ref().filter(|r| r.status == 200).and_then(|r| self.read::<MachineNames>("cloud", r));
+        let got = response
+            .as_ref()
+            .filter(|r| r.status == 200)
+            .and_then(|r| self.read::<MachineNames>("cloud", r));
         let no_capacity = status == Some(503)
             && response.as_ref().is_some_and(|r| {
-                wire::decode::<wire::api::ErrorBody>(&r.body).is_ok_and(|e| e.error == "no capacity")
+                wire::decode::<wire::api::ErrorBody>(&r.body)
+                    .is_ok_and(|e| e.error == "no capacity")
             });
         let wait = self.rng.u64(500..1500);
         let Some(part) = &mut self.part else { return };
-        let Some(hire) = part.hires.get_mut(&name) else { return };
+        let Some(hire) = part.hires.get_mut(&name) else {
+            return;
+        };
         self.to_write = true;
         hire.busy = false;
         let rec = hire.rec.clone();
@@ -211,13 +277,16 @@
                     continue;
                 }
                 let (kind, zone) = (&rec.machine_type, &rec.zone);
-                part.add_machine(Machine::unrecorded(&machine, kind, zone, rec.spot, rec.at_ms, now.mono));
+                part.add_machine(Machine::unrecorded(
+                    &machine, kind, zone, rec.spot, rec.at_ms, now.mono,
+                ));
             }
         } else if no_capacity || status == Some(400) {
             log::info!("hire {name}: none to be had");
             hire.state = HireState::Over;
             let times = part.refused.get(&kind).map_or(0, |(_, n)| *n) + 1;
-            part.refused.insert(kind, (now.mono + 8000 * u64::from(times.min(4)), times));
+            part.refused
+                .insert(kind, (now.mono + 8000 * u64::from(times.min(4)), times));
         } else {
             hire.retry_at = now.mono + wait;
         }
@@ -236,7 +305,9 @@
         let mut changed = std::collections::BTreeSet::new();
         for m in machines {
             let Some(part) = &mut self.part else { return };
-            let Some(machine) = part.machine_mut(m) else { continue };
+            let Some(machine) = part.machine_mut(m) else {
+                continue;
+            };
             log::info!("machine {}: returned", machine.name);
             let name = machine.name.clone();
             let claims = machine.claims.len();
@@ -304,11 +375,16 @@
                     (false, true) => Some(MUTE_MS),
                     (false, false) => None,
                 };
-                if every.is_some_and(|ms| now.mono >= machine.probed_at + ms) && machine.probe.is_none() {
+                if every.is_some_and(|ms| now.mono >= machine.probed_at + ms)
+                    && machine.probe.is_none()
+                {
                     probes.push(m);
                 }
             } else {
-                let boot = boots.iter().find(|(n, _)| *n == machine.machine_type).map_or(60.0, |(_, b)| *b);
+                let boot = boots
+                    .iter()
+                    .find(|(n, _)| *n == machine.machine_type)
+                    .map_or(60.0, |(_, b)| *b);
                 let age = now.wall.saturating_sub(machine.hired_ms) as f64 / 1000.0;
                 // After a take-over a machine that is up has to find us first.
                 if age > boot * patience && gap as f64 > boot * 500.0 {
@@ -323,7 +399,9 @@
         if up >= 4
             && quiet * 2 > up
             && can_follow
-            && self.stood_back_at.is_none_or(|at| now.mono > at + STAND_BACK_MEMORY_MS)
+            && self
+                .stood_back_at
+                .is_none_or(|at| now.mono > at + STAND_BACK_MEMORY_MS)
         {
             // That many seldom fail at once: more likely we are cut off from them, and another node is not.
             // Only once in a while, though: where they did fail, every node would hand them on for ever and
@@ -338,12 +416,17 @@
             self.never_started(m, &claims);
         }
         for m in probes {
-            let Some(machine) = self.part.as_mut().and_then(|p| p.machine_mut(m)) else { continue };
+            let Some(machine) = self.part.as_mut().and_then(|p| p.machine_mut(m)) else {
+                continue;
+            };
             if machine.addr.is_some() {
                 self.call(m);
             } else if now.mono.saturating_sub(machine.heard_at) > lease {
                 // Neither its worker nor the cloud's list has told where it is.
-                log::warn!("machine {}: silent and without address, to be returned", machine.name);
+                log::warn!(
+                    "machine {}: silent and without address, to be returned",
+                    machine.name
+                );
                 machine.deleting = true;
             }
         }
@@ -356,16 +439,25 @@
         let late = (self.settings.cluster.workers.report_s * 1250.0) as u64 + 1000;
         let Some(part) = &mut self.part else { return };
         let mut zones: BTreeMap<&str, (u32, u32, u32)> = BTreeMap::new();
-        for machine in part.machines.iter().flatten().filter(|m| m.is_known_up() && !m.deleting) {
+        for machine in part
+            .machines
+            .iter()
+            .flatten()
+            .filter(|m| m.is_known_up() && !m.deleting)
+        {
             let (up, quiet, relayed) = zones.entry(machine.zone.as_str()).or_default();
             *up += 1;
             *relayed += u32::from(machine.via.is_some());
             *quiet += u32::from(now.saturating_sub(machine.heard_at) > late);
         }
         // Where some are heard by way of a peer, the others are likely to find it too.
-        let detour = zones.iter().filter(|(_, (up, _, relayed))| relayed * 8 > *up);
+        let detour = zones
+            .iter()
+            .filter(|(_, (up, _, relayed))| relayed * 8 > *up);
         let detour: BTreeSet<String> = detour.map(|(zone, _)| (*zone).to_owned()).collect();
-        let cut = zones.iter().filter(|(_, (up, quiet, _))| *up >= 4 && quiet * 3 > *up);
+        let cut = zones
+            .iter()
+            .filter(|(_, (up, quiet, _))| *up >= 4 && quiet * 3 > *up);
         let cut: BTreeSet<String> = cut.map(|(zone, _)| (*zone).to_owned()).collect();
         for zone in cut.difference(&part.cut_zones) {
             log::warn!("zone {zone}: many of its machines can't be heard");
@@ -384,9 +476,17 @@
         }
         let since = part.since;
         let unheard = |m: &Machine| {
-            m.heard_at <= since && m.addr.is_some() && m.probe.is_none() && m.probed_at < since && !m.deleting
+            m.heard_at <= since
+                && m.addr.is_some()
+                && m.probe.is_none()
+                && m.probed_at < since
+                && !m.deleting
         };
-        let due = part.machines.iter().enumerate().filter(|(_, m)| m.as_ref().is_some_and(unheard));
+        let due = part
+            .machines
+            .iter()
+            .enumerate()
+            .filter(|(_, m)| m.as_ref().is_some_and(unheard));
         let due: Vec<usize> = due.map(|(m, _)| m).take(CALLS_A_TICK).collect();
         for m in due {
             self.call(m);
--- a/crates/control/src/hand.rs
+++ b/crates/control/src/hand.rs
@@ -73,7 +73,8 @@
 
     /// Whether the state service seems not to serve this node now; others may be served.
     pub(crate) fn state_down(&self) -> bool {
-        self.state_bad_at.is_some_and(|at| self.now.mono < at + STATE_BAD_MS)
+        self.state_bad_at
+            .is_some_and(|at| self.now.mono < at + STATE_BAD_MS)
     }
 
     /// Whom a request is handed to: the owner, or another that says it is served, or one that says nothing. If all say
@@ -82,10 +83,23 @@
         let now = self.now.mono;
         let peers = 0..self.settings.peers.len();
         let able: Vec<usize> = peers.filter(|p| !self.hands.rests(*p, now)).collect();
-        let served = |down| able.iter().copied().filter(|p| self.says_down(*p) == down).collect::<Vec<_>>();
+        let served = |down| {
+            able.iter()
+                .copied()
+                .filter(|p| self.says_down(*p) == down)
+                .collect::<Vec<_>>()
+        };
         let (up, silent) = (served(Some(false)), served(None));
-        let past_owner = matches!(ask, Ask::Lookup { past_owner: true, .. });
-        let owner = self.owner_peer().filter(|p| !past_owner && able.contains(p));
+        let past_owner = matches!(
+            ask,
+            Ask::Lookup {
+                past_owner: true,
+                ..
+            }
+        );
+        let owner = self
+            .owner_peer()
+            .filter(|p| !past_owner && able.contains(p));
         if let Some(owner) = owner.filter(|p| self.says_down(*p) != Some(true)) {
             return Some(owner);
         }
@@ -99,7 +113,11 @@
     /// Hands a user's request on.
     pub(crate) fn hand(&mut self, handed: Handed) {
         let now = self.now.mono;
-        let helper = if handed.until < now + LEAST_MS { None } else { self.helper(&handed.ask) };
+        let helper = if handed.until < now + LEAST_MS {
+            None
+        } else {
+            self.helper(&handed.ask)
+        };
         let Some(peer) = helper else {
             self.stats.unanswered += u64::from(matches!(*handed.ask, Ask::Lookup { .. }));
             return self.refuse(handed.conn, 503, "state service not available");
@@ -107,8 +125,20 @@
         self.stats.handed += 1;
         let body = peer::encode(&*handed.ask);
         let timeout = (handed.until - now).min(HAND_TIMEOUT_MS);
-        let what = Pending::Hand { handed, peer, sent: now, mark: self.said.mark() };
-        self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body, timeout, what);
+        let what = Pending::Hand {
+            handed,
+            peer,
+            sent: now,
+            mark: self.said.mark(),
+        };
+        self.send(
+            Dest::Peer(peer),
+            "POST",
+            peer::PATH.into(),
+            body,
+            timeout,
+            what,
+        );
     }
 
     /// A peer's answer to what was handed to it. One that gives none rests, so another is asked while there is time.
@@ -128,7 +158,9 @@
         match peer_answer(r) {
             Some(Answer::State(state)) => self.tell(Asker::User(conn), state),
             Some(Answer::Accepted(state)) => self.tell_accepted(Asker::User(conn), state),
-            Some(Answer::Refused { status, why }) => self.refused_by_peer(&handed, mark, status, &why),
+            Some(Answer::Refused { status, why }) => {
+                self.refused_by_peer(&handed, mark, status, &why)
+            }
             _ => self.refuse(conn, 503, "state service not available"),
         }
     }
@@ -137,7 +169,11 @@
     /// has told since is newer.
     fn refused_by_peer(&mut self, handed: &Handed, mark: u64, status: u16, why: &str) {
         let conn = handed.conn;
-        let why = if why.is_empty() { "refused by a peer" } else { peer::bounded(why) };
+        let why = if why.is_empty() {
+            "refused by a peer"
+        } else {
+            peer::bounded(why)
+        };
         if let Some(job) = handed.job().filter(|_| matches!(status, 400 | 404 | 422)) {
             if let Some(state) = self.finals.get(job) {
                 return self.tell(Asker::User(conn), state);
--- a/crates/control/src/hours.rs
+++ b/crates/control/src/hours.rs
@@ -54,14 +54,28 @@
         let path = |team: &str| {
             let tree = tree.as_ref()?;
             let path = tree.path(tree.team(team)?);
-            Some(path.into_iter().map(|n| tree.nodes[n.0 as usize].name.clone()).collect())
+            Some(
+                path.into_iter()
+                    .map(|n| tree.nodes[n.0 as usize].name.clone())
+                    .collect(),
+            )
         };
         let teams = node.settings.cluster.teams.iter();
-        let teams = teams.map(|t| TeamAt { name: t.name.clone(), path: path(&t.name).unwrap_or_default() });
+        let teams = teams.map(|t| TeamAt {
+            name: t.name.clone(),
+            path: path(&t.name).unwrap_or_default(),
+        });
         let nodes = tree.iter().flat_map(|t| &t.nodes).map(|n| n.name.clone());
-        Around { teams: Some(teams.collect()), nodes: nodes.collect() }
+        Around {
+            teams: Some(teams.collect()),
+            nodes: nodes.collect(),
+        }
     }
-    fn edited(Whole::Set { spec }: &Whole<Spec>, _old: &Spec, _around: &Around) -> Result<Spec, Fault> {
+    fn edited(
+        Whole::Set { spec }: &Whole<Spec>,
+        _old: &Spec,
+        _around: &Around,
+    ) -> Result<Spec, Fault> {
         Ok(spec.clone())
     }
     fn set(spec: Spec) -> Whole<Spec> {
@@ -71,7 +85,11 @@
         match ask {
             Ask::List { studio } => node.list_hours(conn, studio.as_deref()),
             Ask::Move { job, to, by } => node.move_hour(conn, &job, &to, &by),
-            Ask::Reagree { studio, by, dry_run } => node.reagree(conn, &studio, &by, dry_run),
+            Ask::Reagree {
+                studio,
+                by,
+                dry_run,
+            } => node.reagree(conn, &studio, &by, dry_run),
         }
     }
 }
@@ -88,7 +106,11 @@
 
 impl Hour {
     pub fn new(rec: HourRec) -> Box<Hour> {
-        Box::new(Hour { rec, said: State::Due, ended_ms: 0 })
+        Box::new(Hour {
+            rec,
+            said: State::Due,
+            ended_ms: 0,
+        })
     }
 }
 
@@ -159,7 +181,11 @@
         self.ended.push_back(Ended {
             job: job.id.clone(),
             team: job.team.clone(),
-            class: job.spec.as_ref().map(|s| s.class.clone()).unwrap_or_default(),
+            class: job
+                .spec
+                .as_ref()
+                .map(|s| s.class.clone())
+                .unwrap_or_default(),
             hour: hour.rec.clone(),
             state,
             late_s,
@@ -186,7 +212,10 @@
 pub(crate) fn end_rec(job: &mut Job, ended_ms: u64) -> Option<EndHourRec> {
     let hour = job.hour.as_mut()?;
     hour.ended_ms = ended_ms;
-    Some(EndHourRec { due_ms: hour.rec.due_ms, ended_ms })
+    Some(EndHourRec {
+        due_ms: hour.rec.due_ms,
+        ended_ms,
+    })
 }
 
 impl Node {
@@ -196,22 +225,41 @@
         if spec.kind == Shape::Service {
             return None;
         }
-        let due = good.built.due(&spec.team, &spec.class, &spec.id, accepted_ms)?;
-        Some(HourRec { due_ms: due.at_ms, version: good.version, moved: None })
+        let due = good
+            .built
+            .due(&spec.team, &spec.class, &spec.id, accepted_ms)?;
+        Some(HourRec {
+            due_ms: due.at_ms,
+            version: good.version,
+            moved: None,
+        })
     }
 
     /// Another quota tree is in force: studios that are nodes of it have other teams from now on.
     pub(crate) fn refit_hours(&mut self) {
-        let Some(good) = self.shared.documents.hours.good.clone().filter(|g| g.spec.follows_tree()) else {
+        let Some(good) = self
+            .shared
+            .documents
+            .hours
+            .good
+            .clone()
+            .filter(|g| g.spec.follows_tree())
+        else {
             return;
         };
         let around = Hours::context(self);
         match good.spec.fitting(&around).build(&around) {
             Ok(built) => {
-                let good = crate::documents::Good { built: Arc::new(built), ..good };
+                let good = crate::documents::Good {
+                    built: Arc::new(built),
+                    ..good
+                };
                 self.shared.documents.hours.good = Some(good);
             }
-            Err(faults) => log::error!("release hours with the new quota tree: {}; studios stay", faults[0]),
+            Err(faults) => log::error!(
+                "release hours with the new quota tree: {}; studios stay",
+                faults[0]
+            ),
         }
     }
 }
@@ -226,8 +274,15 @@
         if left - fetch < job.estimate {
             return job;
         }
-        let own = if spec.kind == Shape::Gang { left - fetch } else { left };
-        plan::Job { due: Some(job.due.map_or(own, |due| due.min(own))), ..job }
+        let own = if spec.kind == Shape::Gang {
+            left - fetch
+        } else {
+            left
+        };
+        plan::Job {
+            due: Some(job.due.map_or(own, |due| due.min(own))),
+            ..job
+        }
     }
 
     /// Seconds until the hour.
@@ -239,7 +294,11 @@
 /// The least time that the image takes.
 fn fetch_s(spec: &JobSpec, catalog: &Catalog) -> f64 {
     let allowed = |name: &String| spec.types.as_ref().is_none_or(|list| list.contains(name));
-    let rates = catalog.types.iter().filter(|t| allowed(&t.name)).map(|t| t.fetch_gb_per_s);
+    let rates = catalog
+        .types
+        .iter()
+        .filter(|t| allowed(&t.name))
+        .map(|t| t.fetch_gb_per_s);
     spec.image_gb / rates.fold(0.01, f64::max)
 }
 
@@ -254,13 +313,20 @@
 
 impl Node {
     /// Says what a plan means for hours: whether each can be kept with the places that its job has now.
-    pub(crate) fn hours_planned(&mut self, input: &plan::Input, output: &plan::Output, jobs: &[JobIx]) {
+    pub(crate) fn hours_planned(
+        &mut self,
+        input: &plan::Input,
+        output: &plan::Output,
+        jobs: &[JobIx],
+    ) {
         let wall = self.now.wall;
         let Some(part) = &mut self.part else { return };
         if part.hours.ahead.is_empty() {
             return;
         }
-        let Some(catalog) = &self.shared.catalog else { return };
+        let Some(catalog) = &self.shared.catalog else {
+            return;
+        };
         let mut seen: BTreeMap<JobIx, Seen> = BTreeMap::new();
         for (i, ix) in jobs.iter().enumerate() {
             if part.jobs[*ix].as_ref().is_some_and(|j| j.hour.is_some()) {
@@ -274,19 +340,31 @@
                 of.started += start.count;
             }
         }
-        let booting = part.machines.iter().flatten().any(|m| !m.up && !m.deleting && !m.failed);
+        let booting = part
+            .machines
+            .iter()
+            .flatten()
+            .any(|m| !m.up && !m.deleting && !m.failed);
         let mut changes = Vec::new();
         for (ix, of) in seen {
             let Some(job) = &part.jobs[ix] else { continue };
-            let (Some(hour), Some(spec)) = (&job.hour, &job.spec) else { continue };
+            let (Some(hour), Some(spec)) = (&job.hour, &job.spec) else {
+                continue;
+            };
             if hour.said == State::Missed || job.is_ending() {
                 continue;
             }
             let planned = &input.jobs[of.like];
             let places = job.claimed.len() as u32 + of.started;
-            let later = of.pending.saturating_sub(of.started).div_ceil(places.max(1));
+            let later = of
+                .pending
+                .saturating_sub(of.started)
+                .div_ceil(places.max(1));
             let rounds = if places == 0 { 1 } else { later + 1 };
-            let needs = planned.estimate * f64::from(rounds) + fetch_s(spec, catalog) + START_S + spec.save_s;
+            let needs = planned.estimate * f64::from(rounds)
+                + fetch_s(spec, catalog)
+                + START_S
+                + spec.save_s;
             let risk = (hour.left(wall) < needs).then(|| {
                 let cut = |z: &String| part.cut_zones.contains(z);
                 let all_cut = || self.settings.cluster.zones.iter().all(cut);
@@ -328,7 +406,13 @@
         let wall = self.now.wall;
         let Some(part) = &mut self.part else { return };
         let mut missed = Vec::new();
-        while let Some(first) = part.hours.ahead.first().copied().filter(|(due, _)| *due < wall) {
+        while let Some(first) = part
+            .hours
+            .ahead
+            .first()
+            .copied()
+            .filter(|(due, _)| *due < wall)
+        {
             part.hours.ahead.pop_first();
             part.hours.past.insert(first);
             // The end of what has ended meanwhile says whether its hour was kept.
@@ -338,7 +422,10 @@
         }
         part.say_hours(missed, wall);
         for hour in std::mem::take(&mut part.hours.late) {
-            let why = format!("{}: it has ended meanwhile, or its record has no room for the move", hour.job);
+            let why = format!(
+                "{}: it has ended meanwhile, or its record has no room for the move",
+                hour.job
+            );
             log::info!("hour of {why}");
             let Some(conn) = hour.conn else { continue };
             if let Some(part) = &mut self.part {
@@ -353,11 +440,18 @@
     fn say_hours(&mut self, changes: Vec<(JobIx, State)>, wall: u64) {
         let more = changes.len().saturating_sub(LOGGED);
         for (n, (ix, state)) in changes.into_iter().enumerate() {
-            let Some(job) = self.jobs.get_mut(ix).and_then(Option::as_mut) else { continue };
+            let Some(job) = self.jobs.get_mut(ix).and_then(Option::as_mut) else {
+                continue;
+            };
             let Some(hour) = &mut job.hour else { continue };
             hour.said = state;
             if n < LOGGED {
-                log::info!("job {}: its hour, {:.0} s from now, is {}", job.id, hour.left(wall), word(state));
+                log::info!(
+                    "job {}: its hour, {:.0} s from now, is {}",
+                    job.id,
+                    hour.left(wall),
+                    word(state)
+                );
             }
         }
         if more > 0 {
@@ -369,36 +463,50 @@
 /// What operators ask.
 impl Node {
     fn list_hours(&mut self, conn: u64, studio: Option<&str>) {
-        let calendar = self.shared.documents.hours.good.as_ref().map(|g| g.built.clone()).unwrap_or_default();
+        let calendar = self
+            .shared
+            .documents
+            .hours
+            .good
+            .as_ref()
+            .map(|g| g.built.clone())
+            .unwrap_or_default();
         let Some(part) = &self.part else { return };
         let mut all: Vec<Line> = Vec::new();
         let mut more = 0;
-        let mut line =
-            |job: &str, team: &str, class: &str, hour: &HourRec, state: State, late_s: Option<f64>| {
-                let of = calendar.studio_of(team);
-                if studio.is_some() && studio != of {
-                    return;
-                }
-                if all.len() >= LINES {
-                    more += 1;
-                    return;
-                }
-                all.push(Line {
-                    job: job.to_owned(),
-                    studio: of.map(str::to_owned),
-                    team: team.to_owned(),
-                    class: class.to_owned(),
-                    due_ms: hour.due_ms,
-                    due: calendar.local(of.unwrap_or_default(), hour.due_ms),
-                    state,
-                    late_s,
-                    moved: hour.moved.clone(),
-                });
-            };
+        let mut line = |job: &str,
+                        team: &str,
+                        class: &str,
+                        hour: &HourRec,
+                        state: State,
+                        late_s: Option<f64>| {
+            let of = calendar.studio_of(team);
+            if studio.is_some() && studio != of {
+                return;
+            }
+            if all.len() >= LINES {
+                more += 1;
+                return;
+            }
+            all.push(Line {
+                job: job.to_owned(),
+                studio: of.map(str::to_owned),
+                team: team.to_owned(),
+                class: class.to_owned(),
+                due_ms: hour.due_ms,
+                due: calendar.local(of.unwrap_or_default(), hour.due_ms),
+                state,
+                late_s,
+                moved: hour.moved.clone(),
+            });
+        };
         for (due, ix) in part.hours.past.iter().chain(&part.hours.ahead) {
             let Some(job) = part.job(*ix) else { continue };
-            let (Some(hour), Some(spec)) = (&job.hour, &job.spec) else { continue };
-            let late = (hour.said == State::Missed).then(|| (self.now.wall as f64 - *due as f64) / 1000.0);
+            let (Some(hour), Some(spec)) = (&job.hour, &job.spec) else {
+                continue;
+            };
+            let late =
+                (hour.said == State::Missed).then(|| (self.now.wall as f64 - *due as f64) / 1000.0);
             line(&job.id, &job.team, &spec.class, &hour.rec, hour.said, late);
         }
         for e in part.hours.ended.iter().rev() {
@@ -409,15 +517,32 @@
     }
 
     fn move_hour(&mut self, conn: u64, id: &str, to: &str, by: &str) {
-        let calendar = self.shared.documents.hours.good.as_ref().map(|g| (g.built.clone(), g.version));
+        let calendar = self
+            .shared
+            .documents
+            .hours
+            .good
+            .as_ref()
+            .map(|g| (g.built.clone(), g.version));
         let (calendar, version) = calendar.unwrap_or_default();
         let Some(part) = &mut self.part else { return };
-        let found = part.job_ix.get(id).and_then(|ix| Some((*ix, part.job(*ix)?)));
+        let found = part
+            .job_ix
+            .get(id)
+            .and_then(|ix| Some((*ix, part.job(*ix)?)));
         let Some((ix, job)) = found.filter(|(_, j)| j.spec.is_some()) else {
-            return self.deny_admin(conn, 404, refused(&format!("no job {id:?} that has not ended")));
+            return self.deny_admin(
+                conn,
+                404,
+                refused(&format!("no job {id:?} that has not ended")),
+            );
         };
         if job.is_ending() || job.kind() == Shape::Service {
-            return self.deny_admin(conn, 409, refused(&format!("{id}: it has ended, or never does")));
+            return self.deny_admin(
+                conn,
+                409,
+                refused(&format!("{id}: it has ended, or never does")),
+            );
         }
         let studio = calendar.studio_of(&job.team).unwrap_or_default();
         let due_ms = match calendar.moment(studio, to) {
@@ -428,7 +553,10 @@
         if job.hour.as_ref().is_some_and(|h| h.rec.due_ms == due_ms) {
             // A repeat after a lost answer, or nothing to do.
             let answer = Moved {
-                lines: vec![format!("{id}: stands at {}", calendar.local(studio, due_ms))],
+                lines: vec![format!(
+                    "{id}: stands at {}",
+                    calendar.local(studio, due_ms)
+                )],
                 ..Moved::default()
             };
             return self.respond(conn, 200, admin::encode(&answer), None);
@@ -439,7 +567,14 @@
         log::info!("hour of {line} by {by:?} is to be written");
         part.hours.waiting.insert(conn);
         let by = short(by);
-        part.hours.moves.push_back(Move { ix, job: id.to_owned(), due_ms, version, by, conn: Some(conn) });
+        part.hours.moves.push_back(Move {
+            ix,
+            job: id.to_owned(),
+            due_ms,
+            version,
+            by,
+            conn: Some(conn),
+        });
         self.to_write = true;
     }
 
@@ -449,18 +584,28 @@
         };
         let calendar = &good.built;
         if !calendar.studios().contains(&studio) {
-            return self.deny_admin(conn, 404, refused(&format!("{studio:?} is no studio of the calendar")));
+            return self.deny_admin(
+                conn,
+                404,
+                refused(&format!("{studio:?} is no studio of the calendar")),
+            );
         }
         let Some(part) = &mut self.part else { return };
         let mut moves: Vec<Move> = Vec::new();
         let mut lines = Vec::new();
         for (ix, job) in part.jobs.iter().enumerate() {
-            let Some(job) = job.as_ref().filter(|j| j.ending == Ending::No) else { continue };
-            let Some(spec) = job.spec.as_ref().filter(|s| s.kind != Shape::Service) else { continue };
+            let Some(job) = job.as_ref().filter(|j| j.ending == Ending::No) else {
+                continue;
+            };
+            let Some(spec) = job.spec.as_ref().filter(|s| s.kind != Shape::Service) else {
+                continue;
+            };
             if calendar.studio_of(&job.team) != Some(studio) {
                 continue;
             }
-            let Some(due) = calendar.due(&job.team, &spec.class, &job.id, job.at_ms) else { continue };
+            let Some(due) = calendar.due(&job.team, &spec.class, &job.id, job.at_ms) else {
+                continue;
+            };
             if job.hour.as_ref().is_some_and(|h| h.rec.due_ms == due.at_ms) {
                 continue;
             }
@@ -468,7 +613,14 @@
                 lines.push(moved_line(job, due.at_ms, calendar));
             }
             let (job, by, version) = (job.id.clone(), short(by), good.version);
-            moves.push(Move { ix, job, due_ms: due.at_ms, version, by, conn: None });
+            moves.push(Move {
+                ix,
+                job,
+                due_ms: due.at_ms,
+                version,
+                by,
+                conn: None,
+            });
         }
         let jobs = moves.len();
         if !dry_run {
@@ -479,35 +631,61 @@
             part.hours.moves.extend(moves);
             self.to_write = true;
         }
-        let answer = Moved { dry_run, jobs, lines };
+        let answer = Moved {
+            dry_run,
+            jobs,
+            lines,
+        };
         self.respond(conn, 200, admin::encode(&answer), None);
     }
 }
 
 fn short(by: &str) -> String {
-    by.chars().filter(|c| !c.is_control()).take(document::SHORT).collect()
+    by.chars()
+        .filter(|c| !c.is_control())
+        .take(document::SHORT)
+        .collect()
 }
 
 fn moved_line(job: &Job, due_ms: u64, calendar: &::hours::Calendar) -> String {
     let studio = calendar.studio_of(&job.team).unwrap_or_default();
     let local = |ms| calendar.local(studio, ms);
-    let from = job.hour.as_ref().map_or_else(|| "none".to_owned(), |h| local(h.rec.due_ms));
+    let from = job
+        .hour
+        .as_ref()
+        .map_or_else(|| "none".to_owned(), |h| local(h.rec.due_ms));
     let before = job.hour.as_ref().and_then(|h| h.rec.moved.as_ref());
-    let before = before.map(|m| format!(" (moved by {} before)", m.by)).unwrap_or_default();
+    let before = before
+        .map(|m| format!(" (moved by {} before)", m.by))
+        .unwrap_or_default();
     format!("{}: from {from} to {}{before}", job.id, local(due_ms))
 }
 
 /// Moves on their way.
 impl Draft {
     /// Writes the records of jobs whose hours move. Their ends, which come first, are in nobody's way.
-    pub fn moves(&mut self, part: &mut Part, wall: u64, value: usize, room: impl Fn(&Draft) -> bool) {
-        let most = if part.ledger.fresh.is_empty() { usize::MAX } else { MOVES_A_TURN };
+    pub fn moves(
+        &mut self,
+        part: &mut Part,
+        wall: u64,
+        value: usize,
+        room: impl Fn(&Draft) -> bool,
+    ) {
+        let most = if part.ledger.fresh.is_empty() {
+            usize::MAX
+        } else {
+            MOVES_A_TURN
+        };
         for _ in 0..most {
             if !room(self) {
                 return;
             }
-            let Some(hour) = part.hours.moves.pop_front() else { return };
-            let job = part.job(hour.ix).filter(|j| j.id == hour.job && j.ending == Ending::No);
+            let Some(hour) = part.hours.moves.pop_front() else {
+                return;
+            };
+            let job = part
+                .job(hour.ix)
+                .filter(|j| j.id == hour.job && j.ending == Ending::No);
             let Some((job, spec)) = job.and_then(|j| Some((j, j.spec.as_ref()?))) else {
                 part.hours.late.push(hour);
                 continue;
@@ -537,8 +715,16 @@
 impl Move {
     fn rec(&self, job: &Job, at_ms: u64) -> HourRec {
         let from_ms = job.hour.as_ref().map_or(0, |h| h.rec.due_ms);
-        let moved = MovedRec { by: self.by.clone(), at_ms, from_ms };
-        HourRec { due_ms: self.due_ms, version: self.version, moved: Some(moved) }
+        let moved = MovedRec {
+            by: self.by.clone(),
+            at_ms,
+            from_ms,
+        };
+        HourRec {
+            due_ms: self.due_ms,
+            version: self.version,
+            moved: Some(moved),
+        }
     }
 }
 
@@ -549,7 +735,9 @@
         hour.conn.iter().for_each(|c| {
             part.hours.waiting.remove(c);
         });
-        let Some(job) = part.job_mut(hour.ix) else { return };
+        let Some(job) = part.job_mut(hour.ix) else {
+            return;
+        };
         let rec = hour.rec(job, wall);
         let from = rec.moved.as_ref().map_or(0, |m| m.from_ms);
         job.version = revision;
@@ -560,10 +748,19 @@
             part.hours.add(job, hour.ix);
         }
         part.plan_due = true;
-        let line = format!("{}: from {from} to {} ms by {:?}", hour.job, hour.due_ms, hour.by);
+        let line = format!(
+            "{}: from {from} to {} ms by {:?}",
+            hour.job, hour.due_ms, hour.by
+        );
         log::info!("hour of {line} is moved");
-        let answer = Moved { dry_run: false, jobs: 1, lines: vec![line] };
-        hour.conn.into_iter().for_each(|conn| self.respond(conn, 200, admin::encode(&answer), None));
+        let answer = Moved {
+            dry_run: false,
+            jobs: 1,
+            lines: vec![line],
+        };
+        hour.conn
+            .into_iter()
+            .for_each(|conn| self.respond(conn, 200, admin::encode(&answer), None));
     }
 
     /// A term of ownership is over: whether an hour was moved is for the job's record to say.
--- a/crates/control/src/jobs.rs
+++ b/crates/control/src/jobs.rs
@@ -59,15 +59,23 @@
         let tasks = f64::from(spec.tasks);
         self.tasks += (tasks - self.tasks) * weight;
         self.tasks_squared += (tasks * tasks - self.tasks_squared) * weight;
-        self.images.iter_mut().for_each(|(_, _, share)| *share *= 1.0 - IMAGE_WEIGHT);
-        match self.images.iter_mut().find(|(name, _, _)| *name == spec.image) {
+        self.images
+            .iter_mut()
+            .for_each(|(_, _, share)| *share *= 1.0 - IMAGE_WEIGHT);
+        match self
+            .images
+            .iter_mut()
+            .find(|(name, _, _)| *name == spec.image)
+        {
             Some((_, gb, share)) => {
                 *gb = spec.image_gb;
                 *share += IMAGE_WEIGHT;
             }
             None => {
-                self.images.retain(|(_, _, share)| *share > IMAGE_WEIGHT / 8.0);
-                self.images.push((spec.image.clone(), spec.image_gb, IMAGE_WEIGHT));
+                self.images
+                    .retain(|(_, _, share)| *share > IMAGE_WEIGHT / 8.0);
+                self.images
+                    .push((spec.image.clone(), spec.image_gb, IMAGE_WEIGHT));
             }
         }
         self.like = Some(Box::new(spec.clone()));
@@ -135,7 +143,11 @@
 impl Job {
     pub fn new(rec: JobRec, version: u64) -> Self {
         let spec = rec.spec;
-        let need = Need { cores: spec.cores, gpus: spec.gpus, mem_gb: spec.mem_gb };
+        let need = Need {
+            cores: spec.cores,
+            gpus: spec.gpus,
+            mem_gb: spec.mem_gb,
+        };
         let mut job = Job::ended(&spec.id, &spec.team, need);
         job.tasks = spec.tasks;
         job.done = vec![0; spec.tasks.div_ceil(64) as usize];
@@ -206,7 +218,10 @@
     /// on its way, others may have read it already.
     pub fn is_void(&self) -> bool {
         use Ending::{Before, Recorded, Writing};
-        matches!(self.ending, Recorded(Stage::Cancelled) | Writing(Stage::Cancelled) | Before)
+        matches!(
+            self.ending,
+            Recorded(Stage::Cancelled) | Writing(Stage::Cancelled) | Before
+        )
     }
 
     /// Whether its end may be recorded though we have not heard so: only a read tells.
@@ -224,7 +239,9 @@
     }
 
     pub fn is_done(&self, task: u32) -> bool {
-        self.done.get(task as usize / 64).is_some_and(|w| w >> (task % 64) & 1 == 1)
+        self.done
+            .get(task as usize / 64)
+            .is_some_and(|w| w >> (task % 64) & 1 == 1)
     }
 
     fn set_done(&mut self, task: u32) -> bool {
@@ -279,11 +296,15 @@
     /// The result of a task is safe in the state service.
     pub fn recorded(&self, task: u32) -> bool {
         // While the end is on its way, nothing says that this task's result is in the log.
-        self.is_over() || (self.is_done(task) && !self.unsaved.contains(&task) && self.ending == Ending::No)
+        self.is_over()
+            || (self.is_done(task) && !self.unsaved.contains(&task) && self.ending == Ending::No)
     }
 
     pub fn claim(&mut self, task: u32, machine: usize, attempt: u64) {
-        self.claimed.entry(task).or_default().push((machine, attempt));
+        self.claimed
+            .entry(task)
+            .or_default()
+            .push((machine, attempt));
         self.returned.remove(&task);
     }
 
@@ -306,7 +327,9 @@
         let busy = self.claimed.keys().filter(|t| !self.is_done(**t)).count() as u32;
         let all = open.saturating_sub(busy);
         // Whatever still holds a place, also on its way out, is one of its replicas.
-        self.replicas.map_or(all, |n| n.saturating_sub(self.claimed.len() as u32).min(all))
+        self.replicas.map_or(all, |n| {
+            n.saturating_sub(self.claimed.len() as u32).min(all)
+        })
     }
 
     /// Takes a task that is neither done nor claimed.
@@ -378,7 +401,9 @@
         }
         self.to_write = true;
         let Some(part) = &mut self.part else { return };
-        let Some(ix) = part.job_ix.get(id).copied() else { return self.unknown(asker, id) };
+        let Some(ix) = part.job_ix.get(id).copied() else {
+            return self.unknown(asker, id);
+        };
         let Some(job) = part.job_mut(ix) else { return };
         match job.ending {
             // Guards against calling a cancelled job done, of which only tasks on machines are left here.
--- a/crates/control/src/judge.rs
+++ b/crates/control/src/judge.rs
@@ -18,8 +18,16 @@
         let county = self.county_for(spec)?;
         let catalog = self.catalog().ok_or("machine types not known yet")?;
         has_places(spec, catalog, county.as_ref().map_or(&[], |c| &c.zones))?;
-        let rec = JobRec { hour: self.hour_for(spec, wall), county, ..JobRec::new(spec.clone(), wall, PART) };
-        if self.is_storable(&rec) { Ok(rec) } else { Err("too large with what would be agreed for it") }
+        let rec = JobRec {
+            hour: self.hour_for(spec, wall),
+            county,
+            ..JobRec::new(spec.clone(), wall, PART)
+        };
+        if self.is_storable(&rec) {
+            Ok(rec)
+        } else {
+            Err("too large with what would be agreed for it")
+        }
     }
 
     /// Whether the state service takes the record. It counts in another form, which takes somewhat more.
@@ -30,7 +38,13 @@
 
     /// Whether the team's limit, and all above it, would let the job run if nothing else ran. Of an array one task has to.
     fn within_limits(&self, spec: &JobSpec) -> Result<(), &'static str> {
-        let team = self.settings.cluster.teams.iter().find(|t| t.name == spec.team).ok_or("unknown team")?;
+        let team = self
+            .settings
+            .cluster
+            .teams
+            .iter()
+            .find(|t| t.name == spec.team)
+            .ok_or("unknown team")?;
         let n = f64::from(at_once(spec));
         let over = |max: f64, need: f64| max > 0.0 && need * n > max + EPS;
         if over(team.cpus_max, spec.cores) || over(team.gpus_max, spec.gpus) {
@@ -46,7 +60,11 @@
 
 /// Tasks that have to run at one time, or the job never does what it is for.
 fn at_once(spec: &JobSpec) -> u32 {
-    if spec.kind == Kind::Array { 1 } else { spec.tasks }
+    if spec.kind == Kind::Array {
+        1
+    } else {
+        spec.tasks
+    }
 }
 
 /// Whether some zones have machine types for all tasks that must run at one time. How many machines there are is known
@@ -73,7 +91,9 @@
 /// Where machines that a task fits can be had, for a job that may be in these zones only, or in all.
 fn zones_for<'a>(spec: &JobSpec, catalog: &'a Catalog, only: &[String]) -> BTreeSet<&'a str> {
     let fits = |t: &&MachineType| {
-        spec.types.as_ref().is_none_or(|names| names.contains(&t.name))
+        spec.types
+            .as_ref()
+            .is_none_or(|names| names.contains(&t.name))
             && spec.cores <= t.cores + EPS
             && spec.gpus <= t.gpus + EPS
             && spec.mem_gb <= t.mem_gb + EPS
--- a/crates/control/src/keeper.rs
+++ b/crates/control/src/keeper.rs
@@ -26,14 +26,25 @@
 impl Node {
     /// What the owner lets a peer keep: its zone's machines, but those with something on them that was cancelled.
     pub(crate) fn charge_for(&self, peer: usize) -> Option<Keep> {
-        let part = self.part.as_ref().filter(|_| self.decides() && self.tuning.keepers > 0.0)?;
+        let part = self
+            .part
+            .as_ref()
+            .filter(|_| self.decides() && self.tuning.keepers > 0.0)?;
         let zone = &self.settings.peers.get(peer)?.zone;
-        debug_assert!(part.unwanted_is_right(), "a cancelled job with claims that nobody noted");
+        debug_assert!(
+            part.unwanted_is_right(),
+            "a cancelled job with claims that nobody noted"
+        );
         let jobs = part.unwanted.iter().filter_map(|ix| part.job(*ix));
-        let machines = jobs.flat_map(|j| j.claimed.values().flatten()).filter_map(|(m, _)| part.machine(*m));
+        let machines = jobs
+            .flat_map(|j| j.claimed.values().flatten())
+            .filter_map(|(m, _)| part.machine(*m));
         let except = machines.filter(|m| m.zone == *zone).map(|m| m.name.clone());
         let except: std::collections::BTreeSet<String> = except.take(EXCEPT * 8).collect();
-        (except.len() <= EXCEPT).then(|| Keep { token: part.token, except: except.into_iter().collect() })
+        (except.len() <= EXCEPT).then(|| Keep {
+            token: part.token,
+            except: except.into_iter().collect(),
+        })
     }
 
     pub(crate) fn charged(&mut self, asked: u64, keep: Option<Keep>) {
@@ -52,14 +63,25 @@
         let highest = report.token.max(self.highest_token());
         let ours = report.zone == self.settings.zone && highest <= keep.token;
         let kept = in_time && ours && !keep.except.contains(&report.machine);
-        kept.then(|| wire::encode(&Orders { token: keep.token, session: None, orders: Vec::new() }))
+        kept.then(|| {
+            wire::encode(&Orders {
+                token: keep.token,
+                session: None,
+                orders: Vec::new(),
+            })
+        })
     }
 
     /// How much longer than their leases tasks in a silent zone may live: a keeper stood there when it was last heard.
     pub(crate) fn kept_ms(&self, zone: &str, heard_at: u64) -> u64 {
         let peers = self.settings.peers.iter().enumerate();
-        let stood =
-            peers.filter(|(_, p)| p.zone == zone).any(|(i, _)| self.last_view(i) + TOGETHER_MS > heard_at);
-        if stood && self.tuning.keepers > 0.0 { bound_ms(&self.settings.cluster.workers) } else { 0 }
+        let stood = peers
+            .filter(|(_, p)| p.zone == zone)
+            .any(|(i, _)| self.last_view(i) + TOGETHER_MS > heard_at);
+        if stood && self.tuning.keepers > 0.0 {
+            bound_ms(&self.settings.cluster.workers)
+        } else {
+            0
+        }
     }
 }
--- a/crates/control/src/ledger.rs
+++ b/crates/control/src/ledger.rs
@@ -113,7 +113,12 @@
     /// The rack for a machine that adds so much to a record of at most `limit`.
     pub fn rack_for(&mut self, machine: usize, size: usize, limit: usize) -> u64 {
         // The last one, or a new one: racks that lost machines shrink until they are gone.
-        let open = self.racks.iter().next_back().filter(|(_, r)| r.size + size <= limit).map(|(n, _)| *n);
+        let open = self
+            .racks
+            .iter()
+            .next_back()
+            .filter(|(_, r)| r.size + size <= limit)
+            .map(|(n, _)| *n);
         let number = open.unwrap_or(self.next_rack);
         self.next_rack = self.next_rack.max(number + 1);
         let rack = self.racks.entry(number).or_default();
@@ -156,12 +161,17 @@
 
     pub fn claim_mut(&mut self, id: &ClaimId) -> Option<&mut crate::machines::Claim> {
         let machine = self.machines.get_mut(id.machine)?.as_mut()?;
-        machine.claims.iter_mut().find(|c| c.job == id.job && c.task == id.task && c.attempt == id.attempt)
+        machine
+            .claims
+            .iter_mut()
+            .find(|c| c.job == id.job && c.task == id.task && c.attempt == id.attempt)
     }
 
     /// Notes that results of a job, or its end, are to be recorded.
     pub fn job_to_write(&mut self, ix: JobIx) {
-        let Some(job) = self.jobs.get(ix).and_then(Option::as_ref) else { return };
+        let Some(job) = self.jobs.get(ix).and_then(Option::as_ref) else {
+            return;
+        };
         match job.ending {
             crate::jobs::Ending::No if !job.unsaved.is_empty() => {
                 self.ledger.unsaved.insert(ix);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -119,41 +119,131 @@
 /// What an answer that is still out belongs to. `epoch` ties it to one term of ownership.
 enum Pending {
     SharedRead,
-    SharedWatch { round: u64 },
-    Grant { sent: u64 },
-    Renew { lease: u64, sent: u64 },
-    Take { lease: u64, token: u64 },
-    View { sent: u64, peer: usize },
-    Relayed { conns: Vec<u64> },
-    Tell { conn: u64 },
+    SharedWatch {
+        round: u64,
+    },
+    Grant {
+        sent: u64,
+    },
+    Renew {
+        lease: u64,
+        sent: u64,
+    },
+    Take {
+        lease: u64,
+        token: u64,
+    },
+    View {
+        sent: u64,
+        peer: usize,
+    },
+    Relayed {
+        conns: Vec<u64>,
+    },
+    Tell {
+        conn: u64,
+    },
     Release,
-    Load { epoch: u64, what: part::Load },
-    LiveWatch { epoch: u64 },
-    Commit { epoch: u64 },
-    Verify { epoch: u64 },
-    Accept { submission: door::Submission, denied: Option<&'static str>, mark: u64 },
-    ReadLive { question: lookup::Question },
-    ReadEnd { question: lookup::Question },
-    PeerQuery { question: lookup::Question, peer: usize, sent: u64 },
-    PeerCancel { conn: u64, job: String },
-    Hand { handed: hand::Handed, peer: usize, sent: u64, mark: u64 },
-    Admin { conn: u64 },
-    Side { tag: u64 },
-    Sheets { epoch: u64 },
-    Audit { epoch: u64, under: audit::Under },
-    Models { epoch: u64 },
-    ModelWatch { epoch: u64 },
-    ModelWrite { epoch: u64, model: String },
-    Wake { model: String, step: wake::Step },
-    WakeForward { waiter: wake::Waiter },
-    Said { model: String },
-    Parts { epoch: u64, kind: documents::KindId },
+    Load {
+        epoch: u64,
+        what: part::Load,
+    },
+    LiveWatch {
+        epoch: u64,
+    },
+    Commit {
+        epoch: u64,
+    },
+    Verify {
+        epoch: u64,
+    },
+    Accept {
+        submission: door::Submission,
+        denied: Option<&'static str>,
+        mark: u64,
+    },
+    ReadLive {
+        question: lookup::Question,
+    },
+    ReadEnd {
+        question: lookup::Question,
+    },
+    PeerQuery {
+        question: lookup::Question,
+        peer: usize,
+        sent: u64,
+    },
+    PeerCancel {
+        conn: u64,
+        job: String,
+    },
+    Hand {
+        handed: hand::Handed,
+        peer: usize,
+        sent: u64,
+        mark: u64,
+    },
+    Admin {
+        conn: u64,
+    },
+    Side {
+        tag: u64,
+    },
+    Sheets {
+        epoch: u64,
+    },
+    Audit {
+        epoch: u64,
+        under: audit::Under,
+    },
+    Models {
+        epoch: u64,
+    },
+    ModelWatch {
+        epoch: u64,
+    },
+    ModelWrite {
+        epoch: u64,
+        model: String,
+    },
+    Wake {
+        model: String,
+        step: wake::Step,
+    },
+    WakeForward {
+        waiter: wake::Waiter,
+    },
+    Said {
+        model: String,
+    },
+    Parts {
+        epoch: u64,
+        kind: documents::KindId,
+    },
     Catalog,
-    List { epoch: u64 },
-    Hire { epoch: u64, name: String },
-    Delete { epoch: u64, machines: Vec<usize> },
-    Direct { epoch: u64, machine: usize, serial: u64, via: bool },
-    Show { epoch: u64, machine: usize, serial: u64, via: bool },
+    List {
+        epoch: u64,
+    },
+    Hire {
+        epoch: u64,
+        name: String,
+    },
+    Delete {
+        epoch: u64,
+        machines: Vec<usize>,
+    },
+    Direct {
+        epoch: u64,
+        machine: usize,
+        serial: u64,
+        via: bool,
+    },
+    Show {
+        epoch: u64,
+        machine: usize,
+        serial: u64,
+        via: bool,
+    },
 }
 
 impl Pending {
@@ -322,7 +412,10 @@
 
     /// The same with another door beside it, whose job ids users can't take.
     pub fn with_door_beside(self) -> Self {
-        Node { beside: true, ..self }
+        Node {
+            beside: true,
+            ..self
+        }
     }
 
     pub fn stats(&self) -> &Stats {
@@ -403,16 +496,33 @@
         if to == Dest::State {
             self.requests.take(self.now.mono, 1.0);
         }
-        self.effects.push(Effect::Send { tag, to, method, path, body, timeout_ms, answer_limit });
+        self.effects.push(Effect::Send {
+            tag,
+            to,
+            method,
+            path,
+            body,
+            timeout_ms,
+            answer_limit,
+        });
     }
 
     fn respond(&mut self, conn: u64, status: u16, body: Vec<u8>, retry_after_s: Option<u32>) {
-        let response = Response { status, body, close: false, retry_after_s };
+        let response = Response {
+            status,
+            body,
+            close: false,
+            retry_after_s,
+        };
         self.effects.push(Effect::Respond { conn, response });
     }
 
     /// Reads a body of somebody else's; an unreadable one is as good as no answer.
-    fn read<T: serde::de::DeserializeOwned>(&mut self, from: &str, response: &Response) -> Option<T> {
+    fn read<T: serde::de::DeserializeOwned>(
+        &mut self,
+        from: &str,
+        response: &Response,
+    ) -> Option<T> {
         match wire::decode(&response.body) {
             Ok(v) => Some(v),
             Err(e) => {
@@ -427,12 +537,22 @@
     fn unsent(&mut self, tag: u64) {
         let epoch = self.epoch;
         match self.pending.get(&tag) {
-            Some(Pending::Direct { epoch: e, machine, serial, .. }) if *e == epoch => {
+            Some(Pending::Direct {
+                epoch: e,
+                machine,
+                serial,
+                ..
+            }) if *e == epoch => {
                 let (machine, serial) = (*machine, *serial);
                 self.pending.remove(&tag);
                 self.direct_came(machine, serial, Some(relay::not_sent()));
             }
-            Some(Pending::Show { epoch: e, machine, serial, .. }) if *e == epoch => {
+            Some(Pending::Show {
+                epoch: e,
+                machine,
+                serial,
+                ..
+            }) if *e == epoch => {
                 let (machine, serial) = (*machine, *serial);
                 self.pending.remove(&tag);
                 self.show_unsent(machine, serial);
@@ -447,7 +567,9 @@
     }
 
     fn reply(&mut self, tag: u64, response: Option<Response>) {
-        let Some(what) = self.pending.remove(&tag) else { return };
+        let Some(what) = self.pending.remove(&tag) else {
+            return;
+        };
         let epoch = self.epoch;
         if what.asks_state() {
             let bad = response.as_ref().is_none_or(|r| r.status == 503);
@@ -470,14 +592,25 @@
             Pending::View { sent, peer } => self.view_came(sent, peer, response),
             Pending::Relayed { conns } => self.relayed(conns, response),
             Pending::Tell { conn } => self.worker_told(conn, response),
-            Pending::Accept { submission, denied, mark } => self.accepted(submission, denied, mark, response),
+            Pending::Accept {
+                submission,
+                denied,
+                mark,
+            } => self.accepted(submission, denied, mark, response),
             Pending::ReadLive { question } => self.live_read(question, response),
             Pending::ReadEnd { question } => self.end_read(question, response),
-            Pending::PeerQuery { question, peer, sent } => self.peer_queried(question, peer, sent, response),
+            Pending::PeerQuery {
+                question,
+                peer,
+                sent,
+            } => self.peer_queried(question, peer, sent, response),
             Pending::PeerCancel { conn, job } => self.peer_cancelled(conn, job, response),
-            Pending::Hand { handed, peer, sent, mark } => {
-                self.handed_back(handed, peer, sent, mark, response)
-            }
+            Pending::Hand {
+                handed,
+                peer,
+                sent,
+                mark,
+            } => self.handed_back(handed, peer, sent, mark, response),
             Pending::Admin { conn } => self.admin_answered(conn, response),
             Pending::Side { tag } => self.side_answered(tag, response),
             Pending::Wake { model, step } => self.wake_came(model, step, response),
@@ -490,7 +623,9 @@
             Pending::Sheets { epoch: e } if e == epoch => self.sheets_came(response),
             Pending::Models { epoch: e } if e == epoch => self.models_came(response),
             Pending::ModelWatch { epoch: e } if e == epoch => self.models_watched(response),
-            Pending::ModelWrite { epoch: e, model } if e == epoch => self.model_written(model, response),
+            Pending::ModelWrite { epoch: e, model } if e == epoch => {
+                self.model_written(model, response)
+            }
             Pending::Parts { epoch: e, kind } if e == epoch => {
                 for_kind!(kind, K => self.parts_came::<K>(response))
             }
@@ -499,13 +634,29 @@
             Pending::Verify { epoch: e } if e == epoch => self.verified(response),
             Pending::List { epoch: e } if e == epoch => self.list_came(response),
             Pending::Hire { epoch: e, name } if e == epoch => self.hired(name, response),
-            Pending::Delete { epoch: e, machines } if e == epoch => self.deleted(machines, response),
-            Pending::Direct { epoch: e, machine, serial, via } if e == epoch => {
-                self.direct_came(machine, serial, if via { relay::told(response) } else { response })
-            }
-            Pending::Show { epoch: e, machine, serial, via } if e == epoch => {
-                self.show_came(machine, serial, if via { relay::told(response) } else { response })
+            Pending::Delete { epoch: e, machines } if e == epoch => {
+                self.deleted(machines, response)
             }
+            Pending::Direct {
+                epoch: e,
+                machine,
+                serial,
+                via,
+            } if e == epoch => self.direct_came(
+                machine,
+                serial,
+                if via { relay::told(response) } else { response },
+            ),
+            Pending::Show {
+                epoch: e,
+                machine,
+                serial,
+                via,
+            } if e == epoch => self.show_came(
+                machine,
+                serial,
+                if via { relay::told(response) } else { response },
+            ),
             _ => {}
         }
     }
--- a/crates/control/src/life.rs
+++ b/crates/control/src/life.rs
@@ -18,7 +18,10 @@
 impl Life {
     pub fn begin(seed: u64) -> Self {
         // Numbers that any reader of the records can hold exactly.
-        Life { mark: fastrand::Rng::with_seed(!seed).u64(1..1 << 53), has_owned: false }
+        Life {
+            mark: fastrand::Rng::with_seed(!seed).u64(1..1 << 53),
+            has_owned: false,
+        }
     }
 
     pub fn mark(&self) -> u64 {
--- a/crates/control/src/lookup.rs
+++ b/crates/control/src/lookup.rs
@@ -62,8 +62,19 @@
 
 impl Node {
     pub(crate) fn question(&self, asker: Asker, job: String, why: Why) -> Question {
-        let waits = if matches!(asker, Asker::User(_)) { USER_WAITS_MS } else { PEER_WAITS_MS };
-        Question { asker, job, why, until: self.now.mono + waits, past_owner: false, mark: 0 }
+        let waits = if matches!(asker, Asker::User(_)) {
+            USER_WAITS_MS
+        } else {
+            PEER_WAITS_MS
+        };
+        Question {
+            asker,
+            job,
+            why,
+            until: self.now.mono + waits,
+            past_owner: false,
+            mark: 0,
+        }
     }
 
     pub(crate) fn query_for(&mut self, asker: Asker, id: String, why: Why) {
@@ -80,12 +91,26 @@
         }
         q.past_owner |= self.owns();
         let now = self.now.mono;
-        match self.owner_peer().filter(|p| !q.past_owner && !self.hands.rests(*p, now)) {
+        match self
+            .owner_peer()
+            .filter(|p| !q.past_owner && !self.hands.rests(*p, now))
+        {
             Some(peer) => {
                 let body = peer::encode(&Ask::Query { job: q.job.clone() });
                 let timeout = q.timeout(now, OWNER_TIMEOUT_MS);
-                let what = Pending::PeerQuery { question: q, peer, sent: now };
-                self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body, timeout, what);
+                let what = Pending::PeerQuery {
+                    question: q,
+                    peer,
+                    sent: now,
+                };
+                self.send(
+                    Dest::Peer(peer),
+                    "POST",
+                    peer::PATH.into(),
+                    body,
+                    timeout,
+                    what,
+                );
             }
             None => self.read_job(q),
         }
@@ -107,10 +132,18 @@
     pub(crate) fn state_here(&self, id: &str) -> Option<JobState> {
         let part = self.part.as_ref().filter(|_| self.sure())?;
         let known = |j: &&Job| j.spec.is_some() && !j.may_be_over();
-        part.job(*part.job_ix.get(id)?).filter(known).map(Job::state)
+        part.job(*part.job_ix.get(id)?)
+            .filter(known)
+            .map(Job::state)
     }
 
-    pub(crate) fn peer_queried(&mut self, mut q: Question, peer: usize, sent: u64, r: Option<Response>) {
+    pub(crate) fn peer_queried(
+        &mut self,
+        mut q: Question,
+        peer: usize,
+        sent: u64,
+        r: Option<Response>,
+    ) {
         self.peer_heard(peer, sent, r.is_some());
         match peer_answer(r) {
             Some(Answer::State(state)) if state.id == q.job => self.tell(q.asker, state),
@@ -137,7 +170,14 @@
         }
         let path = format!("/keys/{}", records::live_key(&q.job));
         let timeout = q.timeout(now, READ_TIMEOUT_MS);
-        self.send(Dest::State, "GET", path, Vec::new(), timeout, Pending::ReadLive { question: q });
+        self.send(
+            Dest::State,
+            "GET",
+            path,
+            Vec::new(),
+            timeout,
+            Pending::ReadLive { question: q },
+        );
     }
 
     pub(crate) fn live_read(&mut self, q: Question, r: Option<Response>) {
@@ -147,14 +187,26 @@
                 self.deny(q.asker, 503, "the owner does not know the job yet")
             }
             Some(200) => {
-                let read = || JobState { id: q.job.clone(), stage: Stage::Pending, done: 0, running: 0 };
+                let read = || JobState {
+                    id: q.job.clone(),
+                    stage: Stage::Pending,
+                    done: 0,
+                    running: 0,
+                };
                 let state = self.known_here(&q.job).unwrap_or_else(read);
                 self.tell(q.asker, state);
             }
             Some(404) => {
                 let path = format!("/keys/{}", records::end_key(&q.job));
                 let timeout = q.timeout(self.now.mono, READ_TIMEOUT_MS);
-                self.send(Dest::State, "GET", path, Vec::new(), timeout, Pending::ReadEnd { question: q });
+                self.send(
+                    Dest::State,
+                    "GET",
+                    path,
+                    Vec::new(),
+                    timeout,
+                    Pending::ReadEnd { question: q },
+                );
             }
             status => self.unread(q, status),
         }
@@ -170,7 +222,15 @@
                 return self.unanswered(&q, "unreadable record");
             };
             let EndRec { stage, done, .. } = item.value;
-            return self.tell(q.asker, JobState { id: q.job, stage, done, running: 0 });
+            return self.tell(
+                q.asker,
+                JobState {
+                    id: q.job,
+                    stage,
+                    done,
+                    running: 0,
+                },
+            );
         }
         self.not_found(q)
     }
@@ -196,7 +256,11 @@
 
     /// Once more, if whoever asks still waits for that long.
     fn read_again(&mut self, q: Question) {
-        if self.now.mono + LEAST_MS < q.until { self.read_job(q) } else { self.unanswered(&q, "undecided") }
+        if self.now.mono + LEAST_MS < q.until {
+            self.read_job(q)
+        } else {
+            self.unanswered(&q, "undecided")
+        }
     }
 
     /// The state service did not answer. Only this node may be refused, or not heard.
@@ -208,9 +272,21 @@
     }
 
     fn look_elsewhere(&mut self, conn: u64, q: Question) {
-        let ask = Ask::Lookup { job: q.job, past_owner: q.past_owner };
-        let fault = if let Why::Malformed(fault) = q.why { Some(fault) } else { None };
-        self.hand(Handed { conn, ask: Box::new(ask), until: q.until, fault });
+        let ask = Ask::Lookup {
+            job: q.job,
+            past_owner: q.past_owner,
+        };
+        let fault = if let Why::Malformed(fault) = q.why {
+            Some(fault)
+        } else {
+            None
+        };
+        self.hand(Handed {
+            conn,
+            ask: Box::new(ask),
+            until: q.until,
+            fault,
+        });
     }
 
     fn unanswered(&mut self, q: &Question, why: &str) {
--- a/crates/control/src/machines.rs
+++ b/crates/control/src/machines.rs
@@ -200,7 +200,11 @@
     /// Claims whose start was never sent, nor will be by an earlier owner.
     pub fn unsent(&self) -> impl Iterator<Item = usize> + '_ {
         let unsent = |c: &Claim| c.state == ClaimState::Recorded && !c.sent;
-        self.claims.iter().enumerate().filter(move |(_, c)| unsent(c)).map(|(k, _)| k)
+        self.claims
+            .iter()
+            .enumerate()
+            .filter(move |(_, c)| unsent(c))
+            .map(|(k, _)| k)
     }
 
     /// Marks all tasks of a job as to be stopped; true if the worker is to be told.
--- a/crates/control/src/models.rs
+++ b/crates/control/src/models.rs
@@ -50,9 +50,20 @@
         &mut all.models
     }
     fn context(node: &Node) -> Option<Vec<String>> {
-        Some(node.settings.cluster.teams.iter().map(|t| t.name.clone()).collect())
-    }
-    fn edited(Whole::Set { spec }: &Whole<Spec>, _: &Spec, _: &Option<Vec<String>>) -> Result<Spec, Fault> {
+        Some(
+            node.settings
+                .cluster
+                .teams
+                .iter()
+                .map(|t| t.name.clone())
+                .collect(),
+        )
+    }
+    fn edited(
+        Whole::Set { spec }: &Whole<Spec>,
+        _: &Spec,
+        _: &Option<Vec<String>>,
+    ) -> Result<Spec, Fault> {
         Ok(spec.clone())
     }
     fn set(spec: Spec) -> Whole<Spec> {
@@ -127,7 +138,12 @@
     /// The rule of a job, if it is a model.
     pub fn rule(&self, spec: &JobSpec) -> Option<Rule> {
         let doc = self.spec.as_ref().filter(|_| spec.kind == Kind::Service)?;
-        doc.rule(&model::Job { id: &spec.id, class: &spec.class, team: &spec.team }).cloned()
+        doc.rule(&model::Job {
+            id: &spec.id,
+            class: &spec.class,
+            team: &spec.team,
+        })
+        .cloned()
     }
 
     pub fn in_force(&self) -> bool {
@@ -136,7 +152,8 @@
 
     /// What the owner of the fleet knows of a model, if it has read all.
     pub fn known(&self, model: &str) -> Option<Known> {
-        (self.owned.read == Read::All).then(|| self.owned.recs.get(model).cloned().unwrap_or_default())
+        (self.owned.read == Read::All)
+            .then(|| self.owned.recs.get(model).cloned().unwrap_or_default())
     }
 
     fn is_due(&mut self, model: &str) {
@@ -147,7 +164,13 @@
 impl Node {
     /// Another document is in force, or none any more.
     fn models_in_force(&mut self) {
-        let spec = self.shared.documents.models.good.as_ref().map(|g| g.built.clone());
+        let spec = self
+            .shared
+            .documents
+            .models
+            .good
+            .as_ref()
+            .map(|g| g.built.clone());
         let spec = spec.filter(|s| !s.rules.is_empty());
         let same = match (&self.models.spec, &spec) {
             (Some(old), Some(new)) => Arc::ptr_eq(old, new),
@@ -173,7 +196,10 @@
         }
         let epoch = self.epoch;
         if self.models.owned.epoch != epoch {
-            self.models.owned = Owned { epoch, ..Owned::default() };
+            self.models.owned = Owned {
+                epoch,
+                ..Owned::default()
+            };
         }
         if self.models.owned.read == Read::Not {
             self.read_models();
@@ -188,7 +214,14 @@
         if let Some(after) = &owned.after {
             path.push_str(&format!("&from={after}"));
         }
-        self.send(Dest::State, "GET", path, Vec::new(), 3000, Pending::Models { epoch: self.epoch });
+        self.send(
+            Dest::State,
+            "GET",
+            path,
+            Vec::new(),
+            3000,
+            Pending::Models { epoch: self.epoch },
+        );
     }
 
     pub(crate) fn models_came(&mut self, response: Option<Response>) {
@@ -203,9 +236,20 @@
         }
         owned.after = page.items.last().map(|i| i.key.clone());
         let more = page.more && !page.items.is_empty();
-        for Item { key, value, version } in page.items {
+        for Item {
+            key,
+            value,
+            version,
+        } in page.items
+        {
             if let Some(model) = key.strip_prefix(records::MODELS) {
-                owned.recs.insert(model.to_owned(), Known { rec: value, stamp: version });
+                owned.recs.insert(
+                    model.to_owned(),
+                    Known {
+                        rec: value,
+                        stamp: version,
+                    },
+                );
             }
         }
         if more {
@@ -222,7 +266,9 @@
     /// Which jobs are models, after all of them or the document may have changed.
     fn sort_models(&mut self) {
         let Some(part) = &self.part else { return };
-        let all: Vec<JobIx> = (0..part.jobs.len()).filter(|ix| part.jobs[*ix].is_some()).collect();
+        let all: Vec<JobIx> = (0..part.jobs.len())
+            .filter(|ix| part.jobs[*ix].is_some())
+            .collect();
         for ix in all {
             self.model_came(ix);
         }
@@ -249,7 +295,9 @@
             return;
         };
         let known = self.models.known(&id);
-        let replicas = known.as_ref().map_or(0, |k| k.rec.replicas(&rule, job.tasks));
+        let replicas = known
+            .as_ref()
+            .map_or(0, |k| k.rec.replicas(&rule, job.tasks));
         set_replicas(part, ix, replicas);
         if let Some(known) = known {
             self.models.is_due(&id);
@@ -260,7 +308,9 @@
 
     /// Something about a job has changed; it matters here only if that is a model.
     pub(crate) fn model_changed(&mut self, ix: JobIx) {
-        let Some(job) = self.part.as_ref().and_then(|p| p.job(ix)) else { return };
+        let Some(job) = self.part.as_ref().and_then(|p| p.job(ix)) else {
+            return;
+        };
         if job.replicas.is_none() {
             return;
         }
@@ -276,15 +326,26 @@
     fn near_weights(&mut self, ix: JobIx, rec: &Rec) {
         let caches: HashMap<String, f64> = self
             .catalog()
-            .map(|c| c.types.iter().map(|t| (t.name.clone(), t.cache_gb)).collect())
+            .map(|c| {
+                c.types
+                    .iter()
+                    .map(|t| (t.name.clone(), t.cache_gb))
+                    .collect()
+            })
             .unwrap_or_default();
         let Some(part) = &mut self.part else { return };
-        let Some(spec) = part.job(ix).and_then(|j| j.spec.as_deref()) else { return };
+        let Some(spec) = part.job(ix).and_then(|j| j.spec.as_deref()) else {
+            return;
+        };
         let (image, gb) = (spec.image.clone(), spec.image_gb);
         let image = part.images.get(&image);
         for name in rec.near.iter().take(MAX_NEAR) {
-            let Some(m) = part.machine_ix.get(name).copied() else { continue };
-            let Some(machine) = part.machine_mut(m) else { continue };
+            let Some(m) = part.machine_ix.get(name).copied() else {
+                continue;
+            };
+            let Some(machine) = part.machine_mut(m) else {
+                continue;
+            };
             let cache = caches.get(&machine.machine_type).copied().unwrap_or(0.0);
             let held: f64 = machine.images.iter().map(|(_, gb)| gb).sum();
             // What a machine was seen to fetch is newer than the hint.
@@ -299,7 +360,10 @@
         let until = rec.since_ms.saturating_add((rule.keep_s * 1000.0) as u64);
         let asleep = rec.phase == Phase::Asleep && !rec.near.is_empty() && until > self.now.wall;
         if asleep && self.models.owned.kept.len() < MOST_KEPT {
-            self.models.owned.kept.insert(model.to_owned(), (until, rec.near.clone()));
+            self.models
+                .owned
+                .kept
+                .insert(model.to_owned(), (until, rec.near.clone()));
         }
     }
 
@@ -313,9 +377,13 @@
         owned.recs.insert(model.to_owned(), known.clone());
         owned.due.insert(model.to_owned());
         let Some(part) = &mut self.part else { return };
-        let Some(ix) = part.job_ix.get(model).copied() else { return };
+        let Some(ix) = part.job_ix.get(model).copied() else {
+            return;
+        };
         let Some(job) = part.job(ix) else { return };
-        let Some(rule) = job.spec.as_ref().and_then(|spec| self.models.rule(spec)) else { return };
+        let Some(rule) = job.spec.as_ref().and_then(|spec| self.models.rule(spec)) else {
+            return;
+        };
         set_replicas(part, ix, known.rec.replicas(&rule, job.tasks));
     }
 
@@ -334,7 +402,9 @@
         self.models.owned.looked_at = now;
         let wall = self.now.wall;
         self.models.owned.kept.retain(|_, (until, _)| *until > wall);
-        let due: Vec<String> = std::mem::take(&mut self.models.owned.due).into_iter().collect();
+        let due: Vec<String> = std::mem::take(&mut self.models.owned.due)
+            .into_iter()
+            .collect();
         for model in due {
             if self.look_at_model(&model) {
                 self.models.is_due(&model);
@@ -348,7 +418,11 @@
         let now = self.now.mono;
         let since = self.part.as_ref().map_or(0, |p| p.since);
         let heard = self.models.wakes.heard(&job.id).max(since);
-        let near = self.part.as_ref().map(|p| machines_near(p, job)).unwrap_or_default();
+        let near = self
+            .part
+            .as_ref()
+            .map(|p| machines_near(p, job))
+            .unwrap_or_default();
         Seen {
             claimed: job.claimed.len() as u32,
             running: job.running,
@@ -366,16 +440,25 @@
             return true;
         }
         let Some(part) = &self.part else { return false };
-        let Some(ix) = part.job_ix.get(model).copied() else { return false };
-        let Some(job) = part.job(ix).filter(|j| j.ending == Ending::No) else { return false };
-        let Some(spec) = job.spec.as_ref() else { return false };
-        let Some(rule) = self.models.rule(spec) else { return false };
+        let Some(ix) = part.job_ix.get(model).copied() else {
+            return false;
+        };
+        let Some(job) = part.job(ix).filter(|j| j.ending == Ending::No) else {
+            return false;
+        };
+        let Some(spec) = job.spec.as_ref() else {
+            return false;
+        };
+        let Some(rule) = self.models.rule(spec) else {
+            return false;
+        };
         let known = self.models.known(model).unwrap_or_default();
         let seen = self.seen(job);
         let node = self.settings.node.clone();
         let (wall, tasks, version) = (self.now.wall, job.tasks, job.version);
         let first = known.stamp == 0 && (rule.begin == model::Begin::Awake || seen.claimed > 0);
-        let missed = known.stamp > 0 && !known.rec.is_up() && self.asked_since(model, known.rec.since_ms);
+        let missed =
+            known.stamp > 0 && !known.rec.is_up() && self.asked_since(model, known.rec.since_ms);
         let next = if first || missed {
             match asked(&known.rec, &rule, tasks, &node, wall) {
                 Asked::Wake(rec) => Some(*rec),
@@ -387,7 +470,9 @@
         if known.stamp > 0 && !known.rec.is_up() {
             self.stop_replicas(ix, known.rec.replicas(&rule, tasks));
         }
-        let Some(rec) = next else { return known.rec.phase != Phase::Asleep || seen.claimed > 0 };
+        let Some(rec) = next else {
+            return known.rec.phase != Phase::Asleep || seen.claimed > 0;
+        };
         if self.models.owned.out.len() >= MOST_OUT {
             return true;
         }
@@ -399,7 +484,12 @@
     /// Whether somebody has asked for it here after it was put to sleep: what had been decided before that came late.
     fn asked_since(&self, model: &str, since_ms: u64) -> bool {
         let heard = self.models.wakes.heard(model);
-        heard > 0 && self.now.wall.saturating_sub(self.now.mono.saturating_sub(heard)) > since_ms
+        heard > 0
+            && self
+                .now
+                .wall
+                .saturating_sub(self.now.mono.saturating_sub(heard))
+                > since_ms
     }
 
     /// Stops all replicas but the first few.
@@ -410,12 +500,22 @@
         let mut tasks: Vec<u32> = job.claimed.keys().copied().collect();
         tasks.sort_unstable();
         let over: BTreeSet<u32> = tasks.into_iter().skip(stay as usize).collect();
-        let on = job.claimed.iter().filter(|(t, _)| over.contains(t)).flat_map(|(_, c)| c);
+        let on = job
+            .claimed
+            .iter()
+            .filter(|(t, _)| over.contains(t))
+            .flat_map(|(_, c)| c);
         let machines: BTreeSet<usize> = on.map(|(m, _)| *m).collect();
         for m in machines {
-            let Some(machine) = part.machine_mut(m) else { continue };
+            let Some(machine) = part.machine_mut(m) else {
+                continue;
+            };
             let mut news = false;
-            for claim in machine.claims.iter_mut().filter(|c| c.job == ix && over.contains(&c.task)) {
+            for claim in machine
+                .claims
+                .iter_mut()
+                .filter(|c| c.job == ix && over.contains(&c.task))
+            {
                 news |= claim.stop.is_none();
                 claim.stop.get_or_insert(grace);
             }
@@ -431,16 +531,34 @@
         let Some(part) = &self.part else { return };
         let key = records::model_key(model);
         let mut guards = vec![
-            Guard { key: records::owner_key(PART), version: part.owner_version },
-            Guard { key: key.clone(), version: stamp },
+            Guard {
+                key: records::owner_key(PART),
+                version: part.owner_version,
+            },
+            Guard {
+                key: key.clone(),
+                version: stamp,
+            },
         ];
-        guards.extend(job.map(|version| Guard { key: records::live_key(model), version }));
+        guards.extend(job.map(|version| Guard {
+            key: records::live_key(model),
+            version,
+        }));
         let write = match &rec {
             Some(rec) => Write::put(key, Record::Model(rec.clone())),
             None => Write::Remove { key },
         };
-        let body = wire::encode(&Txn { guards, writes: vec![write] });
-        let out = Out { rec, busy: false, retry_at: 0, body, unsure: false };
+        let body = wire::encode(&Txn {
+            guards,
+            writes: vec![write],
+        });
+        let out = Out {
+            rec,
+            busy: false,
+            retry_at: 0,
+            body,
+            unsure: false,
+        };
         self.models.owned.out.insert(model.to_owned(), out);
         self.send_model(model);
     }
@@ -451,9 +569,14 @@
             return;
         }
         let epoch = self.epoch;
-        let Some(out) = self.models.owned.out.get_mut(model) else { return };
+        let Some(out) = self.models.owned.out.get_mut(model) else {
+            return;
+        };
         out.busy = true;
-        let what = Pending::ModelWrite { epoch, model: model.to_owned() };
+        let what = Pending::ModelWrite {
+            epoch,
+            model: model.to_owned(),
+        };
         if out.unsure {
             let path = format!("/keys/{}", records::model_key(model));
             return self.send(Dest::State, "GET", path, Vec::new(), TIMEOUT_MS, what);
@@ -468,7 +591,9 @@
         let now = self.now.mono;
         let wait = self.rng.u64(100..400);
         let status = response.as_ref().map(|r| r.status);
-        let Some(out) = self.models.owned.out.get_mut(&model) else { return };
+        let Some(out) = self.models.owned.out.get_mut(&model) else {
+            return;
+        };
         out.busy = false;
         out.retry_at = now + wait;
         match (out.unsure, status) {
@@ -482,8 +607,18 @@
                 self.models.owned.out.remove(&model);
                 match rec {
                     Some(rec) => {
-                        log::info!("model {model}: {:?}, generation {}", rec.phase, rec.generation);
-                        self.model_stands(&model, Known { rec, stamp: revision });
+                        log::info!(
+                            "model {model}: {:?}, generation {}",
+                            rec.phase,
+                            rec.generation
+                        );
+                        self.model_stands(
+                            &model,
+                            Known {
+                                rec,
+                                stamp: revision,
+                            },
+                        );
                     }
                     None => self.record_gone(&model),
                 }
@@ -495,7 +630,13 @@
                 let item = response.and_then(|r| wire::decode::<Item<Rec>>(&r.body).ok());
                 let Some(item) = item else { return };
                 self.models.owned.out.remove(&model);
-                self.model_stands(&model, Known { rec: item.value, stamp: item.version });
+                self.model_stands(
+                    &model,
+                    Known {
+                        rec: item.value,
+                        stamp: item.version,
+                    },
+                );
             }
             (true, Some(404)) => {
                 self.models.owned.out.remove(&model);
@@ -516,9 +657,17 @@
     fn take_over_records(&mut self) {
         let Some(part) = &self.part else { return };
         let owned = &mut self.models.owned;
-        let Some(model) = owned.over.pop_first() else { return };
-        let open = part.job_ix.get(&model).and_then(|ix| part.job(*ix)).is_some_and(|j| !j.is_over());
-        let Some(stamp) = owned.recs.get(&model).map(|k| k.stamp).filter(|_| !open) else { return };
+        let Some(model) = owned.over.pop_first() else {
+            return;
+        };
+        let open = part
+            .job_ix
+            .get(&model)
+            .and_then(|ix| part.job(*ix))
+            .is_some_and(|j| !j.is_over());
+        let Some(stamp) = owned.recs.get(&model).map(|k| k.stamp).filter(|_| !open) else {
+            return;
+        };
         if owned.out.contains_key(&model) {
             owned.over.insert(model);
             return;
@@ -532,7 +681,14 @@
         self.models.owned.watching = true;
         let from = self.models.owned.revision;
         let path = format!("/changes?under={}&from={from}&waitMs=5000", records::MODELS);
-        self.send(Dest::State, "GET", path, Vec::new(), 7000, Pending::ModelWatch { epoch });
+        self.send(
+            Dest::State,
+            "GET",
+            path,
+            Vec::new(),
+            7000,
+            Pending::ModelWatch { epoch },
+        );
     }
 
     pub(crate) fn models_watched(&mut self, response: Option<Response>) {
@@ -549,27 +705,46 @@
         if response.status != 200 {
             return;
         }
-        let Some(changes) = self.read::<Changes<Rec>>("state service", &response) else { return };
+        let Some(changes) = self.read::<Changes<Rec>>("state service", &response) else {
+            return;
+        };
         let owned = &mut self.models.owned;
         owned.watch_at = 0;
         owned.revision = owned.revision.max(changes.revision);
         for change in changes.events {
-            let key = change.put.as_deref().or(change.remove.as_deref()).unwrap_or_default();
-            let Some(model) = key.strip_prefix(records::MODELS).map(str::to_owned) else { continue };
+            let key = change
+                .put
+                .as_deref()
+                .or(change.remove.as_deref())
+                .unwrap_or_default();
+            let Some(model) = key.strip_prefix(records::MODELS).map(str::to_owned) else {
+                continue;
+            };
             let stamp = change.version;
             match change.value {
                 Some(rec) => self.model_stands(&model, Known { rec, stamp }),
-                None => self.models.owned.recs.retain(|m, k| *m != model || k.stamp > stamp),
+                None => self
+                    .models
+                    .owned
+                    .recs
+                    .retain(|m, k| *m != model || k.stamp > stamp),
             }
         }
     }
 
     /// Machines that are kept for the weights that they hold: one a model.
     pub(crate) fn kept_for_models(&self) -> Vec<usize> {
-        let Some(part) = &self.part else { return Vec::new() };
+        let Some(part) = &self.part else {
+            return Vec::new();
+        };
         let owned = &self.models.owned;
-        let first = |names: &Vec<String>| names.iter().find_map(|n| part.machine_ix.get(n).copied());
-        owned.kept.values().filter_map(|(_, names)| first(names)).collect()
+        let first =
+            |names: &Vec<String>| names.iter().find_map(|n| part.machine_ix.get(n).copied());
+        owned
+            .kept
+            .values()
+            .filter_map(|(_, names)| first(names))
+            .collect()
     }
 
     /// How a model stands for whoever asks.
@@ -578,13 +753,22 @@
             Asked::NotNow { why, until_ms } => (Some(why.clone()), Some(*until_ms)),
             _ => (None, None),
         };
-        let types = self.catalog().map(|c| c.types.as_slice()).unwrap_or_default();
+        let types = self
+            .catalog()
+            .map(|c| c.types.as_slice())
+            .unwrap_or_default();
         let lead = types
             .iter()
-            .filter(|t| spec.types.as_ref().is_none_or(|names| names.contains(&t.name)))
+            .filter(|t| {
+                spec.types
+                    .as_ref()
+                    .is_none_or(|names| names.contains(&t.name))
+            })
             .map(|t| t.boot_s + spec.image_gb / t.fetch_gb_per_s.max(0.01))
             .reduce(f64::min);
-        let due = lead.map(|s| rec.since_ms + (s * 1000.0) as u64).filter(|_| rec.phase == Phase::Waking);
+        let due = lead
+            .map(|s| rec.since_ms + (s * 1000.0) as u64)
+            .filter(|_| rec.phase == Phase::Waking);
         Told {
             model: spec.id.clone(),
             phase: rec.phase,
@@ -598,11 +782,17 @@
 
     /// All models, as their owner sees them.
     pub(crate) fn models_standing(&self) -> Vec<Standing> {
-        let Some(part) = &self.part else { return Vec::new() };
+        let Some(part) = &self.part else {
+            return Vec::new();
+        };
         let mut out = Vec::new();
         for job in part.jobs.iter().flatten().filter(|j| j.replicas.is_some()) {
-            let Some(spec) = job.spec.as_ref().filter(|_| !job.is_ending()) else { continue };
-            let Some(rule) = self.models.rule(spec) else { continue };
+            let Some(spec) = job.spec.as_ref().filter(|_| !job.is_ending()) else {
+                continue;
+            };
+            let Some(rule) = self.models.rule(spec) else {
+                continue;
+            };
             let known = self.models.known(&job.id).unwrap_or_default();
             let asked = asked(&known.rec, &rule, job.tasks, "", self.now.wall);
             let seen = self.seen(job);
@@ -636,5 +826,9 @@
 /// Machines on which replicas of a model are, and so its weights.
 fn machines_near(part: &Part, job: &Job) -> Vec<String> {
     let on: BTreeSet<usize> = job.claimed.values().flatten().map(|(m, _)| *m).collect();
-    on.into_iter().filter_map(|m| part.machine(m)).map(|m| m.name.clone()).take(MAX_NEAR).collect()
+    on.into_iter()
+        .filter_map(|m| part.machine(m))
+        .map(|m| m.name.clone())
+        .take(MAX_NEAR)
+        .collect()
 }
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -281,7 +281,9 @@
 
     /// Forgets a machine that is proved gone and has no claims left.
     pub fn remove_machine(&mut self, m: usize) {
-        let Some(machine) = self.machines.get_mut(m).and_then(Option::take) else { return };
+        let Some(machine) = self.machines.get_mut(m).and_then(Option::take) else {
+            return;
+        };
         self.machine_ix.remove(&machine.name);
         self.free_machines.push(m);
         self.push.remove(&m);
@@ -291,7 +293,9 @@
     /// Takes a claim back of which nothing was sent.
     pub fn drop_claim(&mut self, id: &ClaimId) {
         if let Some(machine) = self.machine_mut(id.machine) {
-            machine.claims.retain(|c| !(c.job == id.job && c.task == id.task && c.attempt == id.attempt));
+            machine
+                .claims
+                .retain(|c| !(c.job == id.job && c.task == id.task && c.attempt == id.attempt));
         }
         if let Some(job) = self.job_mut(id.job) {
             job.unclaim(id.task, id.machine, id.attempt);
@@ -300,14 +304,20 @@
 
     /// Marks a job's tasks on one machine as to be stopped.
     pub fn stop_job(&mut self, ix: JobIx, m: usize, grace_s: f64) {
-        if self.machine_mut(m).is_some_and(|machine| machine.stop_job(ix, grace_s)) {
+        if self
+            .machine_mut(m)
+            .is_some_and(|machine| machine.stop_job(ix, grace_s))
+        {
             self.push.insert(m);
         }
     }
 
     /// Notes whether a job is one that is not wanted any more and still has claims.
     pub fn note_unwanted(&mut self, ix: JobIx) {
-        if self.job(ix).is_some_and(|j| j.is_unwanted() && !j.claimed.is_empty()) {
+        if self
+            .job(ix)
+            .is_some_and(|j| j.is_unwanted() && !j.claimed.is_empty())
+        {
             self.unwanted.insert(ix);
         } else {
             self.unwanted.remove(&ix);
@@ -317,12 +327,15 @@
     /// Whether looking at all jobs finds none that is missing.
     pub fn unwanted_is_right(&self) -> bool {
         let left = |j: &Job| j.is_unwanted() && !j.claimed.is_empty();
-        (0..self.jobs.len()).all(|ix| self.unwanted.contains(&ix) || !self.job(ix).is_some_and(left))
+        (0..self.jobs.len())
+            .all(|ix| self.unwanted.contains(&ix) || !self.job(ix).is_some_and(left))
     }
 
     /// Forgets an ended job once nothing of it is on any machine.
     pub fn maybe_forget_job(&mut self, ix: JobIx) {
-        let gone = self.job(ix).is_some_and(|j| j.is_over() && j.claimed.is_empty());
+        let gone = self
+            .job(ix)
+            .is_some_and(|j| j.is_over() && j.claimed.is_empty());
         if gone && let Some(job) = self.jobs[ix].take() {
             self.job_ix.remove(&job.id);
             self.unwanted.remove(&ix);
@@ -333,21 +346,34 @@
 
     /// All who wait for the end of a job. None of them waits any longer.
     pub fn take_waiters(&mut self) -> Vec<Asker> {
-        self.jobs.iter_mut().flatten().flat_map(|j| std::mem::take(&mut j.waiters)).collect()
+        self.jobs
+            .iter_mut()
+            .flatten()
+            .flat_map(|j| std::mem::take(&mut j.waiters))
+            .collect()
     }
 }
 
 impl Part {
     /// Takes in a log record of earlier owners.
     fn load_segment(&mut self, number: u64, version: u64, rec: LogRec) {
-        let mut segment = Segment { version, ..Segment::default() };
+        let mut segment = Segment {
+            version,
+            ..Segment::default()
+        };
         segment.counts = self.tally.stands(number, rec.ended, 0);
         for group in rec.claims {
-            let need = Need { cores: group.cores, gpus: group.gpus, mem_gb: group.mem_gb };
+            let need = Need {
+                cores: group.cores,
+                gpus: group.gpus,
+                mem_gb: group.mem_gb,
+            };
             let attempt = group.attempt;
             for (name, first, n) in group.on {
                 // A machine in no rack is gone, and all that was on it.
-                let Some(machine) = self.machine_ix.get(&name).copied() else { continue };
+                let Some(machine) = self.machine_ix.get(&name).copied() else {
+                    continue;
+                };
                 let job = match self.job_ix.get(&group.job) {
                     Some(ix) => *ix,
                     // Ended, but its tasks may still be there: they count until they are proved gone.
@@ -358,7 +384,12 @@
                     }
                 };
                 for task in records::unrange(&[(first, n)]) {
-                    let id = ClaimId { machine, job, task, attempt };
+                    let id = ClaimId {
+                        machine,
+                        job,
+                        task,
+                        attempt,
+                    };
                     // A claim that was moved may stand in two records.
                     if self.claim_mut(&id).is_some() {
                         continue;
@@ -380,8 +411,12 @@
             }
         }
         for done in rec.done {
-            let Some(ix) = self.job_ix.get(&done.job).copied() else { continue };
-            let Some(job) = self.job_mut(ix).filter(|j| j.spec.is_some()) else { continue };
+            let Some(ix) = self.job_ix.get(&done.job).copied() else {
+                continue;
+            };
+            let Some(job) = self.job_mut(ix).filter(|j| j.spec.is_some()) else {
+                continue;
+            };
             job.load_done(records::unrange(&done.tasks));
             job.segments.insert(number);
             segment.jobs.insert(ix);
@@ -398,7 +433,12 @@
             for (task, claims) in job.claimed.iter().filter(|(_, c)| c.len() > 1) {
                 let last = claims.iter().map(|(_, a)| *a).max().unwrap_or(0);
                 for (machine, attempt) in claims.iter().filter(|(_, a)| *a != last) {
-                    over.push(ClaimId { machine: *machine, job: ix, task: *task, attempt: *attempt });
+                    over.push(ClaimId {
+                        machine: *machine,
+                        job: ix,
+                        task: *task,
+                        attempt: *attempt,
+                    });
                 }
             }
         }
@@ -430,7 +470,10 @@
         if let Some(after) = &part.load_after {
             path.push_str(&format!("&from={after}"));
         }
-        let what = Pending::Load { epoch: self.epoch, what };
+        let what = Pending::Load {
+            epoch: self.epoch,
+            what,
+        };
         self.send(Dest::State, "GET", path, Vec::new(), 3000, what);
     }
 
@@ -452,19 +495,21 @@
     }
 
     pub(crate) fn load_came(&mut self, what: Load, response: Option<Response>) {
-        let page = response.filter(|r| r.status == 200).and_then(|r| match what {
-            Load::Jobs => self.read("state service", &r).map(|p| self.load_jobs(p)),
-            Load::Racks => self.read("state service", &r).map(|p| self.load_racks(p)),
-            Load::Log => self.read("state service", &r).map(|p| self.load_log(p)),
-            Load::Hires => self.read("state service", &r).map(|p| self.load_hires(p)),
-            Load::Allot => self.read("state service", &r).map(|p| self.load_allot(p)),
-            Load::Heads => self.read("state service", &r).map(|p| {
-                self.load_heads(p);
-                false
-            }),
-            // Their pages come to [`Node::models_came`].
-            Load::Models => None,
-        });
+        let page = response
+            .filter(|r| r.status == 200)
+            .and_then(|r| match what {
+                Load::Jobs => self.read("state service", &r).map(|p| self.load_jobs(p)),
+                Load::Racks => self.read("state service", &r).map(|p| self.load_racks(p)),
+                Load::Log => self.read("state service", &r).map(|p| self.load_log(p)),
+                Load::Hires => self.read("state service", &r).map(|p| self.load_hires(p)),
+                Load::Allot => self.read("state service", &r).map(|p| self.load_allot(p)),
+                Load::Heads => self.read("state service", &r).map(|p| {
+                    self.load_heads(p);
+                    false
+                }),
+                // Their pages come to [`Node::models_came`].
+                Load::Models => None,
+            });
         let Some(more) = page else {
             return self.load_later(what);
         };
@@ -510,10 +555,22 @@
         let more = self.page_end(&range);
         let prefix = records::racks_prefix(PART);
         let now = self.now;
-        let Some(part) = &mut self.part else { return false };
-        for Item { key, value, version } in range.items {
-            let Some(number) = key.strip_prefix(&prefix).and_then(|n| n.parse().ok()) else { continue };
-            let mut rack = Rack { version, ..Rack::default() };
+        let Some(part) = &mut self.part else {
+            return false;
+        };
+        for Item {
+            key,
+            value,
+            version,
+        } in range.items
+        {
+            let Some(number) = key.strip_prefix(&prefix).and_then(|n| n.parse().ok()) else {
+                continue;
+            };
+            let mut rack = Rack {
+                version,
+                ..Rack::default()
+            };
             for kind in value.kinds {
                 for (name, hired_ms) in kind.machines {
                     let mut machine =
@@ -533,9 +590,18 @@
     fn load_log(&mut self, range: Range<LogRec>) -> bool {
         let more = self.page_end(&range);
         let prefix = records::log_prefix(PART);
-        let Some(part) = &mut self.part else { return false };
-        for Item { key, value, version } in range.items {
-            let number = key.strip_prefix(&prefix).and_then(|n| u64::from_str_radix(n, 16).ok());
+        let Some(part) = &mut self.part else {
+            return false;
+        };
+        for Item {
+            key,
+            value,
+            version,
+        } in range.items
+        {
+            let number = key
+                .strip_prefix(&prefix)
+                .and_then(|n| u64::from_str_radix(n, 16).ok());
             if let Some(number) = number {
                 part.load_segment(number, version, value);
             }
@@ -546,10 +612,23 @@
     fn load_hires(&mut self, range: Range<HireRec>) -> bool {
         let more = self.page_end(&range);
         let prefix = records::hires_prefix(PART);
-        let Some(part) = &mut self.part else { return false };
-        for Item { key, value, version } in range.items {
+        let Some(part) = &mut self.part else {
+            return false;
+        };
+        for Item {
+            key,
+            value,
+            version,
+        } in range.items
+        {
             if let Some(name) = key.strip_prefix(&prefix) {
-                let hire = Hire { rec: value, version, busy: false, retry_at: 0, state: HireState::Recorded };
+                let hire = Hire {
+                    rec: value,
+                    version,
+                    busy: false,
+                    retry_at: 0,
+                    state: HireState::Recorded,
+                };
                 part.hires.insert(name.to_owned(), hire);
             }
         }
@@ -557,8 +636,14 @@
     }
 
     fn load_allot(&mut self, range: Range<AllotRec>) -> bool {
-        let Some(part) = &mut self.part else { return false };
-        if let Some(item) = range.items.into_iter().find(|i| i.key == records::allot_key(PART)) {
+        let Some(part) = &mut self.part else {
+            return false;
+        };
+        if let Some(item) = range
+            .items
+            .into_iter()
+            .find(|i| i.key == records::allot_key(PART))
+        {
             part.allot = Some(item.value);
             part.allot_version = item.version;
         }
@@ -569,12 +654,24 @@
     pub(crate) fn whole_allotment(&self) -> AllotRec {
         let teams = self.settings.cluster.teams.iter();
         let teams = teams
-            .map(|t| AllotedTeam { name: t.name.clone(), cpus_max: t.cpus_max, gpus_max: t.gpus_max })
+            .map(|t| AllotedTeam {
+                name: t.name.clone(),
+                cpus_max: t.cpus_max,
+                gpus_max: t.gpus_max,
+            })
             .collect();
         // While no version can be acted on, the one that was recorded stays, and nothing starts.
-        let recorded = self.part.as_ref().and_then(|p| p.allot.as_ref()).map_or(0, |a| a.tree);
+        let recorded = self
+            .part
+            .as_ref()
+            .and_then(|p| p.allot.as_ref())
+            .map_or(0, |a| a.tree);
         let value = value_limit(self.settings.cluster.state.value_kb);
-        AllotRec::whole(teams, self.shared.documents.quota.version().unwrap_or(recorded), value)
+        AllotRec::whole(
+            teams,
+            self.shared.documents.quota.version().unwrap_or(recorded),
+            value,
+        )
     }
 
     pub(crate) fn load_ended(&mut self) {
@@ -600,7 +697,9 @@
             part.hires.len()
         );
         // A job may have been left with all tasks done but not ended, or with a gang half claimed.
-        let all: Vec<JobIx> = (0..part.jobs.len()).filter(|ix| part.jobs[*ix].is_some()).collect();
+        let all: Vec<JobIx> = (0..part.jobs.len())
+            .filter(|ix| part.jobs[*ix].is_some())
+            .collect();
         for ix in all {
             self.job_changed(ix);
         }
@@ -611,8 +710,19 @@
         let epoch = self.epoch;
         let Some(part) = &mut self.part else { return };
         part.live_busy = true;
-        let path = format!("/changes?under={}&from={}&waitMs=5000", records::LIVE, part.live_revision);
-        self.send(Dest::State, "GET", path, Vec::new(), 7000, Pending::LiveWatch { epoch });
+        let path = format!(
+            "/changes?under={}&from={}&waitMs=5000",
+            records::LIVE,
+            part.live_revision
+        );
+        self.send(
+            Dest::State,
+            "GET",
+            path,
+            Vec::new(),
+            7000,
+            Pending::LiveWatch { epoch },
+        );
     }
 
     pub(crate) fn live_changes(&mut self, response: Option<Response>) {
@@ -627,7 +737,9 @@
             410 => return self.step_down("too many changes were missed; reading everything again"),
             _ => return,
         }
-        let Some(changes) = self.read::<Changes<JobRec>>("state service", &response) else { return };
+        let Some(changes) = self.read::<Changes<JobRec>>("state service", &response) else {
+            return;
+        };
         for change in changes.events {
             if let Some(rec) = change.value {
                 self.writes.take(now, 1.0);
@@ -650,8 +762,17 @@
             return;
         }
         let spec = &rec.spec;
-        log::debug!("job {}: {} tasks of class {} for {}", spec.id, spec.tasks, spec.class, spec.team);
-        part.classes.entry(rec.spec.class.clone()).or_default().arrived(&rec.spec, rec.at_ms);
+        log::debug!(
+            "job {}: {} tasks of class {} for {}",
+            spec.id,
+            spec.tasks,
+            spec.class,
+            spec.team
+        );
+        part.classes
+            .entry(rec.spec.class.clone())
+            .or_default()
+            .arrived(&rec.spec, rec.at_ms);
         let ix = part.add_job(Job::new(rec, version));
         part.plan_due = true;
         self.model_came(ix);
--- a/crates/control/src/quotas.rs
+++ b/crates/control/src/quotas.rs
@@ -41,9 +41,12 @@
         match edit {
             Edit::Set { spec } => Ok(spec.clone()),
             Edit::Move { name, to } => edit::transfer(old, teams, name, to.as_deref()),
-            Edit::Shrink { name, guarantee, max, scale } => {
-                edit::shrink(old, teams, name, guarantee, max, *scale)
-            }
+            Edit::Shrink {
+                name,
+                guarantee,
+                max,
+                scale,
+            } => edit::shrink(old, teams, name, guarantee, max, *scale),
         }
     }
     fn set(spec: Spec) -> Edit {
@@ -63,8 +66,10 @@
     /// The tree with the counts of this moment.
     fn show(node: &Node) -> Vec<u8> {
         let q = &node.shared.documents.quota;
-        let (version, spec) =
-            q.good.as_ref().map_or((0, Spec::default()), |g| (g.version, (*g.spec).clone()));
+        let (version, spec) = q
+            .good
+            .as_ref()
+            .map_or((0, Spec::default()), |g| (g.version, (*g.spec).clone()));
         let live = node.tree_here().and_then(|tree| node.counted(&tree));
         admin::encode(&admin::Tree {
             version,
@@ -76,7 +81,9 @@
         })
     }
     fn told(node: &Node, tree: &Arc<Tree>) -> Vec<String> {
-        node.counted(tree).map(|live| above(&live)).unwrap_or_default()
+        node.counted(tree)
+            .map(|live| above(&live))
+            .unwrap_or_default()
     }
     fn in_force(node: &mut Node) {
         node.tree_in_force();
@@ -90,9 +97,18 @@
     }
     /// The allotment that names the tree.
     fn with_head(draft: &mut Draft, part: &mut Part, version: u64) {
-        let Some(allot) = part.allot.clone() else { return };
-        let allot = AllotRec { tree: version, ..allot };
-        draft.put(records::allot_key(PART), part.allot_version, Record::Allot(allot.clone()));
+        let Some(allot) = part.allot.clone() else {
+            return;
+        };
+        let allot = AllotRec {
+            tree: version,
+            ..allot
+        };
+        draft.put(
+            records::allot_key(PART),
+            part.allot_version,
+            Record::Allot(allot.clone()),
+        );
         part.allot = Some(allot);
         part.allot_version = 0;
         draft.ops.push(Op::Allot);
@@ -108,13 +124,21 @@
     let mut out = Vec::new();
     for (i, node) in tree.nodes.iter().enumerate() {
         let used = live.used(quota::NodeId(i as u32));
-        for (r, name) in tree.resources.iter().enumerate().filter(|(r, _)| used[*r] > node.max[*r]) {
+        for (r, name) in tree
+            .resources
+            .iter()
+            .enumerate()
+            .filter(|(r, _)| used[*r] > node.max[*r])
+        {
             let over = (used[r] - node.max[r]) as f64 / 1000.0;
             let then = match node.over {
                 quota::Over::Reclaim => "stopped with the time to save",
                 quota::Over::LetEnd => "left to end",
             };
-            out.push(format!("{}: {over} {name} above the new maximum, {then}", node.name));
+            out.push(format!(
+                "{}: {over} {name} above the new maximum, {then}",
+                node.name
+            ));
         }
     }
     out
@@ -130,7 +154,9 @@
     fn tree_here(&self) -> Option<Arc<Tree>> {
         match &self.shared.documents.quota.good {
             Some(good) => Some(good.built.clone()),
-            None => Tree::build(&Spec::default(), &self.settings.quota_teams()).ok().map(Arc::new),
+            None => Tree::build(&Spec::default(), &self.settings.quota_teams())
+                .ok()
+                .map(Arc::new),
         }
     }
 
@@ -138,7 +164,9 @@
     pub(crate) fn tree_in_force(&mut self) {
         self.refit_hours();
         let whole = self.whole_allotment();
-        let Some(part) = self.part.as_mut().filter(|p| p.loaded) else { return };
+        let Some(part) = self.part.as_mut().filter(|p| p.loaded) else {
+            return;
+        };
         let stands = part.allot.as_ref() == Some(&whole) && part.allot_wanted.is_none();
         if stands {
             return;
@@ -156,8 +184,9 @@
         let mut jobs = BTreeSet::new();
         let fresh: Vec<_> = part.ledger.fresh.drain(..).collect();
         for id in fresh {
-            let new =
-                part.claim_mut(&id).is_some_and(|c| c.state == crate::machines::ClaimState::New && !c.sent);
+            let new = part
+                .claim_mut(&id)
+                .is_some_and(|c| c.state == crate::machines::ClaimState::New && !c.sent);
             if new {
                 part.drop_claim(&id);
                 jobs.insert(id.job);
@@ -172,7 +201,9 @@
 
     /// Whether this is more than some node above a team may use at all.
     pub(crate) fn above_its_tree(&self, team: &str, all: &quota::Amount) -> bool {
-        let Some(good) = &self.shared.documents.quota.good else { return false };
+        let Some(good) = &self.shared.documents.quota.good else {
+            return false;
+        };
         let tree = &good.built;
         let path = tree.team(team).map(|t| tree.path(t)).unwrap_or_default();
         let over = |n: &quota::NodeId| {
