--- a/crates/control/tests/search/model.rs
+++ b/crates/control/tests/search/model.rs
@@ -189,8 +189,20 @@
 
     /// `election::step_down`, of what the node itself remembers.
     fn gives_up(&mut self) {
-        let Node { has_read, highest, owned, charge, .. } = *self;
-        *self = Node { has_read, highest, owned, charge, ..Node::NEW };
+        let Node {
+            has_read,
+            highest,
+            owned,
+            charge,
+            ..
+        } = *self;
+        *self = Node {
+            has_read,
+            highest,
+            owned,
+            charge,
+            ..Node::NEW
+        };
     }
 
     /// `election::sure`.
@@ -217,7 +229,8 @@
 
     /// `word_came`: what it says of tokens proves that nobody above this one has told of a cancel.
     fn vouches_for(&self, token: u8, b: &Bounds) -> bool {
-        self.word(b).is_some_and(|t| t <= token || b.planted == Planted::VouchesForAnyToken)
+        self.word(b)
+            .is_some_and(|t| t <= token || b.planted == Planted::VouchesForAnyToken)
     }
 
     /// `keeper::charge_for`.
@@ -243,7 +256,15 @@
 pub enum Txn {
     /// The transaction of `election::granted`. `lease` is the age of the lease that the record is to be put on;
     /// `awaited` whether its node still stands for it, `own_life` whether that life goes on.
-    Take { node: u8, owner: u8, counter: u8, token: u8, lease: u8, awaited: bool, own_life: bool },
+    Take {
+        node: u8,
+        owner: u8,
+        counter: u8,
+        token: u8,
+        lease: u8,
+        awaited: bool,
+        own_life: bool,
+    },
     /// The end of the job (`commit::Draft::end`), guarded by its sender's owner record.
     End { owner: u8 },
 }
@@ -338,7 +359,11 @@
 
 /// `Vouches::note`: how many peers have to vouch.
 fn vouches_needed(b: &Bounds) -> usize {
-    if b.planted == Planted::Majority { b.nodes / 2 } else { b.nodes - 1 }
+    if b.planted == Planted::Majority {
+        b.nodes / 2
+    } else {
+        b.nodes - 1
+    }
 }
 
 fn older(age: &mut u8, most: u8) {
@@ -353,13 +378,31 @@
 impl World {
     /// Node 0 owns the fleet and all know it; the task runs; nobody has cancelled anything.
     pub fn new(nodes: usize) -> Self {
-        let knows = Node { has_read: true, highest: 1, ..Node::NEW };
-        let owner =
-            Node { role: Role::Owner, token: 1, loaded: true, renewed: 0, known: 0, owned: true, ..knows };
+        let knows = Node {
+            has_read: true,
+            highest: 1,
+            ..Node::NEW
+        };
+        let owner = Node {
+            role: Role::Owner,
+            token: 1,
+            loaded: true,
+            renewed: 0,
+            known: 0,
+            owned: true,
+            ..knows
+        };
         let mut all = [Node::NEW; NODES];
         all[..nodes].fill(knows);
         all[0] = owner;
-        let rec = Rec { node: 0, token: 1, lease: 0, own_life: true, awaited: false, released: false };
+        let rec = Rec {
+            node: 0,
+            token: 1,
+            lease: 0,
+            own_life: true,
+            awaited: false,
+            released: false,
+        };
         World {
             nodes: all,
             out: false,
@@ -381,14 +424,37 @@
     /// All steps that may come next, whether or not they can.
     pub fn steps(b: &Bounds) -> Vec<Step> {
         use Step::*;
-        let mut all = vec![Tick, Outage(true), Outage(false), Lapse, Tell, AnswerComes, ChargeComes];
+        let mut all = vec![
+            Tick,
+            Outage(true),
+            Outage(false),
+            Lapse,
+            Tell,
+            AnswerComes,
+            ChargeComes,
+        ];
         for i in 0..ON_THE_WAY as u8 {
             all.extend([Comes(i), ComesUnanswered(i), ComesAgain(i)]);
         }
         let nodes = b.nodes as u8;
         for n in 0..nodes {
-            all.extend([Restart(n), Read(n), Stand(n), GiveUp(n), Renew(n), RenewUnanswered(n)]);
-            all.extend([RenewAnswered(n), Load(n), Cancel(n), SendEnd(n), Ask(n), Report(n), ReportLate(n)]);
+            all.extend([
+                Restart(n),
+                Read(n),
+                Stand(n),
+                GiveUp(n),
+                Renew(n),
+                RenewUnanswered(n),
+            ]);
+            all.extend([
+                RenewAnswered(n),
+                Load(n),
+                Cancel(n),
+                SendEnd(n),
+                Ask(n),
+                Report(n),
+                ReportLate(n),
+            ]);
             for to in (0..nodes).filter(|to| *to != n) {
                 all.extend([Vouch(n, to), Owns(n, to), Charge(n, to), ChargeLate(n, to)]);
             }
@@ -452,16 +518,30 @@
     /// The same with its nodes in order, since they are alike but for what they know; and where each was before.
     pub fn canonical(&self, b: &Bounds) -> (World, [u8; NODES]) {
         let mut order: [u8; NODES] = std::array::from_fn(|n| n as u8);
-        let takes =
-            |n: u8| self.way.iter().flatten().any(|t| matches!(t, Txn::Take { node, .. } if *node == n));
+        let takes = |n: u8| {
+            self.way
+                .iter()
+                .flatten()
+                .any(|t| matches!(t, Txn::Take { node, .. } if *node == n))
+        };
         let asked = |n: u8| self.nodes.map(|other| other.answered >> n & 1);
-        let of = |n: u8| (self.rec.map(|r| r.node == n), takes(n), self.word.map(|w| w.to == n), asked(n));
+        let of = |n: u8| {
+            (
+                self.rec.map(|r| r.node == n),
+                takes(n),
+                self.word.map(|w| w.to == n),
+                asked(n),
+            )
+        };
         order[..b.nodes].sort_by_key(|n| (self.nodes[*n as usize], of(*n)));
         let mut place = [0; NODES];
         for (to, from) in order.iter().enumerate() {
             place[*from as usize] = to as u8;
         }
-        let mut w = World { nodes: order.map(|n| self.nodes[n as usize]), ..*self };
+        let mut w = World {
+            nodes: order.map(|n| self.nodes[n as usize]),
+            ..*self
+        };
         for node in &mut w.nodes {
             let answered = (0..NODES).filter(|n| node.answered >> n & 1 == 1);
             node.answered = answered.map(|n| 1 << place[n]).sum();
@@ -506,12 +586,18 @@
             self.nodes[n].heard &= b.planted == Planted::WaitsForAnswer;
             let node = &mut self.nodes[n];
             // A word that comes for an older question adds nothing.
-            if node.ask != NEVER && node.ask >= node.known && b.planted != Planted::VouchesFromArrival {
+            if node.ask != NEVER
+                && node.ask >= node.known
+                && b.planted != Planted::VouchesFromArrival
+            {
                 (node.ask, node.answered) = (NEVER, 0);
             }
             let useless = |c: &Charge| c.except && b.planted != Planted::KeepsCancelled;
-            let highest =
-                if b.planted == Planted::KeepsBelow { self.obeys } else { self.obeys.max(node.highest) };
+            let highest = if b.planted == Planted::KeepsBelow {
+                self.obeys
+            } else {
+                self.obeys.max(node.highest)
+            };
             let overtaken = |c: &Charge| c.token < highest;
             node.charge = node.charge.filter(|c| !useless(c) && !overtaken(c));
         }
@@ -525,8 +611,8 @@
         // Whoever stands for nothing that may still come is given an answer, or gives up.
         for n in 0..b.nodes as u8 {
             let mine = |t: &Txn| matches!(t, Txn::Take { node, awaited: true, .. } if *node == n);
-            let waits =
-                self.way.iter().flatten().any(mine) || self.rec.is_some_and(|r| r.node == n && r.awaited);
+            let waits = self.way.iter().flatten().any(mine)
+                || self.rec.is_some_and(|r| r.node == n && r.awaited);
             if self.node(n).role == Role::Standing && !waits {
                 self.node(n).gives_up();
             }
@@ -539,7 +625,9 @@
             return;
         }
         let peers = (0..b.nodes).filter(|p| *p != n);
-        let vouching = peers.filter(|p| self.nodes[*p].vouches_for(node.token, b)).count();
+        let vouching = peers
+            .filter(|p| self.nodes[*p].vouches_for(node.token, b))
+            .count();
         if vouching >= vouches_needed(b) {
             let node = &mut self.nodes[n];
             (node.known, node.ask, node.answered) = (0, NEVER, 0);
@@ -554,7 +642,11 @@
         for (p, peer) in self.nodes.iter_mut().enumerate().take(b.nodes) {
             let older = peer.charge.is_none_or(|c| c.token == owner.token);
             if p != n && older && peer.highest == owner.token {
-                peer.charge = Some(Charge { asked: 0, token: owner.token, except: false });
+                peer.charge = Some(Charge {
+                    asked: 0,
+                    token: owner.token,
+                    except: false,
+                });
             }
         }
     }
@@ -566,7 +658,10 @@
         match *txn {
             Txn::End { owner } => self.ended || stands != owner && b.planted != UnguardedEnd,
             Txn::Take { owner, counter, .. } => {
-                let guarded = !matches!(b.planted, HeirKeepsToken | NoGuards | NoOwnerGuard | NoTokenGuard);
+                let guarded = !matches!(
+                    b.planted,
+                    HeirKeepsToken | NoGuards | NoOwnerGuard | NoTokenGuard
+                );
                 guarded && (stands != owner || self.counter != counter)
             }
         }
@@ -661,7 +756,10 @@
 
     /// The owner record's lease ends: in its time, or by the DELETE of `election::end_lease`, whenever that comes.
     fn lapse(&mut self, b: &Bounds) -> bool {
-        let due = !self.out && self.rec.is_some_and(|r| r.lease >= b.lengths.ttl || r.released);
+        let due = !self.out
+            && self
+                .rec
+                .is_some_and(|r| r.lease >= b.lengths.ttl || r.released);
         if due {
             self.rec = None;
         }
@@ -680,7 +778,12 @@
             (rec.own_life, rec.awaited) = (false, false);
         }
         for txn in self.way.iter_mut().flatten() {
-            if let Txn::Take { node, awaited, own_life, .. } = txn
+            if let Txn::Take {
+                node,
+                awaited,
+                own_life,
+                ..
+            } = txn
                 && *node == n
             {
                 (*awaited, *own_life) = (false, false);
@@ -715,7 +818,11 @@
     /// `election::step_down`.
     fn step_down(&mut self, n: u8) {
         let token = self.node(n).token;
-        if let Some(rec) = self.rec.as_mut().filter(|r| r.node == n && r.own_life && r.token == token) {
+        if let Some(rec) = self
+            .rec
+            .as_mut()
+            .filter(|r| r.node == n && r.own_life && r.token == token)
+        {
             rec.released = true;
         }
         self.node(n).gives_up();
@@ -737,8 +844,20 @@
         }
         let owner = self.rec.map_or(0, |r| r.token);
         let counter = self.counter;
-        let token = if heir && b.planted == Planted::HeirKeepsToken { owner } else { counter + 1 };
-        self.send(Txn::Take { node: n, owner, counter, token, lease: 0, awaited: true, own_life: true });
+        let token = if heir && b.planted == Planted::HeirKeepsToken {
+            owner
+        } else {
+            counter + 1
+        };
+        self.send(Txn::Take {
+            node: n,
+            owner,
+            counter,
+            token,
+            lease: 0,
+            awaited: true,
+            own_life: true,
+        });
         let node = self.node(n);
         node.highest = node.highest.max(counter);
         node.role = Role::Standing;
@@ -768,17 +887,27 @@
 
     /// A transaction comes to the state service; its sender hears of it or not, and it may come once more.
     fn comes(&mut self, i: u8, answered: bool, again: bool, b: &Bounds) -> bool {
-        let Some(txn) = self.way[i as usize].filter(|_| !self.out) else { return false };
+        let Some(txn) = self.way[i as usize].filter(|_| !self.out) else {
+            return false;
+        };
         if !again {
             self.way[i as usize] = None;
         }
         match txn {
-            Txn::Take { node, owner, counter, token, lease, awaited, own_life } => {
+            Txn::Take {
+                node,
+                owner,
+                counter,
+                token,
+                lease,
+                awaited,
+                own_life,
+            } => {
                 let stands = self.rec.map_or(0, |r| r.token);
-                let owner_ok =
-                    stands == owner || matches!(b.planted, Planted::NoGuards | Planted::NoOwnerGuard);
-                let token_ok =
-                    self.counter == counter || matches!(b.planted, Planted::NoGuards | Planted::NoTokenGuard);
+                let owner_ok = stands == owner
+                    || matches!(b.planted, Planted::NoGuards | Planted::NoOwnerGuard);
+                let token_ok = self.counter == counter
+                    || matches!(b.planted, Planted::NoGuards | Planted::NoTokenGuard);
                 if !owner_ok || !token_ok {
                     // `election::took` with a 409.
                     if answered && awaited && self.node(node).role == Role::Standing {
@@ -787,7 +916,14 @@
                     return answered || !again;
                 }
                 self.twice = token <= self.counter;
-                self.rec = Some(Rec { node, token, lease, own_life, awaited, released: false });
+                self.rec = Some(Rec {
+                    node,
+                    token,
+                    lease,
+                    own_life,
+                    awaited,
+                    released: false,
+                });
                 self.counter = self.counter.max(token);
                 if answered && awaited {
                     self.become_owner(node);
@@ -826,7 +962,10 @@
         if self.out || node.role != Role::Owner || node.renewing != NEVER {
             return false;
         }
-        let Some(rec) = self.rec.as_mut().filter(|r| r.node == n && r.own_life && r.token == node.token)
+        let Some(rec) = self
+            .rec
+            .as_mut()
+            .filter(|r| r.node == n && r.own_life && r.token == node.token)
         else {
             // 404: the lease has ended.
             if answered {
@@ -849,7 +988,11 @@
         if node.role != Role::Owner || node.renewing == NEVER {
             return false;
         }
-        let sent = if b.planted == Planted::RenewedFromAnswer { 0 } else { node.renewing };
+        let sent = if b.planted == Planted::RenewedFromAnswer {
+            0
+        } else {
+            node.renewing
+        };
         node.renewing = NEVER;
         node.renewed = node.renewed.min(sent);
         node.known = node.known.min(sent);
@@ -926,12 +1069,20 @@
         let token = self.node(n).token;
         let vouches = self.node(peer).vouches_for(token, b);
         let node = self.node(n);
-        if node.role != Role::Owner || node.ask == NEVER || !vouches || node.answered >> peer & 1 == 1 {
+        if node.role != Role::Owner
+            || node.ask == NEVER
+            || !vouches
+            || node.answered >> peer & 1 == 1
+        {
             return false;
         }
         node.answered |= 1 << peer;
         if node.answered.count_ones() as usize >= vouches_needed(b) {
-            let since = if b.planted == Planted::VouchesFromArrival { 0 } else { node.ask };
+            let since = if b.planted == Planted::VouchesFromArrival {
+                0
+            } else {
+                node.ask
+            };
             node.known = node.known.min(since);
             (node.ask, node.answered) = (NEVER, 0);
         }
@@ -958,7 +1109,11 @@
         if !owner.charges(b) || late && self.word.is_some() {
             return false;
         }
-        let charge = Charge { asked: 0, token: owner.token, except: owner.knows };
+        let charge = Charge {
+            asked: 0,
+            token: owner.token,
+            except: owner.knows,
+        };
         if late {
             self.word = Some(Word { to: peer, charge });
             return true;
@@ -979,7 +1134,9 @@
     }
 
     fn charge_comes(&mut self, b: &Bounds) -> bool {
-        let Some(Word { to, mut charge }) = self.word.take() else { return false };
+        let Some(Word { to, mut charge }) = self.word.take() else {
+            return false;
+        };
         if b.planted == Planted::KeeperFromArrival {
             charge.asked = 0;
         }
@@ -1001,7 +1158,11 @@
         }
         // `keeper::keeps`.
         let charge = node.charge?;
-        let bound = if b.planted == Planted::KeeperNoBound { NEVER } else { b.lengths.bound() };
+        let bound = if b.planted == Planted::KeeperNoBound {
+            NEVER
+        } else {
+            b.lengths.bound()
+        };
         let in_time = (KEEP_FROM..bound).contains(&charge.asked);
         let except = charge.except && b.planted != Planted::KeepsCancelled;
         let highest = self.obeys.max(node.highest);
@@ -1017,7 +1178,9 @@
             self.step_down(n);
             return true;
         }
-        let Some(token) = self.answers(n, b) else { return false };
+        let Some(token) = self.answers(n, b) else {
+            return false;
+        };
         if late {
             let free = self.answer.is_none();
             self.answer = self.answer.or(Some(Out { sent: 0, token }));
@@ -1037,7 +1200,9 @@
     }
 
     fn answer_comes(&mut self) -> bool {
-        let Some(Out { sent, token }) = self.answer.take() else { return false };
+        let Some(Out { sent, token }) = self.answer.take() else {
+            return false;
+        };
         self.obeyed(sent, token);
         true
     }
@@ -1047,7 +1212,9 @@
     /// The same with the nodes' first names.
     pub fn named(self, names: &[u8; NODES]) -> String {
         let text = format!("{self:?}");
-        let Some((name, args)) = text.trim_end_matches(')').split_once('(') else { return text };
+        let Some((name, args)) = text.trim_end_matches(')').split_once('(') else {
+            return text;
+        };
         let nodes = !name.starts_with("Comes") && name != "Outage";
         let named = |a: &str| match a.trim().parse::<usize>() {
             Ok(n) if nodes => ["A", "B", "C"][names[n] as usize].to_owned(),
--- a/crates/county/src/bind.rs
+++ b/crates/county/src/bind.rs
@@ -79,18 +79,30 @@
             return Err(vec![Fault::whole("county", what)]);
         }
         if rules == 0 && spec.others == Others::Refuse {
-            faults.add(Place::Whole, "others", "without any rule every job would be refused");
+            faults.add(
+                Place::Whole,
+                "others",
+                "without any rule every job would be refused",
+            );
         }
         let mut seen = BTreeSet::new();
         for (i, c) in spec.counties.iter().enumerate() {
             check(spec, known, &mut faults, i);
             if !seen.insert(c.id.as_str()) {
-                faults.add(Place::entry("county", i), path(c), "stands here a second time");
+                faults.add(
+                    Place::entry("county", i),
+                    path(c),
+                    "stands here a second time",
+                );
             }
         }
         shadowed(spec, &mut faults);
-        let mut out =
-            Counties { spec: spec.clone(), rules: Vec::new(), by_name: HashMap::new(), rest: Vec::new() };
+        let mut out = Counties {
+            spec: spec.clone(),
+            rules: Vec::new(),
+            by_name: HashMap::new(),
+            rest: Vec::new(),
+        };
         out.index();
         faults.or(out)
     }
@@ -105,14 +117,22 @@
 
     /// All nodes of the quota tree that rules ask for, with county and rule.
     pub fn desks(&self) -> impl Iterator<Item = (&str, usize, &String)> {
-        let rules = self.spec.counties.iter().flat_map(|c| c.rules.iter().enumerate().map(move |r| (c, r)));
+        let rules = self
+            .spec
+            .counties
+            .iter()
+            .flat_map(|c| c.rules.iter().enumerate().map(move |r| (c, r)));
         rules.flat_map(|(c, (r, rule))| rule.desks.iter().map(move |d| (c.id.as_str(), r, d)))
     }
 
     /// The county of the first rule that fits.
     pub fn bind(&self, job: &Job<'_>) -> Result<Bound, Unbound> {
         let none: &[usize] = &[];
-        let at = |field, name: &str| self.by_name.get(&(field, name.to_owned())).map_or(none, Vec::as_slice);
+        let at = |field, name: &str| {
+            self.by_name
+                .get(&(field, name.to_owned()))
+                .map_or(none, Vec::as_slice)
+        };
         let mut lists = vec![
             self.rest.as_slice(),
             at(Field::Id, job.id),
@@ -127,22 +147,35 @@
         let Some(n) = lists.iter().filter_map(first).min() else {
             return match self.spec.others {
                 Others::Refuse => Err(Unbound::NoCounty),
-                Others::Count => Ok(Bound { county: OTHER.into(), alone: false, zones: Vec::new() }),
+                Others::Count => Ok(Bound {
+                    county: OTHER.into(),
+                    alone: false,
+                    zones: Vec::new(),
+                }),
             };
         };
         let c = &self.spec.counties[self.rules[n].0];
-        let zones = if c.apart == Apart::Zones { c.zones.clone() } else { Vec::new() };
+        let zones = if c.apart == Apart::Zones {
+            c.zones.clone()
+        } else {
+            Vec::new()
+        };
         if !zones.is_empty() && job.zone.is_some_and(|z| !zones.iter().any(|own| own == z)) {
             return Err(Unbound::ForeignZone);
         }
-        Ok(Bound { county: c.id.clone(), alone: c.apart == Apart::Machine, zones })
+        Ok(Bound {
+            county: c.id.clone(),
+            alone: c.apart == Apart::Machine,
+            zones,
+        })
     }
 
     fn fits(&self, n: usize, job: &Job<'_>) -> bool {
         let (c, r) = self.rules[n];
         let rule = &self.spec.counties[c].rules[r];
         let has = |list: &[String], name: &str| list.is_empty() || list.iter().any(|l| l == name);
-        let like = |list: &[String], name: &str| list.is_empty() || list.iter().any(|l| fits(l, name));
+        let like =
+            |list: &[String], name: &str| list.is_empty() || list.iter().any(|l| fits(l, name));
         has(&rule.teams, job.team)
             && has(&rule.classes, job.class)
             && (rule.zones.is_empty() || job.zone.is_some_and(|z| has(&rule.zones, z)))
@@ -153,7 +186,13 @@
 
     /// Sorts the rules by a name that fitting jobs must have, of their narrowest list without beginnings.
     fn index(&mut self) {
-        for (c, county) in self.spec.counties.iter().enumerate().filter(|(_, c)| !c.closed) {
+        for (c, county) in self
+            .spec
+            .counties
+            .iter()
+            .enumerate()
+            .filter(|(_, c)| !c.closed)
+        {
             for (r, rule) in county.rules.iter().enumerate() {
                 let n = self.rules.len();
                 self.rules.push((c, r));
@@ -165,12 +204,16 @@
                     (Field::Class, &rule.classes),
                     (Field::Zone, &rule.zones),
                 ];
-                let exact =
-                    |(_, l): &&(Field, &Vec<String>)| !l.is_empty() && !l.iter().any(|n| n.ends_with('*'));
+                let exact = |(_, l): &&(Field, &Vec<String>)| {
+                    !l.is_empty() && !l.iter().any(|n| n.ends_with('*'))
+                };
                 match lists.iter().find(exact) {
                     Some((field, names)) => {
                         for name in names.iter().collect::<BTreeSet<_>>() {
-                            self.by_name.entry((*field, name.clone())).or_default().push(n);
+                            self.by_name
+                                .entry((*field, name.clone()))
+                                .or_default()
+                                .push(n);
                         }
                     }
                     None => self.rest.push(n),
@@ -192,25 +235,43 @@
 fn check(spec: &Spec, known: &Known, faults: &mut Faults, i: usize) {
     let c = &spec.counties[i];
     let place = || Place::entry("county", i);
-    let mut bad = |field: &str, what: String| faults.add(place(), format!("{}{field}", path(c)), what);
+    let mut bad =
+        |field: &str, what: String| faults.add(place(), format!("{}{field}", path(c)), what);
     if !plain(&c.id) {
-        bad(".id", format!("must be 1 to {MAX_ID} of a-z, 0-9, '-', '_' and '.'"));
+        bad(
+            ".id",
+            format!("must be 1 to {MAX_ID} of a-z, 0-9, '-', '_' and '.'"),
+        );
     }
-    if c.name.as_ref().is_some_and(|n| n.is_empty() || n.len() > MAX_NAME || n.chars().any(char::is_control))
+    if c.name
+        .as_ref()
+        .is_some_and(|n| n.is_empty() || n.len() > MAX_NAME || n.chars().any(char::is_control))
     {
-        bad(".name", format!("must be 1 to {MAX_NAME} bytes without control characters"));
+        bad(
+            ".name",
+            format!("must be 1 to {MAX_NAME} bytes without control characters"),
+        );
     }
     if (c.apart == Apart::Zones) == c.zones.is_empty() {
-        bad(".zones", "are named if, and only if, apart is \"zones\"".into());
+        bad(
+            ".zones",
+            "are named if, and only if, apart is \"zones\"".into(),
+        );
     }
     if c.zones.len() > MAX_ZONES {
-        bad(".zones", format!("{} zones; at most {MAX_ZONES}", c.zones.len()));
+        bad(
+            ".zones",
+            format!("{} zones; at most {MAX_ZONES}", c.zones.len()),
+        );
     }
     for z in c.zones.iter().filter(|z| !known.zones.contains(*z)) {
         bad(".zones", format!("no zone {z:?} in the settings"));
     }
     if c.closed && !c.rules.is_empty() {
-        bad(".rule", "a closed county has no rules: nothing is bound to it any more".into());
+        bad(
+            ".rule",
+            "a closed county has no rules: nothing is bound to it any more".into(),
+        );
     }
     if !c.closed && !c.into.is_empty() {
         bad(".into", "only a closed county was split into others".into());
@@ -222,15 +283,24 @@
     }
     for (r, rule) in c.rules.iter().enumerate() {
         if *rule == Rule::default() {
-            bad(&format!(".rule[{r}]"), "names nothing, so it would fit every job".into());
+            bad(
+                &format!(".rule[{r}]"),
+                "names nothing, so it would fit every job".into(),
+            );
         }
         for (list, names) in rule.lists() {
             let at = format!(".rule[{r}].{list}");
             if names.len() > MAX_NAMES {
                 bad(&at, format!("{} names; at most {MAX_NAMES}", names.len()));
             }
-            if let Some(n) = names.iter().find(|n| n.is_empty() || n.len() > MAX_NAME || *n == "*") {
-                bad(&at, format!("{n:?}: must be 1 to {MAX_NAME} bytes, and more than \"*\""));
+            if let Some(n) = names
+                .iter()
+                .find(|n| n.is_empty() || n.len() > MAX_NAME || *n == "*")
+            {
+                bad(
+                    &at,
+                    format!("{n:?}: must be 1 to {MAX_NAME} bytes, and more than \"*\""),
+                );
             }
             let all = match list {
                 "teams" => Some(&known.teams),
@@ -238,12 +308,21 @@
                 "desks" => known.desks.as_ref(),
                 _ => None,
             };
-            for n in all.iter().flat_map(|all| names.iter().filter(|n| !all.contains(*n))) {
+            for n in all
+                .iter()
+                .flat_map(|all| names.iter().filter(|n| !all.contains(*n)))
+            {
                 bad(&at, format!("no {} {n:?}", list.trim_end_matches('s')));
             }
         }
-        if !c.zones.is_empty() && !rule.zones.is_empty() && rule.zones.iter().all(|z| !c.zones.contains(z)) {
-            bad(&format!(".rule[{r}].zones"), "none of them is a zone that the county may use".into());
+        if !c.zones.is_empty()
+            && !rule.zones.is_empty()
+            && rule.zones.iter().all(|z| !c.zones.contains(z))
+        {
+            bad(
+                &format!(".rule[{r}].zones"),
+                "none of them is a zone that the county may use".into(),
+            );
         }
     }
 }
@@ -261,9 +340,15 @@
             }
             steps += seen.len();
             if let Some((ei, er, _)) = seen.iter().find(|(_, _, earlier)| earlier.covers(rule)) {
-                let what =
-                    format!("never decides: {}.rule[{er}] fits all that it does", path(&spec.counties[*ei]));
-                faults.add(Place::entry("county", i), format!("{}.rule[{r}]", path(c)), what);
+                let what = format!(
+                    "never decides: {}.rule[{er}] fits all that it does",
+                    path(&spec.counties[*ei])
+                );
+                faults.add(
+                    Place::entry("county", i),
+                    format!("{}.rule[{r}]", path(c)),
+                    what,
+                );
             }
             seen.push((i, r, rule));
         }
--- a/crates/county/src/content.rs
+++ b/crates/county/src/content.rs
@@ -40,7 +40,10 @@
     }
     fn size(counties: &Counties) -> String {
         let rules: usize = counties.spec().counties.iter().map(|c| c.rules.len()).sum();
-        format!("{} counties with {rules} rules", counties.spec().counties.len())
+        format!(
+            "{} counties with {rules} rules",
+            counties.spec().counties.len()
+        )
     }
     fn fitting(&self, known: &Known) -> Spec {
         self.without_the_left(known)
--- a/crates/county/src/file.rs
+++ b/crates/county/src/file.rs
@@ -18,7 +18,10 @@
 impl Raw for File {
     type Spec = Spec;
     fn spec(self, lines: &mut Lines) -> Spec {
-        Spec { others: self.others, counties: lines.list("county", self.county) }
+        Spec {
+            others: self.others,
+            counties: lines.list("county", self.county),
+        }
     }
 }
 
--- a/crates/county/src/spec.rs
+++ b/crates/county/src/spec.rs
@@ -63,10 +63,13 @@
     }
     /// It fits all that the other does.
     pub(crate) fn covers(&self, other: &Rule) -> bool {
-        self.lists().iter().zip(other.lists()).all(|((_, mine), (_, theirs))| {
-            let fits = |t: &String| mine.iter().any(|m| wider(m, t));
-            mine.is_empty() || (!theirs.is_empty() && theirs.iter().all(fits))
-        })
+        self.lists()
+            .iter()
+            .zip(other.lists())
+            .all(|((_, mine), (_, theirs))| {
+                let fits = |t: &String| mine.iter().any(|m| wider(m, t));
+                mine.is_empty() || (!theirs.is_empty() && theirs.iter().all(fits))
+            })
     }
 }
 
@@ -80,7 +83,8 @@
 
 /// Whether a name of a rule fits that of a job.
 pub(crate) fn fits(rule: &str, name: &str) -> bool {
-    rule.strip_suffix('*').map_or(rule == name, |start| name.starts_with(start))
+    rule.strip_suffix('*')
+        .map_or(rule == name, |start| name.starts_with(start))
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize, JsonSchema)]
@@ -128,11 +132,22 @@
 
 /// What another document changes, a line each, at most so many.
 pub fn differences(old: &Spec, new: &Spec, most: usize) -> Vec<String> {
-    let by_id = |s: &Spec| s.counties.iter().map(|c| (c.id.clone(), c.clone())).collect::<BTreeMap<_, _>>();
+    let by_id = |s: &Spec| {
+        s.counties
+            .iter()
+            .map(|c| (c.id.clone(), c.clone()))
+            .collect::<BTreeMap<_, _>>()
+    };
     let (before, after) = (by_id(old), by_id(new));
     let mut out = Vec::new();
     if old.others != new.others {
-        out.push(format!("jobs of no county: {:?} instead of {:?}", new.others, old.others).to_lowercase());
+        out.push(
+            format!(
+                "jobs of no county: {:?} instead of {:?}",
+                new.others, old.others
+            )
+            .to_lowercase(),
+        );
     }
     for (id, c) in &after {
         match before.get(id) {
@@ -140,7 +155,12 @@
             Some(b) => out.extend(changes(b, c)),
         }
     }
-    out.extend(before.keys().filter(|id| !after.contains_key(*id)).map(|id| format!("{id}: gone")));
+    out.extend(
+        before
+            .keys()
+            .filter(|id| !after.contains_key(*id))
+            .map(|id| format!("{id}: gone")),
+    );
     let order = |s: &Spec| s.counties.iter().map(|c| c.id.clone()).collect::<Vec<_>>();
     if out.is_empty() && order(old) != order(new) {
         out.push("the order of the rules".to_owned());
@@ -153,18 +173,27 @@
     let id = &c.id;
     let mut out = Vec::new();
     if b.title() != c.title() {
-        out.push(format!("{id}: renamed from {:?} to {:?}", b.title(), c.title()));
+        out.push(format!(
+            "{id}: renamed from {:?} to {:?}",
+            b.title(),
+            c.title()
+        ));
     }
     if c.closed && !b.closed {
-        let into =
-            if c.into.is_empty() { String::new() } else { format!(", split into {}", c.into.join(", ")) };
+        let into = if c.into.is_empty() {
+            String::new()
+        } else {
+            format!(", split into {}", c.into.join(", "))
+        };
         out.push(format!("{id}: closed{into}; what is bound to it stays so"));
     }
     if b.closed && !c.closed {
         out.push(format!("{id}: open again"));
     }
     if (b.apart, &b.zones) != (c.apart, &c.zones) {
-        out.push(format!("{id}: kept apart otherwise, for jobs still to come"));
+        out.push(format!(
+            "{id}: kept apart otherwise, for jobs still to come"
+        ));
     }
     if b.rules != c.rules {
         out.push(format!("{id}: other rules, for jobs still to come"));
@@ -175,7 +204,10 @@
 /// Bindings to what the new document no longer has. A county goes only once it was closed in the document before, so
 /// that nothing was bound to it since, and once no job is bound to it any more.
 pub fn lost(old: &Spec, new: &Spec, live: &BTreeMap<String, u64>) -> Vec<Fault> {
-    let gone = old.counties.iter().filter(|c| new.counties.iter().all(|n| n.id != c.id));
+    let gone = old
+        .counties
+        .iter()
+        .filter(|c| new.counties.iter().all(|n| n.id != c.id));
     let fault = |c: &CountySpec| {
         let what = match live.get(&c.id).copied().unwrap_or(0) {
             0 if c.closed => return None,
--- a/crates/county/src/tally.rs
+++ b/crates/county/src/tally.rs
@@ -64,13 +64,26 @@
 impl Delta {
     pub fn new(cell: &Cell, count: &Count) -> Self {
         let Cell { county, class } = cell.clone();
-        Delta { county, class, done: count.done, cancelled: count.cancelled, tasks: count.tasks }
+        Delta {
+            county,
+            class,
+            done: count.done,
+            cancelled: count.cancelled,
+            tasks: count.tasks,
+        }
     }
     pub fn cell(&self) -> Cell {
-        Cell { county: self.county.clone(), class: self.class.clone() }
+        Cell {
+            county: self.county.clone(),
+            class: self.class.clone(),
+        }
     }
     pub fn count(&self) -> Count {
-        Count { done: self.done, cancelled: self.cancelled, tasks: self.tasks }
+        Count {
+            done: self.done,
+            cancelled: self.cancelled,
+            tasks: self.tasks,
+        }
     }
     /// Bounds its length in a record: JSON escapes at most six bytes for one, and counts have at most 20 digits.
     pub fn frame(county: &str, class: &str) -> usize {
@@ -178,13 +191,22 @@
     }
 
     pub fn sheet_read(&mut self, number: u32, stamp: u64, sheet: Sheet) {
-        let mut page = Page { stamp, upto: sheet.upto, ..Page::default() };
+        let mut page = Page {
+            stamp,
+            upto: sheet.upto,
+            ..Page::default()
+        };
         for d in sheet.cells {
             let cell = d.cell();
             page.size += Delta::frame(&d.county, &d.class);
             page.cells.insert(cell.clone());
             self.class_seen(&d.county, &d.class);
-            let entry = Entry { sheet: number, folded: d.count(), fresh: Count::default(), recorded: true };
+            let entry = Entry {
+                sheet: number,
+                folded: d.count(),
+                fresh: Count::default(),
+                recorded: true,
+            };
             self.cells.insert(cell, entry);
         }
         self.sheets.insert(number, page);
@@ -198,7 +220,11 @@
         }
         self.state = Ok(());
         let early = std::mem::take(&mut self.early);
-        early.into_iter().filter(|(n, deltas)| !self.count(*n, deltas)).map(|(n, _)| n).collect()
+        early
+            .into_iter()
+            .filter(|(n, deltas)| !self.count(*n, deltas))
+            .map(|(n, _)| n)
+            .collect()
     }
 
     /// Deltas of a log record that stands. True if the record has to stay for them.
@@ -218,8 +244,14 @@
         let mut waits = BTreeSet::new();
         for d in deltas {
             let cell = d.cell();
-            let sheet = self.cells.get(&cell).map(|e| e.sheet).unwrap_or_else(|| self.assign(&cell));
-            let (Some(entry), Some(page)) = (self.cells.get_mut(&cell), self.sheets.get_mut(&sheet)) else {
+            let sheet = self
+                .cells
+                .get(&cell)
+                .map(|e| e.sheet)
+                .unwrap_or_else(|| self.assign(&cell));
+            let (Some(entry), Some(page)) =
+                (self.cells.get_mut(&cell), self.sheets.get_mut(&sheet))
+            else {
                 continue;
             };
             // What the sheet has already is not counted again.
@@ -241,13 +273,19 @@
     fn assign(&mut self, cell: &Cell) -> u32 {
         let size = Delta::frame(&cell.county, &cell.class);
         let last = self.sheets.iter().next_back();
-        let open = last.filter(|(_, p)| p.size + size <= self.limit).map(|(n, _)| *n);
+        let open = last
+            .filter(|(_, p)| p.size + size <= self.limit)
+            .map(|(n, _)| *n);
         let number = open.unwrap_or_else(|| last.map_or(0, |(n, _)| n + 1));
         let page = self.sheets.entry(number).or_default();
         page.size += size;
         page.cells.insert(cell.clone());
-        let entry =
-            Entry { sheet: number, folded: Count::default(), fresh: Count::default(), recorded: false };
+        let entry = Entry {
+            sheet: number,
+            folded: Count::default(),
+            fresh: Count::default(),
+            recorded: false,
+        };
         self.cells.insert(cell.clone(), entry);
         number
     }
@@ -257,8 +295,11 @@
         if self.state.is_err() {
             return None;
         }
-        let mut due: Vec<(u64, u32)> =
-            self.sheets.iter().filter_map(|(n, p)| Some((*p.due.first()?, *n))).collect();
+        let mut due: Vec<(u64, u32)> = self
+            .sheets
+            .iter()
+            .filter_map(|(n, p)| Some((*p.due.first()?, *n)))
+            .collect();
         due.sort_unstable();
         let put = |number: u32| {
             let page = self.sheets.get(&number)?;
@@ -269,9 +310,20 @@
                 Some(Delta::new(c, &count))
             };
             let cells = page.cells.iter().filter_map(cell).collect();
-            Some((number, page.stamp, Sheet { upto: self.highest.max(page.upto), cells }))
+            Some((
+                number,
+                page.stamp,
+                Sheet {
+                    upto: self.highest.max(page.upto),
+                    cells,
+                },
+            ))
         };
-        let puts: Vec<_> = due.into_iter().take(most).filter_map(|(_, n)| put(n)).collect();
+        let puts: Vec<_> = due
+            .into_iter()
+            .take(most)
+            .filter_map(|(_, n)| put(n))
+            .collect();
         (!puts.is_empty()).then_some(Fold { puts })
     }
 
@@ -279,11 +331,15 @@
     pub fn folded(&mut self, fold: &Fold, revision: u64) -> Vec<u64> {
         let mut over = Vec::new();
         for (number, _, sheet) in &fold.puts {
-            let Some(page) = self.sheets.get_mut(number) else { continue };
+            let Some(page) = self.sheets.get_mut(number) else {
+                continue;
+            };
             (page.stamp, page.upto) = (revision, sheet.upto);
             let rest = page.due.split_off(&(sheet.upto + 1));
             for n in std::mem::replace(&mut page.due, rest) {
-                let Some(waits) = self.open.get_mut(&n) else { continue };
+                let Some(waits) = self.open.get_mut(&n) else {
+                    continue;
+                };
                 waits.remove(number);
                 if waits.is_empty() {
                     self.open.remove(&n);
@@ -309,8 +365,15 @@
 
     /// The cell that a job is counted in.
     pub fn cell(&mut self, county: &str, class: &str) -> Cell {
-        let class = if self.class_seen(county, class) { class } else { OTHER };
-        Cell { county: county.to_owned(), class: class.to_owned() }
+        let class = if self.class_seen(county, class) {
+            class
+        } else {
+            OTHER
+        };
+        Cell {
+            county: county.to_owned(),
+            class: class.to_owned(),
+        }
     }
 
     /// What has ended, by cell.
@@ -321,7 +384,11 @@
             count.add(&e.fresh);
             count
         };
-        Ok(self.cells.iter().map(|(c, e)| (c.clone(), sum(e))).collect())
+        Ok(self
+            .cells
+            .iter()
+            .map(|(c, e)| (c.clone(), sum(e)))
+            .collect())
     }
 
     /// Log records that wait to be folded, and the number of sheets.
--- a/crates/county/tests/counting.rs
+++ b/crates/county/tests/counting.rs
@@ -25,15 +25,21 @@
     /// Applied as a whole, or not at all: guarded by the owner and by the version of each key.
     fn apply(&mut self, txn: &Txn) -> Option<u64> {
         let puts = || txn.fold.iter().flat_map(|f| &f.puts);
-        let stamps = puts().all(|(n, stamp, _)| self.sheets.get(n).map_or(0, |(s, _)| *s) == *stamp);
+        let stamps =
+            puts().all(|(n, stamp, _)| self.sheets.get(n).map_or(0, |(s, _)| *s) == *stamp);
         let log = txn.log.iter().all(|(n, _)| !self.log.contains_key(n));
-        if self.owner != txn.owner || !stamps || !log || !txn.over.iter().all(|n| self.log.contains_key(n)) {
+        if self.owner != txn.owner
+            || !stamps
+            || !log
+            || !txn.over.iter().all(|n| self.log.contains_key(n))
+        {
             return None;
         }
         self.revision += 1;
         self.log.extend(txn.log.clone());
         let revision = self.revision;
-        self.sheets.extend(puts().map(|(n, _, sheet)| (*n, (revision, sheet.clone()))));
+        self.sheets
+            .extend(puts().map(|(n, _, sheet)| (*n, (revision, sheet.clone()))));
         txn.over.iter().for_each(|n| {
             self.log.remove(n);
         });
@@ -104,15 +110,37 @@
         let mut deltas = Vec::new();
         for (county, class) in cells {
             let cell = self.tally.cell(&format!("c{county}"), &format!("k{class}"));
-            Delta::add_to(&mut deltas, &cell, &Count { done: 1, cancelled: 0, tasks: 3 });
+            Delta::add_to(
+                &mut deltas,
+                &cell,
+                &Count {
+                    done: 1,
+                    cancelled: 0,
+                    tasks: 3,
+                },
+            );
         }
         let number = self.number();
-        Txn { owner: self.store.owner, log: Some((number, deltas)), fold: None, over: Vec::new() }
+        Txn {
+            owner: self.store.owner,
+            log: Some((number, deltas)),
+            fold: None,
+            over: Vec::new(),
+        }
     }
 
     fn fold(&mut self, most: usize, txn: Option<Txn>) -> Txn {
-        let empty = Txn { owner: self.store.owner, log: None, fold: None, over: Vec::new() };
-        Txn { fold: self.tally.fold(most), over: std::mem::take(&mut self.over), ..txn.unwrap_or(empty) }
+        let empty = Txn {
+            owner: self.store.owner,
+            log: None,
+            fold: None,
+            over: Vec::new(),
+        };
+        Txn {
+            fold: self.tally.fold(most),
+            over: std::mem::take(&mut self.over),
+            ..txn.unwrap_or(empty)
+        }
     }
 
     /// What has been applied counts, whether or not its sender hears of it.
@@ -208,9 +236,14 @@
         for _ in 0..600 {
             match rng.u8(..100) {
                 0..70 => {
-                    let cells: Vec<_> =
-                        (0..rng.usize(1..20)).map(|_| (rng.u32(..300), rng.u32(..3))).collect();
-                    let cells = if rng.u8(..10) == 0 { vec![(7, rng.u32(..80))] } else { cells };
+                    let cells: Vec<_> = (0..rng.usize(1..20))
+                        .map(|_| (rng.u32(..300), rng.u32(..3)))
+                        .collect();
+                    let cells = if rng.u8(..10) == 0 {
+                        vec![(7, rng.u32(..80))]
+                    } else {
+                        cells
+                    };
                     let txn = world.end(&cells);
                     world.commit(&txn);
                 }
@@ -239,12 +272,26 @@
             let txn = world.fold(16, None);
             world.commit(&txn);
         }
-        assert!(world.store.log.is_empty(), "seed {seed}: {} log records stay", world.store.log.len());
+        assert!(
+            world.store.log.is_empty(),
+            "seed {seed}: {} log records stay",
+            world.store.log.len()
+        );
         let classes = world.truth.keys().filter(|c| c.county == "c7").count();
-        assert!(classes <= county::MAX_CLASSES + 1, "seed {seed}: {classes} classes");
-        let longest =
-            world.store.sheets.values().map(|(_, s)| toml::to_string(s).map_or(0, |t| t.len())).max();
-        assert!(longest.is_some_and(|l| l <= limit), "seed {seed}: {longest:?}");
+        assert!(
+            classes <= county::MAX_CLASSES + 1,
+            "seed {seed}: {classes} classes"
+        );
+        let longest = world
+            .store
+            .sheets
+            .values()
+            .map(|(_, s)| toml::to_string(s).map_or(0, |t| t.len()))
+            .max();
+        assert!(
+            longest.is_some_and(|l| l <= limit),
+            "seed {seed}: {longest:?}"
+        );
     }
 }
 
@@ -252,17 +299,41 @@
 fn what_was_not_read_is_neither_told_nor_folded() {
     let mut tally = Tally::new(1000);
     let cell = tally.cell("a", "k");
-    assert!(tally.noted(5, vec![Delta::new(&cell, &Count { done: 1, ..Count::default() })]));
-    assert_eq!((tally.counts(), tally.fold(9)), (Err(county::Unread::NotYet), None));
+    assert!(tally.noted(
+        5,
+        vec![Delta::new(
+            &cell,
+            &Count {
+                done: 1,
+                ..Count::default()
+            }
+        )]
+    ));
+    assert_eq!(
+        (tally.counts(), tally.fold(9)),
+        (Err(county::Unread::NotYet), None)
+    );
     tally.begin_reading();
     assert!(tally.reading_over(false).is_empty());
-    assert_eq!((tally.counts(), tally.fold(9)), (Err(county::Unread::Bad), None));
+    assert_eq!(
+        (tally.counts(), tally.fold(9)),
+        (Err(county::Unread::Bad), None)
+    );
     // Read again, once that sheet can be understood: what it has is not counted again.
     tally.begin_reading();
     tally.sheet_read(
         0,
         3,
-        Sheet { upto: 5, cells: vec![Delta::new(&cell, &Count { done: 4, ..Count::default() })] },
+        Sheet {
+            upto: 5,
+            cells: vec![Delta::new(
+                &cell,
+                &Count {
+                    done: 4,
+                    ..Count::default()
+                },
+            )],
+        },
     );
     assert_eq!(tally.reading_over(true), [5]);
     assert_eq!(tally.counts().map(|c| c[&cell].done), Ok(4));
--- a/crates/county/tests/rules.rs
+++ b/crates/county/tests/rules.rs
@@ -33,7 +33,11 @@
 
 fn known() -> Known {
     let set = |names: &[&str]| names.iter().map(|n| (*n).to_owned()).collect();
-    Known { teams: set(&["east", "west"]), zones: set(&["a", "b"]), desks: Some(set(&["central"])) }
+    Known {
+        teams: set(&["east", "west"]),
+        zones: set(&["a", "b"]),
+        desks: Some(set(&["central"])),
+    }
 }
 
 fn build(text: &str) -> Result<Counties, Vec<Fault>> {
@@ -44,18 +48,82 @@
 #[test]
 fn the_first_rule_that_fits_decides() {
     let counties = build(FILE).expect("a good document");
-    let job = Job { id: "job-000001", team: "west", class: "maps", image: "i", ..Job::default() };
-    let bind = |job: Job<'_>| counties.bind(&job).map(|b| (b.county, b.alone, b.zones.join(",")));
+    let job = Job {
+        id: "job-000001",
+        team: "west",
+        class: "maps",
+        image: "i",
+        ..Job::default()
+    };
+    let bind = |job: Job<'_>| {
+        counties
+            .bind(&job)
+            .map(|b| (b.county, b.alone, b.zones.join(",")))
+    };
     let to = |county: &str, alone, zones: &str| Ok((county.to_owned(), alone, zones.to_owned()));
     assert_eq!(bind(job), Err(Unbound::NoCounty));
-    assert_eq!(bind(Job { team: "east", ..job }), Err(Unbound::NoCounty), "a rule's lists all count");
-    assert_eq!(bind(Job { team: "east", class: "forms", ..job }), to("garissa", true, ""));
-    assert_eq!(bind(Job { image: "scan-garissa-3", zone: Some("b"), ..job }), to("garissa", true, ""));
-    assert_eq!(bind(Job { id: "job-000007", team: "east", class: "forms", ..job }), to("special", false, ""));
-    assert_eq!(bind(Job { id: "job-912", ..job }), to("special", false, ""));
-    assert_eq!(bind(Job { desks: &["all", "central"], ..job }), to("nyeri", false, "a"));
-    assert_eq!(bind(Job { desks: &["central"], zone: Some("b"), ..job }), Err(Unbound::ForeignZone));
-    assert_eq!(bind(Job { zone: Some("b"), ..job }), to("kitui", false, ""));
+    assert_eq!(
+        bind(Job {
+            team: "east",
+            ..job
+        }),
+        Err(Unbound::NoCounty),
+        "a rule's lists all count"
+    );
+    assert_eq!(
+        bind(Job {
+            team: "east",
+            class: "forms",
+            ..job
+        }),
+        to("garissa", true, "")
+    );
+    assert_eq!(
+        bind(Job {
+            image: "scan-garissa-3",
+            zone: Some("b"),
+            ..job
+        }),
+        to("garissa", true, "")
+    );
+    assert_eq!(
+        bind(Job {
+            id: "job-000007",
+            team: "east",
+            class: "forms",
+            ..job
+        }),
+        to("special", false, "")
+    );
+    assert_eq!(
+        bind(Job {
+            id: "job-912",
+            ..job
+        }),
+        to("special", false, "")
+    );
+    assert_eq!(
+        bind(Job {
+            desks: &["all", "central"],
+            ..job
+        }),
+        to("nyeri", false, "a")
+    );
+    assert_eq!(
+        bind(Job {
+            desks: &["central"],
+            zone: Some("b"),
+            ..job
+        }),
+        Err(Unbound::ForeignZone)
+    );
+    assert_eq!(
+        bind(Job {
+            zone: Some("b"),
+            ..job
+        }),
+        to("kitui", false, "")
+    );
     let text = file::render(counties.spec()).expect("renders");
     assert_eq!(file::parse(&text).expect("parses").spec, *counties.spec());
 }
@@ -70,34 +138,53 @@
         text += &format!("[[county]]\nid = \"c{i}\"\n[[county.rule]]\n");
         text += &format!("classes = [{:?}, {:?}]\n", name("k", 40), name("k", 40));
         if i % 2 == 0 {
-            text += &format!("images = [{:?}]\n", name("i", 30) + if i % 3 == 0 { "*" } else { "" });
+            text += &format!(
+                "images = [{:?}]\n",
+                name("i", 30) + if i % 3 == 0 { "*" } else { "" }
+            );
         }
         if i % 5 == 0 {
-            text += &format!("teams = [{:?}]\n", if i % 10 == 0 { "east" } else { "west" });
+            text += &format!(
+                "teams = [{:?}]\n",
+                if i % 10 == 0 { "east" } else { "west" }
+            );
         }
     }
     let spec = file::parse(&text).expect("parses").spec;
     // Rules that never decide are refused: without them.
     let mut good = spec.clone();
     while let Err(faults) = Counties::build(&good, &known()) {
-        let ids: Vec<String> =
-            faults.iter().filter_map(|f| f.path.split('"').nth(1).map(str::to_owned)).collect();
+        let ids: Vec<String> = faults
+            .iter()
+            .filter_map(|f| f.path.split('"').nth(1).map(str::to_owned))
+            .collect();
         good.counties.retain(|c| !ids.contains(&c.id));
     }
     assert!(good.counties.len() > 50);
     let counties = Counties::build(&good, &known()).expect("good");
     let like = |l: &[String], n: &str| {
-        l.is_empty() || l.iter().any(|p| p.strip_suffix('*').map_or(p == n, |s| n.starts_with(s)))
+        l.is_empty()
+            || l.iter()
+                .any(|p| p.strip_suffix('*').map_or(p == n, |s| n.starts_with(s)))
     };
     for _ in 0..3000 {
-        let (class, image) = (format!("k{}", rng.u32(..45)), format!("i{}", rng.u32(..300)));
+        let (class, image) = (
+            format!("k{}", rng.u32(..45)),
+            format!("i{}", rng.u32(..300)),
+        );
         let team = if rng.bool() { "east" } else { "west" };
         let first = good.counties.iter().find(|c| {
             let r = &c.rules[0];
             like(&r.classes, &class) && like(&r.images, &image) && like(&r.teams, team)
         });
         let first = first.map_or(county::OTHER, |c| c.id.as_str());
-        let job = Job { id: "job-1", team, class: &class, image: &image, ..Job::default() };
+        let job = Job {
+            id: "job-1",
+            team,
+            class: &class,
+            image: &image,
+            ..Job::default()
+        };
         assert_eq!(counties.bind(&job).map(|b| b.county).as_deref(), Ok(first));
     }
 }
@@ -106,21 +193,43 @@
 fn what_can_not_hold_is_refused_with_its_place() {
     let told = |text: &str| match build(text) {
         Ok(_) => "taken".to_owned(),
-        Err(f) => f.iter().map(Fault::to_string).collect::<Vec<_>>().join("; "),
+        Err(f) => f
+            .iter()
+            .map(Fault::to_string)
+            .collect::<Vec<_>>()
+            .join("; "),
     };
     let c = |rest: &str| format!("\n[[county]]\nid = \"x\"\n{rest}");
     let cases = [
         ("others = \"refuse\"".to_owned(), "others: without any rule"),
-        ("other = 1".to_owned(), "line 1: file: unknown field `other`"),
-        (c("[[county.rule]]\nteams = [\"north\"]"), "line 2: county \"x\".rule[0].teams: no team \"north\""),
-        (c("[[county.rule]]\nzones = [\"c\"]"), "rule[0].zones: no zone \"c\""),
-        (c("[[county.rule]]\ndesks = [\"c\"]"), "rule[0].desks: no desk \"c\""),
+        (
+            "other = 1".to_owned(),
+            "line 1: file: unknown field `other`",
+        ),
+        (
+            c("[[county.rule]]\nteams = [\"north\"]"),
+            "line 2: county \"x\".rule[0].teams: no team \"north\"",
+        ),
+        (
+            c("[[county.rule]]\nzones = [\"c\"]"),
+            "rule[0].zones: no zone \"c\"",
+        ),
+        (
+            c("[[county.rule]]\ndesks = [\"c\"]"),
+            "rule[0].desks: no desk \"c\"",
+        ),
         (c("[[county.rule]]\n"), "names nothing"),
         (c("[[county.rule]]\nids = [\"*\"]"), "more than \"*\""),
         (c("apart = \"zones\""), ".zones: are named if"),
         (c("zones = [\"a\"]"), ".zones: are named if"),
-        (c("apart = \"zones\"\nzones = [\"a\"]\n[[county.rule]]\nzones = [\"b\"]"), "none of them is a zone"),
-        (c("closed = true\n[[county.rule]]\nteams = [\"east\"]"), "a closed county has no rules"),
+        (
+            c("apart = \"zones\"\nzones = [\"a\"]\n[[county.rule]]\nzones = [\"b\"]"),
+            "none of them is a zone",
+        ),
+        (
+            c("closed = true\n[[county.rule]]\nteams = [\"east\"]"),
+            "a closed county has no rules",
+        ),
         (c("closed = true\ninto = [\"y\"]"), "no other county \"y\""),
         (c(&c("")), "line 5: county \"x\": stands here a second time"),
         (c("").replace('x', "X y"), ".id: must be"),
@@ -130,8 +239,16 @@
             ),
             "county \"x\".rule[1]: never decides: county \"x\".rule[0]",
         ),
-        (format!("others = \"{}\"", "x".repeat(county::file::MAX_FILE)), "bytes; at most"),
-        ((0..2001).map(|i| format!("[[county]]\nid=\"c{i}\"\n")).collect(), "2001 counties"),
+        (
+            format!("others = \"{}\"", "x".repeat(county::file::MAX_FILE)),
+            "bytes; at most",
+        ),
+        (
+            (0..2001)
+                .map(|i| format!("[[county]]\nid=\"c{i}\"\n"))
+                .collect(),
+            "2001 counties",
+        ),
     ];
     for (text, why) in cases {
         let told = told(&text);
@@ -145,12 +262,18 @@
     let open = spec(
         "[[county]]\nid = \"a\"\nname = \"A\"\n[[county.rule]]\nteams = [\"east\"]\n[[county]]\nid = \"b\"",
     );
-    let closed =
-        spec("[[county]]\nid = \"a\"\nname = \"Ay\"\nclosed = true\ninto = [\"b\"]\n[[county]]\nid = \"b\"");
+    let closed = spec(
+        "[[county]]\nid = \"a\"\nname = \"Ay\"\nclosed = true\ninto = [\"b\"]\n[[county]]\nid = \"b\"",
+    );
     let gone = spec("[[county]]\nid = \"b\"");
     let live = BTreeMap::from([("a".to_owned(), 2)]);
     let none = BTreeMap::new();
-    let why = |old, new, live| lost(old, new, live).iter().map(Fault::to_string).collect::<String>();
+    let why = |old, new, live| {
+        lost(old, new, live)
+            .iter()
+            .map(Fault::to_string)
+            .collect::<String>()
+    };
     assert!(why(&open, &gone, &none).contains("close it first"));
     assert!(why(&closed, &gone, &live).contains("2 jobs are bound to it"));
     assert_eq!(why(&closed, &gone, &none), "");
@@ -164,9 +287,20 @@
 #[test]
 fn names_that_have_left_take_their_rules() {
     let spec = file::parse(FILE).expect("parses").spec;
-    let left = Known { desks: Some(Default::default()), teams: ["west".to_owned()].into(), ..known() };
+    let left = Known {
+        desks: Some(Default::default()),
+        teams: ["west".to_owned()].into(),
+        ..known()
+    };
     let fitting = spec.fitting(&left);
     let counties = Counties::build(&fitting, &left).expect("fits");
-    let job = Job { id: "job-1", team: "east", class: "forms", desks: &["central"], image: "i", zone: None };
+    let job = Job {
+        id: "job-1",
+        team: "east",
+        class: "forms",
+        desks: &["central"],
+        image: "i",
+        zone: None,
+    };
     assert_eq!(counties.bind(&job), Err(Unbound::NoCounty));
 }
--- a/crates/document/src/fault.rs
+++ b/crates/document/src/fault.rs
@@ -32,7 +32,10 @@
     fn from(form: Form) -> Self {
         match form {
             Form::Whole(_) => Place::Whole,
-            Form::Entry(at) => at.into_iter().next().map_or(Place::Whole, |(list, i)| Place::Entry(list, i)),
+            Form::Entry(at) => at
+                .into_iter()
+                .next()
+                .map_or(Place::Whole, |(list, i)| Place::Entry(list, i)),
         }
     }
 }
@@ -59,7 +62,12 @@
 
 impl Fault {
     pub fn whole(path: &str, what: impl Into<String>) -> Self {
-        Fault { place: Place::Whole, path: path.to_owned(), line: None, what: what.into() }
+        Fault {
+            place: Place::Whole,
+            path: path.to_owned(),
+            line: None,
+            what: what.into(),
+        }
     }
 }
 
@@ -84,7 +92,12 @@
 impl Faults {
     pub fn add(&mut self, place: Place, path: impl Into<String>, what: impl Into<String>) {
         if self.0.len() < MOST {
-            self.0.push(Fault { place, path: path.into(), line: None, what: what.into() });
+            self.0.push(Fault {
+                place,
+                path: path.into(),
+                line: None,
+                what: what.into(),
+            });
         }
     }
     pub fn is_empty(&self) -> bool {
@@ -92,7 +105,11 @@
     }
     /// What was checked, if nothing is wrong with it.
     pub fn or<T>(self, good: T) -> Result<T, Vec<Fault>> {
-        if self.0.is_empty() { Ok(good) } else { Err(self.0) }
+        if self.0.is_empty() {
+            Ok(good)
+        } else {
+            Err(self.0)
+        }
     }
 }
 
--- a/crates/document/src/file.rs
+++ b/crates/document/src/file.rs
@@ -26,8 +26,13 @@
 
 impl Lines {
     fn of(text: &str) -> Self {
-        let starts = std::iter::once(0).chain(text.match_indices('\n').map(|(i, _)| i + 1)).collect();
-        Lines { starts, entries: BTreeMap::new() }
+        let starts = std::iter::once(0)
+            .chain(text.match_indices('\n').map(|(i, _)| i + 1))
+            .collect();
+        Lines {
+            starts,
+            entries: BTreeMap::new(),
+        }
     }
     fn at(&self, byte: usize) -> usize {
         self.starts.partition_point(|s| *s <= byte)
@@ -54,18 +59,33 @@
             Place::Whole => None,
             Place::Entry(list, i) => self.lines.entries.get(list.as_str())?.get(*i).copied(),
         };
-        faults.into_iter().map(|f| Fault { line: f.line.or_else(|| line(&f.place)), ..f }).collect()
+        faults
+            .into_iter()
+            .map(|f| Fault {
+                line: f.line.or_else(|| line(&f.place)),
+                ..f
+            })
+            .collect()
     }
 }
 
 /// Reads a file's text. Whether the document holds together is for [`crate::Content::build`] to say.
 pub fn parse<R: Raw>(text: &str) -> Result<Parsed<R::Spec>, Vec<Fault>> {
     let mut lines = Lines::of(text);
-    let whole = |line, what: &str| vec![Fault { line, ..Fault::whole("file", what.trim()) }];
+    let whole = |line, what: &str| {
+        vec![Fault {
+            line,
+            ..Fault::whole("file", what.trim())
+        }]
+    };
     if text.len() > MAX_FILE {
-        return Err(whole(None, &format!("{} bytes; at most {MAX_FILE} are read", text.len())));
+        return Err(whole(
+            None,
+            &format!("{} bytes; at most {MAX_FILE} are read", text.len()),
+        ));
     }
-    let raw: R = toml::from_str(text).map_err(|e| whole(e.span().map(|s| lines.at(s.start)), e.message()))?;
+    let raw: R = toml::from_str(text)
+        .map_err(|e| whole(e.span().map(|s| lines.at(s.start)), e.message()))?;
     let spec = raw.spec(&mut lines);
     Ok(Parsed { spec, lines })
 }
--- a/crates/document/src/head.rs
+++ b/crates/document/src/head.rs
@@ -42,7 +42,13 @@
     /// Words of others are cut.
     pub fn new(version: u64, change: &str, at_ms: u64, by: &str, what: &str) -> Self {
         let cut = |s: &str, most: usize| s.chars().filter(|c| !c.is_control()).take(most).collect();
-        Past { version, change: cut(change, SHORT), at_ms, by: cut(by, SHORT), what: cut(what, LONG) }
+        Past {
+            version,
+            change: cut(change, SHORT),
+            at_ms,
+            by: cut(by, SHORT),
+            what: cut(what, LONG),
+        }
     }
 }
 
@@ -51,11 +57,18 @@
     pub fn next(&self, parts: Vec<String>, past: Past, value: usize) -> Result<Head, String> {
         let mut history = vec![past];
         history.extend(self.history.iter().take(HISTORY - 1).cloned());
-        let mut head = Head { format: FORMAT, version: self.version + 1, parts, history };
+        let mut head = Head {
+            format: FORMAT,
+            version: self.version + 1,
+            parts,
+            history,
+        };
         while text(&head).len() + FRAME > value {
             let n = head.parts.len();
             if head.history.len() <= 1 {
-                return Err(format!("it takes {n} records, more than a list of {value} bytes holds"));
+                return Err(format!(
+                    "it takes {n} records, more than a list of {value} bytes holds"
+                ));
             }
             head.history.pop();
         }
--- a/crates/document/src/parts.rs
+++ b/crates/document/src/parts.rs
@@ -35,7 +35,12 @@
 impl<P: Default + Serialize> Packer<P> {
     /// Parts of at most `value` bytes, an empty one of which takes at most `frame`.
     pub fn new(value: usize, frame: usize) -> Self {
-        Packer { value, frame, size: usize::MAX, parts: Vec::new() }
+        Packer {
+            value,
+            frame,
+            size: usize::MAX,
+            parts: Vec::new(),
+        }
     }
 
     /// Puts an entry into the part that is being filled, or into the next.
@@ -53,7 +58,11 @@
 
     fn finish(self) -> Result<Vec<(String, P)>, String> {
         if let Some(large) = self.parts.iter().find(|p| text(p).len() > self.value) {
-            return Err(format!("one entry takes {} bytes of {}", text(large).len(), self.value));
+            return Err(format!(
+                "one entry takes {} bytes of {}",
+                text(large).len(),
+                self.value
+            ));
         }
         Ok(self.parts.into_iter().map(|p| (digest(&p), p)).collect())
     }
@@ -70,11 +79,16 @@
 pub fn join<C: Content>(head: &Head, parts: &BTreeMap<String, C::Part>) -> Result<C, String> {
     if head.format > C::FORMAT {
         let known = C::FORMAT;
-        return Err(format!("its form {} is of a later version than this program's {known}", head.format));
+        return Err(format!(
+            "its form {} is of a later version than this program's {known}",
+            head.format
+        ));
     }
     let mut content = C::default();
     for name in &head.parts {
-        let Some(part) = parts.get(name) else { return Err(format!("its part {name} is missing")) };
+        let Some(part) = parts.get(name) else {
+            return Err(format!("its part {name} is missing"));
+        };
         if digest(part) != *name {
             return Err(format!("its part {name} is damaged"));
         }
--- a/crates/gateway/examples/load.rs
+++ b/crates/gateway/examples/load.rs
@@ -25,45 +25,86 @@
 /// Native users: one job every 500 ms, asked for until it is done.
 fn scene(size: &Size, yarn: bool) -> Scene {
     let config = "[most]\napplications = 5000\nper_user = 5000\ncalls = 20000\n[work]\nestimate_s = 5\nmaster_s = 600\n";
-    let limits = Limits { rps: size.changes * 4.0, write_rps: size.changes, value_kb: 8.0, txn_ops: 16 };
-    let mut scene = Scene { machines: 100, limits: Some(limits), ..Scene::default() };
+    let limits = Limits {
+        rps: size.changes * 4.0,
+        write_rps: size.changes,
+        value_kb: 8.0,
+        txn_ops: 16,
+    };
+    let mut scene = Scene {
+        machines: 100,
+        limits: Some(limits),
+        ..Scene::default()
+    };
     scene = scene.team("red", 20.0, 0.0).team("blue", 20.0, 0.0);
     for i in 0..(size.seconds * 1000 / 500) as u32 {
-        let spec = JobSpec { priority: Priority::Normal, cores: 1.0, gpus: 0.0, ..array(i, "blue", 1, 5.0) };
-        scene.jobs.push(Timed { at: 5000 + u64::from(i) * 500, run_ms: 5000, cancel_ms: None, spec });
+        let spec = JobSpec {
+            priority: Priority::Normal,
+            cores: 1.0,
+            gpus: 0.0,
+            ..array(i, "blue", 1, 5.0)
+        };
+        scene.jobs.push(Timed {
+            at: 5000 + u64::from(i) * 500,
+            run_ms: 5000,
+            cancel_ms: None,
+            spec,
+        });
     }
     if yarn {
         scene.yarn = Some(Config::parse(config).expect("good"));
-        let tally = Tally { stages: vec![size.each], run_ms: 5000, fails: 0 };
+        let tally = Tally {
+            stages: vec![size.each],
+            run_ms: 5000,
+            fails: 0,
+        };
         let master = |i| {
             let mut client = Client::new("ann", "red", 6000 + 20 * i as u64, tally.clone());
             client.unmanaged = true;
             client
         };
         scene.clients.extend((0..size.masters).map(master));
-        let tool = Tally { stages: Vec::new(), run_ms: 5000, fails: 0 };
+        let tool = Tally {
+            stages: Vec::new(),
+            run_ms: 5000,
+            fails: 0,
+        };
         let at = 6000 + 20 * size.masters as u64 + 60_000;
         scene.clients.extend(
-            (0..size.submissions).map(|i| Client::new("bob", "red", at + 2 * i as u64, tool.clone())),
+            (0..size.submissions)
+                .map(|i| Client::new("bob", "red", at + 2 * i as u64, tool.clone())),
         );
     }
     scene
 }
 
 fn play(size: &Size, yarn: bool) -> World {
-    let mut world = World::new(Plan { large: true, ..Plan::of_scene(1, 3, scene(size, yarn), 0, 0) });
+    let mut world = World::new(Plan {
+        large: true,
+        ..Plan::of_scene(1, 3, scene(size, yarn), 0, 0)
+    });
     world.run_for(size.seconds * 1000);
     assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
-    assert!(world.yarn.checks.broken.is_empty(), "{:?}", world.yarn.checks.broken);
+    assert!(
+        world.yarn.checks.broken.is_empty(),
+        "{:?}",
+        world.yarn.checks.broken
+    );
     world
 }
 
 fn percentile(sorted: &[u64], p: usize) -> u64 {
-    sorted.get((sorted.len() * p / 100).min(sorted.len().saturating_sub(1))).copied().unwrap_or(0)
+    sorted
+        .get((sorted.len() * p / 100).min(sorted.len().saturating_sub(1)))
+        .copied()
+        .unwrap_or(0)
 }
 
 fn main() {
-    let numbers: Vec<usize> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
+    let numbers: Vec<usize> = std::env::args()
+        .skip(1)
+        .filter_map(|a| a.parse().ok())
+        .collect();
     let number = |i: usize, default| numbers.get(i).copied().unwrap_or(default);
     let size = Size {
         masters: number(0, 2000),
@@ -77,11 +118,18 @@
     let mut beside = play(&size, true);
     alone.waits.sort_unstable();
     beside.waits.sort_unstable();
-    let counts = beside.owner().and_then(|o| o.book()).map(|b| b.counts()).unwrap_or_default();
+    let counts = beside
+        .owner()
+        .and_then(|o| o.book())
+        .map(|b| b.counts())
+        .unwrap_or_default();
     let checks = &beside.yarn.checks;
     let twice = checks.accepts.values().filter(|n| **n > 1).count();
     let tools = beside.yarn.clients.iter().filter(|c| c.user == "bob");
-    let done = tools.clone().filter(|c| c.state == Some(ApplicationState::Finished)).count();
+    let done = tools
+        .clone()
+        .filter(|c| c.state == Some(ApplicationState::Finished))
+        .count();
     let mut taken: Vec<u64> = tools.filter_map(|c| c.taken_after()).collect();
     taken.sort_unstable();
     let mut calls = std::mem::take(&mut beside.call_ns);
--- a/crates/gateway/src/book/apps.rs
+++ b/crates/gateway/src/book/apps.rs
@@ -42,8 +42,11 @@
     pub fn read(resource: Option<&Resource>) -> Result<Size, Fault> {
         let bad = |why: String| Fault::new(Class::InvalidRequest, why);
         let r = resource.ok_or_else(|| bad("no resource is given".into()))?;
-        let mut size =
-            Size { memory_mb: r.memory.unwrap_or(0), cores: r.virtual_cores.unwrap_or(1), gpus: 0 };
+        let mut size = Size {
+            memory_mb: r.memory.unwrap_or(0),
+            cores: r.virtual_cores.unwrap_or(1),
+            gpus: 0,
+        };
         for named in &r.values {
             let value = named.value.unwrap_or(0);
             match named.key.as_str() {
@@ -55,7 +58,9 @@
             }
         }
         if size.memory_mb <= 0 || size.cores < 0 || size.gpus < 0 {
-            return Err(bad(format!("memory must be above 0 and nothing below: {size:?}")));
+            return Err(bad(format!(
+                "memory must be above 0 and nothing below: {size:?}"
+            )));
         }
         Ok(size)
     }
@@ -71,7 +76,11 @@
             info("vcores", self.cores.into(), ""),
             info(GPUS, self.gpus, ""),
         ];
-        Resource { memory: Some(self.memory_mb), virtual_cores: Some(self.cores), values }
+        Resource {
+            memory: Some(self.memory_mb),
+            virtual_cores: Some(self.cores),
+            values,
+        }
     }
 
     pub fn fits(self, most: Size) -> bool {
@@ -86,8 +95,9 @@
 
 /// The reverse of [`job_id`].
 pub(super) fn parse_job(id: &str) -> Option<(u32, u32)> {
-    let digits =
-        id.strip_prefix("job-9").filter(|d| d.len() == 17 && d.bytes().all(|b| b.is_ascii_digit()))?;
+    let digits = id
+        .strip_prefix("job-9")
+        .filter(|d| d.len() == 17 && d.bytes().all(|b| b.is_ascii_digit()))?;
     let (app, group) = digits.split_at(10);
     Some((app.parse().ok()?, group.parse().ok()?))
 }
@@ -112,7 +122,10 @@
 pub(super) fn in_parts(launch: &ContainerLaunchContext, value_kb: f64) -> Vec<String> {
     let text = BASE64.encode(launch.encode_to_vec());
     let most = ((value_kb * 1024.0 * 0.6) as usize).max(256);
-    text.as_bytes().chunks(most).map(|c| String::from_utf8_lossy(c).into_owned()).collect()
+    text.as_bytes()
+        .chunks(most)
+        .map(|c| String::from_utf8_lossy(c).into_owned())
+        .collect()
 }
 
 impl App {
@@ -137,7 +150,11 @@
     }
 
     pub(super) fn size(&self) -> Size {
-        Size { memory_mb: self.rec.memory_mb, cores: self.rec.cores, gpus: self.rec.gpus }
+        Size {
+            memory_mb: self.rec.memory_mb,
+            cores: self.rec.cores,
+            gpus: self.rec.gpus,
+        }
     }
 
     /// What a native user would submit for it.
@@ -205,7 +222,10 @@
     }
 
     pub(super) fn app_id(&self, id: u32) -> ApplicationId {
-        ApplicationId { id: id as i32, cluster_timestamp: self.cluster.stamp }
+        ApplicationId {
+            id: id as i32,
+            cluster_timestamp: self.cluster.stamp,
+        }
     }
 
     /// The number of an id that is ours.
@@ -213,7 +233,10 @@
         let id = id.ok_or_else(|| Fault::new(Class::BadArgument, "application id: is missing"))?;
         let known = id.cluster_timestamp == self.cluster.stamp && id.id > 0;
         let unknown = || {
-            Fault::new(Class::ApplicationNotFound, format!("Application with id '{id}' doesn't exist here."))
+            Fault::new(
+                Class::ApplicationNotFound,
+                format!("Application with id '{id}' doesn't exist here."),
+            )
         };
         known.then_some(id.id as u32).ok_or_else(unknown)
     }
@@ -224,7 +247,10 @@
         let app = self.apps.get(&number).filter(|a| a.saved.is_some());
         app.ok_or_else(|| {
             let id = self.app_id(number);
-            Fault::new(Class::ApplicationNotFound, format!("Application with id '{id}' doesn't exist in RM."))
+            Fault::new(
+                Class::ApplicationNotFound,
+                format!("Application with id '{id}' doesn't exist in RM."),
+            )
         })
     }
 
@@ -239,12 +265,18 @@
         waiter: Waiter,
     ) -> Result<(), Fault> {
         let bad = |why: String| Fault::new(Class::BadArgument, why);
-        let id = self.own(context.application_id).map_err(|f| Fault { class: Class::Yarn, ..f })?;
+        let id = self.own(context.application_id).map_err(|f| Fault {
+            class: Class::Yarn,
+            ..f
+        })?;
         let print = print(user, context);
         if let Some(app) = self.apps.get_mut(&id) {
             if app.rec.print != print {
                 let why = "was submitted before by somebody else, or with another content";
-                return Err(Fault::new(Class::Yarn, format!("{} {why}", self.app_id(id))));
+                return Err(Fault::new(
+                    Class::Yarn,
+                    format!("{} {why}", self.app_id(id)),
+                ));
             }
             if app.saved.is_some() {
                 self.tell(cx, id, waiter);
@@ -255,7 +287,10 @@
         }
         // Guards against a second placement: it may have been submitted, run and been forgotten.
         if id <= self.cluster.forgotten || id > self.granted || id >= self.next_id {
-            return Err(Fault::new(Class::Yarn, format!("{}: ask for a new id", self.app_id(id))));
+            return Err(Fault::new(
+                Class::Yarn,
+                format!("{}: ask for a new id", self.app_id(id)),
+            ));
         }
         let queue = self.open_queue(cx, user, context.queue.as_deref().unwrap_or("default"))?;
         self.within_bounds(cx, user)?;
@@ -268,29 +303,55 @@
             ));
         }
         let priority = context.priority.unwrap_or_default().priority;
-        if context.reservation_id.as_ref().is_some_and(|r| !r.is_empty()) {
-            return Err(Fault::new(Class::Unsupported, "reservations are not served"));
+        if context
+            .reservation_id
+            .as_ref()
+            .is_some_and(|r| !r.is_empty())
+        {
+            return Err(Fault::new(
+                Class::Unsupported,
+                "reservations are not served",
+            ));
         }
         let tags = &context.application_tags;
         if tags.len() > records::TAGS || tags.iter().any(|t| t.len() > records::TAG) {
-            return Err(bad(format!("tags: at most {} of {} bytes", records::TAGS, records::TAG)));
+            return Err(bad(format!(
+                "tags: at most {} of {} bytes",
+                records::TAGS,
+                records::TAG
+            )));
         }
         let unmanaged = context.unmanaged_am.unwrap_or(false);
         let launch = context.am_container_spec.clone().unwrap_or_default();
         if launch.encoded_len() > cx.config.most.launch {
-            return Err(bad(format!("am container spec: at most {} bytes", cx.config.most.launch)));
+            return Err(bad(format!(
+                "am container spec: at most {} bytes",
+                cx.config.most.launch
+            )));
         }
         if !unmanaged && launch.command.iter().all(String::is_empty) {
             return Err(bad("am container spec: has no command".into()));
         }
-        let parts =
-            if unmanaged { Vec::new() } else { in_parts(&launch, cx.node.settings().cluster.state.value_kb) };
-        let life = context.application_timeouts.iter().find(|t| t.kind.unwrap_or(LIFETIME) == LIFETIME);
+        let parts = if unmanaged {
+            Vec::new()
+        } else {
+            in_parts(&launch, cx.node.settings().cluster.state.value_kb)
+        };
+        let life = context
+            .application_timeouts
+            .iter()
+            .find(|t| t.kind.unwrap_or(LIFETIME) == LIFETIME);
         let wall = cx.now.wall;
-        let attempts =
-            context.max_app_attempts.filter(|n| *n > 0).map_or(cx.config.work.attempts, |n| n as u32);
-        let text = |t: &Option<String>, default: &str, most| cut(t.as_deref().unwrap_or(default), most);
-        let label = context.node_label_expression.clone().filter(|l| !l.is_empty());
+        let attempts = context
+            .max_app_attempts
+            .filter(|n| *n > 0)
+            .map_or(cx.config.work.attempts, |n| n as u32);
+        let text =
+            |t: &Option<String>, default: &str, most| cut(t.as_deref().unwrap_or(default), most);
+        let label = context
+            .node_label_expression
+            .clone()
+            .filter(|l| !l.is_empty());
         let rec = AppRec {
             id,
             user: user.to_owned(),
@@ -341,11 +402,17 @@
     fn open_queue(&self, cx: Cx<'_>, user: &str, name: &str) -> Result<(String, String), Fault> {
         let queue = self.queue(name)?;
         let Some(team) = &queue.team else {
-            let why = format!("{} is not a leaf queue: applications go to one below it", queue.path);
+            let why = format!(
+                "{} is not a leaf queue: applications go to one below it",
+                queue.path
+            );
             return Err(Fault::new(Class::Yarn, why));
         };
         if !self.queues.may_submit(cx.config, queue, user) {
-            let why = format!("User {user} cannot submit applications to queue {}", queue.path);
+            let why = format!(
+                "User {user} cannot submit applications to queue {}",
+                queue.path
+            );
             return Err(Fault::new(Class::AccessDenied, why));
         }
         self.not_drained(queue)?;
@@ -353,7 +420,12 @@
     }
 
     pub(super) fn queue(&self, name: &str) -> Result<&Queue, Fault> {
-        let unknown = || Fault::new(Class::Yarn, format!("Application submitted to unknown queue: {name}"));
+        let unknown = || {
+            Fault::new(
+                Class::Yarn,
+                format!("Application submitted to unknown queue: {name}"),
+            )
+        };
         self.queues.find(name).ok_or_else(unknown)
     }
 
@@ -362,10 +434,15 @@
         let of_user = self.by_user.get(user).copied().unwrap_or(0);
         let busy = |why: String| Err(Fault::new(Class::Retriable, why));
         if self.live >= most.applications {
-            return busy(format!("{} applications are not over; no more are taken now", self.live));
+            return busy(format!(
+                "{} applications are not over; no more are taken now",
+                self.live
+            ));
         }
         if of_user >= most.per_user {
-            return busy(format!("{of_user} applications of {user} are not over; no more are taken now"));
+            return busy(format!(
+                "{of_user} applications of {user} are not over; no more are taken now"
+            ));
         }
         Ok(())
     }
@@ -374,7 +451,8 @@
     pub(super) fn largest(&self, cx: Cx<'_>) -> Result<Size, Fault> {
         let unknown = || Fault::new(Class::Retriable, "the machine types are not known yet");
         let types = &cx.node.machine_types().ok_or_else(unknown)?.types;
-        let most = |of: fn(&wire::api::MachineType) -> f64| types.iter().map(of).fold(0.0, f64::max);
+        let most =
+            |of: fn(&wire::api::MachineType) -> f64| types.iter().map(of).fold(0.0, f64::max);
         Ok(Size {
             memory_mb: (most(|t| t.mem_gb) * 1024.0) as i64,
             cores: most(|t| t.cores) as i32,
@@ -384,7 +462,9 @@
 
     /// A new application could not be written down: it is not taken, and was not.
     pub(super) fn not_taken(&mut self, id: u32) {
-        let Some(app) = self.apps.remove(&id) else { return };
+        let Some(app) = self.apps.remove(&id) else {
+            return;
+        };
         self.count_out(&app.rec.user);
         self.counts.refused += 1;
         let fault = Fault::new(Class::Retriable, "too much is being written now");
@@ -411,7 +491,9 @@
 
     /// A record of it stands: those who wait are told, and what it allows is done.
     pub(super) fn app_saved(&mut self, cx: Cx<'_>, id: u32) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
         let waiters = std::mem::take(&mut app.waiters);
         let (closed, first) = (app.rec.closed, app.native == Native::Unsent && !app.asking);
         if first && waiters.iter().any(|w| w.told == Told::Submitted) {
@@ -458,7 +540,9 @@
     pub(super) fn drive(&mut self, cx: Cx<'_>, id: u32) {
         self.time_out(cx, id);
         let now = cx.now.mono;
-        let Some(app) = self.apps.get(&id) else { return };
+        let Some(app) = self.apps.get(&id) else {
+            return;
+        };
         let Some(saved) = &app.saved else { return };
         if saved.stage.is_final() {
             return self.close(cx, id);
@@ -472,20 +556,38 @@
             self.schedule(id, now + POLL_MS * 5);
         }
         for group in waiting {
-            self.ask(cx, Asked { app: id, group, what: Want::Submit });
+            self.ask(
+                cx,
+                Asked {
+                    app: id,
+                    group,
+                    what: Want::Submit,
+                },
+            );
         }
-        let Some(app) = self.apps.get(&id).filter(|a| !a.asking && !a.rec.unmanaged) else { return };
+        let Some(app) = self.apps.get(&id).filter(|a| !a.asking && !a.rec.unmanaged) else {
+            return;
+        };
         let what = match (app.native, ending) {
             (Native::Unsent, _) => Want::Submit,
             (Native::Known, Some(_)) => Want::Cancel,
             (Native::Known, None) => Want::State,
         };
-        self.ask(cx, Asked { app: id, group: 0, what });
+        self.ask(
+            cx,
+            Asked {
+                app: id,
+                group: 0,
+                what,
+            },
+        );
     }
 
     /// Ends what has lived too long, or says nothing any more.
     fn time_out(&mut self, cx: Cx<'_>, id: u32) {
-        let Some(app) = self.apps.get(&id) else { return };
+        let Some(app) = self.apps.get(&id) else {
+            return;
+        };
         if app.rec.stage.is_final() || app.rec.ending.is_some() {
             return;
         }
@@ -495,9 +597,17 @@
                 .as_ref()
                 .is_some_and(|s| cx.now.mono > s.heard_at + cx.config.work.master_silent_s * 1000);
         if app.rec.until_ms.is_some_and(|until| cx.now.wall >= until) {
-            self.end(id, Ending::Killed, "Application killed: its lifetime is over");
+            self.end(
+                id,
+                Ending::Killed,
+                "Application killed: its lifetime is over",
+            );
         } else if silent {
-            self.end(id, Ending::Failed, "The application master was not heard any more");
+            self.end(
+                id,
+                Ending::Failed,
+                "The application master was not heard any more",
+            );
         } else if self.drained_away(cx, &app.rec.queue) {
             self.end(
                 id,
@@ -509,7 +619,9 @@
 
     /// Wants an application to end. It is told, and done, once that is recorded.
     pub(super) fn end(&mut self, id: u32, ending: Ending, why: &str) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
         if app.rec.stage.is_final() || app.rec.ending.is_some() {
             return;
         }
@@ -521,10 +633,14 @@
 
     /// Asks the scheduler for something of an application.
     pub(super) fn ask(&mut self, cx: Cx<'_>, asked: Asked) {
-        let Some(app) = self.apps.get_mut(&asked.app) else { return };
+        let Some(app) = self.apps.get_mut(&asked.app) else {
+            return;
+        };
         let id = job_id(asked.app, asked.group);
         let (method, path, body) = match asked.what {
-            Want::Submit if asked.group == 0 => ("POST", "/work".to_owned(), wire::encode(&app.job(cx))),
+            Want::Submit if asked.group == 0 => {
+                ("POST", "/work".to_owned(), wire::encode(&app.job(cx)))
+            }
             Want::Submit => match app.groups.job(cx, &app.rec, asked.group) {
                 Some(job) => ("POST", "/work".to_owned(), wire::encode(&job)),
                 None => return,
@@ -535,12 +651,19 @@
         app.asking |= asked.group == 0;
         let number = self.number();
         self.asked.insert(number, asked);
-        self.acts.push(Act::Native { ask: CONNS | number, method, path, body });
+        self.acts.push(Act::Native {
+            ask: CONNS | number,
+            method,
+            path,
+            body,
+        });
     }
 
     /// The scheduler's answer.
     pub fn native_answered(&mut self, cx: Cx<'_>, ask: u64, response: &Response) {
-        let Some(asked) = self.asked.remove(&(ask & !CONNS)) else { return };
+        let Some(asked) = self.asked.remove(&(ask & !CONNS)) else {
+            return;
+        };
         if asked.group == 0 {
             self.master_answered(cx, asked, response);
         } else {
@@ -550,7 +673,9 @@
     }
 
     fn master_answered(&mut self, cx: Cx<'_>, asked: Asked, response: &Response) {
-        let Some(app) = self.apps.get_mut(&asked.app) else { return };
+        let Some(app) = self.apps.get_mut(&asked.app) else {
+            return;
+        };
         app.asking = false;
         if app.rec.stage.is_final() {
             return self.group_answered(cx, asked, response);
@@ -567,7 +692,11 @@
             }
             (400 | 422, Want::Submit) => {
                 let why = "The scheduler can never run the application master: no machine type, or a limit, lets it";
-                log::info!("yarn: application {}: refused with {}", asked.app, response.status);
+                log::info!(
+                    "yarn: application {}: refused with {}",
+                    asked.app,
+                    response.status
+                );
                 self.end_now(cx, asked.app, Stage::Failed, why);
             }
             // Not known there (any more): it is submitted again, which is harmless, before anything else.
@@ -581,14 +710,18 @@
 
     fn schedule_poll(&mut self, cx: Cx<'_>, id: u32) {
         let now = cx.now.mono;
-        let Some(app) = self.apps.get(&id) else { return };
+        let Some(app) = self.apps.get(&id) else {
+            return;
+        };
         let urgent = app.saved.as_ref().is_some_and(|s| s.ending.is_some());
         let every = POLL_MS.max(self.live as u64 * 1000 / POLLS_A_SECOND);
         self.schedule(id, if urgent { now } else { now + every });
     }
 
     fn native_stage(&mut self, cx: Cx<'_>, id: u32, stage: JobStage) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
         match stage {
             JobStage::Pending => {}
             JobStage::Running => {
@@ -605,7 +738,12 @@
             }
             JobStage::Cancelled => match app.saved.as_ref().and_then(|s| s.ending) {
                 Some(ending) => self.finish_as(cx, id, ending),
-                None => self.end_now(cx, id, Stage::Killed, "Application killed: its job was cancelled"),
+                None => self.end_now(
+                    cx,
+                    id,
+                    Stage::Killed,
+                    "Application killed: its job was cancelled",
+                ),
             },
         }
     }
@@ -626,7 +764,9 @@
 
     /// It is over. Told once it is recorded.
     pub(super) fn finish(&mut self, cx: Cx<'_>, id: u32, stage: Stage) {
-        let Some(app) = self.apps.get_mut(&id).filter(|a| !a.rec.stage.is_final()) else { return };
+        let Some(app) = self.apps.get_mut(&id).filter(|a| !a.rec.stage.is_final()) else {
+            return;
+        };
         // A master that has said goodbye may still be there.
         let stays = stage == Stage::Finished && !app.rec.unmanaged && !app.master_over;
         if stays {
@@ -660,7 +800,9 @@
     /// stays on.
     fn close(&mut self, cx: Cx<'_>, id: u32) {
         let now = cx.now.mono;
-        let Some(app) = self.apps.get_mut(&id) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
         if app.rec.closed {
             return;
         }
@@ -678,7 +820,14 @@
             return;
         }
         for group in left {
-            self.ask(cx, Asked { app: id, group, what: Want::Cancel });
+            self.ask(
+                cx,
+                Asked {
+                    app: id,
+                    group,
+                    what: Want::Cancel,
+                },
+            );
         }
         self.schedule(id, now + AGAIN_MS);
     }
@@ -694,7 +843,10 @@
         {
             return Ok(());
         }
-        let why = format!("User {user} cannot modify application {}", self.app_id(rec.id));
+        let why = format!(
+            "User {user} cannot modify application {}",
+            self.app_id(rec.id)
+        );
         Err(Fault::new(Class::AccessDenied, why))
     }
 
@@ -712,7 +864,11 @@
         let id = app.rec.id;
         if !app.rec.stage.is_final() && app.rec.ending.is_none() {
             let said = why.map(|w| format!(": {w}")).unwrap_or_default();
-            self.end(id, Ending::Killed, &format!("Application killed by user {user}{said}"));
+            self.end(
+                id,
+                Ending::Killed,
+                &format!("Application killed by user {user}{said}"),
+            );
         }
         self.when_saved(cx, id, waiter);
         Ok(())
@@ -720,7 +876,9 @@
 
     /// Tells once what is known now is recorded.
     pub(super) fn when_saved(&mut self, cx: Cx<'_>, id: u32, waiter: Waiter) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
         if app.saved.as_ref() == Some(&app.rec) {
             self.tell(cx, id, waiter);
         } else {
@@ -735,6 +893,9 @@
 
 /// What the master is to have: the newer field first, as published servers do.
 fn master_resource(context: &ApplicationSubmissionContext) -> Option<&Resource> {
-    let asked = context.am_container_resource_request.first().and_then(|r| r.capability.as_ref());
+    let asked = context
+        .am_container_resource_request
+        .first()
+        .and_then(|r| r.capability.as_ref());
     asked.or(context.resource.as_ref())
 }
--- a/crates/gateway/src/book/clients.rs
+++ b/crates/gateway/src/book/clients.rs
@@ -13,33 +13,76 @@
 
 /// Calls that published clients make and that are not served, with what they are told.
 const REFUSED: &[(&str, &str)] = &[
-    ("getDelegationToken", "delegation tokens are given under Kerberos only"),
-    ("renewDelegationToken", "delegation tokens are given under Kerberos only"),
-    ("cancelDelegationToken", "delegation tokens are given under Kerberos only"),
+    (
+        "getDelegationToken",
+        "delegation tokens are given under Kerberos only",
+    ),
+    (
+        "renewDelegationToken",
+        "delegation tokens are given under Kerberos only",
+    ),
+    (
+        "cancelDelegationToken",
+        "delegation tokens are given under Kerberos only",
+    ),
     ("getNewReservation", "reservations are not served"),
     ("submitReservation", "reservations are not served"),
     ("updateReservation", "reservations are not served"),
     ("deleteReservation", "reservations are not served"),
     ("listReservations", "reservations are not served"),
-    ("moveApplicationAcrossQueues", "an application keeps its queue: its job keeps its team"),
+    (
+        "moveApplicationAcrossQueues",
+        "an application keeps its queue: its job keeps its team",
+    ),
     ("signalToContainer", "signals can't be carried to a task"),
-    ("updateApplicationTimeouts", "a timeout is set with the submission"),
-    ("failApplicationAttempt", "the scheduler starts masters again by itself"),
-    ("getNodeToLabels", "labels are machine types: see getClusterNodes"),
-    ("getLabelsToNodes", "labels are machine types: see getClusterNodes"),
-    ("getClusterNodeLabels", "labels are machine types: see getClusterNodes"),
+    (
+        "updateApplicationTimeouts",
+        "a timeout is set with the submission",
+    ),
+    (
+        "failApplicationAttempt",
+        "the scheduler starts masters again by itself",
+    ),
+    (
+        "getNodeToLabels",
+        "labels are machine types: see getClusterNodes",
+    ),
+    (
+        "getLabelsToNodes",
+        "labels are machine types: see getClusterNodes",
+    ),
+    (
+        "getClusterNodeLabels",
+        "labels are machine types: see getClusterNodes",
+    ),
     ("getResourceProfiles", "resource profiles are not served"),
     ("increaseContainersResource", "a container keeps its size"),
-    ("reInitializeContainer", "a container runs what it was started with"),
-    ("restartContainer", "a container runs what it was started with"),
-    ("rollbackLastReInitialization", "a container runs what it was started with"),
-    ("commitLastReInitialization", "a container runs what it was started with"),
+    (
+        "reInitializeContainer",
+        "a container runs what it was started with",
+    ),
+    (
+        "restartContainer",
+        "a container runs what it was started with",
+    ),
+    (
+        "rollbackLastReInitialization",
+        "a container runs what it was started with",
+    ),
+    (
+        "commitLastReInitialization",
+        "a container runs what it was started with",
+    ),
     ("localize", "a container's files are named with its start"),
 ];
 
 fn read<T: Message + Default>(argument: &[u8]) -> Result<T, Fault> {
-    T::decode(argument)
-        .map_err(|e| Fault::new(Class::BadArgument, format!("the argument can't be read: {e}")))
+    T::decode(argument).map_err(|e| {
+        Fault::new(
+            Class::BadArgument,
+            format!("the argument can't be read: {e}"),
+        )
+    })
 }
 
 /// A call that is answered now, or when a record stands.
@@ -65,7 +108,10 @@
             CLIENT_PROTOCOL => self.client_call(cx, call, user, method, argument),
             MASTER_PROTOCOL => self.master_call(cx, call, proved, method, argument),
             CONTAINER_PROTOCOL => self.container_call(cx, call, proved, method, argument),
-            other => Err(Fault::new(Class::NoSuchProtocol, format!("Unknown protocol: {other}"))),
+            other => Err(Fault::new(
+                Class::NoSuchProtocol,
+                format!("Unknown protocol: {other}"),
+            )),
         };
         match served {
             Ok(Some(body)) => self.answer(call, Reply::Rpc(body)),
@@ -77,7 +123,14 @@
         }
     }
 
-    fn client_call(&mut self, cx: Cx<'_>, call: u64, user: &str, method: &str, argument: &[u8]) -> Served {
+    fn client_call(
+        &mut self,
+        cx: Cx<'_>,
+        call: u64,
+        user: &str,
+        method: &str,
+        argument: &[u8],
+    ) -> Served {
         let later = |told| Book::waiter(call, Surface::Rpc, told);
         match method {
             "getNewApplication" => {
@@ -88,14 +141,23 @@
             "submitApplication" => {
                 let r: SubmitApplicationRequest = read(argument)?;
                 let context = r.context.ok_or_else(|| {
-                    Fault::new(Class::BadArgument, "application submission context: is missing")
+                    Fault::new(
+                        Class::BadArgument,
+                        "application submission context: is missing",
+                    )
                 })?;
                 self.submit(cx, user, &context, later(Told::Submitted))?;
                 Ok(None)
             }
             "forceKillApplication" => {
                 let r: KillApplicationRequest = read(argument)?;
-                self.kill(cx, user, r.application_id, r.diagnostics.as_deref(), later(Told::Killing))?;
+                self.kill(
+                    cx,
+                    user,
+                    r.application_id,
+                    r.diagnostics.as_deref(),
+                    later(Told::Killing),
+                )?;
                 Ok(None)
             }
             "updateApplicationPriority" => {
@@ -112,11 +174,17 @@
             "getApplicationReport" => {
                 let r: GetApplicationReportRequest = read(argument)?;
                 let report = self.report(self.known(r.application_id)?, user);
-                now(&GetApplicationReportResponse { report: Some(report) })
+                now(&GetApplicationReportResponse {
+                    report: Some(report),
+                })
             }
             "getApplications" => {
                 let r: GetApplicationsRequest = read(argument)?;
-                let applications = self.filtered(&r).into_iter().map(|a| self.report(a, user)).collect();
+                let applications = self
+                    .filtered(&r)
+                    .into_iter()
+                    .map(|a| self.report(a, user))
+                    .collect();
                 now(&GetApplicationsResponse { applications })
             }
             _ => self.client_question(cx, user, method, argument),
@@ -126,8 +194,10 @@
     fn client_question(&mut self, cx: Cx<'_>, user: &str, method: &str, argument: &[u8]) -> Served {
         match method {
             "getClusterMetrics" => {
-                let (up, all) =
-                    cx.node.machines().fold((0, 0), |(up, all), m| (up + i32::from(m.up), all + 1));
+                let (up, all) = cx
+                    .node
+                    .machines()
+                    .fold((0, 0), |(up, all), m| (up + i32::from(m.up), all + 1));
                 let zero = Some(0);
                 let metrics = ClusterMetrics {
                     num_node_managers: Some(all),
@@ -137,14 +207,18 @@
                     num_unhealthy_nms: zero,
                     num_rebooted_nms: zero,
                 };
-                now(&GetClusterMetricsResponse { metrics: Some(metrics) })
+                now(&GetClusterMetricsResponse {
+                    metrics: Some(metrics),
+                })
             }
             "getClusterNodes" => {
                 let r: GetClusterNodesRequest = read(argument)?;
                 let wanted = |n: &NodeReport| {
                     r.states.is_empty() || n.node_state.is_some_and(|s| r.states.contains(&s))
                 };
-                now(&GetClusterNodesResponse { nodes: self.nodes(cx).into_iter().filter(wanted).collect() })
+                now(&GetClusterNodesResponse {
+                    nodes: self.nodes(cx).into_iter().filter(wanted).collect(),
+                })
             }
             "getQueueInfo" => {
                 let r: GetQueueInfoRequest = read(argument)?;
@@ -154,10 +228,15 @@
                 } else {
                     usize::from(r.include_child_queues == Some(true))
                 };
-                let apps =
-                    if r.include_applications == Some(true) { self.by_queue() } else { Default::default() };
+                let apps = if r.include_applications == Some(true) {
+                    self.by_queue()
+                } else {
+                    Default::default()
+                };
                 let info = self.queue_info(queue, &apps, levels, user);
-                now(&GetQueueInfoResponse { queue_info: Some(info) })
+                now(&GetQueueInfoResponse {
+                    queue_info: Some(info),
+                })
             }
             "getQueueUserAcls" => {
                 let acls = self.queues.all.iter().map(|q| {
@@ -170,9 +249,14 @@
                         .may_administer(cx.config, q, user)
                         .then_some(QueueAcl::AdministerQueue as i32);
                     let user_acls = submit.into_iter().chain(administer).collect();
-                    QueueUserAcl { queue_name: Some(q.path.clone()), user_acls }
+                    QueueUserAcl {
+                        queue_name: Some(q.path.clone()),
+                        user_acls,
+                    }
                 });
-                now(&GetQueueUserAclsResponse { acls: acls.collect() })
+                now(&GetQueueUserAclsResponse {
+                    acls: acls.collect(),
+                })
             }
             "getApplicationAttempts" => {
                 let r: GetApplicationAttemptsRequest = read(argument)?;
@@ -183,13 +267,20 @@
             "getApplicationAttemptReport" => {
                 let r: GetApplicationAttemptReportRequest = read(argument)?;
                 let app = self.attempted(r.application_attempt_id)?;
-                now(&GetApplicationAttemptReportResponse { report: Some(self.attempt_report(app)) })
+                now(&GetApplicationAttemptReportResponse {
+                    report: Some(self.attempt_report(app)),
+                })
             }
             "getContainers" => {
                 let r: GetContainersRequest = read(argument)?;
                 let app = self.attempted(r.application_attempt_id)?;
                 now(&GetContainersResponse {
-                    containers: app.groups.containers.values().map(container_report).collect(),
+                    containers: app
+                        .groups
+                        .containers
+                        .values()
+                        .map(container_report)
+                        .collect(),
                 })
             }
             "getContainerReport" => {
@@ -203,7 +294,9 @@
                         format!("Container with id '{id}' doesn't exist in RM."),
                     )
                 };
-                now(&GetContainerReportResponse { report: Some(found.ok_or_else(missing)?) })
+                now(&GetContainerReportResponse {
+                    report: Some(found.ok_or_else(missing)?),
+                })
             }
             other => Err(not_served(other)),
         }
@@ -219,7 +312,9 @@
                 format!("ApplicationAttempt with id '{id}' doesn't exist in RM."),
             )
         };
-        (id.attempt_id as u32 == app.shown().attempt.max(1)).then_some(app).ok_or_else(missing)
+        (id.attempt_id as u32 == app.shown().attempt.max(1))
+            .then_some(app)
+            .ok_or_else(missing)
     }
 
     fn master_call(
@@ -277,7 +372,10 @@
         self.may_change(cx, user, &app.rec)?;
         let id = app.rec.id;
         if app.rec.stage.is_final() {
-            return Err(Fault::new(Class::Yarn, format!("{} is over: its priority stays", self.app_id(id))));
+            return Err(Fault::new(
+                Class::Yarn,
+                format!("{} is over: its priority stays", self.app_id(id)),
+            ));
         }
         let most = cx.config.most.priority;
         if let Some(app) = self.apps.get_mut(&id) {
@@ -291,19 +389,25 @@
     // ---- answers to those who waited for a record ----
 
     pub(super) fn tell(&mut self, cx: Cx<'_>, id: u32, waiter: Waiter) {
-        let Some(app) = self.apps.get(&id) else { return };
+        let Some(app) = self.apps.get(&id) else {
+            return;
+        };
         let rec = app.shown();
         let reply = match (waiter.form, waiter.told) {
-            (Surface::Rpc, Told::Killing) => {
-                rpc(&KillApplicationResponse { is_kill_completed: Some(rec.stage.is_final()) })
-            }
+            (Surface::Rpc, Told::Killing) => rpc(&KillApplicationResponse {
+                is_kill_completed: Some(rec.stage.is_final()),
+            }),
             (Surface::Rpc, Told::Priority) => rpc(&UpdateApplicationPriorityResponse {
-                priority: Some(Priority { priority: rec.priority }),
+                priority: Some(Priority {
+                    priority: rec.priority,
+                }),
+            }),
+            (Surface::Rpc, Told::Registered) => self
+                .registered(cx, id)
+                .map_or_else(Reply::from, |r| rpc(&r)),
+            (Surface::Rpc, Told::Unregistered) => rpc(&FinishResponse {
+                is_unregistered: Some(rec.stage.is_final()),
             }),
-            (Surface::Rpc, Told::Registered) => self.registered(cx, id).map_or_else(Reply::from, |r| rpc(&r)),
-            (Surface::Rpc, Told::Unregistered) => {
-                rpc(&FinishResponse { is_unregistered: Some(rec.stage.is_final()) })
-            }
             (Surface::Rpc, _) => rpc(&SubmitApplicationResponse {}),
             (Surface::Web(form), told) => web_reply(form, told, &self.app_id(id).to_string(), rec),
         };
@@ -321,7 +425,11 @@
                 maximum_capability: Some(most.proto()),
             }),
             Surface::Web(form) => {
-                let capability = rest::Capability { memory: most.memory_mb, vcores: most.cores, named: None };
+                let capability = rest::Capability {
+                    memory: most.memory_mb,
+                    vcores: most.cores,
+                    named: None,
+                };
                 let new = rest::NewApplication {
                     application_id: id.to_string(),
                     maximum_resource_capability: capability,
@@ -338,7 +446,11 @@
 }
 
 pub(super) fn page(status: u16, body: Vec<u8>) -> Reply {
-    Reply::Web(Page { status, body, location: None })
+    Reply::Web(Page {
+        status,
+        body,
+        location: None,
+    })
 }
 
 fn web_reply(form: Form, told: Told, id: &str, rec: &crate::records::AppRec) -> Reply {
@@ -346,15 +458,37 @@
     match told {
         Told::Submitted => {
             let location = Some(format!("{}/apps/{id}", rest::ROOT));
-            Reply::Web(Page { status: 202, body: Vec::new(), location })
-        }
-        Told::Priority => {
-            page(200, rest::render(form, "apppriority", true, &rest::AppPriority { priority: rec.priority }))
+            Reply::Web(Page {
+                status: 202,
+                body: Vec::new(),
+                location,
+            })
         }
+        Told::Priority => page(
+            200,
+            rest::render(
+                form,
+                "apppriority",
+                true,
+                &rest::AppPriority {
+                    priority: rec.priority,
+                },
+            ),
+        ),
         // 202: it is on its way; whoever asks again later is told 200.
         _ => {
             let status = if rec.stage.is_final() { 200 } else { 202 };
-            page(status, rest::render(form, "appstate", true, &rest::AppState { state: state.into() }))
+            page(
+                status,
+                rest::render(
+                    form,
+                    "appstate",
+                    true,
+                    &rest::AppState {
+                        state: state.into(),
+                    },
+                ),
+            )
         }
     }
 }
@@ -362,7 +496,10 @@
 fn not_served(method: &str) -> Fault {
     match REFUSED.iter().find(|(m, _)| *m == method) {
         Some((_, why)) => Fault::new(Class::Unsupported, format!("{method}: {why}")),
-        None => Fault::new(Class::NoSuchMethod, format!("Unknown method {method} called")),
+        None => Fault::new(
+            Class::NoSuchMethod,
+            format!("Unknown method {method} called"),
+        ),
     }
 }
 
@@ -372,8 +509,13 @@
     ContainerReport {
         container_id: Some(c.id),
         resource: status.capability,
-        node_id: Some(NodeId { host: c.machine.clone(), port: 0 }),
-        priority: Some(Priority { priority: c.key.priority }),
+        node_id: Some(NodeId {
+            host: c.machine.clone(),
+            port: 0,
+        }),
+        priority: Some(Priority {
+            priority: c.key.priority,
+        }),
         creation_time: Some(c.created_ms as i64),
         finish_time: Some(c.finished_ms as i64),
         diagnostics_info: status.diagnostics,
--- a/crates/gateway/src/book/containers.rs
+++ b/crates/gateway/src/book/containers.rs
@@ -108,7 +108,15 @@
     /// A place as it is first seen.
     pub fn new(tried: u64, machine: &str, zone: &str, shape: Shape, now: u64) -> Slot {
         let (machine, zone) = (machine.to_owned(), zone.to_owned());
-        Slot { tried, machine, zone, shape, container: None, spent: false, since: now }
+        Slot {
+            tried,
+            machine,
+            zone,
+            shape,
+            container: None,
+            spent: false,
+            since: now,
+        }
     }
 }
 
@@ -149,7 +157,11 @@
             container_id: Some(self.id),
             state: Some(state as i32),
             diagnostics: Some(self.diagnostics.clone()),
-            exit_status: Some(if self.is_over() { self.exit } else { exit::UNKNOWN }),
+            exit_status: Some(if self.is_over() {
+                self.exit
+            } else {
+                exit::UNKNOWN
+            }),
             capability: Some(self.key.shape.size.proto()),
         }
     }
@@ -180,7 +192,11 @@
 impl Groups {
     /// Of an application that was read back.
     pub fn loaded(set_aside: u32) -> Groups {
-        Groups { base: set_aside, used: set_aside, ..Groups::default() }
+        Groups {
+            base: set_aside,
+            used: set_aside,
+            ..Groups::default()
+        }
     }
 
     /// An earlier owner has had this group.
@@ -192,29 +208,51 @@
     pub fn job(&self, cx: Cx<'_>, rec: &AppRec, group: u32) -> Option<JobSpec> {
         let g = self.all.get(&group)?;
         let spec = task(cx, rec, g.shape.size, group, g.tasks);
-        Some(JobSpec { types: g.shape.label.clone().map(|l| vec![l]), zone: g.shape.zone.clone(), ..spec })
+        Some(JobSpec {
+            types: g.shape.label.clone().map(|l| vec![l]),
+            zone: g.shape.zone.clone(),
+            ..spec
+        })
     }
 
     /// Groups that the scheduler has not been told of, a few at a time.
     pub fn unsent(&self) -> Vec<u32> {
         let waits = |g: &Group| !g.accepted && !g.asking;
-        self.all.iter().filter(|(_, g)| waits(g)).map(|(n, _)| *n).take(SENT_AT_ONCE).collect()
+        self.all
+            .iter()
+            .filter(|(_, g)| waits(g))
+            .map(|(n, _)| *n)
+            .take(SENT_AT_ONCE)
+            .collect()
     }
 
     /// Places of a shape that are still to come, or wait for a container.
     fn supply(&self, shape: &Shape) -> u32 {
-        let coming = self.all.values().filter(|g| g.shape == *shape && !g.dropped).map(|g| g.tasks - g.seen);
+        let coming = self
+            .all
+            .values()
+            .filter(|g| g.shape == *shape && !g.dropped)
+            .map(|g| g.tasks - g.seen);
         let idle = |s: &&Slot| !s.spent && s.shape == *shape;
         coming.sum::<u32>() + self.slots.values().filter(idle).count() as u32
     }
 
     /// Containers that are not over, and what they take, the master included.
     pub fn used(&self, app: &App) -> (usize, Size) {
-        let mut sum = Size { memory_mb: 0, cores: 0, gpus: 0 };
+        let mut sum = Size {
+            memory_mb: 0,
+            cores: 0,
+            gpus: 0,
+        };
         let mut n = 0;
         let rec = app.shown();
-        let master = (!rec.unmanaged && rec.stage == crate::records::Stage::Running).then(|| app.size());
-        let sizes = self.containers.values().filter(|c| !c.is_over()).map(|c| c.key.shape.size);
+        let master =
+            (!rec.unmanaged && rec.stage == crate::records::Stage::Running).then(|| app.size());
+        let sizes = self
+            .containers
+            .values()
+            .filter(|c| !c.is_over())
+            .map(|c| c.key.shape.size);
         for size in sizes.chain(master) {
             n += 1;
             sum.memory_mb += size.memory_mb;
@@ -249,7 +287,10 @@
         self.slots.remove(&at);
         let gone = self.gone.entry(at.0).or_default();
         gone.insert(at.1);
-        let all = self.all.get(&at.0).is_some_and(|g| gone.len() >= u64::from(g.tasks));
+        let all = self
+            .all
+            .get(&at.0)
+            .is_some_and(|g| gone.len() >= u64::from(g.tasks));
         if all {
             self.all.remove(&at.0);
             self.gone.remove(&at.0);
@@ -268,7 +309,12 @@
     /// Groups that are not wanted any more and still to be cancelled, a few at a time.
     fn next_to_drop(&self) -> Vec<u32> {
         let due = |(n, g): &(&u32, &Group)| g.dropped && g.accepted && !self.closing.contains(*n);
-        self.all.iter().filter(due).map(|(n, _)| *n).take(SENT_AT_ONCE).collect()
+        self.all
+            .iter()
+            .filter(due)
+            .map(|(n, _)| *n)
+            .take(SENT_AT_ONCE)
+            .collect()
     }
 
     pub(super) fn begin_drop(&mut self, group: u32) {
@@ -277,16 +323,25 @@
 
     /// Tasks that may still become containers.
     fn outstanding(&self) -> u32 {
-        self.all.values().filter(|g| !g.dropped).map(|g| g.tasks - g.seen).sum()
+        self.all
+            .values()
+            .filter(|g| !g.dropped)
+            .map(|g| g.tasks - g.seen)
+            .sum()
     }
 }
 
 impl Book {
     /// Has as many places come as the master of an application asks for, and no more.
     pub(super) fn groups_wanted(&mut self, cx: Cx<'_>, id: u32) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
-        let Some(session) = app.session.as_ref().filter(|_| app.rec.ending.is_none()) else { return };
-        let mut wanted: BTreeMap<Shape, u32> = session.refused.iter().map(|s| (s.clone(), 0)).collect();
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
+        let Some(session) = app.session.as_ref().filter(|_| app.rec.ending.is_none()) else {
+            return;
+        };
+        let mut wanted: BTreeMap<Shape, u32> =
+            session.refused.iter().map(|s| (s.clone(), 0)).collect();
         for (key, count) in &session.asks {
             if !session.refused.contains(&key.shape) {
                 *wanted.entry(key.shape.clone()).or_default() += count;
@@ -312,10 +367,21 @@
         }
         let (unsent, dropped) = (app.groups.unsent(), app.groups.next_to_drop());
         for group in unsent {
-            if let Some(g) = self.apps.get_mut(&id).and_then(|a| a.groups.all.get_mut(&group)) {
+            if let Some(g) = self
+                .apps
+                .get_mut(&id)
+                .and_then(|a| a.groups.all.get_mut(&group))
+            {
                 g.asking = true;
             }
-            self.ask(cx, Asked { app: id, group, what: Want::Submit });
+            self.ask(
+                cx,
+                Asked {
+                    app: id,
+                    group,
+                    what: Want::Submit,
+                },
+            );
         }
         for group in dropped {
             self.cancel_group(cx, id, group);
@@ -324,7 +390,9 @@
 
     /// The scheduler's answer about the job of some containers.
     pub(super) fn group_answered(&mut self, cx: Cx<'_>, asked: Asked, response: &Response) {
-        let Some(app) = self.apps.get_mut(&asked.app) else { return };
+        let Some(app) = self.apps.get_mut(&asked.app) else {
+            return;
+        };
         let now = cx.now.mono;
         let again = now + u64::from(response.retry_after_s.unwrap_or(1)) * 1000;
         match asked.what {
@@ -337,7 +405,9 @@
                 self.schedule(asked.app, if response.status == 200 { now } else { again });
             }
             Want::Submit => {
-                let Some(group) = app.groups.all.get_mut(&asked.group) else { return };
+                let Some(group) = app.groups.all.get_mut(&asked.group) else {
+                    return;
+                };
                 group.asking = false;
                 match response.status {
                     200 | 201 => {
@@ -346,7 +416,10 @@
                     }
                     400 | 422 => {
                         let shape = group.shape.clone();
-                        log::info!("yarn: {} can never run: {shape:?}", job_id(asked.app, asked.group));
+                        log::info!(
+                            "yarn: {} can never run: {shape:?}",
+                            job_id(asked.app, asked.group)
+                        );
                         app.groups.all.remove(&asked.group);
                         if let Some(session) = &mut app.session {
                             session.refused.insert(shape);
@@ -361,8 +434,17 @@
 
     /// A container has ended: its master is told with the next heartbeat.
     pub(super) fn complete(&mut self, cx: Cx<'_>, id: u32, container: i64, status: i32, why: &str) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
-        let Some(c) = app.groups.containers.get_mut(&container).filter(|c| !c.is_over()) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
+        let Some(c) = app
+            .groups
+            .containers
+            .get_mut(&container)
+            .filter(|c| !c.is_over())
+        else {
+            return;
+        };
         c.stage = Stage::Complete;
         c.exit = status;
         c.diagnostics = crate::records::cut(why, crate::records::LONG);
@@ -387,14 +469,26 @@
         return number > MOST_GROUPS;
     }
     app.groups.used = number;
-    let group = Group { shape, tasks, seen: 0, accepted: false, asking: false, dropped: false };
+    let group = Group {
+        shape,
+        tasks,
+        seen: 0,
+        accepted: false,
+        asking: false,
+        dropped: false,
+    };
     app.groups.all.insert(number, group);
     true
 }
 
 /// Gives back whole groups of which nothing has come yet, as far as nobody asks for them any more.
 fn drop_unwanted(app: &mut App, shape: &Shape, mut surplus: u32) {
-    for g in app.groups.all.values_mut().filter(|g| g.shape == *shape && g.seen == 0 && !g.dropped) {
+    for g in app
+        .groups
+        .all
+        .values_mut()
+        .filter(|g| g.shape == *shape && g.seen == 0 && !g.dropped)
+    {
         if g.tasks <= surplus {
             surplus -= g.tasks;
             g.dropped = true;
--- a/crates/gateway/src/book/drains.rs
+++ b/crates/gateway/src/book/drains.rs
@@ -23,7 +23,12 @@
             let since_ms = drains.get(&name).map_or(drain.since_ms, |d| d.since_ms);
             drains.insert(name, Drain { since_ms, ..drain });
         }
-        Some(_) => return Err(Fault::new(Class::Yarn, format!("{MOST} {what} are drained already"))),
+        Some(_) => {
+            return Err(Fault::new(
+                Class::Yarn,
+                format!("{MOST} {what} are drained already"),
+            ));
+        }
         None => {
             drains.remove(&name);
         }
@@ -63,7 +68,10 @@
         waiter: Waiter,
     ) -> Result<(), Fault> {
         if !cx.config.admins.contains(user) {
-            return Err(Fault::new(Class::AccessDenied, format!("User {user} cannot drain machines")));
+            return Err(Fault::new(
+                Class::AccessDenied,
+                format!("User {user} cannot drain machines"),
+            ));
         }
         if name.is_empty() || name.len() > records::TAG {
             return Err(Fault::new(
@@ -93,16 +101,19 @@
 
     /// The drain that a queue stands under, with where it was asked for.
     pub(super) fn drain_of<'a>(&'a self, queue: &'a Queue) -> Option<(&'a str, &'a Drain)> {
-        self.queues.above(queue).find_map(|q| Some((q.path.as_str(), self.drain.queues.get(&q.path)?)))
+        self.queues
+            .above(queue)
+            .find_map(|q| Some((q.path.as_str(), self.drain.queues.get(&q.path)?)))
     }
 
     pub(super) fn not_drained(&self, queue: &Queue) -> Result<(), Fault> {
         match self.drain_of(queue) {
             None => Ok(()),
             // Clients with several addresses go on to the next.
-            Some((ROOT, _)) => {
-                Err(Fault::new(Class::Standby, "the service takes no new applications: it is being drained"))
-            }
+            Some((ROOT, _)) => Err(Fault::new(
+                Class::Standby,
+                "the service takes no new applications: it is being drained",
+            )),
             Some((path, _)) => {
                 let why = format!(
                     "Queue {path} is DRAINING. Cannot accept submission of an application to {}",
@@ -121,9 +132,15 @@
 
     /// The deadline of the drain that a queue stands under has passed, and the record says so.
     pub(super) fn drained_away(&self, cx: Cx<'_>, queue: &str) -> bool {
-        let Some(queue) = self.queues.find(queue) else { return false };
+        let Some(queue) = self.queues.find(queue) else {
+            return false;
+        };
         let past = |q: &Queue| {
-            self.drained.queues.get(&q.path).and_then(|d| d.until_ms).is_some_and(|t| cx.now.wall >= t)
+            self.drained
+                .queues
+                .get(&q.path)
+                .and_then(|d| d.until_ms)
+                .is_some_and(|t| cx.now.wall >= t)
         };
         self.queues.above(queue).any(past)
     }
@@ -140,8 +157,13 @@
             return;
         }
         self.deadlines_at = cx.now.wall;
-        let ids: Vec<u32> =
-            self.apps.iter().filter(|(_, a)| !a.rec.stage.is_final()).map(|(id, _)| *id).collect();
-        ids.into_iter().for_each(|id| self.schedule(id, cx.now.mono));
+        let ids: Vec<u32> = self
+            .apps
+            .iter()
+            .filter(|(_, a)| !a.rec.stage.is_final())
+            .map(|(id, _)| *id)
+            .collect();
+        ids.into_iter()
+            .for_each(|id| self.schedule(id, cx.now.mono));
     }
 }
--- a/crates/gateway/src/book/masters.rs
+++ b/crates/gateway/src/book/masters.rs
@@ -91,7 +91,10 @@
     /// The end of a container is known to its master, or will be.
     pub fn owes(&self, container: i64) -> bool {
         self.told.contains(&container)
-            || self.completed.iter().any(|c| c.container_id.is_some_and(|i| i.id == container))
+            || self
+                .completed
+                .iter()
+                .any(|c| c.container_id.is_some_and(|i| i.id == container))
     }
 
     /// Takes one of the containers that are asked for off the count.
@@ -108,7 +111,9 @@
             size: key.shape.size,
             label: key.shape.label.clone(),
         };
-        let Some(names) = self.lines.get_mut(&line) else { return };
+        let Some(names) = self.lines.get_mut(&line) else {
+            return;
+        };
         names.any = names.any.saturating_sub(1);
         if let Some(n) = key.shape.zone.as_ref().and_then(|z| names.zones.get_mut(z)) {
             *n = n.saturating_sub(1);
@@ -126,18 +131,27 @@
                 && k.shape.size == line.size
                 && k.shape.label == line.label)
         });
-        let Some(names) = self.lines.get(line) else { return };
+        let Some(names) = self.lines.get(line) else {
+            return;
+        };
         let key = |zone| AskKey {
             priority: line.priority,
             number: line.number,
-            shape: Shape { size: line.size, label: line.label.clone(), zone },
+            shape: Shape {
+                size: line.size,
+                label: line.label.clone(),
+                zone,
+            },
         };
         if names.relax {
-            self.asks.extend((names.any > 0).then(|| (key(None), names.any)));
+            self.asks
+                .extend((names.any > 0).then(|| (key(None), names.any)));
         } else {
             let zones = names.zones.iter().filter(|(_, n)| **n > 0);
             self.asks.extend(
-                zones.map(|(z, n)| (key(Some(z.clone())), (*n).min(names.any))).filter(|(_, n)| *n > 0),
+                zones
+                    .map(|(z, n)| (key(Some(z.clone())), (*n).min(names.any)))
+                    .filter(|(_, n)| *n > 0),
             );
         }
     }
@@ -146,10 +160,18 @@
 impl Book {
     /// The application whose master a connection has proved to be; fenced if another attempt is in force.
     fn mastered(&self, proved: Option<Proved>) -> Result<u32, Fault> {
-        let denied = || Fault::new(Class::AccessDenied, "a master shows the token of its application");
+        let denied = || {
+            Fault::new(
+                Class::AccessDenied,
+                "a master shows the token of its application",
+            )
+        };
         let proved = proved.ok_or_else(denied)?;
         let id = token::attempt_id(self.cluster.stamp, proved.app, proved.attempt);
-        let app = self.apps.get(&proved.app).filter(|a| a.rec.attempt == proved.attempt);
+        let app = self
+            .apps
+            .get(&proved.app)
+            .filter(|a| a.rec.attempt == proved.attempt);
         app.map(|_| proved.app).ok_or_else(|| fenced(id))
     }
 
@@ -164,12 +186,22 @@
         let host = cut(r.host.as_deref().unwrap_or(""), records::SHORT);
         let port = r.rpc_port.unwrap_or(-1);
         let tracking = cut(r.tracking_url.as_deref().unwrap_or(""), records::LONG);
-        let Some(app) = self.apps.get_mut(&id) else { return Ok(()) };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return Ok(());
+        };
         if app.rec.stage.is_final() {
-            return Err(fenced(token::attempt_id(self.cluster.stamp, id, app.rec.attempt)));
+            return Err(fenced(token::attempt_id(
+                self.cluster.stamp,
+                id,
+                app.rec.attempt,
+            )));
         }
         // Whoever repeats it after a lost answer is the same master: he proves it by his token.
-        if app.session.as_ref().is_none_or(|s| s.attempt != app.rec.attempt) {
+        if app
+            .session
+            .as_ref()
+            .is_none_or(|s| s.attempt != app.rec.attempt)
+        {
             app.session = Some(Session::new(app.rec.attempt, host, port, cx.now.mono));
         }
         if app.rec.stage == Stage::Accepted {
@@ -186,9 +218,15 @@
 
     /// What a master is told that has registered.
     pub(super) fn registered(&self, cx: Cx<'_>, id: u32) -> Result<RegisterResponse, Fault> {
-        let app =
-            self.apps.get(&id).ok_or_else(|| Fault::new(Class::Retriable, "the application has gone"))?;
-        let live = app.groups.containers.values().filter(|c| app.rec.keep && !c.is_over());
+        let app = self
+            .apps
+            .get(&id)
+            .ok_or_else(|| Fault::new(Class::Retriable, "the application has gone"))?;
+        let live = app
+            .groups
+            .containers
+            .values()
+            .filter(|c| app.rec.keep && !c.is_over());
         Ok(RegisterResponse {
             maximum_capability: Some(self.largest(cx)?.proto()),
             queue: Some(app.rec.queue.clone()),
@@ -205,10 +243,16 @@
         waiter: Waiter,
     ) -> Result<(), Fault> {
         let id = self.mastered(proved)?;
-        let Some(app) = self.apps.get_mut(&id) else { return Ok(()) };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return Ok(());
+        };
         if !app.rec.stage.is_final() {
             if app.session.is_none() {
-                return Err(not_registered(token::attempt_id(self.cluster.stamp, id, app.rec.attempt)));
+                return Err(not_registered(token::attempt_id(
+                    self.cluster.stamp,
+                    id,
+                    app.rec.attempt,
+                )));
             }
             app.rec.outcome = r.final_status.unwrap_or(FinalStatus::Undefined as i32);
             app.rec.diagnostics = cut(r.diagnostics.as_deref().unwrap_or(""), records::LONG);
@@ -231,12 +275,18 @@
     ) -> Result<Vec<u8>, Fault> {
         let id = self.mastered(proved)?;
         self.counts.heartbeats += 1;
-        let Some(app) = self.apps.get_mut(&id) else { return Ok(Vec::new()) };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return Ok(Vec::new());
+        };
         let attempt = token::attempt_id(self.cluster.stamp, id, app.rec.attempt);
         if app.rec.stage.is_final() {
             return Err(fenced(attempt));
         }
-        let Some(session) = app.session.as_mut().filter(|s| s.attempt == app.rec.attempt) else {
+        let Some(session) = app
+            .session
+            .as_mut()
+            .filter(|s| s.attempt == app.rec.attempt)
+        else {
             return Err(not_registered(attempt));
         };
         session.heard_at = cx.now.mono;
@@ -255,13 +305,19 @@
         if let Some(session) = self.apps.get_mut(&id).and_then(|a| a.session.as_mut()) {
             // He has the response before this one.
             session.told.clear();
-            session.progress = r.progress.filter(|p| p.is_finite()).unwrap_or(0.0).clamp(0.0, 1.0);
+            session.progress = r
+                .progress
+                .filter(|p| p.is_finite())
+                .unwrap_or(0.0)
+                .clamp(0.0, 1.0);
             if let Some(blacklist) = &r.blacklist {
                 blacklist.removals.iter().for_each(|n| {
                     session.blacklist.remove(n);
                 });
                 let room = BLACKLIST.saturating_sub(session.blacklist.len());
-                session.blacklist.extend(blacklist.additions.iter().take(room).cloned());
+                session
+                    .blacklist
+                    .extend(blacklist.additions.iter().take(room).cloned());
             }
             for (line, names) in changed {
                 if names.any == 0 {
@@ -273,23 +329,46 @@
             }
         }
         for container in &r.release {
-            self.stop_container(cx, id, container.id, exit::ABORTED, "Container released by application");
+            self.stop_container(
+                cx,
+                id,
+                container.id,
+                exit::ABORTED,
+                "Container released by application",
+            );
         }
         self.groups_wanted(cx, id);
         Ok(self.beat(cx, id, &r.update_requests))
     }
 
     /// What a heartbeat's asks come to, line by line, if all of them can be taken.
-    fn check_asks(&self, cx: Cx<'_>, id: u32, r: &AllocateRequest) -> Result<BTreeMap<Line, Names>, Fault> {
+    fn check_asks(
+        &self,
+        cx: Cx<'_>,
+        id: u32,
+        r: &AllocateRequest,
+    ) -> Result<BTreeMap<Line, Names>, Fault> {
         let mut changed: BTreeMap<Line, Names> = BTreeMap::new();
-        let Some(app) = self.apps.get(&id) else { return Ok(changed) };
-        let Some(session) = &app.session else { return Ok(changed) };
+        let Some(app) = self.apps.get(&id) else {
+            return Ok(changed);
+        };
+        let Some(session) = &app.session else {
+            return Ok(changed);
+        };
         let refuse = |why: String| Fault::new(Class::InvalidRequest, why);
         let most = &cx.config.most;
         if r.ask.len() > most.asks * 16 || r.release.len() > most.containers as usize {
-            return Err(refuse(format!("{} asks and {} releases at once", r.ask.len(), r.release.len())));
+            return Err(refuse(format!(
+                "{} asks and {} releases at once",
+                r.ask.len(),
+                r.release.len()
+            )));
         }
-        let largest = if r.ask.is_empty() { None } else { Some(self.largest(cx)?) };
+        let largest = if r.ask.is_empty() {
+            None
+        } else {
+            Some(self.largest(cx)?)
+        };
         for ask in &r.ask {
             let size = Size::read(ask.capability.as_ref())?;
             if largest.is_some_and(|l| !size.fits(l)) {
@@ -297,20 +376,29 @@
                     "Invalid resource request! {size:?} is more than the largest machine has"
                 )));
             }
-            let n = u32::try_from(ask.num_containers.unwrap_or(0)).ok().filter(|n| *n <= most.containers);
-            let n = n.ok_or_else(|| refuse(format!("number of containers: 0 to {}", most.containers)))?;
+            let n = u32::try_from(ask.num_containers.unwrap_or(0))
+                .ok()
+                .filter(|n| *n <= most.containers);
+            let n =
+                n.ok_or_else(|| refuse(format!("number of containers: 0 to {}", most.containers)))?;
             let line = Line {
                 priority: ask.priority.unwrap_or_default().priority,
                 number: ask.allocation_request_id.unwrap_or(-1),
                 size,
                 label: ask.node_label_expression.clone().filter(|l| !l.is_empty()),
             };
-            let known =
-                || session.lines.get(&line).cloned().unwrap_or(Names { relax: true, ..Names::default() });
+            let known = || {
+                session.lines.get(&line).cloned().unwrap_or(Names {
+                    relax: true,
+                    ..Names::default()
+                })
+            };
             let names = changed.entry(line.clone()).or_insert_with(known);
             let name = ask.resource_name.as_deref().unwrap_or(ANY);
             match name.strip_prefix('/') {
-                _ if name == ANY => (names.any, names.relax) = (n, ask.relax_locality.unwrap_or(true)),
+                _ if name == ANY => {
+                    (names.any, names.relax) = (n, ask.relax_locality.unwrap_or(true))
+                }
                 Some(zone) => {
                     names.zones.insert(zone.to_owned(), n);
                 }
@@ -335,18 +423,44 @@
             if let Some(zone) = names.zones.keys().find(|z| strict && !zones.contains(z)) {
                 return Err(refuse(format!("there is no rack (zone) /{zone}")));
             }
-            let types = cx.node.machine_types().map(|c| c.types.as_slice()).unwrap_or_default();
-            if let Some(label) = line.label.as_ref().filter(|l| !types.iter().any(|t| t.name == **l)) {
-                return Err(refuse(format!("there is no node label (machine type) {label:?}")));
+            let types = cx
+                .node
+                .machine_types()
+                .map(|c| c.types.as_slice())
+                .unwrap_or_default();
+            if let Some(label) = line
+                .label
+                .as_ref()
+                .filter(|l| !types.iter().any(|t| t.name == **l))
+            {
+                return Err(refuse(format!(
+                    "there is no node label (machine type) {label:?}"
+                )));
             }
         }
-        let lines = session.lines.keys().chain(changed.keys()).collect::<BTreeSet<_>>().len();
+        let lines = session
+            .lines
+            .keys()
+            .chain(changed.keys())
+            .collect::<BTreeSet<_>>()
+            .len();
         if lines > most.asks {
-            return Err(refuse(format!("more than {} different requests are outstanding", most.asks)));
+            return Err(refuse(format!(
+                "more than {} different requests are outstanding",
+                most.asks
+            )));
         }
-        let held = app.groups.containers.values().filter(|c| !c.is_over()).count() as u64;
-        let kept =
-            session.lines.iter().filter(|(l, _)| !changed.contains_key(*l)).map(|(_, n)| u64::from(n.any));
+        let held = app
+            .groups
+            .containers
+            .values()
+            .filter(|c| !c.is_over())
+            .count() as u64;
+        let kept = session
+            .lines
+            .iter()
+            .filter(|(l, _)| !changed.contains_key(*l))
+            .map(|(_, n)| u64::from(n.any));
         let asked: u64 = kept.chain(changed.values().map(|n| u64::from(n.any))).sum();
         if asked + held > u64::from(most.containers) {
             return Err(refuse(format!(
@@ -365,13 +479,24 @@
 
     /// The response to a heartbeat, kept for its repeat.
     fn beat(&mut self, cx: Cx<'_>, id: u32, updates: &[UpdateContainer]) -> Vec<u8> {
-        let Some(app) = self.apps.get_mut(&id) else { return Vec::new() };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return Vec::new();
+        };
         let keys_number = self.cluster.keys.number;
         let attempt = token::attempt_id(self.cluster.stamp, id, app.rec.attempt);
-        let Some(session) = &mut app.session else { return Vec::new() };
-        let given: Vec<i64> = session.given.drain(..session.given.len().min(GIVEN_AT_ONCE)).collect();
+        let Some(session) = &mut app.session else {
+            return Vec::new();
+        };
+        let given: Vec<i64> = session
+            .given
+            .drain(..session.given.len().min(GIVEN_AT_ONCE))
+            .collect();
         let completed = std::mem::take(&mut session.completed);
-        session.told = completed.iter().filter_map(|c| c.container_id).map(|c| c.id).collect();
+        session.told = completed
+            .iter()
+            .filter_map(|c| c.container_id)
+            .map(|c| c.id)
+            .collect();
         let response_id = session.last.0.wrapping_add(1).max(1);
         forget_old(&mut app.groups.containers);
         let app = &self.apps[&id];
@@ -387,14 +512,21 @@
         let response = AllocateResponse {
             command: app.rec.ending.map(|_| MasterCommand::Shutdown as i32),
             response_id: Some(response_id),
-            nm_tokens: if allocated.is_empty() { Vec::new() } else { vec![nm_token] },
+            nm_tokens: if allocated.is_empty() {
+                Vec::new()
+            } else {
+                vec![nm_token]
+            },
             allocated,
             completed,
             limit: self.largest(cx).ok().map(Size::proto),
             num_cluster_nodes: Some(cx.node.machine_count() as i32),
             // A master of an older key is given the new token before the old one is refused.
-            am_rm_token: (keys_number > 1).then(|| self.cluster.keys.token(token::KIND, attempt, &[])),
-            application_priority: Some(Priority { priority: app.rec.priority }),
+            am_rm_token: (keys_number > 1)
+                .then(|| self.cluster.keys.token(token::KIND, attempt, &[])),
+            application_priority: Some(Priority {
+                priority: app.rec.priority,
+            }),
             update_errors: updates.iter().map(refused_update).collect(),
             ..AllocateResponse::default()
         };
@@ -407,19 +539,31 @@
 
     /// Where masters describe what containers are to run: here, for all machines.
     fn here(&self, cx: Cx<'_>) -> NodeId {
-        let host = cx.config.public.clone().unwrap_or_else(|| cx.config.rpc.ip().to_string());
-        NodeId { host, port: i32::from(cx.config.rpc.port()) }
+        let host = cx
+            .config
+            .public
+            .clone()
+            .unwrap_or_else(|| cx.config.rpc.ip().to_string());
+        NodeId {
+            host,
+            port: i32::from(cx.config.rpc.port()),
+        }
     }
 
     pub(super) fn container(&self, cx: Cx<'_>, c: &Container) -> Container_ {
         let attempt = c.id.app_attempt_id.unwrap_or_default();
-        let token = self.cluster.keys.token(token::CONTAINER_KIND, attempt, &c.id.id.to_be_bytes());
+        let token = self
+            .cluster
+            .keys
+            .token(token::CONTAINER_KIND, attempt, &c.id.id.to_be_bytes());
         Container_ {
             id: Some(c.id),
             node_id: Some(self.here(cx)),
             node_http_address: Some(c.machine.clone()),
             resource: Some(c.key.shape.size.proto()),
-            priority: Some(Priority { priority: c.key.priority }),
+            priority: Some(Priority {
+                priority: c.key.priority,
+            }),
             container_token: Some(token),
             execution_type: None,
             allocation_request_id: Some(c.key.number),
@@ -439,7 +583,11 @@
         if session.blacklist.contains(&slot.machine) {
             return None;
         }
-        let key = session.asks.keys().find(|k| k.shape == slot.shape).cloned()?;
+        let key = session
+            .asks
+            .keys()
+            .find(|k| k.shape == slot.shape)
+            .cloned()?;
         session.take(&key);
         let attempt = token::attempt_id(stamp, id, app.rec.attempt);
         let container = ContainerId::new(attempt, 0, number_of(at) as u64);
@@ -453,9 +601,25 @@
     }
 
     /// Has a container ended; one that nobody has begun is over at once.
-    pub(super) fn stop_container(&mut self, cx: Cx<'_>, id: u32, container: i64, status: i32, why: &str) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
-        let Some(c) = app.groups.containers.get_mut(&container).filter(|c| !c.is_over()) else { return };
+    pub(super) fn stop_container(
+        &mut self,
+        cx: Cx<'_>,
+        id: u32,
+        container: i64,
+        status: i32,
+        why: &str,
+    ) {
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
+        let Some(c) = app
+            .groups
+            .containers
+            .get_mut(&container)
+            .filter(|c| !c.is_over())
+        else {
+            return;
+        };
         if c.stage == Place::Running {
             c.stopping.get_or_insert(status);
             return;
@@ -480,27 +644,42 @@
         let mut described = Vec::new();
         for request in &r.requests {
             let launch = request.context.clone().unwrap_or_default();
-            let checked = request.container_token.as_ref().and_then(|t| self.cluster.keys.check(t, 8));
+            let checked = request
+                .container_token
+                .as_ref()
+                .and_then(|t| self.cluster.keys.check(t, 8));
             let of = |a: ApplicationAttemptId| a.application_id == Some(self.app_id(id));
-            let more = checked.filter(|(attempt, _)| of(*attempt)).map(|(_, more)| more);
+            let more = checked
+                .filter(|(attempt, _)| of(*attempt))
+                .map(|(_, more)| more);
             let container = more.and_then(|m| m.first_chunk::<8>().map(|b| i64::from_be_bytes(*b)));
-            let container = container
-                .ok_or_else(|| Fault::new(Class::AccessDenied, "the container's token is not good"))?;
+            let container = container.ok_or_else(|| {
+                Fault::new(Class::AccessDenied, "the container's token is not good")
+            })?;
             if launch.encoded_len() > cx.config.most.launch {
-                let why = format!("launch description: at most {} bytes", cx.config.most.launch);
+                let why = format!(
+                    "launch description: at most {} bytes",
+                    cx.config.most.launch
+                );
                 return Err(Fault::new(Class::BadArgument, why));
             }
             described.push((container, launch));
         }
         let young = cx.now.mono < self.begun + SETTLING_MS;
-        let known = |c: &i64| self.apps.get(&id).is_some_and(|a| a.groups.containers.contains_key(c));
+        let known = |c: &i64| {
+            self.apps
+                .get(&id)
+                .is_some_and(|a| a.groups.containers.contains_key(c))
+        };
         if young && !described.iter().all(|(c, _)| known(c)) {
             let why = "the containers of an earlier owner are being looked for";
             return Err(Fault::new(Class::Retriable, why));
         }
         let mut answer = StartContainersResponse::default();
         for (container, launch) in described {
-            let Some(app) = self.apps.get_mut(&id) else { continue };
+            let Some(app) = self.apps.get_mut(&id) else {
+                continue;
+            };
             match app.groups.containers.get_mut(&container) {
                 // Also for one that is over since: this call may be repeated since its answer was lost, and how it
                 // ended is told with a heartbeat.
@@ -511,8 +690,12 @@
                     self.starts.entry(call).or_default().open.insert(container);
                 }
                 other => {
-                    let why = "the container is over, or was lost with the node that gave it".to_owned();
-                    let gone = ContainerId { id: container, ..ContainerId::default() };
+                    let why =
+                        "the container is over, or was lost with the node that gave it".to_owned();
+                    let gone = ContainerId {
+                        id: container,
+                        ..ContainerId::default()
+                    };
                     let id = other.map_or(gone, |c| c.id);
                     answer.failed.push(failure(id, why));
                 }
@@ -529,12 +712,21 @@
 
     /// One of the containers of a start is with its runner, or over: when all are, the master is answered.
     pub(super) fn start_over(&mut self, id: u32, call: u64, container: i64) {
-        let Some(start) = self.starts.get_mut(&call) else { return };
+        let Some(start) = self.starts.get_mut(&call) else {
+            return;
+        };
         start.open.remove(&container);
         // Other applications have containers of the same number.
-        match self.apps.get(&id).and_then(|a| a.groups.containers.get(&container)) {
+        match self
+            .apps
+            .get(&id)
+            .and_then(|a| a.groups.containers.get(&container))
+        {
             Some(c) if c.started => start.answer.succeeded.push(c.id),
-            Some(c) => start.answer.failed.push(failure(c.id, c.diagnostics.clone())),
+            Some(c) => start
+                .answer
+                .failed
+                .push(failure(c.id, c.diagnostics.clone())),
             None => {}
         }
         if start.open.is_empty() {
@@ -560,7 +752,10 @@
                 "Container killed by the ApplicationMaster.",
             );
         }
-        Ok(StopContainersResponse { succeeded: r.containers.clone(), failed: Vec::new() })
+        Ok(StopContainersResponse {
+            succeeded: r.containers.clone(),
+            failed: Vec::new(),
+        })
     }
 
     pub(super) fn container_statuses(
@@ -574,7 +769,9 @@
         for asked in &r.containers {
             match app.and_then(|a| a.groups.containers.get(&asked.id)) {
                 Some(c) => answer.statuses.push(c.status()),
-                None => answer.failed.push(failure(*asked, "the container is not known here".into())),
+                None => answer
+                    .failed
+                    .push(failure(*asked, "the container is not known here".into())),
             }
         }
         Ok(answer)
@@ -582,21 +779,38 @@
 
     /// An attempt's successor is in force: its session and, unless they are kept, its containers go.
     pub(super) fn fence(&mut self, cx: Cx<'_>, id: u32) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
         if app.session.take().is_some() {
             self.counts.fenced += 1;
         }
-        let Some(app) = self.apps.get_mut(&id).filter(|a| !a.rec.keep) else { return };
-        let left: Vec<i64> =
-            app.groups.containers.iter().filter(|(_, c)| !c.is_over()).map(|(c, _)| *c).collect();
+        let Some(app) = self.apps.get_mut(&id).filter(|a| !a.rec.keep) else {
+            return;
+        };
+        let left: Vec<i64> = app
+            .groups
+            .containers
+            .iter()
+            .filter(|(_, c)| !c.is_over())
+            .map(|(c, _)| *c)
+            .collect();
         for c in left {
-            self.stop_container(cx, id, c, exit::ABORTED, "The attempt that it belonged to is over");
+            self.stop_container(
+                cx,
+                id,
+                c,
+                exit::ABORTED,
+                "The attempt that it belonged to is over",
+            );
         }
     }
 
     /// A master's runner says that its process failed.
     pub(super) fn master_failed(&mut self, id: u32, status: i32) {
-        let Some(app) = self.apps.get_mut(&id).filter(|a| !a.rec.stage.is_final()) else { return };
+        let Some(app) = self.apps.get_mut(&id).filter(|a| !a.rec.stage.is_final()) else {
+            return;
+        };
         app.rec.failures += 1;
         let (failures, most) = (app.rec.failures, app.rec.max_attempts);
         self.touch(id);
@@ -629,16 +843,26 @@
         trace: None,
         class_name: Some(Class::Yarn.name().to_owned()),
     };
-    ContainerException { container_id: Some(id), exception: Some(exception) }
+    ContainerException {
+        container_id: Some(id),
+        exception: Some(exception),
+    }
 }
 
 fn refused_update(update: &UpdateContainer) -> UpdateError {
-    UpdateError { reason: Some("a container keeps its size here".into()), request: Some(update.clone()) }
+    UpdateError {
+        reason: Some("a container keeps its size here".into()),
+        request: Some(update.clone()),
+    }
 }
 
 /// Of those that are over, the latest are shown.
 fn forget_old(containers: &mut BTreeMap<i64, Container>) {
-    let over: Vec<i64> = containers.iter().filter(|(_, c)| c.is_over()).map(|(id, _)| *id).collect();
+    let over: Vec<i64> = containers
+        .iter()
+        .filter(|(_, c)| c.is_over())
+        .map(|(id, _)| *id)
+        .collect();
     for id in over.iter().take(over.len().saturating_sub(SHOWN)) {
         containers.remove(id);
     }
--- a/crates/gateway/src/book/mod.rs
+++ b/crates/gateway/src/book/mod.rs
@@ -176,7 +176,11 @@
     pub fn new(term: u64, first: u64) -> Book {
         Book {
             term,
-            phase: Phase::Loading { after: None, tag: None, again_at: 0 },
+            phase: Phase::Loading {
+                after: None,
+                tag: None,
+                again_at: 0,
+            },
             cluster: ClusterRec::default(),
             cluster_version: 0,
             drain: DrainRec::default(),
@@ -215,7 +219,11 @@
     }
 
     pub fn counts(&self) -> Counts {
-        Counts { txns: self.store.txns, changes: self.store.changes, ..self.counts }
+        Counts {
+            txns: self.store.txns,
+            changes: self.store.changes,
+            ..self.counts
+        }
     }
 
     fn number(&mut self) -> u64 {
@@ -239,9 +247,11 @@
         }
         let Call { user, proved, what } = asked;
         match what {
-            What::Rpc { protocol, method, argument } => {
-                self.rpc(cx, call, &user, proved, &protocol, &method, &argument)
-            }
+            What::Rpc {
+                protocol,
+                method,
+                argument,
+            } => self.rpc(cx, call, &user, proved, &protocol, &method, &argument),
             What::Web(web) => self.web(cx, call, &user, &web),
             What::Prove { nonce, response } => {
                 let reply = match self.cluster.keys.prove(&nonce, &response) {
@@ -270,7 +280,12 @@
         self.rotate_keys(cx);
         self.drains_tick(cx);
         for _ in 0..DRIVEN_AT_ONCE {
-            let Some((due, id)) = self.due.first().copied().filter(|(due, _)| *due <= cx.now.mono) else {
+            let Some((due, id)) = self
+                .due
+                .first()
+                .copied()
+                .filter(|(due, _)| *due <= cx.now.mono)
+            else {
                 break;
             };
             self.due.remove(&(due, id));
@@ -302,7 +317,9 @@
 
     /// Has an application looked at then.
     fn schedule(&mut self, id: u32, at: u64) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
         self.due.remove(&(app.due, id));
         app.due = at;
         self.due.insert((at, id));
@@ -312,10 +329,20 @@
 
     fn load(&mut self, cx: Cx<'_>) {
         let tag = self.number();
-        let Phase::Loading { after, tag: asked, again_at } = &mut self.phase else { return };
+        let Phase::Loading {
+            after,
+            tag: asked,
+            again_at,
+        } = &mut self.phase
+        else {
+            return;
+        };
         *asked = Some(tag);
         *again_at = cx.now.mono + 4 * PAGE_AGAIN_MS;
-        let ask = Ask::Page { under: records::PREFIX.into(), after: after.clone() };
+        let ask = Ask::Page {
+            under: records::PREFIX.into(),
+            after: after.clone(),
+        };
         self.acts.push(Act::Side { tag, ask });
     }
 
@@ -331,13 +358,22 @@
             self.part_read(read, answer);
             return true;
         }
-        let Phase::Loading { after, tag: asked, again_at } = &mut self.phase else { return true };
+        let Phase::Loading {
+            after,
+            tag: asked,
+            again_at,
+        } = &mut self.phase
+        else {
+            return true;
+        };
         if *asked != Some(tag) {
             return true;
         }
         *asked = None;
         *again_at = cx.now.mono + PAGE_AGAIN_MS;
-        let Answer::Page { items, more } = answer else { return true };
+        let Answer::Page { items, more } = answer else {
+            return true;
+        };
         *after = items.last().map(|i| i.key.clone()).or(after.take());
         let more = more && !items.is_empty();
         items.into_iter().for_each(|i| self.loaded(i));
@@ -350,7 +386,11 @@
     }
 
     fn loaded(&mut self, item: Item<serde_json::Value>) {
-        let Item { key, value, version } = item;
+        let Item {
+            key,
+            value,
+            version,
+        } = item;
         let damaged = |e: serde_json::Error| log::error!("yarn: record {key} can't be read: {e}");
         if key == records::CLUSTER {
             match serde_json::from_value(value) {
@@ -359,7 +399,9 @@
             }
         } else if key == records::DRAIN {
             match serde_json::from_value::<DrainRec>(value) {
-                Ok(rec) => (self.drain, self.drained, self.drain_version) = (rec.clone(), rec, version),
+                Ok(rec) => {
+                    (self.drain, self.drained, self.drain_version) = (rec.clone(), rec, version)
+                }
                 Err(e) => damaged(e),
             }
         } else if key.starts_with(records::APPS) {
@@ -399,7 +441,9 @@
         let mut ended: Vec<(u64, u32)> = Vec::new();
         let ids: Vec<u32> = self.apps.keys().copied().collect();
         for id in ids {
-            let Some(app) = self.apps.get(&id) else { continue };
+            let Some(app) = self.apps.get(&id) else {
+                continue;
+            };
             if app.rec.stage.is_final() {
                 ended.push((app.rec.finished_ms.unwrap_or(0), id));
             }
@@ -412,7 +456,11 @@
         self.phase = Phase::Ready;
         self.begun = now.mono;
         self.follow_tree(cx);
-        log::info!("yarn: {} applications, {} of them not over", self.apps.len(), self.live);
+        log::info!(
+            "yarn: {} applications, {} of them not over",
+            self.apps.len(),
+            self.live
+        );
         self.flush(cx);
     }
 
--- a/crates/gateway/src/book/runners.rs
+++ b/crates/gateway/src/book/runners.rs
@@ -91,7 +91,14 @@
 impl Told {
     fn new(what: Do) -> Told {
         let again_s = if what == Do::Wait { SOON_S } else { LATER_S };
-        Told { what, again_s, container: None, attempt: None, launch: None, environment: BTreeMap::new() }
+        Told {
+            what,
+            again_s,
+            container: None,
+            attempt: None,
+            launch: None,
+            environment: BTreeMap::new(),
+        }
     }
 }
 
@@ -105,13 +112,21 @@
 
 impl Book {
     pub(super) fn check_in(&mut self, cx: Cx<'_>, c: &CheckIn) -> Result<Told, Fault> {
-        let bad = || Fault::new(Class::BadArgument, format!("job: {:?} is none of an application", c.job));
+        let bad = || {
+            Fault::new(
+                Class::BadArgument,
+                format!("job: {:?} is none of an application", c.job),
+            )
+        };
         let (id, group) = parse_job(&c.job).ok_or_else(bad)?;
         let Some(app) = self.apps.get(&id) else {
             // It can be nobody's who is known: what was forgotten is over.
             return Ok(Told::new(Do::Leave));
         };
-        let ends = app.saved.as_ref().is_none_or(|s| s.stage.is_final() || s.ending.is_some());
+        let ends = app
+            .saved
+            .as_ref()
+            .is_none_or(|s| s.stage.is_final() || s.ending.is_some());
         if ends && (group > 0 || app.rec.stage != Stage::Finished) {
             if app.rec.closed {
                 // It came late, after all of its application was cancelled.
@@ -119,13 +134,19 @@
             }
             return Ok(Told::new(Do::Leave));
         }
-        if group == 0 { Ok(self.master_in(cx, id, c)) } else { Ok(self.place_in(cx, id, (group, c.task), c)) }
+        if group == 0 {
+            Ok(self.master_in(cx, id, c))
+        } else {
+            Ok(self.place_in(cx, id, (group, c.task), c))
+        }
     }
 
     // ---- masters ----
 
     fn master_in(&mut self, cx: Cx<'_>, id: u32, c: &CheckIn) -> Told {
-        let Some(app) = self.apps.get_mut(&id) else { return Told::new(Do::Leave) };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return Told::new(Do::Leave);
+        };
         if c.tried < app.rec.tried {
             // Its successor has begun: whatever it still runs is fenced.
             return Told::new(Do::Leave);
@@ -139,7 +160,11 @@
         }
         if c.tried > app.rec.tried {
             let first = app.rec.tried == 0;
-            app.rec.attempt = if first { app.rec.attempt.max(1) } else { app.rec.attempt + 1 };
+            app.rec.attempt = if first {
+                app.rec.attempt.max(1)
+            } else {
+                app.rec.attempt + 1
+            };
             app.rec.tried = c.tried;
             app.launch = None;
             self.fence(cx, id);
@@ -158,30 +183,51 @@
             self.read_launch(id);
             return Told::new(Do::Wait);
         };
-        let mut told = Told { launch: Some(BASE64.encode(launch)), ..Told::new(Do::Run) };
+        let mut told = Told {
+            launch: Some(BASE64.encode(launch)),
+            ..Told::new(Do::Run)
+        };
         told.environment = self.master_environment(cx, id);
         told
     }
 
     /// What a master needs to find the service and to prove who it is.
     fn master_environment(&self, cx: Cx<'_>, id: u32) -> BTreeMap<String, String> {
-        let Some(app) = self.apps.get(&id) else { return BTreeMap::new() };
+        let Some(app) = self.apps.get(&id) else {
+            return BTreeMap::new();
+        };
         let attempt = self.attempt_id(&app.rec, app.rec.attempt);
         let token = self.cluster.keys.token(token::KIND, attempt, &[]);
         let entry = |k: &str, v: String| (k.to_owned(), v);
         BTreeMap::from([
-            entry("CONTAINER_ID", ContainerId::new(attempt, self.term, 1).to_string()),
+            entry(
+                "CONTAINER_ID",
+                ContainerId::new(attempt, self.term, 1).to_string(),
+            ),
             entry("APPLICATION_ATTEMPT_ID", attempt.to_string()),
-            entry("YARN_RM_ADDRESS", cx.config.public.clone().unwrap_or_else(|| cx.config.rpc.to_string())),
+            entry(
+                "YARN_RM_ADDRESS",
+                cx.config
+                    .public
+                    .clone()
+                    .unwrap_or_else(|| cx.config.rpc.to_string()),
+            ),
             entry("YARN_TOKEN_IDENTIFIER", BASE64.encode(token.identifier)),
             entry("YARN_TOKEN_PASSWORD", BASE64.encode(token.password)),
         ])
     }
 
     fn read_launch(&mut self, id: u32) {
-        let Some(app) = self.apps.get_mut(&id).filter(|a| !a.reading) else { return };
+        let Some(app) = self.apps.get_mut(&id).filter(|a| !a.reading) else {
+            return;
+        };
         app.reading = true;
-        let read = Read { app: id, print: app.rec.print.clone(), after: None, text: String::new() };
+        let read = Read {
+            app: id,
+            print: app.rec.print.clone(),
+            after: None,
+            text: String::new(),
+        };
         self.read_on(read);
     }
 
@@ -189,12 +235,20 @@
         let key = records::part_key(read.app, &read.print, 0);
         let under = key.trim_end_matches("0000").to_owned();
         let tag = self.number();
-        self.acts.push(Act::Side { tag, ask: Ask::Page { under, after: read.after.clone() } });
+        self.acts.push(Act::Side {
+            tag,
+            ask: Ask::Page {
+                under,
+                after: read.after.clone(),
+            },
+        });
         self.reads.insert(tag, read);
     }
 
     pub(super) fn part_read(&mut self, mut read: Read, answer: Answer) {
-        let Some(app) = self.apps.get_mut(&read.app) else { return };
+        let Some(app) = self.apps.get_mut(&read.app) else {
+            return;
+        };
         let Answer::Page { items, more } = answer else {
             app.reading = false;
             return;
@@ -209,7 +263,10 @@
         app.reading = false;
         match BASE64.decode(&read.text) {
             Ok(launch) => app.launch = Some(launch),
-            Err(e) => log::error!("yarn: the description of application {} is damaged: {e}", read.app),
+            Err(e) => log::error!(
+                "yarn: the description of application {} is damaged: {e}",
+                read.app
+            ),
         }
     }
 
@@ -217,14 +274,20 @@
 
     fn place_in(&mut self, cx: Cx<'_>, id: u32, at: (u32, u32), c: &CheckIn) -> Told {
         let now = cx.now.mono;
-        let Some(app) = self.apps.get_mut(&id) else { return Told::new(Do::Leave) };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return Told::new(Do::Leave);
+        };
         let known = app.groups.slots.get(&at).map(|s| s.tried);
         if app.groups.is_gone(at) || known.is_some_and(|tried| c.tried < tried) {
             return Told::new(Do::Leave);
         }
         if known.is_none() && app.groups.is_old(at.0) && app.session.is_none() {
             // Whoever has to be told what became of its container is not there yet.
-            return Told::new(if c.running && c.exit.is_none() { Do::Run } else { Do::Wait });
+            return Told::new(if c.running && c.exit.is_none() {
+                Do::Run
+            } else {
+                Do::Wait
+            });
         }
         if known.is_none() {
             app.groups.seen(at.0);
@@ -232,8 +295,12 @@
         if known.is_none_or(|tried| c.tried > tried) {
             self.place_begun(cx, id, at, c);
         }
-        let Some(app) = self.apps.get_mut(&id) else { return Told::new(Do::Leave) };
-        let Some(slot) = app.groups.slots.get(&at) else { return Told::new(Do::Leave) };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return Told::new(Do::Leave);
+        };
+        let Some(slot) = app.groups.slots.get(&at) else {
+            return Told::new(Do::Leave);
+        };
         if let Some(container) = slot.container {
             return self.holder_in(cx, id, at, container, c);
         }
@@ -242,16 +309,30 @@
             Some(_) => Told::new(Do::Wait),
             None => {
                 let drained = self.machine_drain(cx, &c.machine).is_some();
-                self.idle_in(id, at, if drained { u64::MAX } else { now.saturating_sub(since) })
+                self.idle_in(
+                    id,
+                    at,
+                    if drained {
+                        u64::MAX
+                    } else {
+                        now.saturating_sub(since)
+                    },
+                )
             }
         }
     }
 
     /// A task has begun, for the first time or again elsewhere. What it ran before is lost.
     fn place_begun(&mut self, cx: Cx<'_>, id: u32, at: (u32, u32), c: &CheckIn) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
         let said = Shape {
-            size: Size { memory_mb: c.memory_mb, cores: c.cores, gpus: c.gpus },
+            size: Size {
+                memory_mb: c.memory_mb,
+                cores: c.cores,
+                gpus: c.gpus,
+            },
             label: c.label.clone(),
             zone: c.bound.then(|| c.zone.clone()),
         };
@@ -278,12 +359,22 @@
 
     /// A container that an earlier owner gave is known again by what its runner says.
     fn adopt(&mut self, cx: Cx<'_>, id: u32, at: (u32, u32), shape: Shape, c: &CheckIn) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
         let (number, current) = (number_of(at), app.rec.attempt.max(1));
         let of = c.attempt.unwrap_or(current);
         let attempt = token::attempt_id(self.cluster.stamp, id, of);
-        let key = AskKey { priority: 0, number: -1, shape };
-        let whole = ContainerId { app_id: None, app_attempt_id: Some(attempt), id: number };
+        let key = AskKey {
+            priority: 0,
+            number: -1,
+            shape,
+        };
+        let whole = ContainerId {
+            app_id: None,
+            app_attempt_id: Some(attempt),
+            id: number,
+        };
         let mut container = Container::new(whole, &c.machine, &c.zone, key, cx.now.wall);
         container.begin();
         // Its attempt may be over since.
@@ -295,27 +386,50 @@
     }
 
     /// A runner that has been given a container.
-    fn holder_in(&mut self, cx: Cx<'_>, id: u32, at: (u32, u32), container: i64, c: &CheckIn) -> Told {
+    fn holder_in(
+        &mut self,
+        cx: Cx<'_>,
+        id: u32,
+        at: (u32, u32),
+        container: i64,
+        c: &CheckIn,
+    ) -> Told {
         let drained = self.machine_drain(cx, &c.machine) == Some(true);
-        let Some(app) = self.apps.get_mut(&id) else { return Told::new(Do::Leave) };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return Told::new(Do::Leave);
+        };
         let owed = app.session.as_ref().is_some_and(|s| s.owes(container));
-        let Some(held) = app.groups.containers.get_mut(&container) else { return self.leave(id, at) };
+        let Some(held) = app.groups.containers.get_mut(&container) else {
+            return self.leave(id, at);
+        };
         if held.is_over() {
             // The runner stays until the master knows: should this node go, another learns it from the runner.
-            return if owed { Told::new(Do::Wait) } else { self.leave(id, at) };
+            return if owed {
+                Told::new(Do::Wait)
+            } else {
+                self.leave(id, at)
+            };
         }
         if drained {
             held.stopping.get_or_insert(exit::ABORTED);
         }
         let ended = c.exit.filter(|_| c.container == Some(container));
         if let Some(status) = ended.or(held.stopping) {
-            let why = if held.stopping.is_some() { "Container killed on request" } else { "" };
+            let why = if held.stopping.is_some() {
+                "Container killed on request"
+            } else {
+                ""
+            };
             let status = held.stopping.unwrap_or(status);
             self.complete(cx, id, container, status, why);
             return Told::new(Do::Wait);
         }
         let attempt = held.id.app_attempt_id.map(|a| a.attempt_id as u32);
-        let mut told = Told { container: Some(container), attempt, ..Told::new(Do::Run) };
+        let mut told = Told {
+            container: Some(container),
+            attempt,
+            ..Told::new(Do::Run)
+        };
         if let Place::Described(launch) = &held.stage {
             if !(c.running && c.container == Some(container)) {
                 told.launch = Some(BASE64.encode(launch));
@@ -342,21 +456,40 @@
 
     /// A place that has no container: it is kept for a while, since masters ask again for what they have lost.
     fn idle_in(&mut self, id: u32, at: (u32, u32), idle_ms: u64) -> Told {
-        let Some(app) = self.apps.get_mut(&id) else { return Told::new(Do::Leave) };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return Told::new(Do::Leave);
+        };
         let refused = app.groups.slots.get(&at).is_some_and(|s| {
-            s.spent || app.session.as_ref().is_some_and(|session| session.blacklist.contains(&s.machine))
+            s.spent
+                || app
+                    .session
+                    .as_ref()
+                    .is_some_and(|session| session.blacklist.contains(&s.machine))
         });
-        if refused || idle_ms > IDLE_MS { self.leave(id, at) } else { Told::new(Do::Wait) }
+        if refused || idle_ms > IDLE_MS {
+            self.leave(id, at)
+        } else {
+            Told::new(Do::Wait)
+        }
     }
 
     /// Cancels the job of some containers, whatever is known of it.
     pub(super) fn cancel_group(&mut self, cx: Cx<'_>, id: u32, group: u32) {
-        let Some(app) = self.apps.get_mut(&id) else { return };
+        let Some(app) = self.apps.get_mut(&id) else {
+            return;
+        };
         app.groups.begin_drop(group);
         if group == 0 {
             app.native = Native::Known;
         }
         log::info!("yarn: {} is not wanted any more", job_id(id, group));
-        self.ask(cx, Asked { app: id, group, what: Want::Cancel });
+        self.ask(
+            cx,
+            Asked {
+                app: id,
+                group,
+                what: Want::Cancel,
+            },
+        );
     }
 }
--- a/crates/gateway/src/book/store.rs
+++ b/crates/gateway/src/book/store.rs
@@ -76,11 +76,16 @@
 
 impl Draft {
     fn has_room(&self, writes: usize, bytes: usize) -> bool {
-        self.changes.len() + writes <= self.most && (self.changes.is_empty() || self.size + bytes <= SIZE)
+        self.changes.len() + writes <= self.most
+            && (self.changes.is_empty() || self.size + bytes <= SIZE)
     }
     fn push(&mut self, key: String, version: Option<u64>, value: Option<Value>) {
         self.size += key.len() + value.as_ref().map_or(0, |v| v.to_string().len());
-        self.changes.push(Change { key, version, value });
+        self.changes.push(Change {
+            key,
+            version,
+            value,
+        });
     }
 }
 
@@ -88,19 +93,34 @@
     /// Sends what has gathered, or what has to be sent again.
     pub(super) fn flush(&mut self, cx: Cx<'_>) {
         let now = cx.now.mono;
-        if self.store.flight.is_none() && now >= self.store.retry_at && !self.store.dirty.is_empty() {
+        if self.store.flight.is_none() && now >= self.store.retry_at && !self.store.dirty.is_empty()
+        {
             self.store.flight = self.draft(side::writes_at_once(cx.node.settings()), now);
         }
-        let Some(flight) = self.store.flight.as_mut().filter(|f| !f.out && now >= f.retry_at) else { return };
+        let Some(flight) = self
+            .store
+            .flight
+            .as_mut()
+            .filter(|f| !f.out && now >= f.retry_at)
+        else {
+            return;
+        };
         flight.out = true;
-        let ask = Ask::Change { writes: flight.changes.clone() };
+        let ask = Ask::Change {
+            writes: flight.changes.clone(),
+        };
         let tag = self.number();
         self.writing = Some(tag);
         self.acts.push(Act::Side { tag, ask });
     }
 
     fn draft(&mut self, most: usize, now: u64) -> Option<Flight> {
-        let mut draft = Draft { changes: Vec::new(), sent: Vec::new(), size: 0, most };
+        let mut draft = Draft {
+            changes: Vec::new(),
+            sent: Vec::new(),
+            size: 0,
+            most,
+        };
         let keys: Vec<Key> = self.store.dirty.iter().copied().take(most).collect();
         for key in keys {
             if !draft.has_room(1, 0) || !self.draft_one(key, &mut draft) {
@@ -108,18 +128,34 @@
             }
         }
         let Draft { changes, sent, .. } = draft;
-        (!changes.is_empty()).then_some(Flight { changes, sent, unsure: false, out: false, retry_at: now })
+        (!changes.is_empty()).then_some(Flight {
+            changes,
+            sent,
+            unsure: false,
+            out: false,
+            retry_at: now,
+        })
     }
 
     /// Adds a record; false once the transaction is full, and then what did not fit is still to be written.
     fn draft_one(&mut self, key: Key, draft: &mut Draft) -> bool {
         match key {
             Key::Cluster => {
-                draft.push(records::CLUSTER.into(), Some(self.cluster_version), value(&self.cluster));
-                draft.sent.push(Sent::Cluster(Box::new(self.cluster.clone())));
+                draft.push(
+                    records::CLUSTER.into(),
+                    Some(self.cluster_version),
+                    value(&self.cluster),
+                );
+                draft
+                    .sent
+                    .push(Sent::Cluster(Box::new(self.cluster.clone())));
             }
             Key::Drain => {
-                draft.push(records::DRAIN.into(), Some(self.drain_version), value(&self.drain));
+                draft.push(
+                    records::DRAIN.into(),
+                    Some(self.drain_version),
+                    value(&self.drain),
+                );
                 draft.sent.push(Sent::Drain(self.drain.clone()));
             }
             Key::App(id) => return self.draft_app(id, draft),
@@ -179,7 +215,9 @@
 
     /// The end of a try. False if the book has to be read anew.
     pub(super) fn written(&mut self, cx: Cx<'_>, answer: Answer) -> bool {
-        let Some(flight) = &mut self.store.flight else { return true };
+        let Some(flight) = &mut self.store.flight else {
+            return true;
+        };
         let now = cx.now.mono;
         flight.out = false;
         match answer {
--- a/crates/gateway/src/book/views.rs
+++ b/crates/gateway/src/book/views.rs
@@ -71,7 +71,11 @@
     pub(super) fn report(&self, app: &App, user: &str) -> ApplicationReport {
         let rec = app.shown();
         let over = rec.stage.is_final();
-        let progress = if over { 1.0 } else { app.session.as_ref().map_or(0.0, |s| s.progress) };
+        let progress = if over {
+            1.0
+        } else {
+            app.session.as_ref().map_or(0.0, |s| s.progress)
+        };
         let own = rec.user == user && rec.unmanaged && !over;
         let used = app.groups.used(app);
         let usage = ApplicationResourceUsageReport {
@@ -85,10 +89,18 @@
             user: Some(rec.user.clone()),
             queue: Some(rec.queue.clone()),
             name: Some(rec.name.clone()),
-            host: Some(app.session.as_ref().map_or("N/A".into(), |s| s.host.clone())),
+            host: Some(
+                app.session
+                    .as_ref()
+                    .map_or("N/A".into(), |s| s.host.clone()),
+            ),
             rpc_port: Some(app.session.as_ref().map_or(-1, |s| s.port)),
             yarn_application_state: Some(rec.stage.proto() as i32),
-            tracking_url: Some(if rec.tracking.is_empty() { "N/A".into() } else { rec.tracking.clone() }),
+            tracking_url: Some(if rec.tracking.is_empty() {
+                "N/A".into()
+            } else {
+                rec.tracking.clone()
+            }),
             diagnostics: Some(rec.diagnostics.clone()),
             start_time: Some(rec.submitted_ms as i64),
             finish_time: Some(rec.finished_ms.unwrap_or(0) as i64),
@@ -99,11 +111,16 @@
             progress: Some(progress),
             application_type: Some(rec.kind.clone()),
             // The master of an unmanaged application is started by whoever submitted it: he is given its token.
-            am_rm_token: own
-                .then(|| self.cluster.keys.token(token::KIND, self.attempt_id(rec, rec.attempt), &[])),
+            am_rm_token: own.then(|| {
+                self.cluster
+                    .keys
+                    .token(token::KIND, self.attempt_id(rec, rec.attempt), &[])
+            }),
             application_tags: rec.tags.clone(),
             unmanaged_application: Some(rec.unmanaged),
-            priority: Some(Priority { priority: rec.priority }),
+            priority: Some(Priority {
+                priority: rec.priority,
+            }),
             launch_time: Some(rec.launched_ms.unwrap_or(0) as i64),
             submit_time: Some(rec.submitted_ms as i64),
             ..ApplicationReport::default()
@@ -133,22 +150,32 @@
         let within = |low: Option<i64>, high: Option<i64>, v: i64| {
             v >= low.unwrap_or(0) && v <= high.unwrap_or(i64::MAX)
         };
-        let queues: Vec<&str> =
-            f.queues.iter().filter_map(|q| self.queues.find(q)).map(|q| q.path.as_str()).collect();
+        let queues: Vec<&str> = f
+            .queues
+            .iter()
+            .filter_map(|q| self.queues.find(q))
+            .map(|q| q.path.as_str())
+            .collect();
         let matches = |app: &&App| {
             let Some(rec) = &app.saved else { return false };
             let kind_ok = f.application_types.is_empty()
-                || f.application_types.iter().any(|k| k.eq_ignore_ascii_case(&rec.kind));
-            let state_ok =
-                f.application_states.is_empty() || f.application_states.contains(&(rec.stage.proto() as i32));
+                || f.application_types
+                    .iter()
+                    .any(|k| k.eq_ignore_ascii_case(&rec.kind));
+            let state_ok = f.application_states.is_empty()
+                || f.application_states.contains(&(rec.stage.proto() as i32));
             let queue_ok = f.queues.is_empty()
-                || queues.iter().any(|q| rec.queue == *q || rec.queue.starts_with(&format!("{q}.")));
-            let tags_ok =
-                f.application_tags.is_empty() || f.application_tags.iter().any(|t| rec.tags.contains(t));
+                || queues
+                    .iter()
+                    .any(|q| rec.queue == *q || rec.queue.starts_with(&format!("{q}.")));
+            let tags_ok = f.application_tags.is_empty()
+                || f.application_tags.iter().any(|t| rec.tags.contains(t));
             let name_ok = f.name.as_ref().is_none_or(|n| *n == rec.name);
-            let finished = rec.finished_ms.map_or(f.finish_begin.is_none() && f.finish_end.is_none(), |t| {
-                within(f.finish_begin, f.finish_end, t as i64)
-            });
+            let finished = rec
+                .finished_ms
+                .map_or(f.finish_begin.is_none() && f.finish_end.is_none(), |t| {
+                    within(f.finish_begin, f.finish_end, t as i64)
+                });
             let started = within(f.start_begin, f.start_end, rec.submitted_ms as i64);
             kind_ok
                 && state_ok
@@ -159,8 +186,16 @@
                 && started
                 && finished
         };
-        let limit = f.limit.and_then(|n| usize::try_from(n).ok()).unwrap_or(usize::MAX);
-        self.apps.values().rev().filter(matches).take(limit).collect()
+        let limit = f
+            .limit
+            .and_then(|n| usize::try_from(n).ok())
+            .unwrap_or(usize::MAX);
+        self.apps
+            .values()
+            .rev()
+            .filter(matches)
+            .take(limit)
+            .collect()
     }
 
     /// Recorded applications by the path of their queue.
@@ -180,27 +215,47 @@
         children: usize,
         user: &str,
     ) -> QueueInfo {
-        let state = if self.drain_of(queue).is_some() { QueueState::Draining } else { QueueState::Running };
-        let below = |child: &usize| self.queue_info(&self.queues.all[*child], apps, children - 1, user);
+        let state = if self.drain_of(queue).is_some() {
+            QueueState::Draining
+        } else {
+            QueueState::Running
+        };
+        let below =
+            |child: &usize| self.queue_info(&self.queues.all[*child], apps, children - 1, user);
         let here = apps.get(queue.path.as_str()).into_iter().flatten();
         QueueInfo {
             // Published servers name the leaf only; the root is itself.
-            queue_name: Some(if queue.path == ROOT { ROOT.into() } else { queue.path.clone() }),
+            queue_name: Some(if queue.path == ROOT {
+                ROOT.into()
+            } else {
+                queue.path.clone()
+            }),
             capacity: Some(queue.capacity),
             maximum_capacity: Some(queue.maximum),
             current_capacity: Some(0.0),
             state: Some(state as i32),
-            child_queues: if children == 0 { Vec::new() } else { queue.children.iter().map(below).collect() },
+            child_queues: if children == 0 {
+                Vec::new()
+            } else {
+                queue.children.iter().map(below).collect()
+            },
             applications: here.map(|a| self.report(a, user)).collect(),
         }
     }
 
     /// The machines that the scheduler has, as nodes.
     pub(super) fn nodes(&self, cx: Cx<'_>) -> Vec<NodeReport> {
-        let types = cx.node.machine_types().map(|c| c.types.as_slice()).unwrap_or_default();
+        let types = cx
+            .node
+            .machine_types()
+            .map(|c| c.types.as_slice())
+            .unwrap_or_default();
         let of = |name: &str| types.iter().find(|t| t.name == name);
         let node = |m: control::side::MachineView<'_>| NodeReport {
-            node_id: Some(NodeId { host: m.name.to_owned(), port: 0 }),
+            node_id: Some(NodeId {
+                host: m.name.to_owned(),
+                port: 0,
+            }),
             http_address: Some(m.name.to_owned()),
             rack_name: Some(format!("/{}", m.zone)),
             capability: of(m.machine_type).map(|t| Resource {
@@ -209,7 +264,11 @@
                 values: Vec::new(),
             }),
             num_containers: Some(m.tasks as i32),
-            node_state: Some(if m.up { NodeState::Running } else { NodeState::New } as i32),
+            node_state: Some(if m.up {
+                NodeState::Running
+            } else {
+                NodeState::New
+            } as i32),
             node_labels: vec![m.machine_type.to_owned()],
             last_health_report_time: Some(cx.now.wall as i64),
             ..NodeReport::default()
