--- a/crates/gateway/src/book/web.rs
+++ b/crates/gateway/src/book/web.rs
@@ -83,8 +83,9 @@
     ) -> Served {
         let form = w.form();
         let parts: Vec<&str> = path.split('/').filter(|p| !p.is_empty()).collect();
-        let show =
-            |root: &str, bare, value: &dyn erased::Show| Ok(Some(page(200, value.show(form, root, bare))));
+        let show = |root: &str, bare, value: &dyn erased::Show| {
+            Ok(Some(page(200, value.show(form, root, bare))))
+        };
         match (w.method.as_str(), parts.as_slice()) {
             ("GET", [] | ["info"]) => show("clusterInfo", false, &self.info()),
             ("GET", ["metrics"]) => show("clusterMetrics", false, &self.metrics(cx)),
@@ -98,14 +99,22 @@
             }
             ("GET", ["apps"]) => {
                 let filter = filter(query)?;
-                let app: Vec<rest::App> =
-                    self.filtered(&filter).into_iter().map(|a| self.app_page(cx, a, user)).collect();
+                let app: Vec<rest::App> = self
+                    .filtered(&filter)
+                    .into_iter()
+                    .map(|a| self.app_page(cx, a, user))
+                    .collect();
                 show("apps", false, &rest::Apps { app })
             }
             ("POST", ["apps"]) => {
                 let submission: rest::Submission = body(w)?;
                 let context = context(&submission)?;
-                self.submit(cx, user, &context, Book::waiter(call, Surface::Web(form), Told::Submitted))?;
+                self.submit(
+                    cx,
+                    user,
+                    &context,
+                    Book::waiter(call, Surface::Web(form), Told::Submitted),
+                )?;
                 Ok(None)
             }
             ("POST", ["apps", "new-application"]) => {
@@ -120,47 +129,101 @@
                 let wanted = |n: &rest::Node| {
                     states.is_empty() || states.iter().any(|s| s.eq_ignore_ascii_case(&n.state))
                 };
-                show("nodes", false, &rest::Nodes { node: all.into_iter().filter(wanted).collect() })
+                show(
+                    "nodes",
+                    false,
+                    &rest::Nodes {
+                        node: all.into_iter().filter(wanted).collect(),
+                    },
+                )
             }
             ("GET", ["nodes", id]) => {
                 let all = self.nodes(cx).iter().map(node_page).collect::<Vec<_>>();
-                let found = all.into_iter().find(|n| n.id == *id || n.node_host_name == *id);
-                show("node", false, &found.ok_or_else(|| missing(&format!("node {id}")))?)
+                let found = all
+                    .into_iter()
+                    .find(|n| n.id == *id || n.node_host_name == *id);
+                show(
+                    "node",
+                    false,
+                    &found.ok_or_else(|| missing(&format!("node {id}")))?,
+                )
             }
             (_, ["apps", id, rest @ ..]) => self.app_pages(cx, call, user, w, id, rest),
-            (_, ["delegation-token" | "reservation", ..]) => {
-                Err(Fault::new(Class::Unsupported, "delegation tokens and reservations are not served"))
-            }
+            (_, ["delegation-token" | "reservation", ..]) => Err(Fault::new(
+                Class::Unsupported,
+                "delegation tokens and reservations are not served",
+            )),
             _ => Err(missing(path)),
         }
     }
 
-    fn app_pages(&mut self, cx: Cx<'_>, call: u64, user: &str, w: &Web, id: &str, rest: &[&str]) -> Served {
+    fn app_pages(
+        &mut self,
+        cx: Cx<'_>,
+        call: u64,
+        user: &str,
+        w: &Web,
+        id: &str,
+        rest: &[&str],
+    ) -> Served {
         let form = w.form();
         let number = ApplicationId::parse(id);
         if number.is_none() {
-            return Err(Fault::new(Class::BadArgument, format!("Invalid ApplicationId: {id}")));
+            return Err(Fault::new(
+                Class::BadArgument,
+                format!("Invalid ApplicationId: {id}"),
+            ));
         }
         let app = self.known(number)?;
         let rec = app.shown();
-        let show =
-            |root: &str, bare, value: &dyn erased::Show| Ok(Some(page(200, value.show(form, root, bare))));
+        let show = |root: &str, bare, value: &dyn erased::Show| {
+            Ok(Some(page(200, value.show(form, root, bare))))
+        };
         match (w.method.as_str(), rest) {
             ("GET", []) => show("app", false, &self.app_page(cx, app, user)),
-            ("GET", ["state"]) => {
-                show("appstate", true, &rest::AppState { state: state_name(rec.stage.proto()).into() })
-            }
-            ("GET", ["queue"]) => show("appqueue", true, &rest::AppQueue { queue: rec.queue.clone() }),
-            ("GET", ["priority"]) => show("apppriority", true, &rest::AppPriority { priority: rec.priority }),
-            ("GET", ["appattempts"]) => {
-                show("appAttempts", false, &rest::AppAttempts { app_attempt: vec![self.attempt_page(app)] })
-            }
+            ("GET", ["state"]) => show(
+                "appstate",
+                true,
+                &rest::AppState {
+                    state: state_name(rec.stage.proto()).into(),
+                },
+            ),
+            ("GET", ["queue"]) => show(
+                "appqueue",
+                true,
+                &rest::AppQueue {
+                    queue: rec.queue.clone(),
+                },
+            ),
+            ("GET", ["priority"]) => show(
+                "apppriority",
+                true,
+                &rest::AppPriority {
+                    priority: rec.priority,
+                },
+            ),
+            ("GET", ["appattempts"]) => show(
+                "appAttempts",
+                false,
+                &rest::AppAttempts {
+                    app_attempt: vec![self.attempt_page(app)],
+                },
+            ),
             ("PUT", ["state"]) => {
                 let wanted: rest::AppState = body(w)?;
                 if wanted.state != "KILLED" {
-                    return Err(Fault::new(Class::BadArgument, "state: only KILLED can be asked for"));
+                    return Err(Fault::new(
+                        Class::BadArgument,
+                        "state: only KILLED can be asked for",
+                    ));
                 }
-                self.kill(cx, user, number, None, Book::waiter(call, Surface::Web(form), Told::Killing))?;
+                self.kill(
+                    cx,
+                    user,
+                    number,
+                    None,
+                    Book::waiter(call, Surface::Web(form), Told::Killing),
+                )?;
                 Ok(None)
             }
             ("PUT", ["priority"]) => {
@@ -169,9 +232,10 @@
                 self.set_priority(cx, user, number, wanted.priority, waiter)?;
                 Ok(None)
             }
-            ("PUT", ["queue"]) => {
-                Err(Fault::new(Class::Unsupported, "an application keeps its queue: its job keeps its team"))
-            }
+            ("PUT", ["queue"]) => Err(Fault::new(
+                Class::Unsupported,
+                "an application keeps its queue: its job keeps its team",
+            )),
             _ => Err(missing(&format!("{id}/{}", rest.join("/")))),
         }
     }
@@ -185,13 +249,21 @@
                 let told = self.check_in(cx, &check_in)?;
                 Ok(Some(page(200, rest::render(form, "told", true, &told))))
             }
-            ("GET", "/drains") => Ok(Some(page(200, rest::render(form, "drains", true, &self.drains())))),
+            ("GET", "/drains") => Ok(Some(page(
+                200,
+                rest::render(form, "drains", true, &self.drains()),
+            ))),
             ("PUT", "/drains") => {
                 let ask: DrainAsk = body(w)?;
                 let wall = cx.now.wall;
-                let until_ms = ask.within_s.map(|s| wall.saturating_add(s.saturating_mul(1000)));
-                let drain =
-                    (!ask.off).then_some(Drain { since_ms: wall, until_ms, containers: ask.containers });
+                let until_ms = ask
+                    .within_s
+                    .map(|s| wall.saturating_add(s.saturating_mul(1000)));
+                let drain = (!ask.off).then_some(Drain {
+                    since_ms: wall,
+                    until_ms,
+                    containers: ask.containers,
+                });
                 let waiter = Book::waiter(call, Surface::Web(form), Told::Drained);
                 match &ask.machine {
                     Some(machine) => self.set_machine_drain(cx, user, machine, drain, waiter)?,
@@ -204,11 +276,16 @@
     }
 
     fn drains(&self) -> Drains {
-        Drains { drains: self.drained.queues.clone(), machines: self.drained.machines.clone() }
+        Drains {
+            drains: self.drained.queues.clone(),
+            machines: self.drained.machines.clone(),
+        }
     }
 
     pub(super) fn tell_drains(&mut self, waiter: super::Waiter) {
-        let Surface::Web(form) = waiter.form else { return };
+        let Surface::Web(form) = waiter.form else {
+            return;
+        };
         let body = rest::render(form, "drains", true, &self.drains());
         self.answer(waiter.call, page(200, body));
     }
@@ -240,7 +317,10 @@
             m.containers_allocated += n as u64;
             m.allocated_mb += size.memory_mb as u64;
             m.allocated_virtual_cores += size.cores as u64;
-            let wanted = app.session.as_ref().map_or(0, |s| s.asks.values().map(|n| u64::from(*n)).sum());
+            let wanted = app
+                .session
+                .as_ref()
+                .map_or(0, |s| s.asks.values().map(|n| u64::from(*n)).sum());
             m.containers_pending += wanted;
         }
         for node in self.nodes(cx) {
@@ -251,15 +331,25 @@
             m.active_nodes += u64::from(node.node_state == Some(NodeState::Running as i32));
         }
         m.available_mb = m.total_mb.saturating_sub(m.allocated_mb);
-        m.available_virtual_cores = m.total_virtual_cores.saturating_sub(m.allocated_virtual_cores);
+        m.available_virtual_cores = m
+            .total_virtual_cores
+            .saturating_sub(m.allocated_virtual_cores);
         m
     }
 
     fn queue_page(&self, queue: &Queue, apps: &HashMap<&str, Vec<&App>>) -> rest::Queue {
-        let pages = queue.children.iter().map(|c| self.queue_page(&self.queues.all[*c], apps));
+        let pages = queue
+            .children
+            .iter()
+            .map(|c| self.queue_page(&self.queues.all[*c], apps));
         let below: Vec<rest::Queue> = pages.collect();
         let live = |a: &&&App| !a.shown().stage.is_final();
-        let here = apps.get(queue.path.as_str()).into_iter().flatten().filter(live).count() as u64;
+        let here = apps
+            .get(queue.path.as_str())
+            .into_iter()
+            .flatten()
+            .filter(live)
+            .count() as u64;
         rest::Queue {
             kind: String::new(),
             capacity: f64::from(queue.capacity) * 100.0,
@@ -267,7 +357,11 @@
             max_capacity: f64::from(queue.maximum) * 100.0,
             queue_name: queue.name().to_owned(),
             queue_path: queue.path.clone(),
-            state: if self.drain_of(queue).is_some() { "DRAINING".into() } else { "RUNNING".into() },
+            state: if self.drain_of(queue).is_some() {
+                "DRAINING".into()
+            } else {
+                "RUNNING".into()
+            },
             num_applications: here + below.iter().map(|q| q.num_applications).sum::<u64>(),
             queues: (!below.is_empty()).then_some(rest::Queues { queue: below }),
         }
@@ -286,7 +380,11 @@
             state: state_name(rec.stage.proto()).into(),
             final_status: status_name(rec.outcome).into(),
             progress: report.progress.unwrap_or(0.0) * 100.0,
-            tracking_ui: if rec.stage.is_final() { "History".into() } else { "ApplicationMaster".into() },
+            tracking_ui: if rec.stage.is_final() {
+                "History".into()
+            } else {
+                "ApplicationMaster".into()
+            },
             tracking_url: rec.tracking.clone(),
             diagnostics: rec.diagnostics.clone(),
             cluster_id: self.cluster.stamp,
@@ -310,8 +408,14 @@
             id: app.shown().attempt.max(1),
             start_time: report.start_time.unwrap_or(0),
             finished_time: report.finish_time.unwrap_or(0),
-            container_id: report.am_container_id.map(|c| c.to_string()).unwrap_or_default(),
-            app_attempt_id: report.application_attempt_id.map(|a| a.to_string()).unwrap_or_default(),
+            container_id: report
+                .am_container_id
+                .map(|c| c.to_string())
+                .unwrap_or_default(),
+            app_attempt_id: report
+                .application_attempt_id
+                .map(|a| a.to_string())
+                .unwrap_or_default(),
             ..rest::AppAttempt::default()
         }
     }
@@ -324,10 +428,16 @@
         for app in self.apps.values().filter(|a| a.saved.is_some()) {
             let rec = app.shown();
             let state = state_name(rec.stage.proto());
-            let state_ok = states.is_empty() || states.iter().any(|s| s.eq_ignore_ascii_case(state));
-            let kind_ok = kinds.is_empty() || kinds.iter().any(|k| k.eq_ignore_ascii_case(&rec.kind));
+            let state_ok =
+                states.is_empty() || states.iter().any(|s| s.eq_ignore_ascii_case(state));
+            let kind_ok =
+                kinds.is_empty() || kinds.iter().any(|k| k.eq_ignore_ascii_case(&rec.kind));
             if state_ok && kind_ok {
-                let kind = if kinds.is_empty() { "*".to_owned() } else { rec.kind.clone() };
+                let kind = if kinds.is_empty() {
+                    "*".to_owned()
+                } else {
+                    rec.kind.clone()
+                };
                 *counts.entry((state, kind)).or_default() += 1;
             }
         }
@@ -336,7 +446,9 @@
             kind,
             count,
         };
-        rest::AppStatistics { stat_item: counts.into_iter().map(item).collect() }
+        rest::AppStatistics {
+            stat_item: counts.into_iter().map(item).collect(),
+        }
     }
 }
 
@@ -362,12 +474,20 @@
 }
 
 fn node_page(n: &NodeReport) -> rest::Node {
-    let name = n.node_id.as_ref().map(|i| i.host.clone()).unwrap_or_default();
+    let name = n
+        .node_id
+        .as_ref()
+        .map(|i| i.host.clone())
+        .unwrap_or_default();
     let capability = n.capability.clone().unwrap_or_default();
     let running = n.node_state == Some(NodeState::Running as i32);
     rest::Node {
         rack: n.rack_name.clone().unwrap_or_default(),
-        state: if running { "RUNNING".into() } else { "NEW".into() },
+        state: if running {
+            "RUNNING".into()
+        } else {
+            "NEW".into()
+        },
         id: name.clone(),
         node_host_name: name.clone(),
         node_http_address: name,
@@ -383,16 +503,25 @@
 
 /// What a list's parameters ask for; one that can't be read is refused by name.
 fn filter(query: &str) -> Result<GetApplicationsRequest, Fault> {
-    let bad =
-        |name: &str, value: &str| Fault::new(Class::BadArgument, format!("{name}: {value:?} can't be read"));
+    let bad = |name: &str, value: &str| {
+        Fault::new(
+            Class::BadArgument,
+            format!("{name}: {value:?} can't be read"),
+        )
+    };
     let number = |name: &str| match parameter(query, name) {
         Some(v) => v.parse::<i64>().map(Some).map_err(|_| bad(name, &v)),
         None => Ok(None),
     };
     let mut states = Vec::new();
-    for name in list(query, "states").into_iter().chain(list(query, "state")) {
+    for name in list(query, "states")
+        .into_iter()
+        .chain(list(query, "state"))
+    {
         let known = (1..=8).filter_map(|n| ApplicationState::try_from(n).ok());
-        let found = known.into_iter().find(|s| state_name(*s).eq_ignore_ascii_case(&name));
+        let found = known
+            .into_iter()
+            .find(|s| state_name(*s).eq_ignore_ascii_case(&name));
         states.push(found.ok_or_else(|| bad("states", &name))? as i32);
     }
     Ok(GetApplicationsRequest {
@@ -420,7 +549,10 @@
     let local = |e: &rest::Entry<rest::LocalResource>| StringLocalResource {
         key: e.key.clone(),
         value: Some(LocalResource {
-            resource: Some(Url { file: Some(e.value.resource.clone()), ..Url::default() }),
+            resource: Some(Url {
+                file: Some(e.value.resource.clone()),
+                ..Url::default()
+            }),
             size: Some(e.value.size),
             timestamp: Some(e.value.timestamp),
             kind: Some(match e.value.kind.to_ascii_uppercase().as_str() {
@@ -437,7 +569,10 @@
             .environment
             .entry
             .iter()
-            .map(|e| StringString { key: e.key.clone(), value: Some(e.value.clone()) })
+            .map(|e| StringString {
+                key: e.key.clone(),
+                value: Some(e.value.clone()),
+            })
             .collect(),
         command: if spec.commands.command.is_empty() {
             Vec::new()
@@ -452,13 +587,18 @@
         value: Some(i.value),
         units: Some(i.units.clone()),
     });
-    let timeout = |t: &rest::Timeout| ApplicationTimeout { kind: Some(1), timeout: Some(t.remaining_s) };
+    let timeout = |t: &rest::Timeout| ApplicationTimeout {
+        kind: Some(1),
+        timeout: Some(t.remaining_s),
+    };
     let text = |t: &str| (!t.is_empty()).then(|| t.to_owned());
     Ok(ApplicationSubmissionContext {
         application_id: Some(id),
         application_name: text(&s.application_name),
         queue: text(&s.queue),
-        priority: Some(Priority { priority: s.priority }),
+        priority: Some(Priority {
+            priority: s.priority,
+        }),
         am_container_spec: Some(launch),
         unmanaged_am: Some(s.unmanaged_am),
         max_app_attempts: Some(s.max_app_attempts),
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -83,7 +83,10 @@
 
 impl From<Fault> for Reply {
     fn from(fault: Fault) -> Self {
-        Reply::Refused { class: fault.class.name().to_owned(), message: fault.message }
+        Reply::Refused {
+            class: fault.class.name().to_owned(),
+            message: fault.message,
+        }
     }
 }
 
--- a/crates/gateway/src/config.rs
+++ b/crates/gateway/src/config.rs
@@ -82,7 +82,11 @@
 
 impl Users {
     fn parse(text: &str) -> Users {
-        if text.trim() == "*" { Users::All } else { Users::Named(names(text)) }
+        if text.trim() == "*" {
+            Users::All
+        } else {
+            Users::Named(names(text))
+        }
     }
 
     pub fn has(&self, user: &str) -> bool {
@@ -94,7 +98,11 @@
 }
 
 fn names(text: &str) -> BTreeSet<String> {
-    text.split(',').map(str::trim).filter(|n| !n.is_empty()).map(str::to_owned).collect()
+    text.split(',')
+        .map(str::trim)
+        .filter(|n| !n.is_empty())
+        .map(str::to_owned)
+        .collect()
 }
 
 impl Default for Config {
@@ -145,7 +153,10 @@
     low: T,
     high: T,
 ) -> Result<T, String> {
-    let value: T = text.trim().parse().map_err(|_| format!("{place}: not a number: {text:?}"))?;
+    let value: T = text
+        .trim()
+        .parse()
+        .map_err(|_| format!("{place}: not a number: {text:?}"))?;
     if value >= low && value <= high {
         Ok(value)
     } else {
@@ -169,7 +180,11 @@
 
     fn set(&mut self, section: &str, key: &str, value: &str) -> Result<(), String> {
         let place = format!("[{section}] {key}");
-        let addr = |v: &str| v.trim().parse().map_err(|_| format!("{place}: not an address and port: {v:?}"));
+        let addr = |v: &str| {
+            v.trim()
+                .parse()
+                .map_err(|_| format!("{place}: not an address and port: {v:?}"))
+        };
         let (most, work) = (&mut self.most, &mut self.work);
         match (section, key) {
             ("door", "rpc") => self.rpc = addr(value)?,
@@ -184,7 +199,9 @@
             ("most", "launch_kb") => most.launch = number(&place, value, 1usize, 4096)? << 10,
             ("most", "calls_each") => most.calls_each = number(&place, value, 1, 10_000)?,
             ("most", "calls") => most.calls = number(&place, value, 1, 100_000)?,
-            ("most", "containers") => most.containers = number(&place, value, 1, wire::api::MAX_TASKS)?,
+            ("most", "containers") => {
+                most.containers = number(&place, value, 1, wire::api::MAX_TASKS)?
+            }
             ("most", "asks") => most.asks = number(&place, value, 1, 10_000)?,
             ("most", "priority") => most.priority = number(&place, value, 0, 1000)?,
             ("work", "class") => work.class = plain(&place, value)?,
@@ -197,10 +214,16 @@
             ("work", "low_below") => work.low_below = number(&place, value, -1000, 1000)?,
             ("work", "master_silent_s") => work.master_silent_s = number(&place, value, 5, 86_400)?,
             ("work", "attempts") => work.attempts = number(&place, value, 1, 100)?,
-            ("classes", _) => self.classes.extend([(key.to_owned(), plain(&place, value)?)]),
-            ("queues", _) => self.queues.extend([(key.to_owned(), plain(&place, value)?)]),
+            ("classes", _) => self
+                .classes
+                .extend([(key.to_owned(), plain(&place, value)?)]),
+            ("queues", _) => self
+                .queues
+                .extend([(key.to_owned(), plain(&place, value)?)]),
             ("submit", _) => self.submit.extend([(key.to_owned(), Users::parse(value))]),
-            ("administer", _) => self.administer.extend([(key.to_owned(), Users::parse(value))]),
+            ("administer", _) => self
+                .administer
+                .extend([(key.to_owned(), Users::parse(value))]),
             _ => return Err(format!("{place}: unknown setting")),
         }
         Ok(())
@@ -239,7 +262,9 @@
 fn plain(place: &str, value: &str) -> Result<String, String> {
     let value = value.trim();
     if value.is_empty() || value.len() > 120 || value.chars().any(char::is_control) {
-        return Err(format!("{place}: must be 1 to 120 bytes without control characters"));
+        return Err(format!(
+            "{place}: must be 1 to 120 bytes without control characters"
+        ));
     }
     Ok(value.to_owned())
 }
@@ -247,7 +272,10 @@
 fn networks(place: &str, value: &str) -> Result<Vec<IpNet>, String> {
     let one = |text: &String| {
         let alone = || text.parse::<IpAddr>().ok().map(IpNet::from);
-        text.parse().ok().or_else(alone).ok_or_else(|| format!("{place}: not a network: {text:?}"))
+        text.parse()
+            .ok()
+            .or_else(alone)
+            .ok_or_else(|| format!("{place}: not a network: {text:?}"))
     };
     names(value).iter().map(one).collect()
 }
@@ -260,7 +288,10 @@
     fn files_are_read_and_faults_named() {
         let c = Config::parse("[door]\nallow = 10.1.0.0/16, 192.168.0.7\n[queues]\nroot.tally = tally-desk\n[submit]\nroot = *\n")
             .expect("good");
-        assert!(c.is_allowed(IpAddr::from([10, 1, 9, 9])) && c.is_allowed(IpAddr::from([192, 168, 0, 7])));
+        assert!(
+            c.is_allowed(IpAddr::from([10, 1, 9, 9]))
+                && c.is_allowed(IpAddr::from([192, 168, 0, 7]))
+        );
         assert!(!c.is_allowed(IpAddr::from([10, 2, 0, 1])), "nobody else");
         assert_eq!(c.queues["root.tally"], "tally-desk");
         assert_eq!(Config::parse("").expect("empty"), Config::default());
--- a/crates/gateway/src/conns.rs
+++ b/crates/gateway/src/conns.rs
@@ -77,12 +77,20 @@
 
 impl Conns {
     pub fn new(config: Arc<Config>, secret: [u8; 32]) -> Self {
-        Conns { config, all: HashMap::new(), secret, nonces: 0 }
+        Conns {
+            config,
+            all: HashMap::new(),
+            secret,
+            nonces: 0,
+        }
     }
 
     /// Connections, and those of them that have begun a frame and not ended it.
     pub fn counts(&self) -> (usize, usize) {
-        (self.all.len(), self.all.values().filter(|c| c.partial.is_some()).count())
+        (
+            self.all.len(),
+            self.all.values().filter(|c| c.partial.is_some()).count(),
+        )
     }
 
     /// A new connection; false if nobody is served there.
@@ -98,8 +106,20 @@
             nonce: String::new(),
             open: HashMap::new(),
         };
-        let kind = if web { Kind::Web(WebSide::default()) } else { Kind::Rpc(rpc()) };
-        self.all.insert(id, Conn { kind, buf: Vec::new(), partial: (!web).then_some(now), next: 1 });
+        let kind = if web {
+            Kind::Web(WebSide::default())
+        } else {
+            Kind::Rpc(rpc())
+        };
+        self.all.insert(
+            id,
+            Conn {
+                kind,
+                buf: Vec::new(),
+                partial: (!web).then_some(now),
+                next: 1,
+            },
+        );
         true
     }
 
@@ -110,23 +130,35 @@
     /// Connections whose frame took too long.
     pub fn slow(&mut self, now: u64) -> Vec<u64> {
         let late = |c: &Conn| c.partial.is_some_and(|since| now > since + SLOW_MS);
-        self.all.iter().filter(|(_, c)| late(c)).map(|(id, _)| *id).collect()
+        self.all
+            .iter()
+            .filter(|(_, c)| late(c))
+            .map(|(id, _)| *id)
+            .collect()
     }
 
     pub fn bytes(&mut self, now: u64, id: u64, bytes: &[u8]) -> Vec<Did> {
         self.nonces += 1;
         let nonce = token::hex(&token::mac(&self.secret, &self.nonces.to_be_bytes())[..16]);
-        let Some(conn) = self.all.get_mut(&id) else { return Vec::new() };
+        let Some(conn) = self.all.get_mut(&id) else {
+            return Vec::new();
+        };
         conn.buf.extend_from_slice(bytes);
         let did = conn.advance(&self.config, &nonce);
         let open = conn.buf.is_empty() && conn.is_introduced() || conn.is_busy();
-        conn.partial = if open { None } else { conn.partial.or(Some(now)) };
+        conn.partial = if open {
+            None
+        } else {
+            conn.partial.or(Some(now))
+        };
         did
     }
 
     /// The reply to a call of a connection; nothing if it has gone.
     pub fn reply(&mut self, now: u64, id: u64, serial: u64, reply: Reply) -> Vec<Did> {
-        let Some(conn) = self.all.get_mut(&id) else { return Vec::new() };
+        let Some(conn) = self.all.get_mut(&id) else {
+            return Vec::new();
+        };
         let mut did = match &mut conn.kind {
             Kind::Rpc(rpc) => rpc.reply(serial, reply),
             Kind::Web(web) => web.reply(serial, reply),
@@ -145,7 +177,8 @@
     }
 
     fn is_introduced(&self) -> bool {
-        matches!(&self.kind, Kind::Web(_)) || matches!(&self.kind, Kind::Rpc(rpc) if rpc.step == Step::Ready)
+        matches!(&self.kind, Kind::Web(_))
+            || matches!(&self.kind, Kind::Rpc(rpc) if rpc.step == Step::Ready)
     }
 
     /// Takes all frames that are whole.
@@ -206,11 +239,21 @@
         did: &mut Vec<Did>,
     ) -> Result<Option<usize>, (Option<RequestHeader>, Fatal)> {
         if self.step == Step::Opening {
-            let Some(auth) = rpc::opening(buf).map_err(|f| (None, f))? else { return Ok(Some(0)) };
-            self.step = if auth == rpc::AUTH_SASL { Step::Negotiating } else { Step::Context };
+            let Some(auth) = rpc::opening(buf).map_err(|f| (None, f))? else {
+                return Ok(Some(0));
+            };
+            self.step = if auth == rpc::AUTH_SASL {
+                Step::Negotiating
+            } else {
+                Step::Context
+            };
             return Ok(Some(rpc::OPENING));
         }
-        let limit = if self.step == Step::Ready { config.most.frame } else { SMALL_FRAME };
+        let limit = if self.step == Step::Ready {
+            config.most.frame
+        } else {
+            SMALL_FRAME
+        };
         let Some((body, used)) = rpc::take_frame(buf, limit).map_err(|f| (None, f))? else {
             return Ok(Some(0));
         };
@@ -223,7 +266,8 @@
         match (self.step, header.call_id) {
             (Step::Ready, rpc::PING_CALL) => {}
             (Step::Negotiating, rpc::SASL_CALL) => {
-                self.negotiate(&header, rest, nonce, next, did).map_err(fatal)?;
+                self.negotiate(&header, rest, nonce, next, did)
+                    .map_err(fatal)?;
             }
             (Step::Negotiating | Step::Context, rpc::CONTEXT_CALL) => {
                 let context: rpc::ConnectionContext = rpc::message(rest).map_err(fatal)?;
@@ -235,7 +279,9 @@
                 }
                 self.step = Step::Ready;
             }
-            (Step::Ready, call) if call >= 0 => self.call(header, rest, config, next, did).map_err(fatal)?,
+            (Step::Ready, call) if call >= 0 => {
+                self.call(header, rest, config, next, did).map_err(fatal)?
+            }
             _ => return Err((Some(header), Fatal::Header)),
         }
         Ok(Some(used))
@@ -251,12 +297,18 @@
     ) -> Result<(), Fatal> {
         let call = rpc::call(header, rest)?;
         if self.open.len() >= config.most.calls_each {
-            let fault =
-                Fault::new(Class::Retriable, "too many calls of this connection are not answered yet");
+            let fault = Fault::new(
+                Class::Retriable,
+                "too many calls of this connection are not answered yet",
+            );
             did.push(Did::Write(rpc::refusal(&call.header, &fault)));
             return Ok(());
         }
-        let what = What::Rpc { protocol: call.protocol, method: call.method, argument: call.argument };
+        let what = What::Rpc {
+            protocol: call.protocol,
+            method: call.method,
+            argument: call.argument,
+        };
         self.ask(call.header, what, next, did);
         Ok(())
     }
@@ -265,7 +317,14 @@
         let serial = *next;
         *next += 1;
         self.open.insert(serial, header);
-        did.push(Did::Call(serial, Call { user: self.user.clone(), proved: self.proved, what }));
+        did.push(Did::Call(
+            serial,
+            Call {
+                user: self.user.clone(),
+                proved: self.proved,
+                what,
+            },
+        ));
     }
 
     /// A step of authentication by token.
@@ -289,13 +348,23 @@
                     challenge,
                 };
                 let challenge = Some(token::challenge(nonce).into_bytes());
-                let auths = vec![offer("TOKEN", "DIGEST-MD5", challenge), offer("SIMPLE", "", None)];
-                let answer = rpc::Sasl { state: 1, auths, ..rpc::Sasl::default() };
+                let auths = vec![
+                    offer("TOKEN", "DIGEST-MD5", challenge),
+                    offer("SIMPLE", "", None),
+                ];
+                let answer = rpc::Sasl {
+                    state: 1,
+                    auths,
+                    ..rpc::Sasl::default()
+                };
                 did.push(Did::Write(rpc::answer(header, &answer.encode_to_vec())));
                 Ok(())
             }
             2 | 4 if !self.nonce.is_empty() && self.open.is_empty() => {
-                let response = sasl.token.and_then(|t| String::from_utf8(t).ok()).ok_or(Fatal::Request)?;
+                let response = sasl
+                    .token
+                    .and_then(|t| String::from_utf8(t).ok())
+                    .ok_or(Fatal::Request)?;
                 // Each challenge is good for one response.
                 let nonce = std::mem::take(&mut self.nonce);
                 self.ask(header.clone(), What::Prove { nonce, response }, next, did);
@@ -306,12 +375,18 @@
     }
 
     fn reply(&mut self, serial: u64, reply: Reply) -> Vec<Did> {
-        let Some(header) = self.open.remove(&serial) else { return Vec::new() };
+        let Some(header) = self.open.remove(&serial) else {
+            return Vec::new();
+        };
         match reply {
             Reply::Rpc(body) => vec![Did::Write(rpc::answer(&header, &body))],
             Reply::Proved(proved, proof) => {
                 self.proved = Some(proved);
-                let answer = rpc::Sasl { state: 0, token: Some(proof.into_bytes()), ..rpc::Sasl::default() };
+                let answer = rpc::Sasl {
+                    state: 0,
+                    token: Some(proof.into_bytes()),
+                    ..rpc::Sasl::default()
+                };
                 vec![Did::Write(rpc::answer(&header, &answer.encode_to_vec()))]
             }
             Reply::Refused { class, message } => {
@@ -333,7 +408,13 @@
 }
 
 impl WebSide {
-    fn take(&mut self, buf: &[u8], config: &Config, next: &mut u64, did: &mut Vec<Did>) -> Option<usize> {
+    fn take(
+        &mut self,
+        buf: &[u8],
+        config: &Config,
+        next: &mut u64,
+        did: &mut Vec<Did>,
+    ) -> Option<usize> {
         if self.busy.is_some() || buf.is_empty() {
             // One request at a time; what comes meanwhile is bounded like one.
             return (buf.len() <= config.most.frame + SMALL_FRAME * 4).then_some(0);
@@ -343,7 +424,12 @@
             Ok(Some((request, used))) => {
                 let header = |name| http::request_header(&buf[..used], name).unwrap_or_default();
                 let Some(form) = Form::wanted(&header("accept")) else {
-                    did.push(Did::Write(refusal(406, Form::Json, "JSON and XML are given", true)));
+                    did.push(Did::Write(refusal(
+                        406,
+                        Form::Json,
+                        "JSON and XML are given",
+                        true,
+                    )));
                     return None;
                 };
                 let form_in = Form::wanted(&header("content-type")).unwrap_or(Form::Json);
@@ -358,23 +444,41 @@
                     xml_out: form == Form::Xml,
                     body: request.body,
                 });
-                did.push(Did::Call(serial, Call { user, proved: None, what }));
+                did.push(Did::Call(
+                    serial,
+                    Call {
+                        user,
+                        proved: None,
+                        what,
+                    },
+                ));
                 Some(used)
             }
             Err(http::Bad(status)) => {
-                did.push(Did::Write(refusal(status, Form::Json, "the request can't be read", true)));
+                did.push(Did::Write(refusal(
+                    status,
+                    Form::Json,
+                    "the request can't be read",
+                    true,
+                )));
                 None
             }
         }
     }
 
     fn reply(&mut self, serial: u64, reply: Reply) -> Vec<Did> {
-        let Some((_, form, close)) = self.busy.take_if(|(s, _, _)| *s == serial) else { return Vec::new() };
+        let Some((_, form, close)) = self.busy.take_if(|(s, _, _)| *s == serial) else {
+            return Vec::new();
+        };
         let page = match reply {
             Reply::Web(page) => page,
             Reply::Refused { class, message } => {
                 let fault = Reply::fault(&class, &message);
-                Page { status: fault.class.status(), body: rest::error(form, &fault), location: None }
+                Page {
+                    status: fault.class.status(),
+                    body: rest::error(form, &fault),
+                    location: None,
+                }
             }
             Reply::Rpc(_) | Reply::Proved(..) => return vec![Did::Close],
         };
@@ -388,21 +492,40 @@
 
 fn refusal(status: u16, form: Form, why: &str, close: bool) -> Vec<u8> {
     let fault = Fault::new(Class::BadArgument, why);
-    page_bytes(Page { status, body: rest::error(form, &fault), location: None }, form, close)
+    page_bytes(
+        Page {
+            status,
+            body: rest::error(form, &fault),
+            location: None,
+        },
+        form,
+        close,
+    )
 }
 
 fn page_bytes(page: Page, form: Form, close: bool) -> Vec<u8> {
     // Whoever is turned away for now is told when to come back.
     let retry_after_s = matches!(page.status, 429 | 503).then_some(1);
-    let response = http::Response { status: page.status, body: page.body, close, retry_after_s };
+    let response = http::Response {
+        status: page.status,
+        body: page.body,
+        close,
+        retry_after_s,
+    };
     let mut out = Vec::new();
-    http::write_response_as(&mut out, &response, form.content_type(), page.location.as_deref());
+    http::write_response_as(
+        &mut out,
+        &response,
+        form.content_type(),
+        page.location.as_deref(),
+    );
     out
 }
 
 /// The user that a request names.
 fn user_of(target: &str) -> String {
     let query = target.split_once('?').map_or("", |(_, q)| q);
-    let named = crate::web::parameter(query, "user.name").filter(|u| !u.is_empty() && u.len() <= MAX_USER);
+    let named =
+        crate::web::parameter(query, "user.name").filter(|u| !u.is_empty() && u.len() <= MAX_USER);
     named.unwrap_or_else(|| NOBODY.to_owned())
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -37,7 +37,12 @@
 #[derive(Debug)]
 pub enum Act {
     /// A request to the scheduler, as a user would make it, under a number that its answer will bear.
-    Native { ask: u64, method: &'static str, path: String, body: Vec<u8> },
+    Native {
+        ask: u64,
+        method: &'static str,
+        path: String,
+        body: Vec<u8>,
+    },
     /// A request for records.
     Side { tag: u64, ask: control::side::Ask },
     /// The reply to a call.
--- a/crates/gateway/src/queues.rs
+++ b/crates/gateway/src/queues.rs
@@ -35,7 +35,12 @@
 
 /// What stands for a node's or team's size: the largest of its guaranteed amounts, in thousandths.
 fn size(amount: &quota::Amount) -> f32 {
-    amount.iter().filter(|a| **a != quota::UNBOUNDED).copied().max().unwrap_or(0) as f32
+    amount
+        .iter()
+        .filter(|a| **a != quota::UNBOUNDED)
+        .copied()
+        .max()
+        .unwrap_or(0) as f32
 }
 
 impl Queues {
@@ -52,7 +57,12 @@
                 }
             }
         }
-        let teams: Vec<&str> = settings.cluster.teams.iter().map(|t| t.name.as_str()).collect();
+        let teams: Vec<&str> = settings
+            .cluster
+            .teams
+            .iter()
+            .map(|t| t.name.as_str())
+            .collect();
         for (path, team) in &config.queues {
             if teams.contains(&team.as_str()) {
                 queues.add_path(path, team);
@@ -77,36 +87,70 @@
             self.all[p].children.push(at);
         }
         self.by_path.insert(path.clone(), at);
-        self.by_name.entry(name.to_owned()).and_modify(|known| *known = None).or_insert(Some(at));
+        self.by_name
+            .entry(name.to_owned())
+            .and_modify(|known| *known = None)
+            .or_insert(Some(at));
         let team = team.map(str::to_owned);
-        self.all.push(Queue { path, parent, children: Vec::new(), team, capacity, maximum });
+        self.all.push(Queue {
+            path,
+            parent,
+            children: Vec::new(),
+            team,
+            capacity,
+            maximum,
+        });
         at
     }
 
     fn add_tree(&mut self, tree: &Tree, under: usize, node: Option<NodeId>) {
-        let nodes: Vec<(usize, &quota::Node)> =
-            tree.nodes.iter().enumerate().filter(|(_, n)| n.parent == node).collect();
+        let nodes: Vec<(usize, &quota::Node)> = tree
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(_, n)| n.parent == node)
+            .collect();
         let leaves: Vec<_> = tree.leaves.iter().filter(|l| l.parent == node).collect();
-        let sum =
-            nodes.iter().map(|(_, n)| size(&n.guarantee)).chain(leaves.iter().map(|l| size(&l.guarantee)));
-        let whole = node.map_or(sum.sum(), |n| size(&tree.nodes[n.0 as usize].guarantee)).max(1.0);
+        let sum = nodes
+            .iter()
+            .map(|(_, n)| size(&n.guarantee))
+            .chain(leaves.iter().map(|l| size(&l.guarantee)));
+        let whole = node
+            .map_or(sum.sum(), |n| size(&tree.nodes[n.0 as usize].guarantee))
+            .max(1.0);
         let maximum = |max: &quota::Amount| match size(max) {
             m if m > 0.0 => (m / whole).min(1.0),
             _ => 1.0,
         };
         for (i, n) in nodes {
-            let at = self.add(Some(under), &n.name, None, size(&n.guarantee) / whole, maximum(&n.max));
+            let at = self.add(
+                Some(under),
+                &n.name,
+                None,
+                size(&n.guarantee) / whole,
+                maximum(&n.max),
+            );
             self.add_tree(tree, at, Some(NodeId(i as u32)));
         }
         for l in leaves {
-            self.add(Some(under), &l.name, Some(&l.name), size(&l.guarantee) / whole, maximum(&l.max));
+            self.add(
+                Some(under),
+                &l.name,
+                Some(&l.name),
+                size(&l.guarantee) / whole,
+                maximum(&l.max),
+            );
         }
     }
 
     /// A queue of the operators' own, with those above it.
     fn add_path(&mut self, path: &str, team: &str) {
         let mut at = 0;
-        let names = path.strip_prefix("root.").unwrap_or(path).split('.').filter(|n| !n.is_empty());
+        let names = path
+            .strip_prefix("root.")
+            .unwrap_or(path)
+            .split('.')
+            .filter(|n| !n.is_empty());
         for name in names {
             let full = format!("{}.{name}", self.all[at].path);
             at = match self.by_path.get(&full) {
@@ -125,7 +169,13 @@
     pub fn find(&self, name: &str) -> Option<&Queue> {
         let full = |p: &str| self.by_path.get(p).map(|at| &self.all[*at]);
         let found = full(name).or_else(|| full(&format!("{ROOT}.{name}")));
-        found.or_else(|| self.by_name.get(name).copied().flatten().map(|at| &self.all[at]))
+        found.or_else(|| {
+            self.by_name
+                .get(name)
+                .copied()
+                .flatten()
+                .map(|at| &self.all[at])
+        })
     }
 
     /// A queue and all that are above it, the lowest first.
@@ -137,7 +187,9 @@
         let named = |q: &Queue| config.submit.get(&q.path);
         // Who names nobody anywhere lets everybody in, as is published.
         let open = self.above(queue).all(|q| named(q).is_none());
-        open || self.above(queue).any(|q| named(q).is_some_and(|u| u.has(user)))
+        open || self
+            .above(queue)
+            .any(|q| named(q).is_some_and(|u| u.has(user)))
             || self.may_administer(config, queue, user)
     }
 
--- a/crates/gateway/src/records.rs
+++ b/crates/gateway/src/records.rs
@@ -25,7 +25,10 @@
 
 /// A part of a launch description; named by what the whole of it is, so that it can only have one content.
 pub fn part_key(app: u32, print: &str, part: u32) -> String {
-    format!("{PARTS}{app:010}/{}/{part:04}", &print[..print.len().min(24)])
+    format!(
+        "{PARTS}{app:010}/{}/{part:04}",
+        &print[..print.len().min(24)]
+    )
 }
 
 /// The deployment as its clients know it.
--- a/crates/gateway/src/served.rs
+++ b/crates/gateway/src/served.rs
@@ -93,8 +93,16 @@
 
 impl Served {
     pub fn new(node: Node, gateway: Option<Gateway>) -> Served {
-        let node = if gateway.is_some() { node.with_door_beside() } else { node };
-        Served { node, gateway, out: Vec::new() }
+        let node = if gateway.is_some() {
+            node.with_door_beside()
+        } else {
+            node
+        };
+        Served {
+            node,
+            gateway,
+            out: Vec::new(),
+        }
     }
 
     pub fn node(&self) -> &Node {
@@ -113,7 +121,9 @@
 
     pub fn handle(&mut self, now: Now, event: Event) -> Vec<Out> {
         match event {
-            Event::Peer { conn, request } if self.gateway.is_some() && request.path == PEER_PATH => {
+            Event::Peer { conn, request }
+                if self.gateway.is_some() && request.path == PEER_PATH =>
+            {
                 self.peer_call(now, conn, &request);
             }
             Event::Reply { tag, response } if tag >= TAGS => self.peer_replied(now, tag, response),
@@ -129,7 +139,9 @@
     }
 
     pub fn raw(&mut self, now: Now, conn: u64, event: Raw) -> Vec<Out> {
-        let Some(g) = &mut self.gateway else { return vec![Out::Close { conn }] };
+        let Some(g) = &mut self.gateway else {
+            return vec![Out::Close { conn }];
+        };
         match event {
             Raw::Opened { web, from } => {
                 if !g.conns.opened(now.mono, conn, web, from) {
@@ -154,11 +166,18 @@
                     self.with_book(now, |book, cx| book.native_answered(cx, conn, &response));
                 }
                 Effect::Side { tag, answer } => {
-                    let good =
-                        self.with_book(now, |book, cx| book.side_answered(cx, tag, answer)).unwrap_or(true);
+                    let good = self
+                        .with_book(now, |book, cx| book.side_answered(cx, tag, answer))
+                        .unwrap_or(true);
                     if !good {
-                        log::warn!("yarn: a record was changed by somebody else: all are read anew");
-                        self.drop_book(now, Class::Retriable, "the applications are being read again");
+                        log::warn!(
+                            "yarn: a record was changed by somebody else: all are read anew"
+                        );
+                        self.drop_book(
+                            now,
+                            Class::Retriable,
+                            "the applications are being read again",
+                        );
                     }
                 }
                 other => self.out.push(Out::Node(other)),
@@ -168,21 +187,38 @@
 
     fn with_book<T>(&mut self, now: Now, f: impl FnOnce(&mut Book, Cx<'_>) -> T) -> Option<T> {
         let g = self.gateway.as_mut()?;
-        let cx = Cx { now, node: &self.node, config: &g.config, secret: &g.secret };
+        let cx = Cx {
+            now,
+            node: &self.node,
+            config: &g.config,
+            secret: &g.secret,
+        };
         g.book.as_mut().map(|book| f(book, cx))
     }
 
     /// Carries out what the book wants, until it wants nothing more.
     fn settle(&mut self, now: Now) {
         loop {
-            let acts = self.with_book(now, |book, _| book.take_acts()).unwrap_or_default();
+            let acts = self
+                .with_book(now, |book, _| book.take_acts())
+                .unwrap_or_default();
             if acts.is_empty() {
                 return;
             }
             for act in acts {
                 match act {
-                    Act::Native { ask, method, path, body } => {
-                        let request = Request { method: method.into(), path, body, close: false };
+                    Act::Native {
+                        ask,
+                        method,
+                        path,
+                        body,
+                    } => {
+                        let request = Request {
+                            method: method.into(),
+                            path,
+                            body,
+                            close: false,
+                        };
                         self.feed(now, Event::Client { conn: ask, request });
                     }
                     Act::Side { tag, ask } => self.feed(now, Event::Side { tag, ask }),
@@ -222,7 +258,12 @@
     fn drop_book(&mut self, now: Now, class: Class, why: &str) {
         let Some(g) = &mut self.gateway else { return };
         g.book = None;
-        let left: Vec<u64> = g.waiting.iter().filter(|(_, w)| !w.handed).map(|(c, _)| *c).collect();
+        let left: Vec<u64> = g
+            .waiting
+            .iter()
+            .filter(|(_, w)| !w.handed)
+            .map(|(c, _)| *c)
+            .collect();
         for call in left {
             self.answer(now, call, Fault::new(class, why).into());
         }
@@ -231,13 +272,22 @@
     /// Calls that took too long get their answer: it may have been done, and can be repeated.
     fn give_up(&mut self, now: Now) {
         let Some(g) = &self.gateway else { return };
-        let late: Vec<u64> = g.waiting.iter().filter(|(_, w)| now.mono >= w.until).map(|(c, _)| *c).collect();
+        let late: Vec<u64> = g
+            .waiting
+            .iter()
+            .filter(|(_, w)| now.mono >= w.until)
+            .map(|(c, _)| *c)
+            .collect();
         for call in late {
             self.with_book(now, |book, _| book.given_up(call));
             self.answer(
                 now,
                 call,
-                Fault::new(Class::Retriable, "not answered in time; it may have been done").into(),
+                Fault::new(
+                    Class::Retriable,
+                    "not answered in time; it may have been done",
+                )
+                .into(),
             );
         }
     }
@@ -258,9 +308,21 @@
         let number = g.next;
         g.next += 1;
         let from_peer = matches!(asker, Asker::Peer { .. });
-        let until = now.mono + if from_peer { PEER_PATIENCE_MS } else { PATIENCE_MS };
+        let until = now.mono
+            + if from_peer {
+                PEER_PATIENCE_MS
+            } else {
+                PATIENCE_MS
+            };
         let full = g.waiting.len() >= g.config.most.calls;
-        g.waiting.insert(number, Waiting { asker, until, handed: false });
+        g.waiting.insert(
+            number,
+            Waiting {
+                asker,
+                until,
+                handed: false,
+            },
+        );
         if full {
             let fault = Fault::new(Class::Retriable, "too many calls are not answered yet");
             return self.answer(now, number, fault.into());
@@ -271,8 +333,10 @@
         }
         let peer = self.node.owner_among_peers().filter(|_| !from_peer);
         let Some(peer) = peer else {
-            let fault =
-                Fault::new(Class::Standby, "this node does not own the fleet, and knows of none that does");
+            let fault = Fault::new(
+                Class::Standby,
+                "this node does not own the fleet, and knows of none that does",
+            );
             return self.answer(now, number, fault.into());
         };
         if let Some(waiting) = g.waiting.get_mut(&number) {
@@ -291,7 +355,9 @@
 
     fn answer(&mut self, now: Now, call: u64, reply: Reply) {
         let Some(g) = &mut self.gateway else { return };
-        let Some(waiting) = g.waiting.remove(&call) else { return };
+        let Some(waiting) = g.waiting.remove(&call) else {
+            return;
+        };
         match waiting.asker {
             Asker::Conn { conn, serial } => {
                 let did = g.conns.reply(now.mono, conn, serial, reply);
@@ -299,7 +365,12 @@
             }
             Asker::Peer { conn } => {
                 let body = wire::peer::encode(&reply);
-                let response = Response { status: 200, body, close: false, retry_after_s: None };
+                let response = Response {
+                    status: 200,
+                    body,
+                    close: false,
+                    retry_after_s: None,
+                };
                 self.out.push(Out::Node(Effect::Respond { conn, response }));
             }
         }
@@ -310,7 +381,12 @@
             Ok(call) => self.route(now, Asker::Peer { conn }, call),
             Err(e) => {
                 log::warn!("yarn: a peer's call can't be read: {e}");
-                let response = Response { status: 400, body: Vec::new(), close: false, retry_after_s: None };
+                let response = Response {
+                    status: 400,
+                    body: Vec::new(),
+                    close: false,
+                    retry_after_s: None,
+                };
                 self.out.push(Out::Node(Effect::Respond { conn, response }));
             }
         }
--- a/crates/gateway/src/token.rs
+++ b/crates/gateway/src/token.rs
@@ -44,7 +44,12 @@
     pub fn rotated(&self, secret: &[u8], now_ms: u64) -> Keys {
         let number = self.number + 1;
         let new = hex(&mac(secret, format!("key {number} {now_ms}").as_bytes()));
-        Keys { number, new, old: self.new.clone(), since_ms: now_ms }
+        Keys {
+            number,
+            new,
+            old: self.new.clone(),
+            since_ms: now_ms,
+        }
     }
 
     fn key(&self, number: u32) -> Option<&str> {
@@ -61,11 +66,19 @@
 
     /// The token of a master, or of a container of it.
     pub fn token(&self, kind: &str, attempt: ApplicationAttemptId, more: &[u8]) -> Token {
-        let id = Identifier { attempt: Some(attempt), key: Some(self.number as i32) };
+        let id = Identifier {
+            attempt: Some(attempt),
+            key: Some(self.number as i32),
+        };
         let mut identifier = id.encode_to_vec();
         identifier.extend_from_slice(more);
         let password = self.password(self.number, &identifier).unwrap_or_default();
-        Token { identifier, password, kind: kind.to_owned(), service: String::new() }
+        Token {
+            identifier,
+            password,
+            kind: kind.to_owned(),
+            service: String::new(),
+        }
     }
 
     /// Whether a token that was handed out by these keys is whole: what it says, with what it was given besides.
@@ -84,17 +97,28 @@
         let identifier = BASE64.decode(field("username")?).ok()?;
         let id = Identifier::decode(identifier.as_slice()).ok()?;
         let password = BASE64.encode(self.password(id.key? as u32, &identifier)?);
-        if field("nonce")? != nonce || field("nc")? != "00000001" || field("qop").unwrap_or("auth") != "auth"
+        if field("nonce")? != nonce
+            || field("nc")? != "00000001"
+            || field("qop").unwrap_or("auth") != "auth"
         {
             return None;
         }
-        let digest =
-            |a2: &str| Some(digest(&fields, &password, nonce, &format!("{a2}:{}", field("digest-uri")?)));
+        let digest = |a2: &str| {
+            Some(digest(
+                &fields,
+                &password,
+                nonce,
+                &format!("{a2}:{}", field("digest-uri")?),
+            ))
+        };
         if digest("AUTHENTICATE")? != field("response")? {
             return None;
         }
         let attempt = id.attempt?;
-        let proved = Proved { app: attempt.application_id?.id as u32, attempt: attempt.attempt_id as u32 };
+        let proved = Proved {
+            app: attempt.application_id?.id as u32,
+            attempt: attempt.attempt_id as u32,
+        };
         Some((proved, format!("rspauth={}", digest("")?)))
     }
 }
@@ -109,10 +133,13 @@
     let username = BASE64.encode(&token.identifier);
     let password = BASE64.encode(&token.password);
     let uri = format!("/{REALM}");
-    let fields: HashMap<String, String> =
-        [("username", username.as_str()), ("realm", REALM), ("cnonce", cnonce)]
-            .map(|(k, v)| (k.to_owned(), v.to_owned()))
-            .into();
+    let fields: HashMap<String, String> = [
+        ("username", username.as_str()),
+        ("realm", REALM),
+        ("cnonce", cnonce),
+    ]
+    .map(|(k, v)| (k.to_owned(), v.to_owned()))
+    .into();
     let response = digest(&fields, &password, nonce, &format!("AUTHENTICATE:{uri}"));
     format!(
         "charset=utf-8,username=\"{username}\",realm=\"{REALM}\",nonce=\"{nonce}\",nc=00000001,cnonce=\"{cnonce}\",\
@@ -129,10 +156,17 @@
 fn digest(fields: &HashMap<String, String>, password: &str, nonce: &str, a2: &str) -> String {
     let field = |name: &str| fields.get(name).map_or("", String::as_str);
     let cnonce = field("cnonce");
-    let mut a1 = Md5::digest(format!("{}:{}:{password}", field("username"), field("realm"))).to_vec();
+    let mut a1 = Md5::digest(format!(
+        "{}:{}:{password}",
+        field("username"),
+        field("realm")
+    ))
+    .to_vec();
     a1.extend_from_slice(format!(":{nonce}:{cnonce}").as_bytes());
     let (a1, a2) = (hex(&Md5::digest(a1)), hex(&Md5::digest(a2)));
-    hex(&Md5::digest(format!("{a1}:{nonce}:00000001:{cnonce}:auth:{a2}")))
+    hex(&Md5::digest(format!(
+        "{a1}:{nonce}:00000001:{cnonce}:auth:{a2}"
+    )))
 }
 
 /// `name=value` or `name="value"`, separated by commas.
@@ -153,7 +187,9 @@
 
 pub fn mac(key: &[u8], text: &[u8]) -> Vec<u8> {
     // Keys of any length are taken.
-    let Ok(mut mac) = Hmac::<Sha256>::new_from_slice(key) else { return Vec::new() };
+    let Ok(mut mac) = Hmac::<Sha256>::new_from_slice(key) else {
+        return Vec::new();
+    };
     mac.update(text);
     mac.finalize().into_bytes().to_vec()
 }
@@ -164,8 +200,14 @@
 
 /// The id of an attempt.
 pub fn attempt_id(stamp: i64, app: u32, attempt: u32) -> ApplicationAttemptId {
-    let application_id = Some(ApplicationId { id: app as i32, cluster_timestamp: stamp });
-    ApplicationAttemptId { application_id, attempt_id: attempt as i32 }
+    let application_id = Some(ApplicationId {
+        id: app as i32,
+        cluster_timestamp: stamp,
+    });
+    ApplicationAttemptId {
+        application_id,
+        attempt_id: attempt as i32,
+    }
 }
 
 #[cfg(test)]
@@ -179,8 +221,14 @@
                     cnonce=\"OA6MHXh6VqTrRk\",digest-uri=\"imap/elwood.innosoft.com\",qop=auth";
         let fields = fields(text).expect("readable");
         let digest = |a2: &str| digest(&fields, "secret", "OA6MG9tEQGm2hh", a2);
-        assert_eq!(digest("AUTHENTICATE:imap/elwood.innosoft.com"), "d388dad90d4bbd760a152321f2143af7");
-        assert_eq!(digest(":imap/elwood.innosoft.com"), "ea40f60335c427b5527b84dbabcdfffd");
+        assert_eq!(
+            digest("AUTHENTICATE:imap/elwood.innosoft.com"),
+            "d388dad90d4bbd760a152321f2143af7"
+        );
+        assert_eq!(
+            digest(":imap/elwood.innosoft.com"),
+            "ea40f60335c427b5527b84dbabcdfffd"
+        );
     }
 
     #[test]
@@ -192,12 +240,33 @@
         assert_eq!(keys.prove("n", &response).map(|p| p.0), Some(proved));
         assert_eq!(keys.prove("m", &response), None, "another challenge");
         let later = keys.rotated(b"secret", 2);
-        assert_eq!(later.prove("n", &response).map(|p| p.0), Some(proved), "the key before is good");
-        assert_eq!(later.rotated(b"secret", 3).prove("n", &response), None, "older ones are not");
-        let other = Keys::default().rotated(b"other", 1).token(KIND, attempt_id(9, 7, 2), &[]);
-        assert_eq!(keys.prove("n", &respond(&other, "n", "c")), None, "another service's token");
-        let forged = Token { identifier: keys.token(KIND, attempt_id(9, 8, 1), &[]).identifier, ..token };
-        assert_eq!(keys.prove("n", &respond(&forged, "n", "c")), None, "another master's name");
+        assert_eq!(
+            later.prove("n", &response).map(|p| p.0),
+            Some(proved),
+            "the key before is good"
+        );
+        assert_eq!(
+            later.rotated(b"secret", 3).prove("n", &response),
+            None,
+            "older ones are not"
+        );
+        let other = Keys::default()
+            .rotated(b"other", 1)
+            .token(KIND, attempt_id(9, 7, 2), &[]);
+        assert_eq!(
+            keys.prove("n", &respond(&other, "n", "c")),
+            None,
+            "another service's token"
+        );
+        let forged = Token {
+            identifier: keys.token(KIND, attempt_id(9, 8, 1), &[]).identifier,
+            ..token
+        };
+        assert_eq!(
+            keys.prove("n", &respond(&forged, "n", "c")),
+            None,
+            "another master's name"
+        );
         assert_eq!(keys.prove("n", "username=\""), None);
     }
 }
--- a/crates/hours/src/calendar.rs
+++ b/crates/hours/src/calendar.rs
@@ -4,8 +4,8 @@
 use crate::spec::{Agreement, Exception, Holiday, Release, Spec, Studio};
 use crate::when::{DAYS, date, day, day_of, is_skipped, moment, reached, time};
 use crate::{
-    MAX_AGREEMENTS, MAX_AHEAD_DAYS, MAX_DATES, MAX_HOURS, MAX_NAME, MAX_NOTICE, MAX_RELEASES, MAX_STUDIOS,
-    MAX_TEAMS,
+    MAX_AGREEMENTS, MAX_AHEAD_DAYS, MAX_DATES, MAX_HOURS, MAX_NAME, MAX_NOTICE, MAX_RELEASES,
+    MAX_STUDIOS, MAX_TEAMS,
 };
 use document::{Fault, Faults, Place, short};
 use jiff::civil::{Date, Time};
@@ -66,8 +66,12 @@
 impl Calendar {
     /// Checks a description. All that is wrong is returned, not just the first.
     pub fn build(spec: &Spec, around: &Around) -> Result<Calendar, Vec<Fault>> {
-        let mut b =
-            Builder { spec, faults: Faults::default(), calendar: Calendar::default(), index: HashMap::new() };
+        let mut b = Builder {
+            spec,
+            faults: Faults::default(),
+            calendar: Calendar::default(),
+            index: HashMap::new(),
+        };
         b.sizes();
         if b.faults.is_empty() {
             b.studios();
@@ -83,16 +87,25 @@
     /// The hour of a job that was accepted at this time of day; none where nothing is agreed for its studio.
     pub fn due(&self, team: &str, class: &str, job: &str, accepted_ms: u64) -> Option<Due> {
         if let Some(at_ms) = self.agreed.get(job) {
-            return Some(Due { at_ms: *at_ms, agreed: true });
+            return Some(Due {
+                at_ms: *at_ms,
+                agreed: true,
+            });
         }
         let house = self.houses.get(*self.of_team.get(team)?)?;
         let at_ms = u64::try_from(house.due(class, i64::try_from(accepted_ms).ok()?)?).ok()?;
-        Some(Due { at_ms, agreed: false })
+        Some(Due {
+            at_ms,
+            agreed: false,
+        })
     }
 
     /// The studio that a team belongs to.
     pub fn studio_of(&self, team: &str) -> Option<&str> {
-        self.of_team.get(team).and_then(|i| self.houses.get(*i)).map(|h| h.name.as_str())
+        self.of_team
+            .get(team)
+            .and_then(|i| self.houses.get(*i))
+            .map(|h| h.name.as_str())
     }
 
     pub fn studios(&self) -> Vec<&str> {
@@ -106,11 +119,21 @@
 
     /// A moment as a studio's clocks show it; as UTC for none that is known.
     pub fn local(&self, studio: &str, at_ms: u64) -> String {
-        let zone = self.houses.iter().find(|h| h.name == studio).map_or(TimeZone::UTC, |h| h.zone.clone());
-        let at = i64::try_from(at_ms).ok().and_then(|ms| Timestamp::from_millisecond(ms).ok());
+        let zone = self
+            .houses
+            .iter()
+            .find(|h| h.name == studio)
+            .map_or(TimeZone::UTC, |h| h.zone.clone());
+        let at = i64::try_from(at_ms)
+            .ok()
+            .and_then(|ms| Timestamp::from_millisecond(ms).ok());
         at.map_or_else(
             || at_ms.to_string(),
-            |t| t.to_zoned(zone).strftime("%Y-%m-%dT%H:%M:%S%:z").to_string(),
+            |t| {
+                t.to_zoned(zone)
+                    .strftime("%Y-%m-%dT%H:%M:%S%:z")
+                    .to_string()
+            },
         )
     }
 
@@ -119,29 +142,44 @@
         let house = self.houses.iter().find(|h| h.name == studio);
         let at = match (moment(text), house) {
             (Some(local), Some(house)) if is_skipped(&house.zone, local) => {
-                return Err(format!("{text} does not exist in {studio}: its clocks skip it"));
+                return Err(format!(
+                    "{text} does not exist in {studio}: its clocks skip it"
+                ));
             }
             (Some(local), Some(house)) => reached(&house.zone, local),
-            _ => text.parse::<Timestamp>().ok().map(Timestamp::as_millisecond),
+            _ => text
+                .parse::<Timestamp>()
+                .ok()
+                .map(Timestamp::as_millisecond),
         };
         let at = at.and_then(|ms| u64::try_from(ms).ok());
-        at.ok_or_else(|| format!("{text:?} is no time; like 2026-12-24T18:00, or 2026-12-24T18:00:00+01:00"))
+        at.ok_or_else(|| {
+            format!("{text:?} is no time; like 2026-12-24T18:00, or 2026-12-24T18:00:00+01:00")
+        })
     }
 }
 
 impl House {
     fn due(&self, class: &str, accepted_ms: i64) -> Option<i64> {
         let named = Some(class.to_owned());
-        let rule = self.by_class.get(&named).or_else(|| self.by_class.get(&None));
+        let rule = self
+            .by_class
+            .get(&named)
+            .or_else(|| self.by_class.get(&None));
         let notice = rule.and_then(|r| r.notice_ms).unwrap_or(self.notice_ms);
         let least = accepted_ms.checked_add(notice)?;
-        let today = Timestamp::from_millisecond(least).ok()?.to_zoned(self.zone.clone()).date();
+        let today = Timestamp::from_millisecond(least)
+            .ok()?
+            .to_zoned(self.zone.clone())
+            .date();
         // A clock may have been set back over midnight: what it reached first lies up to two days further on.
         let mut day = today.checked_sub(2.days()).ok()?;
         for _ in 0..MAX_AHEAD_DAYS {
             let hours = self.hours(&named, rule, day);
             // Rising in time as in name, since each is due when the clock first reaches it.
-            let due = hours.iter().filter_map(|h| reached(&self.zone, day.to_datetime(*h)));
+            let due = hours
+                .iter()
+                .filter_map(|h| reached(&self.zone, day.to_datetime(*h)));
             if let Some(at) = due.into_iter().find(|at| *at >= least) {
                 return Some(at);
             }
@@ -151,8 +189,16 @@
     }
 
     /// The hours of one day.
-    fn hours<'a>(&'a self, class: &Option<String>, rule: Option<&'a Rule>, day: Date) -> &'a [Time] {
-        let own = self.exceptions.get(&day).and_then(|e| e.get(class).or_else(|| e.get(&None)));
+    fn hours<'a>(
+        &'a self,
+        class: &Option<String>,
+        rule: Option<&'a Rule>,
+        day: Date,
+    ) -> &'a [Time] {
+        let own = self
+            .exceptions
+            .get(&day)
+            .and_then(|e| e.get(class).or_else(|| e.get(&None)));
         if let Some(hours) = own {
             return hours;
         }
@@ -179,7 +225,11 @@
             (AGREEMENT, s.agreements.len(), MAX_AGREEMENTS),
         ] {
             if n > most {
-                self.faults.add(Place::Whole, what, format!("{n} entries; at most {most} are allowed"));
+                self.faults.add(
+                    Place::Whole,
+                    what,
+                    format!("{n} entries; at most {most} are allowed"),
+                );
             }
         }
     }
@@ -200,7 +250,13 @@
 
     fn notice(&mut self, list: &str, i: usize, name: &str, minutes: u32) -> i64 {
         if minutes > MAX_NOTICE {
-            self.fault(list, i, name, "notice_min", format!("must be at most {MAX_NOTICE}, is {minutes}"));
+            self.fault(
+                list,
+                i,
+                name,
+                "notice_min",
+                format!("must be at most {MAX_NOTICE}, is {minutes}"),
+            );
         }
         i64::from(minutes) * 60_000
     }
@@ -208,7 +264,17 @@
     fn studios(&mut self) {
         let spec = self.spec;
         let zones = TimeZoneDatabase::bundled();
-        for (i, Studio { name, zone, notice_min, teams, .. }) in spec.studios.iter().enumerate() {
+        for (
+            i,
+            Studio {
+                name,
+                zone,
+                notice_min,
+                teams,
+                ..
+            },
+        ) in spec.studios.iter().enumerate()
+        {
             self.name(STUDIO, i, name, "name");
             if self.index.insert(name, i).is_some() {
                 self.fault(STUDIO, i, name, "name", "is named twice");
@@ -218,7 +284,13 @@
             }
             let known = zones.get(zone);
             if known.is_err() {
-                self.fault(STUDIO, i, name, "zone", format!("{:?} is no time zone", short(zone)));
+                self.fault(
+                    STUDIO,
+                    i,
+                    name,
+                    "zone",
+                    format!("{:?} is no time zone", short(zone)),
+                );
             }
             let notice_ms = self.notice(STUDIO, i, name, *notice_min);
             self.calendar.houses.push(House {
@@ -236,11 +308,15 @@
     fn teams(&mut self, around: &Around) {
         let spec = self.spec;
         let known = around.teams.as_ref();
-        let names: Option<BTreeSet<&str>> = known.map(|all| all.iter().map(|t| t.name.as_str()).collect());
+        let names: Option<BTreeSet<&str>> =
+            known.map(|all| all.iter().map(|t| t.name.as_str()).collect());
         let mut of_node: HashMap<&str, usize> = HashMap::new();
         for (i, studio) in spec.studios.iter().enumerate() {
             for team in &studio.teams {
-                if names.as_ref().is_some_and(|names| !names.contains(team.as_str())) {
+                if names
+                    .as_ref()
+                    .is_some_and(|names| !names.contains(team.as_str()))
+                {
                     let what = format!("{:?} is no team of the settings", short(team));
                     self.fault(STUDIO, i, &studio.name, "teams", what);
                 }
@@ -306,7 +382,17 @@
 
     fn releases(&mut self) {
         let spec = self.spec;
-        for (i, Release { studio, class, at, days, notice_min }) in spec.releases.iter().enumerate() {
+        for (
+            i,
+            Release {
+                studio,
+                class,
+                at,
+                days,
+                notice_min,
+            },
+        ) in spec.releases.iter().enumerate()
+        {
             let hours = self.hours(RELEASE, i, studio, at);
             if at.is_empty() {
                 self.fault(RELEASE, i, studio, "at", "must have at least one hour");
@@ -315,20 +401,40 @@
             for name in days {
                 match day(name) {
                     Some(d) if !week[d] => week[d] = true,
-                    Some(_) => self.fault(RELEASE, i, studio, "days", format!("{name:?} is named twice")),
+                    Some(_) => self.fault(
+                        RELEASE,
+                        i,
+                        studio,
+                        "days",
+                        format!("{name:?} is named twice"),
+                    ),
                     None => {
-                        let what = format!("{:?} is no weekday; one of {}", short(name), DAYS.join(" "));
+                        let what =
+                            format!("{:?} is no weekday; one of {}", short(name), DAYS.join(" "));
                         self.fault(RELEASE, i, studio, "days", what)
                     }
                 }
             }
             class.iter().for_each(|c| self.name(RELEASE, i, c, "class"));
             let notice_ms = notice_min.map(|n| self.notice(RELEASE, i, studio, n));
-            let Some(house) = self.studio(RELEASE, i, studio) else { continue };
-            let rule = Rule { hours, days: week, notice_ms };
-            if self.calendar.houses[house].by_class.insert(class.clone(), rule).is_some() {
+            let Some(house) = self.studio(RELEASE, i, studio) else {
+                continue;
+            };
+            let rule = Rule {
+                hours,
+                days: week,
+                notice_ms,
+            };
+            if self.calendar.houses[house]
+                .by_class
+                .insert(class.clone(), rule)
+                .is_some()
+            {
                 let what = match class {
-                    Some(class) => format!("{:?} has another release of this studio already", short(class)),
+                    Some(class) => format!(
+                        "{:?} has another release of this studio already",
+                        short(class)
+                    ),
                     None => "any class has another release of this studio already".to_owned(),
                 };
                 self.fault(RELEASE, i, studio, "class", what);
@@ -340,8 +446,10 @@
         let spec = self.spec;
         for (i, Holiday { studio, dates }) in spec.holidays.iter().enumerate() {
             let name = studio.as_deref().unwrap_or("all");
-            let days: Vec<Date> =
-                dates.iter().filter_map(|text| self.date(HOLIDAY, i, name, "dates", text)).collect();
+            let days: Vec<Date> = dates
+                .iter()
+                .filter_map(|text| self.date(HOLIDAY, i, name, "dates", text))
+                .collect();
             let whose = match studio {
                 Some(studio) => self.studio(HOLIDAY, i, studio).map_or(0..0, |h| h..h + 1),
                 None => 0..self.calendar.houses.len(),
@@ -354,12 +462,28 @@
 
     fn exceptions(&mut self) {
         let spec = self.spec;
-        for (i, Exception { studio, class, date: text, at }) in spec.exceptions.iter().enumerate() {
+        for (
+            i,
+            Exception {
+                studio,
+                class,
+                date: text,
+                at,
+            },
+        ) in spec.exceptions.iter().enumerate()
+        {
             let hours = self.hours(EXCEPTION, i, studio, at);
-            class.iter().for_each(|c| self.name(EXCEPTION, i, c, "class"));
+            class
+                .iter()
+                .for_each(|c| self.name(EXCEPTION, i, c, "class"));
             let day = self.date(EXCEPTION, i, studio, "date", text);
-            let (Some(house), Some(day)) = (self.studio(EXCEPTION, i, studio), day) else { continue };
-            let of_day = self.calendar.houses[house].exceptions.entry(day).or_default();
+            let (Some(house), Some(day)) = (self.studio(EXCEPTION, i, studio), day) else {
+                continue;
+            };
+            let of_day = self.calendar.houses[house]
+                .exceptions
+                .entry(day)
+                .or_default();
             if of_day.insert(class.clone(), hours).is_some() {
                 self.fault(
                     EXCEPTION,
@@ -376,10 +500,15 @@
         let spec = self.spec;
         for (i, Agreement { studio, job, at }) in spec.agreements.iter().enumerate() {
             self.name(AGREEMENT, i, job, "job");
-            let Some(house) = self.studio(AGREEMENT, i, studio) else { continue };
+            let Some(house) = self.studio(AGREEMENT, i, studio) else {
+                continue;
+            };
             let zone = self.calendar.houses[house].zone.clone();
             let Some(local) = moment(at) else {
-                let what = format!("{:?} is no local time; like \"2026-12-24T18:00\"", short(at));
+                let what = format!(
+                    "{:?} is no local time; like \"2026-12-24T18:00\"",
+                    short(at)
+                );
                 self.fault(AGREEMENT, i, job, "at", what);
                 continue;
             };
--- a/crates/hours/src/content.rs
+++ b/crates/hours/src/content.rs
@@ -13,11 +13,21 @@
     type Built = Calendar;
 
     fn pack(&self, into: &mut Packer<Spec>) {
-        self.studios.iter().for_each(|e| into.push(e, |p| p.studios.push(e.clone())));
-        self.releases.iter().for_each(|e| into.push(e, |p| p.releases.push(e.clone())));
-        self.holidays.iter().for_each(|e| into.push(e, |p| p.holidays.push(e.clone())));
-        self.exceptions.iter().for_each(|e| into.push(e, |p| p.exceptions.push(e.clone())));
-        self.agreements.iter().for_each(|e| into.push(e, |p| p.agreements.push(e.clone())));
+        self.studios
+            .iter()
+            .for_each(|e| into.push(e, |p| p.studios.push(e.clone())));
+        self.releases
+            .iter()
+            .for_each(|e| into.push(e, |p| p.releases.push(e.clone())));
+        self.holidays
+            .iter()
+            .for_each(|e| into.push(e, |p| p.holidays.push(e.clone())));
+        self.exceptions
+            .iter()
+            .for_each(|e| into.push(e, |p| p.exceptions.push(e.clone())));
+        self.agreements
+            .iter()
+            .for_each(|e| into.push(e, |p| p.agreements.push(e.clone())));
     }
     fn unpack(&mut self, part: &Spec) {
         self.studios.extend(part.studios.iter().cloned());
@@ -48,7 +58,11 @@
         out
     }
     fn size(calendar: &Calendar) -> String {
-        format!("{} studios and {} agreements", calendar.studios().len(), calendar.agreed())
+        format!(
+            "{} studios and {} agreements",
+            calendar.studios().len(),
+            calendar.agreed()
+        )
     }
     /// Teams that have left the settings, and nodes that have left the quota tree, have no work to be released.
     fn fitting(&self, around: &Around) -> Spec {
@@ -66,32 +80,70 @@
 
 /// Entries by what names them, in words.
 fn lines(spec: &Spec) -> BTreeMap<String, String> {
-    let class =
-        |c: &Option<String>| c.as_ref().map_or_else(|| "any class".to_owned(), |c| format!("class {c:?}"));
+    let class = |c: &Option<String>| {
+        c.as_ref()
+            .map_or_else(|| "any class".to_owned(), |c| format!("class {c:?}"))
+    };
     let mut out = BTreeMap::new();
     for s in &spec.studios {
-        let node = s.node.iter().map(|n| format!(" and node {n}")).collect::<String>();
-        let words = format!("teams {}{node} in {}, notice {} min", s.teams.join(" "), s.zone, s.notice_min);
+        let node = s
+            .node
+            .iter()
+            .map(|n| format!(" and node {n}"))
+            .collect::<String>();
+        let words = format!(
+            "teams {}{node} in {}, notice {} min",
+            s.teams.join(" "),
+            s.zone,
+            s.notice_min
+        );
         out.insert(format!("{} {}", file::STUDIO, s.name), words);
     }
     for r in &spec.releases {
-        let days = if r.days.is_empty() { "every day".to_owned() } else { r.days.join(" ") };
-        let notice = r.notice_min.iter().map(|n| format!(", notice {n} min")).collect::<String>();
+        let days = if r.days.is_empty() {
+            "every day".to_owned()
+        } else {
+            r.days.join(" ")
+        };
+        let notice = r
+            .notice_min
+            .iter()
+            .map(|n| format!(", notice {n} min"))
+            .collect::<String>();
         let key = format!("{} of {}, {}", file::RELEASE, r.studio, class(&r.class));
         out.insert(key, format!("{} on {days}{notice}", r.at.join(" ")));
     }
     for h in &spec.holidays {
         let who = h.studio.as_deref().unwrap_or("all studios");
         for date in &h.dates {
-            out.insert(format!("{} of {who} on {date}", file::HOLIDAY), "no releases".to_owned());
+            out.insert(
+                format!("{} of {who} on {date}", file::HOLIDAY),
+                "no releases".to_owned(),
+            );
         }
     }
     for e in &spec.exceptions {
-        let key = format!("{} of {}, {}, on {}", file::EXCEPTION, e.studio, class(&e.class), e.date);
-        out.insert(key, if e.at.is_empty() { "no releases".to_owned() } else { e.at.join(" ") });
+        let key = format!(
+            "{} of {}, {}, on {}",
+            file::EXCEPTION,
+            e.studio,
+            class(&e.class),
+            e.date
+        );
+        out.insert(
+            key,
+            if e.at.is_empty() {
+                "no releases".to_owned()
+            } else {
+                e.at.join(" ")
+            },
+        );
     }
     for a in &spec.agreements {
-        out.insert(format!("{} for {}", file::AGREEMENT, a.job), format!("{} with {}", a.at, a.studio));
+        out.insert(
+            format!("{} for {}", file::AGREEMENT, a.job),
+            format!("{} with {}", a.at, a.studio),
+        );
     }
     out
 }
--- a/crates/hours/src/when.rs
+++ b/crates/hours/src/when.rs
@@ -10,8 +10,14 @@
 
 /// `07:30`.
 pub(crate) fn time(text: &str) -> Option<Time> {
-    let (hour, minute) = text.split_once(':').filter(|(h, m)| h.len() == 2 && m.len() == 2)?;
-    let digits = |s: &str| s.bytes().all(|b| b.is_ascii_digit()).then(|| s.parse::<i8>().ok())?;
+    let (hour, minute) = text
+        .split_once(':')
+        .filter(|(h, m)| h.len() == 2 && m.len() == 2)?;
+    let digits = |s: &str| {
+        s.bytes()
+            .all(|b| b.is_ascii_digit())
+            .then(|| s.parse::<i8>().ok())?
+    };
     Time::new(digits(hour)?, digits(minute)?, 0, 0).ok()
 }
 
@@ -33,7 +39,10 @@
 
 /// Whether no clock of the zone ever shows this.
 pub(crate) fn is_skipped(zone: &TimeZone, at: DateTime) -> bool {
-    matches!(zone.to_ambiguous_timestamp(at).offset(), AmbiguousOffset::Gap { .. })
+    matches!(
+        zone.to_ambiguous_timestamp(at).offset(),
+        AmbiguousOffset::Gap { .. }
+    )
 }
 
 /// The first moment at which the zone's clock has reached this, in milliseconds.
@@ -42,7 +51,10 @@
     if let AmbiguousOffset::Gap { .. } = ambiguous.offset() {
         // The clock passes it by: at the change that lies between the two readings.
         let before = ambiguous.earlier().ok()?;
-        return zone.following(before).next().map(|t| t.timestamp().as_millisecond());
+        return zone
+            .following(before)
+            .next()
+            .map(|t| t.timestamp().as_millisecond());
     }
     Some(ambiguous.earlier().ok()?.as_millisecond())
 }
--- a/crates/hours/tests/calendars.rs
+++ b/crates/hours/tests/calendars.rs
@@ -8,16 +8,30 @@
 const MINUTE: i64 = 60_000;
 
 fn ms(text: &str) -> u64 {
-    text.parse::<Timestamp>().expect("a moment").as_millisecond() as u64
+    text.parse::<Timestamp>()
+        .expect("a moment")
+        .as_millisecond() as u64
 }
 
 fn studio(zone: &str) -> Studio {
-    Studio { name: "s".into(), teams: vec!["t".into()], node: None, zone: zone.into(), notice_min: 0 }
+    Studio {
+        name: "s".into(),
+        teams: vec!["t".into()],
+        node: None,
+        zone: zone.into(),
+        notice_min: 0,
+    }
 }
 
 fn release(at: &[&str], days: &[&str]) -> Release {
     let all = |list: &[&str]| list.iter().map(|s| (*s).to_owned()).collect();
-    Release { studio: "s".into(), class: None, at: all(at), days: all(days), notice_min: None }
+    Release {
+        studio: "s".into(),
+        class: None,
+        at: all(at),
+        days: all(days),
+        notice_min: None,
+    }
 }
 
 fn build(spec: &Spec) -> Calendar {
@@ -29,8 +43,14 @@
         Ok(parsed) => parsed,
         Err(faults) => return faults.iter().map(ToString::to_string).collect(),
     };
-    let faults = Calendar::build(&parsed.spec, around).err().unwrap_or_default();
-    parsed.locate(faults).iter().map(ToString::to_string).collect()
+    let faults = Calendar::build(&parsed.spec, around)
+        .err()
+        .unwrap_or_default();
+    parsed
+        .locate(faults)
+        .iter()
+        .map(ToString::to_string)
+        .collect()
 }
 
 /// The reference walks the studio's clock minute by minute: an hour is due when the clock, never counted back, first
@@ -63,7 +83,9 @@
 
     fn is_reached(&self, before: DateTime, now: DateTime) -> bool {
         let days = [before.date(), now.date()];
-        let between = days[0].series(jiff::Span::new().days(1)).take_while(|d| *d <= days[1]);
+        let between = days[0]
+            .series(jiff::Span::new().days(1))
+            .take_while(|d| *d <= days[1]);
         between.into_iter().any(|day| {
             (self.hours)(day).iter().any(|h| {
                 let at = format!("{day}T{h}").parse::<DateTime>().expect("an hour");
@@ -89,17 +111,30 @@
         "UTC",
     ];
     // Clocks forward, back, and a day that one zone never had.
-    let around = ["2026-03-29", "2026-10-25", "2026-04-05", "2026-10-04", "2011-12-30", "2026-12-31"];
+    let around = [
+        "2026-03-29",
+        "2026-10-25",
+        "2026-04-05",
+        "2026-10-04",
+        "2011-12-30",
+        "2026-12-31",
+    ];
     let names = ["mon", "tue", "wed", "thu", "fri", "sat", "sun"];
     let mut none = 0;
     for case in 0..150 {
         let zone = zones[rng.usize(0..zones.len())];
         let day: Date = around[rng.usize(0..around.len())].parse().expect("a date");
         let near = |rng: &mut fastrand::Rng| {
-            day.checked_add(jiff::Span::new().days(rng.i64(-3..4))).expect("in range")
+            day.checked_add(jiff::Span::new().days(rng.i64(-3..4)))
+                .expect("in range")
+        };
+        let hour = |rng: &mut fastrand::Rng| {
+            format!(
+                "{:02}:{:02}",
+                rng.u8(0..5) * rng.u8(1..6) % 24,
+                rng.u8(0..60)
+            )
         };
-        let hour =
-            |rng: &mut fastrand::Rng| format!("{:02}:{:02}", rng.u8(0..5) * rng.u8(1..6) % 24, rng.u8(0..60));
         let hours = |rng: &mut fastrand::Rng, n| {
             let all: std::collections::BTreeSet<String> = (0..n).map(|_| hour(rng)).collect();
             all.into_iter().collect::<Vec<_>>()
@@ -112,9 +147,18 @@
         let instead = hours(&mut rng, n);
         let notice = rng.u32(0..3) * 45;
         let spec = Spec {
-            studios: vec![Studio { notice_min: notice, ..studio(zone) }],
-            releases: vec![Release { at: at.clone(), ..release(&[], &days) }],
-            holidays: vec![Holiday { studio: None, dates: vec![holiday.to_string()] }],
+            studios: vec![Studio {
+                notice_min: notice,
+                ..studio(zone)
+            }],
+            releases: vec![Release {
+                at: at.clone(),
+                ..release(&[], &days)
+            }],
+            holidays: vec![Holiday {
+                studio: None,
+                dates: vec![holiday.to_string()],
+            }],
             exceptions: vec![Exception {
                 studio: "s".into(),
                 class: None,
@@ -135,18 +179,32 @@
             }
         };
         let tz = TimeZoneDatabase::bundled().get(zone).expect("known");
-        let walk = Walk { zone: &tz, hours: &of_day };
+        let walk = Walk {
+            zone: &tz,
+            hours: &of_day,
+        };
         for _ in 0..3 {
-            let accepted = ms(&format!("{}T00:00:00Z", near(&mut rng))) as i64 + rng.i64(0..86_400_000);
+            let accepted =
+                ms(&format!("{}T00:00:00Z", near(&mut rng))) as i64 + rng.i64(0..86_400_000);
             let expected = walk.due(accepted + i64::from(notice) * MINUTE);
-            let due = calendar.due("t", "any", "job", accepted as u64).map(|d| d.at_ms as i64);
+            let due = calendar
+                .due("t", "any", "job", accepted as u64)
+                .map(|d| d.at_ms as i64);
             none += usize::from(expected.is_none());
             if expected.is_some() {
-                assert_eq!(due, expected, "case {case}: {zone} {at:?} {days:?} accepted {accepted}");
+                assert_eq!(
+                    due, expected,
+                    "case {case}: {zone} {at:?} {days:?} accepted {accepted}"
+                );
             }
             // An hour stays the same for whoever is accepted at it, and is never before it.
             if let Some(due) = due.filter(|_| notice == 0) {
-                assert_eq!(calendar.due("t", "any", "job", due as u64).map(|d| d.at_ms as i64), Some(due));
+                assert_eq!(
+                    calendar
+                        .due("t", "any", "job", due as u64)
+                        .map(|d| d.at_ms as i64),
+                    Some(due)
+                );
             }
         }
     }
@@ -177,9 +235,21 @@
         ..Spec::default()
     });
     let due = |at: &str| calendar.due("t", "c", "j", ms(at)).map(|d| d.at_ms);
-    assert_eq!(due("2026-03-28T22:00:00Z"), Some(ms("2026-03-29T01:00:00Z")), "skipped at two");
-    assert_eq!(due("2026-10-24T22:00:00Z"), Some(ms("2026-10-25T00:30:00Z")), "the first of two");
-    assert_eq!(due("2026-10-25T00:31:00Z"), Some(ms("2026-10-26T01:30:00Z")), "never the second");
+    assert_eq!(
+        due("2026-03-28T22:00:00Z"),
+        Some(ms("2026-03-29T01:00:00Z")),
+        "skipped at two"
+    );
+    assert_eq!(
+        due("2026-10-24T22:00:00Z"),
+        Some(ms("2026-10-25T00:30:00Z")),
+        "the first of two"
+    );
+    assert_eq!(
+        due("2026-10-25T00:31:00Z"),
+        Some(ms("2026-10-26T01:30:00Z")),
+        "never the second"
+    );
 }
 
 /// A job's own agreement stands before its studio's hours, even if it is past; a class before any class; a named team
@@ -205,13 +275,24 @@
         name: name.into(),
         path: path.iter().map(|n| (*n).to_owned()).collect(),
     };
-    let teams =
-        vec![at("t", &["house", "desk"]), at("u", &["house", "desk"]), at("v", &["house"]), at("w", &[])];
-    let around = Around { teams: Some(teams), nodes: ["house", "desk"].map(str::to_owned).into() };
+    let teams = vec![
+        at("t", &["house", "desk"]),
+        at("u", &["house", "desk"]),
+        at("v", &["house"]),
+        at("w", &[]),
+    ];
+    let around = Around {
+        teams: Some(teams),
+        nodes: ["house", "desk"].map(str::to_owned).into(),
+    };
     let spec = file::parse(text).expect("read").spec;
-    let calendar = Calendar::build(&spec, &around).map_err(|f| f[0].to_string()).expect("good");
+    let calendar = Calendar::build(&spec, &around)
+        .map_err(|f| f[0].to_string())
+        .expect("good");
     let hour = |team: &str, class: &str, job: &str, at: &str| {
-        calendar.due(team, class, job, ms(at)).map(|d| (calendar.local("s", d.at_ms), d.agreed))
+        calendar
+            .due(team, class, job, ms(at))
+            .map(|d| (calendar.local("s", d.at_ms), d.agreed))
     };
     let at = |hour: &str| Some((format!("2026-12-02T{hour}:00+00:00"), false));
     let early = "2026-12-02T01:00:00Z";
@@ -219,20 +300,32 @@
     assert_eq!(hour("t", "trailer", "j", early), at("08:00"));
     assert_eq!(hour("u", "x", "j", early), at("10:00"));
     assert_eq!(hour("v", "x", "j", early), at("09:00"));
-    assert_eq!(hour("v", "trailer", "j", "2026-12-02T09:00:00Z"), at("09:30"), "its own notice");
+    assert_eq!(
+        hour("v", "trailer", "j", "2026-12-02T09:00:00Z"),
+        at("09:30"),
+        "its own notice"
+    );
     assert_eq!(
         hour("v", "x", "j", "2026-12-02T08:30:00Z").map(|d| d.0[..10].to_owned()),
         Some("2026-12-03".into())
     );
     assert_eq!(hour("w", "x", "j", early), None);
-    assert_eq!(hour("w", "x", "job-1", early), Some(("2020-01-01T00:00:00+00:00".into(), true)));
+    assert_eq!(
+        hour("w", "x", "job-1", early),
+        Some(("2020-01-01T00:00:00+00:00".into(), true))
+    );
 }
 
 /// What is wrong is told with line, entry and field.
 #[test]
 fn bad_calendars_are_refused_by_line_and_field() {
-    let known =
-        Around { teams: Some(vec![TeamAt { name: "t".into(), path: vec![] }]), nodes: Default::default() };
+    let known = Around {
+        teams: Some(vec![TeamAt {
+            name: "t".into(),
+            path: vec![],
+        }]),
+        nodes: Default::default(),
+    };
     let studio = "[[studio]]\nname = \"s\"\nteams = [\"t\"]\nzone = \"Europe/Paris\"\n";
     for (text, expected) in [
         (
@@ -247,12 +340,18 @@
             "[[studio]]\nname = \"s\"\nzone = \"UTC\"\nnode = \"n\"",
             "line 1: studio \"s\".node: \"n\" is no node",
         ),
-        ("[[studio]]\nname = \"s\"\nzone = \"UTC\"\ncolour = 1", "line 4: file: unknown field `colour`"),
+        (
+            "[[studio]]\nname = \"s\"\nzone = \"UTC\"\ncolour = 1",
+            "line 4: file: unknown field `colour`",
+        ),
         (
             "[[studio]]\nname = \"s\"\nzone = \"UTC\"\nnotice_min = 99999",
             "line 1: studio \"s\".notice_min: must be",
         ),
-        ("STUDIO[[studio]]\nname = \"s\"\nzone = \"UTC\"", "line 5: studio \"s\".name: is named twice"),
+        (
+            "STUDIO[[studio]]\nname = \"s\"\nzone = \"UTC\"",
+            "line 5: studio \"s\".name: is named twice",
+        ),
         (
             "STUDIO[[release]]\nstudio = \"s\"\nat = [\"24:00\"]",
             "line 5: release \"s\".at: \"24:00\" is no time",
@@ -261,8 +360,14 @@
             "STUDIO[[release]]\nstudio = \"s\"\nat = [\"7:00\"]",
             "line 5: release \"s\".at: \"7:00\" is no time",
         ),
-        ("STUDIO[[release]]\nstudio = \"s\"\nat = []", "line 5: release \"s\".at: must have"),
-        ("STUDIO[[release]]\nstudio = \"x\"\nat = [\"07:00\"]", "line 5: release \"x\".studio: is no studio"),
+        (
+            "STUDIO[[release]]\nstudio = \"s\"\nat = []",
+            "line 5: release \"s\".at: must have",
+        ),
+        (
+            "STUDIO[[release]]\nstudio = \"x\"\nat = [\"07:00\"]",
+            "line 5: release \"x\".studio: is no studio",
+        ),
         (
             "STUDIO[[release]]\nstudio = \"s\"\nat = [\"07:00\"]\ndays = [\"monday\"]",
             "release \"s\".days: \"monday\"",
@@ -300,8 +405,17 @@
         job: format!("j{i}"),
         at: "2026-12-02T07:00".into(),
     });
-    let spec = Spec { studios: vec![self::studio("UTC")], agreements: many.collect(), ..Spec::default() };
-    assert_eq!(Calendar::build(&spec, &known).err().map(|f| f[0].path.clone()), Some("agreement".into()));
+    let spec = Spec {
+        studios: vec![self::studio("UTC")],
+        agreements: many.collect(),
+        ..Spec::default()
+    };
+    assert_eq!(
+        Calendar::build(&spec, &known)
+            .err()
+            .map(|f| f[0].path.clone()),
+        Some("agreement".into())
+    );
 }
 
 /// Records hold any calendar, in parts; what differs is told by entry.
@@ -309,16 +423,29 @@
 fn parts_make_the_calendar_again() {
     use document::Content;
     let spec = Spec {
-        studios: (0..40).map(|i| Studio { name: format!("s{i}"), ..studio("UTC") }).collect(),
+        studios: (0..40)
+            .map(|i| Studio {
+                name: format!("s{i}"),
+                ..studio("UTC")
+            })
+            .collect(),
         releases: vec![release(&["07:00"], &["mon"])],
-        holidays: vec![Holiday { studio: None, dates: vec!["2026-12-25".into()] }],
+        holidays: vec![Holiday {
+            studio: None,
+            dates: vec!["2026-12-25".into()],
+        }],
         ..Spec::default()
     };
     let parts = document::split(&spec, 500).expect("each entry fits");
     assert!(parts.len() > 4 && parts.iter().all(|(_, p)| document::text(p).len() <= 500));
-    let head =
-        document::Head { parts: parts.iter().map(|(name, _)| name.clone()).collect(), ..Default::default() };
-    assert_eq!(document::join::<Spec>(&head, &parts.into_iter().collect()), Ok(spec.clone()));
+    let head = document::Head {
+        parts: parts.iter().map(|(name, _)| name.clone()).collect(),
+        ..Default::default()
+    };
+    assert_eq!(
+        document::join::<Spec>(&head, &parts.into_iter().collect()),
+        Ok(spec.clone())
+    );
     let text = document::file::render(&spec).expect("written");
     assert_eq!(file::parse(&text).expect("read").spec, spec);
     let mut other = spec.clone();
--- a/crates/model/src/file.rs
+++ b/crates/model/src/file.rs
@@ -21,7 +21,9 @@
 impl file::Raw for Raw {
     type Spec = Spec;
     fn spec(self, lines: &mut Lines) -> Spec {
-        Spec { rules: lines.list(MODEL, self.model) }
+        Spec {
+            rules: lines.list(MODEL, self.model),
+        }
     }
 }
 
--- a/crates/model/src/rec.rs
+++ b/crates/model/src/rec.rs
@@ -97,7 +97,9 @@
     /// Replicas that may be there of a job of so many tasks.
     pub fn replicas(&self, rule: &Rule, tasks: u32) -> u32 {
         match self.phase {
-            Phase::Waking | Phase::Awake => self.wanted.min(rule.awake(tasks)).max(rule.resting(tasks)),
+            Phase::Waking | Phase::Awake => {
+                self.wanted.min(rule.awake(tasks)).max(rule.resting(tasks))
+            }
             Phase::Asleep | Phase::Leaving => rule.resting(tasks),
         }
     }
@@ -125,23 +127,48 @@
     }
 
     /// What the owner has to write next, if anything.
-    pub fn next(&self, rule: &Rule, tasks: u32, node: &str, now_ms: u64, seen: &Seen) -> Option<Rec> {
+    pub fn next(
+        &self,
+        rule: &Rule,
+        tasks: u32,
+        node: &str,
+        now_ms: u64,
+        seen: &Seen,
+    ) -> Option<Rec> {
         let rests = rule.resting(tasks);
         let spent = now_ms.saturating_sub(self.since_ms);
         let to = |phase: Phase| {
             let mut near = seen.near.clone();
             near.truncate(MAX_NEAR);
-            let near = if near.is_empty() { self.near.clone() } else { near };
-            Rec { phase, since_ms: now_ms, by: node.to_owned(), near, ..self.clone() }
+            let near = if near.is_empty() {
+                self.near.clone()
+            } else {
+                near
+            };
+            Rec {
+                phase,
+                since_ms: now_ms,
+                by: node.to_owned(),
+                near,
+                ..self.clone()
+            }
         };
         match self.phase {
-            Phase::Waking if seen.running > 0 => {
-                Some(Rec { failed: 0, not_before_ms: 0, ..to(Phase::Awake) })
-            }
+            Phase::Waking if seen.running > 0 => Some(Rec {
+                failed: 0,
+                not_before_ms: 0,
+                ..to(Phase::Awake)
+            }),
             Phase::Waking if spent as f64 >= rule.give_up_s * 1000.0 => {
                 let failed = self.failed.saturating_add(1);
-                let wait = BACKOFF_MS.saturating_mul(1 << failed.min(16)).min(MOST_BACKOFF_MS);
-                Some(Rec { failed, not_before_ms: now_ms + wait, ..to(Phase::Leaving) })
+                let wait = BACKOFF_MS
+                    .saturating_mul(1 << failed.min(16))
+                    .min(MOST_BACKOFF_MS);
+                Some(Rec {
+                    failed,
+                    not_before_ms: now_ms + wait,
+                    ..to(Phase::Leaving)
+                })
             }
             Phase::Awake if rests < self.wanted => {
                 let unsaid = now_ms.saturating_sub(self.asked_ms);
--- a/crates/model/src/rules.rs
+++ b/crates/model/src/rules.rs
@@ -34,14 +34,24 @@
         return Asked::Follow;
     }
     if now_ms < rec.not_before_ms {
-        return Asked::NotNow { why: Why::Backoff { failed: rec.failed }, until_ms: rec.not_before_ms };
+        return Asked::NotNow {
+            why: Why::Backoff { failed: rec.failed },
+            until_ms: rec.not_before_ms,
+        };
     }
     let period = (rule.period_s * 1000.0) as u64;
-    let recent: Vec<u64> =
-        rec.wakes.iter().copied().filter(|at| at.saturating_add(period) > now_ms).collect();
+    let recent: Vec<u64> = rec
+        .wakes
+        .iter()
+        .copied()
+        .filter(|at| at.saturating_add(period) > now_ms)
+        .collect();
     if recent.len() >= rule.wakes as usize {
         let over = recent.len() - rule.wakes as usize;
-        return Asked::NotNow { why: Why::TooOften, until_ms: recent[over] + period };
+        return Asked::NotNow {
+            why: Why::TooOften,
+            until_ms: recent[over] + period,
+        };
     }
     Asked::Wake(Box::new(rec.woken(rule, tasks, node, now_ms)))
 }
@@ -50,7 +60,10 @@
     /// Demand for a model that is up, where the owner can't be told of it: the record says so, and a sleep that was
     /// decided without it fails on its guard.
     pub fn touched(&self, now_ms: u64) -> Option<Rec> {
-        (self.phase == Phase::Awake).then(|| Rec { asked_ms: now_ms, ..self.clone() })
+        (self.phase == Phase::Awake).then(|| Rec {
+            asked_ms: now_ms,
+            ..self.clone()
+        })
     }
 }
 
--- a/crates/model/src/spec.rs
+++ b/crates/model/src/spec.rs
@@ -123,13 +123,18 @@
             let what = format!("{} rules; at most {MAX_RULES}", self.rules.len());
             return Err(vec![Fault::whole(MODEL, what)]);
         }
-        let teams: Option<BTreeSet<&str>> = teams.map(|all| all.iter().map(String::as_str).collect());
+        let teams: Option<BTreeSet<&str>> =
+            teams.map(|all| all.iter().map(String::as_str).collect());
         let mut names: BTreeMap<&str, usize> = BTreeMap::new();
         let mut ids: BTreeMap<&str, usize> = BTreeMap::new();
         for (i, rule) in self.rules.iter().enumerate() {
             let mut fault = |field: &str, what: String| {
                 let name: String = rule.name.chars().take(MAX_NAME).collect();
-                faults.add(Place::entry(MODEL, i), format!("{MODEL} {name:?}.{field}"), what);
+                faults.add(
+                    Place::entry(MODEL, i),
+                    format!("{MODEL} {name:?}.{field}"),
+                    what,
+                );
             };
             rule.check(teams.as_ref(), &mut fault);
             if names.insert(&rule.name, i).is_some() {
@@ -142,7 +147,13 @@
                 }
             }
             if let Some(other) = self.rules[..i].iter().find(|r| r.hides(rule)) {
-                fault("class", format!("never used: whatever fits it belongs to {:?} before it", other.name));
+                fault(
+                    "class",
+                    format!(
+                        "never used: whatever fits it belongs to {:?} before it",
+                        other.name
+                    ),
+                );
             }
         }
         faults.or(())
@@ -158,7 +169,9 @@
     type Built = Spec;
 
     fn pack(&self, into: &mut Packer<Spec>) {
-        self.rules.iter().for_each(|r| into.push(r, |part| part.rules.push(r.clone())));
+        self.rules
+            .iter()
+            .for_each(|r| into.push(r, |part| part.rules.push(r.clone())));
     }
     fn unpack(&mut self, part: &Spec) {
         self.rules.extend(part.rules.iter().cloned());
@@ -167,8 +180,12 @@
         self.check(teams.as_deref()).map(|()| self.clone())
     }
     fn differences(old: &Spec, new: &Spec, most: usize) -> Vec<String> {
-        let by_name =
-            |s: &Spec| s.rules.iter().map(|r| (r.name.clone(), r.clone())).collect::<BTreeMap<_, _>>();
+        let by_name = |s: &Spec| {
+            s.rules
+                .iter()
+                .map(|r| (r.name.clone(), r.clone()))
+                .collect::<BTreeMap<_, _>>()
+        };
         let (before, after) = (by_name(old), by_name(new));
         let mut out = Vec::new();
         for name in before.keys().chain(after.keys()).collect::<BTreeSet<_>>() {
@@ -191,27 +208,46 @@
             (Some(team), Some(teams)) => teams.contains(team),
             _ => true,
         };
-        Spec { rules: self.rules.iter().filter(here).cloned().collect() }
+        Spec {
+            rules: self.rules.iter().filter(here).cloned().collect(),
+        }
     }
 }
 
 impl Rule {
     fn check(&self, teams: Option<&BTreeSet<&str>>, fault: &mut impl FnMut(&str, String)) {
-        let name_ok = |s: &str| !s.is_empty() && s.len() <= MAX_NAME && !s.chars().any(char::is_control);
+        let name_ok =
+            |s: &str| !s.is_empty() && s.len() <= MAX_NAME && !s.chars().any(char::is_control);
         if !name_ok(&self.name) {
-            fault("name", format!("1 to {MAX_NAME} bytes, no control characters"));
+            fault(
+                "name",
+                format!("1 to {MAX_NAME} bytes, no control characters"),
+            );
         }
         if self.class.as_deref().is_some_and(|c| !name_ok(c)) {
-            fault("class", format!("1 to {MAX_NAME} bytes, no control characters"));
+            fault(
+                "class",
+                format!("1 to {MAX_NAME} bytes, no control characters"),
+            );
         }
-        if let Some(team) = self.team.as_deref().filter(|t| teams.is_some_and(|all| !all.contains(t))) {
+        if let Some(team) = self
+            .team
+            .as_deref()
+            .filter(|t| teams.is_some_and(|all| !all.contains(t)))
+        {
             fault("team", format!("no team {team:?} in the settings"));
         }
         if self.class.is_none() && self.team.is_none() && self.jobs.is_empty() {
-            fault("class", "a class, a team or jobs: otherwise every standing job would be a model".into());
+            fault(
+                "class",
+                "a class, a team or jobs: otherwise every standing job would be a model".into(),
+            );
         }
         if self.jobs.len() > MAX_JOBS {
-            fault("jobs", format!("{} ids; at most {MAX_JOBS}", self.jobs.len()));
+            fault(
+                "jobs",
+                format!("{} ids; at most {MAX_JOBS}", self.jobs.len()),
+            );
         }
         if let Some(id) = self.jobs.iter().find(|j| !name_ok(j)) {
             fault("jobs", format!("{id:?} is no id"));
@@ -221,7 +257,10 @@
             fault("most", format!("1 to {MAX_REPLICAS}"));
         }
         if self.least > most {
-            fault("least", format!("{} is more than the most, {most}", self.least));
+            fault(
+                "least",
+                format!("{} is more than the most, {most}", self.least),
+            );
         }
         if self.wakes == 0 || self.wakes > MAX_WAKES {
             fault("wakes", format!("1 to {MAX_WAKES}"));
--- a/crates/model/tests/rules.rs
+++ b/crates/model/tests/rules.rs
@@ -25,28 +25,68 @@
     assert_eq!(parsed.spec.check(Some(&["assistants".to_owned()])), Ok(()));
     let whole = |text: &str| {
         let parsed = file::parse(text).expect("readable");
-        let faults = parsed.spec.check(Some(&["assistants".to_owned()])).err().unwrap_or_default();
-        parsed.locate(faults).iter().map(|f| f.to_string()).collect::<Vec<_>>()
+        let faults = parsed
+            .spec
+            .check(Some(&["assistants".to_owned()]))
+            .err()
+            .unwrap_or_default();
+        parsed
+            .locate(faults)
+            .iter()
+            .map(|f| f.to_string())
+            .collect::<Vec<_>>()
     };
     let with = |from: &str, to: &str| whole(&DOC.replace(from, to)).join("; ");
     let cases = [
-        ("\"assistants\"", "\"strangers\"", "line 2: model \"chat\".team: no team \"strangers\""),
-        ("least = 1", "least = 2\nmost = 1", "line 11: model \"one\".least: 2 is more than the most, 1"),
+        (
+            "\"assistants\"",
+            "\"strangers\"",
+            "line 2: model \"chat\".team: no team \"strangers\"",
+        ),
+        (
+            "least = 1",
+            "least = 2\nmost = 1",
+            "line 11: model \"one\".least: 2 is more than the most, 1",
+        ),
         ("most = 2", "most = 0", "model \"chat\".most"),
         ("wakes = 2", "wakes = 99", "model \"chat\".wakes"),
-        ("idle_s = 60\nwakes", "idle_s = 0\nwakes", "model \"chat\".idle_s"),
-        ("idle_s = 60\nwakes", "idle_s = nan\nwakes", "model \"chat\".idle_s"),
+        (
+            "idle_s = 60\nwakes",
+            "idle_s = 0\nwakes",
+            "model \"chat\".idle_s",
+        ),
+        (
+            "idle_s = 60\nwakes",
+            "idle_s = nan\nwakes",
+            "model \"chat\".idle_s",
+        ),
         ("\"one\"", "\"chat\"", "another rule has this name"),
-        ("jobs = [\"job-000001\"]", "class = \"serve\"\nteam = \"assistants\"", "never used"),
-        ("jobs = [\"job-000001\"]", "jobs = [\"job-1\", \"job-1\"]", "is named already"),
-        ("jobs = [\"job-000001\"]", "", "every standing job would be a model"),
+        (
+            "jobs = [\"job-000001\"]",
+            "class = \"serve\"\nteam = \"assistants\"",
+            "never used",
+        ),
+        (
+            "jobs = [\"job-000001\"]",
+            "jobs = [\"job-1\", \"job-1\"]",
+            "is named already",
+        ),
+        (
+            "jobs = [\"job-000001\"]",
+            "",
+            "every standing job would be a model",
+        ),
     ];
     for (from, to, says) in cases {
         let faults = with(from, to);
         assert!(faults.contains(says), "{to}: {faults}");
     }
-    let unknown = file::parse(&DOC.replace("most = 2", "mots = 2")).expect_err("a field that there is not");
-    assert!(unknown[0].line == Some(6) && unknown[0].what.contains("mots"), "{unknown:?}");
+    let unknown =
+        file::parse(&DOC.replace("most = 2", "mots = 2")).expect_err("a field that there is not");
+    assert!(
+        unknown[0].line == Some(6) && unknown[0].what.contains("mots"),
+        "{unknown:?}"
+    );
 }
 
 fn wake(rec: &Rec, rule: &Rule, now_ms: u64) -> Rec {
@@ -58,7 +98,18 @@
 
 fn next(rec: &Rec, rule: &Rule, now_ms: u64, seen: (u32, u32, u64)) -> Option<Rec> {
     let (claimed, running, quiet_ms) = seen;
-    rec.next(rule, 4, "n", now_ms, &Seen { claimed, running, quiet_ms, near: vec!["m".into(); 20] })
+    rec.next(
+        rule,
+        4,
+        "n",
+        now_ms,
+        &Seen {
+            claimed,
+            running,
+            quiet_ms,
+            near: vec!["m".into(); 20],
+        },
+    )
 }
 
 /// A day of a model: woken, idle, asleep, woken as often as it may be, and no more until the period is over.
@@ -66,32 +117,57 @@
 fn a_model_wakes_as_often_as_it_may() {
     let rule = file::parse(DOC).expect("readable").spec.rules.remove(0);
     let mut rec = wake(&Rec::new(), &rule, 1000);
-    assert_eq!((rec.phase, rec.generation, rec.replicas(&rule, 4)), (Phase::Waking, 1, 2));
+    assert_eq!(
+        (rec.phase, rec.generation, rec.replicas(&rule, 4)),
+        (Phase::Waking, 1, 2)
+    );
     assert_eq!(asked(&rec, &rule, 4, "n", 1001), Asked::Follow);
     assert_eq!(next(&rec, &rule, 2000, (1, 0, 0)), None);
     rec = next(&rec, &rule, 3000, (2, 1, 0)).expect("a replica runs");
     assert_eq!((rec.phase, rec.near.len()), (Phase::Awake, 8));
     // Quiet for long before it was awake counts no more than the time that it has been.
     assert_eq!(next(&rec, &rule, 4000, (2, 2, 500_000)), None);
-    assert_eq!(next(&rec, &rule, 100_000, (2, 2, 74_000)), None, "nodes say it again within a quarter");
+    assert_eq!(
+        next(&rec, &rule, 100_000, (2, 2, 74_000)),
+        None,
+        "nodes say it again within a quarter"
+    );
     let touched = rec.touched(90_000).expect("awake");
-    assert_eq!(next(&touched, &rule, 100_000, (2, 2, 90_000)), None, "what the owner could not be told");
+    assert_eq!(
+        next(&touched, &rule, 100_000, (2, 2, 90_000)),
+        None,
+        "what the owner could not be told"
+    );
     rec = next(&rec, &rule, 100_000, (2, 2, 75_000)).expect("idle");
     assert_eq!((rec.phase, rec.replicas(&rule, 4)), (Phase::Leaving, 0));
-    assert_eq!(next(&rec, &rule, 100_001, (1, 0, 0)), None, "one may still be there");
+    assert_eq!(
+        next(&rec, &rule, 100_001, (1, 0, 0)),
+        None,
+        "one may still be there"
+    );
     rec = next(&rec, &rule, 101_000, (0, 0, 0)).expect("proved gone");
     assert_eq!(rec.phase, Phase::Asleep);
     rec = wake(&rec, &rule, 102_000);
     assert_eq!((rec.generation, rec.wakes.len()), (2, 2));
-    rec = Rec { phase: Phase::Asleep, ..rec };
-    let until = Asked::NotNow { why: Why::TooOften, until_ms: 601_000 };
+    rec = Rec {
+        phase: Phase::Asleep,
+        ..rec
+    };
+    let until = Asked::NotNow {
+        why: Why::TooOften,
+        until_ms: 601_000,
+    };
     assert_eq!(asked(&rec, &rule, 4, "n", 103_000), until);
     assert_eq!(wake(&rec, &rule, 601_000).wakes, [102_000, 601_000]);
 }
 
 #[test]
 fn a_model_that_never_comes_up_is_tried_less_and_less() {
-    let rule = Rule { give_up_s: 100.0, period_s: 1.0, ..Rule::new("m", 60.0) };
+    let rule = Rule {
+        give_up_s: 100.0,
+        period_s: 1.0,
+        ..Rule::new("m", 60.0)
+    };
     let (mut rec, mut now, mut waits) = (Rec::new(), 0, Vec::new());
     for _ in 0..4 {
         rec = wake(&rec, &rule, now);
@@ -99,7 +175,13 @@
         now += 100_000;
         rec = next(&rec, &rule, now, (4, 0, 0)).expect("given up");
         rec = next(&rec, &rule, now, (0, 0, 0)).expect("gone");
-        assert!(matches!(asked(&rec, &rule, 4, "n", now), Asked::NotNow { why: Why::Backoff { .. }, .. }));
+        assert!(matches!(
+            asked(&rec, &rule, 4, "n", now),
+            Asked::NotNow {
+                why: Why::Backoff { .. },
+                ..
+            }
+        ));
         waits.push(rec.not_before_ms - now);
         now = rec.not_before_ms;
     }
@@ -110,15 +192,29 @@
 
 #[test]
 fn a_model_that_keeps_some_is_at_rest_with_them() {
-    let rule = Rule { least: 1, ..Rule::new("m", 60.0) };
-    let rec = Rec { phase: Phase::Leaving, wanted: 4, ..Rec::new() };
+    let rule = Rule {
+        least: 1,
+        ..Rule::new("m", 60.0)
+    };
+    let rec = Rec {
+        phase: Phase::Leaving,
+        wanted: 4,
+        ..Rec::new()
+    };
     assert_eq!(rec.replicas(&rule, 4), 1);
     assert_eq!(next(&rec, &rule, 1000, (2, 1, 0)), None);
-    assert_eq!(next(&rec, &rule, 1000, (1, 1, 0)).map(|r| r.phase), Some(Phase::Asleep));
+    assert_eq!(
+        next(&rec, &rule, 1000, (1, 1, 0)).map(|r| r.phase),
+        Some(Phase::Asleep)
+    );
 }
 
 #[test]
 fn the_example_is_accepted() {
-    let parsed = file::parse(include_str!("../../../deploy/models-example.toml")).expect("readable");
-    assert_eq!((parsed.spec.check(None), parsed.spec.rules.len()), (Ok(()), 2));
+    let parsed =
+        file::parse(include_str!("../../../deploy/models-example.toml")).expect("readable");
+    assert_eq!(
+        (parsed.spec.check(None), parsed.spec.rules.len()),
+        (Ok(()), 2)
+    );
 }
--- a/crates/model/tests/search.rs
+++ b/crates/model/tests/search.rs
@@ -46,7 +46,10 @@
 impl Stored {
     fn of(rec: &Rec) -> Self {
         let phase = PHASES.iter().position(|p| *p == rec.phase).unwrap_or(0);
-        Stored { phase: phase as u8, generation: rec.generation as u8 }
+        Stored {
+            phase: phase as u8,
+            generation: rec.generation as u8,
+        }
     }
     fn rec(self) -> Rec {
         let phase = PHASES[self.phase as usize];
@@ -169,16 +172,25 @@
             out.push(with(&|w| {
                 w.token += 1;
                 // A new owner reads the record before its first start.
-                w.nodes[n] = Node { read: Some((w.rec, w.stamp)), term: Some(w.token) };
+                w.nodes[n] = Node {
+                    read: Some((w.rec, w.stamp)),
+                    term: Some(w.token),
+                };
             }));
         }
-        let Some((read, stamp)) = node.read else { return };
+        let Some((read, stamp)) = node.read else {
+            return;
+        };
         let rec = read.rec();
         if (read.generation as usize) < GENERATIONS
             && room
             && let Asked::Wake(woken) = asked(&rec, rule, TASKS, "n", NOW)
         {
-            out.push(self.clone().send(Txn { stamp, token: None, rec: Stored::of(&woken) }));
+            out.push(self.clone().send(Txn {
+                stamp,
+                token: None,
+                rec: Stored::of(&woken),
+            }));
         }
         let Some(term) = node.term else { return };
         let owns = term == self.token || planted == Planted::NoToken;
@@ -202,12 +214,25 @@
                 w.leaving -= 1;
             }));
         }
-        let claimed = if planted == Planted::NoProof { self.claimed - self.leaving } else { self.claimed };
+        let claimed = if planted == Planted::NoProof {
+            self.claimed - self.leaving
+        } else {
+            self.claimed
+        };
         for quiet_ms in [0, NOW] {
             let running = self.claimed - self.leaving;
-            let seen = Seen { claimed, running, quiet_ms, near: Vec::new() };
+            let seen = Seen {
+                claimed,
+                running,
+                quiet_ms,
+                near: Vec::new(),
+            };
             if room && let Some(next) = rec.next(rule, TASKS, "n", NOW, &seen) {
-                out.push(self.clone().send(Txn { stamp, token: Some(term), rec: Stored::of(&next) }));
+                out.push(self.clone().send(Txn {
+                    stamp,
+                    token: Some(term),
+                    rec: Stored::of(&next),
+                }));
             }
         }
     }
@@ -223,14 +248,27 @@
                 return true;
             }
             if let Asked::Wake(next) = asked(&rec, rule, TASKS, "n", NOW) {
-                let txn = Txn { stamp: w.stamp, token: None, rec: Stored::of(&next) };
+                let txn = Txn {
+                    stamp: w.stamp,
+                    token: None,
+                    rec: Stored::of(&next),
+                };
                 w.apply(&txn, Planted::Nothing);
             }
             w.claimed = w.claimed.saturating_sub(w.leaving).max(1);
             w.leaving = 0;
-            let seen = Seen { claimed: w.claimed, running: w.claimed, quiet_ms: 0, near: Vec::new() };
+            let seen = Seen {
+                claimed: w.claimed,
+                running: w.claimed,
+                quiet_ms: 0,
+                near: Vec::new(),
+            };
             if let Some(next) = w.rec.rec().next(rule, TASKS, "n", NOW, &seen) {
-                let txn = Txn { stamp: w.stamp, token: Some(w.token), rec: Stored::of(&next) };
+                let txn = Txn {
+                    stamp: w.stamp,
+                    token: Some(w.token),
+                    rec: Stored::of(&next),
+                };
                 w.apply(&txn, Planted::Nothing);
             }
         }
@@ -241,7 +279,10 @@
 /// All worlds that can be reached, up to a number; the first that breaks a rule.
 fn search(nodes: usize, planted: Planted, most: usize) -> (usize, Option<&'static str>) {
     // Short enough that a sleep, and giving a wake up, may come at any time.
-    let rule = Rule { give_up_s: 50.0, ..Rule::new("m", 1.0) };
+    let rule = Rule {
+        give_up_s: 50.0,
+        ..Rule::new("m", 1.0)
+    };
     let mut seen: HashSet<World> = HashSet::new();
     let mut queue: VecDeque<World> = [World::new(nodes)].into();
     while let Some(mut w) = queue.pop_front() {
@@ -254,7 +295,10 @@
             return (seen.len(), w.broken);
         }
         if !w.comes_up(&rule) {
-            return (seen.len(), Some("a model that is asked for does not come up"));
+            return (
+                seen.len(),
+                Some("a model that is asked for does not come up"),
+            );
         }
         if seen.len() >= most {
             break;
@@ -279,6 +323,9 @@
     for planted in [Planted::NoStamp, Planted::NoToken, Planted::NoProof] {
         let (worlds, broken) = search(2, planted, 400_000);
         println!("{planted:?}: {broken:?} after {worlds} worlds");
-        assert!(broken.is_some(), "{planted:?} was not noticed in {worlds} worlds");
+        assert!(
+            broken.is_some(),
+            "{planted:?} was not noticed in {worlds} worlds"
+        );
     }
 }
--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -9,7 +9,11 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) enum Side {
     Served(Door),
-    Asked { to: SocketAddr, tag: u64, limit: usize },
+    Asked {
+        to: SocketAddr,
+        tag: u64,
+        limit: usize,
+    },
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -147,7 +147,9 @@
     pub fn listen(&mut self, addr: SocketAddr, door: Door) -> io::Result<SocketAddr> {
         let mut listener = TcpListener::bind(addr)?;
         let token = Token(LISTENERS + self.listeners.len());
-        self.poll.registry().register(&mut listener, token, Interest::READABLE)?;
+        self.poll
+            .registry()
+            .register(&mut listener, token, Interest::READABLE)?;
         let bound = listener.local_addr()?;
         self.listeners.push((listener, door));
         Ok(bound)
@@ -160,7 +162,11 @@
 
     /// Waits for at most `timeout` and hands over what has come in.
     pub fn poll(&mut self, timeout: Duration) -> io::Result<Vec<Event>> {
-        let timeout = if self.out.is_empty() { timeout.min(SWEEP) } else { Duration::ZERO };
+        let timeout = if self.out.is_empty() {
+            timeout.min(SWEEP)
+        } else {
+            Duration::ZERO
+        };
         match self.poll.poll(&mut self.events, Some(timeout)) {
             Err(e) if e.kind() != io::ErrorKind::Interrupted => return Err(e),
             _ => {}
@@ -169,7 +175,13 @@
         let ready: Vec<(Token, bool, bool)> = self
             .events
             .iter()
-            .map(|e| (e.token(), e.is_readable() || e.is_read_closed(), e.is_writable()))
+            .map(|e| {
+                (
+                    e.token(),
+                    e.is_readable() || e.is_read_closed(),
+                    e.is_writable(),
+                )
+            })
             .collect();
         for (token, readable, writable) in ready {
             if token == WAKE {
@@ -189,7 +201,9 @@
         if now.duration_since(self.swept) >= SWEEP {
             self.swept = now;
             self.sweep(now);
-            std::mem::take(&mut self.owed).into_iter().for_each(|index| self.accept(index, now));
+            std::mem::take(&mut self.owed)
+                .into_iter()
+                .for_each(|index| self.accept(index, now));
         }
         Ok(std::mem::take(&mut self.out))
     }
@@ -203,7 +217,10 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 // These concern the one connection only.
                 Err(e)
-                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) =>
+                    if matches!(
+                        e.kind(),
+                        io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted
+                    ) =>
                 {
                     continue;
                 }
@@ -226,7 +243,11 @@
             }
             let _ = stream.set_nodelay(true);
             let raw = matches!(door, Door::Raw(_));
-            let mut conn = Conn::new(stream, Side::Served(door), now + if raw { IDLE_RAW } else { IDLE });
+            let mut conn = Conn::new(
+                stream,
+                Side::Served(door),
+                now + if raw { IDLE_RAW } else { IDLE },
+            );
             if raw {
                 conn.phase = Phase::Raw;
             }
@@ -254,19 +275,26 @@
     /// Closes connections to others that nobody uses, the longest unused first.
     fn close_unused(&mut self, most: usize) {
         let unused = self.conns.iter().enumerate().filter_map(|(i, c)| {
-            let c = c.as_ref().filter(|c| matches!(c.side, Side::Asked { .. }) && c.phase == Phase::Idle)?;
+            let c = c
+                .as_ref()
+                .filter(|c| matches!(c.side, Side::Asked { .. }) && c.phase == Phase::Idle)?;
             Some((c.since, i))
         });
         let mut unused: Vec<(Instant, usize)> = unused.collect();
         unused.sort_unstable();
-        unused.into_iter().take(most).for_each(|(_, slot)| self.close(slot));
+        unused
+            .into_iter()
+            .take(most)
+            .for_each(|(_, slot)| self.close(slot));
     }
 
     /// Whoever asks on this connection comes back at his own pace for ever. Where such clients fill their share, the
     /// answer ends the connection, so that they are served all the same and leave room for others in between. One that
     /// has been silent for much longer than its pace has gone, and has come again on another connection.
     pub fn regular(&mut self, id: ConnId, silent: Duration) {
-        let Some(Some(conn)) = self.conns.get_mut(id.slot) else { return };
+        let Some(Some(conn)) = self.conns.get_mut(id.slot) else {
+            return;
+        };
         if conn.generation == id.generation && conn.regular.replace(silent.min(IDLE)).is_none() {
             self.regulars += 1;
         }
@@ -279,7 +307,11 @@
             self.conns.push(None);
             self.conns.len() - 1
         });
-        if let Err(e) = self.poll.registry().register(&mut conn.stream, Token(slot), interest) {
+        if let Err(e) = self
+            .poll
+            .registry()
+            .register(&mut conn.stream, Token(slot), interest)
+        {
             log::warn!("net: can't watch a connection: {e}");
             self.free.push(slot);
             return None;
@@ -292,7 +324,9 @@
 
     /// Closes a connection; whoever waits for an answer on it is told that none came.
     fn close(&mut self, slot: usize) {
-        let Some(mut conn) = self.conns.get_mut(slot).and_then(Option::take) else { return };
+        let Some(mut conn) = self.conns.get_mut(slot).and_then(Option::take) else {
+            return;
+        };
         let _ = self.poll.registry().deregister(&mut conn.stream);
         self.free.push(slot);
         self.open -= 1;
@@ -301,7 +335,10 @@
             Side::Served(door) => {
                 self.served -= 1;
                 if matches!(door, Door::Raw(_)) {
-                    let conn = ConnId { slot, generation: conn.generation };
+                    let conn = ConnId {
+                        slot,
+                        generation: conn.generation,
+                    };
                     self.out.push(Event::Closed { conn });
                 }
             }
@@ -314,7 +351,10 @@
                         }
                     }
                 } else {
-                    self.out.push(Event::Reply { tag, response: None });
+                    self.out.push(Event::Reply {
+                        tag,
+                        response: None,
+                    });
                 }
             }
         }
@@ -322,7 +362,10 @@
 
     fn id(&self, slot: usize) -> Option<ConnId> {
         let conn = self.conns.get(slot)?.as_ref()?;
-        Some(ConnId { slot, generation: conn.generation })
+        Some(ConnId {
+            slot,
+            generation: conn.generation,
+        })
     }
 
     fn raw(&mut self, id: ConnId) -> Option<&mut Conn> {
@@ -353,7 +396,9 @@
     /// Answers a request. An answer for a connection that has gone is dropped.
     pub fn respond(&mut self, id: ConnId, mut response: Response) {
         let now = Instant::now();
-        let Some(Some(conn)) = self.conns.get_mut(id.slot) else { return };
+        let Some(Some(conn)) = self.conns.get_mut(id.slot) else {
+            return;
+        };
         if conn.generation != id.generation || conn.phase != Phase::Working {
             return;
         }
@@ -375,10 +420,20 @@
             self.out.push(Event::Unsent { tag: o.tag });
             return;
         };
-        let Some(conn) = self.conns[slot].as_mut() else { return };
+        let Some(conn) = self.conns[slot].as_mut() else {
+            return;
+        };
         conn.keep = o.keep;
-        conn.side = Side::Asked { to: o.to, tag: o.tag, limit: o.answer_limit };
-        conn.phase = if conn.connecting { Phase::Connecting } else { Phase::Writing };
+        conn.side = Side::Asked {
+            to: o.to,
+            tag: o.tag,
+            limit: o.answer_limit,
+        };
+        conn.phase = if conn.connecting {
+            Phase::Connecting
+        } else {
+            Phase::Writing
+        };
         conn.deadline = now + o.timeout;
         http::write_request(&mut conn.wbuf, &o.to.to_string(), o.method, o.path, o.body);
         if !conn.connecting {
@@ -405,13 +460,23 @@
         }
         let stream = TcpStream::connect(to).ok()?;
         let _ = stream.set_nodelay(true);
-        let mut conn = Conn::new(stream, Side::Asked { to, tag: 0, limit: 0 }, now + SLOW);
+        let mut conn = Conn::new(
+            stream,
+            Side::Asked {
+                to,
+                tag: 0,
+                limit: 0,
+            },
+            now + SLOW,
+        );
         conn.connecting = true;
         self.insert(conn, Interest::READABLE | Interest::WRITABLE)
     }
 
     fn drive_write(&mut self, slot: usize, now: Instant) {
-        let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
+        let Some(Some(conn)) = self.conns.get_mut(slot) else {
+            return;
+        };
         if conn.connecting {
             match conn.finish_connect() {
                 Ok(true) => {
@@ -429,7 +494,12 @@
             Ok(false) => {
                 // Only now and then is an answer larger than the socket's buffer.
                 let interest = Interest::READABLE | Interest::WRITABLE;
-                if self.poll.registry().reregister(&mut conn.stream, Token(slot), interest).is_err() {
+                if self
+                    .poll
+                    .registry()
+                    .reregister(&mut conn.stream, Token(slot), interest)
+                    .is_err()
+                {
                     self.close(slot);
                 }
             }
@@ -453,24 +523,39 @@
 
     /// Hands over what has come in on a raw connection. More than a chunk at once is left for the next turn.
     fn read_raw(&mut self, slot: usize, now: Instant) {
-        let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
-        let conn_id = ConnId { slot, generation: conn.generation };
+        let Some(Some(conn)) = self.conns.get_mut(slot) else {
+            return;
+        };
+        let conn_id = ConnId {
+            slot,
+            generation: conn.generation,
+        };
         let ended = conn.fill_some(RAW_CHUNK);
         if !conn.rbuf.is_empty() {
             // A connection that is over by our word is not read any more.
             let bytes = std::mem::take(&mut conn.rbuf);
             if !conn.close_after {
                 conn.deadline = now + IDLE_RAW;
-                self.out.push(Event::Bytes { conn: conn_id, bytes });
+                self.out.push(Event::Bytes {
+                    conn: conn_id,
+                    bytes,
+                });
             }
         }
         match ended {
             Ok(Filled::Dry) => {}
             // The edge is spent: ask to be told again.
             Ok(Filled::More) => {
-                let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
+                let Some(Some(conn)) = self.conns.get_mut(slot) else {
+                    return;
+                };
                 let interest = Interest::READABLE | Interest::WRITABLE;
-                if self.poll.registry().reregister(&mut conn.stream, Token(slot), interest).is_err() {
+                if self
+                    .poll
+                    .registry()
+                    .reregister(&mut conn.stream, Token(slot), interest)
+                    .is_err()
+                {
                     self.close(slot);
                 }
             }
@@ -479,7 +564,9 @@
     }
 
     fn drive_read(&mut self, slot: usize, now: Instant) {
-        let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
+        let Some(Some(conn)) = self.conns.get_mut(slot) else {
+            return;
+        };
         if conn.phase == Phase::Raw {
             return self.read_raw(slot, now);
         }
@@ -497,7 +584,9 @@
     }
 
     fn parse(&mut self, slot: usize, ended: bool, now: Instant) {
-        let Some(Some(conn)) = self.conns.get_mut(slot) else { return };
+        let Some(Some(conn)) = self.conns.get_mut(slot) else {
+            return;
+        };
         match conn.side {
             Side::Served(door) => {
                 if conn.phase == Phase::Idle && !conn.rbuf.is_empty() {
@@ -511,14 +600,34 @@
                             conn.consume(used);
                             conn.phase = Phase::Working;
                             conn.close_after |= request.close;
-                            let id = ConnId { slot, generation: conn.generation };
-                            self.out.push(Event::Request { conn: id, door, request });
+                            let id = ConnId {
+                                slot,
+                                generation: conn.generation,
+                            };
+                            self.out.push(Event::Request {
+                                conn: id,
+                                door,
+                                request,
+                            });
                         }
                         Err(http::Bad(status)) => {
                             conn.phase = Phase::Working;
-                            let id = ConnId { slot, generation: conn.generation };
-                            let body = wire::encode(&wire::api::ErrorBody { error: "bad request".into() });
-                            self.respond(id, Response { status, body, close: true, retry_after_s: None });
+                            let id = ConnId {
+                                slot,
+                                generation: conn.generation,
+                            };
+                            let body = wire::encode(&wire::api::ErrorBody {
+                                error: "bad request".into(),
+                            });
+                            self.respond(
+                                id,
+                                Response {
+                                    status,
+                                    body,
+                                    close: true,
+                                    retry_after_s: None,
+                                },
+                            );
                             return;
                         }
                     }
@@ -539,12 +648,17 @@
                     Ok(None) => {}
                     Ok(Some((response, used))) => {
                         conn.consume(used);
-                        let reusable =
-                            !response.close && !ended && conn.rbuf.is_empty() && conn.wbuf.is_empty();
+                        let reusable = !response.close
+                            && !ended
+                            && conn.rbuf.is_empty()
+                            && conn.wbuf.is_empty();
                         conn.phase = Phase::Idle;
                         conn.since = now;
                         conn.deadline = now + conn.keep;
-                        self.out.push(Event::Reply { tag, response: Some(response) });
+                        self.out.push(Event::Reply {
+                            tag,
+                            response: Some(response),
+                        });
                         let pool = self.idle.entry(to).or_default();
                         pool.push(slot);
                         if !reusable || pool.len() > POOL {
@@ -562,8 +676,9 @@
 
     fn sweep(&mut self, now: Instant) {
         for slot in 0..self.conns.len() {
-            let late =
-                self.conns[slot].as_ref().is_some_and(|c| c.phase != Phase::Working && c.deadline <= now);
+            let late = self.conns[slot]
+                .as_ref()
+                .is_some_and(|c| c.phase != Phase::Working && c.deadline <= now);
             if late {
                 self.close(slot);
             }
--- a/crates/net/src/shares.rs
+++ b/crates/net/src/shares.rs
@@ -30,6 +30,12 @@
         let all = sockets * 9 / 10;
         let own = (sockets / 50).max(OWN_LEAST);
         let served = all - (sockets / 10).max(own);
-        Shares { all, served, regulars: served * 3 / 4, unused: all * 17 / 20, own: own / 2 }
+        Shares {
+            all,
+            served,
+            regulars: served * 3 / 4,
+            unused: all * 17 / 20,
+            own: own / 2,
+        }
     }
 }
--- a/crates/net/tests/bounds.rs
+++ b/crates/net/tests/bounds.rs
@@ -43,7 +43,12 @@
                 served += 1;
                 net.respond(
                     conn,
-                    Response { status: 200, body: request.body, close: false, retry_after_s: None },
+                    Response {
+                        status: 200,
+                        body: request.body,
+                        close: false,
+                        retry_after_s: None,
+                    },
                 );
             }
         }
@@ -73,11 +78,16 @@
 fn nonsense_is_refused() {
     let (mut net, addr) = listening(100);
     let mut rude = client(addr);
-    rude.write_all(b"\x16\x03\x01 nonsense\r\n\r\n").expect("written");
+    rude.write_all(b"\x16\x03\x01 nonsense\r\n\r\n")
+        .expect("written");
     let mut got = Vec::new();
     let served = serve(&mut net, || drain(&mut rude, &mut got));
     assert_eq!(served, 0);
-    assert!(got.starts_with(b"HTTP/1.1 400"), "{:?}", String::from_utf8_lossy(&got));
+    assert!(
+        got.starts_with(b"HTTP/1.1 400"),
+        "{:?}",
+        String::from_utf8_lossy(&got)
+    );
 }
 
 /// More connections than there is room for: the longest idle go, and newcomers are served.
@@ -86,9 +96,15 @@
     let (mut net, addr) = listening(20);
     let mut idle: Vec<TcpStream> = (0..40).map(|_| client(addr)).collect();
     let mut ignored = Vec::new();
-    serve(&mut net, || idle.iter_mut().map(|s| u32::from(drain(s, &mut ignored))).sum::<u32>() >= 26);
+    serve(&mut net, || {
+        idle.iter_mut()
+            .map(|s| u32::from(drain(s, &mut ignored)))
+            .sum::<u32>()
+            >= 26
+    });
     let (mut late, mut got) = (client(addr), Vec::new());
-    late.write_all(b"GET /ready HTTP/1.1\r\n\r\n").expect("written");
+    late.write_all(b"GET /ready HTTP/1.1\r\n\r\n")
+        .expect("written");
     serve(&mut net, || {
         drain(&mut late, &mut got);
         got.starts_with(b"HTTP/1.1 200")
@@ -100,7 +116,9 @@
 fn questions_always_come_to_an_end() {
     let (mut net, _) = listening(20);
     let silent = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let gone = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port");
+    let gone = TcpListener::bind("127.0.0.1:0")
+        .and_then(|l| l.local_addr())
+        .expect("a port");
     for (tag, to) in [(1, silent.local_addr().expect("its address")), (2, gone)] {
         let timeout = Duration::from_millis(200);
         net.send(net::Outgoing {
--- a/crates/net/tests/files.rs
+++ b/crates/net/tests/files.rs
@@ -11,12 +11,18 @@
 #[test]
 fn who_waits_while_files_run_out_is_served_later() {
     let mut net = Net::new(100).expect("an event loop");
-    let addr = net.listen(SocketAddr::from(([127, 0, 0, 1], 0)), Door::Clients).expect("listening");
+    let addr = net
+        .listen(SocketAddr::from(([127, 0, 0, 1], 0)), Door::Clients)
+        .expect("listening");
     let mut client = TcpStream::connect(addr).expect("connected");
-    client.write_all(b"GET /ready HTTP/1.1\r\n\r\n").expect("sent");
+    client
+        .write_all(b"GET /ready HTTP/1.1\r\n\r\n")
+        .expect("sent");
     let (_, hard) = rlimit::Resource::NOFILE.get().expect("a limit");
     let used = std::fs::read_dir("/proc/self/fd").expect("files").count() as u64;
-    rlimit::Resource::NOFILE.set(used + 3, hard).expect("lowered");
+    rlimit::Resource::NOFILE
+        .set(used + 3, hard)
+        .expect("lowered");
     let mut held = Vec::new();
     while let Ok(file) = File::open("/dev/null") {
         held.push(file);
--- a/crates/net/tests/raw.rs
+++ b/crates/net/tests/raw.rs
@@ -23,7 +23,12 @@
 
 impl Seen {
     fn port(&self, id: ConnId) -> u16 {
-        self.opened.iter().find(|(o, _)| *o == id).expect("opened before").1.port()
+        self.opened
+            .iter()
+            .find(|(o, _)| *o == id)
+            .expect("opened before")
+            .1
+            .port()
     }
 
     /// Polls until the condition holds.
@@ -63,7 +68,9 @@
     let copy = sent.clone();
     let mut half = one.try_clone().expect("a handle");
     let writer = std::thread::spawn(move || half.write_all(&copy).expect("written"));
-    seen.until(&mut net, "all bytes", |s| s.bytes.get(&port).is_some_and(|b| b.len() == 3_000_000));
+    seen.until(&mut net, "all bytes", |s| {
+        s.bytes.get(&port).is_some_and(|b| b.len() == 3_000_000)
+    });
     writer.join().expect("written");
     assert_eq!(seen.bytes[&port], sent);
     let id = seen.opened[0].0;
--- a/crates/net/tests/shares.rs
+++ b/crates/net/tests/shares.rs
@@ -17,7 +17,11 @@
     fn new(answers: bool) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         listener.set_nonblocking(true).expect("nonblocking");
-        Host { listener, conns: Vec::new(), answers }
+        Host {
+            listener,
+            conns: Vec::new(),
+            answers,
+        }
     }
 
     fn addr(&self) -> SocketAddr {
@@ -30,18 +34,30 @@
             self.conns.push(stream);
         }
         let answers = self.answers;
-        self.conns.retain_mut(|conn| match conn.read(&mut [0; 1024]) {
-            Ok(0) => false,
-            Ok(_) if answers => conn.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_ok(),
-            Ok(_) => true,
-            Err(e) => e.kind() == ErrorKind::WouldBlock,
-        });
+        self.conns
+            .retain_mut(|conn| match conn.read(&mut [0; 1024]) {
+                Ok(0) => false,
+                Ok(_) if answers => conn
+                    .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                    .is_ok(),
+                Ok(_) => true,
+                Err(e) => e.kind() == ErrorKind::WouldBlock,
+            });
     }
 }
 
 fn ask(net: &mut Net, tag: u64, host: &Host, keep: Duration) {
     let (to, timeout) = (host.addr(), Duration::from_secs(50));
-    net.send(Outgoing { tag, to, method: "GET", path: "/", body: &[], timeout, answer_limit: 100, keep });
+    net.send(Outgoing {
+        tag,
+        to,
+        method: "GET",
+        path: "/",
+        body: &[],
+        timeout,
+        answer_limit: 100,
+        keep,
+    });
 }
 
 /// How the questions ended until the condition held: true for an answer, false for one that was not sent.
@@ -67,7 +83,15 @@
                         _ => {}
                     }
                     let body = Vec::new();
-                    net.respond(conn, Response { status: 200, body, close: false, retry_after_s: None });
+                    net.respond(
+                        conn,
+                        Response {
+                            status: 200,
+                            body,
+                            close: false,
+                            retry_after_s: None,
+                        },
+                    );
                 }
                 _ => {}
             }
@@ -99,7 +123,9 @@
         ask(&mut net, tag as u64, host, Duration::from_secs(1000));
     }
     until(&mut net, &mut hosts, |_, ends| ends.len() == 85);
-    until(&mut net, &mut hosts, |hosts, _| hosts.iter().map(|h| h.conns.len()).sum::<usize>() <= 76);
+    until(&mut net, &mut hosts, |hosts, _| {
+        hosts.iter().map(|h| h.conns.len()).sum::<usize>() <= 76
+    });
 }
 
 /// Questions to hosts of many that take their time leave sockets for the others; what finds none is told apart from
@@ -129,7 +155,9 @@
     let answered = |net: &mut Net, path: &str| {
         let mut client = TcpStream::connect(addr).expect("connected");
         client.set_nonblocking(true).expect("nonblocking");
-        client.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).expect("written");
+        client
+            .write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes())
+            .expect("written");
         let mut got = Vec::new();
         until(net, &mut [], |_, _| {
             let mut chunk = [0; 256];
@@ -160,10 +188,14 @@
     let mut clients = ["/gone", "/user"].map(|path| {
         let mut client = TcpStream::connect(addr).expect("connected");
         client.set_nonblocking(true).expect("nonblocking");
-        client.write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes()).expect("written");
         client
+            .write_all(format!("GET {path} HTTP/1.1\r\n\r\n").as_bytes())
+            .expect("written");
+        client
+    });
+    until(&mut net, &mut [], |_, _| {
+        matches!(clients[0].read(&mut [0; 256]), Ok(0))
     });
-    until(&mut net, &mut [], |_, _| matches!(clients[0].read(&mut [0; 256]), Ok(0)));
     while clients[1].read(&mut [0; 256]).is_ok_and(|n| n > 0) {}
     let kept = clients[1].read(&mut [0; 256]).expect_err("still open");
     assert_eq!(kept.kind(), ErrorKind::WouldBlock);
--- a/crates/plan/src/aged.rs
+++ b/crates/plan/src/aged.rs
@@ -22,13 +22,20 @@
 
 impl Default for Waits {
     fn default() -> Self {
-        Waits { old: Secs::INFINITY, latest: Secs::INFINITY }
+        Waits {
+            old: Secs::INFINITY,
+            latest: Secs::INFINITY,
+        }
     }
 }
 
 /// What an old job has before others: so many of its tasks, counting those that have places.
 pub fn first_share(shape: Shape, tasks: u32) -> u32 {
-    if shape == Shape::Array { tasks.div_ceil(SHARE) } else { tasks }
+    if shape == Shape::Array {
+        tasks.div_ceil(SHARE)
+    } else {
+        tasks
+    }
 }
 
 impl Waits {
@@ -38,7 +45,9 @@
             return job.pending;
         }
         let placed: u32 = job.zones.iter().map(|(_, n)| n).sum();
-        first_share(job.shape, job.tasks).saturating_sub(placed).min(job.pending)
+        first_share(job.shape, job.tasks)
+            .saturating_sub(placed)
+            .min(job.pending)
     }
 }
 
@@ -63,7 +72,10 @@
         let key = |j: &Job| Reverse(nested && j.held > 0);
         order.sort_by(|a, b| {
             let (x, y) = (&jobs[*a], &jobs[*b]);
-            key(x).cmp(&key(y)).then(x.arrival.total_cmp(&y.arrival)).then(a.cmp(b))
+            key(x)
+                .cmp(&key(y))
+                .then(x.arrival.total_cmp(&y.arrival))
+                .then(a.cmp(b))
         });
         for i in order {
             if self.is_tired() {
--- a/crates/plan/src/apart.rs
+++ b/crates/plan/src/apart.rs
@@ -53,15 +53,24 @@
         if self.tenants[m].take(&job.tenant) {
             return 0.0;
         }
-        let running = self.input.machines[m].running.iter().map(|r| (r.ends, &r.tenant));
-        let started = self.lines[m].ends.iter().map(|(end, _, tenant)| (*end, tenant));
+        let running = self.input.machines[m]
+            .running
+            .iter()
+            .map(|r| (r.ends, &r.tenant));
+        let started = self.lines[m]
+            .ends
+            .iter()
+            .map(|(end, _, tenant)| (*end, tenant));
         let barred = running.chain(started).filter(|(_, t)| t.bars(&job.tenant));
         barred.map(|(end, _)| end).fold(0.0, f64::max)
     }
 
     /// Whether a promise on this machine is to a job that this one may not share it with.
     pub(crate) fn is_promised_to_others(&self, job: &Job, m: usize) -> bool {
-        self.lines[m].promised.iter().any(|(_, _, tenant)| tenant.bars(&job.tenant))
+        self.lines[m]
+            .promised
+            .iter()
+            .any(|(_, _, tenant)| tenant.bars(&job.tenant))
     }
 
     /// Promises one place to a job none of whose tasks runs or finds a machine free of others' work: the first that
--- a/crates/plan/src/hire.rs
+++ b/crates/plan/src/hire.rs
@@ -55,7 +55,10 @@
         return Some(*zone);
     }
     let mut coming: Vec<(u16, u32)> = Vec::new();
-    for v in fleet.iter().filter(|v| fits(&v.offer) && v.tenants.take(&job.tenant)) {
+    for v in fleet
+        .iter()
+        .filter(|v| fits(&v.offer) && v.tenants.take(&job.tenant))
+    {
         let there = count_in(&mut coming, v.offer.zone);
         *there = there.saturating_add(v.free.count(&job.need, places));
     }
@@ -63,7 +66,10 @@
     coming.retain(|(zone, n)| *n > 0 && whole(*zone, *n));
     // With equal room the first wins.
     let most = coming.iter().map(|(_, n)| *n).max()?;
-    coming.iter().find(|(_, n)| *n == most).map(|(zone, _)| *zone)
+    coming
+        .iter()
+        .find(|(_, n)| *n == most)
+        .map(|(zone, _)| *zone)
 }
 
 /// The machines to rent now, cheapest kind that the job allows first.
@@ -81,8 +87,12 @@
         }
     }
     let jobs = &h.input.jobs;
-    let mut order: Vec<(&Job, u32)> =
-        h.output.waiting.iter().map(|(j, n)| (&jobs[*j as usize], *n)).collect();
+    let mut order: Vec<(&Job, u32)> = h
+        .output
+        .waiting
+        .iter()
+        .map(|(j, n)| (&jobs[*j as usize], *n))
+        .collect();
     order.sort_by_key(|(job, _)| std::cmp::Reverse(job.priority));
     let short = h.input.spares.iter().zip(&h.output.spare_short);
     order.extend(short.map(|(spare, n)| (&spare.like, *n)));
@@ -99,7 +109,12 @@
             Shape::Array => {
                 // Of its own deadline, what is left once a machine is up with the image.
                 let lead = |o: &MachineOffer| o.boot + job.image_gb / o.fetch_gb_per_s.max(0.01);
-                let lead = h.offers.iter().filter(|o| fits(o)).map(lead).fold(0.0, f64::max);
+                let lead = h
+                    .offers
+                    .iter()
+                    .filter(|o| fits(o))
+                    .map(lead)
+                    .fold(0.0, f64::max);
                 let time = job.due.map_or(h.horizon, |due| h.horizon.min(due - lead));
                 let rounds = (time / (job.estimate.max(1.0) * SLACK)).floor().max(1.0);
                 (f64::from(n) / rounds).ceil() as u32
@@ -108,17 +123,27 @@
         };
         let mut left = places;
         // Tasks that must not crowd in one zone need machines in several; what fits nowhere needs none.
-        let most = if job.spread { job.tasks.div_ceil(2) } else { u32::MAX };
+        let most = if job.spread {
+            job.tasks.div_ceil(2)
+        } else {
+            u32::MAX
+        };
         let mut zones = job.zones.clone();
         // Where all tasks share a zone, a machine in another one would stand idle.
-        let mut home = if job.one_zone { home(job, places, &fleet, h.offers, &fits) } else { None };
+        let mut home = if job.one_zone {
+            home(job, places, &fleet, h.offers, &fits)
+        } else {
+            None
+        };
         let mut k = 0;
         while left > 0 && k < fleet.len() {
             let v = &mut fleet[k];
             let in_reach = !job.one_zone || home == Some(v.offer.zone);
             if fits(&v.offer) && in_reach && v.tenants.take(&job.tenant) {
                 let there = count_in(&mut zones, v.offer.zone);
-                let n = v.free.count(&job.need, left.min(most.saturating_sub(*there)));
+                let n = v
+                    .free
+                    .count(&job.need, left.min(most.saturating_sub(*there)));
                 v.free.add(&job.need, -f64::from(n));
                 *there += n;
                 left -= n;
@@ -127,7 +152,10 @@
                 }
             }
             // What is full is not looked at again.
-            if v.free.cores <= EPS || v.free.mem <= EPS || (v.offer.total.gpus > EPS && v.free.gpus <= EPS) {
+            if v.free.cores <= EPS
+                || v.free.mem <= EPS
+                || (v.offer.total.gpus > EPS && v.free.gpus <= EPS)
+            {
                 full.extend(fleet.swap_remove(k).new);
             } else {
                 k += 1;
@@ -139,7 +167,11 @@
                 fits(o) && home.is_none_or(|z| z == o.zone) && *count_in(zones, o.zone) < most
             };
             let cost = |o: &MachineOffer| o.price * o.total.share(&job.need);
-            let offers = h.offers.iter().enumerate().filter(|(_, o)| open(o, &mut zones));
+            let offers = h
+                .offers
+                .iter()
+                .enumerate()
+                .filter(|(_, o)| open(o, &mut zones));
             let best = offers.min_by(|(_, a), (_, b)| cost(a).total_cmp(&cost(b)));
             let Some((index, offer)) = best else { break };
             home = home.or(job.one_zone.then_some(offer.zone));
@@ -168,7 +200,10 @@
         }
     }
     let mut out: Vec<Wish> = Vec::new();
-    for offer in full.into_iter().chain(fleet.into_iter().filter_map(|v| v.new)) {
+    for offer in full
+        .into_iter()
+        .chain(fleet.into_iter().filter_map(|v| v.new))
+    {
         match out.iter_mut().find(|w| w.offer == offer) {
             Some(w) => w.count += 1,
             None => out.push(Wish { offer, count: 1 }),
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -47,15 +47,34 @@
     }
     /// How many tasks of `need` fit in, at most `cap`.
     pub fn count(&self, need: &Res, cap: u32) -> u32 {
-        let per =
-            |have: f64, want: f64| if want <= EPS { f64::INFINITY } else { ((have + EPS) / want).floor() };
-        let n = per(self.cores, need.cores).min(per(self.gpus, need.gpus)).min(per(self.mem, need.mem));
-        if n >= f64::from(cap) { cap } else { n.max(0.0) as u32 }
+        let per = |have: f64, want: f64| {
+            if want <= EPS {
+                f64::INFINITY
+            } else {
+                ((have + EPS) / want).floor()
+            }
+        };
+        let n = per(self.cores, need.cores)
+            .min(per(self.gpus, need.gpus))
+            .min(per(self.mem, need.mem));
+        if n >= f64::from(cap) {
+            cap
+        } else {
+            n.max(0.0) as u32
+        }
     }
     /// The share of `self` that `need` takes in its scarcest resource.
     pub fn share(&self, need: &Res) -> f64 {
-        let part = |have: f64, want: f64| if want <= EPS { 0.0 } else { want / have.max(EPS) };
-        part(self.cores, need.cores).max(part(self.gpus, need.gpus)).max(part(self.mem, need.mem))
+        let part = |have: f64, want: f64| {
+            if want <= EPS {
+                0.0
+            } else {
+                want / have.max(EPS)
+            }
+        };
+        part(self.cores, need.cores)
+            .max(part(self.gpus, need.gpus))
+            .max(part(self.mem, need.mem))
     }
 }
 
@@ -182,8 +201,11 @@
 impl Team {
     /// How many more tasks of `need` the limit allows, at most `cap`.
     pub fn allows(&self, need: &Res, cap: u32) -> u32 {
-        let room =
-            Res { cores: self.cores_max - self.cores_used, gpus: self.gpus_max - self.gpus_used, mem: 0.0 };
+        let room = Res {
+            cores: self.cores_max - self.cores_used,
+            gpus: self.gpus_max - self.gpus_used,
+            mem: 0.0,
+        };
         room.count(&Res { mem: 0.0, ..*need }, cap)
     }
     fn take(&mut self, need: &Res, n: u32) {
@@ -252,8 +274,16 @@
 impl Input {
     /// Groups that two teams have in common.
     pub fn kin(&self, a: u16, b: u16) -> u8 {
-        let path = |t: u16| self.teams.get(usize::from(t)).map_or(&[][..], |team| &team.path);
-        path(a).iter().zip(path(b)).take_while(|(x, y)| x == y).count() as u8
+        let path = |t: u16| {
+            self.teams
+                .get(usize::from(t))
+                .map_or(&[][..], |team| &team.path)
+        };
+        path(a)
+            .iter()
+            .zip(path(b))
+            .take_while(|(x, y)| x == y)
+            .count() as u8
     }
 
     /// Whether a running task has its place beyond the guarantees that a job may call on: the job's side of the
@@ -276,9 +306,12 @@
 
 /// How many tasks are in a zone.
 fn count_in(zones: &mut Vec<(u16, u32)>, zone: u16) -> &mut u32 {
-    let at = zones.iter().position(|(z, _)| *z == zone).unwrap_or_else(|| {
-        zones.push((zone, 0));
-        zones.len() - 1
-    });
+    let at = zones
+        .iter()
+        .position(|(z, _)| *z == zone)
+        .unwrap_or_else(|| {
+            zones.push((zone, 0));
+            zones.len() - 1
+        });
     &mut zones[at].1
 }
--- a/crates/plan/src/place.rs
+++ b/crates/plan/src/place.rs
@@ -4,7 +4,9 @@
 use crate::apart::Tenants;
 use crate::room::{Clearing, Wide};
 use crate::timeline::Line;
-use crate::{EPS, Group, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, count_in, stretch};
+use crate::{
+    EPS, Group, Input, Job, Machine, Output, Res, Secs, Shape, Start, Team, count_in, stretch,
+};
 use std::collections::{BTreeSet, HashMap};
 
 /// Run times of a job's tasks differ from each other and from the estimate: a round is planned this much longer.
@@ -46,8 +48,17 @@
         held: vec![None; input.machines.len()],
         most_urgent: input.jobs.iter().map(|j| j.priority).max().unwrap_or(0),
         images: input.machines.iter().map(|m| m.images.clone()).collect(),
-        tenants: input.machines.iter().map(|m| Tenants::of(m.running.iter().map(|r| &r.tenant))).collect(),
-        apart: input.jobs.iter().map(|j| &j.tenant).chain(running.map(|r| &r.tenant)).any(|t| t.alone),
+        tenants: input
+            .machines
+            .iter()
+            .map(|m| Tenants::of(m.running.iter().map(|r| &r.tenant)))
+            .collect(),
+        apart: input
+            .jobs
+            .iter()
+            .map(|j| &j.tenant)
+            .chain(running.map(|r| &r.tenant))
+            .any(|t| t.alone),
         waits: BTreeSet::new(),
         teams: input.teams.clone(),
         groups: input.groups.clone(),
@@ -79,7 +90,8 @@
         let planned: Vec<usize> = (0..input.jobs.len())
             .filter(|i| left[*i] > 0 && input.jobs[*i].shape != Shape::Service)
             .collect();
-        let sized: Vec<stretch::Sized> = planned.iter().map(|i| self.size(&input.jobs[*i])).collect();
+        let sized: Vec<stretch::Sized> =
+            planned.iter().map(|i| self.size(&input.jobs[*i])).collect();
         let s = stretch::smallest_stretch(&sized, &mut self.out.steps);
         self.out.stretch = s;
         let s = s * input.online_factor.max(1.0);
@@ -97,12 +109,19 @@
                 let due = job.arrival + z.work * s;
                 let old = self.is_old(job);
                 let first = old || job.promised && job.shape == Shape::Gang;
-                let due = if old { job.arrival } else { job.due.map_or(due, |own| own.min(due)) };
+                let due = if old {
+                    job.arrival
+                } else {
+                    job.due.map_or(due, |own| own.min(due))
+                };
                 (nested && job.held > 0, job.priority, first, due, *i)
             })
             .collect();
         order.sort_by(|a, b| {
-            (b.0, b.1, b.2).cmp(&(a.0, a.1, a.2)).then(a.3.total_cmp(&b.3)).then(a.4.cmp(&b.4))
+            (b.0, b.1, b.2)
+                .cmp(&(a.0, a.1, a.2))
+                .then(a.3.total_cmp(&b.3))
+                .then(a.4.cmp(&b.4))
         });
         self.serve_old(&mut left);
         let mut kept = false;
@@ -147,12 +166,16 @@
         }
         // Arrays also fill room that no planned job needs within one task estimate.
         for (_, _, _, _, i) in &order {
-            if input.jobs[*i].shape == Shape::Array && left[*i] > 0 && self.out.steps <= 2 * input.max_steps {
+            if input.jobs[*i].shape == Shape::Array
+                && left[*i] > 0
+                && self.out.steps <= 2 * input.max_steps
+            {
                 left[*i] -= self.fill(*i, left[*i], true);
             }
         }
         for (_, _, _, _, i) in &order {
-            if left[*i] > 0 && self.out.steps <= 2 * input.max_steps && self.waits_beside_spares(*i) {
+            if left[*i] > 0 && self.out.steps <= 2 * input.max_steps && self.waits_beside_spares(*i)
+            {
                 left[*i] -= self.fill_from_spares(*i);
             }
         }
@@ -189,12 +212,17 @@
             let job = &spare.like;
             // The time that all expected images together, by their shares, take to come here.
             let missing = |pass: &Self, m: usize| {
-                let away = spare.images.iter().filter(|(i, _, _)| !pass.images[m].contains(i));
+                let away = spare
+                    .images
+                    .iter()
+                    .filter(|(i, _, _)| !pass.images[m].contains(i));
                 away.map(|(_, gb, share)| gb * share).sum::<f64>()
                     / input.machines[m].fetch_gb_per_s.max(0.01)
             };
             let mut order: Vec<(f64, usize)> = (0..input.machines.len())
-                .filter(|m| self.allowed(job, *m) && self.held[*m].is_none() && self.unpromised(job, *m) > 0)
+                .filter(|m| {
+                    self.allowed(job, *m) && self.held[*m].is_none() && self.unpromised(job, *m) > 0
+                })
                 .map(|m| (missing(self, m) + self.place_score(job, m), m))
                 .collect();
             self.out.steps += input.machines.len() as u64;
@@ -231,7 +259,10 @@
     fn waits_beside_spares(&self, i: usize) -> bool {
         let job = &self.input.jobs[i];
         let none = self.zones[i].iter().all(|(_, n)| *n == 0);
-        job.shape == Shape::Array && -job.arrival >= BESIDE_SPARES && none && !self.out.kept.is_empty()
+        job.shape == Shape::Array
+            && -job.arrival >= BESIDE_SPARES
+            && none
+            && !self.out.kept.is_empty()
     }
 
     /// A first task where room is kept for jobs that are only expected: nobody waits for ever beside it. The rest of it
@@ -252,13 +283,24 @@
 
     /// The slowest fetch among the machine types that the job may use.
     fn fetch_rate(&self, job: &Job) -> f64 {
-        let machines = self.input.machines.iter().filter(|m| job.types >> m.machine_type & 1 == 1);
-        machines.map(|m| m.fetch_gb_per_s).fold(f64::INFINITY, f64::min).max(0.01)
+        let machines = self
+            .input
+            .machines
+            .iter()
+            .filter(|m| job.types >> m.machine_type & 1 == 1);
+        machines
+            .map(|m| m.fetch_gb_per_s)
+            .fold(f64::INFINITY, f64::min)
+            .max(0.01)
     }
 
     fn size(&self, job: &Job) -> stretch::Sized {
-        let slots: f64 =
-            self.input.machines.iter().map(|m| f64::from(m.total.count(&job.need, 10_000))).sum();
+        let slots: f64 = self
+            .input
+            .machines
+            .iter()
+            .map(|m| f64::from(m.total.count(&job.need, 10_000)))
+            .sum();
         let n = f64::from(job.pending);
         stretch::Sized {
             arrival: job.arrival,
@@ -270,7 +312,10 @@
 
     pub(crate) fn allowed(&self, job: &Job, m: usize) -> bool {
         let machine = &self.input.machines[m];
-        machine.usable && self.slots[m] > 0 && self.suits(job, m) && self.tenants[m].take(&job.tenant)
+        machine.usable
+            && self.slots[m] > 0
+            && self.suits(job, m)
+            && self.tenants[m].take(&job.tenant)
     }
 
     /// Whether a job may use a machine at all.
@@ -286,7 +331,12 @@
     /// How many more tasks the job may have in this zone, given those it has.
     pub(crate) fn zone_room(&self, i: usize, zone: u16) -> u32 {
         let job = &self.input.jobs[i];
-        let there = |z: u16| self.zones[i].iter().find(|(id, _)| *id == z).map_or(0, |(_, n)| *n);
+        let there = |z: u16| {
+            self.zones[i]
+                .iter()
+                .find(|(id, _)| *id == z)
+                .map_or(0, |(_, n)| *n)
+        };
         if job.one_zone && self.zones[i].iter().any(|(z, n)| *z != zone && *n > 0) {
             return 0;
         }
@@ -312,8 +362,9 @@
 
     fn place_score(&self, job: &Job, m: usize) -> f64 {
         let machine = &self.input.machines[m];
-        let left =
-            1.0 - machine.total.share(&job.need) - (1.0 - self.free[m].gpus / machine.total.gpus.max(EPS));
+        let left = 1.0
+            - machine.total.share(&job.need)
+            - (1.0 - self.free[m].gpus / machine.total.gpus.max(EPS));
         let dear = if machine.spot { 0.0 } else { 2.0 };
         dear + left.max(0.0) * 4.0
     }
@@ -345,7 +396,11 @@
         if !self.images[m].contains(&job.image) {
             self.images[m].push(job.image);
         }
-        self.out.starts.push(Start { job: i as u32, machine: m as u32, count: n });
+        self.out.starts.push(Start {
+            job: i as u32,
+            machine: m as u32,
+            count: n,
+        });
     }
 
     /// Starts up to `want` tasks of a job that needs no gang; returns how many.
@@ -394,18 +449,28 @@
         }
         // With equal room the zone of the best machine wins, since it came first.
         let most = room.iter().map(|(_, n)| (*n).min(job.pending)).max()?;
-        room.iter().find(|(_, n)| (*n).min(job.pending) == most).map(|(z, _)| *z)
+        room.iter()
+            .find(|(_, n)| (*n).min(job.pending) == most)
+            .map(|(z, _)| *z)
     }
 
     /// Starts all `want` tasks of a gang or none.
     fn gang(&mut self, i: usize, want: u32) -> bool {
         let job = &self.input.jobs[i];
-        let zones = if job.one_zone { self.all_zones() } else { vec![None] };
+        let zones = if job.one_zone {
+            self.all_zones()
+        } else {
+            vec![None]
+        };
         let mut best: Option<(f64, Vec<(usize, u32)>)> = None;
         for zone in zones {
             let mut order: Vec<(f64, usize)> = (0..self.input.machines.len())
                 .filter(|m| zone.is_none_or(|z| z == self.input.machines[*m].zone))
-                .filter(|m| self.allowed(job, *m) && self.free[*m].fits(&job.need) && self.held[*m].is_none())
+                .filter(|m| {
+                    self.allowed(job, *m)
+                        && self.free[*m].fits(&job.need)
+                        && self.held[*m].is_none()
+                })
                 .map(|m| (self.score(job, m), m))
                 .collect();
             self.out.steps += self.input.machines.len() as u64;
@@ -417,7 +482,9 @@
             for (score, m) in order {
                 let z = self.input.machines[m].zone;
                 let there = count_in(&mut by_zone, z);
-                let n = self.room(job, m, left).min(self.zone_room(i, z).saturating_sub(*there));
+                let n = self
+                    .room(job, m, left)
+                    .min(self.zone_room(i, z).saturating_sub(*there));
                 if n > 0 {
                     chosen.push((m, n));
                     *there += n;
@@ -433,7 +500,9 @@
                 best = Some((cost, chosen));
             }
         }
-        let Some((_, chosen)) = best else { return false };
+        let Some((_, chosen)) = best else {
+            return false;
+        };
         // A long fetch leaves the room idle and the user waiting. Where the image is already, young tasks of lower
         // urgency may be the smaller loss.
         let idle = |(m, n): &(usize, u32)| {
@@ -441,8 +510,13 @@
         };
         let idle: f64 = chosen.iter().map(idle).sum();
         if idle > EPS && !self.is_tired() {
-            let wait = self.input.machines[chosen[0].0].total.share(&job.need) * f64::from(want) * CLEARING;
-            if self.cheapest(i, want).is_some_and(|(cost, _)| cost + wait < idle) {
+            let wait = self.input.machines[chosen[0].0].total.share(&job.need)
+                * f64::from(want)
+                * CLEARING;
+            if self
+                .cheapest(i, want)
+                .is_some_and(|(cost, _)| cost + wait < idle)
+            {
                 return false;
             }
         }
--- a/crates/plan/src/recall.rs
+++ b/crates/plan/src/recall.rs
@@ -44,7 +44,11 @@
     /// places, an array takes what there is. False if that does not make enough.
     pub(crate) fn recall(&mut self, i: usize, want: u32) -> bool {
         let job = &self.input.jobs[i];
-        let zones = if job.one_zone { self.all_zones() } else { vec![None] };
+        let zones = if job.one_zone {
+            self.all_zones()
+        } else {
+            vec![None]
+        };
         let mut best: Option<Recall> = None;
         for zone in zones {
             let found = self.recall_in(i, want, zone);
@@ -61,7 +65,10 @@
                 self.out.recalls.push(gang);
                 continue;
             }
-            let stops = victim.tasks.iter().map(|(m, k)| Preempt { machine: *m as u32, task: *k as u32 });
+            let stops = victim.tasks.iter().map(|(m, k)| Preempt {
+                machine: *m as u32,
+                task: *k as u32,
+            });
             self.out.preempts.extend(stops);
         }
         let mut left = want;
@@ -80,7 +87,10 @@
         let mut rooms: BTreeMap<usize, Res> = BTreeMap::new();
         for m in 0..self.input.machines.len() {
             let machine = &self.input.machines[m];
-            if !self.allowed(job, m) || self.held[m].is_some() || zone.is_some_and(|z| z != machine.zone) {
+            if !self.allowed(job, m)
+                || self.held[m].is_some()
+                || zone.is_some_and(|z| z != machine.zone)
+            {
                 continue;
             }
             // Room where the job may have no more tasks would be made in vain, and held.
@@ -96,7 +106,10 @@
         }
         let mut victims = self.victims(job, &rooms);
         let count = |rooms: &BTreeMap<usize, Res>| {
-            rooms.values().map(|room| room.count(&job.need, want)).sum::<u32>()
+            rooms
+                .values()
+                .map(|room| room.count(&job.need, want))
+                .sum::<u32>()
         };
         let mut chosen: Vec<Victim> = Vec::new();
         let mut have = count(&rooms);
@@ -139,8 +152,16 @@
             }
         }
         let cost = chosen.iter().map(|v| v.cost).sum();
-        let places = rooms.iter().map(|(m, room)| (*m, room.count(&job.need, want))).collect();
-        Some(Recall { missing: want - enough, cost, victims: chosen, places })
+        let places = rooms
+            .iter()
+            .map(|(m, room)| (*m, room.count(&job.need, want)))
+            .collect();
+        Some(Recall {
+            missing: want - enough,
+            cost,
+            victims: chosen,
+            places,
+        })
     }
 
     /// Places that a victim's end brings nearer: whole ones count most, parts of one a little.
@@ -181,7 +202,11 @@
         let mut gangs: BTreeMap<u32, Victim> = BTreeMap::new();
         for (m, machine) in self.input.machines.iter().enumerate() {
             for (k, r) in machine.running.iter().enumerate() {
-                let stopping = self.out.preempts.iter().any(|p| (p.machine, p.task) == (m as u32, k as u32))
+                let stopping = self
+                    .out
+                    .preempts
+                    .iter()
+                    .any(|p| (p.machine, p.task) == (m as u32, k as u32))
                     || r.gang.is_some_and(|g| self.out.recalls.contains(&g));
                 if !self.input.owes(r, job) || r.leaving || r.ends < NEARLY_OVER || stopping {
                     continue;
@@ -202,7 +227,12 @@
                     None if r.stoppable && rooms.contains_key(&m) => {
                         let spared = if r.spared { SPARED_LOSS } else { 0.0 };
                         let cost = r.lost + TASK_LOSS + spared;
-                        out.push(Victim { gang: None, tasks: vec![(m, k)], cost, kin });
+                        out.push(Victim {
+                            gang: None,
+                            tasks: vec![(m, k)],
+                            cost,
+                            kin,
+                        });
                     }
                     None => {}
                 }
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -33,7 +33,11 @@
 impl Wide {
     fn of(job: &Job) -> Self {
         Wide {
-            need: [job.need.cores.to_bits(), job.need.gpus.to_bits(), job.need.mem.to_bits()],
+            need: [
+                job.need.cores.to_bits(),
+                job.need.gpus.to_bits(),
+                job.need.mem.to_bits(),
+            ],
             priority: job.priority,
             types: job.types,
             zone: job.zone,
@@ -49,11 +53,16 @@
     /// A gang that finds no room has it gathered: the machines that are free for it first are held, and tasks of
     /// lower priority are stopped where waiting would take longer than the patience. False if that does not do.
     pub(crate) fn make_room(&mut self, i: usize, want: u32) -> bool {
-        let Some((_, chosen)) = self.cheapest(i, want) else { return false };
+        let Some((_, chosen)) = self.cheapest(i, want) else {
+            return false;
+        };
         for o in chosen {
             self.held[o.machine] = Some(o.at);
             self.out.kept.push(o.machine as u32);
-            let stops = o.stops.iter().map(|t| Preempt { machine: o.machine as u32, task: *t as u32 });
+            let stops = o.stops.iter().map(|t| Preempt {
+                machine: o.machine as u32,
+                task: *t as u32,
+            });
             self.out.preempts.extend(stops);
         }
         true
@@ -69,7 +78,11 @@
             None => self.options(job),
         };
         // Per zone where all must be in one; what takes the least of waiting and of lost work is taken.
-        let zones: Vec<Option<u16>> = if job.one_zone { self.all_zones() } else { vec![None] };
+        let zones: Vec<Option<u16>> = if job.one_zone {
+            self.all_zones()
+        } else {
+            vec![None]
+        };
         let mut best: Option<(f64, Vec<&Clearing>)> = None;
         for zone in zones {
             let mut cost = 0.0;
@@ -131,9 +144,21 @@
             }
             if at <= self.input.patience {
                 let cost = (at + self.fetch(job, m)) * machine.total.share(&job.need);
-                options.push(Clearing { machine: m, at, cost, stops: Vec::new(), free: before });
+                options.push(Clearing {
+                    machine: m,
+                    at,
+                    cost,
+                    stops: Vec::new(),
+                    free: before,
+                });
             } else if let Some((cost, stops)) = self.evictable(job, m) {
-                options.push(Clearing { machine: m, at: 0.0, cost, stops, free: before });
+                options.push(Clearing {
+                    machine: m,
+                    at: 0.0,
+                    cost,
+                    stops,
+                    free: before,
+                });
             }
         }
         options.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.machine.cmp(&b.machine)));
@@ -160,7 +185,8 @@
                 r.stoppable && !r.leaving && self.input.yields(r, job)
             })
             .collect();
-        let cost = |k: &usize| machine.running[*k].lost * machine.total.share(&machine.running[*k].need);
+        let cost =
+            |k: &usize| machine.running[*k].lost * machine.total.share(&machine.running[*k].need);
         victims.sort_by(|a, b| cost(a).total_cmp(&cost(b)));
         // A machine that fetches the image first loses that time too, with all that the job takes.
         let mut lost = self.fetch(job, m) * machine.total.share(&job.need);
--- a/crates/plan/src/shed.rs
+++ b/crates/plan/src/shed.rs
@@ -24,7 +24,9 @@
             input.teams.iter().find_map(at).unwrap_or(0)
         };
         let over = |g: &crate::Group| g.sheds && !g.max.fits(&g.used);
-        let mut groups: Vec<usize> = (0..input.groups.len()).filter(|g| over(&input.groups[*g])).collect();
+        let mut groups: Vec<usize> = (0..input.groups.len())
+            .filter(|g| over(&input.groups[*g]))
+            .collect();
         if groups.is_empty() {
             return;
         }
@@ -35,7 +37,10 @@
     }
 
     fn below(&self, r: &Running, group: u16) -> bool {
-        self.input.teams.get(usize::from(r.team)).is_some_and(|t| t.path.contains(&group))
+        self.input
+            .teams
+            .get(usize::from(r.team))
+            .is_some_and(|t| t.path.contains(&group))
     }
 
     fn shed_group(&mut self, group: u16) {
@@ -44,11 +49,21 @@
         let mut used = bound.used;
         let mut found: Vec<Excess> = Vec::new();
         let mut gangs: BTreeMap<u32, Excess> = BTreeMap::new();
-        let stopping: BTreeSet<(u32, u32)> = self.out.preempts.iter().map(|p| (p.machine, p.task)).collect();
+        let stopping: BTreeSet<(u32, u32)> = self
+            .out
+            .preempts
+            .iter()
+            .map(|p| (p.machine, p.task))
+            .collect();
         let recalled: BTreeSet<u32> = self.out.recalls.iter().copied().collect();
         for (m, machine) in input.machines.iter().enumerate() {
             self.out.steps += 1 + machine.running.len() as u64;
-            for (k, r) in machine.running.iter().enumerate().filter(|(_, r)| self.below(r, group)) {
+            for (k, r) in machine
+                .running
+                .iter()
+                .enumerate()
+                .filter(|(_, r)| self.below(r, group))
+            {
                 // On its way out already, or stopped by this plan.
                 let goes = r.leaving || r.gang.is_some_and(|g| recalled.contains(&g));
                 if goes || stopping.contains(&(m as u32, k as u32)) {
@@ -86,7 +101,10 @@
                 None => self
                     .out
                     .preempts
-                    .extend(e.tasks.iter().map(|(m, k)| Preempt { machine: *m as u32, task: *k as u32 })),
+                    .extend(e.tasks.iter().map(|(m, k)| Preempt {
+                        machine: *m as u32,
+                        task: *k as u32,
+                    })),
             }
         }
     }
--- a/crates/plan/src/stretch.rs
+++ b/crates/plan/src/stretch.rs
@@ -17,7 +17,11 @@
 /// The paper's test for EDF: in deadline order, each deadline leaves time for all work before it.
 fn feasible(jobs: &[Sized], order: &mut Vec<(Secs, usize)>, s: f64, steps: &mut u64) -> bool {
     order.clear();
-    order.extend(jobs.iter().enumerate().map(|(i, j)| (j.arrival + j.work * s, i)));
+    order.extend(
+        jobs.iter()
+            .enumerate()
+            .map(|(i, j)| (j.arrival + j.work * s, i)),
+    );
     order.sort_unstable_by(|a, b| a.0.total_cmp(&b.0));
     let mut sum = 0.0;
     for (due, i) in order.iter() {
@@ -37,9 +41,15 @@
     if jobs.is_empty() {
         return 1.0;
     }
-    let lower = jobs.iter().map(|j| (j.shortest - j.arrival) / j.work.max(1e-6)).fold(0.0, f64::max);
+    let lower = jobs
+        .iter()
+        .map(|j| (j.shortest - j.arrival) / j.work.max(1e-6))
+        .fold(0.0, f64::max);
     let total: f64 = jobs.iter().map(|j| j.left + j.shortest).sum();
-    let upper = jobs.iter().map(|j| (total - j.arrival) / j.work.max(1e-6)).fold(lower, f64::max);
+    let upper = jobs
+        .iter()
+        .map(|j| (total - j.arrival) / j.work.max(1e-6))
+        .fold(lower, f64::max);
     let mut order = Vec::with_capacity(jobs.len());
     let (mut lo, mut hi) = (lower, upper);
     if feasible(jobs, &mut order, lo, steps) {
--- a/crates/plan/src/timeline.rs
+++ b/crates/plan/src/timeline.rs
@@ -27,12 +27,19 @@
     /// What is free on a machine at a time, without what is promised from no later than `until`.
     pub(crate) fn room_at(&self, m: usize, at: Secs, until: Secs) -> Res {
         let mut room = self.free[m];
-        let running = self.input.machines[m].running.iter().map(|r| (r.ends, &r.need));
+        let running = self.input.machines[m]
+            .running
+            .iter()
+            .map(|r| (r.ends, &r.need));
         let started = self.lines[m].ends.iter().map(|(end, need, _)| (*end, need));
         for (_, need) in running.chain(started).filter(|(end, _)| *end <= at) {
             room.add(need, 1.0);
         }
-        for (_, need, _) in self.lines[m].promised.iter().filter(|(from, _, _)| *from <= until) {
+        for (_, need, _) in self.lines[m]
+            .promised
+            .iter()
+            .filter(|(from, _, _)| *from <= until)
+        {
             room.add(need, -1.0);
         }
         room
@@ -60,7 +67,8 @@
         if self.is_promised_to_others(job, m) {
             return 0;
         }
-        self.room_at(m, 0.0, f64::INFINITY).count(&job.need, self.slots[m])
+        self.room_at(m, 0.0, f64::INFINITY)
+            .count(&job.need, self.slots[m])
     }
 
     /// Until when a task that starts on this machine now is expected to stay.
@@ -71,7 +79,9 @@
     /// Notes that tasks start on a machine.
     pub(crate) fn note_start(&mut self, job: &Job, m: usize, n: u32) {
         let end = self.length(job, m);
-        self.lines[m].ends.push((end, job.need.times(n), job.tenant));
+        self.lines[m]
+            .ends
+            .push((end, job.need.times(n), job.tenant));
     }
 
     /// Plans a gang for later: in the room that others must give back to its team's guarantee, or in the first that
@@ -98,8 +108,17 @@
     }
 
     /// When, and in which zone, a gang can first have all its places.
-    fn earliest(&mut self, i: usize, want: u32, openings: &[Opening]) -> Option<(Secs, Option<u16>)> {
-        let zones = if self.input.jobs[i].one_zone { self.all_zones() } else { vec![None] };
+    fn earliest(
+        &mut self,
+        i: usize,
+        want: u32,
+        openings: &[Opening],
+    ) -> Option<(Secs, Option<u16>)> {
+        let zones = if self.input.jobs[i].one_zone {
+            self.all_zones()
+        } else {
+            vec![None]
+        };
         let mut best: Option<(Secs, Option<u16>)> = None;
         for zone in zones {
             let mut left = want;
@@ -119,13 +138,29 @@
     }
 
     /// Promises a gang its places from a time on.
-    fn promise(&mut self, i: usize, want: u32, openings: Vec<Opening>, at: Secs, zone: Option<u16>) {
+    fn promise(
+        &mut self,
+        i: usize,
+        want: u32,
+        openings: Vec<Opening>,
+        at: Secs,
+        zone: Option<u16>,
+    ) {
         let job = &self.input.jobs[i];
         // Of all that is free by then, the places that suit it best; if it is old, the first, so that what is
         // free already stays its own however wrong the rest was expected.
-        let rank = |o: &Opening| if self.is_old(job) { o.at } else { self.score(job, o.machine) };
-        let mut chosen: Vec<(Secs, Opening)> =
-            openings.into_iter().filter(|o| o.at <= at).map(|o| (rank(&o), o)).collect();
+        let rank = |o: &Opening| {
+            if self.is_old(job) {
+                o.at
+            } else {
+                self.score(job, o.machine)
+            }
+        };
+        let mut chosen: Vec<(Secs, Opening)> = openings
+            .into_iter()
+            .filter(|o| o.at <= at)
+            .map(|o| (rank(&o), o))
+            .collect();
         chosen.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.machine.cmp(&b.1.machine)));
         let mut left = want;
         let mut taken: Vec<(u16, u32)> = Vec::new();
@@ -144,12 +179,20 @@
 
     /// Keeps room on a machine for tasks of a job from a time on.
     pub(crate) fn hold(&mut self, job: &Job, m: usize, n: u32, at: Secs) {
-        self.lines[m].promised.push((at, job.need.times(n), job.tenant));
+        self.lines[m]
+            .promised
+            .push((at, job.need.times(n), job.tenant));
         self.out.kept.push(m as u32);
     }
 
     /// How much of an opening the gang may use, given what it takes elsewhere.
-    fn usable_part(&self, i: usize, o: &Opening, zone: Option<u16>, taken: &mut Vec<(u16, u32)>) -> u32 {
+    fn usable_part(
+        &self,
+        i: usize,
+        o: &Opening,
+        zone: Option<u16>,
+        taken: &mut Vec<(u16, u32)>,
+    ) -> u32 {
         let z = self.input.machines[o.machine].zone;
         if zone.is_some_and(|only| only != z) {
             return 0;
@@ -172,7 +215,11 @@
                 continue;
             }
             let from = from.max(self.free_of_others(job, m));
-            let ends = machine.running.iter().map(|r| r.ends).chain(self.lines[m].ends.iter().map(|e| e.0));
+            let ends = machine
+                .running
+                .iter()
+                .map(|r| r.ends)
+                .chain(self.lines[m].ends.iter().map(|e| e.0));
             let mut times: Vec<Secs> = ends.filter(|t| *t > from).chain([from]).collect();
             times.sort_by(f64::total_cmp);
             self.out.steps += 1 + times.len() as u64;
@@ -180,7 +227,11 @@
             for at in times {
                 let n = self.room_at(m, at, f64::INFINITY).count(&job.need, want);
                 if n > before {
-                    out.push(Opening { at, machine: m, count: n - before });
+                    out.push(Opening {
+                        at,
+                        machine: m,
+                        count: n - before,
+                    });
                     before = n;
                 }
             }
--- a/crates/plan/tests/apart.rs
+++ b/crates/plan/tests/apart.rs
@@ -1,11 +1,15 @@
 //! Work that shares no machine gets one, however busy the fleet is with work that comes and goes.
 
 use plan::{
-    HireInput, Input, Job, Machine, MachineOffer, Output, Res, Running, Shape, Start, Team, Tenant, plan,
-    wishes,
+    HireInput, Input, Job, Machine, MachineOffer, Output, Res, Running, Shape, Start, Team, Tenant,
+    plan, wishes,
 };
 
-const GPU: Res = Res { cores: 1.0, gpus: 1.0, mem: 1.0 };
+const GPU: Res = Res {
+    cores: 1.0,
+    gpus: 1.0,
+    mem: 1.0,
+};
 
 fn job(shape: Shape, tasks: u32, tenant: Tenant) -> Job {
     Job {
@@ -36,7 +40,13 @@
 }
 
 fn team() -> Team {
-    Team { path: vec![], cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY }
+    Team {
+        path: vec![],
+        cores_used: 0.0,
+        gpus_used: 0.0,
+        cores_max: f64::INFINITY,
+        gpus_max: f64::INFINITY,
+    }
 }
 
 fn machine() -> Machine {
@@ -46,7 +56,11 @@
         spot: false,
         usable: true,
         ready: f64::INFINITY,
-        total: Res { cores: 4.0, gpus: 4.0, mem: 64.0 },
+        total: Res {
+            cores: 4.0,
+            gpus: 4.0,
+            mem: 64.0,
+        },
         running: vec![],
         images: vec![0],
         fetch_gb_per_s: 1.0,
@@ -87,7 +101,9 @@
                 }
             }
             for _ in 0..s.count {
-                rng = rng.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
+                rng = rng
+                    .wrapping_mul(6364136223846793005)
+                    .wrapping_add(1442695040888963407);
                 let ends = 10.0 + (rng >> 33) as f64 % 21.0;
                 machines[s.machine as usize].running.push(Running {
                     need: GPU,
@@ -110,13 +126,28 @@
 
 #[test]
 fn nothing_waits_for_ever_for_a_machine_of_its_county() {
-    let alone = Tenant { county: 1, alone: true };
-    let (others, plain) = (Tenant { county: 2, alone: true }, Tenant { county: 2, alone: false });
+    let alone = Tenant {
+        county: 1,
+        alone: true,
+    };
+    let (others, plain) = (
+        Tenant {
+            county: 2,
+            alone: true,
+        },
+        Tenant {
+            county: 2,
+            alone: false,
+        },
+    );
     for shape in [Shape::Array, Shape::Gang, Shape::Service] {
         for others in [others, plain, Tenant::default()] {
             let after = starts_after(job(shape, 2, alone), others);
             // Longer than the longest task, but not much.
-            assert!(after.is_some_and(|s| s <= 60), "{shape:?} beside {others:?}: {after:?}");
+            assert!(
+                after.is_some_and(|s| s <= 60),
+                "{shape:?} beside {others:?}: {after:?}"
+            );
         }
         // Also what would share a machine, if others did.
         let after = starts_after(job(shape, 2, Tenant::default()), others);
@@ -127,9 +158,27 @@
 /// Machines are hired for each county by itself: one that has room for both is none for the second.
 #[test]
 fn machines_are_hired_for_each_county() {
-    let jobs = (1..4).map(|county| job(Shape::Gang, 2, Tenant { county, alone: county < 3 })).collect();
-    let input = Input { jobs, teams: vec![team()], ..Input::default() };
-    let output = Output { waiting: vec![(0, 2), (1, 2), (2, 2)], ..Output::default() };
+    let jobs = (1..4)
+        .map(|county| {
+            job(
+                Shape::Gang,
+                2,
+                Tenant {
+                    county,
+                    alone: county < 3,
+                },
+            )
+        })
+        .collect();
+    let input = Input {
+        jobs,
+        teams: vec![team()],
+        ..Input::default()
+    };
+    let output = Output {
+        waiting: vec![(0, 2), (1, 2), (2, 2)],
+        ..Output::default()
+    };
     let offer = MachineOffer {
         machine_type: 0,
         zone: 0,
@@ -150,22 +199,48 @@
     };
     assert_eq!(wishes(&hire).iter().map(|w| w.count).sum::<u32>(), 2);
     let mut input = input.clone();
-    input.jobs.iter_mut().for_each(|j| j.tenant = Tenant::default());
-    assert_eq!(wishes(&HireInput { input: &input, ..hire }).iter().map(|w| w.count).sum::<u32>(), 1);
+    input
+        .jobs
+        .iter_mut()
+        .for_each(|j| j.tenant = Tenant::default());
+    assert_eq!(
+        wishes(&HireInput {
+            input: &input,
+            ..hire
+        })
+        .iter()
+        .map(|w| w.count)
+        .sum::<u32>(),
+        1
+    );
 }
 
 /// A county's own work shares its machines, and keeps others off.
 #[test]
 fn an_own_county_shares() {
-    let alone = Tenant { county: 1, alone: true };
+    let alone = Tenant {
+        county: 1,
+        alone: true,
+    };
     let jobs = vec![
         job(Shape::Gang, 2, alone),
         job(Shape::Array, 2, alone),
         job(Shape::Array, 40, Tenant::default()),
     ];
-    let input =
-        Input { machines: vec![machine()], jobs, teams: vec![team()], max_steps: 10_000, ..Input::default() };
+    let input = Input {
+        machines: vec![machine()],
+        jobs,
+        teams: vec![team()],
+        max_steps: 10_000,
+        ..Input::default()
+    };
     let out = plan(&input);
-    let of = |j: u32| out.starts.iter().filter(|s: &&Start| s.job == j).map(|s| s.count).sum::<u32>();
+    let of = |j: u32| {
+        out.starts
+            .iter()
+            .filter(|s: &&Start| s.job == j)
+            .map(|s| s.count)
+            .sum::<u32>()
+    };
     assert_eq!((of(0), of(1), of(2)), (2, 2, 0));
 }
--- a/crates/plan/tests/floods.rs
+++ b/crates/plan/tests/floods.rs
@@ -1,14 +1,23 @@
 //! Floods of urgent work played in plan turns: who waits long begins, and nothing is stopped for it against its urgency.
 
-use plan::{Input, Job, Machine, Output, Res, Running, Shape, Spare, Team, Waits, first_share, plan};
+use plan::{
+    Input, Job, Machine, Output, Res, Running, Shape, Spare, Team, Waits, first_share, plan,
+};
 use proptest::prelude::*;
 
 /// In turns.
-const WAITS: Waits = Waits { old: 20.0, latest: 30.0 };
+const WAITS: Waits = Waits {
+    old: 20.0,
+    latest: 30.0,
+};
 const PLACES: u32 = 4;
 
 fn task() -> Res {
-    Res { cores: 1.0, gpus: 1.0, mem: 1.0 }
+    Res {
+        cores: 1.0,
+        gpus: 1.0,
+        mem: 1.0,
+    }
 }
 
 fn job(shape: Shape, priority: u8, tasks: u32) -> Job {
@@ -51,7 +60,11 @@
         spot: false,
         usable: true,
         ready: 0.0,
-        total: Res { cores: 4.0, gpus: 4.0, mem: 4.0 },
+        total: Res {
+            cores: 4.0,
+            gpus: 4.0,
+            mem: 4.0,
+        },
         running: vec![],
         images: vec![0],
         fetch_gb_per_s: 1.0,
@@ -140,33 +153,64 @@
             if *at > now || left == 0 || (job.shape == Shape::Gang && claims[j] > 0) {
                 continue;
             }
-            let zones = if claims[j] > 0 { vec![(0, claims[j])] } else { vec![] };
+            let zones = if claims[j] > 0 {
+                vec![(0, claims[j])]
+            } else {
+                vec![]
+            };
             let waits = job.shape == Shape::Array || self.began[j].is_none();
-            input.jobs.push(Job { arrival: f64::from(at - now), pending: left, zones, waits, ..job.clone() });
+            input.jobs.push(Job {
+                arrival: f64::from(at - now),
+                pending: left,
+                zones,
+                waits,
+                ..job.clone()
+            });
             map.push(j);
         }
         (input, map, on)
     }
 
     fn turn(&mut self, now: i32) -> Result<(), TestCaseError> {
-        let over: Vec<usize> = self.placed.iter().filter(|p| p.ends <= now).map(|p| p.job).collect();
+        let over: Vec<usize> = self
+            .placed
+            .iter()
+            .filter(|p| p.ends <= now)
+            .map(|p| p.job)
+            .collect();
         over.into_iter().for_each(|j| self.done[j] += 1);
         self.placed.retain(|p| p.ends > now);
         let (input, map, on) = self.input(now);
         let out: Output = plan(&input);
-        prop_assert_eq!(&out.recalls, &Vec::<u32>::new(), "no guarantee, so no gang stops");
+        prop_assert_eq!(
+            &out.recalls,
+            &Vec::<u32>::new(),
+            "no guarantee, so no gang stops"
+        );
         for s in &out.starts {
             let j = map[s.job as usize];
             self.began[j].get_or_insert(now);
             let ends = now + self.jobs[j].1.estimate as i32;
-            let new = || Placed { job: j, machine: s.machine as usize, ends, began: now };
+            let new = || Placed {
+                job: j,
+                machine: s.machine as usize,
+                ends,
+                began: now,
+            };
             self.placed.extend((0..s.count).map(|_| new()));
         }
-        let stop: Vec<usize> = out.preempts.iter().map(|p| on[p.machine as usize][p.task as usize]).collect();
+        let stop: Vec<usize> = out
+            .preempts
+            .iter()
+            .map(|p| on[p.machine as usize][p.task as usize])
+            .collect();
         let most = input.jobs.iter().map(|j| j.priority).max().unwrap_or(0);
         for k in &stop {
             let j = self.placed[*k].job;
-            prop_assert!(self.jobs[j].1.priority < most, "stopped for work that is no more urgent");
+            prop_assert!(
+                self.jobs[j].1.priority < most,
+                "stopped for work that is no more urgent"
+            );
             self.stopped[j] += 1;
         }
         let mut k = 0;
@@ -182,7 +226,9 @@
 fn flood(machines: usize, until: i32, large: &[(i32, Shape, u32)]) -> Vec<(i32, Job)> {
     let a_turn = machines.div_ceil(3);
     let urgent = (0..until).flat_map(|t| (0..a_turn).map(move |_| (t, job(Shape::Gang, 2, 1))));
-    let large = large.iter().map(|(t, shape, tasks)| (*t, job(*shape, 0, *tasks)));
+    let large = large
+        .iter()
+        .map(|(t, shape, tasks)| (*t, job(*shape, 0, *tasks)));
     large.chain(urgent).collect()
 }
 
@@ -264,14 +310,31 @@
 
 /// Starts of an array that came so long ago, beside a machine that is kept for expected gangs.
 fn starts_beside_spares(waited: f64, running: u32) -> u32 {
-    let mut array = Job { arrival: -waited, ..job(Shape::Array, 1, 3) };
-    array.zones = if running > 0 { vec![(0, running)] } else { vec![] };
+    let mut array = Job {
+        arrival: -waited,
+        ..job(Shape::Array, 1, 3)
+    };
+    array.zones = if running > 0 {
+        vec![(0, running)]
+    } else {
+        vec![]
+    };
     let like = job(Shape::Gang, 3, 1);
     let input = Input {
         machines: vec![machine()],
         jobs: vec![array],
-        teams: vec![Team { path: vec![], cores_used: 0.0, gpus_used: 0.0, cores_max: 1e9, gpus_max: 1e9 }],
-        spares: vec![Spare { like, count: 1, images: vec![(0, 0.0, 1.0)] }],
+        teams: vec![Team {
+            path: vec![],
+            cores_used: 0.0,
+            gpus_used: 0.0,
+            cores_max: 1e9,
+            gpus_max: 1e9,
+        }],
+        spares: vec![Spare {
+            like,
+            count: 1,
+            images: vec![(0, 0.0, 1.0)],
+        }],
         online_factor: 1.0,
         max_steps: 1_000_000,
         ..Input::default()
