--- a/crates/plan/tests/plans.rs
+++ b/crates/plan/tests/plans.rs
@@ -1,14 +1,17 @@
 //! Plans of generated fleets: nothing overlaps, limits and places hold, the stretch is the smallest.
 
 use plan::{
-    Group, HireInput, Input, Job, Machine, MachineOffer, Res, Running, Shape, Sized, Team, Tenant, Wish,
-    plan, smallest_stretch, wishes,
+    Group, HireInput, Input, Job, Machine, MachineOffer, Res, Running, Shape, Sized, Team, Tenant,
+    Wish, plan, smallest_stretch, wishes,
 };
 use proptest::prelude::*;
 
 /// Work of the second county and of the third shares no machine.
 fn of(county: u16) -> Tenant {
-    Tenant { county, alone: county > 1 }
+    Tenant {
+        county,
+        alone: county > 1,
+    }
 }
 
 fn res(cores: f64, gpus: f64, mem: f64) -> Res {
@@ -197,7 +200,13 @@
 
 fn unbounded(path: &[u16]) -> Team {
     let path = path.to_vec();
-    Team { path, cores_used: 0.0, gpus_used: 0.0, cores_max: f64::INFINITY, gpus_max: f64::INFINITY }
+    Team {
+        path,
+        cores_used: 0.0,
+        gpus_used: 0.0,
+        cores_max: f64::INFINITY,
+        gpus_max: f64::INFINITY,
+    }
 }
 
 fn crowded(machines: Vec<Machine>, jobs: Vec<Job>) -> Input {
@@ -218,9 +227,18 @@
 /// An urgent gang that fits nowhere has the cheapest machine cleared for it, and only by the less urgent.
 #[test]
 fn room_is_made_for_the_urgent_at_the_least_loss() {
-    let mut input = crowded(vec![busy(0, 40.0, 0), busy(0, 10.0, 0), busy(0, 1.0, 2)], vec![gang(1, false)]);
+    let mut input = crowded(
+        vec![busy(0, 40.0, 0), busy(0, 10.0, 0), busy(0, 1.0, 2)],
+        vec![gang(1, false)],
+    );
     let out = plan(&input);
-    assert_eq!(out.preempts, vec![plan::Preempt { machine: 1, task: 0 }]);
+    assert_eq!(
+        out.preempts,
+        vec![plan::Preempt {
+            machine: 1,
+            task: 0
+        }]
+    );
     // Room that is coming is not made a second time.
     input.machines[1].running[0].leaving = true;
     assert!(plan(&input).preempts.is_empty());
@@ -230,7 +248,11 @@
 #[test]
 fn room_is_made_for_wide_gangs_too() {
     let lost = [40.0, 10.0, 30.0, 20.0, 50.0];
-    let machines = lost.iter().zip([0, 1, 0, 1, 0]).map(|(l, z)| busy(z, *l, 0)).collect();
+    let machines = lost
+        .iter()
+        .zip([0, 1, 0, 1, 0])
+        .map(|(l, z)| busy(z, *l, 0))
+        .collect();
     let mut input = crowded(machines, vec![gang(2, false)]);
     let cleared = |input: &Input| {
         let mut machines: Vec<u32> = plan(input).preempts.iter().map(|p| p.machine).collect();
@@ -249,7 +271,15 @@
 
 fn offer(zone: u16, price: f64) -> MachineOffer {
     let total = res(32.0, 4.0, 128.0);
-    MachineOffer { machine_type: 0, zone, spot: false, total, price, boot: 40.0, fetch_gb_per_s: 1.0 }
+    MachineOffer {
+        machine_type: 0,
+        zone,
+        spot: false,
+        total,
+        price,
+        boot: 40.0,
+        fetch_gb_per_s: 1.0,
+    }
 }
 
 /// Machines were rented without end in one zone for a gang that had to be spread over two.
@@ -260,12 +290,36 @@
         let input = crowded(vec![], vec![job]);
         let output = plan(&input);
         let (input, output) = (&input, &output);
-        wishes(&HireInput { input, output, offers: &offers, coming: &[], horizon: 100.0, most: 100 })
+        wishes(&HireInput {
+            input,
+            output,
+            offers: &offers,
+            coming: &[],
+            horizon: 100.0,
+            most: 100,
+        })
     };
-    let spread = Job { spread: true, ..gang(5, false) };
-    assert_eq!(wished(gang(5, false)), [Wish { offer: 0, count: 5 }], "where it is cheapest");
-    assert_eq!(wished(spread.clone()), [Wish { offer: 0, count: 3 }, Wish { offer: 1, count: 2 }]);
-    assert!(wished(Job { zone: Some(0), ..spread }).is_empty(), "what can never start is not rented for");
+    let spread = Job {
+        spread: true,
+        ..gang(5, false)
+    };
+    assert_eq!(
+        wished(gang(5, false)),
+        [Wish { offer: 0, count: 5 }],
+        "where it is cheapest"
+    );
+    assert_eq!(
+        wished(spread.clone()),
+        [Wish { offer: 0, count: 3 }, Wish { offer: 1, count: 2 }]
+    );
+    assert!(
+        wished(Job {
+            zone: Some(0),
+            ..spread
+        })
+        .is_empty(),
+        "what can never start is not rented for"
+    );
 }
 
 /// A plan's work is bounded whatever waits: hundreds of gangs for which room would have to be made, and an array of
@@ -273,18 +327,37 @@
 #[test]
 fn steps_are_bounded() {
     let mut machines: Vec<Machine> = (0..1000).map(|i| busy(i % 2, f64::from(i), 0)).collect();
-    machines.extend((0..3u16).map(|z| Machine { running: vec![], ..busy(z % 2, 0.0, 0) }));
-    let array = Job { shape: Shape::Array, priority: 0, tasks: 100_000, pending: 100_000, ..gang(1, false) };
+    machines.extend((0..3u16).map(|z| Machine {
+        running: vec![],
+        ..busy(z % 2, 0.0, 0)
+    }));
+    let array = Job {
+        shape: Shape::Array,
+        priority: 0,
+        tasks: 100_000,
+        pending: 100_000,
+        ..gang(1, false)
+    };
     let mut jobs = vec![array];
     // An image of its own each, so that nothing found for one serves another.
-    jobs.extend((0..3000).map(|i| Job { image: i, ..gang(2, i % 2 == 0) }));
+    jobs.extend((0..3000).map(|i| Job {
+        image: i,
+        ..gang(2, i % 2 == 0)
+    }));
     let mut input = crowded(machines, jobs);
     let all = plan(&input).steps;
     input.max_steps = 200_000;
     let out = plan(&input);
     let one_job = 4 * input.machines.len() as u64 + 2 * 40 * input.jobs.len() as u64;
-    assert!(all > 10 * input.max_steps, "the case is too easy: {all} steps");
-    assert!(out.steps <= 2 * input.max_steps + one_job, "{} steps", out.steps);
+    assert!(
+        all > 10 * input.max_steps,
+        "the case is too easy: {all} steps"
+    );
+    assert!(
+        out.steps <= 2 * input.max_steps + one_job,
+        "{} steps",
+        out.steps
+    );
     assert!(out.starts.iter().any(|s| s.job > 0), "no gang was started");
 }
 
@@ -295,14 +368,29 @@
     machines[0].running.clear();
     machines[1].running[0].ends = 30.0;
     for (estimate, may) in [(20.0, true), (50.0, false)] {
-        let wide = Job { due: Some(1.0), ..gang(2, true) };
+        let wide = Job {
+            due: Some(1.0),
+            ..gang(2, true)
+        };
         // Submitted later, so later in the order.
-        let small = Job { arrival: 0.0, estimate, image_gb: 0.0, ..gang(1, true) };
-        let array = Job { shape: Shape::Array, ..small.clone() };
+        let small = Job {
+            arrival: 0.0,
+            estimate,
+            image_gb: 0.0,
+            ..gang(1, true)
+        };
+        let array = Job {
+            shape: Shape::Array,
+            ..small.clone()
+        };
         for other in [small, array] {
             let out = plan(&crowded(machines.clone(), vec![wide.clone(), other]));
             let started: Vec<u32> = out.starts.iter().map(|s| s.job).collect();
-            assert_eq!(started, if may { vec![1] } else { vec![] }, "estimate {estimate}");
+            assert_eq!(
+                started,
+                if may { vec![1] } else { vec![] },
+                "estimate {estimate}"
+            );
             assert!(out.kept.contains(&0) && out.kept.contains(&1) && !out.kept.contains(&2));
         }
     }
@@ -319,7 +407,11 @@
 /// Guaranteed gangs waited for work that other teams ran beyond their guarantees.
 #[test]
 fn what_runs_beyond_a_guarantee_gives_room_to_what_is_within() {
-    let wide = Job { promised: true, held: 1, ..gang(2, true) };
+    let wide = Job {
+        promised: true,
+        held: 1,
+        ..gang(2, true)
+    };
     // One zone has tasks that may be stopped one by one, the other a gang of three that stops whole.
     let machines = vec![
         borrowed(0, None),
@@ -336,8 +428,14 @@
     let out = plan(&crowded(machines[1..].to_vec(), vec![wide.clone()]));
     assert_eq!((out.preempts.len(), out.recalls), (0, vec![7]));
     // Never for a gang without the promise, nor the work of its own team, nor what leaves already.
-    let late = Job { promised: false, ..wide.clone() };
-    let own = Job { team: 1, ..wide.clone() };
+    let late = Job {
+        promised: false,
+        ..wide.clone()
+    };
+    let own = Job {
+        team: 1,
+        ..wide.clone()
+    };
     let mut input = crowded(machines.clone(), vec![late]);
     input.teams.push(input.teams[0].clone());
     let mut leaving = input.clone();
@@ -345,7 +443,10 @@
         (m.running[0].leaving, m.running[0].ends) = (true, 1.0);
     }
     leaving.jobs = vec![wide];
-    let owned = Input { jobs: vec![own], ..input.clone() };
+    let owned = Input {
+        jobs: vec![own],
+        ..input.clone()
+    };
     for input in [input, owned, leaving] {
         let out = plan(&input);
         assert!(out.preempts.is_empty() && out.recalls.is_empty());
@@ -355,9 +456,24 @@
 /// The room that was made went back to the gang that had been stopped for it, which stood earlier in the order.
 #[test]
 fn room_made_for_a_guarantee_is_not_taken_back() {
-    let machines: Vec<Machine> = (0..2).map(|_| Machine { running: vec![], ..busy(0, 0.0, 0) }).collect();
-    let stopped = Job { arrival: -300.0, due: Some(1.0), team: 1, ..gang(2, true) };
-    let guaranteed = Job { promised: true, held: 1, due: Some(60.0), ..gang(2, true) };
+    let machines: Vec<Machine> = (0..2)
+        .map(|_| Machine {
+            running: vec![],
+            ..busy(0, 0.0, 0)
+        })
+        .collect();
+    let stopped = Job {
+        arrival: -300.0,
+        due: Some(1.0),
+        team: 1,
+        ..gang(2, true)
+    };
+    let guaranteed = Job {
+        promised: true,
+        held: 1,
+        due: Some(60.0),
+        ..gang(2, true)
+    };
     let mut input = crowded(machines, vec![stopped, guaranteed]);
     input.teams.push(input.teams[0].clone());
     assert!(plan(&input).starts.iter().all(|s| s.job == 1));
@@ -369,7 +485,14 @@
     let none = res(f64::INFINITY, f64::INFINITY, f64::INFINITY);
     Input {
         teams: paths.iter().map(|p| unbounded(p)).collect(),
-        groups: vec![Group { used: res(0.0, 0.0, 0.0), max: none, sheds: true }; 4],
+        groups: vec![
+            Group {
+                used: res(0.0, 0.0, 0.0),
+                max: none,
+                sheds: true
+            };
+            4
+        ],
         ..crowded(machines, jobs)
     }
 }
@@ -385,7 +508,11 @@
 /// is held at the level where the two part.
 #[test]
 fn the_nearest_borrowers_give_back_first() {
-    let wide = Job { promised: true, held: 3, ..gang(1, false) };
+    let wide = Job {
+        promised: true,
+        held: 3,
+        ..gang(1, false)
+    };
     let all = [
         taken(3, 0, 1.0),
         taken(2, 1, 5.0),
@@ -407,21 +534,43 @@
     // What only the house's guarantee holds has no claim on its own siblings.
     let lent = Job { held: 1, ..wide };
     let out = plan(&houses(all.to_vec(), vec![lent]));
-    assert_eq!(out.preempts.iter().map(|p| p.machine).collect::<Vec<_>>(), [0]);
+    assert_eq!(
+        out.preempts.iter().map(|p| p.machine).collect::<Vec<_>>(),
+        [0]
+    );
 }
 
 /// An array takes back one place for each task that is due to it, no more, and none twice.
 #[test]
 fn an_array_gets_back_what_is_due_to_it() {
-    let array = Job { shape: Shape::Array, promised: true, held: 3, image_gb: 0.0, ..gang(2, false) };
+    let array = Job {
+        shape: Shape::Array,
+        promised: true,
+        held: 3,
+        image_gb: 0.0,
+        ..gang(2, false)
+    };
     let mut machines: Vec<Machine> = (0..4).map(|i| taken(1, 0, f64::from(i))).collect();
     let out = plan(&houses(machines.clone(), vec![array.clone()]));
-    assert_eq!(out.preempts.iter().map(|p| p.machine).collect::<Vec<_>>(), [0, 1]);
+    assert_eq!(
+        out.preempts.iter().map(|p| p.machine).collect::<Vec<_>>(),
+        [0, 1]
+    );
     machines[0].running[0].leaving = true;
     machines[1].running[0].leaving = true;
-    assert_eq!(plan(&houses(machines.clone(), vec![array.clone()])).preempts, []);
+    assert_eq!(
+        plan(&houses(machines.clone(), vec![array.clone()])).preempts,
+        []
+    );
     // Without nested quotas arrays wait, as ever.
-    let mut flat = crowded(machines, vec![Job { held: 1, team: 0, ..array }]);
+    let mut flat = crowded(
+        machines,
+        vec![Job {
+            held: 1,
+            team: 0,
+            ..array
+        }],
+    );
     flat.teams = vec![unbounded(&[]), unbounded(&[])];
     assert_eq!(plan(&flat).preempts, []);
 }
@@ -429,16 +578,43 @@
 /// A neighbour's flood of urgent work stopped what others had by their guarantee, and had to give it back at once.
 #[test]
 fn urgency_of_what_is_borrowed_does_not_stop_what_is_held() {
-    let urgent = Job { priority: 3, team: 1, ..gang(1, false) };
+    let urgent = Job {
+        priority: 3,
+        team: 1,
+        ..gang(1, false)
+    };
     let held = taken(0, 3, 0.0);
-    assert_eq!(plan(&houses(vec![held.clone()], vec![urgent.clone()])).preempts, []);
-    let own = Job { promised: true, held: 3, ..urgent.clone() };
-    assert_eq!(plan(&houses(vec![held], vec![own])).preempts.len(), 1, "within its own guarantee it may");
+    assert_eq!(
+        plan(&houses(vec![held.clone()], vec![urgent.clone()])).preempts,
+        []
+    );
+    let own = Job {
+        promised: true,
+        held: 3,
+        ..urgent.clone()
+    };
+    assert_eq!(
+        plan(&houses(vec![held], vec![own])).preempts.len(),
+        1,
+        "within its own guarantee it may"
+    );
     // What is held is placed first.
-    let free = Machine { running: vec![], ..busy(0, 0.0, 0) };
-    let modest = Job { promised: true, held: 3, priority: 0, ..gang(1, false) };
+    let free = Machine {
+        running: vec![],
+        ..busy(0, 0.0, 0)
+    };
+    let modest = Job {
+        promised: true,
+        held: 3,
+        priority: 0,
+        ..gang(1, false)
+    };
     assert_eq!(
-        plan(&houses(vec![free], vec![urgent, modest])).starts.iter().map(|s| s.job).collect::<Vec<_>>(),
+        plan(&houses(vec![free], vec![urgent, modest]))
+            .starts
+            .iter()
+            .map(|s| s.job)
+            .collect::<Vec<_>>(),
         [1]
     );
 }
@@ -447,20 +623,44 @@
 /// the least held first, and only where its policy says so.
 #[test]
 fn groups_keep_their_bounds() {
-    let free = Machine { running: vec![], ..busy(0, 0.0, 0) };
-    let jobs = vec![gang(1, false), Job { team: 2, ..gang(1, false) }];
+    let free = Machine {
+        running: vec![],
+        ..busy(0, 0.0, 0)
+    };
+    let jobs = vec![
+        gang(1, false),
+        Job {
+            team: 2,
+            ..gang(1, false)
+        },
+    ];
     let mut input = houses(vec![free; 3], jobs);
     input.groups[0].max = res(1e9, 4.0, 1e9);
     assert_eq!(plan(&input).starts.len(), 1, "one for the house");
-    let machines =
-        vec![taken(0, 3, 9.0), taken(1, 1, 3.0), taken(1, 1, 2.0), taken(2, 0, 9.0), taken(3, 0, 0.0)];
+    let machines = vec![
+        taken(0, 3, 9.0),
+        taken(1, 1, 3.0),
+        taken(1, 1, 2.0),
+        taken(2, 0, 9.0),
+        taken(3, 0, 0.0),
+    ];
     let mut input = houses(machines, vec![]);
     input.groups[0].used = res(32.0, 16.0, 32.0);
     input.groups[1].used = res(24.0, 12.0, 24.0);
     input.groups[0].max = res(1e9, 8.0, 1e9);
     input.groups[1].max = res(1e9, 8.0, 1e9);
-    let stopped = |input: &Input| plan(input).preempts.iter().map(|p| p.machine).collect::<Vec<_>>();
-    assert_eq!(stopped(&input), [2, 3], "one of the desk, then one more of the house");
+    let stopped = |input: &Input| {
+        plan(input)
+            .preempts
+            .iter()
+            .map(|p| p.machine)
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(
+        stopped(&input),
+        [2, 3],
+        "one of the desk, then one more of the house"
+    );
     input.machines[2].running[0].leaving = true;
     assert_eq!(stopped(&input), [3], "not a second time");
     input.groups.iter_mut().for_each(|g| g.sheds = false);
--- a/crates/plan/tests/zones.rs
+++ b/crates/plan/tests/zones.rs
@@ -1,11 +1,16 @@
 //! Jobs whose tasks share a zone, and lose machines: nothing is rented, stopped or held where they can't go.
 
 use plan::{
-    Group, HireInput, Input, Job, Machine, MachineOffer, Res, Running, Shape, Team, Wish, plan, wishes,
+    Group, HireInput, Input, Job, Machine, MachineOffer, Res, Running, Shape, Team, Wish, plan,
+    wishes,
 };
 
 fn res(gpus: f64) -> Res {
-    Res { cores: 2.0 * gpus, gpus, mem: 4.0 * gpus }
+    Res {
+        cores: 2.0 * gpus,
+        gpus,
+        mem: 4.0 * gpus,
+    }
 }
 
 /// An array of one-GPU tasks in one zone, with so many places by zone already.
@@ -74,12 +79,20 @@
         cores_max: f64::INFINITY,
         gpus_max: f64::INFINITY,
     };
-    let none = Res { cores: f64::INFINITY, gpus: f64::INFINITY, mem: f64::INFINITY };
+    let none = Res {
+        cores: f64::INFINITY,
+        gpus: f64::INFINITY,
+        mem: f64::INFINITY,
+    };
     Input {
         machines,
         jobs,
         teams: vec![team(&[0]), team(&[0])],
-        groups: vec![Group { used: res(0.0), max: none, sheds: true }],
+        groups: vec![Group {
+            used: res(0.0),
+            max: none,
+            sheds: true,
+        }],
         spares: vec![],
         online_factor: 1.0,
         patience: 3.0,
@@ -103,7 +116,14 @@
 fn wished(job: Job, offers: &[MachineOffer], coming: &[(MachineOffer, u32)]) -> Vec<Wish> {
     let input = input(vec![], vec![job]);
     let output = plan(&input);
-    wishes(&HireInput { input: &input, output: &output, offers, coming, horizon: 10.0, most: 100 })
+    wishes(&HireInput {
+        input: &input,
+        output: &output,
+        offers,
+        coming,
+        horizon: 10.0,
+        most: 100,
+    })
 }
 
 /// Machines were rented in the zone with the fewest for an array whose tasks stood in another one: they idled, were
@@ -111,21 +131,35 @@
 #[test]
 fn machines_are_rented_where_the_other_tasks_stand() {
     let offers = [offer(0, 1.0), offer(1, 1.0)];
-    assert_eq!(wished(array(8, &[]), &offers, &[]), [Wish { offer: 0, count: 2 }], "any zone will do");
-    assert_eq!(wished(array(8, &[(1, 3)]), &offers, &[]), [Wish { offer: 1, count: 2 }]);
+    assert_eq!(
+        wished(array(8, &[]), &offers, &[]),
+        [Wish { offer: 0, count: 2 }],
+        "any zone will do"
+    );
+    assert_eq!(
+        wished(array(8, &[(1, 3)]), &offers, &[]),
+        [Wish { offer: 1, count: 2 }]
+    );
     assert_eq!(
         wished(array(8, &[(0, 0), (1, 1)]), &offers, &[]),
         [Wish { offer: 1, count: 2 }],
         "none is left in 0"
     );
-    assert_eq!(wished(array(8, &[(1, 3)]), &offers[..1], &[]), [], "none to be had there");
+    assert_eq!(
+        wished(array(8, &[(1, 3)]), &offers[..1], &[]),
+        [],
+        "none to be had there"
+    );
 }
 
 /// What comes in one zone and is rented in another is no room for tasks that share one.
 #[test]
 fn what_is_on_its_way_counts_in_one_zone() {
     let offers = [offer(0, 1.0), offer(1, 1.0)];
-    let gang = Job { shape: Shape::Gang, ..array(8, &[]) };
+    let gang = Job {
+        shape: Shape::Gang,
+        ..array(8, &[])
+    };
     for job in [gang, array(8, &[])] {
         let coming = [(offer(1, 1.0), 1)];
         assert_eq!(
@@ -133,9 +167,16 @@
             [Wish { offer: 1, count: 1 }],
             "the rest beside it"
         );
-        assert_eq!(wished(job.clone(), &offers, &[(offer(1, 1.0), 2)]), [], "enough is coming");
+        assert_eq!(
+            wished(job.clone(), &offers, &[(offer(1, 1.0), 2)]),
+            [],
+            "enough is coming"
+        );
         // Where no more can be had beside it, all of it goes elsewhere.
-        assert_eq!(wished(job, &offers[..1], &coming), [Wish { offer: 0, count: 2 }]);
+        assert_eq!(
+            wished(job, &offers[..1], &coming),
+            [Wish { offer: 0, count: 2 }]
+        );
     }
 }
 
@@ -143,7 +184,11 @@
 /// and the room was held for it.
 #[test]
 fn nothing_is_stopped_where_the_job_cannot_go() {
-    let due = |zones: &[(u16, u32)]| Job { promised: true, held: 2, ..array(4, zones) };
+    let due = |zones: &[(u16, u32)]| Job {
+        promised: true,
+        held: 2,
+        ..array(4, zones)
+    };
     // Zone 1 has what is cheaper to stop.
     let mut machines = vec![machine(0, 4), machine(1, 4)];
     machines[0].running.iter_mut().for_each(|r| r.lost = 30.0);
@@ -154,9 +199,29 @@
         on.dedup();
         (on, out.kept)
     };
-    assert_eq!(stopped(&machines, due(&[])), (vec![1], vec![1]), "where the least is lost");
-    assert_eq!(stopped(&machines, due(&[(0, 1)])), (vec![0], vec![0]), "where its tasks stand");
-    assert_eq!(stopped(&machines[1..], due(&[(0, 1)])), (vec![], vec![]), "nowhere");
-    let spread = Job { one_zone: false, spread: true, ..due(&[(1, 10)]) };
-    assert_eq!(stopped(&machines, spread), (vec![0], vec![0]), "half of it is in zone 1");
+    assert_eq!(
+        stopped(&machines, due(&[])),
+        (vec![1], vec![1]),
+        "where the least is lost"
+    );
+    assert_eq!(
+        stopped(&machines, due(&[(0, 1)])),
+        (vec![0], vec![0]),
+        "where its tasks stand"
+    );
+    assert_eq!(
+        stopped(&machines[1..], due(&[(0, 1)])),
+        (vec![], vec![]),
+        "nowhere"
+    );
+    let spread = Job {
+        one_zone: false,
+        spread: true,
+        ..due(&[(1, 10)])
+    };
+    assert_eq!(
+        stopped(&machines, spread),
+        (vec![0], vec![0]),
+        "half of it is in zone 1"
+    );
 }
--- a/crates/quota/examples/scale.rs
+++ b/crates/quota/examples/scale.rs
@@ -26,18 +26,31 @@
         }
         above = names;
     }
-    let teams: Vec<Team> =
-        (0..TEAMS).map(|i| Team { guarantee: units(2.0), ..Team::new(&format!("team-{i}")) }).collect();
+    let teams: Vec<Team> = (0..TEAMS)
+        .map(|i| Team {
+            guarantee: units(2.0),
+            ..Team::new(&format!("team-{i}"))
+        })
+        .collect();
     for (i, team) in teams.iter().enumerate() {
-        spec.teams.push(TeamSpec::new(&team.name, above[i * above.len() / TEAMS].as_deref()));
+        spec.teams.push(TeamSpec::new(
+            &team.name,
+            above[i * above.len() / TEAMS].as_deref(),
+        ));
     }
     // Each node is guaranteed a quarter more than what it must hold.
     let mut held: std::collections::HashMap<String, f64> = Default::default();
-    spec.teams.iter().for_each(|t| *held.entry(t.parent.clone().unwrap_or_default()).or_default() += 2.0);
+    spec.teams.iter().for_each(|t| {
+        *held
+            .entry(t.parent.clone().unwrap_or_default())
+            .or_default() += 2.0
+    });
     for node in spec.nodes.iter_mut().rev() {
         let own = held.get(&node.name).copied().unwrap_or(0.0) * 1.25;
         node.guarantee = units(own);
-        *held.entry(node.parent.clone().unwrap_or_default()).or_default() += own;
+        *held
+            .entry(node.parent.clone().unwrap_or_default())
+            .or_default() += own;
     }
     (spec, teams)
 }
@@ -57,7 +70,9 @@
     live.refresh();
     let all = |live: &mut Live| {
         let before = live.steps;
-        let sum: i64 = (0..TEAMS as u32).filter_map(|t| live.entitled(TeamId(t), 0)[quota::GPUS]).sum();
+        let sum: i64 = (0..TEAMS as u32)
+            .filter_map(|t| live.entitled(TeamId(t), 0)[quota::GPUS])
+            .sum();
         (live.steps - before, sum)
     };
     let full_steps = live.steps;
@@ -67,7 +82,10 @@
         let gpus = rng.u32(0..6);
         let team = TeamId(rng.u32(0..TEAMS as u32));
         let before = live.steps;
-        live.set_demand(team, amount(&[("cpus", f64::from(gpus * 8)), ("gpus", f64::from(gpus))]));
+        live.set_demand(
+            team,
+            amount(&[("cpus", f64::from(gpus * 8)), ("gpus", f64::from(gpus))]),
+        );
         live.refresh();
         updates.push(live.steps - before);
     }
@@ -75,10 +93,15 @@
     let (_, sum) = all(&mut live);
     // From nothing, the same state gives the same.
     let mut anew = Live::new(live.tree().clone());
-    (0..TEAMS as u32).map(TeamId).for_each(|t| anew.set_demand(t, live.team(t).demand));
+    (0..TEAMS as u32)
+        .map(TeamId)
+        .for_each(|t| anew.set_demand(t, live.team(t).demand));
     assert_eq!(all(&mut anew).1, sum, "incremental and from nothing differ");
     let p99 = updates[updates.len() * 99 / 100];
-    eprintln!("asking for all teams' entitlements took {ask_all} steps; {} inner nodes", spec.nodes.len());
+    eprintln!(
+        "asking for all teams' entitlements took {ask_all} steps; {} inner nodes",
+        spec.nodes.len()
+    );
     println!(
         "{{\"teams\":{TEAMS},\"levels\":{},\"update_steps_p50\":{},\"update_steps_p99\":{p99},\"full_steps\":{full_steps},\"bytes_per_team\":{},\"incremental_ratio\":{:.0}}}",
         live.tree().levels() + 1,
--- a/crates/quota/src/content.rs
+++ b/crates/quota/src/content.rs
@@ -23,8 +23,12 @@
     type Built = Tree;
 
     fn pack(&self, into: &mut Packer<Part>) {
-        self.nodes.iter().for_each(|n| into.push(n, |p| p.nodes.push(n.clone())));
-        self.teams.iter().for_each(|t| into.push(t, |p| p.teams.push(t.clone())));
+        self.nodes
+            .iter()
+            .for_each(|n| into.push(n, |p| p.nodes.push(n.clone())));
+        self.teams
+            .iter()
+            .for_each(|t| into.push(t, |p| p.teams.push(t.clone())));
     }
     fn unpack(&mut self, part: &Part) {
         self.nodes.extend(part.nodes.iter().cloned());
@@ -43,6 +47,9 @@
     fn fitting(&self, teams: &Vec<Team>) -> Spec {
         let known: BTreeSet<&str> = teams.iter().map(|t| t.name.as_str()).collect();
         let here = |t: &&TeamSpec| known.contains(t.name.as_str());
-        Spec { nodes: self.nodes.clone(), teams: self.teams.iter().filter(here).cloned().collect() }
+        Spec {
+            nodes: self.nodes.clone(),
+            teams: self.teams.iter().filter(here).cloned().collect(),
+        }
     }
 }
--- a/crates/quota/src/edit.rs
+++ b/crates/quota/src/edit.rs
@@ -13,8 +13,11 @@
 
     /// The node's name and those above it, nearest first; ends where a name is unknown, or comes again.
     fn line(&self, from: Option<&str>) -> Vec<String> {
-        let parents: BTreeMap<&str, Option<&str>> =
-            self.nodes.iter().map(|n| (n.name.as_str(), n.parent.as_deref())).collect();
+        let parents: BTreeMap<&str, Option<&str>> = self
+            .nodes
+            .iter()
+            .map(|n| (n.name.as_str(), n.parent.as_deref()))
+            .collect();
         let mut out: Vec<String> = Vec::new();
         let mut at = from;
         while let Some(name) = at
@@ -41,21 +44,34 @@
     let carried: Amounts;
     if let Some(i) = spec.node_at(name) {
         if spec.line(to).iter().any(|above| above == name) {
-            return Err(Fault::whole("to", format!("{name:?} can't hang below itself")));
+            return Err(Fault::whole(
+                "to",
+                format!("{name:?} can't hang below itself"),
+            ));
         }
         from = spec.nodes[i].parent.clone();
         carried = spec.nodes[i].guarantee.clone();
         out.nodes[i].parent = to.map(str::to_owned);
     } else {
         let Some(team) = teams.iter().find(|t| t.name == name) else {
-            return Err(Fault::whole("name", format!("{name:?} is neither a node nor a team")));
+            return Err(Fault::whole(
+                "name",
+                format!("{name:?} is neither a node nor a team"),
+            ));
         };
-        let at = out.teams.iter().position(|t| t.name == name).unwrap_or_else(|| {
-            out.teams.push(TeamSpec::new(name, None));
-            out.teams.len() - 1
-        });
+        let at = out
+            .teams
+            .iter()
+            .position(|t| t.name == name)
+            .unwrap_or_else(|| {
+                out.teams.push(TeamSpec::new(name, None));
+                out.teams.len() - 1
+            });
         from = out.teams[at].parent.clone();
-        carried = out.teams[at].guarantee.clone().unwrap_or_else(|| team.guarantee.clone());
+        carried = out.teams[at]
+            .guarantee
+            .clone()
+            .unwrap_or_else(|| team.guarantee.clone());
         out.teams[at].parent = to.map(str::to_owned);
     }
     let (left, entered) = (spec.line(from.as_deref()), spec.line(to));
@@ -88,12 +104,17 @@
     scale: bool,
 ) -> Result<Spec, Fault> {
     let Some(i) = spec.node_at(name) else {
-        return Err(Fault::whole("name", format!("{name:?} is no node of the tree")));
+        return Err(Fault::whole(
+            "name",
+            format!("{name:?} is no node of the tree"),
+        ));
     };
     let mut out = spec.clone();
     let node = &mut out.nodes[i];
-    node.guarantee.extend(guarantee.iter().map(|(r, units)| (r.clone(), *units)));
-    node.max.extend(max.iter().map(|(r, units)| (r.clone(), *units)));
+    node.guarantee
+        .extend(guarantee.iter().map(|(r, units)| (r.clone(), *units)));
+    node.max
+        .extend(max.iter().map(|(r, units)| (r.clone(), *units)));
     if scale {
         for (r, most) in &node.max {
             if let Some(units) = node.guarantee.get_mut(r) {
@@ -101,12 +122,17 @@
             }
         }
         let below = Below::of(&out);
-        let settled: HashMap<&str, &Amounts> =
-            teams.iter().map(|t| (t.name.as_str(), &t.guarantee)).collect();
+        let settled: HashMap<&str, &Amounts> = teams
+            .iter()
+            .map(|t| (t.name.as_str(), &t.guarantee))
+            .collect();
         // No tree is deeper; one that goes in circles ends here too.
         let mut level = vec![i];
         for _ in 0..=crate::MAX_DEPTH {
-            level = level.into_iter().flat_map(|n| below.scale(&mut out, &settled, n)).collect();
+            level = level
+                .into_iter()
+                .flat_map(|n| below.scale(&mut out, &settled, n))
+                .collect();
         }
     }
     Ok(out)
@@ -120,12 +146,19 @@
 
 impl Below {
     fn of(spec: &Spec) -> Self {
-        let mut out = Below { nodes: HashMap::new(), teams: HashMap::new() };
+        let mut out = Below {
+            nodes: HashMap::new(),
+            teams: HashMap::new(),
+        };
         for (i, n) in spec.nodes.iter().enumerate() {
-            n.parent.iter().for_each(|p| out.nodes.entry(p.clone()).or_default().push(i));
+            n.parent
+                .iter()
+                .for_each(|p| out.nodes.entry(p.clone()).or_default().push(i));
         }
         for (i, t) in spec.teams.iter().enumerate() {
-            t.parent.iter().for_each(|p| out.teams.entry(p.clone()).or_default().push(i));
+            t.parent
+                .iter()
+                .for_each(|p| out.teams.entry(p.clone()).or_default().push(i));
         }
         out
     }
@@ -133,7 +166,12 @@
     /// Cuts the guarantees directly below a node to what it has, and their maxima to its own; the inner ones among
     /// them.
     fn scale(&self, spec: &mut Spec, settled: &HashMap<&str, &Amounts>, at: usize) -> Vec<usize> {
-        let NodeSpec { name, guarantee: own, max, .. } = spec.nodes[at].clone();
+        let NodeSpec {
+            name,
+            guarantee: own,
+            max,
+            ..
+        } = spec.nodes[at].clone();
         let inner = self.nodes.get(&name).cloned().unwrap_or_default();
         let leaves = self.teams.get(&name).cloned().unwrap_or_default();
         let of_team = |t: &TeamSpec| {
@@ -142,19 +180,28 @@
         };
         let mut sums: BTreeMap<String, i64> = BTreeMap::new();
         let of_inner = inner.iter().map(|i| spec.nodes[*i].guarantee.clone());
-        for (r, units) in of_inner.chain(leaves.iter().map(|i| of_team(&spec.teams[*i]))).flatten() {
+        for (r, units) in of_inner
+            .chain(leaves.iter().map(|i| of_team(&spec.teams[*i])))
+            .flatten()
+        {
             *sums.entry(r).or_default() += milli(units);
         }
         let cut = |given: &Amounts| -> Amounts {
             let part = |r: &String, units: &f64| {
-                let (sum, own) = (sums.get(r).copied().unwrap_or(0), own.get(r).map_or(0, |v| milli(*v)));
+                let (sum, own) = (
+                    sums.get(r).copied().unwrap_or(0),
+                    own.get(r).map_or(0, |v| milli(*v)),
+                );
                 if sum <= own {
                     return *units;
                 }
                 let part = i128::from(milli(*units)) * i128::from(own) / i128::from(sum.max(1));
                 part as f64 / 1000.0
             };
-            given.iter().map(|(r, units)| (r.clone(), part(r, units))).collect()
+            given
+                .iter()
+                .map(|(r, units)| (r.clone(), part(r, units)))
+                .collect()
         };
         for i in leaves {
             let before = of_team(&spec.teams[i]);
@@ -167,7 +214,10 @@
             let n = &mut spec.nodes[*i];
             n.guarantee = cut(&n.guarantee);
             for (r, most) in &max {
-                for units in [n.max.get_mut(r), n.guarantee.get_mut(r)].into_iter().flatten() {
+                for units in [n.max.get_mut(r), n.guarantee.get_mut(r)]
+                    .into_iter()
+                    .flatten()
+                {
                     *units = units.min(*most);
                 }
             }
@@ -180,7 +230,10 @@
 pub fn differences(old: &Spec, new: &Spec, most: usize) -> Vec<String> {
     let mut out = Vec::new();
     let nodes = |s: &Spec| -> BTreeMap<String, NodeSpec> {
-        s.nodes.iter().map(|n| (n.name.clone(), n.clone())).collect()
+        s.nodes
+            .iter()
+            .map(|n| (n.name.clone(), n.clone()))
+            .collect()
     };
     let (before, after) = (nodes(old), nodes(new));
     let root = |p: &Option<String>| p.clone().unwrap_or_else(|| "the root".into());
@@ -190,27 +243,49 @@
             (None, Some(n)) => out.push(format!("node {name}: new, below {}", root(&n.parent))),
             (Some(a), Some(b)) if a != b => {
                 if a.parent != b.parent {
-                    out.push(format!("node {name}: from {} to {}", root(&a.parent), root(&b.parent)));
+                    out.push(format!(
+                        "node {name}: from {} to {}",
+                        root(&a.parent),
+                        root(&b.parent)
+                    ));
                 }
-                out.extend(amounts_differ(name, "guarantee", &a.guarantee, &b.guarantee));
+                out.extend(amounts_differ(
+                    name,
+                    "guarantee",
+                    &a.guarantee,
+                    &b.guarantee,
+                ));
                 out.extend(amounts_differ(name, "max", &a.max, &b.max));
                 if (a.weight, a.over) != (b.weight, b.over) {
                     let was = format!("weight {} over {:?}", a.weight, a.over);
-                    out.push(format!("node {name}: {was} -> weight {} over {:?}", b.weight, b.over));
+                    out.push(format!(
+                        "node {name}: {was} -> weight {} over {:?}",
+                        b.weight, b.over
+                    ));
                 }
             }
             _ => {}
         }
     }
     let teams = |s: &Spec| -> BTreeMap<String, TeamSpec> {
-        s.teams.iter().map(|t| (t.name.clone(), t.clone())).collect()
+        s.teams
+            .iter()
+            .map(|t| (t.name.clone(), t.clone()))
+            .collect()
     };
     let (before, after) = (teams(old), teams(new));
     for name in before.keys().chain(after.keys()).collect::<BTreeSet<_>>() {
         let none = TeamSpec::new(name, None);
-        let (a, b) = (before.get(name).unwrap_or(&none), after.get(name).unwrap_or(&none));
+        let (a, b) = (
+            before.get(name).unwrap_or(&none),
+            after.get(name).unwrap_or(&none),
+        );
         if a.parent != b.parent {
-            out.push(format!("team {name}: from {} to {}", root(&a.parent), root(&b.parent)));
+            out.push(format!(
+                "team {name}: from {} to {}",
+                root(&a.parent),
+                root(&b.parent)
+            ));
         }
         if (a.weight, &a.guarantee) != (b.weight, &b.guarantee) {
             let (a, b) = ((a.weight, &a.guarantee), (b.weight, &b.guarantee));
@@ -229,5 +304,13 @@
     let show = |a: &Amounts, r: &String| a.get(r).map_or("none".to_owned(), f64::to_string);
     let all: BTreeSet<&String> = a.keys().chain(b.keys()).collect();
     let changed = all.into_iter().filter(|r| a.get(*r) != b.get(*r));
-    changed.map(|r| format!("node {name}: {field} of {r} {} -> {}", show(a, r), show(b, r))).collect()
+    changed
+        .map(|r| {
+            format!(
+                "node {name}: {field} of {r} {} -> {}",
+                show(a, r),
+                show(b, r)
+            )
+        })
+        .collect()
 }
--- a/crates/quota/src/file.rs
+++ b/crates/quota/src/file.rs
@@ -25,7 +25,10 @@
 impl file::Raw for Raw {
     type Spec = Spec;
     fn spec(self, lines: &mut Lines) -> Spec {
-        Spec { nodes: lines.list(NODE, self.node), teams: lines.list(TEAM, self.team) }
+        Spec {
+            nodes: lines.list(NODE, self.node),
+            teams: lines.list(TEAM, self.team),
+        }
     }
 }
 
--- a/crates/quota/src/fill.rs
+++ b/crates/quota/src/fill.rs
@@ -26,7 +26,13 @@
 
     /// The level at which it has all that it wants.
     fn full(&self, budget: &Amount) -> f64 {
-        let share = |r: usize| if budget[r] > 0 { self.unmet(r) as f64 / budget[r] as f64 } else { 0.0 };
+        let share = |r: usize| {
+            if budget[r] > 0 {
+                self.unmet(r) as f64 / budget[r] as f64
+            } else {
+                0.0
+            }
+        };
         (0..MAX_RESOURCES).map(share).fold(0.0, f64::max) / self.weight
     }
 
@@ -40,7 +46,11 @@
             let unmet = self.unmet(r);
             // What is whole must not lose a thousandth to the last bit of a division.
             let part = |of: f64| (unmet as f64 * (of / full) + 1e-6).floor() as i64;
-            let extra = if levels[r] >= full { unmet } else { part(levels[r]) };
+            let extra = if levels[r] >= full {
+                unmet
+            } else {
+                part(levels[r])
+            };
             self.base[r] + extra
         })
     }
@@ -72,7 +82,13 @@
 /// The level at which `left` of one resource has run out. `order` rises by the level at which each child is full.
 fn level(left: f64, r: usize, order: &[(f64, &Ask)]) -> f64 {
     // Taken at level L: what the full ones want, and L times the pace of the others.
-    let pace = |(full, ask): &(f64, &Ask)| if *full > 0.0 { ask.unmet(r) as f64 / full } else { 0.0 };
+    let pace = |(full, ask): &(f64, &Ask)| {
+        if *full > 0.0 {
+            ask.unmet(r) as f64 / full
+        } else {
+            0.0
+        }
+    };
     let mut rising: f64 = order.iter().map(pace).sum();
     let mut taken = 0.0;
     for o in order.iter().filter(|o| o.0 > 0.0) {
--- a/crates/quota/src/live.rs
+++ b/crates/quota/src/live.rs
@@ -62,7 +62,13 @@
     pub fn new(tree: Arc<Tree>) -> Self {
         let teams = tree.leaves.iter().map(|_| Count::default()).collect();
         let nodes = tree.nodes.iter().map(|_| State::default()).collect();
-        Live { tree, teams, nodes, stale: BTreeSet::new(), steps: 0 }
+        Live {
+            tree,
+            teams,
+            nodes,
+            stale: BTreeSet::new(),
+            steps: 0,
+        }
     }
 
     pub fn tree(&self) -> &Arc<Tree> {
@@ -151,7 +157,9 @@
         let mut budget = guarantee;
         for (i, n) in path.iter().enumerate().skip(depth) {
             let levels = self.levels(*n, depth, budget);
-            let ask = path.get(i + 1).map_or_else(|| self.team_ask(team), |c| self.node_ask(*c));
+            let ask = path
+                .get(i + 1)
+                .map_or_else(|| self.team_ask(team), |c| self.node_ask(*c));
             budget = ask.part(&budget, &levels);
         }
         std::array::from_fn(|r| (guarantee[r] > 0).then_some(budget[r]))
@@ -170,7 +178,8 @@
                 self.nodes[n.0 as usize].covered = covered;
                 if let Some(p) = self.tree.nodes[n.0 as usize].parent {
                     self.nodes[p.0 as usize].epoch += 1;
-                    self.stale.insert((Reverse(self.tree.nodes[p.0 as usize].depth), p));
+                    self.stale
+                        .insert((Reverse(self.tree.nodes[p.0 as usize].depth), p));
                 }
             }
         }
@@ -190,30 +199,48 @@
         if memos.len() <= origin {
             memos.resize(origin + 1, None);
         }
-        memos[origin] = Some(Memo { epoch, budget, levels });
+        memos[origin] = Some(Memo {
+            epoch,
+            budget,
+            levels,
+        });
         levels
     }
 
     fn asks(&self, n: NodeId) -> Vec<Ask> {
         let node = &self.tree.nodes[n.0 as usize];
         let inner = node.children.iter().map(|c| self.node_ask(*c));
-        inner.chain(node.teams.iter().map(|t| self.team_ask(*t))).collect()
+        inner
+            .chain(node.teams.iter().map(|t| self.team_ask(*t)))
+            .collect()
     }
 
     fn node_ask(&self, n: NodeId) -> Ask {
         let (node, state) = (&self.tree.nodes[n.0 as usize], &self.nodes[n.0 as usize]);
-        Ask { base: state.covered, want: within(&state.want, &node.max), weight: node.weight }
+        Ask {
+            base: state.covered,
+            want: within(&state.want, &node.max),
+            weight: node.weight,
+        }
     }
 
     fn team_ask(&self, team: TeamId) -> Ask {
         let leaf = self.leaf(team);
         let want = within(&self.teams[team.0 as usize].demand, &leaf.max);
-        Ask { base: within(&want, &leaf.guarantee), want, weight: leaf.weight }
+        Ask {
+            base: within(&want, &leaf.guarantee),
+            want,
+            weight: leaf.weight,
+        }
     }
 
     /// Bytes that the counts take, without the tree itself.
     pub fn bytes(&self) -> usize {
-        let memos: usize = self.nodes.iter().map(|s| s.memos.capacity() * size_of::<Option<Memo>>()).sum();
+        let memos: usize = self
+            .nodes
+            .iter()
+            .map(|s| s.memos.capacity() * size_of::<Option<Memo>>())
+            .sum();
         self.teams.len() * size_of::<Count>() + self.nodes.len() * size_of::<State>() + memos
     }
 }
--- a/crates/quota/src/spec.rs
+++ b/crates/quota/src/spec.rs
@@ -72,7 +72,12 @@
 
 impl TeamSpec {
     pub fn new(name: &str, parent: Option<&str>) -> Self {
-        TeamSpec { name: name.to_owned(), parent: parent.map(str::to_owned), guarantee: None, weight: 1.0 }
+        TeamSpec {
+            name: name.to_owned(),
+            parent: parent.map(str::to_owned),
+            guarantee: None,
+            weight: 1.0,
+        }
     }
 }
 
--- a/crates/quota/src/tree.rs
+++ b/crates/quota/src/tree.rs
@@ -28,7 +28,11 @@
 impl Team {
     /// One without guarantee or maximum.
     pub fn new(name: &str) -> Self {
-        Team { name: name.to_owned(), guarantee: Amounts::new(), max: Amounts::new() }
+        Team {
+            name: name.to_owned(),
+            guarantee: Amounts::new(),
+            max: Amounts::new(),
+        }
     }
 }
 
@@ -67,7 +71,11 @@
 impl Tree {
     /// Checks a description against the teams of the settings. All that is wrong is returned, not just the first.
     pub fn build(spec: &Spec, teams: &[Team]) -> Result<Tree, Vec<Fault>> {
-        let mut b = Builder { spec, faults: Faults::default(), tree: Tree::default() };
+        let mut b = Builder {
+            spec,
+            faults: Faults::default(),
+            tree: Tree::default(),
+        };
         b.sizes(teams);
         if b.faults.is_empty() {
             b.resources();
@@ -105,7 +113,10 @@
     }
     /// The largest depth of a leaf, in inner nodes.
     pub fn levels(&self) -> usize {
-        let depth = |p: &Leaf| p.parent.map_or(0, |n| usize::from(self.nodes[n.0 as usize].depth) + 1);
+        let depth = |p: &Leaf| {
+            p.parent
+                .map_or(0, |n| usize::from(self.nodes[n.0 as usize].depth) + 1)
+        };
         self.leaves.iter().map(depth).max().unwrap_or(0)
     }
 }
@@ -137,20 +148,38 @@
     }
 
     fn sizes(&mut self, teams: &[Team]) {
-        let (nodes, leaves) = (self.spec.nodes.len(), self.spec.teams.len().max(teams.len()));
+        let (nodes, leaves) = (
+            self.spec.nodes.len(),
+            self.spec.teams.len().max(teams.len()),
+        );
         if nodes > MAX_NODES {
-            self.fault(Place::Whole, "node", format!("{nodes} nodes; at most {MAX_NODES} are allowed"));
+            self.fault(
+                Place::Whole,
+                "node",
+                format!("{nodes} nodes; at most {MAX_NODES} are allowed"),
+            );
         }
         if leaves > MAX_TEAMS {
-            self.fault(Place::Whole, "team", format!("{leaves} teams; at most {MAX_TEAMS} are allowed"));
+            self.fault(
+                Place::Whole,
+                "team",
+                format!("{leaves} teams; at most {MAX_TEAMS} are allowed"),
+            );
         }
     }
 
     fn resources(&mut self) {
         let spec = self.spec;
         let mut all: Vec<String> = COMMON.iter().map(|c| (*c).to_owned()).collect();
-        let of_nodes = spec.nodes.iter().flat_map(|n| n.guarantee.keys().chain(n.max.keys()));
-        let of_teams = spec.teams.iter().filter_map(|t| t.guarantee.as_ref()).flat_map(|g| g.keys());
+        let of_nodes = spec
+            .nodes
+            .iter()
+            .flat_map(|n| n.guarantee.keys().chain(n.max.keys()));
+        let of_teams = spec
+            .teams
+            .iter()
+            .filter_map(|t| t.guarantee.as_ref())
+            .flat_map(|g| g.keys());
         for name in of_nodes.chain(of_teams) {
             if !all.contains(name) && all.len() <= MAX_RESOURCES {
                 all.push(name.clone());
@@ -158,7 +187,11 @@
         }
         if all.len() > MAX_RESOURCES {
             let own = MAX_RESOURCES - COMMON.len();
-            self.fault(Place::Whole, "", format!("more than {own} resources besides {}", COMMON.join(", ")));
+            self.fault(
+                Place::Whole,
+                "",
+                format!("more than {own} resources besides {}", COMMON.join(", ")),
+            );
             all.truncate(MAX_RESOURCES);
         }
         all[COMMON.len()..].sort();
@@ -169,7 +202,9 @@
     fn amounts(&mut self, place: Place, field: &str, given: &Amounts, none: i64) -> Amount {
         let mut out = [none; MAX_RESOURCES];
         for (name, units) in given {
-            let Some(r) = self.tree.resource(name) else { continue };
+            let Some(r) = self.tree.resource(name) else {
+                continue;
+            };
             if !units.is_finite() || *units < 0.0 || *units > MAX_AMOUNT {
                 let what = format!("must be from 0 to {MAX_AMOUNT:e}, is {units}");
                 self.fault(place, &format!("{field}.{name}"), what);
@@ -182,13 +217,21 @@
 
     fn weight(&mut self, place: Place, weight: f64) {
         if !(weight.is_finite() && (1e-3..=1e6).contains(&weight)) {
-            self.fault(place, "weight", format!("must be from 0.001 to 1000000, is {weight}"));
+            self.fault(
+                place,
+                "weight",
+                format!("must be from 0.001 to 1000000, is {weight}"),
+            );
         }
     }
 
     fn name(&mut self, place: Place, name: &str) {
         if name.is_empty() || name.len() > MAX_NAME || name.chars().any(char::is_control) {
-            self.fault(place, "name", format!("must be 1 to {MAX_NAME} bytes without control characters"));
+            self.fault(
+                place,
+                "name",
+                format!("must be 1 to {MAX_NAME} bytes without control characters"),
+            );
         }
     }
 
@@ -235,7 +278,11 @@
             let parent = n.parent.as_deref().and_then(|p| self.tree.node(p));
             let depth = parent.map_or(0, |p| self.tree.nodes[p.0 as usize].depth.saturating_add(1));
             if usize::from(depth) >= MAX_DEPTH {
-                self.fault(place, "parent", format!("is deeper than {MAX_DEPTH} levels"));
+                self.fault(
+                    place,
+                    "parent",
+                    format!("is deeper than {MAX_DEPTH} levels"),
+                );
             }
             let guarantee = self.amounts(place, "guarantee", &n.guarantee, 0);
             let max = self.amounts(place, "max", &n.max, UNBOUNDED);
@@ -252,7 +299,9 @@
             if let Some(p) = parent {
                 self.tree.nodes[p.0 as usize].children.push(id);
             }
-            self.tree.nodes.push(inner_node(n, parent, depth, guarantee, max));
+            self.tree
+                .nodes
+                .push(inner_node(n, parent, depth, guarantee, max));
             places.push(place);
         }
     }
@@ -261,7 +310,11 @@
         for r in 0..self.tree.resources.len() {
             if guarantee[r] > max[r] {
                 let field = format!("guarantee.{}", self.tree.resources[r]);
-                let what = format!("{} is above {whose}, {}", units(guarantee[r]), units(max[r]));
+                let what = format!(
+                    "{} is above {whose}, {}",
+                    units(guarantee[r]),
+                    units(max[r])
+                );
                 self.fault(place, &field, what);
             }
         }
@@ -271,7 +324,11 @@
         for r in 0..self.tree.resources.len() {
             if max[r] > above[r] {
                 let field = format!("max.{}", self.tree.resources[r]);
-                let what = format!("{} is above its parent's, {}", units(max[r]), units(above[r]));
+                let what = format!(
+                    "{} is above its parent's, {}",
+                    units(max[r]),
+                    units(above[r])
+                );
                 self.fault(place, &field, what);
             }
         }
@@ -317,13 +374,21 @@
 
     fn leaf(&mut self, team: &Team, parent: Option<NodeId>, guarantee: Amount, weight: f64) {
         let mut max = self.amounts(Place::Whole, "settings.teams", &team.max, 0);
-        max.iter_mut().filter(|m| **m == 0).for_each(|m| *m = UNBOUNDED);
+        max.iter_mut()
+            .filter(|m| **m == 0)
+            .for_each(|m| *m = UNBOUNDED);
         let id = TeamId(self.tree.leaves.len() as u32);
         self.tree.team_ix.insert(team.name.clone(), id);
         if let Some(p) = parent {
             self.tree.nodes[p.0 as usize].teams.push(id);
         }
-        self.tree.leaves.push(Leaf { name: team.name.clone(), parent, guarantee, max, weight });
+        self.tree.leaves.push(Leaf {
+            name: team.name.clone(),
+            parent,
+            guarantee,
+            max,
+            weight,
+        });
     }
 
     /// Children's guarantees add up to no more than their parent's.
@@ -357,7 +422,13 @@
     }
 }
 
-fn inner_node(n: &NodeSpec, parent: Option<NodeId>, depth: u8, guarantee: Amount, max: Amount) -> Node {
+fn inner_node(
+    n: &NodeSpec,
+    parent: Option<NodeId>,
+    depth: u8,
+    guarantee: Amount,
+    max: Amount,
+) -> Node {
     Node {
         name: n.name.clone(),
         parent,
@@ -375,7 +446,9 @@
 fn circles(spec: &Spec, index: &HashMap<&str, usize>, from: usize) -> bool {
     let mut at = from;
     for _ in 0..spec.nodes.len() {
-        let Some(up) = spec.nodes[at].parent.as_deref().and_then(|p| index.get(p)) else { return false };
+        let Some(up) = spec.nodes[at].parent.as_deref().and_then(|p| index.get(p)) else {
+            return false;
+        };
         if *up == from {
             return true;
         }
@@ -385,14 +458,23 @@
 }
 
 fn unknown(parent: Option<&str>) -> String {
-    format!("{:?} is no node of this tree", short(parent.unwrap_or_default()))
+    format!(
+        "{:?} is no node of this tree",
+        short(parent.unwrap_or_default())
+    )
 }
 
 /// Thousandths as units, for people.
 pub(crate) fn units(milli: i64) -> String {
-    if milli == UNBOUNDED { "none".to_owned() } else { (milli as f64 / 1000.0).to_string() }
+    if milli == UNBOUNDED {
+        "none".to_owned()
+    } else {
+        (milli as f64 / 1000.0).to_string()
+    }
 }
 
 pub(crate) fn add(to: &mut Amount, what: &Amount) {
-    to.iter_mut().zip(what).for_each(|(a, b)| *a = a.saturating_add(*b));
+    to.iter_mut()
+        .zip(what)
+        .for_each(|(a, b)| *a = a.saturating_add(*b));
 }
--- a/crates/quota/src/why.rs
+++ b/crates/quota/src/why.rs
@@ -43,7 +43,8 @@
 fn named(live: &Live, amount: &Amount) -> Amounts {
     let names = live.tree().resources.iter().zip(amount);
     let some = names.filter(|(_, v)| **v != 0 && **v != UNBOUNDED);
-    some.map(|(name, v)| (name.clone(), *v as f64 / 1000.0)).collect()
+    some.map(|(name, v)| (name.clone(), *v as f64 / 1000.0))
+        .collect()
 }
 
 impl Live {
@@ -54,7 +55,9 @@
             Standing {
                 name: n.name.clone(),
                 depth: usize::from(n.depth),
-                parent: n.parent.map(|p| self.tree().nodes[p.0 as usize].name.clone()),
+                parent: n
+                    .parent
+                    .map(|p| self.tree().nodes[p.0 as usize].name.clone()),
                 guarantee: named(self, &n.guarantee),
                 max: named(self, &n.max),
                 weight: n.weight,
@@ -97,18 +100,28 @@
             (0..MAX_RESOURCES).for_each(|r| counted[r] |= share[r].is_some());
             let share = share.map(|v| v.unwrap_or(0));
             (0..MAX_RESOURCES).for_each(|r| most[r] = most[r].max(share[r]));
-            entitled.push((path.get(depth).map_or_else(|| leaf.name.clone(), name), named(self, &share)));
+            entitled.push((
+                path.get(depth).map_or_else(|| leaf.name.clone(), name),
+                named(self, &share),
+            ));
         }
-        let short: Amount = std::array::from_fn(|r| (most[r].min(count.demand[r]) - count.used[r]).max(0));
+        let short: Amount =
+            std::array::from_fn(|r| (most[r].min(count.demand[r]) - count.used[r]).max(0));
         let mut bounded_by = Vec::new();
         let waits = |r: usize| count.demand[r] > count.used[r];
-        let full =
-            |max: &Amount, used: &Amount| (0..MAX_RESOURCES).find(|r| waits(*r) && used[*r] >= max[*r]);
-        let bounds = path.iter().map(|n| (name(n), tree.nodes[n.0 as usize].max, self.used(*n)));
+        let full = |max: &Amount, used: &Amount| {
+            (0..MAX_RESOURCES).find(|r| waits(*r) && used[*r] >= max[*r])
+        };
+        let bounds = path
+            .iter()
+            .map(|n| (name(n), tree.nodes[n.0 as usize].max, self.used(*n)));
         for (who, max, used) in bounds.chain([(leaf.name.clone(), leaf.max, count.used)]) {
             if let Some(r) = full(&max, &used) {
                 let (has, most) = (units(used[r]), units(max[r]));
-                bounded_by.push(format!("{who}: uses {has} of at most {most} {}", tree.resources[r]));
+                bounded_by.push(format!(
+                    "{who}: uses {has} of at most {most} {}",
+                    tree.resources[r]
+                ));
             }
         }
         Why {
@@ -128,21 +141,40 @@
     fn borrowers(&self, team: TeamId, path: &[NodeId], counted: &[bool]) -> Vec<(String, Amounts)> {
         let tree = self.tree();
         let beyond = |used: &Amount, own: &Amount| {
-            std::array::from_fn(|r| if counted[r] { (used[r] - own[r]).max(0) } else { 0 })
+            std::array::from_fn(|r| {
+                if counted[r] {
+                    (used[r] - own[r]).max(0)
+                } else {
+                    0
+                }
+            })
         };
         let mut out = Vec::new();
         for level in (0..=path.len()).rev() {
             let parent = level.checked_sub(1).map(|l| path[l]);
-            let teams =
-                tree.leaves.iter().enumerate().filter(|(i, l)| l.parent == parent && *i != team.0 as usize);
-            let teams =
-                teams.map(|(i, l)| (l.name.clone(), beyond(&self.team(TeamId(i as u32)).used, &l.guarantee)));
+            let teams = tree
+                .leaves
+                .iter()
+                .enumerate()
+                .filter(|(i, l)| l.parent == parent && *i != team.0 as usize);
+            let teams = teams.map(|(i, l)| {
+                (
+                    l.name.clone(),
+                    beyond(&self.team(TeamId(i as u32)).used, &l.guarantee),
+                )
+            });
             let inner = tree.nodes.iter().enumerate();
-            let inner =
-                inner.filter(|(i, n)| n.parent == parent && path.get(level) != Some(&NodeId(*i as u32)));
-            let inner =
-                inner.map(|(i, n)| (n.name.clone(), beyond(&self.used(NodeId(i as u32)), &n.guarantee)));
-            let some = teams.chain(inner).filter(|(_, over): &(String, Amount)| over.iter().any(|v| *v > 0));
+            let inner = inner
+                .filter(|(i, n)| n.parent == parent && path.get(level) != Some(&NodeId(*i as u32)));
+            let inner = inner.map(|(i, n)| {
+                (
+                    n.name.clone(),
+                    beyond(&self.used(NodeId(i as u32)), &n.guarantee),
+                )
+            });
+            let some = teams
+                .chain(inner)
+                .filter(|(_, over): &(String, Amount)| over.iter().any(|v| *v > 0));
             out.extend(some.map(|(name, over)| (name, named(self, &over))));
         }
         out
--- a/crates/quota/tests/common/mod.rs
+++ b/crates/quota/tests/common/mod.rs
@@ -4,7 +4,11 @@
 use quota::{Amounts, NodeSpec, Spec, Team, TeamSpec};
 
 fn gpus(n: u32) -> Amounts {
-    if n == 0 { Amounts::new() } else { [("gpus".to_owned(), f64::from(n))].into() }
+    if n == 0 {
+        Amounts::new()
+    } else {
+        [("gpus".to_owned(), f64::from(n))].into()
+    }
 }
 
 /// What one node or team draws: its parent, whether it has a maximum, its guarantee and its weight.
@@ -12,28 +16,55 @@
 
 /// A tree of GPUs, and the teams of the settings.
 pub fn trees() -> impl Strategy<Value = (Spec, Vec<Team>)> {
-    let draw = || (any::<prop::sample::Index>(), any::<bool>(), 0..6u32, 1..4u32);
-    (prop::collection::vec(draw(), 0..6), prop::collection::vec(draw(), 1..7)).prop_map(|(nodes, teams)| {
-        let mut spec = Spec::default();
-        let mut leaves = Vec::new();
-        for (i, (parent, _, _, weight)) in nodes.iter().enumerate() {
-            // One of the earlier ones, or the root.
-            let parent = spec.nodes.get(parent.index(i + 1)).map(|p: &NodeSpec| p.name.clone());
-            let mut node = NodeSpec::new(&format!("n{i}"), parent.as_deref());
-            node.weight = f64::from(*weight);
-            spec.nodes.push(node);
-        }
-        for (i, (parent, bounded, own, weight)) in teams.iter().enumerate() {
-            let name = format!("t{i}");
-            let parent = spec.nodes.get(parent.index(nodes.len() + 1)).map(|p| p.name.clone());
-            let max = if *bounded { gpus(own + 3) } else { Amounts::new() };
-            leaves.push(Team { name: name.clone(), guarantee: gpus(*own), max });
-            spec.teams
-                .push(TeamSpec { weight: f64::from(*weight), ..TeamSpec::new(&name, parent.as_deref()) });
-        }
-        guarantees(&mut spec, &leaves, &nodes);
-        (spec, leaves)
-    })
+    let draw = || {
+        (
+            any::<prop::sample::Index>(),
+            any::<bool>(),
+            0..6u32,
+            1..4u32,
+        )
+    };
+    (
+        prop::collection::vec(draw(), 0..6),
+        prop::collection::vec(draw(), 1..7),
+    )
+        .prop_map(|(nodes, teams)| {
+            let mut spec = Spec::default();
+            let mut leaves = Vec::new();
+            for (i, (parent, _, _, weight)) in nodes.iter().enumerate() {
+                // One of the earlier ones, or the root.
+                let parent = spec
+                    .nodes
+                    .get(parent.index(i + 1))
+                    .map(|p: &NodeSpec| p.name.clone());
+                let mut node = NodeSpec::new(&format!("n{i}"), parent.as_deref());
+                node.weight = f64::from(*weight);
+                spec.nodes.push(node);
+            }
+            for (i, (parent, bounded, own, weight)) in teams.iter().enumerate() {
+                let name = format!("t{i}");
+                let parent = spec
+                    .nodes
+                    .get(parent.index(nodes.len() + 1))
+                    .map(|p| p.name.clone());
+                let max = if *bounded {
+                    gpus(own + 3)
+                } else {
+                    Amounts::new()
+                };
+                leaves.push(Team {
+                    name: name.clone(),
+                    guarantee: gpus(*own),
+                    max,
+                });
+                spec.teams.push(TeamSpec {
+                    weight: f64::from(*weight),
+                    ..TeamSpec::new(&name, parent.as_deref())
+                });
+            }
+            guarantees(&mut spec, &leaves, &nodes);
+            (spec, leaves)
+        })
 }
 
 /// From the leaves up, each node is guaranteed what its children are, and its own draw more.
@@ -42,7 +73,12 @@
         let name = spec.nodes[i].name.clone();
         let of = |parent: &Option<String>| parent.as_deref() == Some(&name);
         let have = |a: &Amounts| a.get("gpus").copied().unwrap_or(0.0) as u32;
-        let inner: u32 = spec.nodes.iter().filter(|n| of(&n.parent)).map(|n| have(&n.guarantee)).sum();
+        let inner: u32 = spec
+            .nodes
+            .iter()
+            .filter(|n| of(&n.parent))
+            .map(|n| have(&n.guarantee))
+            .sum();
         let below: u32 = spec
             .teams
             .iter()
--- a/crates/quota/tests/entitlement.rs
+++ b/crates/quota/tests/entitlement.rs
@@ -24,7 +24,10 @@
 
 /// Teams below a node.
 fn below(tree: &Tree, node: NodeId) -> Vec<TeamId> {
-    (0..tree.leaves.len() as u32).map(TeamId).filter(|t| tree.path(*t).contains(&node)).collect()
+    (0..tree.leaves.len() as u32)
+        .map(TeamId)
+        .filter(|t| tree.path(*t).contains(&node))
+        .collect()
 }
 
 fn entitled(live: &mut Live, team: TeamId, depth: usize) -> i64 {
@@ -159,7 +162,11 @@
 /// A division of whole units that is fairer than this one, if there is any. Wants come with their weights.
 fn fairer(budget: i64, wants: &[(i64, u32)], has: &[f64]) -> Option<Vec<i64>> {
     let parts = |has: &[f64]| {
-        let mut out: Vec<f64> = has.iter().zip(wants).map(|(h, (_, w))| h / f64::from(*w)).collect();
+        let mut out: Vec<f64> = has
+            .iter()
+            .zip(wants)
+            .map(|(h, (_, w))| h / f64::from(*w))
+            .collect();
         out.sort_by(f64::total_cmp);
         out
     };
@@ -168,14 +175,19 @@
     divisions(budget, &demands).into_iter().find(|other| {
         let theirs = parts(&other.iter().map(|n| *n as f64).collect::<Vec<_>>());
         // The first that differs by more than the rounding decides.
-        let first = ours.iter().zip(&theirs).find(|(a, b)| (*a - *b).abs() > 0.01);
+        let first = ours
+            .iter()
+            .zip(&theirs)
+            .find(|(a, b)| (*a - *b).abs() > 0.01);
         first.is_some_and(|(a, b)| a < b)
     })
 }
 
 /// All ways to give whole units, at most `budget` together and to nobody more than it wants.
 fn divisions(budget: i64, wants: &[i64]) -> Vec<Vec<i64>> {
-    let Some((first, rest)) = wants.split_first() else { return vec![Vec::new()] };
+    let Some((first, rest)) = wants.split_first() else {
+        return vec![Vec::new()];
+    };
     let mut out = Vec::new();
     for n in 0..=(*first).min(budget) {
         for mut tail in divisions(budget - n, rest) {
@@ -190,10 +202,16 @@
 /// what one leaves of a resource is there for the others.
 #[test]
 fn the_dominant_share_sets_the_pace() {
-    let mut spec = Spec { nodes: vec![quota::NodeSpec::new("n", None)], teams: vec![] };
+    let mut spec = Spec {
+        nodes: vec![quota::NodeSpec::new("n", None)],
+        teams: vec![],
+    };
     spec.nodes[0].guarantee = quota::Amounts::from([("cpus".into(), 90.0), ("gpus".into(), 18.0)]);
     let teams = [Team::new("a"), Team::new("b")];
-    spec.teams = teams.iter().map(|t| quota::TeamSpec::new(&t.name, Some("n"))).collect();
+    spec.teams = teams
+        .iter()
+        .map(|t| quota::TeamSpec::new(&t.name, Some("n")))
+        .collect();
     let tree = Tree::build(&spec, &teams).expect("good");
     let mut live = Live::new(Arc::new(tree));
     let (a, b) = (TeamId(0), TeamId(1));
@@ -203,7 +221,14 @@
     live.set_demand(b, quota::amount(&[("cpus", 3000.0), ("gpus", 100.0)]));
     let (has_a, has_b) = (live.entitled(a, 0), live.entitled(b, 0));
     let share = |has: Option<i64>, of: i64| has.unwrap_or(0) * 100 / (of * 1000);
-    assert_eq!((share(has_a[GPUS], 18), share(has_b[quota::CPUS], 90)), (85, 66), "{has_a:?} {has_b:?}");
+    assert_eq!(
+        (share(has_a[GPUS], 18), share(has_b[quota::CPUS], 90)),
+        (85, 66),
+        "{has_a:?} {has_b:?}"
+    );
     let all = |r: usize| has_a[r].unwrap_or(0) + has_b[r].unwrap_or(0);
-    assert!(all(quota::CPUS) >= 89_990 && all(GPUS) >= 17_990, "nothing idles while somebody wants it");
+    assert!(
+        all(quota::CPUS) >= 89_990 && all(GPUS) >= 17_990,
+        "nothing idles while somebody wants it"
+    );
 }
--- a/crates/quota/tests/trees.rs
+++ b/crates/quota/tests/trees.rs
@@ -42,7 +42,11 @@
     };
     match Tree::build(&parsed.spec, &teams()) {
         Ok(_) => Vec::new(),
-        Err(faults) => parsed.locate(faults).iter().map(ToString::to_string).collect(),
+        Err(faults) => parsed
+            .locate(faults)
+            .iter()
+            .map(ToString::to_string)
+            .collect(),
     }
 }
 
@@ -51,30 +55,113 @@
 fn what_is_wrong_is_named_with_path_and_line() {
     assert_eq!(faults(GOOD), Vec::<String>::new());
     let endless = (0..10).fold(String::new(), |text, i| {
-        let parent = if i == 0 { String::new() } else { format!("parent = \"d{}\"\n", i - 1) };
+        let parent = if i == 0 {
+            String::new()
+        } else {
+            format!("parent = \"d{}\"\n", i - 1)
+        };
         format!("{text}[[node]]\nname = \"d{i}\"\n{parent}")
     });
     for (from, to, line, named) in [
-        ("parent = \"studio\"", "parent = \"desk\"", 7, "node \"desk\".parent: hangs below itself"),
-        ("parent = \"studio\"", "parent = \"stud\"", 7, "\"stud\" is no node"),
-        ("name = \"desk\"", "name = \"studio\"", 7, "node \"studio\".name: is named twice"),
-        ("name = \"blue\"", "name = \"red\"", 16, "team \"red\".name: is named twice"),
-        ("name = \"blue\"", "name = \"blau\"", 16, "is no team of the settings"),
-        ("guarantee = { gpus = 6 }", "guarantee = { gpus = 5 }", 7, "guaranteed 6, 1 more than its own 5"),
-        ("guarantee = { gpus = 6 }", "guarantee = { gpus = 9 }", 2, "guaranteed 9, 1 more than its own 8"),
-        ("guarantee = { gpus = 6 }", "guarantee = { gpus = -6 }", 7, "guarantee.gpus: must be from 0"),
-        ("guarantee = { gpus = 6 }", "guarantee = { gpus = nan }", 7, "guarantee.gpus: must be from 0"),
-        ("guarantee = { gpus = 6 }", "guarantee = { gpus = 1e12 }", 7, "guarantee.gpus: must be from 0"),
-        ("guarantee = { gpus = 6 }", "max = { gpus = 17 }", 7, "max.gpus: 17 is above its parent's, 16"),
-        ("gpus = 16", "gpus = 7", 2, "guarantee.gpus: 8 is above its own maximum, 7"),
-        ("seats = 3", "a = 1, b = 1, c = 1, d = 1", 0, "more than 3 resources"),
-        ("parent = \"studio\"", "weight = 0", 7, "weight: must be from"),
-        ("parent = \"studio\"", "wieght = 2", 0, "unknown field `wieght`"),
+        (
+            "parent = \"studio\"",
+            "parent = \"desk\"",
+            7,
+            "node \"desk\".parent: hangs below itself",
+        ),
+        (
+            "parent = \"studio\"",
+            "parent = \"stud\"",
+            7,
+            "\"stud\" is no node",
+        ),
+        (
+            "name = \"desk\"",
+            "name = \"studio\"",
+            7,
+            "node \"studio\".name: is named twice",
+        ),
+        (
+            "name = \"blue\"",
+            "name = \"red\"",
+            16,
+            "team \"red\".name: is named twice",
+        ),
+        (
+            "name = \"blue\"",
+            "name = \"blau\"",
+            16,
+            "is no team of the settings",
+        ),
+        (
+            "guarantee = { gpus = 6 }",
+            "guarantee = { gpus = 5 }",
+            7,
+            "guaranteed 6, 1 more than its own 5",
+        ),
+        (
+            "guarantee = { gpus = 6 }",
+            "guarantee = { gpus = 9 }",
+            2,
+            "guaranteed 9, 1 more than its own 8",
+        ),
+        (
+            "guarantee = { gpus = 6 }",
+            "guarantee = { gpus = -6 }",
+            7,
+            "guarantee.gpus: must be from 0",
+        ),
+        (
+            "guarantee = { gpus = 6 }",
+            "guarantee = { gpus = nan }",
+            7,
+            "guarantee.gpus: must be from 0",
+        ),
+        (
+            "guarantee = { gpus = 6 }",
+            "guarantee = { gpus = 1e12 }",
+            7,
+            "guarantee.gpus: must be from 0",
+        ),
+        (
+            "guarantee = { gpus = 6 }",
+            "max = { gpus = 17 }",
+            7,
+            "max.gpus: 17 is above its parent's, 16",
+        ),
+        (
+            "gpus = 16",
+            "gpus = 7",
+            2,
+            "guarantee.gpus: 8 is above its own maximum, 7",
+        ),
+        (
+            "seats = 3",
+            "a = 1, b = 1, c = 1, d = 1",
+            0,
+            "more than 3 resources",
+        ),
+        (
+            "parent = \"studio\"",
+            "weight = 0",
+            7,
+            "weight: must be from",
+        ),
+        (
+            "parent = \"studio\"",
+            "wieght = 2",
+            0,
+            "unknown field `wieght`",
+        ),
         ("[[team]]", "[[team", 12, "file"),
         (GOOD, &endless, 24, "deeper than 8 levels"),
     ] {
         let found = faults(&GOOD.replacen(from, to, 1));
-        let at = if line > 0 { format!("line {line}: ") } else { String::new() };
+        let at = if line > 0 {
+            format!("line {line}: ")
+        } else {
+            String::new()
+        };
         let hit = found.iter().any(|f| f.contains(named) && f.contains(&at));
         assert!(hit, "{to}: {found:?} should say {at}{named}");
     }
@@ -84,7 +171,11 @@
 #[test]
 fn a_team_may_be_cut_below_the_settings_but_not_raised() {
     let with = |gpus: &str| {
-        GOOD.replacen("name = \"red\"", &format!("name = \"red\"\nguarantee = {{ gpus = {gpus} }}"), 1)
+        GOOD.replacen(
+            "name = \"red\"",
+            &format!("name = \"red\"\nguarantee = {{ gpus = {gpus} }}"),
+            1,
+        )
     };
     assert_eq!(faults(&with("1")), Vec::<String>::new());
     assert!(faults(&with("3"))[0].contains("above what the settings guarantee"));
@@ -94,21 +185,39 @@
 fn shrinking_says_by_how_much_or_scales() {
     let spec = file::parse(GOOD).expect("good").spec;
     let less: Amounts = [("gpus".to_owned(), 3.0)].into();
-    let refused = edit::shrink(&spec, &teams(), "studio", &less, &Amounts::new(), false).expect("made");
+    let refused =
+        edit::shrink(&spec, &teams(), "studio", &less, &Amounts::new(), false).expect("made");
     let faults = Tree::build(&refused, &teams()).expect_err("its children have more");
-    assert!(faults[0].to_string().contains("3 more than its own 3"), "{}", faults[0]);
-    let scaled = edit::shrink(&spec, &teams(), "studio", &less, &Amounts::new(), true).expect("made");
+    assert!(
+        faults[0].to_string().contains("3 more than its own 3"),
+        "{}",
+        faults[0]
+    );
+    let scaled =
+        edit::shrink(&spec, &teams(), "studio", &less, &Amounts::new(), true).expect("made");
     let tree = Tree::build(&scaled, &teams()).expect("good");
     let of = |t: &str| tree.leaves[tree.team(t).expect("known").0 as usize].guarantee[quota::GPUS];
-    assert_eq!((of("red"), of("blue")), (1_000, 2_000), "in proportion, all the way down");
+    assert_eq!(
+        (of("red"), of("blue")),
+        (1_000, 2_000),
+        "in proportion, all the way down"
+    );
     assert!(edit::shrink(&spec, &teams(), "nobody", &less, &less, true).is_err());
 }
 
 #[test]
 fn a_node_can_not_move_below_itself() {
     let spec = file::parse(GOOD).expect("good").spec;
-    for (name, to) in [("studio", "desk"), ("desk", "desk"), ("nobody", "desk"), ("red", "nowhere")] {
-        assert!(edit::transfer(&spec, &teams(), name, Some(to)).is_err(), "{name} to {to}");
+    for (name, to) in [
+        ("studio", "desk"),
+        ("desk", "desk"),
+        ("nobody", "desk"),
+        ("red", "nowhere"),
+    ] {
+        assert!(
+            edit::transfer(&spec, &teams(), name, Some(to)).is_err(),
+            "{name} to {to}"
+        );
     }
 }
 
@@ -173,7 +282,16 @@
 #[test]
 fn the_schema_names_every_field() {
     let schema = file::schema();
-    for field in ["node", "team", "parent", "guarantee", "max", "weight", "over", "let_end"] {
+    for field in [
+        "node",
+        "team",
+        "parent",
+        "guarantee",
+        "max",
+        "weight",
+        "over",
+        "let_end",
+    ] {
         assert!(schema.contains(&format!("\"{field}\"")), "{field}");
     }
     let published = include_str!("../../../docs/quotas/schema.json");
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -95,7 +95,14 @@
 
 impl Zone {
     fn new(now: u64) -> Self {
-        Zone { lost: 0.0, at: now, every: PROBE_MS, probe_at: now + PROBE_MS, probe: None, open: false }
+        Zone {
+            lost: 0.0,
+            at: now,
+            every: PROBE_MS,
+            probe_at: now + PROBE_MS,
+            probe: None,
+            open: false,
+        }
     }
 
     fn suspicion(&self, now: u64) -> f64 {
@@ -150,7 +157,10 @@
     /// A worker reports here while somebody else owns the fleet under `owner`.
     pub fn came(&mut self, now: u64, caller: &Caller<'_>, owner: Owner) -> Turn {
         if self.owner.is_none_or(|o| o.node != owner.node) {
-            *self = Ways { owner: Some(owner), ..Ways::default() };
+            *self = Ways {
+                owner: Some(owner),
+                ..Ways::default()
+            };
         }
         let since = self.owner.map_or(owner.token, |o| o.token);
         let seen = self.machines.get(caller.machine).copied();
@@ -160,7 +170,10 @@
         if self.zones.len() >= ZONES && !self.zones.contains_key(caller.zone) {
             return Turn::Send;
         }
-        let zone = self.zones.entry(caller.zone.to_owned()).or_insert_with(|| Zone::new(now));
+        let zone = self
+            .zones
+            .entry(caller.zone.to_owned())
+            .or_insert_with(|| Zone::new(now));
         let stays = seen.is_some_and(|s| s.last == Last::Taken);
         let turn = if owner.deaf {
             Turn::Take
@@ -174,7 +187,15 @@
         } else {
             Turn::Send
         };
-        self.remember(now, caller.machine, if turn == Turn::Take { Last::Taken } else { Last::Sent });
+        self.remember(
+            now,
+            caller.machine,
+            if turn == Turn::Take {
+                Last::Taken
+            } else {
+                Last::Sent
+            },
+        );
         turn
     }
 
@@ -186,16 +207,22 @@
                 return;
             }
         }
-        self.machines.insert(machine.to_owned(), Seen { at: now, last });
+        self.machines
+            .insert(machine.to_owned(), Seen { at: now, last });
     }
 
     /// How many workers are served through this node at present; its memory is bounded, and so is this.
     pub fn taken(&self, now: u64) -> usize {
-        self.machines.values().filter(|s| s.last == Last::Taken && now < s.at + BACK_MS).count()
+        self.machines
+            .values()
+            .filter(|s| s.last == Last::Taken && now < s.at + BACK_MS)
+            .count()
     }
 
     /// Whether this worker was taken lately; only such are told anything for the owner.
     pub fn serves(&self, now: u64, machine: &str) -> bool {
-        self.machines.get(machine).is_some_and(|s| s.last == Last::Taken && now < s.at + BACK_MS)
+        self.machines
+            .get(machine)
+            .is_some_and(|s| s.last == Last::Taken && now < s.at + BACK_MS)
     }
 }
--- a/crates/reach/tests/ways.rs
+++ b/crates/reach/tests/ways.rs
@@ -3,10 +3,22 @@
 use proptest::prelude::*;
 use reach::{Caller, Owner, Turn, Ways};
 
-const OWNER: Owner = Owner { node: 2, token: 7, deaf: false };
+const OWNER: Owner = Owner {
+    node: 2,
+    token: 7,
+    deaf: false,
+};
 
 fn came(ways: &mut Ways, now: u64, machine: &str, token: u64) -> Turn {
-    ways.came(now, &Caller { machine, zone: "a", token }, OWNER)
+    ways.came(
+        now,
+        &Caller {
+            machine,
+            zone: "a",
+            token,
+        },
+        OWNER,
+    )
 }
 
 /// A worker that has left the owner is served here at once, and stays.
@@ -30,7 +42,11 @@
         assert_eq!(came(&mut ways, 5500, m, 1), Turn::Take);
     }
     assert_eq!(came(&mut ways, 5600, "m9", 1), Turn::Take);
-    let elsewhere = Caller { machine: "x", zone: "b", token: 1 };
+    let elsewhere = Caller {
+        machine: "x",
+        zone: "b",
+        token: 1,
+    };
     assert_eq!(ways.came(5600, &elsewhere, OWNER), Turn::Send);
 }
 
@@ -77,8 +93,23 @@
     for m in ["m1", "m2", "m3"] {
         assert_eq!(came(&mut ways, 0, m, 7), Turn::Take);
     }
-    let caller = Caller { machine: "m4", zone: "a", token: 7 };
-    assert_eq!(ways.came(100, &caller, Owner { node: 1, token: 8, deaf: false }), Turn::Send);
+    let caller = Caller {
+        machine: "m4",
+        zone: "a",
+        token: 7,
+    };
+    assert_eq!(
+        ways.came(
+            100,
+            &caller,
+            Owner {
+                node: 1,
+                token: 8,
+                deaf: false
+            }
+        ),
+        Turn::Send
+    );
     assert_eq!(ways.taken(100), 0);
 }
 
@@ -90,9 +121,23 @@
     assert_eq!(came(&mut ways, 0, "m", 7), Turn::Take);
     let higher = Owner { token: 9, ..OWNER };
     for token in [7, 8, 9] {
-        let caller = Caller { machine: "m", zone: "a", token };
+        let caller = Caller {
+            machine: "m",
+            zone: "a",
+            token,
+        };
         assert_eq!(ways.came(100 * token, &caller, higher), Turn::Take);
-        assert_eq!(ways.came(100 * token, &Caller { machine: "new", ..caller }, higher), Turn::Take);
+        assert_eq!(
+            ways.came(
+                100 * token,
+                &Caller {
+                    machine: "new",
+                    ..caller
+                },
+                higher
+            ),
+            Turn::Take
+        );
     }
 }
 
@@ -100,8 +145,22 @@
 #[test]
 fn nobody_is_sent_to_a_deaf_owner() {
     let mut ways = Ways::default();
-    let caller = Caller { machine: "m", zone: "a", token: 1 };
-    assert_eq!(ways.came(0, &caller, Owner { deaf: true, ..OWNER }), Turn::Take);
+    let caller = Caller {
+        machine: "m",
+        zone: "a",
+        token: 1,
+    };
+    assert_eq!(
+        ways.came(
+            0,
+            &caller,
+            Owner {
+                deaf: true,
+                ..OWNER
+            }
+        ),
+        Turn::Take
+    );
 }
 
 proptest! {
--- a/crates/standins/examples/agreed.rs
+++ b/crates/standins/examples/agreed.rs
@@ -78,7 +78,9 @@
 /// The day's own jobs, models beside them, and waves of demand for these.
 fn scene(day: Day) -> Plan {
     let mut plan = plan(day.kind, 2, day.nodes, day.size);
-    let Some(scene) = plan.scene.as_mut() else { return plan };
+    let Some(scene) = plan.scene.as_mut() else {
+        return plan;
+    };
     scene.jobs.retain(|j| j.at >= OPEN_MS);
     for n in 1..=MODELS.min(day.size.machines as u32) {
         let spec = JobSpec {
@@ -87,7 +89,12 @@
             image: format!("m-{n}"),
             ..array(n, "green", 2, 60.0)
         };
-        scene.jobs.push(Timed { at: OPEN_MS, run_ms: 10_000_000, cancel_ms: None, spec });
+        scene.jobs.push(Timed {
+            at: OPEN_MS,
+            run_ms: 10_000_000,
+            cancel_ms: None,
+            spec,
+        });
         // Two waves of five questions each; between them it falls asleep.
         for at in [70_000, 200_000].map(|wave| wave + u64::from(n) * 300) {
             (0..5).for_each(|k| scene.demands.push((at + k * 2000, model_id(n), None)));
@@ -102,7 +109,9 @@
             ..Rule::new("all", 20.0)
         };
         scene.models = Some(model::Spec { rules: vec![rule] });
-        scene.asks.push((1000, "/admin/hours".into(), set(calendar())));
+        scene
+            .asks
+            .push((1000, "/admin/hours".into(), set(calendar())));
         scene.asks.push((1000, COUNTIES.into(), set(counties())));
     }
     plan
@@ -126,13 +135,22 @@
         let own = ["hours", "counties", "models", "tally", "model"];
         puts += u64::from(key.split('/').any(|word| own.contains(&word)));
         let mut count = |value: &Value, known: &[&str]| {
-            let more = value.as_object().into_iter().flatten().filter(|(k, _)| !known.contains(&k.as_str()));
-            bytes += more.map(|(k, v)| k.len() + v.to_string().len() + 4).sum::<usize>();
+            let more = value
+                .as_object()
+                .into_iter()
+                .flatten()
+                .filter(|(k, _)| !known.contains(&k.as_str()));
+            bytes += more
+                .map(|(k, v)| k.len() + v.to_string().len() + 4)
+                .sum::<usize>();
         };
         let Some(fields) = known(key) else { continue };
         count(value, fields);
         for claim in value["claims"].as_array().into_iter().flatten() {
-            count(claim, &["job", "team", "cores", "gpus", "mem_gb", "attempt", "on"]);
+            count(
+                claim,
+                &["job", "team", "cores", "gpus", "mem_gb", "attempt", "on"],
+            );
         }
     }
     (puts, bytes)
@@ -147,7 +165,10 @@
         let earlier = |told: &wire::models::Told| told.generation < *generation;
         let before = asked().filter(|a| a.status == 200 && a.told.as_ref().is_some_and(earlier));
         let before = before.map(|a| a.asked).max().unwrap_or(0);
-        let since = asked().map(|a| a.asked).filter(|at| *at > before && at <= first).min();
+        let since = asked()
+            .map(|a| a.asked)
+            .filter(|at| *at > before && at <= first)
+            .min();
         out.extend(since.map(|at| first - at));
     }
     out.sort_unstable();
@@ -162,22 +183,40 @@
         world.run_for(1000);
     }
     world.counties.users(&mut world.rules);
-    let last = |ask: &str| world.answers.iter().rev().find(|(a, s, _)| a.get(ask).is_some() && *s == 200);
-    let done = last("audit").map(|(_, _, v)| v["done"].clone()).unwrap_or_default();
+    let last = |ask: &str| {
+        world
+            .answers
+            .iter()
+            .rev()
+            .find(|(a, s, _)| a.get(ask).is_some() && *s == 200)
+    };
+    let done = last("audit")
+        .map(|(_, _, v)| v["done"].clone())
+        .unwrap_or_default();
     match done["differences"].as_array() {
         Some(named) => seen.audit.extend(named.iter().map(ToString::to_string)),
         None => seen.audit.push("the audit was not answered".into()),
     }
     seen.audited = done["read"].as_u64().unwrap_or(0);
     let mut told: BTreeMap<(String, String), [u64; 3]> = BTreeMap::new();
-    for line in last("tally").and_then(|(_, _, v)| v["lines"].as_array()).into_iter().flatten() {
+    for line in last("tally")
+        .and_then(|(_, _, v)| v["lines"].as_array())
+        .into_iter()
+        .flatten()
+    {
         let text = |f: &str| line[f].as_str().unwrap_or_default().to_owned();
-        let counts = ["done", "cancelled", "done_tasks"].map(|f| line[f].as_u64().unwrap_or(u64::MAX));
+        let counts =
+            ["done", "cancelled", "done_tasks"].map(|f| line[f].as_u64().unwrap_or(u64::MAX));
         told.insert((text("county"), text("class")), counts);
     }
     told.retain(|_, counts| *counts != [0; 3]);
-    let stands: BTreeMap<_, _> =
-        world.counties.sums().iter().filter(|(_, c)| **c != [0; 3]).map(|(k, c)| (k.clone(), *c)).collect();
+    let stands: BTreeMap<_, _> = world
+        .counties
+        .sums()
+        .iter()
+        .filter(|(_, c)| **c != [0; 3])
+        .map(|(k, c)| (k.clone(), *c))
+        .collect();
     if told != stands {
         seen.audit.push(format!("told {told:?}, seen {stands:?}"));
     }
@@ -196,21 +235,46 @@
 
 /// Something goes wrong behind the controllers' backs.
 fn plant(world: &mut World, what: &str) {
-    let jobs = world.state.keys.iter().filter(|(k, _)| k.starts_with("live/job-001"));
+    let jobs = world
+        .state
+        .keys
+        .iter()
+        .filter(|(k, _)| k.starts_with("live/job-001"));
     let live = jobs.max_by_key(|(_, e)| e.value.get("hour").is_some());
-    let (key, mut rec) = live.map(|(k, e)| (k.clone(), e.value.clone())).unwrap_or_default();
+    let (key, mut rec) = live
+        .map(|(k, e)| (k.clone(), e.value.clone()))
+        .unwrap_or_default();
     match what {
-        "hours_moved" => rec["hour"]["due_ms"] = json!(rec["hour"]["due_ms"].as_u64().unwrap_or(0) + 60_000),
+        "hours_moved" => {
+            rec["hour"]["due_ms"] = json!(rec["hour"]["due_ms"].as_u64().unwrap_or(0) + 60_000)
+        }
         "tallies_wrong" => rec["county"]["county"] = json!("elsewhere"),
-        "extra_writes_without_documents" => rec["hour"] = json!({"due_ms": 1_200_000, "version": 1}),
+        "extra_writes_without_documents" => {
+            rec["hour"] = json!({"due_ms": 1_200_000, "version": 1})
+        }
         "mixed" => {
-            return world.counties.bound.values_mut().enumerate().for_each(|(i, (county, _))| {
-                (county.county, county.alone) = (format!("own {i}"), true);
-            });
+            return world
+                .counties
+                .bound
+                .values_mut()
+                .enumerate()
+                .for_each(|(i, (county, _))| {
+                    (county.county, county.alone) = (format!("own {i}"), true);
+                });
+        }
+        "cold_starts_twice" => {
+            return world
+                .models
+                .recs
+                .values_mut()
+                .for_each(|r| r.generation += 1);
         }
-        "cold_starts_twice" => return world.models.recs.values_mut().for_each(|r| r.generation += 1),
         "models_lost" => {
-            return world.models.recs.values_mut().for_each(|r| r.phase = model::Phase::Awake);
+            return world
+                .models
+                .recs
+                .values_mut()
+                .for_each(|r| r.phase = model::Phase::Awake);
         }
         _ => return,
     }
@@ -222,17 +286,33 @@
     if planted == Some(COUNTERS[0]) {
         plan.sabotage = Sabotage::DoneTooEarly;
     }
-    let runs: BTreeMap<String, u64> =
-        plan.scene.iter().flat_map(|s| &s.jobs).map(|j| (j.spec.id.clone(), j.run_ms)).collect();
+    let runs: BTreeMap<String, u64> = plan
+        .scene
+        .iter()
+        .flat_map(|s| &s.jobs)
+        .map(|j| (j.spec.id.clone(), j.run_ms))
+        .collect();
     let (end, jobs) = (plan.end, plan.scene.as_ref().map_or(0, |s| s.jobs.len()));
     let mut world = World::new(plan);
-    let mut seen = Seen { jobs, ..Seen::default() };
+    let mut seen = Seen {
+        jobs,
+        ..Seen::default()
+    };
     for second in 0..end / 1000 {
         world.run_for(1000);
-        seen.replica_s += world.on_machines().iter().filter(|t| t.as_str() < "job-001000").count();
-        if let Some(what) =
-            planted.filter(|p| second == if *p == "models_lost" { end / 1000 - 1 } else { 80 })
-        {
+        seen.replica_s += world
+            .on_machines()
+            .iter()
+            .filter(|t| t.as_str() < "job-001000")
+            .count();
+        if let Some(what) = planted.filter(|p| {
+            second
+                == if *p == "models_lost" {
+                    end / 1000 - 1
+                } else {
+                    80
+                }
+        }) {
             plant(&mut world, what);
         }
     }
@@ -240,16 +320,32 @@
         audit(&mut world, &mut seen);
     }
     let ran = |id: &str| world.rules.jobs.get(id).is_some_and(|j| !j.cancel_asked);
-    let due = || world.hours.hours.iter().filter(|(id, h)| h.is_some() && ran(id));
+    let due = || {
+        world
+            .hours
+            .hours
+            .iter()
+            .filter(|(id, h)| h.is_some() && ran(id))
+    };
     seen.due = due().count();
     let could = |id: &str, due_ms: u64| {
         let accepted = world.rules.jobs[id].accepted.unwrap_or(u64::MAX / 2);
         accepted + FETCH_MS + runs[id] <= due_ms
     };
-    seen.could = due().filter(|(id, h)| h.as_ref().is_some_and(|h| could(id, h.due_ms))).count();
+    seen.could = due()
+        .filter(|(id, h)| h.as_ref().is_some_and(|h| could(id, h.due_ms)))
+        .count();
     seen.counting = world.counties.folds + world.counties.only_counts;
-    seen.kept = due().filter(|(id, _)| world.hours.kept.get(*id) == Some(&true)).count();
-    let cancelled = |m: &str| world.rules.jobs.get(m).is_none_or(|j| j.told_cancelled.is_some());
+    seen.kept = due()
+        .filter(|(id, _)| world.hours.kept.get(*id) == Some(&true))
+        .count();
+    let cancelled = |m: &str| {
+        world
+            .rules
+            .jobs
+            .get(m)
+            .is_none_or(|j| j.told_cancelled.is_some())
+    };
     // A world that a broken rule has stopped has not come to rest.
     if world.rules.broken.is_empty() {
         seen.lost = world.models.lost(cancelled);
@@ -269,17 +365,39 @@
 }
 
 fn table(days: &[Day], seen: &[Seen]) {
-    println!("virtual time; wakes: from demand to the first replica; models: {MODELS}, two replicas each");
-    println!("extra: puts for the documents alone + bytes of their fields in jobs', ends' and log records");
+    println!(
+        "virtual time; wakes: from demand to the first replica; models: {MODELS}, two replicas each"
+    );
+    println!(
+        "extra: puts for the documents alone + bytes of their fields in jobs', ends' and log records"
+    );
     println!(
         "hours: kept / could be, by the tasks' run and fetch alone / due; counting: folds and log records of counts"
     );
-    let head =
-        ["hours", "audited", "counting", "wakes", "p50 s", "p99 s", "replica s", "changes/job", "extra"];
-    println!("{:<58}{}", "machines, controllers and day", head.map(|h| format!("{h:>14}")).concat());
+    let head = [
+        "hours",
+        "audited",
+        "counting",
+        "wakes",
+        "p50 s",
+        "p99 s",
+        "replica s",
+        "changes/job",
+        "extra",
+    ];
+    println!(
+        "{:<58}{}",
+        "machines, controllers and day",
+        head.map(|h| format!("{h:>14}")).concat()
+    );
     for (day, s) in days.iter().zip(seen) {
         let with = if day.documents { "with" } else { "without" };
-        let name = format!("{} {} {}, {with}", day.size.machines, day.nodes, kinds()[day.kind]);
+        let name = format!(
+            "{} {} {}, {with}",
+            day.size.machines,
+            day.nodes,
+            kinds()[day.kind]
+        );
         let row = [
             format!("{}/{}/{}", s.kept, s.could, s.due),
             s.audited.to_string(),
@@ -292,8 +410,14 @@
             format!("{}+{}", s.extra, s.extra_bytes),
         ];
         println!("{name:<58}{}", row.map(|c| format!("{c:>14}")).concat());
-        s.broken.iter().for_each(|(rule, what)| println!("    {rule}: {what}"));
-        s.audit.iter().chain(&s.lost).take(5).for_each(|what| println!("    {what}"));
+        s.broken
+            .iter()
+            .for_each(|(rule, what)| println!("    {rule}: {what}"));
+        s.audit
+            .iter()
+            .chain(&s.lost)
+            .take(5)
+            .for_each(|what| println!("    {what}"));
     }
 }
 
@@ -302,9 +426,11 @@
     let of = |name: &'static str| {
         let broken = seen.iter().filter(|s| s.broken.contains_key(name)).count();
         let sum = match name {
-            "rules_broken" => {
-                seen.iter().flat_map(|s| s.broken.keys()).filter(|r| !COUNTERS.contains(r)).count()
-            }
+            "rules_broken" => seen
+                .iter()
+                .flat_map(|s| s.broken.keys())
+                .filter(|r| !COUNTERS.contains(r))
+                .count(),
             "tallies_wrong" => seen.iter().map(|s| s.audit.len()).sum(),
             "models_lost" => seen.iter().map(|s| s.lost.len()).sum(),
             "extra_writes_without_documents" => {
@@ -322,7 +448,15 @@
 fn planted() -> bool {
     COUNTERS.iter().fold(true, |whole, what| {
         let documents = !what.starts_with("extra");
-        let day = Day { kind: CALM, size: Size { machines: 120, ..Size::SMALL }, nodes: 3, documents };
+        let day = Day {
+            kind: CALM,
+            size: Size {
+                machines: 120,
+                ..Size::SMALL
+            },
+            nodes: 3,
+            documents,
+        };
         let seen = play(day, Some(what));
         let mut counts = counters(&[day], std::slice::from_ref(&seen));
         counts.retain(|_, n| *n > 0);
@@ -335,13 +469,27 @@
     if std::env::args().nth(1).is_some_and(|a| a == "planted") {
         std::process::exit(i32::from(!planted()));
     }
-    let variants = [(CALM, 3, true), (CRASHES, 5, true), (CALM, 3, false), (CRASHES, 5, false)];
-    let of =
-        |m| variants.map(|(kind, nodes, documents)| Day { kind, size: Size::fleet(m), nodes, documents });
+    let variants = [
+        (CALM, 3, true),
+        (CRASHES, 5, true),
+        (CALM, 3, false),
+        (CRASHES, 5, false),
+    ];
+    let of = |m| {
+        variants.map(|(kind, nodes, documents)| Day {
+            kind,
+            size: Size::fleet(m),
+            nodes,
+            documents,
+        })
+    };
     let days = [of(1800), of(1200)].concat();
     let seen: Vec<Seen> = std::thread::scope(|s| {
         let running: Vec<_> = days.iter().map(|d| s.spawn(|| play(*d, None))).collect();
-        running.into_iter().map(|r| r.join().expect("no day panics")).collect()
+        running
+            .into_iter()
+            .map(|r| r.join().expect("no day panics"))
+            .collect()
     });
     table(&days, &seen);
     let counts = counters(&days, &seen);
--- a/crates/standins/examples/flood.rs
+++ b/crates/standins/examples/flood.rs
@@ -11,8 +11,12 @@
 const ROUNDS: u64 = 20;
 const EVERY: u64 = 30_000;
 const LOOK_S: u64 = 15;
-const TEAMS: [(&str, &str, f64); 4] =
-    [("flood", "film", 4.0), ("comp", "film", 2.0), ("news", "press", 4.0), ("sport", "press", 4.0)];
+const TEAMS: [(&str, &str, f64); 4] = [
+    ("flood", "film", 4.0),
+    ("comp", "film", 2.0),
+    ("news", "press", 4.0),
+    ("sport", "press", 4.0),
+];
 
 fn gpus(n: f64) -> Amounts {
     [("gpus".to_owned(), n)].into()
@@ -20,20 +24,29 @@
 
 /// Two desks of one house; the settings' guarantees below them.
 fn tree() -> Spec {
-    let node = |name: &str, parent, n| NodeSpec { guarantee: gpus(n), ..NodeSpec::new(name, parent) };
+    let node = |name: &str, parent, n| NodeSpec {
+        guarantee: gpus(n),
+        ..NodeSpec::new(name, parent)
+    };
     Spec {
         nodes: vec![
             node("house", None, 14.0),
             node("film", Some("house"), 6.0),
             node("press", Some("house"), 8.0),
         ],
-        teams: TEAMS.iter().map(|(team, desk, _)| TeamSpec::new(team, Some(desk))).collect(),
+        teams: TEAMS
+            .iter()
+            .map(|(team, desk, _)| TeamSpec::new(team, Some(desk)))
+            .collect(),
     }
 }
 
 fn scene(seed: u64, nested: bool) -> Scene {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut scene = Scene { machines: 8, ..Scene::default() };
+    let mut scene = Scene {
+        machines: 8,
+        ..Scene::default()
+    };
     for (team, _, guarantee) in TEAMS {
         scene = scene.team(team, guarantee, 0.0);
     }
@@ -43,7 +56,12 @@
     for i in 0..80 {
         let run_ms = rng.u64(60_000..180_000);
         let spec = array(1000 + i, "flood", rng.u32(4..12), run_ms as f64 / 1000.0);
-        scene.jobs.push(Timed { at: 5000 + u64::from(i) * 1000, run_ms, cancel_ms: None, spec });
+        scene.jobs.push(Timed {
+            at: 5000 + u64::from(i) * 1000,
+            run_ms,
+            cancel_ms: None,
+            spec,
+        });
     }
     let mut id = 2000;
     for round in 0..ROUNDS {
@@ -53,7 +71,12 @@
             let run_ms = rng.u64(20_000..30_000);
             let spec = array(id, team, *guarantee as u32, run_ms as f64 / 1000.0);
             let at = BEGIN + round * EVERY + rng.u64(0..3000);
-            scene.jobs.push(Timed { at, run_ms, cancel_ms: None, spec });
+            scene.jobs.push(Timed {
+                at,
+                run_ms,
+                cancel_ms: None,
+                spec,
+            });
         }
     }
     scene
@@ -86,7 +109,13 @@
         wide: false,
         scene: Some(scene.clone()),
     });
-    let team_of = |job: &str| scene.jobs.iter().find(|j| j.spec.id == job).map(|j| j.spec.team.clone());
+    let team_of = |job: &str| {
+        scene
+            .jobs
+            .iter()
+            .find(|j| j.spec.id == job)
+            .map(|j| j.spec.team.clone())
+    };
     world.run_for(BEGIN + 60_000);
     // They ask anew just then: the most that each has within the next seconds.
     let mut most = [0.0f64; 3];
@@ -95,7 +124,8 @@
         let running = world.on_machines();
         for (most, (team, _, guarantee)) in most.iter_mut().zip(&TEAMS[1..]) {
             let of = |t: &&String| {
-                wire::ids::parse_task(t).is_some_and(|(job, _)| team_of(job).as_deref() == Some(*team))
+                wire::ids::parse_task(t)
+                    .is_some_and(|(job, _)| team_of(job).as_deref() == Some(*team))
             };
             *most = most.max((running.iter().filter(of).count() as f64).min(*guarantee));
         }
@@ -103,18 +133,31 @@
     let due: f64 = TEAMS[1..].iter().map(|(_, _, guarantee)| guarantee).sum();
     seen.shares.push(most.iter().sum::<f64>() / due);
     world.run_for(end - BEGIN - 60_000 - LOOK_S * 1000);
-    assert!(world.rules.broken.is_empty(), "seed {seed}: {:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty(),
+        "seed {seed}: {:?}",
+        world.rules.broken
+    );
     for job in scene.jobs.iter().filter(|j| j.spec.team != "flood") {
         for n in 0..job.spec.tasks {
-            let began = world.began.get(&wire::ids::task_name(&job.spec.id, n)).copied();
+            let began = world
+                .began
+                .get(&wire::ids::task_name(&job.spec.id, n))
+                .copied();
             // One that never ran has waited until the end.
-            seen.waits.push((began.unwrap_or(end).saturating_sub(job.at)) as f64 / 1000.0);
+            seen.waits
+                .push((began.unwrap_or(end).saturating_sub(job.at)) as f64 / 1000.0);
         }
     }
     seen.stopped += world.stopped;
     seen.lost_s += world.lost_ms as f64 / 1000.0;
-    let done = scene.jobs.iter().filter_map(|j| Some((j, world.rules.jobs.get(&j.spec.id)?)));
-    seen.useful_s += done.map(|(j, seen)| seen.done.len() as f64 * j.run_ms as f64 / 1000.0).sum::<f64>();
+    let done = scene
+        .jobs
+        .iter()
+        .filter_map(|j| Some((j, world.rules.jobs.get(&j.spec.id)?)));
+    seen.useful_s += done
+        .map(|(j, seen)| seen.done.len() as f64 * j.run_ms as f64 / 1000.0)
+        .sum::<f64>();
 }
 
 fn main() {
@@ -134,5 +177,8 @@
             seen.useful_s
         ));
     }
-    println!("{{\"seeds\":{SEEDS},\"flat\":{},\"tree\":{}}}", rows[0], rows[1]);
+    println!(
+        "{{\"seeds\":{SEEDS},\"flat\":{},\"tree\":{}}}",
+        rows[0], rows[1]
+    );
 }
--- a/crates/standins/examples/meetings.rs
+++ b/crates/standins/examples/meetings.rs
@@ -31,7 +31,11 @@
 
 /// What the command line asks for.
 enum Ask {
-    All { seeds: u64, nodes: Option<usize>, of: Option<u64> },
+    All {
+        seeds: u64,
+        nodes: Option<usize>,
+        of: Option<u64>,
+    },
     Day(Meeting),
 }
 
@@ -40,7 +44,9 @@
     let (low, high) = (bounds.start(), bounds.end());
     let given = given.ok_or(format!("{name}: a number from {low} to {high} is missing"))?;
     let n = given.parse().ok().filter(|n| bounds.contains(n));
-    n.ok_or(format!("{name}: {given:?} is not a number from {low} to {high}"))
+    n.ok_or(format!(
+        "{name}: {given:?} is not a number from {low} to {high}"
+    ))
 }
 
 fn nodes(name: &str, given: Option<&String>) -> Result<usize, String> {
@@ -56,7 +62,10 @@
             "--nodes" => only = Some(nodes("--nodes", args.next())?),
             "--of" => of = Some(number("--of", args.next(), 1..=3)?),
             "--day" => {
-                let name = args.next().ok_or("--day: NAME SEED NODES are missing")?.clone();
+                let name = args
+                    .next()
+                    .ok_or("--day: NAME SEED NODES are missing")?
+                    .clone();
                 let seed = number("--day NAME SEED", args.next(), 0..=u64::MAX)?;
                 let nodes = nodes("--day NAME SEED NODES", args.next())?;
                 if day(&name, seed, nodes).is_none() {
@@ -67,7 +76,9 @@
                     ));
                 }
                 return match args.next() {
-                    Some(more) => Err(format!("{more:?}: nothing may follow --day NAME SEED NODES")),
+                    Some(more) => Err(format!(
+                        "{more:?}: nothing may follow --day NAME SEED NODES"
+                    )),
                     None => Ok(Ask::Day(Meeting { name, seed, nodes })),
                 };
             }
@@ -78,7 +89,11 @@
             }
         }
     }
-    Ok(Ask::All { seeds, nodes: only, of })
+    Ok(Ask::All {
+        seeds,
+        nodes: only,
+        of,
+    })
 }
 
 /// Days by name and pairs with each number of controllers, triples with one of them; or one of the three sorts.
@@ -87,7 +102,11 @@
     let (named, kinds) = (named(), kinds());
     let mut days = Vec::new();
     let mut add = |name: String, nodes: &[usize], seed: u64| {
-        days.extend(nodes.iter().map(|n| Meeting { name: name.clone(), seed, nodes: *n }));
+        days.extend(nodes.iter().map(|n| Meeting {
+            name: name.clone(),
+            seed,
+            nodes: *n,
+        }));
     };
     for seed in 0..seeds {
         named.iter().for_each(|n| add((*n).to_owned(), &each, seed));
@@ -159,7 +178,11 @@
             self.forgotten,
             self.below_half,
             self.late,
-            format!("{:.1} of {}", self.life_ms as f64 / 1000.0, self.cancel_ms / 1000),
+            format!(
+                "{:.1} of {}",
+                self.life_ms as f64 / 1000.0,
+                self.cancel_ms / 1000
+            ),
             self.lost,
             format!("{:.1}", self.unanswered_s),
             self.beside_room,
@@ -197,7 +220,8 @@
     }
     for (of, what) in [(2, "pairs"), (3, "triples")] {
         for kind in kinds() {
-            Row::of(played.iter().filter(|(d, _)| d.is_of(kind, of))).print(&format!("{what} with {kind}"));
+            Row::of(played.iter().filter(|(d, _)| d.is_of(kind, of)))
+                .print(&format!("{what} with {kind}"));
         }
     }
     let all = Row::of(played.iter());
@@ -210,7 +234,10 @@
     let played = play(plan).1;
     // At once, for whoever waits for a long run.
     if !played.failures.is_empty() {
-        eprintln!("--day {} {} {}: {:?}", day.name, day.seed, day.nodes, played.failures);
+        eprintln!(
+            "--day {} {} {}: {:?}",
+            day.name, day.seed, day.nodes, played.failures
+        );
     }
     Some(played)
 }
@@ -220,10 +247,16 @@
     let days = match asked(&args) {
         Ok(Ask::All { seeds, nodes, of }) => all(seeds, nodes, of),
         Ok(Ask::Day(day)) => {
-            env_logger::Builder::new().filter_level(log::LevelFilter::Debug).format_timestamp(None).init();
+            env_logger::Builder::new()
+                .filter_level(log::LevelFilter::Debug)
+                .format_timestamp(None)
+                .init();
             let plan = standins::meetings::day(&day.name, day.seed, day.nodes);
             let troubles = plan.and_then(|p| p.scene?.day).map(|d| d.troubles);
-            troubles.iter().flatten().for_each(|(at, t)| println!("{at}: {t:?}"));
+            troubles
+                .iter()
+                .flatten()
+                .for_each(|(at, t)| println!("{at}: {t:?}"));
             vec![day]
         }
         Err(what) => {
@@ -232,8 +265,11 @@
         }
     };
     let done = parallel::map(&days, THREADS, played);
-    let played: Vec<(Meeting, Played)> =
-        days.into_iter().zip(done).filter_map(|(d, p)| Some((d, p?))).collect();
+    let played: Vec<(Meeting, Played)> = days
+        .into_iter()
+        .zip(done)
+        .filter_map(|(d, p)| Some((d, p?)))
+        .collect();
     let all = table(&played);
     println!("\n{}", all.json());
     std::process::exit(i32::from(all.failed > 0));
--- a/crates/standins/examples/own_days.rs
+++ b/crates/standins/examples/own_days.rs
@@ -86,7 +86,12 @@
         .map(|(kind, machines)| {
             // Every third kind with more controllers.
             let nodes = [3, 3, 5, 3, 3, 7][kind % 6];
-            Day { kind, seed: 2 * kind as u64 + u64::from(kind % 3 == 0), nodes, size: Size::fleet(machines) }
+            Day {
+                kind,
+                seed: 2 * kind as u64 + u64::from(kind % 3 == 0),
+                nodes,
+                size: Size::fleet(machines),
+            }
         })
         .collect();
     days.sort_by_key(|d| std::cmp::Reverse(d.size.machines));
@@ -116,7 +121,9 @@
     for (day, (now, notes)) in days.iter().zip(seen) {
         let was = before.get(&name(day)).unwrap_or(&none);
         print!("{:<62}", name(day));
-        FIGURES.iter().for_each(|(_, f)| print!("{:>17}", format!("{} -> {}", f(was), f(now))));
+        FIGURES
+            .iter()
+            .for_each(|(_, f)| print!("{:>17}", format!("{} -> {}", f(was), f(now))));
         println!();
         notes.iter().take(5).for_each(|n| println!("    {n}"));
     }
@@ -146,11 +153,23 @@
 /// The days that the command line asks for.
 fn chosen(args: &[String]) -> Vec<Day> {
     let number = |i: usize, or: u64| args.get(i).and_then(|a| a.parse().ok()).unwrap_or(or);
-    let small = |kind: usize, seed, nodes| Day { kind, seed, nodes, size: Size::SMALL };
+    let small = |kind: usize, seed, nodes| Day {
+        kind,
+        seed,
+        nodes,
+        size: Size::SMALL,
+    };
     match args.first().map(String::as_str) {
         Some("small") => {
-            env_logger::Builder::new().filter_level(log::LevelFilter::Debug).format_timestamp(None).init();
-            vec![small(number(1, 0) as usize % kinds().len(), number(2, 0), number(3, 3) as usize)]
+            env_logger::Builder::new()
+                .filter_level(log::LevelFilter::Debug)
+                .format_timestamp(None)
+                .init();
+            vec![small(
+                number(1, 0) as usize % kinds().len(),
+                number(2, 0),
+                number(3, 3) as usize,
+            )]
         }
         Some("seeds") => (0..kinds().len())
             .flat_map(|kind| {
@@ -167,25 +186,49 @@
     let seen = parallel::map(&days, THREADS, |day| play(*day));
     let sum = summed_up(&seen);
     if args.first().is_some_and(|a| a == "record") {
-        let named = days.iter().zip(&seen).map(|(d, (s, _))| (name(d), s.clone()));
+        let named = days
+            .iter()
+            .zip(&seen)
+            .map(|(d, (s, _))| (name(d), s.clone()));
         let about = args.get(1).cloned().unwrap_or_default();
-        let text = serde_json::to_string_pretty(&Recorded { about, days: named.collect() });
+        let text = serde_json::to_string_pretty(&Recorded {
+            about,
+            days: named.collect(),
+        });
         std::fs::write(RECORDED, text.expect("plain figures") + "\n")
             .expect("the recorded file can be written");
     }
     if args.first().is_some_and(|a| a == "small" || a == "seeds") {
-        for (day, (_, notes)) in days.iter().zip(&seen).filter(|(_, (_, notes))| !notes.is_empty()) {
-            println!("{} (kind {}, seed {}): {notes:?}", name(day), day.kind, day.seed);
+        for (day, (_, notes)) in days
+            .iter()
+            .zip(&seen)
+            .filter(|(_, (_, notes))| !notes.is_empty())
+        {
+            println!(
+                "{} (kind {}, seed {}): {notes:?}",
+                name(day),
+                day.kind,
+                day.seed
+            );
         }
         for (title, f) in FIGURES.iter().filter(|(title, _)| title.ends_with(" s")) {
-            let worst = days.iter().zip(&seen).max_by(|a, b| f(&a.1.0).total_cmp(&f(&b.1.0)));
+            let worst = days
+                .iter()
+                .zip(&seen)
+                .max_by(|a, b| f(&a.1.0).total_cmp(&f(&b.1.0)));
             if let Some((day, (s, _))) = worst {
-                println!("most {title}: {} in {} (kind {}, seed {})", f(s), name(day), day.kind, day.seed);
+                println!(
+                    "most {title}: {} in {} (kind {}, seed {})",
+                    f(s),
+                    name(day),
+                    day.kind,
+                    day.seed
+                );
             }
         }
     } else {
-        let recorded: Recorded =
-            serde_json::from_str(include_str!("own_days.json")).expect("the recorded file is readable");
+        let recorded: Recorded = serde_json::from_str(include_str!("own_days.json"))
+            .expect("the recorded file is readable");
         println!("recorded: {}", recorded.about);
         table(&days, &seen, &recorded.days);
     }
--- a/crates/standins/examples/play.rs
+++ b/crates/standins/examples/play.rs
@@ -3,8 +3,14 @@
 use standins::world::{Plan, Sabotage, World};
 
 fn main() {
-    env_logger::Builder::new().filter_level(log::LevelFilter::Debug).format_timestamp(None).init();
-    let seed = std::env::args().nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    env_logger::Builder::new()
+        .filter_level(log::LevelFilter::Debug)
+        .format_timestamp(None)
+        .init();
+    let seed = std::env::args()
+        .nth(1)
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(0);
     let plan = Plan {
         seed,
         nodes: 3,
@@ -19,5 +25,9 @@
     };
     let mut world = World::new(plan);
     world.run();
-    println!("broken: {:?}, never ended: {:?}", world.rules.broken, world.unfinished());
+    println!(
+        "broken: {:?}, never ended: {:?}",
+        world.rules.broken,
+        world.unfinished()
+    );
 }
--- a/crates/standins/examples/ways.rs
+++ b/crates/standins/examples/ways.rs
@@ -20,29 +20,75 @@
 
 const CUTS: [(&str, &str, Sides); 13] = [
     ("none", "nothing is cut", |_, _, _| vec![]),
-    ("owner-state", "the owner loses the state service", |o, _, _| vec![(Side::Node(o), Side::State)]),
-    ("owner-workers", "the owner loses the workers", |o, _, _| vec![(Side::Node(o), Side::Machines)]),
-    ("owner-peers", "the owner loses its peers", |o, _, _| vec![(Side::Node(o), Side::Nodes)]),
-    ("owner-users", "the owner loses the users", |o, _, _| vec![(Side::Node(o), Side::Users)]),
-    ("owner-cloud", "the owner loses the cloud", |o, _, _| vec![(Side::Node(o), Side::Cloud)]),
-    ("other-state", "another loses the state service", |_, a, _| vec![(Side::Node(a), Side::State)]),
-    ("other-workers", "another loses the workers", |_, a, _| vec![(Side::Node(a), Side::Machines)]),
-    ("owner-state+peers", "the owner loses the state service and its peers", |o, _, _| {
-        vec![(Side::Node(o), Side::State), (Side::Node(o), Side::Nodes)]
+    (
+        "owner-state",
+        "the owner loses the state service",
+        |o, _, _| vec![(Side::Node(o), Side::State)],
+    ),
+    ("owner-workers", "the owner loses the workers", |o, _, _| {
+        vec![(Side::Node(o), Side::Machines)]
     }),
-    ("owner-workers+peers", "the owner loses the workers and its peers", |o, _, _| {
-        vec![(Side::Node(o), Side::Machines), (Side::Node(o), Side::Nodes)]
+    ("owner-peers", "the owner loses its peers", |o, _, _| {
+        vec![(Side::Node(o), Side::Nodes)]
     }),
-    ("one-each", "the owner loses the state service, another the workers", |o, a, _| {
-        vec![(Side::Node(o), Side::State), (Side::Node(a), Side::Machines)]
+    ("owner-users", "the owner loses the users", |o, _, _| {
+        vec![(Side::Node(o), Side::Users)]
     }),
-    ("no-node-has-both", "two lose the state service, the third the workers", |o, a, b| {
-        vec![(Side::Node(o), Side::State), (Side::Node(a), Side::State), (Side::Node(b), Side::Machines)]
+    ("owner-cloud", "the owner loses the cloud", |o, _, _| {
+        vec![(Side::Node(o), Side::Cloud)]
     }),
-    ("zone", "a zone with a controller is cut off, the owner is outside", |o, _, _| {
-        let zone = ["b", "a"][o % 2];
-        vec![(Side::Zone(zone.into()), Side::Outside(zone.into()))]
+    (
+        "other-state",
+        "another loses the state service",
+        |_, a, _| vec![(Side::Node(a), Side::State)],
+    ),
+    ("other-workers", "another loses the workers", |_, a, _| {
+        vec![(Side::Node(a), Side::Machines)]
     }),
+    (
+        "owner-state+peers",
+        "the owner loses the state service and its peers",
+        |o, _, _| vec![(Side::Node(o), Side::State), (Side::Node(o), Side::Nodes)],
+    ),
+    (
+        "owner-workers+peers",
+        "the owner loses the workers and its peers",
+        |o, _, _| {
+            vec![
+                (Side::Node(o), Side::Machines),
+                (Side::Node(o), Side::Nodes),
+            ]
+        },
+    ),
+    (
+        "one-each",
+        "the owner loses the state service, another the workers",
+        |o, a, _| {
+            vec![
+                (Side::Node(o), Side::State),
+                (Side::Node(a), Side::Machines),
+            ]
+        },
+    ),
+    (
+        "no-node-has-both",
+        "two lose the state service, the third the workers",
+        |o, a, b| {
+            vec![
+                (Side::Node(o), Side::State),
+                (Side::Node(a), Side::State),
+                (Side::Node(b), Side::Machines),
+            ]
+        },
+    ),
+    (
+        "zone",
+        "a zone with a controller is cut off, the owner is outside",
+        |o, _, _| {
+            let zone = ["b", "a"][o % 2];
+            vec![(Side::Zone(zone.into()), Side::Outside(zone.into()))]
+        },
+    ),
 ];
 
 /// What was seen of one cut.
@@ -58,13 +104,29 @@
 fn fleet(reach: &str) -> World {
     let job = |i: u32| {
         let spec = array(1000 + i, "red", 120, 30.0);
-        Timed { at: 1000 + u64::from(i) * 1500, run_ms: 30_000, cancel_ms: None, spec }
+        Timed {
+            at: 1000 + u64::from(i) * 1500,
+            run_ms: 30_000,
+            cancel_ms: None,
+            spec,
+        }
+    };
+    let limits = Limits {
+        rps: 150.0,
+        write_rps: 35.0,
+        value_kb: 8.0,
+        txn_ops: 16,
+    };
+    let scene = Scene {
+        jobs: (0..110).map(job).collect(),
+        machines: 1200,
+        limits: Some(limits),
+        ..Scene::default()
     };
-    let limits = Limits { rps: 150.0, write_rps: 35.0, value_kb: 8.0, txn_ops: 16 };
-    let scene =
-        Scene { jobs: (0..110).map(job).collect(), machines: 1200, limits: Some(limits), ..Scene::default() };
-    let mut world =
-        World::new(Plan { large: true, ..Plan::of_scene(5, NODES, scene.team("red", 3000.0, 0.0), 0, 0) });
+    let mut world = World::new(Plan {
+        large: true,
+        ..Plan::of_scene(5, NODES, scene.team("red", 3000.0, 0.0), 0, 0)
+    });
     world.tune("reach", "relays", reach);
     world.tune("reach", "keepers", reach);
     world
@@ -75,7 +137,10 @@
     world.run_for(CALM_MS);
     let owner = world.owner_at().unwrap_or(0);
     for (a, b) in sides(owner, (owner + 1) % NODES, (owner + 2) % NODES) {
-        world.cut(Cut { how: How::Hold, ..Cut::between(a, b, world.now(), CUT_MS) });
+        world.cut(Cut {
+            how: How::Hold,
+            ..Cut::between(a, b, world.now(), CUT_MS)
+        });
     }
     let (lost, starts, refused) = (world.lost, world.rules.starts, world.refused);
     let (mut without_starts, mut owners, mut last) = (0, 0, Some(owner));
@@ -116,13 +181,21 @@
         "cut", "tasks lost", "s no starts", "refused", "owners", "starts"
     );
     let (mut broken, mut sums) = (0, [[0; 3]; 2]);
-    let chosen = CUTS.iter().filter(|(n, _, _)| only.is_empty() || only.iter().any(|o| o == n));
-    let chosen: Vec<_> = chosen.flat_map(|c| ["0", "1"].map(|reach| (c, reach))).collect();
+    let chosen = CUTS
+        .iter()
+        .filter(|(n, _, _)| only.is_empty() || only.iter().any(|o| o == n));
+    let chosen: Vec<_> = chosen
+        .flat_map(|c| ["0", "1"].map(|reach| (c, reach)))
+        .collect();
     // Each is a world of its own, so they may be played side by side.
     let seen: Vec<Seen> = std::thread::scope(|s| {
-        let all: Vec<_> =
-            chosen.iter().map(|((_, _, sides), reach)| s.spawn(move || play(*sides, reach))).collect();
-        all.into_iter().map(|t| t.join().expect("a world plays to its end")).collect()
+        let all: Vec<_> = chosen
+            .iter()
+            .map(|((_, _, sides), reach)| s.spawn(move || play(*sides, reach)))
+            .collect();
+        all.into_iter()
+            .map(|t| t.join().expect("a world plays to its end"))
+            .collect()
     });
     for (pair, seen) in chosen.chunks(2).zip(seen.chunks(2)) {
         let (name, what, _) = pair[0].0;
@@ -142,6 +215,10 @@
             sum[2] += s.refused;
         }
     }
-    let sum = |s: [u64; 3]| json!({"tasks_lost": s[0], "seconds_without_starts": s[1], "refused": s[2]});
-    println!("\n{}", json!({"rules_broken": broken, "without": sum(sums[0]), "with": sum(sums[1])}));
+    let sum =
+        |s: [u64; 3]| json!({"tasks_lost": s[0], "seconds_without_starts": s[1], "refused": s[2]});
+    println!(
+        "\n{}",
+        json!({"rules_broken": broken, "without": sum(sums[0]), "with": sum(sums[1])})
+    );
 }
--- a/crates/standins/src/balancer.rs
+++ b/crates/standins/src/balancer.rs
@@ -40,8 +40,14 @@
             // What failed before it was healthy again counts among the six: the hardest reading.
             let failed = self.probes.iter().filter(|p| !**p).count();
             if !ok && (self.last(2, false) || failed >= 3) {
-                let again = self.removed_at.is_some_and(|at| now <= at + DOUBLED_WITHIN_MS);
-                self.pause_ms = if again { (2 * self.pause_ms).min(LONGEST_PAUSE_MS) } else { PAUSE_MS };
+                let again = self
+                    .removed_at
+                    .is_some_and(|at| now <= at + DOUBLED_WITHIN_MS);
+                self.pause_ms = if again {
+                    (2 * self.pause_ms).min(LONGEST_PAUSE_MS)
+                } else {
+                    PAUSE_MS
+                };
                 (self.healthy_at, self.removed_at) = (None, Some(now));
             }
         } else if ok {
@@ -66,7 +72,9 @@
 
 impl Balancer {
     pub fn new(nodes: usize) -> Self {
-        Balancer { nodes: (0..nodes).map(|_| Node::default()).collect() }
+        Balancer {
+            nodes: (0..nodes).map(|_| Node::default()).collect(),
+        }
     }
 
     pub fn probed(&mut self, now: u64, n: usize, ok: bool) {
@@ -92,11 +100,16 @@
         tried: &[usize],
     ) -> Option<usize> {
         let fit = |n: &usize| {
-            self.nodes[*n].healthy_at.is_some() && self.nodes[*n].passed_until <= now && !tried.contains(n)
+            self.nodes[*n].healthy_at.is_some()
+                && self.nodes[*n].passed_until <= now
+                && !tried.contains(n)
         };
         let all: Vec<usize> = (0..self.nodes.len()).filter(fit).collect();
-        let mut some: Vec<usize> =
-            all.iter().copied().filter(|n| rng.f64() < self.nodes[*n].share(now)).collect();
+        let mut some: Vec<usize> = all
+            .iter()
+            .copied()
+            .filter(|n| rng.f64() < self.nodes[*n].share(now))
+            .collect();
         if some.is_empty() {
             some = all;
         }
@@ -183,7 +196,11 @@
         // Brought up to its share over ten seconds, although it has no connection.
         b.probed(30_000, 0, true);
         b.probed(31_000, 0, true);
-        let mut to = |now| (0..1000).filter(|_| b.choose(now, &mut rng, &[0, 9, 9], &[]) == Some(0)).count();
+        let mut to = |now| {
+            (0..1000)
+                .filter(|_| b.choose(now, &mut rng, &[0, 9, 9], &[]) == Some(0))
+                .count()
+        };
         let (early, half, late) = (to(31_500), to(36_000), to(41_000));
         assert!((50..200).contains(&early) && (400..600).contains(&half) && late == 1000);
     }
--- a/crates/standins/src/checks/answers.rs
+++ b/crates/standins/src/checks/answers.rs
@@ -53,7 +53,9 @@
         let accepted = matches!(status, 200 | 201);
         let older = match known.ended {
             // Of two ends one is wrong, whichever was asked for first.
-            Some((_, ended)) if accepted && stage.is_some_and(|s| s.is_final() && s != ended) => true,
+            Some((_, ended)) if accepted && stage.is_some_and(|s| s.is_final() && s != ended) => {
+                true
+            }
             Some((at, ended)) if accepted && at < asked => stage != Some(ended),
             _ => !accepted && known.accepted.is_some_and(|at| at < asked),
         };
@@ -63,7 +65,9 @@
         if let Some(stage) = stage.filter(|s| accepted && s.is_final()) {
             known.ended.get_or_insert((now, stage));
         }
-        older.then(|| format!("{now}: {id}, asked {asked}, answered {status} {stage:?} after {known:?}"))
+        older.then(|| {
+            format!("{now}: {id}, asked {asked}, answered {status} {stage:?} after {known:?}")
+        })
     }
 
     /// A user sends this, which can't be taken, and why. False if there have been too many.
@@ -80,7 +84,12 @@
     }
 
     /// An answer about a submission that can't be taken; the rule that it breaks, if any, and why it couldn't be.
-    pub fn odd_told(&mut self, id: &str, submission: bool, status: u16) -> Option<(&'static str, &str)> {
+    pub fn odd_told(
+        &mut self,
+        id: &str,
+        submission: bool,
+        status: u16,
+    ) -> Option<(&'static str, &str)> {
         let (unfit, why) = self.odd.get(id)?;
         self.odd_judged += 1;
         self.odd_refused += u64::from(submission && matches!(status, 400 | 422));
--- a/crates/standins/src/checks/mod.rs
+++ b/crates/standins/src/checks/mod.rs
@@ -101,7 +101,10 @@
 impl Verdict {
     /// Every rule that was broken, every job forgotten, late or left waiting beside room, and every group of which less than half was served.
     pub fn failures(&self, rules: &Rules) -> Vec<String> {
-        let broken = rules.broken.iter().map(|(rule, what)| format!("{rule}: {what}"));
+        let broken = rules
+            .broken
+            .iter()
+            .map(|(rule, what)| format!("{rule}: {what}"));
         let forgotten = self.forgotten_75.iter().map(|j| format!("forgotten: {j}"));
         let late = self.largest_late.iter().map(|j| format!("late: {j}"));
         let beside = self.beside_room.iter().map(|j| format!("beside_room: {j}"));
@@ -133,12 +136,18 @@
             };
             (s.id, seen)
         };
-        Checks { jobs: specs.map(seen).collect(), quiet, ..Checks::default() }
+        Checks {
+            jobs: specs.map(seen).collect(),
+            quiet,
+            ..Checks::default()
+        }
     }
 
     /// A user submits the job, or asks to cancel it. When it was first submitted.
     pub fn asks(&mut self, now: u64, job: &str, cancel: bool) -> u64 {
-        let Some(seen) = self.jobs.get_mut(job) else { return now };
+        let Some(seen) = self.jobs.get_mut(job) else {
+            return now;
+        };
         seen.cancel_asked |= cancel;
         *seen.asked.get_or_insert(now)
     }
@@ -146,7 +155,13 @@
     /// A user is answered.
     pub fn answered(&mut self, now: u64, job: &str, poll: bool, status: u16, stage: Option<Stage>) {
         let quiet = self.quiet;
-        let Some(seen) = self.jobs.get_mut(job).filter(|_| matches!(status, 200 | 201)) else { return };
+        let Some(seen) = self
+            .jobs
+            .get_mut(job)
+            .filter(|_| matches!(status, 200 | 201))
+        else {
+            return;
+        };
         if poll {
             seen.waited(now, quiet);
             seen.heard = Some(now);
@@ -189,8 +204,12 @@
     pub fn verdict(&mut self, now: u64) -> Verdict {
         let quiet = self.quiet;
         self.jobs.values_mut().for_each(|s| s.waited(now, quiet));
-        let longest = |f: fn(&Seen) -> u64| self.jobs.values().map(f).max().unwrap_or(0) as f64 / 1000.0;
-        let forgotten = self.jobs.iter().filter(|(_, s)| s.unanswered_quiet > FORGOTTEN_MS);
+        let longest =
+            |f: fn(&Seen) -> u64| self.jobs.values().map(f).max().unwrap_or(0) as f64 / 1000.0;
+        let forgotten = self
+            .jobs
+            .iter()
+            .filter(|(_, s)| s.unanswered_quiet > FORGOTTEN_MS);
         let (beside_room, beside_ms) = self.room.left_waiting();
         Verdict {
             beside_room,
@@ -202,7 +221,8 @@
             unanswered_in_all_s: longest(|s| s.unanswered),
             longest_without_owner_s: self.ownerless.longest as f64 / 1000.0,
             longest_without_node_s: self.nodeless.longest as f64 / 1000.0,
-            fewest_running: self.fewest.unwrap_or(0) as f64 / self.running.unwrap_or(0).max(1) as f64,
+            fewest_running: self.fewest.unwrap_or(0) as f64
+                / self.running.unwrap_or(0).max(1) as f64,
             accepted_in_1s: self.accepted_within(1000),
             no_node: self.no_node,
             given_up: self.given_up,
@@ -214,8 +234,14 @@
 
 impl Checks {
     fn accepted_within(&self, ms: u64) -> f64 {
-        let asked = self.jobs.values().filter_map(|s| Some((s.asked?, s.accepted)));
-        let soon = asked.clone().filter(|(asked, at)| at.is_some_and(|at| at <= asked + ms)).count();
+        let asked = self
+            .jobs
+            .values()
+            .filter_map(|s| Some((s.asked?, s.accepted)));
+        let soon = asked
+            .clone()
+            .filter(|(asked, at)| at.is_some_and(|at| at <= asked + ms))
+            .count();
         soon as f64 / asked.count().max(1) as f64
     }
 }
@@ -223,9 +249,13 @@
 impl Seen {
     /// An accepted job that has not ended was without an answer until now.
     fn waited(&mut self, now: u64, quiet: u64) {
-        let Some(since) = self.accepted.filter(|_| self.ended.is_none()) else { return };
+        let Some(since) = self.accepted.filter(|_| self.ended.is_none()) else {
+            return;
+        };
         let since = since.max(self.heard.unwrap_or(0));
         self.unanswered = self.unanswered.max(now.saturating_sub(since));
-        self.unanswered_quiet = self.unanswered_quiet.max(now.saturating_sub(since.max(quiet)));
+        self.unanswered_quiet = self
+            .unanswered_quiet
+            .max(now.saturating_sub(since.max(quiet)));
     }
 }
--- a/crates/standins/src/checks/room.rs
+++ b/crates/standins/src/checks/room.rs
@@ -31,9 +31,18 @@
 
     /// How many tasks of a job there is room for.
     fn holds(&self, spec: &JobSpec) -> u64 {
-        let times = |has: f64, needs: f64| if needs > 0.0 { ((has + 1e-6) / needs) as u64 } else { u64::MAX };
+        let times = |has: f64, needs: f64| {
+            if needs > 0.0 {
+                ((has + 1e-6) / needs) as u64
+            } else {
+                u64::MAX
+            }
+        };
         let (cores, gpus) = (times(self.cores, spec.cores), times(self.gpus, spec.gpus));
-        cores.min(gpus).min(times(self.mem_gb, spec.mem_gb)).min(u64::from(spec.tasks))
+        cores
+            .min(gpus)
+            .min(times(self.mem_gb, spec.mem_gb))
+            .min(u64::from(spec.tasks))
     }
 }
 
@@ -53,7 +62,9 @@
 
 impl Up {
     fn fits(&self, spec: &JobSpec) -> bool {
-        spec.types.as_ref().is_none_or(|t| t.contains(&self.machine_type))
+        spec.types
+            .as_ref()
+            .is_none_or(|t| t.contains(&self.machine_type))
             && spec.zone.as_ref().is_none_or(|z| *z == self.zone)
             && (spec.spot || !self.spot)
     }
@@ -113,17 +124,25 @@
     /// Jobs that were left waiting, and the longest that any waited beside room.
     pub fn left_waiting(&self) -> (Vec<String>, u64) {
         let left = self.longest.iter().filter(|(_, ms)| **ms >= BESIDE_ROOM_MS);
-        (left.map(|(id, _)| id.clone()).collect(), self.longest.values().copied().max().unwrap_or(0))
+        (
+            left.map(|(id, _)| id.clone()).collect(),
+            self.longest.values().copied().max().unwrap_or(0),
+        )
     }
 
     fn settle<'a>(&mut self, up: &'a [Up], rules: &'a Rules) -> Look<'a> {
-        self.free.retain(|name, _| up.iter().any(|m| m.name == *name));
+        self.free
+            .retain(|name, _| up.iter().any(|m| m.name == *name));
         let (mut settled, mut there, mut gpus) = (Vec::new(), BTreeMap::new(), BTreeMap::new());
         for m in up {
             let mut left = m.whole;
             for task in &m.tasks {
-                let Some((id, _)) = wire::ids::parse_task(&task.0) else { continue };
-                let Some(spec) = rules.jobs.get(id).and_then(|j| j.spec.as_ref()) else { continue };
+                let Some((id, _)) = wire::ids::parse_task(&task.0) else {
+                    continue;
+                };
+                let Some(spec) = rules.jobs.get(id).and_then(|j| j.spec.as_ref()) else {
+                    continue;
+                };
                 left.cores -= spec.cores;
                 left.gpus -= spec.gpus;
                 left.mem_gb -= spec.mem_gb;
@@ -139,13 +158,20 @@
                 settled.push((m, seen.iter().copied().fold(left, Free::least)));
             }
         }
-        Look { settled, there, gpus }
+        Look {
+            settled,
+            there,
+            gpus,
+        }
     }
 }
 
 /// Accepted, not ended, and nobody wants to cancel it.
 fn is_open(job: &Job) -> bool {
-    job.accepted.is_some() && job.told_done.is_none() && job.told_cancelled.is_none() && !job.cancel_asked
+    job.accepted.is_some()
+        && job.told_done.is_none()
+        && job.told_cancelled.is_none()
+        && !job.cancel_asked
 }
 
 impl Look<'_> {
@@ -159,10 +185,20 @@
             Kind::Gang => there.is_empty() && job.done.is_empty(),
             _ => (0..spec.tasks).any(|n| !job.done.contains(&n) && !is_there(n)),
         };
-        let tasks = if spec.kind == Kind::Gang { u64::from(spec.tasks) } else { 1 };
-        let limit = rules.gpu_limits.get(&spec.team).copied().unwrap_or(f64::INFINITY);
+        let tasks = if spec.kind == Kind::Gang {
+            u64::from(spec.tasks)
+        } else {
+            1
+        };
+        let limit = rules
+            .gpu_limits
+            .get(&spec.team)
+            .copied()
+            .unwrap_or(f64::INFINITY);
         let used = self.gpus.get(spec.team.as_str()).copied().unwrap_or(0.0);
-        waits && used + spec.gpus * tasks as f64 <= limit + 1e-6 && self.places(spec, there) >= tasks
+        waits
+            && used + spec.gpus * tasks as f64 <= limit + 1e-6
+            && self.places(spec, there) >= tasks
     }
 
     /// For how many more tasks of the job there is room at once, within its bounds on zones.
@@ -174,10 +210,21 @@
         let in_zone = |zone: &str| there.iter().filter(|(m, _)| m.zone == zone).count() as u64;
         if spec.one_zone {
             let alone = |zone: &str| there.iter().all(|(m, _)| m.zone == zone);
-            return zones.into_iter().filter(|(z, _)| alone(z)).map(|(_, n)| n).max().unwrap_or(0);
+            return zones
+                .into_iter()
+                .filter(|(z, _)| alone(z))
+                .map(|(_, n)| n)
+                .max()
+                .unwrap_or(0);
         }
         let half = u64::from(spec.tasks.div_ceil(2));
-        let most = |zone: &str| if spec.spread { half.saturating_sub(in_zone(zone)) } else { u64::MAX };
+        let most = |zone: &str| {
+            if spec.spread {
+                half.saturating_sub(in_zone(zone))
+            } else {
+                u64::MAX
+            }
+        };
         zones.into_iter().map(|(z, n)| n.min(most(z))).sum()
     }
 }
--- a/crates/standins/src/checks/served.rs
+++ b/crates/standins/src/checks/served.rs
@@ -8,7 +8,9 @@
 
 /// Jobs that were submitted and that nobody wanted to cancel.
 fn wanted(jobs: &Jobs) -> impl Iterator<Item = (&str, &Seen)> {
-    let wanted = jobs.iter().filter(|(_, s)| s.asked.is_some() && !s.cancel_asked);
+    let wanted = jobs
+        .iter()
+        .filter(|(_, s)| s.asked.is_some() && !s.cancel_asked);
     wanted.map(|(id, s)| (id.as_str(), s))
 }
 
@@ -16,7 +18,10 @@
 fn largest(jobs: &Jobs) -> BTreeSet<&str> {
     let mut classes: BTreeMap<&str, Vec<(Reverse<u32>, &str)>> = BTreeMap::new();
     for (id, seen) in wanted(jobs) {
-        classes.entry(&seen.class).or_default().push((Reverse(seen.tasks), id));
+        classes
+            .entry(&seen.class)
+            .or_default()
+            .push((Reverse(seen.tasks), id));
     }
     let tenth = |of: &mut Vec<(Reverse<u32>, &'_ str)>| {
         of.sort();
@@ -31,8 +36,14 @@
     let largest = largest(jobs);
     let mut groups: BTreeMap<String, (usize, usize, usize)> = BTreeMap::new();
     for (id, seen) in wanted(jobs) {
-        let large = largest.contains(id).then(|| format!("largest of {}", seen.class));
-        let of = [Some(format!("class {}", seen.class)), Some(format!("team {}", seen.team)), large];
+        let large = largest
+            .contains(id)
+            .then(|| format!("largest of {}", seen.class));
+        let of = [
+            Some(format!("class {}", seen.class)),
+            Some(format!("team {}", seen.team)),
+            large,
+        ];
         for group in of.into_iter().flatten() {
             let (all, began, ended) = groups.entry(group).or_default();
             *all += 1;
@@ -41,7 +52,8 @@
         }
     }
     let below = |(group, (all, began, ended)): (String, (usize, usize, usize))| {
-        (2 * began.min(ended) < all).then(|| format!("{group}: {began} began and {ended} ended of {all}"))
+        (2 * began.min(ended) < all)
+            .then(|| format!("{group}: {began} began and {ended} ended of {all}"))
     };
     groups.into_iter().filter_map(below).collect()
 }
@@ -50,8 +62,15 @@
 pub(super) fn largest_late(jobs: &Jobs, now: u64) -> Vec<String> {
     let late = |id: &&str| {
         let seen = &jobs[*id];
-        let waited = seen.began.unwrap_or(now).saturating_sub(seen.asked.unwrap_or(now));
+        let waited = seen
+            .began
+            .unwrap_or(now)
+            .saturating_sub(seen.asked.unwrap_or(now));
         seen.accepted.is_some() && waited > BEGIN_MS
     };
-    largest(jobs).into_iter().filter(late).map(str::to_owned).collect()
+    largest(jobs)
+        .into_iter()
+        .filter(late)
+        .map(str::to_owned)
+        .collect()
 }
--- a/crates/standins/src/checks/starts.rs
+++ b/crates/standins/src/checks/starts.rs
@@ -14,11 +14,15 @@
 impl AfterCancel {
     pub fn order(&mut self, now: u64, node: usize, task: &str) {
         self.ordered += 1;
-        self.first.get_or_insert_with(|| format!("{now}: {node} orders {task}"));
+        self.first
+            .get_or_insert_with(|| format!("{now}: {node} orders {task}"));
     }
 
     pub fn failure(&self) -> Option<String> {
         let first = self.first.as_ref()?;
-        Some(format!("ordered_cancelled: {} times, {first}", self.ordered))
+        Some(format!(
+            "ordered_cancelled: {} times, {first}",
+            self.ordered
+        ))
     }
 }
--- a/crates/standins/src/cloud.rs
+++ b/crates/standins/src/cloud.rs
@@ -47,9 +47,17 @@
     }
 
     /// Name, type, zone and kind of the machines that are up and not known yet.
-    pub fn came_up(&self, now: u64, known: impl Fn(&str) -> bool) -> Vec<(String, String, String, bool)> {
-        let up = self.machines.iter().filter(|(n, r)| r.up_at.is_some_and(|at| at <= now) && !known(n));
-        up.map(|(n, r)| (n.clone(), r.machine_type.clone(), r.zone.clone(), r.spot)).collect()
+    pub fn came_up(
+        &self,
+        now: u64,
+        known: impl Fn(&str) -> bool,
+    ) -> Vec<(String, String, String, bool)> {
+        let up = self
+            .machines
+            .iter()
+            .filter(|(n, r)| r.up_at.is_some_and(|at| at <= now) && !known(n));
+        up.map(|(n, r)| (n.clone(), r.machine_type.clone(), r.zone.clone(), r.spot))
+            .collect()
     }
 
     pub fn snapshot(&mut self, now: u64) {
@@ -80,8 +88,16 @@
             ("GET", "/catalog") => (200, serde_json::to_value(&self.catalog).unwrap_or_default()),
             ("GET", "/machines") => {
                 let lag = rng.u64(0..=2 * self.lag_ms);
-                let list = self.lists.iter().rev().find(|(at, _)| at + lag <= now).map(|(_, l)| l.as_slice());
-                let from = query.split('&').find_map(|p| p.strip_prefix("from=")).unwrap_or("");
+                let list = self
+                    .lists
+                    .iter()
+                    .rev()
+                    .find(|(at, _)| at + lag <= now)
+                    .map(|(_, l)| l.as_slice());
+                let from = query
+                    .split('&')
+                    .find_map(|p| p.strip_prefix("from="))
+                    .unwrap_or("");
                 let after = |v: &&Value| v["nameId"].as_str().is_some_and(|n| n > from);
                 let mut rest = list.unwrap_or_default().iter().filter(after);
                 let page: Vec<&Value> = rest.by_ref().take(500).collect();
@@ -119,7 +135,11 @@
         for _ in 0..room.min(h.count as usize) {
             self.next += 1;
             let name = format!("host-{:06}", self.next);
-            let boot = if now < self.quick_until { QUICK_BOOT_MS } else { 1000..9000 };
+            let boot = if now < self.quick_until {
+                QUICK_BOOT_MS
+            } else {
+                1000..9000
+            };
             let up_at = (rng.f64() > 0.03).then(|| now + rng.u64(boot));
             let rented = Rented {
                 machine_type: h.machine_type.clone(),
@@ -144,7 +164,9 @@
 
 /// The machine at an address.
 pub fn name_at(addr: std::net::SocketAddr) -> Option<String> {
-    let std::net::IpAddr::V4(ip) = addr.ip() else { return None };
+    let std::net::IpAddr::V4(ip) = addr.ip() else {
+        return None;
+    };
     let [_, _, c, d] = ip.octets();
     let n = (u32::from(c) * 250 + u32::from(d)).checked_sub(1)?;
     Some(format!("host-{n:06}"))
--- a/crates/standins/src/counties.rs
+++ b/crates/standins/src/counties.rs
@@ -46,7 +46,8 @@
         }
         let stands = standing(state);
         if stands != self.sums {
-            let differs = |(cell, sums): &(&(String, String), &[u64; 3])| stands.get(*cell) != Some(*sums);
+            let differs =
+                |(cell, sums): &(&(String, String), &[u64; 3])| stands.get(*cell) != Some(*sums);
             let first = self
                 .sums
                 .iter()
@@ -54,7 +55,10 @@
                 .or_else(|| stands.iter().find(|(c, _)| !self.sums.contains_key(*c)));
             rules.breaks(
                 "tallies_wrong",
-                format!("{now}: {first:?} ended, {:?} stands", first.and_then(|(c, _)| stands.get(c))),
+                format!(
+                    "{now}: {first:?} ended, {:?} stands",
+                    first.and_then(|(c, _)| stands.get(c))
+                ),
             );
         }
     }
@@ -63,12 +67,17 @@
         let read = |e: serde_json::Error| format!("{key}: {e}");
         if key == "sys/counties" {
             self.version = value["document"]["version"].as_u64().unwrap_or(0);
-            self.binds = value["document"]["parts"].as_array().is_some_and(|p| !p.is_empty());
+            self.binds = value["document"]["parts"]
+                .as_array()
+                .is_some_and(|p| !p.is_empty());
         }
         if key.starts_with("live/") {
             let bound = value["county"]["version"].as_u64();
             if bound != self.binds.then_some(self.version) {
-                return Err(format!("{key} is bound by {bound:?} under version {}", self.version));
+                return Err(format!(
+                    "{key} is bound by {bound:?} under version {}",
+                    self.version
+                ));
             }
         }
         // Nearly all puts have nothing to do with counties.
@@ -77,7 +86,10 @@
             let rec = JobRec::deserialize_from(value).map_err(read)?;
             if let Some(county) = rec.county {
                 let new = (county, rec.spec.class);
-                let old = self.bound.entry(job.to_owned()).or_insert_with(|| new.clone());
+                let old = self
+                    .bound
+                    .entry(job.to_owned())
+                    .or_insert_with(|| new.clone());
                 if *old != new {
                     return Err(format!("{job} was bound to {old:?}, then to {new:?}"));
                 }
@@ -85,9 +97,20 @@
         } else if let Some(job) = key.strip_prefix("end/").filter(|j| of_county(j)) {
             let rec = EndRec::deserialize_from(value).map_err(read)?;
             self.ended.insert(job.to_owned(), (rec.stage, rec.done));
-            let bound = self.bound.get(job).map(|(c, class)| (c.county.clone(), class.clone()));
-            if bound != rec.county.as_ref().map(|c| (c.county.clone(), c.class.clone())) {
-                return Err(format!("{job} was bound to {bound:?} and ended for {:?}", rec.county));
+            let bound = self
+                .bound
+                .get(job)
+                .map(|(c, class)| (c.county.clone(), class.clone()));
+            if bound
+                != rec
+                    .county
+                    .as_ref()
+                    .map(|c| (c.county.clone(), c.class.clone()))
+            {
+                return Err(format!(
+                    "{job} was bound to {bound:?} and ended for {:?}",
+                    rec.county
+                ));
             }
             if let Some(cell) = bound {
                 add(&mut self.sums, cell, &count(rec.stage, rec.done));
@@ -104,7 +127,11 @@
     /// Whether users were told the same ends.
     pub fn users(&self, rules: &mut Rules) {
         let mut wrong = Vec::new();
-        for (id, job) in rules.jobs.iter().filter(|(id, _)| self.bound.contains_key(*id)) {
+        for (id, job) in rules
+            .jobs
+            .iter()
+            .filter(|(id, _)| self.bound.contains_key(*id))
+        {
             let told = (job.told_done.is_some(), job.told_cancelled.is_some());
             let stage = self.ended.get(id).map(|(stage, _)| *stage);
             let agrees = match told {
@@ -113,10 +140,14 @@
                 _ => true,
             };
             if !agrees {
-                wrong.push(format!("{id}: users were told {told:?}, {stage:?} was counted"));
+                wrong.push(format!(
+                    "{id}: users were told {told:?}, {stage:?} was counted"
+                ));
             }
         }
-        wrong.into_iter().for_each(|what| rules.breaks("tallies_wrong", what));
+        wrong
+            .into_iter()
+            .for_each(|what| rules.breaks("tallies_wrong", what));
     }
 
     /// All ended jobs and done tasks by county and class.
@@ -149,19 +180,41 @@
 fn standing(state: &State) -> Sums {
     let mut sums = Sums::new();
     let mut marks: BTreeMap<(String, String), u64> = BTreeMap::new();
-    let of = |d: &Delta| ((d.county.clone(), d.class.clone()), [d.done, d.cancelled, d.tasks]);
-    for (_, entry) in state.keys.range("part/0/tally/".to_owned().."part/0/tally0".to_owned()) {
-        let Ok(sheet) = Sheet::deserialize_from(&entry.value) else { continue };
+    let of = |d: &Delta| {
+        (
+            (d.county.clone(), d.class.clone()),
+            [d.done, d.cancelled, d.tasks],
+        )
+    };
+    for (_, entry) in state
+        .keys
+        .range("part/0/tally/".to_owned().."part/0/tally0".to_owned())
+    {
+        let Ok(sheet) = Sheet::deserialize_from(&entry.value) else {
+            continue;
+        };
         for (cell, more) in sheet.cells.iter().map(of) {
             marks.insert(cell.clone(), sheet.upto);
             add(&mut sums, cell, &more);
         }
     }
-    for (key, entry) in state.keys.range("part/0/log/".to_owned().."part/0/log0".to_owned()) {
-        let number = key.rsplit('/').next().and_then(|n| u64::from_str_radix(n, 16).ok()).unwrap_or(0);
-        let Ok(rec) = LogRec::deserialize_from(&entry.value) else { continue };
-        for (cell, more) in
-            rec.ended.iter().map(of).filter(|(cell, _)| marks.get(cell).is_none_or(|m| *m < number))
+    for (key, entry) in state
+        .keys
+        .range("part/0/log/".to_owned().."part/0/log0".to_owned())
+    {
+        let number = key
+            .rsplit('/')
+            .next()
+            .and_then(|n| u64::from_str_radix(n, 16).ok())
+            .unwrap_or(0);
+        let Ok(rec) = LogRec::deserialize_from(&entry.value) else {
+            continue;
+        };
+        for (cell, more) in rec
+            .ended
+            .iter()
+            .map(of)
+            .filter(|(cell, _)| marks.get(cell).is_none_or(|m| *m < number))
         {
             add(&mut sums, cell, &more);
         }
@@ -176,12 +229,20 @@
             return;
         }
         for beside in on.chunk_by(|a, b| a.machine == b.machine) {
-            beside.iter().for_each(|task| self.apart(now, task, beside, watcher));
+            beside
+                .iter()
+                .for_each(|task| self.apart(now, task, beside, watcher));
         }
     }
 
     /// A task starts on a machine: what is there may be beside it, and its county may use the zone.
-    pub fn apart(&mut self, now: u64, new: &OnMachine<'_>, others: &[OnMachine<'_>], watcher: &Watcher) {
+    pub fn apart(
+        &mut self,
+        now: u64,
+        new: &OnMachine<'_>,
+        others: &[OnMachine<'_>],
+        watcher: &Watcher,
+    ) {
         let county = |task: &str| {
             let job = wire::ids::parse_task(task).map(|(id, _)| id)?;
             watcher.bound.get(job).map(|(c, _)| c)
@@ -195,7 +256,10 @@
             let same = own.map(|c| &c.county) == other.map(|c| &c.county);
             let alone = own.is_some_and(|c| c.alone) || other.is_some_and(|c| c.alone);
             if alone && !same {
-                self.breaks("mixed", format!("{now}: {} beside {} on {}", new.task, o.task, o.machine));
+                self.breaks(
+                    "mixed",
+                    format!("{now}: {} beside {} on {}", new.task, o.task, o.machine),
+                );
             }
         }
     }
--- a/crates/standins/src/days.rs
+++ b/crates/standins/src/days.rs
@@ -176,7 +176,9 @@
             Trouble::Late { for_ms, ms, .. } => for_ms + ms,
             Trouble::LateWrites { for_ms, .. } => for_ms + LATE_WRITE_MS.end,
             Trouble::LateReports { for_ms, .. } => for_ms + LATE_REPORT_MS.end,
-            Trouble::CloseLooks { ms } | Trouble::CancelAtEnd { ms, .. } | Trouble::OddRequests { ms } => *ms,
+            Trouble::CloseLooks { ms }
+            | Trouble::CancelAtEnd { ms, .. }
+            | Trouble::OddRequests { ms } => *ms,
             Trouble::CancelNow { hang_ms, .. } => 200 + hang_ms,
             Trouble::Die { .. } => 0,
         }
@@ -208,10 +210,18 @@
 
 impl Size {
     /// A dozen machines, for tests.
-    pub const SMALL: Size = Size { machines: 12, troubles_ms: 60_000, after_ms: 280_000 };
+    pub const SMALL: Size = Size {
+        machines: 12,
+        troubles_ms: 60_000,
+        after_ms: 280_000,
+    };
 
     pub const fn fleet(machines: usize) -> Size {
-        Size { machines, troubles_ms: 150_000, after_ms: 270_000 }
+        Size {
+            machines,
+            troubles_ms: 150_000,
+            after_ms: 270_000,
+        }
     }
 
     fn large(&self) -> bool {
@@ -256,15 +266,28 @@
     }
 
     fn crash_all(&mut self, at: u64, back_ms: u64) {
-        self.add(at, Trouble::Crash { who: Who::All, back_ms });
+        self.add(
+            at,
+            Trouble::Crash {
+                who: Who::All,
+                back_ms,
+            },
+        );
     }
 
     /// So many nodes crash again and again; how often and how soon they are back is the day's.
     fn crash_loop(&mut self, who: &[Who]) {
         let every = self.rng.u64(100..5000);
-        let back_ms = if every < 400 { self.rng.u64(50..100) } else { self.back().min(every) };
+        let back_ms = if every < 400 {
+            self.rng.u64(50..100)
+        } else {
+            self.back().min(every)
+        };
         let who = who.to_vec();
-        self.every(every, |d, at| who.iter().for_each(|w| d.add(at, Trouble::Crash { who: *w, back_ms })));
+        self.every(every, |d, at| {
+            who.iter()
+                .for_each(|w| d.add(at, Trouble::Crash { who: *w, back_ms }))
+        });
     }
 
     /// All three times in a row, somewhere in the trouble that lasts so long.
@@ -289,20 +312,41 @@
         },
         1,
     ),
-    ("loop of two", |d| d.crash_loop(&[Who::Node(0), Who::Node(1)]), 1),
+    (
+        "loop of two",
+        |d| d.crash_loop(&[Who::Node(0), Who::Node(1)]),
+        1,
+    ),
     ("loop of the owner", |d| d.crash_loop(&[Who::Owner]), 1),
     ("loop of all", |d| d.crash_loop(&[Who::All]), 1),
-    ("all every 3 s, back after 0.15 s", |d| d.every(3000, |d, at| d.crash_all(at, 150)), 1),
+    (
+        "all every 3 s, back after 0.15 s",
+        |d| d.every(3000, |d, at| d.crash_all(at, 150)),
+        1,
+    ),
     (
         "crashes at each step of a take-over",
         |d| {
             // Whoever takes over next crashes at one step of it, and the next one at another.
             d.every(4000, |d, at| {
                 let back = d.back();
-                d.add(at, Trouble::Crash { who: Who::Owner, back_ms: back });
+                d.add(
+                    at,
+                    Trouble::Crash {
+                        who: Who::Owner,
+                        back_ms: back,
+                    },
+                );
                 for n in 0..d.nodes {
                     let (question, back_ms) = (d.rng.u32(1..25), d.back());
-                    d.add(at + 1, Trouble::Fuse { who: Who::Node(n), question, back_ms });
+                    d.add(
+                        at + 1,
+                        Trouble::Fuse {
+                            who: Who::Node(n),
+                            question,
+                            back_ms,
+                        },
+                    );
                 }
             });
         },
@@ -331,9 +375,23 @@
         "cuts from the state service, crashes",
         |d| {
             d.every(16_000, |d, at| {
-                d.add(at, Trouble::Cut { who: Who::All, from: Side::State, how: How::Hold, ms: 7000 });
+                d.add(
+                    at,
+                    Trouble::Cut {
+                        who: Who::All,
+                        from: Side::State,
+                        how: How::Hold,
+                        ms: 7000,
+                    },
+                );
                 let (within, back) = (d.rng.u64(0..7000), d.back());
-                d.add(at + within, Trouble::Crash { who: Who::Owner, back_ms: back });
+                d.add(
+                    at + within,
+                    Trouble::Crash {
+                        who: Who::Owner,
+                        back_ms: back,
+                    },
+                );
             })
         },
         1,
@@ -346,7 +404,13 @@
                 d.add(at, Trouble::Freeze { who, ms });
                 let within = d.rng.u64(0..ms);
                 d.add(at + within, Trouble::Crash { who, back_ms });
-                d.add(at + 500, Trouble::Freeze { who: Who::Owner, ms: ms / 2 });
+                d.add(
+                    at + 500,
+                    Trouble::Freeze {
+                        who: Who::Owner,
+                        ms: ms / 2,
+                    },
+                );
             })
         },
         1,
@@ -365,11 +429,33 @@
         "owner cut from the state, crashes, peers refuse",
         |d| {
             d.every(30_000, |d, at| {
-                d.add(at, Trouble::Cut { who: Who::Owner, from: Side::State, how: How::Hold, ms: 15_000 });
-                d.add(at, Trouble::Cut { who: Who::All, from: Side::Nodes, how: How::Reset, ms: 20_000 });
+                d.add(
+                    at,
+                    Trouble::Cut {
+                        who: Who::Owner,
+                        from: Side::State,
+                        how: How::Hold,
+                        ms: 15_000,
+                    },
+                );
+                d.add(
+                    at,
+                    Trouble::Cut {
+                        who: Who::All,
+                        from: Side::Nodes,
+                        how: How::Reset,
+                        ms: 20_000,
+                    },
+                );
                 let (who, back_ms) = (d.node(), d.back());
                 d.add(at + 4000, Trouble::Crash { who, back_ms });
-                d.add(at + 9000, Trouble::Crash { who: Who::Owner, back_ms });
+                d.add(
+                    at + 9000,
+                    Trouble::Crash {
+                        who: Who::Owner,
+                        back_ms,
+                    },
+                );
             })
         },
         1,
@@ -378,10 +464,22 @@
         "refused owners, a slow state service",
         |d| {
             d.every(20_000, |d, at| {
-                d.add(at, Trouble::Refused { who: Who::Owner, ms: 10_000 });
+                d.add(
+                    at,
+                    Trouble::Refused {
+                        who: Who::Owner,
+                        ms: 10_000,
+                    },
+                );
                 d.add(at + 5000, Trouble::StateSlow { ms: 10_000 });
                 let back_ms = d.back();
-                d.add(at + 12_000, Trouble::Crash { who: Who::Owner, back_ms });
+                d.add(
+                    at + 12_000,
+                    Trouble::Crash {
+                        who: Who::Owner,
+                        back_ms,
+                    },
+                );
             })
         },
         1,
@@ -392,14 +490,37 @@
             d.every(5000, |d, at| {
                 // What is under way is held until after its sender is back, and comes to the new life.
                 let (who, back_ms) = (d.node(), d.rng.u64(50..300));
-                let from = [Side::State, Side::Nodes, Side::Machines, Side::Users][d.rng.usize(0..4)].clone();
-                d.add(at, Trouble::Cut { who, from, how: How::Hold, ms: 2000 });
+                let from = [Side::State, Side::Nodes, Side::Machines, Side::Users]
+                    [d.rng.usize(0..4)]
+                .clone();
+                d.add(
+                    at,
+                    Trouble::Cut {
+                        who,
+                        from,
+                        how: How::Hold,
+                        ms: 2000,
+                    },
+                );
                 let within = d.rng.u64(200..1800);
                 d.add(at + within, Trouble::Crash { who, back_ms });
                 // The owner's last messages come after the next life has begun, or another owner.
                 let ms = d.rng.u64(200..12_000);
-                d.add(at + 2500, Trouble::Late { who: Who::Owner, for_ms: 300, ms });
-                d.add(at + 2800, Trouble::Crash { who: Who::Owner, back_ms });
+                d.add(
+                    at + 2500,
+                    Trouble::Late {
+                        who: Who::Owner,
+                        for_ms: 300,
+                        ms,
+                    },
+                );
+                d.add(
+                    at + 2800,
+                    Trouble::Crash {
+                        who: Who::Owner,
+                        back_ms,
+                    },
+                );
             })
         },
         1,
@@ -407,7 +528,13 @@
     (
         "flood of gangs, a zone cut, machines die, all crash",
         |d| {
-            d.add(BEGIN + 20_000, Trouble::Zone { zone: "b", ms: 20_000 });
+            d.add(
+                BEGIN + 20_000,
+                Trouble::Zone {
+                    zone: "b",
+                    ms: 20_000,
+                },
+            );
             let (machines, back) = (d.size.machines / 6, d.back());
             d.add(BEGIN + 30_000, Trouble::Die { machines });
             d.crash_all(BEGIN + 35_000, back);
@@ -423,32 +550,61 @@
     // For each GPU-carrying machine as much work as fills half of the fleet.
     let scale = size.machines as f64 / if large { 1200.0 } else { 12.0 };
     let end = BEGIN + size.troubles_ms;
-    let (gangs_a_minute, arrays_a_minute) = if large { (80.0 * scale, 15.0 * scale) } else { (10.0, 6.0) };
-    let mut jobs = Vec::new();
-    let mut add = |class: &str, kind: Kind, at: u64, tasks: u32, run_ms: u64, rng: &mut fastrand::Rng| {
-        let mut spec = array(
-            1000 + jobs.len() as u32,
-            ["red", "blue", "green"][rng.usize(0..3)],
-            tasks,
-            run_ms as f64 / 1000.0,
-        );
-        (spec.class, spec.kind) = (class.into(), kind);
-        spec.priority = if kind == Kind::Gang { Priority::High } else { Priority::Low };
-        if kind == Kind::Gang && large {
-            (spec.cores, spec.gpus, spec.mem_gb) = (16.0, 2.0, 24.0);
-        }
-        spec.spot = rng.bool();
-        spec.one_zone = kind == Kind::Gang && rng.bool();
-        let cancel_ms = (rng.u32(0..12) == 0).then(|| rng.u64(0..30_000));
-        jobs.push(Timed { at, run_ms, cancel_ms, spec });
+    let (gangs_a_minute, arrays_a_minute) = if large {
+        (80.0 * scale, 15.0 * scale)
+    } else {
+        (10.0, 6.0)
     };
+    let mut jobs = Vec::new();
+    let mut add =
+        |class: &str, kind: Kind, at: u64, tasks: u32, run_ms: u64, rng: &mut fastrand::Rng| {
+            let mut spec = array(
+                1000 + jobs.len() as u32,
+                ["red", "blue", "green"][rng.usize(0..3)],
+                tasks,
+                run_ms as f64 / 1000.0,
+            );
+            (spec.class, spec.kind) = (class.into(), kind);
+            spec.priority = if kind == Kind::Gang {
+                Priority::High
+            } else {
+                Priority::Low
+            };
+            if kind == Kind::Gang && large {
+                (spec.cores, spec.gpus, spec.mem_gb) = (16.0, 2.0, 24.0);
+            }
+            spec.spot = rng.bool();
+            spec.one_zone = kind == Kind::Gang && rng.bool();
+            let cancel_ms = (rng.u32(0..12) == 0).then(|| rng.u64(0..30_000));
+            jobs.push(Timed {
+                at,
+                run_ms,
+                cancel_ms,
+                spec,
+            });
+        };
     let mut at = 1000.0;
     while (at as u64) < end {
         let many = (BEGIN..BEGIN + 90_000).contains(&(at as u64));
-        let rate = if many { gangs_a_minute * f64::from(flood) } else { gangs_a_minute };
+        let rate = if many {
+            gangs_a_minute * f64::from(flood)
+        } else {
+            gangs_a_minute
+        };
         at += 120_000.0 / rate * rng.f64();
-        let run = if large { rng.u64(50_000..110_000) } else { rng.u64(5000..20_000) };
-        add("gang", Kind::Gang, at as u64, [1, 2, 4][rng.usize(0..3)], run, rng);
+        let run = if large {
+            rng.u64(50_000..110_000)
+        } else {
+            rng.u64(5000..20_000)
+        };
+        add(
+            "gang",
+            Kind::Gang,
+            at as u64,
+            [1, 2, 4][rng.usize(0..3)],
+            run,
+            rng,
+        );
     }
     at = 1000.0;
     while (at as u64) < end {
@@ -471,26 +627,47 @@
 /// One day of a kind, as [`kinds`] counts them.
 pub fn plan(kind: usize, seed: u64, nodes: usize, size: Size) -> Plan {
     let (_, troubles, flood) = KINDS[kind];
-    let mut draw = Draw { rng: fastrand::Rng::with_seed(seed), nodes, size, day: Vec::new() };
+    let mut draw = Draw {
+        rng: fastrand::Rng::with_seed(seed),
+        nodes,
+        size,
+        day: Vec::new(),
+    };
     troubles(&mut draw);
-    let quiet = draw.day.iter().map(|(at, t)| at + t.ms()).max().unwrap_or(BEGIN);
+    let quiet = draw
+        .day
+        .iter()
+        .map(|(at, t)| at + t.ms())
+        .max()
+        .unwrap_or(BEGIN);
     let gpus = size.machines as f64 * 3.0;
     let scale = size.machines as f64 / 1200.0;
-    let limits = Limits { rps: 150.0 * scale, write_rps: 35.0 * scale, value_kb: 8.0, txn_ops: 16 };
+    let limits = Limits {
+        rps: 150.0 * scale,
+        write_rps: 35.0 * scale,
+        value_kb: 8.0,
+        txn_ops: 16,
+    };
     let scene = Scene {
         jobs: jobs(&mut draw.rng, size, flood),
         machines: size.machines,
         limits: size.large().then_some(limits),
-        day: Some(Day { troubles: draw.day, quiet, held: BTreeSet::new() }),
+        day: Some(Day {
+            troubles: draw.day,
+            quiet,
+            held: BTreeSet::new(),
+        }),
         ..Scene::default()
     };
-    let scene = scene.team("red", gpus / 6.0, gpus * 0.6).team("blue", gpus / 6.0, gpus * 0.8).team(
-        "green",
-        gpus / 6.0,
-        0.0,
-    );
+    let scene = scene
+        .team("red", gpus / 6.0, gpus * 0.6)
+        .team("blue", gpus / 6.0, gpus * 0.8)
+        .team("green", gpus / 6.0, 0.0);
     let end = BEGIN + size.troubles_ms + size.after_ms;
     // On every other day messages are late now and then, until the last trouble is over.
     let late = if seed % 2 == 1 { quiet } else { 0 };
-    Plan { large: size.large(), ..Plan::of_scene(seed, nodes, scene, late, end) }
+    Plan {
+        large: size.large(),
+        ..Plan::of_scene(seed, nodes, scene, late, end)
+    }
 }
--- a/crates/standins/src/hours.rs
+++ b/crates/standins/src/hours.rs
@@ -51,13 +51,23 @@
             let spec: Spec = document::join(&head, &self.parts)?;
             let built = Calendar::build(&spec, &Around::default()).map_err(|f| f[0].to_string())?;
             self.calendars.insert(head.version, built);
-        } else if let Some(job) = key.strip_prefix("live/").filter(|_| !self.calendars.is_empty()) {
+        } else if let Some(job) = key
+            .strip_prefix("live/")
+            .filter(|_| !self.calendars.is_empty())
+        {
             return self.job(job, read(key, value)?, now);
         } else if let Some(job) = key.strip_prefix("end/") {
-            let Some(Some(hour)) = self.hours.get(job) else { return Ok(()) };
-            let end = read::<EndRec>(key, value)?.hour.ok_or(format!("{job} ended without its hour"))?;
+            let Some(Some(hour)) = self.hours.get(job) else {
+                return Ok(());
+            };
+            let end = read::<EndRec>(key, value)?
+                .hour
+                .ok_or(format!("{job} ended without its hour"))?;
             if end.due_ms != hour.due_ms {
-                return Err(format!("{job} was due at {}, and ended as due at {}", hour.due_ms, end.due_ms));
+                return Err(format!(
+                    "{job} was due at {}, and ended as due at {}",
+                    hour.due_ms, end.due_ms
+                ));
             }
             self.kept.insert(job.to_owned(), end.ended_ms <= end.due_ms);
         }
@@ -70,13 +80,20 @@
             let spec = &rec.spec;
             let due = calendar.due(&spec.team, &spec.class, job, rec.at_ms);
             let due = due.filter(|_| spec.kind != wire::api::Kind::Service);
-            let hour = due.map(|d| HourRec { due_ms: d.at_ms, version: *version, moved: None });
+            let hour = due.map(|d| HourRec {
+                due_ms: d.at_ms,
+                version: *version,
+                moved: None,
+            });
             // Nodes that have not heard of the first calendar yet accept without.
             let unheard = rec.hour.is_none() && now < self.since + UNHEARD_MS;
             return if rec.hour == hour || unheard {
                 Ok(())
             } else {
-                Err(format!("{job} should be due at {hour:?}, is at {:?}", rec.hour))
+                Err(format!(
+                    "{job} should be due at {hour:?}, is at {:?}",
+                    rec.hour
+                ))
             };
         };
         let from = old.as_ref().map_or(0, |h| h.due_ms);
@@ -86,7 +103,11 @@
             self.moves += 1;
             return Ok(());
         }
-        if rec.hour == old { Ok(()) } else { Err(format!("{job} was due at {old:?}, is at {:?}", rec.hour)) }
+        if rec.hour == old {
+            Ok(())
+        } else {
+            Err(format!("{job} was due at {old:?}, is at {:?}", rec.hour))
+        }
     }
 }
 
--- a/crates/standins/src/links.rs
+++ b/crates/standins/src/links.rs
@@ -52,7 +52,15 @@
 impl Cut {
     /// A cut in both directions that holds what is sent, from now on.
     pub fn between(from: Side, to: Side, now: u64, ms: u64) -> Self {
-        Cut { from, to, both: true, how: How::Hold, since: now, until: now + ms, flaps: None }
+        Cut {
+            from,
+            to,
+            both: true,
+            how: How::Hold,
+            since: now,
+            until: now + ms,
+            flaps: None,
+        }
     }
 
     /// The end of the cut's present stretch.
@@ -60,7 +68,9 @@
         if now < self.since || now >= self.until {
             return None;
         }
-        let Some((shut, open)) = self.flaps else { return Some(self.until) };
+        let Some((shut, open)) = self.flaps else {
+            return Some(self.until);
+        };
         let into = (now - self.since) % (shut + open);
         (into < shut).then(|| (now - into + shut).min(self.until))
     }
@@ -117,7 +127,10 @@
     /// The same of an answer: where connections are refused one way, it passes on one that was opened the other way.
     pub fn blocks_answer(&self, now: u64, from: Place<'_>, to: Place<'_>) -> Option<How> {
         let passes = |c: &Cut| c.how == How::Reset && !c.both;
-        let mut cuts = self.cuts.iter().filter(|c| self.is_between(c, from, to) && !passes(c));
+        let mut cuts = self
+            .cuts
+            .iter()
+            .filter(|c| self.is_between(c, from, to) && !passes(c));
         cuts.find(|c| c.ends(now).is_some()).map(|c| c.how)
     }
 
@@ -131,12 +144,23 @@
 mod tests {
     use super::*;
 
-    const AT: Place<'_> = Place::Machine { name: "m", zone: "a" };
+    const AT: Place<'_> = Place::Machine {
+        name: "m",
+        zone: "a",
+    };
 
     #[test]
     fn a_zone_is_cut_from_all_but_itself() {
-        let mut links = Links { node_zones: vec!["a".into(), "b".into()], ..Links::default() };
-        links.cut(Cut::between(Side::Zone("a".into()), Side::Outside("a".into()), 100, 50));
+        let mut links = Links {
+            node_zones: vec!["a".into(), "b".into()],
+            ..Links::default()
+        };
+        links.cut(Cut::between(
+            Side::Zone("a".into()),
+            Side::Outside("a".into()),
+            100,
+            50,
+        ));
         let shut = |from, to| links.blocked(120, from, to).is_some();
         assert!(shut(Place::Node(0), Place::State) && shut(Place::State, Place::Node(0)));
         assert!(shut(AT, Place::Node(1)) && !shut(AT, Place::Node(0)));
@@ -146,12 +170,23 @@
 
     #[test]
     fn one_direction_and_flapping() {
-        let mut links = Links { node_zones: vec!["a".into()], ..Links::default() };
+        let mut links = Links {
+            node_zones: vec!["a".into()],
+            ..Links::default()
+        };
         let cut = Cut::between(Side::Node(0), Side::Machines, 0, 100);
-        links.cut(Cut { both: false, how: How::Reset, flaps: Some((6, 7)), ..cut });
+        links.cut(Cut {
+            both: false,
+            how: How::Reset,
+            flaps: Some((6, 7)),
+            ..cut
+        });
         assert_eq!(links.blocked(5, Place::Node(0), AT), Some((6, How::Reset)));
         assert_eq!(links.blocked(5, AT, Place::Node(0)), None);
         assert_eq!(links.blocked(6, Place::Node(0), AT), None);
-        assert_eq!(links.blocked(14, Place::Node(0), AT), Some((19, How::Reset)));
+        assert_eq!(
+            links.blocked(14, Place::Node(0), AT),
+            Some((19, How::Reset))
+        );
     }
 }
--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -15,7 +15,13 @@
 use wire::records::{EndRec, JobRec};
 
 /// One request, one answer, one connection. `None` if none came.
-pub fn ask(to: SocketAddr, method: &str, path: &str, body: &[u8], timeout: Duration) -> Option<Response> {
+pub fn ask(
+    to: SocketAddr,
+    method: &str,
+    path: &str,
+    body: &[u8],
+    timeout: Duration,
+) -> Option<Response> {
     let mut stream = TcpStream::connect_timeout(&to, timeout).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
     let mut out = Vec::new();
@@ -57,7 +63,15 @@
             got.drain(..used);
             let (status, body) = handler(&request.method, &request.path, &request.body);
             let mut out = Vec::new();
-            http::write_response(&mut out, &Response { status, body, close: false, retry_after_s: None });
+            http::write_response(
+                &mut out,
+                &Response {
+                    status,
+                    body,
+                    close: false,
+                    retry_after_s: None,
+                },
+            );
             stream.write_all(&out)?;
         }
         let n = stream.read(&mut chunk)?;
@@ -100,7 +114,10 @@
         run_ms: u64,
         lease_ms: u64,
     ) -> io::Result<Self> {
-        let (s, c) = (TcpListener::bind("127.0.0.1:0")?, TcpListener::bind("127.0.0.1:0")?);
+        let (s, c) = (
+            TcpListener::bind("127.0.0.1:0")?,
+            TcpListener::bind("127.0.0.1:0")?,
+        );
         let inner = Inner {
             start: Instant::now(),
             state: State::default(),
@@ -119,7 +136,10 @@
             lease_ms,
         };
         let me = all.clone();
-        serve(s, Box::new(move |method, path, body| me.state_service(method, path, body)));
+        serve(
+            s,
+            Box::new(move |method, path, body| me.state_service(method, path, body)),
+        );
         let me = all.clone();
         let cloud: Box<Handler> = Box::new(move |method, path, body| {
             let mut i = me.lock();
@@ -158,7 +178,12 @@
     /// Tasks that are on machines now.
     pub fn on_machines(&self) -> Vec<String> {
         let i = self.lock();
-        i.workers.values().flat_map(|w| &w.tasks).filter(|t| t.is_on()).map(|t| t.name.clone()).collect()
+        i.workers
+            .values()
+            .flat_map(|w| &w.tasks)
+            .filter(|t| t.is_on())
+            .map(|t| t.name.clone())
+            .collect()
     }
 
     /// Tasks of the gateway's jobs that run: job, number, attempt, machine and zone. They run until they are ended.
@@ -167,8 +192,12 @@
         let mut out = Vec::new();
         for w in i.workers.values() {
             for t in w.tasks.iter().filter(|t| t.stage == TaskStage::Running) {
-                let Some((job, task)) = wire::ids::parse_task(&t.name) else { continue };
-                let Some(live) = i.state.keys.get(&wire::records::live_key(job)) else { continue };
+                let Some((job, task)) = wire::ids::parse_task(&t.name) else {
+                    continue;
+                };
+                let Some(live) = i.state.keys.get(&wire::records::live_key(job)) else {
+                    continue;
+                };
                 let rec = serde_json::from_value::<JobRec>(live.value.clone());
                 if let Some(rec) = rec.ok().filter(|_| wire::ids::reserved_job_id(job)) {
                     out.push((rec.spec, task, t.attempt, w.name.clone(), w.zone.clone()));
@@ -212,12 +241,27 @@
         let mut i = self.lock();
         let now = i.now();
         i.state.expire(now);
-        let owner = i.state.keys.get("sys/owner/0")?.value.get("node")?.as_str()?.to_owned();
+        let owner = i
+            .state
+            .keys
+            .get("sys/owner/0")?
+            .value
+            .get("node")?
+            .as_str()?
+            .to_owned();
         Some(owner)
     }
 
     pub fn end_of(&self, job: &str) -> Option<EndRec> {
-        serde_json::from_value(self.lock().state.keys.get(&wire::records::end_key(job))?.value.clone()).ok()
+        serde_json::from_value(
+            self.lock()
+                .state
+                .keys
+                .get(&wire::records::end_key(job))?
+                .value
+                .clone(),
+        )
+        .ok()
     }
 
     fn state_service(&self, method: &str, path: &str, body: &[u8]) -> (u16, Vec<u8>) {
@@ -239,7 +283,10 @@
                 return (200, wire::encode(&v));
             }
             if now >= watch.until {
-                return (200, wire::encode(&json!({"ledger": i.state.revision, "log": []})));
+                return (
+                    200,
+                    wire::encode(&json!({"ledger": i.state.revision, "log": []})),
+                );
             }
         }
     }
@@ -251,13 +298,20 @@
         i.cloud.snapshot(now);
         let up = i.cloud.came_up(now, |n| i.workers.contains_key(n));
         for (name, machine_type, zone, spot) in up {
-            let Ok(listener) = TcpListener::bind("127.0.0.1:0") else { continue };
-            let Ok(addr) = listener.local_addr() else { continue };
+            let Ok(listener) = TcpListener::bind("127.0.0.1:0") else {
+                continue;
+            };
+            let Ok(addr) = listener.local_addr() else {
+                continue;
+            };
             let mut worker = Worker::new(&name, &machine_type, &zone, spot, 0, now);
             worker.addr = addr.to_string();
             i.workers.insert(name.clone(), worker);
             let (me, n) = (self.clone(), name.clone());
-            serve(listener, Box::new(move |_, path, body| me.direct(&n, path, body)));
+            serve(
+                listener,
+                Box::new(move |_, path, body| me.direct(&n, path, body)),
+            );
             let me = self.clone();
             thread::spawn(move || while me.live(&name) {});
         }
@@ -267,10 +321,14 @@
         let mut i = self.lock();
         let now = i.now();
         let runs = self.runs(&i.state, i.has_runners);
-        let Some(w) = i.workers.get_mut(name) else { return (500, Vec::new()) };
+        let Some(w) = i.workers.get_mut(name) else {
+            return (500, Vec::new());
+        };
         let mut status = 200;
         if path == "/commands" {
-            let Ok(orders) = wire::decode::<Orders>(body) else { return (400, Vec::new()) };
+            let Ok(orders) = wire::decode::<Orders>(body) else {
+                return (400, Vec::new());
+            };
             status = w.commands(&orders, |t| runs.get(job_of(t)?).copied(), now);
         }
         (status, wire::encode(&w.report(now)))
@@ -282,8 +340,8 @@
         live.filter_map(|(_, e)| serde_json::from_value::<JobRec>(e.value.clone()).ok())
             .map(|r| {
                 // Services run on, and so does what a runner stands on, if there are any here.
-                let on =
-                    r.spec.kind == Kind::Service || (has_runners && wire::ids::reserved_job_id(&r.spec.id));
+                let on = r.spec.kind == Kind::Service
+                    || (has_runners && wire::ids::reserved_job_id(&r.spec.id));
                 (r.spec.id, (100, if on { 1 << 40 } else { self.run_ms }))
             })
             .collect()
@@ -296,7 +354,9 @@
             let mut guard = self.lock();
             let i = &mut *guard;
             let now = i.now();
-            let Some(w) = i.workers.get_mut(name) else { return false };
+            let Some(w) = i.workers.get_mut(name) else {
+                return false;
+            };
             w.expire(now, self.lease_ms);
             let mut begun = Vec::new();
             for t in &mut w.tasks {
@@ -330,23 +390,41 @@
             (node, report, now)
         };
         let number = report.seq;
-        let answer =
-            ask(self.nodes[node].1, "POST", "/hello", &wire::encode(&report), Duration::from_secs(4));
+        let answer = ask(
+            self.nodes[node].1,
+            "POST",
+            "/hello",
+            &wire::encode(&report),
+            Duration::from_secs(4),
+        );
         let mut i = self.lock();
         let now = i.now();
         let runs = self.runs(&i.state, i.has_runners);
-        let Some(w) = i.workers.get_mut(name) else { return false };
-        let orders =
-            answer.as_ref().filter(|r| r.status == 200).and_then(|r| wire::decode::<Orders>(&r.body).ok());
+        let Some(w) = i.workers.get_mut(name) else {
+            return false;
+        };
+        let orders = answer
+            .as_ref()
+            .filter(|r| r.status == 200)
+            .and_then(|r| wire::decode::<Orders>(&r.body).ok());
         if let Some(orders) = orders {
-            w.answered(number, sent, &orders, |t| runs.get(job_of(t)?).copied(), now);
+            w.answered(
+                number,
+                sent,
+                &orders,
+                |t| runs.get(job_of(t)?).copied(),
+                now,
+            );
             return true;
         }
         w.out = None;
         let to = answer
             .filter(|r| r.status == 421)
             .and_then(|r| wire::decode::<Redirect>(&r.body).ok()?.report_to);
-        match to.and_then(|t| self.nodes.iter().position(|(n, _)| *n == t)).filter(|t| *t != w.node) {
+        match to
+            .and_then(|t| self.nodes.iter().position(|(n, _)| *n == t))
+            .filter(|t| *t != w.node)
+        {
             Some(t) => {
                 w.node = t;
                 w.next_report = now;
