--- a/crates/standins/tests/answers.rs
+++ b/crates/standins/tests/answers.rs
@@ -113,15 +113,27 @@
     let text = include_str!("../../../deploy/settings-example.json");
     let mut settings: Value = serde_json::from_str(text).expect("the example is accepted");
     settings["node"] = json!(format!("burrow-{n}"));
-    let peer =
-        |p| json!({"node": format!("burrow-{p}"), "domain": "a", "address": format!("127.0.0.1:80{p}3")});
+    let peer = |p| json!({"node": format!("burrow-{p}"), "domain": "a", "address": format!("127.0.0.1:80{p}3")});
     settings["peers"] = (0..NODES).filter(|p| *p != n).map(peer).collect();
     let settings = serde_json::from_value(settings).expect("so is this");
-    Node::new(settings, Tuning::default(), n as u64 + 1, Now { mono: now, wall: now })
+    Node::new(
+        settings,
+        Tuning::default(),
+        n as u64 + 1,
+        Now {
+            mono: now,
+            wall: now,
+        },
+    )
 }
 
 fn response(status: u16, body: &Value) -> Response {
-    Response { status, body: wire::encode(body), close: false, retry_after_s: None }
+    Response {
+        status,
+        body: wire::encode(body),
+        close: false,
+        retry_after_s: None,
+    }
 }
 
 impl Letter {
@@ -132,7 +144,9 @@
                 let mut guards = txn["guards"].as_array().into_iter().flatten();
                 guards.any(|g| g["key"].as_str().is_some_and(|k| k.starts_with("live/")))
             }
-            Dest::State => self.path.starts_with("/keys/live/") || self.path.starts_with("/keys/end/"),
+            Dest::State => {
+                self.path.starts_with("/keys/live/") || self.path.starts_with("/keys/end/")
+            }
             Dest::Peer(_) => {
                 let ask = peer::decode(&self.body).expect("nodes speak so");
                 !matches!(ask, Ask::View(_) | Ask::Owns { .. } | Ask::Reports { .. })
@@ -184,7 +198,9 @@
                     && letter.to == Dest::State
                     && !self.refused[letter.from]
                 {
-                    let Mail::There(l) = self.mail.remove(i) else { return };
+                    let Mail::There(l) = self.mail.remove(i) else {
+                        return;
+                    };
                     self.state.handle(self.now, l.method, &l.path, &l.body);
                     self.fire_watches();
                 }
@@ -202,18 +218,50 @@
         };
         self.conns += 1;
         let conn = self.conns;
-        self.users.insert(conn, Question { job, floor: self.floor[job] });
-        let request = Request { method: method.into(), path, body, close: false };
+        self.users.insert(
+            conn,
+            Question {
+                job,
+                floor: self.floor[job],
+            },
+        );
+        let request = Request {
+            method: method.into(),
+            path,
+            body,
+            close: false,
+        };
         self.step(n, Event::Client { conn, request });
     }
 
     fn step(&mut self, n: usize, event: Event) {
-        for effect in self.nodes[n].handle(Now { mono: self.now, wall: self.now }, event) {
+        for effect in self.nodes[n].handle(
+            Now {
+                mono: self.now,
+                wall: self.now,
+            },
+            event,
+        ) {
             match effect {
                 Effect::Respond { conn, response } => self.answered(n, conn, response),
-                Effect::Send { tag, to, method, path, body, timeout_ms, .. } => {
+                Effect::Send {
+                    tag,
+                    to,
+                    method,
+                    path,
+                    body,
+                    timeout_ms,
+                    ..
+                } => {
                     self.timers.insert((self.now + timeout_ms, n, tag));
-                    let letter = Letter { from: n, tag, to, method, path, body };
+                    let letter = Letter {
+                        from: n,
+                        tag,
+                        to,
+                        method,
+                        path,
+                        body,
+                    };
                     if letter.concerns_jobs() {
                         self.mail.push(Mail::There(letter));
                     } else {
@@ -234,44 +282,85 @@
     fn deliver(&mut self, mail: Mail) {
         let letter = match mail {
             Mail::Back(n, tag, response) => {
-                return self.step(n, Event::Reply { tag, response: Some(response) });
+                return self.step(
+                    n,
+                    Event::Reply {
+                        tag,
+                        response: Some(response),
+                    },
+                );
             }
             Mail::There(letter) => letter,
         };
         let waits = letter.concerns_jobs();
-        let Letter { from, tag, to, method, path, body } = letter;
+        let Letter {
+            from,
+            tag,
+            to,
+            method,
+            path,
+            body,
+        } = letter;
         match to {
             Dest::State if self.refused[from] && !path.starts_with("/changes") => {
-                self.back(from, tag, waits, response(503, &json!({"error": "trouble"})));
+                self.back(
+                    from,
+                    tag,
+                    waits,
+                    response(503, &json!({"error": "trouble"})),
+                );
             }
             Dest::State => {
                 match self.state.handle(self.now, method, &path, &body) {
-                    Outcome::Now(status, value) => self.back(from, tag, waits, response(status, &value)),
+                    Outcome::Now(status, value) => {
+                        self.back(from, tag, waits, response(status, &value))
+                    }
                     Outcome::Wait(watch) => self.watches.push((watch, from, tag)),
                 }
                 self.fire_watches();
             }
-            Dest::Cloud if path == "/catalog" => self.back(from, tag, false, response(200, &catalog())),
+            Dest::Cloud if path == "/catalog" => {
+                self.back(from, tag, false, response(200, &catalog()))
+            }
             Dest::Cloud | Dest::Worker(_) => self.back(from, tag, false, response(503, &json!({}))),
             Dest::Peer(p) => {
                 self.conns += 1;
                 self.peers.insert(self.conns, (from, tag, waits));
                 let to = if p < from { p } else { p + 1 };
-                let request = Request { method: method.into(), path, body, close: false };
-                self.step(to, Event::Peer { conn: self.conns, request });
+                let request = Request {
+                    method: method.into(),
+                    path,
+                    body,
+                    close: false,
+                };
+                self.step(
+                    to,
+                    Event::Peer {
+                        conn: self.conns,
+                        request,
+                    },
+                );
             }
         }
     }
 
     fn back(&mut self, n: usize, tag: u64, waits: bool, response: Response) {
         let mail = Mail::Back(n, tag, response);
-        if waits { self.mail.push(mail) } else { self.at_once.push_back(mail) }
+        if waits {
+            self.mail.push(mail)
+        } else {
+            self.at_once.push_back(mail)
+        }
     }
 
     /// What the leader sees of jobs comes when the history has it; what is shared, at once.
     fn fire_watches(&mut self) {
         for (watch, n, tag) in std::mem::take(&mut self.watches) {
-            let found = if self.refused[n] { None } else { self.state.changes(&watch.prefix, watch.from) };
+            let found = if self.refused[n] {
+                None
+            } else {
+                self.state.changes(&watch.prefix, watch.from)
+            };
             let over = (watch.until <= self.now && !self.refused[n])
                 .then(|| json!({"ledger": self.state.revision.max(watch.from), "log": []}));
             match found.or(over) {
@@ -288,10 +377,21 @@
             self.state.expire(self.now);
             self.fire_watches();
             self.settle();
-            while let Some(timer) = self.timers.first().copied().filter(|(due, ..)| *due <= self.now) {
+            while let Some(timer) = self
+                .timers
+                .first()
+                .copied()
+                .filter(|(due, ..)| *due <= self.now)
+            {
                 self.timers.remove(&timer);
                 let (_, n, tag) = timer;
-                self.step(n, Event::Reply { tag, response: None });
+                self.step(
+                    n,
+                    Event::Reply {
+                        tag,
+                        response: None,
+                    },
+                );
             }
             (0..NODES).for_each(|n| self.step(n, Event::Tick));
             self.settle();
@@ -303,7 +403,9 @@
             return self.back(from, tag, waits, response);
         }
         let Some(question) = self.users.remove(&conn) else {
-            return self.broken.push(format!("{}: connection {conn} is answered twice", self.now));
+            return self
+                .broken
+                .push(format!("{}: connection {conn} is answered twice", self.now));
         };
         let body: Value = wire::decode(&response.body).unwrap_or_default();
         let stage = body["stage"].as_str();
@@ -316,7 +418,11 @@
         let job = question.job;
         let stands = self.stands(job);
         let floor = question.floor.max(self.own[n][job]);
-        let end = self.state.keys.get(&format!("end/{}", id(job))).map(|e| e.value["stage"].as_str());
+        let end = self
+            .state
+            .keys
+            .get(&format!("end/{}", id(job)))
+            .map(|e| e.value["stage"].as_str());
         if told < floor || told > stands || told == Told::Over && end != Some(stage) {
             self.broken.push(format!(
                 "{}: node {n} tells {} {stage:?}, {floor:?} was told",
@@ -330,7 +436,11 @@
     }
 
     fn stands(&self, job: usize) -> Told {
-        let there = |under: &str| self.state.keys.contains_key(&format!("{under}/{}", id(job)));
+        let there = |under: &str| {
+            self.state
+                .keys
+                .contains_key(&format!("{under}/{}", id(job)))
+        };
         match (there("end"), there("live")) {
             (true, _) => Told::Over,
             (false, true) => Told::There,
@@ -343,7 +453,8 @@
         self.refused = [false; NODES];
         self.goes_on(12_000);
         if !self.users.is_empty() {
-            self.broken.push(format!("{} are not answered", self.users.len()));
+            self.broken
+                .push(format!("{} are not answered", self.users.len()));
         }
         for (n, job) in (0..NODES).flat_map(|n| (0..JOBS).map(move |job| (n, job))) {
             self.own[n][job] = Told::Unknown;
@@ -351,7 +462,9 @@
             self.goes_on(1000);
             let (told, stands) = (self.own[n][job], self.stands(job));
             if told != stands || !self.users.is_empty() {
-                self.broken.push(format!("node {n} tells {told:?} in the end, and {stands:?} stands"));
+                self.broken.push(format!(
+                    "node {n} tells {told:?} in the end, and {stands:?} stands"
+                ));
             }
         }
     }
@@ -403,6 +516,15 @@
     if let Err(e) = played {
         panic!("{e}");
     }
-    println!("{} ends and {} denials were told", ends.get(), denials.get());
-    assert!(ends.get() > 800 && denials.get() > 400, "{} ends, {} denials", ends.get(), denials.get());
+    println!(
+        "{} ends and {} denials were told",
+        ends.get(),
+        denials.get()
+    );
+    assert!(
+        ends.get() > 800 && denials.get() > 400,
+        "{} ends, {} denials",
+        ends.get(),
+        denials.get()
+    );
 }
--- a/crates/standins/tests/bound_to_zones.rs
+++ b/crates/standins/tests/bound_to_zones.rs
@@ -12,15 +12,45 @@
     let job = |i: u32| {
         let plain = array(100 + i, "red", 3 + i % 3, 15.0);
         let spec = match i % 4 {
-            0 => JobSpec { zone: Some(["a", "b"][i as usize / 4 % 2].into()), ..plain },
-            1 => JobSpec { one_zone: true, checkpoint_s: 0.0, ..plain },
-            2 => JobSpec { one_zone: true, kind: Kind::Gang, ..plain },
-            _ => JobSpec { spread: true, checkpoint_s: 0.0, ..plain },
+            0 => JobSpec {
+                zone: Some(["a", "b"][i as usize / 4 % 2].into()),
+                ..plain
+            },
+            1 => JobSpec {
+                one_zone: true,
+                checkpoint_s: 0.0,
+                ..plain
+            },
+            2 => JobSpec {
+                one_zone: true,
+                kind: Kind::Gang,
+                ..plain
+            },
+            _ => JobSpec {
+                spread: true,
+                checkpoint_s: 0.0,
+                ..plain
+            },
         };
-        Timed { at: 1000 + u64::from(i) * 1500, run_ms: 12_000 + u64::from(i) * 1000, cancel_ms: None, spec }
+        Timed {
+            at: 1000 + u64::from(i) * 1500,
+            run_ms: 12_000 + u64::from(i) * 1000,
+            cancel_ms: None,
+            spec,
+        }
+    };
+    let scene = Scene {
+        jobs: (0..JOBS).map(job).collect(),
+        machines: 12,
+        ..Scene::default()
     };
-    let scene = Scene { jobs: (0..JOBS).map(job).collect(), machines: 12, ..Scene::default() };
-    World::new(Plan::of_scene(seed, nodes, scene.team("red", 0.0, 0.0), 0, 600_000))
+    World::new(Plan::of_scene(
+        seed,
+        nodes,
+        scene.team("red", 0.0, 0.0),
+        0,
+        600_000,
+    ))
 }
 
 /// A machine with tasks of some job is lost, or out of reach with its zone; the leader ends now and then.
@@ -32,7 +62,12 @@
         (2, Some(machine)) => world.hang(machine, rng.u64(3000..14_000)),
         _ => {
             let zone = Side::MachinesIn(["a", "b"][rng.usize(0..2)].into());
-            world.cut(Cut::between(Side::Any, zone, world.now(), rng.u64(2000..18_000)));
+            world.cut(Cut::between(
+                Side::Any,
+                zone,
+                world.now(),
+                rng.u64(2000..18_000),
+            ));
         }
     }
     if rng.u32(0..3) == 0
@@ -44,7 +79,10 @@
 
 #[test]
 fn tasks_go_where_the_others_stand_until_these_are_gone() {
-    let rounds = std::env::var("SWEEP").ok().and_then(|n| n.parse().ok()).unwrap_or(12);
+    let rounds = std::env::var("SWEEP")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(12);
     for seed in 0..rounds {
         let nodes = [3, 5, 7][seed as usize % 3];
         let mut rng = fastrand::Rng::with_seed(seed);
@@ -55,7 +93,15 @@
             world.run_for(rng.u64(1500..6000));
         }
         world.run_for(240_000);
-        assert!(world.rules.broken.is_empty(), "{nodes} nodes, seed {seed}: {:?}", world.rules.broken);
-        assert!(world.unfinished().is_empty(), "{nodes} nodes, seed {seed}: {:?}", world.unfinished());
+        assert!(
+            world.rules.broken.is_empty(),
+            "{nodes} nodes, seed {seed}: {:?}",
+            world.rules.broken
+        );
+        assert!(
+            world.unfinished().is_empty(),
+            "{nodes} nodes, seed {seed}: {:?}",
+            world.unfinished()
+        );
     }
 }
--- a/crates/standins/tests/changes_of_leader.rs
+++ b/crates/standins/tests/changes_of_leader.rs
@@ -9,13 +9,21 @@
 const NODES: [usize; 3] = [3, 5, 7];
 
 fn kept(world: &World, what: &str) {
-    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
 }
 
 fn ends(world: &mut World, ms: u64, what: &str) {
     world.run_for(ms);
     kept(world, what);
-    assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+    assert!(
+        world.unfinished().is_empty(),
+        "{what}: never ended: {:?}",
+        world.unfinished()
+    );
 }
 
 /// Plays on for so long, or to the next thing that happens.
@@ -29,7 +37,10 @@
 
 /// So many rounds, or as many as `SWEEP` says.
 fn sweep(rounds: u64) -> u64 {
-    std::env::var("SWEEP").ok().and_then(|n| n.parse().ok()).unwrap_or(rounds)
+    std::env::var("SWEEP")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(rounds)
 }
 
 /// How the leader changes.
@@ -62,7 +73,9 @@
 
 fn change(world: &mut World, how: Change) {
     world.come_back_after(if let Change::Back(ms) = how { ms } else { 100 });
-    let Some(owner) = world.owner_at() else { return };
+    let Some(owner) = world.owner_at() else {
+        return;
+    };
     match how {
         Change::Back(_) => world.crash_node(owner),
         Change::Doomed(held) => world.doom(owner, held),
@@ -76,16 +89,32 @@
 /// save, so that one which begins again is seen.
 fn uneven(seed: u64, nodes: usize, machines: usize) -> (World, u64) {
     let job = |i: u32| {
-        let spec = JobSpec { checkpoint_s: 0.0, ..array(100 + i, "red", 2 + i % 2, 30.0) };
-        Timed { at: 1000 + u64::from(i) * 150, run_ms: 60_000, cancel_ms: None, spec }
+        let spec = JobSpec {
+            checkpoint_s: 0.0,
+            ..array(100 + i, "red", 2 + i % 2, 30.0)
+        };
+        Timed {
+            at: 1000 + u64::from(i) * 150,
+            run_ms: 60_000,
+            cancel_ms: None,
+            spec,
+        }
     };
     let jobs: Vec<Timed> = (0..8).map(job).collect();
     let tasks = jobs.iter().map(|j| u64::from(j.spec.tasks)).sum();
-    let scene = Scene { jobs, machines, ..Scene::default() }.team("red", 24.0, 0.0);
+    let scene = Scene {
+        jobs,
+        machines,
+        ..Scene::default()
+    }
+    .team("red", 24.0, 0.0);
     let mut world = World::new(Plan::of_scene(seed, nodes, scene, 0, 600_000));
     for i in 0..8u64 {
         world.shorten(&format!("job-{:06}/0", 100 + i), 2000 + 300 * i);
-        world.shorten(&format!("job-{:06}/1", 100 + i), if i % 2 == 0 { 60_000 } else { 20_000 });
+        world.shorten(
+            &format!("job-{:06}/1", 100 + i),
+            if i % 2 == 0 { 60_000 } else { 20_000 },
+        );
     }
     (world, tasks)
 }
@@ -100,7 +129,11 @@
     while done(world) < many && world.now() < end && world.rules.broken.is_empty() {
         pass(world, 10);
     }
-    assert!(done(world) >= many, "{what}: {} tasks are done", done(world));
+    assert!(
+        done(world) >= many,
+        "{what}: {} tasks are done",
+        done(world)
+    );
 }
 
 /// Between the end of a task and its record, between the record and the reaping, and after it: nothing that has ended is
@@ -114,7 +147,11 @@
             let what = format!("{nodes} nodes, {how:?}, step {step}");
             let (mut world, tasks) = uneven(c as u64 * 100 + step, nodes, 12);
             until_done(&mut world, 1 + step as usize % 3, &what);
-            world.run_for(if step % 16 < 12 { step * 110 } else { (step - 11) * 2500 });
+            world.run_for(if step % 16 < 12 {
+                step * 110
+            } else {
+                (step - 11) * 2500
+            });
             change(&mut world, how);
             ends(&mut world, 110_000, &what);
             assert_eq!(world.rules.starts, tasks, "{what}: tasks began again");
@@ -148,11 +185,17 @@
     let (starts, least) = (world.rules.starts, tasks + world.lost);
     // What had ended on a machine whose lease ends may be recorded, or has to be begun again too.
     let most = least + world.forgotten;
-    assert!((least..=most).contains(&starts), "{what}: {starts} starts, not {least} to {most}");
+    assert!(
+        (least..=most).contains(&starts),
+        "{what}: {starts} starts, not {least} to {most}"
+    );
     let unled = world.longest_unled_ms();
     let excused = unled + world.round_ms() >= LEASE_MS;
     let none = world.lost + world.forgotten == 0;
-    assert!(none || excused, "{what}: leases ended though nobody led for {unled} ms only");
+    assert!(
+        none || excused,
+        "{what}: leases ended though nobody led for {unled} ms only"
+    );
 }
 
 /// All nodes go away one after the other, each for longer than a lease: what ran begins again once, what had ended does
@@ -185,8 +228,18 @@
         cancel_ms: (i % 4 == 3).then_some(24_000 + u64::from(i) * 500),
         spec: array(100 + i, "red", 2, 40.0),
     };
-    let scene = Scene { jobs: (0..12).map(job).collect(), machines: 6, ..Scene::default() };
-    World::new(Plan::of_scene(seed, nodes, scene.team("red", 12.0, 12.0), 0, 600_000))
+    let scene = Scene {
+        jobs: (0..12).map(job).collect(),
+        machines: 6,
+        ..Scene::default()
+    };
+    World::new(Plan::of_scene(
+        seed,
+        nodes,
+        scene.team("red", 12.0, 12.0),
+        0,
+        600_000,
+    ))
 }
 
 /// Machines that are out of reach, or that are heard and do not hear.
@@ -205,8 +258,14 @@
     let machines = Side::MachinesIn(zone.into());
     match how {
         Away::Held => world.cut(Cut::between(Side::Any, machines, now, ms)),
-        Away::Refused => world.cut(Cut { how: How::Reset, ..Cut::between(Side::Any, machines, now, ms) }),
-        Away::Unhearing => world.cut(Cut { both: false, ..Cut::between(Side::Nodes, machines, now, ms) }),
+        Away::Refused => world.cut(Cut {
+            how: How::Reset,
+            ..Cut::between(Side::Any, machines, now, ms)
+        }),
+        Away::Unhearing => world.cut(Cut {
+            both: false,
+            ..Cut::between(Side::Nodes, machines, now, ms)
+        }),
         Away::Hung => world.machines().iter().for_each(|m| world.hang(m, ms)),
     }
 }
@@ -221,7 +280,8 @@
             for (b, before) in [-1500i64, 40, 5000].into_iter().enumerate() {
                 let round = h * 100 + l * 10 + b;
                 let nodes = NODES[round % 3];
-                let what = format!("{nodes} nodes, {how:?} for {long} ms, leader ends after {before} ms");
+                let what =
+                    format!("{nodes} nodes, {how:?} for {long} ms, leader ends after {before} ms");
                 let mut world = full(round as u64, nodes);
                 world.run_for(30_000);
                 if before < 0 {
@@ -234,7 +294,10 @@
                 }
                 if before >= 0 {
                     world.run_for(before.unsigned_abs());
-                    change(&mut world, [Change::Back(80), Change::Back(15_000), Change::All][b % 3]);
+                    change(
+                        &mut world,
+                        [Change::Back(80), Change::Back(15_000), Change::All][b % 3],
+                    );
                 }
                 ends(&mut world, 330_000, &what);
             }
@@ -249,28 +312,51 @@
     for nodes in NODES {
         for step in 0..sweep(4) {
             let what = format!("{nodes} nodes, step {step}");
-            let jobs =
-                vec![Timed { at: 1000, run_ms: 300_000, cancel_ms: None, spec: array(1, "red", 6, 60.0) }];
-            let scene = Scene { jobs, machines: 6, ..Scene::default() }.team("red", 24.0, 0.0);
+            let jobs = vec![Timed {
+                at: 1000,
+                run_ms: 300_000,
+                cancel_ms: None,
+                spec: array(1, "red", 6, 60.0),
+            }];
+            let scene = Scene {
+                jobs,
+                machines: 6,
+                ..Scene::default()
+            }
+            .team("red", 24.0, 0.0);
             let mut world = World::new(Plan::of_scene(step, nodes, scene, 0, 600_000));
             world.run_for(30_000);
             // Stops are lost until all have ended; reports find nobody who may answer.
             let unheard = Cut::between(Side::Nodes, Side::Machines, world.now(), 1000);
-            world.cut(Cut { how: How::Reset, ..unheard });
+            world.cut(Cut {
+                how: How::Reset,
+                ..unheard
+            });
             world.cancel("job-000001");
             world.run_for(999);
-            assert!(world.rules.jobs["job-000001"].told_cancelled.is_some(), "{what}: nobody was told");
+            assert!(
+                world.rules.jobs["job-000001"].told_cancelled.is_some(),
+                "{what}: nobody was told"
+            );
             assert_eq!(world.on_machines().len(), 6, "{what}: a stop arrived");
             world.come_back_after(9000 + step * 250);
             world.crash_all();
             let end = world.now() + 20_000;
             // Its record stands, and it is yet to read the first page.
-            let stands = |w: &World| w.state.keys.get("sys/owner/0").and_then(|e| e.value["token"].as_u64());
+            let stands = |w: &World| {
+                w.state
+                    .keys
+                    .get("sys/owner/0")
+                    .and_then(|e| e.value["token"].as_u64())
+            };
             let before = stands(&world);
             while stands(&world).is_none_or(|t| Some(t) == before) && world.now() < end {
                 pass(&mut world, 1);
             }
-            assert!(stands(&world).is_some_and(|t| Some(t) != before), "{what}: nobody stands");
+            assert!(
+                stands(&world).is_some_and(|t| Some(t) != before),
+                "{what}: nobody stands"
+            );
             assert_eq!(world.on_machines().len(), 6, "{what}: they are still there");
             world.state_out(120_000);
             world.cloud_out(120_000);
--- a/crates/standins/tests/counties.rs
+++ b/crates/standins/tests/counties.rs
@@ -30,10 +30,22 @@
 /// Jobs of all counties, some of none, as long as faults come.
 fn scene(seed: u64, counties: usize, jobs: u32, until: u64) -> Scene {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut scene = Scene { machines: 12, ..Scene::default() }.team("red", 4.0, 0.0).team("blue", 4.0, 0.0);
-    scene.asks.push((1000, PATH.into(), set("first", document(counties))));
+    let mut scene = Scene {
+        machines: 12,
+        ..Scene::default()
+    }
+    .team("red", 4.0, 0.0)
+    .team("blue", 4.0, 0.0);
+    scene
+        .asks
+        .push((1000, PATH.into(), set("first", document(counties))));
     for i in 0..jobs {
-        let mut spec = array(1000 + i, ["red", "blue"][rng.usize(0..2)], rng.u32(1..6), 8.0);
+        let mut spec = array(
+            1000 + i,
+            ["red", "blue"][rng.usize(0..2)],
+            rng.u32(1..6),
+            8.0,
+        );
         spec.class = format!("k{}", rng.usize(0..counties + 1));
         spec.spot = rng.bool();
         if rng.u32(0..3) == 0 {
@@ -41,22 +53,39 @@
         }
         let cancel_ms = (rng.u32(0..4) == 0).then(|| rng.u64(0..30_000));
         let at = rng.u64(6000..until);
-        scene.jobs.push(Timed { at, run_ms: rng.u64(1000..12_000), cancel_ms, spec });
+        scene.jobs.push(Timed {
+            at,
+            run_ms: rng.u64(1000..12_000),
+            cancel_ms,
+            spec,
+        });
     }
     scene
 }
 
 fn plan(seed: u64, nodes: usize, scene: Scene, until: u64, calm: bool) -> Plan {
-    Plan { calm, ..Plan::of_scene(seed, nodes, scene, until, until + 600_000) }
+    Plan {
+        calm,
+        ..Plan::of_scene(seed, nodes, scene, until, until + 600_000)
+    }
 }
 
 fn whole(world: &World, what: &str) {
-    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
 }
 
 /// The answers to one kind of question, the latest last.
 fn answers<'a>(world: &'a World, ask: &str) -> Vec<(u16, &'a Value)> {
-    world.answers.iter().filter(|(a, _, _)| a.get(ask).is_some()).map(|(_, s, v)| (*s, v)).collect()
+    world
+        .answers
+        .iter()
+        .filter(|(a, _, _)| a.get(ask).is_some())
+        .map(|(_, s, v)| (*s, v))
+        .collect()
 }
 
 /// What the owner says, by county and class: accepted, done, cancelled, done tasks.
@@ -82,17 +111,28 @@
     }
     world.counties.users(&mut world.rules);
     whole(world, what);
-    let tally = answers(world, "tally").pop().map(|(status, v)| (status, told(v)));
+    let tally = answers(world, "tally")
+        .pop()
+        .map(|(status, v)| (status, told(v)));
     let seen: BTreeMap<_, _> = world
         .counties
         .sums()
         .iter()
-        .map(|(c, [done, cancelled, tasks])| (c.clone(), [done + cancelled, *done, *cancelled, *tasks]))
+        .map(|(c, [done, cancelled, tasks])| {
+            (c.clone(), [done + cancelled, *done, *cancelled, *tasks])
+        })
         .collect();
     assert_eq!(tally, Some((200, seen)), "{what}");
-    let audit = answers(world, "audit").pop().map(|(_, v)| v.clone()).unwrap_or_default();
+    let audit = answers(world, "audit")
+        .pop()
+        .map(|(_, v)| v.clone())
+        .unwrap_or_default();
     assert_eq!(audit["done"]["differences"], json!([]), "{what}: {audit}");
-    assert_eq!(world.counties.bound.len(), world.counties.ended.len(), "{what}: some job has not ended");
+    assert_eq!(
+        world.counties.bound.len(),
+        world.counties.ended.len(),
+        "{what}: some job has not ended"
+    );
 }
 
 /// Any faults, three, five and seven controllers.
@@ -101,7 +141,13 @@
     let mut folds = 0;
     for seed in 0..12 {
         let nodes = [3, 5, 7][seed as usize % 3];
-        let mut world = World::new(plan(seed, nodes, scene(seed, 6, 40, 150_000), 150_000, false));
+        let mut world = World::new(plan(
+            seed,
+            nodes,
+            scene(seed, 6, 40, 150_000),
+            150_000,
+            false,
+        ));
         audited(&mut world, &format!("seed {seed}"));
         folds += world.counties.folds;
     }
@@ -134,7 +180,10 @@
 #[test]
 fn hundreds_of_counties_and_a_cut_zone() {
     let mut s = scene(5, 300, 260, 100_000);
-    s.limits = Some(standins::state::Limits { value_kb: 4.0, ..Default::default() });
+    s.limits = Some(standins::state::Limits {
+        value_kb: 4.0,
+        ..Default::default()
+    });
     let mut world = World::new(plan(5, 5, s, 0, true));
     world.run_for(40_000);
     // More ends at once than a transaction holds, each with its own cell.
@@ -148,7 +197,12 @@
     world.run_for(20_000);
     world.doom_owner();
     audited(&mut world, "cut");
-    let sheets = world.state.keys.keys().filter(|k| k.starts_with("part/0/tally/")).count();
+    let sheets = world
+        .state
+        .keys
+        .keys()
+        .filter(|k| k.starts_with("part/0/tally/"))
+        .count();
     assert!(sheets > 3, "{sheets} sheets");
     assert_eq!(world.state.counts.too_large, 0);
     assert!(world.counties.sums().len() > 150);
@@ -162,8 +216,10 @@
         // None shares a machine with another county: the same work either way.
         s.asks.retain(|_| document);
         if document {
-            s.asks[0].2 =
-                set("first", json!({"county": [{"id": "one", "rule": [{"teams": ["red", "blue"]}]}]}));
+            s.asks[0].2 = set(
+                "first",
+                json!({"county": [{"id": "one", "rule": [{"teams": ["red", "blue"]}]}]}),
+            );
         }
         let mut world = World::new(plan(9, 3, s, 0, true));
         world.run();
@@ -172,41 +228,88 @@
     };
     let (without, with) = (run(false), run(true));
     let plain = |w: &World| {
-        w.state.history(0).iter().filter(|(_, k, _)| k.contains("tally") || k.contains("counties")).count()
+        w.state
+            .history(0)
+            .iter()
+            .filter(|(_, k, _)| k.contains("tally") || k.contains("counties"))
+            .count()
     };
     assert_eq!(plain(&without), 0);
-    let text: String =
-        without.state.history(0).iter().filter_map(|(_, _, v)| Some(v.as_ref()?.to_string())).collect();
+    let text: String = without
+        .state
+        .history(0)
+        .iter()
+        .filter_map(|(_, _, v)| Some(v.as_ref()?.to_string()))
+        .collect();
     assert!(!text.contains("county") && !text.contains("\"ended\""));
     assert_eq!(with.counties.ended.len(), 60);
-    assert!(with.counties.folds < 60 && with.counties.only_counts <= 60, "{} folds", with.counties.folds);
+    assert!(
+        with.counties.folds < 60 && with.counties.only_counts <= 60,
+        "{} folds",
+        with.counties.folds
+    );
 }
 
 /// A later version touches nothing that is bound; a county goes only closed and empty; without a rule a job is refused.
 #[test]
 fn bindings_outlive_versions() {
-    let mut s = Scene { machines: 4, ..Scene::default() }.team("red", 4.0, 0.0);
+    let mut s = Scene {
+        machines: 4,
+        ..Scene::default()
+    }
+    .team("red", 4.0, 0.0);
     let doc = |others: &str, counties: Value| json!({"others": others, "county": counties});
     let rule = json!([{"teams": ["red"]}]);
-    s.asks.push((1000, PATH.into(), set("1", doc("count", json!([{"id": "old", "rule": rule}])))));
-    let long =
-        |id: u32, at: u64| Timed { at, run_ms: 40_000, cancel_ms: None, spec: array(id, "red", 1, 40.0) };
+    s.asks.push((
+        1000,
+        PATH.into(),
+        set("1", doc("count", json!([{"id": "old", "rule": rule}]))),
+    ));
+    let long = |id: u32, at: u64| Timed {
+        at,
+        run_ms: 40_000,
+        cancel_ms: None,
+        spec: array(id, "red", 1, 40.0),
+    };
     s.jobs = vec![long(1, 5000), long(2, 15_000), long(3, 25_000)];
     // Dropped while open, then split, then dropped with a job of its own, then everything is refused.
     let new = json!({"id": "new", "rule": rule});
     let closed = json!({"id": "old", "closed": true, "into": ["new"]});
-    s.asks.push((8000, PATH.into(), set("2", doc("count", json!([new.clone()])))));
-    s.asks.push((10_000, PATH.into(), set("3", doc("count", json!([closed.clone(), new.clone()])))));
-    s.asks.push((12_000, PATH.into(), set("4", doc("count", json!([new.clone()])))));
+    s.asks.push((
+        8000,
+        PATH.into(),
+        set("2", doc("count", json!([new.clone()]))),
+    ));
+    s.asks.push((
+        10_000,
+        PATH.into(),
+        set("3", doc("count", json!([closed.clone(), new.clone()]))),
+    ));
+    s.asks.push((
+        12_000,
+        PATH.into(),
+        set("4", doc("count", json!([new.clone()]))),
+    ));
     let some = json!({"id": "new", "rule": [{"ids": ["job-000002"]}]});
-    s.asks.push((20_000, PATH.into(), set("5", doc("refuse", json!([closed, some])))));
-    s.asks.push((120_000, PATH.into(), set("6", doc("count", json!([new])))));
+    s.asks.push((
+        20_000,
+        PATH.into(),
+        set("5", doc("refuse", json!([closed, some]))),
+    ));
+    s.asks
+        .push((120_000, PATH.into(), set("6", doc("count", json!([new])))));
     let mut world = World::new(plan(1, 3, s, 0, true));
     world.run();
     whole(&world, "versions");
     let status: Vec<u16> = answers(&world, "change").iter().map(|(s, _)| *s).collect();
     assert_eq!(status, [200, 422, 200, 422, 200, 200]);
-    let county = |id: &str| world.counties.bound.get(id).map(|(c, _)| (c.county.as_str(), c.version));
+    let county = |id: &str| {
+        world
+            .counties
+            .bound
+            .get(id)
+            .map(|(c, _)| (c.county.as_str(), c.version))
+    };
     let all = ["job-000001", "job-000002", "job-000003"].map(county);
     assert_eq!(all, [Some(("old", 1)), Some(("new", 2)), None]);
     assert!(world.rules.jobs["job-000003"].accepted.is_none());
@@ -239,13 +342,23 @@
     more["cells"][0]["done"] = json!(more["cells"][0]["done"].as_u64().unwrap_or(0) + 1);
     damage(&mut world, &more);
     ask(&mut world, "more");
-    let told =
-        answers(&world, "audit").pop().map(|(_, v)| v["done"]["differences"].clone()).unwrap_or_default();
-    assert!(told[0].as_str().is_some_and(|d| d.contains("done jobs counted")), "{told}");
+    let told = answers(&world, "audit")
+        .pop()
+        .map(|(_, v)| v["done"]["differences"].clone())
+        .unwrap_or_default();
+    assert!(
+        told[0]
+            .as_str()
+            .is_some_and(|d| d.contains("done jobs counted")),
+        "{told}"
+    );
     damage(&mut world, &json!({"cells": 5}));
     ask(&mut world, "junk");
     assert!(answers(&world, "tally").is_empty() && answers(&world, "audit").is_empty());
-    world.write(wire::api::Write::put(key.into(), wire::records::Record::Other(good)));
+    world.write(wire::api::Write::put(
+        key.into(),
+        wire::records::Record::Other(good),
+    ));
     world.run_for(40_000);
     assert_eq!(answers(&world, "tally").len(), 1);
     whole(&world, "mended");
--- a/crates/standins/tests/days.rs
+++ b/crates/standins/tests/days.rs
@@ -20,11 +20,32 @@
         let seed = 100 + i as u64;
         let (world, v) = play(plan(kind, seed, nodes, Size::SMALL));
         let what = format!("{} ({kind}), seed {seed}, {nodes} nodes", kinds()[kind]);
-        assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
-        assert!(v.forgotten_75.is_empty(), "{what}: forgotten {:?}", v.forgotten_75);
-        assert!(v.served_below_half.is_empty(), "{what}: {:?}", v.served_below_half);
-        assert!(v.largest_late.is_empty(), "{what}: late {:?}", v.largest_late);
-        assert!(v.jobs > 20 && v.done * 10 > v.jobs * 9, "{what}: {} of {} done", v.done, v.jobs);
+        assert!(
+            world.rules.broken.is_empty(),
+            "{what}: {:?}",
+            world.rules.broken
+        );
+        assert!(
+            v.forgotten_75.is_empty(),
+            "{what}: forgotten {:?}",
+            v.forgotten_75
+        );
+        assert!(
+            v.served_below_half.is_empty(),
+            "{what}: {:?}",
+            v.served_below_half
+        );
+        assert!(
+            v.largest_late.is_empty(),
+            "{what}: late {:?}",
+            v.largest_late
+        );
+        assert!(
+            v.jobs > 20 && v.done * 10 > v.jobs * 9,
+            "{what}: {} of {} done",
+            v.done,
+            v.jobs
+        );
         assert_eq!(world.state.counts.too_large, 0, "{what}");
     }
 }
@@ -33,7 +54,12 @@
     let mut plan = plan(kind, 1, 3, Size::SMALL);
     let scene = plan.scene.as_mut().expect("days are scenes");
     let day = scene.day.as_mut().expect("days have troubles");
-    day.held = scene.jobs.iter().filter(|j| which(&j.spec)).map(|j| j.spec.id.clone()).collect();
+    day.held = scene
+        .jobs
+        .iter()
+        .filter(|j| which(&j.spec))
+        .map(|j| j.spec.id.clone())
+        .collect();
     play(plan).1
 }
 
@@ -44,13 +70,28 @@
     let v = held(0, |s| s.team == "red");
     assert!(below(&v, "team red") && !below(&v, "team blue"), "{v:?}");
     let v = held(0, |s| s.class == "gang");
-    assert!(below(&v, "class gang") && !below(&v, "class array"), "{v:?}");
+    assert!(
+        below(&v, "class gang") && !below(&v, "class array"),
+        "{v:?}"
+    );
     let v = held(0, |s| s.class == "array" && s.tasks > 4);
-    assert!(below(&v, "largest of array") && !below(&v, "class gang"), "{v:?}");
+    assert!(
+        below(&v, "largest of array") && !below(&v, "class gang"),
+        "{v:?}"
+    );
     assert!(!v.largest_late.is_empty(), "{v:?}");
-    let sabotaged = |sabotage| play(Plan { sabotage, ..plan(5, 1, 3, Size::SMALL) }).1;
+    let sabotaged = |sabotage| {
+        play(Plan {
+            sabotage,
+            ..plan(5, 1, 3, Size::SMALL)
+        })
+        .1
+    };
     let v = sabotaged(Sabotage::PollsLost);
-    assert!(v.longest_unanswered_s > 75.0 && v.forgotten_75.iter().all(|j| j.ends_with('7')), "{v:?}");
+    assert!(
+        v.longest_unanswered_s > 75.0 && v.forgotten_75.iter().all(|j| j.ends_with('7')),
+        "{v:?}"
+    );
     assert!(!v.forgotten_75.is_empty(), "{v:?}");
     assert!(sabotaged(Sabotage::GrantsLost).longest_without_owner_s > 60.0);
     assert!(sabotaged(Sabotage::None).longest_without_owner_s < 10.0);
--- a/crates/standins/tests/floods.rs
+++ b/crates/standins/tests/floods.rs
@@ -11,20 +11,45 @@
 const LATEST_MS: u64 = 90_000;
 
 fn timed(at: u64, run_ms: u64, spec: JobSpec) -> Timed {
-    Timed { at, run_ms, cancel_ms: None, spec }
+    Timed {
+        at,
+        run_ms,
+        cancel_ms: None,
+        spec,
+    }
 }
 
 /// An array of low urgency as wide as several fleets, a gang as wide as one, and the flood.
 fn scene() -> Scene {
-    let scene = Scene { machines: 4, ..Scene::default() };
+    let scene = Scene {
+        machines: 4,
+        ..Scene::default()
+    };
     let mut scene = scene.team("red", 0.0, 0.0).team("blue", 0.0, 0.0);
-    let low = |spec| JobSpec { priority: Priority::Low, checkpoint_s: 0.0, spot: true, ..spec };
-    scene.jobs.push(timed(20_000, 5000, low(array(1, "red", 40, 5.0))));
-    let wide = JobSpec { kind: Kind::Gang, gpus: 2.0, ..low(array(2, "red", 4, 20.0)) };
+    let low = |spec| JobSpec {
+        priority: Priority::Low,
+        checkpoint_s: 0.0,
+        spot: true,
+        ..spec
+    };
+    scene
+        .jobs
+        .push(timed(20_000, 5000, low(array(1, "red", 40, 5.0))));
+    let wide = JobSpec {
+        kind: Kind::Gang,
+        gpus: 2.0,
+        ..low(array(2, "red", 4, 20.0))
+    };
     scene.jobs.push(timed(21_000, RUN_MS, wide));
     for k in 0..FLOOD_MS / 1000 {
         let urgent = array(100 + k as u32, "blue", 1, 20.0);
-        let urgent = JobSpec { kind: Kind::Gang, priority: Priority::High, gpus: 2.0, spot: true, ..urgent };
+        let urgent = JobSpec {
+            kind: Kind::Gang,
+            priority: Priority::High,
+            gpus: 2.0,
+            spot: true,
+            ..urgent
+        };
         scene.jobs.push(timed(5000 + k * 1000, RUN_MS, urgent));
     }
     scene
@@ -38,9 +63,15 @@
     world.run_for(50_000);
     world.crash_all();
     world.run_for(FLOOD_MS - 50_000);
-    assert!(world.rules.broken.is_empty(), "seed {seed}: {:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty(),
+        "seed {seed}: {:?}",
+        world.rules.broken
+    );
     let began = |job: &str, tasks: u32| {
-        (0..tasks).map(|t| world.began.get(&wire::ids::task_name(job, t)).copied()).collect()
+        (0..tasks)
+            .map(|t| world.began.get(&wire::ids::task_name(job, t)).copied())
+            .collect()
     };
     (began("job-000001", 40), began("job-000002", 4))
 }
@@ -51,14 +82,23 @@
         let (array, gang) = play(seed, "60", "90");
         let by = |at: &[Option<u64>], bound: u64| at.iter().all(|t| t.is_some_and(|t| t <= bound));
         // What runs has to end, and the array, which came first, takes three rounds of the fleet.
-        assert!(by(&array, 20_000 + LATEST_MS + 3 * RUN_MS), "seed {seed}: {array:?}");
-        assert!(by(&gang, 21_000 + LATEST_MS + 3 * RUN_MS), "seed {seed}: {gang:?}");
+        assert!(
+            by(&array, 20_000 + LATEST_MS + 3 * RUN_MS),
+            "seed {seed}: {array:?}"
+        );
+        assert!(
+            by(&gang, 21_000 + LATEST_MS + 3 * RUN_MS),
+            "seed {seed}: {gang:?}"
+        );
     }
 }
 
 #[test]
 fn without_the_bound_they_wait_for_the_end_of_the_flood() {
     let (array, gang) = play(0, "36000", "36000");
-    assert!(array.iter().chain(&gang).any(Option::is_none), "{array:?}, {gang:?}");
+    assert!(
+        array.iter().chain(&gang).any(Option::is_none),
+        "{array:?}, {gang:?}"
+    );
     assert!(gang.iter().all(Option::is_none), "{gang:?}");
 }
--- a/crates/standins/tests/gap.rs
+++ b/crates/standins/tests/gap.rs
@@ -97,29 +97,76 @@
 }
 
 fn fate(rng: &mut Rng) -> (Fate, u64) {
-    let ms = if rng.bool() { rng.u64(50..8000) } else { rng.u64(50..500) };
-    let at = if rng.bool() { rng.u64(0..3000) } else { rng.u64(0..30_000) };
-    let fates = [Fate::None, Fate::None, Fate::Freeze(ms), Fate::Crash(ms), Fate::Crash(ms)];
+    let ms = if rng.bool() {
+        rng.u64(50..8000)
+    } else {
+        rng.u64(50..500)
+    };
+    let at = if rng.bool() {
+        rng.u64(0..3000)
+    } else {
+        rng.u64(0..30_000)
+    };
+    let fates = [
+        Fate::None,
+        Fate::None,
+        Fate::Freeze(ms),
+        Fate::Crash(ms),
+        Fate::Crash(ms),
+    ];
     (fates[rng.usize(0..fates.len())], at)
 }
 
 impl Day {
     fn draw(nodes: usize, seed: u64) -> Day {
         let mut rng = Rng::with_seed(seed * 8 + nodes as u64);
-        let from = [From::Refusal, From::Stands, From::Leads, From::Loaded, From::Recorded, From::Told];
+        let from = [
+            From::Refusal,
+            From::Stands,
+            From::Leads,
+            From::Loaded,
+            From::Recorded,
+            From::Told,
+        ];
         let from = from[rng.usize(0..from.len())];
-        let peers = [Peers::All, Peers::None, Peers::OldDeaf, Peers::OldMute, Peers::OldAndNext, Peers::Any];
-        let reach = [Reach::All, Reach::Old, Reach::Old, Reach::Reports, Reach::Zone, Reach::Any];
+        let peers = [
+            Peers::All,
+            Peers::None,
+            Peers::OldDeaf,
+            Peers::OldMute,
+            Peers::OldAndNext,
+            Peers::Any,
+        ];
+        let reach = [
+            Reach::All,
+            Reach::Old,
+            Reach::Old,
+            Reach::Reports,
+            Reach::Zone,
+            Reach::Any,
+        ];
         let late = TakeOver::Late(rng.u64(1..4000));
         let take_over = [None, None, None, Some(TakeOver::Unanswered), Some(late)];
-        let most = if from == From::Refusal { 8000 } else { [100, 1000, 4000][rng.usize(0..3)] };
+        let most = if from == From::Refusal {
+            8000
+        } else {
+            [100, 1000, 4000][rng.usize(0..3)]
+        };
         Day {
             nodes,
             seed,
             refused_at: rng.u64(0..RENEWAL_MS),
-            refused_ms: if rng.u32(0..4) == 0 { rng.u64(1500..14_000) } else { 150_000 },
+            refused_ms: if rng.u32(0..4) == 0 {
+                rng.u64(1500..14_000)
+            } else {
+                150_000
+            },
             take_over: take_over[rng.usize(0..take_over.len())],
-            first_cancel: if rng.u32(0..3) == 0 { 0 } else { rng.u64(1500..4500) },
+            first_cancel: if rng.u32(0..3) == 0 {
+                0
+            } else {
+                rng.u64(1500..4500)
+            },
             cancels_apart: rng.u64(2..100),
             outage: (from, rng.u64(0..most)),
             outage_ms: rng.u64(45_000..70_000),
@@ -130,7 +177,11 @@
             cloud_out: rng.u32(0..4) > 0,
             next: fate(&mut rng),
             old: fate(&mut rng),
-            unheard_ms: if rng.u32(0..6) == 0 { rng.u64(1..1500) } else { 0 },
+            unheard_ms: if rng.u32(0..6) == 0 {
+                rng.u64(1..1500)
+            } else {
+                0
+            },
         }
     }
 }
@@ -156,20 +207,44 @@
 }
 
 fn world(day: &Day) -> World {
-    let job = |i| Timed { at: 500, run_ms: 600_000, cancel_ms: None, spec: array(1000 + i, "red", 2, 60.0) };
-    let scene = Scene { jobs: (0..JOBS).map(job).collect(), machines: 12, ..Scene::default() };
-    World::new(Plan::of_scene(day.seed, day.nodes, scene.team("red", 40.0, 0.0), 0, 600_000))
+    let job = |i| Timed {
+        at: 500,
+        run_ms: 600_000,
+        cancel_ms: None,
+        spec: array(1000 + i, "red", 2, 60.0),
+    };
+    let scene = Scene {
+        jobs: (0..JOBS).map(job).collect(),
+        machines: 12,
+        ..Scene::default()
+    };
+    World::new(Plan::of_scene(
+        day.seed,
+        day.nodes,
+        scene.team("red", 40.0, 0.0),
+        0,
+        600_000,
+    ))
 }
 
 /// Node and token of the owner record.
 fn record(world: &World) -> Option<(usize, u64)> {
     let rec = &world.state.keys.get("sys/owner/0")?.value;
-    let node = rec["node"].as_str()?.strip_prefix("burrow-")?.parse().ok()?;
+    let node = rec["node"]
+        .as_str()?
+        .strip_prefix("burrow-")?
+        .parse()
+        .ok()?;
     Some((node, rec["token"].as_u64()?))
 }
 
 fn told(world: &World) -> usize {
-    world.rules.jobs.values().filter(|j| j.told_cancelled.is_some()).count()
+    world
+        .rules
+        .jobs
+        .values()
+        .filter(|j| j.told_cancelled.is_some())
+        .count()
 }
 
 /// Plays on until something is so, for at most so long; false if it never was.
@@ -179,7 +254,11 @@
         let before = world.now();
         world.run_for(step);
         // A world's time stands still until something happens.
-        step = if world.now() == before { step + STEP_MS } else { STEP_MS };
+        step = if world.now() == before {
+            step + STEP_MS
+        } else {
+            STEP_MS
+        };
     }
     so(world)
 }
@@ -195,12 +274,19 @@
 impl Day {
     fn one_way(&self, world: &mut World, from: Side, to: Side) {
         let cut = Cut::between(from, to, world.now(), FOR_LONG);
-        world.cut(Cut { both: false, how: self.how, ..cut });
+        world.cut(Cut {
+            both: false,
+            how: self.how,
+            ..cut
+        });
     }
 
     fn both_ways(&self, world: &mut World, from: Side, to: Side) {
         let cut = Cut::between(from, to, world.now(), FOR_LONG);
-        world.cut(Cut { how: self.how, ..cut });
+        world.cut(Cut {
+            how: self.how,
+            ..cut
+        });
     }
 
     fn cut_peers(&self, world: &mut World, old: usize, rng: &mut Rng) {
@@ -260,20 +346,30 @@
         self.cut_machines(&mut world, old, &mut rng);
         self.cut_peers(&mut world, old, &mut rng);
         if self.unheard_ms > 0 {
-            let cut =
-                Cut::between(Side::State, Side::Node(old), world.now(), self.refused_at + self.unheard_ms);
+            let cut = Cut::between(
+                Side::State,
+                Side::Node(old),
+                world.now(),
+                self.refused_at + self.unheard_ms,
+            );
             world.cut(Cut { both: false, ..cut });
         }
         if let Some(fate) = self.take_over {
             world.take_over_is(fate);
         }
         world.run_for(self.refused_at);
-        world.bring(&Trouble::Refused { who: Who::Node(old), ms: self.refused_ms });
+        world.bring(&Trouble::Refused {
+            who: Who::Node(old),
+            ms: self.refused_ms,
+        });
         self.cancel(&mut world, 0..JOBS / 4, self.first_cancel);
         let next = self.wait_for_outage(&mut world, old, token);
         let told_before = told(&world);
         world.bring(&Trouble::StateOut { ms: self.outage_ms });
-        let mut fates = [(self.next.1, next, self.next.0), (self.old.1, old, self.old.0)];
+        let mut fates = [
+            (self.next.1, next, self.next.0),
+            (self.old.1, old, self.old.0),
+        ];
         fates.sort_by_key(|(at, _, _)| *at);
         let began = world.now();
         for (at, node, fate) in fates {
@@ -285,7 +381,11 @@
             world.bring(&Trouble::StateOut { ms });
         }
         world.run_for(self.outage_ms + CANCEL_MS);
-        assert!(world.rules.broken.is_empty(), "{:?}\n{self:?}", world.rules.broken);
+        assert!(
+            world.rules.broken.is_empty(),
+            "{:?}\n{self:?}",
+            world.rules.broken
+        );
         let longest_ms = world.rules.longest_cancelled_ms;
         log::info!(
             "told {told_before} before the outage, {} in all; {longest_ms} ms: {self:?}",
@@ -301,7 +401,10 @@
 
     fn cancel(&self, world: &mut World, jobs: std::ops::Range<u32>, first: u64) {
         for (i, job) in jobs.enumerate() {
-            world.cancel_in(&format!("job-{:06}", 1000 + job), first + i as u64 * self.cancels_apart);
+            world.cancel_in(
+                &format!("job-{:06}", 1000 + job),
+                first + i as u64 * self.cancels_apart,
+            );
         }
     }
 
@@ -321,10 +424,14 @@
         match from {
             From::Refusal | From::Stands => {}
             From::Leads => {
-                until(world, PATIENCE_MS, |w| w.owner_at().is_some_and(|n| n != old));
+                until(world, PATIENCE_MS, |w| {
+                    w.owner_at().is_some_and(|n| n != old)
+                });
             }
             From::Loaded => {
-                until(world, PATIENCE_MS, |w| w.owner_at().is_some_and(|n| n != old));
+                until(world, PATIENCE_MS, |w| {
+                    w.owner_at().is_some_and(|n| n != old)
+                });
                 // Reading takes a dozen messages.
                 world.run_for(40);
             }
@@ -356,8 +463,14 @@
     }
     println!("gap: {nodes} nodes, from day {from}: {seen:?}, of {CANCEL_MS} ms");
     if days.is_none() {
-        assert!(seen.told * 4 > seen.days, "hardly ever was anything told before the outage: {seen:?}");
-        assert!(seen.renewed * 20 > seen.days, "hardly ever was anything renewed: {seen:?}");
+        assert!(
+            seen.told * 4 > seen.days,
+            "hardly ever was anything told before the outage: {seen:?}"
+        );
+        assert!(
+            seen.renewed * 20 > seen.days,
+            "hardly ever was anything renewed: {seen:?}"
+        );
     }
 }
 
@@ -387,12 +500,24 @@
         let old = world.owner_at().expect("some node owns the fleet");
         for n in (0..3).filter(|n| *n != old) {
             let cut = Cut::between(Side::Node(n), Side::Node(old), world.now(), 100_000);
-            world.cut(Cut { how: How::Reset, ..cut });
+            world.cut(Cut {
+                how: How::Reset,
+                ..cut
+            });
         }
-        world.bring(&Trouble::LateWrites { share: 1.0, for_ms: 70_000, at_once: false });
-        (0..4u32).for_each(|i| world.cancel_in(&format!("job-{:06}", 1000 + i), u64::from(i) * 3000));
+        world.bring(&Trouble::LateWrites {
+            share: 1.0,
+            for_ms: 70_000,
+            at_once: false,
+        });
+        (0..4u32)
+            .for_each(|i| world.cancel_in(&format!("job-{:06}", 1000 + i), u64::from(i) * 3000));
         world.run_for(90_000);
-        assert!(world.rules.broken.is_empty(), "seed {seed}: {:?}", world.rules.broken);
+        assert!(
+            world.rules.broken.is_empty(),
+            "seed {seed}: {:?}",
+            world.rules.broken
+        );
         all += told(&world);
     }
     assert!(all > 8, "{all} cancels told");
--- a/crates/standins/tests/hand_over.rs
+++ b/crates/standins/tests/hand_over.rs
@@ -29,12 +29,26 @@
         cancel_ms: (i % 5 == 0).then_some(700),
         spec: array(2000 + i, "red", 1, 1.0),
     });
-    let scene = Scene { jobs: long.chain(short).collect(), machines: 12, ..Scene::default() };
-    World::new(Plan::of_scene(seed, nodes, scene.team("red", 24.0, 0.0), 0, 600_000))
+    let scene = Scene {
+        jobs: long.chain(short).collect(),
+        machines: 12,
+        ..Scene::default()
+    };
+    World::new(Plan::of_scene(
+        seed,
+        nodes,
+        scene.team("red", 24.0, 0.0),
+        0,
+        600_000,
+    ))
 }
 
 fn kept(world: &World, what: &str) {
-    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
 }
 
 /// Token and life of the owner record.
@@ -56,10 +70,16 @@
             world.run_for(step);
             // Nothing happened yet.
             step = if world.now() == before { step + 10 } else { 10 };
-            let Some((token, life)) = record(world) else { continue };
+            let Some((token, life)) = record(world) else {
+                continue;
+            };
             let highest = self.0.last_key_value().map_or(0, |(token, _)| *token);
             assert!(token >= highest, "{what}: token {token} after {highest}");
-            assert_eq!(*self.0.entry(token).or_insert(life), life, "{what}: two lives with token {token}");
+            assert_eq!(
+                *self.0.entry(token).or_insert(life),
+                life,
+                "{what}: two lives with token {token}"
+            );
         }
     }
 }
@@ -91,7 +111,11 @@
     world.ask_everywhere();
     world.run_for(150_000);
     kept(world, what);
-    assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+    assert!(
+        world.unfinished().is_empty(),
+        "{what}: never ended: {:?}",
+        world.unfinished()
+    );
 }
 
 /// Handed over by a refusal, handed back by another, then all end within a fraction of a second and one is back at
@@ -105,7 +129,10 @@
             let (mut users, mut terms) = (Users { nodes, next: 0 }, Terms::default());
             world.run_for(BEGIN + step * 7);
             let first = world.owner_at().expect("some node owns the fleet");
-            world.bring(&Trouble::Refused { who: Who::Node(first), ms: 2600 + step * 20 });
+            world.bring(&Trouble::Refused {
+                who: Who::Node(first),
+                ms: 2600 + step * 20,
+            });
             users.act(&mut world);
             terms.run_for(&mut world, 1500 + step * 90, &what);
             users.act(&mut world);
@@ -113,7 +140,10 @@
             let second = world.owner_at().unwrap_or((first + 1) % nodes);
             // Back: all but the first are refused for as long as the second one's lease lasts.
             for n in (0..nodes).filter(|n| *n != first) {
-                world.bring(&Trouble::Refused { who: Who::Node(n), ms: 2800 });
+                world.bring(&Trouble::Refused {
+                    who: Who::Node(n),
+                    ms: 2800,
+                });
             }
             users.act(&mut world);
             terms.run_for(&mut world, 1700 + step * 80, &what);
@@ -121,8 +151,15 @@
             // All end within a second of each other; one is back at once.
             for i in 0..nodes {
                 let n = (second + i) % nodes;
-                let back_ms = if n == first { 50 + step * 45 } else { 1200 + 300 * i as u64 };
-                world.bring(&Trouble::Crash { who: Who::Node(n), back_ms });
+                let back_ms = if n == first {
+                    50 + step * 45
+                } else {
+                    1200 + 300 * i as u64
+                };
+                world.bring(&Trouble::Crash {
+                    who: Who::Node(n),
+                    back_ms,
+                });
                 terms.run_for(&mut world, step * 40 / nodes as u64, &what);
                 users.act(&mut world);
             }
@@ -153,14 +190,30 @@
                     for_ms: 300,
                     ms: [60, 400, 2500][step as usize % 3],
                 });
-                world.bring(&Trouble::LateWrites { share: 0.5, for_ms: 1500, at_once: false });
+                world.bring(&Trouble::LateWrites {
+                    share: 0.5,
+                    for_ms: 1500,
+                    at_once: false,
+                });
                 users.act(&mut world);
                 terms.run_for(&mut world, 11 + step * 13, &what);
                 match (step + round) % 4 {
-                    0 => world.bring(&Trouble::Crash { who: Who::All, back_ms: 60 + step * 50 }),
-                    1 => world.bring(&Trouble::Crash { who: Who::Node(owner), back_ms: 50 }),
-                    2 => world.bring(&Trouble::Freeze { who: Who::Node(owner), ms: 2400 }),
-                    _ => world.bring(&Trouble::Refused { who: Who::Node(owner), ms: 2400 }),
+                    0 => world.bring(&Trouble::Crash {
+                        who: Who::All,
+                        back_ms: 60 + step * 50,
+                    }),
+                    1 => world.bring(&Trouble::Crash {
+                        who: Who::Node(owner),
+                        back_ms: 50,
+                    }),
+                    2 => world.bring(&Trouble::Freeze {
+                        who: Who::Node(owner),
+                        ms: 2400,
+                    }),
+                    _ => world.bring(&Trouble::Refused {
+                        who: Who::Node(owner),
+                        ms: 2400,
+                    }),
                 }
                 users.act(&mut world);
                 terms.run_for(&mut world, 700 + round * 500, &what);
@@ -186,7 +239,10 @@
                 terms.run_for(&mut world, 5 + u64::from(question), &what);
                 for n in 0..nodes {
                     let back_ms = if n == owner { 80 } else { 2500 };
-                    world.bring(&Trouble::Crash { who: Who::Node(n), back_ms });
+                    world.bring(&Trouble::Crash {
+                        who: Who::Node(n),
+                        back_ms,
+                    });
                 }
                 world.bring(&Trouble::Fuse {
                     who: Who::Node(owner),
@@ -215,24 +271,40 @@
             world.run_for(BEGIN);
             let first = world.owner_at().expect("some node owns the fleet");
             let unheard = Cut::between(Side::Nodes, Side::Machines, world.now(), 6000);
-            world.cut(Cut { how: How::Reset, ..unheard });
+            world.cut(Cut {
+                how: How::Reset,
+                ..unheard
+            });
             (0..LONG).for_each(|i| world.cancel_at(first, &long(i)));
             world.run_for(300 + step * 100);
-            world.bring(&Trouble::Refused { who: Who::Node(first), ms: 20_000 });
+            world.bring(&Trouble::Refused {
+                who: Who::Node(first),
+                ms: 20_000,
+            });
             let (before, _) = record(&world).expect("an owner");
             let (begun, mut wait) = (world.now(), 5);
-            while record(&world).is_none_or(|(token, _)| token <= before) && world.now() < begun + 8000 {
+            while record(&world).is_none_or(|(token, _)| token <= before)
+                && world.now() < begun + 8000
+            {
                 let at = world.now();
                 world.run_for(wait);
                 // Nothing happened yet.
                 wait = if world.now() == at { wait + 5 } else { 5 };
             }
-            assert!(record(&world).is_some_and(|(token, _)| token > before), "{what}: nobody took over");
+            assert!(
+                record(&world).is_some_and(|(token, _)| token > before),
+                "{what}: nobody took over"
+            );
             // Its take-over is answered, and its first reads are not.
             world.run_for(step);
             world.bring(&Trouble::StateOut { ms: 70_000 });
             world.run_for(75_000);
-            let told = world.rules.jobs.values().filter(|j| j.told_cancelled.is_some()).count();
+            let told = world
+                .rules
+                .jobs
+                .values()
+                .filter(|j| j.told_cancelled.is_some())
+                .count();
             assert!(told > 4, "{what}: {told} told");
             ends(&mut world, &what);
         }
--- a/crates/standins/tests/late_commands.rs
+++ b/crates/standins/tests/late_commands.rs
@@ -13,29 +13,51 @@
 
 /// So many rounds, or as many as `SWEEP` says.
 fn sweep(rounds: u64) -> u64 {
-    std::env::var("SWEEP").ok().and_then(|n| n.parse().ok()).unwrap_or(rounds)
+    std::env::var("SWEEP")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(rounds)
 }
 
 fn timed(at: u64, run_ms: u64, spec: JobSpec) -> Timed {
-    Timed { at, run_ms, cancel_ms: None, spec }
+    Timed {
+        at,
+        run_ms,
+        cancel_ms: None,
+        spec,
+    }
 }
 
 /// Machines that stand idle, and then one long job of a few tasks.
 fn idle(seed: u64, nodes: usize) -> World {
-    let jobs =
-        vec![timed(1000, 4000, array(1, "red", 8, 4.0)), timed(IDLE_MS, RUN_MS, array(2, "red", 3, 60.0))];
-    let scene = Scene { jobs, machines: 4, ..Scene::default() }.team("red", 24.0, 0.0);
+    let jobs = vec![
+        timed(1000, 4000, array(1, "red", 8, 4.0)),
+        timed(IDLE_MS, RUN_MS, array(2, "red", 3, 60.0)),
+    ];
+    let scene = Scene {
+        jobs,
+        machines: 4,
+        ..Scene::default()
+    }
+    .team("red", 24.0, 0.0);
     let mut world = World::new(Plan::of_scene(seed, nodes, scene, 0, 600_000));
     world.tune("fleet", "idle_s", "1000");
     world.run_for(IDLE_MS - 1);
-    assert!(world.on_machines().is_empty(), "seed {seed}: the first job is over");
+    assert!(
+        world.on_machines().is_empty(),
+        "seed {seed}: the first job is over"
+    );
     world
 }
 
 const LONG: &str = "job-000002";
 
 fn kept(world: &World, what: &str) {
-    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
 }
 
 /// Cancels the long job, and looks whether it stays away.
@@ -43,15 +65,25 @@
     world.cancel(LONG);
     world.run_for(CANCEL_MS);
     kept(world, what);
-    assert!(world.rules.jobs[LONG].told_cancelled.is_some(), "{what}: nobody was told");
-    assert_eq!(world.machines_of(LONG), Vec::<String>::new(), "{what}: still there");
+    assert!(
+        world.rules.jobs[LONG].told_cancelled.is_some(),
+        "{what}: nobody was told"
+    );
+    assert_eq!(
+        world.machines_of(LONG),
+        Vec::<String>::new(),
+        "{what}: still there"
+    );
 }
 
 /// A start is on its way for longer than its sender waits, or nearly as long, and its job is cancelled meanwhile. It
 /// must not begin when the start arrives and nobody knows of it any more.
 #[test]
 fn a_start_that_is_held_does_not_outlive_its_cancel() {
-    for (i, held) in [300, 900, 1500, 1950, 2050, 2500, 4000, 7000, 12_000].into_iter().enumerate() {
+    for (i, held) in [300, 900, 1500, 1950, 2050, 2500, 4000, 7000, 12_000]
+        .into_iter()
+        .enumerate()
+    {
         for step in 0..sweep(8) {
             let nodes = [3, 5, 7][step as usize % 3];
             let what = format!("{nodes} nodes, held for {held} ms, cancelled after step {step}");
@@ -73,7 +105,11 @@
             let what = format!("{nodes} nodes, answers {slow} ms late, step {step}");
             let mut world = idle(slow + step, nodes);
             let refused = Cut::between(Side::Nodes, Side::Machines, world.now(), 400);
-            world.cut(Cut { both: false, how: How::Reset, ..refused });
+            world.cut(Cut {
+                both: false,
+                how: How::Reset,
+                ..refused
+            });
             world.slow_answers(20_000, slow);
             world.run_for(400 + step * 7000 / sweep(12));
             cancelled(&mut world, &what);
@@ -85,15 +121,36 @@
 /// for all: much is stopped for room.
 fn busy(seed: u64, rng: &mut fastrand::Rng, nodes: usize) -> World {
     let job = |i: u32| {
-        let kind = if i.is_multiple_of(4) { Kind::Gang } else { Kind::Array };
-        let priority =
-            [Priority::Low, Priority::Normal, Priority::High, Priority::Production][rng.usize(0..4)];
+        let kind = if i.is_multiple_of(4) {
+            Kind::Gang
+        } else {
+            Kind::Array
+        };
+        let priority = [
+            Priority::Low,
+            Priority::Normal,
+            Priority::High,
+            Priority::Production,
+        ][rng.usize(0..4)];
         let team = if rng.bool() { "red" } else { "blue" };
-        let spec = JobSpec { kind, priority, ..array(1000 + i, team, rng.u32(1..4), 8.0) };
+        let spec = JobSpec {
+            kind,
+            priority,
+            ..array(1000 + i, team, rng.u32(1..4), 8.0)
+        };
         let cancel_ms = i.is_multiple_of(3).then(|| rng.u64(0..20_000));
-        Timed { at: rng.u64(1000..90_000), run_ms: rng.u64(500..25_000), cancel_ms, spec }
+        Timed {
+            at: rng.u64(1000..90_000),
+            run_ms: rng.u64(500..25_000),
+            cancel_ms,
+            spec,
+        }
+    };
+    let scene = Scene {
+        jobs: (0..45).map(job).collect(),
+        machines: 8,
+        ..Scene::default()
     };
-    let scene = Scene { jobs: (0..45).map(job).collect(), machines: 8, ..Scene::default() };
     let scene = scene.team("red", 4.0, 6.0).team("blue", 4.0, 0.0);
     World::new(Plan::of_scene(seed, nodes, scene, 0, 600_000))
 }
@@ -127,6 +184,10 @@
         }
         world.run_for(300_000);
         kept(&world, &what);
-        assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+        assert!(
+            world.unfinished().is_empty(),
+            "{what}: never ended: {:?}",
+            world.unfinished()
+        );
     }
 }
--- a/crates/standins/tests/late_writes.rs
+++ b/crates/standins/tests/late_writes.rs
@@ -11,19 +11,46 @@
 use wire::api::{JobSpec, Kind};
 
 /// What is drawn beside late writes.
-const OTHERS: [&str; 8] =
-    ["alone", "owner crashes", "all crash", "refused", "outages", "machines die", "freezes", "cut off"];
+const OTHERS: [&str; 8] = [
+    "alone",
+    "owner crashes",
+    "all crash",
+    "refused",
+    "outages",
+    "machines die",
+    "freezes",
+    "cut off",
+];
 
 fn other(kind: &str, rng: &mut fastrand::Rng) -> Option<Trouble> {
     let back_ms = [60, 300, 2500][rng.usize(0..3)];
     match kind {
-        "owner crashes" => Some(Trouble::Crash { who: Who::Owner, back_ms }),
-        "all crash" => Some(Trouble::Crash { who: Who::All, back_ms }),
-        "refused" => Some(Trouble::Refused { who: Who::Owner, ms: rng.u64(2000..9000) }),
-        "outages" => Some(Trouble::StateOut { ms: rng.u64(1000..8000) }),
-        "machines die" => Some(Trouble::Die { machines: rng.usize(1..4) }),
-        "freezes" => Some(Trouble::Freeze { who: Who::Owner, ms: rng.u64(1000..6000) }),
-        "cut off" => Some(Trouble::CutOff { who: Who::Owner, ms: rng.u64(3000..12_000) }),
+        "owner crashes" => Some(Trouble::Crash {
+            who: Who::Owner,
+            back_ms,
+        }),
+        "all crash" => Some(Trouble::Crash {
+            who: Who::All,
+            back_ms,
+        }),
+        "refused" => Some(Trouble::Refused {
+            who: Who::Owner,
+            ms: rng.u64(2000..9000),
+        }),
+        "outages" => Some(Trouble::StateOut {
+            ms: rng.u64(1000..8000),
+        }),
+        "machines die" => Some(Trouble::Die {
+            machines: rng.usize(1..4),
+        }),
+        "freezes" => Some(Trouble::Freeze {
+            who: Who::Owner,
+            ms: rng.u64(1000..6000),
+        }),
+        "cut off" => Some(Trouble::CutOff {
+            who: Who::Owner,
+            ms: rng.u64(3000..12_000),
+        }),
         _ => None,
     }
 }
@@ -41,16 +68,34 @@
     let day = scene.day.as_mut().expect("days have troubles");
     // While all are late nothing can be recorded for sure: a quarter of the time at once.
     let for_ms = if share < 1.0 { 60_000 } else { 15_000 };
-    day.troubles.push((BEGIN, Trouble::LateWrites { share, for_ms, at_once: false }));
+    day.troubles.push((
+        BEGIN,
+        Trouble::LateWrites {
+            share,
+            for_ms,
+            at_once: false,
+        },
+    ));
     for at in (BEGIN + 2000..BEGIN + for_ms).step_by(7000) {
-        day.troubles.extend(other(kind, &mut rng).map(|t| (at + rng.u64(0..3000), t)));
+        day.troubles
+            .extend(other(kind, &mut rng).map(|t| (at + rng.u64(0..3000), t)));
     }
-    day.quiet = day.troubles.iter().map(|(at, t)| at + t.ms()).max().unwrap_or(0) + 12_000;
+    day.quiet = day
+        .troubles
+        .iter()
+        .map(|(at, t)| at + t.ms())
+        .max()
+        .unwrap_or(0)
+        + 12_000;
     plan
 }
 
 fn kept(world: &World, what: &str) {
-    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
     assert_eq!(world.state.counts.too_large, 0, "{what}");
 }
 
@@ -87,7 +132,10 @@
 #[test]
 fn days_of_late_writes_break_no_rule() {
     let shares = [0.05, 0.3, 0.6, 1.0];
-    let seeds = std::env::var("LATE_SEEDS").ok().and_then(|s| s.parse().ok()).unwrap_or(1u64);
+    let seeds = std::env::var("LATE_SEEDS")
+        .ok()
+        .and_then(|s| s.parse().ok())
+        .unwrap_or(1u64);
     let mut late = 0;
     for (i, kind) in OTHERS.iter().enumerate() {
         for (k, share) in shares.iter().enumerate() {
@@ -99,10 +147,27 @@
                 world.run_day();
                 let v = world.verdict();
                 kept(&world, &what);
-                assert!(v.forgotten_75.is_empty(), "{what}: forgotten {:?}", v.forgotten_75);
-                assert!(v.served_below_half.is_empty(), "{what}: {:?}", v.served_below_half);
-                assert!(v.largest_late.is_empty(), "{what}: late {:?}", v.largest_late);
-                assert!(v.jobs > 20 && v.done * 10 > v.jobs * 9, "{what}: {} of {} done", v.done, v.jobs);
+                assert!(
+                    v.forgotten_75.is_empty(),
+                    "{what}: forgotten {:?}",
+                    v.forgotten_75
+                );
+                assert!(
+                    v.served_below_half.is_empty(),
+                    "{what}: {:?}",
+                    v.served_below_half
+                );
+                assert!(
+                    v.largest_late.is_empty(),
+                    "{what}: late {:?}",
+                    v.largest_late
+                );
+                assert!(
+                    v.jobs > 20 && v.done * 10 > v.jobs * 9,
+                    "{what}: {} of {} done",
+                    v.done,
+                    v.jobs
+                );
                 world.run_for(45_000);
                 kept(&world, &what);
                 assert_eq!(left_running(&world), Vec::<String>::new(), "{what}");
@@ -118,21 +183,45 @@
 
 fn tree(max: f64) -> Spec {
     let gpus = |n: f64| -> Amounts { [("gpus".to_owned(), n)].into() };
-    let north = NodeSpec { guarantee: gpus(8.0), max: gpus(max), ..NodeSpec::new("north", None) };
-    Spec { nodes: vec![north], teams: vec![TeamSpec::new("red", Some("north"))] }
+    let north = NodeSpec {
+        guarantee: gpus(8.0),
+        max: gpus(max),
+        ..NodeSpec::new("north", None)
+    };
+    Spec {
+        nodes: vec![north],
+        teams: vec![TeamSpec::new("red", Some("north"))],
+    }
 }
 
 /// Something of everything that is ever written: arrays and gangs, some cancelled, counties, quota trees that follow
 /// each other, a model that sleeps and wakes.
 fn scene(seed: u64) -> Scene {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut scene = Scene { machines: 12, ..Scene::default() }.team("red", 8.0, 0.0).team("blue", 4.0, 0.0);
-    scene = scene.tree(1000, "first", &tree(20.0)).tree(40_000, "second", &tree(14.0));
-    scene = scene.tree(65_000, "third", &tree(18.0)).tree(120_000, "fourth", &tree(16.0));
-    let counties = json!({"others": "count", "county": [{"id": "c0", "rule": [{"classes": ["k0"]}]}]});
+    let mut scene = Scene {
+        machines: 12,
+        ..Scene::default()
+    }
+    .team("red", 8.0, 0.0)
+    .team("blue", 4.0, 0.0);
+    scene = scene
+        .tree(1000, "first", &tree(20.0))
+        .tree(40_000, "second", &tree(14.0));
+    scene = scene
+        .tree(65_000, "third", &tree(18.0))
+        .tree(120_000, "fourth", &tree(16.0));
+    let counties =
+        json!({"others": "count", "county": [{"id": "c0", "rule": [{"classes": ["k0"]}]}]});
     let change = json!({"id": "c", "by": "operator", "expect": null, "dry_run": false, "edit": {"set": {"spec": counties}}});
-    scene.asks.push((1500, COUNTIES.into(), json!({"change": change})));
-    let rule = Rule { class: Some("serve".into()), most: Some(2), wakes: 32, ..Rule::new("all", 15.0) };
+    scene
+        .asks
+        .push((1500, COUNTIES.into(), json!({"change": change})));
+    let rule = Rule {
+        class: Some("serve".into()),
+        most: Some(2),
+        wakes: 32,
+        ..Rule::new("all", 15.0)
+    };
     scene.models = Some(Models { rules: vec![rule] });
     let model = JobSpec {
         kind: Kind::Service,
@@ -140,13 +229,33 @@
         image: "m-1".into(),
         ..array(1, "blue", 3, 60.0)
     };
-    scene.jobs.push(Timed { at: 3000, run_ms: 10_000_000, cancel_ms: Some(150_000), spec: model });
-    scene.demands = [30_000, 60_000, 110_000].map(|at| (at, "job-000001".into(), None)).into();
-    let of_county = |spec: JobSpec| JobSpec { class: "k0".into(), ..spec };
+    scene.jobs.push(Timed {
+        at: 3000,
+        run_ms: 10_000_000,
+        cancel_ms: Some(150_000),
+        spec: model,
+    });
+    scene.demands = [30_000, 60_000, 110_000]
+        .map(|at| (at, "job-000001".into(), None))
+        .into();
+    let of_county = |spec: JobSpec| JobSpec {
+        class: "k0".into(),
+        ..spec
+    };
     let long = of_county(array(900, "blue", 300, 5.0));
-    scene.jobs.push(Timed { at: 5000, run_ms: 5000, cancel_ms: None, spec: long });
+    scene.jobs.push(Timed {
+        at: 5000,
+        run_ms: 5000,
+        cancel_ms: None,
+        spec: long,
+    });
     for i in 0..70 {
-        let mut spec = of_county(array(1000 + i, ["red", "blue"][rng.usize(0..2)], rng.u32(1..5), 6.0));
+        let mut spec = of_county(array(
+            1000 + i,
+            ["red", "blue"][rng.usize(0..2)],
+            rng.u32(1..5),
+            6.0,
+        ));
         spec.spot = rng.bool();
         if rng.u32(0..4) == 0 {
             (spec.kind, spec.tasks) = (Kind::Gang, rng.u32(1..4));
@@ -183,16 +292,27 @@
     world.state.unguarded = unguarded.to_vec();
     world.run_for(28_000);
     let mut seen: HashSet<Vec<String>> = HashSet::new();
-    world.hold_first(move |all| all.iter().any(|w| w.starts_with(kind)) && seen.insert(all.to_vec()));
+    world.hold_first(move |all| {
+        all.iter().any(|w| w.starts_with(kind)) && seen.insert(all.to_vec())
+    });
     for k in 0..6 {
         world.run_for(10_000);
         // Owners change, by an end and by steps down, so that there is something of each kind.
         match k {
-            1 if owners == Owners::Change => world.bring(&Trouble::Refused { who: Who::Owner, ms: 7000 }),
-            3 if owners == Owners::Change => world.bring(&Trouble::Crash { who: Who::Owner, back_ms: 300 }),
+            1 if owners == Owners::Change => world.bring(&Trouble::Refused {
+                who: Who::Owner,
+                ms: 7000,
+            }),
+            3 if owners == Owners::Change => world.bring(&Trouble::Crash {
+                who: Who::Owner,
+                back_ms: 300,
+            }),
             k => {
                 let on = world.on_machines();
-                let job = on.first().and_then(|t| wire::ids::parse_task(t)).map(|(id, _)| id.to_owned());
+                let job = on
+                    .first()
+                    .and_then(|t| wire::ids::parse_task(t))
+                    .map(|(id, _)| id.to_owned());
                 let machines = job.map(|j| world.machines_of(&j)).unwrap_or_default();
                 machines.iter().take(k % 2 + 1).for_each(|m| world.lose(m));
             }
@@ -202,7 +322,10 @@
     world.run_for(12_000);
     let landed = world.land_held();
     world.run_for(5000);
-    world.bring(&Trouble::Crash { who: Who::Owner, back_ms: 300 });
+    world.bring(&Trouble::Crash {
+        who: Who::Owner,
+        back_ms: 300,
+    });
     world.run_for(110_000);
     // Some take longer, where machines were lost.
     for _ in 0..20 {
@@ -244,7 +367,10 @@
 #[test]
 fn each_kind_of_write_may_land_a_minute_late_in_its_own_term() {
     let anew = each_kind_lands_late(Owners::Stay);
-    assert!(anew["put part/0/hire/"] > 0, "no record of a rental was put anew: {anew:?}");
+    assert!(
+        anew["put part/0/hire/"] > 0,
+        "no record of a rental was put anew: {anew:?}"
+    );
 }
 
 /// How many transactions of each kind changed something.
@@ -254,20 +380,34 @@
         let (seed, nodes) = (40 + i as u64, [3, 5, 7][i % 3]);
         let what = format!("{kind}, owners {owners:?}, seed {seed}, {nodes} nodes");
         let (mut world, landed) = held_for_a_minute(kind, owners, &[], seed, nodes);
-        let of_terms = ["put sys/owner/", "put sys/token", "DELETE /grants/", "POST /grants/"];
+        let of_terms = [
+            "put sys/owner/",
+            "put sys/token",
+            "DELETE /grants/",
+            "POST /grants/",
+        ];
         let none = owners == Owners::Stay && of_terms.contains(&kind);
         assert!(none || !landed.is_empty(), "{what}: none was held");
         let changed: Vec<_> = landed.iter().filter(|(_, changed)| *changed).collect();
         assert!(may_change || changed.is_empty(), "{what}: {changed:?}");
         *anew.entry(kind).or_default() += changed.len();
         kept(&world, &what);
-        assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+        assert!(
+            world.unfinished().is_empty(),
+            "{what}: never ended: {:?}",
+            world.unfinished()
+        );
         world.run_for(45_000);
         kept(&world, &what);
         assert_eq!(left_running(&world), Vec::<String>::new(), "{what}");
         assert_eq!(numbers_used_again(&world), Vec::<String>::new(), "{what}");
         // A new owner has tidied away what came anew.
-        let logs = world.state.keys.keys().filter(|k| k.starts_with("part/0/log/")).count();
+        let logs = world
+            .state
+            .keys
+            .keys()
+            .filter(|k| k.starts_with("part/0/log/"))
+            .count();
         assert!(logs < 5, "{what}: {logs} log records are left");
     }
     println!("{owners:?}: {anew:?}");
@@ -286,16 +426,33 @@
             cancel_ms: None,
             spec: array(1000 + i as u32, "red", 1, 2.0),
         };
-        let scene = Scene { jobs: (0..8).map(job).collect(), machines: 2, ..Scene::default() };
-        let mut world = World::new(Plan::of_scene(seed, 3, scene.team("red", 4.0, 0.0), 0, 400_000));
+        let scene = Scene {
+            jobs: (0..8).map(job).collect(),
+            machines: 2,
+            ..Scene::default()
+        };
+        let mut world = World::new(Plan::of_scene(
+            seed,
+            3,
+            scene.team("red", 4.0, 0.0),
+            0,
+            400_000,
+        ));
         world.hold_first(|all| all.iter().any(|w| w.starts_with("remove part/0/rack/")));
         world.run_for(200_000);
         // Nothing that comes now takes another's place.
         let landed = world.land_held();
         held += landed.len();
-        assert!(landed.iter().all(|(_, changed)| !changed), "seed {seed}: {landed:?}");
+        assert!(
+            landed.iter().all(|(_, changed)| !changed),
+            "seed {seed}: {landed:?}"
+        );
         kept(&world, &format!("seed {seed}"));
-        assert_eq!(numbers_used_again(&world), Vec::<String>::new(), "seed {seed}");
+        assert_eq!(
+            numbers_used_again(&world),
+            Vec::<String>::new(),
+            "seed {seed}"
+        );
     }
     assert!(held > 20, "only {held} removals were held");
 }
@@ -312,13 +469,28 @@
         for _ in 0..4 {
             // All the others are refused when it comes to an election, so that the same node wins it.
             let owner = world.owner_at().expect("some node owns the fleet");
-            world.bring(&Trouble::Refused { who: Who::Owner, ms: 2600 });
+            world.bring(&Trouble::Refused {
+                who: Who::Owner,
+                ms: 2600,
+            });
             (0..nodes).filter(|n| *n != owner).for_each(|n| {
-                world.bring(&Trouble::Refused { who: Who::Node(n), ms: 6000 });
+                world.bring(&Trouble::Refused {
+                    who: Who::Node(n),
+                    ms: 6000,
+                });
             });
             world.run_for(5500);
-            assert_eq!(world.owner_at(), Some(owner), "seed {seed}: the same owner again");
-            let record = |w: &World| w.state.keys.get("sys/owner/0").map(|e| (e.version, e.value.clone()));
+            assert_eq!(
+                world.owner_at(),
+                Some(owner),
+                "seed {seed}: the same owner again"
+            );
+            let record = |w: &World| {
+                w.state
+                    .keys
+                    .get("sys/owner/0")
+                    .map(|e| (e.version, e.value.clone()))
+            };
             let before: Option<(u64, Value)> = record(&world);
             ended += world.land_held().len();
             world.run_for(300);
@@ -344,7 +516,8 @@
     for (i, kind) in kinds.iter().copied().enumerate() {
         // Whether a held write still fits where it lands is the world's luck.
         for seed in 0..HELD_TRIES {
-            let (world, landed) = held_for_a_minute(kind, owners, unguarded, 40 + i as u64 + seed, 3);
+            let (world, landed) =
+                held_for_a_minute(kind, owners, unguarded, 40 + i as u64 + seed, 3);
             seen.extend(world.rules.broken.keys().map(|r| (*r).to_string()));
             if landed.iter().any(|(_, changed)| *changed) {
                 seen.insert("landed".into());
@@ -377,9 +550,11 @@
 /// Guards ignored by the state service, one kind after the other: what each is there for.
 #[test]
 fn every_guard_is_there_for_something() {
-    let seen = GUARDS
-        .map(|(guards, owners, kinds, days)| (guards, kinds, seen_without(owners, guards, kinds, days)));
-    seen.iter().for_each(|(guards, kinds, seen)| println!("| {guards:?} | {kinds:?}: {seen:?} |"));
+    let seen = GUARDS.map(|(guards, owners, kinds, days)| {
+        (guards, kinds, seen_without(owners, guards, kinds, days))
+    });
+    seen.iter()
+        .for_each(|(guards, kinds, seen)| println!("| {guards:?} | {kinds:?}: {seen:?} |"));
     let unseen: Vec<_> = seen.iter().filter(|(_, _, seen)| seen.is_empty()).collect();
     assert!(unseen.is_empty(), "{unseen:?}");
 }
@@ -387,14 +562,29 @@
 /// The keys whose guards are ignored, the writes that are held then, and days that are played.
 const GUARDS: [(&[&str], Owners, &[&str], u64); 12] = [
     (&[""], Owners::Change, &[], 24),
-    (&["sys/owner/"], Owners::Change, &["put part/0/log/", "put part/0/rack/", "put part/0/hire/"], 0),
+    (
+        &["sys/owner/"],
+        Owners::Change,
+        &["put part/0/log/", "put part/0/rack/", "put part/0/hire/"],
+        0,
+    ),
     (&["live/", "end/"], Owners::Change, &["put live/"], 0),
     (&["live/", "end/"], Owners::Stay, &["put end/"], 0),
     (&["end/"], Owners::Change, &["put live/"], 0),
     (&["live/"], Owners::Stay, &["put part/0/log/"], 0),
     (&["part/0/log/"], Owners::Stay, &["put part/0/log/"], 0),
-    (&["part/0/rack/", "part/0/hire/", "live/"], Owners::Stay, &["put part/0/rack/"], 0),
-    (&["sys/quota", "part/0/allot"], Owners::Stay, &["put sys/quota"], 0),
+    (
+        &["part/0/rack/", "part/0/hire/", "live/"],
+        Owners::Stay,
+        &["put part/0/rack/"],
+        0,
+    ),
+    (
+        &["sys/quota", "part/0/allot"],
+        Owners::Stay,
+        &["put sys/quota"],
+        0,
+    ),
     (&["model/"], Owners::Stay, &["put model/"], 0),
     (&["part/0/tally/"], Owners::Stay, &["put part/0/tally/"], 0),
     (&["part/0/hire/"], Owners::Stay, &["put part/0/hire/"], 0),
--- a/crates/standins/tests/machine_meetings.rs
+++ b/crates/standins/tests/machine_meetings.rs
@@ -11,7 +11,10 @@
 
 /// So many rounds, or as many as `SWEEP` says.
 fn sweep(rounds: u64) -> u64 {
-    std::env::var("SWEEP").ok().and_then(|n| n.parse().ok()).unwrap_or(rounds)
+    std::env::var("SWEEP")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(rounds)
 }
 
 fn world(seed: u64, scene: Scene) -> World {
@@ -21,29 +24,63 @@
 
 fn ends(world: &mut World, ms: u64, what: &str) {
     world.run_for(ms);
-    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
-    assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
+    assert!(
+        world.unfinished().is_empty(),
+        "{what}: never ended: {:?}",
+        world.unfinished()
+    );
 }
 
 /// More work than one team may do at once, arrays and gangs; every third job is cancelled at 30 s.
 fn at_its_limit(seed: u64) -> World {
     let job = |i: u32| {
         let kind = if i % 4 == 1 { Kind::Gang } else { Kind::Array };
-        let spec = JobSpec { kind, ..array(100 + i, "red", 2, 30.0) };
+        let spec = JobSpec {
+            kind,
+            ..array(100 + i, "red", 2, 30.0)
+        };
         let at = 1000 + u64::from(i) * 900;
-        let cancel_ms = i.is_multiple_of(3).then(|| 30_000u64.saturating_sub(at).max(200));
-        Timed { at, run_ms: 20_000 + u64::from(i) * 1000, cancel_ms, spec }
+        let cancel_ms = i
+            .is_multiple_of(3)
+            .then(|| 30_000u64.saturating_sub(at).max(200));
+        Timed {
+            at,
+            run_ms: 20_000 + u64::from(i) * 1000,
+            cancel_ms,
+            spec,
+        }
+    };
+    let scene = Scene {
+        jobs: (0..12).map(job).collect(),
+        machines: 6,
+        ..Scene::default()
     };
-    let scene = Scene { jobs: (0..12).map(job).collect(), machines: 6, ..Scene::default() };
     world(seed, scene.team("red", 10.0, 10.0))
 }
 
 fn change(round: u64) -> Trouble {
     match round % 4 {
-        0 => Trouble::Crash { who: Who::Owner, back_ms: 80 },
-        1 => Trouble::Crash { who: Who::Owner, back_ms: 20_000 },
-        2 => Trouble::Refused { who: Who::Owner, ms: 6000 },
-        _ => Trouble::Crash { who: Who::All, back_ms: 300 },
+        0 => Trouble::Crash {
+            who: Who::Owner,
+            back_ms: 80,
+        },
+        1 => Trouble::Crash {
+            who: Who::Owner,
+            back_ms: 20_000,
+        },
+        2 => Trouble::Refused {
+            who: Who::Owner,
+            ms: 6000,
+        },
+        _ => Trouble::Crash {
+            who: Who::All,
+            back_ms: 300,
+        },
     }
 }
 
@@ -53,11 +90,17 @@
 fn limits_hold_while_machines_that_hang_or_are_mute_lose_cancelled_work() {
     for round in 0..sweep(12) {
         let ms = [5000, LEASE_MS - 2000, LEASE_MS + 6000][round as usize / 2 % 3];
-        let machines =
-            [Machines::Count(3), Machines::Zone("a"), Machines::Share(1.0)][round as usize / 4 % 3];
+        let machines = [
+            Machines::Count(3),
+            Machines::Zone("a"),
+            Machines::Share(1.0),
+        ][round as usize / 4 % 3];
         let trouble = match round % 2 {
             0 => Trouble::Hang { machines, ms },
-            _ => Trouble::Mute { machines, ms: ms * 3 },
+            _ => Trouble::Mute {
+                machines,
+                ms: ms * 3,
+            },
         };
         let what = format!("round {round}: {trouble:?}, {:?}", change(round / 2));
         let mut world = at_its_limit(round);
@@ -74,22 +117,47 @@
 #[test]
 fn work_on_mute_machines_goes_on_elsewhere() {
     for round in 0..sweep(3) {
-        let spec = JobSpec { checkpoint_s: 0.0, ..array(1, "red", 4, 25.0) };
-        let job = Timed { at: 1000, run_ms: 25_000, cancel_ms: None, spec };
-        let mut world =
-            world(round, Scene { jobs: vec![job], machines: 6, ..Scene::default() }.team("red", 8.0, 0.0));
+        let spec = JobSpec {
+            checkpoint_s: 0.0,
+            ..array(1, "red", 4, 25.0)
+        };
+        let job = Timed {
+            at: 1000,
+            run_ms: 25_000,
+            cancel_ms: None,
+            spec,
+        };
+        let mut world = world(
+            round,
+            Scene {
+                jobs: vec![job],
+                machines: 6,
+                ..Scene::default()
+            }
+            .team("red", 8.0, 0.0),
+        );
         let mut waited = 0;
         while world.on_machines().len() < 4 && waited < 60_000 {
             world.run_for(100);
             waited += 100;
         }
         assert_eq!(world.on_machines().len(), 4, "round {round}: they run");
-        world.bring(&Trouble::Mute { machines: Machines::Share(1.0), ms: 400_000 });
+        world.bring(&Trouble::Mute {
+            machines: Machines::Share(1.0),
+            ms: 400_000,
+        });
         if round == 1 {
-            world.bring(&Trouble::Crash { who: Who::Owner, back_ms: 5000 });
+            world.bring(&Trouble::Crash {
+                who: Who::Owner,
+                back_ms: 5000,
+            });
         }
         // A lease, the time to notice, a boot and the task itself.
-        ends(&mut world, LEASE_MS + 10_000 + 30_000 + 25_000, &format!("round {round}"));
+        ends(
+            &mut world,
+            LEASE_MS + 10_000 + 30_000 + 25_000,
+            &format!("round {round}"),
+        );
     }
 }
 
@@ -105,11 +173,19 @@
             cancel_ms: (i % 4 == 3).then_some(3000),
             spec: array(100 + i, "red", 3, 6.0),
         };
-        let scene = Scene { jobs: (0..14).map(job).collect(), machines: 12, ..Scene::default() };
+        let scene = Scene {
+            jobs: (0..14).map(job).collect(),
+            machines: 12,
+            ..Scene::default()
+        };
         let mut world = world(round, scene.team("red", 8.0, 8.0));
         let what = format!("round {round}");
         world.bring(&Trouble::QuickBoots { ms: 60_000 });
-        world.bring(&Trouble::LateWrites { share: 0.5, for_ms: 40_000, at_once: round % 3 != 2 });
+        world.bring(&Trouble::LateWrites {
+            share: 0.5,
+            for_ms: 40_000,
+            at_once: round % 3 != 2,
+        });
         for k in 0..8u64 {
             world.run_for(2100 + (round * 370 + k * 510) % 2300);
             if k % 2 == 1 {
@@ -129,20 +205,35 @@
 #[test]
 fn reports_for_the_next_leader_prove_nothing() {
     for round in 0..sweep(9) {
-        let next = [NextLeader::Held, NextLeader::CopyToAll, NextLeader::CopyToOne][round as usize % 3];
+        let next = [
+            NextLeader::Held,
+            NextLeader::CopyToAll,
+            NextLeader::CopyToOne,
+        ][round as usize % 3];
         let what = format!("round {round}: {next:?}");
         let mut world = at_its_limit(40 + round);
         world.run_for(12_000);
         for k in 0..4u64 {
-            world.bring(&Trouble::LateReports { share: 0.6, for_ms: 9000, next });
+            world.bring(&Trouble::LateReports {
+                share: 0.6,
+                for_ms: 9000,
+                next,
+            });
             world.run_for(4000 + k * 700);
-            world.bring(&Trouble::Hang { machines: Machines::Count(2), ms: 4000 + 4500 * k });
+            world.bring(&Trouble::Hang {
+                machines: Machines::Count(2),
+                ms: 4000 + 4500 * k,
+            });
             world.run_for(500 + (round * 230) % 1500);
             world.bring(&change(round + k));
             world.run_for(4000);
         }
         ends(&mut world, 280_000, &what);
-        assert!(world.hits.held_reports + world.hits.copies > 0, "{what}: {:?}", world.hits);
+        assert!(
+            world.hits.held_reports + world.hits.copies > 0,
+            "{what}: {:?}",
+            world.hits
+        );
     }
 }
 
@@ -160,7 +251,10 @@
                 world.bring(&Trouble::StateOut { ms: 18_000 });
             }
             if k == 7 && round % 2 == 1 {
-                world.bring(&Trouble::Crash { who: Who::All, back_ms: LEASE_MS + 4000 });
+                world.bring(&Trouble::Crash {
+                    who: Who::All,
+                    back_ms: LEASE_MS + 4000,
+                });
             }
             world.run_for(11_000 + k * 150);
         }
--- a/crates/standins/tests/machine_troubles.rs
+++ b/crates/standins/tests/machine_troubles.rs
@@ -4,7 +4,11 @@
 use standins::scene::{Scene, Timed, array};
 use standins::world::{Plan, World};
 
-const NEXT: [NextLeader; 3] = [NextLeader::CopyToOne, NextLeader::CopyToAll, NextLeader::Held];
+const NEXT: [NextLeader; 3] = [
+    NextLeader::CopyToOne,
+    NextLeader::CopyToAll,
+    NextLeader::Held,
+];
 
 /// A dozen machines with tasks of 20 s that come one after the other, and half a minute of it.
 fn world(seed: u64) -> World {
@@ -14,8 +18,18 @@
         cancel_ms: None,
         spec: array(1000 + i, "red", 4, 20.0),
     };
-    let scene = Scene { jobs: (0..40).map(job).collect(), machines: 12, ..Scene::default() };
-    let mut world = World::new(Plan::of_scene(seed, 3, scene.team("red", 24.0, 0.0), 0, 600_000));
+    let scene = Scene {
+        jobs: (0..40).map(job).collect(),
+        machines: 12,
+        ..Scene::default()
+    };
+    let mut world = World::new(Plan::of_scene(
+        seed,
+        3,
+        scene.team("red", 24.0, 0.0),
+        0,
+        600_000,
+    ));
     world.run_for(30_000);
     world
 }
@@ -28,10 +42,17 @@
 fn only_the_answers_of_writes_are_lost() {
     let mut world = world(1);
     let before = world.state.revision;
-    world.bring(&Trouble::LateWrites { share: 1.0, for_ms: 3000, at_once: true });
+    world.bring(&Trouble::LateWrites {
+        share: 1.0,
+        for_ms: 3000,
+        at_once: true,
+    });
     world.run_for(3000);
     let hits = world.hits;
-    assert!(hits.unanswered_writes > 0 && world.state.revision > before, "{hits:?}");
+    assert!(
+        hits.unanswered_writes > 0 && world.state.revision > before,
+        "{hits:?}"
+    );
     assert_eq!(hits.unanswered_writes, hits.late_writes + hits.late_refused);
     world.run_for(30_000);
     assert_eq!(world.hits, hits);
@@ -43,10 +64,21 @@
 fn reports_wait_for_the_next_leader() {
     for (next, seed) in NEXT.into_iter().zip(2..) {
         let mut world = world(seed);
-        world.bring(&Trouble::LateReports { share: 0.3, for_ms: 20_000, next });
+        world.bring(&Trouble::LateReports {
+            share: 0.3,
+            for_ms: 20_000,
+            next,
+        });
         world.run_for(8000);
-        assert_eq!((world.hits.copies, world.hits.held_reports), (0, 0), "{next:?}");
-        world.bring(&Trouble::Crash { who: Who::Owner, back_ms: 5000 });
+        assert_eq!(
+            (world.hits.copies, world.hits.held_reports),
+            (0, 0),
+            "{next:?}"
+        );
+        world.bring(&Trouble::Crash {
+            who: Who::Owner,
+            back_ms: 5000,
+        });
         world.run_for(12_000);
         let hits = world.hits;
         match next {
@@ -63,13 +95,23 @@
 fn copies_for_all_come_to_all() {
     let copies = |next| {
         let mut world = world(5);
-        world.bring(&Trouble::LateReports { share: 0.5, for_ms: 5000, next });
+        world.bring(&Trouble::LateReports {
+            share: 0.5,
+            for_ms: 5000,
+            next,
+        });
         world.run_for(5000);
-        world.bring(&Trouble::Crash { who: Who::Owner, back_ms: 100 });
+        world.bring(&Trouble::Crash {
+            who: Who::Owner,
+            back_ms: 100,
+        });
         world.run_for(20_000);
         world.hits.copies
     };
-    assert_eq!(copies(NextLeader::CopyToAll), 3 * copies(NextLeader::CopyToOne));
+    assert_eq!(
+        copies(NextLeader::CopyToAll),
+        3 * copies(NextLeader::CopyToOne)
+    );
 }
 
 /// Mute machines lose their leases; what is sent to them directly is carried out and answered meanwhile.
@@ -77,10 +119,16 @@
 fn the_mute_hear_and_are_not_heard() {
     let mut world = world(6);
     let before = world.sessions_lost();
-    world.bring(&Trouble::Mute { machines: Machines::Zone("a"), ms: 18_000 });
+    world.bring(&Trouble::Mute {
+        machines: Machines::Zone("a"),
+        ms: 18_000,
+    });
     world.run_for(1000);
-    let on_mute = |w: &World, job: &str| w.machines_of(job).iter().any(|m| w.zone_of(m) == Some("a"));
-    let job = (1000..1040).map(|i| format!("job-{i:06}")).find(|job| on_mute(&world, job));
+    let on_mute =
+        |w: &World, job: &str| w.machines_of(job).iter().any(|m| w.zone_of(m) == Some("a"));
+    let job = (1000..1040)
+        .map(|i| format!("job-{i:06}"))
+        .find(|job| on_mute(&world, job));
     let job = job.expect("zone a is at work");
     world.cancel(&job);
     // Far less than a lease.
@@ -88,7 +136,11 @@
     assert!(!on_mute(&world, &job), "{job}");
     world.run_for(9000);
     let lost = world.sessions_lost() - before;
-    assert!(world.hits.unsaid > 10 && lost >= 1, "{:?} {lost}", world.hits);
+    assert!(
+        world.hits.unsaid > 10 && lost >= 1,
+        "{:?} {lost}",
+        world.hits
+    );
     let sessions = world.sessions();
     world.run_for(40_000);
     // None is lost once they are heard again. Machines may be returned and hired meanwhile.
@@ -104,10 +156,16 @@
 fn machines_hang_and_go_on() {
     let mut world = world(7);
     let before = world.sessions_lost();
-    world.bring(&Trouble::Hang { machines: Machines::Count(3), ms: 9000 });
+    world.bring(&Trouble::Hang {
+        machines: Machines::Count(3),
+        ms: 9000,
+    });
     world.run_for(60_000);
     assert_eq!(world.sessions_lost(), before);
-    world.bring(&Trouble::Hang { machines: Machines::Count(3), ms: 18_000 });
+    world.bring(&Trouble::Hang {
+        machines: Machines::Count(3),
+        ms: 18_000,
+    });
     world.run_for(25_000);
     assert!(world.sessions_lost() > before);
     kept(&world);
@@ -117,7 +175,16 @@
 #[test]
 fn boots_are_quick() {
     let boots = |quick: bool| {
-        let mut world = World::new(Plan::of_scene(8, 3, Scene { machines: 12, ..scene() }, 0, 600_000));
+        let mut world = World::new(Plan::of_scene(
+            8,
+            3,
+            Scene {
+                machines: 12,
+                ..scene()
+            },
+            0,
+            600_000,
+        ));
         if quick {
             world.bring(&Trouble::QuickBoots { ms: 60_000 });
         }
@@ -132,12 +199,24 @@
     };
     let (_, quick, at) = boots(true);
     let (_, usual, later) = boots(false);
-    assert!(quick > usual && at <= later + 1000, "{quick} {usual} {at} {later}");
+    assert!(
+        quick > usual && at <= later + 1000,
+        "{quick} {usual} {at} {later}"
+    );
 }
 
 fn scene() -> Scene {
-    let job = Timed { at: 1000, run_ms: 20_000, cancel_ms: None, spec: array(1000, "red", 24, 20.0) };
-    Scene { jobs: vec![job], ..Scene::default() }.team("red", 24.0, 0.0)
+    let job = Timed {
+        at: 1000,
+        run_ms: 20_000,
+        cancel_ms: None,
+        spec: array(1000, "red", 24, 20.0),
+    };
+    Scene {
+        jobs: vec![job],
+        ..Scene::default()
+    }
+    .team("red", 24.0, 0.0)
 }
 
 /// Answers take as long as they may, leases of workers last, and all is as it was afterwards.
--- a/crates/standins/tests/models.rs
+++ b/crates/standins/tests/models.rs
@@ -8,7 +8,13 @@
 
 fn rule() -> Rule {
     let class = Some("serve".to_owned());
-    Rule { class, most: Some(2), wakes: 32, begin: Begin::Asleep, ..Rule::new("all", 20.0) }
+    Rule {
+        class,
+        most: Some(2),
+        wakes: 32,
+        begin: Begin::Asleep,
+        ..Rule::new("all", 20.0)
+    }
 }
 
 fn model(id: u32) -> JobSpec {
@@ -26,9 +32,18 @@
 
 /// Models that are submitted at the begin, and so many machines.
 fn scene(models: std::ops::Range<u32>, machines: usize, rule: Rule) -> Scene {
-    let mut scene = Scene { machines, ..Scene::default() }.team("red", 4.0, 0.0);
+    let mut scene = Scene {
+        machines,
+        ..Scene::default()
+    }
+    .team("red", 4.0, 0.0);
     scene.models = Some(Spec { rules: vec![rule] });
-    let timed = |n| Timed { at: 3000, run_ms: 10_000_000, cancel_ms: None, spec: model(n) };
+    let timed = |n| Timed {
+        at: 3000,
+        run_ms: 10_000_000,
+        cancel_ms: None,
+        spec: model(n),
+    };
     scene.jobs = models.map(timed).collect();
     scene
 }
@@ -38,7 +53,10 @@
 }
 
 fn rec(w: &World, n: u32) -> (Phase, u64) {
-    w.models.recs.get(&id(n)).map_or((Phase::Asleep, 0), |r| (r.phase, r.generation))
+    w.models
+        .recs
+        .get(&id(n))
+        .map_or((Phase::Asleep, 0), |r| (r.phase, r.generation))
 }
 
 /// A boot may take several times its time.
@@ -53,8 +71,17 @@
 
 fn is_whole(w: &World) {
     assert!(w.rules.broken.is_empty(), "{:?}", w.rules.broken);
-    let cancelled = |m: &str| w.rules.jobs.get(m).is_none_or(|j| j.told_cancelled.is_some());
-    assert_eq!(w.models.lost(cancelled), Vec::<String>::new(), "models_lost");
+    let cancelled = |m: &str| {
+        w.rules
+            .jobs
+            .get(m)
+            .is_none_or(|j| j.told_cancelled.is_some())
+    };
+    assert_eq!(
+        w.models.lost(cancelled),
+        Vec::<String>::new(),
+        "models_lost"
+    );
 }
 
 /// Asleep at first, woken by ten thousand at once by one transaction, up, idle, asleep by proof with its machines given
@@ -63,7 +90,10 @@
 fn a_model_wakes_once_and_gives_its_machines_back() {
     let mut w = world(1, 3, scene(1..2, 4, rule()));
     w.run_for(30_000);
-    assert_eq!((rec(&w, 1), w.models.replicas(&id(1)), w.models.recs.len()), ((Phase::Asleep, 0), 0, 0));
+    assert_eq!(
+        (rec(&w, 1), w.models.replicas(&id(1)), w.models.recs.len()),
+        ((Phase::Asleep, 0), 0, 0)
+    );
     for i in 0..10_000 {
         w.demand(&id(1), Some(i % 3));
         if i % 10 == 0 {
@@ -73,13 +103,29 @@
     w.run_for(12_000);
     assert_eq!(rec(&w, 1), (Phase::Awake, 1));
     assert_eq!(w.models.written["waking"], 1);
-    let told = |status| w.models.answers.iter().filter(|a| a.status == status).count();
-    assert_eq!((told(200) + told(503), w.models.replicas(&id(1))), (10_000, 2));
+    let told = |status| {
+        w.models
+            .answers
+            .iter()
+            .filter(|a| a.status == status)
+            .count()
+    };
+    assert_eq!(
+        (told(200) + told(503), w.models.replicas(&id(1))),
+        (10_000, 2)
+    );
     assert!(told(200) > 5000, "{} were told", told(200));
     w.run_for(60_000);
-    assert_eq!((rec(&w, 1), w.models.replicas(&id(1))), ((Phase::Asleep, 1), 0));
+    assert_eq!(
+        (rec(&w, 1), w.models.replicas(&id(1))),
+        ((Phase::Asleep, 1), 0)
+    );
     w.run_for(30_000);
-    assert_eq!(w.owner().expect("owner").node().machine_count(), 0, "all machines are given back");
+    assert_eq!(
+        w.owner().expect("owner").node().machine_count(),
+        0,
+        "all machines are given back"
+    );
     w.demand(&id(1), None);
     w.run_for(12_000);
     assert_eq!(rec(&w, 1), (Phase::Awake, 2));
@@ -91,7 +137,14 @@
 #[test]
 fn without_a_document_nothing_differs() {
     for models in [false, true] {
-        let mut scene = scene(1..2, 4, Rule { jobs: vec![id(7)], ..rule() });
+        let mut scene = scene(
+            1..2,
+            4,
+            Rule {
+                jobs: vec![id(7)],
+                ..rule()
+            },
+        );
         if !models {
             scene.models = None;
         }
@@ -131,13 +184,21 @@
             (1..3).for_each(|n| w.demand(&id(n), None));
             w.run_for(24_000);
             is_whole(&w);
-            assert_eq!((rec(&w, 1), rec(&w, 2)), ((Phase::Awake, 1), (Phase::Awake, 1)), "{nodes}, {step}");
+            assert_eq!(
+                (rec(&w, 1), rec(&w, 2)),
+                ((Phase::Awake, 1), (Phase::Awake, 1)),
+                "{nodes}, {step}"
+            );
             // And in the midst of going to sleep.
             w.run_for(step * 50);
             w.doom_owner();
             w.run_for(45_000);
             is_whole(&w);
-            assert_eq!((rec(&w, 1), rec(&w, 2)), ((Phase::Asleep, 1), (Phase::Asleep, 1)), "{nodes}, {step}");
+            assert_eq!(
+                (rec(&w, 1), rec(&w, 2)),
+                ((Phase::Asleep, 1), (Phase::Asleep, 1)),
+                "{nodes}, {step}"
+            );
         }
     }
 }
@@ -161,7 +222,11 @@
             w.demand(&id(1), Some(far));
             w.run_for(4000);
         }
-        assert_eq!(rec(&w, 1), (Phase::Awake, 1), "its demand stands in the record");
+        assert_eq!(
+            rec(&w, 1),
+            (Phase::Awake, 1),
+            "its demand stands in the record"
+        );
         w.run_for(40_000);
         assert_eq!(rec(&w, 1), (Phase::Asleep, 1));
         w.demand(&id(1), Some(far));
@@ -186,7 +251,11 @@
         w.run_for(step * 60);
         w.demand(&id(1), None);
         w.run_for(12_000);
-        assert_eq!((rec(&w, 1), w.models.replicas(&id(1))), ((Phase::Awake, 2), 2), "{step}");
+        assert_eq!(
+            (rec(&w, 1), w.models.replicas(&id(1))),
+            ((Phase::Awake, 2), 2),
+            "{step}"
+        );
         is_whole(&w);
     }
 }
@@ -200,17 +269,37 @@
     w.cloud_out(30_000);
     (1..9).for_each(|n| w.demand(&id(n), None));
     w.run_for(25_000);
-    let waking: Vec<u32> = (1..9).filter(|n| rec(&w, *n) == (Phase::Waking, 1)).collect();
+    let waking: Vec<u32> = (1..9)
+        .filter(|n| rec(&w, *n) == (Phase::Waking, 1))
+        .collect();
     assert!(waking.len() >= 4 && waking.contains(&2), "{waking:?}");
     w.cancel(&id(2));
     w.run_for(20_000);
     let up = |n: u32| waking.contains(&n) && n != 2;
-    let awake = (1..9).filter(|n| up(*n)).all(|n| rec(&w, n) == (Phase::Awake, 1));
-    assert!(awake && w.models.replicas(&id(2)) == 0, "{:?}", w.models.recs);
+    let awake = (1..9)
+        .filter(|n| up(*n))
+        .all(|n| rec(&w, n) == (Phase::Awake, 1));
+    assert!(
+        awake && w.models.replicas(&id(2)) == 0,
+        "{:?}",
+        w.models.recs
+    );
     (0..3).for_each(|n| w.demand(&id(2), Some(n)));
     w.run_for(60_000);
-    assert_eq!(w.models.answers.iter().rev().take(3).map(|a| a.status).collect::<Vec<_>>(), [404; 3]);
-    assert!(!w.state.keys.contains_key("model/job-000002"), "its record is gone");
+    assert_eq!(
+        w.models
+            .answers
+            .iter()
+            .rev()
+            .take(3)
+            .map(|a| a.status)
+            .collect::<Vec<_>>(),
+        [404; 3]
+    );
+    assert!(
+        !w.state.keys.contains_key("model/job-000002"),
+        "its record is gone"
+    );
     is_whole(&w);
 }
 
@@ -218,7 +307,19 @@
 /// until they are up, and nobody is answered late.
 #[test]
 fn a_flood_on_two_hundred_models_wakes_each_once() {
-    let mut w = world(5, 5, scene(1..201, 110, Rule { most: Some(1), idle_s: 120.0, ..rule() }));
+    let mut w = world(
+        5,
+        5,
+        scene(
+            1..201,
+            110,
+            Rule {
+                most: Some(1),
+                idle_s: 120.0,
+                ..rule()
+            },
+        ),
+    );
     w.run_for(30_000);
     (1..21).for_each(|n| w.demand(&id(n), None));
     w.run_for(20_000);
@@ -231,8 +332,21 @@
     }
     w.run_for(60_000);
     is_whole(&w);
-    assert_eq!((1..201).filter(|n| rec(&w, *n) == (Phase::Awake, 1)).count(), 200);
-    assert_eq!((w.models.written["waking"], w.models.written["awake"]), (200, 200));
-    let slow = w.models.answers.iter().filter(|a| a.at > a.asked + 2000).count();
+    assert_eq!(
+        (1..201)
+            .filter(|n| rec(&w, *n) == (Phase::Awake, 1))
+            .count(),
+        200
+    );
+    assert_eq!(
+        (w.models.written["waking"], w.models.written["awake"]),
+        (200, 200)
+    );
+    let slow = w
+        .models
+        .answers
+        .iter()
+        .filter(|a| a.at > a.asked + 2000)
+        .count();
     assert_eq!(slow, 0, "answers that took long");
 }
--- a/crates/standins/tests/odd_requests.rs
+++ b/crates/standins/tests/odd_requests.rs
@@ -16,17 +16,33 @@
 const BEGIN: u64 = 25_000;
 
 fn world(seed: u64, jobs: Vec<Timed>) -> World {
-    let scene = Scene { jobs, machines: 12, ..Scene::default() }.team("red", 8.0, 12.0);
+    let scene = Scene {
+        jobs,
+        machines: 12,
+        ..Scene::default()
+    }
+    .team("red", 8.0, 12.0);
     World::new(Plan::of_scene(seed, NODES, scene, 0, 400_000))
 }
 
 fn timed(run_ms: u64, spec: JobSpec) -> Timed {
-    Timed { at: 1000, run_ms, cancel_ms: None, spec }
+    Timed {
+        at: 1000,
+        run_ms,
+        cancel_ms: None,
+        spec,
+    }
 }
 
 fn three(seed: u64) -> World {
-    let cancelled = Timed { cancel_ms: Some(10_000), ..timed(200_000, array(1002, "red", 1, 200.0)) };
-    let jobs = [timed(200_000, array(1000, "red", 1, 200.0)), timed(1000, array(1001, "red", 1, 1.0))];
+    let cancelled = Timed {
+        cancel_ms: Some(10_000),
+        ..timed(200_000, array(1002, "red", 1, 200.0))
+    };
+    let jobs = [
+        timed(200_000, array(1000, "red", 1, 200.0)),
+        timed(1000, array(1001, "red", 1, 1.0)),
+    ];
     world(seed, jobs.into_iter().chain([cancelled]).collect())
 }
 
@@ -35,12 +51,27 @@
     vec![
         (json!({"lot": null}), "invalid: lot: missing"),
         (json!({"gpus": "1"}), "invalid: gpus: must be a number"),
-        (json!({"pieces": 100_001}), "invalid: pieces: must be an integer from 1 to 100000"),
-        (json!({"builds": ["g2", "g2"]}), "invalid: builds: names a type twice"),
+        (
+            json!({"pieces": 100_001}),
+            "invalid: pieces: must be an integer from 1 to 100000",
+        ),
+        (
+            json!({"builds": ["g2", "g2"]}),
+            "invalid: builds: names a type twice",
+        ),
         (json!({"desk": "nobody"}), "can never run: unknown team"),
-        (json!({"shape": "group", "pieces": 13}), "can never run: more than the team's limit"),
-        (json!({"gpus": 5.0}), "can never run: fits no allowed machine type"),
-        (json!({"hall": "c"}), "can never run: fits no allowed machine type"),
+        (
+            json!({"shape": "group", "pieces": 13}),
+            "can never run: more than the team's limit",
+        ),
+        (
+            json!({"gpus": 5.0}),
+            "can never run: fits no allowed machine type",
+        ),
+        (
+            json!({"hall": "c"}),
+            "can never run: fits no allowed machine type",
+        ),
         (
             json!({"shape": "standing", "pieces": 2, "spread": true, "hall": "a"}),
             "can never run: its tasks are to be spread, and may be in one zone only",
@@ -77,8 +108,9 @@
 /// What users are to be told, by job.
 fn right() -> BTreeMap<String, (u16, String)> {
     let status = |why: &str| if why.starts_with("invalid") { 400 } else { 422 };
-    let of =
-        |(i, (_, why)): (usize, &(Value, &str))| (format!("job-00900{i}"), (status(why), (*why).to_owned()));
+    let of = |(i, (_, why)): (usize, &(Value, &str))| {
+        (format!("job-00900{i}"), (status(why), (*why).to_owned()))
+    };
     let known = [(LIVE, "Running"), (DONE, "Done"), (CANCELLED, "Cancelled")];
     let known = known.map(|(job, stage)| (job.to_owned(), (200, stage.to_owned())));
     odd().iter().enumerate().map(of).chain(known).collect()
@@ -97,7 +129,10 @@
         let (status, told) = &right[&a.job];
         // A job that goes on is called pending by whoever has only read that it is live.
         let same = a.told == *told || (a.job == LIVE && a.told == "Pending");
-        assert!(a.status == *status && same && a.again_s.is_none(), "{what}: {a:?}, not {told}");
+        assert!(
+            a.status == *status && same && a.again_s.is_none(),
+            "{what}: {a:?}, not {told}"
+        );
         definite += 1;
     }
     definite
@@ -122,9 +157,23 @@
         assert_ne!(world.owner_at(), None);
         send_all(&mut world);
         world.run_for(2000);
-        assert_eq!(judge(&std::mem::take(&mut world.odd), "after"), asked, "seed {seed}");
-        assert!(world.rules.broken.is_empty(), "seed {seed}: {:?}", world.rules.broken);
-        assert!(!world.rules.jobs.values().any(|j| j.accepted.is_some() && j.spec.is_none()));
+        assert_eq!(
+            judge(&std::mem::take(&mut world.odd), "after"),
+            asked,
+            "seed {seed}"
+        );
+        assert!(
+            world.rules.broken.is_empty(),
+            "seed {seed}: {:?}",
+            world.rules.broken
+        );
+        assert!(
+            !world
+                .rules
+                .jobs
+                .values()
+                .any(|j| j.accepted.is_some() && j.spec.is_none())
+        );
     }
 }
 
@@ -154,9 +203,13 @@
         of(1, 7, |s| (s.spread, s.one_zone) = (true, true)),
         of(2, 2, |s| (s.spread, s.one_zone) = (true, true)),
         of(3, 9, |s| (s.spread, s.zone) = (true, Some("b".into()))),
-        of(4, 1, |s| (s.kind, s.spread, s.one_zone) = (Kind::Gang, true, true)),
+        of(4, 1, |s| {
+            (s.kind, s.spread, s.one_zone) = (Kind::Gang, true, true)
+        }),
         of(5, 5, |s| (s.kind, s.spread) = (Kind::Gang, true)),
-        of(6, 3, |s| s.types = Some(vec!["unheard".into(), "g4".into()])),
+        of(6, 3, |s| {
+            s.types = Some(vec!["unheard".into(), "g4".into()])
+        }),
         of(7, 30, |s| (s.one_zone, s.zone) = (true, Some("a".into()))),
         of(8, 12, |s| s.kind = Kind::Gang),
         of(9, 2, |s| s.gpus = 4.0),
@@ -168,8 +221,17 @@
         let mut world = world(seed, jobs.clone());
         world.run_for(150_000);
         assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
-        let accepted = world.rules.jobs.values().filter(|j| j.accepted.is_some()).count();
+        let accepted = world
+            .rules
+            .jobs
+            .values()
+            .filter(|j| j.accepted.is_some())
+            .count();
         assert_eq!(accepted, all, "seed {seed}");
-        assert!(world.unfinished().is_empty(), "seed {seed}: never ended: {:?}", world.unfinished());
+        assert!(
+            world.unfinished().is_empty(),
+            "seed {seed}: never ended: {:?}",
+            world.unfinished()
+        );
     }
 }
--- a/crates/standins/tests/old_reports.rs
+++ b/crates/standins/tests/old_reports.rs
@@ -11,15 +11,27 @@
 
 /// So many rounds, or as many as `SWEEP` says.
 fn sweep(rounds: u64) -> u64 {
-    std::env::var("SWEEP").ok().and_then(|n| n.parse().ok()).unwrap_or(rounds)
+    std::env::var("SWEEP")
+        .ok()
+        .and_then(|n| n.parse().ok())
+        .unwrap_or(rounds)
 }
 
 fn kept(world: &World, what: &str) {
-    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
 }
 
 fn timed(at: u64, run_ms: u64, spec: JobSpec) -> Timed {
-    Timed { at, run_ms, cancel_ms: None, spec }
+    Timed {
+        at,
+        run_ms,
+        cancel_ms: None,
+        spec,
+    }
 }
 
 fn world(seed: u64, nodes: usize, scene: Scene) -> World {
@@ -58,7 +70,10 @@
 }
 
 fn lists(report: &Report, task: &str, stage: TaskStage) -> bool {
-    report.tasks.iter().any(|t| t.task == task && t.stage == stage)
+    report
+        .tasks
+        .iter()
+        .any(|t| t.task == task && t.stage == stage)
 }
 
 /// A task ended in a session whose reports never came, and that end was lost with the session. It began again in the
@@ -72,19 +87,33 @@
         let mut jobs = vec![timed(1000, 4000, array(1, "blue", 8, 4.0))];
         jobs.push(timed(IDLE_MS, 9000, array(2, "red", 1, 9.0)));
         jobs.push(timed(IDLE_MS + 2000, 20_000, array(3, "red", 1, 20.0)));
-        let scene = Scene { jobs, machines: 4, ..Scene::default() };
-        let mut world = world(round, nodes, scene.team("blue", 8.0, 0.0).team("red", 1.0, 1.0));
+        let scene = Scene {
+            jobs,
+            machines: 4,
+            ..Scene::default()
+        };
+        let mut world = world(
+            round,
+            nodes,
+            scene.team("blue", 8.0, 0.0).team("red", 1.0, 1.0),
+        );
         world.tune("fleet", "idle_s", "1000");
         world.tune("fleet", "silent_s", "40");
         world.run_for(IDLE_MS - 1);
         // Commands arrive; their answers are lost, and reports are refused.
         for how in [How::Hold, How::Reset] {
             let unheard = Cut::between(Side::Machines, Side::Nodes, world.now(), 17_000);
-            world.cut(Cut { both: false, how, ..unheard });
+            world.cut(Cut {
+                both: false,
+                how,
+                ..unheard
+            });
         }
         world.run_for(17_000);
         let task = "job-000002/0";
-        let ended = last(&world, |r| r.session == 1 && lists(r, task, TaskStage::Exited));
+        let ended = last(&world, |r| {
+            r.session == 1 && lists(r, task, TaskStage::Exited)
+        });
         let ended = ended.unwrap_or_else(|| panic!("{what}: it ends in the first session"));
         let mut waited = 0;
         while world.machines_of("job-000002").is_empty() && waited < 10_000 {
@@ -92,11 +121,18 @@
             waited += 100;
         }
         world.run_for(round * 300);
-        assert!(!world.machines_of("job-000002").is_empty(), "{what}: it begins again");
+        assert!(
+            !world.machines_of("job-000002").is_empty(),
+            "{what}: it begins again"
+        );
         first_heard(&mut world, &[ended]);
         world.run_for(120_000);
         kept(&world, &what);
-        assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+        assert!(
+            world.unfinished().is_empty(),
+            "{what}: never ended: {:?}",
+            world.unfinished()
+        );
     }
 }
 
@@ -107,10 +143,26 @@
     for round in 0..9u64 {
         let nodes = NODES[round as usize % 3];
         let what = format!("{nodes} nodes, round {round}");
-        let gang = JobSpec { kind: Kind::Gang, gpus: 2.0, checkpoint_s: 0.0, ..array(2, "red", 2, 60.0) };
-        let jobs = vec![timed(1000, 4000, array(1, "blue", 12, 4.0)), timed(IDLE_MS, 60_000, gang)];
-        let scene = Scene { jobs, machines: 6, ..Scene::default() };
-        let mut world = world(round, nodes, scene.team("blue", 0.0, 0.0).team("red", 0.0, 0.0));
+        let gang = JobSpec {
+            kind: Kind::Gang,
+            gpus: 2.0,
+            checkpoint_s: 0.0,
+            ..array(2, "red", 2, 60.0)
+        };
+        let jobs = vec![
+            timed(1000, 4000, array(1, "blue", 12, 4.0)),
+            timed(IDLE_MS, 60_000, gang),
+        ];
+        let scene = Scene {
+            jobs,
+            machines: 6,
+            ..Scene::default()
+        };
+        let mut world = world(
+            round,
+            nodes,
+            scene.team("blue", 0.0, 0.0).team("red", 0.0, 0.0),
+        );
         world.tune("fleet", "idle_s", "1000");
         world.run_for(IDLE_MS + 8000);
         let on = world.machines_of("job-000002");
@@ -122,29 +174,47 @@
         let attempt = attempts(&world, &now[0])[0];
         let is_old = |r: &Report| {
             r.tasks.iter().any(|t| {
-                t.task.starts_with("job-000002/") && t.attempt != attempt && t.stage == TaskStage::Running
+                t.task.starts_with("job-000002/")
+                    && t.attempt != attempt
+                    && t.stage == TaskStage::Running
             }) && r.machine != on[1]
         };
-        let copy = last(&world, is_old).unwrap_or_else(|| panic!("{what}: a report of the first attempt"));
+        let copy =
+            last(&world, is_old).unwrap_or_else(|| panic!("{what}: a report of the first attempt"));
         first_heard(&mut world, &[copy]);
         world.run_for(5000);
         let after: Vec<u64> = now.iter().flat_map(|m| attempts(&world, m)).collect();
-        assert_eq!(after, [attempt, attempt], "{what}: the second attempt goes on");
+        assert_eq!(
+            after,
+            [attempt, attempt],
+            "{what}: the second attempt goes on"
+        );
         world.run_for(100_000);
         kept(&world, &what);
-        assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+        assert!(
+            world.unfinished().is_empty(),
+            "{what}: never ended: {:?}",
+            world.unfinished()
+        );
     }
 }
 
 /// Attempts of the gang that run on a machine.
 fn attempts(world: &World, machine: &str) -> Vec<u64> {
-    let runs = world.held(machine).into_iter().filter(|(_, _, stage)| *stage == TaskStage::Running);
+    let runs = world
+        .held(machine)
+        .into_iter()
+        .filter(|(_, _, stage)| *stage == TaskStage::Running);
     runs.map(|(_, attempt, _)| attempt).collect()
 }
 
 /// Machines for which claims were recorded.
 fn claimed_on(world: &World) -> Vec<String> {
-    let logs = world.state.keys.iter().filter(|(k, _)| k.starts_with("part/0/log/"));
+    let logs = world
+        .state
+        .keys
+        .iter()
+        .filter(|(k, _)| k.starts_with("part/0/log/"));
     let claims = logs.flat_map(|(_, e)| e.value["claims"].as_array().cloned().unwrap_or_default());
     let on = claims.flat_map(|c| c["on"].as_array().cloned().unwrap_or_default());
     on.filter_map(|o| Some(o[0].as_str()?.to_owned())).collect()
@@ -163,7 +233,11 @@
             timed(1000, 4000, array(1, "red", 8, 4.0)),
             timed(1000 + wait, 5000, array(2, "red", 8, 5.0)),
         ];
-        let scene = Scene { jobs, machines: 6, ..Scene::default() };
+        let scene = Scene {
+            jobs,
+            machines: 6,
+            ..Scene::default()
+        };
         let mut world = world(round, nodes, scene.team("red", 0.0, 0.0));
         world.run_for(wait - 1000);
         let mut copies: Vec<Report> = Vec::new();
@@ -183,14 +257,28 @@
         for _ in 0..300 {
             world.run_for(100);
             let on = claimed_on(&world);
-            assert!(on.iter().all(|m| !gone.contains(m)), "{what}: claims on machines that are gone");
+            assert!(
+                on.iter().all(|m| !gone.contains(m)),
+                "{what}: claims on machines that are gone"
+            );
         }
         world.run_for(30_000);
         kept(&world, &what);
-        assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
-        let racks = world.state.keys.iter().filter(|(k, _)| k.starts_with("part/0/rack"));
+        assert!(
+            world.unfinished().is_empty(),
+            "{what}: never ended: {:?}",
+            world.unfinished()
+        );
+        let racks = world
+            .state
+            .keys
+            .iter()
+            .filter(|(k, _)| k.starts_with("part/0/rack"));
         let racks: String = racks.map(|(_, e)| e.value.to_string()).collect();
-        assert!(gone.iter().all(|m| !racks.contains(m.as_str())), "{what}: they stay in the records");
+        assert!(
+            gone.iter().all(|m| !racks.contains(m.as_str())),
+            "{what}: they stay in the records"
+        );
     }
 }
 
@@ -203,12 +291,21 @@
         for (copied, took) in took.iter_mut().enumerate() {
             let what = format!("{nodes} nodes, round {round}, copies {copied}");
             let jobs = vec![timed(1000, 60_000, array(1, "red", 8, 60.0))];
-            let scene = Scene { jobs, machines: 6, ..Scene::default() };
+            let scene = Scene {
+                jobs,
+                machines: 6,
+                ..Scene::default()
+            };
             let mut world = world(round, nodes, scene.team("red", 0.0, 0.0));
             world.run_for(25_000);
             let dead = world.machines_of("job-000001").remove(0);
             world.lose(&dead);
-            let said: Vec<Report> = world.reports().iter().filter(|r| r.machine == dead).cloned().collect();
+            let said: Vec<Report> = world
+                .reports()
+                .iter()
+                .filter(|r| r.machine == dead)
+                .cloned()
+                .collect();
             while world.is_rented(&dead) && *took < 60_000 {
                 world.run_for(100);
                 *took += 100;
@@ -222,7 +319,11 @@
             assert!(*took < 60_000, "{what}: never given up");
             world.run_for(120_000);
             kept(&world, &what);
-            assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+            assert!(
+                world.unfinished().is_empty(),
+                "{what}: never ended: {:?}",
+                world.unfinished()
+            );
         }
         assert!(took[1] <= took[0] + 2000, "{nodes} nodes: {took:?}");
     }
@@ -237,12 +338,28 @@
         let nodes = NODES[seed as usize % 3];
         let what = format!("{nodes} nodes, seed {seed}");
         let job = |i: u32| {
-            let kind = if i.is_multiple_of(4) { Kind::Gang } else { Kind::Array };
-            let spec = JobSpec { kind, ..array(1000 + i, "red", rng.u32(1..4), 8.0) };
+            let kind = if i.is_multiple_of(4) {
+                Kind::Gang
+            } else {
+                Kind::Array
+            };
+            let spec = JobSpec {
+                kind,
+                ..array(1000 + i, "red", rng.u32(1..4), 8.0)
+            };
             let cancel_ms = i.is_multiple_of(5).then(|| rng.u64(0..20_000));
-            Timed { at: rng.u64(1000..110_000), run_ms: rng.u64(500..25_000), cancel_ms, spec }
+            Timed {
+                at: rng.u64(1000..110_000),
+                run_ms: rng.u64(500..25_000),
+                cancel_ms,
+                spec,
+            }
+        };
+        let scene = Scene {
+            jobs: (0..45).map(job).collect(),
+            machines: 8,
+            ..Scene::default()
         };
-        let scene = Scene { jobs: (0..45).map(job).collect(), machines: 8, ..Scene::default() };
         let mut world = world(seed, nodes, scene.team("red", 8.0, 8.0));
         let machine = |world: &World, rng: &mut fastrand::Rng| {
             let all = world.machines();
@@ -255,14 +372,23 @@
                     let owner = world.owner_at();
                     owner.into_iter().for_each(|n| world.crash_node(n));
                 }
-                2 => machine(&world, &mut rng).into_iter().for_each(|m| world.hang(&m, 3000 + seed * 400)),
-                3 => machine(&world, &mut rng).into_iter().for_each(|m| world.lose(&m)),
+                2 => machine(&world, &mut rng)
+                    .into_iter()
+                    .for_each(|m| world.hang(&m, 3000 + seed * 400)),
+                3 => machine(&world, &mut rng)
+                    .into_iter()
+                    .for_each(|m| world.lose(&m)),
                 4 => {
                     let (now, ms) = (world.now(), rng.u64(1000..25_000));
                     let how = [How::Hold, How::Reset][rng.usize(0..2)];
-                    let m = machine(&world, &mut rng).map_or(Side::MachinesIn("a".into()), Side::Machine);
+                    let m = machine(&world, &mut rng)
+                        .map_or(Side::MachinesIn("a".into()), Side::Machine);
                     let cut = Cut::between(m, Side::Nodes, now, ms);
-                    world.cut(Cut { how, both: rng.bool(), ..cut });
+                    world.cut(Cut {
+                        how,
+                        both: rng.bool(),
+                        ..cut
+                    });
                 }
                 _ => {}
             }
@@ -273,7 +399,11 @@
                     continue;
                 }
                 // From the last half minute, or from ever.
-                let from = if rng.bool() { 0 } else { all.len().saturating_sub(200) };
+                let from = if rng.bool() {
+                    0
+                } else {
+                    all.len().saturating_sub(200)
+                };
                 let copy = all[rng.usize(from..all.len())].clone();
                 let to = world.owner_at().filter(|_| rng.u32(0..4) > 0);
                 let to = to.unwrap_or_else(|| rng.usize(0..nodes));
@@ -282,6 +412,10 @@
         }
         world.run_for(300_000);
         kept(&world, &what);
-        assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+        assert!(
+            world.unfinished().is_empty(),
+            "{what}: never ended: {:?}",
+            world.unfinished()
+        );
     }
 }
--- a/crates/standins/tests/one_task_flood.rs
+++ b/crates/standins/tests/one_task_flood.rs
@@ -7,7 +7,12 @@
 use wire::api::{JobSpec, Priority};
 
 /// What the state service bears.
-const LIMITS: Limits = Limits { rps: 100.0, write_rps: 25.0, value_kb: 8.0, txn_ops: 16 };
+const LIMITS: Limits = Limits {
+    rps: 100.0,
+    write_rps: 25.0,
+    value_kb: 8.0,
+    txn_ops: 16,
+};
 const BEGIN_MS: u64 = 20_000;
 const FLOOD_MS: u64 = 120_000;
 const EVERY_MS: u64 = 250;
@@ -22,21 +27,49 @@
     for i in 0..FLOOD_MS / EVERY_MS {
         let cancel_ms = (i % 4 == 3).then(|| rng.u64(0..8000));
         let spec = array(1000 + i as u32, "blue", 1, 5.0);
-        jobs.push(Timed { at: BEGIN_MS + i * EVERY_MS, run_ms: rng.u64(2000..8000), cancel_ms, spec });
+        jobs.push(Timed {
+            at: BEGIN_MS + i * EVERY_MS,
+            run_ms: rng.u64(2000..8000),
+            cancel_ms,
+            spec,
+        });
     }
     for i in 0..FLOOD_MS / URGENT_EVERY_MS {
-        let spec = JobSpec { priority: Priority::Production, ..array(1 + i as u32, "red", 1, 5.0) };
+        let spec = JobSpec {
+            priority: Priority::Production,
+            ..array(1 + i as u32, "red", 1, 5.0)
+        };
         let at = BEGIN_MS + URGENT_EVERY_MS / 2 + i * URGENT_EVERY_MS;
-        jobs.push(Timed { at, run_ms: 5000, cancel_ms: None, spec });
+        jobs.push(Timed {
+            at,
+            run_ms: 5000,
+            cancel_ms: None,
+            spec,
+        });
     }
-    let scene = Scene { jobs, machines, limits: Some(LIMITS), ..Scene::default() };
-    World::new(Plan::of_scene(seed, nodes, scene.team("red", 4.0, 0.0).team("blue", 0.0, 0.0), 0, 600_000))
+    let scene = Scene {
+        jobs,
+        machines,
+        limits: Some(LIMITS),
+        ..Scene::default()
+    };
+    World::new(Plan::of_scene(
+        seed,
+        nodes,
+        scene.team("red", 4.0, 0.0).team("blue", 0.0, 0.0),
+        0,
+        600_000,
+    ))
 }
 
 /// How long each urgent job waited for its start; as long as may be if it never started.
 fn urgent_waits(world: &World) -> Vec<u64> {
     let waited = |i: u64| {
-        let began = world.began.get(&format!("job-{:06}/0", 1 + i)).copied().unwrap_or(u64::MAX);
+        let began = world
+            .began
+            .get(&format!("job-{:06}/0", 1 + i))
+            .copied()
+            .unwrap_or(u64::MAX);
         began.saturating_sub(BEGIN_MS + URGENT_EVERY_MS / 2 + i * URGENT_EVERY_MS)
     };
     (0..FLOOD_MS / URGENT_EVERY_MS).map(waited).collect()
@@ -56,11 +89,25 @@
     let counts = world.state.counts;
     let changes = counts.changes - before.changes;
     let jobs = FLOOD_MS / EVERY_MS + FLOOD_MS / URGENT_EVERY_MS;
-    assert!(changes <= 5 * jobs, "{what}: {changes} changes for {jobs} jobs");
-    assert!(counts.too_fast * 50 < counts.requests, "{what}: refused too often: {counts:?}");
+    assert!(
+        changes <= 5 * jobs,
+        "{what}: {changes} changes for {jobs} jobs"
+    );
+    assert!(
+        counts.too_fast * 50 < counts.requests,
+        "{what}: refused too often: {counts:?}"
+    );
     world.run_for(150_000);
-    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
-    assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
+    assert!(
+        world.unfinished().is_empty(),
+        "{what}: never ended: {:?}",
+        world.unfinished()
+    );
     world
 }
 
--- a/crates/standins/tests/placement.rs
+++ b/crates/standins/tests/placement.rs
@@ -24,7 +24,11 @@
 
 fn scene() -> Scene {
     let config = Config::parse("[work]\nmaster_s = 5\n[most]\nper_user = 1000\n").expect("good");
-    let scene = Scene { machines: 2, yarn: Some(config), ..Scene::default() };
+    let scene = Scene {
+        machines: 2,
+        yarn: Some(config),
+        ..Scene::default()
+    };
     scene.team("red", 2.0, 4.0).team("blue", 2.0, 0.0)
 }
 
@@ -35,12 +39,27 @@
 /// One task for a team, as each door carries it.
 fn submit(scene: &mut Scene, by: By, i: u32, team: &str, at: u64, gpus: f64, priority: Priority) {
     if by == By::Native {
-        let spec =
-            JobSpec { gpus, cores: 1.0, mem_gb: 1.0, priority, checkpoint_s: 0.0, ..array(i, team, 1, 5.0) };
-        scene.jobs.push(Timed { at, run_ms: 5000, cancel_ms: None, spec });
+        let spec = JobSpec {
+            gpus,
+            cores: 1.0,
+            mem_gb: 1.0,
+            priority,
+            checkpoint_s: 0.0,
+            ..array(i, team, 1, 5.0)
+        };
+        scene.jobs.push(Timed {
+            at,
+            run_ms: 5000,
+            cancel_ms: None,
+            spec,
+        });
         return;
     }
-    let tool = Tally { stages: Vec::new(), run_ms: 5000, fails: 0 };
+    let tool = Tally {
+        stages: Vec::new(),
+        run_ms: 5000,
+        fails: 0,
+    };
     let mut client = Client::new("ann", team, at, tool);
     (client.web, client.gpus) = (by == By::Rest, gpus as i64);
     client.priority = if priority == Priority::High { 9 } else { 0 };
@@ -49,10 +68,16 @@
 
 /// When the tasks of a job first ran, in order of submission.
 fn began(world: &World, by: By) -> Vec<Option<u64>> {
-    let native =
-        |id: &String| if by == By::Native { !id.starts_with("job-9") } else { id.ends_with("0000000") };
+    let native = |id: &String| {
+        if by == By::Native {
+            !id.starts_with("job-9")
+        } else {
+            id.ends_with("0000000")
+        }
+    };
     let jobs = world.rules.jobs.keys().filter(|id| native(id));
-    jobs.map(|id| world.began.get(&wire::ids::task_name(id, 0)).copied()).collect()
+    jobs.map(|id| world.began.get(&wire::ids::task_name(id, 0)).copied())
+        .collect()
 }
 
 fn most_at_once(world: &mut World, ms: u64) -> usize {
@@ -61,7 +86,11 @@
         world.run_for(200);
         most = most.max(world.on_machines().len());
         assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
-        assert!(world.yarn.checks.broken.is_empty(), "{:?}", world.yarn.checks.broken);
+        assert!(
+            world.yarn.checks.broken.is_empty(),
+            "{:?}",
+            world.yarn.checks.broken
+        );
     }
     most
 }
@@ -73,7 +102,10 @@
         (0..10).for_each(|i| submit(&mut scene, by, i, "red", 2000, 1.0, Priority::Normal));
         let mut world = world(1, scene);
         assert_eq!(most_at_once(&mut world, 60_000), 4, "{by:?}");
-        assert!(began(&world, by).iter().all(Option::is_some), "{by:?}: all ran");
+        assert!(
+            began(&world, by).iter().all(Option::is_some),
+            "{by:?}: all ran"
+        );
     }
 }
 
@@ -132,7 +164,9 @@
         // Messages are lost now and then: repeated as clients do.
         for _ in 0..20 {
             match self.world.call(ask.clone()) {
-                Some(Ok(body)) => return Ok(R::decode(body.as_slice()).expect("an answer of that kind")),
+                Some(Ok(body)) => {
+                    return Ok(R::decode(body.as_slice()).expect("an answer of that kind"));
+                }
                 Some(Err(fault)) if !fault.class.is_passing() => return Err(fault),
                 _ => self.world.run_for(1000),
             }
@@ -158,20 +192,29 @@
 
     /// A new unmanaged application, with the token of its master.
     fn unmanaged(&mut self) -> ApplicationId {
-        let new: GetNewApplicationResponse =
-            self.client("getNewApplication", &GetNewApplicationRequest {}).expect("an id");
+        let new: GetNewApplicationResponse = self
+            .client("getNewApplication", &GetNewApplicationRequest {})
+            .expect("an id");
         let id = new.application_id;
         let context = ApplicationSubmissionContext {
             application_id: id,
             queue: Some("blue".into()),
             unmanaged_am: Some(true),
-            resource: Some(Resource { memory: Some(512), virtual_cores: Some(1), values: Vec::new() }),
+            resource: Some(Resource {
+                memory: Some(512),
+                virtual_cores: Some(1),
+                values: Vec::new(),
+            }),
             ..ApplicationSubmissionContext::default()
         };
-        let submit = SubmitApplicationRequest { context: Some(context) };
-        let _: SubmitApplicationResponse = self.client("submitApplication", &submit).expect("taken");
+        let submit = SubmitApplicationRequest {
+            context: Some(context),
+        };
+        let _: SubmitApplicationResponse =
+            self.client("submitApplication", &submit).expect("taken");
         let ask = GetApplicationReportRequest { application_id: id };
-        let report: GetApplicationReportResponse = self.client("getApplicationReport", &ask).expect("known");
+        let report: GetApplicationReportResponse =
+            self.client("getApplicationReport", &ask).expect("known");
         self.token = report.report.and_then(|r| r.am_rm_token);
         id.expect("an id")
     }
@@ -182,8 +225,12 @@
         ask: Vec<ResourceRequest>,
         release: Vec<ContainerId>,
     ) -> Result<AllocateResponse, yarn::error::Fault> {
-        let beat =
-            AllocateRequest { ask, release, response_id: Some(response_id), ..AllocateRequest::default() };
+        let beat = AllocateRequest {
+            ask,
+            release,
+            response_id: Some(response_id),
+            ..AllocateRequest::default()
+        };
         self.master("allocate", &beat)
     }
 }
@@ -194,7 +241,9 @@
         let mut given = Vec::new();
         for _ in 0..40 {
             self.world.run_for(1000);
-            let beat = self.beat(*number, Vec::new(), Vec::new()).expect("a heartbeat");
+            let beat = self
+                .beat(*number, Vec::new(), Vec::new())
+                .expect("a heartbeat");
             *number = beat.response_id.unwrap_or(0);
             given.extend(beat.allocated);
         }
@@ -206,7 +255,11 @@
     ResourceRequest {
         priority: Some(Priority_ { priority: 1 }),
         resource_name: Some(name.into()),
-        capability: Some(Resource { memory: Some(512), virtual_cores: Some(1), values: Vec::new() }),
+        capability: Some(Resource {
+            memory: Some(512),
+            virtual_cores: Some(1),
+            values: Vec::new(),
+        }),
         num_containers: Some(n),
         relax_locality: Some(relax),
         ..ResourceRequest::default()
@@ -224,22 +277,44 @@
 #[test]
 fn an_unmanaged_master_registers_beats_and_says_goodbye() {
     let mut world = ready(4);
-    let mut c = Caller { world: &mut world, user: "ann", token: None };
-    let early = c.beat(0, Vec::new(), Vec::new()).expect_err("without a token");
+    let mut c = Caller {
+        world: &mut world,
+        user: "ann",
+        token: None,
+    };
+    let early = c
+        .beat(0, Vec::new(), Vec::new())
+        .expect_err("without a token");
     assert_eq!(early.class, Class::AccessDenied);
     let id = c.unmanaged();
-    let early = c.beat(0, Vec::new(), Vec::new()).expect_err("before it registers");
+    let early = c
+        .beat(0, Vec::new(), Vec::new())
+        .expect_err("before it registers");
     assert_eq!(early.class, Class::NotRegistered);
-    let register = RegisterRequest { host: Some("h".into()), rpc_port: Some(1), tracking_url: None };
-    let r: RegisterResponse = c.master("registerApplicationMaster", &register).expect("registered");
+    let register = RegisterRequest {
+        host: Some("h".into()),
+        rpc_port: Some(1),
+        tracking_url: None,
+    };
+    let r: RegisterResponse = c
+        .master("registerApplicationMaster", &register)
+        .expect("registered");
     assert_eq!(r.queue.as_deref(), Some("root.blue"));
     // Repeated after a lost answer: the same.
-    let _: RegisterResponse = c.master("registerApplicationMaster", &register).expect("registered");
-
-    let first = c.beat(0, vec![ask(ANY, 3, true)], Vec::new()).expect("a heartbeat");
-    let again = c.beat(0, vec![ask(ANY, 3, true)], Vec::new()).expect("repeated");
+    let _: RegisterResponse = c
+        .master("registerApplicationMaster", &register)
+        .expect("registered");
+
+    let first = c
+        .beat(0, vec![ask(ANY, 3, true)], Vec::new())
+        .expect("a heartbeat");
+    let again = c
+        .beat(0, vec![ask(ANY, 3, true)], Vec::new())
+        .expect("repeated");
     assert_eq!(first, again, "a repeated heartbeat is answered as it was");
-    let wrong = c.beat(7, Vec::new(), Vec::new()).expect_err("a number out of turn");
+    let wrong = c
+        .beat(7, Vec::new(), Vec::new())
+        .expect_err("a number out of turn");
     assert!(wrong.message.contains("Invalid responseId"), "{wrong}");
     let mut number = first.response_id.unwrap_or(0);
     let given = c.given(&mut number);
@@ -247,31 +322,63 @@
 
     // One is released before it runs, one is stopped by its master.
     let ids: Vec<ContainerId> = given.iter().filter_map(|g| g.id).collect();
-    let stop = StopContainersRequest { containers: vec![ids[1]] };
-    let _: StopContainersResponse =
-        c.call(rpc::CONTAINER_PROTOCOL, "stopContainers", &stop).expect("stopped");
-    let beat = c.beat(number, Vec::new(), vec![ids[0]]).expect("a heartbeat");
+    let stop = StopContainersRequest {
+        containers: vec![ids[1]],
+    };
+    let _: StopContainersResponse = c
+        .call(rpc::CONTAINER_PROTOCOL, "stopContainers", &stop)
+        .expect("stopped");
+    let beat = c
+        .beat(number, Vec::new(), vec![ids[0]])
+        .expect("a heartbeat");
     let mut ended: Vec<(i64, i32)> = beat
         .completed
         .iter()
-        .map(|s| (s.container_id.map_or(0, |i| i.id), s.exit_status.unwrap_or(0)))
+        .map(|s| {
+            (
+                s.container_id.map_or(0, |i| i.id),
+                s.exit_status.unwrap_or(0),
+            )
+        })
         .collect();
     ended.sort_unstable();
-    let mut expected = vec![(ids[0].id, exit::ABORTED), (ids[1].id, exit::KILLED_BY_MASTER)];
+    let mut expected = vec![
+        (ids[0].id, exit::ABORTED),
+        (ids[1].id, exit::KILLED_BY_MASTER),
+    ];
     expected.sort_unstable();
     assert_eq!(ended, expected);
 
-    let finish = FinishRequest { final_status: Some(FinalStatus::Failed as i32), ..FinishRequest::default() };
-    let f: FinishResponse = c.master("finishApplicationMaster", &finish).expect("goodbye");
+    let finish = FinishRequest {
+        final_status: Some(FinalStatus::Failed as i32),
+        ..FinishRequest::default()
+    };
+    let f: FinishResponse = c
+        .master("finishApplicationMaster", &finish)
+        .expect("goodbye");
     assert_eq!(f.is_unregistered, Some(true));
-    let f: FinishResponse = c.master("finishApplicationMaster", &finish).expect("goodbye again");
+    let f: FinishResponse = c
+        .master("finishApplicationMaster", &finish)
+        .expect("goodbye again");
     assert_eq!(f.is_unregistered, Some(true));
     let report: GetApplicationReportResponse = c
-        .client("getApplicationReport", &GetApplicationReportRequest { application_id: Some(id) })
+        .client(
+            "getApplicationReport",
+            &GetApplicationReportRequest {
+                application_id: Some(id),
+            },
+        )
         .expect("known");
     let report = report.report.expect("a report");
-    assert_eq!(report.yarn_application_state, Some(ApplicationState::Finished as i32));
-    assert_eq!(report.final_application_status, Some(FinalStatus::Failed as i32), "as its master says");
+    assert_eq!(
+        report.yarn_application_state,
+        Some(ApplicationState::Finished as i32)
+    );
+    assert_eq!(
+        report.final_application_status,
+        Some(FinalStatus::Failed as i32),
+        "as its master says"
+    );
     world.run_for(60_000);
     assert!(world.on_machines().is_empty(), "{:?}", world.on_machines());
 }
@@ -280,27 +387,46 @@
 #[test]
 fn heartbeats_are_taken_whole_or_not_at_all() {
     let mut world = ready(5);
-    let mut c = Caller { world: &mut world, user: "ann", token: None };
+    let mut c = Caller {
+        world: &mut world,
+        user: "ann",
+        token: None,
+    };
     c.unmanaged();
-    let _: RegisterResponse =
-        c.master("registerApplicationMaster", &RegisterRequest::default()).expect("registered");
+    let _: RegisterResponse = c
+        .master("registerApplicationMaster", &RegisterRequest::default())
+        .expect("registered");
     let huge = ResourceRequest {
-        capability: Some(Resource { memory: Some(1 << 40), virtual_cores: Some(1), values: Vec::new() }),
+        capability: Some(Resource {
+            memory: Some(1 << 40),
+            virtual_cores: Some(1),
+            values: Vec::new(),
+        }),
         ..ask(ANY, 1, true)
     };
     let odd = ResourceRequest {
         capability: Some(Resource {
             memory: Some(1),
             virtual_cores: Some(1),
-            values: vec![ResourceInformation { key: "fpga".into(), value: Some(1), units: None }],
+            values: vec![ResourceInformation {
+                key: "fpga".into(),
+                value: Some(1),
+                units: None,
+            }],
         }),
         ..ask(ANY, 1, true)
     };
     for (asks, why) in [
         (vec![ask(ANY, 2, true), huge], "largest machine"),
         (vec![ask(ANY, 2, true), odd], "\"fpga\" is not counted"),
-        (vec![ask(ANY, 2, false), ask("host-1", 2, true)], "can't be bound to a host"),
-        (vec![ask(ANY, 2, false), ask("/nowhere", 2, true)], "no rack (zone) /nowhere"),
+        (
+            vec![ask(ANY, 2, false), ask("host-1", 2, true)],
+            "can't be bound to a host",
+        ),
+        (
+            vec![ask(ANY, 2, false), ask("/nowhere", 2, true)],
+            "no rack (zone) /nowhere",
+        ),
         (vec![ask(ANY, -1, true)], "number of containers"),
         (vec![ask(ANY, 1 << 30, true)], "number of containers"),
     ] {
@@ -314,9 +440,16 @@
         .response_id
         .unwrap_or(0);
     let given = c.given(&mut number);
-    assert_eq!(given.len(), 2, "nothing of what was refused, and all that was taken");
+    assert_eq!(
+        given.len(),
+        2,
+        "nothing of what was refused, and all that was taken"
+    );
     let jobs = world.rules.jobs.values().filter_map(|j| j.spec.as_ref());
-    let bound: Vec<_> = jobs.filter(|s| s.id.starts_with("job-9")).map(|s| s.zone.clone()).collect();
+    let bound: Vec<_> = jobs
+        .filter(|s| s.id.starts_with("job-9"))
+        .map(|s| s.zone.clone())
+        .collect();
     assert_eq!(bound, [Some("b".to_owned())]);
 }
 
@@ -324,29 +457,47 @@
 #[test]
 fn masters_register_again_with_the_next_owner() {
     let mut world = ready(6);
-    let mut c = Caller { world: &mut world, user: "ann", token: None };
+    let mut c = Caller {
+        world: &mut world,
+        user: "ann",
+        token: None,
+    };
     let id = c.unmanaged();
-    let _: RegisterResponse =
-        c.master("registerApplicationMaster", &RegisterRequest::default()).expect("registered");
+    let _: RegisterResponse = c
+        .master("registerApplicationMaster", &RegisterRequest::default())
+        .expect("registered");
     c.world.crash_all();
     c.world.run_for(12_000);
-    let fault = c.beat(0, Vec::new(), Vec::new()).expect_err("the next owner does not know the session");
+    let fault = c
+        .beat(0, Vec::new(), Vec::new())
+        .expect_err("the next owner does not know the session");
     assert_eq!(fault.class, Class::NotRegistered);
-    let _: RegisterResponse =
-        c.master("registerApplicationMaster", &RegisterRequest::default()).expect("registered");
+    let _: RegisterResponse = c
+        .master("registerApplicationMaster", &RegisterRequest::default())
+        .expect("registered");
     c.beat(0, Vec::new(), Vec::new()).expect("a heartbeat");
     // Nobody else's token will do, nor may others end it.
     let own = c.token.clone();
     c.unmanaged();
-    let mut stranger = Caller { world: c.world, user: "eve", token: None };
-    let kill = KillApplicationRequest { application_id: Some(id), diagnostics: None };
-    let denied =
-        stranger.client::<_, KillApplicationResponse>("forceKillApplication", &kill).expect_err("not hers");
+    let mut stranger = Caller {
+        world: c.world,
+        user: "eve",
+        token: None,
+    };
+    let kill = KillApplicationRequest {
+        application_id: Some(id),
+        diagnostics: None,
+    };
+    let denied = stranger
+        .client::<_, KillApplicationResponse>("forceKillApplication", &kill)
+        .expect_err("not hers");
     assert_eq!(denied.class, Class::AccessDenied);
     let mut forged = own.expect("a token");
     forged.password[0] ^= 1;
     stranger.token = Some(forged);
-    let denied = stranger.beat(0, Vec::new(), Vec::new()).expect_err("a forged token");
+    let denied = stranger
+        .beat(0, Vec::new(), Vec::new())
+        .expect_err("a forged token");
     assert_eq!(denied.class, Class::AccessDenied);
 }
 
@@ -377,7 +528,11 @@
     for seed in 0..40 {
         let mut rng = fastrand::Rng::with_seed(seed);
         let mut world = ready(1000 + seed);
-        let mut c = Caller { world: &mut world, user: "ann", token: None };
+        let mut c = Caller {
+            world: &mut world,
+            user: "ann",
+            token: None,
+        };
         let id = c.unmanaged();
         let (mut model, mut number) = (Model::Accepted, 0);
         let mut past = Vec::new();
@@ -403,7 +558,11 @@
                     );
                     if !over {
                         // A session that is known goes on with its numbers.
-                        number = if model == Model::Running(true) { number } else { 0 };
+                        number = if model == Model::Running(true) {
+                            number
+                        } else {
+                            0
+                        };
                         model = Model::Running(true);
                     }
                 }
@@ -416,13 +575,19 @@
                 },
                 65..75 => {
                     let status = [FinalStatus::Succeeded, FinalStatus::Failed][rng.usize(0..2)];
-                    let finish =
-                        FinishRequest { final_status: Some(status as i32), ..FinishRequest::default() };
+                    let finish = FinishRequest {
+                        final_status: Some(status as i32),
+                        ..FinishRequest::default()
+                    };
                     let r = c.master::<_, FinishResponse>("finishApplicationMaster", &finish);
                     match (model, told(model)) {
                         // Whoever says goodbye to what is over is told that it is.
                         (Model::Over(..), _) | (_, None) => {
-                            assert_eq!(r.expect("goodbye").is_unregistered, Some(true), "{seed}: {past:?}");
+                            assert_eq!(
+                                r.expect("goodbye").is_unregistered,
+                                Some(true),
+                                "{seed}: {past:?}"
+                            );
                         }
                         (_, why) => assert_eq!(r.err().map(|f| f.class), why, "{seed}: {past:?}"),
                     }
@@ -431,8 +596,12 @@
                     }
                 }
                 75..82 => {
-                    let kill = KillApplicationRequest { application_id: Some(id), diagnostics: None };
-                    let _: KillApplicationResponse = c.client("forceKillApplication", &kill).expect("killed");
+                    let kill = KillApplicationRequest {
+                        application_id: Some(id),
+                        diagnostics: None,
+                    };
+                    let _: KillApplicationResponse =
+                        c.client("forceKillApplication", &kill).expect("killed");
                     c.world.run_for(3000);
                     if !matches!(model, Model::Over(..)) {
                         model = Model::Over(ApplicationState::Killed, FinalStatus::Killed);
@@ -447,12 +616,22 @@
                 }
                 _ => c.world.run_for(rng.u64(0..5000)),
             }
-            let ask = GetApplicationReportRequest { application_id: Some(id) };
-            let report: GetApplicationReportResponse = c.client("getApplicationReport", &ask).expect("known");
+            let ask = GetApplicationReportRequest {
+                application_id: Some(id),
+            };
+            let report: GetApplicationReportResponse =
+                c.client("getApplicationReport", &ask).expect("known");
             let report = report.report.expect("a report");
             let (state, status) = model.shown();
-            let shown = (report.yarn_application_state, report.final_application_status);
-            assert_eq!(shown, (Some(state as i32), Some(status as i32)), "{seed}: {past:?} {model:?}");
+            let shown = (
+                report.yarn_application_state,
+                report.final_application_status,
+            );
+            assert_eq!(
+                shown,
+                (Some(state as i32), Some(status as i32)),
+                "{seed}: {past:?} {model:?}"
+            );
         }
     }
 }
@@ -466,14 +645,25 @@
         let submit = SubmitApplicationRequest::default();
         let mut all = rpc::open(rpc::AUTH_SIMPLE);
         all.extend(rpc::context(b"c", "ann", "p"));
-        all.extend(rpc::request(1, b"c", 0, rpc::CLIENT_PROTOCOL, "submitApplication", &submit));
+        all.extend(rpc::request(
+            1,
+            b"c",
+            0,
+            rpc::CLIENT_PROTOCOL,
+            "submitApplication",
+            &submit,
+        ));
         all
     };
     let http =
         b"PUT /ws/v1/cluster/apps/application_1_1/state?user.name=a HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}"
             .to_vec();
     for i in 0..3000 {
-        let mut bytes = if i % 2 == 0 { good.clone() } else { http.clone() };
+        let mut bytes = if i % 2 == 0 {
+            good.clone()
+        } else {
+            http.clone()
+        };
         match rng.u32(0..4) {
             0 => bytes.truncate(rng.usize(0..bytes.len())),
             1 => (0..rng.usize(1..4)).for_each(|_| {
@@ -488,16 +678,27 @@
     world.run_for(30_000);
     // Those that were begun and not ended are gone, and whoever comes now is served.
     assert_eq!(world.owner().map(|o| o.connections().1), Some(0));
-    let mut c = Caller { world: &mut world, user: "ann", token: None };
+    let mut c = Caller {
+        world: &mut world,
+        user: "ann",
+        token: None,
+    };
     c.unmanaged();
 }
 
 /// An exchange that the stand-ins' own client is built on comes to its end.
 #[test]
 fn exchanges_end() {
-    let ask = standins::yarn::Ask::Web { method: "GET", target: "/x".into(), body: Vec::new() };
+    let ask = standins::yarn::Ask::Web {
+        method: "GET",
+        target: "/x".into(),
+        body: Vec::new(),
+    };
     let (mut exchange, web, first) = Exchange::begin(ask);
     assert!(web && first.starts_with(b"GET /x "));
-    assert_eq!(exchange.bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"), Next::Wait);
+    assert_eq!(
+        exchange.bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n"),
+        Next::Wait
+    );
     assert_eq!(exchange.bytes(b"y"), Next::Over(Some(Ok(b"y".to_vec()))));
 }
--- a/crates/standins/tests/quick.rs
+++ b/crates/standins/tests/quick.rs
@@ -10,17 +10,31 @@
 
 /// A dozen machines: long tasks on most of them, short ones beside these, and some that are cancelled.
 fn world(seed: u64, nodes: usize, faults_until: u64) -> World {
-    let long =
-        (0..5).map(|i| Timed { at: 1000, run_ms: 100_000, cancel_ms: None, spec: job(1000 + i, 60.0) });
+    let long = (0..5).map(|i| Timed {
+        at: 1000,
+        run_ms: 100_000,
+        cancel_ms: None,
+        spec: job(1000 + i, 60.0),
+    });
     let short = (0..60).map(|i: u32| Timed {
         at: 20_000 + u64::from(i) * 1500,
         run_ms: 4000,
         cancel_ms: i.is_multiple_of(4).then_some(3000),
         spec: array(2000 + i, "red", 2, 4.0),
     });
-    let scene = Scene { jobs: long.chain(short).collect(), machines: 12, ..Scene::default() };
+    let scene = Scene {
+        jobs: long.chain(short).collect(),
+        machines: 12,
+        ..Scene::default()
+    };
     // Until then messages are lost now and then, and some come long after.
-    World::new(Plan::of_scene(seed, nodes, scene.team("red", 24.0, 0.0), faults_until, 600_000))
+    World::new(Plan::of_scene(
+        seed,
+        nodes,
+        scene.team("red", 24.0, 0.0),
+        faults_until,
+        600_000,
+    ))
 }
 
 fn job(id: u32, estimate_s: f64) -> wire::api::JobSpec {
@@ -28,21 +42,34 @@
 }
 
 fn kept(world: &World, what: &str) {
-    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
 }
 
 /// Plays to the end, when all that was accepted must have ended.
 fn ends(world: &mut World, what: &str) {
     world.run_for(250_000);
     kept(world, what);
-    assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+    assert!(
+        world.unfinished().is_empty(),
+        "{what}: never ended: {:?}",
+        world.unfinished()
+    );
 }
 
 /// Node, token, life and lease of the owner record.
 fn record(world: &World) -> Option<(String, u64, u64, u64)> {
     let rec = &world.state.keys.get("sys/owner/0")?.value;
     let number = |k: &str| rec[k].as_u64().unwrap_or(0);
-    Some((rec["node"].as_str()?.to_owned(), number("token"), number("life"), number("lease")))
+    Some((
+        rec["node"].as_str()?.to_owned(),
+        number("token"),
+        number("life"),
+        number("lease"),
+    ))
 }
 
 /// A life that is shorter than this need not come to own the fleet.
@@ -58,7 +85,11 @@
 
 impl Watched {
     fn new() -> Self {
-        Watched { vacant: 0, longest: 0, fewest: usize::MAX }
+        Watched {
+            vacant: 0,
+            longest: 0,
+            fewest: usize::MAX,
+        }
     }
 
     fn run_for(&mut self, world: &mut World, ms: u64) {
@@ -67,8 +98,16 @@
             let before = world.now();
             world.run_for(step);
             // Nothing happened yet.
-            step = if world.now() == before { step + STEP_MS } else { STEP_MS };
-            self.vacant = if world.owner().is_some() { 0 } else { self.vacant + world.now() - before };
+            step = if world.now() == before {
+                step + STEP_MS
+            } else {
+                STEP_MS
+            };
+            self.vacant = if world.owner().is_some() {
+                0
+            } else {
+                self.vacant + world.now() - before
+            };
             self.longest = self.longest.max(self.vacant);
             self.fewest = self.fewest.min(world.on_machines().len());
         }
@@ -98,8 +137,13 @@
 #[test]
 fn crash_loops_leave_the_fleet_owned() {
     // How often they crash, for how long, and after how long they come back.
-    let often =
-        [(400, 50, 30_000), (1000, 100, 30_000), (3000, 150, 30_000), (5000, 300, 30_000), (100, 50, 8000)];
+    let often = [
+        (400, 50, 30_000),
+        (1000, 100, 30_000),
+        (3000, 150, 30_000),
+        (5000, 300, 30_000),
+        (100, 50, 8000),
+    ];
     for (nodes, often) in [(3, &often[..]), (5, &often[1..3])] {
         for (i, (every, back, loops_ms)) in often.iter().copied().enumerate() {
             for who in [Who::Owner, Who::Two, Who::All] {
@@ -117,8 +161,16 @@
                     watched = Watched::new();
                 }
                 watched.run_for(&mut world, 3000);
-                assert!(watched.longest <= VACANT_MS, "{what}: no owner for {} ms", watched.longest);
-                assert!(watched.fewest * 2 >= before, "{what}: {} tasks of {before}", watched.fewest);
+                assert!(
+                    watched.longest <= VACANT_MS,
+                    "{what}: no owner for {} ms",
+                    watched.longest
+                );
+                assert!(
+                    watched.fewest * 2 >= before,
+                    "{what}: {} tasks of {before}",
+                    watched.fewest
+                );
                 ends(&mut world, &what);
             }
         }
@@ -140,7 +192,11 @@
                 world.dies_asking(owner, step);
                 let mut watched = Watched::new();
                 watched.run_for(&mut world, 4000);
-                assert!(watched.longest <= VACANT_MS, "{what}: no owner for {} ms", watched.longest);
+                assert!(
+                    watched.longest <= VACANT_MS,
+                    "{what}: no owner for {} ms",
+                    watched.longest
+                );
             }
             ends(&mut world, &what);
         }
@@ -170,10 +226,16 @@
             }
             for _ in 0..15 {
                 world.run_for(200);
-                let Some((_, token, life, _)) = record(&world) else { continue };
+                let Some((_, token, life, _)) = record(&world) else {
+                    continue;
+                };
                 let highest = terms.last_key_value().map_or(0, |(token, _)| *token);
                 assert!(token >= highest, "{what}: token {token} after {highest}");
-                assert_eq!(*terms.entry(token).or_insert(life), life, "{what}: two lives with token {token}");
+                assert_eq!(
+                    *terms.entry(token).or_insert(life),
+                    life,
+                    "{what}: two lives with token {token}"
+                );
             }
         }
         ends(&mut world, &what);
@@ -183,12 +245,31 @@
 /// Long tasks of low urgency on a fleet of which most falls free within a minute and is kept, then urgent gangs that
 /// all fit.
 fn roomy(seed: u64) -> World {
-    let timed = |at, run_ms, spec| Timed { at, run_ms, cancel_ms: None, spec };
-    let low = |id, tasks| JobSpec { priority: Priority::Low, ..array(id, "red", tasks, 60.0) };
-    let gang = |id| JobSpec { kind: Kind::Gang, priority: Priority::High, ..array(id, "blue", 3, 1.0) };
-    let mut jobs = vec![timed(1000, 200_000, low(1, 10)), timed(1000, 15_000, low(2, 14))];
+    let timed = |at, run_ms, spec| Timed {
+        at,
+        run_ms,
+        cancel_ms: None,
+        spec,
+    };
+    let low = |id, tasks| JobSpec {
+        priority: Priority::Low,
+        ..array(id, "red", tasks, 60.0)
+    };
+    let gang = |id| JobSpec {
+        kind: Kind::Gang,
+        priority: Priority::High,
+        ..array(id, "blue", 3, 1.0)
+    };
+    let mut jobs = vec![
+        timed(1000, 200_000, low(1, 10)),
+        timed(1000, 15_000, low(2, 14)),
+    ];
     jobs.extend((0..GANGS).map(|i| timed(90_000 + u64::from(i) * 1000, 1000, gang(100 + i))));
-    let scene = Scene { jobs, machines: 12, ..Scene::default() };
+    let scene = Scene {
+        jobs,
+        machines: 12,
+        ..Scene::default()
+    };
     let scene = scene.team("red", 0.0, 0.0).team("blue", 0.0, 0.0);
     let mut world = World::new(Plan::of_scene(seed, 3, scene, 0, 600_000));
     world.tune("fleet", "idle_s", "1000");
@@ -222,18 +303,33 @@
                     let at = world.now();
                     world.run_for(step);
                     // Nothing happened yet.
-                    step = if world.now() == at { step + STEP_MS } else { STEP_MS };
+                    step = if world.now() == at {
+                        step + STEP_MS
+                    } else {
+                        STEP_MS
+                    };
                 }
                 assert!(world.owner().is_some(), "{what}: no owner");
                 world.run_for(REPORT_MS);
                 assert_eq!(world.stopped - before, 0, "{what}: stopped to make room");
                 world.run_for(rng.u64(1000..2500));
             }
-            assert!(crashes || world.stopped == 0, "{what}: {} stopped to make room", world.stopped);
+            assert!(
+                crashes || world.stopped == 0,
+                "{what}: {} stopped to make room",
+                world.stopped
+            );
             world.run_for(25_000);
-            let began =
-                |i: &u32| world.began.contains_key(&wire::ids::task_name(&format!("job-{:06}", 100 + i), 0));
-            assert_eq!((0..GANGS).filter(began).count(), GANGS as usize, "{what}: gangs that began");
+            let began = |i: &u32| {
+                world
+                    .began
+                    .contains_key(&wire::ids::task_name(&format!("job-{:06}", 100 + i), 0))
+            };
+            assert_eq!(
+                (0..GANGS).filter(began).count(),
+                GANGS as usize,
+                "{what}: gangs that began"
+            );
             kept(&world, &what);
         }
     }
@@ -286,7 +382,10 @@
             ..Scene::default()
         };
         let plan = Plan::of_scene(seed, nodes, scene.team("red", 24.0, 20.0), 110_000, 600_000);
-        let mut world = World::new(Plan { calm: false, ..plan });
+        let mut world = World::new(Plan {
+            calm: false,
+            ..plan
+        });
         for _ in 0..100 {
             world.come_back_after(rng.u64(50..2500));
             world.run_for(rng.u64(100..2000));
--- a/crates/standins/tests/quotas.rs
+++ b/crates/standins/tests/quotas.rs
@@ -12,7 +12,11 @@
 
 fn node(name: &str, parent: Option<&str>, guarantee: f64, max: f64) -> NodeSpec {
     let max = if max > 0.0 { gpus(max) } else { Amounts::new() };
-    NodeSpec { guarantee: gpus(guarantee), max, ..NodeSpec::new(name, parent) }
+    NodeSpec {
+        guarantee: gpus(guarantee),
+        max,
+        ..NodeSpec::new(name, parent)
+    }
 }
 
 /// One house with two desks, another with one; four teams.
@@ -24,15 +28,27 @@
             node("film", Some("north"), 6.0, 12.0),
             node("south", None, 6.0, 0.0),
         ],
-        teams: [("red", "news"), ("blue", "news"), ("green", "film"), ("amber", "south")]
-            .map(|(team, parent)| TeamSpec::new(team, Some(parent)))
-            .into(),
+        teams: [
+            ("red", "news"),
+            ("blue", "news"),
+            ("green", "film"),
+            ("amber", "south"),
+        ]
+        .map(|(team, parent)| TeamSpec::new(team, Some(parent)))
+        .into(),
     }
 }
 
 fn scene() -> Scene {
-    let scene = Scene { machines: 8, ..Scene::default() };
-    scene.team("red", 2.0, 0.0).team("blue", 2.0, 0.0).team("green", 4.0, 12.0).team("amber", 4.0, 0.0)
+    let scene = Scene {
+        machines: 8,
+        ..Scene::default()
+    };
+    scene
+        .team("red", 2.0, 0.0)
+        .team("blue", 2.0, 0.0)
+        .team("green", 4.0, 12.0)
+        .team("amber", 4.0, 0.0)
 }
 
 fn world(seed: u64, nodes: usize, scene: Scene) -> World {
@@ -40,14 +56,20 @@
 }
 
 fn timed(at: u64, run_ms: u64, spec: wire::api::JobSpec) -> Timed {
-    Timed { at, run_ms, cancel_ms: None, spec }
+    Timed {
+        at,
+        run_ms,
+        cancel_ms: None,
+        spec,
+    }
 }
 
 /// GPUs that a team's tasks have now.
 fn uses(world: &World, team: &str) -> usize {
     let of = |task: &String| {
         let job = wire::ids::parse_task(task).and_then(|(id, _)| world.rules.jobs.get(id));
-        job.and_then(|j| j.spec.as_ref()).is_some_and(|s| s.team == team)
+        job.and_then(|j| j.spec.as_ref())
+            .is_some_and(|s| s.team == team)
     };
     world.on_machines().iter().filter(|t| of(t)).count()
 }
@@ -55,9 +77,18 @@
 /// The version in force, with all its parts, and nothing besides in the state service.
 fn whole(world: &World, scene: &Scene) -> u64 {
     let (version, _) = scene.tree_in(&world.state, false).expect("a whole tree");
-    let parts = world.state.keys.keys().filter(|k| k.starts_with(wire::records::QUOTA_PARTS)).count();
+    let parts = world
+        .state
+        .keys
+        .keys()
+        .filter(|k| k.starts_with(wire::records::QUOTA_PARTS))
+        .count();
     let head = &world.state.keys[wire::records::QUOTA].value["quota"]["parts"];
-    assert_eq!(parts, head.as_array().map_or(0, Vec::len), "parts that no version names");
+    assert_eq!(
+        parts,
+        head.as_array().map_or(0, Vec::len),
+        "parts that no version names"
+    );
     version
 }
 
@@ -74,25 +105,45 @@
         spec.spot = rng.bool();
         let cancel_ms = (rng.u32(0..5) == 0).then(|| rng.u64(0..30_000));
         let at = rng.u64(2000..220_000);
-        scene.jobs.push(Timed { at, run_ms: rng.u64(4000..25_000), cancel_ms, spec });
+        scene.jobs.push(Timed {
+            at,
+            run_ms: rng.u64(4000..25_000),
+            cancel_ms,
+            spec,
+        });
     }
     let mut smaller = houses();
     smaller.nodes[0].max = gpus(12.0);
-    smaller.nodes[1].over = if rng.bool() { Over::Reclaim } else { Over::LetEnd };
+    smaller.nodes[1].over = if rng.bool() {
+        Over::Reclaim
+    } else {
+        Over::LetEnd
+    };
     for (k, at) in [(0, 60_000), (1, 115_000), (2, 118_000), (3, 225_000)] {
         let edit = match rng.u32(0..4) {
-            0 => Edit::Move { name: "blue".into(), to: Some("film".into()) },
+            0 => Edit::Move {
+                name: "blue".into(),
+                to: Some("film".into()),
+            },
             1 => Edit::Move {
                 name: "amber".into(),
                 to: [None, Some("north".to_owned())][rng.usize(0..2)].clone(),
             },
-            2 => {
-                Edit::Shrink { name: "north".into(), guarantee: gpus(6.0), max: gpus(7.0), scale: rng.bool() }
-            }
-            _ => Edit::Set { spec: smaller.clone() },
+            2 => Edit::Shrink {
+                name: "north".into(),
+                guarantee: gpus(6.0),
+                max: gpus(7.0),
+                scale: rng.bool(),
+            },
+            _ => Edit::Set {
+                spec: smaller.clone(),
+            },
         };
         let expect = rng.bool().then_some(u64::from(k == 0) + rng.u64(0..3));
-        scene.changes.push((at + rng.u64(0..5000), change(&format!("c{k}"), expect, edit)));
+        scene.changes.push((
+            at + rng.u64(0..5000),
+            change(&format!("c{k}"), expect, edit),
+        ));
     }
     scene
 }
@@ -106,15 +157,41 @@
         let scene = drawn(seed);
         let mut world = World::new(Plan {
             calm: false,
-            ..plan_of(seed, if seed % 4 == 3 { 7 } else { 3 }, &scene, Sabotage::None)
+            ..plan_of(
+                seed,
+                if seed % 4 == 3 { 7 } else { 3 },
+                &scene,
+                Sabotage::None,
+            )
         });
         world.run();
-        assert!(world.rules.broken.is_empty(), "seed {seed}: {:?}", world.rules.broken);
-        assert!(world.unfinished().is_empty(), "seed {seed}: never ended: {:?}", world.unfinished());
+        assert!(
+            world.rules.broken.is_empty(),
+            "seed {seed}: {:?}",
+            world.rules.broken
+        );
+        assert!(
+            world.unfinished().is_empty(),
+            "seed {seed}: never ended: {:?}",
+            world.unfinished()
+        );
         assert_eq!(world.state.counts.too_large, 0, "seed {seed}");
-        let made = world.changes.values().filter(|(status, _)| *status == 200).count();
-        let refused = world.changes.values().filter(|(status, _)| matches!(status, 409 | 422)).count();
-        assert_eq!(made + refused, scene.changes.len(), "seed {seed}: {:?}", world.changes);
+        let made = world
+            .changes
+            .values()
+            .filter(|(status, _)| *status == 200)
+            .count();
+        let refused = world
+            .changes
+            .values()
+            .filter(|(status, _)| matches!(status, 409 | 422))
+            .count();
+        assert_eq!(
+            made + refused,
+            scene.changes.len(),
+            "seed {seed}: {:?}",
+            world.changes
+        );
         assert_eq!(
             whole(&world, &scene),
             made as u64,
@@ -126,18 +203,27 @@
 }
 
 fn plan_of(seed: u64, nodes: usize, scene: &Scene, sabotage: Sabotage) -> Plan {
-    Plan { sabotage, ..Plan::of_scene(seed, nodes, scene.clone(), 240_000, 900_000) }
+    Plan {
+        sabotage,
+        ..Plan::of_scene(seed, nodes, scene.clone(), 240_000, 900_000)
+    }
 }
 
 /// The checker sees a node above its bound when the controllers were told another one.
 #[test]
 fn the_check_of_inner_limits_can_fail() {
     let scene = scene().tree(1000, "first", &houses());
-    let jobs = (0..6).map(|i| timed(100_000, 30_000, array(1000 + i, "red", 8, 30.0))).collect();
+    let jobs = (0..6)
+        .map(|i| timed(100_000, 30_000, array(1000 + i, "red", 8, 30.0)))
+        .collect();
     let scene = Scene { jobs, ..scene };
     let mut world = World::new(plan_of(1, 3, &scene, Sabotage::NodesRaised));
     world.run();
-    assert!(world.rules.broken.contains_key("node_quota"), "{:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.contains_key("node_quota"),
+        "{:?}",
+        world.rules.broken
+    );
     let mut world = World::new(plan_of(1, 3, &scene, Sabotage::None));
     world.run();
     assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
@@ -150,19 +236,28 @@
     let mut large = houses();
     for i in 0..260 {
         let name = format!("desk-{i}-with-a-name-that-takes-some-room");
-        large.nodes.push(NodeSpec { guarantee: gpus(0.001), ..NodeSpec::new(&name, None) });
+        large.nodes.push(NodeSpec {
+            guarantee: gpus(0.001),
+            ..NodeSpec::new(&name, None)
+        });
     }
     for nodes in [3, 7] {
         let mut deaths = 0;
         for step in 0..24u64 {
-            let scene = scene().tree(5000, "first", &houses()).tree(20_000, "large", &large);
+            let scene = scene()
+                .tree(5000, "first", &houses())
+                .tree(20_000, "large", &large);
             let mut world = world(step, nodes, scene.clone());
             world.run_for(20_000 + step * 2);
             world.doom_owner();
             world.run_for(500);
             deaths += usize::from(!world.changes.contains_key("large"));
             world.run_for(60_000);
-            assert!(world.rules.broken.is_empty(), "step {step}: {:?}", world.rules.broken);
+            assert!(
+                world.rules.broken.is_empty(),
+                "step {step}: {:?}",
+                world.rules.broken
+            );
             assert_eq!(world.changes["large"], (200, 2), "step {step}");
             assert_eq!(whole(&world, &scene), 2, "step {step}");
             let (_, tree) = scene.tree_in(&world.state, false).expect("whole");
@@ -180,7 +275,10 @@
         // In the midst of the other one, or well after it.
         let later = if seed < 7 { seed } else { 1000 * seed };
         for (id, at) in [("a", 20_000), ("b", 20_000 + later)] {
-            let edit = Edit::Move { name: "blue".into(), to: Some("film".into()) };
+            let edit = Edit::Move {
+                name: "blue".into(),
+                to: Some("film".into()),
+            };
             scene.changes.push((at, change(id, Some(1), edit)));
         }
         let mut world = world(seed, 3, scene.clone());
@@ -189,7 +287,10 @@
         ended.sort_unstable();
         assert_eq!(ended[0], (200, 2), "seed {seed}");
         assert_eq!(ended[1].0, 409, "seed {seed}");
-        assert!(matches!(ended[1].1, 1 | 2), "seed {seed}: the version is named");
+        assert!(
+            matches!(ended[1].1, 1 | 2),
+            "seed {seed}: the version is named"
+        );
         assert_eq!(whole(&world, &scene), 2);
     }
 }
@@ -200,11 +301,14 @@
     let mut scene = scene();
     let ids = ["".to_owned(), "x".repeat(41), "a\nb".to_owned()];
     for id in &ids {
-        scene.changes.push((5000, change(id, None, Edit::Set { spec: houses() })));
+        scene
+            .changes
+            .push((5000, change(id, None, Edit::Set { spec: houses() })));
     }
     let mut world = world(1, 3, scene);
     world.run_for(10_000);
-    ids.iter().for_each(|id| assert_eq!(world.changes[id].0, 400, "{id:?}"));
+    ids.iter()
+        .for_each(|id| assert_eq!(world.changes[id].0, 400, "{id:?}"));
     assert!(!world.state.keys.contains_key(wire::records::QUOTA));
 }
 
@@ -216,17 +320,33 @@
         tree.nodes[1].over = over;
         let mut scene = scene().tree(2000, "first", &tree);
         scene.jobs = vec![timed(5000, 90_000, array(1000, "red", 10, 90.0))];
-        let edit =
-            Edit::Shrink { name: "news".into(), guarantee: Amounts::new(), max: gpus(6.0), scale: false };
+        let edit = Edit::Shrink {
+            name: "news".into(),
+            guarantee: Amounts::new(),
+            max: gpus(6.0),
+            scale: false,
+        };
         scene.changes.push((40_000, change("less", None, edit)));
         let mut world = world(1, 3, scene);
         world.run_for(39_000);
         assert_eq!(uses(&world, "red"), 10);
         world.run_for(16_000);
-        let (kept, stopped) = if over == Over::Reclaim { (6, 4) } else { (10, 0) };
-        assert_eq!((uses(&world, "red"), world.stopped), (kept, stopped), "{over:?}");
+        let (kept, stopped) = if over == Over::Reclaim {
+            (6, 4)
+        } else {
+            (10, 0)
+        };
+        assert_eq!(
+            (uses(&world, "red"), world.stopped),
+            (kept, stopped),
+            "{over:?}"
+        );
         world.run_for(300_000);
-        assert!(world.rules.broken.is_empty() && world.unfinished().is_empty(), "{:?}", world.rules.broken);
+        assert!(
+            world.rules.broken.is_empty() && world.unfinished().is_empty(),
+            "{:?}",
+            world.rules.broken
+        );
     }
 }
 
@@ -240,19 +360,35 @@
         // Waits for room at the first desk, since red has what blue leaves.
         timed(30_000, 60_000, array(1002, "blue", 6, 60.0)),
     ];
-    let edit = Edit::Move { name: "red".into(), to: Some("film".into()) };
+    let edit = Edit::Move {
+        name: "red".into(),
+        to: Some("film".into()),
+    };
     scene.changes.push((70_000, change("move", None, edit)));
     let mut world = world(1, 3, scene);
     world.run_for(69_000);
     // The house may use 16: 14 were taken when blue came.
-    assert_eq!((uses(&world, "red") + uses(&world, "green") + uses(&world, "blue")), 16);
+    assert_eq!(
+        (uses(&world, "red") + uses(&world, "green") + uses(&world, "blue")),
+        16
+    );
     world.run_for(30_000);
     assert_eq!(world.changes["move"], (200, 2));
     let film = uses(&world, "red") + uses(&world, "green");
-    assert!(film <= 12, "the other desk may use 12, its teams use {film}");
-    assert!(uses(&world, "blue") >= 4, "the room at its own desk is blue's now");
+    assert!(
+        film <= 12,
+        "the other desk may use 12, its teams use {film}"
+    );
+    assert!(
+        uses(&world, "blue") >= 4,
+        "the room at its own desk is blue's now"
+    );
     world.run_for(600_000);
-    assert!(world.rules.broken.is_empty() && world.unfinished().is_empty(), "{:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty() && world.unfinished().is_empty(),
+        "{:?}",
+        world.rules.broken
+    );
 }
 
 /// One desk floods the queue with work that runs for minutes, of the highest urgency. Its siblings and the other house
@@ -265,10 +401,16 @@
     for i in 0..60 {
         let mut spec = array(1000 + i, "green", 4, 240.0);
         spec.priority = wire::api::Priority::Production;
-        scene.jobs.push(timed(5000 + u64::from(i) * 100, 240_000, spec));
+        scene
+            .jobs
+            .push(timed(5000 + u64::from(i) * 100, 240_000, spec));
     }
     for (i, team) in ["red", "blue", "amber"].iter().enumerate() {
-        scene.jobs.push(timed(60_000, 120_000, array(2000 + i as u32, team, 8, 120.0)));
+        scene.jobs.push(timed(
+            60_000,
+            120_000,
+            array(2000 + i as u32, team, 8, 120.0),
+        ));
     }
     for nodes in [3, 7] {
         let mut world = world(1, nodes, scene.clone());
@@ -282,7 +424,10 @@
         world.run_for(59_000);
         let has = ["red", "blue", "amber"].map(|t| uses(&world, t));
         assert!(has[0] >= 2 && has[1] >= 2 && has[2] >= 4, "{has:?}");
-        assert!(uses(&world, "green") >= 4, "and what it is guaranteed itself");
+        assert!(
+            uses(&world, "green") >= 4,
+            "and what it is guaranteed itself"
+        );
         assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
     }
 }
@@ -291,21 +436,38 @@
 /// has it; an owner that has none starts nothing, until an operator puts a good one in its place.
 #[test]
 fn a_tree_that_does_not_check_out_is_refused() {
-    for (format, parts) in [(99, vec![]), (1, vec!["0123456789abcdef01234567".to_owned()])] {
+    for (format, parts) in [
+        (99, vec![]),
+        (1, vec!["0123456789abcdef01234567".to_owned()]),
+    ] {
         let mut scene = scene().tree(2000, "first", &houses());
         for i in 0..12 {
-            scene.jobs.push(timed(20_000 + 5000 * i, 9000, array(1000 + i as u32, "red", 6, 9.0)));
+            scene.jobs.push(timed(
+                20_000 + 5000 * i,
+                9000,
+                array(1000 + i as u32, "red", 6, 9.0),
+            ));
         }
         let again = Edit::Set { spec: houses() };
-        scene.changes.push((110_000, change("mended", Some(2), again)));
+        scene
+            .changes
+            .push((110_000, change("mended", Some(2), again)));
         // Of these seeds another node follows; one that has crashed does not have the good tree.
         let mut world = world(format as u64 + 7, 3, scene.clone());
         world.run_for(10_000);
-        let quota = wire::tree::Head { format, version: 2, parts, history: vec![] };
+        let quota = wire::tree::Head {
+            format,
+            version: 2,
+            parts,
+            history: vec![],
+        };
         let bad = wire::records::Record::Quota(wire::tree::HeadRec { quota });
         world.write(wire::api::Write::put(wire::records::QUOTA.into(), bad));
         world.run_for(30_000);
-        assert!(uses(&world, "red") > 0 && uses(&world, "red") <= 10, "the last good one stays in force");
+        assert!(
+            uses(&world, "red") > 0 && uses(&world, "red") <= 10,
+            "the last good one stays in force"
+        );
         world.doom_owner();
         world.run_for(20_000);
         let before = world.rules.starts;
@@ -318,7 +480,11 @@
         assert_eq!(world.rules.starts, before, "nobody has it any more");
         world.run_for(200_000);
         assert_eq!(world.changes["mended"], (200, 3));
-        assert!(world.rules.broken.is_empty() && world.unfinished().is_empty(), "{:?}", world.rules.broken);
+        assert!(
+            world.rules.broken.is_empty() && world.unfinished().is_empty(),
+            "{:?}",
+            world.rules.broken
+        );
         assert_eq!(whole(&world, &scene), 3);
     }
 }
@@ -327,23 +493,36 @@
 /// nothing ever started.
 #[test]
 fn a_thousand_teams_fit() {
-    let mut scene = Scene { machines: 8, ..Scene::default() };
+    let mut scene = Scene {
+        machines: 8,
+        ..Scene::default()
+    };
     let mut tree = houses();
     tree.teams.clear();
     for i in 0..1000 {
         let name = format!("team-{i}-with-a-name-of-its-own");
         scene = scene.team(&name, 0.0, if i == 0 { 3.0 } else { 0.0 });
-        tree.teams.push(TeamSpec::new(&name, Some(["news", "film", "south"][i % 3])));
+        tree.teams
+            .push(TeamSpec::new(&name, Some(["news", "film", "south"][i % 3])));
     }
     scene = scene.tree(2000, "first", &tree);
     for i in 0..20 {
         let team = scene.teams[i % 2].name.clone();
-        scene.jobs.push(timed(5000, 5000, array(1000 + i as u32, &team, 2, 5.0)));
+        scene
+            .jobs
+            .push(timed(5000, 5000, array(1000 + i as u32, &team, 2, 5.0)));
     }
     let mut world = world(1, 3, scene.clone());
     world.run_for(120_000);
-    assert!(world.rules.broken.is_empty() && world.unfinished().is_empty(), "{:?}", world.rules.broken);
-    assert_eq!((world.state.counts.too_large, whole(&world, &scene)), (0, 1));
+    assert!(
+        world.rules.broken.is_empty() && world.unfinished().is_empty(),
+        "{:?}",
+        world.rules.broken
+    );
+    assert_eq!(
+        (world.state.counts.too_large, whole(&world, &scene)),
+        (0, 1)
+    );
 }
 
 /// The head and the allotment came on top of as many ends as a transaction takes: it was refused as too large.
@@ -354,18 +533,31 @@
         scene.machines = 12;
         for i in 0..24 {
             let team = ["amber", "green"][i % 2];
-            scene.jobs.push(timed(10_000, 15_000, array(1000 + i as u32, team, 1, 15.0)));
+            scene
+                .jobs
+                .push(timed(10_000, 15_000, array(1000 + i as u32, team, 1, 15.0)));
         }
         // All end within some tenths of a second, and are told with the next reports.
         for k in 0..12 {
             let edit = Edit::Set { spec: houses() };
-            scene.changes.push((27_000 + k * 250 + seed * 20, change(&format!("c{k}"), None, edit)));
+            scene.changes.push((
+                27_000 + k * 250 + seed * 20,
+                change(&format!("c{k}"), None, edit),
+            ));
         }
         let mut world = world(seed, 3, scene.clone());
         world.run_for(60_000);
-        assert!(world.rules.broken.is_empty() && world.unfinished().is_empty(), "{:?}", world.rules.broken);
+        assert!(
+            world.rules.broken.is_empty() && world.unfinished().is_empty(),
+            "{:?}",
+            world.rules.broken
+        );
         assert_eq!(world.state.counts.too_large, 0, "seed {seed}");
-        let made = world.changes.values().filter(|(status, _)| *status == 200).count();
+        let made = world
+            .changes
+            .values()
+            .filter(|(status, _)| *status == 200)
+            .count();
         assert_eq!(whole(&world, &scene), made as u64);
     }
 }
--- a/crates/standins/tests/refusals.rs
+++ b/crates/standins/tests/refusals.rs
@@ -31,12 +31,26 @@
         cancel_ms: None,
         spec: array(2000 + i, "red", 1, 1.0),
     });
-    let scene = Scene { jobs: long.chain(short).collect(), machines: 12, ..Scene::default() };
-    World::new(Plan::of_scene(seed, nodes, scene.team("red", 24.0, 0.0), 0, 600_000))
+    let scene = Scene {
+        jobs: long.chain(short).collect(),
+        machines: 12,
+        ..Scene::default()
+    };
+    World::new(Plan::of_scene(
+        seed,
+        nodes,
+        scene.team("red", 24.0, 0.0),
+        0,
+        600_000,
+    ))
 }
 
 fn kept(world: &World, what: &str) {
-    assert!(world.rules.broken.is_empty(), "{what}: {:?}", world.rules.broken);
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
 }
 
 fn owner(world: &World) -> usize {
@@ -63,9 +77,21 @@
     world.ask_everywhere();
     world.run_for(200_000);
     kept(world, what);
-    assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
-    let told = world.rules.jobs.values().filter(|j| j.told_cancelled.is_some()).count();
-    assert!(told * 2 > LONG as usize, "{what}: {told} told of their cancels");
+    assert!(
+        world.unfinished().is_empty(),
+        "{what}: never ended: {:?}",
+        world.unfinished()
+    );
+    let told = world
+        .rules
+        .jobs
+        .values()
+        .filter(|j| j.told_cancelled.is_some())
+        .count();
+    assert!(
+        told * 2 > LONG as usize,
+        "{what}: {told} told of their cancels"
+    );
 }
 
 /// The leader alone is refused, the next one confirms, then nobody is served for longer than `cancel_s`. Cancels and
@@ -80,7 +106,10 @@
             let begun = world.now();
             let every = [40, 160, 420][step as usize / 2 % 3];
             if step % 2 == 0 {
-                world.bring(&Trouble::Refused { who: Who::Owner, ms: 14_000 });
+                world.bring(&Trouble::Refused {
+                    who: Who::Owner,
+                    ms: 14_000,
+                });
                 cancel_and_ask(&mut world, nodes, every);
             } else {
                 // The refusal comes in the midst of it.
@@ -89,7 +118,10 @@
                 world.run_for(every);
                 (0..3).for_each(|i| world.cancel_at(i as usize % nodes, &long(i)));
                 world.run_for(step * 3);
-                world.bring(&Trouble::Refused { who: Who::Node(owner), ms: 14_000 });
+                world.bring(&Trouble::Refused {
+                    who: Who::Node(owner),
+                    ms: 14_000,
+                });
                 cancel_and_ask(&mut world, nodes, every);
             }
             world.run_for((begun + 2000 + step * 300).saturating_sub(world.now()));
@@ -119,9 +151,15 @@
                 world.run_for(step * 31);
                 let who = Who::Node(before);
                 world.bring(&match (step + u64::from(round)) % 3 {
-                    0 => Trouble::Freeze { who, ms: 1700 + step * 90 },
+                    0 => Trouble::Freeze {
+                        who,
+                        ms: 1700 + step * 90,
+                    },
                     1 => Trouble::Refused { who, ms: 3000 },
-                    _ => Trouble::Crash { who, back_ms: 50 + step * 40 },
+                    _ => Trouble::Crash {
+                        who,
+                        back_ms: 50 + step * 40,
+                    },
                 });
                 for i in 0..(round + 1) * 3 {
                     world.poll_at(before, &long(i));
@@ -151,7 +189,12 @@
             let ms = 7000 + step * 61;
             let how = [How::Reset, How::Hold][usize::from(step % 4 == 3)];
             for from in [Side::State, Side::Nodes] {
-                world.bring(&Trouble::Cut { who: Who::Node(old), from, how, ms });
+                world.bring(&Trouble::Cut {
+                    who: Who::Node(old),
+                    from,
+                    how,
+                    ms,
+                });
             }
             // Its short jobs end there while it is sure, and its users cancel some.
             world.run_for(600 + step * 20);
@@ -208,11 +251,20 @@
     for nodes in [3, 5, 7] {
         for seed in 0..12u64 {
             let what = format!("{nodes} nodes, seed {seed}");
-            let timed =
-                |at, run_ms, id| Timed { at, run_ms, cancel_ms: None, spec: array(id, "red", 1, 3.0) };
+            let timed = |at, run_ms, id| Timed {
+                at,
+                run_ms,
+                cancel_ms: None,
+                spec: array(id, "red", 1, 3.0),
+            };
             let mut jobs = vec![timed(1000, 45_000, 1000), timed(1000, 45_000, 1001)];
             jobs.push(timed(28_000, 2500 + seed * 30, 2000));
-            let scene = Scene { jobs, machines: 12, ..Scene::default() }.team("red", 24.0, 0.0);
+            let scene = Scene {
+                jobs,
+                machines: 12,
+                ..Scene::default()
+            }
+            .team("red", 24.0, 0.0);
             let mut world = World::new(Plan::of_scene(seed, nodes, scene, 0, 600_000));
             world.run_for(BEGIN);
             let old = owner(&world);
@@ -233,7 +285,11 @@
             world.ask_everywhere();
             world.run_for(40_000);
             kept(&world, &what);
-            assert!(world.unfinished().is_empty(), "{what}: never ended: {:?}", world.unfinished());
+            assert!(
+                world.unfinished().is_empty(),
+                "{what}: never ended: {:?}",
+                world.unfinished()
+            );
         }
     }
 }
@@ -246,7 +302,10 @@
         let what = format!("{nodes} nodes, {ms} ms");
         let mut world = world(300, nodes);
         world.run_for(BEGIN);
-        world.bring(&Trouble::CutOff { who: Who::Owner, ms });
+        world.bring(&Trouble::CutOff {
+            who: Who::Owner,
+            ms,
+        });
         cancel_and_ask(&mut world, nodes, 900);
         world.run_for(ms);
         ends(&mut world, &what);
