--- a/crates/yarn/src/rest.rs
+++ b/crates/yarn/src/rest.rs
@@ -21,7 +21,10 @@
     /// JSON where it does not care, `None` if nothing it names can be given.
     pub fn wanted(accept: &str) -> Option<Form> {
         let mut named = false;
-        for part in accept.split(',').map(|p| p.split(';').next().unwrap_or("").trim()) {
+        for part in accept
+            .split(',')
+            .map(|p| p.split(';').next().unwrap_or("").trim())
+        {
             match part.to_ascii_lowercase().as_str() {
                 "" => continue,
                 "application/json" | "*/*" | "application/*" => return Some(Form::Json),
@@ -45,7 +48,9 @@
     match form {
         Form::Json if bare => serde_json::to_vec(value).unwrap_or_default(),
         Form::Json => serde_json::to_vec(&json!({ root: value })).unwrap_or_default(),
-        Form::Xml => quick_xml::se::to_string_with_root(root, value).unwrap_or_default().into_bytes(),
+        Form::Xml => quick_xml::se::to_string_with_root(root, value)
+            .unwrap_or_default()
+            .into_bytes(),
     }
 }
 
@@ -299,7 +304,11 @@
     pub memory: i64,
     #[serde(rename = "vCores")]
     pub vcores: i32,
-    #[serde(rename = "resourceInformations", default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        rename = "resourceInformations",
+        default,
+        skip_serializing_if = "Option::is_none"
+    )]
     pub named: Option<Informations>,
 }
 
--- a/crates/yarn/src/rpc.rs
+++ b/crates/yarn/src/rpc.rs
@@ -150,7 +150,9 @@
     pub fn class(self) -> &'static str {
         match self {
             Fatal::Version(_) => "org.apache.hadoop.ipc.RPC$VersionMismatch",
-            Fatal::Auth(_) | Fatal::Unauthorized => "org.apache.hadoop.security.AccessControlException",
+            Fatal::Auth(_) | Fatal::Unauthorized => {
+                "org.apache.hadoop.security.AccessControlException"
+            }
             _ => "org.apache.hadoop.ipc.RpcServerException",
         }
     }
@@ -160,7 +162,10 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Fatal::NotRpc => write!(f, "not a Hadoop RPC connection"),
-            Fatal::Version(v) => write!(f, "RPC version {v} is not spoken here, version {VERSION} is"),
+            Fatal::Version(v) => write!(
+                f,
+                "RPC version {v} is not spoken here, version {VERSION} is"
+            ),
             Fatal::Auth(a) => write!(f, "authentication {a:#04x} is not spoken here"),
             Fatal::Length(n) => write!(f, "a frame of {n} bytes is not taken"),
             Fatal::Header => write!(f, "the header can't be read"),
@@ -188,9 +193,13 @@
 
 /// Takes a frame's body off the front, with the bytes used; `None` while bytes are missing.
 pub fn take_frame(buf: &[u8], limit: usize) -> Result<Option<(&[u8], usize)>, Fatal> {
-    let Some(head) = buf.first_chunk::<4>() else { return Ok(None) };
+    let Some(head) = buf.first_chunk::<4>() else {
+        return Ok(None);
+    };
     let length = i32::from_be_bytes(*head);
-    let size = usize::try_from(length).ok().filter(|n| *n > 0 && *n <= limit);
+    let size = usize::try_from(length)
+        .ok()
+        .filter(|n| *n > 0 && *n <= limit);
     let size = size.ok_or(Fatal::Length(length))?;
     Ok(buf.get(4..4 + size).map(|body| (body, 4 + size)))
 }
@@ -229,18 +238,29 @@
     if kind != 2 {
         return Err(Fatal::Kind(kind));
     }
-    let MethodHeader { method, protocol, .. } = delimited(&mut rest).map_err(|_| Fatal::Request)?;
+    let MethodHeader {
+        method, protocol, ..
+    } = delimited(&mut rest).map_err(|_| Fatal::Request)?;
     let size = prost::decode_length_delimiter(&mut rest).map_err(|_| Fatal::Request)?;
     if size != rest.len() {
         return Err(Fatal::Request);
     }
-    Ok(Request { header, method, protocol, argument: rest.to_vec() })
+    Ok(Request {
+        header,
+        method,
+        protocol,
+        argument: rest.to_vec(),
+    })
 }
 
 /// What follows the header of a connection's context, or of a step of authentication.
 pub fn message<T: Message + Default>(mut rest: &[u8]) -> Result<T, Fatal> {
     let value = delimited(&mut rest).map_err(|_| Fatal::Request)?;
-    if rest.is_empty() { Ok(value) } else { Err(Fatal::Request) }
+    if rest.is_empty() {
+        Ok(value)
+    } else {
+        Err(Fatal::Request)
+    }
 }
 
 /// Puts the four-byte length before parts that each have their own.
@@ -261,13 +281,25 @@
 
 fn header(call_id: i32, client_id: &[u8], retry: i32) -> RequestHeader {
     let client_id = client_id.to_vec();
-    RequestHeader { rpc_kind: Some(2), rpc_op: Some(0), call_id, client_id, retry_count: Some(retry) }
+    RequestHeader {
+        rpc_kind: Some(2),
+        rpc_op: Some(0),
+        call_id,
+        client_id,
+        retry_count: Some(retry),
+    }
 }
 
 /// The frame that says who a connection's user is.
 pub fn context(client_id: &[u8], user: &str, protocol: &str) -> Vec<u8> {
-    let user = UserInformation { effective_user: Some(user.to_owned()), real_user: None };
-    let context = ConnectionContext { user: Some(user), protocol: Some(protocol.to_owned()) };
+    let user = UserInformation {
+        effective_user: Some(user.to_owned()),
+        real_user: None,
+    };
+    let context = ConnectionContext {
+        user: Some(user),
+        protocol: Some(protocol.to_owned()),
+    };
     frame_of(CONTEXT_CALL, client_id, &context)
 }
 
@@ -280,7 +312,14 @@
     method: &str,
     argument: &T,
 ) -> Vec<u8> {
-    request_bytes(call_id, client_id, retry, protocol, method, &argument.encode_to_vec())
+    request_bytes(
+        call_id,
+        client_id,
+        retry,
+        protocol,
+        method,
+        &argument.encode_to_vec(),
+    )
 }
 
 /// The frame of a call whose argument is encoded already.
@@ -292,7 +331,11 @@
     method: &str,
     argument: &[u8],
 ) -> Vec<u8> {
-    let named = MethodHeader { method: method.to_owned(), protocol: protocol.to_owned(), version: 1 };
+    let named = MethodHeader {
+        method: method.to_owned(),
+        protocol: protocol.to_owned(),
+        version: 1,
+    };
     frame(&[
         header(call_id, client_id, retry).encode_length_delimited_to_vec(),
         named.encode_length_delimited_to_vec(),
@@ -303,7 +346,10 @@
 /// The frame of a message that is no call: a step of authentication, or a context.
 pub fn frame_of<T: Message>(call_id: i32, client_id: &[u8], message: &T) -> Vec<u8> {
     let head = header(call_id, client_id, -1);
-    frame(&[head.encode_length_delimited_to_vec(), message.encode_length_delimited_to_vec()])
+    frame(&[
+        head.encode_length_delimited_to_vec(),
+        message.encode_length_delimited_to_vec(),
+    ])
 }
 
 /// Bytes with their length before them.
@@ -334,7 +380,10 @@
 
 /// The frame of an answer; `body` is the encoded message.
 pub fn answer(of: &RequestHeader, body: &[u8]) -> Vec<u8> {
-    frame(&[answer_header(of, 0).encode_length_delimited_to_vec(), delimit(body)])
+    frame(&[
+        answer_header(of, 0).encode_length_delimited_to_vec(),
+        delimit(body),
+    ])
 }
 
 /// The frame that says why a call was not served.
@@ -367,8 +416,15 @@
 
 /// What a server says to a client that wants to negotiate: nothing needs to be proved.
 pub fn simple_will_do(of: &RequestHeader) -> Vec<u8> {
-    let auth = SaslAuth { method: "SIMPLE".into(), ..SaslAuth::default() };
-    let sasl = Sasl { state: 1, auths: vec![auth], ..Sasl::default() };
+    let auth = SaslAuth {
+        method: "SIMPLE".into(),
+        ..SaslAuth::default()
+    };
+    let sasl = Sasl {
+        state: 1,
+        auths: vec![auth],
+        ..Sasl::default()
+    };
     answer(of, &sasl.encode_to_vec())
 }
 
@@ -376,7 +432,11 @@
 pub fn parse_answer(mut body: &[u8]) -> Result<(ResponseHeader, Result<Vec<u8>, Fault>), Fatal> {
     let head: ResponseHeader = delimited(&mut body).map_err(|_| Fatal::Header)?;
     if head.status != 0 {
-        let class = head.exception_class.as_deref().and_then(Class::of).unwrap_or(Class::Yarn);
+        let class = head
+            .exception_class
+            .as_deref()
+            .and_then(Class::of)
+            .unwrap_or(Class::Yarn);
         let fault = Fault::new(class, head.error.clone().unwrap_or_default());
         return Ok((head, Err(fault)));
     }
--- a/crates/yarn/tests/formats.rs
+++ b/crates/yarn/tests/formats.rs
@@ -11,7 +11,9 @@
 
 /// What is in a frame.
 fn body_of(frame: &[u8]) -> &[u8] {
-    let (body, used) = rpc::take_frame(frame, 1 << 20).expect("a frame").expect("whole");
+    let (body, used) = rpc::take_frame(frame, 1 << 20)
+        .expect("a frame")
+        .expect("whole");
     assert_eq!(used, frame.len());
     body
 }
@@ -158,7 +160,10 @@
 fn known_bytes() {
     assert_eq!(rpc::open(rpc::AUTH_SIMPLE), b"hrpc\x09\x00\x00");
     // Header: kind 2, op 0, call -4 as zigzag 7, client id "x", retry -1 as zigzag 1.
-    assert_eq!(rpc::ping(b"x"), b"\0\0\0\x0c\x0b\x08\x02\x10\x00\x18\x07\x22\x01x\x28\x01");
+    assert_eq!(
+        rpc::ping(b"x"),
+        b"\0\0\0\x0c\x0b\x08\x02\x10\x00\x18\x07\x22\x01x\x28\x01"
+    );
     let context = rpc::context(b"x", "ann", "p");
     assert_eq!(
         context,
@@ -169,13 +174,25 @@
         call,
         b"\0\0\0\x16\x0b\x08\x02\x10\x00\x18\x02\x22\x01x\x28\x00\x08\x0a\x01m\x12\x01p\x18\x01\x00"
     );
-    let id = ApplicationId { id: 7, cluster_timestamp: 300 };
+    let id = ApplicationId {
+        id: 7,
+        cluster_timestamp: 300,
+    };
     assert_eq!(id.encode_to_vec(), b"\x08\x07\x10\xac\x02");
     assert_eq!(id.to_string(), "application_300_0007");
-    let attempt = ApplicationAttemptId { application_id: Some(id), attempt_id: 1 };
+    let attempt = ApplicationAttemptId {
+        application_id: Some(id),
+        attempt_id: 1,
+    };
     assert_eq!(attempt.to_string(), "appattempt_300_0007_000001");
-    assert_eq!(ContainerId::new(attempt, 0, 12).to_string(), "container_300_0007_01_000012");
-    assert_eq!(ContainerId::new(attempt, 17, 12).to_string(), "container_e17_300_0007_01_000012");
+    assert_eq!(
+        ContainerId::new(attempt, 0, 12).to_string(),
+        "container_300_0007_01_000012"
+    );
+    assert_eq!(
+        ContainerId::new(attempt, 17, 12).to_string(),
+        "container_e17_300_0007_01_000012"
+    );
     assert_eq!(ContainerId::new(attempt, 17, 12).id, 17 << 40 | 12);
 }
 
@@ -207,11 +224,19 @@
     let read: rest::Submission = rest::read(Form::Json, text).expect("readable");
     assert_eq!(read.application_tags.tag, ["census"]);
     assert_eq!(read.am_container_spec.environment.entry[0].value, "garissa");
-    assert_eq!(read.am_container_spec.local_resources.entry[0].value.kind, "ARCHIVE");
-    let apps = rest::Apps { app: vec![rest::App::default(); 2] };
+    assert_eq!(
+        read.am_container_spec.local_resources.entry[0].value.kind,
+        "ARCHIVE"
+    );
+    let apps = rest::Apps {
+        app: vec![rest::App::default(); 2],
+    };
     let xml = String::from_utf8(rest::render(Form::Xml, "apps", false, &apps)).expect("text");
     assert_eq!(xml.matches("<app>").count(), 2, "{xml}");
-    assert_eq!(Form::wanted("text/html, application/xml;q=0.9"), Some(Form::Xml));
+    assert_eq!(
+        Form::wanted("text/html, application/xml;q=0.9"),
+        Some(Form::Xml)
+    );
     assert_eq!(Form::wanted("image/png"), None);
     assert_eq!(Form::wanted(""), Some(Form::Json));
 }
