--- a/crates/net/src/conn.rs
+++ b/crates/net/src/conn.rs
@@ -11,6 +11,7 @@
     Served(Door),
     Asked {
         to: SocketAddr,
+        lane: u32,
         tag: u64,
         limit: usize,
     },
@@ -50,6 +51,9 @@
     pub rbuf: Vec<u8>,
     pub wbuf: Vec<u8>,
     written: usize,
+    /// Bytes that have passed.
+    pub received: u64,
+    pub sent: u64,
     pub deadline: Instant,
     /// Unused since, and kept unused for so long: of those to others.
     pub since: Instant,
@@ -70,6 +74,8 @@
             rbuf: Vec::new(),
             wbuf: Vec::new(),
             written: 0,
+            received: 0,
+            sent: 0,
             deadline,
             since: deadline,
             keep: Duration::ZERO,
@@ -98,7 +104,10 @@
         while self.written < self.wbuf.len() {
             match self.stream.write(&self.wbuf[self.written..]) {
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
-                Ok(n) => self.written += n,
+                Ok(n) => {
+                    self.written += n;
+                    self.sent += n as u64;
+                }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
                 Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
                 Err(e) => return Err(e),
@@ -126,6 +135,7 @@
             match self.stream.read(&mut chunk) {
                 Ok(0) => return Ok(Filled::Ended),
                 Ok(n) => {
+                    self.received += n as u64;
                     self.rbuf.extend_from_slice(&chunk[..n]);
                     if self.rbuf.len() > limit {
                         return Ok(Filled::More);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -30,6 +30,8 @@
     Peers,
     /// Bytes as they come, for a protocol of the caller's, under a number of the caller's.
     Raw(u8),
+    /// Requests for one of many hosts that this process plays, under a number of the caller's.
+    Host(u32),
 }
 
 impl Door {
@@ -37,7 +39,7 @@
     fn body_limit(self) -> usize {
         match self {
             Door::Clients => wire::api::BODY_LIMIT,
-            Door::Peers => wire::admin::BODY_LIMIT,
+            Door::Peers | Door::Host(_) => wire::admin::BODY_LIMIT,
             Door::Raw(_) => RAW_CHUNK,
         }
     }
@@ -87,10 +89,54 @@
     /// How long the connection is kept for the next question: [`KEEP`], or [`KEEP_SHORT`] for a host of many, which
     /// is asked only while that leaves room for the others.
     pub keep: Duration,
+    /// Connections are shared within a lane only: a process that plays many hosts has one for each.
+    pub lane: u32,
+}
+
+/// What has passed in one direction of asking.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Flow {
+    /// Bytes, heads included.
+    pub received: u64,
+    pub sent: u64,
+    /// Connections that were opened.
+    pub connections: u64,
+}
+
+impl Flow {
+    fn add(&mut self, other: Flow) {
+        self.received += other.received;
+        self.sent += other.sent;
+        self.connections += other.connections;
+    }
+}
+
+/// All that has passed since the loop began.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Traffic {
+    /// On connections of those who ask us.
+    pub served: Flow,
+    /// On connections to those whom we ask.
+    pub asked: Flow,
+}
+
+impl Traffic {
+    fn add(&mut self, conn: &Conn) {
+        let flow = Flow {
+            received: conn.received,
+            sent: conn.sent,
+            connections: 1,
+        };
+        match conn.side {
+            Side::Served(_) => self.served.add(flow),
+            Side::Asked { .. } => self.asked.add(flow),
+        }
+    }
 }
 
 const WAKE: Token = Token(usize::MAX);
-const LISTENERS: usize = usize::MAX - 16;
+/// Tokens from here on are listeners', those below connections'.
+const LISTENERS: usize = usize::MAX / 2;
 const SWEEP: Duration = Duration::from_millis(100);
 /// A request that takes longer than this to arrive, or an answer that takes longer to be taken.
 const SLOW: Duration = Duration::from_secs(10);
@@ -113,7 +159,10 @@
     conns: Vec<Option<Conn>>,
     free: Vec<usize>,
     generation: u32,
-    idle: HashMap<SocketAddr, Vec<usize>>,
+    /// Unused connections to others, by host and lane.
+    idle: HashMap<(SocketAddr, u32), Vec<usize>>,
+    /// Of connections that have ended.
+    ended: Traffic,
     shares: Shares,
     served: usize,
     regulars: usize,
@@ -134,6 +183,7 @@
             free: Vec::new(),
             generation: 0,
             idle: HashMap::new(),
+            ended: Traffic::default(),
             shares: Shares::of(sockets),
             served: 0,
             regulars: 0,
@@ -155,6 +205,13 @@
         Ok(bound)
     }
 
+    /// What has passed so far, on all connections that there are and were.
+    pub fn traffic(&self) -> Traffic {
+        let mut all = self.ended;
+        self.conns.iter().flatten().for_each(|conn| all.add(conn));
+        all
+    }
+
     /// Lets another thread end a [`Net::poll`] early.
     pub fn waker(&self) -> io::Result<Arc<Waker>> {
         Ok(Arc::new(Waker::new(self.poll.registry(), WAKE)?))
@@ -327,6 +384,7 @@
         let Some(mut conn) = self.conns.get_mut(slot).and_then(Option::take) else {
             return;
         };
+        self.ended.add(&conn);
         let _ = self.poll.registry().deregister(&mut conn.stream);
         self.free.push(slot);
         self.open -= 1;
@@ -342,12 +400,12 @@
                     self.out.push(Event::Closed { conn });
                 }
             }
-            Side::Asked { to, tag, .. } => {
+            Side::Asked { to, lane, tag, .. } => {
                 if conn.phase == Phase::Idle {
-                    if let Some(pool) = self.idle.get_mut(&to) {
+                    if let Some(pool) = self.idle.get_mut(&(to, lane)) {
                         pool.retain(|s| *s != slot);
                         if pool.is_empty() {
-                            self.idle.remove(&to);
+                            self.idle.remove(&(to, lane));
                         }
                     }
                 } else {
@@ -411,11 +469,27 @@
         self.drive_write(id.slot, now);
     }
 
+    /// Ends the connection of a request without an answer, as a host that is gone would.
+    pub fn abandon(&mut self, id: ConnId) {
+        let is_asked =
+            |conn: &Conn| conn.generation == id.generation && conn.phase == Phase::Working;
+        if self
+            .conns
+            .get(id.slot)
+            .and_then(Option::as_ref)
+            .is_some_and(is_asked)
+        {
+            self.close(id.slot);
+        }
+    }
+
     /// Asks another host. The end always comes as an [`Event::Reply`] or an [`Event::Unsent`], never from within this
     /// call.
     pub fn send(&mut self, o: Outgoing<'_>) {
         let now = Instant::now();
-        let slot = self.reuse(o.to).or_else(|| self.connect(o.to, o.keep, now));
+        let slot = self
+            .reuse(o.to, o.lane)
+            .or_else(|| self.connect(o.to, o.keep, now));
         let Some(slot) = slot else {
             self.out.push(Event::Unsent { tag: o.tag });
             return;
@@ -426,6 +500,7 @@
         conn.keep = o.keep;
         conn.side = Side::Asked {
             to: o.to,
+            lane: o.lane,
             tag: o.tag,
             limit: o.answer_limit,
         };
@@ -441,11 +516,11 @@
         }
     }
 
-    fn reuse(&mut self, to: SocketAddr) -> Option<usize> {
-        let pool = self.idle.get_mut(&to)?;
+    fn reuse(&mut self, to: SocketAddr, lane: u32) -> Option<usize> {
+        let pool = self.idle.get_mut(&(to, lane))?;
         let slot = pool.pop();
         if pool.is_empty() {
-            self.idle.remove(&to);
+            self.idle.remove(&(to, lane));
         }
         slot
     }
@@ -464,6 +539,7 @@
             stream,
             Side::Asked {
                 to,
+                lane: 0,
                 tag: 0,
                 limit: 0,
             },
@@ -636,7 +712,12 @@
                     self.close(slot);
                 }
             }
-            Side::Asked { to, tag, limit } => {
+            Side::Asked {
+                to,
+                lane,
+                tag,
+                limit,
+            } => {
                 if conn.phase == Phase::Idle || conn.rbuf.is_empty() {
                     // Bytes without a question, or the end: not to be used again.
                     if ended || !conn.rbuf.is_empty() {
@@ -659,7 +740,7 @@
                             tag,
                             response: Some(response),
                         });
-                        let pool = self.idle.entry(to).or_default();
+                        let pool = self.idle.entry((to, lane)).or_default();
                         pool.push(slot);
                         if !reusable || pool.len() > POOL {
                             self.close(slot);
--- a/crates/net/tests/bounds.rs
+++ b/crates/net/tests/bounds.rs
@@ -130,6 +130,7 @@
             timeout,
             answer_limit: 100,
             keep: net::KEEP,
+            lane: 0,
         });
     }
     let end = Instant::now() + Duration::from_secs(60);
--- a/crates/net/tests/shares.rs
+++ b/crates/net/tests/shares.rs
@@ -57,6 +57,7 @@
         timeout,
         answer_limit: 100,
         keep,
+        lane: 0,
     });
 }
 
--- a/crates/standins/src/cloud.rs
+++ b/crates/standins/src/cloud.rs
@@ -28,6 +28,10 @@
     /// For tests of the tests: says that machines are gone that are not.
     pub lies_about_deletes: bool,
     pub deleted: BTreeSet<String>,
+    /// Where a machine of this name is reached.
+    pub address: Box<dyn Fn(&str) -> String + Send>,
+    /// How long machines boot, in milliseconds.
+    pub boot_ms: std::ops::Range<u64>,
 }
 
 impl Cloud {
@@ -43,6 +47,8 @@
             quick_until: 0,
             lies_about_deletes: false,
             deleted: BTreeSet::new(),
+            address: Box::new(address),
+            boot_ms: 1000..9000,
         }
     }
 
@@ -66,7 +72,7 @@
             .iter()
             .map(|(name, r)| {
                 let up = r.up_at.is_some_and(|at| at <= now);
-                json!({"nameId": name, "addr": address(name), "build": r.machine_type, "hall": r.zone,
+                json!({"nameId": name, "addr": (self.address)(name), "build": r.machine_type, "hall": r.zone,
                     "loaners": r.spot, "stage": if up { "running" } else { "starting" },
                     "ageS": (now - r.since) as f64 / 1000.0})
             })
@@ -138,7 +144,7 @@
             let boot = if now < self.quick_until {
                 QUICK_BOOT_MS
             } else {
-                1000..9000
+                self.boot_ms.clone()
             };
             let up_at = (rng.f64() > 0.03).then(|| now + rng.u64(boot));
             let rented = Rented {
--- a/crates/standins/src/state.rs
+++ b/crates/standins/src/state.rs
@@ -143,10 +143,11 @@
     }
 
     pub fn changes(&self, prefix: &str, from: u64) -> Option<Value> {
-        let log: Vec<Value> = self
-            .log
+        // In the order of their revisions.
+        let first = self.log.partition_point(|(rev, _, _)| *rev <= from);
+        let log: Vec<Value> = self.log[first..]
             .iter()
-            .filter(|(rev, key, _)| *rev > from && key.starts_with(prefix))
+            .filter(|(_, key, _)| key.starts_with(prefix))
             .map(|(rev, key, value)| match value {
                 Some(v) => json!({"write": key, "v": v, "stamp": rev}),
                 None => json!({"remove": key, "stamp": rev}),
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -146,8 +146,8 @@
                         self.feed(match door {
                             Door::Clients => Event::Client { conn: id, request },
                             Door::Peers => Event::Peer { conn: id, request },
-                            // Raw doors hand over bytes, never requests.
-                            Door::Raw(_) => continue,
+                            // Raw doors hand over bytes, and no hosts are played here.
+                            Door::Raw(_) | Door::Host(_) => continue,
                         });
                     }
                     net::Event::Opened { conn, door, from } => {
@@ -257,6 +257,7 @@
                     timeout,
                     answer_limit,
                     keep,
+                    lane: 0,
                 });
             }
             // The gateway's own requests have ended with it.
