--- a/crates/plan/src/aged.rs
+++ b/crates/plan/src/aged.rs
@@ -4,7 +4,7 @@
 //! precedence at all. This is the bound to both: a promised start at the latest. Nothing is stopped for it that would
 //! not be stopped without it.
 
-use crate::place::Pass;
+use crate::pass::Pass;
 use crate::{Job, Secs, Shape};
 use std::cmp::Reverse;
 
--- a/crates/plan/src/apart.rs
+++ b/crates/plan/src/apart.rs
@@ -2,7 +2,7 @@
 //! gone; a job of another county that finds no machine free of others' work has one promised, so that it does not
 //! wait for ever while work of theirs comes and goes.
 
-use crate::place::Pass;
+use crate::pass::Pass;
 use crate::{Job, Secs};
 
 /// Whose work something is: a county as a number, 0 for none, and whether it shares no machine with others.
--- /dev/null
+++ b/crates/plan/src/blocked.rs
@@ -0,0 +1,70 @@
+//! What is known without a look: a job finds no place where one alike has found none, since room only shrinks while a
+//! plan is made.
+
+use crate::Job;
+use crate::room::Wide;
+use std::collections::HashMap;
+
+/// Ways to look for places; each has machines that it passes over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub(crate) enum Search {
+    Service,
+    Fill,
+    Gang,
+    /// Machines that can be cleared.
+    Clear,
+    /// Room to come.
+    Promise,
+}
+
+/// A search that failed.
+struct Failed {
+    /// A job that stays longer finds no more.
+    estimate: f64,
+    /// Places that were found all the same.
+    found: u32,
+}
+
+/// Searches that failed in this plan.
+#[derive(Default)]
+pub(crate) struct Blocked {
+    failed: HashMap<(Wide, Search), Vec<Failed>>,
+}
+
+/// Jobs whose places depend on nothing but what [`Wide`] says.
+fn is_plain(job: &Job) -> bool {
+    let has_zone = job.one_zone && job.zones.iter().any(|(_, n)| *n > 0);
+    job.avoid.is_empty() && !job.spread && !has_zone
+}
+
+impl Blocked {
+    /// A job has found only so many places.
+    pub fn add(&mut self, job: &Job, search: Search, found: u32) {
+        if !is_plain(job) {
+            return;
+        }
+        let all = self.failed.entry((Wide::of(job), search)).or_default();
+        // What says less than the new one is not needed any more.
+        all.retain(|old| old.estimate < job.estimate || old.found < found);
+        all.push(Failed {
+            estimate: job.estimate,
+            found,
+        });
+    }
+
+    /// Whether a job is known to find fewer than `want` places.
+    pub fn is_hopeless(&self, job: &Job, search: Search, want: u32) -> bool {
+        let Some(all) = self.failed.get(&(Wide::of(job), search)) else {
+            return false;
+        };
+        is_plain(job)
+            && all
+                .iter()
+                .any(|failed| failed.estimate <= job.estimate && failed.found < want)
+    }
+
+    /// Room that was kept is open for a while: nothing is known.
+    pub fn forget(&mut self) {
+        self.failed.clear();
+    }
+}
--- /dev/null
+++ b/crates/plan/src/fill.rs
@@ -0,0 +1,97 @@
+//! Places for tasks that need no gang.
+
+use crate::blocked::Search;
+use crate::candidates::Wanted;
+use crate::fit::Look;
+use crate::pass::Pass;
+use crate::{Job, count_in};
+
+impl Pass<'_> {
+    /// Starts up to `want` tasks of a job that needs no gang; returns how many.
+    pub(crate) fn fill(&mut self, i: usize, want: u32, keep_holds: bool) -> u32 {
+        let job = &self.input.jobs[i];
+        let granted = self.allows(job, want);
+        if granted == 0 {
+            return 0;
+        }
+        let search = if keep_holds {
+            Search::Fill
+        } else {
+            Search::Service
+        };
+        if !self.is_plain() && self.blocked.is_hopeless(job, search, 1) {
+            return 0;
+        }
+        let zone = self.shared_zone(i, keep_holds);
+        let chosen = self.choose(i, granted, zone, keep_holds);
+        if chosen.is_empty() && zone.is_none() {
+            self.blocked.add(job, search, 0);
+        }
+        let mut started = 0;
+        for (m, n) in chosen {
+            self.take(i, m, n);
+            started += n;
+        }
+        started
+    }
+
+    /// The best machines for up to `want` tasks, with how many each takes.
+    fn choose(
+        &mut self,
+        i: usize,
+        want: u32,
+        zone: Option<u16>,
+        keep_holds: bool,
+    ) -> Vec<(usize, u32)> {
+        let job = &self.input.jobs[i];
+        let mut chosen = Vec::new();
+        let mut left = want;
+        let mut by_zone: Vec<(u16, u32)> = Vec::new();
+        self.look(&Wanted { job, zone }, |pass, _, m| {
+            if keep_holds && !pass.may_borrow(job, m) {
+                return Look::On;
+            }
+            let there = count_in(&mut by_zone, pass.input.machines[m].zone);
+            let bound = pass.zone_room(i, pass.input.machines[m].zone);
+            let n = pass.room(job, m, left).min(bound.saturating_sub(*there));
+            if n > 0 {
+                chosen.push((m, n));
+                *there += n;
+                left -= n;
+            }
+            if left == 0 { Look::Enough } else { Look::On }
+        });
+        chosen
+    }
+
+    /// Whether a machine whose room is kept is free again before that.
+    fn may_borrow(&self, job: &Job, m: usize) -> bool {
+        self.held[m].is_none_or(|until| job.estimate <= until)
+    }
+
+    /// Where all tasks share a zone, that of the tasks it has; else the one with most room, chosen before anything is
+    /// placed.
+    fn shared_zone(&mut self, i: usize, keep_holds: bool) -> Option<u16> {
+        let job = &self.input.jobs[i];
+        if !job.one_zone {
+            return None;
+        }
+        if let Some((zone, _)) = self.zones[i].iter().find(|(_, n)| *n > 0) {
+            return Some(*zone);
+        }
+        let mut room: Vec<(u16, u32)> = Vec::new();
+        self.look(&Wanted { job, zone: None }, |pass, _, m| {
+            if keep_holds && !pass.may_borrow(job, m) {
+                return Look::On;
+            }
+            let n = pass.free[m].count(&job.need, pass.slots[m]);
+            let there = count_in(&mut room, pass.input.machines[m].zone);
+            *there = there.saturating_add(n);
+            Look::On
+        });
+        // With equal room the zone of the best machine wins, since it came first.
+        let most = room.iter().map(|(_, n)| (*n).min(job.pending)).max()?;
+        let roomiest = room.iter().find(|(_, n)| (*n).min(job.pending) == most);
+        roomiest.map(|(zone, _)| *zone)
+    }
+}
--- /dev/null
+++ b/crates/plan/src/fit.rs
@@ -0,0 +1,129 @@
+//! Whether, and how well, a task fits on a machine, and what taking a place changes.
+
+use crate::candidates::Wanted;
+use crate::pass::Pass;
+use crate::{Job, Secs, Start, count_in};
+
+impl Pass<'_> {
+    pub(crate) fn allowed(&self, job: &Job, m: usize) -> bool {
+        let machine = &self.input.machines[m];
+        machine.usable
+            && self.slots[m] > 0
+            && self.suits(job, m)
+            && self.tenants[m].take(&job.tenant)
+    }
+
+    /// Whether a job may use a machine at all.
+    pub(crate) fn suits(&self, job: &Job, m: usize) -> bool {
+        self.candidates.class(m).suits(job) && !job.avoid.contains(&(m as u32))
+    }
+
+    /// How many more tasks the job may have in this zone, given those it has.
+    pub(crate) fn zone_room(&self, i: usize, zone: u16) -> u32 {
+        let job = &self.input.jobs[i];
+        let there = |z: u16| {
+            self.zones[i]
+                .iter()
+                .find(|(id, _)| *id == z)
+                .map_or(0, |(_, n)| *n)
+        };
+        if job.one_zone && self.zones[i].iter().any(|(z, n)| *z != zone && *n > 0) {
+            return 0;
+        }
+        if job.spread {
+            // The bound is half of all tasks, rounded up; it holds however few are placed so far.
+            return job.tasks.div_ceil(2).saturating_sub(there(zone));
+        }
+        u32::MAX
+    }
+
+    /// How long the job's image takes to come to this machine.
+    pub(crate) fn fetch(&self, job: &Job, m: usize) -> Secs {
+        if self.images[m].contains(&job.image) {
+            return 0.0;
+        }
+        self.candidates.class(m).fetch(job)
+    }
+
+    /// Lower is better: fetch time first, then spot before ordinary, then the tightest fit.
+    pub(crate) fn score(&self, job: &Job, m: usize) -> f64 {
+        self.fetch(job, m) + self.place_score(job, m)
+    }
+
+    pub(crate) fn place_score(&self, job: &Job, m: usize) -> f64 {
+        self.candidates.class(m).place_score(job, &self.free[m])
+    }
+
+    /// Machines where a task of the job fits now, best first, until `take` has enough. Steps are counted.
+    pub(crate) fn look(
+        &mut self,
+        wanted: &Wanted<'_>,
+        mut take: impl FnMut(&Self, Secs, usize) -> Look,
+    ) {
+        let mut steps = 0;
+        if self.is_plain() {
+            let order = self.walk(wanted);
+            steps += self.input.machines.len() as u64;
+            for (score, m) in order {
+                if take(self, score, m) == Look::Enough {
+                    break;
+                }
+            }
+        } else {
+            for (score, m) in self.candidates.best_first(wanted, &mut steps) {
+                steps += 1;
+                let fits = self.allowed(wanted.job, m) && self.free[m].fits(&wanted.job.need);
+                if fits && take(self, score, m) == Look::Enough {
+                    break;
+                }
+            }
+        }
+        self.out.steps += steps;
+    }
+
+    /// The same by a walk over all machines.
+    fn walk(&self, wanted: &Wanted<'_>) -> Vec<(Secs, usize)> {
+        let job = wanted.job;
+        let machines = &self.input.machines;
+        let mut order: Vec<(Secs, usize)> = (0..machines.len())
+            .filter(|m| wanted.zone.is_none_or(|zone| zone == machines[*m].zone))
+            .filter(|m| self.allowed(job, *m) && self.free[*m].fits(&job.need))
+            .map(|m| (self.score(job, m), m))
+            .collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        order
+    }
+
+    /// Notes that `n` tasks of a job start on a machine.
+    pub(crate) fn take(&mut self, i: usize, m: usize, n: u32) {
+        let input = self.input;
+        let job = &input.jobs[i];
+        let zone = input.machines[m].zone;
+        self.note_start(job, m, n);
+        self.free[m].add(&job.need, -f64::from(n));
+        self.slots[m] -= n;
+        self.tenants[m].add(&job.tenant);
+        self.teams[job.team as usize].take(&job.need, n);
+        for g in &input.teams[job.team as usize].path {
+            self.groups[*g as usize].used.add(&job.need, f64::from(n));
+        }
+        *count_in(&mut self.zones[i], zone) += n;
+        if !self.images[m].contains(&job.image) {
+            self.images[m].push(job.image);
+        }
+        self.index(m);
+        self.changed.push(m as u32);
+        self.out.starts.push(Start {
+            job: i as u32,
+            machine: m as u32,
+            count: n,
+        });
+    }
+}
+
+/// Whether a search goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Look {
+    On,
+    Enough,
+}
--- a/crates/plan/src/hire.rs
+++ b/crates/plan/src/hire.rs
@@ -1,7 +1,7 @@
 //! What to rent: enough for the tasks that found no room, where renting is worth its price.
 
 use crate::apart::Tenants;
-use crate::place::SLACK;
+use crate::pass::SLACK;
 use crate::{EPS, Input, Job, Output, Res, Secs, Shape, count_in};
 
 /// A kind of machine that can be rented now.
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -3,20 +3,30 @@
 
 mod aged;
 mod apart;
+mod blocked;
+mod candidates;
+mod fill;
+mod fit;
+mod gang;
 mod hire;
-mod place;
+mod pass;
 mod recall;
 mod room;
 mod shed;
+mod sizes;
+mod spares;
 mod stretch;
 mod timeline;
 
 pub use aged::{Waits, first_share};
 pub use apart::Tenant;
 pub use hire::{HireInput, MachineOffer, Wish, wishes};
-pub use place::plan;
+pub use pass::plan;
 pub use stretch::{Sized, smallest_stretch};
 
+/// Work of this priority is placed as it arrives.
+pub const URGENT: u8 = 3;
+
 /// Seconds. `now` is 0; the past is negative.
 pub type Secs = f64;
 
@@ -238,6 +248,19 @@
     pub waits: Waits,
     /// Past so many steps nothing is cleared any more, and past twice as many the rest waits for the next plan.
     pub max_steps: u64,
+    /// The job at which the plan before this one was stopped by that bound.
+    pub resume: Option<u32>,
+    pub search: Search,
+}
+
+/// How machines are found for a job.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Search {
+    /// By an index; what is known of one job serves others alike.
+    #[default]
+    Indexed,
+    /// By a walk over all machines for each job: the reference that the index is tested against.
+    Plain,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -267,6 +290,8 @@
     pub spare_short: Vec<u32>,
     /// The smallest stretch found.
     pub stretch: f64,
+    /// The first job that the bound of steps left for the next plan.
+    pub resume: Option<u32>,
     /// Work done, in units that do not depend on the machine it runs on.
     pub steps: u64,
 }
--- /dev/null
+++ b/crates/plan/src/pass.rs
@@ -0,0 +1,361 @@
+//! One pass of MoldableEDF: by rising deadline, each job takes the narrowest width that meets its deadline, moving
+//! nothing that is placed already.
+
+use crate::apart::Tenants;
+use crate::blocked::Blocked;
+use crate::candidates::Candidates;
+use crate::room::{Clearings, Wide};
+use crate::timeline::{Line, RoomsToCome};
+use crate::{
+    Group, Input, Job, Machine, Output, Res, Search, Secs, Shape, Team, URGENT, sizes, stretch,
+};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+/// Run times of a job's tasks differ from each other and from the estimate: a round is planned this much longer.
+pub(crate) const SLACK: f64 = 1.25;
+
+/// What is known of the fleet while a plan is made.
+pub(crate) struct Pass<'a> {
+    pub input: &'a Input,
+    pub free: Vec<Res>,
+    pub slots: Vec<u32>,
+    pub lines: Vec<Line>,
+    /// Until when a machine's whole room is kept: for the expected, or for a gang that others make room for.
+    pub held: Vec<Option<Secs>>,
+    pub images: Vec<Vec<u32>>,
+    /// Machines that take tasks, by what places are chosen by.
+    pub candidates: Candidates,
+    /// Kinds of jobs that found no place, so that others alike need not look.
+    pub blocked: Blocked,
+    /// Machines of each zone.
+    pub in_zone: BTreeMap<u16, Vec<usize>>,
+    /// Machines whose room has changed, in order, once for each change.
+    pub changed: Vec<u32>,
+    /// Room to come for jobs of a kind, once it was asked for.
+    pub rooms_to_come: HashMap<Wide, RoomsToCome>,
+    pub tenants: Vec<Tenants>,
+    /// Some work shares no machine, and the counties that were promised one for that.
+    pub apart: bool,
+    pub waits: BTreeSet<u16>,
+    /// The highest urgency that waits.
+    pub most_urgent: u8,
+    pub teams: Vec<Team>,
+    pub groups: Vec<Group>,
+    /// Of each job, tasks that hold a place by zone.
+    pub zones: Vec<Vec<(u16, u32)>>,
+    /// What can be cleared for tasks of a kind, once it was asked for.
+    pub clearable: HashMap<Wide, Clearings>,
+    pub out: Output,
+}
+
+/// A job in the order in which jobs are served.
+struct Ranked {
+    job: usize,
+    /// Held by a nested guarantee.
+    held: bool,
+    priority: u8,
+    /// Old, or a gang within its guarantee.
+    first: bool,
+    due: Secs,
+}
+
+/// Makes a plan for this moment.
+pub fn plan(input: &Input) -> Output {
+    let mut pass = Pass::new(input);
+    pass.run();
+    pass.out
+}
+
+impl<'a> Pass<'a> {
+    fn new(input: &'a Input) -> Self {
+        let machines = &input.machines;
+        let running = machines.iter().flat_map(|m| &m.running);
+        let mut tenants = input
+            .jobs
+            .iter()
+            .map(|j| &j.tenant)
+            .chain(running.map(|r| &r.tenant));
+        let mut in_zone: BTreeMap<u16, Vec<usize>> = BTreeMap::new();
+        for (m, machine) in machines.iter().enumerate() {
+            in_zone.entry(machine.zone).or_default().push(m);
+        }
+        let mut pass = Pass {
+            input,
+            free: machines.iter().map(Machine::free).collect(),
+            slots: machines.iter().map(|m| m.slots).collect(),
+            lines: vec![Line::default(); machines.len()],
+            held: vec![None; machines.len()],
+            most_urgent: input.jobs.iter().map(|j| j.priority).max().unwrap_or(0),
+            images: machines.iter().map(|m| m.images.clone()).collect(),
+            candidates: Candidates::new(machines, input.jobs.iter().map(|j| j.image)),
+            blocked: Blocked::default(),
+            in_zone,
+            changed: Vec::new(),
+            rooms_to_come: HashMap::new(),
+            tenants: machines
+                .iter()
+                .map(|m| Tenants::of(m.running.iter().map(|r| &r.tenant)))
+                .collect(),
+            apart: tenants.any(|t| t.alone),
+            waits: BTreeSet::new(),
+            teams: input.teams.clone(),
+            groups: input.groups.clone(),
+            zones: input.jobs.iter().map(|j| j.zones.clone()).collect(),
+            clearable: HashMap::new(),
+            out: Output::default(),
+        };
+        pass.index_all();
+        pass
+    }
+
+    fn index_all(&mut self) {
+        for m in 0..self.input.machines.len() {
+            if self.input.machines[m].usable {
+                self.index(m);
+            }
+        }
+        self.out.steps += self.input.machines.len() as u64;
+    }
+
+    /// Puts a machine where the index has it by its room.
+    pub fn index(&mut self, m: usize) {
+        self.candidates
+            .put(m, &self.free[m], self.slots[m], &self.images[m]);
+    }
+
+    pub fn is_plain(&self) -> bool {
+        self.input.search == Search::Plain
+    }
+
+    /// Past this nothing is cleared or promised any more.
+    pub fn is_tired(&self) -> bool {
+        self.out.steps > self.input.max_steps
+    }
+
+    /// Past this what is left waits for the next plan.
+    fn is_over(&self) -> bool {
+        self.out.steps > 2 * self.input.max_steps
+    }
+
+    fn run(&mut self) {
+        self.shed();
+        let mut left: Vec<u32> = self.input.jobs.iter().map(|j| j.pending).collect();
+        self.start_services(&mut left);
+        let order = self.rank(&left);
+        self.serve_old(&mut left);
+        self.serve(&order, &mut left);
+        self.fill_leftovers(&order, &mut left);
+        self.tell_waiting(&left);
+    }
+
+    /// Services go at once, outside the plan; their room is busy for everybody else.
+    fn start_services(&mut self, left: &mut [u32]) {
+        for (i, job) in self.input.jobs.iter().enumerate() {
+            if job.shape != Shape::Service {
+                continue;
+            }
+            left[i] -= self.fill(i, left[i], false);
+            if left[i] > 0 {
+                self.wait_for_others(i);
+            }
+        }
+    }
+
+    /// All that is planned, in the order in which it is served.
+    ///
+    /// Urgency comes before the deadline: between jobs of one urgency the paper's order decides. A gang that can still
+    /// have what its team is guaranteed goes first among them; room made for it by stopping others would be theirs
+    /// again otherwise. Where quotas nest, what a guarantee holds comes before what is borrowed, whose places it would
+    /// call back. What is old goes before the younger of its urgency, the longest wait first.
+    fn rank(&mut self, left: &[u32]) -> Vec<Ranked> {
+        let input = self.input;
+        let jobs = &input.jobs;
+        let planned: Vec<usize> = (0..jobs.len())
+            .filter(|i| left[*i] > 0 && jobs[*i].shape != Shape::Service)
+            .collect();
+        let slots = sizes::Slots::of(&input.machines);
+        let sized: Vec<stretch::Sized> = planned.iter().map(|i| slots.size(&jobs[*i])).collect();
+        let s = stretch::smallest_stretch(&sized, &mut self.out.steps);
+        self.out.stretch = s;
+        let s = s * input.online_factor.max(1.0);
+        let nested = !input.groups.is_empty();
+        let ranked = planned.iter().zip(&sized).map(|(i, size)| {
+            let job = &jobs[*i];
+            let due = job.arrival + size.work * s;
+            let is_old = self.is_old(job);
+            Ranked {
+                job: *i,
+                held: nested && job.held > 0,
+                priority: job.priority,
+                first: is_old || job.promised && job.shape == Shape::Gang,
+                due: if is_old {
+                    job.arrival
+                } else {
+                    job.due.map_or(due, |own| own.min(due))
+                },
+            }
+        });
+        let mut order: Vec<Ranked> = ranked.collect();
+        order.sort_by(|a, b| {
+            (b.held, b.priority, b.first)
+                .cmp(&(a.held, a.priority, a.first))
+                .then(a.due.total_cmp(&b.due))
+                .then(a.job.cmp(&b.job))
+        });
+        order
+    }
+
+    /// Serves jobs in their order. Where the bound stops a plan, the next one gives its first half to the head of the
+    /// order and goes on where this one stopped, so that nobody waits for ever behind jobs that cost much.
+    fn serve(&mut self, order: &[Ranked], left: &mut [u32]) {
+        let resume = self.input.resume;
+        let mut resume = order
+            .iter()
+            .position(|ranked| resume == Some(ranked.job as u32));
+        let mut kept = false;
+        let mut next = 0;
+        while let Some(ranked) = order.get(next) {
+            // The head has had its half, or more if one job of it took more.
+            let goes_on = self.is_tired() && resume.is_some_and(|at| at >= next);
+            if goes_on && let Some(at) = resume.take() {
+                next = at;
+                self.serve_one(&order[next], left, &mut kept);
+                next += 1;
+                continue;
+            }
+            if self.is_over() {
+                self.out.resume = Some(ranked.job as u32);
+                break;
+            }
+            self.serve_one(ranked, left, &mut kept);
+            next += 1;
+        }
+        if !kept {
+            self.keep_spares();
+        }
+    }
+
+    /// Serves a job, once room is kept for what is expected and more urgent.
+    fn serve_one(&mut self, ranked: &Ranked, left: &mut [u32], kept: &mut bool) {
+        let spares = &self.input.spares;
+        if !*kept && spares.iter().all(|s| s.like.priority > ranked.priority) {
+            *kept = true;
+            self.keep_spares();
+        }
+        match self.input.jobs[ranked.job].shape {
+            Shape::Gang => self.serve_gang(ranked.job, left),
+            _ => self.serve_array(ranked, left),
+        }
+    }
+
+    fn serve_gang(&mut self, i: usize, left: &mut [u32]) {
+        // What is old has had its turn.
+        if !self.is_old(&self.input.jobs[i]) {
+            self.start_or_wait(i, left);
+        }
+    }
+
+    /// Gives an array the narrowest width whose rounds, of one estimate each, end by the deadline. Most rounds start
+    /// with the image there; the first may have to fetch it.
+    fn serve_array(&mut self, ranked: &Ranked, left: &mut [u32]) {
+        let i = ranked.job;
+        let job = &self.input.jobs[i];
+        let time = ranked.due - job.image_gb / self.candidates.slowest_fetch(job);
+        let rounds = (time / (job.estimate.max(1.0) * SLACK)).floor().max(1.0);
+        let width = (f64::from(left[i]) / rounds).ceil() as u32;
+        let started = self.fill(i, width.min(left[i]), true);
+        left[i] -= started;
+        if started == 0 && left[i] > 0 {
+            self.wait_for_others(i);
+        }
+        if job.priority >= URGENT && left[i] > 0 && !self.is_tired() {
+            self.make_room_for_tasks(i, left);
+        }
+        // What a nested guarantee holds is due at once, whatever the width; others give it back.
+        let nested = !self.input.groups.is_empty();
+        let due_back = nested && job.promised && -job.arrival > self.input.patience;
+        if due_back && left[i] > 0 && !self.is_tired() {
+            left[i] -= self.fill(i, left[i], true);
+            let want = self.allows(job, left[i]);
+            if want > 0 {
+                self.recall(i, want);
+            }
+        }
+    }
+
+    /// Urgent tasks take all room there is, and what is less urgent is stopped for the rest.
+    fn make_room_for_tasks(&mut self, i: usize, left: &mut [u32]) {
+        left[i] -= self.fill(i, left[i], true);
+        let want = self.allows(&self.input.jobs[i], left[i]);
+        if want > 0 {
+            self.clear_for_tasks(i, want);
+        }
+    }
+
+    /// Arrays also fill room that no planned job needs within one task estimate, and a first task of those that have
+    /// waited for long goes where room is kept.
+    fn fill_leftovers(&mut self, order: &[Ranked], left: &mut [u32]) {
+        for ranked in order {
+            let i = ranked.job;
+            let is_array = self.input.jobs[i].shape == Shape::Array;
+            if is_array && left[i] > 0 && !self.is_over() {
+                left[i] -= self.fill(i, left[i], true);
+            }
+        }
+        for ranked in order {
+            let i = ranked.job;
+            if left[i] > 0 && !self.is_over() && self.waits_beside_spares(i) {
+                left[i] -= self.fill_from_spares(i);
+            }
+        }
+    }
+
+    fn tell_waiting(&mut self, left: &[u32]) {
+        for (i, job) in self.input.jobs.iter().enumerate() {
+            let n = self.allows(job, left[i]);
+            if n > 0 && (job.shape != Shape::Gang || n == left[i]) {
+                self.out.waiting.push((i as u32, n));
+            }
+        }
+    }
+
+    /// Starts a gang whole, or sees to the room that it waits for.
+    pub fn start_or_wait(&mut self, i: usize, left: &mut [u32]) {
+        let want = left[i];
+        if want == 0 || self.allows(&self.input.jobs[i], want) < want {
+            return;
+        }
+        if self.gang(i, want) {
+            left[i] = 0;
+        } else if !self.is_tired() && !self.make_room(i, want) {
+            self.wait(i, want);
+        }
+    }
+
+    /// How many more of a job's tasks, at most `cap`, its team's limit and all above it allow.
+    pub fn allows(&self, job: &Job, cap: u32) -> u32 {
+        let team = &self.teams[job.team as usize];
+        let above = team.path.iter().map(|g| &self.groups[*g as usize]);
+        above.fold(team.allows(&job.need, cap), |n, g| {
+            let mut room = g.max;
+            room.add(&g.used, -1.0);
+            room.count(&job.need, n)
+        })
+    }
+
+    /// Machines of a zone, or all.
+    pub fn machines_in(&self, zone: Option<u16>) -> Vec<usize> {
+        match zone {
+            Some(zone) => self.in_zone.get(&zone).cloned().unwrap_or_default(),
+            None => (0..self.input.machines.len()).collect(),
+        }
+    }
+
+    /// Zones to be tried one by one where all tasks share one; else all at once.
+    pub fn zones_for(&self, job: &Job) -> Vec<Option<u16>> {
+        if !job.one_zone {
+            return vec![None];
+        }
+        self.in_zone.keys().copied().map(Some).collect()
+    }
+}
--- a/crates/plan/src/recall.rs
+++ b/crates/plan/src/recall.rs
@@ -3,10 +3,10 @@
 //! Where quotas nest, those that are nearest in the tree give back first: what a sibling has borrowed from the same
 //! desk goes before what another desk has, and that before other members'.
 
-use crate::place::Pass;
+use crate::pass::Pass;
 use crate::{Job, Preempt, Res, Secs, Shape};
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 /// How long it takes until a stopped task has saved and gone.
 const LEAVING: Secs = 4.0;
@@ -44,11 +44,7 @@
     /// places, an array takes what there is. False if that does not make enough.
     pub(crate) fn recall(&mut self, i: usize, want: u32) -> bool {
         let job = &self.input.jobs[i];
-        let zones = if job.one_zone {
-            self.all_zones()
-        } else {
-            vec![None]
-        };
+        let zones = self.zones_for(job);
         let mut best: Option<Recall> = None;
         for zone in zones {
             let found = self.recall_in(i, want, zone);
@@ -85,12 +81,9 @@
     fn recall_in(&mut self, i: usize, want: u32, zone: Option<u16>) -> Option<Recall> {
         let job = &self.input.jobs[i];
         let mut rooms: BTreeMap<usize, Res> = BTreeMap::new();
-        for m in 0..self.input.machines.len() {
+        for m in self.machines_in(zone) {
             let machine = &self.input.machines[m];
-            if !self.allowed(job, m)
-                || self.held[m].is_some()
-                || zone.is_some_and(|z| z != machine.zone)
-            {
+            if !self.allowed(job, m) || self.held[m].is_some() {
                 continue;
             }
             // Room where the job may have no more tasks would be made in vain, and held.
@@ -200,14 +193,13 @@
     fn victims(&self, job: &Job, rooms: &BTreeMap<usize, Res>) -> Vec<Victim> {
         let mut out = Vec::new();
         let mut gangs: BTreeMap<u32, Victim> = BTreeMap::new();
+        let preempts = self.out.preempts.iter();
+        let stopped: HashSet<(u32, u32)> = preempts.map(|p| (p.machine, p.task)).collect();
+        let recalled: HashSet<u32> = self.out.recalls.iter().copied().collect();
         for (m, machine) in self.input.machines.iter().enumerate() {
             for (k, r) in machine.running.iter().enumerate() {
-                let stopping = self
-                    .out
-                    .preempts
-                    .iter()
-                    .any(|p| (p.machine, p.task) == (m as u32, k as u32))
-                    || r.gang.is_some_and(|g| self.out.recalls.contains(&g));
+                let stopping = stopped.contains(&(m as u32, k as u32))
+                    || r.gang.is_some_and(|g| recalled.contains(&g));
                 if !self.input.owes(r, job) || r.leaving || r.ends < NEARLY_OVER || stopping {
                     continue;
                 }
--- a/crates/plan/src/room.rs
+++ b/crates/plan/src/room.rs
@@ -1,7 +1,14 @@
 //! Room for those that find none: machines that are free soon are held, and the less urgent are stopped.
 
-use crate::place::Pass;
-use crate::{Job, Preempt, Res, Secs, Tenant, count_in};
+use crate::blocked::Search;
+use crate::pass::Pass;
+use crate::{Job, Preempt, Res, Secs, Tenant, URGENT, count_in};
+use std::collections::BTreeMap;
+
+/// An urgent job waits this long for room that falls free by itself.
+const URGENT_PATIENCE: Secs = 0.3;
+/// Tasks of one urgent array that machines are cleared for in one plan.
+const MOST_CLEARED: u32 = 64;
 
 /// A machine that can be had for a task.
 #[derive(Clone)]
@@ -17,13 +24,33 @@
     free: Res,
 }
 
+/// What can be had for tasks of a kind, cheapest first: a list for each zone where all must be in one, else one list.
+pub(crate) struct Clearings {
+    lists: Vec<Vec<Clearing>>,
+}
+
+/// Takes out what stands at these places, given in their order.
+fn drop_at(list: &mut Vec<Clearing>, places: &[usize]) {
+    let Some(last) = places.last() else {
+        return;
+    };
+    let kept: Vec<Clearing> = list
+        .drain(..=*last)
+        .enumerate()
+        .filter(|(at, _)| places.binary_search(at).is_err())
+        .map(|(_, option)| option)
+        .collect();
+    list.splice(0..0, kept);
+}
+
 /// What jobs have in common that can use the same machines.
-#[derive(PartialEq, Eq, Hash)]
+#[derive(Clone, PartialEq, Eq, Hash)]
 pub(crate) struct Wide {
     need: [u64; 3],
     priority: u8,
     types: u64,
     zone: Option<u16>,
+    one_zone: bool,
     spot: bool,
     image: u32,
     tenant: Tenant,
@@ -31,7 +58,7 @@
 }
 
 impl Wide {
-    fn of(job: &Job) -> Self {
+    pub fn of(job: &Job) -> Self {
         Wide {
             need: [
                 job.need.cores.to_bits(),
@@ -41,6 +68,7 @@
             priority: job.priority,
             types: job.types,
             zone: job.zone,
+            one_zone: job.one_zone,
             spot: job.spot,
             image: job.image,
             tenant: job.tenant,
@@ -56,68 +84,127 @@
         let Some((_, chosen)) = self.cheapest(i, want) else {
             return false;
         };
-        for o in chosen {
-            self.held[o.machine] = Some(o.at);
-            self.out.kept.push(o.machine as u32);
-            let stops = o.stops.iter().map(|t| Preempt {
-                machine: o.machine as u32,
+        self.clear(chosen);
+        true
+    }
+
+    /// How long a job waits for room before others are stopped for it.
+    fn patience(&self, job: &Job) -> Secs {
+        if job.priority >= URGENT {
+            self.input.patience.min(URGENT_PATIENCE)
+        } else {
+            self.input.patience
+        }
+    }
+
+    /// Makes room for single tasks of an urgent array, a machine for each, as many as there are.
+    pub(crate) fn clear_for_tasks(&mut self, i: usize, want: u32) {
+        let job = &self.input.jobs[i];
+        // Machines of several zones are of no use to tasks that share one.
+        if job.one_zone && want > 1 {
+            return;
+        }
+        let want = want.min(MOST_CLEARED);
+        let key = Wide::of(job);
+        let known = self.clearable.remove(&key);
+        let mut options = known.unwrap_or_else(|| self.options(job));
+        let mut left = want;
+        for list in &mut options.lists {
+            if left == 0 {
+                break;
+            }
+            let (_, chosen) = self.cheapest_in(i, left, list, None);
+            left -= chosen.len() as u32;
+            self.clear(chosen);
+        }
+        self.clearable.insert(key, options);
+    }
+
+    /// Holds machines, and stops what has to go from them.
+    fn clear(&mut self, chosen: Vec<Clearing>) {
+        for option in chosen {
+            let m = option.machine;
+            self.held[m] = Some(option.at);
+            self.changed.push(m as u32);
+            self.out.kept.push(m as u32);
+            let stops = option.stops.iter().map(|t| Preempt {
+                machine: m as u32,
                 task: *t as u32,
             });
             self.out.preempts.extend(stops);
         }
-        true
     }
 
     /// The machines that can be had for all tasks of a gang at the least loss, and that loss.
     pub(crate) fn cheapest(&mut self, i: usize, want: u32) -> Option<(f64, Vec<Clearing>)> {
         let input = self.input;
         let job = &input.jobs[i];
+        if !self.is_plain() && self.blocked.is_hopeless(job, Search::Clear, want) {
+            return None;
+        }
         let key = Wide::of(job);
-        let options = match self.clearable.remove(&key) {
-            Some(options) => options,
-            None => self.options(job),
-        };
+        let known = self.clearable.remove(&key);
+        let mut options = known.unwrap_or_else(|| self.options(job));
         // Per zone where all must be in one; what takes the least of waiting and of lost work is taken.
-        let zones: Vec<Option<u16>> = if job.one_zone {
-            self.all_zones()
-        } else {
-            vec![None]
-        };
-        let mut best: Option<(f64, Vec<&Clearing>)> = None;
-        for zone in zones {
-            let mut cost = 0.0;
-            let mut chosen = Vec::new();
-            let mut taken: Vec<(u16, u32)> = Vec::new();
-            for o in &options {
-                self.out.steps += 1;
-                let z = input.machines[o.machine].zone;
-                let there = count_in(&mut taken, z);
-                if zone.is_some_and(|only| only != z)
-                    || self.held[o.machine].is_some()
-                    || self.free[o.machine] != o.free
-                    || self.zone_room(i, z) <= *there
-                {
-                    continue;
-                }
-                *there += 1;
-                cost += o.cost;
-                chosen.push(o);
-                if chosen.len() as u32 == want {
-                    break;
-                }
-            }
-            if chosen.len() as u32 == want && best.as_ref().is_none_or(|(c, _)| cost < *c) {
+        let mut best: Option<(f64, Vec<Clearing>)> = None;
+        let mut most = 0;
+        for list in &mut options.lists {
+            let limit = best.as_ref().map(|(cost, _)| *cost);
+            let (cost, chosen) = self.cheapest_in(i, want, list, limit);
+            most = most.max(chosen.len() as u32);
+            if chosen.len() as u32 == want {
                 best = Some((cost, chosen));
             }
         }
-        let best = best.map(|(cost, chosen)| (cost, chosen.into_iter().cloned().collect()));
+        if best.is_none() {
+            self.blocked.add(job, Search::Clear, most);
+        }
         self.clearable.insert(key, options);
         best
     }
 
+    /// The cheapest machines of one list, as many as there are of those wanted, while they cost less than `limit`. Those that are no longer as
+    /// they were found are dropped.
+    fn cheapest_in(
+        &mut self,
+        i: usize,
+        want: u32,
+        list: &mut Vec<Clearing>,
+        limit: Option<f64>,
+    ) -> (f64, Vec<Clearing>) {
+        let mut cost = 0.0;
+        let mut chosen = Vec::new();
+        let mut taken: Vec<(u16, u32)> = Vec::new();
+        let mut stale = Vec::new();
+        for (at, option) in list.iter().enumerate() {
+            self.out.steps += 1;
+            let m = option.machine;
+            if self.held[m].is_some() || self.free[m] != option.free {
+                stale.push(at);
+                continue;
+            }
+            let zone = self.input.machines[m].zone;
+            let there = count_in(&mut taken, zone);
+            if self.zone_room(i, zone) <= *there {
+                continue;
+            }
+            *there += 1;
+            cost += option.cost;
+            if limit.is_some_and(|limit| cost >= limit) {
+                break;
+            }
+            chosen.push(option.clone());
+            if chosen.len() as u32 == want {
+                break;
+            }
+        }
+        drop_at(list, &stale);
+        (cost, chosen)
+    }
+
     /// Every machine that a task like this could have, the cheapest first: those that are free soon by themselves,
     /// then those where stopping others loses the least.
-    fn options(&mut self, job: &Job) -> Vec<Clearing> {
+    fn options(&mut self, job: &Job) -> Clearings {
         let mut options = Vec::new();
         for m in 0..self.input.machines.len() {
             let machine = &self.input.machines[m];
@@ -142,7 +229,7 @@
                 free.add(&machine.running[k].need, 1.0);
                 at = end;
             }
-            if at <= self.input.patience {
+            if at <= self.patience(job) {
                 let cost = (at + self.fetch(job, m)) * machine.total.share(&job.need);
                 options.push(Clearing {
                     machine: m,
@@ -162,14 +249,19 @@
             }
         }
         options.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.machine.cmp(&b.machine)));
-        options
-    }
-
-    pub(crate) fn all_zones(&self) -> Vec<Option<u16>> {
-        let mut all: Vec<u16> = self.input.machines.iter().map(|m| m.zone).collect();
-        all.sort_unstable();
-        all.dedup();
-        all.into_iter().map(Some).collect()
+        if !job.one_zone {
+            return Clearings {
+                lists: vec![options],
+            };
+        }
+        let mut by_zone: BTreeMap<u16, Vec<Clearing>> = BTreeMap::new();
+        for option in options {
+            let zone = self.input.machines[option.machine].zone;
+            by_zone.entry(zone).or_default().push(option);
+        }
+        Clearings {
+            lists: by_zone.into_values().collect(),
+        }
     }
 
     /// The tasks of lower priority whose end gives the job room on this machine at the least lost work.
--- a/crates/plan/src/shed.rs
+++ b/crates/plan/src/shed.rs
@@ -1,7 +1,7 @@
 //! What runs above a bound that has shrunk is stopped: with the time to save, the least held and least urgent first,
 //! and no more than the excess.
 
-use crate::place::Pass;
+use crate::pass::Pass;
 use crate::{EPS, Preempt, Res, Running, Secs};
 use std::collections::{BTreeMap, BTreeSet};
 
--- /dev/null
+++ b/crates/plan/src/sizes.rs
@@ -0,0 +1,39 @@
+//! Jobs as the search of the stretch sees them.
+
+use crate::{Job, Machine, Res, stretch};
+
+/// Tasks of one machine that are counted at most.
+const MOST_TASKS: u32 = 10_000;
+
+/// The fleet's machines by size, so that slots are counted once for each size.
+pub(crate) struct Slots {
+    sizes: Vec<(Res, u32)>,
+}
+
+impl Slots {
+    pub fn of(machines: &[Machine]) -> Self {
+        let mut sizes: Vec<(Res, u32)> = Vec::new();
+        for machine in machines {
+            match sizes.iter_mut().find(|(total, _)| *total == machine.total) {
+                Some((_, count)) => *count += 1,
+                None => sizes.push((machine.total, 1)),
+            }
+        }
+        Slots { sizes }
+    }
+
+    /// A job against the slots that it would have alone.
+    pub fn size(&self, job: &Job) -> stretch::Sized {
+        let tasks = |(total, count): &(Res, u32)| {
+            f64::from(total.count(&job.need, MOST_TASKS)) * f64::from(*count)
+        };
+        let slots: f64 = self.sizes.iter().map(tasks).sum();
+        let estimate = job.estimate.max(1.0);
+        stretch::Sized {
+            arrival: job.arrival,
+            work: estimate * f64::from(job.tasks.max(1)),
+            left: estimate * f64::from(job.pending) / slots.max(1.0),
+            shortest: estimate,
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/spares.rs
@@ -0,0 +1,104 @@
+//! Room that is kept for jobs that are expected.
+
+use crate::pass::Pass;
+use crate::{EPS, Job, Secs, Shape, Spare};
+
+/// Whoever has waited for so long with nothing running gets a place also where room is kept for what is expected.
+const BESIDE_SPARES: Secs = 45.0;
+
+impl Pass<'_> {
+    /// Keeps the rest from machines with room for jobs that are expected: for each image as many as its share that have
+    /// it, so that what comes need not fetch.
+    pub(crate) fn keep_spares(&mut self) {
+        let input = self.input;
+        for spare in &input.spares {
+            let short = self.keep_spare(spare);
+            self.out.spare_short.push(short);
+        }
+    }
+
+    /// How much of it finds no room.
+    fn keep_spare(&mut self, spare: &Spare) -> u32 {
+        let job = &spare.like;
+        let order = self.machines_for(spare);
+        let mut left = spare.count;
+        let all: f64 = spare.images.iter().map(|(_, _, share)| share).sum();
+        for (image, _, share) in &spare.images {
+            let wanted = (f64::from(spare.count) * share / all.max(EPS)).round() as u32;
+            let mut wanted = wanted.min(left);
+            for m in &order {
+                if wanted == 0 {
+                    break;
+                }
+                if self.held[*m].is_none() && self.images[*m].contains(image) {
+                    let n = self.keep(job, *m);
+                    wanted = wanted.saturating_sub(n);
+                    left = left.saturating_sub(n);
+                }
+            }
+        }
+        for m in order {
+            if left == 0 {
+                break;
+            }
+            if self.held[m].is_none() {
+                left = left.saturating_sub(self.keep(job, m));
+            }
+        }
+        left
+    }
+
+    /// Machines with room for it, those first where what is expected is soonest.
+    fn machines_for(&mut self, spare: &Spare) -> Vec<usize> {
+        let input = self.input;
+        let job = &spare.like;
+        // The time that all expected images together, by their shares, take to come here.
+        let missing = |m: usize| {
+            let away = spare
+                .images
+                .iter()
+                .filter(|(image, _, _)| !self.images[m].contains(image));
+            let gb: f64 = away.map(|(_, gb, share)| gb * share).sum();
+            gb / input.machines[m].fetch_gb_per_s.max(0.01)
+        };
+        let has_room = |m: &usize| {
+            self.allowed(job, *m) && self.held[*m].is_none() && self.unpromised(job, *m) > 0
+        };
+        let mut order: Vec<(f64, usize)> = (0..input.machines.len())
+            .filter(has_room)
+            .map(|m| (missing(m) + self.place_score(job, m), m))
+            .collect();
+        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+        self.out.steps += input.machines.len() as u64;
+        order.into_iter().map(|(_, m)| m).collect()
+    }
+
+    fn keep(&mut self, job: &Job, m: usize) -> u32 {
+        self.held[m] = Some(0.0);
+        self.changed.push(m as u32);
+        self.out.kept.push(m as u32);
+        self.unpromised(job, m)
+    }
+
+    /// An array that has waited for long and has no task on any machine.
+    pub(crate) fn waits_beside_spares(&self, i: usize) -> bool {
+        let job = &self.input.jobs[i];
+        let none = self.zones[i].iter().all(|(_, n)| *n == 0);
+        job.shape == Shape::Array
+            && -job.arrival >= BESIDE_SPARES
+            && none
+            && !self.out.kept.is_empty()
+    }
+
+    /// A first task where room is kept for jobs that are only expected: nobody waits for ever beside it. The rest of it
+    /// stays kept, so that it goes task by task.
+    pub(crate) fn fill_from_spares(&mut self, i: usize) -> u32 {
+        let kept = self.out.kept.clone();
+        kept.iter().for_each(|m| self.held[*m as usize] = None);
+        self.blocked.forget();
+        let started = self.fill(i, 1, true);
+        self.blocked.forget();
+        kept.iter().for_each(|m| self.held[*m as usize] = Some(0.0));
+        started
+    }
+}
--- a/crates/plan/src/timeline.rs
+++ b/crates/plan/src/timeline.rs
@@ -4,8 +4,11 @@
 //! planned for the earliest moment at which one zone has it, and its places are promised from then on. Jobs that
 //! come later in the order move no promise: they take what ends in time, or what is left beside it.
 
-use crate::place::Pass;
+use crate::blocked::Search;
+use crate::pass::Pass;
+use crate::room::Wide;
 use crate::{Job, Res, Secs, Tenant, count_in};
+use std::collections::{BTreeMap, HashMap};
 
 /// What is known of a machine's room beyond this moment.
 #[derive(Clone, Default)]
@@ -16,13 +19,76 @@
     pub promised: Vec<(Secs, Res, Tenant)>,
 }
 
+/// More places on one machine are not counted.
+const MOST_PLACES: u32 = 100_000;
+
 /// Places that fall free on a machine at a time.
+#[derive(Clone, Copy)]
 struct Opening {
     at: Secs,
     machine: usize,
     count: u32,
 }
 
+/// The first time at which a gang has all its places, and in which list.
+#[derive(Clone, Copy)]
+struct First {
+    at: Secs,
+    list: usize,
+}
+
+/// Places by the time at which they fall free, in one zone or in all.
+struct Openings {
+    zone: Option<u16>,
+    /// Times are 0 or more, so their bits have their order.
+    by_time: BTreeMap<(u64, usize), u32>,
+    of_machine: HashMap<usize, Vec<u64>>,
+}
+
+impl Openings {
+    fn add(&mut self, at: Secs, machine: usize, count: u32) {
+        let bits = at.max(0.0).to_bits();
+        self.by_time.insert((bits, machine), count);
+        self.of_machine.entry(machine).or_default().push(bits);
+    }
+
+    fn forget(&mut self, machine: usize) {
+        for bits in self.of_machine.remove(&machine).unwrap_or_default() {
+            self.by_time.remove(&(bits, machine));
+        }
+    }
+
+    fn openings(&self) -> impl Iterator<Item = Opening> + '_ {
+        let all = self.by_time.iter();
+        all.map(|((bits, machine), count)| Opening {
+            at: f64::from_bits(*bits),
+            machine: *machine,
+            count: *count,
+        })
+    }
+}
+
+/// What falls free for tasks of a kind: a list for each zone where all must be in one, else one list.
+pub(crate) struct RoomsToCome {
+    lists: Vec<Openings>,
+    /// Changes of room that were looked at.
+    seen: usize,
+}
+
+impl RoomsToCome {
+    fn new(zones: &[Option<u16>]) -> Self {
+        let list = |zone: &Option<u16>| Openings {
+            zone: *zone,
+            by_time: BTreeMap::new(),
+            of_machine: HashMap::new(),
+        };
+        RoomsToCome {
+            lists: zones.iter().map(list).collect(),
+            seen: 0,
+        }
+    }
+}
+
 impl Pass<'_> {
     /// What is free on a machine at a time, without what is promised from no later than `until`.
     pub(crate) fn room_at(&self, m: usize, at: Secs, until: Secs) -> Res {
@@ -88,48 +154,52 @@
     /// falls free by itself.
     pub(crate) fn wait(&mut self, i: usize, want: u32) {
         let job = &self.input.jobs[i];
-        let openings = self.openings(job, want);
-        let first = self.earliest(i, want, &openings);
-        let soon = first.is_some_and(|(at, _)| at <= self.input.patience);
-        if job.promised && !soon && self.recall(i, want) {
+        if !self.is_plain() && self.blocked.is_hopeless(job, Search::Promise, want) {
+            if job.promised {
+                self.recall(i, want);
+            }
             return;
         }
-        if let Some((at, zone)) = first {
-            self.promise(i, want, openings, at, zone);
+        let rooms = self.rooms_to_come(job);
+        let first = self.earliest(i, want, &rooms);
+        if first.is_none() {
+            self.blocked.add(job, Search::Promise, want - 1);
+        }
+        let soon = first.is_some_and(|first| first.at <= self.input.patience);
+        let is_made = job.promised && !soon && self.recall(i, want);
+        if let Some(first) = first.filter(|_| !is_made) {
+            self.promise(i, want, &rooms, first);
         }
+        self.remember(job, rooms);
     }
 
     /// Promises a job its first places that fall free by themselves.
     pub(crate) fn promise_first(&mut self, i: usize, want: u32) {
-        let openings = self.openings(&self.input.jobs[i], want);
-        if let Some((at, zone)) = self.earliest(i, want, &openings) {
-            self.promise(i, want, openings, at, zone);
+        let job = &self.input.jobs[i];
+        let rooms = self.rooms_to_come(job);
+        if let Some(first) = self.earliest(i, want, &rooms) {
+            self.promise(i, want, &rooms, first);
         }
+        self.remember(job, rooms);
     }
 
-    /// When, and in which zone, a gang can first have all its places.
-    fn earliest(
-        &mut self,
-        i: usize,
-        want: u32,
-        openings: &[Opening],
-    ) -> Option<(Secs, Option<u16>)> {
-        let zones = if self.input.jobs[i].one_zone {
-            self.all_zones()
-        } else {
-            vec![None]
-        };
-        let mut best: Option<(Secs, Option<u16>)> = None;
-        for zone in zones {
+    /// When, and in which list of places, a gang can first have all its places.
+    fn earliest(&mut self, i: usize, want: u32, rooms: &RoomsToCome) -> Option<First> {
+        let mut best: Option<First> = None;
+        for (number, list) in rooms.lists.iter().enumerate() {
             let mut left = want;
             let mut taken: Vec<(u16, u32)> = Vec::new();
-            for o in openings {
+            for opening in list.openings() {
                 self.out.steps += 1;
-                left -= self.usable_part(i, o, zone, &mut taken).min(left);
+                if best.as_ref().is_some_and(|best| opening.at >= best.at) {
+                    break;
+                }
+                left -= self.usable_part(i, &opening, &mut taken).min(left);
                 if left == 0 {
-                    if best.is_none_or(|(at, _)| o.at < at) {
-                        best = Some((o.at, zone));
-                    }
+                    best = Some(First {
+                        at: opening.at,
+                        list: number,
+                    });
                     break;
                 }
             }
@@ -138,38 +208,33 @@
     }
 
     /// Promises a gang its places from a time on.
-    fn promise(
-        &mut self,
-        i: usize,
-        want: u32,
-        openings: Vec<Opening>,
-        at: Secs,
-        zone: Option<u16>,
-    ) {
+    fn promise(&mut self, i: usize, want: u32, rooms: &RoomsToCome, first: First) {
         let job = &self.input.jobs[i];
         // Of all that is free by then, the places that suit it best; if it is old, the first, so that what is
         // free already stays its own however wrong the rest was expected.
+        let is_old = self.is_old(job);
         let rank = |o: &Opening| {
-            if self.is_old(job) {
+            if is_old {
                 o.at
             } else {
                 self.score(job, o.machine)
             }
         };
+        let openings = rooms.lists[first.list].openings();
         let mut chosen: Vec<(Secs, Opening)> = openings
-            .into_iter()
-            .filter(|o| o.at <= at)
+            .take_while(|o| o.at <= first.at)
             .map(|o| (rank(&o), o))
             .collect();
+        self.out.steps += chosen.len() as u64;
         chosen.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.machine.cmp(&b.1.machine)));
         let mut left = want;
         let mut taken: Vec<(u16, u32)> = Vec::new();
-        for (_, o) in chosen {
-            let n = self.usable_part(i, &o, zone, &mut taken).min(left);
+        for (_, opening) in chosen {
+            let n = self.usable_part(i, &opening, &mut taken).min(left);
             if n == 0 {
                 continue;
             }
-            self.hold(job, o.machine, n, at);
+            self.hold(job, opening.machine, n, first.at);
             left -= n;
             if left == 0 {
                 break;
@@ -182,61 +247,95 @@
         self.lines[m]
             .promised
             .push((at, job.need.times(n), job.tenant));
+        self.changed.push(m as u32);
         self.out.kept.push(m as u32);
     }
 
     /// How much of an opening the gang may use, given what it takes elsewhere.
-    fn usable_part(
-        &self,
-        i: usize,
-        o: &Opening,
-        zone: Option<u16>,
-        taken: &mut Vec<(u16, u32)>,
-    ) -> u32 {
-        let z = self.input.machines[o.machine].zone;
-        if zone.is_some_and(|only| only != z) {
-            return 0;
-        }
-        let there = count_in(taken, z);
-        let n = o.count.min(self.zone_room(i, z).saturating_sub(*there));
+    fn usable_part(&self, i: usize, opening: &Opening, taken: &mut Vec<(u16, u32)>) -> u32 {
+        let zone = self.input.machines[opening.machine].zone;
+        let there = count_in(taken, zone);
+        let room = self.zone_room(i, zone).saturating_sub(*there);
+        let n = opening.count.min(room);
         *there += n;
         n
     }
 
-    /// All places that a job's tasks could have, now or later, by time.
-    fn openings(&mut self, job: &Job, want: u32) -> Vec<Opening> {
-        let mut out = Vec::new();
-        for (m, machine) in self.input.machines.iter().enumerate() {
-            let from = if machine.usable { 0.0 } else { machine.ready };
-            if !from.is_finite() || !self.suits(job, m) || self.held[m].is_some() {
-                continue;
-            }
-            if self.is_promised_to_others(job, m) {
-                continue;
-            }
-            let from = from.max(self.free_of_others(job, m));
-            let ends = machine
-                .running
-                .iter()
-                .map(|r| r.ends)
-                .chain(self.lines[m].ends.iter().map(|e| e.0));
-            let mut times: Vec<Secs> = ends.filter(|t| *t > from).chain([from]).collect();
-            times.sort_by(f64::total_cmp);
-            self.out.steps += 1 + times.len() as u64;
-            let mut before = 0;
-            for at in times {
-                let n = self.room_at(m, at, f64::INFINITY).count(&job.need, want);
-                if n > before {
-                    out.push(Opening {
-                        at,
-                        machine: m,
-                        count: n - before,
-                    });
-                    before = n;
-                }
+    /// All places that a job's tasks could have, now or later. What was found for a job alike is brought up to date
+    /// where room has changed since.
+    fn rooms_to_come(&mut self, job: &Job) -> RoomsToCome {
+        let known = if can_share(job) && !self.is_plain() {
+            self.rooms_to_come.remove(&Wide::of(job))
+        } else {
+            None
+        };
+        let since = known.as_ref().map(|rooms| rooms.seen);
+        let mut rooms = known.unwrap_or_else(|| {
+            let zones = self.zones_for(job);
+            RoomsToCome::new(&zones)
+        });
+        let mut stale: Vec<usize> = match since {
+            Some(seen) => self.changed[seen..].iter().map(|m| *m as usize).collect(),
+            None => (0..self.input.machines.len()).collect(),
+        };
+        stale.sort_unstable();
+        stale.dedup();
+        for m in stale {
+            self.renew(job, &mut rooms, m);
+        }
+        rooms.seen = self.changed.len();
+        rooms
+    }
+
+    fn remember(&mut self, job: &Job, rooms: RoomsToCome) {
+        if can_share(job) && !self.is_plain() {
+            self.rooms_to_come.insert(Wide::of(job), rooms);
+        }
+    }
+
+    /// Finds out anew what falls free on a machine.
+    fn renew(&mut self, job: &Job, rooms: &mut RoomsToCome, m: usize) {
+        self.out.steps += 1;
+        let zone = self.input.machines[m].zone;
+        let Some(list) = rooms
+            .lists
+            .iter_mut()
+            .find(|l| l.zone.is_none_or(|z| z == zone))
+        else {
+            return;
+        };
+        list.forget(m);
+        let machine = &self.input.machines[m];
+        let from = if machine.usable { 0.0 } else { machine.ready };
+        if !from.is_finite() || !self.suits(job, m) || self.held[m].is_some() {
+            return;
+        }
+        if self.is_promised_to_others(job, m) {
+            return;
+        }
+        let from = from.max(self.free_of_others(job, m));
+        let running = machine.running.iter().map(|r| r.ends);
+        let started = self.lines[m].ends.iter().map(|e| e.0);
+        let mut times: Vec<Secs> = running
+            .chain(started)
+            .filter(|t| *t > from)
+            .chain([from])
+            .collect();
+        times.sort_by(f64::total_cmp);
+        self.out.steps += times.len() as u64;
+        let mut before = 0;
+        for at in times {
+            let room = self.room_at(m, at, f64::INFINITY);
+            let n = room.count(&job.need, MOST_PLACES);
+            if n > before {
+                list.add(at, m, n - before);
+                before = n;
             }
         }
-        out.sort_by(|a, b| a.at.total_cmp(&b.at).then(a.machine.cmp(&b.machine)));
-        out
     }
 }
+
+/// Whether other jobs alike may use what is found for this one.
+fn can_share(job: &Job) -> bool {
+    job.avoid.is_empty()
+}
--- /dev/null
+++ b/crates/plan/tests/search.rs
@@ -0,0 +1,200 @@
+//! The index against the walk over all machines: the same plan, for fewer steps.
+
+mod fleets;
+
+use plan::{Input, Job, Output, Search, Shape, Tenant, plan};
+use proptest::prelude::*;
+
+fn starts(output: &Output) -> u32 {
+    output.starts.iter().map(|s| s.count).sum()
+}
+
+fn played(input: &Input, search: Search) -> Output {
+    plan(&Input {
+        search,
+        ..input.clone()
+    })
+}
+
+/// A fleet with much that is seldom: guarantees, spares, work that shares no machine, zones and machines that are
+/// avoided, jobs with tasks on machines, services, machines that boot.
+fn mixed(seed: u64, machines: u32, jobs: usize) -> Input {
+    let mut input = fleets::input(seed, machines, jobs);
+    let mut rng = fastrand::Rng::with_seed(seed ^ 0xF1EE);
+    let apart = rng.u32(0..3) == 0;
+    for machine in &mut input.machines {
+        if !machine.usable && rng.bool() {
+            machine.ready = rng.f64() * 60.0;
+        }
+        machine.slots = [1, 3, 200][rng.usize(0..3)];
+        for running in &mut machine.running {
+            running.held = rng.u8(0..2);
+            running.leaving = rng.u32(0..10) == 0;
+            running.spared = rng.u32(0..10) == 0;
+            if apart {
+                running.tenant = tenant(&mut rng);
+            }
+        }
+    }
+    for job in &mut input.jobs {
+        vary(&mut rng, job, machines, apart);
+    }
+    for number in 1..input.jobs.len() {
+        if rng.bool() {
+            input.jobs[number] = alike(&mut rng, &input.jobs[number - 1]);
+        }
+    }
+    if rng.bool() {
+        let like = fleets::job(&mut rng);
+        let images = (0..fleets::IMAGES)
+            .map(|image| (image, fleets::IMAGE_GB, 1.0 / f64::from(fleets::IMAGES)));
+        input.spares.push(plan::Spare {
+            like,
+            count: rng.u32(1..6),
+            images: images.collect(),
+        });
+    }
+    input.waits = plan::Waits {
+        old: 40.0,
+        latest: 55.0,
+    };
+    for team in &mut input.teams {
+        team.gpus_max = f64::from(rng.u32(4..80));
+    }
+    input
+}
+
+/// A job that may use the same machines as another.
+fn alike(rng: &mut fastrand::Rng, job: &Job) -> Job {
+    let tasks = rng.u32(1..40);
+    Job {
+        tasks,
+        pending: tasks,
+        estimate: 20.0 + rng.f64() * 200.0,
+        arrival: -rng.f64() * 60.0,
+        team: rng.u16(0..fleets::TEAMS),
+        zones: Vec::new(),
+        ..job.clone()
+    }
+}
+
+fn tenant(rng: &mut fastrand::Rng) -> Tenant {
+    Tenant {
+        county: rng.u16(0..3),
+        alone: rng.u32(0..3) == 0,
+    }
+}
+
+fn vary(rng: &mut fastrand::Rng, job: &mut Job, machines: u32, apart: bool) {
+    match rng.u32(0..8) {
+        0 => job.shape = Shape::Service,
+        1 => job.avoid = vec![rng.u32(0..machines)],
+        2 => job.zone = Some(rng.u16(0..fleets::ZONES)),
+        3 => job.only = vec![rng.u16(0..fleets::ZONES), rng.u16(0..fleets::ZONES)],
+        4 => job.spread = !job.one_zone,
+        5 => job.image_gb = 0.0,
+        6 if job.shape == Shape::Array => {
+            job.one_zone = rng.bool();
+            job.zones = vec![(rng.u16(0..fleets::ZONES), 1)];
+        }
+        _ => {}
+    }
+    job.promised = rng.u32(0..4) == 0;
+    job.held = u8::from(job.promised);
+    if apart {
+        job.tenant = tenant(rng);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 60, failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(40), ..ProptestConfig::default() })]
+
+    /// The index and what is remembered of jobs alike change nothing in what is planned.
+    #[test]
+    fn the_index_plans_as_the_walk_does(seed in 0u64..1_000_000, machines in 1u32..600, jobs in 0usize..150) {
+        let input = mixed(seed, machines, jobs);
+        let indexed = played(&input, Search::Indexed);
+        let walked = played(&input, Search::Plain);
+        prop_assert_eq!(indexed.starts, walked.starts);
+        prop_assert_eq!(indexed.preempts, walked.preempts);
+        prop_assert_eq!(indexed.recalls, walked.recalls);
+        prop_assert_eq!(indexed.kept, walked.kept);
+        prop_assert_eq!(indexed.spare_short, walked.spare_short);
+        prop_assert_eq!(indexed.waiting, walked.waiting);
+        prop_assert!(indexed.stretch <= walked.stretch);
+    }
+
+    /// Whatever the bound, plans that go on where the one before stopped look at every job: one that fits is started
+    /// however many stand before it that do not.
+    #[test]
+    fn every_bound_makes_progress(seed in 0u64..1_000_000, bound in 0u64..3_000, blocked in 1usize..30) {
+        let mut input = fleets::input(seed, 20, 0);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let widest = |job: &mut plan::Job| {
+            // No fleet of this size has room for it.
+            (job.shape, job.tasks, job.pending, job.priority) = (Shape::Gang, 1000, 1000, 3);
+        };
+        for _ in 0..blocked {
+            let mut job = fleets::job(&mut rng);
+            widest(&mut job);
+            input.jobs.push(job);
+        }
+        let mut last = fleets::job(&mut rng);
+        last.need = fleets::part(1.0);
+        (last.shape, last.tasks, last.pending, last.priority, last.spot) = (Shape::Gang, 1, 1, 0, true);
+        // Nothing is cleared for it.
+        last.image_gb = 0.0;
+        input.machines[0].running.clear();
+        (input.machines[0].usable, input.machines[0].spot) = (true, true);
+        input.jobs.push(last);
+        input.max_steps = bound;
+        let mut started = false;
+        for _ in 0..=blocked + 1 {
+            let output = plan(&input);
+            started |= output.starts.iter().any(|s| s.job as usize == blocked);
+            input.resume = output.resume;
+        }
+        prop_assert!(started, "the last of {} jobs never began", blocked + 1);
+    }
+}
+
+/// At the planned size a plan within its bound starts nearly all that one without a bound starts.
+#[test]
+fn the_planned_size_fits_its_bound() {
+    let mut input = fleets::input(7, 3300, 660);
+    let unbounded = plan(&input);
+    input.max_steps = 240_000;
+    let bounded = plan(&input);
+    assert!(bounded.steps <= 480_000, "{} steps", bounded.steps);
+    let (some, all) = (starts(&bounded), starts(&unbounded));
+    assert!(some * 100 >= all * 95, "{some} of {all} starts");
+}
+
+/// What can't be placed is known without a look: many jobs alike cost little more than a few.
+#[test]
+fn jobs_alike_are_looked_at_once() {
+    let mut input = fleets::input(3, 400, 0);
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut job = fleets::job(&mut rng);
+    (job.shape, job.tasks, job.pending) = (Shape::Gang, 900, 900);
+    job.one_zone = false;
+    input.jobs = vec![job; 2];
+    let few = plan(&input).steps;
+    input.jobs = vec![input.jobs[0].clone(); 200];
+    let many = plan(&input).steps;
+    assert!(many < 4 * few, "{many} steps for 200 jobs, {few} for 2");
+    let walked = played(&input, Search::Plain).steps;
+    assert!(
+        walked > 20 * many,
+        "the walk takes {walked}: the test shows nothing"
+    );
+}
+
+/// A bound that stops a plan names the job at which it stopped.
+#[test]
+fn a_stopped_plan_says_where() {
+    let mut input = fleets::input(5, 200, 60);
+    assert_eq!(plan(&input).resume, None);
+    input.max_steps = 100;
+    assert_ne!(plan(&input).resume, None);
+}
--- a/crates/plan/tests/zones.rs
+++ b/crates/plan/tests/zones.rs
@@ -98,6 +98,7 @@
         patience: 3.0,
         waits: plan::Waits::default(),
         max_steps: u64::MAX / 4,
+        ..Input::default()
     }
 }
 
