Control: urgent work is planned as it arrives; a plan looks jobs up once

Change: jobs of the highest priority are planned alone within 150 ms of their arrival, ever less often while that brings nothing; what is old and what a tree holds keeps its place before them. Teams, images and run times are looked up once a job.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -31,6 +31,7 @@
 mod tally;
 mod told;
 mod tuning;
+mod urgent;
 mod views;
 mod wake;
 
--- a/crates/control/src/part.rs
+++ b/crates/control/src/part.rs
@@ -119,7 +119,10 @@
     pub delete_retry_at: u64,
     pub hire_check_at: u64,
     pub plan_due: bool,
+    pub urgent: crate::urgent::Urgent,
     pub planned_at: u64,
+    /// The job at which the last plan was stopped by its bound of steps.
+    pub plan_stopped_at: Option<JobIx>,
     pub catalog_dirty: bool,
     /// What our teams may use, as recorded, and its version; nothing is started before it is known.
     pub allot: Option<AllotRec>,
@@ -177,8 +180,10 @@
             delete_busy: false,
             delete_retry_at: 0,
             hire_check_at: 0,
+            urgent: crate::urgent::Urgent::default(),
             plan_due: true,
             planned_at: 0,
+            plan_stopped_at: None,
             catalog_dirty: false,
             allot: None,
             allot_version: 0,
@@ -773,6 +778,7 @@
             .entry(rec.spec.class.clone())
             .or_default()
             .arrived(&rec.spec, rec.at_ms);
+        part.urgent.arrived(&rec.spec);
         let ix = part.add_job(Job::new(rec, version));
         part.plan_due = true;
         self.model_came(ix);
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -1,10 +1,11 @@
 //! Between the owner's memory and the planner: what it is shown, and what follows from its plan.
 
-use crate::jobs::{Ending, Job, JobIx};
+use crate::jobs::{Class, Ending, Job, JobIx};
 use crate::ledger::ClaimId;
 use crate::machines::{Claim, Machine, Need};
 use crate::part::{HireState, Part};
 use crate::standing::{self, Holds};
+use crate::urgent;
 use crate::{Node, Tuning};
 use std::collections::{HashMap, HashSet};
 use wire::api::{Catalog, Cause, JobSpec, Kind, MachineType, Priority};
@@ -18,6 +19,14 @@
 /// No more than this is on its way at once.
 const MOST_COMING: usize = 2000;
 
+/// Whom a plan is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Scope {
+    All,
+    /// Urgent work, and what has waited so long that it goes before all others.
+    Urgent,
+}
+
 /// The planner's indices and ours.
 struct Map {
     machines: Vec<usize>,
@@ -234,6 +243,45 @@
     }
 }
 
+/// What a plan needs of a job for each of its claims, looked up once.
+struct ClaimedJob {
+    team: Option<u16>,
+    /// Run time that is expected of a task, in seconds.
+    expected: f64,
+    /// Run time after which a task saves, 0 if it never does.
+    saves: f64,
+    image: Option<u32>,
+}
+
+/// Run time of a task that nothing is known of, in seconds.
+const UNKNOWN_RUN_S: f64 = 60.0;
+
+impl ClaimedJob {
+    fn of(
+        job: &Job,
+        teams: &HashMap<&str, u16>,
+        classes: &std::collections::BTreeMap<String, Class>,
+        images: &mut crate::part::Names,
+    ) -> Self {
+        let team = teams.get(job.team.as_str()).copied();
+        let Some(spec) = &job.spec else {
+            return ClaimedJob {
+                team,
+                expected: UNKNOWN_RUN_S,
+                saves: 0.0,
+                image: None,
+            };
+        };
+        let factor = classes.get(&spec.class).map_or(1.0, |c| c.factor());
+        ClaimedJob {
+            team,
+            expected: (spec.estimate_s * factor - job.progress_s).max(1.0),
+            saves: spec.checkpoint_s,
+            image: Some(images.get(&spec.image)),
+        }
+    }
+}
+
 /// Tasks of a job that hold a place now, by zone.
 fn zones_taken(job: &Job, zone_of: &[Option<u16>]) -> Vec<(u16, u32)> {
     let mut out: Vec<(u16, u32)> = Vec::new();
@@ -277,6 +325,26 @@
     }
 }
 
+/// Notes whether urgent work still waits, and whether this plan brought it on.
+fn note_urgent(part: &mut Part, now: u64, input: &plan::Input, output: &plan::Output) {
+    let is_urgent = |job: usize| {
+        let job = &input.jobs[job];
+        let may_go_first = input.groups.is_empty() || job.held > 0;
+        job.priority >= plan::URGENT && job.shape != plan::Shape::Service && may_go_first
+    };
+    let mut started: HashMap<u32, u32> = HashMap::new();
+    for start in &output.starts {
+        *started.entry(start.job).or_default() += start.count;
+    }
+    let waits = |job: usize| {
+        let started = started.get(&(job as u32)).copied().unwrap_or(0);
+        is_urgent(job) && started < input.jobs[job].pending
+    };
+    let still_waits = (0..input.jobs.len()).any(waits);
+    let got_on = !output.preempts.is_empty() || started.keys().any(|job| is_urgent(*job as usize));
+    part.urgent.planned(now, still_waits, got_on);
+}
+
 impl Node {
     pub(crate) fn sched_tick(&mut self) {
         let now = self.now.mono;
@@ -288,17 +356,28 @@
         let Some(part) = &mut self.part else { return };
         let due =
             (part.plan_due && now >= part.planned_at + every) || now >= part.planned_at + 2 * every;
-        if !due {
-            return;
+        let scope = match due {
+            true => Scope::All,
+            false if part.urgent.is_due(now) => Scope::Urgent,
+            false => return,
+        };
+        if scope == Scope::All {
+            part.plan_due = false;
+            part.planned_at = now;
         }
-        part.plan_due = false;
-        part.planned_at = now;
         let since = part.since;
         let Some(catalog) = self.shared.catalog.clone() else {
             return;
         };
-        let (input, map) = self.plan_input(&catalog);
+        let (input, map) = self.plan_input(&catalog, scope);
         let output = plan::plan(&input);
+        let stopped_at = output.resume.map(|job| map.jobs[job as usize]);
+        if let Some(part) = &mut self.part {
+            note_urgent(part, now, &input, &output);
+            if scope == Scope::All {
+                part.plan_stopped_at = stopped_at;
+            }
+        }
         self.stats.plans += 1;
         self.stats.plan_steps += output.steps;
         log::debug!(
@@ -317,7 +396,9 @@
             output.waiting.len(),
             output.steps
         );
-        self.hours_planned(&input, &output, &map.jobs);
+        if scope == Scope::All {
+            self.hours_planned(&input, &output, &map.jobs);
+        }
         let mut attempts: HashMap<u32, u64> = HashMap::new();
         for start in &output.starts {
             let Some(part) = &mut self.part else { return };
@@ -344,7 +425,7 @@
                 self.recall(*gang as JobIx);
             }
         }
-        if now >= since + 2 * settle {
+        if scope == Scope::All && now >= since + 2 * settle {
             self.hire_for(&input, &output, &catalog);
             let mut kept: Vec<usize> = output
                 .kept
@@ -394,7 +475,7 @@
         self.settings.cluster.teams.iter().map(team).collect()
     }
 
-    fn plan_input(&mut self, catalog: &Catalog) -> (plan::Input, Map) {
+    fn plan_input(&mut self, catalog: &Catalog, scope: Scope) -> (plan::Input, Map) {
         let now = self.now;
         let types = index(catalog.types.iter().map(|t| &t.name));
         let zones = index(self.settings.cluster.zones.iter());
@@ -448,17 +529,24 @@
             .flatten()
             .for_each(|j| j.began |= j.running > 0);
         // Claims of each job that stay: they count as held before what waits.
-        let mut staying: HashMap<JobIx, u32> = HashMap::new();
+        let mut staying: Vec<u32> = vec![0; part.jobs.len()];
+        let (classes, images) = (&part.classes, &mut part.images);
+        let claimed_jobs: Vec<Option<ClaimedJob>> = part
+            .jobs
+            .iter()
+            .map(|job| Some(ClaimedJob::of(job.as_ref()?, &teams, classes, images)))
+            .collect();
+        let claimed_job = |ix: JobIx| claimed_jobs.get(ix).and_then(Option::as_ref);
         let mut to_plan: HashMap<usize, u32> = HashMap::new();
         for (m, machine) in part.machines.iter().enumerate() {
             let Some(machine) = machine else { continue };
             // All claims count against their team, wherever they are.
             for c in &machine.claims {
                 if let Some(job) = part.jobs.get(c.job).and_then(Option::as_ref)
-                    && let Some(t) = teams.get(job.team.as_str())
+                    && let Some(t) = claimed_job(c.job).and_then(|known| known.team)
                 {
-                    input.teams[*t as usize].cores_used += job.need.cores;
-                    input.teams[*t as usize].gpus_used += job.need.gpus;
+                    input.teams[usize::from(t)].cores_used += job.need.cores;
+                    input.teams[usize::from(t)].gpus_used += job.need.gpus;
                 }
             }
             let Some(kind) = types.get(machine.machine_type.as_str()) else {
@@ -478,7 +566,7 @@
                 // What is on its way out holds no place any more.
                 let (mut held, mut spared) = (0, false);
                 if c.stop.is_none() {
-                    let nth = staying.entry(c.job).or_default();
+                    let nth = &mut staying[c.job];
                     held = holds.held(c.job, *nth);
                     spared = is_spared(job, *nth, &input.waits, now.wall);
                     *nth += 1;
@@ -486,16 +574,12 @@
                 let ran = c
                     .running_since
                     .map_or(0.0, |t| now.mono.saturating_sub(t) as f64 / 1000.0);
-                let mut expected = 60.0;
-                let mut saves = 0.0;
-                if let Some(spec) = &job.spec {
-                    let factor = part.classes.get(&spec.class).map_or(1.0, |c| c.factor());
-                    expected = (spec.estimate_s * factor - job.progress_s).max(1.0);
-                    saves = spec.checkpoint_s;
-                    let image = part.images.get(&spec.image);
-                    if !images.contains(&image) {
-                        images.push(image);
-                    }
+                let Some(known) = claimed_job(c.job) else {
+                    continue;
+                };
+                let (expected, saves) = (known.expected, known.saves);
+                if let Some(image) = known.image.filter(|image| !images.contains(image)) {
+                    images.push(image);
                 }
                 // A task that is overdue is expected to run for a while yet.
                 let rest = if ran < expected {
@@ -512,7 +596,7 @@
                         && job.kind() != Kind::Gang
                         && job.kind() != Kind::Service,
                     leaving: c.stop.is_some(),
-                    team: teams.get(job.team.as_str()).copied().unwrap_or(u16::MAX),
+                    team: known.team.unwrap_or(u16::MAX),
                     held,
                     spared,
                     gang: (job.kind() == Kind::Gang).then_some(c.job as u32),
@@ -545,12 +629,18 @@
             .iter()
             .map(|m| m.as_ref().and_then(|m| zones.get(m.zone.as_str()).copied()))
             .collect();
+        let nested = !input.groups.is_empty();
         for (ix, job) in part.jobs.iter().enumerate() {
             let Some(job) = job else { continue };
             let Some(spec) = &job.spec else { continue };
             if job.ending != Ending::No || job.backoff_until > now.mono {
                 continue;
             }
+            let age = now.wall.saturating_sub(job.at_ms) as f64 / 1000.0;
+            let is_first = urgent::is_urgent(spec) || age >= input.waits.old;
+            if scope == Scope::Urgent && !is_first {
+                continue;
+            }
             let mut pending = job.pending();
             // A gang starts whole, once nothing of its last attempt is left.
             if spec.kind == Kind::Gang && !job.claimed.is_empty() {
@@ -578,12 +668,17 @@
                 only: crate::tally::zones(job, &zones),
                 ..shaped(spec, &mut part.images, &names, *team)
             };
-            let claimed = staying.get(&ix).copied().unwrap_or(0);
+            let claimed = staying[ix];
             for (k, (held, pending)) in holds
                 .waiting(ix, spec, claimed, pending)
                 .into_iter()
                 .enumerate()
             {
+                // Where quotas nest, what is borrowed has its turn after all that is held, also if it is urgent.
+                let is_due = held > 0 || !nested || age >= input.waits.old;
+                if scope == Scope::Urgent && !is_due {
+                    continue;
+                }
                 let planned = plan::Job {
                     pending,
                     held,
--- /dev/null
+++ b/crates/control/src/urgent.rs
@@ -0,0 +1,87 @@
+//! Work of the highest priority does not wait for the next full plan: a plan for it alone is made as it arrives, and
+//! again while it lacks places, so often as it gets on.
+
+use wire::api::{JobSpec, Kind, Priority};
+
+/// Urgent plans are at least this far apart, in milliseconds.
+const SOONEST_MS: u64 = 150;
+/// While they bring nothing, up to this far.
+const LATEST_MS: u64 = 1000;
+
+/// Whether a job is placed as it arrives. Services run for long, and can wait for a full plan.
+pub(crate) fn is_urgent(spec: &JobSpec) -> bool {
+    spec.priority == Priority::Production && spec.kind != Kind::Service
+}
+
+/// When the next urgent plan is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Urgent {
+    waits: bool,
+    planned_at: u64,
+    pause_ms: u64,
+}
+
+impl Default for Urgent {
+    fn default() -> Self {
+        Urgent {
+            waits: false,
+            planned_at: 0,
+            pause_ms: SOONEST_MS,
+        }
+    }
+}
+
+impl Urgent {
+    /// A job has come.
+    pub fn arrived(&mut self, spec: &JobSpec) {
+        if is_urgent(spec) {
+            self.waits = true;
+            self.pause_ms = SOONEST_MS;
+        }
+    }
+
+    pub fn is_due(&self, now: u64) -> bool {
+        self.waits && now >= self.planned_at + self.pause_ms
+    }
+
+    /// A plan that had urgent work in it, or none: whether some still waits, and whether it got on. Plans that bring
+    /// nothing come ever less often, so that what fits nowhere takes no time from others.
+    pub fn planned(&mut self, now: u64, still_waits: bool, got_on: bool) {
+        self.planned_at = now;
+        self.waits = still_waits;
+        self.pause_ms = if got_on {
+            SOONEST_MS
+        } else {
+            (self.pause_ms * 2).min(LATEST_MS)
+        };
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn plans_without_effect_come_less_often() {
+        let mut urgent = Urgent {
+            waits: true,
+            ..Urgent::default()
+        };
+        let mut now = 10_000;
+        let mut pauses = Vec::new();
+        for _ in 0..5 {
+            assert!(urgent.is_due(now));
+            urgent.planned(now, true, false);
+            let before = now;
+            while !urgent.is_due(now) {
+                now += 10;
+            }
+            pauses.push(now - before);
+        }
+        assert_eq!(pauses, [300, 600, 1000, 1000, 1000]);
+        urgent.planned(now, true, true);
+        assert!(!urgent.is_due(now + SOONEST_MS - 1) && urgent.is_due(now + SOONEST_MS));
+        urgent.planned(now, false, true);
+        assert!(!urgent.is_due(u64::MAX));
+    }
+}
