--- a/crates/capacity/src/checker.rs
+++ b/crates/capacity/src/checker.rs
@@ -13,6 +13,9 @@
 /// An accepted job that nobody answers for so long is forgotten.
 pub const FORGOTTEN_MS: u64 = 75_000;
 
+/// Changes of a task that are remembered.
+const HISTORY: usize = 8;
+
 /// Something that a user was told.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Told {
@@ -88,6 +91,8 @@
     limit: f64,
     /// Tasks on machines by job and zone, of jobs whose tasks share a zone.
     zones: HashMap<String, BTreeMap<usize, u32>>,
+    /// The latest changes of each task, for whoever looks for the cause of a broken rule.
+    history: HashMap<String, Vec<TaskChange>>,
     most_on: usize,
     completed: u64,
 }
@@ -106,6 +111,7 @@
             used: HashMap::new(),
             limit: team_limit,
             zones: HashMap::new(),
+            history: HashMap::new(),
             most_on: 0,
             completed: 0,
         }
@@ -179,6 +185,11 @@
     }
 
     fn changed(&mut self, change: &TaskChange) {
+        let history = self.history.entry(change.task.clone()).or_default();
+        history.push(change.clone());
+        if history.len() > HISTORY {
+            history.remove(0);
+        }
         match change.what {
             Change::On { .. } => self.came(change),
             Change::Off { cause } => self.went(change, cause),
@@ -192,8 +203,12 @@
             zone: change.zone,
         };
         if let Some(other) = self.on.insert(change.task.clone(), here) {
+            let history = self
+                .history
+                .get(&change.task)
+                .map_or(&[][..], Vec::as_slice);
             let what = format!(
-                "{now}: {} on {} and {}",
+                "{now}: {} on {} and {}; before: {history:?}",
                 change.task, other.machine, change.machine
             );
             self.rules.breaks("ran_twice", what);
--- a/crates/capacity/src/clock.rs
+++ b/crates/capacity/src/clock.rs
@@ -1,12 +1,12 @@
-//! The one clock of a run: processes of one machine agree on it.
+//! The one clock of a run: steady, and the same for all processes of this machine.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use rustix::time::{ClockId, clock_gettime};
 
-/// Milliseconds since 1970.
+/// Milliseconds since the machine began.
 pub type Millis = u64;
 
-/// The time of day.
+/// The time now. It never goes back, which the order of what different processes tell rests on.
 pub fn now() -> Millis {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    since.unwrap_or_default().as_millis() as Millis
+    let now = clock_gettime(ClockId::Monotonic);
+    now.tv_sec as Millis * 1000 + now.tv_nsec as Millis / 1_000_000
 }
