--- a/crates/capacity/src/cluster.rs
+++ b/crates/capacity/src/cluster.rs
@@ -98,9 +98,9 @@
 
 /// GPUs that a team may use at most.
 pub fn team_limit(size: &Size) -> f64 {
-    (slots(size) / size.teams as f64 * TEAM_LIMIT)
-        .ceil()
-        .max(f64::from(size.gang))
+    let part = (slots(size) / size.teams as f64 * TEAM_LIMIT).ceil();
+    // A small fleet has the planned number of teams too: the widest gangs still fit.
+    part.max(f64::from(size.gang) * TEAM_LIMIT)
 }
 
 fn teams(size: &Size, limit_factor: f64) -> Vec<Value> {
