Urgent work on a full fleet: a test in virtual time

Cause: the first test of urgent plans stood in a source file and saw only their spacing. Change: urgent.rs of the stand-ins plays 24 urgent tasks that come at odd moments on a fleet full of long work, with one and three controllers.

--- /dev/null
+++ b/crates/standins/tests/urgent.rs
@@ -0,0 +1,66 @@
+//! Work of the highest priority starts within a second of its acceptance, also on a full fleet, whenever it comes.
+
+use standins::scene::{Scene, Timed, array};
+use standins::world::{Plan, World};
+use wire::api::Priority;
+
+/// From submission to the task on its machine, without the fetch of its image.
+const SOON_MS: u64 = 1000;
+/// Machines of the stand-ins take this long for any image.
+const FETCH_MS: u64 = 1000;
+const URGENT: u64 = 24;
+const FIRST_MS: u64 = 90_000;
+/// Odd, so that they fall into every part of the second between two full plans.
+const EVERY_MS: u64 = 1370;
+
+fn timed(at: u64, run_ms: u64, spec: wire::api::JobSpec) -> Timed {
+    Timed {
+        at,
+        run_ms,
+        cancel_ms: None,
+        spec,
+    }
+}
+
+fn urgent_id(number: u64) -> u32 {
+    2000 + number as u32
+}
+
+/// A fleet full of long tasks of low urgency, and urgent single tasks.
+fn scene() -> Scene {
+    let mut low = array(1000, "red", 60, 3600.0);
+    low.priority = Priority::Low;
+    let mut jobs = vec![timed(1000, 3_600_000, low)];
+    for number in 0..URGENT {
+        let mut spec = array(urgent_id(number), "red", 1, 3.0);
+        spec.priority = Priority::Production;
+        jobs.push(timed(FIRST_MS + number * EVERY_MS, 3000, spec));
+    }
+    let scene = Scene {
+        jobs,
+        machines: 10,
+        ..Scene::default()
+    };
+    scene.team("red", 200.0, 0.0)
+}
+
+#[test]
+fn urgent_work_starts_within_a_second() {
+    for nodes in [1, 3] {
+        let mut world = World::new(Plan::of_scene(3, nodes, scene(), 0, 0));
+        world.run_for(FIRST_MS + URGENT * EVERY_MS + 30_000);
+        let mut waits = Vec::new();
+        for number in 0..URGENT {
+            let task = wire::ids::task_name(&format!("job-{:06}", urgent_id(number)), 0);
+            let began = world.began.get(&task).copied();
+            let since = FIRST_MS + number * EVERY_MS;
+            waits.push(began.map(|at| at.saturating_sub(since)));
+        }
+        let late = waits
+            .iter()
+            .filter(|w| w.is_none_or(|w| w > FETCH_MS + SOON_MS))
+            .count();
+        assert_eq!(late, 0, "{nodes} controllers: {waits:?}");
+        assert!(world.rules.broken.is_empty(), "{:?}", world.rules.broken);
+    }
+}
