--- a/crates/capacity/src/checker.rs
+++ b/crates/capacity/src/checker.rs
@@ -80,6 +80,11 @@
     zone: usize,
 }
 
+/// The one start that a change belongs to: its task, attempt and machine.
+fn start_of(change: &TaskChange) -> (String, u64, String) {
+    (change.task.clone(), change.attempt, change.machine.clone())
+}
+
 /// What is on machines, in the order of its times.
 pub struct Checker {
     rules: Rules,
@@ -91,6 +96,8 @@
     limit: f64,
     /// Tasks on machines by job and zone, of jobs whose tasks share a zone.
     zones: HashMap<String, BTreeMap<usize, u32>>,
+    /// Ends that came at the very time of their start, and so before it in order.
+    ended: HashMap<(String, u64, String), Option<Cause>>,
     /// The latest changes of each task, for whoever looks for the cause of a broken rule.
     history: HashMap<String, Vec<TaskChange>>,
     most_on: usize,
@@ -111,6 +118,7 @@
             used: HashMap::new(),
             limit: team_limit,
             zones: HashMap::new(),
+            ended: HashMap::new(),
             history: HashMap::new(),
             most_on: 0,
             completed: 0,
@@ -198,6 +206,10 @@
 
     fn came(&mut self, change: &TaskChange) {
         let now = change.at;
+        if let Some(cause) = self.ended.remove(&start_of(change)) {
+            self.completed(change, cause);
+            return;
+        }
         let here = OnMachine {
             machine: change.machine.clone(),
             zone: change.zone,
@@ -241,6 +253,7 @@
             .get(&change.task)
             .is_none_or(|on| on.machine != change.machine)
         {
+            self.ended.insert(start_of(change), cause);
             return;
         }
         let Some(on) = self.on.remove(&change.task) else {
@@ -259,6 +272,10 @@
                 }
             }
         }
+        self.completed(change, cause);
+    }
+
+    fn completed(&mut self, change: &TaskChange, cause: Option<Cause>) {
         if cause == Some(Cause::Done) {
             self.completed += 1;
             self.rules.completed(&change.task);
@@ -285,7 +302,7 @@
     }
 
     /// Tasks that have completed.
-    pub fn completed(&self) -> u64 {
+    pub fn tasks_completed(&self) -> u64 {
         self.completed
     }
 
--- a/crates/capacity/src/hollow.rs
+++ b/crates/capacity/src/hollow.rs
@@ -5,7 +5,7 @@
 
 use crate::clock::{self, Millis};
 use crate::cluster;
-use crate::messages::{Change, Controller, Counts, FromWorkers, TaskChange, ToWorkers, write_line};
+use crate::messages::{Controller, Counts, FromWorkers, TaskChange, ToWorkers, write_line};
 use crate::network::{Network, Place};
 use crate::size::{Sabotage, Size};
 use crate::timers::Timers;
@@ -480,10 +480,6 @@
                 zone: host.zone,
                 what,
             };
-            debug_assert!(matches!(
-                change.what,
-                Change::On { .. } | Change::Off { .. }
-            ));
             write_line(&mut self.out, &FromWorkers::Task(change))?;
         }
         Ok(())
--- a/crates/capacity/src/hosts.rs
+++ b/crates/capacity/src/hosts.rs
@@ -181,7 +181,6 @@
     level_at: Millis,
     rps: f64,
     requests: Messages,
-    refused: u64,
 }
 
 impl CloudHost {
@@ -199,7 +198,6 @@
             level_at: 0,
             rps: size.cloud_rps,
             requests: Messages::default(),
-            refused: 0,
         }
     }
 
@@ -209,7 +207,6 @@
         self.level = (self.level + gone * self.rps).min(2.0 * self.rps);
         self.level_at = now;
         if self.level < 1.0 {
-            self.refused += 1;
             return (
                 429,
                 wire::encode(&json!({"error": "too many requests"})),
@@ -270,8 +267,4 @@
     pub fn requests(&self) -> Messages {
         self.requests
     }
-
-    pub fn refused(&self) -> u64 {
-        self.refused
-    }
 }
--- a/crates/capacity/src/messages.rs
+++ b/crates/capacity/src/messages.rs
@@ -97,8 +97,6 @@
 /// From the hollow workers of a process.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum FromWorkers {
-    /// All listeners of this process could be opened.
-    Ready,
     /// It can't go on.
     Failed(String),
     Task(TaskChange),
--- a/crates/capacity/src/run.rs
+++ b/crates/capacity/src/run.rs
@@ -774,7 +774,6 @@
 
     fn workers_said(&mut self, process: usize, message: FromWorkers) -> Result<(), String> {
         match message {
-            FromWorkers::Ready => {}
             FromWorkers::Failed(why) => return Err(why),
             FromWorkers::Task(change) => self.task_changed(change)?,
             FromWorkers::Counts(counts) => self.counts[process] = counts,
--- a/crates/capacity/src/run/measure.rs
+++ b/crates/capacity/src/run/measure.rs
@@ -268,7 +268,7 @@
             not_done: self.course.not_done.clone(),
             longest_cancelled_ms: self.checker.longest_cancelled_ms(),
             most_tasks_on: self.checker.most_on_machines(),
-            tasks_completed: self.checker.completed(),
+            tasks_completed: self.checker.tasks_completed(),
             jobs_never_started: self.users.never_started(),
             processes: 1 + self.workers.len() + 2 * self.size.controllers,
             memory_mb: self.measure.memory_mb,
--- a/crates/capacity/tests/checker.rs
+++ b/crates/capacity/tests/checker.rs
@@ -76,7 +76,23 @@
     checker.task(change(300, &job, 0, "host-2", DONE));
     checker.told(told(300, &job, 200, Stage::Done));
     assert_eq!(broken(&mut checker), Vec::<&str>::new());
-    assert_eq!((checker.completed(), checker.on_machines()), (1, 0));
+    assert_eq!((checker.tasks_completed(), checker.on_machines()), (1, 0));
+}
+
+/// Seen at 3,300 workers: a task that was stopped in the millisecond in which it had its image, and ran elsewhere.
+#[test]
+fn a_task_that_comes_and_goes_at_once_is_not_on_its_machine() {
+    let (mut checker, job, _) = checker(Class::Urgent);
+    let stopped = Change::Off {
+        cause: Some(Cause::Stopped),
+    };
+    checker.task(change(100, &job, 0, "host-1", ON));
+    checker.task(change(100, &job, 0, "host-1", stopped));
+    let mut again = change(200, &job, 0, "host-2", ON);
+    again.attempt = 2;
+    checker.task(again);
+    assert_eq!(broken(&mut checker), Vec::<&str>::new());
+    assert_eq!(checker.on_machines(), 1);
 }
 
 #[test]
