A plan for urgent work leaves the rest its turn

Cause, by rereading: a plan for urgent work takes in what is old, and gave such jobs their usual turn too, with more urgent jobs left out of that plan: the rest of an old array of low urgency could take room before them. Services that had run for long were taken in as well. Change: below the least priority of a plan jobs get only what their age gives them before all others.

--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -637,7 +637,8 @@
                 continue;
             }
             let age = now.wall.saturating_sub(job.at_ms) as f64 / 1000.0;
-            let is_first = urgent::is_urgent(spec) || age >= input.waits.old;
+            let is_old = age >= input.waits.old && spec.kind != Kind::Service;
+            let is_first = urgent::is_urgent(spec) || is_old;
             if scope == Scope::Urgent && !is_first {
                 continue;
             }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -250,6 +250,8 @@
     pub max_steps: u64,
     /// The job at which the plan before this one was stopped by that bound.
     pub resume: Option<u32>,
+    /// Jobs below this priority have only what their age gives them before all others; their turn is in another plan.
+    pub least_priority: u8,
     pub search: Search,
 }
 
--- a/crates/plan/src/pass.rs
+++ b/crates/plan/src/pass.rs
@@ -172,6 +172,7 @@
         let jobs = &input.jobs;
         let planned: Vec<usize> = (0..jobs.len())
             .filter(|i| left[*i] > 0 && jobs[*i].shape != Shape::Service)
+            .filter(|i| jobs[*i].priority >= input.least_priority)
             .collect();
         let slots = sizes::Slots::of(&input.machines);
         let sized: Vec<stretch::Sized> = planned.iter().map(|i| slots.size(&jobs[*i])).collect();
--- a/crates/plan/tests/search.rs
+++ b/crates/plan/tests/search.rs
@@ -198,3 +198,27 @@
     input.max_steps = 100;
     assert_ne!(plan(&input).resume, None);
 }
+
+/// A plan for urgent work alone starts of what is old no more than its age gives it before all others.
+#[test]
+fn a_plan_for_the_urgent_leaves_the_rest_its_turn() {
+    let mut input = fleets::input(11, 40, 0);
+    let mut rng = fastrand::Rng::with_seed(11);
+    let mut old = fleets::job(&mut rng);
+    (old.shape, old.priority, old.arrival, old.need) = (Shape::Array, 0, -100.0, fleets::part(1.0));
+    (old.tasks, old.pending, old.spot) = (160, 160, true);
+    let mut young = old.clone();
+    (young.arrival, young.tasks, young.pending) = (0.0, 5, 5);
+    input.jobs = vec![old, young];
+    input.waits = plan::Waits {
+        old: 90.0,
+        latest: 900.0,
+    };
+    let full = starts(&plan(&input));
+    input.least_priority = plan::URGENT;
+    let urgent = plan(&input);
+    let share = plan::first_share(Shape::Array, 160);
+    assert!(full > share + 5, "only {full} starts in a full plan");
+    assert!(urgent.starts.iter().all(|start| start.job == 0));
+    assert_eq!(starts(&urgent), share);
+}
