--- a/crates/standins/tests/rules.rs
+++ b/crates/standins/tests/rules.rs
@@ -1,6 +1,7 @@
 //! Random orders of crashes, take-overs, late messages, lost answers and cancels, in virtual time.
 
 use standins::world::{Plan, Sabotage, World};
+use std::ops::Range;
 
 fn plan(seed: u64, sabotage: Sabotage) -> Plan {
     Plan {
@@ -38,35 +39,59 @@
 /// Whatever fails, no rule is broken, and once nothing fails any more all that was accepted ends.
 #[test]
 fn rules_hold_and_work_ends_under_any_faults() {
-    let mut starts = 0;
-    for seed in 0..150 {
+    let starts = in_parallel(0..150, |seed| {
         let mut world = World::new(plan(seed, Sabotage::None));
         world.run();
         kept(&world, &format!("seed {seed}"));
-        starts += world.rules.starts;
-    }
+        world.rules.starts
+    });
+    let starts: u64 = starts.iter().sum();
     assert!(starts > 1000, "only {starts} tasks were started");
 }
 
 /// Seven nodes, and wide gangs of one urgency that make others give their places back.
 #[test]
 fn wide_gangs_and_many_nodes_keep_the_rules() {
-    let mut stopped = 0;
-    // Few seeds in a hundred make a gang call places back, then several at once: some more are played if need be.
-    for seed in 1000..1240 {
-        if seed >= 1080 && stopped > 5 {
-            break;
-        }
+    let play = |seed: u64| {
         let mut plan = plan(seed, Sabotage::None);
         (plan.nodes, plan.jobs, plan.wide, plan.end) = (7, 50, true, 1_200_000);
         let mut world = World::new(plan);
         world.run();
         kept(&world, &format!("seed {seed}"));
-        stopped += world.stopped;
+        world.stopped
+    };
+    let mut stopped: u64 = in_parallel(1000..1080, play).iter().sum();
+    // Few seeds in a hundred make a gang call places back, then several at once: some more are played if need be.
+    for seed in 1080..1240 {
+        if stopped > 5 {
+            break;
+        }
+        stopped += play(seed);
     }
     assert!(stopped > 5, "only {stopped} tasks gave their places back");
 }
 
+/// Plays each seed, on as many threads as the host has processors, and returns what came of them in their order.
+fn in_parallel<T: Send>(seeds: Range<u64>, play: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let threads = std::thread::available_parallelism().map_or(1, |n| n.get() as u64);
+    let play = &play;
+    let mut played: Vec<(u64, T)> = std::thread::scope(|scope| {
+        let of_thread = |thread: u64| {
+            let own = seeds
+                .clone()
+                .skip(thread as usize)
+                .step_by(threads as usize);
+            scope.spawn(move || own.map(|seed| (seed, play(seed))).collect::<Vec<_>>())
+        };
+        let running: Vec<_> = (0..threads).map(of_thread).collect();
+        let ends = running.into_iter().map(|thread| thread.join());
+        ends.flat_map(|end| end.unwrap_or_else(|panic| std::panic::resume_unwind(panic)))
+            .collect()
+    });
+    played.sort_by_key(|(seed, _)| *seed);
+    played.into_iter().map(|(_, of_seed)| of_seed).collect()
+}
+
 /// Days on which sabotage is looked for, and on how many of them it has to be seen.
 const SEEDS: u64 = 60;
 const LEAST_SEEN: usize = 3;
@@ -74,7 +99,7 @@
 /// Each check fails when what it watches over is broken on purpose.
 #[test]
 fn every_check_can_fail() {
-    for (sabotage, rules) in [
+    let cases = [
         (Sabotage::CloudLies, &["ran_twice"][..]),
         (Sabotage::LimitsRaised, &["quota"]),
         (Sabotage::SpotAllowed, &["wrong_place"]),
@@ -84,7 +109,9 @@
         (Sabotage::DoneTooEarly, &["not_done"]),
         (Sabotage::EndsLost, &["forgotten"]),
         (Sabotage::LogLost, &["ran_twice", "quota"]),
-    ] {
+    ];
+    in_parallel(0..cases.len() as u64, |case| {
+        let (sabotage, rules) = cases[case as usize];
         for rule in rules {
             let is_seen = |seed: &u64| {
                 let mut world = World::new(plan(*seed, sabotage));
@@ -98,7 +125,7 @@
                 "{sabotage:?} was not caught as {rule} often enough"
             );
         }
-    }
+    });
 }
 
 /// Over a thousand machines and arrays of hundreds of tasks, under a state service that bears 25 changes a second:
