Workers of a large fleet report by way of all controllers

Cause: half of the leader's time at rest went into 540 reports a second, each a request on a connection of its own.

Change: above `[reach] direct_machines` (2,000) the owner says in its view that reports are spread. Other controllers then hand on every report that comes, many to a message, by the relays that serve workers cut off from the owner; the owner sends its own workers to them, 50 a second, by zone or name. Workers that come back stay, judged by the same package as for relays. The way changes and nothing else: a report is the worker's own, its answer the owner's. Nothing changes for smaller fleets.

Without the judgement of who comes back, a cut fleet stopped starting tasks; seen to fail.

--- a/crates/control/src/fleet.rs
+++ b/crates/control/src/fleet.rs
@@ -437,6 +437,7 @@
     pub(crate) fn look_at_zones(&mut self) {
         let now = self.now.mono;
         let late = (self.settings.cluster.workers.report_s * 1250.0) as u64 + 1000;
+        let is_spread = self.is_spread();
         let Some(part) = &mut self.part else { return };
         let mut zones: BTreeMap<&str, (u32, u32, u32)> = BTreeMap::new();
         for machine in part
@@ -447,7 +448,8 @@
         {
             let (up, quiet, relayed) = zones.entry(machine.zone.as_str()).or_default();
             *up += 1;
-            *relayed += u32::from(machine.via.is_some());
+            // Where all reports go by way of peers, that says nothing of a zone.
+            *relayed += u32::from(machine.via.is_some() && !is_spread);
             *quiet += u32::from(now.saturating_sub(machine.heard_at) > late);
         }
         // Where some are heard by way of a peer, the others are likely to find it too.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -25,6 +25,7 @@
 mod relay;
 mod renewal;
 mod reports;
+mod routing;
 mod sched;
 pub mod side;
 mod standing;
@@ -312,6 +313,8 @@
     hands: hand::Hands,
     /// What we hand on for them.
     relay: relay::Relay,
+    /// Which controllers workers report to.
+    routing: routing::Routing,
     /// What the owner has us keep.
     charge: Option<keeper::Charge>,
     catalog_at: u64,
@@ -376,6 +379,7 @@
             views: views::Views::default(),
             hands: hand::Hands::default(),
             relay: relay::Relay::default(),
+            routing: routing::Routing::new(),
             charge: None,
             catalog_at: 0,
             stood_back_at: None,
@@ -446,6 +450,7 @@
 
     fn tick(&mut self) {
         self.election_tick();
+        self.routing_tick();
         self.views_tick();
         self.relay_tick();
         self.door_tick();
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -41,7 +41,7 @@
 }
 
 impl Node {
-    fn relays(&self) -> bool {
+    pub(crate) fn relays(&self) -> bool {
         self.tuning.relays > 0.0
     }
 
@@ -57,6 +57,7 @@
             node,
             token,
             deaf: self.is_deaf(node),
+            spreads: self.is_spread(),
         };
         let caller = Caller {
             machine: &report.machine,
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -47,6 +47,12 @@
                 None => self.refuse(conn, 503, "no owner yet"),
             };
         }
+        if let Some(node) = self.moved_to(&report) {
+            let body = wire::encode(&Redirect {
+                report_to: Some(node),
+            });
+            return self.respond(conn, 421, body, None);
+        }
         match self.take_report(&report, None) {
             Told::Orders(body) => self.respond(conn, 200, body, None),
             Told::Refused(why) => self.refuse(conn, 503, why),
--- /dev/null
+++ b/crates/control/src/routing.rs
@@ -0,0 +1,113 @@
+//! Which controller a worker reports to.
+//!
+//! A small fleet reports to the owner. With more machines than an operator's setting allows, the owner sends its
+//! workers to the other controllers, which hand their reports on in batches ([`crate::relay`]): the owner then serves
+//! a few connections instead of thousands. Only the way changes. A report that is handed on is the worker's own, and
+//! its answer is the owner's own, with its token.
+
+use crate::Node;
+use crate::budget::Bucket;
+use reach::{Caller, Owner, Turn, Ways};
+use std::hash::{DefaultHasher, Hash, Hasher};
+use wire::api::Report;
+
+/// Workers that the owner sends to another controller in a second, so that they don't all arrive at once.
+const MOVES_PER_S: f64 = 50.0;
+/// To [`reach`], the other controllers are one host, which never changes and whose token no worker has seen: all that
+/// it judges by is who was sent there and comes back.
+const OTHERS: Owner = Owner {
+    node: 0,
+    token: 1,
+    deaf: false,
+    spreads: false,
+};
+const UNSEEN_TOKEN: u64 = 0;
+/// Reports are spread until this part of the machines that spread them is left.
+const SPREAD_UNTIL: f64 = 0.8;
+
+/// Whether reports go by way of all controllers, as far as this one knows.
+pub(crate) struct Routing {
+    is_spread: bool,
+    moves: Bucket,
+    /// Which workers were sent away, and whether they reached where they were sent.
+    ways: Ways,
+}
+
+impl Routing {
+    pub fn new() -> Self {
+        Routing {
+            is_spread: false,
+            moves: Bucket::new(MOVES_PER_S),
+            ways: Ways::default(),
+        }
+    }
+}
+
+impl Node {
+    /// Whether workers report to any controller, by the owner's last word.
+    pub(crate) fn is_spread(&self) -> bool {
+        self.routing.is_spread && self.relays()
+    }
+
+    /// The owner's word, as a peer hears it. It is kept while the owner changes, so that the next owner is not met by
+    /// the whole fleet at once.
+    pub(crate) fn spread_heard(&mut self, is_spread: bool) {
+        if !self.owns() {
+            self.routing.is_spread = is_spread;
+        }
+    }
+
+    /// The owner looks at the number of its machines.
+    pub(crate) fn routing_tick(&mut self) {
+        let Some(part) = self.part.as_ref().filter(|part| part.loaded) else {
+            return;
+        };
+        let machines = part.machine_ix.len() as f64;
+        let most = match self.routing.is_spread {
+            true => self.tuning.direct_machines * SPREAD_UNTIL,
+            false => self.tuning.direct_machines,
+        };
+        let is_spread = machines > most && !self.settings.peers.is_empty();
+        if is_spread != self.routing.is_spread {
+            log::info!("reports by way of all controllers: {is_spread}, for {machines} machines");
+            self.routing.is_spread = is_spread;
+        }
+    }
+
+    /// The controller that a worker which reports to the owner should rather report to. One that comes back is left
+    /// with the owner, and others of its zone too until one of them got there.
+    pub(crate) fn moved_to(&mut self, report: &Report) -> Option<String> {
+        if !self.is_spread() || !self.decides() {
+            return None;
+        }
+        let now = self.now.mono;
+        let peer = self.relay_for(report)?;
+        let part = self.part.as_ref()?;
+        if !part.machine_ix.contains_key(&report.machine) || self.routing.moves.level(now) < 1.0 {
+            return None;
+        }
+        let caller = Caller {
+            machine: &report.machine,
+            zone: &report.zone,
+            token: UNSEEN_TOKEN,
+        };
+        if self.routing.ways.came(now, &caller, OTHERS) == Turn::Take {
+            return None;
+        }
+        self.routing.moves.take(now, 1.0);
+        Some(self.settings.peers[peer].node.clone())
+    }
+
+    /// One of the controllers that were heard of lately: in the worker's zone if there is one, else by its name.
+    fn relay_for(&self, report: &Report) -> Option<usize> {
+        let peers = 0..self.settings.peers.len();
+        let alive: Vec<usize> = peers.filter(|peer| self.is_heard(*peer)).collect();
+        let in_zone = |peer: &&usize| self.settings.peers[**peer].zone == report.zone;
+        let near: Vec<usize> = alive.iter().filter(in_zone).copied().collect();
+        let able = if near.is_empty() { alive } else { near };
+        let mut hasher = DefaultHasher::new();
+        report.machine.hash(&mut hasher);
+        let index = hasher.finish().checked_rem(able.len() as u64)?;
+        able.get(index as usize).copied()
+    }
+}
--- a/crates/control/src/tuning.rs
+++ b/crates/control/src/tuning.rs
@@ -51,6 +51,7 @@
     }
     "reach": {
         relays = 1.0 in 0.0..=1.0, "1 lets a node hand on reports and commands of workers that can't reach the owner.";
+        direct_machines = 2000.0 in 0.0..=1000000.0, "With more machines than this, workers report by way of all controllers.";
         keepers = 1.0 in 0.0..=1.0, "1 lets a node in a zone that is cut off keep its workers' leases alive for a bounded time.";
     }
     "admin": {
--- a/crates/control/src/views.rs
+++ b/crates/control/src/views.rs
@@ -61,6 +61,7 @@
                 .map(|p| p.token),
             deaf: self.part.as_ref().is_some_and(|p| p.is_deaf(now)),
             down: self.state_good_at.is_none() || self.state_down(),
+            spreads: self.owns() && self.is_spread(),
             keep: None,
         }
     }
@@ -73,6 +74,7 @@
             return None;
         }
         if let Some(token) = view.owns {
+            self.spread_heard(view.spreads);
             self.owner_said(view.node.clone(), token);
         }
         let now = self.now.mono;
@@ -117,6 +119,12 @@
             .map_or(0, |(at, _)| *at)
     }
 
+    /// Whether a peer was heard lately.
+    pub(crate) fn is_heard(&self, peer: usize) -> bool {
+        let heard_at = self.last_view(peer);
+        heard_at > 0 && self.now.mono < heard_at + FRESH_MS
+    }
+
     fn fresh_views(&self) -> impl Iterator<Item = (u64, &View)> {
         let now = self.now.mono;
         let fresh = self
--- a/crates/control/tests/peers.rs
+++ b/crates/control/tests/peers.rs
@@ -52,6 +52,7 @@
         token: Some(3),
         owns: None,
         deaf: false,
+        spreads: false,
         down: false,
         keep: None,
     }
@@ -115,6 +116,7 @@
     let ages = View {
         state_ms: Some(u64::MAX),
         deaf: true,
+        spreads: false,
         ..view(&peer())
     };
     assert_eq!(ask(&mut node, &Ask::View(ages)).0, 200);
--- a/crates/control/tests/played/mod.rs
+++ b/crates/control/tests/played/mod.rs
@@ -212,6 +212,7 @@
             token,
             owns: None,
             deaf: false,
+            spreads: false,
             down,
             keep: None,
         };
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -11,7 +11,7 @@
 //! ```
 //! use reach::{Caller, Owner, Turn, Ways};
 //! let mut ways = Ways::default();
-//! let owner = Owner { node: 2, token: 7, deaf: false };
+//! let owner = Owner { node: 2, token: 7, deaf: false, spreads: false };
 //! let caller = |token| Caller { machine: "m1", zone: "a", token };
 //! // It has obeyed an earlier owner only: it may simply not have found the present one yet.
 //! assert_eq!(ways.came(0, &caller(6), owner), Turn::Send);
@@ -56,6 +56,8 @@
     pub token: u64,
     /// It says that it has heard no worker by itself since it became the owner.
     pub deaf: bool,
+    /// It has workers report by way of all nodes.
+    pub spreads: bool,
 }
 
 /// What to do with it.
@@ -175,7 +177,7 @@
             .entry(caller.zone.to_owned())
             .or_insert_with(|| Zone::new(now));
         let stays = seen.is_some_and(|s| s.last == Last::Taken);
-        let turn = if owner.deaf {
+        let turn = if owner.deaf || owner.spreads {
             Turn::Take
         } else if fled {
             zone.failed(now, caller.machine);
--- a/crates/reach/tests/ways.rs
+++ b/crates/reach/tests/ways.rs
@@ -7,6 +7,7 @@
     node: 2,
     token: 7,
     deaf: false,
+    spreads: false,
 };
 
 fn came(ways: &mut Ways, now: u64, machine: &str, token: u64) -> Turn {
@@ -105,7 +106,8 @@
             Owner {
                 node: 1,
                 token: 8,
-                deaf: false
+                deaf: false,
+                spreads: false,
             }
         ),
         Turn::Send
@@ -156,6 +158,7 @@
             &caller,
             Owner {
                 deaf: true,
+                spreads: false,
                 ..OWNER
             }
         ),
@@ -163,6 +166,30 @@
     );
 }
 
+/// An owner that has reports spread is sent nobody, and nobody's coming is held against the way to it.
+#[test]
+fn nobody_is_sent_to_an_owner_that_spreads_reports() {
+    let mut ways = Ways::default();
+    let caller = |machine| Caller {
+        machine,
+        zone: "a",
+        token: OWNER.token,
+    };
+    let spreads = Owner {
+        spreads: true,
+        ..OWNER
+    };
+    for machine in ["m1", "m2", "m3"] {
+        assert_eq!(ways.came(0, &caller(machine), spreads), Turn::Take);
+    }
+    assert!(ways.serves(0, "m3"));
+    let newcomer = Caller {
+        token: 0,
+        ..caller("m4")
+    };
+    assert_eq!(ways.came(100, &newcomer, OWNER), Turn::Send);
+}
+
 proptest! {
     /// Whatever comes: nobody is sent to the owner and back for ever, and memory is bounded.
     #[test]
--- /dev/null
+++ b/crates/standins/tests/spread_reports.rs
@@ -0,0 +1,181 @@
+//! Reports of a large fleet, which go by way of all controllers.
+
+use standins::links::{Cut, How, Side};
+use standins::scene::{Scene, Timed, array};
+use standins::world::{Plan, World};
+
+const MACHINES: usize = 12;
+/// From then on every worker has been sent where it belongs.
+const SETTLED_MS: u64 = 60_000;
+const NODES: [usize; 3] = [2, 3, 5];
+
+/// A fleet that is busy for good, and whose reports are spread if it has more machines than `direct`.
+fn world(seed: u64, nodes: usize, direct: &str) -> World {
+    let jobs = (0..6).map(|i| Timed {
+        at: 1000,
+        run_ms: 400_000,
+        cancel_ms: None,
+        spec: array(1000 + i, "red", 4, 60.0),
+    });
+    let scene = Scene {
+        jobs: jobs.collect(),
+        machines: MACHINES,
+        ..Scene::default()
+    };
+    let plan = Plan::of_scene(seed, nodes, scene.team("red", 24.0, 0.0), 0, 600_000);
+    let mut world = World::new(plan);
+    world.tune("reach", "direct_machines", direct);
+    world
+}
+
+fn relayed_in(world: &mut World, ms: u64) -> u64 {
+    let before = world.relayed();
+    world.run_for(ms);
+    world.relayed().saturating_sub(before)
+}
+
+fn kept(world: &World, what: &str) {
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
+}
+
+#[test]
+fn a_large_fleet_reports_by_way_of_the_other_controllers() {
+    for nodes in NODES {
+        let mut world = world(1, nodes, "3");
+        world.run_for(SETTLED_MS);
+        let starts = world.rules.starts;
+        // Workers report at least every seven seconds.
+        let relayed = relayed_in(&mut world, 70_000);
+        assert!(
+            relayed >= 10 * MACHINES as u64,
+            "{nodes} nodes: {relayed} reports"
+        );
+        assert_eq!(world.sessions_lost(), 0, "{nodes} nodes");
+        assert_eq!(world.rules.starts, starts, "{nodes} nodes: nothing is lost");
+        kept(&world, "spread");
+    }
+}
+
+#[test]
+fn a_small_fleet_reports_to_the_owner() {
+    let mut world = world(1, 3, "2000");
+    world.run_for(SETTLED_MS);
+    assert_eq!(relayed_in(&mut world, 60_000), 0);
+}
+
+/// The next owner is not met by the whole fleet, and the reports of one that is gone find another way.
+#[test]
+fn any_controller_may_end() {
+    for nodes in [3, 5] {
+        for seed in 0..6 {
+            let what = format!("{nodes} nodes, seed {seed}");
+            let mut world = world(seed, nodes, "3");
+            world.run_for(SETTLED_MS);
+            let owner = world.owner_at().expect("an owner");
+            let ends = match seed % 2 {
+                0 => owner,
+                _ => (owner + 1) % nodes,
+            };
+            world.crash_node(ends);
+            world.run_for(SETTLED_MS);
+            let relayed = relayed_in(&mut world, 70_000);
+            assert!(relayed >= 8 * MACHINES as u64, "{what}: {relayed} reports");
+            assert_eq!(world.sessions_lost(), 0, "{what}");
+            kept(&world, &what);
+        }
+    }
+}
+
+/// Workers that come back, since they can't reach the controller that they were sent to, stay with the owner, but for
+/// one of a zone now and then. Were they sent there again each time, all their leases would end.
+#[test]
+fn who_comes_back_is_not_sent_again_at_once() {
+    const CUT_MS: u64 = 250_000;
+    /// All have found the owner by then.
+    const FOUND_MS: u64 = 40_000;
+    for how in [How::Hold, How::Reset] {
+        let mut world = world(1, 3, "3");
+        world.run_for(SETTLED_MS);
+        let owner = world.owner_at().expect("an owner");
+        for node in (0..3).filter(|node| *node != owner) {
+            world.cut(Cut {
+                how,
+                ..Cut::between(Side::Machines, Side::Node(node), world.now(), CUT_MS)
+            });
+        }
+        world.run_for(FOUND_MS);
+        let before = world.rules.starts;
+        world.run_for(CUT_MS - FOUND_MS);
+        assert_eq!(world.rules.starts, before, "{how:?}: tasks were lost");
+        assert_eq!(world.on_machines().len(), 24, "{how:?}: tasks don't run");
+        world.run_for(100_000);
+        assert!(relayed_in(&mut world, 50_000) > 0, "{how:?}: never again");
+        kept(&world, &format!("{how:?}"));
+    }
+}
+
+/// Any links cut at any time, owners and machines that end: the rules hold, and all work is done.
+#[test]
+fn any_troubles_with_reports_spread() {
+    for nodes in NODES {
+        for seed in 0..12 {
+            let what = format!("{nodes} nodes, seed {seed}");
+            let mut rng = fastrand::Rng::with_seed(seed);
+            let mut world = troubled(&mut rng, seed, nodes);
+            for _ in 0..20 {
+                world.run_for(6000);
+                let (from, to) = (any_side(&mut rng, nodes), any_side(&mut rng, nodes));
+                let how = [How::Hold, How::Reset][rng.usize(0..2)];
+                let cut = Cut::between(from, to, world.now(), rng.u64(1000..30_000));
+                world.cut(Cut { how, ..cut });
+                if rng.u32(0..8) == 0 {
+                    let node = rng.usize(0..nodes);
+                    world.crash_node(node);
+                }
+            }
+            world.run_for(400_000);
+            kept(&world, &what);
+            assert!(world.relayed() > 0, "{what}: nothing was relayed");
+            assert!(
+                world.unfinished().is_empty(),
+                "{what}: {:?}",
+                world.unfinished()
+            );
+        }
+    }
+}
+
+fn troubled(rng: &mut fastrand::Rng, seed: u64, nodes: usize) -> World {
+    let job = |i: u32| Timed {
+        at: rng.u64(1000..110_000),
+        run_ms: rng.u64(1000..40_000),
+        cancel_ms: i.is_multiple_of(3).then(|| rng.u64(0..60_000)),
+        spec: array(1000 + i, "red", rng.u32(1..6), 8.0),
+    };
+    let scene = Scene {
+        jobs: (0..24).map(job).collect(),
+        machines: MACHINES,
+        ..Scene::default()
+    };
+    let plan = Plan {
+        calm: false,
+        faults_until: 120_000,
+        ..Plan::of_scene(seed, nodes, scene.team("red", 24.0, 20.0), 120_000, 600_000)
+    };
+    let mut world = World::new(plan);
+    world.tune("reach", "direct_machines", "2");
+    world
+}
+
+fn any_side(rng: &mut fastrand::Rng, nodes: usize) -> Side {
+    match rng.u32(0..5) {
+        0 | 1 => Side::Node(rng.usize(0..nodes)),
+        2 => Side::State,
+        3 => Side::Machines,
+        _ => Side::MachinesIn(["a", "b"][rng.usize(0..2)].to_owned()),
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -101,6 +101,9 @@
     /// The state service refuses it, or does not answer.
     #[serde(default)]
     pub down: bool,
+    /// It owns the fleet, and has workers report by way of all controllers.
+    #[serde(default)]
+    pub spreads: bool,
     /// From the owner, in an answer: what the asker may keep alive for it in its own zone.
     #[serde(default)]
     pub keep: Option<Keep>,
