Overload: Retry-After that grows, reads kept for questions, plans that give way

Cause: every user who was turned away was told to come back in a second, so that an overloaded node was asked the same again and again; new submissions took the last request to the state service, so that questions about accepted jobs were refused with them; plans went on once a second, and urgent ones six times, however late the node was with everything else.

A follower's submissions leave a quarter of its requests to questions. `pace` looks at how late ticks come; where that is half of the time, plans come up to five times further apart.

--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -79,18 +79,25 @@
 
     /// An error, with the time to come back where coming back helps.
     pub(crate) fn refuse(&mut self, conn: u64, status: u16, why: &str) {
-        let retry = matches!(status, 429 | 503).then_some(1);
-        if status == 429 || status == 503 {
+        let retry_after_s = matches!(status, 429 | 503).then(|| {
             self.stats.shed += 1;
-        }
-        self.respond(
-            conn,
-            status,
-            wire::encode(&ErrorBody {
-                error: why.to_owned(),
-            }),
-            retry,
-        );
+            let served_per_s = self.accepts_per_s();
+            self.shedding.turn_away(self.now.mono, served_per_s)
+        });
+        self.respond_error(conn, status, why, retry_after_s);
+    }
+
+    /// An error to a worker, which comes again at its own pace and is not counted among those turned away.
+    pub(crate) fn refuse_worker(&mut self, conn: u64, why: &str) {
+        self.stats.shed += 1;
+        self.respond_error(conn, 503, why, Some(1));
+    }
+
+    fn respond_error(&mut self, conn: u64, status: u16, why: &str, retry_after_s: Option<u32>) {
+        let body = wire::encode(&ErrorBody {
+            error: why.to_owned(),
+        });
+        self.respond(conn, status, body, retry_after_s);
     }
 
     /// What a user sent as a submission.
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,6 +20,7 @@
 mod lookup;
 mod machines;
 mod models;
+pub mod pace;
 mod part;
 mod quotas;
 mod relay;
@@ -27,6 +28,7 @@
 mod reports;
 mod routing;
 mod sched;
+pub mod shedding;
 pub mod side;
 mod standing;
 mod tally;
@@ -315,6 +317,8 @@
     relay: relay::Relay,
     /// Which controllers workers report to.
     routing: routing::Routing,
+    pace: pace::Pace,
+    shedding: shedding::Shedding,
     /// What the owner has us keep.
     charge: Option<keeper::Charge>,
     catalog_at: u64,
@@ -380,6 +384,8 @@
             hands: hand::Hands::default(),
             relay: relay::Relay::default(),
             routing: routing::Routing::new(),
+            pace: pace::Pace::default(),
+            shedding: shedding::Shedding::default(),
             charge: None,
             catalog_at: 0,
             stood_back_at: None,
@@ -449,6 +455,7 @@
     }
 
     fn tick(&mut self) {
+        self.pace.ticked(self.now.mono, self.wait_ms());
         self.election_tick();
         self.routing_tick();
         self.views_tick();
--- /dev/null
+++ b/crates/control/src/pace.rs
@@ -0,0 +1,58 @@
+//! How far a node is behind its time, and how much less often it plans for it.
+//!
+//! A node is short of processor time when its ticks come late. Reports, lease renewals, ends and cancels are served as
+//! they come; plans are what can wait, so they are made less often until half of the time is left for the rest.
+
+/// Plans are at most this many times as far apart as in a node that keeps its time.
+pub const MOST: f64 = 5.0;
+/// Part of the time that ticks may be late before plans give way.
+const ALLOWED: f64 = 0.5;
+/// The distance changes by at most this factor from one plan to the next.
+const STEP: f64 = 2.0;
+/// Lateness is looked at over about this time, in milliseconds.
+const WINDOW_MS: f64 = 3000.0;
+
+/// A node's pace. Times are milliseconds of its steady clock.
+#[derive(Debug, Clone, Copy)]
+pub struct Pace {
+    ticked_at: Option<u64>,
+    /// Part of the latest time by which ticks were late.
+    late: f64,
+    factor: f64,
+}
+
+impl Default for Pace {
+    fn default() -> Self {
+        Pace {
+            ticked_at: None,
+            late: 0.0,
+            factor: 1.0,
+        }
+    }
+}
+
+impl Pace {
+    /// A tick that was due so long after the one before.
+    pub fn ticked(&mut self, now: u64, due_after: u64) {
+        let Some(before) = self.ticked_at.replace(now) else {
+            return;
+        };
+        let passed = now.saturating_sub(before) as f64;
+        let late = now.saturating_sub(before + due_after) as f64;
+        if passed > 0.0 {
+            let weight = (passed / WINDOW_MS).min(1.0);
+            self.late += (late / passed - self.late) * weight;
+        }
+    }
+
+    /// A plan has been made: the next one is sooner or later by how late ticks are.
+    pub fn planned(&mut self) {
+        let change = (self.late / ALLOWED).clamp(1.0 / STEP, STEP);
+        self.factor = (self.factor * change).clamp(1.0, MOST);
+    }
+
+    /// A time between two plans, as this node keeps it now.
+    pub fn apart(&self, usual: u64) -> u64 {
+        (usual as f64 * self.factor) as u64
+    }
+}
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -351,14 +351,15 @@
         if !self.decides() {
             return;
         }
-        let every = self.tuning.every_ms as u64;
+        let every = self.pace.apart(self.tuning.every_ms as u64);
+        let pace = self.pace;
         let settle = (self.settings.cluster.workers.report_s * 1000.0) as u64;
         let Some(part) = &mut self.part else { return };
         let due =
             (part.plan_due && now >= part.planned_at + every) || now >= part.planned_at + 2 * every;
         let scope = match due {
             true => Scope::All,
-            false if part.urgent.is_due(now) => Scope::Urgent,
+            false if part.urgent.is_due(now, &pace) => Scope::Urgent,
             false => return,
         };
         if scope == Scope::All {
@@ -369,6 +370,7 @@
         let Some(catalog) = self.shared.catalog.clone() else {
             return;
         };
+        self.pace.planned();
         let (input, map) = self.plan_input(&catalog, scope);
         let output = plan::plan(&input);
         let stopped_at = output.resume.map(|job| map.jobs[job as usize]);
--- a/crates/control/src/side.rs
+++ b/crates/control/src/side.rs
@@ -22,7 +22,8 @@
 const KEPT: f64 = 0.1;
 /// Connection numbers of the door beside; users' are below.
 pub const CONNS: u64 = 1 << 63;
-/// So much of a second's requests and changes is left to claims, accepts and reads.
+/// So much of a second's requests and changes is left to claims, accepts and reads; users' new work leaves as much of a
+/// second's requests to questions about work that was accepted.
 const LEFT: f64 = 0.25;
 /// The share of this node's changes that such a door has while it asks for any, and how long that lasts.
 const SHARE: f64 = 0.2;
@@ -149,18 +150,25 @@
         self.writes.set_rate(rate);
     }
 
+    /// New jobs that this node can write down in a second, if it does nothing else.
+    pub(crate) fn accepts_per_s(&self) -> f64 {
+        let requests = self.requests.part(1.0 - LEFT);
+        requests.min(self.writes.rate())
+    }
+
     /// Whether a job that comes in now can be written down: those who come by another door go behind users.
     pub(crate) fn has_room_for(&mut self, conn: Option<u64>) -> bool {
         let now = self.now.mono;
         if conn.is_some_and(|c| c >= CONNS) {
             return self.requests.level(now) >= 1.0 + self.requests.part(LEFT) && self.spare(1.0);
         }
-        let before = if self.owns() {
-            self.accepting() + self.writes.part(KEPT)
+        // The owner answers questions from memory, and has claims to write.
+        let (asks, changes) = if self.owns() {
+            (0.0, self.accepting() + self.writes.part(KEPT))
         } else {
-            0.0
+            (self.requests.part(LEFT), 0.0)
         };
-        self.requests.level(now) >= 1.0 && self.writes.level(now) >= 1.0 + before
+        self.requests.level(now) >= 1.0 + asks && self.writes.level(now) >= 1.0 + changes
     }
 
     /// Acceptances on their way. The owner counts what its watch has seen, so these are not counted yet.
--- a/crates/control/src/urgent.rs
+++ b/crates/control/src/urgent.rs
@@ -1,6 +1,7 @@
 //! Work of the highest priority does not wait for the next full plan: a plan for it alone is made as it arrives, and
 //! again while it lacks places, so often as it gets on.
 
+use crate::pace::Pace;
 use wire::api::{JobSpec, Kind, Priority};
 
 /// Urgent plans are at least this far apart, in milliseconds.
@@ -40,8 +41,9 @@
         }
     }
 
-    pub fn is_due(&self, now: u64) -> bool {
-        self.waits && now >= self.planned_at + self.pause_ms
+    /// Whether a plan is due, of a node that keeps this pace.
+    pub fn is_due(&self, now: u64, pace: &Pace) -> bool {
+        self.waits && now >= self.planned_at + pace.apart(self.pause_ms)
     }
 
     /// A plan that had urgent work in it, or none: whether some still waits, and whether it got on. Plans that bring
--- a/crates/control/tests/door.rs
+++ b/crates/control/tests/door.rs
@@ -358,3 +358,49 @@
     assert!(p.end_is("cancelled"));
     assert_eq!(p.answer(2), Some((200, Some("cancelled".into()))));
 }
+
+/// Whoever is turned away comes back when those before have been served: sent back a second later each time, the same
+/// users filled what an overloaded node could serve.
+#[test]
+fn the_more_are_turned_away_the_later_they_come_back() {
+    use control::shedding::LONGEST_S;
+    const USERS: u64 = 1000;
+    let mut p = Played::new();
+    p.learns_with_types("burrow-1");
+    for conn in 1..=USERS {
+        p.ask(conn, "POST", "/work", wire::encode(&job()));
+    }
+    let waits: Vec<u32> = (1..=USERS)
+        .filter(|conn| p.status(*conn) == Some(429))
+        .map(|conn| p.again[&conn].expect("a time to come back"))
+        .collect();
+    assert!(waits.len() as u64 > USERS / 2, "{}", waits.len());
+    assert!(waits.is_sorted(), "{waits:?}");
+    assert_eq!((waits.first(), waits.last()), (Some(&1), Some(&LONGEST_S)));
+    // They have been served since.
+    p.now += u64::from(LONGEST_S) * 1000 + 1000;
+    for conn in USERS + 1..=USERS + 100 {
+        p.ask(conn, "POST", "/work", wire::encode(&job()));
+    }
+    let first = (USERS + 1..=USERS + 100).find(|conn| p.status(*conn) == Some(429));
+    assert_eq!(first.map(|conn| p.again[&conn]), Some(Some(1)));
+}
+
+/// What is left to ask the state service goes to questions about accepted jobs before it goes to new ones.
+#[test]
+fn a_flood_of_submissions_leaves_reads_for_questions() {
+    // Requests are scarcer than changes.
+    let mut p = Played::with(|settings| settings.cluster.state.rps = 30.0);
+    p.learns_with_types("burrow-1");
+    for conn in 1..=1000 {
+        p.ask(conn, "POST", "/work", wire::encode(&job()));
+    }
+    assert_eq!(p.status(1000), Some(429));
+    p.query(2000);
+    let owner = p.take(Sent::is_question).expect("the owner is asked");
+    p.reply(&owner, 200, encode(&Answer::NotNow));
+    assert!(
+        p.take(|s| s.path.starts_with("/keys/live/")).is_some(),
+        "no read is left"
+    );
+}
--- a/crates/control/tests/played/mod.rs
+++ b/crates/control/tests/played/mod.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use wire::http::{Request, Response};
 use wire::peer::{Ask, View, decode, encode};
+use wire::settings::Settings;
 
 /// A node, its time, and what it has sent that nobody has answered yet.
 pub struct Played {
@@ -40,8 +41,14 @@
 
 impl Played {
     pub fn new() -> Self {
+        Played::with(|_| {})
+    }
+
+    /// The same with other settings.
+    pub fn with(change: impl FnOnce(&mut Settings)) -> Self {
         let text = include_str!("../../../../deploy/settings-example.json");
-        let settings = serde_json::from_str(text).expect("the example is accepted");
+        let mut settings = serde_json::from_str(text).expect("the example is accepted");
+        change(&mut settings);
         let now = 1_000_000;
         let node = Node::new(
             settings,
@@ -164,6 +171,18 @@
         self.page("sys/", Value::Array(items));
     }
 
+    /// The same with machine types that jobs can be judged by, so that it accepts them.
+    pub fn learns_with_types(&mut self, owner: &str) {
+        self.step(Event::Tick);
+        let types = json!([{"label": "g8", "cores": 64.0, "gpus": 8.0, "ramGb": 512.0, "localGb": 200.0, "halls": ["a"]}]);
+        let items = json!([
+            {"key": "sys/catalog", "v": {"builds": types}, "stamp": 2},
+            {"key": "sys/token", "v": {"token": 3}, "stamp": 3},
+            {"key": "sys/owner/0", "v": {"node": owner, "token": 3, "lease": 5}, "stamp": 3},
+        ]);
+        self.page("sys/", items);
+    }
+
     /// The only lease is granted, and our name stands on it.
     pub fn takes_over(&mut self) {
         self.learns(None);
