Retry-After grows for 429 alone; a process that stood still plans on

Every 503 counted as somebody who is still to be served, questions during an outage of the state service too, so that users were sent away for up to 10 s, beyond its end. And a process that had stood still was taken for one that is short of time.

Change: only 429, which says that this node is too busy, grows; a request that has waited too long is refused with it. 503 says a second, as before. A gap of more than 5 s between two ticks is not lateness.

--- a/crates/control/src/door.rs
+++ b/crates/control/src/door.rs
@@ -16,6 +16,9 @@
 /// Users wait 5 s for a submission, of which our own try has taken some.
 const SUBMIT_WAITS_MS: u64 = 3500;
 
+/// Whoever meets trouble that may be over at any time comes back after so many seconds.
+const SOON_S: u32 = 1;
+
 /// A submission that is being accepted, since when, and how often that was tried before.
 pub(crate) struct Submission {
     pub asker: Asker,
@@ -77,29 +80,27 @@
         )
     }
 
-    /// An error, with the time to come back where coming back helps.
+    /// An error, with the time to come back where coming back helps: soon, but where this node is too busy, which is
+    /// then over by and by.
     pub(crate) fn refuse(&mut self, conn: u64, status: u16, why: &str) {
-        let retry_after_s = matches!(status, 429 | 503).then(|| {
-            self.stats.shed += 1;
-            let served_per_s = self.accepts_per_s();
-            self.shedding.turn_away(self.now.mono, served_per_s)
-        });
-        self.respond_error(conn, status, why, retry_after_s);
-    }
-
-    /// An error to a worker, which comes again at its own pace and is not counted among those turned away.
-    pub(crate) fn refuse_worker(&mut self, conn: u64, why: &str) {
-        self.stats.shed += 1;
-        self.respond_error(conn, 503, why, Some(1));
-    }
-
-    fn respond_error(&mut self, conn: u64, status: u16, why: &str, retry_after_s: Option<u32>) {
+        let retry_after_s = match status {
+            429 => Some(self.turn_away()),
+            503 => Some(SOON_S),
+            _ => None,
+        };
+        self.stats.shed += u64::from(retry_after_s.is_some());
         let body = wire::encode(&ErrorBody {
             error: why.to_owned(),
         });
         self.respond(conn, status, body, retry_after_s);
     }
 
+    /// Counts one more who is turned away, and says when to come back.
+    fn turn_away(&mut self) -> u32 {
+        let served_per_s = self.accepts_per_s();
+        self.shedding.turn_away(self.now.mono, served_per_s)
+    }
+
     /// What a user sent as a submission.
     fn sent_in(&mut self, conn: u64, body: &[u8]) {
         let read = submission::read(body);
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -445,7 +445,7 @@
         match event {
             Event::Client { conn, request } => self.client(conn, request),
             Event::Peer { conn, request } => self.peer(conn, &request),
-            Event::Late { conn } => self.refuse(conn, 503, "busy"),
+            Event::Late { conn } => self.refuse(conn, 429, "busy"),
             Event::Reply { tag, response } => self.reply(tag, response),
             Event::Unsent { tag } => self.unsent(tag),
             Event::Side { tag, ask } => self.side_asked(tag, ask),
--- a/crates/control/src/pace.rs
+++ b/crates/control/src/pace.rs
@@ -11,6 +11,8 @@
 const STEP: f64 = 2.0;
 /// Lateness is looked at over about this time, in milliseconds.
 const WINDOW_MS: f64 = 3000.0;
+/// No work takes so long: the process stood still, and is not short of time when it goes on.
+const STOOD_STILL_MS: f64 = 5000.0;
 
 /// A node's pace. Times are milliseconds of its steady clock.
 #[derive(Debug, Clone, Copy)]
@@ -39,7 +41,7 @@
         };
         let passed = now.saturating_sub(before) as f64;
         let late = now.saturating_sub(before + due_after) as f64;
-        if passed > 0.0 {
+        if passed > 0.0 && passed < STOOD_STILL_MS {
             let weight = (passed / WINDOW_MS).min(1.0);
             self.late += (late / passed - self.late) * weight;
         }
--- a/crates/control/src/precedence.rs
+++ b/crates/control/src/precedence.rs
@@ -12,7 +12,7 @@
 pub enum Precedence {
     /// Ticks, and answers to what this node has asked: renewals of its own lease, records, commands.
     Own,
-    /// Other controllers, with reports and with questions of users whom they have already accepted.
+    /// Other controllers: what they see, batches of reports, and users' requests that they hand on.
     Peer,
     /// Reports, which renew workers' leases and tell of ends.
     Worker,
--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -106,7 +106,7 @@
     fn refuse_queue(&mut self) {
         self.relay.bytes = 0;
         for (conn, _) in std::mem::take(&mut self.relay.queue) {
-            self.refuse_worker(conn, "the owner can't be reached from here");
+            self.refuse(conn, 503, "the owner can't be reached from here");
         }
     }
 
@@ -121,7 +121,7 @@
         };
         for (conn, body) in conns.into_iter().zip(bodies) {
             if body.is_empty() {
-                self.refuse_worker(conn, "the owner does not answer");
+                self.refuse(conn, 503, "the owner does not answer");
             } else {
                 self.respond(conn, 200, body.into_vec(), None);
             }
--- a/crates/control/src/reports.rs
+++ b/crates/control/src/reports.rs
@@ -44,7 +44,7 @@
                     });
                     self.respond(conn, 421, body, None)
                 }
-                None => self.refuse_worker(conn, "no owner yet"),
+                None => self.refuse(conn, 503, "no owner yet"),
             };
         }
         if let Some(node) = self.moved_to(&report) {
@@ -55,7 +55,7 @@
         }
         match self.take_report(&report, None) {
             Told::Orders(body) => self.respond(conn, 200, body, None),
-            Told::Refused(why) => self.refuse_worker(conn, why),
+            Told::Refused(why) => self.refuse(conn, 503, why),
         }
     }
 
--- a/crates/control/tests/door.rs
+++ b/crates/control/tests/door.rs
@@ -404,3 +404,17 @@
         "no read is left"
     );
 }
+
+/// While the state service is away everybody is refused, and may be served the moment it is back: that is no reason to
+/// be sent away for longer, also not for those who only ask.
+#[test]
+fn trouble_elsewhere_sends_nobody_away_for_long() {
+    let mut p = Played::new();
+    p.view("burrow-1", true);
+    p.view("burrow-2", true);
+    for conn in 1..=1000 {
+        p.ask(conn, "POST", "/work", wire::encode(&job()));
+    }
+    assert_eq!(p.status(1000), Some(503));
+    assert_eq!(p.again[&1000], Some(1));
+}
--- a/crates/control/tests/pace.rs
+++ b/crates/control/tests/pace.rs
@@ -67,3 +67,17 @@
     (0..4).for_each(|_| pace.planned());
     assert_eq!(pace.apart(PLAN_MS), PLAN_MS);
 }
+
+/// A process that stood still for a while plans on as before.
+#[test]
+fn one_long_pause_puts_no_plan_off() {
+    let mut pace = Pace::default();
+    let mut now = 0;
+    for _ in 0..100 {
+        pace.ticked(now, TICK_MS);
+        now += TICK_MS;
+    }
+    pace.ticked(now + 30_000, TICK_MS);
+    pace.planned();
+    assert_eq!(pace.apart(PLAN_MS), PLAN_MS);
+}
