--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -1,6 +1,7 @@
 //! Controllers, state service, cloud, workers and users in one virtual time, with seeded faults.
 
 pub mod asks;
+pub mod asserts;
 mod bed;
 mod holds;
 mod kept;
--- a/crates/standins/tests/changes_of_leader.rs
+++ b/crates/standins/tests/changes_of_leader.rs
@@ -3,27 +3,16 @@
 
 use standins::links::{Cut, How, Side};
 use standins::scene::{Scene, Timed, array};
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::{LEASE_MS, Plan, World};
 use wire::api::JobSpec;
 
 const NODES: [usize; 3] = [3, 5, 7];
 
-fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
-}
-
 fn ends(world: &mut World, ms: u64, what: &str) {
     world.run_for(ms);
-    kept(world, what);
-    assert!(
-        world.unfinished().is_empty(),
-        "{what}: never ended: {:?}",
-        world.unfinished()
-    );
+    assert_rules_kept(world, what);
+    assert_all_ended(world, what);
 }
 
 /// Plays on for so long, or to the next thing that happens.
@@ -361,7 +350,7 @@
             world.state_out(120_000);
             world.cloud_out(120_000);
             world.run_for(130_000);
-            kept(&world, &what);
+            assert_rules_kept(&world, &what);
         }
     }
 }
--- a/crates/standins/tests/hand_over.rs
+++ b/crates/standins/tests/hand_over.rs
@@ -4,6 +4,7 @@
 use standins::days::{Trouble, Who};
 use standins::links::{Cut, How, Side};
 use standins::scene::{Scene, Timed, array};
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::{Plan, World};
 use std::collections::BTreeMap;
 
@@ -43,14 +44,6 @@
     ))
 }
 
-fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
-}
-
 /// Token and life of the owner record.
 fn record(world: &World) -> Option<(u64, u64)> {
     let rec = &world.state.keys.get("sys/owner/0")?.value;
@@ -104,18 +97,14 @@
 
 fn ends(world: &mut World, what: &str) {
     world.run_for(OVER_MS);
-    kept(world, what);
+    assert_rules_kept(world, what);
     let silent = world.unanswered_for(15_000);
     assert!(silent.is_empty(), "{what}: no answers about {silent:?}");
     // Much later, at every node, asked and sent again.
     world.ask_everywhere();
     world.run_for(150_000);
-    kept(world, what);
-    assert!(
-        world.unfinished().is_empty(),
-        "{what}: never ended: {:?}",
-        world.unfinished()
-    );
+    assert_rules_kept(world, what);
+    assert_all_ended(world, what);
 }
 
 /// Handed over by a refusal, handed back by another, then all end within a fraction of a second and one is back at
--- a/crates/standins/tests/late_commands.rs
+++ b/crates/standins/tests/late_commands.rs
@@ -2,6 +2,7 @@
 
 use standins::links::{Cut, How, Side};
 use standins::scene::{Scene, Timed, array};
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::{Plan, World};
 use wire::api::{JobSpec, Kind, Priority};
 
@@ -52,19 +53,11 @@
 
 const LONG: &str = "job-000002";
 
-fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
-}
-
 /// Cancels the long job, and looks whether it stays away.
 fn cancelled(world: &mut World, what: &str) {
     world.cancel(LONG);
     world.run_for(CANCEL_MS);
-    kept(world, what);
+    assert_rules_kept(world, what);
     assert!(
         world.rules.jobs[LONG].told_cancelled.is_some(),
         "{what}: nobody was told"
@@ -183,11 +176,7 @@
             }
         }
         world.run_for(300_000);
-        kept(&world, &what);
-        assert!(
-            world.unfinished().is_empty(),
-            "{what}: never ended: {:?}",
-            world.unfinished()
-        );
+        assert_rules_kept(&world, &what);
+        assert_all_ended(&world, &what);
     }
 }
--- a/crates/standins/tests/late_writes.rs
+++ b/crates/standins/tests/late_writes.rs
@@ -6,6 +6,7 @@
 use serde_json::{Value, json};
 use standins::days::{self, BEGIN, Size, Trouble, Who};
 use standins::scene::{Scene, Timed, array};
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::{Plan, World};
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use wire::api::{JobSpec, Kind};
@@ -91,11 +92,7 @@
 }
 
 fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
+    assert_rules_kept(world, what);
     assert_eq!(world.state.counts.too_large, 0, "{what}");
 }
 
@@ -392,11 +389,7 @@
         assert!(may_change || changed.is_empty(), "{what}: {changed:?}");
         *anew.entry(kind).or_default() += changed.len();
         kept(&world, &what);
-        assert!(
-            world.unfinished().is_empty(),
-            "{what}: never ended: {:?}",
-            world.unfinished()
-        );
+        assert_all_ended(&world, &what);
         world.run_for(45_000);
         kept(&world, &what);
         assert_eq!(left_running(&world), Vec::<String>::new(), "{what}");
--- a/crates/standins/tests/old_reports.rs
+++ b/crates/standins/tests/old_reports.rs
@@ -3,6 +3,7 @@
 
 use standins::links::{Cut, How, Side};
 use standins::scene::{Scene, Timed, array};
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::{Plan, World};
 use wire::api::{JobSpec, Kind, Report, TaskStage};
 
@@ -17,14 +18,6 @@
         .unwrap_or(rounds)
 }
 
-fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
-}
-
 fn timed(at: u64, run_ms: u64, spec: JobSpec) -> Timed {
     Timed {
         at,
@@ -127,12 +120,8 @@
         );
         first_heard(&mut world, &[ended]);
         world.run_for(120_000);
-        kept(&world, &what);
-        assert!(
-            world.unfinished().is_empty(),
-            "{what}: never ended: {:?}",
-            world.unfinished()
-        );
+        assert_rules_kept(&world, &what);
+        assert_all_ended(&world, &what);
     }
 }
 
@@ -190,12 +179,8 @@
             "{what}: the second attempt goes on"
         );
         world.run_for(100_000);
-        kept(&world, &what);
-        assert!(
-            world.unfinished().is_empty(),
-            "{what}: never ended: {:?}",
-            world.unfinished()
-        );
+        assert_rules_kept(&world, &what);
+        assert_all_ended(&world, &what);
     }
 }
 
@@ -263,12 +248,8 @@
             );
         }
         world.run_for(30_000);
-        kept(&world, &what);
-        assert!(
-            world.unfinished().is_empty(),
-            "{what}: never ended: {:?}",
-            world.unfinished()
-        );
+        assert_rules_kept(&world, &what);
+        assert_all_ended(&world, &what);
         let racks = world
             .state
             .keys
@@ -318,12 +299,8 @@
             }
             assert!(*took < 60_000, "{what}: never given up");
             world.run_for(120_000);
-            kept(&world, &what);
-            assert!(
-                world.unfinished().is_empty(),
-                "{what}: never ended: {:?}",
-                world.unfinished()
-            );
+            assert_rules_kept(&world, &what);
+            assert_all_ended(&world, &what);
         }
         assert!(took[1] <= took[0] + 2000, "{nodes} nodes: {took:?}");
     }
@@ -411,11 +388,7 @@
             }
         }
         world.run_for(300_000);
-        kept(&world, &what);
-        assert!(
-            world.unfinished().is_empty(),
-            "{what}: never ended: {:?}",
-            world.unfinished()
-        );
+        assert_rules_kept(&world, &what);
+        assert_all_ended(&world, &what);
     }
 }
--- a/crates/standins/tests/overload.rs
+++ b/crates/standins/tests/overload.rs
@@ -1,6 +1,7 @@
 //! Controllers that are short of processor time: they slow down, and do not collapse.
 
 use standins::scene::{Scene, Timed, array};
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::processor::Costs;
 use standins::world::{Plan, World};
 
@@ -41,16 +42,8 @@
 }
 
 fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
-    assert!(
-        world.unfinished().is_empty(),
-        "{what}: {:?} never ended",
-        world.unfinished()
-    );
+    assert_rules_kept(world, what);
+    assert_all_ended(world, what);
 }
 
 /// Reports and what comes of them need more time than the leader has. Served in the order in which they came, answers
--- a/crates/standins/tests/quick.rs
+++ b/crates/standins/tests/quick.rs
@@ -1,6 +1,7 @@
 //! Processes that come back within fractions of a second, again and again.
 
 use standins::scene::{Scene, Timed, array};
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::{Plan, World};
 use std::collections::BTreeMap;
 use wire::api::{JobSpec, Kind, Priority};
@@ -41,23 +42,11 @@
     array(id, "red", 4, estimate_s)
 }
 
-fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
-}
-
 /// Plays to the end, when all that was accepted must have ended.
 fn ends(world: &mut World, what: &str) {
     world.run_for(250_000);
-    kept(world, what);
-    assert!(
-        world.unfinished().is_empty(),
-        "{what}: never ended: {:?}",
-        world.unfinished()
-    );
+    assert_rules_kept(world, what);
+    assert_all_ended(world, what);
 }
 
 /// Node, token, life and lease of the owner record.
@@ -330,7 +319,7 @@
                 GANGS as usize,
                 "{what}: gangs that began"
             );
-            kept(&world, &what);
+            assert_rules_kept(&world, &what);
         }
     }
 }
@@ -359,7 +348,7 @@
             last = now;
         }
         assert!(changes <= 1, "{what}: the owner changed {changes} times");
-        kept(&world, &what);
+        assert_rules_kept(&world, &what);
     }
 }
 
--- a/crates/standins/tests/refusals.rs
+++ b/crates/standins/tests/refusals.rs
@@ -6,6 +6,7 @@
 use standins::days::{Trouble, Who};
 use standins::links::{How, Side};
 use standins::scene::{Scene, Timed, array};
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::{Plan, World};
 
 /// Jobs that run for a minute and more, of which most are cancelled, and a steady flow of short ones that end.
@@ -45,14 +46,6 @@
     ))
 }
 
-fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
-}
-
 fn owner(world: &World) -> usize {
     world.owner_at().expect("some node owns the fleet")
 }
@@ -71,17 +64,13 @@
 /// Once all is over, everybody is told what stands, at every node, and nobody has been forgotten.
 fn ends(world: &mut World, what: &str) {
     world.run_for(20_000);
-    kept(world, what);
+    assert_rules_kept(world, what);
     let silent = world.unanswered_for(75_000);
     assert!(silent.is_empty(), "{what}: no answers about {silent:?}");
     world.ask_everywhere();
     world.run_for(200_000);
-    kept(world, what);
-    assert!(
-        world.unfinished().is_empty(),
-        "{what}: never ended: {:?}",
-        world.unfinished()
-    );
+    assert_rules_kept(world, what);
+    assert_all_ended(world, what);
     let told = world
         .rules
         .jobs
@@ -284,12 +273,8 @@
             }
             world.ask_everywhere();
             world.run_for(40_000);
-            kept(&world, &what);
-            assert!(
-                world.unfinished().is_empty(),
-                "{what}: never ended: {:?}",
-                world.unfinished()
-            );
+            assert_rules_kept(&world, &what);
+            assert_all_ended(&world, &what);
         }
     }
 }
--- a/crates/standins/tests/rules.rs
+++ b/crates/standins/tests/rules.rs
@@ -1,5 +1,6 @@
 //! Random orders of crashes, take-overs, late messages, lost answers and cancels, in virtual time.
 
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::{Plan, Sabotage, World};
 use std::ops::Range;
 
@@ -19,16 +20,8 @@
 }
 
 fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
-    assert!(
-        world.unfinished().is_empty(),
-        "{what}: never ended: {:?}",
-        world.unfinished()
-    );
+    assert_rules_kept(world, what);
+    assert_all_ended(world, what);
     let counts = world.state.counts;
     assert_eq!(
         counts.too_large, 0,
--- a/crates/standins/tests/spread_reports.rs
+++ b/crates/standins/tests/spread_reports.rs
@@ -2,6 +2,7 @@
 
 use standins::links::{Cut, How, Side};
 use standins::scene::{Scene, Timed, array};
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::{Plan, World};
 
 const MACHINES: usize = 12;
@@ -34,14 +35,6 @@
     world.relayed().saturating_sub(before)
 }
 
-fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
-}
-
 #[test]
 fn a_large_fleet_reports_by_way_of_the_other_controllers() {
     for nodes in NODES {
@@ -56,7 +49,7 @@
         );
         assert_eq!(world.sessions_lost(), 0, "{nodes} nodes");
         assert_eq!(world.rules.starts, starts, "{nodes} nodes: nothing is lost");
-        kept(&world, "spread");
+        assert_rules_kept(&world, "spread");
     }
 }
 
@@ -85,7 +78,7 @@
             let relayed = relayed_in(&mut world, 70_000);
             assert!(relayed >= 8 * MACHINES as u64, "{what}: {relayed} reports");
             assert_eq!(world.sessions_lost(), 0, "{what}");
-            kept(&world, &what);
+            assert_rules_kept(&world, &what);
         }
     }
 }
@@ -114,7 +107,7 @@
         assert_eq!(world.on_machines().len(), 24, "{how:?}: tasks don't run");
         world.run_for(100_000);
         assert!(relayed_in(&mut world, 50_000) > 0, "{how:?}: never again");
-        kept(&world, &format!("{how:?}"));
+        assert_rules_kept(&world, &format!("{how:?}"));
     }
 }
 
@@ -138,13 +131,9 @@
                 }
             }
             world.run_for(400_000);
-            kept(&world, &what);
+            assert_rules_kept(&world, &what);
             assert!(world.relayed() > 0, "{what}: nothing was relayed");
-            assert!(
-                world.unfinished().is_empty(),
-                "{what}: {:?}",
-                world.unfinished()
-            );
+            assert_all_ended(&world, &what);
         }
     }
 }
--- a/crates/standins/tests/ways.rs
+++ b/crates/standins/tests/ways.rs
@@ -2,6 +2,7 @@
 
 use standins::links::{Cut, How, Side};
 use standins::scene::{Scene, Timed, array};
+use standins::world::asserts::{assert_all_ended, assert_rules_kept};
 use standins::world::{Plan, World};
 
 /// A dozen machines, full of long tasks.
@@ -29,14 +30,6 @@
     ["a", "b"][node % 2]
 }
 
-fn kept(world: &World, what: &str) {
-    assert!(
-        world.rules.broken.is_empty(),
-        "{what}: {:?}",
-        world.rules.broken
-    );
-}
-
 fn owner(world: &World) -> usize {
     world.owner_at().expect("some node owns the fleet")
 }
@@ -56,7 +49,7 @@
             world.run_for(4000 + seed * 1000);
             (1000..1006).for_each(|id| world.cancel(&format!("job-{id:06}")));
             world.run_for(200_000);
-            kept(&world, &format!("{nodes} nodes, seed {seed}"));
+            assert_rules_kept(&world, &format!("{nodes} nodes, seed {seed}"));
         }
     }
 }
@@ -78,7 +71,7 @@
         }
         (1000..1006).for_each(|id| world.cancel(&format!("job-{id:06}")));
         world.run_for(200_000);
-        kept(&world, &format!("seed {seed}"));
+        assert_rules_kept(&world, &format!("seed {seed}"));
     }
 }
 
@@ -93,7 +86,7 @@
         world.state_out(120_000);
         world.run_for(130_000);
         assert_eq!(world.sessions_lost(), before, "{nodes} nodes");
-        kept(&world, "outage");
+        assert_rules_kept(&world, "outage");
     }
 }
 
@@ -111,7 +104,7 @@
         world.sessions_lost() > before,
         "leases were kept alive on the word of a node that has read nothing"
     );
-    kept(&world, "outage");
+    assert_rules_kept(&world, "outage");
 }
 
 /// An owner that hears its workers and reaches its peers, but not the state service; the next one reaches neither the
@@ -146,7 +139,7 @@
         world.run_for(8000);
         (1000..1006).for_each(|id| world.cancel(&format!("job-{id:06}")));
         world.run_for(200_000);
-        kept(&world, &format!("seed {seed}"));
+        assert_rules_kept(&world, &format!("seed {seed}"));
     }
 }
 
@@ -174,7 +167,7 @@
             .filter(|j| j.told_cancelled.is_some())
             .count();
         assert!(told > 0, "seed {seed}: nobody was told in time");
-        kept(&world, &format!("seed {seed}"));
+        assert_rules_kept(&world, &format!("seed {seed}"));
     }
 }
 
@@ -257,12 +250,8 @@
                 world.sessions_lost() - lost
             );
             world.run_for(300_000);
-            kept(&world, &what);
-            assert!(
-                world.unfinished().is_empty(),
-                "{what}: {:?}",
-                world.unfinished()
-            );
+            assert_rules_kept(&world, &what);
+            assert_all_ended(&world, &what);
         }
     }
 }
@@ -342,12 +331,8 @@
         for seed in seeds {
             let world = any_day(seed, nodes);
             let what = format!("{nodes} nodes, seed {seed}");
-            kept(&world, &what);
-            assert!(
-                world.unfinished().is_empty(),
-                "{what}: never ended: {:?}",
-                world.unfinished()
-            );
+            assert_rules_kept(&world, &what);
+            assert_all_ended(&world, &what);
             relayed += world.relayed();
         }
     }
@@ -372,7 +357,7 @@
                 (24, 24),
                 "{what}: started again"
             );
-            kept(&world, &what);
+            assert_rules_kept(&world, &what);
         }
     }
 }
@@ -399,7 +384,7 @@
             world.run_for(seed * 1500);
             (1003..1006).for_each(|id| world.cancel(&format!("job-{id:06}")));
             world.run_for(200_000);
-            kept(&world, &format!("{nodes} nodes, seed {seed}"));
+            assert_rules_kept(&world, &format!("{nodes} nodes, seed {seed}"));
         }
     }
 }
@@ -437,5 +422,5 @@
     world.run_for(60_000);
     assert!(world.relayed() > 100, "{} reports relayed", world.relayed());
     assert_eq!(world.lost, 0, "tasks were on machines that were returned");
-    kept(&world, "owner without workers");
+    assert_rules_kept(&world, "owner without workers");
 }
