Spread reports: one flag for an owner that nobody is sent to, one look at views

Cause: `reach::Owner` had a second flag with the effect of the first (deaf, spreads); whether a peer's view is fresh was asked in four ways; and the owner chose a controller for a worker before it looked whether it may move one.

Change: `avoided`, which the relay sets for either reason; `fresh_view`; the cheap questions first. Behaviour is as it was.

--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -56,8 +56,7 @@
         let owner = Owner {
             node,
             token,
-            deaf: self.is_deaf(node),
-            spreads: self.is_spread(),
+            avoided: self.is_deaf(node) || self.is_spread(),
         };
         let caller = Caller {
             machine: &report.machine,
--- a/crates/control/src/routing.rs
+++ b/crates/control/src/routing.rs
@@ -18,8 +18,7 @@
 const OTHERS: Owner = Owner {
     node: 0,
     token: 1,
-    deaf: false,
-    spreads: false,
+    avoided: false,
 };
 const UNSEEN_TOKEN: u64 = 0;
 /// Reports are spread until this part of the machines that spread them is left.
@@ -77,15 +76,15 @@
     /// The controller that a worker which reports to the owner should rather report to. One that comes back is left
     /// with the owner, and others of its zone too until one of them got there.
     pub(crate) fn moved_to(&mut self, report: &Report) -> Option<String> {
-        if !self.is_spread() || !self.decides() {
+        let now = self.now.mono;
+        if !self.is_spread() || !self.decides() || self.routing.moves.level(now) < 1.0 {
             return None;
         }
-        let now = self.now.mono;
-        let peer = self.relay_for(report)?;
         let part = self.part.as_ref()?;
-        if !part.machine_ix.contains_key(&report.machine) || self.routing.moves.level(now) < 1.0 {
+        if !part.machine_ix.contains_key(&report.machine) {
             return None;
         }
+        let peer = self.relay_for(report)?;
         let caller = Caller {
             machine: &report.machine,
             zone: &report.zone,
--- a/crates/control/src/views.rs
+++ b/crates/control/src/views.rs
@@ -100,14 +100,12 @@
 
     /// Whether a peer says that it owns the fleet and hears no worker.
     pub(crate) fn is_deaf(&self, peer: usize) -> bool {
-        let view = self.views.of.get(peer).and_then(Option::as_ref);
-        view.is_some_and(|(at, v)| v.deaf && self.now.mono < at + FRESH_MS)
+        self.fresh_view(peer).is_some_and(|view| view.deaf)
     }
 
     /// Whether a peer says that the state service does not serve it; nothing if it has not said anything lately.
     pub(crate) fn says_down(&self, peer: usize) -> Option<bool> {
-        let (at, view) = self.views.of.get(peer)?.as_ref()?;
-        (self.now.mono < at + FRESH_MS).then_some(view.down)
+        self.fresh_view(peer).map(|view| view.down)
     }
 
     /// When a peer was last heard; 0 for never.
@@ -121,8 +119,12 @@
 
     /// Whether a peer was heard lately.
     pub(crate) fn is_heard(&self, peer: usize) -> bool {
-        let heard_at = self.last_view(peer);
-        heard_at > 0 && self.now.mono < heard_at + FRESH_MS
+        self.fresh_view(peer).is_some()
+    }
+
+    fn fresh_view(&self, peer: usize) -> Option<&View> {
+        let (at, view) = self.views.of.get(peer)?.as_ref()?;
+        (self.now.mono < at + FRESH_MS).then_some(view)
     }
 
     fn fresh_views(&self) -> impl Iterator<Item = (u64, &View)> {
--- a/crates/reach/src/lib.rs
+++ b/crates/reach/src/lib.rs
@@ -11,7 +11,7 @@
 //! ```
 //! use reach::{Caller, Owner, Turn, Ways};
 //! let mut ways = Ways::default();
-//! let owner = Owner { node: 2, token: 7, deaf: false, spreads: false };
+//! let owner = Owner { node: 2, token: 7, avoided: false };
 //! let caller = |token| Caller { machine: "m1", zone: "a", token };
 //! // It has obeyed an earlier owner only: it may simply not have found the present one yet.
 //! assert_eq!(ways.came(0, &caller(6), owner), Turn::Send);
@@ -54,10 +54,9 @@
     /// Any number that stands for its host.
     pub node: usize,
     pub token: u64,
-    /// It says that it has heard no worker by itself since it became the owner.
-    pub deaf: bool,
-    /// It has workers report by way of all nodes.
-    pub spreads: bool,
+    /// Nobody is to be sent to it: it has heard no worker by itself since it became the owner, or has workers report by
+    /// way of all nodes.
+    pub avoided: bool,
 }
 
 /// What to do with it.
@@ -177,7 +176,7 @@
             .entry(caller.zone.to_owned())
             .or_insert_with(|| Zone::new(now));
         let stays = seen.is_some_and(|s| s.last == Last::Taken);
-        let turn = if owner.deaf || owner.spreads {
+        let turn = if owner.avoided {
             Turn::Take
         } else if fled {
             zone.failed(now, caller.machine);
--- a/crates/reach/tests/ways.rs
+++ b/crates/reach/tests/ways.rs
@@ -6,8 +6,7 @@
 const OWNER: Owner = Owner {
     node: 2,
     token: 7,
-    deaf: false,
-    spreads: false,
+    avoided: false,
 };
 
 fn came(ways: &mut Ways, now: u64, machine: &str, token: u64) -> Turn {
@@ -106,8 +105,7 @@
             Owner {
                 node: 1,
                 token: 8,
-                deaf: false,
-                spreads: false,
+                avoided: false,
             }
         ),
         Turn::Send
@@ -157,8 +155,7 @@
             0,
             &caller,
             Owner {
-                deaf: true,
-                spreads: false,
+                avoided: true,
                 ..OWNER
             }
         ),
@@ -176,7 +173,7 @@
         token: OWNER.token,
     };
     let spreads = Owner {
-        spreads: true,
+        avoided: true,
         ..OWNER
     };
     for machine in ["m1", "m2", "m3"] {
