--- a/crates/control/src/relay.rs
+++ b/crates/control/src/relay.rs
@@ -49,11 +49,20 @@
     pub(crate) fn takes(&mut self, conn: u64, report: &Report, body: &[u8]) -> bool {
         let now = self.now.mono;
         let owner = self.owner_peer().zip(self.owner_token());
-        let Some((node, token)) = owner.filter(|_| self.relays() && now >= self.relay.rests_until) else {
+        let Some((node, token)) = owner.filter(|_| self.relays() && now >= self.relay.rests_until)
+        else {
             return false;
         };
-        let owner = Owner { node, token, deaf: self.is_deaf(node) };
-        let caller = Caller { machine: &report.machine, zone: &report.zone, token: report.token };
+        let owner = Owner {
+            node,
+            token,
+            deaf: self.is_deaf(node),
+        };
+        let caller = Caller {
+            machine: &report.machine,
+            zone: &report.zone,
+            token: report.token,
+        };
         if self.relay.ways.came(now, &caller, owner) == Turn::Send {
             return false;
         }
@@ -78,9 +87,19 @@
         self.relay.bytes = 0;
         let (conns, reports): (Vec<u64>, Vec<ByteBuf>) = self.relay.queue.drain(..).unzip();
         self.relay.out += 1;
-        let body = peer::encode(&Ask::Reports { node: self.settings.node.clone(), reports });
+        let body = peer::encode(&Ask::Reports {
+            node: self.settings.node.clone(),
+            reports,
+        });
         let to = Dest::Peer(peer);
-        self.send(to, "POST", peer::PATH.into(), body, REPORTS_TIMEOUT_MS, Pending::Relayed { conns });
+        self.send(
+            to,
+            "POST",
+            peer::PATH.into(),
+            body,
+            REPORTS_TIMEOUT_MS,
+            Pending::Relayed { conns },
+        );
     }
 
     fn refuse_queue(&mut self) {
@@ -137,11 +156,22 @@
     /// The owner has something to say to a worker that is served here.
     pub(crate) fn tell_asked(&mut self, conn: u64, machine: &str, addr: &str, body: Vec<u8>) {
         let known = self.relay.ways.serves(self.now.mono, machine);
-        let Some(addr) = addr.parse::<SocketAddr>().ok().filter(|_| known && self.relays()) else {
+        let Some(addr) = addr
+            .parse::<SocketAddr>()
+            .ok()
+            .filter(|_| known && self.relays())
+        else {
             return self.tell_unsent(conn);
         };
         let what = Pending::Tell { conn };
-        self.send(Dest::Worker(addr), "POST", "/commands".into(), body, TELL_TIMEOUT_MS, what);
+        self.send(
+            Dest::Worker(addr),
+            "POST",
+            "/commands".into(),
+            body,
+            TELL_TIMEOUT_MS,
+            what,
+        );
     }
 
     pub(crate) fn tell_unsent(&mut self, conn: u64) {
@@ -150,35 +180,74 @@
     }
 
     pub(crate) fn worker_told(&mut self, conn: u64, response: Option<Response>) {
-        let answer =
-            response.map_or(Answer::NotNow, |r| Answer::Told { status: r.status, body: r.body.into() });
+        let answer = response.map_or(Answer::NotNow, |r| Answer::Told {
+            status: r.status,
+            body: r.body.into(),
+        });
         self.respond(conn, 200, peer::encode(&answer), None);
     }
 
     /// A command to a worker, by way of the node that it reports to.
-    pub(crate) fn command(&mut self, m: usize, addr: SocketAddr, body: Vec<u8>, timeout: u64, what: Pending) {
+    pub(crate) fn command(
+        &mut self,
+        m: usize,
+        addr: SocketAddr,
+        body: Vec<u8>,
+        timeout: u64,
+        what: Pending,
+    ) {
         let machine = self.part.as_ref().and_then(|p| p.machine(m));
         let via = machine.and_then(|m| Some((m.via?, m.name.clone())));
         match via {
             Some((peer, machine)) => {
-                let ask = Ask::Tell { machine, addr: addr.to_string(), body: body.into() };
-                self.send(Dest::Peer(peer), "POST", peer::PATH.into(), peer::encode(&ask), timeout, what);
+                let ask = Ask::Tell {
+                    machine,
+                    addr: addr.to_string(),
+                    body: body.into(),
+                };
+                self.send(
+                    Dest::Peer(peer),
+                    "POST",
+                    peer::PATH.into(),
+                    peer::encode(&ask),
+                    timeout,
+                    what,
+                );
             }
-            None => self.send(Dest::Worker(addr), "POST", "/commands".into(), body, timeout, what),
+            None => self.send(
+                Dest::Worker(addr),
+                "POST",
+                "/commands".into(),
+                body,
+                timeout,
+                what,
+            ),
         }
     }
 }
 
 /// The end of a command that has not left this host.
 pub(crate) fn not_sent() -> Response {
-    Response { status: NOT_SENT, body: Vec::new(), close: false, retry_after_s: None }
+    Response {
+        status: NOT_SENT,
+        body: Vec::new(),
+        close: false,
+        retry_after_s: None,
+    }
 }
 
 /// What a worker answered, where a peer tells it. A peer's own answer that is none is as good as silence.
 pub(crate) fn told(response: Option<Response>) -> Option<Response> {
-    let as_worker = |status, body| Response { status, body, close: false, retry_after_s: None };
+    let as_worker = |status, body| Response {
+        status,
+        body,
+        close: false,
+        retry_after_s: None,
+    };
     match peer_answer(response)? {
-        Answer::Told { status, body } if status != NOT_SENT => Some(as_worker(status, body.into_vec())),
+        Answer::Told { status, body } if status != NOT_SENT => {
+            Some(as_worker(status, body.into_vec()))
+        }
         Answer::Refused { status, .. } => Some(as_worker(status, Vec::new())),
         _ => None,
     }
--- a/crates/control/src/sched.rs
+++ b/crates/control/src/sched.rs
@@ -28,13 +28,20 @@
 
 impl From<Need> for plan::Res {
     fn from(n: Need) -> Self {
-        plan::Res { cores: n.cores, gpus: n.gpus, mem: n.mem_gb }
+        plan::Res {
+            cores: n.cores,
+            gpus: n.gpus,
+            mem: n.mem_gb,
+        }
     }
 }
 
 /// Names as dense indices, in the order of the settings.
 fn index<'a>(names: impl Iterator<Item = &'a String>) -> HashMap<&'a str, u16> {
-    names.enumerate().map(|(i, n)| (n.as_str(), i as u16)).collect()
+    names
+        .enumerate()
+        .map(|(i, n)| (n.as_str(), i as u16))
+        .collect()
 }
 
 /// The dense indices of this plan.
@@ -48,11 +55,17 @@
 }
 
 /// A job as the planner sees it, as far as its description says.
-fn shaped(spec: &JobSpec, images: &mut crate::part::Names, names: &Names<'_>, team: u16) -> plan::Job {
+fn shaped(
+    spec: &JobSpec,
+    images: &mut crate::part::Names,
+    names: &Names<'_>,
+    team: u16,
+) -> plan::Job {
     let types = match &spec.types {
-        Some(list) => {
-            list.iter().filter_map(|t| names.types.get(t.as_str())).fold(0, |bits, i| bits | 1 << i)
-        }
+        Some(list) => list
+            .iter()
+            .filter_map(|t| names.types.get(t.as_str()))
+            .fold(0, |bits, i| bits | 1 << i),
         None => (0..names.catalog.types.len()).fold(0, |bits, i| bits | 1 << i),
     };
     plan::Job {
@@ -66,9 +79,16 @@
         estimate: spec.estimate_s,
         tasks: spec.tasks,
         pending: spec.tasks,
-        need: plan::Res { cores: spec.cores, gpus: spec.gpus, mem: spec.mem_gb },
+        need: plan::Res {
+            cores: spec.cores,
+            gpus: spec.gpus,
+            mem: spec.mem_gb,
+        },
         types,
-        zone: spec.zone.as_ref().map(|z| names.zones.get(z.as_str()).copied().unwrap_or(u16::MAX)),
+        zone: spec
+            .zone
+            .as_ref()
+            .map(|z| names.zones.get(z.as_str()).copied().unwrap_or(u16::MAX)),
         one_zone: spec.one_zone,
         spread: spec.spread,
         spot: spec.spot,
@@ -100,29 +120,51 @@
     for (class, seen) in &part.classes {
         let Some(spec) = &seen.like else { continue };
         let own = wait_aims(aims, class).map(|within| (within, tuning.spare));
-        let Some(team) = names.teams.get(spec.team.as_str()) else { continue };
+        let Some(team) = names.teams.get(spec.team.as_str()) else {
+            continue;
+        };
         let like = shaped(spec, &mut part.images, names, *team);
         let lead = |t: &MachineType| t.boot_s + spec.image_gb / t.fetch_gb_per_s.max(0.01);
-        let fitting = names.catalog.types.iter().enumerate().filter(|(i, _)| like.types >> i & 1 == 1);
-        let Some(lead) = fitting.map(|(_, t)| lead(t)).reduce(f64::min) else { continue };
+        let fitting = names
+            .catalog
+            .types
+            .iter()
+            .enumerate()
+            .filter(|(i, _)| like.types >> i & 1 == 1);
+        let Some(lead) = fitting.map(|(_, t)| lead(t)).reduce(f64::min) else {
+            continue;
+        };
         // What is of low urgency waits for a machine to boot. A gang that lacks one place has none, while an array
         // starts with what there is. Who may wait for a while needs room only for what comes in the rest of the time.
         let may_hold = spec.priority > Priority::Low && !names.unheld.contains(team);
-        let promised = guaranteed.filter(|_| may_hold).map(|within| match spec.kind {
-            Kind::Gang => (within, tuning.spare),
-            _ => (within, tuning.spare_guaranteed * (1.0 - within / lead).max(0.0).sqrt()),
-        });
+        let promised = guaranteed
+            .filter(|_| may_hold)
+            .map(|within| match spec.kind {
+                Kind::Gang => (within, tuning.spare),
+                _ => (
+                    within,
+                    tuning.spare_guaranteed * (1.0 - within / lead).max(0.0).sqrt(),
+                ),
+            });
         // A class may have a patient aim of its own and yet do work that is guaranteed to start soon.
         let hasty = own.chain(promised).filter(|(within, _)| *within < lead);
-        let Some(share) = hasty.map(|(_, share)| share).reduce(f64::max) else { continue };
+        let Some(share) = hasty.map(|(_, share)| share).reduce(f64::max) else {
+            continue;
+        };
         // Machines that end their work make room for as many jobs as come; what is kept is for the difference
         // between the two, which has the deviation of the arrivals in the time that a new machine takes.
         let deviation = (seen.rate(wall) * lead * seen.tasks_squared.clamp(1.0, 40_000.0)).sqrt();
         let count = (deviation * share).round() as u32;
         let images = seen.images.iter();
-        let images = images.map(|(name, gb, share)| (part.images.get(name), *gb, *share)).collect();
+        let images = images
+            .map(|(name, gb, share)| (part.images.get(name), *gb, *share))
+            .collect();
         if count > 0 {
-            out.push(plan::Spare { like, count, images });
+            out.push(plan::Spare {
+                like,
+                count,
+                images,
+            });
         }
     }
     out.sort_by_key(|s| (std::cmp::Reverse(s.like.priority), s.like.image));
@@ -135,18 +177,27 @@
         return f64::INFINITY;
     }
     let age = wall.saturating_sub(machine.hired_ms) as f64 / 1000.0;
-    if age < boot_s { boot_s - age + 1.0 } else { (age - boot_s) * 0.5 + 5.0 }
+    if age < boot_s {
+        boot_s - age + 1.0
+    } else {
+        (age - boot_s) * 0.5 + 5.0
+    }
 }
 
 /// How soon jobs of a class are expected to start, by each aim for it.
 fn wait_aims<'a>(aims: &'a [Objective], class: &'a str) -> impl Iterator<Item = f64> + 'a {
-    let own = aims.iter().filter(move |a| a.kind == "wait" && a.class.as_deref() == Some(class));
+    let own = aims
+        .iter()
+        .filter(move |a| a.kind == "wait" && a.class.as_deref() == Some(class));
     own.filter_map(|a| a.within_s)
 }
 
 /// How soon work within a guarantee is expected to start.
 fn guarantee_aim(aims: &[Objective]) -> Option<f64> {
-    aims.iter().filter(|a| a.kind == "guarantee").filter_map(|a| a.within_s).reduce(f64::min)
+    aims.iter()
+        .filter(|a| a.kind == "guarantee")
+        .filter_map(|a| a.within_s)
+        .reduce(f64::min)
 }
 
 /// What users were told to expect.
@@ -159,7 +210,9 @@
     /// it is due by the tree has the earliest of those alike.
     fn with_deadline(&self, job: plan::Job, spec: &JobSpec, holds: &Holds, ix: JobIx) -> plan::Job {
         let share = holds.fulfilled.get(&job.team).copied().unwrap_or(1.0);
-        let promise = guarantee_aim(self.all).filter(|_| job.held > 0).map(|within| within * share);
+        let promise = guarantee_aim(self.all)
+            .filter(|_| job.held > 0)
+            .map(|within| within * share);
         let told = match spec.kind {
             Kind::Gang => told(self.all, &spec.class, promise, -job.arrival),
             // An array starts task by task: what is left of it is no less promised for being late.
@@ -173,7 +226,11 @@
         } else {
             promise.is_some_and(|within| within + job.arrival > 0.0)
         };
-        plan::Job { due: due.map(|d| d + job.arrival), promised, ..job }
+        plan::Job {
+            due: due.map(|d| d + job.arrival),
+            promised,
+            ..job
+        }
     }
 }
 
@@ -181,7 +238,9 @@
 fn zones_taken(job: &Job, zone_of: &[Option<u16>]) -> Vec<(u16, u32)> {
     let mut out: Vec<(u16, u32)> = Vec::new();
     for (m, _) in job.claimed.values().flatten() {
-        let Some(Some(z)) = zone_of.get(*m) else { continue };
+        let Some(Some(z)) = zone_of.get(*m) else {
+            continue;
+        };
         match out.iter_mut().find(|(id, _)| id == z) {
             Some((_, n)) => *n += 1,
             None => out.push((*z, 1)),
@@ -193,7 +252,9 @@
 /// Whether the `nth` claim of a job is not stopped for urgency alone: of an old array a first share until some of it is
 /// done, of one that has waited as long as any may all.
 fn is_spared(job: &Job, nth: u32, waits: &plan::Waits, wall: u64) -> bool {
-    let Some(spec) = job.spec.as_deref().filter(|s| s.kind == Kind::Array) else { return false };
+    let Some(spec) = job.spec.as_deref().filter(|s| s.kind == Kind::Array) else {
+        return false;
+    };
     let age = wall.saturating_sub(job.at_ms) as f64 / 1000.0;
     let first = job.done_count == 0 && nth < plan::first_share(plan::Shape::Array, spec.tasks);
     age >= waits.latest || first && age >= waits.old
@@ -201,12 +262,19 @@
 
 /// How soon after its arrival a job that has waited for `age` should start: the first aim that can still be kept.
 fn told(aims: &[Objective], class: &str, guarantee: Option<f64>, age: f64) -> Option<f64> {
-    wait_aims(aims, class).chain(guarantee).filter(|within| *within > age).reduce(f64::min)
+    wait_aims(aims, class)
+        .chain(guarantee)
+        .filter(|within| *within > age)
+        .reduce(f64::min)
 }
 
 /// The time that a stopped task is given to save, if it can.
 pub(crate) fn grace(spec: &JobSpec) -> f64 {
-    if spec.checkpoint_s > 0.0 { spec.save_s * 1.2 + 1.0 } else { 0.0 }
+    if spec.checkpoint_s > 0.0 {
+        spec.save_s * 1.2 + 1.0
+    } else {
+        0.0
+    }
 }
 
 impl Node {
@@ -218,14 +286,17 @@
         let every = self.tuning.every_ms as u64;
         let settle = (self.settings.cluster.workers.report_s * 1000.0) as u64;
         let Some(part) = &mut self.part else { return };
-        let due = (part.plan_due && now >= part.planned_at + every) || now >= part.planned_at + 2 * every;
+        let due =
+            (part.plan_due && now >= part.planned_at + every) || now >= part.planned_at + 2 * every;
         if !due {
             return;
         }
         part.plan_due = false;
         part.planned_at = now;
         let since = part.since;
-        let Some(catalog) = self.shared.catalog.clone() else { return };
+        let Some(catalog) = self.shared.catalog.clone() else {
+            return;
+        };
         let (input, map) = self.plan_input(&catalog);
         let output = plan::plan(&input);
         self.stats.plans += 1;
@@ -234,7 +305,12 @@
             "plan: {} jobs, {} machines with {:.0} of {:.0} GPUs free, stretch {:.2}, {} starts, {} waiting, {} steps",
             input.jobs.len(),
             input.machines.len(),
-            input.machines.iter().filter(|m| m.usable).map(|m| m.free().gpus).sum::<f64>(),
+            input
+                .machines
+                .iter()
+                .filter(|m| m.usable)
+                .map(|m| m.free().gpus)
+                .sum::<f64>(),
             input.machines.iter().map(|m| m.total.gpus).sum::<f64>(),
             output.stretch,
             output.starts.len(),
@@ -245,7 +321,9 @@
         let mut attempts: HashMap<u32, u64> = HashMap::new();
         for start in &output.starts {
             let Some(part) = &mut self.part else { return };
-            let attempt = *attempts.entry(start.job).or_insert_with(|| part.next_attempt());
+            let attempt = *attempts
+                .entry(start.job)
+                .or_insert_with(|| part.next_attempt());
             self.start(
                 map.jobs[start.job as usize],
                 map.machines[start.machine as usize],
@@ -268,7 +346,11 @@
         }
         if now >= since + 2 * settle {
             self.hire_for(&input, &output, &catalog);
-            let mut kept: Vec<usize> = output.kept.iter().map(|m| map.machines[*m as usize]).collect();
+            let mut kept: Vec<usize> = output
+                .kept
+                .iter()
+                .map(|m| map.machines[*m as usize])
+                .collect();
             kept.extend(self.kept_for_models());
             self.return_idle(&kept);
         }
@@ -279,15 +361,26 @@
     fn plan_teams(&self, tree: Option<&quota::Tree>) -> Vec<plan::Team> {
         let version = self.shared.documents.quota.version();
         let recorded = |p: &&Part| p.allot_version > 0 && p.allot_wanted.is_none();
-        let allot = self.part.as_ref().filter(recorded).and_then(|p| p.allot.as_ref());
+        let allot = self
+            .part
+            .as_ref()
+            .filter(recorded)
+            .and_then(|p| p.allot.as_ref());
         let allot = allot.filter(|a| Some(a.tree) == version);
-        let listed: HashMap<&str, &AllotedTeam> =
-            allot.iter().flat_map(|a| &a.teams).map(|t| (t.name.as_str(), t)).collect();
+        let listed: HashMap<&str, &AllotedTeam> = allot
+            .iter()
+            .flat_map(|a| &a.teams)
+            .map(|t| (t.name.as_str(), t))
+            .collect();
         let whole = allot.is_some_and(|a| a.whole.is_some());
         let max = |m: f64| if m == 0.0 { f64::INFINITY } else { m.max(0.0) };
         let team = |t: &Team| {
-            let path = tree.and_then(|tree| Some(tree.path(tree.team(&t.name)?))).unwrap_or_default();
-            let limits = listed.get(t.name.as_str()).map(|a| (a.cpus_max, a.gpus_max));
+            let path = tree
+                .and_then(|tree| Some(tree.path(tree.team(&t.name)?)))
+                .unwrap_or_default();
+            let limits = listed
+                .get(t.name.as_str())
+                .map(|a| (a.cpus_max, a.gpus_max));
             let limits = limits.or(whole.then_some((t.cpus_max, t.gpus_max)));
             let (cpus_max, gpus_max) = limits.unwrap_or((-1.0, -1.0));
             plan::Team {
@@ -311,23 +404,49 @@
         let mut input = plan::Input {
             online_factor: self.tuning.online_factor,
             patience: self.tuning.patience_s,
-            waits: plan::Waits { old: self.tuning.wait_s, latest: self.tuning.latest_s },
+            waits: plan::Waits {
+                old: self.tuning.wait_s,
+                latest: self.tuning.latest_s,
+            },
             max_steps: (self.settings.limits().cores * STEPS_A_CORE) as u64,
             ..plan::Input::default()
         };
-        let mut map = Map { machines: Vec::new(), jobs: Vec::new(), claims: Vec::new() };
+        let mut map = Map {
+            machines: Vec::new(),
+            jobs: Vec::new(),
+            claims: Vec::new(),
+        };
         let good = self.shared.documents.quota.good.clone();
-        let tree = good.as_ref().map(|g| g.built.clone()).filter(|tree| !tree.nodes.is_empty());
+        let tree = good
+            .as_ref()
+            .map(|g| g.built.clone())
+            .filter(|tree| !tree.nodes.is_empty());
         input.teams = self.plan_teams(tree.as_deref());
-        let Some(part) = &mut self.part else { return (input, map) };
-        let aims = Aims { all: &self.settings.cluster.objectives };
+        let Some(part) = &mut self.part else {
+            return (input, map);
+        };
+        let aims = Aims {
+            all: &self.settings.cluster.objectives,
+        };
         let holds = standing::holds(part, &self.settings.cluster.teams, good.as_ref(), &teams);
-        let unheld: HashSet<u16> = tree.iter().flat_map(|tree| standing::unheld(tree, &teams)).collect();
-        let names = Names { catalog, types: &types, zones: &zones, teams: &teams, unheld: &unheld };
+        let unheld: HashSet<u16> = tree
+            .iter()
+            .flat_map(|tree| standing::unheld(tree, &teams))
+            .collect();
+        let names = Names {
+            catalog,
+            types: &types,
+            zones: &zones,
+            teams: &teams,
+            unheld: &unheld,
+        };
         if let (Some(tree), Some((_, counted))) = (&tree, &part.counted) {
             input.groups = standing::groups(tree, &counted.live);
         }
-        part.jobs.iter_mut().flatten().for_each(|j| j.began |= j.running > 0);
+        part.jobs
+            .iter_mut()
+            .flatten()
+            .for_each(|j| j.began |= j.running > 0);
         // Claims of each job that stay: they count as held before what waits.
         let mut staying: HashMap<JobIx, u32> = HashMap::new();
         let mut to_plan: HashMap<usize, u32> = HashMap::new();
@@ -342,14 +461,20 @@
                     input.teams[*t as usize].gpus_used += job.need.gpus;
                 }
             }
-            let Some(kind) = types.get(machine.machine_type.as_str()) else { continue };
+            let Some(kind) = types.get(machine.machine_type.as_str()) else {
+                continue;
+            };
             let t = &catalog.types[*kind as usize];
-            let Some(zone) = zones.get(machine.zone.as_str()) else { continue };
+            let Some(zone) = zones.get(machine.zone.as_str()) else {
+                continue;
+            };
             let mut running = Vec::new();
             let mut claims = Vec::new();
             let mut images: Vec<u32> = machine.images.iter().map(|(i, _)| *i).collect();
             for (k, c) in machine.claims.iter().enumerate() {
-                let Some(job) = part.jobs.get(c.job).and_then(Option::as_ref) else { continue };
+                let Some(job) = part.jobs.get(c.job).and_then(Option::as_ref) else {
+                    continue;
+                };
                 // What is on its way out holds no place any more.
                 let (mut held, mut spared) = (0, false);
                 if c.stop.is_none() {
@@ -358,7 +483,9 @@
                     spared = is_spared(job, *nth, &input.waits, now.wall);
                     *nth += 1;
                 }
-                let ran = c.running_since.map_or(0.0, |t| now.mono.saturating_sub(t) as f64 / 1000.0);
+                let ran = c
+                    .running_since
+                    .map_or(0.0, |t| now.mono.saturating_sub(t) as f64 / 1000.0);
                 let mut expected = 60.0;
                 let mut saves = 0.0;
                 if let Some(spec) = &job.spec {
@@ -371,13 +498,19 @@
                     }
                 }
                 // A task that is overdue is expected to run for a while yet.
-                let rest = if ran < expected { expected - ran } else { (ran - expected) * 0.5 + 5.0 };
+                let rest = if ran < expected {
+                    expected - ran
+                } else {
+                    (ran - expected) * 0.5 + 5.0
+                };
                 running.push(plan::Running {
                     need: job.need.into(),
                     ends: if c.stop.is_some() { 1.0 } else { rest },
                     priority: job.priority() as u8,
                     lost: if saves > 0.0 { ran.min(2.0) } else { ran },
-                    stoppable: c.stop.is_none() && job.kind() != Kind::Gang && job.kind() != Kind::Service,
+                    stoppable: c.stop.is_none()
+                        && job.kind() != Kind::Gang
+                        && job.kind() != Kind::Service,
                     leaving: c.stop.is_some(),
                     team: teams.get(job.team.as_str()).copied().unwrap_or(u16::MAX),
                     held,
@@ -396,7 +529,11 @@
                 spot: machine.spot,
                 usable: machine.usable(now.mono) && !machine.is_mute(now.mono, silent),
                 ready: ready_in(machine, t.boot_s, now.wall),
-                total: plan::Res { cores: t.cores, gpus: t.gpus, mem: t.mem_gb },
+                total: plan::Res {
+                    cores: t.cores,
+                    gpus: t.gpus,
+                    mem: t.mem_gb,
+                },
                 slots: (value_room as u32).saturating_sub(running.len() as u32),
                 running,
                 images,
@@ -419,7 +556,9 @@
             if spec.kind == Kind::Gang && !job.claimed.is_empty() {
                 pending = 0;
             }
-            let Some(team) = teams.get(spec.team.as_str()) else { continue };
+            let Some(team) = teams.get(spec.team.as_str()) else {
+                continue;
+            };
             if pending == 0 {
                 continue;
             }
@@ -430,14 +569,27 @@
                 estimate: (spec.estimate_s * factor - job.progress_s).max(1.0),
                 zones: by_zone,
                 waits: job.waits(),
-                avoid: job.failed_on.iter().filter_map(|m| to_plan.get(m).copied()).collect(),
+                avoid: job
+                    .failed_on
+                    .iter()
+                    .filter_map(|m| to_plan.get(m).copied())
+                    .collect(),
                 tenant: job.tenant,
                 only: crate::tally::zones(job, &zones),
                 ..shaped(spec, &mut part.images, &names, *team)
             };
             let claimed = staying.get(&ix).copied().unwrap_or(0);
-            for (k, (held, pending)) in holds.waiting(ix, spec, claimed, pending).into_iter().enumerate() {
-                let planned = plan::Job { pending, held, waits: like.waits && k == 0, ..like.clone() };
+            for (k, (held, pending)) in holds
+                .waiting(ix, spec, claimed, pending)
+                .into_iter()
+                .enumerate()
+            {
+                let planned = plan::Job {
+                    pending,
+                    held,
+                    waits: like.waits && k == 0,
+                    ..like.clone()
+                };
                 map.jobs.push(ix);
                 let planned = aims.with_deadline(planned, spec, &holds, ix);
                 input.jobs.push(match &job.hour {
@@ -446,7 +598,13 @@
                 });
             }
         }
-        input.spares = spares(part, &self.settings.cluster.objectives, &names, &self.tuning, now.wall);
+        input.spares = spares(
+            part,
+            &self.settings.cluster.objectives,
+            &names,
+            &self.tuning,
+            now.wall,
+        );
         (input, map)
     }
 
@@ -455,11 +613,22 @@
     fn start(&mut self, ix: JobIx, m: usize, count: u32, attempt: u64) {
         let Some(part) = &mut self.part else { return };
         for _ in 0..count {
-            let Some(task) = part.job_mut(ix).and_then(|j| j.next_task()) else { return };
+            let Some(task) = part.job_mut(ix).and_then(|j| j.next_task()) else {
+                return;
+            };
             if let (Some(job), Some(machine)) = (part.job(ix), part.machine(m)) {
-                log::debug!("task {}/{task} attempt {attempt}: to {}", job.id, machine.name);
+                log::debug!(
+                    "task {}/{task} attempt {attempt}: to {}",
+                    job.id,
+                    machine.name
+                );
             }
-            let id = ClaimId { machine: m, job: ix, task, attempt };
+            let id = ClaimId {
+                machine: m,
+                job: ix,
+                task,
+                attempt,
+            };
             part.make_claim(id, Claim::new(ix, task, attempt));
             self.stats.starts += 1;
         }
@@ -471,10 +640,14 @@
 
     /// Stops a gang that runs beyond its team's guarantee, with the time to save.
     fn recall(&mut self, ix: JobIx) {
-        let Some(job) = self.part.as_ref().and_then(|p| p.job(ix)) else { return };
+        let Some(job) = self.part.as_ref().and_then(|p| p.job(ix)) else {
+            return;
+        };
         let Some(spec) = &job.spec else { return };
         let grace = grace(spec);
-        let Some(m) = job.claimed.values().flatten().map(|(m, _)| *m).next() else { return };
+        let Some(m) = job.claimed.values().flatten().map(|(m, _)| *m).next() else {
+            return;
+        };
         log::info!("job {}: stopped to give another team its guarantee", job.id);
         self.stats.preempts += u64::from(job.tasks);
         self.stop_here(ix, m, grace);
@@ -482,12 +655,20 @@
 
     fn preempt(&mut self, m: usize, k: usize) {
         let Some(part) = &mut self.part else { return };
-        let Some(machine) = part.machine(m) else { return };
-        let Some(claim) = machine.claims.get(k) else { return };
+        let Some(machine) = part.machine(m) else {
+            return;
+        };
+        let Some(claim) = machine.claims.get(k) else {
+            return;
+        };
         let (ix, task) = (claim.job, claim.task);
         let Some(job) = part.job(ix) else { return };
         let grace = job.spec.as_deref().map_or(0.0, grace);
-        log::info!("task {}/{task} on {}: stopped to make room", job.id, machine.name);
+        log::info!(
+            "task {}/{task} on {}: stopped to make room",
+            job.id,
+            machine.name
+        );
         if let Some(claim) = part.machine_mut(m).and_then(|x| x.claims.get_mut(k)) {
             claim.stop = Some(grace);
         }
@@ -509,13 +690,19 @@
         let mut names = Vec::new();
         for (i, t) in catalog.types.iter().enumerate() {
             for zone in &t.zones {
-                let Some(z) = zones.get(zone.as_str()) else { continue };
+                let Some(z) = zones.get(zone.as_str()) else {
+                    continue;
+                };
                 for spot in [true, false] {
                     let offer = plan::MachineOffer {
                         machine_type: i as u16,
                         zone: *z,
                         spot,
-                        total: plan::Res { cores: t.cores, gpus: t.gpus, mem: t.mem_gb },
+                        total: plan::Res {
+                            cores: t.cores,
+                            gpus: t.gpus,
+                            mem: t.mem_gb,
+                        },
                         price: if spot { t.spot_price } else { t.price },
                         boot: t.boot_s,
                         fetch_gb_per_s: t.fetch_gb_per_s,
@@ -526,14 +713,31 @@
             }
         }
         let mut coming: Vec<(plan::MachineOffer, u32)> = Vec::new();
-        for machine in part.machines.iter().flatten().filter(|m| !m.up && !m.deleting && !m.failed) {
-            let kind = (machine.machine_type.clone(), machine.zone.clone(), machine.spot);
+        for machine in part
+            .machines
+            .iter()
+            .flatten()
+            .filter(|m| !m.up && !m.deleting && !m.failed)
+        {
+            let kind = (
+                machine.machine_type.clone(),
+                machine.zone.clone(),
+                machine.spot,
+            );
             if let Some(i) = names.iter().position(|n| *n == kind) {
                 coming.push((offers[i].clone(), 1));
             }
         }
-        for hire in part.hires.values().filter(|h| h.state == HireState::Recorded) {
-            let kind = (hire.rec.machine_type.clone(), hire.rec.zone.clone(), hire.rec.spot);
+        for hire in part
+            .hires
+            .values()
+            .filter(|h| h.state == HireState::Recorded)
+        {
+            let kind = (
+                hire.rec.machine_type.clone(),
+                hire.rec.zone.clone(),
+                hire.rec.spot,
+            );
             if let Some(i) = names.iter().position(|n| *n == kind) {
                 coming.push((offers[i].clone(), hire.rec.count));
             }
@@ -544,15 +748,25 @@
             *load.entry(machine.zone.as_str()).or_default() += 1;
         }
         let mut order: Vec<usize> = (0..names.len())
-            .filter(|i| part.refused.get(&names[*i]).is_none_or(|(until, _)| *until <= now.mono))
+            .filter(|i| {
+                part.refused
+                    .get(&names[*i])
+                    .is_none_or(|(until, _)| *until <= now.mono)
+            })
             // A new machine in a zone that can't be heard is paid for nothing.
             .filter(|i| !part.cut_zones.contains(&names[*i].1))
             .collect();
         order.sort_by_key(|i| load.get(names[*i].1.as_str()).copied().unwrap_or(0));
         let open: Vec<plan::MachineOffer> = order.iter().map(|i| offers[*i].clone()).collect();
         let most = MOST_COMING;
-        let wishes =
-            plan::wishes(&plan::HireInput { input, output, offers: &open, coming: &coming, horizon, most });
+        let wishes = plan::wishes(&plan::HireInput {
+            input,
+            output,
+            offers: &open,
+            coming: &coming,
+            horizon,
+            most,
+        });
         for wish in wishes {
             let (machine_type, zone, spot) = names[order[wish.offer]].clone();
             // As many calls as half a second's budget allows; the rest is wished for again.
@@ -576,10 +790,17 @@
         let (jobs, job_ix) = (&part.jobs, &part.job_ix);
         // With the machine, a result that is recorded nowhere would be gone, were this owner to end too.
         let owes = |machine: &Machine| {
-            machine.exited.iter().filter(|e| e.cause == Some(Cause::Done)).any(|e| {
-                let job = job_ix.get(&e.job).and_then(|ix| jobs.get(*ix)).and_then(Option::as_ref);
-                job.is_some_and(|j| !j.recorded(e.task))
-            })
+            machine
+                .exited
+                .iter()
+                .filter(|e| e.cause == Some(Cause::Done))
+                .any(|e| {
+                    let job = job_ix
+                        .get(&e.job)
+                        .and_then(|ix| jobs.get(*ix))
+                        .and_then(Option::as_ref);
+                    job.is_some_and(|j| !j.recorded(e.task))
+                })
         };
         for (m, machine) in part.machines.iter_mut().enumerate() {
             let Some(machine) = machine else { continue };
@@ -610,8 +831,10 @@
             share: None,
         };
         let aims = [aim("c", 250.0), aim("c", 150.0), aim("other", 20.0)];
-        let seen: Vec<Option<f64>> =
-            [0.0, 10.0, 200.0, 300.0].iter().map(|age| told(&aims, "c", Some(10.0), *age)).collect();
+        let seen: Vec<Option<f64>> = [0.0, 10.0, 200.0, 300.0]
+            .iter()
+            .map(|age| told(&aims, "c", Some(10.0), *age))
+            .collect();
         assert_eq!(seen, [Some(10.0), Some(150.0), Some(250.0), None]);
     }
 }
--- a/crates/control/src/side.rs
+++ b/crates/control/src/side.rs
@@ -41,14 +41,21 @@
 
 impl Side {
     pub fn new() -> Self {
-        Side { writes: Bucket::new(0.0), shares: false, asked_at: 0 }
+        Side {
+            writes: Bucket::new(0.0),
+            shares: false,
+            asked_at: 0,
+        }
     }
 }
 
 #[derive(Debug, Clone)]
 pub enum Ask {
     /// All records below a prefix, a page at a time, after a key.
-    Page { under: String, after: Option<String> },
+    Page {
+        under: String,
+        after: Option<String>,
+    },
     /// Changes of some records, by the owner.
     Change { writes: Vec<Change> },
     /// A model is wanted: as good as demand at the operators' door.
@@ -90,7 +97,10 @@
 pub fn writes_at_once(settings: &Settings) -> usize {
     let state = &settings.cluster.state;
     // No more at once than a few seconds of the door's own share.
-    state.txn_ops.min((state.write_rps / 3.0) as usize).clamp(1, MOST_WRITES)
+    state
+        .txn_ops
+        .min((state.write_rps / 3.0) as usize)
+        .clamp(1, MOST_WRITES)
 }
 
 impl Node {
@@ -145,13 +155,20 @@
         if conn.is_some_and(|c| c >= CONNS) {
             return self.requests.level(now) >= 1.0 + self.requests.part(LEFT) && self.spare(1.0);
         }
-        let before = if self.owns() { self.accepting() + self.writes.part(KEPT) } else { 0.0 };
+        let before = if self.owns() {
+            self.accepting() + self.writes.part(KEPT)
+        } else {
+            0.0
+        };
         self.requests.level(now) >= 1.0 && self.writes.level(now) >= 1.0 + before
     }
 
     /// Acceptances on their way. The owner counts what its watch has seen, so these are not counted yet.
     fn accepting(&self) -> f64 {
-        self.pending.values().filter(|p| matches!(p, Pending::Accept { .. })).count() as f64
+        self.pending
+            .values()
+            .filter(|p| matches!(p, Pending::Accept { .. }))
+            .count() as f64
     }
 
     pub(crate) fn side_asked(&mut self, tag: u64, ask: Ask) {
@@ -159,7 +176,9 @@
         let refused = match &ask {
             Ask::Page { under, .. } => !own(under),
             Ask::Change { writes } => {
-                writes.is_empty() || writes.len() > MOST_WRITES || writes.iter().any(|w| !own(&w.key))
+                writes.is_empty()
+                    || writes.len() > MOST_WRITES
+                    || writes.iter().any(|w| !own(&w.key))
             }
             Ask::Demand { .. } => false,
         };
@@ -176,7 +195,14 @@
                 if let Some(after) = after {
                     path.push_str(&format!("&from={after}"));
                 }
-                self.send(Dest::State, "GET", path, Vec::new(), 2 * TIMEOUT_MS, Pending::Side { tag });
+                self.send(
+                    Dest::State,
+                    "GET",
+                    path,
+                    Vec::new(),
+                    2 * TIMEOUT_MS,
+                    Pending::Side { tag },
+                );
             }
             Ask::Change { writes } => self.side_change(tag, writes),
             Ask::Demand { model } => self.demand(&model, Waiter::Side(tag)),
@@ -184,29 +210,59 @@
     }
 
     fn side_change(&mut self, tag: u64, writes: Vec<Change>) {
-        let owner = self.part.as_ref().map(|p| p.owner_version).filter(|_| self.decides());
+        let owner = self
+            .part
+            .as_ref()
+            .map(|p| p.owner_version)
+            .filter(|_| self.decides());
         let Some(owner) = owner.filter(|_| self.spare(writes.len() as f64)) else {
             return self.side_over(tag, Answer::Busy);
         };
-        let mut txn = Txn { guards: Vec::new(), writes: Vec::new() };
-        txn.guards.push(Guard { key: records::owner_key(PART), version: owner });
-        for Change { key, version, value } in writes {
-            txn.guards.extend(version.map(|version| Guard { key: key.clone(), version }));
+        let mut txn = Txn {
+            guards: Vec::new(),
+            writes: Vec::new(),
+        };
+        txn.guards.push(Guard {
+            key: records::owner_key(PART),
+            version: owner,
+        });
+        for Change {
+            key,
+            version,
+            value,
+        } in writes
+        {
+            txn.guards.extend(version.map(|version| Guard {
+                key: key.clone(),
+                version,
+            }));
             txn.writes.push(match value {
                 Some(value) => Write::put(key, Record::Other(value)),
                 None => Write::Remove { key },
             });
         }
         let body = wire::encode(&txn);
-        self.send(Dest::State, "POST", "/txn".into(), body, TIMEOUT_MS, Pending::Side { tag });
+        self.send(
+            Dest::State,
+            "POST",
+            "/txn".into(),
+            body,
+            TIMEOUT_MS,
+            Pending::Side { tag },
+        );
     }
 
     pub(crate) fn side_answered(&mut self, tag: u64, response: Option<Response>) {
         let answer = match response {
             Some(r) if r.status == 200 => {
-                let changed = |r: Revision| Answer::Changed { revision: r.revision };
+                let changed = |r: Revision| Answer::Changed {
+                    revision: r.revision,
+                };
                 match wire::decode::<Range<Value>>(&r.body) {
-                    Ok(page) => Answer::Page { items: page.items, more: page.more },
+                    Ok(page) => Answer::Page {
+                        items: page.items,
+                        more: page.more,
+                    },
                     Err(_) => wire::decode(&r.body).map_or(Answer::Unknown, changed),
                 }
             }
@@ -224,7 +280,10 @@
 
     /// The term in which this node is sure that it owns the fleet; rises with each take-over, of any node.
     pub fn term(&self) -> Option<u64> {
-        self.part.as_ref().filter(|_| self.decides()).map(|p| p.token)
+        self.part
+            .as_ref()
+            .filter(|_| self.decides())
+            .map(|p| p.token)
     }
 
     /// Which peer owns the fleet, as far as this node knows; `None` if nobody does, or this node itself.
@@ -242,7 +301,12 @@
 
     /// The quota tree that this node acts on, if there is one.
     pub fn quota_tree(&self) -> Option<Arc<quota::Tree>> {
-        self.shared.documents.quota.good.as_ref().map(|g| g.built.clone())
+        self.shared
+            .documents
+            .quota
+            .good
+            .as_ref()
+            .map(|g| g.built.clone())
     }
 
     /// How many machines the fleet has.
@@ -287,7 +351,10 @@
     fn the_owner_s_users_leave_room_for_claims() {
         let text = include_str!("../../../deploy/settings-example.json");
         let settings = serde_json::from_str(text).expect("the example is accepted");
-        let now = Now { mono: 1_000_000, wall: 1_000_000 };
+        let now = Now {
+            mono: 1_000_000,
+            wall: 1_000_000,
+        };
         let mut node = Node::new(settings, Tuning::default(), 1, now);
         node.part = Some(Part::new(7, 1, 0, 8.0));
         node.set_writes(30.0);
@@ -300,8 +367,17 @@
         let mut accepted = 0;
         while accepted < 100 && node.has_room_for(Some(1)) {
             let (asker, spec) = (Asker::User(1), Box::new(spec.clone()));
-            let submission = crate::door::Submission { asker, spec, at: now.mono, tries: 0 };
-            let what = Pending::Accept { submission, denied: None, mark: 0 };
+            let submission = crate::door::Submission {
+                asker,
+                spec,
+                at: now.mono,
+                tries: 0,
+            };
+            let what = Pending::Accept {
+                submission,
+                denied: None,
+                mark: 0,
+            };
             node.send(Dest::State, "POST", "/txn".into(), Vec::new(), 700, what);
             accepted += 1;
         }
--- a/crates/control/src/tally.rs
+++ b/crates/control/src/tally.rs
@@ -60,39 +60,60 @@
 
 /// What a job's claims say of its county, for those who find them after its end.
 pub(crate) fn claims_county(job: &Job) -> Option<String> {
-    job.county.as_ref().map(|c| c.county.clone()).filter(|c| c != OTHER)
+    job.county
+        .as_ref()
+        .map(|c| c.county.clone())
+        .filter(|c| c != OTHER)
 }
 
 /// The county of a job that only has claims left.
 pub(crate) fn claimed(county: &Option<String>, alone: bool) -> Option<CountyRec> {
-    county.as_ref().map(|c| CountyRec { county: c.clone(), version: 0, alone, zones: Vec::new() })
+    county.as_ref().map(|c| CountyRec {
+        county: c.clone(),
+        version: 0,
+        alone,
+        zones: Vec::new(),
+    })
 }
 
 /// Bounds what a job's county adds to its claims' length.
 pub(crate) fn frame(job: &Job) -> usize {
-    job.county.as_ref().map_or(0, |c| ClaimsRec::county(&c.county))
+    job.county
+        .as_ref()
+        .map_or(0, |c| ClaimsRec::county(&c.county))
 }
 
 /// The same of counts.
 pub(crate) fn length(deltas: &[Delta]) -> usize {
-    deltas.iter().map(|d| Delta::frame(&d.county, &d.class)).sum()
+    deltas
+        .iter()
+        .map(|d| Delta::frame(&d.county, &d.class))
+        .sum()
 }
 
 /// The only zones for a job, as the planner's indices; one that does not exist where none of them does any more.
 pub(crate) fn zones(job: &Job, index: &HashMap<&str, u16>) -> Vec<u16> {
     let names = job.county.iter().flat_map(|c| &c.zones);
-    names.map(|z| index.get(z.as_str()).copied().unwrap_or(u16::MAX)).collect()
+    names
+        .map(|z| index.get(z.as_str()).copied().unwrap_or(u16::MAX))
+        .collect()
 }
 
 impl Counts {
     pub fn new(value: usize) -> Self {
-        Counts { deltas: Vec::new(), most: value / 2 }
+        Counts {
+            deltas: Vec::new(),
+            most: value / 2,
+        }
     }
 
     /// Counts a job's end, if it has a county.
     pub fn add(&mut self, part: &mut Part, ix: JobIx, stage: Stage) -> Option<CountedRec> {
         let job = part.jobs.get(ix)?.as_ref()?;
-        let (county, class) = (job.county.as_ref()?.county.clone(), job.spec.as_ref()?.class.clone());
+        let (county, class) = (
+            job.county.as_ref()?.county.clone(),
+            job.spec.as_ref()?.class.clone(),
+        );
         let cancelled = stage == Stage::Cancelled;
         let count = Count {
             done: u64::from(!cancelled),
@@ -101,7 +122,10 @@
         };
         let cell = part.tally.counts.cell(&county, &class);
         Delta::add_to(&mut self.deltas, &cell, &count);
-        Some(CountedRec { county: cell.county, class: cell.class })
+        Some(CountedRec {
+            county: cell.county,
+            class: cell.class,
+        })
     }
 
     pub fn take(&mut self) -> Vec<Delta> {
@@ -137,7 +161,9 @@
 
     /// Whose work a job is, for the planner; numbers hold for this term.
     pub fn tenant(&mut self, county: Option<&CountyRec>) -> plan::Tenant {
-        let Some(c) = county else { return plan::Tenant::default() };
+        let Some(c) = county else {
+            return plan::Tenant::default();
+        };
         self.in_use = true;
         if c.county == OTHER {
             return plan::Tenant::default();
@@ -147,7 +173,10 @@
             Some(n) => *n,
             None => *self.tenants.entry(c.county.clone()).or_insert(next),
         };
-        plan::Tenant { county: number, alone: c.alone }
+        plan::Tenant {
+            county: number,
+            alone: c.alone,
+        }
     }
 
     /// Writes that are kept free of ends for the log record that counts them.
@@ -197,14 +226,24 @@
         if !part.tally.is_due(now) {
             return;
         }
-        let most = if part.tally.is_behind() { FOLD_BEHIND } else { FOLD_SHEETS };
-        let Some(fold) = part.tally.counts.fold(most) else { return };
+        let most = if part.tally.is_behind() {
+            FOLD_BEHIND
+        } else {
+            FOLD_SHEETS
+        };
+        let Some(fold) = part.tally.counts.fold(most) else {
+            return;
+        };
         let mut puts = Vec::new();
         for (number, stamp, sheet) in fold.puts {
             if !room(self) {
                 break;
             }
-            self.put(records::tally_key(PART, number), stamp, Record::Tally(sheet.clone()));
+            self.put(
+                records::tally_key(PART, number),
+                stamp,
+                Record::Tally(sheet.clone()),
+            );
             puts.push((number, stamp, sheet));
         }
         if !puts.is_empty() {
@@ -234,19 +273,31 @@
             return;
         }
         part.tally.counts.begin_reading();
-        part.tally.reading = Some(Reading { after: None, all_good: true });
+        part.tally.reading = Some(Reading {
+            after: None,
+            all_good: true,
+        });
         self.read_sheets();
     }
 
     fn read_sheets(&mut self) {
         let epoch = self.epoch;
-        let Some(reading) = self.part.as_ref().and_then(|p| p.tally.reading.as_ref()) else { return };
+        let Some(reading) = self.part.as_ref().and_then(|p| p.tally.reading.as_ref()) else {
+            return;
+        };
         // An answer may be 8 MiB.
         let mut path = format!("/keys?under={}&limit=200", records::tally_prefix(PART));
         if let Some(after) = &reading.after {
             path.push_str(&format!("&from={after}"));
         }
-        self.send(Dest::State, "GET", path, Vec::new(), 3000, Pending::Sheets { epoch });
+        self.send(
+            Dest::State,
+            "GET",
+            path,
+            Vec::new(),
+            3000,
+            Pending::Sheets { epoch },
+        );
     }
 
     pub(crate) fn sheets_came(&mut self, response: Option<Response>) {
@@ -260,11 +311,18 @@
             tally.read_at = now + RETRY_MS;
             return;
         };
-        let Some(reading) = &mut tally.reading else { return };
+        let Some(reading) = &mut tally.reading else {
+            return;
+        };
         let prefix = records::tally_prefix(PART);
         reading.after = page.items.last().map(|i| i.key.clone());
         let more = page.more && !page.items.is_empty();
-        for Item { key, value, version } in page.items {
+        for Item {
+            key,
+            value,
+            version,
+        } in page.items
+        {
             let number = key.strip_prefix(&prefix).and_then(|n| n.parse().ok());
             match (number, serde_json::from_value::<Sheet>(value)) {
                 (Some(number), Ok(sheet)) => tally.counts.sheet_read(number, version, sheet),
@@ -310,7 +368,11 @@
     /// accepted after it does not yet.
     pub fn counts(&mut self) -> Result<(u64, BTreeMap<Cell, Row>), Held> {
         // What is under way may have been recorded already, after all that is known to stand.
-        let known = if self.commit.is_out() { self.ends_known() } else { u64::MAX };
+        let known = if self.commit.is_out() {
+            self.ends_known()
+        } else {
+            u64::MAX
+        };
         let at = self.live_revision.min(known);
         let ended = self.tally.ended().map_err(Held::Unread)?;
         if self.tally.forgotten > at {
@@ -319,8 +381,10 @@
         while self.tally.recent.front().is_some_and(|(r, _)| *r <= at) {
             self.tally.recent.pop_front();
         }
-        let mut rows: BTreeMap<Cell, Row> =
-            ended.into_iter().map(|(cell, ended)| (cell, Row { live: 0, ended })).collect();
+        let mut rows: BTreeMap<Cell, Row> = ended
+            .into_iter()
+            .map(|(cell, ended)| (cell, Row { live: 0, ended }))
+            .collect();
         for d in self.tally.recent.iter().flat_map(|(_, deltas)| deltas) {
             let row = rows.entry(d.cell()).or_default();
             row.live += d.done + d.cancelled;
@@ -330,11 +394,15 @@
         }
         let counts = &mut self.tally.counts;
         for job in self.jobs.iter().flatten().filter(|j| !j.is_over()) {
-            let (Some(county), Some(spec)) = (&job.county, &job.spec) else { continue };
+            let (Some(county), Some(spec)) = (&job.county, &job.spec) else {
+                continue;
+            };
             if job.version > at {
                 continue;
             }
-            rows.entry(counts.cell(&county.county, &spec.class)).or_default().live += 1;
+            rows.entry(counts.cell(&county.county, &spec.class))
+                .or_default()
+                .live += 1;
         }
         Ok((at, rows))
     }
--- a/crates/control/src/told.rs
+++ b/crates/control/src/told.rs
@@ -14,12 +14,21 @@
 
 impl Finals {
     pub fn new(cap: usize) -> Self {
-        Finals { known: HashMap::new(), order: VecDeque::new(), cap }
+        Finals {
+            known: HashMap::new(),
+            order: VecDeque::new(),
+            cap,
+        }
     }
 
     pub fn get(&self, job: &str) -> Option<JobState> {
         let (stage, done) = self.known.get(job).copied()?;
-        Some(JobState { id: job.to_owned(), stage, done, running: 0 })
+        Some(JobState {
+            id: job.to_owned(),
+            stage,
+            done,
+            running: 0,
+        })
     }
 
     /// The first word stands.
--- a/crates/control/src/views.rs
+++ b/crates/control/src/views.rs
@@ -36,7 +36,14 @@
         let body = peer::encode(&Ask::View(self.view()));
         for peer in 0..peers {
             let what = Pending::View { sent: now, peer };
-            self.send(Dest::Peer(peer), "POST", peer::PATH.into(), body.clone(), EVERY_MS, what);
+            self.send(
+                Dest::Peer(peer),
+                "POST",
+                peer::PATH.into(),
+                body.clone(),
+                EVERY_MS,
+                what,
+            );
         }
     }
 
@@ -47,7 +54,11 @@
             state_ms: self.state_good_at.map(|at| now.saturating_sub(at)),
             // Until the counter has been read, nothing is known of what this node was before it began.
             token: (self.shared.revision > 0).then(|| self.highest_token()),
-            owns: self.part.as_ref().filter(|_| self.decides()).map(|p| p.token),
+            owns: self
+                .part
+                .as_ref()
+                .filter(|_| self.decides())
+                .map(|p| p.token),
             deaf: self.part.as_ref().is_some_and(|p| p.is_deaf(now)),
             down: self.state_good_at.is_none() || self.state_down(),
             keep: None,
@@ -65,13 +76,17 @@
             self.owner_said(view.node.clone(), token);
         }
         let now = self.now.mono;
-        self.views.of.resize_with(self.settings.peers.len(), || None);
+        self.views
+            .of
+            .resize_with(self.settings.peers.len(), || None);
         self.views.of[peer] = Some((now, view));
         Some(peer)
     }
 
     pub(crate) fn view_came(&mut self, sent: u64, peer: usize, response: Option<Response>) {
-        let Some(Answer::View(view)) = peer_answer(response) else { return };
+        let Some(Answer::View(view)) = peer_answer(response) else {
+            return;
+        };
         // Nobody but the owner has anything to keep, and only under its own token.
         let keep = view.keep.clone().filter(|k| view.owns == Some(k.token));
         let token = view.token;
@@ -95,19 +110,31 @@
 
     /// When a peer was last heard; 0 for never.
     pub(crate) fn last_view(&self, peer: usize) -> u64 {
-        self.views.of.get(peer).and_then(Option::as_ref).map_or(0, |(at, _)| *at)
+        self.views
+            .of
+            .get(peer)
+            .and_then(Option::as_ref)
+            .map_or(0, |(at, _)| *at)
     }
 
     fn fresh_views(&self) -> impl Iterator<Item = (u64, &View)> {
         let now = self.now.mono;
-        let fresh = self.views.of.iter().flatten().filter(move |(at, _)| now < at + FRESH_MS);
+        let fresh = self
+            .views
+            .of
+            .iter()
+            .flatten()
+            .filter(move |(at, _)| now < at + FRESH_MS);
         fresh.map(move |(at, view)| (now - at, view))
     }
 
     /// Whether another node could own the fleet in this one's place, as far as anybody can say: one that the state
     /// service answers, or, while no peer says anything, perhaps any.
     pub(crate) fn could_be_followed(&self) -> bool {
-        let state = |(age, v): (u64, &View)| v.state_ms.is_some_and(|ms| ms.saturating_add(age) < STATE_MS);
+        let state = |(age, v): (u64, &View)| {
+            v.state_ms
+                .is_some_and(|ms| ms.saturating_add(age) < STATE_MS)
+        };
         self.fresh_views().next().is_none() || self.fresh_views().any(state)
     }
 }
--- a/crates/control/src/wake.rs
+++ b/crates/control/src/wake.rs
@@ -103,7 +103,9 @@
             return false;
         }
         match admin::decode::<Demand>(&request.body) {
-            _ if request.method != "POST" => self.deny_demand(Waiter::Door(conn), 405, "method not allowed"),
+            _ if request.method != "POST" => {
+                self.deny_demand(Waiter::Door(conn), 405, "method not allowed")
+            }
             Ok(Demand { model }) => self.demand(&model, Waiter::Door(conn)),
             Err(e) => self.deny_demand(Waiter::Door(conn), 400, &e.to_string()),
         }
@@ -150,7 +152,10 @@
         if self.requests.level(now) < 1.0 {
             return self.deny_demand(waiter, 503, "busy");
         }
-        let flight = Flight { waiters: vec![waiter], ..Flight::default() };
+        let flight = Flight {
+            waiters: vec![waiter],
+            ..Flight::default()
+        };
         self.models.wakes.waiting += 1;
         self.take_off(model, flight);
     }
@@ -159,8 +164,13 @@
         self.models.wakes.flights.insert(model.to_owned(), flight);
         // The owner has read all, and knows of each change that it has not made itself soon enough.
         let here = self.decides().then(|| self.models.known(model)).flatten();
-        let job = self.part.as_ref().and_then(|p| p.job(*p.job_ix.get(model)?));
-        let job = job.filter(|j| !j.is_ending()).and_then(|j| Some((j.spec.clone()?, j.version)));
+        let job = self
+            .part
+            .as_ref()
+            .and_then(|p| p.job(*p.job_ix.get(model)?));
+        let job = job
+            .filter(|j| !j.is_ending())
+            .and_then(|j| Some((j.spec.clone()?, j.version)));
         if let Some((known, (spec, version))) = here.zip(job) {
             if self.rule_found(model, spec, version) {
                 self.record_found(model, known);
@@ -171,9 +181,23 @@
     }
 
     fn flight_reads(&mut self, model: &str, step: Step) {
-        let key = if step == Step::Job { records::live_key(model) } else { records::model_key(model) };
-        let what = Pending::Wake { model: model.to_owned(), step };
-        self.send(Dest::State, "GET", format!("/keys/{key}"), Vec::new(), TIMEOUT_MS, what);
+        let key = if step == Step::Job {
+            records::live_key(model)
+        } else {
+            records::model_key(model)
+        };
+        let what = Pending::Wake {
+            model: model.to_owned(),
+            step,
+        };
+        self.send(
+            Dest::State,
+            "GET",
+            format!("/keys/{key}"),
+            Vec::new(),
+            TIMEOUT_MS,
+            what,
+        );
     }
 
     /// The rule that the flight's job belongs to; without one the flight ends.
@@ -195,7 +219,9 @@
         match (step, status) {
             (Step::Job, Some(200)) => {
                 let item = response.and_then(|r| self.read::<Item<JobRec>>("state service", &r));
-                let Some(item) = item else { return self.flight_fails(&model, 503, "unreadable record") };
+                let Some(item) = item else {
+                    return self.flight_fails(&model, 503, "unreadable record");
+                };
                 if self.rule_found(&model, Box::new(item.value.spec), item.version) {
                     self.flight_reads(&model, Step::Record);
                 }
@@ -206,13 +232,26 @@
             }
             (Step::Record, Some(200)) => {
                 let item = response.and_then(|r| self.read::<Item<Rec>>("state service", &r));
-                let Some(item) = item else { return self.flight_fails(&model, 503, "unreadable record") };
-                self.record_found(&model, Known { rec: item.value, stamp: item.version });
+                let Some(item) = item else {
+                    return self.flight_fails(&model, 503, "unreadable record");
+                };
+                self.record_found(
+                    &model,
+                    Known {
+                        rec: item.value,
+                        stamp: item.version,
+                    },
+                );
             }
             (Step::Record, Some(404)) => self.record_found(&model, Known::default()),
             (Step::Write, Some(200)) => {
                 let revision = response.and_then(|r| wire::decode::<Revision>(&r.body).ok());
-                let rec = self.models.wakes.flights.get_mut(&model).and_then(|f| f.rec.take());
+                let rec = self
+                    .models
+                    .wakes
+                    .flights
+                    .get_mut(&model)
+                    .and_then(|f| f.rec.take());
                 let (Some(Revision { revision }), Some(rec)) = (revision, rec) else {
                     return self.flight_again(&model);
                 };
@@ -220,7 +259,13 @@
                     log::info!("model {model}: generation {} begins", rec.generation);
                 }
                 if self.decides() {
-                    self.model_stands(&model, Known { rec: rec.clone(), stamp: revision });
+                    self.model_stands(
+                        &model,
+                        Known {
+                            rec: rec.clone(),
+                            stamp: revision,
+                        },
+                    );
                 }
                 self.flight_lands(&model, &rec, &Asked::Follow);
             }
@@ -233,7 +278,9 @@
     /// Reads again what stands there: a transaction that may have gone through shows there, and one that comes late
     /// finds another stamp.
     fn flight_again(&mut self, model: &str) {
-        let Some(flight) = self.models.wakes.flights.get_mut(model) else { return };
+        let Some(flight) = self.models.wakes.flights.get_mut(model) else {
+            return;
+        };
         flight.tries += 1;
         if flight.tries >= MOST_TRIES {
             return self.flight_fails(model, 503, "state service not available");
@@ -244,8 +291,12 @@
     fn record_found(&mut self, model: &str, known: Known) {
         let (now, wall) = (self.now.mono, self.now.wall);
         let node = self.settings.node.clone();
-        let Some(flight) = self.models.wakes.flights.get_mut(model) else { return };
-        let Some((spec, rule, version)) = &flight.job else { return };
+        let Some(flight) = self.models.wakes.flights.get_mut(model) else {
+            return;
+        };
+        let Some((spec, rule, version)) = &flight.job else {
+            return;
+        };
         let asked = asked(&known.rec, rule, spec.tasks, &node, wall);
         let (version, touch) = (*version, flight.touch);
         let rec = match &asked {
@@ -253,21 +304,35 @@
             Asked::Follow if touch => known.rec.touched(wall),
             _ => None,
         };
-        let Some(rec) = rec else { return self.flight_lands(model, &known.rec, &asked) };
+        let Some(rec) = rec else {
+            return self.flight_lands(model, &known.rec, &asked);
+        };
         if self.requests.level(now) < 1.0 || self.writes.level(now) < 1.0 {
             return self.flight_fails(model, 503, "busy");
         }
         self.writes.take(now, 1.0);
         let key = records::model_key(model);
         let guards = vec![
-            Guard { key: key.clone(), version: known.stamp },
-            Guard { key: records::live_key(model), version },
+            Guard {
+                key: key.clone(),
+                version: known.stamp,
+            },
+            Guard {
+                key: records::live_key(model),
+                version,
+            },
         ];
-        let body = wire::encode(&Txn { guards, writes: vec![Write::put(key, Record::Model(rec.clone()))] });
+        let body = wire::encode(&Txn {
+            guards,
+            writes: vec![Write::put(key, Record::Model(rec.clone()))],
+        });
         if let Some(flight) = self.models.wakes.flights.get_mut(model) {
             flight.rec = Some(rec);
         }
-        let what = Pending::Wake { model: model.to_owned(), step: Step::Write };
+        let what = Pending::Wake {
+            model: model.to_owned(),
+            step: Step::Write,
+        };
         self.send(Dest::State, "POST", "/txn".into(), body, TIMEOUT_MS, what);
     }
 
@@ -280,8 +345,12 @@
     /// The model stands so: everybody who waits is told.
     fn flight_lands(&mut self, model: &str, rec: &Rec, asked: &Asked) {
         let now = self.now.mono;
-        let Some(flight) = self.flight_over(model) else { return };
-        let Some((spec, rule, _)) = &flight.job else { return };
+        let Some(flight) = self.flight_over(model) else {
+            return;
+        };
+        let Some((spec, rule, _)) = &flight.job else {
+            return;
+        };
         let told = self.model_told(spec, rec, asked);
         if rec.is_up() {
             let again = rule.say_again_ms();
@@ -289,7 +358,14 @@
             if wakes.told.len() >= MOST_HEARD {
                 wakes.told.clear();
             }
-            wakes.told.insert(model.to_owned(), Fresh { at: now, told: told.clone(), say_again_ms: again });
+            wakes.told.insert(
+                model.to_owned(),
+                Fresh {
+                    at: now,
+                    told: told.clone(),
+                    say_again_ms: again,
+                },
+            );
             if !flight.waiters.is_empty() {
                 wakes.hears(model, now);
             }
@@ -303,7 +379,9 @@
     }
 
     fn flight_fails(&mut self, model: &str, status: u16, why: &str) {
-        let Some(flight) = self.flight_over(model) else { return };
+        let Some(flight) = self.flight_over(model) else {
+            return;
+        };
         for waiter in flight.waiters {
             self.deny_demand(waiter, status, why);
         }
@@ -312,7 +390,14 @@
     /// Demand for a model that is up: its owner is told, unless it was not long ago.
     fn say_to_owner(&mut self, model: &str, again_ms: u64) {
         let now = self.now.mono;
-        if self.owns() || self.models.wakes.said.get(model).is_some_and(|at| now < at + again_ms) {
+        if self.owns()
+            || self
+                .models
+                .wakes
+                .said
+                .get(model)
+                .is_some_and(|at| now < at + again_ms)
+        {
             return;
         }
         let said = &mut self.models.wakes.said;
@@ -320,10 +405,24 @@
             said.clear();
         }
         said.insert(model.to_owned(), now);
-        let Some(owner) = self.owner_peer() else { return self.touch_record(model) };
-        let body = peer::encode(&Ask::Wake { model: model.to_owned(), owner: true });
-        let what = Pending::Said { model: model.to_owned() };
-        self.send(Dest::Peer(owner), "POST", peer::PATH.into(), body, TIMEOUT_MS, what);
+        let Some(owner) = self.owner_peer() else {
+            return self.touch_record(model);
+        };
+        let body = peer::encode(&Ask::Wake {
+            model: model.to_owned(),
+            owner: true,
+        });
+        let what = Pending::Said {
+            model: model.to_owned(),
+        };
+        self.send(
+            Dest::Peer(owner),
+            "POST",
+            peer::PATH.into(),
+            body,
+            TIMEOUT_MS,
+            what,
+        );
     }
 
     pub(crate) fn said_to_owner(&mut self, model: &str, response: Option<Response>) {
@@ -336,9 +435,16 @@
     fn touch_record(&mut self, model: &str) {
         if let Some(flight) = self.models.wakes.flights.get_mut(model) {
             flight.touch = true;
-        } else if self.models.wakes.flights.len() < MOST_FLIGHTS && self.requests.level(self.now.mono) >= 1.0
+        } else if self.models.wakes.flights.len() < MOST_FLIGHTS
+            && self.requests.level(self.now.mono) >= 1.0
         {
-            self.take_off(model, Flight { touch: true, ..Flight::default() });
+            self.take_off(
+                model,
+                Flight {
+                    touch: true,
+                    ..Flight::default()
+                },
+            );
         } else {
             // Said again with the next demand.
             self.models.wakes.said.remove(model);
@@ -348,14 +454,26 @@
     fn forward_demand(&mut self, model: &str, waiter: Waiter) {
         let any = self.rng.usize(0..self.settings.peers.len());
         let to = Dest::Peer(self.owner_peer().unwrap_or(any));
-        let body = peer::encode(&Ask::Wake { model: model.to_owned(), owner: false });
-        self.send(to, "POST", peer::PATH.into(), body, FORWARD_TIMEOUT_MS, Pending::WakeForward { waiter });
+        let body = peer::encode(&Ask::Wake {
+            model: model.to_owned(),
+            owner: false,
+        });
+        self.send(
+            to,
+            "POST",
+            peer::PATH.into(),
+            body,
+            FORWARD_TIMEOUT_MS,
+            Pending::WakeForward { waiter },
+        );
     }
 
     pub(crate) fn demand_forwarded(&mut self, waiter: Waiter, response: Option<Response>) {
         match peer_answer(response) {
             Some(Answer::Model(told)) => self.tell_demand(waiter, &told),
-            Some(Answer::Refused { status, why }) => self.deny_demand(waiter, status, peer::bounded(&why)),
+            Some(Answer::Refused { status, why }) => {
+                self.deny_demand(waiter, status, peer::bounded(&why))
+            }
             _ => self.deny_demand(waiter, 503, "state service not available"),
         }
     }
@@ -363,9 +481,12 @@
     fn tell_demand(&mut self, waiter: Waiter, told: &Told) {
         match waiter {
             Waiter::Door(conn) => self.respond(conn, 200, admin::encode(told), None),
-            Waiter::Peer(conn) => {
-                self.respond(conn, 200, peer::encode(&Answer::Model(Box::new(told.clone()))), None)
-            }
+            Waiter::Peer(conn) => self.respond(
+                conn,
+                200,
+                peer::encode(&Answer::Model(Box::new(told.clone()))),
+                None,
+            ),
             Waiter::Side(tag) => self.side_over(tag, side::Answer::Model(Box::new(told.clone()))),
         }
     }
@@ -373,11 +494,16 @@
     fn deny_demand(&mut self, waiter: Waiter, status: u16, why: &str) {
         match waiter {
             Waiter::Door(conn) => {
-                let refused = admin::Refused { error: why.to_owned(), ..admin::Refused::default() };
+                let refused = admin::Refused {
+                    error: why.to_owned(),
+                    ..admin::Refused::default()
+                };
                 let retry = (status == 503).then_some(1);
                 self.respond(conn, status, admin::encode(&refused), retry);
             }
-            Waiter::Peer(conn) => self.respond(conn, 200, peer::encode(&Answer::refused(status, why)), None),
+            Waiter::Peer(conn) => {
+                self.respond(conn, 200, peer::encode(&Answer::refused(status, why)), None)
+            }
             Waiter::Side(tag) if status == 503 => self.side_over(tag, side::Answer::Busy),
             Waiter::Side(tag) => self.side_over(tag, side::Answer::Refused),
         }
