--- a/crates/standins/src/meetings/machines.rs
+++ b/crates/standins/src/meetings/machines.rs
@@ -20,7 +20,11 @@
 
 impl More {
     /// When a job is cancelled, if that is tied to the troubles.
-    pub(super) fn cancelled_at(&self, rng: &mut fastrand::Rng, troubles: &[(u64, Trouble)]) -> Option<u64> {
+    pub(super) fn cancelled_at(
+        &self,
+        rng: &mut fastrand::Rng,
+        troubles: &[(u64, Trouble)],
+    ) -> Option<u64> {
         let within = self.cancel_within?;
         let (at, _) = troubles.get(rng.usize(0..troubles.len().max(1)))?;
         Some(at + rng.u64(0..within))
@@ -32,7 +36,12 @@
             spec.one_zone |= spec.zone.is_none();
         }
         if self.urgent {
-            let all = [Priority::Low, Priority::Normal, Priority::High, Priority::Production];
+            let all = [
+                Priority::Low,
+                Priority::Normal,
+                Priority::High,
+                Priority::Production,
+            ];
             spec.priority = all[rng.usize(0..4)];
         }
     }
@@ -46,7 +55,13 @@
     /// Within so long the leader ends, and the state service is out.
     fn leader_ends_and_state_out(&mut self, at: u64, within: u64) {
         let (ends, back_ms) = (self.ms(0..within), self.back());
-        self.add(at + ends, Trouble::Crash { who: Who::Owner, back_ms });
+        self.add(
+            at + ends,
+            Trouble::Crash {
+                who: Who::Owner,
+                back_ms,
+            },
+        );
         let (out, ms) = (self.ms(0..within), self.ms(2000..10_000));
         self.add(at + out, Trouble::StateOut { ms });
     }
@@ -55,7 +70,13 @@
     fn leaders(&mut self, count: u64, apart: u64, back: std::ops::Range<u64>) {
         self.rounds(count, apart, |d, at| {
             let (apart, back_ms) = (d.ms(0..apart / 2), d.ms(back.clone()));
-            d.add(at + apart, Trouble::Crash { who: Who::Owner, back_ms });
+            d.add(
+                at + apart,
+                Trouble::Crash {
+                    who: Who::Owner,
+                    back_ms,
+                },
+            );
         });
     }
 }
@@ -65,7 +86,14 @@
     // Transactions are carried out at once and not answered, while other nodes read what they wrote.
     ("answers-lost", |d| {
         d.jobs.cancelled = 0.6;
-        d.add(BEGIN, Trouble::LateWrites { share: 0.4, for_ms: 80_000, at_once: true });
+        d.add(
+            BEGIN,
+            Trouble::LateWrites {
+                share: 0.4,
+                for_ms: 80_000,
+                at_once: true,
+            },
+        );
         d.rounds(4, 20_000, |d, at| d.leader_ends_and_state_out(at, 16_000));
     }),
     // Copies of old reports come to every controller, or to the next leader, just as it begins.
@@ -73,9 +101,22 @@
         d.jobs.cancelled = 0.4;
         d.rounds(4, 22_000, |d, at| {
             let next = [NextLeader::CopyToOne, NextLeader::CopyToAll][d.rng.usize(0..2)];
-            d.add(at, Trouble::LateReports { share: 0.7, for_ms: 20_000, next });
+            d.add(
+                at,
+                Trouble::LateReports {
+                    share: 0.7,
+                    for_ms: 20_000,
+                    next,
+                },
+            );
             let ms = d.ms(4000..18_000);
-            d.add(at + 1000, Trouble::Deaf { machines: Machines::Share(0.3), ms });
+            d.add(
+                at + 1000,
+                Trouble::Deaf {
+                    machines: Machines::Share(0.3),
+                    ms,
+                },
+            );
             d.leader_ends_and_state_out(at + 4000, 16_000);
         });
     }),
@@ -84,7 +125,14 @@
         d.jobs.cancelled = 0.4;
         d.rounds(4, 22_000, |d, at| {
             let (share, for_ms) = ([0.2, 0.5, 1.0][d.rng.usize(0..3)], d.ms(4000..14_000));
-            d.add(at, Trouble::LateReports { share, for_ms, next: NextLeader::Held });
+            d.add(
+                at,
+                Trouble::LateReports {
+                    share,
+                    for_ms,
+                    next: NextLeader::Held,
+                },
+            );
             d.leader_ends_and_state_out(at + 2000, 12_000);
         });
     }),
@@ -95,17 +143,35 @@
             let (machines, ms) = (d.machines(), d.ms(8000..30_000));
             d.add(at, Trouble::Mute { machines, ms });
             let (apart, ms) = (d.ms(0..10_000), d.ms(3000..20_000));
-            d.add(at + apart, Trouble::Mute { machines: Machines::Count(2), ms });
+            d.add(
+                at + apart,
+                Trouble::Mute {
+                    machines: Machines::Count(2),
+                    ms,
+                },
+            );
             d.leader_ends_and_state_out(at, 20_000);
         });
     }),
     // New machines are up within two seconds and get work at once while writes lag, and the leader ends.
     ("quick-boots", |d| {
-        d.jobs = Jobs { cancelled: 0.4, long_ms: 20_000..50_000, long_every: 9000, short_every: 4000 };
+        d.jobs = Jobs {
+            cancelled: 0.4,
+            long_ms: 20_000..50_000,
+            long_every: 9000,
+            short_every: 4000,
+        };
         d.add(BEGIN, Trouble::QuickBoots { ms: 90_000 });
         d.rounds(5, 16_000, |d, at| {
             let (for_ms, at_once) = (d.ms(5000..14_000), d.rng.bool());
-            d.add(at, Trouble::LateWrites { share: 0.4, for_ms, at_once });
+            d.add(
+                at,
+                Trouble::LateWrites {
+                    share: 0.4,
+                    for_ms,
+                    at_once,
+                },
+            );
             if d.rng.bool() {
                 d.add(at + 500, Trouble::StateSlow { ms: for_ms });
             }
@@ -116,7 +182,12 @@
     }),
     // Every team is at its limit while jobs are cancelled whose machines are cut off or hang, and the leader changes.
     ("at-the-limits", |d| {
-        d.jobs = Jobs { cancelled: 0.5, long_ms: 40_000..80_000, long_every: 6000, short_every: 6000 };
+        d.jobs = Jobs {
+            cancelled: 0.5,
+            long_ms: 40_000..80_000,
+            long_every: 6000,
+            short_every: 6000,
+        };
         (d.more.cancel_within, d.more.limit) = (Some(6000), Some(8.0));
         d.rounds(4, 24_000, |d, at| {
             let (machines, ms) = (d.machines(), d.ms(4000..18_000));
@@ -133,7 +204,12 @@
     }),
     // Jobs are cancelled in the seconds in which the fleet changes hands.
     ("cancels-in-a-hand-over", |d| {
-        d.jobs = Jobs { cancelled: 0.7, long_ms: 60_000..100_000, long_every: 8000, short_every: 4000 };
+        d.jobs = Jobs {
+            cancelled: 0.7,
+            long_ms: 60_000..100_000,
+            long_every: 8000,
+            short_every: 4000,
+        };
         d.more.cancel_within = Some(4000);
         d.leaders(6, 15_000, 50..4000);
         let at = BEGIN + d.ms(10_000..70_000);
@@ -152,7 +228,13 @@
             let (apart, ms) = (d.ms(0..10_000), d.ms(10_000..26_000));
             d.add(at + apart, Trouble::StateOut { ms });
             let (within, back_ms) = (d.ms(0..ms), d.back());
-            d.add(at + apart + within, Trouble::Crash { who: Who::All, back_ms });
+            d.add(
+                at + apart + within,
+                Trouble::Crash {
+                    who: Who::All,
+                    back_ms,
+                },
+            );
         });
     }),
     // All controllers are away for longer than a lease.
@@ -160,7 +242,13 @@
         d.jobs.cancelled = 0.4;
         d.rounds(2, 60_000, |d, at| {
             let back_ms = d.ms(16_000..30_000);
-            d.add(at, Trouble::Crash { who: Who::All, back_ms });
+            d.add(
+                at,
+                Trouble::Crash {
+                    who: Who::All,
+                    back_ms,
+                },
+            );
             d.leader_ends_and_state_out(at + 28_000, 16_000);
         });
     }),
@@ -181,7 +269,10 @@
             let (apart, machines) = (d.ms(0..8000), d.rng.usize(1..5));
             d.add(at + apart, Trouble::Die { machines });
             let (zone, ms) = (Machines::Zone(d.zone()), d.ms(3000..18_000));
-            let away = [Trouble::Hang { machines: zone, ms }, Trouble::Mute { machines: zone, ms }];
+            let away = [
+                Trouble::Hang { machines: zone, ms },
+                Trouble::Mute { machines: zone, ms },
+            ];
             let one = away[d.rng.usize(0..2)].clone();
             d.add(at, one);
             d.leader_ends_and_state_out(at, 18_000);
@@ -189,7 +280,12 @@
     }),
     // More work than room, urgent and not, over slow links.
     ("crowded-over-slow-links", |d| {
-        d.jobs = Jobs { cancelled: 0.3, long_ms: 30_000..60_000, long_every: 5000, short_every: 4000 };
+        d.jobs = Jobs {
+            cancelled: 0.3,
+            long_ms: 30_000..60_000,
+            long_every: 5000,
+            short_every: 4000,
+        };
         d.more.urgent = true;
         d.rounds(3, 32_000, |d, at| {
             let ms = d.ms(10_000..30_000);
--- a/crates/standins/src/world/machines.rs
+++ b/crates/standins/src/world/machines.rs
@@ -17,11 +17,19 @@
         let sides = match machines {
             // Those too that come up meanwhile.
             Machines::Zone(zone) => vec![Side::MachinesIn(zone.to_owned())],
-            some => self.draw_machines(some).into_iter().map(Side::Machine).collect(),
+            some => self
+                .draw_machines(some)
+                .into_iter()
+                .map(Side::Machine)
+                .collect(),
         };
         for side in sides {
             let both_ways = Cut::between(side, Side::Nodes, self.now, ms);
-            self.cut(Cut { both: false, how: How::Reset, ..both_ways });
+            self.cut(Cut {
+                both: false,
+                how: How::Reset,
+                ..both_ways
+            });
         }
     }
 
@@ -43,7 +51,10 @@
         if self.plan.large || !now.is_multiple_of(1000) || now < self.quiet_from() {
             return;
         }
-        let there = self.workers.values().filter(|w| w.hung_until <= now && w.taken_at.is_none());
+        let there = self
+            .workers
+            .values()
+            .filter(|w| w.hung_until <= now && w.taken_at.is_none());
         let up: Vec<Up> = there.filter_map(|w| self.seen_up(w)).collect();
         if let Some(bed) = self.bed.as_mut() {
             bed.checks.room.look(now, &up, &self.rules);
@@ -51,14 +62,23 @@
     }
 
     fn seen_up(&self, w: &Worker) -> Option<Up> {
-        let of_type = self.cloud.catalog.types.iter().find(|t| t.name == w.machine_type)?;
+        let of_type = self
+            .cloud
+            .catalog
+            .types
+            .iter()
+            .find(|t| t.name == w.machine_type)?;
         let on = w.tasks.iter().filter(|t| t.stage != TaskStage::Exited);
         Some(Up {
             name: w.name.clone(),
             machine_type: w.machine_type.clone(),
             zone: w.zone.clone(),
             spot: w.spot,
-            whole: Free { cores: of_type.cores, gpus: of_type.gpus, mem_gb: of_type.mem_gb },
+            whole: Free {
+                cores: of_type.cores,
+                gpus: of_type.gpus,
+                mem_gb: of_type.mem_gb,
+            },
             tasks: on.map(|t| (t.name.clone(), t.attempt)).collect(),
         })
     }
--- a/crates/standins/src/world/steady.rs
+++ b/crates/standins/src/world/steady.rs
@@ -14,7 +14,11 @@
 
 impl Default for Steady {
     fn default() -> Self {
-        Steady { leader: None, until: START, longest: 0 }
+        Steady {
+            leader: None,
+            until: START,
+            longest: 0,
+        }
     }
 }
 
--- a/crates/standins/src/world/troubles.rs
+++ b/crates/standins/src/world/troubles.rs
@@ -77,8 +77,13 @@
         };
         match trouble.clone() {
             Trouble::Crash { who, back_ms } => whom(who).for_each(|n| self.crash(n, back_ms)),
-            Trouble::Fuse { who, question, back_ms } => {
-                self.fuses.extend(whom(who).map(|n| (n, (question, back_ms))));
+            Trouble::Fuse {
+                who,
+                question,
+                back_ms,
+            } => {
+                self.fuses
+                    .extend(whom(who).map(|n| (n, (question, back_ms))));
             }
             Trouble::Freeze { who, ms } => {
                 for n in whom(who) {
@@ -87,7 +92,10 @@
             }
             Trouble::Cut { who, from, how, ms } => {
                 for n in whom(who) {
-                    self.cut(Cut { how, ..Cut::between(Side::Node(n), from.clone(), now, ms) });
+                    self.cut(Cut {
+                        how,
+                        ..Cut::between(Side::Node(n), from.clone(), now, ms)
+                    });
                 }
             }
             Trouble::Late { who, for_ms, ms } => {
@@ -107,16 +115,30 @@
                 names.truncate(machines);
                 names.iter().for_each(|m| self.die(m));
             }
-            Trouble::LateWrites { share, for_ms, at_once: false } => {
-                self.troubles.late_writes = (share, now + for_ms)
-            }
-            Trouble::LateWrites { share, for_ms, at_once: true } => {
+            Trouble::LateWrites {
+                share,
+                for_ms,
+                at_once: false,
+            } => self.troubles.late_writes = (share, now + for_ms),
+            Trouble::LateWrites {
+                share,
+                for_ms,
+                at_once: true,
+            } => {
                 self.troubles.unanswered_writes = (share, now + for_ms);
             }
-            Trouble::LateReports { share, for_ms, next: NextLeader::No } => {
+            Trouble::LateReports {
+                share,
+                for_ms,
+                next: NextLeader::No,
+            } => {
                 self.troubles.late_reports = (share, now + for_ms);
             }
-            Trouble::LateReports { share, for_ms, next } => self.keep_for_next(share, for_ms, next),
+            Trouble::LateReports {
+                share,
+                for_ms,
+                next,
+            } => self.keep_for_next(share, for_ms, next),
             Trouble::Deaf { machines, ms } => self.deafen(machines, now + ms),
             Trouble::CloseLooks { .. }
             | Trouble::CancelNow { .. }
@@ -129,10 +151,13 @@
                 }
             }
             Trouble::Mute { machines, ms } => self.mute(machines, ms),
-            Trouble::Hang { machines, ms } => {
-                self.draw_machines(machines).iter().for_each(|m| self.hang(m, ms))
+            Trouble::Hang { machines, ms } => self
+                .draw_machines(machines)
+                .iter()
+                .for_each(|m| self.hang(m, ms)),
+            Trouble::QuickBoots { ms } => {
+                self.cloud.quick_until = self.cloud.quick_until.max(now + ms)
             }
-            Trouble::QuickBoots { ms } => self.cloud.quick_until = self.cloud.quick_until.max(now + ms),
             Trouble::SlowLinks { ms } => self.slow_links(ms),
         }
     }
@@ -194,7 +219,10 @@
         if c.path != "/txn" || c.late {
             return None;
         }
-        if self.troubles.hits(self.troubles.unanswered_writes, self.now) {
+        if self
+            .troubles
+            .hits(self.troubles.unanswered_writes, self.now)
+        {
             self.hits.unanswered_writes += 1;
             return Some(0);
         }
@@ -206,7 +234,10 @@
     pub(super) fn may_come_again(&mut self, node: usize, at: u64, report: &Request) {
         if self.troubles.hits(self.troubles.late_reports, self.now) {
             let later = at + self.troubles.rng.u64(LATE_REPORT_MS);
-            self.at(later, Ev::Request(node, Origin::Nobody, report.clone(), false));
+            self.at(
+                later,
+                Ev::Request(node, Origin::Nobody, report.clone(), false),
+            );
         }
     }
 
