--- a/crates/stoathatch/src/ask.rs
+++ b/crates/stoathatch/src/ask.rs
@@ -37,7 +37,8 @@
         }
         match once(*node, "POST", path, &body, left.min(ONE_TRY)) {
             Ok(r) if r.status == 200 => {
-                return admin::decode(&r.body).map_err(|e| Failed::Unreachable(format!("{node}: {e}")));
+                return admin::decode(&r.body)
+                    .map_err(|e| Failed::Unreachable(format!("{node}: {e}")));
             }
             Ok(r) if matches!(r.status, 429 | 503) => {
                 let why: Refused = admin::decode(&r.body).unwrap_or_default();
@@ -47,7 +48,10 @@
             }
             Ok(r) => {
                 let why = admin::decode(&r.body).unwrap_or_else(|_| Refused {
-                    error: format!("{node} answered {}; is the door open ([admin] door = 1)?", r.status),
+                    error: format!(
+                        "{node} answered {}; is the door open ([admin] door = 1)?",
+                        r.status
+                    ),
                     ..Refused::default()
                 });
                 return Err(Failed::Refused(why));
@@ -70,7 +74,8 @@
     timeout: Duration,
 ) -> Result<Response, String> {
     let text = |e: std::io::Error| e.to_string();
-    let mut stream = TcpStream::connect_timeout(&to, timeout.min(Duration::from_secs(3))).map_err(text)?;
+    let mut stream =
+        TcpStream::connect_timeout(&to, timeout.min(Duration::from_secs(3))).map_err(text)?;
     stream.set_read_timeout(Some(timeout)).map_err(text)?;
     stream.set_write_timeout(Some(timeout)).map_err(text)?;
     let mut out = Vec::new();
--- a/crates/stoathatch/src/config.rs
+++ b/crates/stoathatch/src/config.rs
@@ -58,7 +58,11 @@
             (r#""rps":150.0"#, r#""rps":"many""#, "many"),
             (r#""rps":150.0"#, r#""rps":-1.0"#, "cluster.state.rps"),
             ("10.2.0.1:2379", "state.example:2379", "endpoints.state"),
-            (r#""gpus_max":2.0"#, r#""gpus_max":-2.0"#, "cluster.teams[0].gpus_max"),
+            (
+                r#""gpus_max":2.0"#,
+                r#""gpus_max":-2.0"#,
+                "cluster.teams[0].gpus_max",
+            ),
             (r#""max_sockets":3500"#, r#""max_sockets":3"#, "max_sockets"),
             (r#""txn_ops":16"#, r#""txn_ops":1"#, "txn_ops"),
         ] {
--- a/crates/stoathatch/src/counties.rs
+++ b/crates/stoathatch/src/counties.rs
@@ -38,7 +38,11 @@
             None => named(spec),
         };
         let built = Counties::build(spec, &known)?;
-        let against = if settings.is_some() { "" } else { "; names were not compared with any settings" };
+        let against = if settings.is_some() {
+            ""
+        } else {
+            "; names were not compared with any settings"
+        };
         Ok(format!("{}{against}", Spec::size(&built)))
     }
     fn set(spec: Spec) -> Whole<Spec> {
@@ -59,15 +63,29 @@
                 (true, true) => "closed".to_owned(),
                 (true, false) => format!("closed, into {}", c.into.join(", ")),
             };
-            vec![c.id.clone(), c.title().to_owned(), state, apart, c.rules.len().to_string()]
+            vec![
+                c.id.clone(),
+                c.title().to_owned(),
+                state,
+                apart,
+                c.rules.len().to_string(),
+            ]
         });
-        let refused = shown.refused.iter().map(|why| format!("\nrefused: {why}")).collect::<String>();
+        let refused = shown
+            .refused
+            .iter()
+            .map(|why| format!("\nrefused: {why}"))
+            .collect::<String>();
         let others = match shown.spec.others {
             Others::Count => "counted apart",
             Others::Refuse => "refused",
         };
         let head = ["id", "name", "state", "apart", "rules"];
-        format!("version {}, jobs of no county are {others}{refused}\n{}", shown.version, table(&head, rows))
+        format!(
+            "version {}, jobs of no county are {others}{refused}\n{}",
+            shown.version,
+            table(&head, rows)
+        )
     }
 }
 
@@ -75,8 +93,14 @@
 fn named(spec: &Spec) -> Known {
     let rules = || spec.counties.iter().flat_map(|c| &c.rules);
     let all = |of: fn(&Rule) -> &Vec<String>| rules().flat_map(of).cloned().collect();
-    let mut known = Known { teams: all(|r| &r.teams), zones: all(|r| &r.zones), desks: None };
-    known.zones.extend(spec.counties.iter().flat_map(|c| c.zones.iter().cloned()));
+    let mut known = Known {
+        teams: all(|r| &r.teams),
+        zones: all(|r| &r.zones),
+        desks: None,
+    };
+    known
+        .zones
+        .extend(spec.counties.iter().flat_map(|c| c.zones.iter().cloned()));
     known
 }
 
--- a/crates/stoathatch/src/documents.rs
+++ b/crates/stoathatch/src/documents.rs
@@ -114,17 +114,31 @@
                 let faults: Vec<String> = match from {
                     Some((path, parsed)) => {
                         let faults = parsed.locate(why.faults);
-                        faults.iter().map(|f| format!("{}: {f}", path.display())).collect()
+                        faults
+                            .iter()
+                            .map(|f| format!("{}: {f}", path.display()))
+                            .collect()
                     }
                     None => why.faults.iter().map(ToString::to_string).collect(),
                 };
-                End::Refused([why.error].into_iter().chain(faults).chain(version).collect())
+                End::Refused(
+                    [why.error]
+                        .into_iter()
+                        .chain(faults)
+                        .chain(version)
+                        .collect(),
+                )
             }
         }
     }
 
     fn placed(path: &Path, faults: &[Fault]) -> Self {
-        End::Refused(faults.iter().map(|f| format!("{}: {f}", path.display())).collect())
+        End::Refused(
+            faults
+                .iter()
+                .map(|f| format!("{}: {f}", path.display()))
+                .collect(),
+        )
     }
 
     fn lines(self) -> Vec<String> {
@@ -148,7 +162,9 @@
         }
         Err(end) => {
             let code = ExitCode::from(if matches!(end, End::Refused(_)) { 1 } else { 2 });
-            end.lines().iter().for_each(|line| eprintln!("stoathatch: {line}"));
+            end.lines()
+                .iter()
+                .for_each(|line| eprintln!("stoathatch: {line}"));
             code
         }
     }
@@ -156,7 +172,10 @@
 
 impl Asked {
     /// A question about a kind.
-    pub fn ask<T: Table, A: DeserializeOwned>(&self, question: &impl Serialize) -> Result<A, Failed> {
+    pub fn ask<T: Table, A: DeserializeOwned>(
+        &self,
+        question: &impl Serialize,
+    ) -> Result<A, Failed> {
         ask(&self.nodes, &admin::path(T::Spec::KIND), question, false)
     }
 
@@ -170,7 +189,11 @@
         Common::Schema => Ok(document::file::schema::<T::Spec>()),
         Common::Check { file, config } => {
             let parsed = read::<T>(file)?;
-            let settings = config.as_deref().map(crate::config::settings).transpose().map_err(End::Failed)?;
+            let settings = config
+                .as_deref()
+                .map(crate::config::settings)
+                .transpose()
+                .map_err(End::Failed)?;
             let checked = T::check(&parsed.spec, settings.as_ref());
             let words = checked.map_err(|faults| End::placed(file, &parsed.locate(faults)))?;
             Ok(format!("{}: {words}", file.display()))
@@ -190,7 +213,12 @@
                 return Ok(json(&history));
             }
             let rows = history.iter().map(|p| {
-                vec![p.version.to_string(), (p.at_ms / 1000).to_string(), p.by.clone(), p.what.clone()]
+                vec![
+                    p.version.to_string(),
+                    (p.at_ms / 1000).to_string(),
+                    p.by.clone(),
+                    p.what.clone(),
+                ]
             });
             Ok(table(&["version", "unix time", "by", "what"], rows))
         }
@@ -199,13 +227,19 @@
         }
         Common::Set { file, how } => {
             let parsed = read::<T>(file)?;
-            change::<T>(asked, how, T::set(parsed.spec.clone()), Some((file, &parsed)))
+            change::<T>(
+                asked,
+                how,
+                T::set(parsed.spec.clone()),
+                Some((file, &parsed)),
+            )
         }
     }
 }
 
 fn read<T: Table>(path: &Path) -> Result<Parsed<T::Spec>, End> {
-    let text = std::fs::read_to_string(path).map_err(|e| End::Failed(format!("{}: {e}", path.display())))?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| End::Failed(format!("{}: {e}", path.display())))?;
     T::parse(&text).map_err(|faults| End::placed(path, &faults))
 }
 
@@ -232,9 +266,16 @@
     // Made once: each try carries the same, so that it is made at most once.
     let id = format!("{:016x}", fastrand::u64(..));
     let (by, dry_run) = (how.by.clone(), how.dry_run);
-    let change = AskOf::Change(ChangeOf { id, by, expect: Some(expect), dry_run, edit });
+    let change = AskOf::Change(ChangeOf {
+        id,
+        by,
+        expect: Some(expect),
+        dry_run,
+        edit,
+    });
     let path = admin::path(T::Spec::KIND);
-    let done: Changed = ask(&asked.nodes, &path, &change, true).map_err(|f| End::located(f, from))?;
+    let done: Changed =
+        ask(&asked.nodes, &path, &change, true).map_err(|f| End::located(f, from))?;
     if asked.json {
         return Ok(json(&done));
     }
@@ -243,7 +284,10 @@
     } else {
         format!("version {} is in force\n", done.version)
     };
-    done.differences.iter().chain(&done.above).for_each(|line| out.push_str(&format!("  {line}\n")));
+    done.differences
+        .iter()
+        .chain(&done.above)
+        .for_each(|line| out.push_str(&format!("  {line}\n")));
     Ok(out)
 }
 
@@ -253,7 +297,9 @@
 
 pub fn table(head: &[&str], rows: impl Iterator<Item = Vec<String>>) -> String {
     let mut table = Rows::new();
-    table.load_preset(presets::NOTHING).set_header(head.iter().copied());
+    table
+        .load_preset(presets::NOTHING)
+        .set_header(head.iter().copied());
     rows.for_each(|row| {
         table.add_row(row);
     });
--- a/crates/stoathatch/src/hours.rs
+++ b/crates/stoathatch/src/hours.rs
@@ -66,11 +66,26 @@
     fn check(spec: &Spec, settings: Option<&Settings>) -> Result<String, Vec<Fault>> {
         let named = |s: &Settings| {
             let teams = s.cluster.teams.iter();
-            teams.map(|t| TeamAt { name: t.name.clone(), path: Vec::new() }).collect()
+            teams
+                .map(|t| TeamAt {
+                    name: t.name.clone(),
+                    path: Vec::new(),
+                })
+                .collect()
         };
         let nodes = spec.studios.iter().filter_map(|s| s.node.clone()).collect();
-        let calendar = Calendar::build(spec, &Around { teams: settings.map(named), nodes })?;
-        let against = if settings.is_some() { "" } else { "; its teams were not compared with any settings" };
+        let calendar = Calendar::build(
+            spec,
+            &Around {
+                teams: settings.map(named),
+                nodes,
+            },
+        )?;
+        let against = if settings.is_some() {
+            ""
+        } else {
+            "; its teams were not compared with any settings"
+        };
         Ok(format!("{}{against}", Spec::size(&calendar)))
     }
     fn set(spec: Spec) -> Whole<Spec> {
@@ -81,11 +96,22 @@
     }
     fn shown(shown: &Shown<Spec>) -> String {
         let class = |c: &Option<String>| c.clone().unwrap_or_else(|| "any".to_owned());
-        let days = |d: &[String]| if d.is_empty() { "every day".to_owned() } else { d.join(" ") };
+        let days = |d: &[String]| {
+            if d.is_empty() {
+                "every day".to_owned()
+            } else {
+                d.join(" ")
+            }
+        };
         let studio = |name: &str| shown.spec.studios.iter().find(|s| s.name == name);
         let rows = shown.spec.releases.iter().map(|r| {
-            let zone = studio(&r.studio).map(|s| s.zone.clone()).unwrap_or_default();
-            let notice = r.notice_min.or(studio(&r.studio).map(|s| s.notice_min)).unwrap_or(0);
+            let zone = studio(&r.studio)
+                .map(|s| s.zone.clone())
+                .unwrap_or_default();
+            let notice = r
+                .notice_min
+                .or(studio(&r.studio).map(|s| s.notice_min))
+                .unwrap_or(0);
             vec![
                 r.studio.clone(),
                 class(&r.class),
@@ -96,14 +122,27 @@
             ]
         });
         let head = ["studio", "class", "at", "on", "zone", "notice"];
-        let refused = shown.refused.iter().map(|why| format!("\nrefused: {why}")).collect::<String>();
+        let refused = shown
+            .refused
+            .iter()
+            .map(|why| format!("\nrefused: {why}"))
+            .collect::<String>();
         let own = format!(
             "{} exceptions, {} holidays, {} agreements (show --file lists them)",
             shown.spec.exceptions.len(),
-            shown.spec.holidays.iter().map(|h| h.dates.len()).sum::<usize>(),
+            shown
+                .spec
+                .holidays
+                .iter()
+                .map(|h| h.dates.len())
+                .sum::<usize>(),
             shown.spec.agreements.len()
         );
-        format!("version {}{refused}\n{}\n{own}", shown.version, table(&head, rows))
+        format!(
+            "version {}{refused}\n{}\n{own}",
+            shown.version,
+            table(&head, rows)
+        )
     }
 }
 
@@ -116,15 +155,33 @@
     match &c.verb {
         Verb::Common(common) => crate::documents::run::<Hours>(asked, common),
         Verb::List { studio } => {
-            let list: List = asked.ask::<Hours, _>(&Ask::List { studio: studio.clone() })?;
-            Ok(if asked.json { json(&list) } else { listed(&list) })
+            let list: List = asked.ask::<Hours, _>(&Ask::List {
+                studio: studio.clone(),
+            })?;
+            Ok(if asked.json {
+                json(&list)
+            } else {
+                listed(&list)
+            })
         }
         Verb::Move { job, to, by } => {
-            let ask = Ask::Move { job: job.clone(), to: to.clone(), by: by.clone() };
+            let ask = Ask::Move {
+                job: job.clone(),
+                to: to.clone(),
+                by: by.clone(),
+            };
             moved(asked, &ask)
         }
-        Verb::Reagree { studio, dry_run, by } => {
-            let ask = Ask::Reagree { studio: studio.clone(), by: by.clone(), dry_run: *dry_run };
+        Verb::Reagree {
+            studio,
+            dry_run,
+            by,
+        } => {
+            let ask = Ask::Reagree {
+                studio: studio.clone(),
+                by: by.clone(),
+                dry_run: *dry_run,
+            };
             moved(asked, &ask)
         }
     }
@@ -136,22 +193,47 @@
         return Ok(json(&moved));
     }
     let words = if moved.dry_run { "would move" } else { "move" };
-    let lines = moved.lines.iter().map(|line| format!("  {line}\n")).collect::<String>();
+    let lines = moved
+        .lines
+        .iter()
+        .map(|line| format!("  {line}\n"))
+        .collect::<String>();
     Ok(format!("{} hours {words}\n{lines}", moved.jobs))
 }
 
 fn listed(list: &List) -> String {
     let rows = list.lines.iter().map(|l| {
         let studio = l.studio.clone().unwrap_or_else(|| "-".to_owned());
-        let moved = l.moved.as_ref().map(|m| format!("by {}", m.by)).unwrap_or_default();
-        vec![studio, l.due.clone(), l.job.clone(), l.class.clone(), state(l), moved]
+        let moved = l
+            .moved
+            .as_ref()
+            .map(|m| format!("by {}", m.by))
+            .unwrap_or_default();
+        vec![
+            studio,
+            l.due.clone(),
+            l.job.clone(),
+            l.class.clone(),
+            state(l),
+            moved,
+        ]
     });
-    let more = if list.more > 0 { format!("\nand {} more", list.more) } else { String::new() };
-    format!("{}{more}", table(&["studio", "due", "job", "class", "", "moved"], rows))
+    let more = if list.more > 0 {
+        format!("\nand {} more", list.more)
+    } else {
+        String::new()
+    };
+    format!(
+        "{}{more}",
+        table(&["studio", "due", "job", "class", "", "moved"], rows)
+    )
 }
 
 fn state(line: &Line) -> String {
-    let late = line.late_s.map(|s| format!(" by {s:.0} s")).unwrap_or_default();
+    let late = line
+        .late_s
+        .map(|s| format!(" by {s:.0} s"))
+        .unwrap_or_default();
     match line.state {
         State::Due => "due".to_owned(),
         State::AtRisk(risk) => format!("at risk: {}", why(risk)),
--- a/crates/stoathatch/src/main.rs
+++ b/crates/stoathatch/src/main.rs
@@ -17,7 +17,11 @@
 
 /// Schedules jobs onto rented machines. One process of a small group that share a state service.
 #[derive(Parser)]
-#[command(version, subcommand_negates_reqs = true, args_conflicts_with_subcommands = true)]
+#[command(
+    version,
+    subcommand_negates_reqs = true,
+    args_conflicts_with_subcommands = true
+)]
 struct Args {
     /// The settings file (JSON) that the platform hands over.
     #[arg(long, value_name = "FILE", required = true)]
@@ -86,7 +90,12 @@
         .filter_level(filter)
         .format(|f, r| {
             use std::io::Write;
-            writeln!(f, "{} {}", r.level().as_str().to_ascii_lowercase(), r.args())
+            writeln!(
+                f,
+                "{} {}",
+                r.level().as_str().to_ascii_lowercase(),
+                r.args()
+            )
         })
         .init();
     match run(&args) {
@@ -126,5 +135,6 @@
     path: Option<&PathBuf>,
     settings: &wire::settings::Settings,
 ) -> Result<Option<T::Spec>, String> {
-    path.map(|path| documents::first::<T>(path, settings)).transpose()
+    path.map(|path| documents::first::<T>(path, settings))
+        .transpose()
 }
--- a/crates/stoathatch/src/quota.rs
+++ b/crates/stoathatch/src/quota.rs
@@ -55,8 +55,13 @@
 }
 
 fn amount(text: &str) -> Result<(String, f64), String> {
-    let (name, units) = text.split_once('=').ok_or("should be RESOURCE=UNITS, like gpus=8")?;
-    let units = units.trim().parse().map_err(|_| format!("{units:?} is not a number"))?;
+    let (name, units) = text
+        .split_once('=')
+        .ok_or("should be RESOURCE=UNITS, like gpus=8")?;
+    let units = units
+        .trim()
+        .parse()
+        .map_err(|_| format!("{units:?} is not a number"))?;
     Ok((name.trim().to_owned(), units))
 }
 
@@ -77,9 +82,16 @@
             None => spec.teams.iter().map(named).collect(),
         };
         let tree = Tree::build(spec, &teams)?;
-        let against = if settings.is_some() { "" } else { "; its teams were not compared with any settings" };
+        let against = if settings.is_some() {
+            ""
+        } else {
+            "; its teams were not compared with any settings"
+        };
         let (nodes, leaves) = (tree.nodes.len(), spec.teams.len());
-        Ok(format!("{nodes} nodes, {leaves} teams, {} levels{against}", tree.levels()))
+        Ok(format!(
+            "{nodes} nodes, {leaves} teams, {} levels{against}",
+            tree.levels()
+        ))
     }
     fn set(spec: Spec) -> Edit {
         Edit::Set { spec }
@@ -91,8 +103,16 @@
         let mut rows: Vec<Vec<String>> = Vec::new();
         below(tree, None, &mut rows);
         let head = ["name", "guaranteed", "at most", "weight", "used", "wanted"];
-        let refused = tree.refused.iter().map(|why| format!("\nrefused: {why}")).collect::<String>();
-        format!("version {}{refused}\n{}", tree.version, table(&head, rows.into_iter()))
+        let refused = tree
+            .refused
+            .iter()
+            .map(|why| format!("\nrefused: {why}"))
+            .collect::<String>();
+        format!(
+            "version {}{refused}\n{}",
+            tree.version,
+            table(&head, rows.into_iter())
+        )
     }
 }
 
@@ -106,15 +126,36 @@
         Verb::Common(common) => crate::documents::run::<Quota>(asked, common),
         Verb::Why { team } => {
             let why: quota::Why = asked.ask::<Quota, _>(&Question::Why { team: team.clone() })?;
-            Ok(if asked.json { json(&why) } else { reasons(&why) })
-        }
-        Verb::Move { name, to, how } => {
-            change::<Quota>(asked, how, Edit::Move { name: name.clone(), to: to.clone() }, None)
+            Ok(if asked.json {
+                json(&why)
+            } else {
+                reasons(&why)
+            })
         }
-        Verb::Shrink { name, guarantee, max, scale, how } => {
+        Verb::Move { name, to, how } => change::<Quota>(
+            asked,
+            how,
+            Edit::Move {
+                name: name.clone(),
+                to: to.clone(),
+            },
+            None,
+        ),
+        Verb::Shrink {
+            name,
+            guarantee,
+            max,
+            scale,
+            how,
+        } => {
             let all = |list: &[(String, f64)]| list.iter().cloned().collect::<Amounts>();
             let (guarantee, max) = (all(guarantee), all(max));
-            let edit = Edit::Shrink { name: name.clone(), guarantee, max, scale: *scale };
+            let edit = Edit::Shrink {
+                name: name.clone(),
+                guarantee,
+                max,
+                scale: *scale,
+            };
             change::<Quota>(asked, how, edit, None)
         }
     }
@@ -122,14 +163,20 @@
 
 /// A team as far as the tree itself says.
 fn named(t: &TeamSpec) -> Team {
-    Team { guarantee: t.guarantee.clone().unwrap_or_default(), ..Team::new(&t.name) }
+    Team {
+        guarantee: t.guarantee.clone().unwrap_or_default(),
+        ..Team::new(&t.name)
+    }
 }
 
 fn amounts(a: &Amounts) -> String {
     if a.is_empty() {
         return "-".to_owned();
     }
-    a.iter().map(|(name, units)| format!("{name} {units}")).collect::<Vec<_>>().join(", ")
+    a.iter()
+        .map(|(name, units)| format!("{name} {units}"))
+        .collect::<Vec<_>>()
+        .join(", ")
 }
 
 /// Teams and nodes directly below a node, each node followed by what is below it.
@@ -137,7 +184,14 @@
     let row = |s: &Standing, mark: &str| {
         let name = format!("{}{mark}{}", "  ".repeat(s.depth), s.name);
         let weight = s.weight.to_string();
-        vec![name, amounts(&s.guarantee), amounts(&s.max), weight, amounts(&s.used), amounts(&s.wanted)]
+        vec![
+            name,
+            amounts(&s.guarantee),
+            amounts(&s.max),
+            weight,
+            amounts(&s.used),
+            amounts(&s.wanted),
+        ]
     };
     for team in tree.teams.iter().filter(|t| t.parent.as_deref() == parent) {
         rows.push(row(team, ""));
@@ -149,7 +203,12 @@
 }
 
 fn reasons(why: &quota::Why) -> String {
-    let mut out = format!("{}: uses {}, wants {}\n", why.team, amounts(&why.used), amounts(&why.wanted));
+    let mut out = format!(
+        "{}: uses {}, wants {}\n",
+        why.team,
+        amounts(&why.used),
+        amounts(&why.wanted)
+    );
     for (name, share) in &why.entitled {
         out.push_str(&format!("entitled by {name} to {}\n", amounts(share)));
     }
@@ -157,13 +216,24 @@
         out.push_str(&format!("bounded by {bound}\n"));
     }
     for (name, over) in &why.borrowed {
-        out.push_str(&format!("{name} uses {} beyond its guarantee\n", amounts(over)));
+        out.push_str(&format!(
+            "{name} uses {} beyond its guarantee\n",
+            amounts(over)
+        ));
     }
-    let when = match (why.short.is_empty(), why.borrowed.is_empty(), why.bounded_by.is_empty()) {
+    let when = match (
+        why.short.is_empty(),
+        why.borrowed.is_empty(),
+        why.bounded_by.is_empty(),
+    ) {
         (true, _, true) => "nothing is due to it that it does not have: more waits for free room",
-        (true, _, false) => "nothing is due to it that it does not have, and its bound leaves no room",
+        (true, _, false) => {
+            "nothing is due to it that it does not have, and its bound leaves no room"
+        }
         (false, _, false) => "short of what it is entitled to, but a bound leaves no room",
-        (false, true, _) => "short of what it is entitled to; nobody borrows: it waits for machines",
+        (false, true, _) => {
+            "short of what it is entitled to; nobody borrows: it waits for machines"
+        }
         (false, false, _) => {
             "short of what it is entitled to: the next plan calls it back from the first above, \
                               unless that ends within 15 s; then the time to save"
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -44,8 +44,13 @@
 
 /// Milliseconds: the steady clock starts well above 0, so that "long ago" can be said.
 fn now(start: Instant) -> Now {
-    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-    Now { mono: 1_000_000 + start.elapsed().as_millis() as u64, wall: wall.as_millis() as u64 }
+    let wall = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Now {
+        mono: 1_000_000 + start.elapsed().as_millis() as u64,
+        wall: wall.as_millis() as u64,
+    }
 }
 
 impl Service {
@@ -55,7 +60,8 @@
         first: First,
         yarn: Option<gateway::Config>,
     ) -> Result<Self, String> {
-        let mut net = Net::new(settings.limits().max_sockets).map_err(|e| format!("event loop: {e}"))?;
+        let mut net =
+            Net::new(settings.limits().max_sockets).map_err(|e| format!("event loop: {e}"))?;
         for (name, text, door) in [
             ("client_listen", &settings.listen, Door::Clients),
             ("peer_bind", &settings.peer_listen, Door::Peers),
@@ -65,15 +71,25 @@
         }
         if let Some(yarn) = &yarn {
             for (name, at, door) in [("[door] rpc", yarn.rpc, RPC), ("[door] web", yarn.web, WEB)] {
-                net.listen(at, door).map_err(|e| format!("{name}: can't listen on {at}: {e}"))?;
+                net.listen(at, door)
+                    .map_err(|e| format!("{name}: can't listen on {at}: {e}"))?;
             }
-            log::info!("YARN's clients are served on {} (RPC) and {} (REST)", yarn.rpc, yarn.web);
+            log::info!(
+                "YARN's clients are served on {} (RPC) and {} (REST)",
+                yarn.rpc,
+                yarn.web
+            );
         }
         let start = Instant::now();
-        let silent = Duration::from_secs_f64((settings.cluster.workers.report_s * 3.0).clamp(1.0, 600.0));
+        let silent =
+            Duration::from_secs_f64((settings.cluster.workers.report_s * 3.0).clamp(1.0, 600.0));
         let state = addr("endpoints.state", &settings.endpoints.state)?;
         let cloud = addr("endpoints.cloud", &settings.endpoints.cloud)?;
-        let peers = settings.peers.iter().map(|p| addr("peers", &p.addr)).collect::<Result<_, _>>()?;
+        let peers = settings
+            .peers
+            .iter()
+            .map(|p| addr("peers", &p.addr))
+            .collect::<Result<_, _>>()?;
         log::info!("{} listens on {}", settings.node, settings.listen);
         // The seed only spreads retries; two nodes must not share it.
         let seed = fastrand::u64(..);
@@ -82,7 +98,11 @@
             .with_first_hours(first.hours)
             .with_first_counties(first.counties)
             .with_first_models(first.models);
-        let node = Served::new(node, yarn.map(|c| Ok::<_, String>(Gateway::new(c, secret()?))).transpose()?);
+        let node = Served::new(
+            node,
+            yarn.map(|c| Ok::<_, String>(Gateway::new(c, secret()?)))
+                .transpose()?,
+        );
         Ok(Service {
             net,
             node,
@@ -106,10 +126,17 @@
         loop {
             let wait = Duration::from_millis(self.node.node().wait_ms());
             let left = (ticked + wait).saturating_duration_since(Instant::now());
-            let events = self.net.poll(left).map_err(|e| format!("event loop: {e}"))?;
+            let events = self
+                .net
+                .poll(left)
+                .map_err(|e| format!("event loop: {e}"))?;
             for event in events {
                 match event {
-                    net::Event::Request { conn, door, request } => {
+                    net::Event::Request {
+                        conn,
+                        door,
+                        request,
+                    } => {
                         let id = self.next_conn;
                         self.next_conn += 1;
                         self.conns.insert(id, conn);
@@ -128,7 +155,13 @@
                         self.next_conn += 1;
                         self.raw.insert(id, conn);
                         self.raw_ids.insert(conn, id);
-                        self.feed_raw(id, Raw::Opened { web: door == WEB, from: from.ip() });
+                        self.feed_raw(
+                            id,
+                            Raw::Opened {
+                                web: door == WEB,
+                                from: from.ip(),
+                            },
+                        );
                     }
                     net::Event::Bytes { conn, bytes } => {
                         if let Some(id) = self.raw_ids.get(&conn).copied() {
@@ -141,7 +174,9 @@
                             self.feed_raw(id, Raw::Closed);
                         }
                     }
-                    net::Event::Reply { tag, response } => self.feed(Event::Reply { tag, response }),
+                    net::Event::Reply { tag, response } => {
+                        self.feed(Event::Reply { tag, response })
+                    }
                     net::Event::Unsent { tag } => self.feed(Event::Unsent { tag }),
                 }
             }
@@ -195,7 +230,15 @@
                     self.net.respond(id, response);
                 }
             }
-            Effect::Send { tag, to, method, path, body, timeout_ms, answer_limit } => {
+            Effect::Send {
+                tag,
+                to,
+                method,
+                path,
+                body,
+                timeout_ms,
+                answer_limit,
+            } => {
                 // A worker is told something now and then; the others are always being asked.
                 let (to, keep) = match to {
                     Dest::State => (self.state, net::KEEP),
@@ -205,7 +248,16 @@
                 };
                 let timeout = Duration::from_millis(timeout_ms);
                 let (path, body) = (path.as_str(), body.as_slice());
-                self.net.send(Outgoing { tag, to, method, path, body, timeout, answer_limit, keep });
+                self.net.send(Outgoing {
+                    tag,
+                    to,
+                    method,
+                    path,
+                    body,
+                    timeout,
+                    answer_limit,
+                    keep,
+                });
             }
             // The gateway's own requests have ended with it.
             Effect::Side { .. } => {}
--- a/crates/stoathatch/src/tools.rs
+++ b/crates/stoathatch/src/tools.rs
@@ -30,7 +30,13 @@
     )]
     nodes: Vec<SocketAddr>,
     /// Who asks.
-    #[arg(long = "as", value_name = "USER", env = "USER", default_value = "unnamed", global = true)]
+    #[arg(
+        long = "as",
+        value_name = "USER",
+        env = "USER",
+        default_value = "unnamed",
+        global = true
+    )]
     user: String,
     /// Print JSON, for programs.
     #[arg(long, global = true)]
@@ -160,13 +166,21 @@
         let fault = |e: &dyn std::fmt::Display| End::Refused(format!("{}: {e}", path.display()));
         let text = std::fs::read_to_string(path).map_err(|e| fault(&e))?;
         let bundle: Bundle = toml::from_str(&text).map_err(|e| {
-            let line = e.span().map_or(1, |s| text[..s.start.min(text.len())].lines().count().max(1));
+            let line = e.span().map_or(1, |s| {
+                text[..s.start.min(text.len())].lines().count().max(1)
+            });
             fault(&format!("line {line}: {}", e.message()))
         })?;
         let bad = [
-            (bundle.command.trim().is_empty(), "command: must not be empty"),
+            (
+                bundle.command.trim().is_empty(),
+                "command: must not be empty",
+            ),
             (bundle.memory_mb <= 0, "memory_mb: must be above 0"),
-            (bundle.cores < 0 || bundle.gpus < 0, "cores, gpus: must not be below 0"),
+            (
+                bundle.cores < 0 || bundle.gpus < 0,
+                "cores, gpus: must not be below 0",
+            ),
             (bundle.attempts < 1, "attempts: must be 1 or more"),
         ];
         match bad.iter().find(|(is, _)| *is) {
@@ -180,34 +194,60 @@
             key: key.clone(),
             value: rest::LocalResource {
                 resource: f.url.clone(),
-                kind: if f.archive { "ARCHIVE".into() } else { "FILE".into() },
+                kind: if f.archive {
+                    "ARCHIVE".into()
+                } else {
+                    "FILE".into()
+                },
                 visibility: "APPLICATION".into(),
                 size: f.size,
                 timestamp: 0,
             },
         };
-        let variable =
-            |(key, value): (&String, &String)| rest::Entry { key: key.clone(), value: value.clone() };
-        let gpus =
-            rest::Information { name: yarn::master::GPUS.into(), value: self.gpus, units: String::new() };
+        let variable = |(key, value): (&String, &String)| rest::Entry {
+            key: key.clone(),
+            value: value.clone(),
+        };
+        let gpus = rest::Information {
+            name: yarn::master::GPUS.into(),
+            value: self.gpus,
+            units: String::new(),
+        };
         let named = (self.gpus > 0).then(|| rest::Informations { each: vec![gpus] });
-        let timeout =
-            |s: &i64| rest::Timeout { kind: "LIFETIME".into(), remaining_s: *s, ..rest::Timeout::default() };
+        let timeout = |s: &i64| rest::Timeout {
+            kind: "LIFETIME".into(),
+            remaining_s: *s,
+            ..rest::Timeout::default()
+        };
         rest::Submission {
             application_id: id,
             application_name: self.name.clone(),
             queue: self.queue.clone(),
             priority: self.priority,
             am_container_spec: rest::Launch {
-                local_resources: rest::Entries { entry: self.files.iter().map(file).collect() },
-                environment: rest::Entries { entry: self.environment.iter().map(variable).collect() },
-                commands: rest::Commands { command: self.command.clone() },
+                local_resources: rest::Entries {
+                    entry: self.files.iter().map(file).collect(),
+                },
+                environment: rest::Entries {
+                    entry: self.environment.iter().map(variable).collect(),
+                },
+                commands: rest::Commands {
+                    command: self.command.clone(),
+                },
             },
             max_app_attempts: self.attempts,
-            resource: rest::Capability { memory: self.memory_mb, vcores: self.cores, named },
+            resource: rest::Capability {
+                memory: self.memory_mb,
+                vcores: self.cores,
+                named,
+            },
             application_type: self.kind.clone(),
-            application_tags: rest::Tags { tag: self.tags.clone() },
-            application_timeouts: rest::Timeouts { timeout: self.within_s.iter().map(timeout).collect() },
+            application_tags: rest::Tags {
+                tag: self.tags.clone(),
+            },
+            application_timeouts: rest::Timeouts {
+                timeout: self.within_s.iter().map(timeout).collect(),
+            },
             ..rest::Submission::default()
         }
     }
@@ -252,7 +292,8 @@
             match once(*node, method, &target, body, ONE_TRY) {
                 Ok(r) if r.status < 300 => return Ok(r.body),
                 Ok(r) => {
-                    let why = rest::read::<Refused>(Form::Json, &r.body).map(|f| f.exception.message);
+                    let why =
+                        rest::read::<Refused>(Form::Json, &r.body).map(|f| f.exception.message);
                     let why = why.unwrap_or_else(|_| format!("status {}", r.status));
                     if !matches!(r.status, 429 | 503) {
                         return Err(End::Refused(why));
@@ -278,10 +319,18 @@
 
     fn run(&self) -> Result<(), End> {
         match &self.verb {
-            Verb::List { state, queue, limit } => {
+            Verb::List {
+                state,
+                queue,
+                limit,
+            } => {
                 let mut path = format!("{}/apps?states={}", rest::ROOT, state.join(","));
-                queue.iter().for_each(|q| path.push_str(&format!("&queue={q}")));
-                limit.iter().for_each(|n| path.push_str(&format!("&limit={n}")));
+                queue
+                    .iter()
+                    .for_each(|q| path.push_str(&format!("&queue={q}")));
+                limit
+                    .iter()
+                    .for_each(|n| path.push_str(&format!("&limit={n}")));
                 let (read, body): (Apps, _) = self.get(&path)?;
                 self.show(&body, || list(&read.apps.app))
             }
@@ -292,11 +341,18 @@
             Verb::Kill { id } => self.kill(id),
             Verb::Submit { bundle, wait } => self.submit(bundle, *wait),
             Verb::Queues => {
-                let (read, body): (Scheduler, _) = self.get(&format!("{}/scheduler", rest::ROOT))?;
+                let (read, body): (Scheduler, _) =
+                    self.get(&format!("{}/scheduler", rest::ROOT))?;
                 let (drains, _): (Drains, _) = self.get(&format!("{OWN}/drains"))?;
                 self.show(&body, || queues(&read.scheduler.scheduler_info, &drains))
             }
-            Verb::Drain { name, machine, within, containers, off } => {
+            Verb::Drain {
+                name,
+                machine,
+                within,
+                containers,
+                off,
+            } => {
                 let machine = machine.then(|| name.clone());
                 let ask = DrainAsk {
                     queue: name.clone(),
@@ -312,7 +368,10 @@
             }
             Verb::Schema => {
                 let schema = schemars::schema_for!(Bundle);
-                println!("{}", serde_json::to_string_pretty(&schema).unwrap_or_default());
+                println!(
+                    "{}",
+                    serde_json::to_string_pretty(&schema).unwrap_or_default()
+                );
                 Ok(())
             }
         }
@@ -328,7 +387,14 @@
     }
 
     fn kill(&self, id: &str) -> Result<(), End> {
-        let body = rest::render(Form::Json, "", true, &rest::AppState { state: "KILLED".into() });
+        let body = rest::render(
+            Form::Json,
+            "",
+            true,
+            &rest::AppState {
+                state: "KILLED".into(),
+            },
+        );
         self.ask("PUT", &format!("{}/apps/{id}/state", rest::ROOT), &body)?;
         let app = self.until_over(id)?;
         println!("{id} {}", app.state);
@@ -359,7 +425,11 @@
         }
         let app = self.until_over(&id)?;
         println!("{} {}", app.state, app.final_status);
-        if app.final_status == "SUCCEEDED" { Ok(()) } else { Err(End::Refused(app.diagnostics)) }
+        if app.final_status == "SUCCEEDED" {
+            Ok(())
+        } else {
+            Err(End::Refused(app.diagnostics))
+        }
     }
 }
 
@@ -378,7 +448,16 @@
 }
 
 fn list(apps: &[rest::App]) -> String {
-    let mut t = table(&["id", "user", "queue", "type", "state", "final", "containers", "name"]);
+    let mut t = table(&[
+        "id",
+        "user",
+        "queue",
+        "type",
+        "state",
+        "final",
+        "containers",
+        "name",
+    ]);
     for a in apps {
         let containers = a.running_containers.to_string();
         t.add_row([
@@ -416,13 +495,30 @@
 }
 
 fn queues(root: &rest::Queue, drains: &Drains) -> String {
-    let mut t = table(&["queue", "guaranteed", "at most", "applications", "state", "until (ms since 1970)"]);
+    let mut t = table(&[
+        "queue",
+        "guaranteed",
+        "at most",
+        "applications",
+        "state",
+        "until (ms since 1970)",
+    ]);
     let mut left = vec![root];
     while let Some(q) = left.pop() {
         let until = drains.drains.get(&q.queue_path).and_then(|d| d.until_ms);
         let until = until.map_or(String::new(), |ms| ms.to_string());
-        let (capacity, most) = (format!("{:.0}%", q.capacity), format!("{:.0}%", q.max_capacity));
-        t.add_row([&q.queue_path, &capacity, &most, &q.num_applications.to_string(), &q.state, &until]);
+        let (capacity, most) = (
+            format!("{:.0}%", q.capacity),
+            format!("{:.0}%", q.max_capacity),
+        );
+        t.add_row([
+            &q.queue_path,
+            &capacity,
+            &most,
+            &q.num_applications.to_string(),
+            &q.state,
+            &until,
+        ]);
         left.extend(q.queues.iter().flat_map(|c| &c.queue).rev());
     }
     t.to_string()
@@ -434,8 +530,14 @@
     }
     let mut t = table(&["drained", "until (ms since 1970)", "further containers"]);
     for (queue, d) in drains.drains.iter().chain(&drains.machines) {
-        let until = d.until_ms.map_or("as long as it takes".into(), |ms| ms.to_string());
-        t.add_row([queue.clone(), until, if d.containers { "none" } else { "yes" }.into()]);
+        let until = d
+            .until_ms
+            .map_or("as long as it takes".into(), |ms| ms.to_string());
+        t.add_row([
+            queue.clone(),
+            until,
+            if d.containers { "none" } else { "yes" }.into(),
+        ]);
     }
     t.to_string()
 }
--- a/crates/wire/src/admin.rs
+++ b/crates/wire/src/admin.rs
@@ -71,7 +71,12 @@
     /// A team or node, with its guarantee, to below another node or the root.
     Move { name: String, to: Option<String> },
     /// Other bounds for a node.
-    Shrink { name: String, guarantee: Amounts, max: Amounts, scale: bool },
+    Shrink {
+        name: String,
+        guarantee: Amounts,
+        max: Amounts,
+        scale: bool,
+    },
 }
 
 /// A document that has nothing beside it to show.
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -78,13 +78,23 @@
     /// say.
     pub fn check(&self) -> Result<(), Fault> {
         if !crate::ids::valid_job_id(&self.id) {
-            return Err(Fault { field: "nameId", why: "must be job- and 1 to 18 digits" });
+            return Err(Fault {
+                field: "nameId",
+                why: "must be job- and 1 to 18 digits",
+            });
         }
-        for (field, name) in [("lot", &self.class), ("desk", &self.team), ("kit", &self.image)] {
+        for (field, name) in [
+            ("lot", &self.class),
+            ("desk", &self.team),
+            ("kit", &self.image),
+        ] {
             named(field, name)?;
         }
         if self.tasks == 0 || self.tasks > MAX_TASKS {
-            return Err(Fault { field: "pieces", why: "must be an integer from 1 to 100000" });
+            return Err(Fault {
+                field: "pieces",
+                why: "must be an integer from 1 to 100000",
+            });
         }
         if let Some(types) = &self.types {
             checked_types(types)?;
@@ -102,8 +112,14 @@
             ("stashS", self.save_s),
             ("dueS", self.deadline_s.unwrap_or(0.0)),
         ];
-        match amounts.iter().find(|(_, a)| !(0.0..=MAX_AMOUNT).contains(a)) {
-            Some((field, _)) => Err(Fault { field, why: "must be a finite number from 0 to 1e9" }),
+        match amounts
+            .iter()
+            .find(|(_, a)| !(0.0..=MAX_AMOUNT).contains(a))
+        {
+            Some((field, _)) => Err(Fault {
+                field,
+                why: "must be a finite number from 0 to 1e9",
+            }),
             None => Ok(()),
         }
     }
@@ -113,17 +129,30 @@
     if (1..=MAX_NAME).contains(&name.len()) {
         return Ok(());
     }
-    Err(Fault { field, why: "must be text of 1 to 120 bytes" })
+    Err(Fault {
+        field,
+        why: "must be text of 1 to 120 bytes",
+    })
 }
 
 fn checked_types(types: &[String]) -> Result<(), Fault> {
     let field = "builds";
     if types.is_empty() || types.len() > MAX_TYPES {
-        return Err(Fault { field, why: "must be null or a list of 1 to 64 names" });
+        return Err(Fault {
+            field,
+            why: "must be null or a list of 1 to 64 names",
+        });
     }
     types.iter().try_for_each(|name| named(field, name))?;
-    if types.iter().enumerate().any(|(i, name)| types[..i].contains(name)) {
-        return Err(Fault { field, why: "names a type twice" });
+    if types
+        .iter()
+        .enumerate()
+        .any(|(i, name)| types[..i].contains(name))
+    {
+        return Err(Fault {
+            field,
+            why: "names a type twice",
+        });
     }
     Ok(())
 }
@@ -371,7 +400,11 @@
 
 impl Write {
     pub fn put(key: String, value: crate::records::Record) -> Self {
-        Write::Put { key, value: Box::new(value), lease: None }
+        Write::Put {
+            key,
+            value: Box::new(value),
+            lease: None,
+        }
     }
 }
 
@@ -419,7 +452,11 @@
 pub struct Change<T> {
     #[serde(rename = "write", default, skip_serializing_if = "Option::is_none")]
     pub put: Option<String>,
-    #[serde(rename = "v", default = "none", skip_serializing_if = "Option::is_none")]
+    #[serde(
+        rename = "v",
+        default = "none",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub value: Option<T>,
     #[serde(rename = "remove", default, skip_serializing_if = "Option::is_none")]
     pub remove: Option<String>,
--- a/crates/wire/src/hours.rs
+++ b/crates/wire/src/hours.rs
@@ -11,7 +11,11 @@
     /// Another hour for one job. A repeat that finds it in place changes nothing.
     Move { job: String, to: String, by: String },
     /// The hours of one studio's pending jobs as the calendar in force has them.
-    Reagree { studio: String, by: String, dry_run: bool },
+    Reagree {
+        studio: String,
+        by: String,
+        dry_run: bool,
+    },
 }
 
 /// A job's hour, and what became of it.
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -96,7 +96,11 @@
 
 /// Takes one response off the front. Chunked bodies and bodies without a length are read too, since
 /// the other side is not ours; `ended` tells that no more bytes will come.
-pub fn parse_response(buf: &[u8], body_limit: usize, ended: bool) -> Result<Option<(Response, usize)>, Bad> {
+pub fn parse_response(
+    buf: &[u8],
+    body_limit: usize,
+    ended: bool,
+) -> Result<Option<(Response, usize)>, Bad> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Response::new(&mut headers);
     let used = match head.parse(&buf[..buf.len().min(MAX_HEAD)]) {
@@ -130,7 +134,15 @@
     } else {
         return Ok(None);
     };
-    Ok(Some((Response { status, body, close, retry_after_s: f.retry_after_s }, total)))
+    Ok(Some((
+        Response {
+            status,
+            body,
+            close,
+            retry_after_s: f.retry_after_s,
+        },
+        total,
+    )))
 }
 
 fn parse_chunks(mut buf: &[u8], body_limit: usize) -> Result<Option<(Vec<u8>, usize)>, Bad> {
@@ -140,11 +152,15 @@
         match httparse::parse_chunk_size(buf).map_err(|_| Bad(502))? {
             httparse::Status::Partial => return Ok(None),
             httparse::Status::Complete((at, 0)) => {
-                return Ok(buf.get(at..at + 2).map(|_| (body, whole - buf.len() + at + 2)));
+                return Ok(buf
+                    .get(at..at + 2)
+                    .map(|_| (body, whole - buf.len() + at + 2)));
             }
             httparse::Status::Complete((at, size)) => {
-                let size =
-                    usize::try_from(size).ok().filter(|s| *s <= body_limit - body.len()).ok_or(Bad(502))?;
+                let size = usize::try_from(size)
+                    .ok()
+                    .filter(|s| *s <= body_limit - body.len())
+                    .ok_or(Bad(502))?;
                 match buf.get(at..at + size + 2) {
                     Some(chunk) => body.extend_from_slice(&chunk[..size]),
                     None => return Ok(None),
@@ -159,7 +175,11 @@
     let mut head = String::with_capacity(128);
     let _ = write!(head, "{method} {path} HTTP/1.1\r\nHost: {host}\r\n");
     if method != "GET" || !body.is_empty() {
-        let _ = write!(head, "Content-Type: application/msgpack\r\nContent-Length: {}\r\n", body.len());
+        let _ = write!(
+            head,
+            "Content-Type: application/msgpack\r\nContent-Length: {}\r\n",
+            body.len()
+        );
     }
     head.push_str("\r\n");
     out.extend_from_slice(head.as_bytes());
@@ -171,8 +191,13 @@
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Request::new(&mut headers);
     head.parse(&buf[..buf.len().min(MAX_HEAD)]).ok()?;
-    let found = head.headers.iter().find(|h| h.name.eq_ignore_ascii_case(name))?;
-    std::str::from_utf8(found.value).ok().map(|v| v.trim().to_owned())
+    let found = head
+        .headers
+        .iter()
+        .find(|h| h.name.eq_ignore_ascii_case(name))?;
+    std::str::from_utf8(found.value)
+        .ok()
+        .map(|v| v.trim().to_owned())
 }
 
 pub fn write_response(out: &mut Vec<u8>, r: &Response) {
@@ -180,7 +205,12 @@
 }
 
 /// A response whose body is of another type, and which may name the place of what it made.
-pub fn write_response_as(out: &mut Vec<u8>, r: &Response, content_type: &str, location: Option<&str>) {
+pub fn write_response_as(
+    out: &mut Vec<u8>,
+    r: &Response,
+    content_type: &str,
+    location: Option<&str>,
+) {
     let reason = match r.status {
         200 => "OK",
         201 => "Created",
@@ -202,7 +232,11 @@
         _ => "Status",
     };
     let mut head = String::with_capacity(128);
-    let _ = write!(head, "HTTP/1.1 {} {reason}\r\nContent-Type: {content_type}\r\n", r.status);
+    let _ = write!(
+        head,
+        "HTTP/1.1 {} {reason}\r\nContent-Type: {content_type}\r\n",
+        r.status
+    );
     if let Some(place) = location {
         let _ = write!(head, "Location: {place}\r\n");
     }
--- a/crates/wire/src/ids.rs
+++ b/crates/wire/src/ids.rs
@@ -9,7 +9,8 @@
 /// Ids of this range (18 digits, the first a 9) belong to doors beside the users' own, where one is open: nobody else's
 /// job can then stand in the way of theirs.
 pub fn reserved_job_id(id: &str) -> bool {
-    id.strip_prefix("job-").is_some_and(|n| n.len() == 18 && n.starts_with('9'))
+    id.strip_prefix("job-")
+        .is_some_and(|n| n.len() == 18 && n.starts_with('9'))
 }
 
 /// `job-000412`, 3 → `job-000412/3`.
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -30,7 +30,11 @@
     /// Reports of workers that can't reach the owner, as they came.
     Reports { node: String, reports: Vec<ByteBuf> },
     /// A command for a worker that the other serves, as the worker is to get it.
-    Tell { machine: String, addr: String, body: ByteBuf },
+    Tell {
+        machine: String,
+        addr: String,
+        body: ByteBuf,
+    },
     /// A model is wanted. For the owner alone: it is to know of it, so that it does not put the model to sleep.
     Wake { model: String, owner: bool },
 }
@@ -68,7 +72,10 @@
 
 impl Answer {
     pub fn refused(status: u16, why: &str) -> Self {
-        Answer::Refused { status, why: bounded(why).to_owned() }
+        Answer::Refused {
+            status,
+            why: bounded(why).to_owned(),
+        }
     }
 }
 
--- a/crates/wire/src/records.rs
+++ b/crates/wire/src/records.rs
@@ -96,11 +96,19 @@
 impl AllotRec {
     /// All limits whole, in a record of at most `value` bytes.
     pub fn whole(teams: Vec<AllotedTeam>, tree: u64, value: usize) -> Self {
-        let list = AllotRec { teams, whole: None, tree };
+        let list = AllotRec {
+            teams,
+            whole: None,
+            tree,
+        };
         if document::text(&list).len() <= value {
             return list;
         }
-        AllotRec { teams: Vec::new(), whole: Some(document::digest(&list.teams)), tree }
+        AllotRec {
+            teams: Vec::new(),
+            whole: Some(document::digest(&list.teams)),
+            tree,
+        }
     }
 }
 
@@ -142,7 +150,13 @@
 impl JobRec {
     /// One that nothing was agreed for.
     pub fn new(spec: JobSpec, at_ms: u64, part: Part) -> Self {
-        JobRec { spec, at_ms, part, hour: None, county: None }
+        JobRec {
+            spec,
+            at_ms,
+            part,
+            hour: None,
+            county: None,
+        }
     }
 }
 
--- a/crates/wire/src/settings.rs
+++ b/crates/wire/src/settings.rs
@@ -106,7 +106,11 @@
     /// The teams as leaves of a quota tree.
     pub fn quota_teams(&self) -> Vec<quota::Team> {
         let given = |parts: [(&str, f64); 2]| {
-            parts.into_iter().filter(|(_, v)| *v > 0.0).map(|(name, v)| (name.to_owned(), v)).collect()
+            parts
+                .into_iter()
+                .filter(|(_, v)| *v > 0.0)
+                .map(|(name, v)| (name.to_owned(), v))
+                .collect()
         };
         let team = |t: &Team| quota::Team {
             name: t.name.clone(),
@@ -118,17 +122,25 @@
 
     /// The limits stand within `cluster` or beside it, depending on the platform's version.
     pub fn limits(&self) -> Limits {
-        self.cluster.limits.clone().or_else(|| self.limits.clone()).unwrap_or(Limits {
-            cores: 1.0,
-            mem_mb: 512.0,
-            max_sockets: 1024,
-        })
+        self.cluster
+            .limits
+            .clone()
+            .or_else(|| self.limits.clone())
+            .unwrap_or(Limits {
+                cores: 1.0,
+                mem_mb: 512.0,
+                max_sockets: 1024,
+            })
     }
 
     /// Names the first field whose value can't be worked with.
     pub fn check(&self) -> Result<(), String> {
         fn positive(name: &str, v: f64) -> Result<(), String> {
-            if v.is_finite() && v > 0.0 { Ok(()) } else { Err(format!("{name}: must be above 0, is {v}")) }
+            if v.is_finite() && v > 0.0 {
+                Ok(())
+            } else {
+                Err(format!("{name}: must be above 0, is {v}"))
+            }
         }
         let c = &self.cluster;
         let addr = |name: &str, a: &str| {
@@ -168,15 +180,24 @@
             return Err("cluster.machine_limits.max_sockets: at least 32 are needed".into());
         }
         for (i, t) in c.teams.iter().enumerate() {
-            let parts =
-                [("cpus", t.cpus), ("cpus_max", t.cpus_max), ("gpus", t.gpus), ("gpus_max", t.gpus_max)];
+            let parts = [
+                ("cpus", t.cpus),
+                ("cpus_max", t.cpus_max),
+                ("gpus", t.gpus),
+                ("gpus_max", t.gpus_max),
+            ];
             for (name, v) in parts {
                 if !v.is_finite() || v < 0.0 {
-                    return Err(format!("cluster.teams[{i}].{name}: must be 0 or more, is {v}"));
+                    return Err(format!(
+                        "cluster.teams[{i}].{name}: must be 0 or more, is {v}"
+                    ));
                 }
             }
             if c.teams[..i].iter().any(|o| o.name == t.name) {
-                return Err(format!("cluster.teams[{i}].name: {:?} is named twice", t.name));
+                return Err(format!(
+                    "cluster.teams[{i}].name: {:?} is named twice",
+                    t.name
+                ));
             }
         }
         Ok(())
--- a/crates/wire/src/submission.rs
+++ b/crates/wire/src/submission.rs
@@ -71,7 +71,10 @@
         Ok(spec) => return Ok(spec),
         Err(fault) => fault,
     };
-    let id = fields.text("nameId").ok().filter(|id| crate::ids::valid_job_id(id));
+    let id = fields
+        .text("nameId")
+        .ok()
+        .filter(|id| crate::ids::valid_job_id(id));
     Err(Malformed { fault, id })
 }
 
@@ -105,9 +108,9 @@
         let used = reader.get_ref().position();
         match read {
             Err(_) if !self.is_map => Err(Fault::body("must be a MessagePack map")),
-            Err(_) => {
-                Err(Fault::body("must be a whole MessagePack map with text keys, nested 32 deep at most"))
-            }
+            Err(_) => Err(Fault::body(
+                "must be a whole MessagePack map with text keys, nested 32 deep at most",
+            )),
             Ok(()) if used != body.len() as u64 => Err(Fault::body("has bytes after the map")),
             Ok(()) => Ok(()),
         }
@@ -116,14 +119,20 @@
     /// A field that may be null, which may also be left out.
     fn given(&self, field: &'static str) -> Result<Option<&Raw>, Fault> {
         if self.twice == Some(field) {
-            return Err(Fault { field, why: "is there twice" });
+            return Err(Fault {
+                field,
+                why: "is there twice",
+            });
         }
         let found = self.of.iter().find(|(name, _)| *name == field);
         Ok(found.map(|(_, value)| value).filter(|v| **v != Raw::Null))
     }
 
     fn needed(&self, field: &'static str) -> Result<&Raw, Fault> {
-        self.given(field)?.ok_or(Fault { field, why: "missing" })
+        self.given(field)?.ok_or(Fault {
+            field,
+            why: "missing",
+        })
     }
 
     fn text(&self, field: &'static str) -> Result<String, Fault> {
@@ -133,7 +142,10 @@
     fn flag(&self, field: &'static str) -> Result<bool, Fault> {
         match self.needed(field)? {
             Raw::Bool(b) => Ok(*b),
-            _ => Err(Fault { field, why: "must be true or false" }),
+            _ => Err(Fault {
+                field,
+                why: "must be true or false",
+            }),
         }
     }
 
@@ -145,12 +157,19 @@
     fn count(&self, field: &'static str) -> Result<u32, Fault> {
         match self.needed(field)? {
             Raw::Count(n) => Ok(u32::try_from(*n).unwrap_or(u32::MAX)),
-            _ => Err(Fault { field, why: "must be an integer from 1 to 100000" }),
+            _ => Err(Fault {
+                field,
+                why: "must be an integer from 1 to 100000",
+            }),
         }
     }
 
     /// One of a few words, which only their type knows.
-    fn word<T: for<'de> Deserialize<'de>>(&self, field: &'static str, why: &'static str) -> Result<T, Fault> {
+    fn word<T: for<'de> Deserialize<'de>>(
+        &self,
+        field: &'static str,
+        why: &'static str,
+    ) -> Result<T, Fault> {
         let word = self.text(field)?;
         let word: StrDeserializer<'_, ValueError> = word.as_str().into_deserializer();
         T::deserialize(word).map_err(|_| Fault { field, why })
@@ -159,14 +178,24 @@
     fn names(&self, field: &'static str) -> Result<Option<Vec<String>>, Fault> {
         match self.given(field)? {
             None => Ok(None),
-            Some(Raw::List(of)) => of.iter().map(|v| text(field, v)).collect::<Result<_, _>>().map(Some),
-            Some(_) => Err(Fault { field, why: "must be null or a list of names" }),
+            Some(Raw::List(of)) => of
+                .iter()
+                .map(|v| text(field, v))
+                .collect::<Result<_, _>>()
+                .map(Some),
+            Some(_) => Err(Fault {
+                field,
+                why: "must be null or a list of names",
+            }),
         }
     }
 
     fn spec(&self) -> Result<JobSpec, Fault> {
         if let Some(field) = self.twice {
-            return Err(Fault { field, why: "is there twice" });
+            return Err(Fault {
+                field,
+                why: "is there twice",
+            });
         }
         let spec = JobSpec {
             id: self.text("nameId")?,
@@ -198,8 +227,14 @@
 fn text(field: &'static str, value: &Raw) -> Result<String, Fault> {
     match value {
         Raw::Text(text) => Ok(text.clone()),
-        _ if field == "builds" => Err(Fault { field, why: "must be null or a list of names" }),
-        _ => Err(Fault { field, why: "must be text" }),
+        _ if field == "builds" => Err(Fault {
+            field,
+            why: "must be null or a list of names",
+        }),
+        _ => Err(Fault {
+            field,
+            why: "must be text",
+        }),
     }
 }
 
@@ -208,7 +243,10 @@
     match value {
         Raw::Number(n) => Ok(*n),
         Raw::Count(n) => Ok(*n as f64),
-        _ => Err(Fault { field, why: "must be a number" }),
+        _ => Err(Fault {
+            field,
+            why: "must be a number",
+        }),
     }
 }
 
@@ -225,7 +263,9 @@
         let fields = self.0;
         fields.is_map = true;
         while let Some(key) = map.next_key::<Raw>()? {
-            let Raw::Text(key) = key else { return Err(A::Error::custom("keys are text")) };
+            let Raw::Text(key) = key else {
+                return Err(A::Error::custom("keys are text"));
+            };
             let Some(field) = FIELDS.iter().find(|f| **f == key) else {
                 map.next_value::<IgnoredAny>()?;
                 continue;
--- a/crates/wire/src/tally.rs
+++ b/crates/wire/src/tally.rs
@@ -44,5 +44,9 @@
     /// So many records were read so far.
     Running { read: u64 },
     /// As of this revision. No differences: the counts are those of the records.
-    Done { revision: u64, read: u64, differences: Vec<String> },
+    Done {
+        revision: u64,
+        read: u64,
+        differences: Vec<String>,
+    },
 }
--- a/crates/yarn/src/error.rs
+++ b/crates/yarn/src/error.rs
@@ -38,10 +38,18 @@
     pub fn name(self) -> &'static str {
         match self {
             Class::Yarn => "org.apache.hadoop.yarn.exceptions.YarnException",
-            Class::ApplicationNotFound => "org.apache.hadoop.yarn.exceptions.ApplicationNotFoundException",
-            Class::AttemptNotFound => "org.apache.hadoop.yarn.exceptions.ApplicationAttemptNotFoundException",
-            Class::ContainerNotFound => "org.apache.hadoop.yarn.exceptions.ContainerNotFoundException",
-            Class::InvalidRequest => "org.apache.hadoop.yarn.exceptions.InvalidResourceRequestException",
+            Class::ApplicationNotFound => {
+                "org.apache.hadoop.yarn.exceptions.ApplicationNotFoundException"
+            }
+            Class::AttemptNotFound => {
+                "org.apache.hadoop.yarn.exceptions.ApplicationAttemptNotFoundException"
+            }
+            Class::ContainerNotFound => {
+                "org.apache.hadoop.yarn.exceptions.ContainerNotFoundException"
+            }
+            Class::InvalidRequest => {
+                "org.apache.hadoop.yarn.exceptions.InvalidResourceRequestException"
+            }
             Class::NotRegistered => {
                 "org.apache.hadoop.yarn.exceptions.ApplicationMasterNotRegisteredException"
             }
@@ -97,7 +105,10 @@
 
 impl Fault {
     pub fn new(class: Class, message: impl Into<String>) -> Self {
-        Fault { class, message: message.into() }
+        Fault {
+            class,
+            message: message.into(),
+        }
     }
 }
 
--- a/crates/yarn/src/ids.rs
+++ b/crates/yarn/src/ids.rs
@@ -16,14 +16,21 @@
     /// `application_1700000000000_0007`.
     pub fn parse(text: &str) -> Option<Self> {
         let (stamp, id) = text.strip_prefix("application_")?.split_once('_')?;
-        Some(ApplicationId { id: number(id)?, cluster_timestamp: number(stamp)? })
+        Some(ApplicationId {
+            id: number(id)?,
+            cluster_timestamp: number(stamp)?,
+        })
     }
 }
 
 impl fmt::Display for ApplicationAttemptId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let app = self.application_id.unwrap_or_default();
-        write!(f, "appattempt_{}_{:04}_{:06}", app.cluster_timestamp, app.id, self.attempt_id)
+        write!(
+            f,
+            "appattempt_{}_{:04}_{:06}",
+            app.cluster_timestamp, app.id, self.attempt_id
+        )
     }
 }
 
@@ -34,8 +41,14 @@
         let cluster_timestamp = number(parts.next()?)?;
         let id = number(parts.next()?)?;
         let attempt_id = number(parts.next()?)?;
-        let application_id = Some(ApplicationId { id, cluster_timestamp });
-        parts.next().is_none().then_some(ApplicationAttemptId { application_id, attempt_id })
+        let application_id = Some(ApplicationId {
+            id,
+            cluster_timestamp,
+        });
+        parts.next().is_none().then_some(ApplicationAttemptId {
+            application_id,
+            attempt_id,
+        })
     }
 }
 
@@ -43,7 +56,11 @@
     /// A number that is never given twice, as long as epochs rise.
     pub fn new(attempt: ApplicationAttemptId, epoch: u64, sequence: u64) -> Self {
         let low = sequence & ((1 << SEQUENCE_BITS) - 1);
-        ContainerId { app_id: None, app_attempt_id: Some(attempt), id: (epoch << SEQUENCE_BITS | low) as i64 }
+        ContainerId {
+            app_id: None,
+            app_attempt_id: Some(attempt),
+            id: (epoch << SEQUENCE_BITS | low) as i64,
+        }
     }
 
     pub fn epoch(&self) -> u64 {
@@ -64,7 +81,12 @@
             write!(f, "e{:02}_", self.epoch())?;
         }
         let (stamp, id) = (app.cluster_timestamp, app.id);
-        write!(f, "{stamp}_{id:04}_{:02}_{:06}", attempt.attempt_id, self.sequence())
+        write!(
+            f,
+            "{stamp}_{id:04}_{:02}_{:06}",
+            attempt.attempt_id,
+            self.sequence()
+        )
     }
 }
 
--- a/crates/yarn/src/proto.rs
+++ b/crates/yarn/src/proto.rs
@@ -542,7 +542,12 @@
 pub struct GetApplicationsRequest {
     #[prost(string, repeated, tag = "1")]
     pub application_types: Vec<String>,
-    #[prost(enumeration = "ApplicationState", repeated, packed = "false", tag = "2")]
+    #[prost(
+        enumeration = "ApplicationState",
+        repeated,
+        packed = "false",
+        tag = "2"
+    )]
     pub application_states: Vec<i32>,
     #[prost(string, repeated, tag = "3")]
     pub users: Vec<String>,
