--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -22,6 +22,7 @@
 mod models;
 pub mod pace;
 mod part;
+pub mod precedence;
 mod quotas;
 mod relay;
 mod renewal;
@@ -75,6 +76,10 @@
         conn: u64,
         request: Request,
     },
+    /// A user's request that has waited for so long that it is refused unread.
+    Late {
+        conn: u64,
+    },
     Reply {
         tag: u64,
         response: Option<Response>,
@@ -440,6 +445,7 @@
         match event {
             Event::Client { conn, request } => self.client(conn, request),
             Event::Peer { conn, request } => self.peer(conn, &request),
+            Event::Late { conn } => self.refuse(conn, 503, "busy"),
             Event::Reply { tag, response } => self.reply(tag, response),
             Event::Unsent { tag } => self.unsent(tag),
             Event::Side { tag, ask } => self.side_asked(tag, ask),
--- /dev/null
+++ b/crates/control/tests/precedence.rs
@@ -0,0 +1,85 @@
+//! The order in which a node serves what waits.
+
+use control::precedence::{Backlog, Next, Precedence, QUESTION_WAITS_MS, SUBMISSION_WAITS_MS};
+use proptest::prelude::*;
+use wire::http::Request;
+
+fn request(method: &str, path: &str) -> Request {
+    Request {
+        method: method.into(),
+        path: path.into(),
+        body: Vec::new(),
+        close: false,
+    }
+}
+
+#[test]
+fn reports_and_cancels_go_before_new_work() {
+    let cases = [
+        ("POST", "/hello", Precedence::Worker),
+        ("GET", "/ready", Precedence::Worker),
+        ("POST", "/work/job-000001/cancel", Precedence::Cancel),
+        ("POST", "/work/job-000001/cancel?x=1", Precedence::Cancel),
+        ("GET", "/work/job-000001", Precedence::Question),
+        ("POST", "/work", Precedence::Submission),
+        ("PUT", "/nothing", Precedence::Submission),
+    ];
+    for (method, path, expected) in cases {
+        let seen = Precedence::of_client(&request(method, path));
+        assert_eq!(seen, expected, "{method} {path}");
+    }
+    assert!(cases.is_sorted_by_key(|(_, _, precedence)| *precedence));
+}
+
+const ALL: [Precedence; 6] = [
+    Precedence::Own,
+    Precedence::Peer,
+    Precedence::Worker,
+    Precedence::Cancel,
+    Precedence::Question,
+    Precedence::Submission,
+];
+
+/// What a backlog ought to do, by a walk over a plain list.
+#[derive(Default)]
+struct Listed(Vec<(u64, Precedence, usize)>);
+
+impl Listed {
+    fn pop(&mut self, now: u64) -> Option<Next<usize>> {
+        for (precedence, waits) in [
+            (Precedence::Submission, SUBMISSION_WAITS_MS),
+            (Precedence::Question, QUESTION_WAITS_MS),
+        ] {
+            let is_late =
+                |(came, p, _): &(u64, Precedence, usize)| *p == precedence && now > came + waits;
+            if let Some(index) = self.0.iter().position(is_late) {
+                return Some(Next::Refuse(self.0.remove(index).2));
+            }
+        }
+        let first = (0..self.0.len()).min_by_key(|index| (self.0[*index].1, *index))?;
+        Some(Next::Serve(self.0.remove(first).2))
+    }
+}
+
+proptest! {
+    /// Nothing is lost or served twice, whatever comes and however long it waits.
+    #[test]
+    fn a_backlog_serves_as_a_plain_list_would(
+        steps in prop::collection::vec((0u64..400, 0usize..6, any::<bool>()), 1..300)
+    ) {
+        let (mut backlog, mut listed) = (Backlog::default(), Listed::default());
+        let mut now = 0;
+        for (item, (passes, precedence, pops)) in steps.into_iter().enumerate() {
+            now += passes;
+            if pops {
+                prop_assert_eq!(backlog.pop(now), listed.pop(now));
+            } else {
+                backlog.push(now, ALL[precedence], item);
+                listed.0.push((now, ALL[precedence], item));
+            }
+            prop_assert_eq!(backlog.is_empty(), listed.0.is_empty());
+        }
+        let rest = listed.0.len();
+        prop_assert_eq!(backlog.drain().count(), rest);
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -471,18 +471,17 @@
 
     /// Ends the connection of a request without an answer, as a host that is gone would.
     pub fn abandon(&mut self, id: ConnId) {
-        let is_asked =
-            |conn: &Conn| conn.generation == id.generation && conn.phase == Phase::Working;
-        if self
-            .conns
-            .get(id.slot)
-            .and_then(Option::as_ref)
-            .is_some_and(is_asked)
-        {
+        if self.is_asked(id) {
             self.close(id.slot);
         }
     }
 
+    /// Whether somebody still waits there for an answer.
+    pub fn is_asked(&self, id: ConnId) -> bool {
+        let conn = self.conns.get(id.slot).and_then(Option::as_ref);
+        conn.is_some_and(|c| c.generation == id.generation && c.phase == Phase::Working)
+    }
+
     /// Asks another host. The end always comes as an [`Event::Reply`] or an [`Event::Unsent`], never from within this
     /// call.
     pub fn send(&mut self, o: Outgoing<'_>) {
@@ -672,6 +671,8 @@
                 if conn.phase == Phase::Reading {
                     match http::parse_request(&conn.rbuf, door.body_limit()) {
                         Ok(None) => {}
+                        // Whoever asked has closed the connection, and hears no answer.
+                        Ok(Some(_)) if ended => {}
                         Ok(Some((request, used))) => {
                             conn.consume(used);
                             conn.phase = Phase::Working;
--- a/crates/net/tests/bounds.rs
+++ b/crates/net/tests/bounds.rs
@@ -146,3 +146,24 @@
     ended.sort_unstable();
     assert_eq!(ended, [1, 2]);
 }
+
+/// A request whose sender has gone was handed over all the same: an overloaded node spent its time on answers that
+/// nobody would hear.
+#[test]
+fn a_request_whose_sender_has_gone_is_dropped() {
+    let (mut net, addr) = listening(100);
+    let text = b"POST /work HTTP/1.1\r\nContent-Length: 5\r\n\r\nhello";
+    for _ in 0..20 {
+        let mut gone = client(addr);
+        assert_eq!(gone.write(text).expect("sent"), text.len());
+        drop(gone);
+    }
+    let mut here = client(addr);
+    assert_eq!(here.write(text).expect("sent"), text.len());
+    let mut got = Vec::new();
+    let served = serve(&mut net, || {
+        drain(&mut here, &mut got);
+        got.ends_with(b"hello")
+    });
+    assert_eq!(served, 1);
+}
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -6,6 +6,7 @@
 mod kept;
 mod late;
 mod machines;
+pub mod processor;
 mod slow;
 mod steady;
 mod troubles;
@@ -201,6 +202,8 @@
     /// The balancer probes a node; a trouble of the day begins.
     Probe(usize),
     Trouble(usize),
+    /// A controller's processor has time again.
+    Free(usize),
 }
 
 /// A connection to the gateway, with its one call.
@@ -218,6 +221,7 @@
     refused_until: u64,
     /// It stands still until then.
     frozen_until: u64,
+    processor: processor::Processor,
     drift: f64,
     /// The number in the name that it goes by: its own, but for two of one name.
     name: usize,
@@ -303,6 +307,8 @@
     holds: holds::Holds,
     kept: kept::Kept,
     slow: slow::Slow,
+    /// What controllers' work costs them, if anything.
+    costs: Option<processor::Costs>,
     steady: steady::Steady,
 }
 
@@ -457,6 +463,7 @@
             holds: Default::default(),
             kept: Default::default(),
             slow: Default::default(),
+            costs: None,
             steady: Default::default(),
             plan,
         };
@@ -521,6 +528,7 @@
                 life,
                 refused_until: 0,
                 frozen_until: 0,
+                processor: Default::default(),
                 drift,
                 name: n,
             });
@@ -1058,8 +1066,10 @@
         if let Some(until) = self.wakes_at(&ev) {
             return self.at(until, ev);
         }
+        let Some(ev) = self.put_off(ev) else { return };
         match ev {
             Ev::Restart(n) => {
+                self.drop_waiting(n);
                 let raised = if self.plan.sabotage == Sabotage::LimitsRaised {
                     10.0
                 } else {
@@ -1148,6 +1158,7 @@
             Ev::RawOver(conn) => self.raw_over(conn),
             Ev::Probe(n) => self.probe(n),
             Ev::Trouble(i) => self.trouble(i),
+            Ev::Free(n) => self.free(n),
         }
     }
 
@@ -1162,12 +1173,16 @@
 
     fn feed(&mut self, n: usize, event: Event) {
         let now = self.node_now(n);
+        let cost = self.event_cost(&event);
         let Some(node) = self.hosts[n].node.as_mut() else {
             return;
         };
-        let before = node.node().stats().preempts;
+        let before = node.node().stats().clone();
         let outs = node.handle(now, event);
-        self.stopped += node.node().stats().preempts - before;
+        let after = node.node().stats();
+        let steps = after.plan_steps - before.plan_steps;
+        self.stopped += after.preempts - before.preempts;
+        self.handled(n, cost, steps);
         self.carry_out(n, outs);
     }
 
--- /dev/null
+++ b/crates/standins/tests/overload.rs
@@ -0,0 +1,89 @@
+//! Controllers that are short of processor time: they slow down, and do not collapse.
+
+use standins::scene::{Scene, Timed, array};
+use standins::world::processor::Costs;
+use standins::world::{Plan, World};
+
+const FIRST_MS: u64 = 30_000;
+/// Work comes for so long.
+const LOAD_MS: u64 = 120_000;
+const EVERY_MS: u64 = 300;
+const MACHINES: usize = 60;
+const SEEDS: std::ops::Range<u64> = 1..5;
+
+/// A fleet of its own size for work that comes for two minutes.
+fn world(seed: u64) -> World {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let jobs = (0..LOAD_MS / EVERY_MS).map(|i| Timed {
+        at: FIRST_MS + i * EVERY_MS,
+        run_ms: rng.u64(2000..8000),
+        cancel_ms: None,
+        spec: array(1000 + i as u32, "red", 2, 5.0),
+    });
+    let scene = Scene {
+        jobs: jobs.collect(),
+        machines: MACHINES,
+        ..Scene::default()
+    };
+    let plan = Plan::of_scene(seed, 3, scene.team("red", 240.0, 0.0), 0, 600_000);
+    let mut world = World::new(plan);
+    world.tune("fleet", "idle_s", "1000");
+    world
+}
+
+/// Controllers that need so many milliseconds for a message, and as much again for each KiB.
+fn costs(message_ms: u64) -> Costs {
+    Costs {
+        message_us: message_ms * 1000,
+        kib_us: message_ms * 1000,
+        step_ns: 500,
+    }
+}
+
+fn kept(world: &World, what: &str) {
+    assert!(
+        world.rules.broken.is_empty(),
+        "{what}: {:?}",
+        world.rules.broken
+    );
+    assert!(
+        world.unfinished().is_empty(),
+        "{what}: {:?} never ended",
+        world.unfinished()
+    );
+}
+
+/// Reports and what comes of them need more time than the leader has. Served in the order in which they came, answers
+/// to renewals waited behind reports whose workers had given up: on the first of these days no leader stood for 52 s, 157
+/// leases ended, and 243 jobs had not ended five minutes after the last had come.
+#[test]
+fn a_leader_above_its_share_goes_on_leading() {
+    for seed in SEEDS {
+        let what = format!("seed {seed}");
+        let mut world = world(seed);
+        world.run_for(FIRST_MS / 2);
+        world.processors_cost(costs(16));
+        world.run_for(FIRST_MS / 2 + LOAD_MS);
+        assert!(
+            world.longest_unled_ms() < world.round_ms(),
+            "{what}: {} ms without a leader",
+            world.longest_unled_ms()
+        );
+        assert_eq!(world.sessions_lost(), 0, "{what}");
+        world.run_for(120_000);
+        kept(&world, &what);
+    }
+}
+
+/// What comes is far more than controllers can serve; when it is over, they catch up by themselves.
+#[test]
+fn what_was_shed_is_caught_up_with() {
+    for seed in SEEDS {
+        let what = format!("seed {seed}");
+        let mut world = world(seed);
+        world.run_for(FIRST_MS / 2);
+        world.processors_cost(costs(20));
+        world.run_for(FIRST_MS / 2 + LOAD_MS + 400_000);
+        kept(&world, &what);
+    }
+}
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -1,16 +1,20 @@
 //! One process: the network thread that turns sockets into events for the controller, and back.
 
+use control::precedence::{Backlog, Next, Precedence};
 use control::{Dest, Effect, Event, Node, Now, Tuning};
 use gateway::served::{Gateway, Out, Raw, Served};
 use net::{ConnId, Door, Net, Outgoing};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use wire::http::Request;
 use wire::settings::Settings;
 
 /// Numbers of the gateway's doors.
 const RPC: Door = Door::Raw(0);
 const WEB: Door = Door::Raw(1);
+/// What has come in is served for so long before the network is looked at again.
+const SLICE: Duration = Duration::from_millis(20);
 const STATS_EVERY: Duration = Duration::from_secs(30);
 
 /// Documents to begin with, where there have never been any.
@@ -35,6 +39,9 @@
     raw: HashMap<u64, ConnId>,
     raw_ids: HashMap<ConnId, u64>,
     next_conn: u64,
+    /// What has come in and is still to be served.
+    backlog: Backlog<Event>,
+    ticked: Instant,
     logged: Instant,
 }
 
@@ -115,83 +122,139 @@
             raw: HashMap::new(),
             raw_ids: HashMap::new(),
             next_conn: 1,
+            backlog: Backlog::default(),
+            ticked: start,
             logged: start,
         })
     }
 
     /// Runs until the process is ended.
     pub fn run(mut self) -> Result<(), String> {
-        let mut ticked = Instant::now();
-        self.feed(Event::Tick);
+        self.tick();
         loop {
-            let wait = Duration::from_millis(self.node.node().wait_ms());
-            let left = (ticked + wait).saturating_duration_since(Instant::now());
+            let wait = match self.backlog.is_empty() {
+                true => self.next_tick().saturating_duration_since(Instant::now()),
+                false => Duration::ZERO,
+            };
             let events = self
                 .net
-                .poll(left)
+                .poll(wait)
                 .map_err(|e| format!("event loop: {e}"))?;
+            let now = now(self.start).mono;
             for event in events {
-                match event {
-                    net::Event::Request {
-                        conn,
-                        door,
-                        request,
-                    } => {
-                        let id = self.next_conn;
-                        self.next_conn += 1;
-                        self.conns.insert(id, conn);
-                        if door == Door::Clients && request.path == "/hello" {
-                            self.net.regular(conn, self.silent);
-                        }
-                        self.feed(match door {
-                            Door::Clients => Event::Client { conn: id, request },
-                            Door::Peers => Event::Peer { conn: id, request },
-                            // Raw doors hand over bytes, and no hosts are played here.
-                            Door::Raw(_) | Door::Host(_) => continue,
-                        });
-                    }
-                    net::Event::Opened { conn, door, from } => {
-                        let id = self.next_conn;
-                        self.next_conn += 1;
-                        self.raw.insert(id, conn);
-                        self.raw_ids.insert(conn, id);
-                        self.feed_raw(
-                            id,
-                            Raw::Opened {
-                                web: door == WEB,
-                                from: from.ip(),
-                            },
-                        );
-                    }
-                    net::Event::Bytes { conn, bytes } => {
-                        if let Some(id) = self.raw_ids.get(&conn).copied() {
-                            self.feed_raw(id, Raw::Bytes(bytes));
-                        }
-                    }
-                    net::Event::Closed { conn } => {
-                        if let Some(id) = self.raw_ids.remove(&conn) {
-                            self.raw.remove(&id);
-                            self.feed_raw(id, Raw::Closed);
-                        }
-                    }
-                    net::Event::Reply { tag, response } => {
-                        self.feed(Event::Reply { tag, response })
-                    }
-                    net::Event::Unsent { tag } => self.feed(Event::Unsent { tag }),
+                if let Some(event) = self.take_in(event) {
+                    self.backlog.push(now, Precedence::of(&event), event);
+                }
+            }
+            self.serve();
+            self.tick_if_due();
+            self.log_now_and_then();
+        }
+    }
+
+    /// Serves what waits, until it is time to look for what has come meanwhile. A tick that is due does not wait.
+    fn serve(&mut self) {
+        let until = Instant::now() + SLICE;
+        while Instant::now() < until {
+            match self.backlog.pop(now(self.start).mono) {
+                Some(Next::Serve(event)) => self.feed_if_asked(event),
+                Some(Next::Refuse(Event::Client { conn, .. })) => {
+                    self.feed(Event::Late { conn });
                 }
+                Some(Next::Refuse(event)) => self.feed(event),
+                None => return,
+            }
+            self.tick_if_due();
+        }
+    }
+
+    /// What nobody waits for any more is dropped.
+    fn feed_if_asked(&mut self, event: Event) {
+        if let Event::Client { conn, .. } | Event::Peer { conn, .. } = &event
+            && let Some(id) = self.conns.get(conn)
+            && !self.net.is_asked(*id)
+        {
+            self.conns.remove(conn);
+            return;
+        }
+        self.feed(event);
+    }
+
+    fn next_tick(&self) -> Instant {
+        self.ticked + Duration::from_millis(self.node.node().wait_ms())
+    }
+
+    fn tick_if_due(&mut self) {
+        if Instant::now() >= self.next_tick() {
+            self.tick();
+        }
+    }
+
+    fn tick(&mut self) {
+        self.ticked = Instant::now();
+        self.feed(Event::Tick);
+    }
+
+    fn log_now_and_then(&mut self) {
+        if self.logged.elapsed() < STATS_EVERY {
+            return;
+        }
+        self.logged = Instant::now();
+        let node = self.node.node();
+        log::info!("{}: {:?}", node.role_name(), node.stats());
+        if let Some(book) = self.node.book() {
+            log::info!("yarn: {:?}", book.counts());
+        }
+    }
+
+    /// What has come in by the network, as the controller takes it. The gateway is given its bytes at once.
+    fn take_in(&mut self, event: net::Event) -> Option<Event> {
+        match event {
+            net::Event::Request {
+                conn,
+                door,
+                request,
+            } => return self.requested(conn, door, request),
+            net::Event::Opened { conn, door, from } => {
+                let id = self.next_conn;
+                self.next_conn += 1;
+                self.raw.insert(id, conn);
+                self.raw_ids.insert(conn, id);
+                let opened = Raw::Opened {
+                    web: door == WEB,
+                    from: from.ip(),
+                };
+                self.feed_raw(id, opened);
             }
-            if ticked.elapsed() >= wait {
-                ticked = Instant::now();
-                self.feed(Event::Tick);
+            net::Event::Bytes { conn, bytes } => {
+                if let Some(id) = self.raw_ids.get(&conn).copied() {
+                    self.feed_raw(id, Raw::Bytes(bytes));
+                }
             }
-            if self.logged.elapsed() >= STATS_EVERY {
-                self.logged = Instant::now();
-                let node = self.node.node();
-                log::info!("{}: {:?}", node.role_name(), node.stats());
-                if let Some(book) = self.node.book() {
-                    log::info!("yarn: {:?}", book.counts());
+            net::Event::Closed { conn } => {
+                if let Some(id) = self.raw_ids.remove(&conn) {
+                    self.raw.remove(&id);
+                    self.feed_raw(id, Raw::Closed);
                 }
             }
+            net::Event::Reply { tag, response } => return Some(Event::Reply { tag, response }),
+            net::Event::Unsent { tag } => return Some(Event::Unsent { tag }),
+        }
+        None
+    }
+
+    fn requested(&mut self, conn: ConnId, door: Door, request: Request) -> Option<Event> {
+        let id = self.next_conn;
+        self.next_conn += 1;
+        self.conns.insert(id, conn);
+        if door == Door::Clients && request.path == "/hello" {
+            self.net.regular(conn, self.silent);
+        }
+        match door {
+            Door::Clients => Some(Event::Client { conn: id, request }),
+            Door::Peers => Some(Event::Peer { conn: id, request }),
+            // Raw doors hand over bytes, and no hosts are played here.
+            Door::Raw(_) | Door::Host(_) => None,
         }
     }
 
