--- a/crates/capacity/src/run.rs
+++ b/crates/capacity/src/run.rs
@@ -131,6 +131,14 @@
     left: BTreeSet<usize>,
 }
 
+/// A way to a controller: on connections of which lane, and how long an answer is waited for.
+#[derive(Debug, Clone, Copy)]
+struct Route {
+    to: SocketAddr,
+    lane: u32,
+    timeout_ms: u64,
+}
+
 /// The tool while it plays.
 pub struct Run {
     size: Size,
@@ -481,8 +489,8 @@
     /// Hands a controller's request on to its peer.
     fn relay(&mut self, conn: ConnId, from: usize, to: usize, request: Request) {
         let size = request.body.len();
-        let peer = cluster::listens(&self.size, to).peers;
         let lane = LINKS_LANE + (from * self.size.controllers + to) as u32;
+        let route = self.to_peers(to, lane, PEER_TIMEOUT_MS);
         let call = Call::Peer {
             conn,
             from,
@@ -494,40 +502,40 @@
             "GET" => "GET",
             _ => "POST",
         };
-        self.send(
-            peer,
+        self.send(route, method, &request.path, &request.body, call);
+    }
+
+    /// The way to a controller's door for users.
+    fn to_clients(&self, node: usize, lane: u32, timeout_ms: u64) -> Route {
+        Route {
+            to: cluster::listens(&self.size, node).clients,
             lane,
-            method,
-            &request.path,
-            &request.body,
-            PEER_TIMEOUT_MS,
-            call,
-        );
+            timeout_ms,
+        }
     }
 
-    #[allow(clippy::too_many_arguments)]
-    fn send(
-        &mut self,
-        to: SocketAddr,
-        lane: u32,
-        method: &str,
-        path: &str,
-        body: &[u8],
-        timeout_ms: u64,
-        call: Call,
-    ) {
+    /// The way to its door for peers and operators.
+    fn to_peers(&self, node: usize, lane: u32, timeout_ms: u64) -> Route {
+        Route {
+            to: cluster::listens(&self.size, node).peers,
+            lane,
+            timeout_ms,
+        }
+    }
+
+    fn send(&mut self, route: Route, method: &str, path: &str, body: &[u8], call: Call) {
         self.next_tag += 1;
         self.calls.insert(self.next_tag, call);
         self.net.send(Outgoing {
             tag: self.next_tag,
-            to,
+            to: route.to,
             method,
             path,
             body,
-            timeout: Duration::from_millis(timeout_ms),
+            timeout: Duration::from_millis(route.timeout_ms),
             answer_limit: ANSWER_LIMIT,
             keep: net::KEEP,
-            lane,
+            lane: route.lane,
         });
     }
 
@@ -600,11 +608,10 @@
             self.checker.cancel_asked(&ask.job);
         }
         self.count(ask.node, "users", ask.body.len());
-        let to = cluster::listens(&self.size, ask.node).clients;
+        let route = self.to_clients(ask.node, ask.lane, ask.timeout_ms);
         let (method, path, body) = (ask.method, ask.path.clone(), ask.body.clone());
-        let (lane, timeout) = (ask.lane, ask.timeout_ms);
         let call = Call::User { ask, asked: now };
-        self.send(to, lane, method, &path, &body, timeout, call);
+        self.send(route, method, &path, &body, call);
     }
 
     fn user_answered(&mut self, now: Millis, asked: Millis, ask: &Ask, response: Option<Response>) {
@@ -635,10 +642,8 @@
 
     fn check_health(&mut self, now: Millis) {
         for node in 0..self.size.controllers {
-            let to = cluster::listens(&self.size, node).clients;
-            let lane = HEALTH_LANE + node as u32;
-            let call = Call::Health(node);
-            self.send(to, lane, "GET", "/ready", &[], HEALTH_TIMEOUT_MS, call);
+            let route = self.to_clients(node, HEALTH_LANE + node as u32, HEALTH_TIMEOUT_MS);
+            self.send(route, "GET", "/ready", &[], Call::Health(node));
         }
         self.timers.add(now + SECOND_MS, Due::Health);
     }
@@ -646,21 +651,13 @@
     fn change(&mut self, now: Millis) {
         let request = self.operator.change();
         let node = self.reachable(now, request.node);
-        let to = cluster::listens(&self.size, node).peers;
+        let route = self.to_peers(node, OPERATOR_LANE, OPERATOR_TIMEOUT_MS);
         let (path, body) = (request.path.clone(), request.body.clone());
         let call = Call::Change {
             request,
             asked: now,
         };
-        self.send(
-            to,
-            OPERATOR_LANE,
-            "POST",
-            &path,
-            &body,
-            OPERATOR_TIMEOUT_MS,
-            call,
-        );
+        self.send(route, "POST", &path, &body, call);
     }
 
     /// This controller, or the next one that runs and is not cut off.
@@ -683,14 +680,14 @@
         };
         let body = wire::encode(&spec);
         self.checker.submitted(spec);
-        let to = cluster::listens(&self.size, probe.node).clients;
         let lane = OPERATOR_LANE + 1 + probe.node as u32;
+        let route = self.to_clients(probe.node, lane, OPERATOR_TIMEOUT_MS);
         let call = Call::Probe {
             probe,
             job,
             asked: now,
         };
-        self.send(to, lane, "POST", "/work", &body, OPERATOR_TIMEOUT_MS, call);
+        self.send(route, "POST", "/work", &body, call);
     }
 
     fn probed(
@@ -723,15 +720,15 @@
     fn cancel_probe(&mut self, now: Millis, node: usize, job: String) {
         self.checker.cancel_asked(&job);
         let node = self.reachable(now, node);
-        let to = cluster::listens(&self.size, node).clients;
         let path = format!("/work/{job}/cancel");
         let lane = OPERATOR_LANE + 1 + node as u32;
+        let route = self.to_clients(node, lane, OPERATOR_TIMEOUT_MS);
         let call = Call::ProbeCancel {
             node,
             job,
             asked: now,
         };
-        self.send(to, lane, "POST", &path, &[], OPERATOR_TIMEOUT_MS, call);
+        self.send(route, "POST", &path, &[], call);
     }
 
     fn probe_cancelled(
