Review, case 2: tasks of cancelled jobs stay on hung machines beyond cancel_s

Cause: silent machines of a zone in which more than a third are silent are kept for lease_s, silent_s and the lease delegate's extension, which is more than cancel_s, also where their jobs are cancelled.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,5 +1,6 @@
 //! Drives the cases of the review. `run.sh` of a case calls it with the case's name; see the case's `claim.txt`.
 
+mod cancelled_on_hung_machines;
 mod controllers;
 mod job_beside_room;
 mod net;
@@ -37,6 +38,7 @@
         std::process::exit(2);
     });
     let verdict = match case.as_str() {
+        "cancelled-on-hung-machines" => cancelled_on_hung_machines::run(record, trouble),
         "job-beside-room" => job_beside_room::run(record, trouble),
         other => Verdict::CouldNotRun(format!("no such case: {other}")),
     };
