--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cancelled_on_hung_machines;
 mod controllers;
+mod healthy_machines_cordoned;
 mod job_beside_room;
 mod net;
 mod world;
@@ -40,6 +41,7 @@
     let verdict = match case.as_str() {
         "cancelled-on-hung-machines" => cancelled_on_hung_machines::run(record, trouble),
         "job-beside-room" => job_beside_room::run(record, trouble),
+        "healthy-machines-cordoned" => healthy_machines_cordoned::run(record, trouble),
         other => Verdict::CouldNotRun(format!("no such case: {other}")),
     };
     match verdict {
--- a/review/standins/src/world.rs
+++ b/review/standins/src/world.rs
@@ -54,12 +54,19 @@
     pub hung: BTreeMap<String, u64>,
     /// Machines that fail every task that they start.
     pub sick: BTreeSet<String>,
+    /// Jobs that were submitted with a mistake: their tasks fail on every machine.
+    pub mistaken: BTreeSet<String>,
     pub runs: Vec<Run>,
     /// Intercepts requests to the state service.
     pub state_fault: Option<Arc<StateFault>>,
+    /// Whether a node is cut from the state service: its requests are held.
+    pub state_cut: Option<Arc<StateCut>>,
     record: File,
 }
 
+/// Whether a node is cut from the state service now.
+pub type StateCut = dyn Fn(usize) -> bool + Send + Sync;
+
 /// Decides what happens to a request of a node to the state service at this time.
 pub type StateFault = dyn Fn(u64, usize, &Request) -> Fault + Send + Sync;
 
@@ -144,8 +151,10 @@
             addresses: BTreeMap::new(),
             hung: BTreeMap::new(),
             sick: BTreeSet::new(),
+            mistaken: BTreeSet::new(),
             runs: Vec::new(),
             state_fault: None,
+            state_cut: None,
             record,
         };
         let inner = Arc::new(Mutex::new(inner));
@@ -273,7 +282,25 @@
         hook.map_or(Fault::None, |f| f(now, node, r))
     }
 
+    /// Waits while a node is cut from the state service.
+    fn wait_while_cut(&self, node: usize) {
+        loop {
+            let cut = self.lock().state_cut.clone();
+            if !cut.is_some_and(|cut| cut(node)) {
+                return;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     fn serve_state(&self, node: usize, r: &Request) -> Answer {
+        self.wait_while_cut(node);
+        let answer = self.execute_state(node, r);
+        self.wait_while_cut(node);
+        answer
+    }
+
+    fn execute_state(&self, node: usize, r: &Request) -> Answer {
         let fault = self.fault(node, r);
         match fault {
             Fault::Refuse => return Some((503, wire::encode(&json!({"error": "trouble"})))),
@@ -413,7 +440,8 @@
             let mut failed = Vec::new();
             let sick = i.sick.contains(name);
             for t in &mut w.tasks {
-                if sick && t.stage == TaskStage::Fetching && t.fetched_at <= now {
+                let fails = sick || i.mistaken.contains(job_of(&t.name));
+                if fails && t.stage == TaskStage::Fetching && t.fetched_at <= now {
                     t.stage = TaskStage::Exited;
                     t.cause = Some(wire::api::Cause::Error);
                     w.changed = true;
