Review, case 3: polls at a leader that is cut off fail for as long as the cut lasts

Cause: /ready is 200 whatever the node can do, and its 503s leave connections open, so neither the load balancer nor the user turns to another node.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,10 +1,12 @@
 //! Drives the cases of the review. `run.sh` of a case calls it with the case's name; see the case's `claim.txt`.
 
+mod balancer;
 mod cancelled_on_hung_machines;
 mod controllers;
 mod healthy_machines_cordoned;
 mod job_beside_room;
 mod net;
+mod polls_at_cut_leader;
 mod world;
 
 use std::process::ExitCode;
@@ -41,6 +43,7 @@
     let verdict = match case.as_str() {
         "cancelled-on-hung-machines" => cancelled_on_hung_machines::run(record, trouble),
         "job-beside-room" => job_beside_room::run(record, trouble),
+        "polls-at-cut-leader" => polls_at_cut_leader::run(record, trouble),
         "healthy-machines-cordoned" => healthy_machines_cordoned::run(record, trouble),
         other => Verdict::CouldNotRun(format!("no such case: {other}")),
     };
