--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -3,10 +3,13 @@
 mod balancer;
 mod cancelled_on_hung_machines;
 mod controllers;
+mod gang_beside_room;
 mod healthy_machines_cordoned;
 mod job_beside_room;
 mod net;
+mod odd_submissions;
 mod polls_at_cut_leader;
+mod random_troubles;
 mod world;
 
 use std::process::ExitCode;
@@ -43,8 +46,11 @@
     let verdict = match case.as_str() {
         "cancelled-on-hung-machines" => cancelled_on_hung_machines::run(record, trouble),
         "job-beside-room" => job_beside_room::run(record, trouble),
+        "gang-beside-room" => gang_beside_room::run(record, trouble),
         "polls-at-cut-leader" => polls_at_cut_leader::run(record, trouble),
         "healthy-machines-cordoned" => healthy_machines_cordoned::run(record, trouble),
+        "random-troubles" => random_troubles::run(record),
+        "odd-submissions" => odd_submissions::run(record),
         other => Verdict::CouldNotRun(format!("no such case: {other}")),
     };
     match verdict {
