--- a/review/standins/src/balancer.rs
+++ b/review/standins/src/balancer.rs
@@ -1,6 +1,7 @@
 //! The load balancer in front of the controllers, as the protocol describes it, and cuts between hosts.
 
 use crate::net::ask;
+use std::collections::BTreeMap;
 use std::io::{self, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -20,7 +21,8 @@
     good: u32,
     bad: u32,
     unhealthy_since: Option<Instant>,
-    open: Vec<TcpStream>,
+    /// Clients' ends of the open connections to it, by number.
+    open: BTreeMap<u64, TcpStream>,
 }
 
 /// A connection-level load balancer: it does not look into requests, and does not move open connections.
@@ -40,7 +42,7 @@
             good: 0,
             bad: 0,
             unhealthy_since: None,
-            open: Vec::new(),
+            open: BTreeMap::new(),
         };
         let nodes = Arc::new(Mutex::new(nodes.iter().map(node).collect::<Vec<_>>()));
         let all = nodes.clone();
@@ -52,8 +54,8 @@
         });
         let all = nodes.clone();
         thread::spawn(move || {
-            for client in listener.incoming().flatten() {
-                connect(&all, client);
+            for (number, client) in listener.incoming().flatten().enumerate() {
+                connect(&all, client, number as u64);
             }
         });
         Ok(Balancer { addr, nodes })
@@ -92,7 +94,7 @@
             .unhealthy_since
             .is_some_and(|at| at.elapsed() >= RESET_AFTER)
         {
-            for stream in node.open.drain(..) {
+            for stream in std::mem::take(&mut node.open).into_values() {
                 let _ = stream.shutdown(Shutdown::Both);
             }
         }
@@ -100,26 +102,32 @@
 }
 
 /// Connects a client with the healthy node that has the fewest open connections.
-fn connect(nodes: &Mutex<Vec<Node>>, client: TcpStream) {
-    let mut nodes = nodes.lock().expect("lock");
-    let Some(node) = nodes
-        .iter_mut()
-        .filter(|n| n.healthy)
-        .min_by_key(|n| n.open.len())
-    else {
+fn connect(nodes: &Arc<Mutex<Vec<Node>>>, client: TcpStream, number: u64) {
+    let mut all = nodes.lock().expect("lock");
+    let healthy = (0..all.len()).filter(|n| all[*n].healthy);
+    let Some(at) = healthy.min_by_key(|n| all[*n].open.len()) else {
         return;
     };
-    let Ok(server) = TcpStream::connect_timeout(&node.addr, Duration::from_millis(500)) else {
+    let Ok(server) = TcpStream::connect_timeout(&all[at].addr, Duration::from_millis(500)) else {
         return;
     };
-    node.open.extend(client.try_clone());
+    all[at].open.extend(client.try_clone().map(|c| (number, c)));
     let never = Arc::new(AtomicBool::new(false));
-    pump(&client, &server, &never);
-    pump(&server, &client, &never);
+    let nodes = nodes.clone();
+    let closed = move || {
+        nodes.lock().expect("lock")[at].open.remove(&number);
+    };
+    pump(&client, &server, &never, closed);
+    pump(&server, &client, &never, || {});
 }
 
-/// Copies bytes one way; while the way is cut, they are held.
-fn pump(from: &TcpStream, to: &TcpStream, cut: &Arc<AtomicBool>) {
+/// Copies bytes one way until the connection ends; while the way is cut, they are held.
+fn pump(
+    from: &TcpStream,
+    to: &TcpStream,
+    cut: &Arc<AtomicBool>,
+    closed: impl FnOnce() + Send + 'static,
+) {
     let (Ok(mut from), Ok(mut to)) = (from.try_clone(), to.try_clone()) else {
         return;
     };
@@ -134,7 +142,7 @@
             if n == 0 || to.write_all(&chunk[..n]).is_err() {
                 let _ = to.shutdown(Shutdown::Both);
                 let _ = from.shutdown(Shutdown::Both);
-                return;
+                return closed();
             }
         }
     });
@@ -154,8 +162,8 @@
                 }
                 if let Ok(server) = TcpStream::connect(target) {
                     let _ = (client.set_nodelay(true), server.set_nodelay(true));
-                    pump(&client, &server, &cut);
-                    pump(&server, &client, &cut);
+                    pump(&client, &server, &cut, || {});
+                    pump(&server, &client, &cut, || {});
                 }
             });
         }
--- a/review/standins/src/gang_beside_room.rs
+++ b/review/standins/src/gang_beside_room.rs
@@ -1,5 +1,5 @@
-//! One-task jobs come several times as often for some seconds. Does a gang that is submitted afterwards start on the
-//! machines that are idle then?
+//! One-task jobs come several times as often for some seconds. Does a gang that is submitted once they are done start on
+//! the machines that are idle then?
 
 use crate::Verdict;
 use crate::controllers::Controllers;
@@ -13,11 +13,11 @@
 
 /// From this time on, a job that waits beside room is a broken rule.
 const WAITS_MS: u64 = 90_000;
-const MACHINES: u32 = 3;
+const MACHINES: u32 = 2;
 /// One-task jobs before the gang, with the trouble and without it, and the time between two of them.
-const FLOOD: u32 = 16;
+const FLOOD: u32 = 12;
 const CALM: u32 = 1;
-const EVERY: Duration = Duration::from_millis(500);
+const EVERY: Duration = Duration::from_millis(250);
 const GANG: &str = "job-000900";
 
 fn job(id: &str, class: &str, priority: Priority) -> JobSpec {
@@ -135,25 +135,35 @@
     let mut asked = since;
     loop {
         let now = world.lock().now();
-        if world.lock().runs.iter().any(|r| job_of(&r.task) == GANG) {
-            return Verdict::Held;
-        }
-        // The same machines are there all the time, and nothing is on them.
-        let idle = began.iter().filter(|m| world.up().contains(m)).count();
+        let used: Vec<String> = {
+            let i = world.lock();
+            if i.runs.iter().any(|r| job_of(&r.task) == GANG) {
+                return Verdict::Held;
+            }
+            let later = i.runs.iter().filter(|r| r.to.is_none_or(|to| to > since));
+            later.map(|r| r.machine.clone()).collect()
+        };
+        // Machines that have been up all the time, without a task.
+        let up = world.up();
+        let idle = began
+            .iter()
+            .filter(|m| up.contains(m) && !used.contains(m))
+            .count();
         if idle == 0 {
-            return Verdict::CouldNotRun("the machines went".into());
+            return Verdict::CouldNotRun("no machine was idle all the time".into());
         }
         if now >= asked + 10_000 {
             asked = now;
             stage(GANG);
             world.record(&format!(
-                "{idle} machines are up, {} tasks on them",
-                world.on_machines().len()
+                "{idle} machines have been up and without a task since {GANG} came"
             ));
         }
         if now >= since + WAITS_MS {
             let waited = (now - since) as f64 / 1000.0;
-            let why = format!("{GANG} has waited for {waited:.0} s beside {idle} idle machines");
+            let why = format!(
+                "{GANG} has waited for {waited:.0} s beside {idle} machines that were idle all the time"
+            );
             world.record(&format!("BROKEN: {why}"));
             return Verdict::Broken(why);
         }
--- a/review/standins/src/polls_at_cut_leader.rs
+++ b/review/standins/src/polls_at_cut_leader.rs
@@ -19,19 +19,22 @@
 
 /// All polls for a job fail for this long: it is forgotten.
 const FORGOTTEN: Duration = Duration::from_secs(90);
-const CUT: Duration = Duration::from_secs(96);
+const CUT: Duration = Duration::from_secs(97);
 const USERS: usize = 6;
 
-/// A user's connection through the load balancer. It stays open until one side closes it, or a response does not come.
+/// A user's connection through the load balancer. It stays open until one side closes it or a response does not come; a
+/// user who reconnects also closes it after each answer that is neither 200 nor 201.
 struct Connection {
     to: SocketAddr,
     stream: Option<TcpStream>,
+    reconnects: bool,
 }
 
 impl Connection {
     fn ask(&mut self, method: &str, path: &str, body: &[u8], wait: Duration) -> Option<Response> {
         let answer = self.try_ask(method, path, body, wait);
-        if answer.as_ref().is_none_or(|r| r.close) {
+        let failed = |r: &Response| self.reconnects && !matches!(r.status, 200 | 201);
+        if answer.as_ref().is_none_or(|r| r.close || failed(r)) {
             self.stream = None;
         }
         answer
@@ -66,6 +69,11 @@
     }
 }
 
+/// Every second user of a node reconnects.
+fn reconnects(user: usize) -> bool {
+    user >= USERS / 2
+}
+
 /// What a user has seen.
 #[derive(Clone, Default)]
 struct Seen {
@@ -102,7 +110,11 @@
         save_s: 0.0,
         deadline_s: None,
     };
-    let mut connection = Connection { to, stream: None };
+    let mut connection = Connection {
+        to,
+        stream: None,
+        reconnects: reconnects(n),
+    };
     let body = wire::encode(&spec);
     while !stop.load(Ordering::Relaxed) {
         let accepted = seen.lock().expect("lock")[n].accepted;
@@ -233,32 +245,31 @@
             pair[other * 3 + leader].store(true, Ordering::Relaxed);
         }
     }
-    let begun = Instant::now();
-    let mut verdict = Verdict::Held;
-    while begun.elapsed() < CUT {
-        let all = seen.lock().expect("lock").clone();
-        let silent =
-            |s: &Seen| s.failed > 0 && s.last_answer.is_some_and(|at| at.elapsed() > FORGOTTEN);
-        let forgotten: Vec<usize> = (0..USERS).filter(|n| silent(&all[*n])).collect();
-        let served = all.iter().filter(|s| s.failed == 0).count();
-        if !forgotten.is_empty() && served * 2 > USERS {
-            let at = forgotten[0];
-            let why = format!(
-                "all {} polls of user {at} for its job failed for {:.0} s, on {} connection(s); {served} of {USERS} users were answered; healthy nodes: {:?}",
-                all[at].failed,
-                all[at]
-                    .last_answer
-                    .map_or(0.0, |t| t.elapsed().as_secs_f64()),
-                all[at].connections,
-                balancer.healthy()
-            );
-            world.record(&format!("BROKEN forgotten: {why}"));
-            verdict = Verdict::Broken(format!("forgotten: {why}"));
-            break;
-        }
-        sleep(Duration::from_millis(100));
-    }
+    sleep(CUT);
+    let all = seen.lock().expect("lock").clone();
     stop.store(true, Ordering::Relaxed);
+    let silent =
+        |s: &Seen| s.failed > 0 && s.last_answer.is_some_and(|at| at.elapsed() > FORGOTTEN);
+    let forgotten: Vec<usize> = (0..USERS).filter(|n| silent(&all[*n])).collect();
+    let served = all.iter().filter(|s| s.failed == 0).count();
+    if forgotten.is_empty() || served * 2 <= USERS {
+        return Verdict::Held;
+    }
+    let each: Vec<String> = forgotten
+        .iter()
+        .map(|n| {
+            format!(
+                "user {n}: {} polls on {} connection(s)",
+                all[*n].failed, all[*n].connections
+            )
+        })
+        .collect();
+    let why = format!(
+        "all polls failed for 90 s ({}); {served} of {USERS} users were answered; healthy nodes: {:?}",
+        each.join(", "),
+        balancer.healthy()
+    );
+    world.record(&format!("BROKEN forgotten: {why}"));
     drop(controllers);
-    verdict
+    Verdict::Broken(format!("forgotten: {why}"))
 }
