--- a/crates/standins/src/days.rs
+++ b/crates/standins/src/days.rs
@@ -97,6 +97,12 @@
         for_ms: u64,
         next: NextLeader,
     },
+    /// A share of the commands that reach machines within `for_ms`, directly or through a relay, arrives again, up to
+    /// [`MAX_COMMAND_COPIES`] times and [`COMMAND_COPY_MS`] later. Nobody waits for the answers to the copies.
+    CommandCopies {
+        share: f64,
+        for_ms: u64,
+    },
     /// Reports of these machines arrive; answers and direct commands to them are lost.
     Deaf {
         machines: Machines,
@@ -162,6 +168,10 @@
 pub const LATE_WRITE_MS: Range<u64> = 2000..12_000;
 /// Delay until the copy of a report is delivered: up to two leases.
 pub const LATE_REPORT_MS: Range<u64> = 2000..30_000;
+/// Delay until a copy of a command is delivered: from less than the interval between two reports to several leases.
+pub const COMMAND_COPY_MS: Range<u64> = 20..120_000;
+/// The most copies of one command.
+pub const MAX_COMMAND_COPIES: usize = 3;
 /// Boot time of machines while boots are quick.
 pub const QUICK_BOOT_MS: Range<u64> = 1000..2000;
 
@@ -182,6 +192,7 @@
             Trouble::Late { for_ms, ms, .. } => for_ms + ms,
             Trouble::LateWrites { for_ms, .. } => for_ms + LATE_WRITE_MS.end,
             Trouble::LateReports { for_ms, .. } => for_ms + LATE_REPORT_MS.end,
+            Trouble::CommandCopies { for_ms, .. } => for_ms + COMMAND_COPY_MS.end,
             Trouble::CloseLooks { ms }
             | Trouble::CancelAtEnd { ms, .. }
             | Trouble::OddRequests { ms } => *ms,
--- a/crates/standins/src/world.rs
+++ b/crates/standins/src/world.rs
@@ -3,6 +3,7 @@
 
 pub mod asks;
 pub mod asserts;
+mod command_copies;
 mod day;
 mod delays;
 mod faults;
@@ -15,6 +16,7 @@
 mod slow_links;
 mod users;
 
+pub use command_copies::SentCommand;
 pub use faults::Hits;
 pub use users::ExtraActionCounts;
 
@@ -223,6 +225,8 @@
     ScheduledFault(usize),
     /// A controller's processor is free to handle the next event.
     ProcessorFree(usize),
+    /// A copy of a command reaches the machine of this name.
+    CommandCopy(String, Vec<u8>),
 }
 
 /// A client's connection to the gateway, which carries a single call.
@@ -286,6 +290,8 @@
     pub rules: Rules,
     pub models: Models,
     run_ms: BTreeMap<String, u64>,
+    /// How long machines take to fetch an image.
+    fetch_ms: u64,
     tuning: Tuning,
     /// Responses to operators' quota changes by change ID: the last status and the version.
     pub changes: BTreeMap<String, (u16, u64)>,
@@ -328,6 +334,7 @@
     delays: delays::MessageDelays,
     held_changes: held_changes::HeldChanges,
     kept_reports: kept_reports::KeptReports,
+    command_copies: command_copies::CommandCopies,
     slow_links: slow_links::SlowLinks,
     /// Processor costs of the controllers, if they are simulated.
     costs: Option<processor::Costs>,
@@ -340,6 +347,7 @@
 /// Default restart delay of a crashed node.
 const RESTART_MS: u64 = 2500;
 const CANCEL_MS: u64 = 40_000;
+const FETCH_MS: u64 = 1000;
 
 /// Default zones of a scene that names none.
 const ZONES: [&str; 2] = ["a", "b"];
@@ -470,6 +478,7 @@
             },
             models: Models::default(),
             run_ms: BTreeMap::new(),
+            fetch_ms: FETCH_MS,
             tuning,
             changes: BTreeMap::new(),
             answers: Vec::new(),
@@ -494,6 +503,7 @@
             delays: Default::default(),
             held_changes: Default::default(),
             kept_reports: Default::default(),
+            command_copies: Default::default(),
             slow_links: Default::default(),
             costs: None,
             leader_gaps: Default::default(),
@@ -1224,6 +1234,7 @@
             SimEvent::HealthProbe(n) => self.probe(n),
             SimEvent::ScheduledFault(i) => self.inject_scheduled_fault(i),
             SimEvent::ProcessorFree(n) => self.processor_free(n),
+            SimEvent::CommandCopy(machine, body) => self.deliver_command_copy(machine, body),
         }
     }
 
@@ -1508,6 +1519,7 @@
                     incarnation: c.incarnation,
                     tag: c.tag,
                 };
+                self.maybe_copy_relayed_command(to, &request);
                 self.step(SimEvent::Request(to, origin, request, true));
             }
             Destination::Worker(addr) => {
@@ -1520,27 +1532,38 @@
                     // The command is executed once the machine resumes.
                     return self.schedule(until, SimEvent::Arrive(c));
                 }
-                let (jobs, runs, saved_ms) = (&self.rules.jobs, &self.run_ms, &self.saved_ms);
-                let Some(worker) = self.workers.get_mut(&name) else {
-                    return;
-                };
-                let (killed, results) = worker.expire(self.now, LEASE_MS);
-                self.lost += killed;
-                self.forgotten += results;
-                let mut status = 200;
                 if c.path == "/commands" {
-                    let Ok(orders) = wire::decode::<Orders>(&c.body) else {
-                        return;
-                    };
-                    status =
-                        worker.commands(&orders, |t| task_times(jobs, runs, saved_ms, t), self.now);
+                    self.note_command(&name, &c.body);
                 }
-                let report = serde_json::to_value(worker.report(self.now)).unwrap_or_default();
+                let Some((status, report)) = self.request_worker(&name, &c.path, &c.body) else {
+                    return;
+                };
                 self.reply(&c, status, &report);
             }
         }
     }
 
+    /// A direct request reaches a worker. Returns the status and the body of the response.
+    fn request_worker(&mut self, name: &str, path: &str, body: &[u8]) -> Option<(u16, Value)> {
+        let (jobs, runs, saved_ms) = (&self.rules.jobs, &self.run_ms, &self.saved_ms);
+        let fetch_ms = self.fetch_ms;
+        let worker = self.workers.get_mut(name)?;
+        let (killed, results) = worker.expire(self.now, LEASE_MS);
+        self.lost += killed;
+        self.forgotten += results;
+        let mut status = 200;
+        if path == "/commands" {
+            let orders = wire::decode::<Orders>(body).ok()?;
+            status = worker.commands(
+                &orders,
+                |t| task_times(jobs, runs, saved_ms, fetch_ms, t),
+                self.now,
+            );
+        }
+        let report = serde_json::to_value(worker.report(self.now)).unwrap_or_default();
+        Some((status, report))
+    }
+
     /// Expires leases, or renews all of them to their full duration on the first call after an outage.
     fn expire_leases(&mut self) {
         if self.leases_renewed_for != self.state_outage_until {
@@ -1667,6 +1690,7 @@
             Origin::Worker { name, .. } if response.is_some() && self.misses_answer(&name) => {}
             Origin::Worker { name, number, sent } => {
                 let (jobs, runs, saved_ms) = (&self.rules.jobs, &self.run_ms, &self.saved_ms);
+                let fetch_ms = self.fetch_ms;
                 let nodes = self.plan.nodes;
                 let Some(w) = self.workers.get_mut(&name) else {
                     return;
@@ -1681,7 +1705,7 @@
                                 number,
                                 sent,
                                 &orders,
-                                |t| task_times(jobs, runs, saved_ms, t),
+                                |t| task_times(jobs, runs, saved_ms, fetch_ms, t),
                                 self.now,
                             );
                         }
@@ -2241,6 +2265,7 @@
     jobs: &BTreeMap<String, crate::rules::Job>,
     runs: &BTreeMap<String, u64>,
     saved_ms: &BTreeMap<String, u64>,
+    fetch_ms: u64,
     task: &str,
 ) -> Option<(u64, u64)> {
     let (id, _) = wire::ids::parse_task(task)?;
@@ -2251,5 +2276,5 @@
         *runs.get(id)?
     };
     let run = run.saturating_sub(saved_ms.get(task).copied().unwrap_or(0));
-    Some((1000, run))
+    Some((fetch_ms, run))
 }
--- a/crates/standins/src/world/delays.rs
+++ b/crates/standins/src/world/delays.rs
@@ -2,7 +2,7 @@
 //! them.
 
 use super::{Origin, SimEvent, World};
-use wire::api::Heartbeat;
+use wire::api::{Cause, Heartbeat, TaskStage};
 use wire::http::Request;
 
 /// The delays in force.
@@ -87,6 +87,11 @@
         self.schedule(self.now, SimEvent::Request(node, origin, request, false));
     }
 
+    /// From now on machines have all images, so that tasks run as soon as they are started.
+    pub fn cache_images(&mut self) {
+        self.fetch_ms = 0;
+    }
+
     /// Gives a task a run time of its own, instead of its job's.
     pub fn shorten(&mut self, task: &str, run_ms: u64) {
         let job = wire::ids::parse_task(task)
@@ -97,8 +102,25 @@
             .insert(task.to_owned(), whole.saturating_sub(run_ms));
     }
 
+    /// A running task of a job fails. Returns its name and its machine, if there was one.
+    pub fn fail_task(&mut self, job: &str) -> Option<(String, String)> {
+        let is_running = |t: &&mut crate::worker::Task| {
+            t.stage == TaskStage::Running
+                && wire::ids::parse_task(&t.name).is_some_and(|(id, _)| id == job)
+        };
+        for worker in self.workers.values_mut() {
+            if let Some(task) = worker.tasks.iter_mut().find(is_running) {
+                task.stage = TaskStage::Exited;
+                task.cause = Some(Cause::Error);
+                worker.changed = true;
+                return Some((task.name.clone(), worker.name.clone()));
+            }
+        }
+        None
+    }
+
     /// Tasks on a machine in any stage, with their attempts.
-    pub fn held(&self, machine: &str) -> Vec<(String, u64, wire::api::TaskStage)> {
+    pub fn held(&self, machine: &str) -> Vec<(String, u64, TaskStage)> {
         let tasks = self
             .workers
             .get(machine)
--- a/crates/standins/src/world/faults.rs
+++ b/crates/standins/src/world/faults.rs
@@ -21,6 +21,9 @@
     pub held_reports: u64,
     /// Reports that were lost because their machine could not connect to any controller.
     pub unsaid: u64,
+    /// Copies of commands that reached a machine, and those of them that it carried out and that contained a start.
+    pub command_copies: u64,
+    pub start_copies: u64,
     /// Messages between hosts that were delayed by slow links.
     pub slow: u64,
     /// Responses to reports, and direct commands, that were lost because the machine receives nothing.
@@ -145,6 +148,7 @@
                 for_ms,
                 next,
             } => self.keep_for_next(share, for_ms, next),
+            Trouble::CommandCopies { share, for_ms } => self.copy_commands(share, for_ms),
             Trouble::Deaf { machines, ms } => self.deafen(machines, now + ms),
             Trouble::CloseLooks { .. }
             | Trouble::CancelNow { .. }
