Log lines say why a start, a stop, a reap or a claim's end was allowed

The records of the incident could not tell under which token and epoch a message was sent, what proved an earlier attempt gone, or which tokens a leader held. The leader now logs its range of tokens, its lease and its record's revision (info); each order with delivery, token and agent epoch, and each end of a claim with its proof and what the worker would still carry out (debug).

--- a/crates/control/src/agents/orders.rs
+++ b/crates/control/src/agents/orders.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    fn reaps(&self) -> usize {
+        let is_reap = |order: &&Order| matches!(order, Order::Reap { .. });
+        self.orders.iter().filter(is_reap).count()
+    }
+
     /// The body of a reply to a heartbeat. A worker drops replies to heartbeats of an earlier epoch by itself.
     pub fn reply_body(&self) -> Vec<u8> {
         wire::encode(&Orders {
@@ -278,6 +283,10 @@
         let reaps = shard.reap_orders(machine_index);
         let reaps_now =
             shard.is_reaping_due(machine_index, reaps.len(), now, heartbeat_interval_ms);
+        let tokens = shard.tokens;
+        let token_before = shard
+            .machine(machine_index)
+            .map(|machine| machine.fence.token(tokens));
         let stamp = shard.stamp_for(machine_index, delivery, reaps_now);
         let may_start = shard
             .machine(machine_index)
@@ -304,6 +313,8 @@
         let message = WorkerMessage { stamp, orders };
         if let Some(machine) = shard.machine(machine_index) {
             log_message(machine, &message, delivery);
+            self.stats.token_raises += u64::from(token_before.is_some_and(|t| t < stamp.token));
+            self.stats.reaps += message.reaps() as u64;
         }
         self.end_releasable_claims(machine_index, &released);
         message
--- a/crates/control/src/agents/reconciliation.rs
+++ b/crates/control/src/agents/reconciliation.rs
@@ -35,15 +35,30 @@
     pub cause: Option<Cause>,
     /// Whether the task's progress was saved before it ended.
     pub saved: bool,
+    pub proof: EndProof,
+}
+
+/// What proves that a claimed task is gone and can't be started again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EndProof {
+    /// The worker lists it as exited, and knows its attempt until it is reaped.
+    Exited,
+    /// The worker does not list it, and refuses copies of its start.
+    Absent,
+    /// No start is carried out: none was sent, or the worker refuses all of them.
+    NeverStarted,
+    /// The cloud has confirmed that the machine is gone.
+    MachineGone,
 }
 
 impl EndedClaim {
     /// A claim that ended without a cause from the worker.
-    pub fn unexplained(position: usize) -> Self {
+    pub fn unexplained(position: usize, proof: EndProof) -> Self {
         EndedClaim {
             position,
             cause: None,
             saved: false,
+            proof,
         }
     }
 }
@@ -281,7 +296,9 @@
                 continue;
             }
             match absence_of(claim, worker) {
-                Absence::Ended => comparison.ended.push(EndedClaim::unexplained(position)),
+                Absence::Ended => comparison
+                    .ended
+                    .push(EndedClaim::unexplained(position, EndProof::Absent)),
                 Absence::StartMissed(start) => {
                     claim.start = start;
                     self.machines_with_orders.insert(machine_index);
@@ -335,6 +352,7 @@
                 position,
                 cause: status.cause,
                 saved: status.saved.unwrap_or(false),
+                proof: EndProof::Exited,
             }),
             None if status.cause == Some(Cause::Done) => {
                 self.finished
@@ -482,12 +500,15 @@
         shard.claim_log.release_claim(claim.segment);
         let job = shard.jobs.get_mut(claim.job)?;
         log::debug!(
-            "task {}/{} attempt {} on {}: ended, {:?}",
+            "task {}/{} attempt {} on {}: ended, {:?}, proved by {:?}; start {:?}, {:?}",
             job.id,
             claim.task,
             claim.attempt,
             machine.name,
-            end.cause
+            end.cause,
+            end.proof,
+            claim.start,
+            machine.fence
         );
         if is_running(claim.stage) {
             job.running = job.running.saturating_sub(1);
@@ -517,7 +538,9 @@
 
     /// Ends claims that need no proof from the worker.
     pub(crate) fn end_releasable_claims(&mut self, machine_index: usize, claims: &[usize]) {
-        let ended = claims.iter().copied().map(EndedClaim::unexplained);
+        let ended = claims
+            .iter()
+            .map(|position| EndedClaim::unexplained(*position, EndProof::NeverStarted));
         for job_index in self.end_claims(machine_index, ended.collect()) {
             self.job_changed(job_index);
         }
--- a/crates/control/src/leadership/election.rs
+++ b/crates/control/src/leadership/election.rs
@@ -274,7 +274,11 @@
     }
 
     fn become_leader(&mut self, lease: u64, sent: u64, token: u64, version: u64) {
-        log::info!("leader of shard {SHARD} with token {token}");
+        let tokens = TokenRange::ending_at(token);
+        log::info!(
+            "leader of shard {SHARD} with token {token}: tokens {} to {token}, lease {lease}, record at revision {version}",
+            tokens.first()
+        );
         let now = self.now.mono;
         self.incarnation.note_leadership();
         self.revoke_former_lease();
@@ -283,12 +287,7 @@
         self.term += 1;
         self.shared.documents.abandon_reads();
         self.apply_leader_shares();
-        self.shard = Some(Shard::new(
-            TokenRange::ending_at(token),
-            version,
-            now,
-            &self.write_limits,
-        ));
+        self.shard = Some(Shard::new(tokens, version, now, &self.write_limits));
         self.start_recovery();
         self.announce_leadership(token);
     }
--- a/crates/control/src/provisioning/returns.rs
+++ b/crates/control/src/provisioning/returns.rs
@@ -1,6 +1,6 @@
 //! Scaling in: return of machines to the cloud.
 
-use crate::agents::reconciliation::EndedClaim;
+use crate::agents::reconciliation::{EndProof, EndedClaim};
 use crate::jobs::job::JobIndex;
 use crate::provisioning::REQUEST_COST;
 use crate::{Node, Pending};
@@ -74,8 +74,9 @@
         };
         log::info!("machine {}: returned", machine.name);
         let name = machine.name.clone();
-        let ended = (0..machine.claims.len()).map(EndedClaim::unexplained);
-        let ended = ended.collect();
+        let ended = (0..machine.claims.len())
+            .map(|position| EndedClaim::unexplained(position, EndProof::MachineGone))
+            .collect();
         shard.returned.add(name, now);
         let changed = self.end_claims(machine_index, ended);
         if let Some(shard) = &mut self.shard {
--- a/crates/control/src/stats.rs
+++ b/crates/control/src/stats.rs
@@ -23,4 +23,10 @@
     pub relayed: u64,
     /// Writes that the state service refused with status 400.
     pub refused_writes: u64,
+    /// Exited tasks that workers were told to forget.
+    pub reaps: u64,
+    /// Messages to workers that carried a higher token than those before, so that earlier commands are refused.
+    pub token_raises: u64,
+    /// Heartbeats that listed a task without a claim, once for each such task.
+    pub unclaimed_tasks: u64,
 }
--- a/crates/control/src/store/apply.rs
+++ b/crates/control/src/store/apply.rs
@@ -106,8 +106,11 @@
 
     fn token_raised(&mut self, token: u64, revision: u64) {
         let Some(shard) = &mut self.shard else { return };
-        log::info!("token raised to {token}");
         shard.tokens = TokenRange::ending_at(token);
+        log::info!(
+            "token raised to {token}: tokens {} to {token}, at revision {revision}",
+            shard.tokens.first()
+        );
         shard.raise_token = false;
         self.shared.token = token;
         self.shared.highest_token = self.shared.highest_token.max(token);
--- a/crates/stoathatch/src/service.rs
+++ b/crates/stoathatch/src/service.rs
@@ -205,6 +205,9 @@
         }
         self.last_stats = Instant::now();
         let node = self.node.node();
+        if let Some(tokens) = node.tokens() {
+            log::info!("{}: tokens {tokens:?}", node.role_name());
+        }
         log::info!("{}: {:?}", node.role_name(), node.stats());
         if let Some(book) = self.node.book() {
             log::info!("yarn: {:?}", book.counts());
