A running task of a forgotten job is stopped

The records show the same line for one task several times a second: a task without a claim whose job had ended and been forgotten. The leader made no claim for it, since a claim needs a job, and sent no stop either: the task ran on after its job's cancellation was confirmed.

Such a task is now listed with its machine and stopped in every message to it; the line appears when the task is first listed, later heartbeats only repeat the stop. `running_task_of_a_forgotten_job_is_stopped` fails without this.

--- a/crates/control/src/agents/machine.rs
+++ b/crates/control/src/agents/machine.rs
@@ -135,6 +135,13 @@
     pub cause: Option<Cause>,
 }
 
+/// A task without a claim whose job is not known, since it ended and was forgotten.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct UnclaimedTask {
+    pub task: String,
+    pub attempt: u64,
+}
+
 /// A direct command that awaits a response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct CommandInFlight {
@@ -177,7 +184,10 @@
     pub claims: Vec<Claim>,
     /// Exited tasks that its worker listed in the newest message.
     pub exited: Vec<Exited>,
-    /// Since when some of them could be reaped.
+    /// Tasks of unknown jobs that its worker listed in the newest message and that have not exited: no claim is made for
+    /// them, and they are stopped.
+    pub unclaimed: Vec<UnclaimedTask>,
+    /// Since when some of the exited tasks could be reaped.
     pub reapable_since: Option<u64>,
     pub command_in_flight: Option<CommandInFlight>,
     /// Which earlier commands the worker may still carry out.
@@ -224,6 +234,7 @@
             reclaim_at: None,
             claims: Vec::new(),
             exited: Vec::new(),
+            unclaimed: Vec::new(),
             reapable_since: None,
             command_in_flight: None,
             fence: CommandFence::default(),
--- a/crates/control/src/agents/orders.rs
+++ b/crates/control/src/agents/orders.rs
@@ -5,7 +5,7 @@
 
 use crate::Node;
 use crate::agents::command_fence::CommandStamp;
-use crate::agents::machine::{Claim, ClaimState, Exited, Machine, StartState};
+use crate::agents::machine::{Claim, ClaimState, Exited, Machine, StartState, UnclaimedTask};
 use crate::jobs::job::Job;
 use crate::store::shard::Shard;
 use wire::api::{Cause, Kind, Order, Orders, TaskStage};
@@ -101,6 +101,14 @@
     }
 }
 
+fn unclaimed_stop(task: &UnclaimedTask) -> Order {
+    Order::Stop {
+        task: task.task.clone(),
+        attempt: task.attempt,
+        grace_s: 0.0,
+    }
+}
+
 /// Builds the stop order for a started task unless one was sent lately. While the task saves, the order is repeated
 /// only if the grace period is 0.
 fn stop_order_if_due(claim: &mut Claim, job: &Job, grace_s: f64, now: u64) -> Option<Order> {
@@ -302,6 +310,7 @@
         } = shard.claim_orders(machine_index, &context);
         let has_start = orders.iter().any(|o| matches!(o, Order::Start { .. }));
         if let Some(machine) = shard.machine_mut(machine_index) {
+            orders.extend(machine.unclaimed.iter().map(unclaimed_stop));
             if (reaps_now || !orders.is_empty()) && machine.fence.allows_reaping(stamp) {
                 orders.extend(reaps);
             }
--- a/crates/control/src/agents/reconciliation.rs
+++ b/crates/control/src/agents/reconciliation.rs
@@ -5,7 +5,7 @@
 
 use crate::Node;
 use crate::agents::command_fence::CommandStamp;
-use crate::agents::machine::{Claim, ClaimState, Exited, Machine, StartState};
+use crate::agents::machine::{Claim, ClaimState, Exited, Machine, StartState, UnclaimedTask};
 use crate::jobs::job::{Job, JobIndex};
 use crate::scheduling::apply_plan::grace_period_s;
 use crate::store::claim_log::ClaimId;
@@ -75,6 +75,8 @@
     strays: Vec<Claim>,
     /// Successful tasks whose claims have ended already, under an earlier leader.
     finished: Vec<(JobIndex, u32)>,
+    /// The number of tasks that are listed without a claim for the first time.
+    unclaimed: u64,
 }
 
 /// What the absence of a claimed task from a worker's list shows.
@@ -197,6 +199,7 @@
             ..Comparison::default()
         };
         let mut exited = Vec::new();
+        let mut unclaimed = Vec::new();
         for status in &heartbeat.tasks {
             let Some((id, task)) = ids::parse_task(&status.task) else {
                 continue;
@@ -222,22 +225,25 @@
                 }
                 // A heartbeat with an earlier leader's token may be a delayed copy of an old one.
                 None if heartbeat.token < self.tokens.first() => {}
-                None => {
-                    // Not expected to happen, but the task uses resources, so it gets a claim and is stopped.
-                    log::warn!(
-                        "machine {}: task {} attempt {} without a claim",
-                        heartbeat.machine,
-                        status.task,
-                        status.attempt
-                    );
-                    comparison.strays.extend(
-                        job_index.map(|job_index| Claim::stray(job_index, task, status.attempt)),
-                    );
-                }
+                // Not expected to happen, but the task uses resources, so it gets a claim and is stopped. That of an
+                // unknown job is only stopped.
+                None => match job_index {
+                    Some(job_index) => comparison.note_stray(heartbeat, job_index, task, status),
+                    None => unclaimed.push(UnclaimedTask {
+                        task: status.task.clone(),
+                        attempt: status.attempt,
+                    }),
+                },
             }
         }
         if let Some(machine) = self.machine_mut(machine_index) {
             machine.exited = exited;
+            let earlier = std::mem::replace(&mut machine.unclaimed, unclaimed);
+            let new = machine.unclaimed.iter().filter(|t| !earlier.contains(t));
+            for UnclaimedTask { task, attempt } in new {
+                log_stray(heartbeat, task, *attempt);
+                comparison.unclaimed += 1;
+            }
         }
         comparison
     }
@@ -338,7 +344,30 @@
     }
 }
 
+fn log_stray(heartbeat: &Heartbeat, task: &str, attempt: u64) {
+    log::warn!(
+        "machine {}: task {task} attempt {attempt} without a claim, to be stopped; its worker is at token {}, agent epoch {}",
+        heartbeat.machine,
+        heartbeat.token,
+        heartbeat.agent_epoch
+    );
+}
+
 impl Comparison {
+    /// Notes a running task without a claim.
+    fn note_stray(
+        &mut self,
+        heartbeat: &Heartbeat,
+        job_index: JobIndex,
+        task: u32,
+        status: &TaskStatus,
+    ) {
+        log_stray(heartbeat, &status.task, status.attempt);
+        self.unclaimed += 1;
+        self.strays
+            .push(Claim::stray(job_index, task, status.attempt));
+    }
+
     /// Notes an exited task: its claim has ended, or, without a claim, its success still counts.
     fn note_exited(
         &mut self,
@@ -462,6 +491,7 @@
         if proves_absence {
             shard.find_absent(machine_index, worker_stamp(heartbeat), &mut comparison);
         }
+        self.stats.unclaimed_tasks += comparison.unclaimed;
         let mut changed = shard.add_stray_claims(machine_index, comparison.strays);
         changed.extend(shard.complete_finished(comparison.finished));
         changed.extend(self.end_claims(machine_index, comparison.ended));
--- a/crates/control/tests/command_fence.rs
+++ b/crates/control/tests/command_fence.rs
@@ -139,3 +139,19 @@
     assert_eq!(reply["baton"], json!(FIRST_TOKEN), "{reply}");
     p.run(HEARTBEAT_MS, &mut |_| None::<ScriptedAnswer>);
 }
+
+/// A running task whose job ended and was forgotten has no claim, and is stopped all the same.
+#[test]
+fn running_task_of_a_forgotten_job_is_stopped() {
+    let mut p = ScriptedNode::new();
+    let mut worker = p.become_leader_with_machine();
+    let forgotten = ("job-000777/0".to_owned(), 7, "running");
+    worker.tasks.push(forgotten.clone());
+    let reply = worker.send_heartbeat(&mut p);
+    let stop = json!({"verb": "stop", "piece": "job-000777/0", "try": 7, "windDownS": 0.0});
+    assert!(
+        orders_of(&reply, "stop").any(|order| *order == stop),
+        "{reply}"
+    );
+    assert!(!worker.tasks.contains(&forgotten));
+}
