--- a/crates/standins/src/loopback.rs
+++ b/crates/standins/src/loopback.rs
@@ -229,7 +229,7 @@
         self.lock().has_runners = true;
     }
 
-    /// From now on each command to a worker arrives again several times, up to [`COPY_DELAYS_MS`] later.
+    /// From now on each command to a worker arrives again several times, up to seconds later.
     pub fn copy_commands(&self) {
         self.lock().copies.is_on = true;
     }
