--- a/crates/control/tests/commands.rs
+++ b/crates/control/tests/commands.rs
@@ -126,6 +126,15 @@
     orders.filter(|order| order["verb"] == verb).count()
 }
 
+fn peer_response(answer: &PeerResponse) -> Response {
+    Response {
+        status: 200,
+        body: peer::encode(answer),
+        close: false,
+        retry_after_s: None,
+    }
+}
+
 fn token_of(orders: &Value) -> u64 {
     orders["baton"].as_u64().expect("orders carry a token")
 }
@@ -189,6 +198,58 @@
     }
 }
 
+/// A relay says that it did not send a command; a copy of the request to the relay may still reach the worker by way of
+/// it. The job is cancelled before or after the worker's next heartbeat, which does not list the task. The claim is given
+/// up only once the worker has a higher token than the start's.
+#[test]
+fn start_that_a_relay_did_not_send_is_given_up_only_under_a_higher_token() {
+    for heard_before_cancel in [false, true] {
+        let route = Route::ViaPeer;
+        let mut p = ScriptedNode::new();
+        p.become_leader();
+        let mut worker = ScriptedWorker::new("host-000001");
+        route.heartbeat(&mut p, &mut worker);
+        p.run(1000, &mut |_| None);
+        route.heartbeat(&mut p, &mut worker);
+        let command = p.run_until_sent("the first starts", |s| route.contains_start(s));
+        let token = route
+            .command_orders(&command)
+            .map(|orders| token_of(&orders));
+        p.step(Event::Reply {
+            tag: command.tag,
+            response: Some(peer_response(&PeerResponse::refused(421, ""))),
+        });
+        if heard_before_cancel {
+            // The worker drops the answer, and with it the starts that are sent again.
+            let heartbeat = wire::encode(&worker.next_heartbeat());
+            let ask = PeerRequest::Reports {
+                node: p.first_peer_name(),
+                reports: vec![heartbeat.into()],
+            };
+            p.request_as_peer(&ask);
+        }
+        p.client_request(1, "POST", "/work/job-000001/cancel");
+        let stop = p.run_until_sent("the stop", |s| route.command_orders(s).is_some());
+        assert!(
+            p.was_told_stage("cancelled"),
+            "the cancellation is confirmed"
+        );
+        let answered = PeerResponse::CommandResult {
+            status: 200,
+            body: wire::encode(&worker.next_heartbeat()).into(),
+        };
+        p.step(Event::Reply {
+            tag: stop.tag,
+            response: Some(peer_response(&answered)),
+        });
+        let answer = route.heartbeat(&mut p, &mut worker);
+        assert!(
+            Some(token_of(&answer)) > token,
+            "heard before the cancellation: {heard_before_cancel}, {answer}"
+        );
+    }
+}
+
 /// A machine that could not be probed because no socket was free has not failed to answer: it is probed again and kept.
 /// A machine that was probed and does not answer is returned to the cloud.
 #[test]
